Lay out the workspace and the vocabulary crate

Cause: nothing existed. The split follows the shared design: vocabulary, configuration, wire, platform, three decision crates, daemon, fakes, command line. Ruled out: one decision crate, since request, control and limit decisions share no state.

--- /dev/null
+++ b/crates/buckthornpier/src/main.rs
@@ -0,0 +1,3 @@
+//! The `buckthornpier` command.
+
+fn main() {}
--- /dev/null
+++ b/crates/pier_config/src/lib.rs
@@ -0,0 +1,1 @@
+//! The configuration document: parsing, validation, and comparison of two versions.
--- /dev/null
+++ b/crates/pier_control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions about control leases, group placement, repair and group health.
--- /dev/null
+++ b/crates/pier_fakes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, model engines and plain services.
--- /dev/null
+++ b/crates/pier_platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform: object API and VM list.
--- /dev/null
+++ b/crates/pier_request/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions about one request: admission, routing, attempts, retries and one-time claims.
--- /dev/null
+++ b/crates/pier_types/src/ids/mod.rs
@@ -0,0 +1,19 @@
+//! Names and identifiers.
+
+mod group_id;
+mod name_error;
+mod names;
+mod request_fingerprint;
+mod target_id;
+mod tokens;
+
+pub use group_id::GroupId;
+pub use name_error::NameError;
+pub(crate) use name_error::check_name;
+pub use names::{
+    AdapterName, CustomerName, DataCentreName, DomainName, ModelName, NodeName, RegionName,
+    ServiceName, VmName,
+};
+pub use request_fingerprint::RequestFingerprint;
+pub use target_id::TargetId;
+pub use tokens::{AttemptId, LeaseNonce, TraceId};
--- /dev/null
+++ b/crates/pier_types/src/vms/mod.rs
@@ -0,0 +1,9 @@
+//! VMs as the platform's list tells of them.
+
+mod vm_entry;
+mod vm_pool;
+mod vm_state;
+
+pub use vm_entry::VmEntry;
+pub use vm_pool::VmPool;
+pub use vm_state::VmState;
--- /dev/null
+++ b/crates/pier_wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between nodes: authenticated datagrams and framed streams.
