Add the thin node daemon

Cause: no process served anything. The daemon reads checked settings, serves callers and operators by two HTTP servers, keeps a route table by reading the VM list and reports, relays plain and streamed answers, and drains on SIGTERM. Ruled out: the server's own shutdown grace as the drain, since it cuts what is left; the node counts requests itself and stops the server when none is left.

--- /dev/null
+++ b/crates/pier_node/src/callers/caller_routes.rs
@@ -0,0 +1,182 @@
+//! The routes of the callers' port.
+
+use std::{io, time};
+
+use pier_types::{codes, times};
+use rocket::data::ToByteUnit as _;
+use rocket::http::{Header, Method, Status};
+use rocket::response::Responder as _;
+use rocket::response::stream::ByteStream;
+use rocket::route::{Handler, Outcome};
+use rocket::{Data, Request, Response, Route};
+use tokio::sync::mpsc;
+
+use crate::{callers, handle, requests};
+
+/// Greatest size of a body, in bytes, before the configuration's own limit is asked.
+const BODY_LIMIT_BYTES: u64 = 8 * 1024 * 1024;
+
+/// Time a caller has to send its body whole.
+const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+
+/// Milliseconds in a second.
+const MILLIS_PER_SECOND: u64 = 1_000;
+
+/// Every method that a caller may use.
+const METHODS: [Method; 7] = [
+    Method::Get,
+    Method::Put,
+    Method::Post,
+    Method::Delete,
+    Method::Options,
+    Method::Head,
+    Method::Patch,
+];
+
+/// Handles every route of the callers' port.
+#[derive(Debug, Clone)]
+pub struct CallerRoutes {
+    handle: handle::NodeHandle,
+}
+
+impl CallerRoutes {
+    /// Makes the routes over a node.
+    pub fn new(handle: handle::NodeHandle) -> Self {
+        Self { handle }
+    }
+
+    /// Returns the routes to mount at `/`.
+    pub fn routes(self) -> Vec<Route> {
+        let route = |method| Route::new(method, "/<path..>", self.clone());
+        METHODS.into_iter().map(route).collect()
+    }
+
+    async fn answer(&self, head: &Request<'_>, data: Data<'_>) -> callers::CallerReply {
+        match head.uri().path().as_str() {
+            "/healthz" => plain(200, "ok\n"),
+            "/readyz" => self.readiness(),
+            _ => self.serve(head, data).await,
+        }
+    }
+
+    fn readiness(&self) -> callers::CallerReply {
+        if self.handle.is_ready() {
+            return plain(200, "ready\n");
+        }
+        plain(503, "not ready\n")
+    }
+
+    async fn serve(&self, head: &Request<'_>, data: Data<'_>) -> callers::CallerReply {
+        let arrived_at = times::clocks::boot_now();
+        let body = match read_body(data).await {
+            Ok(body) => body,
+            Err(error) => return error.into(),
+        };
+        let request = request_of(head, body, arrived_at);
+        requests::RequestPath::new(self.handle.clone())
+            .serve(request)
+            .await
+    }
+}
+
+#[rocket::async_trait]
+impl Handler for CallerRoutes {
+    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let guard = self.handle.begin_request();
+        let reply = self.answer(request, data).await;
+        match response_of(reply, guard, request) {
+            Ok(response) => Outcome::Success(response),
+            Err(status) => Outcome::Error(status),
+        }
+    }
+}
+
+fn plain(status: u16, text: &'static str) -> callers::CallerReply {
+    callers::CallerReply::whole(status, "text/plain", text.into())
+}
+
+async fn read_body(data: Data<'_>) -> Result<Vec<u8>, callers::ErrorBody> {
+    let reading = data.open(BODY_LIMIT_BYTES.bytes()).into_bytes();
+    let body = tokio::time::timeout(BODY_TIMEOUT, reading).await;
+    let incomplete = || {
+        let code = codes::ResultCode::IncompleteBody;
+        callers::ErrorBody::new(code, "the body did not arrive whole in time")
+    };
+    let body = body
+        .map_err(|_elapsed| incomplete())?
+        .map_err(|_broken: io::Error| incomplete())?;
+    if !body.is_complete() {
+        let code = codes::ResultCode::BodyTooLarge;
+        let message = format!("the body is over {BODY_LIMIT_BYTES} bytes");
+        return Err(callers::ErrorBody::new(code, message));
+    }
+    Ok(body.into_inner())
+}
+
+fn request_of(
+    head: &Request<'_>,
+    body: Vec<u8>,
+    arrived_at: times::BootTime,
+) -> callers::CallerRequest {
+    let uri = head.uri();
+    let headers = head.headers().iter();
+    let headers = headers
+        .map(|header| {
+            (
+                header.name().as_str().to_ascii_lowercase(),
+                header.value().to_owned(),
+            )
+        })
+        .filter(|(name, _value)| callers::CallerRequest::keeps_header(name))
+        .collect();
+    callers::CallerRequest {
+        method: head.method().as_str().to_owned(),
+        path: uri.path().to_string(),
+        query: uri
+            .query()
+            .map(|query| query.to_string())
+            .unwrap_or_default(),
+        headers,
+        body,
+        arrived_at,
+        hops: 0,
+    }
+}
+
+fn response_of<'r>(
+    reply: callers::CallerReply,
+    guard: handle::RequestGuard,
+    request: &'r Request<'_>,
+) -> Result<Response<'r>, Status> {
+    let mut response = match reply.body {
+        callers::ReplyBody::Whole(body) => whole_response(body),
+        callers::ReplyBody::Stream(parts) => stream_response(parts, guard, request)?,
+    };
+    response.set_status(Status::new(reply.status));
+    response.set_header(Header::new("content-type", reply.content_type));
+    if let Some(millis) = reply.retry_after_ms {
+        let seconds = millis.div_ceil(MILLIS_PER_SECOND);
+        response.set_header(Header::new("retry-after", seconds.to_string()));
+    }
+    Ok(response)
+}
+
+fn whole_response<'r>(body: bytes::Bytes) -> Response<'r> {
+    let size = body.len();
+    Response::build()
+        .sized_body(size, io::Cursor::new(body))
+        .finalize()
+}
+
+/// Streams the parts; the guard keeps the request in progress until the last one was taken.
+fn stream_response<'r>(
+    parts: mpsc::Receiver<bytes::Bytes>,
+    guard: handle::RequestGuard,
+    request: &'r Request<'_>,
+) -> Result<Response<'r>, Status> {
+    let stream = futures_util::stream::unfold((parts, guard), |(mut parts, guard)| async move {
+        let part = parts.recv().await?;
+        Some((part, (parts, guard)))
+    });
+    ByteStream::from(stream).respond_to(request)
+}
--- /dev/null
+++ b/crates/pier_node/src/callers/mod.rs
@@ -0,0 +1,11 @@
+//! Callers' HTTP: reads requests whole, writes answers as they come.
+
+mod caller_reply;
+mod caller_request;
+mod caller_routes;
+mod error_body;
+
+pub use caller_reply::{CallerReply, ReplyBody};
+pub use caller_request::CallerRequest;
+pub use caller_routes::CallerRoutes;
+pub use error_body::ErrorBody;
--- /dev/null
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -0,0 +1,152 @@
+//! A running node.
+
+use std::{net, time};
+
+use anyhow::Context as _;
+use pier_types::ids;
+
+use crate::{callers, daemon, handle, operators, settings, tables, telemetry};
+
+/// Time between two looks at the requests in progress during a drain.
+const DRAIN_POLL: time::Duration = time::Duration::from_millis(20);
+
+/// Bound on connecting to a target.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+/// Idle connections are closed before a target would close them.
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
+/// A running node; keeps its ports open until [`NodeDaemon::drain`].
+#[derive(Debug)]
+pub struct NodeDaemon {
+    handle: handle::NodeHandle,
+    callers: daemon::WebServer,
+    operators: daemon::WebServer,
+}
+
+impl NodeDaemon {
+    /// Starts every part of a node.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a port can not be bound.
+    pub async fn launch(settings: settings::NodeSettings) -> anyhow::Result<Self> {
+        let client = target_client()?;
+        let traces = open_traces(settings.collector_url.clone()).await?;
+        let handle = handle::NodeHandle::new(draw_name(&settings)?, settings, client, traces);
+        tables::spawn(handle.clone());
+        let operators = Self::launch_operators(&handle).await?;
+        let callers = Self::launch_callers(&handle).await?;
+        log::info!(
+            event = "node-started",
+            node:% = handle.name(),
+            callers:% = callers.address(),
+            operators:% = operators.address();
+            ""
+        );
+        Ok(Self {
+            handle,
+            callers,
+            operators,
+        })
+    }
+
+    /// Runs a node until SIGTERM or SIGINT, then drains it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a port can not be bound or signals can not be listened to.
+    pub async fn run_until_signal(settings: settings::NodeSettings) -> anyhow::Result<()> {
+        let node = Self::launch(settings).await?;
+        let addresses = (node.callers_address(), node.operators_address());
+        println!("callers={} operators={}", addresses.0, addresses.1);
+        daemon::stop_signal::wait().await?;
+        node.drain().await;
+        Ok(())
+    }
+
+    /// Returns the node's handle.
+    pub fn handle(&self) -> &handle::NodeHandle {
+        &self.handle
+    }
+
+    /// Returns where callers are accepted.
+    pub fn callers_address(&self) -> net::SocketAddr {
+        self.callers.address()
+    }
+
+    /// Returns where operators are accepted.
+    pub fn operators_address(&self) -> net::SocketAddr {
+        self.operators.address()
+    }
+
+    /// Turns unready, lets the balancer notice, waits for requests in progress, then stops.
+    pub async fn drain(self) {
+        let settings = self.handle.settings().clone();
+        self.handle.start_drain();
+        log::info!(event = "drain-started", node:% = self.handle.name(); "");
+        tokio::time::sleep(settings.drain_notice).await;
+        self.wait_for_requests(settings.drain_limit).await;
+        self.callers.stop().await;
+        self.operators.stop().await;
+        log::info!(event = "drain-ended", node:% = self.handle.name(); "");
+    }
+
+    async fn wait_for_requests(&self, limit: time::Duration) {
+        let waiting = async {
+            while self.handle.requests_in_progress() > 0 {
+                tokio::time::sleep(DRAIN_POLL).await;
+            }
+        };
+        if tokio::time::timeout(limit, waiting).await.is_err() {
+            let left = self.handle.requests_in_progress();
+            log::warn!(event = "drain-limit-reached", requests = left; "");
+        }
+    }
+
+    async fn launch_callers(handle: &handle::NodeHandle) -> anyhow::Result<daemon::WebServer> {
+        let settings = handle.settings();
+        let routes = callers::CallerRoutes::new(handle.clone()).routes();
+        daemon::WebServer::launch(settings.callers, settings.drain_limit, |rocket| {
+            rocket.mount("/", routes)
+        })
+        .await
+    }
+
+    async fn launch_operators(handle: &handle::NodeHandle) -> anyhow::Result<daemon::WebServer> {
+        let settings = handle.settings();
+        let handle = handle.clone();
+        daemon::WebServer::launch(settings.operators, settings.drain_limit, |rocket| {
+            let routes = operators::OperatorRoutes::routes();
+            rocket.manage(handle).mount("/", routes)
+        })
+        .await
+    }
+}
+
+/// Draws a name that no earlier start had, so that a restarted node is never taken for its predecessor.
+fn draw_name(settings: &settings::NodeSettings) -> anyhow::Result<ids::NodeName> {
+    let unique = uuid::Uuid::new_v4().simple().to_string();
+    let name = format!("{}-{}", settings.data_centre, &unique[..12]);
+    name.parse().context("naming the node")
+}
+
+/// Opens the trace sink on a thread of its own, since its client blocks.
+async fn open_traces(collector_url: Option<String>) -> anyhow::Result<telemetry::TraceSink> {
+    let opening =
+        tokio::task::spawn_blocking(move || telemetry::TraceSink::open(collector_url.as_deref()));
+    opening.await.context("opening the trace sink")?
+}
+
+/// Makes a client that does nothing by itself: no redirect, no proxy, no retry.
+fn target_client() -> anyhow::Result<reqwest::Client> {
+    reqwest::Client::builder()
+        .redirect(reqwest::redirect::Policy::none())
+        .no_proxy()
+        .retry(reqwest::retry::never())
+        .connect_timeout(CONNECT_TIMEOUT)
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .tcp_nodelay(true)
+        .build()
+        .context("making the HTTP client")
+}
--- /dev/null
+++ b/crates/pier_node/src/daemon/web_server.rs
@@ -0,0 +1,92 @@
+//! One HTTP server of a node.
+
+use std::{net, time};
+
+use anyhow::Context as _;
+use rocket::figment::Figment;
+use rocket::tokio::task;
+use tokio::sync::oneshot;
+
+/// A running server.
+#[derive(Debug)]
+pub(super) struct WebServer {
+    address: net::SocketAddr,
+    shutdown: rocket::Shutdown,
+    running: task::JoinHandle<()>,
+}
+
+impl WebServer {
+    /// Starts a server; its settings come from here alone, not from files or the environment.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can not be bound.
+    pub(super) async fn launch(
+        address: net::SocketAddr,
+        drain_limit: time::Duration,
+        configure: impl FnOnce(rocket::Rocket<rocket::Build>) -> rocket::Rocket<rocket::Build>,
+    ) -> anyhow::Result<Self> {
+        let (sender, receiver) = oneshot::channel();
+        let rocket = configure(rocket::custom(figment(address, drain_limit)));
+        let rocket = rocket.attach(report_port(sender)).ignite().await;
+        let rocket = rocket.map_err(|error| anyhow::anyhow!("server on {address}: {error}"))?;
+        let shutdown = rocket.shutdown();
+        let running = tokio::spawn(async move {
+            if let Err(error) = rocket.launch().await {
+                log::error!(event = "server-failed", address:% = address, cause:% = error; "");
+            }
+        });
+        let port = receiver
+            .await
+            .with_context(|| format!("binding {address}"))?;
+        Ok(Self {
+            address: net::SocketAddr::new(address.ip(), port),
+            shutdown,
+            running,
+        })
+    }
+
+    /// Returns where the server listens.
+    pub(super) fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting, lets requests in progress end, and waits for that.
+    pub(super) async fn stop(self) {
+        self.shutdown.notify();
+        if let Err(error) = self.running.await {
+            log::error!(event = "server-failed", address:% = self.address, cause:% = error; "");
+        }
+    }
+}
+
+fn report_port(sender: oneshot::Sender<u16>) -> rocket::fairing::AdHoc {
+    rocket::fairing::AdHoc::on_liftoff("port", move |rocket| {
+        Box::pin(async move {
+            // Nobody waits any more when the start was given up.
+            let _unheard = sender.send(rocket.config().port);
+        })
+    })
+}
+
+fn figment(address: net::SocketAddr, drain_limit: time::Duration) -> Figment {
+    let grace = u32::try_from(drain_limit.as_secs()).unwrap_or(u32::MAX);
+    let config = rocket::Config {
+        address: address.ip(),
+        port: address.port(),
+        log_level: rocket::config::LogLevel::Off,
+        cli_colors: false,
+        ident: rocket::config::Ident::none(),
+        keep_alive: 60,
+        shutdown: rocket::config::Shutdown {
+            ctrlc: false,
+            signals: std::collections::HashSet::new(),
+            grace,
+            mercy: 1,
+            force: false,
+            ..rocket::config::Shutdown::default()
+        },
+        ..rocket::Config::release_default()
+    };
+    Figment::from(config)
+}
--- /dev/null
+++ b/crates/pier_node/src/handle/node_handle.rs
@@ -0,0 +1,133 @@
+//! The handle that every part of a node shares.
+
+use std::sync::{self, atomic};
+use std::{collections, fmt};
+
+use arc_swap::ArcSwap;
+use pier_types::{ids, routes, vms};
+
+use crate::{handle, settings, telemetry};
+
+/// Shared state of one node; a clone is cheap and sees the same state.
+///
+/// What a request reads is published whole by read-copy-update, so that no request waits for a
+/// control loop.
+#[derive(Clone)]
+pub struct NodeHandle {
+    shared: sync::Arc<NodeShared>,
+}
+
+struct NodeShared {
+    name: ids::NodeName,
+    settings: settings::NodeSettings,
+    client: reqwest::Client,
+    metrics: telemetry::NodeMetrics,
+    traces: telemetry::TraceSink,
+    draining: atomic::AtomicBool,
+    in_progress: sync::Arc<atomic::AtomicUsize>,
+    routes: ArcSwap<routes::RouteTable>,
+    vms: ArcSwap<collections::BTreeMap<ids::VmName, vms::VmEntry>>,
+}
+
+impl fmt::Debug for NodeHandle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("NodeHandle")
+            .field("name", &self.shared.name)
+            .finish_non_exhaustive()
+    }
+}
+
+impl NodeHandle {
+    /// Makes the handle of a node that has not started yet.
+    pub fn new(
+        name: ids::NodeName,
+        settings: settings::NodeSettings,
+        client: reqwest::Client,
+        traces: telemetry::TraceSink,
+    ) -> Self {
+        let shared = NodeShared {
+            name,
+            settings,
+            client,
+            metrics: telemetry::NodeMetrics::new(traces.counts()),
+            traces,
+            draining: atomic::AtomicBool::new(false),
+            in_progress: sync::Arc::default(),
+            routes: ArcSwap::default(),
+            vms: ArcSwap::default(),
+        };
+        Self {
+            shared: sync::Arc::new(shared),
+        }
+    }
+
+    /// Returns the node's name, drawn anew at each start.
+    pub fn name(&self) -> &ids::NodeName {
+        &self.shared.name
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &settings::NodeSettings {
+        &self.shared.settings
+    }
+
+    /// Returns the HTTP client towards targets.
+    pub fn client(&self) -> &reqwest::Client {
+        &self.shared.client
+    }
+
+    /// Returns the metrics.
+    pub fn metrics(&self) -> &telemetry::NodeMetrics {
+        &self.shared.metrics
+    }
+
+    /// Returns where trace spans go.
+    pub fn traces(&self) -> &telemetry::TraceSink {
+        &self.shared.traces
+    }
+
+    /// Returns the targets that may receive new work.
+    pub fn routes(&self) -> arc_swap::Guard<sync::Arc<routes::RouteTable>> {
+        self.shared.routes.load()
+    }
+
+    /// Publishes the targets that may receive new work.
+    pub fn publish_routes(&self, table: routes::RouteTable) {
+        self.shared.routes.store(sync::Arc::new(table));
+    }
+
+    /// Returns the VMs by the platform's lagging list.
+    pub fn vms(&self) -> sync::Arc<collections::BTreeMap<ids::VmName, vms::VmEntry>> {
+        self.shared.vms.load_full()
+    }
+
+    /// Publishes the VM list.
+    pub fn publish_vms(&self, list: collections::BTreeMap<ids::VmName, vms::VmEntry>) {
+        self.shared.vms.store(sync::Arc::new(list));
+    }
+
+    /// Counts a request as in progress until the guard is dropped.
+    pub fn begin_request(&self) -> handle::RequestGuard {
+        handle::RequestGuard::new(sync::Arc::clone(&self.shared.in_progress))
+    }
+
+    /// Returns how many requests are in progress.
+    pub fn requests_in_progress(&self) -> usize {
+        self.shared.in_progress.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Starts the drain: the balancer is told to stay away.
+    pub fn start_drain(&self) {
+        self.shared.draining.store(true, atomic::Ordering::SeqCst);
+    }
+
+    /// Tells whether the node is about to stop.
+    pub fn is_draining(&self) -> bool {
+        self.shared.draining.load(atomic::Ordering::SeqCst)
+    }
+
+    /// Tells whether the balancer may send callers here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && !self.routes().pools.is_empty()
+    }
+}
--- a/crates/pier_node/src/lib.rs
+++ b/crates/pier_node/src/lib.rs
@@ -1,1 +1,32 @@
 //! The node daemon: wires the decisions to callers, targets, peers and the platform.
+//!
+//! One request's way: [`callers`] reads it, [`requests`] decides and dispatches, the target's answer
+//! comes back the same way. [`tables`] publishes what a request reads; nothing on that path waits
+//! for a control loop.
+
+pub mod callers;
+pub mod daemon;
+pub mod handle;
+pub mod operators;
+pub mod requests;
+pub mod settings;
+pub mod tables;
+pub mod telemetry;
+
+use std::path;
+
+use anyhow::Context as _;
+
+/// Runs a node with the settings of a file until it was told to stop and has drained.
+///
+/// # Errors
+///
+/// Fails when the settings are refused or a port can not be bound; nothing was started then.
+pub fn run(path: &path::Path) -> anyhow::Result<()> {
+    let settings = settings::NodeSettings::load(path)?;
+    let runtime = rocket::tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .context("starting the threads")?;
+    runtime.block_on(daemon::NodeDaemon::run_until_signal(settings))
+}
--- /dev/null
+++ b/crates/pier_node/src/settings/mod.rs
@@ -0,0 +1,9 @@
+//! The settings of one node: an INI file, checked as a whole before anything starts.
+
+mod node_settings;
+mod settings_error;
+mod settings_reader;
+
+pub use node_settings::NodeSettings;
+pub use settings_error::{SettingsError, SettingsFault};
+use settings_reader::SettingsReader;
--- /dev/null
+++ b/crates/pier_node/src/settings/node_settings.rs
@@ -0,0 +1,165 @@
+//! The settings of one node.
+
+use std::{net, path, time};
+
+use anyhow::Context as _;
+use pier_types::ids;
+
+use crate::settings;
+
+/// Longest drain when the settings name none.
+const DEFAULT_DRAIN: time::Duration = time::Duration::from_mins(10);
+
+/// Time between turning unready and closing the port when the settings name none.
+const DEFAULT_NOTICE: time::Duration = time::Duration::from_secs(5);
+
+/// Least length of the key that authenticates messages between nodes, in characters.
+const PEER_KEY_LENGTH: usize = 32;
+
+/// What one node is told at its start.
+///
+/// ```
+/// use pier_node::settings;
+///
+/// let text = "
+/// [node]
+/// data-centre = scot-central-a
+/// region = scot-central
+/// callers = 127.0.0.1:0
+/// operators = 127.0.0.1:0
+/// peers = 127.0.0.1:0
+/// peer-key = 0123456789abcdef0123456789abcdef
+/// [platform]
+/// url = http://127.0.0.1:9000
+/// ";
+/// let settings = settings::NodeSettings::parse(text)?;
+/// assert_eq!(settings.data_centre.as_str(), "scot-central-a");
+/// # Ok::<(), anyhow::Error>(())
+/// ```
+#[derive(Debug, Clone)]
+pub struct NodeSettings {
+    /// The data centre this node stands in.
+    pub data_centre: ids::DataCentreName,
+    /// The region of that data centre.
+    pub region: ids::RegionName,
+    /// Where callers' HTTP is accepted.
+    pub callers: net::SocketAddr,
+    /// Where operators' HTTP and metrics are accepted.
+    pub operators: net::SocketAddr,
+    /// Where datagrams and forwarded requests of other nodes are accepted; same number on UDP and TCP.
+    pub peers: net::SocketAddr,
+    /// Addresses of nodes to say hello to at the start.
+    pub seeds: Vec<net::SocketAddr>,
+    /// Key that authenticates messages between nodes.
+    pub peer_key: String,
+    /// Base of the platform's object API.
+    pub platform_url: String,
+    /// Longest time that the node waits for requests in progress once told to stop.
+    pub drain_limit: time::Duration,
+    /// Time between turning unready and closing the port.
+    pub drain_notice: time::Duration,
+    /// OTLP collector, base of its HTTP address.
+    pub collector_url: Option<String>,
+    /// Least level of log lines.
+    pub log_level: log::LevelFilter,
+}
+
+impl NodeSettings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file can not be read or any value is refused; the error names every fault.
+    pub fn load(path: &path::Path) -> anyhow::Result<Self> {
+        let text = std::fs::read_to_string(path)
+            .with_context(|| format!("reading settings file {}", path.display()))?;
+        Self::parse(&text)
+    }
+
+    /// Reads and checks a text.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is no INI or any value is refused; the error names every fault.
+    pub fn parse(text: &str) -> anyhow::Result<Self> {
+        let file = ini::Ini::load_from_str(text).context("the settings are not INI")?;
+        let mut reader = settings::SettingsReader::new(&file);
+        let settings = Self::read(&mut reader);
+        reader.finish()?;
+        settings.context("a required setting is missing")
+    }
+
+    fn read(reader: &mut settings::SettingsReader<'_>) -> Option<Self> {
+        let address = "an IP address and port, as in 10.0.0.5:8080";
+        let seconds = "whole seconds";
+        let data_centre = reader.required("node", "data-centre", "a data centre's name");
+        let region = reader.required("node", "region", "a region's name");
+        let callers = reader.required("node", "callers", address);
+        let operators = reader.required("node", "operators", address);
+        let peers = reader.required("node", "peers", address);
+        let seeds = reader.list("node", "seeds", address);
+        let peer_key = Self::read_peer_key(reader);
+        let platform_url = Self::read_url(reader, "platform", "url");
+        let drain_limit = reader.optional("node", "drain-limit-seconds", seconds);
+        let drain_notice = reader.optional("node", "drain-notice-seconds", seconds);
+        let collector_url = Self::read_optional_url(reader, "telemetry", "collector");
+        let levels = "one of off, error, warn, info, debug, trace";
+        let log_level = reader.optional("telemetry", "log-level", levels);
+        Some(Self {
+            data_centre: data_centre?,
+            region: region?,
+            callers: callers?,
+            operators: operators?,
+            peers: peers?,
+            seeds,
+            peer_key: peer_key?,
+            platform_url: platform_url?,
+            drain_limit: drain_limit.map_or(DEFAULT_DRAIN, time::Duration::from_secs),
+            drain_notice: drain_notice.map_or(DEFAULT_NOTICE, time::Duration::from_secs),
+            collector_url,
+            log_level: log_level.unwrap_or(log::LevelFilter::Info),
+        })
+    }
+
+    fn read_peer_key(reader: &mut settings::SettingsReader<'_>) -> Option<String> {
+        let allowed = format!("at least {PEER_KEY_LENGTH} characters, the same on every node");
+        let key: String = reader.required("node", "peer-key", &allowed)?;
+        if key.len() < PEER_KEY_LENGTH {
+            reader.refuse("node", "peer-key", "(hidden)", &allowed);
+        }
+        Some(key)
+    }
+
+    fn read_url(
+        reader: &mut settings::SettingsReader<'_>,
+        section: &'static str,
+        key: &'static str,
+    ) -> Option<String> {
+        let url: String = reader.required(section, key, "http://HOST:PORT")?;
+        Self::check_url(reader, section, key, &url)
+    }
+
+    fn read_optional_url(
+        reader: &mut settings::SettingsReader<'_>,
+        section: &'static str,
+        key: &'static str,
+    ) -> Option<String> {
+        let url: String = reader.optional(section, key, "http://HOST:PORT")?;
+        Self::check_url(reader, section, key, &url)
+    }
+
+    fn check_url(
+        reader: &mut settings::SettingsReader<'_>,
+        section: &'static str,
+        key: &'static str,
+        url: &str,
+    ) -> Option<String> {
+        let parsed = reqwest::Url::parse(url);
+        let usable = parsed.is_ok_and(|url| matches!(url.scheme(), "http" | "https"));
+        if !usable {
+            reader.refuse(section, key, url, "http://HOST:PORT or https://HOST:PORT");
+            return None;
+        }
+        Some(url.trim_end_matches('/').to_owned())
+    }
+}
--- /dev/null
+++ b/crates/pier_node/src/settings/settings_error.rs
@@ -0,0 +1,50 @@
+//! Everything that is wrong with a settings file.
+
+use std::{error, fmt};
+
+/// One fault of a settings file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsFault {
+    /// The section, without brackets.
+    pub section: String,
+    /// The key.
+    pub key: String,
+    /// What stood there; empty when the key is missing.
+    pub found: String,
+    /// What may stand there.
+    pub allowed: String,
+}
+
+impl fmt::Display for SettingsFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            section,
+            key,
+            found,
+            allowed,
+        } = self;
+        write!(
+            f,
+            "section={section} key={key} found={found:?} allowed={allowed:?}"
+        )
+    }
+}
+
+/// Every fault of a settings file at once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsError {
+    /// The faults, in the order of the keys' documentation.
+    pub faults: Vec<SettingsFault>,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} faults in the settings", self.faults.len())?;
+        for fault in &self.faults {
+            write!(f, "\n{fault}")?;
+        }
+        Ok(())
+    }
+}
+
+impl error::Error for SettingsError {}
--- /dev/null
+++ b/crates/pier_node/src/tables/mod.rs
@@ -0,0 +1,5 @@
+//! Publishes what a request reads: which targets may receive new work.
+
+mod table_loop;
+
+pub use table_loop::spawn;
--- /dev/null
+++ b/crates/pier_node/src/telemetry/node_metrics.rs
@@ -0,0 +1,86 @@
+//! The metrics of one node.
+
+use std::{fmt, time};
+
+use pier_types::codes;
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::{counter, family, gauge, histogram};
+use prometheus_client::registry;
+
+use crate::telemetry;
+
+/// Upper bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS_SECONDS: [f64; 12] = [
+    0.002, 0.005, 0.01, 0.02, 0.04, 0.08, 0.2, 0.5, 1.0, 1.8, 5.0, 30.0,
+];
+
+/// Labels of an answered request.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AnswerLabels {
+    code: u32,
+}
+
+/// The metrics of one node.
+pub struct NodeMetrics {
+    registry: registry::Registry,
+    answers: family::Family<AnswerLabels, counter::Counter>,
+    first_part: histogram::Histogram,
+    in_progress: gauge::Gauge,
+}
+
+impl fmt::Debug for NodeMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("NodeMetrics").finish_non_exhaustive()
+    }
+}
+
+impl NodeMetrics {
+    /// Makes the metrics of a node; spans are counted where the trace sink counts them.
+    pub fn new(spans: &telemetry::SpanCounts) -> Self {
+        let mut metrics = Self {
+            registry: registry::Registry::with_prefix("buckthornpier"),
+            answers: family::Family::default(),
+            first_part: histogram::Histogram::new(LATENCY_BOUNDS_SECONDS),
+            in_progress: gauge::Gauge::default(),
+        };
+        metrics.register();
+        spans.register(&mut metrics.registry);
+        metrics
+    }
+
+    /// Counts an answered request; no code stands for success.
+    pub fn count_answer(&self, code: Option<codes::ResultCode>) {
+        let code = code.map_or(0, codes::ResultCode::number).into();
+        self.answers.get_or_create(&AnswerLabels { code }).inc();
+    }
+
+    /// Records the time from a request's arrival to the first part of its answer.
+    pub fn record_first_part(&self, elapsed: time::Duration) {
+        self.first_part.observe(elapsed.as_secs_f64());
+    }
+
+    /// Returns every metric as `OpenMetrics` text.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a metric can not be written as text.
+    pub fn encode(&self) -> Result<String, fmt::Error> {
+        let mut text = String::new();
+        text::encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+
+    fn register(&mut self) {
+        let answers = self.answers.clone();
+        let help = "Answered requests by result code, 0 for success";
+        self.registry.register("answers", help, answers);
+        let first_part = self.first_part.clone();
+        let help = "Time from a request's arrival to the first part of its answer";
+        self.registry
+            .register_with_unit("first_part", help, registry::Unit::Seconds, first_part);
+        let in_progress = self.in_progress.clone();
+        let help = "Requests in progress";
+        self.registry
+            .register("requests_in_progress", help, in_progress);
+    }
+}
--- /dev/null
+++ b/crates/pier_node/src/telemetry/trace_sink.rs
@@ -0,0 +1,67 @@
+//! Sends spans to the collector.
+
+use anyhow::Context as _;
+use opentelemetry::trace::TracerProvider as _;
+use opentelemetry_otlp::WithExportConfig as _;
+use opentelemetry_sdk::trace;
+
+use crate::telemetry;
+
+/// Spans that wait for the collector at most; more are dropped.
+const QUEUE_LIMIT: usize = 2_048;
+
+/// Where spans go: to a collector, or nowhere.
+///
+/// A collector that is down or slow costs a bounded queue and a thread of the exporter, never a
+/// request's time.
+#[derive(Debug, Clone)]
+pub struct TraceSink {
+    tracer: trace::SdkTracer,
+    counts: telemetry::SpanCounts,
+}
+
+impl TraceSink {
+    /// Makes a sink; without a collector spans are numbered and handed on but not kept.
+    ///
+    /// Blocks for a moment; call it outside asynchronous code.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the exporter can not be made.
+    pub fn open(collector_url: Option<&str>) -> anyhow::Result<Self> {
+        let counts = telemetry::SpanCounts::default();
+        let mut builder = trace::SdkTracerProvider::builder();
+        if let Some(url) = collector_url {
+            builder = builder.with_span_processor(processor(url, counts.clone())?);
+        }
+        let tracer = builder.build().tracer("buckthornpier");
+        Ok(Self { tracer, counts })
+    }
+
+    /// Returns the tracer that starts spans.
+    pub(super) fn tracer(&self) -> &trace::SdkTracer {
+        &self.tracer
+    }
+
+    /// Returns the counters of spans.
+    pub fn counts(&self) -> &telemetry::SpanCounts {
+        &self.counts
+    }
+}
+
+fn processor(
+    url: &str,
+    counts: telemetry::SpanCounts,
+) -> anyhow::Result<trace::BatchSpanProcessor> {
+    let exporter = opentelemetry_otlp::SpanExporter::builder()
+        .with_http()
+        .with_endpoint(format!("{url}/v1/traces"))
+        .build()
+        .context("making the trace exporter")?;
+    let exporter = telemetry::CountingExporter::new(exporter, counts);
+    let config = trace::BatchConfigBuilder::default()
+        .with_max_queue_size(QUEUE_LIMIT)
+        .build();
+    let builder = trace::BatchSpanProcessor::builder(exporter);
+    Ok(builder.with_batch_config(config).build())
+}
