Forward a request to another node once

Cause: a data centre without a serving target has to pass requests on. Conclusion: an error tells not sent, lost and refused apart.

--- a/crates/pier_node/src/callers/caller_reply.rs
+++ b/crates/pier_node/src/callers/caller_reply.rs
@@ -6,6 +6,9 @@
 
 use crate::callers;
 
+/// Content type of server-sent events.
+pub const EVENT_STREAM: &str = "text/event-stream";
+
 /// The answer to one request: a head and a body that may still be growing.
 #[derive(Debug)]
 pub struct CallerReply {
@@ -17,6 +20,8 @@
     pub retry_after_ms: Option<u64>,
     /// The result code when this is a refusal or failure.
     pub code: Option<codes::ResultCode>,
+    /// What is known of the request when there is a result code.
+    pub outcome: codes::RunOutcome,
     /// The body.
     pub body: ReplyBody,
 }
@@ -38,6 +43,7 @@
             content_type: content_type.into(),
             retry_after_ms: None,
             code: None,
+            outcome: codes::RunOutcome::Unknown,
             body: ReplyBody::Whole(body),
         }
     }
@@ -46,9 +52,10 @@
     pub fn events(parts: mpsc::Receiver<Bytes>) -> Self {
         Self {
             status: 200,
-            content_type: "text/event-stream".to_owned(),
+            content_type: EVENT_STREAM.to_owned(),
             retry_after_ms: None,
             code: None,
+            outcome: codes::RunOutcome::Unknown,
             body: ReplyBody::Stream(parts),
         }
     }
@@ -61,6 +68,7 @@
             content_type: "application/json".to_owned(),
             retry_after_ms: error.retry_after_ms,
             code: Some(error.code),
+            outcome: error.outcome,
             body: ReplyBody::Whole(error.to_json().into()),
         }
     }
--- a/crates/pier_node/src/callers/mod.rs
+++ b/crates/pier_node/src/callers/mod.rs
@@ -5,7 +5,7 @@
 mod caller_routes;
 mod error_body;
 
-pub use caller_reply::{CallerReply, ReplyBody};
+pub use caller_reply::{CallerReply, EVENT_STREAM, ReplyBody};
 pub use caller_request::CallerRequest;
 pub use caller_routes::CallerRoutes;
 pub use error_body::ErrorBody;
--- /dev/null
+++ b/crates/pier_node/src/forwards/forward_error.rs
@@ -0,0 +1,46 @@
+//! Why a forward brought no answer.
+
+use std::{error, fmt};
+
+use pier_types::codes;
+use pier_wire::frames;
+
+/// A forward that brought no answer, and how far it had got.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ForwardError {
+    /// The other node can not have dispatched the request; another one may be tried.
+    NotSent {
+        /// What went wrong.
+        cause: String,
+    },
+    /// The other node may have dispatched the request.
+    Lost {
+        /// What went wrong.
+        cause: String,
+    },
+    /// The other node answered with a refusal or failure.
+    Refused(frames::AnswerFailure),
+}
+
+impl ForwardError {
+    /// Returns what is known of the request.
+    pub fn outcome(&self) -> codes::RunOutcome {
+        match self {
+            Self::NotSent { .. } => codes::RunOutcome::NotRun,
+            Self::Lost { .. } => codes::RunOutcome::Unknown,
+            Self::Refused(failure) => failure.outcome,
+        }
+    }
+}
+
+impl fmt::Display for ForwardError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent { cause } => write!(f, "the request was not passed on: {cause}"),
+            Self::Lost { cause } => write!(f, "the node that took the request was lost: {cause}"),
+            Self::Refused(failure) => write!(f, "refused: {}", failure.code.meaning()),
+        }
+    }
+}
+
+impl error::Error for ForwardError {}
--- /dev/null
+++ b/crates/pier_node/src/forwards/forward_server.rs
@@ -0,0 +1,210 @@
+//! The side that takes a request over.
+
+use std::{net, time};
+
+use anyhow::Context as _;
+use pier_types::{codes, times};
+use pier_wire::{frames, seals};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::{callers, forwards, handle, requests};
+
+/// Bound on the handshake and on the request's arrival.
+const ARRIVAL_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
+/// Greatest size of a forwarded body, in bytes.
+const BODY_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+
+/// Bytes of an answer in one frame.
+const CHUNK_BYTES: usize = 64 * 1024;
+
+/// Forwards a request may have behind it.
+const HOP_LIMIT: u8 = 1;
+
+/// Takes requests over from other nodes.
+#[derive(Debug, Clone)]
+pub struct ForwardServer {
+    handle: handle::NodeHandle,
+    key: seals::WireKey,
+    instance: seals::NodeInstance,
+}
+
+impl ForwardServer {
+    /// Makes the server of one node.
+    pub fn new(
+        handle: handle::NodeHandle,
+        key: seals::WireKey,
+        instance: seals::NodeInstance,
+    ) -> Self {
+        Self {
+            handle,
+            key,
+            instance,
+        }
+    }
+
+    /// Accepts connections until the runtime ends.
+    pub async fn run(self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, peer)) => self.spawn(stream, peer),
+                Err(error) => {
+                    log::warn!(event = "forward-not-accepted", cause:% = error; "");
+                    tokio::time::sleep(time::Duration::from_millis(100)).await;
+                }
+            }
+        }
+    }
+
+    fn spawn(&self, stream: TcpStream, peer: net::SocketAddr) {
+        let server = self.clone();
+        tokio::spawn(async move {
+            if let Err(error) = server.serve(stream).await {
+                log::warn!(event = "forward-broken", peer:% = peer, cause = format!("{error:#}"); "");
+            }
+        });
+    }
+
+    async fn serve(&self, stream: TcpStream) -> anyhow::Result<()> {
+        stream.set_nodelay(true)?;
+        let (reader, writer) = stream.into_split();
+        let mut reader = forwards::FrameReader::new(reader);
+        let mut writer = forwards::FrameWriter::new(writer);
+        let arriving = self.receive(&mut reader, &mut writer);
+        let arrived = tokio::time::timeout(ARRIVAL_TIMEOUT, arriving).await;
+        let request = arrived.context("the request did not arrive in time")??;
+        let guard = self.handle.begin_request();
+        let answering = self.answer(request, &mut writer);
+        let result = tokio::select! {
+            result = answering => result,
+            _left = reader.next::<frames::ForwardFrame>() => Ok(()),
+        };
+        drop(guard);
+        result
+    }
+
+    /// Reads a request; nothing is dispatched unless its end mark came.
+    async fn receive(
+        &self,
+        reader: &mut forwards::FrameReader,
+        writer: &mut forwards::FrameWriter,
+    ) -> anyhow::Result<callers::CallerRequest> {
+        let hello = reader.expect().await?;
+        let (key, node) = (self.key.clone(), self.handle.name().clone());
+        let nonce = rand::random();
+        let (handshake, challenge) =
+            frames::ServerHandshake::answer(key, hello, node, self.instance, nonce)?;
+        writer.write(&challenge).await?;
+        handshake.verify(&reader.expect().await?)?;
+        let frames::ForwardFrame::Begin(begin) = reader.expect().await? else {
+            anyhow::bail!("the request has no beginning");
+        };
+        let body = receive_body(reader).await?;
+        Ok(request_of(*begin, body, times::clocks::boot_now()))
+    }
+
+    async fn answer(
+        &self,
+        request: callers::CallerRequest,
+        writer: &mut forwards::FrameWriter,
+    ) -> anyhow::Result<()> {
+        if request.hops > HOP_LIMIT {
+            let code = codes::ResultCode::NoServingTarget;
+            return writer.write(&failed(code, code.outcome(), None)).await;
+        }
+        let path = requests::RequestPath::new(self.handle.clone());
+        let reply = path.serve(request).await;
+        if let Some(code) = reply.code {
+            return writer.write(&failed(code, reply.outcome, reply.retry_after_ms)).await;
+        }
+        send_reply(reply, writer).await
+    }
+}
+
+async fn receive_body(reader: &mut forwards::FrameReader) -> anyhow::Result<Vec<u8>> {
+    let mut body = Vec::new();
+    loop {
+        match reader.expect().await? {
+            frames::ForwardFrame::Body(chunk) => body.extend_from_slice(&chunk.bytes),
+            frames::ForwardFrame::End => return Ok(body),
+            frames::ForwardFrame::Begin(_) => anyhow::bail!("a second beginning"),
+            frames::ForwardFrame::Cancel => anyhow::bail!("the request was taken back"),
+        }
+        anyhow::ensure!(body.len() <= BODY_LIMIT_BYTES, "the body is too large");
+    }
+}
+
+fn request_of(
+    begin: frames::ForwardBegin,
+    body: Vec<u8>,
+    arrived_at: times::BootTime,
+) -> callers::CallerRequest {
+    let (path, query) = begin.path.split_once('?').unwrap_or((&begin.path, ""));
+    let headers = begin.headers.iter();
+    let headers = headers.map(|header| (header.name.clone(), header.value.clone()));
+    let mut request = callers::CallerRequest {
+        method: begin.method,
+        path: path.to_owned(),
+        query: query.to_owned(),
+        headers: headers.collect(),
+        body,
+        arrived_at,
+        hops: begin.hops,
+    };
+    let deadline = begin.deadline_ms.to_string();
+    request.headers.insert("x-deadline-ms".to_owned(), deadline);
+    if let Some(parent) = begin.trace_parent {
+        request.headers.insert("traceparent".to_owned(), parent);
+    }
+    request
+}
+
+async fn send_reply(
+    reply: callers::CallerReply,
+    writer: &mut forwards::FrameWriter,
+) -> anyhow::Result<()> {
+    let kind = frames::ForwardHeader {
+        name: "content-type".to_owned(),
+        value: reply.content_type,
+    };
+    let head = frames::AnswerHead {
+        status: reply.status,
+        headers: vec![kind],
+    };
+    writer.write(&frames::AnswerFrame::Head(head)).await?;
+    match reply.body {
+        callers::ReplyBody::Whole(body) => send_whole(&body, writer).await?,
+        callers::ReplyBody::Stream(mut parts) => {
+            let mut index = 0;
+            while let Some(part) = parts.recv().await {
+                let bytes = part.to_vec();
+                let chunk = frames::AnswerChunk { index, bytes };
+                writer.write(&frames::AnswerFrame::Chunk(chunk)).await?;
+                index += 1;
+            }
+        }
+    }
+    writer.write(&frames::AnswerFrame::Done).await
+}
+
+async fn send_whole(body: &[u8], writer: &mut forwards::FrameWriter) -> anyhow::Result<()> {
+    for (index, bytes) in (0_u64..).zip(body.chunks(CHUNK_BYTES)) {
+        let bytes = bytes.to_vec();
+        let chunk = frames::AnswerChunk { index, bytes };
+        writer.write(&frames::AnswerFrame::Chunk(chunk)).await?;
+    }
+    Ok(())
+}
+
+fn failed(
+    code: codes::ResultCode,
+    outcome: codes::RunOutcome,
+    retry_after_ms: Option<u64>,
+) -> frames::AnswerFrame {
+    let retry_after_ms = retry_after_ms.and_then(|millis| u32::try_from(millis).ok());
+    frames::AnswerFrame::Failed(frames::AnswerFailure {
+        code,
+        outcome,
+        retry_after_ms,
+    })
+}
