Stand-ins serve the interfaces

Cause: nodes need something to speak to. One handler under rocket takes every method and path and hands a whole request to the stand-in; routes by macro were ruled out because faults and the record have to see every call in one place. Objects keep the last version of a deleted key, so versions rise over deletions. A watch from version 0 waits while the key is absent, also after a deletion.

Faults are not there yet. No promise of the product is tested here.

--- /dev/null
+++ b/crates/pier_fakes/src/cli/mod.rs
@@ -0,0 +1,6 @@
+//! The command line of `pier-fakes`.
+
+mod arguments;
+mod run;
+
+pub use run::run;
--- /dev/null
+++ b/crates/pier_fakes/src/engine/engine_model.rs
@@ -0,0 +1,305 @@
+//! The decisions of an engine.
+
+use std::collections;
+
+use pier_types::{epochs, ids, reports, sizes, times};
+
+use crate::engine;
+
+/// Loads that are kept for lagging reports.
+const LOAD_LIMIT: usize = 4_096;
+
+/// What an engine holds and runs; it reads no clock and does nothing by itself.
+#[derive(Debug, Clone)]
+pub struct EngineModel {
+    /// Its fixed properties.
+    pub settings: engine::EngineSettings,
+    /// Its prefix cache.
+    pub cache: engine::PrefixCache,
+    incarnation: epochs::VmIncarnation,
+    order: Option<engine::EngineOrder>,
+    generation: epochs::GroupGeneration,
+    model: Option<ids::ModelName>,
+    role: engine::EngineRole,
+    state: reports::EngineState,
+    loaded_at: times::BootTime,
+    finished_cold: u32,
+    runs: collections::BTreeMap<u64, (engine::RunRequest, engine::RunState)>,
+    loads: collections::VecDeque<(times::BootTime, [sizes::RequestCount; 2])>,
+}
+
+impl EngineModel {
+    /// Makes an engine that holds nothing.
+    pub fn new(settings: engine::EngineSettings) -> Self {
+        let cache = engine::PrefixCache::new(settings.cache_limit, settings.event_lag);
+        Self {
+            settings,
+            cache,
+            incarnation: epochs::VmIncarnation::new(1),
+            order: None,
+            generation: epochs::GroupGeneration::default(),
+            model: None,
+            role: engine::EngineRole::default(),
+            state: reports::EngineState::Empty,
+            loaded_at: times::BootTime::default(),
+            finished_cold: 0,
+            runs: collections::BTreeMap::new(),
+            loads: collections::VecDeque::new(),
+        }
+    }
+
+    /// Makes the engine warm with a model at once and without any group, for a first look.
+    pub fn preload(&mut self, model: ids::ModelName) {
+        self.model = Some(model);
+        self.state = reports::EngineState::Warm;
+    }
+
+    /// Returns its report; the load in it is as old as the set lag.
+    pub fn report(&mut self, now: times::BootTime) -> reports::EngineReport {
+        self.advance(now);
+        let lag = self.settings.report_lag;
+        let seen = self.loads.iter().rev();
+        let seen = seen
+            .filter(|(noted_at, _load)| now.since(*noted_at) >= lag)
+            .map(|(_noted_at, load)| *load)
+            .next();
+        let [running, queued] = seen.unwrap_or_default();
+        reports::EngineReport {
+            vm: self.settings.vm.clone(),
+            incarnation: self.incarnation,
+            group: self.order.as_ref().map(|order| order.group.clone()),
+            generation: self.generation,
+            model: self.model.clone(),
+            state: self.state,
+            running,
+            queued,
+        }
+    }
+
+    /// Obeys or refuses an order; a load ends after the given time.
+    pub fn obey(
+        &mut self,
+        order: engine::EngineOrder,
+        loaded_at: times::BootTime,
+        now: times::BootTime,
+    ) -> engine::OrderAnswer {
+        self.advance(now);
+        if order.expires_in_ms.is_some_and(|left| left <= 0) {
+            return engine::OrderAnswer::Expired;
+        }
+        if self.settings.fencing && order.generation < self.generation {
+            return engine::OrderAnswer::Fenced(self.generation);
+        }
+        match order.kind {
+            engine::OrderKind::Load => self.load(order, loaded_at, now),
+            engine::OrderKind::Release => self.release(&order, now),
+            engine::OrderKind::Role => {
+                self.generation = order.generation;
+                self.role = order.role;
+            }
+        }
+        engine::OrderAnswer::Accepted
+    }
+
+    /// Takes a request in, or tells why it is not started.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason; the request has no effect then.
+    pub fn admit(
+        &mut self,
+        request: engine::RunRequest,
+        now: times::BootTime,
+    ) -> Result<(), engine::AdmitRefusal> {
+        self.advance(now);
+        self.check(&request)?;
+        let sequence = request.sequence;
+        self.runs
+            .insert(sequence, (request, engine::RunState::Queued));
+        self.fill(now);
+        Ok(())
+    }
+
+    /// Returns where a request stands; nothing once it was ended.
+    pub fn run_state(&self, sequence: u64) -> Option<engine::RunState> {
+        self.runs.get(&sequence).map(|(_request, state)| *state)
+    }
+
+    /// Forgets a request that ended; a whole answer warms the engine.
+    pub fn end(&mut self, sequence: u64, whole: bool, now: times::BootTime) {
+        self.runs.remove(&sequence);
+        if whole && self.state == reports::EngineState::Cold {
+            self.finished_cold += 1;
+            if self.finished_cold >= self.settings.warm_after.get() {
+                self.state = reports::EngineState::Warm;
+            }
+        }
+        self.fill(now);
+    }
+
+    /// Cancels an attempt; returns whether it waited or ran.
+    pub fn cancel(&mut self, attempt: &str, now: times::BootTime) -> bool {
+        let mut found = false;
+        for (request, state) in self.runs.values_mut() {
+            if request.attempt.as_deref() == Some(attempt) {
+                found |= is_alive(*state);
+                *state = ended(*state, engine::RunLoss::Cancelled);
+            }
+        }
+        self.fill(now);
+        found
+    }
+
+    /// Makes a loaded engine cold, as a lost compile cache or a reset accelerator does.
+    pub fn chill(&mut self) {
+        if self.state == reports::EngineState::Warm {
+            self.state = reports::EngineState::Cold;
+        }
+        self.finished_cold = 0;
+        self.cache.clear();
+    }
+
+    /// Starts anew with nothing, as a new process on the same VM.
+    pub fn restart(&mut self, now: times::BootTime) {
+        self.incarnation = self.incarnation.next();
+        self.order = None;
+        self.generation = epochs::GroupGeneration::default();
+        self.come_down(engine::RunLoss::EngineDown, now);
+    }
+
+    /// Completes a load whose time has come.
+    fn advance(&mut self, now: times::BootTime) {
+        if self.state == reports::EngineState::Loading && now >= self.loaded_at {
+            self.state = reports::EngineState::Cold;
+            self.finished_cold = 0;
+        }
+    }
+
+    fn check(&self, request: &engine::RunRequest) -> Result<(), engine::AdmitRefusal> {
+        let loaded = matches!(
+            self.state,
+            reports::EngineState::Cold | reports::EngineState::Warm
+        );
+        if !loaded {
+            return Err(engine::AdmitRefusal::NotLoaded);
+        }
+        if self.settings.fencing && !self.is_addressed(request) {
+            return Err(engine::AdmitRefusal::WrongGroup);
+        }
+        if request.model.is_some() && request.model != self.model {
+            return Err(engine::AdmitRefusal::WrongModel);
+        }
+        Ok(())
+    }
+
+    /// Tells whether a request names this engine's group, generation and place.
+    fn is_addressed(&self, request: &engine::RunRequest) -> bool {
+        let Some(order) = &self.order else {
+            return true;
+        };
+        let group = request.group.as_ref() == Some(&order.group);
+        let generation = request.generation == Some(self.generation);
+        group && generation && order.rank == 0
+    }
+
+    /// Starts waiting requests up to the limit; too many on a cold engine bring it down.
+    fn fill(&mut self, now: times::BootTime) {
+        let limit = self.settings.running_limit.get() as usize;
+        while self.count(engine::RunState::Running) < limit {
+            let waiting = self.runs.iter();
+            let next = waiting
+                .filter(|(_sequence, (_request, state))| *state == engine::RunState::Queued)
+                .max_by_key(|(sequence, (request, _state))| {
+                    (request.priority, std::cmp::Reverse(**sequence))
+                });
+            let Some(sequence) = next.map(|(sequence, _run)| *sequence) else {
+                break;
+            };
+            if let Some((_request, state)) = self.runs.get_mut(&sequence) {
+                *state = engine::RunState::Running;
+            }
+        }
+        let running = self.count(engine::RunState::Running);
+        let overloaded = running > self.settings.cold_limit.get() as usize;
+        if self.state == reports::EngineState::Cold && overloaded {
+            self.come_down(engine::RunLoss::EngineDown, now);
+        }
+        self.note_load(now);
+    }
+
+    fn load(
+        &mut self,
+        order: engine::EngineOrder,
+        loaded_at: times::BootTime,
+        now: times::BootTime,
+    ) {
+        let repeated = self.order.as_ref().is_some_and(|present| {
+            present.group == order.group
+                && present.generation == order.generation
+                && present.model == order.model
+                && present.version == order.version
+        });
+        if repeated && self.state != reports::EngineState::Empty {
+            return;
+        }
+        self.come_down(engine::RunLoss::Regrouped, now);
+        self.generation = order.generation;
+        self.model.clone_from(&order.model);
+        self.role = order.role;
+        self.state = reports::EngineState::Loading;
+        self.loaded_at = loaded_at;
+        self.order = Some(order);
+        self.advance(now);
+    }
+
+    fn release(&mut self, order: &engine::EngineOrder, now: times::BootTime) {
+        self.generation = order.generation;
+        self.order = None;
+        self.come_down(engine::RunLoss::Regrouped, now);
+    }
+
+    /// Drops weights, cache and every request.
+    fn come_down(&mut self, loss: engine::RunLoss, now: times::BootTime) {
+        self.state = reports::EngineState::Empty;
+        self.model = None;
+        self.finished_cold = 0;
+        self.cache.clear();
+        for (_request, state) in self.runs.values_mut() {
+            *state = ended(*state, loss);
+        }
+        self.note_load(now);
+    }
+
+    fn count(&self, wanted: engine::RunState) -> usize {
+        let states = self.runs.values();
+        states.filter(|(_request, state)| *state == wanted).count()
+    }
+
+    fn note_load(&mut self, now: times::BootTime) {
+        let count = |wanted| {
+            let count = u32::try_from(self.count(wanted)).unwrap_or(u32::MAX);
+            sizes::RequestCount::new(count)
+        };
+        let load = [
+            count(engine::RunState::Running),
+            count(engine::RunState::Queued),
+        ];
+        self.loads.push_back((now, load));
+        while self.loads.len() > LOAD_LIMIT {
+            self.loads.pop_front();
+        }
+    }
+}
+
+fn is_alive(state: engine::RunState) -> bool {
+    matches!(state, engine::RunState::Queued | engine::RunState::Running)
+}
+
+/// Returns the state that follows a loss.
+fn ended(state: engine::RunState, loss: engine::RunLoss) -> engine::RunState {
+    match state {
+        engine::RunState::Queued => engine::RunState::Dropped(loss),
+        engine::RunState::Running => engine::RunState::Lost(loss),
+        over => over,
+    }
+}
--- /dev/null
+++ b/crates/pier_fakes/src/engine/event_text.rs
@@ -0,0 +1,60 @@
+//! The JSON of answers and their streamed events.
+
+use bytes::Bytes;
+use serde_json::{Value, json};
+
+/// Writes the answers to one request.
+#[derive(Debug, Clone)]
+pub(crate) struct EventText {
+    /// Whether the request was a chat.
+    pub chat: bool,
+    /// The id that the answer carries.
+    pub id: String,
+    /// The model that the answer carries.
+    pub model: String,
+}
+
+impl EventText {
+    /// Returns the event of one token.
+    pub(crate) fn token(&self, index: u64, text: &str, last: bool) -> Bytes {
+        let mut choice = if self.chat {
+            json!({"index": 0, "delta": {"content": text}})
+        } else {
+            json!({"index": 0, "text": text})
+        };
+        let mut event = json!({
+            "id": self.id,
+            "object": if self.chat { "chat.completion.chunk" } else { "text_completion" },
+            "model": self.model,
+            "index": index,
+        });
+        if last {
+            choice["finish_reason"] = json!("stop");
+            event["finish_reason"] = json!("stop");
+        }
+        event["choices"] = json!([choice]);
+        format!("data: {event}\n\n").into()
+    }
+
+    /// Returns the final mark of a stream.
+    pub(crate) fn done() -> Bytes {
+        Bytes::from_static(b"data: [DONE]\n\n")
+    }
+
+    /// Returns a whole answer.
+    pub(crate) fn whole(&self, text: &str, tokens: u64) -> Value {
+        let choice = if self.chat {
+            let message = json!({"role": "assistant", "content": text});
+            json!({"index": 0, "message": message, "finish_reason": "stop"})
+        } else {
+            json!({"index": 0, "text": text, "finish_reason": "stop"})
+        };
+        json!({
+            "id": self.id,
+            "object": if self.chat { "chat.completion" } else { "text_completion" },
+            "model": self.model,
+            "choices": [choice],
+            "usage": {"completion_tokens": tokens},
+        })
+    }
+}
--- /dev/null
+++ b/crates/pier_fakes/src/engine/order_routes.rs
@@ -0,0 +1,84 @@
+//! Orders, cancels and the cache of an engine.
+
+use pier_types::{epochs, times::clocks};
+use serde_json::json;
+
+use crate::{engine, record, serve};
+
+impl engine::EngineApp {
+    /// Obeys or refuses an order.
+    pub(crate) fn order(&self, request: &serve::FakeRequest) -> serve::FakeReply {
+        let sequence = self.record.arrive(request);
+        let order = match serde_json::from_slice::<engine::EngineOrder>(&request.body) {
+            Ok(order) => order,
+            Err(error) => {
+                self.record
+                    .close(sequence, record::RunEnd::Refused, "malformed order");
+                return serve::FakeReply::json(400, &json!({"error": error.to_string()}));
+            }
+        };
+        let now = clocks::boot_now();
+        let mut model = serve::lock(&self.model);
+        let loaded_at = now.after(model.settings.load_time);
+        let answer = model.obey(order, loaded_at, now);
+        drop(model);
+        match answer {
+            engine::OrderAnswer::Accepted => {
+                self.record.update(sequence, |entry| entry.started = true);
+                self.record
+                    .close(sequence, record::RunEnd::Finished, "obeyed");
+                serve::FakeReply::json(200, &json!({}))
+            }
+            engine::OrderAnswer::Fenced(generation) => {
+                self.record
+                    .close(sequence, record::RunEnd::Refused, "fenced");
+                serve::FakeReply::json(409, &json!({"generation": generation}))
+            }
+            engine::OrderAnswer::Expired => {
+                self.record
+                    .close(sequence, record::RunEnd::Refused, "expired");
+                serve::FakeReply::status(410)
+            }
+        }
+    }
+
+    /// Cancels an attempt.
+    pub(crate) fn cancel(&self, request: &serve::FakeRequest, attempt: &str) -> serve::FakeReply {
+        let sequence = self.record.arrive(request);
+        let found = serve::lock(&self.model).cancel(attempt, clocks::boot_now());
+        let effect = if found {
+            "cancelled"
+        } else {
+            "nothing to cancel"
+        };
+        self.record
+            .close(sequence, record::RunEnd::Finished, effect);
+        serve::FakeReply::status(if found { 200 } else { 404 })
+    }
+
+    /// Returns cache events, late and with gaps.
+    pub(crate) fn cache_events(&self, request: &serve::FakeRequest) -> serve::FakeReply {
+        let after = request
+            .parsed_query::<epochs::EventSequence>("after")
+            .unwrap_or_default();
+        let model = serve::lock(&self.model);
+        let (events, latest) = model.cache.events_after(after, clocks::boot_now());
+        serve::FakeReply::json(200, &json!({"events": events, "latest": latest}))
+    }
+
+    /// Exports a cached prefix.
+    pub(crate) fn export_prefix(&self, prefix: &str) -> serve::FakeReply {
+        if !serve::lock(&self.model).cache.holds(prefix) {
+            return serve::FakeReply::status(404);
+        }
+        let content = format!("kv:{prefix}");
+        serve::FakeReply::status(200).body(serve::FakeBody::Whole(content.into()))
+    }
+
+    /// Imports a prefix.
+    pub(crate) fn import_prefix(&self, prefix: &str) -> serve::FakeReply {
+        let mut model = serve::lock(&self.model);
+        model.cache.touch(prefix, clocks::boot_now());
+        serve::FakeReply::status(200)
+    }
+}
--- a/crates/pier_fakes/src/lib.rs
+++ b/crates/pier_fakes/src/lib.rs
@@ -1,1 +1,22 @@
 //! Stand-ins for the platform, model engines and plain services.
+//!
+//! Each binds a loopback port, speaks the routes of `docs/INTERFACES.md` and keeps a record of what
+//! really ran, so that a test can compare what callers were told with what happened.
+//!
+//! ```
+//! use pier_fakes::platform;
+//!
+//! # async fn example() -> Result<(), pier_fakes::serve::FakeError> {
+//! let server = platform::FakePlatform::builder().launch().await?;
+//! let url = format!("http://{}/objects/config/document", server.address());
+//! # let _ = url;
+//! # Ok(())
+//! # }
+//! ```
+
+pub mod cli;
+pub mod engine;
+pub mod platform;
+pub mod record;
+pub mod serve;
+pub mod service;
--- /dev/null
+++ b/crates/pier_fakes/src/record/run_record.rs
@@ -0,0 +1,60 @@
+//! The record itself.
+
+use std::sync;
+
+use xxhash_rust::xxh3;
+
+use crate::{record, serve};
+
+/// Characters of a body that an entry keeps.
+const PREFIX_LENGTH: usize = 200;
+
+/// Calls in the order of their arrival; a cheap handle over shared state.
+#[derive(Debug, Clone, Default)]
+pub struct RunRecord {
+    entries: sync::Arc<sync::Mutex<Vec<record::RecordEntry>>>,
+}
+
+impl RunRecord {
+    /// Returns a copy of all entries.
+    pub fn entries(&self) -> Vec<record::RecordEntry> {
+        serve::lock(&self.entries).clone()
+    }
+
+    /// Adds a call that has no effect yet; returns its sequence.
+    pub(crate) fn arrive(&self, request: &serve::FakeRequest) -> u64 {
+        let mut entries = serve::lock(&self.entries);
+        let sequence = entries.len() as u64 + 1;
+        let prefix = String::from_utf8_lossy(&request.body);
+        entries.push(record::RecordEntry {
+            sequence,
+            method: request.method.clone(),
+            path: request.path.clone(),
+            attempt: request.header("x-attempt-id").map(str::to_owned),
+            key: request.header("idempotency-key").map(str::to_owned),
+            body_hash: format!("{:016x}", xxh3::xxh3_64(&request.body)),
+            body_prefix: prefix.chars().take(PREFIX_LENGTH).collect(),
+            started: false,
+            end: record::RunEnd::Active,
+            tokens: 0,
+            effect: String::new(),
+        });
+        sequence
+    }
+
+    /// Changes one entry.
+    pub(crate) fn update(&self, sequence: u64, change: impl FnOnce(&mut record::RecordEntry)) {
+        let index = usize::try_from(sequence).unwrap_or(0).saturating_sub(1);
+        if let Some(entry) = serve::lock(&self.entries).get_mut(index) {
+            change(entry);
+        }
+    }
+
+    /// Closes one entry.
+    pub(crate) fn close(&self, sequence: u64, end: record::RunEnd, effect: &str) {
+        self.update(sequence, |entry| {
+            entry.end = end;
+            effect.clone_into(&mut entry.effect);
+        });
+    }
+}
--- /dev/null
+++ b/crates/pier_fakes/src/serve/rocket_handler.rs
@@ -0,0 +1,126 @@
+//! The bridge between `rocket` and a stand-in.
+
+use std::{fmt, io, sync};
+
+use futures_util::stream;
+use rocket::{data, http, response, route};
+
+use crate::serve;
+
+/// Greatest body that is read, in mebibytes; greater ones are refused with 413.
+const BODY_LIMIT_MEBIBYTES: u64 = 4;
+
+/// Hands every request to one stand-in.
+pub(crate) struct RocketHandler<A> {
+    app: sync::Arc<A>,
+}
+
+impl<A> fmt::Debug for RocketHandler<A> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("RocketHandler")
+    }
+}
+
+impl<A> Clone for RocketHandler<A> {
+    fn clone(&self) -> Self {
+        Self {
+            app: sync::Arc::clone(&self.app),
+        }
+    }
+}
+
+impl<A: serve::FakeApp> RocketHandler<A> {
+    /// Wraps a stand-in.
+    pub(crate) fn new(app: sync::Arc<A>) -> Self {
+        Self { app }
+    }
+
+    /// Returns one route for each method; together they match every request.
+    pub(crate) fn routes(&self) -> Vec<rocket::Route> {
+        let methods = [
+            http::Method::Get,
+            http::Method::Put,
+            http::Method::Post,
+            http::Method::Delete,
+            http::Method::Patch,
+            http::Method::Options,
+        ];
+        methods
+            .into_iter()
+            .map(|method| rocket::Route::new(method, "/<path..>", self.clone()))
+            .collect()
+    }
+}
+
+#[rocket::async_trait]
+impl<A: serve::FakeApp> route::Handler for RocketHandler<A> {
+    async fn handle<'r>(
+        &self,
+        request: &'r rocket::Request<'_>,
+        data: rocket::Data<'r>,
+    ) -> route::Outcome<'r> {
+        let reply = match read_request(request, data).await {
+            Ok(Some(fake_request)) => self.app.answer(fake_request).await,
+            Ok(None) => serve::FakeReply::status(413),
+            Err(_error) => serve::FakeReply::status(400),
+        };
+        route::Outcome::from(request, ReplyResponder(reply))
+    }
+}
+
+/// Reads a request whole; nothing if its body is over the limit.
+async fn read_request(
+    request: &rocket::Request<'_>,
+    data: rocket::Data<'_>,
+) -> io::Result<Option<serve::FakeRequest>> {
+    let limit = data::ByteUnit::Mebibyte(BODY_LIMIT_MEBIBYTES);
+    let body = data.open(limit).into_bytes().await?;
+    if !body.is_complete() {
+        return Ok(None);
+    }
+    let path = request.uri().path();
+    let path = path
+        .percent_decode()
+        .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
+    let query = request.query_fields();
+    let headers = request.headers().iter();
+    Ok(Some(serve::FakeRequest {
+        method: request.method().as_str().to_owned(),
+        path: path.trim_start_matches('/').to_owned(),
+        query: query
+            .map(|field| (field.name.to_string(), field.value.to_owned()))
+            .collect(),
+        headers: headers
+            .map(|header| (header.name.as_str().to_lowercase(), header.value.into()))
+            .collect(),
+        body: body.into_inner().into(),
+    }))
+}
+
+/// Turns a reply into what `rocket` sends.
+struct ReplyResponder(serve::FakeReply);
+
+impl<'r> response::Responder<'r, 'r> for ReplyResponder {
+    fn respond_to(self, request: &'r rocket::Request<'_>) -> response::Result<'r> {
+        let reply = self.0;
+        let mut builder = response::Response::build();
+        match reply.body {
+            serve::FakeBody::Whole(bytes) => {
+                let size = bytes.len();
+                builder.sized_body(size, io::Cursor::new(bytes));
+            }
+            serve::FakeBody::Stream(receiver) => {
+                let parts = stream::unfold(receiver, async |mut receiver| {
+                    let part = receiver.recv().await?;
+                    Some((part, receiver))
+                });
+                builder.merge(response::stream::ByteStream(parts).respond_to(request)?);
+            }
+        }
+        builder.status(http::Status::new(reply.status));
+        for (name, value) in reply.headers {
+            builder.header(http::Header::new(name, value));
+        }
+        builder.ok()
+    }
+}
--- /dev/null
+++ b/crates/pier_fakes/src/service/mod.rs
@@ -0,0 +1,9 @@
+//! A plain service: a ledger or an office that takes nominations.
+
+mod fake_service;
+mod service_app;
+mod service_builder;
+
+pub use fake_service::FakeService;
+pub(crate) use service_app::ServiceApp;
+pub use service_builder::ServiceBuilder;
--- /dev/null
+++ b/crates/pier_fakes/src/service/service_builder.rs
@@ -0,0 +1,58 @@
+//! How a plain service is set up.
+
+use std::{net, sync, sync::atomic, time};
+
+use pier_types::ids;
+
+use crate::{record, serve, service};
+
+/// Sets up a plain service.
+#[derive(Debug, Clone)]
+pub struct ServiceBuilder {
+    listen: net::SocketAddr,
+    vm: ids::VmName,
+    call_time: time::Duration,
+}
+
+impl ServiceBuilder {
+    /// Starts with a port that the system chooses and calls that take no time.
+    pub fn new(vm: ids::VmName) -> Self {
+        Self {
+            listen: net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0)),
+            vm,
+            call_time: time::Duration::ZERO,
+        }
+    }
+
+    /// Sets where it listens; port 0 lets the system choose.
+    #[must_use]
+    pub fn listen(mut self, listen: net::SocketAddr) -> Self {
+        self.listen = listen;
+        self
+    }
+
+    /// Sets how long each call takes.
+    #[must_use]
+    pub fn call_time(mut self, time: time::Duration) -> Self {
+        self.call_time = time;
+        self
+    }
+
+    /// Starts it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can not be bound.
+    pub async fn launch(self) -> Result<service::FakeService, serve::FakeError> {
+        let app = sync::Arc::new(service::ServiceApp {
+            vm: self.vm,
+            incarnation: atomic::AtomicU64::new(1),
+            call_time: self.call_time,
+            receipts: atomic::AtomicU64::new(0),
+            running: atomic::AtomicU32::new(0),
+            record: record::RunRecord::default(),
+        });
+        let server = serve::RocketServer::launch(self.listen, sync::Arc::clone(&app)).await?;
+        Ok(service::FakeService::new(app, server))
+    }
+}
--- /dev/null
+++ b/crates/pier_fakes/tests/platform_keeps_versions.rs
@@ -0,0 +1,77 @@
+//! Conditional writes, watches and the lag of the VM list over HTTP.
+
+use pier_fakes::platform;
+
+struct PlatformClient {
+    client: reqwest::Client,
+    base: String,
+}
+
+impl PlatformClient {
+    fn new(server: &platform::FakePlatform) -> Self {
+        let client = reqwest::Client::builder().no_proxy().build().unwrap();
+        let base = format!("http://{}", server.address());
+        Self { client, base }
+    }
+
+    async fn put(&self, version: u64, value: &str) -> (u16, u64) {
+        let request = self
+            .client
+            .put(format!("{}/objects/lease/mvd-a", self.base));
+        let request = request.header("If-Version", version).body(value.to_owned());
+        status_and_version(&request.send().await.unwrap())
+    }
+
+    async fn delete(&self, version: u64) -> (u16, u64) {
+        let request = self
+            .client
+            .delete(format!("{}/objects/lease/mvd-a", self.base));
+        let request = request.header("If-Version", version);
+        status_and_version(&request.send().await.unwrap())
+    }
+
+    async fn get(&self, query: &str) -> (u16, u64, String) {
+        let url = format!("{}/objects/lease/mvd-a{query}", self.base);
+        let response = self.client.get(url).send().await.unwrap();
+        let (status, version) = status_and_version(&response);
+        (status, version, response.text().await.unwrap())
+    }
+}
+
+fn status_and_version(response: &reqwest::Response) -> (u16, u64) {
+    let version = response.headers().get("X-Object-Version");
+    let version = version.and_then(|text| text.to_str().ok()?.parse().ok());
+    (response.status().as_u16(), version.unwrap_or(0))
+}
+
+#[tokio::test]
+async fn versions_rise_over_a_deletion() {
+    let server = platform::FakePlatform::builder().launch().await.unwrap();
+    let client = PlatformClient::new(&server);
+    assert_eq!(client.put(0, "a").await, (200, 1));
+    assert_eq!(client.put(0, "b").await, (409, 1));
+    assert_eq!(client.delete(1).await, (200, 2));
+    assert_eq!(client.get("").await.0, 404);
+    assert_eq!(client.put(0, "c").await, (200, 3));
+    assert_eq!(client.get("").await, (200, 3, "c".to_owned()));
+}
+
+#[tokio::test]
+async fn a_watch_waits_for_the_next_version() {
+    let server = platform::FakePlatform::builder().launch().await.unwrap();
+    let client = PlatformClient::new(&server);
+    assert_eq!(client.get("?after=0&wait_ms=1").await.0, 304);
+    client.put(0, "a").await;
+    assert_eq!(client.get("?after=0&wait_ms=1").await.1, 1);
+    let (seen, _written) = tokio::join!(client.get("?after=1&wait_ms=30000"), client.put(1, "b"));
+    assert_eq!(seen, (200, 2, "b".to_owned()));
+}
+
+#[tokio::test]
+async fn a_value_over_the_limit_changes_nothing() {
+    let server = platform::FakePlatform::builder().launch().await.unwrap();
+    let client = PlatformClient::new(&server);
+    let (status, _version) = client.put(0, &"x".repeat(1_000_001)).await;
+    assert_eq!(status, 413);
+    assert_eq!(client.get("").await.0, 404);
+}
