Add the platform clients and the configuration document

Cause: the daemon and the operator's commands both need the object API, the VM list and one validated document. A write's result keeps apart what certainly had no effect (connection never opened, or a refusal of the 4xx class) from what may have had one (reply lost, 5xx, a 200 without a version). Document parsing collects every fault before it refuses.

Ruled out: installing a TLS provider for the process; reqwest names its own when none is set, and plain http works without. Echoing a refused key-sha256: it may be the bearer key itself.

--- /dev/null
+++ b/crates/pier_config/src/documents/config_document.rs
@@ -0,0 +1,65 @@
+//! The whole document.
+
+use std::{collections, str};
+
+use pier_types::ids;
+
+use crate::{documents, faults, parsing};
+
+/// Key of the document on the platform.
+pub const DOCUMENT_KEY: &str = "config/document";
+
+/// The validated configuration document.
+///
+/// ```
+/// use pier_config::documents;
+///
+/// let refused = "[document]\nnmae = first\n".parse::<documents::ConfigDocument>();
+/// assert!(refused.is_err_and(|error| error.to_string().contains("[document] nmae")));
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigDocument {
+    /// What operators call the document.
+    pub name: String,
+    /// Marks of the last commands that wrote the document, newest first.
+    pub applied_by: Vec<ids::LeaseNonce>,
+    /// The models.
+    pub models: collections::BTreeMap<ids::ModelName, documents::ModelSection>,
+    /// The plain services.
+    pub services: collections::BTreeMap<ids::ServiceName, documents::ServiceSection>,
+    /// The data centres.
+    pub data_centres: collections::BTreeMap<ids::DataCentreName, documents::DataCentreSection>,
+    /// The customers.
+    pub customers: collections::BTreeMap<ids::CustomerName, documents::CustomerSection>,
+    /// Limits of the whole system.
+    pub limits: documents::LimitSection,
+    /// VMs that operators took out, with the reason; they get no new work.
+    pub drained: collections::BTreeMap<ids::VmName, String>,
+}
+
+impl ConfigDocument {
+    /// Returns the customer that a bearer key belongs to.
+    pub fn customer_of(
+        &self,
+        key: &str,
+    ) -> Option<(&ids::CustomerName, &documents::CustomerSection)> {
+        let hash = documents::KeyHash::of(key);
+        self.customers
+            .iter()
+            .find(|(_name, section)| section.key_hash == hash)
+    }
+
+    /// Tells whether a data centre is named and takes new work.
+    pub fn is_in_service(&self, data_centre: &ids::DataCentreName) -> bool {
+        let section = self.data_centres.get(data_centre);
+        section.is_some_and(|section| section.state == documents::DataCentreState::InService)
+    }
+}
+
+impl str::FromStr for ConfigDocument {
+    type Err = faults::DocumentError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        parsing::parse_document(text)
+    }
+}
--- /dev/null
+++ b/crates/pier_config/src/documents/mod.rs
@@ -0,0 +1,29 @@
+//! The document's typed content.
+
+mod call_priority;
+mod config_document;
+mod customer_section;
+mod data_centre_section;
+mod data_centre_state;
+mod key_hash;
+mod limit_section;
+mod model_section;
+mod repeat_policy;
+mod replica_count;
+mod retry_percent;
+mod role_layout;
+mod service_section;
+
+pub use call_priority::CallPriority;
+pub use config_document::{ConfigDocument, DOCUMENT_KEY};
+pub use customer_section::CustomerSection;
+pub use data_centre_section::DataCentreSection;
+pub use data_centre_state::DataCentreState;
+pub use key_hash::KeyHash;
+pub use limit_section::LimitSection;
+pub use model_section::ModelSection;
+pub use repeat_policy::RepeatPolicy;
+pub use replica_count::ReplicaCount;
+pub use retry_percent::RetryPercent;
+pub use role_layout::RoleLayout;
+pub use service_section::ServiceSection;
--- /dev/null
+++ b/crates/pier_config/src/documents/repeat_policy.rs
@@ -0,0 +1,50 @@
+//! What a customer allows to be repeated.
+
+use std::{collections, fmt, str};
+
+/// Word that stands for calls of a model.
+const COMPLETIONS_WORD: &str = "completions";
+/// Methods that may be named.
+const KNOWN_METHODS: [&str; 7] = ["DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"];
+
+/// Which calls of a customer may be sent a second time; everything else is sent once.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RepeatPolicy {
+    /// Whether calls of a model may be repeated.
+    pub completions: bool,
+    /// Methods of calls to plain services that may be repeated, in capitals.
+    pub methods: collections::BTreeSet<String>,
+}
+
+impl fmt::Display for RepeatPolicy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let completions = self.completions.then_some(COMPLETIONS_WORD);
+        let methods = self.methods.iter().map(String::as_str);
+        let words = completions.into_iter().chain(methods).collect::<Vec<_>>();
+        if words.is_empty() {
+            return f.write_str("none");
+        }
+        f.write_str(&words.join(", "))
+    }
+}
+
+impl str::FromStr for RepeatPolicy {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut policy = Self::default();
+        if text == "none" {
+            return Ok(policy);
+        }
+        for word in text.split(',').map(str::trim) {
+            if word == COMPLETIONS_WORD {
+                policy.completions = true;
+            } else if KNOWN_METHODS.contains(&word) {
+                policy.methods.insert(word.to_owned());
+            } else {
+                return Err(format!("{word:?} is neither completions nor a method"));
+            }
+        }
+        Ok(policy)
+    }
+}
--- /dev/null
+++ b/crates/pier_config/src/documents/retry_percent.rs
@@ -0,0 +1,42 @@
+//! The size of a retry budget.
+
+use std::{fmt, str};
+
+/// Greatest share of retries, in percent of fresh requests.
+const PERCENT_LIMIT: u8 = 100;
+
+/// Retries allowed, in percent of fresh requests: 0 to 100.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RetryPercent(u8);
+
+impl RetryPercent {
+    /// Wraps a percentage; more than 100 counts as 100.
+    pub const fn new(percent: u8) -> Self {
+        if percent > PERCENT_LIMIT {
+            return Self(PERCENT_LIMIT);
+        }
+        Self(percent)
+    }
+
+    /// Returns the percentage.
+    pub const fn get(self) -> u8 {
+        self.0
+    }
+}
+
+impl fmt::Display for RetryPercent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl str::FromStr for RetryPercent {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text.parse::<u8>() {
+            Ok(percent) if percent <= PERCENT_LIMIT => Ok(Self(percent)),
+            _ => Err(format!("{text:?} is not a whole number from 0 to 100")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pier_config/src/parsing/customer_parser.rs
@@ -0,0 +1,61 @@
+//! Parses `[customer NAME]`.
+
+use pier_types::sizes;
+
+use crate::{documents, parsing::section_reader};
+
+/// Greatest weight of a customer.
+const WEIGHT_LIMIT: u32 = 1_000;
+/// Retry budget of a customer that names none, in percent of fresh requests.
+const DEFAULT_RETRY: u8 = 10;
+
+pub(crate) fn parse(
+    mut reader: section_reader::SectionReader<'_>,
+) -> Option<documents::CustomerSection> {
+    let key_hash = parse_key_hash(&mut reader);
+    let weight = reader.small_number("weight", 1..=WEIGHT_LIMIT, Some(1));
+    let max_priority = reader.optional(
+        "max-priority",
+        documents::CallPriority::Normal,
+        "low, normal, high",
+        |text| text.parse().ok(),
+    );
+    let models = reader.names("models");
+    let services = reader.names("services");
+    let repeat = reader.required(
+        "repeat",
+        "completions and methods in capitals parted by commas, or none",
+        |text| text.parse().ok(),
+    );
+    let retry_percent = reader.optional(
+        "retry-percent",
+        documents::RetryPercent::new(DEFAULT_RETRY),
+        "a whole number from 0 to 100",
+        |text| text.parse().ok(),
+    );
+    reader.finish("");
+    Some(documents::CustomerSection {
+        key_hash: key_hash?,
+        weight: sizes::CustomerWeight::new(weight?),
+        max_priority: max_priority?,
+        models: models.into_iter().collect(),
+        services: services.into_iter().collect(),
+        repeat: repeat?,
+        retry_percent: retry_percent?,
+    })
+}
+
+/// Takes the hash without ever repeating the text, which may be the key itself.
+fn parse_key_hash(reader: &mut section_reader::SectionReader<'_>) -> Option<documents::KeyHash> {
+    let allowed = "SHA-256 of the bearer key, 64 hexadecimal digits";
+    let Some(text) = reader.take("key-sha256") else {
+        reader.refuse("key-sha256", "nothing".to_owned(), allowed);
+        return None;
+    };
+    let hash = text.parse().ok();
+    if hash.is_none() {
+        let found = format!("{} characters (not shown)", text.chars().count());
+        reader.refuse("key-sha256", found, allowed);
+    }
+    hash
+}
--- /dev/null
+++ b/crates/pier_config/src/parsing/model_parser.rs
@@ -0,0 +1,108 @@
+//! Parses `[model NAME]`.
+
+use pier_types::sizes;
+
+use crate::{documents, parsing::section_reader};
+
+/// Most VMs in a group.
+const MEMBER_LIMIT: u32 = 64;
+/// Most requests in flight at one group.
+const FLIGHT_LIMIT: u32 = 100_000;
+/// Longest context, in tokens.
+const CONTEXT_LIMIT: u64 = 10_000_000;
+/// Body limit of a model that names none, in bytes.
+const DEFAULT_BODY: u64 = 1 << 20;
+/// Greatest body limit, in bytes.
+pub(crate) const BODY_LIMIT: u64 = 64 << 20;
+/// Greatest size of one VM's weights, in bytes.
+const WEIGHT_LIMIT: u64 = 1 << 42;
+
+pub(crate) fn parse(
+    mut reader: section_reader::SectionReader<'_>,
+) -> Option<documents::ModelSection> {
+    let version = reader.required("version", "1 to 128 characters", |text| {
+        (1..=128).contains(&text.len()).then(|| text.to_owned())
+    });
+    let members = reader.small_number("members", 1..=MEMBER_LIMIT, None);
+    let unified = documents::RoleLayout::Unified;
+    let roles = reader.optional("roles", unified, "unified, or prefill:N decode:M", |text| {
+        text.parse().ok()
+    });
+    let adapters = reader.names("adapters");
+    let warm_limit = reader.small_number("warm-limit", 1..=FLIGHT_LIMIT, None);
+    let cold_limit = reader.small_number("cold-limit", 1..=FLIGHT_LIMIT, None);
+    let context_tokens = reader.number("context-tokens", 1..=CONTEXT_LIMIT, None);
+    let max_tokens = reader.number("max-tokens", 1..=CONTEXT_LIMIT, None);
+    let max_body = reader.number("max-body-bytes", 1..=BODY_LIMIT, Some(DEFAULT_BODY));
+    let weight_bytes = reader.number("weight-bytes", 1..=WEIGHT_LIMIT, None);
+    let prefix_affinity = reader.optional("prefix-affinity", true, "yes, no", parse_flag);
+    check_limits(&mut reader, cold_limit, warm_limit);
+    check_tokens(&mut reader, max_tokens, context_tokens);
+    check_roles(&mut reader, roles, members);
+    reader.finish("");
+    Some(documents::ModelSection {
+        version: version?,
+        members: sizes::VmCount::new(members?),
+        roles: roles?,
+        adapters,
+        warm_limit: sizes::RequestCount::new(warm_limit?),
+        cold_limit: sizes::RequestCount::new(cold_limit?),
+        context_tokens: sizes::TokenCount::new(context_tokens?),
+        max_tokens: sizes::TokenCount::new(max_tokens?),
+        max_body: sizes::ByteSize::new(max_body?),
+        weight_bytes: sizes::ByteSize::new(weight_bytes?),
+        prefix_affinity: prefix_affinity?,
+    })
+}
+
+fn parse_flag(text: &str) -> Option<bool> {
+    match text {
+        "yes" => Some(true),
+        "no" => Some(false),
+        _ => None,
+    }
+}
+
+/// Refuses a cold limit over the warm one.
+pub(crate) fn check_limits(
+    reader: &mut section_reader::SectionReader<'_>,
+    cold_limit: Option<u32>,
+    warm_limit: Option<u32>,
+) {
+    if let (Some(cold), Some(warm)) = (cold_limit, warm_limit)
+        && cold > warm
+    {
+        let allowed = format!("at most warm-limit, {warm}");
+        reader.refuse("cold-limit", cold.to_string(), &allowed);
+    }
+}
+
+fn check_tokens(
+    reader: &mut section_reader::SectionReader<'_>,
+    max_tokens: Option<u64>,
+    context_tokens: Option<u64>,
+) {
+    if let (Some(answer), Some(context)) = (max_tokens, context_tokens)
+        && answer > context
+    {
+        let allowed = format!("at most context-tokens, {context}");
+        reader.refuse("max-tokens", answer.to_string(), &allowed);
+    }
+}
+
+fn check_roles(
+    reader: &mut section_reader::SectionReader<'_>,
+    roles: Option<documents::RoleLayout>,
+    members: Option<u32>,
+) {
+    let Some(documents::RoleLayout::Split { prefill, decode }) = roles else {
+        return;
+    };
+    let sum = prefill.get().saturating_add(decode.get());
+    if let Some(members) = members
+        && sum != members
+    {
+        let allowed = format!("roles that add up to members, {members}");
+        reader.refuse("roles", format!("{sum} roles"), &allowed);
+    }
+}
--- /dev/null
+++ b/crates/pier_config/src/parsing/section_reader.rs
@@ -0,0 +1,176 @@
+//! Reads the entries of one section.
+
+use std::{collections, fmt, ops, str};
+
+use crate::faults;
+
+/// Longest excerpt of a refused value, in characters.
+const EXCERPT_LIMIT: usize = 80;
+
+/// One section's entries; notes each fault and which keys were asked for.
+pub(crate) struct SectionReader<'a> {
+    section: String,
+    entries: collections::BTreeMap<&'a str, &'a str>,
+    faults: &'a mut Vec<faults::EntryFault>,
+    known: Vec<&'static str>,
+}
+
+impl<'a> SectionReader<'a> {
+    /// Starts on a section; a key that stands twice is a fault.
+    pub(crate) fn new(
+        section: &str,
+        properties: &'a ini::Properties,
+        faults: &'a mut Vec<faults::EntryFault>,
+    ) -> Self {
+        let mut reader = Self {
+            section: section.to_owned(),
+            entries: collections::BTreeMap::new(),
+            faults,
+            known: Vec::new(),
+        };
+        for (key, value) in properties {
+            if reader.entries.insert(key, value).is_some() {
+                reader.refuse(key, "the key twice".to_owned(), "each key once");
+            }
+        }
+        reader
+    }
+
+    /// Notes a fault.
+    pub(crate) fn refuse(&mut self, key: &str, found: String, allowed: &str) {
+        self.faults.push(faults::EntryFault {
+            section: self.section.clone(),
+            key: key.to_owned(),
+            found,
+            allowed: allowed.to_owned(),
+        });
+    }
+
+    /// Takes an entry's text.
+    pub(crate) fn take(&mut self, key: &'static str) -> Option<&'a str> {
+        self.known.push(key);
+        self.entries.remove(key)
+    }
+
+    /// Takes an entry that must be there.
+    pub(crate) fn required<T>(
+        &mut self,
+        key: &'static str,
+        allowed: &str,
+        parse: impl FnOnce(&str) -> Option<T>,
+    ) -> Option<T> {
+        let Some(text) = self.take(key) else {
+            self.refuse(key, "nothing".to_owned(), allowed);
+            return None;
+        };
+        self.accept(key, text, allowed, parse)
+    }
+
+    /// Takes an entry that has a default.
+    pub(crate) fn optional<T>(
+        &mut self,
+        key: &'static str,
+        default: T,
+        allowed: &str,
+        parse: impl FnOnce(&str) -> Option<T>,
+    ) -> Option<T> {
+        match self.take(key) {
+            None => Some(default),
+            Some(text) => self.accept(key, text, allowed, parse),
+        }
+    }
+
+    /// Takes a whole number within a range, from the default if absent.
+    pub(crate) fn number(
+        &mut self,
+        key: &'static str,
+        range: ops::RangeInclusive<u64>,
+        default: Option<u64>,
+    ) -> Option<u64> {
+        let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+        let parse = |text: &str| {
+            let number = text.parse::<u64>().ok()?;
+            range.contains(&number).then_some(number)
+        };
+        match default {
+            Some(default) => self.optional(key, default, &allowed, parse),
+            None => self.required(key, &allowed, parse),
+        }
+    }
+
+    /// Takes a whole number that fits 32 bits.
+    pub(crate) fn small_number(
+        &mut self,
+        key: &'static str,
+        range: ops::RangeInclusive<u32>,
+        default: Option<u32>,
+    ) -> Option<u32> {
+        let range = u64::from(*range.start())..=u64::from(*range.end());
+        let number = self.number(key, range, default.map(u64::from))?;
+        u32::try_from(number).ok()
+    }
+
+    /// Takes a list of names parted by commas; empty if absent.
+    pub(crate) fn names<T>(&mut self, key: &'static str) -> Vec<T>
+    where
+        T: str::FromStr,
+        T::Err: fmt::Display,
+    {
+        let text = self.take(key).unwrap_or_default();
+        let mut names = Vec::new();
+        for part in text
+            .split(',')
+            .map(str::trim)
+            .filter(|part| !part.is_empty())
+        {
+            match part.parse() {
+                Ok(name) => names.push(name),
+                Err(_) => self.refuse(key, quote(part), "names parted by commas"),
+            }
+        }
+        names
+    }
+
+    /// Takes every entry whose key starts with a prefix; gives the rest of the key and the value.
+    pub(crate) fn prefixed(&mut self, prefix: &str) -> Vec<(&'a str, &'a str)> {
+        let entries = self.entries.iter();
+        let found = entries
+            .filter_map(|(key, value)| Some((key.strip_prefix(prefix)?, *value)))
+            .collect::<Vec<_>>();
+        self.entries.retain(|key, _value| !key.starts_with(prefix));
+        found
+    }
+
+    /// Ends the section: whatever was not asked for is a fault.
+    pub(crate) fn finish(mut self, more_keys: &str) {
+        let mut allowed = self.known.join(", ");
+        if !more_keys.is_empty() {
+            let comma = if allowed.is_empty() { "" } else { ", " };
+            allowed = format!("{allowed}{comma}{more_keys}");
+        }
+        let left = std::mem::take(&mut self.entries);
+        for key in left.into_keys() {
+            self.refuse(key, "an unknown key".to_owned(), &allowed);
+        }
+    }
+
+    fn accept<T>(
+        &mut self,
+        key: &str,
+        text: &str,
+        allowed: &str,
+        parse: impl FnOnce(&str) -> Option<T>,
+    ) -> Option<T> {
+        let value = parse(text);
+        if value.is_none() {
+            self.refuse(key, quote(text), allowed);
+        }
+        value
+    }
+}
+
+/// Quotes the beginning of a refused value.
+pub(crate) fn quote(text: &str) -> String {
+    let excerpt = text.chars().take(EXCERPT_LIMIT).collect::<String>();
+    format!("{excerpt:?}")
+}
--- /dev/null
+++ b/crates/pier_platform/src/lists/mod.rs
@@ -0,0 +1,7 @@
+//! The VM list, which lags behind the VMs.
+
+mod vm_list_client;
+mod vm_listing;
+
+pub use vm_list_client::VmListClient;
+pub use vm_listing::VmListing;
--- /dev/null
+++ b/crates/pier_platform/src/lists/vm_listing.rs
@@ -0,0 +1,46 @@
+//! A VM list with each name once.
+
+use std::collections;
+
+use pier_types::{ids, vms};
+
+/// The VM list as fetched, each name once.
+///
+/// The platform's list lags and may hold one name twice, when a name was given to another machine.
+/// The higher incarnation is kept.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct VmListing {
+    /// The VMs, in the order of their names.
+    pub entries: Vec<vms::VmEntry>,
+    /// Names that stood in the list more than once, for the log.
+    pub repeated: Vec<ids::VmName>,
+}
+
+impl VmListing {
+    /// Keeps the highest incarnation of each name.
+    pub fn new(raw_entries: Vec<vms::VmEntry>) -> Self {
+        let mut kept = collections::BTreeMap::<ids::VmName, vms::VmEntry>::new();
+        let mut repeated = collections::BTreeSet::new();
+        for entry in raw_entries {
+            let Some(present) = kept.get_mut(&entry.name) else {
+                kept.insert(entry.name.clone(), entry);
+                continue;
+            };
+            repeated.insert(entry.name.clone());
+            if Self::supersedes(&entry, present) {
+                *present = entry;
+            }
+        }
+        Self {
+            entries: kept.into_values().collect(),
+            repeated: repeated.into_iter().collect(),
+        }
+    }
+
+    /// Of two equal incarnations the leaving one is kept: stopping is always safe.
+    fn supersedes(entry: &vms::VmEntry, present: &vms::VmEntry) -> bool {
+        let same = entry.incarnation == present.incarnation;
+        let leaving = entry.state == vms::VmState::Leaving;
+        entry.incarnation > present.incarnation || (same && leaving)
+    }
+}
--- /dev/null
+++ b/crates/pier_platform/src/objects/object_client.rs
@@ -0,0 +1,242 @@
+//! The client of the object API.
+
+use std::{sync, time};
+
+use pier_types::epochs;
+
+use crate::{http, objects};
+
+/// Header that carries an object's version.
+const VERSION_HEADER: &str = "X-Object-Version";
+/// Header that makes a write conditional.
+const CONDITION_HEADER: &str = "If-Version";
+/// How long the platform may take for a call.
+const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
+/// Reads and writes the platform's objects; a clone shares its connections.
+///
+/// ```no_run
+/// use pier_platform::objects;
+/// use pier_types::epochs;
+///
+/// # async fn example() -> anyhow::Result<()> {
+/// let client = objects::ObjectClient::new("http://10.0.0.2:8000")?;
+/// let absent = epochs::ObjectVersion::new(0);
+/// let result = client.write("lease/mvd-a", absent, "{}".into()).await;
+/// if let objects::WriteResult::Written(version) = result {
+///     println!("now at version {version}");
+/// }
+/// # Ok(())
+/// # }
+/// ```
+#[derive(Debug, Clone)]
+pub struct ObjectClient {
+    http: reqwest::Client,
+    base: sync::Arc<str>,
+    call_timeout: time::Duration,
+}
+
+impl ObjectClient {
+    /// Prepares a client for a platform at a base URL; sends nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the URL is not HTTP or the TLS library can not be set up.
+    pub fn new(base: &str) -> anyhow::Result<Self> {
+        let url = reqwest::Url::parse(base)?;
+        anyhow::ensure!(
+            matches!(url.scheme(), "http" | "https"),
+            "{base:?} is not an http or https URL"
+        );
+        Ok(Self {
+            http: http::build_client()?,
+            base: base.trim_end_matches('/').into(),
+            call_timeout: CALL_TIMEOUT,
+        })
+    }
+
+    /// Sets how long the platform may take for a call; a watch has its wait on top.
+    #[must_use]
+    pub fn with_call_timeout(mut self, timeout: time::Duration) -> Self {
+        self.call_timeout = timeout;
+        self
+    }
+
+    /// Reads an object.
+    pub async fn read(&self, key: &str) -> objects::ReadResult {
+        let call = self.http.get(self.object_url(key));
+        match self.fetch(call, self.call_timeout).await {
+            Fetched::Found { version, bytes } => objects::ReadResult::Found { version, bytes },
+            Fetched::Absent => objects::ReadResult::Absent,
+            Fetched::Unchanged => away_read("status 304 for a plain read".to_owned()),
+            Fetched::Away { reason } => away_read(reason),
+        }
+    }
+
+    /// Waits until an object's version is over the one named.
+    pub async fn watch(
+        &self,
+        key: &str,
+        after: epochs::ObjectVersion,
+        wait: time::Duration,
+    ) -> objects::WatchResult {
+        let query = format!("?after={after}&wait_ms={}", wait.as_millis());
+        let call = self.http.get(self.object_url(key) + &query);
+        match self.fetch(call, self.call_timeout + wait).await {
+            Fetched::Found { version, bytes } => objects::WatchResult::Changed { version, bytes },
+            Fetched::Absent => objects::WatchResult::Absent,
+            Fetched::Unchanged => objects::WatchResult::Unchanged,
+            Fetched::Away { reason } => objects::WatchResult::Away { reason },
+        }
+    }
+
+    /// Writes an object if its version is the one named (0: absent).
+    pub async fn write(
+        &self,
+        key: &str,
+        if_version: epochs::ObjectVersion,
+        bytes: bytes::Bytes,
+    ) -> objects::WriteResult {
+        let call = self.http.put(self.object_url(key)).body(bytes);
+        self.change(call, if_version).await
+    }
+
+    /// Deletes an object if its version is the one named.
+    pub async fn delete(
+        &self,
+        key: &str,
+        if_version: epochs::ObjectVersion,
+    ) -> objects::WriteResult {
+        let call = self.http.delete(self.object_url(key));
+        self.change(call, if_version).await
+    }
+
+    /// Lists the keys under a prefix.
+    pub async fn list(&self, prefix: &str) -> objects::ListResult {
+        let url = format!("{}/list?prefix={}", self.base, escape(prefix));
+        let call = self.http.get(url).timeout(self.call_timeout);
+        let reply = match call.send().await {
+            Ok(reply) if reply.status() == reqwest::StatusCode::OK => reply,
+            Ok(reply) => return away_list(format!("status {}", reply.status().as_u16())),
+            Err(failure) => return away_list(http::explain(&failure)),
+        };
+        match reply.json::<Vec<objects::ObjectEntry>>().await {
+            Ok(entries) => objects::ListResult::Listed(entries),
+            Err(failure) => away_list(http::explain(&failure)),
+        }
+    }
+
+    fn object_url(&self, key: &str) -> String {
+        format!("{}/objects/{}", self.base, escape(key))
+    }
+
+    async fn fetch(&self, call: reqwest::RequestBuilder, timeout: time::Duration) -> Fetched {
+        let reply = match call.timeout(timeout).send().await {
+            Ok(reply) => reply,
+            Err(failure) => return Fetched::away(http::explain(&failure)),
+        };
+        match reply.status() {
+            reqwest::StatusCode::OK => {}
+            reqwest::StatusCode::NOT_FOUND => return Fetched::Absent,
+            reqwest::StatusCode::NOT_MODIFIED => return Fetched::Unchanged,
+            status => return Fetched::away(format!("status {}", status.as_u16())),
+        }
+        let Some(version) = version_of(&reply) else {
+            return Fetched::away(format!("no {VERSION_HEADER} in the reply"));
+        };
+        match reply.bytes().await {
+            Ok(bytes) => Fetched::Found { version, bytes },
+            Err(failure) => Fetched::away(http::explain(&failure)),
+        }
+    }
+
+    async fn change(
+        &self,
+        call: reqwest::RequestBuilder,
+        if_version: epochs::ObjectVersion,
+    ) -> objects::WriteResult {
+        let call = call
+            .header(CONDITION_HEADER, if_version.to_string())
+            .timeout(self.call_timeout);
+        match call.send().await {
+            Ok(reply) => settle_reply(&reply),
+            Err(failure) if failure.is_connect() || failure.is_builder() => {
+                objects::WriteResult::Unreached {
+                    reason: http::explain(&failure),
+                }
+            }
+            Err(failure) => objects::WriteResult::Unsettled {
+                reason: http::explain(&failure),
+            },
+        }
+    }
+}
+
+/// What a reading call brought back.
+enum Fetched {
+    Found {
+        version: epochs::ObjectVersion,
+        bytes: bytes::Bytes,
+    },
+    Absent,
+    Unchanged,
+    Away {
+        reason: String,
+    },
+}
+
+impl Fetched {
+    fn away(reason: String) -> Self {
+        Self::Away { reason }
+    }
+}
+
+/// Reads the result of a change from its reply.
+///
+/// A server fault says nothing about the effect; a refusal other than 409 says that there was none.
+fn settle_reply(reply: &reqwest::Response) -> objects::WriteResult {
+    let status = reply.status();
+    match (status, version_of(reply)) {
+        (reqwest::StatusCode::OK, Some(version)) => objects::WriteResult::Written(version),
+        (reqwest::StatusCode::CONFLICT, Some(version)) => objects::WriteResult::Conflict(version),
+        _ if status.is_client_error() && status != reqwest::StatusCode::REQUEST_TIMEOUT => {
+            objects::WriteResult::Unreached {
+                reason: format!("refused with status {}", status.as_u16()),
+            }
+        }
+        _ => objects::WriteResult::Unsettled {
+            reason: format!("status {}, unusable", status.as_u16()),
+        },
+    }
+}
+
+fn version_of(reply: &reqwest::Response) -> Option<epochs::ObjectVersion> {
+    let value = reply.headers().get(VERSION_HEADER)?;
+    value.to_str().ok()?.parse().ok()
+}
+
+fn away_read(reason: String) -> objects::ReadResult {
+    objects::ReadResult::Away { reason }
+}
+
+fn away_list(reason: String) -> objects::ListResult {
+    objects::ListResult::Away { reason }
+}
+
+/// Escapes a key for a URL's path or query; slashes stay, since they part a key's levels.
+fn escape(key: &str) -> String {
+    let mut escaped = String::with_capacity(key.len());
+    for byte in key.bytes() {
+        if byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.' | b'/') {
+            escaped.push(char::from(byte));
+        } else {
+            escaped.push('%');
+            escaped.extend([byte >> 4, byte & 0x0F].map(hex_digit));
+        }
+    }
+    escaped
+}
+
+fn hex_digit(nibble: u8) -> char {
+    char::from_digit(u32::from(nibble), 16).unwrap_or('0')
+}
