Authenticate datagrams and streams between nodes

Cause: nodes talk over links where datagrams get lost, doubled, damaged or forged. Envelope: version byte, sender, instance, number, messages, HMAC-SHA256 tag of 16 bytes; a replay window of 128 numbers for each sender, at most 2,048 senders. Batches split until each datagram is within 1,200 bytes. Streams prove the key on both sides, then carry length-prefixed frames of at most 256 KiB. Ruled out: VM names in each probe result (an 8-byte hash, resolved by the receiver's own VM list, instead); model names in each result (positions in a list of the batch). Not covered: nothing is encrypted; a stream is authenticated at its start only.

--- /dev/null
+++ b/crates/pier_wire/src/frames/answer_chunk.rs
@@ -0,0 +1,84 @@
+//! A piece of an answer's body.
+
+use std::fmt;
+
+use serde::{de, ser, ser::SerializeTuple};
+
+/// Some bytes of an answer and their place in it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerChunk {
+    /// Position of the chunk in the answer, counted from 0.
+    pub index: u64,
+    /// The bytes.
+    pub bytes: Vec<u8>,
+}
+
+impl ser::Serialize for AnswerChunk {
+    fn serialize<S: ser::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut tuple = serializer.serialize_tuple(2)?;
+        tuple.serialize_element(&self.index)?;
+        tuple.serialize_element(&ByteSlice(&self.bytes))?;
+        tuple.end()
+    }
+}
+
+impl<'de> de::Deserialize<'de> for AnswerChunk {
+    fn deserialize<D: de::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_tuple(2, ChunkVisitor)
+    }
+}
+
+/// Written at once and not byte by byte.
+struct ByteSlice<'a>(&'a [u8]);
+
+impl ser::Serialize for ByteSlice<'_> {
+    fn serialize<S: ser::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(self.0)
+    }
+}
+
+/// Read at once and not byte by byte.
+struct ByteVector(Vec<u8>);
+
+impl<'de> de::Deserialize<'de> for ByteVector {
+    fn deserialize<D: de::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_bytes(BytesVisitor).map(Self)
+    }
+}
+
+struct BytesVisitor;
+
+impl de::Visitor<'_> for BytesVisitor {
+    type Value = Vec<u8>;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("bytes")
+    }
+
+    fn visit_bytes<E: de::Error>(self, v: &[u8]) -> Result<Self::Value, E> {
+        Ok(v.to_vec())
+    }
+}
+
+struct ChunkVisitor;
+
+impl<'de> de::Visitor<'de> for ChunkVisitor {
+    type Value = AnswerChunk;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("an index and bytes")
+    }
+
+    fn visit_seq<A: de::SeqAccess<'de>>(self, mut seq: A) -> Result<Self::Value, A::Error> {
+        let index = seq
+            .next_element()?
+            .ok_or_else(|| de::Error::invalid_length(0, &self))?;
+        let bytes = seq
+            .next_element::<ByteVector>()?
+            .ok_or_else(|| de::Error::invalid_length(1, &self))?;
+        Ok(AnswerChunk {
+            index,
+            bytes: bytes.0,
+        })
+    }
+}
--- /dev/null
+++ b/crates/pier_wire/src/frames/client_handshake.rs
@@ -0,0 +1,53 @@
+//! The handshake of the side that connects.
+
+use pier_types::ids;
+
+use crate::{frames, seals};
+
+/// Waits for the challenge after the hello.
+#[derive(Debug)]
+pub struct ClientHandshake {
+    key: seals::WireKey,
+    hello: frames::HandshakeHello,
+}
+
+impl ClientHandshake {
+    /// Starts with the hello to send; the nonce must be drawn for this handshake alone.
+    pub fn start(
+        key: seals::WireKey,
+        node: ids::NodeName,
+        instance: seals::NodeInstance,
+        nonce: frames::HandshakeNonce,
+    ) -> (Self, frames::HandshakeHello) {
+        let hello = frames::HandshakeHello {
+            version: seals::WIRE_VERSION,
+            node,
+            instance,
+            nonce,
+        };
+        let handshake = Self {
+            key,
+            hello: hello.clone(),
+        };
+        (handshake, hello)
+    }
+
+    /// Checks the challenge and returns the reply to send; frames may follow it at once.
+    ///
+    /// # Errors
+    /// A listener that does not have the key.
+    pub fn finish(
+        self,
+        challenge: &frames::HandshakeChallenge,
+    ) -> Result<frames::HandshakeReply, frames::FrameError> {
+        let transcript = frames::Transcript {
+            hello: &self.hello,
+            server: &challenge.node,
+            server_instance: challenge.instance,
+            server_nonce: challenge.nonce,
+        };
+        transcript.verify(&self.key, frames::HandshakeSide::Server, &challenge.proof)?;
+        let proof = transcript.prove(&self.key, frames::HandshakeSide::Client);
+        Ok(frames::HandshakeReply { proof })
+    }
+}
--- /dev/null
+++ b/crates/pier_wire/src/messages/peer_message.rs
@@ -0,0 +1,88 @@
+//! The messages of datagrams.
+
+use pier_types::epochs;
+use serde::{Deserialize, Serialize};
+
+use crate::messages;
+
+/// One message between nodes; each is idempotent or names the question it answers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// The sender's sign of life.
+    Beat(messages::MemberBeat),
+    /// What the sender knows of nodes, itself included.
+    Members(Vec<messages::MemberEntry>),
+    /// A question for probe results.
+    ProbePull(messages::ProbePull),
+    /// Probe results.
+    ProbeBatch(messages::ProbeBatch),
+    /// A question for shares.
+    ShareAsk(messages::ShareAsk),
+    /// Shares.
+    ShareGrant(messages::ShareGrant),
+    /// Crashes that the sender saw or heard of.
+    Crashes(Vec<messages::CrashDelta>),
+    /// The highest configuration version that the sender has seen.
+    ConfigHint(epochs::ConfigVersion),
+}
+
+impl PeerMessage {
+    /// Splits a batch into two halves; none when it holds fewer than two entries.
+    pub fn split(self) -> Option<(Self, Self)> {
+        match self {
+            Self::Members(entries) => halve(entries, Self::Members),
+            Self::Crashes(entries) => halve(entries, Self::Crashes),
+            Self::ProbeBatch(batch) => {
+                let entries = batch.entries.clone();
+                halve(entries, |entries| {
+                    Self::ProbeBatch(messages::ProbeBatch {
+                        entries,
+                        ..batch.clone()
+                    })
+                })
+            }
+            Self::ShareAsk(ask) => {
+                let (round, term) = (ask.round, ask.term);
+                halve(ask.entries, |entries| {
+                    Self::ShareAsk(messages::ShareAsk {
+                        round,
+                        term,
+                        entries,
+                    })
+                })
+            }
+            Self::ShareGrant(grant) => {
+                let (round, term, life_ms) = (grant.round, grant.term, grant.life_ms);
+                halve(grant.entries, |entries| {
+                    Self::ShareGrant(messages::ShareGrant {
+                        round,
+                        term,
+                        life_ms,
+                        entries,
+                    })
+                })
+            }
+            Self::ProbePull(messages::ProbePull {
+                pull,
+                scope: messages::PullScope::Named(keys),
+            }) => halve(keys, |keys| {
+                Self::ProbePull(messages::ProbePull {
+                    pull,
+                    scope: messages::PullScope::Named(keys),
+                })
+            }),
+            Self::ProbePull(_) | Self::Beat(_) | Self::ConfigHint(_) => None,
+        }
+    }
+}
+
+fn halve<T>(
+    mut entries: Vec<T>,
+    wrap: impl Fn(Vec<T>) -> PeerMessage,
+) -> Option<(PeerMessage, PeerMessage)> {
+    if entries.len() < 2 {
+        return None;
+    }
+    let back = entries.split_off(entries.len() / 2);
+    Some((wrap(entries), wrap(back)))
+}
--- /dev/null
+++ b/crates/pier_wire/src/messages/probe_batch.rs
@@ -0,0 +1,147 @@
+//! Probe results that travel together.
+
+use std::time;
+
+use pier_types::{ids, reports};
+use serde::{Deserialize, Serialize};
+
+use crate::messages;
+
+/// Answers a pull; names that repeat stand once.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbeBatch {
+    /// The pull that it answers.
+    pub pull: u64,
+    /// Data centres of groups, by position.
+    pub data_centres: Vec<ids::DataCentreName>,
+    /// Models, by position.
+    pub models: Vec<ids::ModelName>,
+    /// The results.
+    pub entries: Vec<messages::ProbeEntry>,
+}
+
+impl ProbeBatch {
+    /// Packs results; one whose names no longer fit the lists is left out.
+    pub fn pack(pull: u64, results: &[messages::ProbeResult]) -> Self {
+        let mut batch = Self {
+            pull,
+            data_centres: Vec::new(),
+            models: Vec::new(),
+            entries: Vec::with_capacity(results.len()),
+        };
+        for result in results {
+            if let Some(entry) = batch.pack_result(result) {
+                batch.entries.push(entry);
+            }
+        }
+        batch
+    }
+
+    /// Unpacks the results of the VMs whose names the receiver knows; others are dropped.
+    pub fn unpack(
+        &self,
+        name_of: impl Fn(messages::VmKey) -> Option<ids::VmName>,
+    ) -> Vec<messages::ProbeResult> {
+        self.entries
+            .iter()
+            .filter_map(|entry| self.unpack_entry(entry, name_of(entry.vm)?))
+            .collect()
+    }
+
+    fn pack_result(&mut self, result: &messages::ProbeResult) -> Option<messages::ProbeEntry> {
+        let outcome = match &result.outcome {
+            Ok(report) => Ok(self.pack_report(report)?),
+            Err(failure) => Err(*failure),
+        };
+        Some(messages::ProbeEntry {
+            vm: messages::VmKey::of(&result.vm),
+            age_ms: to_millis_up(result.age),
+            latency_ms: to_millis_up(result.latency),
+            outcome,
+        })
+    }
+
+    fn pack_report(&mut self, report: &reports::EngineReport) -> Option<messages::PackedReport> {
+        let group = match &report.group {
+            Some(group) => Some((
+                position(&mut self.data_centres, &group.data_centre)?,
+                group.number,
+            )),
+            None => None,
+        };
+        let model = match &report.model {
+            Some(model) => Some(position(&mut self.models, model)?),
+            None => None,
+        };
+        Some(messages::PackedReport {
+            incarnation: report.incarnation,
+            group,
+            generation: report.generation,
+            model,
+            state: report.state,
+            running: report.running,
+            queued: report.queued,
+        })
+    }
+
+    fn unpack_entry(
+        &self,
+        entry: &messages::ProbeEntry,
+        vm: ids::VmName,
+    ) -> Option<messages::ProbeResult> {
+        let outcome = match entry.outcome {
+            Ok(report) => Ok(self.unpack_report(report, vm.clone())?),
+            Err(failure) => Err(failure),
+        };
+        Some(messages::ProbeResult {
+            vm,
+            age: time::Duration::from_millis(entry.age_ms.into()),
+            latency: time::Duration::from_millis(entry.latency_ms.into()),
+            outcome,
+        })
+    }
+
+    fn unpack_report(
+        &self,
+        report: messages::PackedReport,
+        vm: ids::VmName,
+    ) -> Option<reports::EngineReport> {
+        let group = match report.group {
+            Some((index, number)) => Some(ids::GroupId {
+                data_centre: self.data_centres.get(usize::from(index))?.clone(),
+                number,
+            }),
+            None => None,
+        };
+        let model = match report.model {
+            Some(index) => Some(self.models.get(usize::from(index))?.clone()),
+            None => None,
+        };
+        Some(reports::EngineReport {
+            vm,
+            incarnation: report.incarnation,
+            group,
+            generation: report.generation,
+            model,
+            state: report.state,
+            running: report.running,
+            queued: report.queued,
+        })
+    }
+}
+
+/// Rounds up, so that an age never comes out too small.
+fn to_millis_up(duration: time::Duration) -> u32 {
+    let millis = duration.as_micros().div_ceil(1_000);
+    u32::try_from(millis).unwrap_or(u32::MAX)
+}
+
+fn position<T: Clone + PartialEq>(names: &mut Vec<T>, name: &T) -> Option<u8> {
+    let index = names.iter().position(|known| known == name);
+    let index = index.unwrap_or(names.len());
+    let position = u8::try_from(index).ok()?;
+    if index == names.len() {
+        names.push(name.clone());
+    }
+    Some(position)
+}
--- /dev/null
+++ b/crates/pier_wire/src/messages/probe_entry.rs
@@ -0,0 +1,153 @@
+//! One probe result as it travels.
+
+use std::fmt;
+
+use pier_types::{epochs, reports, sizes};
+use serde::{de, ser, ser::SerializeTuple};
+
+use crate::messages;
+
+/// Fields of the tuple on the wire.
+const FIELDS: usize = 10;
+
+/// A probe result in about twenty bytes; the batch holds the names that it points to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProbeEntry {
+    /// The VM.
+    pub vm: messages::VmKey,
+    /// Time since the probe was sent, in milliseconds, when the batch was made.
+    pub age_ms: u32,
+    /// How long the answer took, in milliseconds.
+    pub latency_ms: u32,
+    /// The report, or why there is none.
+    pub outcome: Result<PackedReport, messages::ProbeFailure>,
+}
+
+/// An engine's report whose names are positions in the batch's lists.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PackedReport {
+    /// The VM's incarnation.
+    pub incarnation: epochs::VmIncarnation,
+    /// The group's data centre, by position, and its number.
+    pub group: Option<(u8, u64)>,
+    /// The group's generation.
+    pub generation: epochs::GroupGeneration,
+    /// The model, by position.
+    pub model: Option<u8>,
+    /// How warm the engine is.
+    pub state: reports::EngineState,
+    /// Requests it runs.
+    pub running: sizes::RequestCount,
+    /// Requests that wait in it.
+    pub queued: sizes::RequestCount,
+}
+
+const EMPTY_REPORT: PackedReport = PackedReport {
+    incarnation: epochs::VmIncarnation::new(0),
+    group: None,
+    generation: epochs::GroupGeneration::new(0),
+    model: None,
+    state: reports::EngineState::Empty,
+    running: sizes::RequestCount::new(0),
+    queued: sizes::RequestCount::new(0),
+};
+
+const fn kind_of(outcome: Result<PackedReport, messages::ProbeFailure>) -> u8 {
+    match outcome {
+        Ok(report) => match report.state {
+            reports::EngineState::Empty => 0,
+            reports::EngineState::Loading => 1,
+            reports::EngineState::Cold => 2,
+            reports::EngineState::Warm => 3,
+        },
+        Err(messages::ProbeFailure::Refused) => 4,
+        Err(messages::ProbeFailure::Silent) => 5,
+        Err(messages::ProbeFailure::Garbled) => 6,
+    }
+}
+
+fn outcome_of(
+    kind: u8,
+    mut report: PackedReport,
+) -> Option<Result<PackedReport, messages::ProbeFailure>> {
+    report.state = match kind {
+        0 => reports::EngineState::Empty,
+        1 => reports::EngineState::Loading,
+        2 => reports::EngineState::Cold,
+        3 => reports::EngineState::Warm,
+        4 => return Some(Err(messages::ProbeFailure::Refused)),
+        5 => return Some(Err(messages::ProbeFailure::Silent)),
+        6 => return Some(Err(messages::ProbeFailure::Garbled)),
+        _ => return None,
+    };
+    Some(Ok(report))
+}
+
+impl ser::Serialize for ProbeEntry {
+    fn serialize<S: ser::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let report = self.outcome.unwrap_or(EMPTY_REPORT);
+        let mut tuple = serializer.serialize_tuple(FIELDS)?;
+        tuple.serialize_element(&self.vm)?;
+        tuple.serialize_element(&self.age_ms)?;
+        tuple.serialize_element(&self.latency_ms)?;
+        tuple.serialize_element(&kind_of(self.outcome))?;
+        tuple.serialize_element(&report.incarnation)?;
+        tuple.serialize_element(&report.group)?;
+        tuple.serialize_element(&report.generation)?;
+        tuple.serialize_element(&report.model)?;
+        tuple.serialize_element(&report.running)?;
+        tuple.serialize_element(&report.queued)?;
+        tuple.end()
+    }
+}
+
+impl<'de> de::Deserialize<'de> for ProbeEntry {
+    fn deserialize<D: de::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_tuple(FIELDS, EntryVisitor)
+    }
+}
+
+struct EntryVisitor;
+
+impl EntryVisitor {
+    fn next<'de, T: de::Deserialize<'de>, A: de::SeqAccess<'de>>(
+        &self,
+        seq: &mut A,
+        index: usize,
+    ) -> Result<T, A::Error> {
+        seq.next_element()?
+            .ok_or_else(|| de::Error::invalid_length(index, self))
+    }
+}
+
+impl<'de> de::Visitor<'de> for EntryVisitor {
+    type Value = ProbeEntry;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "a probe result of {FIELDS} fields")
+    }
+
+    fn visit_seq<A: de::SeqAccess<'de>>(self, mut seq: A) -> Result<Self::Value, A::Error> {
+        let vm = self.next(&mut seq, 0)?;
+        let age_ms = self.next(&mut seq, 1)?;
+        let latency_ms = self.next(&mut seq, 2)?;
+        let kind = self.next::<u8, A>(&mut seq, 3)?;
+        let report = PackedReport {
+            incarnation: self.next(&mut seq, 4)?,
+            group: self.next(&mut seq, 5)?,
+            generation: self.next(&mut seq, 6)?,
+            model: self.next(&mut seq, 7)?,
+            state: reports::EngineState::Empty,
+            running: self.next(&mut seq, 8)?,
+            queued: self.next(&mut seq, 9)?,
+        };
+        let unexpected = || de::Error::invalid_value(de::Unexpected::Unsigned(kind.into()), &self);
+        let outcome = outcome_of(kind, report).ok_or_else(unexpected)?;
+        Ok(ProbeEntry {
+            vm,
+            age_ms,
+            latency_ms,
+            outcome,
+        })
+    }
+}
--- /dev/null
+++ b/crates/pier_wire/src/messages/probe_pull.rs
@@ -0,0 +1,26 @@
+//! The question for probe results.
+
+use serde::{Deserialize, Serialize};
+
+use crate::messages;
+
+/// Asks a prober for its results.
+///
+/// The asker remembers when it sent the pull and counts each result's age back from then. The
+/// reply is made later than that, so evidence can only look too old, never too fresh.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProbePull {
+    /// Chosen by the asker; the reply repeats it.
+    pub pull: u64,
+    /// Which results are asked for.
+    pub scope: PullScope,
+}
+
+/// The VMs that a pull asks about.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PullScope {
+    /// Those whose first prober the receiver is.
+    First,
+    /// Those of the list that the receiver probes.
+    Named(Vec<messages::VmKey>),
+}
--- /dev/null
+++ b/crates/pier_wire/src/seals/datagram_opener.rs
@@ -0,0 +1,90 @@
+//! Turns datagrams back into messages, or refuses them.
+
+use std::time;
+
+use hmac::Mac;
+use pier_types::times;
+
+use crate::{messages, seals};
+
+/// Senders whose numbers are remembered.
+const SENDER_CAPACITY: usize = 2_048;
+
+/// Silence after which a sender's numbers are forgotten.
+const SENDER_EXPIRY: time::Duration = time::Duration::from_mins(10);
+
+/// Checks datagrams: length, version, tag, replay, then content, in this order.
+#[derive(Debug)]
+pub struct DatagramOpener {
+    key: seals::WireKey,
+    own: seals::NodeInstance,
+    guard: seals::ReplayGuard,
+}
+
+impl DatagramOpener {
+    /// Creates an opener for the node that runs as the given instance.
+    pub const fn new(key: seals::WireKey, own: seals::NodeInstance) -> Self {
+        Self {
+            key,
+            own,
+            guard: seals::ReplayGuard::new(SENDER_CAPACITY, SENDER_EXPIRY),
+        }
+    }
+
+    /// Opens one datagram.
+    ///
+    /// # Errors
+    /// The reason of the refusal; nothing of the datagram was used.
+    pub fn open(
+        &mut self,
+        datagram: &[u8],
+        now: times::BootTime,
+    ) -> Result<seals::OpenedDatagram, seals::SealRefusal> {
+        let sealed = self.authenticate(datagram)?;
+        let (header, mut rest) = postcard::take_from_bytes::<seals::SealHeader>(sealed)
+            .map_err(|_error| seals::SealRefusal::Malformed)?;
+        if header.instance == self.own {
+            return Err(seals::SealRefusal::OwnEcho);
+        }
+        let fresh = self
+            .guard
+            .accept(&header.sender, header.instance, header.sequence, now);
+        if !fresh {
+            return Err(seals::SealRefusal::Replayed);
+        }
+        let mut opened = Vec::new();
+        while !rest.is_empty() {
+            let (message, tail) = postcard::take_from_bytes::<messages::PeerMessage>(rest)
+                .map_err(|_error| seals::SealRefusal::Malformed)?;
+            opened.push(message);
+            rest = tail;
+        }
+        Ok(seals::OpenedDatagram {
+            sender: header.sender,
+            instance: header.instance,
+            messages: opened,
+        })
+    }
+
+    /// Returns the bytes between version and tag, once the tag proved them.
+    fn authenticate<'a>(&self, datagram: &'a [u8]) -> Result<&'a [u8], seals::SealRefusal> {
+        if datagram.len() > seals::DATAGRAM_LIMIT {
+            return Err(seals::SealRefusal::TooLong);
+        }
+        let Some((covered, tag)) = datagram.split_last_chunk::<{ seals::TAG_BYTES }>() else {
+            return Err(seals::SealRefusal::Truncated);
+        };
+        let Some((&version, sealed)) = covered.split_first() else {
+            return Err(seals::SealRefusal::Truncated);
+        };
+        if version != seals::WIRE_VERSION {
+            return Err(seals::SealRefusal::OtherVersion { found: version });
+        }
+        let mut hasher = self.key.hasher();
+        hasher.update(covered);
+        hasher
+            .verify_truncated_left(tag)
+            .map_err(|_error| seals::SealRefusal::Forged)?;
+        Ok(sealed)
+    }
+}
--- /dev/null
+++ b/crates/pier_wire/src/seals/datagram_sealer.rs
@@ -0,0 +1,116 @@
+//! Turns messages into datagrams.
+
+use hmac::Mac;
+use pier_types::ids;
+
+use crate::{messages, seals};
+
+/// Greatest length of a datagram, in bytes; fits one packet on the usual links.
+pub const DATAGRAM_LIMIT: usize = 1_200;
+
+/// Longest encoded header: version, name with length, instance, sequence.
+const HEADER_ROOM: usize = 1 + 130 + 16 + 10;
+
+/// Numbers and authenticates the datagrams of one node.
+///
+/// ```
+/// use pier_types::{epochs, times};
+/// use pier_wire::{messages, seals};
+///
+/// let key = "a-key-of-enough-characters".parse::<seals::WireKey>()?;
+/// let instance = seals::NodeInstance::new(7);
+/// let mut sealer = seals::DatagramSealer::new(key.clone(), "n1".parse()?, instance);
+/// let hint = messages::PeerMessage::ConfigHint(epochs::ConfigVersion::new(3));
+/// let datagrams = sealer.seal(vec![hint.clone()])?;
+///
+/// let mut opener = seals::DatagramOpener::new(key, seals::NodeInstance::new(8));
+/// let now = times::BootTime::default();
+/// assert_eq!(opener.open(&datagrams[0], now)?.messages, vec![hint]);
+/// assert_eq!(opener.open(&datagrams[0], now), Err(seals::SealRefusal::Replayed));
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+#[derive(Debug)]
+pub struct DatagramSealer {
+    key: seals::WireKey,
+    sender: ids::NodeName,
+    instance: seals::NodeInstance,
+    sequence: u64,
+}
+
+impl DatagramSealer {
+    /// Creates a sealer; the instance must be drawn anew at each start.
+    pub const fn new(
+        key: seals::WireKey,
+        sender: ids::NodeName,
+        instance: seals::NodeInstance,
+    ) -> Self {
+        Self {
+            key,
+            sender,
+            instance,
+            sequence: 0,
+        }
+    }
+
+    /// Packs messages into as few datagrams as their order allows, splitting long batches.
+    ///
+    /// # Errors
+    /// A message that can not be split and fits no datagram, or does not encode.
+    pub fn seal(
+        &mut self,
+        messages: Vec<messages::PeerMessage>,
+    ) -> Result<Vec<Vec<u8>>, seals::SealError> {
+        let room = DATAGRAM_LIMIT - seals::TAG_BYTES - HEADER_ROOM;
+        let mut pieces = Vec::new();
+        for message in messages {
+            encode_pieces(message, room, &mut pieces)?;
+        }
+        let mut datagrams = Vec::new();
+        let mut body = Vec::new();
+        for piece in pieces {
+            if !body.is_empty() && body.len() + piece.len() > room {
+                datagrams.push(self.finish(&body)?);
+                body.clear();
+            }
+            body.extend_from_slice(&piece);
+        }
+        if !body.is_empty() {
+            datagrams.push(self.finish(&body)?);
+        }
+        Ok(datagrams)
+    }
+
+    fn finish(&mut self, body: &[u8]) -> Result<Vec<u8>, seals::SealError> {
+        self.sequence += 1;
+        let header = seals::SealHeader {
+            sender: self.sender.clone(),
+            instance: self.instance,
+            sequence: self.sequence,
+        };
+        let start = vec![seals::WIRE_VERSION];
+        let mut datagram =
+            postcard::to_extend(&header, start).map_err(|_error| seals::SealError::Unencodable)?;
+        datagram.extend_from_slice(body);
+        let mut hasher = self.key.hasher();
+        hasher.update(&datagram);
+        let tag = hasher.finalize().into_bytes();
+        datagram.extend_from_slice(&tag[..seals::TAG_BYTES]);
+        Ok(datagram)
+    }
+}
+
+fn encode_pieces(
+    message: messages::PeerMessage,
+    room: usize,
+    pieces: &mut Vec<Vec<u8>>,
+) -> Result<(), seals::SealError> {
+    let piece = postcard::to_stdvec(&message).map_err(|_error| seals::SealError::Unencodable)?;
+    if piece.len() <= room {
+        pieces.push(piece);
+        return Ok(());
+    }
+    let bytes = piece.len();
+    let (front, back) = message.split().ok_or(seals::SealError::TooLong { bytes })?;
+    encode_pieces(front, room, pieces)?;
+    encode_pieces(back, room, pieces)
+}
--- /dev/null
+++ b/crates/pier_wire/src/seals/replay_guard.rs
@@ -0,0 +1,88 @@
+//! Replay windows of all senders.
+
+use std::{collections, time};
+
+use pier_types::{ids, times};
+
+use crate::seals;
+
+/// Refuses datagrams that came before, in bounded memory.
+///
+/// A window is dropped when its sender was silent for long, or, when the guard is full, when it is
+/// the one that was silent longest. What such a sender sent may then be replayed; therefore no
+/// message relies on this guard alone: each is idempotent or names the question it answers.
+#[derive(Debug)]
+pub struct ReplayGuard {
+    windows: collections::BTreeMap<(ids::NodeName, seals::NodeInstance), SenderRecord>,
+    capacity: usize,
+    expiry: time::Duration,
+    swept_at: times::BootTime,
+}
+
+#[derive(Debug)]
+struct SenderRecord {
+    window: seals::ReplayWindow,
+    heard_at: times::BootTime,
+}
+
+impl ReplayGuard {
+    /// Creates a guard for a number of senders, each forgotten after a silence.
+    pub const fn new(capacity: usize, expiry: time::Duration) -> Self {
+        Self {
+            windows: collections::BTreeMap::new(),
+            capacity,
+            expiry,
+            swept_at: times::BootTime::from_micros(0),
+        }
+    }
+
+    /// Takes in a genuine datagram's number; false if it is a replay.
+    pub fn accept(
+        &mut self,
+        sender: &ids::NodeName,
+        instance: seals::NodeInstance,
+        sequence: u64,
+        now: times::BootTime,
+    ) -> bool {
+        self.sweep(now);
+        let key = (sender.clone(), instance);
+        if !self.windows.contains_key(&key) && self.windows.len() >= self.capacity {
+            self.drop_idlest();
+        }
+        let record = self.windows.entry(key).or_insert(SenderRecord {
+            window: seals::ReplayWindow::default(),
+            heard_at: now,
+        });
+        let fresh = record.window.accept(sequence);
+        if fresh {
+            record.heard_at = now;
+        }
+        fresh
+    }
+
+    /// Returns the number of senders remembered.
+    pub fn senders(&self) -> usize {
+        self.windows.len()
+    }
+
+    fn sweep(&mut self, now: times::BootTime) {
+        if now.since(self.swept_at) < self.expiry / 4 {
+            return;
+        }
+        self.swept_at = now;
+        let expiry = self.expiry;
+        self.windows
+            .retain(|_, record| now.since(record.heard_at) < expiry);
+    }
+
+    fn drop_idlest(&mut self) {
+        let idlest = self
+            .windows
+            .iter()
+            .min_by_key(|(_, record)| record.heard_at)
+            .map(|(key, _)| key.clone());
+        if let Some(key) = idlest {
+            self.windows.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pier_wire/src/seals/wire_key.rs
@@ -0,0 +1,60 @@
+//! The secret that all nodes share.
+
+use std::{fmt, str};
+
+use hmac::Mac;
+use sha2::Digest;
+
+use crate::seals;
+
+/// Fewest characters of a key in the settings.
+const KEY_CHARACTERS: usize = 16;
+
+pub(crate) type KeyedHash = hmac::Hmac<sha2::Sha256>;
+
+/// The key that authenticates datagrams and streams; its `Debug` form hides it.
+///
+/// ```
+/// use pier_wire::seals;
+///
+/// let key = "a-key-of-enough-characters".parse::<seals::WireKey>()?;
+/// assert_eq!(format!("{key:?}"), "WireKey(..)");
+/// assert!("short".parse::<seals::WireKey>().is_err());
+/// # Ok::<(), seals::KeyError>(())
+/// ```
+#[derive(Clone)]
+pub struct WireKey(KeyedHash);
+
+impl WireKey {
+    /// Starts a keyed hash, HMAC-SHA256.
+    pub(crate) fn hasher(&self) -> KeyedHash {
+        self.0.clone()
+    }
+}
+
+impl fmt::Debug for WireKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("WireKey(..)")
+    }
+}
+
+impl str::FromStr for WireKey {
+    type Err = seals::KeyError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let length = text.chars().count();
+        if length < KEY_CHARACTERS {
+            return Err(seals::KeyError {
+                length,
+                least: KEY_CHARACTERS,
+            });
+        }
+        let digest = sha2::Sha256::digest(text.as_bytes());
+        KeyedHash::new_from_slice(&digest)
+            .map(Self)
+            .map_err(|_error| seals::KeyError {
+                length,
+                least: KEY_CHARACTERS,
+            })
+    }
+}
--- /dev/null
+++ b/crates/pier_wire/tests/round_trips.rs
@@ -0,0 +1,233 @@
+//! Proves that messages and frames come out as they went in, batches split, ages never shrink.
+
+use std::time;
+
+use pier_types::{codes, epochs, ids, reports, routes, sizes, times};
+use pier_wire::{frames, messages, seals};
+
+type ForwardCodec = frames::FrameCodec<frames::ForwardFrame>;
+type AnswerCodec = frames::FrameCodec<frames::AnswerFrame>;
+
+fn key() -> seals::WireKey {
+    "a-key-of-enough-characters".parse().unwrap()
+}
+
+fn result(number: u32) -> messages::ProbeResult {
+    let vm = format!("vm-{number}").parse::<ids::VmName>().unwrap();
+    let failures = [
+        messages::ProbeFailure::Refused,
+        messages::ProbeFailure::Silent,
+        messages::ProbeFailure::Garbled,
+    ];
+    let states = [
+        reports::EngineState::Empty,
+        reports::EngineState::Loading,
+        reports::EngineState::Cold,
+        reports::EngineState::Warm,
+    ];
+    let index = usize::try_from(number).unwrap();
+    let report = reports::EngineReport {
+        vm: vm.clone(),
+        incarnation: epochs::VmIncarnation::new(u64::MAX - u64::from(number)),
+        group: (!number.is_multiple_of(3)).then(|| ids::GroupId {
+            data_centre: format!("dc-{}", number % 2).parse().unwrap(),
+            number: u64::from(number),
+        }),
+        generation: epochs::GroupGeneration::new(u64::from(number) * 1_000),
+        model: (!number.is_multiple_of(5)).then(|| format!("m-{}", number % 4).parse().unwrap()),
+        state: states[index % 4],
+        running: sizes::RequestCount::new(number),
+        queued: sizes::RequestCount::new(number % 7),
+    };
+    messages::ProbeResult {
+        vm,
+        age: time::Duration::from_micros(1_000 * u64::from(number) + 1),
+        latency: time::Duration::from_millis(u64::from(number % 9)),
+        outcome: if number.is_multiple_of(4) {
+            Err(failures[index % 3])
+        } else {
+            Ok(report)
+        },
+    }
+}
+
+#[test]
+fn probe_results_survive_datagrams_and_only_grow_older() {
+    let sent = (0..200).map(result).collect::<Vec<_>>();
+    let batch = messages::ProbeBatch::pack(9, &sent);
+    let instance = seals::NodeInstance::new(1);
+    let mut sealer = seals::DatagramSealer::new(key(), "n1".parse().unwrap(), instance);
+    let message = messages::PeerMessage::ProbeBatch(batch);
+    let datagrams = sealer.seal(vec![message]).unwrap();
+    assert!(datagrams.len() > 1, "the batch is split");
+    let mut opener = seals::DatagramOpener::new(key(), seals::NodeInstance::new(2));
+    let mut received = Vec::new();
+    for datagram in datagrams {
+        assert!(datagram.len() <= seals::DATAGRAM_LIMIT);
+        let parcel = opener.open(&datagram, times::BootTime::default()).unwrap();
+        for message in parcel.messages {
+            let messages::PeerMessage::ProbeBatch(batch) = message else {
+                panic!("another message came out");
+            };
+            assert_eq!(batch.pull, 9);
+            let name_of = |key| {
+                let known = sent.iter().find(|one| messages::VmKey::of(&one.vm) == key);
+                known.map(|one| one.vm.clone())
+            };
+            received.extend(batch.unpack(name_of));
+        }
+    }
+    assert_eq!(received.len(), sent.len());
+    for (back, gone) in received.iter().zip(&sent) {
+        assert_eq!((&back.vm, &back.outcome), (&gone.vm, &gone.outcome));
+        assert!(
+            back.age >= gone.age,
+            "evidence never looks fresher than it is"
+        );
+    }
+}
+
+#[test]
+fn results_of_unknown_vms_are_dropped() {
+    let batch = messages::ProbeBatch::pack(1, &[result(1), result(2)]);
+    assert!(batch.unpack(|_key| None).is_empty());
+}
+
+#[test]
+fn a_position_outside_the_list_drops_the_entry() {
+    let mut batch = messages::ProbeBatch::pack(1, &[result(1)]);
+    batch.models.clear();
+    let name = result(1).vm;
+    assert!(batch.unpack(|_key| Some(name.clone())).is_empty());
+}
+
+#[test]
+fn frames_come_out_whole_from_any_split_of_the_bytes() {
+    let begin = frames::ForwardBegin {
+        pool: routes::PoolKey::Model("draft".parse().unwrap()),
+        customer: "college".parse().unwrap(),
+        attempt: ids::AttemptId::new(5),
+        method: "POST".to_owned(),
+        path: "/v1/completions".to_owned(),
+        headers: vec![frames::ForwardHeader {
+            name: "x-priority".to_owned(),
+            value: "low".to_owned(),
+        }],
+        trace_parent: None,
+        deadline_ms: 1_500,
+        hops: 1,
+    };
+    let sent = [
+        frames::ForwardFrame::Begin(Box::new(begin)),
+        frames::ForwardFrame::Body(frames::AnswerChunk {
+            index: 3,
+            bytes: vec![0, 255, 7],
+        }),
+        frames::ForwardFrame::End,
+        frames::ForwardFrame::Cancel,
+    ];
+    let mut whole = bytes::BytesMut::new();
+    for frame in &sent {
+        frames::FrameCodec::encode(frame, &mut whole).unwrap();
+    }
+    for cut in 0..whole.len() {
+        let mut buffer = bytes::BytesMut::from(&whole[..cut]);
+        let mut received = Vec::new();
+        while let Some(frame) = ForwardCodec::decode(&mut buffer).unwrap() {
+            received.push(frame);
+        }
+        buffer.extend_from_slice(&whole[cut..]);
+        while let Some(frame) = ForwardCodec::decode(&mut buffer).unwrap() {
+            received.push(frame);
+        }
+        assert_eq!(received, sent);
+    }
+}
+
+#[test]
+fn answers_come_out_as_they_went_in() {
+    let sent = [
+        frames::AnswerFrame::Head(frames::AnswerHead {
+            status: 200,
+            headers: Vec::new(),
+        }),
+        frames::AnswerFrame::Done,
+        frames::AnswerFrame::Failed(frames::AnswerFailure {
+            code: codes::ResultCode::Overloaded,
+            outcome: codes::RunOutcome::NotRun,
+            retry_after_ms: Some(250),
+        }),
+    ];
+    let mut buffer = bytes::BytesMut::new();
+    for frame in &sent {
+        frames::FrameCodec::encode(frame, &mut buffer).unwrap();
+        assert_eq!(
+            AnswerCodec::decode(&mut buffer).unwrap().as_ref(),
+            Some(frame)
+        );
+    }
+}
+
+#[test]
+fn bad_frames_are_refused() {
+    let mut long = bytes::BytesMut::from(&[0xff; 4][..]);
+    let refusal = AnswerCodec::decode(&mut long).unwrap_err();
+    assert!(matches!(refusal, frames::FrameError::TooLong { .. }));
+    let mut garbled = bytes::BytesMut::from(&[1, 0, 0, 0, 99][..]);
+    assert_eq!(
+        AnswerCodec::decode(&mut garbled),
+        Err(frames::FrameError::Malformed)
+    );
+    let mut trailing = bytes::BytesMut::from(&[2, 0, 0, 0, 2, 2][..]);
+    assert_eq!(
+        AnswerCodec::decode(&mut trailing),
+        Err(frames::FrameError::Malformed)
+    );
+}
+
+/// Runs a handshake; the outcomes of the client and of the server, which gets the challenge's own proof if reflected.
+fn handshake(
+    client_key: seals::WireKey,
+    server_key: seals::WireKey,
+    reflect: bool,
+) -> (bool, Result<ids::NodeName, frames::FrameError>) {
+    let one = seals::NodeInstance::new(1);
+    let two = seals::NodeInstance::new(2);
+    let (client, hello) =
+        frames::ClientHandshake::start(client_key, "n1".parse().unwrap(), one, [1; 16]);
+    let (server, challenge) =
+        frames::ServerHandshake::answer(server_key, hello, "n2".parse().unwrap(), two, [2; 16])
+            .unwrap();
+    let reflected = frames::HandshakeReply {
+        proof: challenge.proof,
+    };
+    let finished = client.finish(&challenge);
+    let agreed = finished.is_ok();
+    let reply = if reflect {
+        reflected
+    } else {
+        finished.unwrap_or(frames::HandshakeReply { proof: [0; 32] })
+    };
+    (agreed, server.verify(&reply))
+}
+
+#[test]
+fn both_sides_of_a_stream_prove_the_key() {
+    let other = "another-key-of-enough-length"
+        .parse::<seals::WireKey>()
+        .unwrap();
+    let name = "n1".parse::<ids::NodeName>().unwrap();
+    let unproven = Err(frames::FrameError::Unproven);
+    assert_eq!(handshake(key(), key(), false), (true, Ok(name)));
+    assert_eq!(
+        handshake(key(), other.clone(), false),
+        (false, unproven.clone())
+    );
+    assert_eq!(handshake(other, key(), false), (false, unproven));
+}
+
+#[test]
+fn the_proof_of_the_listener_proves_nothing_about_the_client() {
+    let (_agreed, verdict) = handshake(key(), key(), true);
+    assert_eq!(verdict, Err(frames::FrameError::Unproven));
+}
