Claim one-time requests before dispatch

Cause: a request that may not be repeated needs one owner over all nodes, also with lost replies, late writes, stale reads and paused nodes. Ruled out: leases on claims and an absent read-back as proof; see docs/design/one-time-requests.md. Conclusion: conditional write of a nonce, never taken over unless released by its owner.

--- /dev/null
+++ b/crates/pier_request/src/claims/mod.rs
@@ -0,0 +1,51 @@
+//! Keeps the promise that a request marked as not repeatable runs at most once.
+//!
+//! A node writes a claim on the platform before it dispatches such a request, and a claim is never
+//! taken over while its run may have begun. See `docs/design/one-time-requests.md`.
+
+mod claim_action;
+mod claim_event;
+mod claim_flow;
+mod claim_grant;
+mod claim_order;
+mod claim_record;
+mod claim_retention;
+mod claim_state;
+mod claim_write;
+mod idempotency_key;
+mod outcome_action;
+mod outcome_flow;
+mod record_error;
+mod stored_answer;
+
+pub use claim_action::ClaimAction;
+pub use claim_event::ClaimEvent;
+pub use claim_flow::ClaimFlow;
+pub use claim_grant::ClaimGrant;
+pub use claim_order::ClaimOrder;
+pub use claim_record::ClaimRecord;
+pub use claim_retention::ClaimRetention;
+pub use claim_state::ClaimState;
+pub use claim_write::ClaimWrite;
+pub use idempotency_key::IdempotencyKey;
+pub use outcome_action::OutcomeAction;
+pub use outcome_flow::OutcomeFlow;
+pub use record_error::RecordError;
+pub use stored_answer::{StoredAnswer, StoredBody};
+
+use std::time;
+
+/// Most platform calls that one claim or one outcome may take.
+const ROUND_LIMIT: u32 = 16;
+
+/// Pause before the first read-back; it doubles with each round.
+const FIRST_PAUSE: time::Duration = time::Duration::from_millis(5);
+
+/// Longest pause between two platform calls.
+const LONGEST_PAUSE: time::Duration = time::Duration::from_millis(500);
+
+/// Returns how long to wait before a platform call, by the calls made so far.
+fn pause_after(rounds: u32) -> time::Duration {
+    let factor = 1_u32 << rounds.saturating_sub(1).min(10);
+    FIRST_PAUSE.saturating_mul(factor).min(LONGEST_PAUSE)
+}
