--- /dev/null
+++ b/crates/pier_request/src/attempts/attempt_tracker.rs
@@ -0,0 +1,126 @@
+//! The order of the parts of one answer, over all attempts.
+
+use std::collections;
+
+use pier_types::{ids, sizes};
+
+use crate::attempts;
+
+/// Most parts that wait for one before them.
+const HELD_LIMIT: usize = 64;
+
+/// Puts the parts of one answer in order and drops what is not awaited.
+///
+/// `P` is the part as it is relayed. Positions count from 0 in the whole answer, also in an attempt
+/// that resumes it.
+///
+/// ```
+/// use pier_request::attempts;
+/// use pier_types::ids;
+///
+/// let mut tracker = attempts::AttemptTracker::default();
+/// let attempt = ids::AttemptId::new(1);
+/// tracker.begin(attempt);
+/// assert_eq!(tracker.accept(attempt, 1, "b", true), attempts::PartVerdict::Held);
+/// assert_eq!(tracker.accept(attempt, 0, "a", false), attempts::PartVerdict::Ready);
+/// assert_eq!(tracker.take_ready(), Some("a"));
+/// assert_eq!(tracker.take_ready(), Some("b"));
+/// assert_eq!(tracker.close(attempt), attempts::StreamEnd::Whole);
+/// ```
+#[derive(Debug)]
+pub struct AttemptTracker<P> {
+    attempt: Option<ids::AttemptId>,
+    next: u64,
+    end: Option<u64>,
+    held: collections::BTreeMap<u64, P>,
+}
+
+impl<P> Default for AttemptTracker<P> {
+    fn default() -> Self {
+        Self {
+            attempt: None,
+            next: 0,
+            end: None,
+            held: collections::BTreeMap::new(),
+        }
+    }
+}
+
+impl<P> AttemptTracker<P> {
+    /// Awaits a new attempt in place of the last one and returns how many tokens it may skip.
+    pub fn begin(&mut self, attempt: ids::AttemptId) -> sizes::TokenCount {
+        self.attempt = Some(attempt);
+        // Another engine may word the rest differently, so nothing that waits is mixed into it.
+        self.held.clear();
+        self.end = None;
+        self.delivered()
+    }
+
+    /// Stops awaiting any attempt.
+    pub fn abandon(&mut self) {
+        self.attempt = None;
+        self.held.clear();
+    }
+
+    /// Takes a part; `last` marks the explicit end of the answer.
+    pub fn accept(
+        &mut self,
+        attempt: ids::AttemptId,
+        position: u64,
+        part: P,
+        last: bool,
+    ) -> attempts::PartVerdict {
+        if self.attempt != Some(attempt) {
+            return attempts::PartVerdict::Stale;
+        }
+        if position < self.next || self.held.contains_key(&position) {
+            return attempts::PartVerdict::Duplicate;
+        }
+        if self.is_refused(position, last) {
+            return attempts::PartVerdict::Refused;
+        }
+        if last {
+            self.end = Some(position + 1);
+        }
+        self.held.insert(position, part);
+        if position == self.next {
+            return attempts::PartVerdict::Ready;
+        }
+        attempts::PartVerdict::Held
+    }
+
+    /// Takes the next part in order, if it is there.
+    pub fn take_ready(&mut self) -> Option<P> {
+        let part = self.held.remove(&self.next)?;
+        self.next += 1;
+        Some(part)
+    }
+
+    /// Takes the end of the attempt's stream, whether marked or not.
+    pub fn close(&mut self, attempt: ids::AttemptId) -> attempts::StreamEnd {
+        if self.attempt != Some(attempt) {
+            return attempts::StreamEnd::Stale;
+        }
+        self.abandon();
+        if self.end == Some(self.next) {
+            return attempts::StreamEnd::Whole;
+        }
+        attempts::StreamEnd::Broken
+    }
+
+    /// Returns how many tokens were taken for the caller, which is where a new attempt resumes.
+    pub const fn delivered(&self) -> sizes::TokenCount {
+        sizes::TokenCount::new(self.next)
+    }
+
+    fn is_refused(&self, position: u64, last: bool) -> bool {
+        let behind_end = self.end.is_some_and(|end| position >= end);
+        let ends_before_held = last
+            && self
+                .held
+                .last_key_value()
+                .is_some_and(|(held, _part)| *held > position);
+        let ahead = position - self.next >= HELD_LIMIT as u64;
+        behind_end || ends_before_held || ahead
+    }
+}
