Quarantine requests that crash their targets

Cause: one request can take down each target that runs it, and its caller sends it again through other nodes. Ruled out: plain counters (a crash told twice counts twice) and two targets always (innocents beside the request); see docs/design/retries-and-quarantine.md. Conclusion: a mergeable set of marks, judged by distinct targets and by how many ran beside it.

--- a/crates/pier_request/src/lib.rs
+++ b/crates/pier_request/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod attempts;
 pub mod claims;
+pub mod quarantine;
 pub mod retries;
--- /dev/null
+++ b/crates/pier_request/src/quarantine/crash_ledger.rs
@@ -0,0 +1,234 @@
+//! The crashes that this node knows of.
+
+use std::{collections, ops, time};
+
+use pier_types::{epochs, ids, times};
+
+use crate::quarantine;
+
+/// Most marks that are kept.
+const MARK_LIMIT: usize = 4_096;
+
+/// Marks that are dropped at once, so that a full ledger is not sorted at each crash.
+const DROP_COUNT: usize = MARK_LIMIT / 8;
+
+/// How long a crash speaks against a request.
+const MARK_LIFE: time::Duration = time::Duration::from_mins(10);
+
+/// Age up to which a node takes a crash from others.
+///
+/// Ages run behind by the time of each transfer; a node that has just forgotten a mark does not take
+/// it again from one that is about to.
+const TOLD_LIFE: time::Duration = time::Duration::from_mins(9);
+
+/// How many deltas a new mark leads before it waits for its turn.
+const FRESH_SENDS: u8 = 3;
+
+/// Identifies a mark.
+type MarkKey = (
+    ids::RequestFingerprint,
+    ids::TargetId,
+    epochs::GroupGeneration,
+);
+
+/// The changing half of a mark.
+#[derive(Debug, Clone, Copy)]
+struct MarkState {
+    suspects: u32,
+    cleared: bool,
+    seen_at: times::BootTime,
+    sends_left: u8,
+}
+
+/// Collects which requests ran on targets that crashed, here and on other nodes.
+///
+/// One task owns it; requests read the [`QuarantineSet`](quarantine::QuarantineSet) it publishes.
+///
+/// ```
+/// use pier_request::quarantine;
+/// use pier_types::{epochs, ids, times};
+///
+/// let bad = ids::RequestFingerprint::of("college", "/v1/completions", b"crash");
+/// let now = times::BootTime::from_millis(5);
+/// let mut ledger = quarantine::CrashLedger::default();
+/// for name in ["vm-1", "vm-2"] {
+///     let target = ids::TargetId::Vm(name.parse()?);
+///     let cause = quarantine::DeathCause::ProcessLost;
+///     ledger.target_died(&target, epochs::GroupGeneration::new(1), cause, &[bad], 1, now);
+/// }
+/// assert!(ledger.snapshot(now).remaining(bad, now).is_some());
+/// # Ok::<(), ids::NameError>(())
+/// ```
+#[derive(Debug, Default)]
+pub struct CrashLedger {
+    marks: collections::BTreeMap<MarkKey, MarkState>,
+    cursor: Option<MarkKey>,
+}
+
+impl CrashLedger {
+    /// Implicates the requests that ran on a target when its process was lost.
+    ///
+    /// `reported` is how many requests the target itself last reported, since other nodes' requests
+    /// may have been the cause too.
+    pub fn target_died(
+        &mut self,
+        target: &ids::TargetId,
+        generation: epochs::GroupGeneration,
+        cause: quarantine::DeathCause,
+        in_flight: &[ids::RequestFingerprint],
+        reported: u32,
+        now: times::BootTime,
+    ) {
+        if cause != quarantine::DeathCause::ProcessLost {
+            return;
+        }
+        let own = u32::try_from(in_flight.len()).unwrap_or(u32::MAX);
+        let state = MarkState {
+            suspects: own.max(reported),
+            cleared: false,
+            seen_at: now,
+            sends_left: FRESH_SENDS,
+        };
+        for fingerprint in in_flight {
+            self.insert((*fingerprint, target.clone(), generation), state);
+        }
+        self.drop_excess();
+    }
+
+    /// Clears a request that ran to its end: what it did once it does not do always.
+    pub fn completed(&mut self, fingerprint: ids::RequestFingerprint) {
+        for (key, state) in &mut self.marks {
+            if key.0 == fingerprint && !state.cleared {
+                state.cleared = true;
+                state.sends_left = FRESH_SENDS;
+            }
+        }
+    }
+
+    /// Takes what another node knows.
+    pub fn merge(&mut self, delta: &quarantine::CrashDelta, now: times::BootTime) {
+        for mark in &delta.marks {
+            let age = time::Duration::from_millis(mark.age_ms);
+            if age >= TOLD_LIFE {
+                continue;
+            }
+            let key = (mark.fingerprint, mark.target.clone(), mark.generation);
+            let state = MarkState {
+                suspects: mark.suspects,
+                cleared: mark.cleared,
+                seen_at: now.before(age),
+                sends_left: 0,
+            };
+            self.insert(key, state);
+        }
+        self.drop_excess();
+    }
+
+    /// Returns marks for a datagram: new ones first, then the others by turns.
+    pub fn delta(&mut self, now: times::BootTime, limit: usize) -> quarantine::CrashDelta {
+        let mut marks = Vec::new();
+        for (key, state) in &mut self.marks {
+            if marks.len() < limit && state.sends_left > 0 {
+                state.sends_left -= 1;
+                marks.push(to_mark(key, state, now));
+            }
+        }
+        self.add_by_turns(&mut marks, now, limit);
+        quarantine::CrashDelta { marks }
+    }
+
+    /// Forgets crashes that are too old to speak against a request.
+    pub fn expire(&mut self, now: times::BootTime) {
+        self.marks
+            .retain(|_key, state| now.since(state.seen_at) < MARK_LIFE);
+    }
+
+    /// Returns the requests that are kept away now.
+    pub fn snapshot(&self, now: times::BootTime) -> quarantine::QuarantineSet {
+        let mut set = quarantine::QuarantineSet::default();
+        let mut evidence = quarantine::CrashEvidence::default();
+        let mut newest = times::BootTime::default();
+        let mut marks = self.live_marks(now).peekable();
+        while let Some((key, state)) = marks.next() {
+            evidence.add(&key.1, state.suspects);
+            newest = newest.max(state.seen_at);
+            let ends = marks.peek().is_none_or(|(next, _state)| next.0 != key.0);
+            if !ends {
+                continue;
+            }
+            set.implicated.insert(key.0);
+            if evidence.is_enough() {
+                set.kept_away.insert(key.0, newest.after(MARK_LIFE));
+            }
+            evidence = quarantine::CrashEvidence::default();
+            newest = times::BootTime::default();
+        }
+        set
+    }
+
+    /// Returns how many marks are kept.
+    pub fn len(&self) -> usize {
+        self.marks.len()
+    }
+
+    /// Tells whether no crash is known.
+    pub fn is_empty(&self) -> bool {
+        self.marks.is_empty()
+    }
+
+    fn live_marks(&self, now: times::BootTime) -> impl Iterator<Item = (&MarkKey, &MarkState)> {
+        let live = move |state: &MarkState| !state.cleared && now.since(state.seen_at) < MARK_LIFE;
+        self.marks.iter().filter(move |(_key, state)| live(state))
+    }
+
+    fn insert(&mut self, key: MarkKey, state: MarkState) {
+        let known = self.marks.entry(key).or_insert(state);
+        known.suspects = known.suspects.max(state.suspects);
+        known.cleared |= state.cleared;
+        // The earliest sight counts, or nodes would keep a mark alive by telling each other.
+        known.seen_at = known.seen_at.min(state.seen_at);
+    }
+
+    fn drop_excess(&mut self) {
+        if self.marks.len() <= MARK_LIMIT {
+            return;
+        }
+        let mut left = self.marks.len() - MARK_LIMIT + DROP_COUNT;
+        let mut ages: Vec<_> = self.marks.values().map(|state| state.seen_at).collect();
+        ages.sort_unstable();
+        let oldest_kept = ages[left];
+        self.marks.retain(|_key, state| {
+            let goes = left > 0 && state.seen_at <= oldest_kept;
+            left -= usize::from(goes);
+            !goes
+        });
+    }
+
+    fn add_by_turns(
+        &mut self,
+        marks: &mut Vec<quarantine::CrashMark>,
+        now: times::BootTime,
+        limit: usize,
+    ) {
+        let room = limit.saturating_sub(marks.len());
+        let start = self.cursor.take();
+        let lower = start.map_or(ops::Bound::Unbounded, ops::Bound::Excluded);
+        let rest = self.marks.range((lower, ops::Bound::Unbounded));
+        for (key, state) in rest.take(room) {
+            marks.push(to_mark(key, state, now));
+            self.cursor = Some(key.clone());
+        }
+    }
+}
+
+fn to_mark(key: &MarkKey, state: &MarkState, now: times::BootTime) -> quarantine::CrashMark {
+    let age = now.since(state.seen_at).as_millis();
+    quarantine::CrashMark {
+        fingerprint: key.0,
+        target: key.1.clone(),
+        generation: key.2,
+        suspects: state.suspects,
+        cleared: state.cleared,
+        age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+    }
+}
