Serve the thin path from end to end as separate processes

Cause: the parts had not been run together. Ruled out: nothing yet; targets are chosen at random and every VM counts as a target.

--- a/crates/pier_node/src/daemon/node_daemon.rs
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -5,7 +5,7 @@
 use anyhow::Context as _;
 use pier_types::ids;
 
-use crate::{callers, daemon, handle, operators, settings, tables, telemetry};
+use crate::{callers, daemon, forwards, handle, operators, settings, tables, telemetry};
 
 /// Time between two looks at the requests in progress during a drain.
 const DRAIN_POLL: time::Duration = time::Duration::from_millis(20);
@@ -22,6 +22,7 @@
     handle: handle::NodeHandle,
     callers: daemon::WebServer,
     operators: daemon::WebServer,
+    peers: net::SocketAddr,
 }
 
 impl NodeDaemon {
@@ -33,21 +34,24 @@
     pub async fn launch(settings: settings::NodeSettings) -> anyhow::Result<Self> {
         let client = target_client()?;
         let traces = open_traces(settings.collector_url.clone()).await?;
-        let handle = handle::NodeHandle::new(draw_name(&settings)?, settings, client, traces);
+        let handle = handle::NodeHandle::new(draw_name(&settings)?, settings, client, traces)?;
         tables::spawn(handle.clone());
+        let peers = Self::launch_forwards(&handle).await?;
         let operators = Self::launch_operators(&handle).await?;
         let callers = Self::launch_callers(&handle).await?;
         log::info!(
             event = "node-started",
             node:% = handle.name(),
             callers:% = callers.address(),
-            operators:% = operators.address();
+            operators:% = operators.address(),
+            peers:% = peers;
             ""
         );
         Ok(Self {
             handle,
             callers,
             operators,
+            peers,
         })
     }
 
@@ -58,8 +62,12 @@
     /// Fails when a port can not be bound or signals can not be listened to.
     pub async fn run_until_signal(settings: settings::NodeSettings) -> anyhow::Result<()> {
         let node = Self::launch(settings).await?;
-        let addresses = (node.callers_address(), node.operators_address());
-        println!("callers={} operators={}", addresses.0, addresses.1);
+        println!(
+            "callers={} operators={} peers={}",
+            node.callers_address(),
+            node.operators_address(),
+            node.peers_address()
+        );
         daemon::stop_signal::wait().await?;
         node.drain().await;
         Ok(())
@@ -80,6 +88,11 @@
         self.operators.address()
     }
 
+    /// Returns where other nodes are accepted.
+    pub fn peers_address(&self) -> net::SocketAddr {
+        self.peers
+    }
+
     /// Turns unready, lets the balancer notice, waits for requests in progress, then stops.
     pub async fn drain(self) {
         let settings = self.handle.settings().clone();
@@ -113,6 +126,17 @@
         .await
     }
 
+    async fn launch_forwards(handle: &handle::NodeHandle) -> anyhow::Result<net::SocketAddr> {
+        let key = handle.settings().peer_key.parse()?;
+        let wanted = handle.settings().peers;
+        let listener = tokio::net::TcpListener::bind(wanted).await;
+        let listener = listener.with_context(|| format!("binding {wanted}"))?;
+        let address = listener.local_addr()?;
+        let server = forwards::ForwardServer::new(handle.clone(), key);
+        tokio::spawn(server.run(listener));
+        Ok(address)
+    }
+
     async fn launch_operators(handle: &handle::NodeHandle) -> anyhow::Result<daemon::WebServer> {
         let settings = handle.settings();
         let handle = handle.clone();
--- a/crates/pier_node/src/forwards/forward_client.rs
+++ b/crates/pier_node/src/forwards/forward_client.rs
@@ -52,7 +52,7 @@
     ) -> Result<callers::CallerReply, forwards::ForwardError> {
         let deadline = time::Duration::from_millis(begin.deadline_ms.into());
         let sending = self.send_whole(address, begin, body);
-        let (reader, writer) = sending.await.map_err(not_sent)?;
+        let (reader, writer) = sending.await.map_err(|error| not_sent(&error))?;
         let answering = read_head(reader, writer);
         let answer = tokio::time::timeout(deadline, answering).await;
         answer.map_err(|_elapsed| forwards::ForwardError::Lost {
@@ -106,12 +106,12 @@
     mut writer: forwards::FrameWriter,
 ) -> Result<callers::CallerReply, forwards::ForwardError> {
     let sent = writer.write(&frames::ForwardFrame::End).await;
-    sent.map_err(lost)?;
-    match reader.expect().await.map_err(lost)? {
+    sent.map_err(|error| lost(&error))?;
+    match reader.expect().await.map_err(|error| lost(&error))? {
         frames::AnswerFrame::Head(head) => relay(head, reader, writer).await,
         frames::AnswerFrame::Failed(failure) => Err(forwards::ForwardError::Refused(failure)),
         frames::AnswerFrame::Chunk(_) | frames::AnswerFrame::Done => {
-            Err(lost(anyhow::anyhow!("the answer has no head")))
+            Err(lost(&anyhow::anyhow!("the answer has no head")))
         }
     }
 }
@@ -133,13 +133,13 @@
 async fn read_whole(mut reader: forwards::FrameReader) -> Result<Bytes, forwards::ForwardError> {
     let mut body = Vec::new();
     loop {
-        match reader.expect().await.map_err(lost)? {
+        match reader.expect().await.map_err(|error| lost(&error))? {
             frames::AnswerFrame::Chunk(chunk) => body.extend_from_slice(&chunk.bytes),
             frames::AnswerFrame::Done => return Ok(body.into()),
             frames::AnswerFrame::Failed(failure) => {
                 return Err(forwards::ForwardError::Refused(failure));
             }
-            frames::AnswerFrame::Head(_) => return Err(lost(anyhow::anyhow!("a second head"))),
+            frames::AnswerFrame::Head(_) => return Err(lost(&anyhow::anyhow!("a second head"))),
         }
     }
 }
@@ -192,15 +192,18 @@
 fn content_type(head: &frames::AnswerHead) -> String {
     let mut headers = head.headers.iter();
     let kind = headers.find(|header| header.name == "content-type");
-    kind.map_or_else(|| "application/octet-stream".to_owned(), |header| header.value.clone())
+    kind.map_or_else(
+        || "application/octet-stream".to_owned(),
+        |header| header.value.clone(),
+    )
 }
 
-fn not_sent(error: anyhow::Error) -> forwards::ForwardError {
+fn not_sent(error: &anyhow::Error) -> forwards::ForwardError {
     let cause = format!("{error:#}");
     forwards::ForwardError::NotSent { cause }
 }
 
-fn lost(error: anyhow::Error) -> forwards::ForwardError {
+fn lost(error: &anyhow::Error) -> forwards::ForwardError {
     let cause = format!("{error:#}");
     forwards::ForwardError::Lost { cause }
 }
--- a/crates/pier_node/src/forwards/forward_server.rs
+++ b/crates/pier_node/src/forwards/forward_server.rs
@@ -26,21 +26,12 @@
 pub struct ForwardServer {
     handle: handle::NodeHandle,
     key: seals::WireKey,
-    instance: seals::NodeInstance,
 }
 
 impl ForwardServer {
     /// Makes the server of one node.
-    pub fn new(
-        handle: handle::NodeHandle,
-        key: seals::WireKey,
-        instance: seals::NodeInstance,
-    ) -> Self {
-        Self {
-            handle,
-            key,
-            instance,
-        }
+    pub fn new(handle: handle::NodeHandle, key: seals::WireKey) -> Self {
+        Self { handle, key }
     }
 
     /// Accepts connections until the runtime ends.
@@ -93,7 +84,7 @@
         let (key, node) = (self.key.clone(), self.handle.name().clone());
         let nonce = rand::random();
         let (handshake, challenge) =
-            frames::ServerHandshake::answer(key, hello, node, self.instance, nonce)?;
+            frames::ServerHandshake::answer(key, hello, node, self.handle.instance(), nonce)?;
         writer.write(&challenge).await?;
         handshake.verify(&reader.expect().await?)?;
         let frames::ForwardFrame::Begin(begin) = reader.expect().await? else {
@@ -115,7 +106,9 @@
         let path = requests::RequestPath::new(self.handle.clone());
         let reply = path.serve(request).await;
         if let Some(code) = reply.code {
-            return writer.write(&failed(code, reply.outcome, reply.retry_after_ms)).await;
+            return writer
+                .write(&failed(code, reply.outcome, reply.retry_after_ms))
+                .await;
         }
         send_reply(reply, writer).await
     }
--- a/crates/pier_node/src/forwards/frame_stream.rs
+++ b/crates/pier_node/src/forwards/frame_stream.rs
@@ -34,14 +34,16 @@
     ///
     /// Fails when the connection breaks, also within a frame, or a frame does not decode.
     pub(super) async fn next<T: de::DeserializeOwned>(&mut self) -> anyhow::Result<Option<T>> {
-        let codec = frames::FrameCodec::<T>::default();
         loop {
-            if let Some(frame) = codec.decode(&mut self.buffer)? {
+            if let Some(frame) = frames::FrameCodec::<T>::decode(&mut self.buffer)? {
                 return Ok(Some(frame));
             }
             let read = self.half.read_buf(&mut self.buffer).await?;
             if read == 0 {
-                anyhow::ensure!(self.buffer.is_empty(), "the connection broke within a frame");
+                anyhow::ensure!(
+                    self.buffer.is_empty(),
+                    "the connection broke within a frame"
+                );
                 return Ok(None);
             }
         }
--- /dev/null
+++ b/crates/pier_node/src/handle/config_snapshot.rs
@@ -0,0 +1,15 @@
+//! The configuration in force.
+
+use pier_config::documents;
+use pier_types::epochs;
+
+/// A configuration document and its version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigSnapshot {
+    /// The version; never falls.
+    pub version: epochs::ConfigVersion,
+    /// The validated document.
+    pub document: documents::ConfigDocument,
+    /// The text it was parsed from, handed to peers that missed it.
+    pub text: String,
+}
--- a/crates/pier_node/src/handle/node_handle.rs
+++ b/crates/pier_node/src/handle/node_handle.rs
@@ -3,8 +3,10 @@
 use std::sync::{self, atomic};
 use std::{collections, fmt};
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
+use pier_platform::{lists, objects};
 use pier_types::{ids, routes, vms};
+use pier_wire::seals;
 
 use crate::{handle, settings, telemetry};
 
@@ -20,11 +22,15 @@
 struct NodeShared {
     name: ids::NodeName,
     settings: settings::NodeSettings,
+    instance: seals::NodeInstance,
     client: reqwest::Client,
+    objects: objects::ObjectClient,
+    lists: lists::VmListClient,
     metrics: telemetry::NodeMetrics,
     traces: telemetry::TraceSink,
     draining: atomic::AtomicBool,
     in_progress: sync::Arc<atomic::AtomicUsize>,
+    config: ArcSwapOption<handle::ConfigSnapshot>,
     routes: ArcSwap<routes::RouteTable>,
     vms: ArcSwap<collections::BTreeMap<ids::VmName, vms::VmEntry>>,
 }
@@ -39,26 +45,59 @@
 
 impl NodeHandle {
     /// Makes the handle of a node that has not started yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a client of the platform can not be made.
     pub fn new(
         name: ids::NodeName,
         settings: settings::NodeSettings,
         client: reqwest::Client,
         traces: telemetry::TraceSink,
-    ) -> Self {
+    ) -> anyhow::Result<Self> {
         let shared = NodeShared {
             name,
-            settings,
+            instance: seals::NodeInstance::new(rand::random()),
             client,
+            objects: objects::ObjectClient::new(&settings.platform_url)?,
+            lists: lists::VmListClient::new(&settings.platform_url)?,
+            settings,
             metrics: telemetry::NodeMetrics::new(traces.counts()),
             traces,
             draining: atomic::AtomicBool::new(false),
             in_progress: sync::Arc::default(),
+            config: ArcSwapOption::empty(),
             routes: ArcSwap::default(),
             vms: ArcSwap::default(),
         };
-        Self {
+        Ok(Self {
             shared: sync::Arc::new(shared),
-        }
+        })
+    }
+
+    /// Returns the instance that tells this start of the node from others.
+    pub fn instance(&self) -> seals::NodeInstance {
+        self.shared.instance
+    }
+
+    /// Returns the client of the platform's object API.
+    pub fn objects(&self) -> &objects::ObjectClient {
+        &self.shared.objects
+    }
+
+    /// Returns the client of the platform's VM list.
+    pub fn lists(&self) -> &lists::VmListClient {
+        &self.shared.lists
+    }
+
+    /// Returns the configuration in force; none until the first one was read.
+    pub fn config(&self) -> Option<sync::Arc<handle::ConfigSnapshot>> {
+        self.shared.config.load_full()
+    }
+
+    /// Publishes a configuration that came into force.
+    pub fn publish_config(&self, snapshot: handle::ConfigSnapshot) {
+        self.shared.config.store(Some(sync::Arc::new(snapshot)));
     }
 
     /// Returns the node's name, drawn anew at each start.
--- a/crates/pier_node/src/lib.rs
+++ b/crates/pier_node/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod callers;
 pub mod daemon;
+pub mod forwards;
 pub mod handle;
 pub mod operators;
 pub mod requests;
