--- a/crates/pier_fakes/src/cli/arguments.rs
+++ b/crates/pier_fakes/src/cli/arguments.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 use clap::{Arg, ArgAction, ArgMatches, Command};
-use pier_types::{ids, sizes};
+use pier_types::{ids, rates, sizes};
 
 use crate::engine;
 
@@ -45,7 +45,13 @@
             "0",
             "Time for a prompt that is not cached",
         ))
-        .arg(millis("load-ms", "0", "Time to load weights"))
+        .arg(millis("load-ms", "0", "Least time to load weights"))
+        .arg(number("weight-bytes", "0", "Size of the weights"))
+        .arg(number(
+            "weight-rate",
+            "0",
+            "Bytes a second from the weight store; 0 is no limit",
+        ))
         .arg(millis("report-lag-ms", "0", "Age of the load in a report"))
         .arg(millis(
             "event-lag-ms",
@@ -101,6 +107,7 @@
 /// Reads an engine's properties.
 pub(crate) fn engine_settings(matches: &ArgMatches) -> anyhow::Result<engine::EngineSettings> {
     let count = |id| value::<sizes::RequestCount>(matches, id);
+    let rate: rates::ByteRate = value(matches, "weight-rate")?;
     let vm: ids::VmName = value(matches, "vm")?;
     Ok(engine::EngineSettings {
         vm,
@@ -108,6 +115,8 @@
         token_time: duration(matches, "token-ms")?,
         prefill_time: duration(matches, "prefill-ms")?,
         load_time: duration(matches, "load-ms")?,
+        weight_size: value(matches, "weight-bytes")?,
+        weight_store: (rate.get() > 0).then(|| engine::WeightStore::new(rate)),
         running_limit: count("running")?,
         cold_limit: count("cold-limit")?,
         warm_after: count("warm-after")?,
--- a/crates/pier_fakes/src/engine/engine_app.rs
+++ b/crates/pier_fakes/src/engine/engine_app.rs
@@ -1,29 +1,29 @@
 //! What an engine answers.
 
-use std::sync;
+use std::{sync, time};
 
 use pier_types::times::clocks;
 use serde_json::json;
 
-use crate::{engine, record, serve};
+use crate::{engine, fault, serve};
 
 /// An engine's state and routes.
 #[derive(Debug)]
 pub(crate) struct EngineApp {
     /// What it holds and runs.
     pub model: sync::Mutex<engine::EngineModel>,
-    /// Every call but reports.
-    pub record: record::RunRecord,
+    /// Record, faults and gate.
+    pub core: serve::FakeCore,
     /// The same app, for the tasks that it starts.
     pub this: sync::Weak<EngineApp>,
 }
 
 impl EngineApp {
     /// Makes the app of an engine.
-    pub(crate) fn new(model: engine::EngineModel) -> sync::Arc<Self> {
+    pub(crate) fn new(model: engine::EngineModel, core: serve::FakeCore) -> sync::Arc<Self> {
         sync::Arc::new_cyclic(|this| Self {
             model: sync::Mutex::new(model),
-            record: record::RunRecord::default(),
+            core,
             this: sync::Weak::clone(this),
         })
     }
@@ -35,12 +35,17 @@
 }
 
 impl serve::FakeApp for EngineApp {
+    fn core(&self) -> &serve::FakeCore {
+        &self.core
+    }
+
+    fn is_recorded(&self, request: &serve::FakeRequest) -> bool {
+        !matches!(request.path.as_str(), "report" | "cache-events")
+    }
+
     async fn answer(&self, request: serve::FakeRequest) -> serve::FakeReply {
         let (method, path) = request.route();
         match (method, path.as_slice()) {
-            ("GET", ["control", "record"]) => {
-                serve::FakeReply::json(200, &json!(self.record.entries()))
-            }
             ("GET", ["report"]) => self.report(),
             ("GET", ["cache-events"]) => self.cache_events(&request),
             ("GET", ["kv", prefix]) => self.export_prefix(prefix),
@@ -52,4 +57,17 @@
             _ => serve::FakeReply::status(404),
         }
     }
+
+    fn strike(&self, kind: &fault::FaultKind) {
+        let mut model = serve::lock(&self.model);
+        let duration = |ms| time::Duration::from_millis(ms);
+        match *kind {
+            fault::FaultKind::Restart { .. } => model.restart(clocks::boot_now()),
+            fault::FaultKind::Cold => model.chill(),
+            fault::FaultKind::TokenTime { ms } => model.settings.token_time = duration(ms),
+            fault::FaultKind::ReportLag { ms } => model.settings.report_lag = duration(ms),
+            fault::FaultKind::CacheGap { events } => model.cache.lose_events(events),
+            _ => {}
+        }
+    }
 }
--- a/crates/pier_fakes/src/engine/engine_builder.rs
+++ b/crates/pier_fakes/src/engine/engine_builder.rs
@@ -1,6 +1,6 @@
 //! How an engine is set up.
 
-use std::{net, sync};
+use std::net;
 
 use pier_types::ids;
 
@@ -48,8 +48,8 @@
         if let Some(name) = self.model {
             model.preload(name);
         }
-        let app = engine::EngineApp::new(model);
-        let server = serve::RocketServer::launch(self.listen, sync::Arc::clone(&app)).await?;
-        Ok(engine::FakeEngine::new(app, server))
+        let make = |core| engine::EngineApp::new(model, core);
+        let server = serve::FakeServer::launch(self.listen, make).await?;
+        Ok(engine::FakeEngine::new(server))
     }
 }
--- a/crates/pier_fakes/src/engine/engine_model.rs
+++ b/crates/pier_fakes/src/engine/engine_model.rs
@@ -6,9 +6,6 @@
 
 use crate::engine;
 
-/// Loads that are kept for lagging reports.
-const LOAD_LIMIT: usize = 4_096;
-
 /// What an engine holds and runs; it reads no clock and does nothing by itself.
 #[derive(Debug, Clone)]
 pub struct EngineModel {
@@ -25,7 +22,7 @@
     loaded_at: times::BootTime,
     finished_cold: u32,
     runs: collections::BTreeMap<u64, (engine::RunRequest, engine::RunState)>,
-    loads: collections::VecDeque<(times::BootTime, [sizes::RequestCount; 2])>,
+    loads: engine::LoadHistory,
 }
 
 impl EngineModel {
@@ -44,7 +41,7 @@
             loaded_at: times::BootTime::default(),
             finished_cold: 0,
             runs: collections::BTreeMap::new(),
-            loads: collections::VecDeque::new(),
+            loads: engine::LoadHistory::default(),
         }
     }
 
@@ -57,13 +54,7 @@
     /// Returns its report; the load in it is as old as the set lag.
     pub fn report(&mut self, now: times::BootTime) -> reports::EngineReport {
         self.advance(now);
-        let lag = self.settings.report_lag;
-        let seen = self.loads.iter().rev();
-        let seen = seen
-            .filter(|(noted_at, _load)| now.since(*noted_at) >= lag)
-            .map(|(_noted_at, load)| *load)
-            .next();
-        let [running, queued] = seen.unwrap_or_default();
+        let load = self.loads.load(self.settings.report_lag, now);
         reports::EngineReport {
             vm: self.settings.vm.clone(),
             incarnation: self.incarnation,
@@ -71,16 +62,15 @@
             generation: self.generation,
             model: self.model.clone(),
             state: self.state,
-            running,
-            queued,
+            running: load.running,
+            queued: load.queued,
         }
     }
 
-    /// Obeys or refuses an order; a load ends after the given time.
+    /// Obeys or refuses an order; a repeated one changes nothing.
     pub fn obey(
         &mut self,
         order: engine::EngineOrder,
-        loaded_at: times::BootTime,
         now: times::BootTime,
     ) -> engine::OrderAnswer {
         self.advance(now);
@@ -91,7 +81,7 @@
             return engine::OrderAnswer::Fenced(self.generation);
         }
         match order.kind {
-            engine::OrderKind::Load => self.load(order, loaded_at, now),
+            engine::OrderKind::Load => self.load(order, now),
             engine::OrderKind::Release => self.release(&order, now),
             engine::OrderKind::Role => {
                 self.generation = order.generation;
@@ -227,12 +217,7 @@
         self.note_load(now);
     }
 
-    fn load(
-        &mut self,
-        order: engine::EngineOrder,
-        loaded_at: times::BootTime,
-        now: times::BootTime,
-    ) {
+    fn load(&mut self, order: engine::EngineOrder, now: times::BootTime) {
         let repeated = self.order.as_ref().is_some_and(|present| {
             present.group == order.group
                 && present.generation == order.generation
@@ -247,7 +232,7 @@
         self.model.clone_from(&order.model);
         self.role = order.role;
         self.state = reports::EngineState::Loading;
-        self.loaded_at = loaded_at;
+        self.loaded_at = self.settings.loaded_at(now);
         self.order = Some(order);
         self.advance(now);
     }
@@ -280,14 +265,11 @@
             let count = u32::try_from(self.count(wanted)).unwrap_or(u32::MAX);
             sizes::RequestCount::new(count)
         };
-        let load = [
-            count(engine::RunState::Running),
-            count(engine::RunState::Queued),
-        ];
-        self.loads.push_back((now, load));
-        while self.loads.len() > LOAD_LIMIT {
-            self.loads.pop_front();
-        }
+        let load = engine::EngineLoad {
+            running: count(engine::RunState::Running),
+            queued: count(engine::RunState::Queued),
+        };
+        self.loads.note(load, now);
     }
 }
 
--- a/crates/pier_fakes/src/engine/engine_settings.rs
+++ b/crates/pier_fakes/src/engine/engine_settings.rs
@@ -2,7 +2,9 @@
 
 use std::time;
 
-use pier_types::{ids, sizes};
+use pier_types::{ids, sizes, times};
+
+use crate::engine;
 
 /// The fixed properties of an engine.
 #[derive(Debug, Clone)]
@@ -15,8 +17,12 @@
     pub token_time: time::Duration,
     /// Time that reading a prompt takes whose prefix is not in the cache.
     pub prefill_time: time::Duration,
-    /// Time that loading weights takes when the store is not shared with others.
+    /// Least time that loading weights takes.
     pub load_time: time::Duration,
+    /// Size of the weights that it reads from the store.
+    pub weight_size: sizes::ByteSize,
+    /// The store that it shares with others; without one, only the least time counts.
+    pub weight_store: Option<engine::WeightStore>,
     /// Requests that run together; more wait.
     pub running_limit: sizes::RequestCount,
     /// Requests that may run together while cold; one more brings the engine down.
@@ -40,6 +46,8 @@
             token_time: time::Duration::from_millis(1),
             prefill_time: time::Duration::ZERO,
             load_time: time::Duration::ZERO,
+            weight_size: sizes::ByteSize::default(),
+            weight_store: None,
             running_limit: sizes::RequestCount::new(64),
             cold_limit: sizes::RequestCount::new(8),
             warm_after: sizes::RequestCount::new(16),
@@ -48,4 +56,13 @@
             event_lag: time::Duration::ZERO,
         }
     }
+
+    /// Returns when a load that begins now ends.
+    pub fn loaded_at(&self, now: times::BootTime) -> times::BootTime {
+        let least = now.after(self.load_time);
+        match &self.weight_store {
+            Some(store) => store.reserve(self.weight_size, now).max(least),
+            None => least,
+        }
+    }
 }
--- a/crates/pier_fakes/src/engine/fake_engine.rs
+++ b/crates/pier_fakes/src/engine/fake_engine.rs
@@ -1,10 +1,10 @@
 //! A running engine.
 
-use std::{net, sync};
+use std::net;
 
 use pier_types::{reports, times::clocks};
 
-use crate::{engine, record, serve};
+use crate::{engine, fault, record, serve, serve::FakeApp as _};
 
 /// An engine that serves until it is dropped.
 ///
@@ -20,8 +20,7 @@
 /// ```
 #[derive(Debug)]
 pub struct FakeEngine {
-    app: sync::Arc<engine::EngineApp>,
-    server: serve::RocketServer,
+    server: serve::FakeServer<engine::EngineApp>,
 }
 
 impl FakeEngine {
@@ -30,8 +29,8 @@
         engine::EngineBuilder::new(settings)
     }
 
-    pub(crate) fn new(app: sync::Arc<engine::EngineApp>, server: serve::RocketServer) -> Self {
-        Self { app, server }
+    pub(crate) fn new(server: serve::FakeServer<engine::EngineApp>) -> Self {
+        Self { server }
     }
 
     /// Returns where it listens.
@@ -39,19 +38,28 @@
         self.server.address
     }
 
+    /// Returns where its control endpoints answer, whatever fault is set.
+    pub fn control_address(&self) -> net::SocketAddr {
+        self.server.control
+    }
+
+    /// Sets a fault.
+    pub fn set_fault(&self, spec: fault::FaultSpec) {
+        self.server.app.set_fault(spec);
+    }
+
+    /// Ends every fault.
+    pub fn clear_faults(&self) {
+        self.server.app.core().clear();
+    }
+
     /// Returns its report as a node would read it now.
     pub fn report(&self) -> reports::EngineReport {
-        serve::lock(&self.app.model).report(clocks::boot_now())
+        serve::lock(&self.server.app.model).report(clocks::boot_now())
     }
 
     /// Returns the record of every call but reports.
     pub fn record(&self) -> &record::RunRecord {
-        &self.app.record
-    }
-}
-
-impl Drop for FakeEngine {
-    fn drop(&mut self) {
-        self.server.stop();
+        &self.server.app.core().record
     }
 }
--- a/crates/pier_fakes/src/engine/order_routes.rs
+++ b/crates/pier_fakes/src/engine/order_routes.rs
@@ -3,39 +3,54 @@
 use pier_types::{epochs, times::clocks};
 use serde_json::json;
 
-use crate::{engine, record, serve};
+use crate::{engine, fault, record, serve};
 
 impl engine::EngineApp {
     /// Obeys or refuses an order.
     pub(crate) fn order(&self, request: &serve::FakeRequest) -> serve::FakeReply {
-        let sequence = self.record.arrive(request);
+        let sequence = request.sequence;
         let order = match serde_json::from_slice::<engine::EngineOrder>(&request.body) {
             Ok(order) => order,
             Err(error) => {
-                self.record
+                self.core
+                    .record
                     .close(sequence, record::RunEnd::Refused, "malformed order");
                 return serve::FakeReply::json(400, &json!({"error": error.to_string()}));
             }
         };
+        let lost = self
+            .core
+            .faults
+            .take(request, |kind| *kind == fault::FaultKind::LoseOrder);
+        if lost.is_some() {
+            self.core
+                .record
+                .close(sequence, record::RunEnd::Refused, "fault: order lost");
+            return serve::FakeReply::json(200, &json!({}));
+        }
         let now = clocks::boot_now();
         let mut model = serve::lock(&self.model);
-        let loaded_at = now.after(model.settings.load_time);
-        let answer = model.obey(order, loaded_at, now);
+        let answer = model.obey(order, now);
         drop(model);
         match answer {
             engine::OrderAnswer::Accepted => {
-                self.record.update(sequence, |entry| entry.started = true);
-                self.record
+                self.core
+                    .record
+                    .update(sequence, |entry| entry.started = true);
+                self.core
+                    .record
                     .close(sequence, record::RunEnd::Finished, "obeyed");
                 serve::FakeReply::json(200, &json!({}))
             }
             engine::OrderAnswer::Fenced(generation) => {
-                self.record
+                self.core
+                    .record
                     .close(sequence, record::RunEnd::Refused, "fenced");
                 serve::FakeReply::json(409, &json!({"generation": generation}))
             }
             engine::OrderAnswer::Expired => {
-                self.record
+                self.core
+                    .record
                     .close(sequence, record::RunEnd::Refused, "expired");
                 serve::FakeReply::status(410)
             }
@@ -44,14 +59,15 @@
 
     /// Cancels an attempt.
     pub(crate) fn cancel(&self, request: &serve::FakeRequest, attempt: &str) -> serve::FakeReply {
-        let sequence = self.record.arrive(request);
+        let sequence = request.sequence;
         let found = serve::lock(&self.model).cancel(attempt, clocks::boot_now());
         let effect = if found {
             "cancelled"
         } else {
             "nothing to cancel"
         };
-        self.record
+        self.core
+            .record
             .close(sequence, record::RunEnd::Finished, effect);
         serve::FakeReply::status(if found { 200 } else { 404 })
     }
--- a/crates/pier_fakes/src/engine/run_state.rs
+++ b/crates/pier_fakes/src/engine/run_state.rs
@@ -11,6 +11,20 @@
     EngineDown,
     /// The engine was given another group or generation.
     Regrouped,
+    /// Nobody waits for it any more.
+    Disconnected,
+}
+
+impl RunLoss {
+    /// Returns the reason in a few words.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::Cancelled => "cancelled",
+            Self::EngineDown => "engine down",
+            Self::Regrouped => "regrouped",
+            Self::Disconnected => "disconnected",
+        }
+    }
 }
 
 /// Where a request stands.
--- a/crates/pier_fakes/src/engine/run_task.rs
+++ b/crates/pier_fakes/src/engine/run_task.rs
@@ -1,15 +1,27 @@
 //! The task that produces the tokens of one request.
 
-use std::{sync, time};
+use std::{process, sync, time};
 
 use pier_types::times::clocks;
 use tokio::sync::mpsc;
 
-use crate::{engine, record, serve};
+use crate::{engine, fault, record, serve, serve::FakeApp as _};
 
 /// Longest time between two looks at a run's state.
 const POLL_TIME: time::Duration = time::Duration::from_millis(5);
 
+/// Exit code of a process that crashes on a prompt.
+const CRASH_EXIT: i32 = 70;
+
+/// Where a fault breaks an answer off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct HalfAnswer {
+    /// Tokens that are sent before.
+    pub tokens: u64,
+    /// Whether the reply ends in good form.
+    pub clean_end: bool,
+}
+
 /// One admitted request on its way.
 #[derive(Debug)]
 pub(crate) struct RunTask {
@@ -23,6 +35,10 @@
     pub resume_from: u64,
     /// The prompt's prefix, by its hash.
     pub prefix: String,
+    /// Whether the engine crashes on it, and how.
+    pub crash: Option<fault::FaultKind>,
+    /// Where it is broken off.
+    pub half: Option<HalfAnswer>,
     /// Where parts go; closed when nobody waits any more.
     pub sender: mpsc::Sender<engine::RunPart>,
 }
@@ -32,14 +48,29 @@
     pub(crate) async fn run(self) {
         let end = self.produce().await;
         let (part, run_end, effect) = match end {
-            Ok(()) => (engine::RunPart::Done, record::RunEnd::Finished, "answered"),
-            Err(engine::RunState::Dropped(_loss)) => {
-                (engine::RunPart::Dropped, record::RunEnd::Refused, "dropped")
-            }
-            Err(_state) => (engine::RunPart::Lost, record::RunEnd::Broken, "broken off"),
+            Ok(()) => (
+                engine::RunPart::Done,
+                record::RunEnd::Finished,
+                "answered".to_owned(),
+            ),
+            Err(engine::RunState::Dropped(loss)) => (
+                engine::RunPart::Dropped,
+                record::RunEnd::Refused,
+                format!("dropped: {}", loss.text()),
+            ),
+            Err(engine::RunState::Lost(loss)) => (
+                engine::RunPart::Lost,
+                record::RunEnd::Broken,
+                format!("broken off: {}", loss.text()),
+            ),
+            Err(state) => (
+                engine::RunPart::Lost,
+                record::RunEnd::Broken,
+                format!("{state:?}"),
+            ),
         };
         serve::lock(&self.app.model).end(self.sequence, end.is_ok(), clocks::boot_now());
-        self.app.record.close(self.sequence, run_end, effect);
+        self.app.core.record.close(self.sequence, run_end, &effect);
         let _unheard = self.sender.send(part).await;
     }
 
@@ -47,16 +78,22 @@
     async fn produce(&self) -> Result<(), engine::RunState> {
         self.wait_for_place().await?;
         self.app
+            .core
             .record
             .update(self.sequence, |entry| entry.started = true);
         self.send(engine::RunPart::Started).await?;
         let (token_time, prefill_time) = self.times();
         self.pass(prefill_time).await?;
+        self.crash()?;
         for index in self.resume_from..self.answer.length() {
+            if self.half.is_some_and(|half| index >= half.tokens) {
+                return Err(engine::RunState::Lost(engine::RunLoss::EngineDown));
+            }
             self.pass(token_time).await?;
             let last = index + 1 == self.answer.length();
             let text = self.answer.token(index);
             self.app
+                .core
                 .record
                 .update(self.sequence, |entry| entry.tokens += 1);
             self.send(engine::RunPart::Token { index, text, last })
@@ -65,10 +102,23 @@
         Ok(())
     }
 
+    /// Restarts the engine if the prompt is marked.
+    fn crash(&self) -> Result<(), engine::RunState> {
+        let Some(fault::FaultKind::CrashOnPrompt { for_ms, exit, .. }) = self.crash else {
+            return Ok(());
+        };
+        if exit {
+            process::exit(CRASH_EXIT);
+        }
+        let restart = fault::FaultKind::Restart { for_ms };
+        self.app.set_fault(fault::FaultSpec::new(restart));
+        Err(engine::RunState::Lost(engine::RunLoss::EngineDown))
+    }
+
     async fn wait_for_place(&self) -> Result<(), engine::RunState> {
         while self.check()? == engine::RunState::Queued {
             if self.sender.is_closed() {
-                return Err(engine::RunState::Dropped(engine::RunLoss::Cancelled));
+                return Err(engine::RunState::Dropped(engine::RunLoss::Disconnected));
             }
             tokio::time::sleep(POLL_TIME).await;
         }
@@ -92,6 +142,7 @@
     async fn pass(&self, time: time::Duration) -> Result<(), engine::RunState> {
         let mut left = time;
         while !left.is_zero() {
+            self.app.core.gate.wait_unpaused().await;
             self.check()?;
             let step = left.min(POLL_TIME);
             tokio::time::sleep(step).await;
@@ -112,6 +163,6 @@
 
     async fn send(&self, part: engine::RunPart) -> Result<(), engine::RunState> {
         let sent = self.sender.send(part).await;
-        sent.map_err(|_closed| engine::RunState::Lost(engine::RunLoss::Cancelled))
+        sent.map_err(|_closed| engine::RunState::Lost(engine::RunLoss::Disconnected))
     }
 }
--- /dev/null
+++ b/crates/pier_fakes/src/fault/fault_set.rs
@@ -0,0 +1,42 @@
+//! The faults in force.
+
+use std::sync;
+
+use crate::{fault, serve};
+
+/// Faults that wait for calls to strike; a cheap handle over shared state.
+#[derive(Debug, Clone, Default)]
+pub struct FaultSet {
+    specs: sync::Arc<sync::Mutex<Vec<fault::FaultSpec>>>,
+}
+
+impl FaultSet {
+    /// Adds a fault.
+    pub(crate) fn add(&self, spec: fault::FaultSpec) {
+        serve::lock(&self.specs).push(spec);
+    }
+
+    /// Removes every fault.
+    pub(crate) fn clear(&self) {
+        serve::lock(&self.specs).clear();
+    }
+
+    /// Returns the first wanted fault that strikes a call, and uses one of its counts.
+    pub(crate) fn take(
+        &self,
+        request: &serve::FakeRequest,
+        wanted: impl Fn(&fault::FaultKind) -> bool,
+    ) -> Option<fault::FaultKind> {
+        let mut specs = serve::lock(&self.specs);
+        let strikes = |spec: &fault::FaultSpec| {
+            spec.count != Some(0) && spec.strikes(&request.method, &request.path)
+        };
+        let spec = specs
+            .iter_mut()
+            .find(|spec| strikes(spec) && wanted(&spec.kind))?;
+        if let Some(count) = &mut spec.count {
+            *count -= 1;
+        }
+        Some(spec.kind.clone())
+    }
+}
--- a/crates/pier_fakes/src/lib.rs
+++ b/crates/pier_fakes/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod cli;
 pub mod engine;
+pub mod fault;
 pub mod platform;
 pub mod record;
 pub mod serve;
--- a/crates/pier_fakes/src/platform/fake_platform.rs
+++ b/crates/pier_fakes/src/platform/fake_platform.rs
@@ -1,10 +1,10 @@
 //! A running platform.
 
-use std::{net, sync};
+use std::net;
 
 use pier_types::{times::clocks, vms};
 
-use crate::{platform, record, serve};
+use crate::{fault, platform, record, serve, serve::FakeApp as _};
 
 /// A platform that serves until it is dropped.
 ///
@@ -20,8 +20,7 @@
 /// ```
 #[derive(Debug)]
 pub struct FakePlatform {
-    app: sync::Arc<platform::PlatformApp>,
-    server: serve::RocketServer,
+    server: serve::FakeServer<platform::PlatformApp>,
 }
 
 impl FakePlatform {
@@ -30,8 +29,8 @@
         platform::PlatformBuilder::default()
     }
 
-    pub(crate) fn new(app: sync::Arc<platform::PlatformApp>, server: serve::RocketServer) -> Self {
-        Self { app, server }
+    pub(crate) fn new(server: serve::FakeServer<platform::PlatformApp>) -> Self {
+        Self { server }
     }
 
     /// Returns where it listens.
@@ -39,24 +38,33 @@
         self.server.address
     }
 
+    /// Returns where its control endpoints answer, whatever fault is set.
+    pub fn control_address(&self) -> net::SocketAddr {
+        self.server.control
+    }
+
+    /// Sets a fault.
+    pub fn set_fault(&self, spec: fault::FaultSpec) {
+        self.server.app.set_fault(spec);
+    }
+
+    /// Ends every fault.
+    pub fn clear_faults(&self) {
+        self.server.app.core().clear();
+    }
+
     /// Replaces the VM list; readers see it after the lag.
     pub fn set_vms(&self, entries: Vec<vms::VmEntry>) {
-        serve::lock(&self.app.list).replace(entries, clocks::boot_now());
+        serve::lock(&self.server.app.list).replace(entries, clocks::boot_now());
     }
 
     /// Returns a copy of the objects.
     pub fn objects(&self) -> platform::ObjectStore {
-        serve::lock(&self.app.store).clone()
+        serve::lock(&self.server.app.store).clone()
     }
 
     /// Returns the record of every call.
     pub fn record(&self) -> &record::RunRecord {
-        &self.app.record
-    }
-}
-
-impl Drop for FakePlatform {
-    fn drop(&mut self) {
-        self.server.stop();
+        &self.server.app.core().record
     }
 }
--- a/crates/pier_fakes/src/platform/object_routes.rs
+++ b/crates/pier_fakes/src/platform/object_routes.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use pier_types::epochs;
+use pier_types::{epochs, times::clocks};
 use serde_json::json;
 
 use crate::{platform, record, serve};
@@ -13,34 +13,29 @@
 /// Longest wait of a watch.
 const WATCH_LIMIT: time::Duration = time::Duration::from_mins(1);
 
+/// Time after which a watch looks again, for states that a lag still hides.
+const LOOK_TIME: time::Duration = time::Duration::from_millis(100);
+
 /// The header that carries an object's version.
 const VERSION_HEADER: &str = "X-Object-Version";
 
 impl platform::PlatformApp {
     /// Lists keys under a prefix.
-    pub(crate) fn list_objects(
-        &self,
-        request: &serve::FakeRequest,
-        sequence: u64,
-    ) -> serve::FakeReply {
+    pub(crate) fn list_objects(&self, request: &serve::FakeRequest) -> serve::FakeReply {
         let prefix = request.query.get("prefix").map_or("", String::as_str);
-        let listed = serve::lock(&self.store).list(prefix);
+        let listed = serve::lock(&self.store).list(prefix, clocks::boot_now());
         let entries: Vec<_> = listed
             .iter()
             .map(|(key, version)| json!({"key": key, "version": version}))
             .collect();
-        self.record
-            .close(sequence, record::RunEnd::Finished, "listed");
+        self.core
+            .record
+            .close(request.sequence, record::RunEnd::Finished, "listed");
         serve::FakeReply::json(200, &json!(entries))
     }
 
     /// Reads an object, or waits until its version is over the one that the caller knows.
-    pub(crate) async fn read_object(
-        &self,
-        request: &serve::FakeRequest,
-        key: &str,
-        sequence: u64,
-    ) -> serve::FakeReply {
+    pub(crate) async fn read_object(&self, request: &serve::FakeRequest) -> serve::FakeReply {
         let after = request.parsed_query::<epochs::ObjectVersion>("after");
         let wait = request.parsed_query("wait_ms").unwrap_or(0);
         let wait = time::Duration::from_millis(wait).min(WATCH_LIMIT);
@@ -48,20 +43,19 @@
         let found = tokio::time::timeout(wait, async {
             loop {
                 changes.borrow_and_update();
-                if let Some(reply) = self.read_now(key, after) {
+                if let Some(reply) = self.read_now(object_key(request), after) {
                     return reply;
                 }
-                if changes.changed().await.is_err() {
-                    return serve::FakeReply::status(503);
-                }
+                let _quiet = tokio::time::timeout(LOOK_TIME, changes.changed()).await;
             }
         });
         let reply = found
             .await
             .unwrap_or_else(|_elapsed| serve::FakeReply::status(304));
         let effect = if after.is_some() { "watched" } else { "read" };
-        self.record
-            .close(sequence, record::RunEnd::Finished, effect);
+        self.core
+            .record
+            .close(request.sequence, record::RunEnd::Finished, effect);
         reply
     }
 
@@ -74,7 +68,7 @@
         after: Option<epochs::ObjectVersion>,
     ) -> Option<serve::FakeReply> {
         let store = serve::lock(&self.store);
-        let object = store.get(key);
+        let object = store.read(key, clocks::boot_now());
         let version = object.map(|object| object.version).unwrap_or_default();
         let value = object.and_then(|object| object.value.clone());
         let none = epochs::ObjectVersion::new(0);
@@ -96,14 +90,11 @@
     }
 
     /// Writes or deletes an object on its condition.
-    pub(crate) fn write_object(
-        &self,
-        request: &serve::FakeRequest,
-        key: &str,
-        sequence: u64,
-    ) -> serve::FakeReply {
+    pub(crate) fn write_object(&self, request: &serve::FakeRequest) -> serve::FakeReply {
         let refuse = |status, effect: &str| {
-            self.record.close(sequence, record::RunEnd::Refused, effect);
+            self.core
+                .record
+                .close(request.sequence, record::RunEnd::Refused, effect);
             serve::FakeReply::status(status)
         };
         let Some(expected) = request.parsed_header("if-version") else {
@@ -112,16 +103,17 @@
         if request.body.len() > VALUE_LIMIT_BYTES {
             return refuse(413, "over the size limit");
         }
+        let now = clocks::boot_now();
         let mut store = serve::lock(&self.store);
         let written = if request.method == "PUT" {
-            store.put(key, expected, request.body.clone())
+            store.put(object_key(request), expected, request.body.clone(), now)
         } else {
-            store.delete(key, expected)
+            store.delete(object_key(request), expected, now)
         };
         drop(store);
         match written {
             Ok(version) => {
-                self.record.update(sequence, |entry| {
+                self.core.record.update(request.sequence, |entry| {
                     entry.started = true;
                     entry.end = record::RunEnd::Finished;
                     entry.effect = format!("version {version}");
@@ -135,3 +127,9 @@
         }
     }
 }
+
+/// Returns the key that a path names.
+fn object_key(request: &serve::FakeRequest) -> &str {
+    let path = request.path.as_str();
+    path.strip_prefix("objects/").unwrap_or(path)
+}
--- a/crates/pier_fakes/src/platform/object_store.rs
+++ b/crates/pier_fakes/src/platform/object_store.rs
@@ -1,9 +1,12 @@
 //! Objects with versions and conditional writes.
 
-use std::collections;
+use std::{collections, time};
 
 use bytes::Bytes;
-use pier_types::epochs;
+use pier_types::{epochs, times};
+
+/// Earlier states of an object that are kept for lagging reads.
+const HISTORY_LIMIT: usize = 16;
 
 /// One object, or what is remembered of a deleted one.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -18,28 +21,37 @@
 ///
 /// ```
 /// use pier_fakes::platform;
-/// use pier_types::epochs;
+/// use pier_types::{epochs, times};
 ///
 /// let mut store = platform::ObjectStore::default();
-/// let absent = epochs::ObjectVersion::new(0);
-/// let first = store.put("lease/mvd-a", absent, "a".into());
-/// assert_eq!(first, Ok(epochs::ObjectVersion::new(1)));
-/// assert_eq!(store.put("lease/mvd-a", absent, "b".into()), Err(epochs::ObjectVersion::new(1)));
+/// let (absent, now) = (epochs::ObjectVersion::new(0), times::BootTime::from_millis(1));
+/// let first = epochs::ObjectVersion::new(1);
+/// assert_eq!(store.put("lease/mvd-a", absent, "a".into(), now), Ok(first));
+/// assert_eq!(store.put("lease/mvd-a", absent, "b".into(), now), Err(first));
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct ObjectStore {
-    objects: collections::BTreeMap<String, StoredObject>,
+    /// How old the states are that readers see.
+    pub read_lag: time::Duration,
+    objects: collections::BTreeMap<String, collections::VecDeque<(times::BootTime, StoredObject)>>,
 }
 
 impl ObjectStore {
-    /// Returns an object, also a deleted one.
+    /// Returns the present state of an object, also of a deleted one.
     pub fn get(&self, key: &str) -> Option<&StoredObject> {
-        self.objects.get(key)
+        self.objects.get(key)?.back().map(|(_at, object)| object)
+    }
+
+    /// Returns the state of an object that readers see.
+    pub fn read(&self, key: &str, now: times::BootTime) -> Option<&StoredObject> {
+        let mut states = self.objects.get(key)?.iter().rev();
+        let seen = states.find(|(written_at, _object)| now.since(*written_at) >= self.read_lag);
+        seen.map(|(_written_at, object)| object)
     }
 
     /// Returns the version that a conditional write is compared with; 0 for an absent object.
     pub fn present_version(&self, key: &str) -> epochs::ObjectVersion {
-        match self.objects.get(key) {
+        match self.get(key) {
             Some(object) if object.value.is_some() => object.version,
             _ => epochs::ObjectVersion::new(0),
         }
@@ -55,8 +67,9 @@
         key: &str,
         expected: epochs::ObjectVersion,
         value: Bytes,
+        now: times::BootTime,
     ) -> Result<epochs::ObjectVersion, epochs::ObjectVersion> {
-        self.write(key, expected, Some(value))
+        self.write(key, expected, Some(value), now)
     }
 
     /// Deletes an object if the present version is the expected one; returns the deletion's version.
@@ -68,17 +81,20 @@
         &mut self,
         key: &str,
         expected: epochs::ObjectVersion,
+        now: times::BootTime,
     ) -> Result<epochs::ObjectVersion, epochs::ObjectVersion> {
-        self.write(key, expected, None)
+        self.write(key, expected, None, now)
     }
 
     /// Returns the keys under a prefix with their versions, in the order of the keys.
-    pub fn list(&self, prefix: &str) -> Vec<(String, epochs::ObjectVersion)> {
-        self.objects
-            .iter()
-            .filter(|(key, object)| key.starts_with(prefix) && object.value.is_some())
-            .map(|(key, object)| (key.clone(), object.version))
-            .collect()
+    pub fn list(&self, prefix: &str, now: times::BootTime) -> Vec<(String, epochs::ObjectVersion)> {
+        let keys = self.objects.keys().filter(|key| key.starts_with(prefix));
+        keys.filter_map(|key| {
+            let object = self.read(key, now)?;
+            object.value.as_ref()?;
+            Some((key.clone(), object.version))
+        })
+        .collect()
     }
 
     fn write(
@@ -86,18 +102,23 @@
         key: &str,
         expected: epochs::ObjectVersion,
         value: Option<Bytes>,
+        now: times::BootTime,
     ) -> Result<epochs::ObjectVersion, epochs::ObjectVersion> {
         let present = self.present_version(key);
         if present != expected {
             return Err(present);
         }
-        let last = self.objects.get(key).map(|object| object.version);
+        let last = self.get(key).map(|object| object.version);
         if last.is_none() && value.is_none() {
             return Ok(present);
         }
         let version = last.unwrap_or_default().next();
         let object = StoredObject { version, value };
-        self.objects.insert(key.to_owned(), object);
+        let states = self.objects.entry(key.to_owned()).or_default();
+        states.push_back((now, object));
+        while states.len() > HISTORY_LIMIT {
+            states.pop_front();
+        }
         Ok(version)
     }
 }
--- a/crates/pier_fakes/src/platform/platform_app.rs
+++ b/crates/pier_fakes/src/platform/platform_app.rs
@@ -1,12 +1,12 @@
 //! What the platform answers.
 
-use std::sync;
+use std::{sync, time};
 
 use pier_types::times::clocks;
 use serde_json::json;
 use tokio::sync::watch;
 
-use crate::{platform, record, serve};
+use crate::{fault, platform, record, serve};
 
 /// The platform's state and routes.
 #[derive(Debug)]
@@ -17,25 +17,26 @@
     pub list: sync::Mutex<platform::VmList>,
     /// Counts changes, to wake watches.
     pub changes: watch::Sender<u64>,
-    /// Every call.
-    pub record: record::RunRecord,
+    /// Record, faults and gate.
+    pub core: serve::FakeCore,
 }
 
 impl PlatformApp {
     /// Makes a platform without objects.
-    pub(crate) fn new(list: platform::VmList) -> Self {
+    pub(crate) fn new(list: platform::VmList, core: serve::FakeCore) -> Self {
         Self {
             store: sync::Mutex::default(),
             list: sync::Mutex::new(list),
             changes: watch::Sender::new(0),
-            record: record::RunRecord::default(),
+            core,
         }
     }
 
     fn vms(&self, sequence: u64) -> serve::FakeReply {
         let mut list = serve::lock(&self.list);
         let entries = list.visible(clocks::boot_now());
-        self.record
+        self.core
+            .record
             .close(sequence, record::RunEnd::Finished, "listed VMs");
         serve::FakeReply::json(200, &json!(entries))
     }
@@ -52,34 +53,47 @@
 }
 
 impl serve::FakeApp for PlatformApp {
+    fn core(&self) -> &serve::FakeCore {
+        &self.core
+    }
+
+    fn is_recorded(&self, _request: &serve::FakeRequest) -> bool {
+        true
+    }
+
     async fn answer(&self, request: serve::FakeRequest) -> serve::FakeReply {
-        match request.route() {
-            ("PUT", path) if path == ["control", "vms"] => return self.put_vms(&request),
-            ("GET", path) if path == ["control", "record"] => {
-                return serve::FakeReply::json(200, &json!(self.record.entries()));
-            }
-            _ => {}
+        let (method, path) = request.route();
+        match (method, path.as_slice()) {
+            ("GET", ["vms"]) => self.vms(request.sequence),
+            ("GET", ["list"]) => self.list_objects(&request),
+            ("GET", ["objects", _, ..]) => self.read_object(&request).await,
+            ("PUT" | "DELETE", ["objects", _, ..]) => self.write_object(&request),
+            _ => self.unknown_route(request.sequence),
         }
-        let sequence = self.record.arrive(&request);
-        match request.route() {
-            ("GET", path) if path == ["vms"] => self.vms(sequence),
-            ("GET", path) if path == ["list"] => self.list_objects(&request, sequence),
-            (method, path) if path.len() > 1 && path[0] == "objects" => {
-                let key = request.path.trim_start_matches("objects/").to_owned();
-                match method {
-                    "GET" => self.read_object(&request, &key, sequence).await,
-                    "PUT" | "DELETE" => self.write_object(&request, &key, sequence),
-                    _ => self.unknown_route(sequence),
-                }
-            }
-            _ => self.unknown_route(sequence),
+    }
+
+    fn control(&self, request: &serve::FakeRequest) -> Option<serve::FakeReply> {
+        let (method, path) = request.route();
+        match (method, path.as_slice()) {
+            ("PUT", ["control", "vms"]) => Some(self.put_vms(request)),
+            _ => None,
+        }
+    }
+
+    fn strike(&self, kind: &fault::FaultKind) {
+        let duration = |ms| time::Duration::from_millis(ms);
+        match *kind {
+            fault::FaultKind::ListLag { ms } => serve::lock(&self.list).lag = duration(ms),
+            fault::FaultKind::ReadLag { ms } => serve::lock(&self.store).read_lag = duration(ms),
+            _ => {}
         }
     }
 }
 
 impl PlatformApp {
     fn unknown_route(&self, sequence: u64) -> serve::FakeReply {
-        self.record
+        self.core
+            .record
             .close(sequence, record::RunEnd::Refused, "unknown route");
         serve::FakeReply::status(404)
     }
--- a/crates/pier_fakes/src/platform/platform_builder.rs
+++ b/crates/pier_fakes/src/platform/platform_builder.rs
@@ -41,8 +41,9 @@
     ///
     /// Returns an error if the address can not be bound.
     pub async fn launch(self) -> Result<platform::FakePlatform, serve::FakeError> {
-        let app = sync::Arc::new(platform::PlatformApp::new(self.list));
-        let server = serve::RocketServer::launch(self.listen, sync::Arc::clone(&app)).await?;
-        Ok(platform::FakePlatform::new(app, server))
+        let list = self.list;
+        let make = |core| sync::Arc::new(platform::PlatformApp::new(list, core));
+        let server = serve::FakeServer::launch(self.listen, make).await?;
+        Ok(platform::FakePlatform::new(server))
     }
 }
--- a/crates/pier_fakes/src/record/record_entry.rs
+++ b/crates/pier_fakes/src/record/record_entry.rs
@@ -1,5 +1,6 @@
 //! One line of a record.
 
+use pier_types::times;
 use serde::{Deserialize, Serialize};
 
 /// How far a call got.
@@ -21,6 +22,10 @@
 pub struct RecordEntry {
     /// Position in the record, from 1.
     pub sequence: u64,
+    /// When it arrived, in microseconds since boot.
+    pub arrived_at: times::BootTime,
+    /// When it was over.
+    pub ended_at: Option<times::BootTime>,
     /// The method.
     pub method: String,
     /// The path without its leading slash.
--- a/crates/pier_fakes/src/record/run_record.rs
+++ b/crates/pier_fakes/src/record/run_record.rs
@@ -2,6 +2,7 @@
 
 use std::sync;
 
+use pier_types::times::clocks;
 use xxhash_rust::xxh3;
 
 use crate::{record, serve};
@@ -28,6 +29,8 @@
         let prefix = String::from_utf8_lossy(&request.body);
         entries.push(record::RecordEntry {
             sequence,
+            arrived_at: clocks::boot_now(),
+            ended_at: None,
             method: request.method.clone(),
             path: request.path.clone(),
             attempt: request.header("x-attempt-id").map(str::to_owned),
@@ -42,10 +45,11 @@
         sequence
     }
 
-    /// Changes one entry.
+    /// Changes one entry; sequence 0 stands for none.
     pub(crate) fn update(&self, sequence: u64, change: impl FnOnce(&mut record::RecordEntry)) {
-        let index = usize::try_from(sequence).unwrap_or(0).saturating_sub(1);
-        if let Some(entry) = serve::lock(&self.entries).get_mut(index) {
+        let index = usize::try_from(sequence).unwrap_or(0).checked_sub(1);
+        let mut entries = serve::lock(&self.entries);
+        if let Some(entry) = index.and_then(|index| entries.get_mut(index)) {
             change(entry);
         }
     }
@@ -54,6 +58,7 @@
     pub(crate) fn close(&self, sequence: u64, end: record::RunEnd, effect: &str) {
         self.update(sequence, |entry| {
             entry.end = end;
+            entry.ended_at = Some(clocks::boot_now());
             effect.clone_into(&mut entry.effect);
         });
     }
--- a/crates/pier_fakes/src/serve/fake_request.rs
+++ b/crates/pier_fakes/src/serve/fake_request.rs
@@ -1,12 +1,16 @@
 //! One request as a stand-in sees it.
 
-use std::{collections, str};
+use std::{collections, net, str};
 
 use bytes::Bytes;
 
 /// A request whose body was read whole.
 #[derive(Debug, Clone)]
 pub(crate) struct FakeRequest {
+    /// Its place in the record; 0 if it is not recorded.
+    pub sequence: u64,
+    /// The server's view of the connection that it came by.
+    pub client: Option<net::SocketAddr>,
     /// The method in capitals.
     pub method: String,
     /// The path without its leading slash.
--- /dev/null
+++ b/crates/pier_fakes/src/serve/fault_gate.rs
@@ -0,0 +1,209 @@
+//! The gate between callers and the HTTP server: it cuts, freezes and refuses connections.
+
+use std::{collections, io, net, sync, time};
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, tcp};
+use tokio::sync::{oneshot, watch};
+
+use crate::serve;
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Bytes that are passed on at once.
+const BUFFER_BYTES: usize = 16 * 1_024;
+
+/// Time until a port that can not be taken back is tried again.
+const BIND_PAUSE: time::Duration = time::Duration::from_millis(10);
+
+/// What the gate does with connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum GateMode {
+    /// Passes everything on.
+    Open,
+    /// Keeps connections and passes nothing on.
+    Paused,
+    /// Refuses connections.
+    Down,
+}
+
+/// Passes connections on to the HTTP server; a cheap handle over shared state.
+///
+/// The HTTP library can not drop a connection in place of a reply, nor refuse one: the gate can.
+#[derive(Debug, Clone)]
+pub(crate) struct FaultGate {
+    state: sync::Arc<GateState>,
+}
+
+#[derive(Debug)]
+struct GateState {
+    address: net::SocketAddr,
+    mode: watch::Sender<(GateMode, u64)>,
+    connections: sync::Mutex<collections::BTreeMap<net::SocketAddr, oneshot::Sender<()>>>,
+}
+
+impl FaultGate {
+    /// Binds the address that callers use; returns the listener that goes with it.
+    pub(crate) fn bind(listen: net::SocketAddr) -> io::Result<(Self, TcpListener)> {
+        let listener = listen_on(listen)?;
+        let state = GateState {
+            address: listener.local_addr()?,
+            mode: watch::Sender::new((GateMode::Open, 0)),
+            connections: sync::Mutex::default(),
+        };
+        let gate = Self {
+            state: sync::Arc::new(state),
+        };
+        Ok((gate, listener))
+    }
+
+    /// Returns the address that callers use.
+    pub(crate) fn address(&self) -> net::SocketAddr {
+        self.state.address
+    }
+
+    /// Changes the mode, and back to open after a time if one is given.
+    pub(crate) fn set_mode(&self, mode: GateMode, for_time: Option<time::Duration>) {
+        self.state.mode.send_modify(|(present, change)| {
+            *present = mode;
+            *change += 1;
+        });
+        if mode == GateMode::Down {
+            self.cut_all();
+        }
+        let (_mode, change) = *self.state.mode.borrow();
+        if let Some(time) = for_time {
+            let gate = self.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(time).await;
+                gate.reopen(change);
+            });
+        }
+    }
+
+    /// Waits while the gate is paused.
+    pub(crate) async fn wait_unpaused(&self) {
+        let mut mode = self.state.mode.subscribe();
+        let _stopped = mode.wait_for(|(mode, _)| *mode != GateMode::Paused).await;
+    }
+
+    /// Cuts the connection that a request came by.
+    pub(crate) fn cut(&self, client: Option<net::SocketAddr>) {
+        if let Some(client) = client {
+            serve::lock(&self.state.connections).remove(&client);
+        }
+    }
+
+    /// Cuts every connection.
+    pub(crate) fn cut_all(&self) {
+        serve::lock(&self.state.connections).clear();
+    }
+
+    /// Accepts connections for a server until the task is ended.
+    pub(crate) async fn run(self, first: TcpListener, server: net::SocketAddr) {
+        let mut mode = self.state.mode.subscribe();
+        let mut listener = Some(first);
+        loop {
+            match listener.take() {
+                Some(listening) => self.accept(&listening, server, &mut mode).await,
+                None => match listen_on(self.state.address) {
+                    Ok(bound) => listener = Some(bound),
+                    Err(_error) => tokio::time::sleep(BIND_PAUSE).await,
+                },
+            }
+            if mode.borrow_and_update().0 == GateMode::Down {
+                drop(listener.take());
+                let _held_port = hold(self.state.address);
+                let _stopped = mode.wait_for(|(mode, _)| *mode != GateMode::Down).await;
+            }
+        }
+    }
+
+    /// Accepts connections until the gate goes down.
+    async fn accept(
+        &self,
+        listener: &TcpListener,
+        server: net::SocketAddr,
+        mode: &mut watch::Receiver<(GateMode, u64)>,
+    ) {
+        loop {
+            self.wait_unpaused().await;
+            if mode.borrow_and_update().0 == GateMode::Down {
+                return;
+            }
+            tokio::select! {
+                accepted = listener.accept() => if let Ok((client, _address)) = accepted {
+                    tokio::spawn(self.clone().pass_on(client, server));
+                },
+                _changed = mode.changed() => {}
+            }
+        }
+    }
+
+    /// Joins one connection with the server until either side or the gate ends it.
+    async fn pass_on(self, client: TcpStream, server: net::SocketAddr) {
+        let Ok(upstream) = TcpStream::connect(server).await else {
+            return;
+        };
+        let Ok(address) = upstream.local_addr() else {
+            return;
+        };
+        let _slower = client.set_nodelay(true);
+        let _slower = upstream.set_nodelay(true);
+        let (sender, cut) = oneshot::channel();
+        serve::lock(&self.state.connections).insert(address, sender);
+        let (client_read, client_write) = client.into_split();
+        let (server_read, server_write) = upstream.into_split();
+        let both = async {
+            tokio::join!(
+                self.copy(client_read, server_write),
+                self.copy(server_read, client_write),
+            )
+        };
+        tokio::select! {
+            _ended = both => {}
+            _cut = cut => {}
+        }
+        serve::lock(&self.state.connections).remove(&address);
+    }
+
+    /// Copies one direction; an error closes it as an end does.
+    async fn copy(&self, mut reader: tcp::OwnedReadHalf, mut writer: tcp::OwnedWriteHalf) {
+        let mut buffer = vec![0; BUFFER_BYTES];
+        while let Ok(size @ 1..) = reader.read(&mut buffer).await {
+            self.wait_unpaused().await;
+            if writer.write_all(&buffer[..size]).await.is_err() {
+                break;
+            }
+        }
+        let _closed_already = writer.shutdown().await;
+    }
+
+    /// Opens the gate unless its mode was changed since.
+    fn reopen(&self, since: u64) {
+        self.state.mode.send_if_modified(|(mode, change)| {
+            let unchanged = *change == since;
+            if unchanged {
+                *mode = GateMode::Open;
+            }
+            unchanged
+        });
+    }
+}
+
+fn listen_on(address: net::SocketAddr) -> io::Result<TcpListener> {
+    hold(address)?.listen(BACKLOG)
+}
+
+/// Takes a port without listening, so that connections to it are refused.
+fn hold(address: net::SocketAddr) -> io::Result<TcpSocket> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
--- a/crates/pier_fakes/src/serve/rocket_handler.rs
+++ b/crates/pier_fakes/src/serve/rocket_handler.rs
@@ -1,11 +1,11 @@
 //! The bridge between `rocket` and a stand-in.
 
-use std::{fmt, io, sync};
+use std::{fmt, io, net, sync};
 
 use futures_util::stream;
 use rocket::{data, http, response, route};
 
-use crate::serve;
+use crate::{serve, serve::control_routes};
 
 /// Greatest body that is read, in mebibytes; greater ones are refused with 413.
 const BODY_LIMIT_MEBIBYTES: u64 = 4;
@@ -50,6 +50,27 @@
             .map(|method| rocket::Route::new(method, "/<path..>", self.clone()))
             .collect()
     }
+
+    /// Answers one request under the faults in force.
+    async fn serve(
+        &self,
+        mut request: serve::FakeRequest,
+        control: net::SocketAddr,
+    ) -> serve::FakeReply {
+        let app = self.app.as_ref();
+        if request.path.starts_with("control/") {
+            return control_routes::answer(app, control, &request);
+        }
+        if app.is_recorded(&request) {
+            request.sequence = app.core().record.arrive(&request);
+        }
+        if let Some(reply) = app.core().before(&request).await {
+            return reply;
+        }
+        let reply = app.answer(request.clone()).await;
+        app.core().after(&request);
+        reply
+    }
 }
 
 #[rocket::async_trait]
@@ -60,7 +81,7 @@
         data: rocket::Data<'r>,
     ) -> route::Outcome<'r> {
         let reply = match read_request(request, data).await {
-            Ok(Some(fake_request)) => self.app.answer(fake_request).await,
+            Ok(Some(fake_request)) => self.serve(fake_request, control_address(request)).await,
             Ok(None) => serve::FakeReply::status(413),
             Err(_error) => serve::FakeReply::status(400),
         };
@@ -68,6 +89,12 @@
     }
 }
 
+/// Returns where the HTTP server itself listens.
+fn control_address(request: &rocket::Request<'_>) -> net::SocketAddr {
+    let config = request.rocket().config();
+    net::SocketAddr::new(config.address, config.port)
+}
+
 /// Reads a request whole; nothing if its body is over the limit.
 async fn read_request(
     request: &rocket::Request<'_>,
@@ -85,6 +112,8 @@
     let query = request.query_fields();
     let headers = request.headers().iter();
     Ok(Some(serve::FakeRequest {
+        sequence: 0,
+        client: request.remote(),
         method: request.method().as_str().to_owned(),
         path: path.trim_start_matches('/').to_owned(),
         query: query
--- a/crates/pier_fakes/src/service/fake_service.rs
+++ b/crates/pier_fakes/src/service/fake_service.rs
@@ -1,16 +1,15 @@
 //! A running plain service.
 
-use std::{net, sync};
+use std::net;
 
 use pier_types::ids;
 
-use crate::{record, serve, service};
+use crate::{fault, record, serve, serve::FakeApp as _, service};
 
 /// A plain service that serves until it is dropped.
 #[derive(Debug)]
 pub struct FakeService {
-    app: sync::Arc<service::ServiceApp>,
-    server: serve::RocketServer,
+    server: serve::FakeServer<service::ServiceApp>,
 }
 
 impl FakeService {
@@ -19,8 +18,8 @@
         service::ServiceBuilder::new(vm)
     }
 
-    pub(crate) fn new(app: sync::Arc<service::ServiceApp>, server: serve::RocketServer) -> Self {
-        Self { app, server }
+    pub(crate) fn new(server: serve::FakeServer<service::ServiceApp>) -> Self {
+        Self { server }
     }
 
     /// Returns where it listens.
@@ -28,14 +27,23 @@
         self.server.address
     }
 
-    /// Returns the record of every call.
-    pub fn record(&self) -> &record::RunRecord {
-        &self.app.record
+    /// Returns where its control endpoints answer, whatever fault is set.
+    pub fn control_address(&self) -> net::SocketAddr {
+        self.server.control
+    }
+
+    /// Sets a fault.
+    pub fn set_fault(&self, spec: fault::FaultSpec) {
+        self.server.app.set_fault(spec);
     }
-}
 
-impl Drop for FakeService {
-    fn drop(&mut self) {
-        self.server.stop();
+    /// Ends every fault.
+    pub fn clear_faults(&self) {
+        self.server.app.core().clear();
+    }
+
+    /// Returns the record of every call.
+    pub fn record(&self) -> &record::RunRecord {
+        &self.server.app.core().record
     }
 }
--- a/crates/pier_fakes/src/service/service_app.rs
+++ b/crates/pier_fakes/src/service/service_app.rs
@@ -5,7 +5,7 @@
 use pier_types::{epochs, ids, reports, sizes};
 use serde_json::json;
 
-use crate::{record, serve};
+use crate::{fault, record, serve};
 
 /// A plain service's state and routes.
 #[derive(Debug)]
@@ -20,8 +20,8 @@
     pub receipts: atomic::AtomicU64,
     /// Calls that run now.
     pub running: atomic::AtomicU32,
-    /// Every call.
-    pub record: record::RunRecord,
+    /// Record, faults and gate.
+    pub core: serve::FakeCore,
 }
 
 impl ServiceApp {
@@ -42,17 +42,19 @@
     }
 
     async fn call(&self, request: serve::FakeRequest) -> serve::FakeReply {
-        let sequence = self.record.arrive(&request);
+        let sequence = request.sequence;
         self.running.fetch_add(1, atomic::Ordering::SeqCst);
         let receipt = self.receipts.fetch_add(1, atomic::Ordering::SeqCst) + 1;
-        self.record.update(sequence, |entry| {
+        self.core.record.update(sequence, |entry| {
             entry.started = true;
             entry.effect = format!("receipt {receipt}");
         });
         tokio::time::sleep(self.call_time).await;
         self.running.fetch_sub(1, atomic::Ordering::SeqCst);
-        self.record
-            .update(sequence, |entry| entry.end = record::RunEnd::Finished);
+        let effect = format!("receipt {receipt}");
+        self.core
+            .record
+            .close(sequence, record::RunEnd::Finished, &effect);
         let body = json!({
             "receipt": receipt,
             "vm": self.vm,
@@ -66,13 +68,25 @@
 }
 
 impl serve::FakeApp for ServiceApp {
+    fn core(&self) -> &serve::FakeCore {
+        &self.core
+    }
+
+    fn is_recorded(&self, request: &serve::FakeRequest) -> bool {
+        request.path != "report"
+    }
+
     async fn answer(&self, request: serve::FakeRequest) -> serve::FakeReply {
-        match request.route() {
-            ("GET", path) if path == ["control", "record"] => {
-                serve::FakeReply::json(200, &json!(self.record.entries()))
-            }
-            ("GET", path) if path == ["report"] => self.report(),
+        let (method, path) = request.route();
+        match (method, path.as_slice()) {
+            ("GET", ["report"]) => self.report(),
             _ => self.call(request).await,
         }
     }
+
+    fn strike(&self, kind: &fault::FaultKind) {
+        if matches!(kind, fault::FaultKind::Restart { .. }) {
+            self.incarnation.fetch_add(1, atomic::Ordering::SeqCst);
+        }
+    }
 }
--- a/crates/pier_fakes/src/service/service_builder.rs
+++ b/crates/pier_fakes/src/service/service_builder.rs
@@ -4,7 +4,7 @@
 
 use pier_types::ids;
 
-use crate::{record, serve, service};
+use crate::{serve, service};
 
 /// Sets up a plain service.
 #[derive(Debug, Clone)]
@@ -44,15 +44,17 @@
     ///
     /// Returns an error if the address can not be bound.
     pub async fn launch(self) -> Result<service::FakeService, serve::FakeError> {
-        let app = sync::Arc::new(service::ServiceApp {
-            vm: self.vm,
-            incarnation: atomic::AtomicU64::new(1),
-            call_time: self.call_time,
-            receipts: atomic::AtomicU64::new(0),
-            running: atomic::AtomicU32::new(0),
-            record: record::RunRecord::default(),
-        });
-        let server = serve::RocketServer::launch(self.listen, sync::Arc::clone(&app)).await?;
-        Ok(service::FakeService::new(app, server))
+        let make = |core| {
+            sync::Arc::new(service::ServiceApp {
+                vm: self.vm,
+                incarnation: atomic::AtomicU64::new(1),
+                call_time: self.call_time,
+                receipts: atomic::AtomicU64::new(0),
+                running: atomic::AtomicU32::new(0),
+                core,
+            })
+        };
+        let server = serve::FakeServer::launch(self.listen, make).await?;
+        Ok(service::FakeService::new(server))
     }
 }
--- /dev/null
+++ b/crates/pier_fakes/tests/engine_decides.rs
@@ -0,0 +1,105 @@
+//! The engine's decisions on a clock of the test's own.
+
+use std::time;
+
+use pier_fakes::engine;
+use pier_types::{epochs, reports, sizes, times};
+
+fn at(millis: u64) -> times::BootTime {
+    times::BootTime::from_millis(millis)
+}
+
+fn request(sequence: u64) -> engine::RunRequest {
+    engine::RunRequest {
+        sequence,
+        attempt: None,
+        priority: 1,
+        group: Some("mvd-a/1".parse().unwrap()),
+        generation: Some(epochs::GroupGeneration::new(1)),
+        model: None,
+        prefix: String::new(),
+    }
+}
+
+fn loaded(settings: engine::EngineSettings) -> engine::EngineModel {
+    let mut model = engine::EngineModel::new(settings);
+    let order = engine::EngineOrder {
+        kind: engine::OrderKind::Load,
+        group: "mvd-a/1".parse().unwrap(),
+        generation: epochs::GroupGeneration::new(1),
+        rank: 0,
+        members: Vec::new(),
+        model: Some("draft".parse().unwrap()),
+        version: None,
+        adapters: Vec::new(),
+        role: engine::EngineRole::Unified,
+        expires_in_ms: Some(1),
+    };
+    assert_eq!(model.obey(order, at(0)), engine::OrderAnswer::Accepted);
+    model
+}
+
+fn settings() -> engine::EngineSettings {
+    let mut settings = engine::EngineSettings::new("vm-1".parse().unwrap());
+    settings.cold_limit = sizes::RequestCount::new(2);
+    settings.warm_after = sizes::RequestCount::new(2);
+    settings.running_limit = sizes::RequestCount::new(3);
+    settings
+}
+
+#[test]
+fn too_many_requests_bring_a_cold_engine_down() {
+    let mut model = loaded(settings());
+    for sequence in 1..=3 {
+        model.admit(request(sequence), at(1)).unwrap();
+    }
+    let lost = engine::RunState::Lost(engine::RunLoss::EngineDown);
+    assert_eq!(model.run_state(1), Some(lost));
+    assert_eq!(model.report(at(1)).state, reports::EngineState::Empty);
+}
+
+#[test]
+fn finished_requests_warm_an_engine_and_the_rest_waits() {
+    let mut model = loaded(settings());
+    for sequence in 1..=2 {
+        model.admit(request(sequence), at(1)).unwrap();
+        model.end(sequence, true, at(2));
+    }
+    assert_eq!(model.report(at(2)).state, reports::EngineState::Warm);
+    for sequence in 3..=6 {
+        model.admit(request(sequence), at(3)).unwrap();
+    }
+    assert_eq!(model.run_state(6), Some(engine::RunState::Queued));
+    model.end(3, true, at(4));
+    assert_eq!(model.run_state(6), Some(engine::RunState::Running));
+    model.chill();
+    model.admit(request(7), at(5)).unwrap();
+    assert_eq!(model.report(at(5)).state, reports::EngineState::Empty);
+}
+
+#[test]
+fn loading_and_reports_take_their_time() {
+    let mut slow = settings();
+    slow.load_time = time::Duration::from_millis(10);
+    slow.report_lag = time::Duration::from_millis(5);
+    let mut model = loaded(slow);
+    let refused = model.admit(request(1), at(9));
+    assert_eq!(refused, Err(engine::AdmitRefusal::NotLoaded));
+    model.admit(request(2), at(10)).unwrap();
+    assert_eq!(model.report(at(14)).running.get(), 0);
+    assert_eq!(model.report(at(15)).running.get(), 1);
+}
+
+#[test]
+fn cache_events_come_late_and_with_gaps() {
+    let mut cache = engine::PrefixCache::new(1, time::Duration::from_millis(5));
+    cache.touch("a", at(0));
+    cache.lose_events(1);
+    cache.touch("b", at(1));
+    let (events, _latest) = cache.events_after(epochs::EventSequence::new(0), at(4));
+    assert!(events.is_empty());
+    let (events, latest) = cache.events_after(epochs::EventSequence::new(0), at(9));
+    let numbers: Vec<_> = events.iter().map(|event| event.sequence.get()).collect();
+    assert_eq!((numbers, latest.get()), (vec![1, 3], 3));
+    assert_eq!(events[1].kind, engine::CacheEventKind::Evicted);
+}
--- a/crates/pier_fakes/tests/platform_keeps_versions.rs
+++ b/crates/pier_fakes/tests/platform_keeps_versions.rs
@@ -1,6 +1,9 @@
 //! Conditional writes, watches and the lag of the VM list over HTTP.
 
+use std::time;
+
 use pier_fakes::platform;
+use pier_types::{epochs, times};
 
 struct PlatformClient {
     client: reqwest::Client,
@@ -75,3 +78,38 @@
     assert_eq!(status, 413);
     assert_eq!(client.get("").await.0, 404);
 }
+
+#[test]
+fn lagging_reads_show_the_past_and_writes_the_present() {
+    let at = times::BootTime::from_millis;
+    let version = epochs::ObjectVersion::new;
+    let mut store = platform::ObjectStore::default();
+    store.read_lag = time::Duration::from_millis(10);
+    assert_eq!(
+        store.put("a", version(0), "1".into(), at(0)),
+        Ok(version(1))
+    );
+    assert_eq!(
+        store.put("a", version(1), "2".into(), at(5)),
+        Ok(version(2))
+    );
+    let seen = |now| store.read("a", now).map(|object| object.version.get());
+    assert_eq!(
+        [seen(at(9)), seen(at(14)), seen(at(15))],
+        [None, Some(1), Some(2)]
+    );
+}
+
+#[test]
+fn the_list_shows_a_change_after_its_lag() {
+    let at = times::BootTime::from_millis;
+    let vm = serde_json::json!({
+        "name": "vm-1", "incarnation": 1, "address": "127.0.0.1:1", "data_centre": "mvd-a",
+        "domain": "f1", "pool": "accelerator", "state": "live",
+    });
+    let mut list = platform::VmList::default();
+    list.lag = time::Duration::from_millis(10);
+    list.replace(vec![serde_json::from_value(vm).unwrap()], at(0));
+    assert!(list.visible(at(9)).is_empty());
+    assert_eq!(list.visible(at(10)).len(), 1);
+}
