Decide which configuration is in force and what became of a change

Cause: a node must never go back to a lower version, and a command may say "accepted" only of a write that took effect. ConfigWatcher applies only what is above every version it has seen; a fresh node listens to peers for a second first; a copy known to be superseded waits two seconds for the higher one. ApplyFlow sends a write with a lost reply again on the same condition, then reads back the marks that each version carries of the sixteen before it.

Ruled out: judging by a plain read of the old version (reads lag, and the first write may still be on its way); judging by text equality (a successor may stand there already); refusing every version below a hint for good (a node cut off from the holder would keep the oldest version of all).

Seen to fail with the protection off, one at a time: version comparison, gathering time, hint patience, refusal by version alone, others' marks taken for ours, conflict of a re-sent write taken for a conflict, lagging read taken for the present version, chain of one mark. With it on: cargo test -p pier_config, 25 tests and 4 doc tests pass.

--- /dev/null
+++ b/crates/pier_config/src/applies/mod.rs
@@ -0,0 +1,17 @@
+//! How a command changes the document: read, conditional write, and settling what became of it.
+//!
+//! Promise kept here: "accepted" is said only of a write that is known to have taken effect.
+
+mod apply_action;
+mod apply_change;
+mod apply_event;
+mod apply_flow;
+mod apply_outcome;
+mod mark_chain;
+
+pub use apply_action::ApplyAction;
+pub use apply_change::ApplyChange;
+pub use apply_event::ApplyEvent;
+pub use apply_flow::ApplyFlow;
+pub use apply_outcome::{ApplyOutcome, ConflictReport};
+pub use mark_chain::{MarkChain, MarkVerdict};
--- a/crates/pier_config/src/documents/config_document.rs
+++ b/crates/pier_config/src/documents/config_document.rs
@@ -9,6 +9,9 @@
 /// Key of the document on the platform.
 pub const DOCUMENT_KEY: &str = "config/document";
 
+/// Keys under which commands keep earlier versions, so that conflicts can be explained.
+pub const HISTORY_PREFIX: &str = "config/history/";
+
 /// The validated configuration document.
 ///
 /// ```
@@ -21,8 +24,8 @@
 pub struct ConfigDocument {
     /// What operators call the document.
     pub name: String,
-    /// Marks of the last commands that wrote the document, newest first.
-    pub applied_by: Vec<ids::LeaseNonce>,
+    /// Marks of the commands that wrote the last versions, newest first.
+    pub applied_by: Vec<documents::AppliedMark>,
     /// The models.
     pub models: collections::BTreeMap<ids::ModelName, documents::ModelSection>,
     /// The plain services.
--- a/crates/pier_config/src/documents/mod.rs
+++ b/crates/pier_config/src/documents/mod.rs
@@ -1,10 +1,13 @@
 //! The document's typed content.
 
+mod applied_mark;
 mod call_priority;
 mod config_document;
 mod customer_section;
 mod data_centre_section;
 mod data_centre_state;
+mod document_entry;
+mod entry_lists;
 mod key_hash;
 mod limit_section;
 mod model_section;
@@ -14,11 +17,13 @@
 mod role_layout;
 mod service_section;
 
+pub use applied_mark::AppliedMark;
 pub use call_priority::CallPriority;
-pub use config_document::{ConfigDocument, DOCUMENT_KEY};
+pub use config_document::{ConfigDocument, DOCUMENT_KEY, HISTORY_PREFIX};
 pub use customer_section::CustomerSection;
 pub use data_centre_section::DataCentreSection;
 pub use data_centre_state::DataCentreState;
+pub use document_entry::DocumentEntry;
 pub use key_hash::KeyHash;
 pub use limit_section::LimitSection;
 pub use model_section::ModelSection;
--- a/crates/pier_config/src/parsing/document_parser.rs
+++ b/crates/pier_config/src/parsing/document_parser.rs
@@ -67,7 +67,7 @@
 struct DocumentDraft {
     headings: collections::BTreeSet<String>,
     name: Option<String>,
-    applied_by: Vec<ids::LeaseNonce>,
+    applied_by: Vec<documents::AppliedMark>,
     models: collections::BTreeMap<ids::ModelName, documents::ModelSection>,
     services: collections::BTreeMap<ids::ServiceName, documents::ServiceSection>,
     data_centres: collections::BTreeMap<ids::DataCentreName, documents::DataCentreSection>,
@@ -153,9 +153,7 @@
         faults: &mut Vec<faults::EntryFault>,
     ) {
         let mut reader = section_reader::SectionReader::new(heading, properties, faults);
-        self.name = reader.required("name", "1 to 128 characters", |text| {
-            (1..=128).contains(&text.len()).then(|| text.to_owned())
-        });
+        self.name = reader.text("name");
         self.applied_by = reader.names("applied-by");
         reader.finish("");
     }
@@ -168,15 +166,12 @@
     ) {
         let mut reader = section_reader::SectionReader::new(heading, properties, faults);
         for (vm, reason) in reader.prefixed("target.") {
-            match vm.parse() {
-                Ok(vm) => {
-                    self.drained.insert(vm, reason.to_owned());
-                }
-                Err(_) => reader.refuse(
-                    &format!("target.{vm}"),
-                    section_reader::quote(vm),
-                    "target. and the name of a VM",
-                ),
+            if let (Ok(vm), Some(reason)) = (vm.parse(), section_reader::plain_text(reason)) {
+                self.drained.insert(vm, reason);
+            } else {
+                let key = format!("target.{vm}");
+                let allowed = format!("target.VM = {}", section_reader::TEXT_ALLOWED);
+                reader.refuse(&key, section_reader::quote(reason), &allowed);
             }
         }
         reader.finish("target.VM");
--- a/crates/pier_config/src/parsing/model_parser.rs
+++ b/crates/pier_config/src/parsing/model_parser.rs
@@ -20,9 +20,7 @@
 pub(crate) fn parse(
     mut reader: section_reader::SectionReader<'_>,
 ) -> Option<documents::ModelSection> {
-    let version = reader.required("version", "1 to 128 characters", |text| {
-        (1..=128).contains(&text.len()).then(|| text.to_owned())
-    });
+    let version = reader.text("version");
     let members = reader.small_number("members", 1..=MEMBER_LIMIT, None);
     let unified = documents::RoleLayout::Unified;
     let roles = reader.optional("roles", unified, "unified, or prefill:N decode:M", |text| {
--- a/crates/pier_config/src/parsing/section_reader.rs
+++ b/crates/pier_config/src/parsing/section_reader.rs
@@ -7,6 +7,11 @@
 /// Longest excerpt of a refused value, in characters.
 const EXCERPT_LIMIT: usize = 80;
 
+/// Longest free text, in bytes.
+const TEXT_LIMIT: usize = 200;
+/// What a free text may be.
+pub(crate) const TEXT_ALLOWED: &str = "1 to 200 bytes without backslashes and control characters";
+
 /// One section's entries; notes each fault and which keys were asked for.
 pub(crate) struct SectionReader<'a> {
     section: String,
@@ -80,6 +85,11 @@
         }
     }
 
+    /// Takes a free text that must be there.
+    pub(crate) fn text(&mut self, key: &'static str) -> Option<String> {
+        self.required(key, TEXT_ALLOWED, plain_text)
+    }
+
     /// Takes a whole number within a range, from the default if absent.
     pub(crate) fn number(
         &mut self,
@@ -169,6 +179,13 @@
     }
 }
 
+/// Accepts a text that reads the same after it was printed: a backslash could join two lines.
+pub(crate) fn plain_text(text: &str) -> Option<String> {
+    let sound = |symbol: char| symbol != '\\' && !symbol.is_control();
+    let sized = (1..=TEXT_LIMIT).contains(&text.len());
+    (sized && text.chars().all(sound)).then(|| text.to_owned())
+}
+
 /// Quotes the beginning of a refused value.
 pub(crate) fn quote(text: &str) -> String {
     let excerpt = text.chars().take(EXCERPT_LIMIT).collect::<String>();
