Share a target's limit over nodes without exceeding it

Cause: a limit that N nodes each enforce alone is N times the limit. A quarter is split by recorded slot and needs nobody; the rest is lent for 3 s at a time by the lease holder, who bounds what each node may have in flight whichever messages are lost. Ruled out: all fixed, all lent, a split over live nodes, recall of shares (docs/design/shared-limits.md). The round check in NodeRound is not missed by any test.

--- /dev/null
+++ b/crates/pier_limits/src/shares/ledger_target.rs
@@ -0,0 +1,105 @@
+//! The charges of one target.
+
+use std::collections;
+
+use pier_types::{ids, sizes, times};
+use pier_wire::messages;
+
+use crate::shares;
+
+/// All that was lent of one target's pool.
+#[derive(Debug, Default)]
+pub(crate) struct LedgerTarget {
+    pub(crate) limit: sizes::RequestCount,
+    charges: collections::BTreeMap<ids::NodeName, shares::LedgerCharge>,
+}
+
+impl LedgerTarget {
+    /// Takes in what a node keeps and runs; false when a later round was seen.
+    pub(crate) fn charge(
+        &mut self,
+        node: &ids::NodeName,
+        round: u64,
+        entry: &messages::AskEntry,
+        ends_at: times::BootTime,
+    ) -> bool {
+        if self
+            .charges
+            .get(node)
+            .is_some_and(|charge| charge.round >= round)
+        {
+            return false;
+        }
+        let charge = shares::LedgerCharge {
+            amount: entry.keep.max(entry.running),
+            wanted: entry.wanted,
+            round,
+            ends_at,
+        };
+        self.charges.insert(node.clone(), charge);
+        true
+    }
+
+    /// Lends a share to a node that was just charged; `unheard` is what others may have in use.
+    pub(crate) fn lend(
+        &mut self,
+        node: &ids::NodeName,
+        unheard: sizes::RequestCount,
+    ) -> sizes::RequestCount {
+        let split = shares::LimitSplit::of(self.limit);
+        let others = self.sum(|other, charge| {
+            if other == node {
+                0
+            } else {
+                charge.amount.get()
+            }
+        });
+        let used = others.saturating_add(unheard.get());
+        let room = split.pool.get().saturating_sub(used);
+        let total = self.sum(|_, charge| charge.wanted.get());
+        let Some(charge) = self.charges.get_mut(node) else {
+            return sizes::RequestCount::new(0);
+        };
+        let fair = fair_share(split.pool.get(), charge.wanted.get(), total);
+        let amount = fair.min(room).min(split.node_cap().get());
+        let amount = sizes::RequestCount::new(amount);
+        charge.amount = charge.amount.max(amount);
+        amount
+    }
+
+    /// Drops what a node did not name in a later round, and what must have ended.
+    pub(crate) fn settle(&mut self, node: &ids::NodeName, round: u64) {
+        if self
+            .charges
+            .get(node)
+            .is_some_and(|charge| charge.round < round)
+        {
+            self.charges.remove(node);
+        }
+    }
+
+    pub(crate) fn expire(&mut self, now: times::BootTime) {
+        self.charges.retain(|_, charge| now < charge.ends_at);
+    }
+
+    /// Returns the sum of all bounds.
+    pub(crate) fn charged(&self) -> sizes::RequestCount {
+        sizes::RequestCount::new(self.sum(|_, charge| charge.amount.get()))
+    }
+
+    fn sum(&self, amount: impl Fn(&ids::NodeName, &shares::LedgerCharge) -> u32) -> u32 {
+        self.charges
+            .iter()
+            .map(|(node, charge)| amount(node, charge))
+            .fold(0, u32::saturating_add)
+    }
+}
+
+/// The wish itself while all wishes fit, else its part of the pool, at least 1.
+fn fair_share(pool: u32, wanted: u32, total: u32) -> u32 {
+    if total <= pool || wanted == 0 {
+        return wanted;
+    }
+    let part = u64::from(pool) * u64::from(wanted) / u64::from(total);
+    u32::try_from(part).unwrap_or(pool).max(1)
+}
--- /dev/null
+++ b/crates/pier_limits/src/shares/share_ledger.rs
@@ -0,0 +1,166 @@
+//! The lease holder's account of lent shares.
+
+use std::collections;
+
+use pier_types::{epochs, ids, sizes, times};
+use pier_wire::messages;
+
+use crate::shares;
+
+/// Lends each target's pool to nodes, in one term of the control lease.
+///
+/// For each node and target it keeps an upper bound of the work that the node may have in flight:
+/// the greatest of what the node kept, what it reported as running and what it was granted last.
+/// The bound outlives the share by the longest time that work can take, or until the node reports
+/// less. The bounds' sum stays within the pool; when a limit falls, nothing is lent until it does.
+///
+/// A new holder knows nothing of shares that an earlier one lent. It lends nothing until all of
+/// these have ended, and for each recorded node that it has not heard of it counts the most that
+/// a node may hold, until work under such shares must have ended as well.
+///
+/// Keeps the promise that a target receives no more load than it can bear.
+#[derive(Debug)]
+pub struct ShareLedger {
+    terms: shares::ShareTerms,
+    term: epochs::LeaseTerm,
+    started_at: times::BootTime,
+    recorded: collections::BTreeSet<ids::NodeName>,
+    rounds: collections::BTreeMap<ids::NodeName, shares::NodeRound>,
+    targets: collections::BTreeMap<messages::ShareKey, shares::LedgerTarget>,
+}
+
+impl ShareLedger {
+    /// Creates the ledger of a holder that gained the lease at `started_at`, not earlier than the
+    /// end of the lease before.
+    pub const fn new(
+        terms: shares::ShareTerms,
+        term: epochs::LeaseTerm,
+        started_at: times::BootTime,
+    ) -> Self {
+        Self {
+            terms,
+            term,
+            started_at,
+            recorded: collections::BTreeSet::new(),
+            rounds: collections::BTreeMap::new(),
+            targets: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Sets the nodes of the lease record; only these are lent anything.
+    pub fn record_nodes(&mut self, nodes: collections::BTreeSet<ids::NodeName>) {
+        self.rounds.retain(|node, _| nodes.contains(node));
+        self.recorded = nodes;
+    }
+
+    /// Sets the present limit of each target; others are lent no more and forgotten.
+    pub fn set_limits(
+        &mut self,
+        limits: &collections::BTreeMap<messages::ShareKey, sizes::RequestCount>,
+        now: times::BootTime,
+    ) {
+        for (key, target) in &mut self.targets {
+            target.limit = limits.get(key).copied().unwrap_or_default();
+            target.expire(now);
+        }
+        self.targets.retain(|key, target| {
+            limits.contains_key(key) || target.charged() > sizes::RequestCount::new(0)
+        });
+        for (key, limit) in limits {
+            self.targets.entry(*key).or_default().limit = *limit;
+        }
+    }
+
+    /// Answers a question; none while nothing may be lent, or when it is of another term.
+    ///
+    /// `lease_end` is when this node's lease ends; the caller reads the clock for `now` just
+    /// before, so that a holder that was paused does not lend.
+    pub fn answer(
+        &mut self,
+        node: &ids::NodeName,
+        ask: &messages::ShareAsk,
+        now: times::BootTime,
+        lease_end: times::BootTime,
+    ) -> Option<messages::ShareGrant> {
+        if ask.term != self.term || !self.recorded.contains(node) {
+            return None;
+        }
+        if now.after(self.terms.lease_margin) >= lease_end {
+            return None;
+        }
+        let fresh = self.charge(node, ask, now);
+        let lending = now.since(self.started_at) >= self.terms.life;
+        if !lending {
+            return None;
+        }
+        let entries = fresh
+            .into_iter()
+            .filter_map(|entry| self.lend(node, entry.key, now))
+            .collect();
+        Some(messages::ShareGrant {
+            round: ask.round,
+            term: self.term,
+            life_ms: u32::try_from(self.terms.life.as_millis()).unwrap_or(u32::MAX),
+            entries,
+        })
+    }
+
+    /// Returns the sum of the bounds of one target's lent shares.
+    pub fn charged(&self, key: messages::ShareKey) -> sizes::RequestCount {
+        let target = self.targets.get(&key);
+        target.map_or_else(sizes::RequestCount::default, shares::LedgerTarget::charged)
+    }
+
+    /// Takes in what the node keeps and runs; returns the entries that were new.
+    fn charge(
+        &mut self,
+        node: &ids::NodeName,
+        ask: &messages::ShareAsk,
+        now: times::BootTime,
+    ) -> Vec<messages::AskEntry> {
+        let ends_at = now.after(self.terms.charge_time());
+        let mut fresh = Vec::new();
+        for entry in &ask.entries {
+            let target = self.targets.entry(entry.key).or_default();
+            target.expire(now);
+            if target.charge(node, ask.round, entry, ends_at) {
+                fresh.push(*entry);
+            }
+        }
+        let count = u32::try_from(fresh.len()).unwrap_or(u32::MAX);
+        let round = self.rounds.entry(node.clone()).or_default();
+        if round.arrive(ask.round, count, ask.total) {
+            for target in self.targets.values_mut() {
+                target.settle(node, ask.round);
+            }
+        }
+        fresh
+    }
+
+    fn lend(
+        &mut self,
+        node: &ids::NodeName,
+        key: messages::ShareKey,
+        now: times::BootTime,
+    ) -> Option<messages::GrantEntry> {
+        let unheard = self.unheard(now);
+        let target = self.targets.get_mut(&key)?;
+        let cap = shares::LimitSplit::of(target.limit).node_cap();
+        let unheard = sizes::RequestCount::new(cap.get().saturating_mul(unheard));
+        Some(messages::GrantEntry {
+            key,
+            amount: target.lend(node, unheard),
+            limit: target.limit,
+        })
+    }
+
+    /// Counts the recorded nodes that may still have work under an earlier holder's shares.
+    fn unheard(&self, now: times::BootTime) -> u32 {
+        if now.since(self.started_at) >= self.terms.charge_time() {
+            return 0;
+        }
+        let heard = |node: &ids::NodeName| self.rounds.get(node).is_some_and(|round| round.heard);
+        let unheard = self.recorded.iter().filter(|node| !heard(node)).count();
+        u32::try_from(unheard).unwrap_or(u32::MAX)
+    }
+}
--- /dev/null
+++ b/crates/pier_limits/src/shares/slot_tenure.rs
@@ -0,0 +1,108 @@
+//! A node's right to its slot.
+
+use std::{collections, time};
+
+use pier_types::{ids, times};
+
+/// Decides whether this node may use the fixed shares of a slot.
+///
+/// The record gives a slot to another node only after the platform said that the VM is gone, plus
+/// a waiting time. So a node that is cut off keeps its slot; a node that was paused may have been
+/// replaced meanwhile and keeps nothing until it has read the record again; and a node that is
+/// new in a slot waits until the work of whoever had it before must have ended.
+///
+/// ```
+/// use std::{collections, time};
+/// use pier_limits::shares;
+/// use pier_types::times;
+///
+/// let wait = time::Duration::from_secs(120);
+/// let mut tenure = shares::SlotTenure::new("n1".parse()?, wait);
+/// let record = collections::BTreeMap::from([(4, "n1".parse()?)]);
+/// let start = times::BootTime::from_millis(1_000);
+/// tenure.tick(start);
+/// tenure.observe(&record, start, start);
+/// assert_eq!(tenure.slot(start), None);
+/// # Ok::<(), pier_types::ids::NameError>(())
+/// ```
+#[derive(Debug)]
+pub struct SlotTenure {
+    node: ids::NodeName,
+    wait: time::Duration,
+    held: Option<HeldSlot>,
+    ticked_at: Option<times::BootTime>,
+    woke_at: times::BootTime,
+    confirmed: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct HeldSlot {
+    slot: u32,
+    since: times::BootTime,
+}
+
+/// A gap between ticks that counts as a pause.
+const PAUSE_LIMIT: time::Duration = time::Duration::from_secs(2);
+
+impl SlotTenure {
+    /// Creates the tenure of a node that holds nothing yet.
+    pub const fn new(node: ids::NodeName, wait: time::Duration) -> Self {
+        Self {
+            node,
+            wait,
+            held: None,
+            ticked_at: None,
+            woke_at: times::BootTime::from_micros(0),
+            confirmed: false,
+        }
+    }
+
+    /// Tells that the node runs; true when a pause lies behind it, after which every share is
+    /// to be dropped.
+    pub fn tick(&mut self, now: times::BootTime) -> bool {
+        let paused = self
+            .ticked_at
+            .is_some_and(|ticked_at| now.since(ticked_at) > PAUSE_LIMIT);
+        self.ticked_at = Some(now);
+        if paused {
+            self.woke_at = now;
+            self.confirmed = false;
+        }
+        paused
+    }
+
+    /// Takes in the slots of the lease record, read by a call that was sent at `asked_at`.
+    pub fn observe(
+        &mut self,
+        slots: &collections::BTreeMap<u32, ids::NodeName>,
+        asked_at: times::BootTime,
+        now: times::BootTime,
+    ) {
+        let found = slots
+            .iter()
+            .find(|(_, node)| **node == self.node)
+            .map(|(slot, _)| *slot);
+        let Some(slot) = found else {
+            self.held = None;
+            return;
+        };
+        if asked_at >= self.woke_at {
+            self.confirmed = true;
+        }
+        if self.held.is_none_or(|held| held.slot != slot) {
+            self.held = Some(HeldSlot { slot, since: now });
+        }
+    }
+
+    /// Returns the slot whose shares may be used now.
+    ///
+    /// A tick that is overdue counts as a pause already.
+    pub fn slot(&self, now: times::BootTime) -> Option<u32> {
+        let awake = self
+            .ticked_at
+            .is_some_and(|ticked_at| now.since(ticked_at) <= PAUSE_LIMIT);
+        let held = self.held?;
+        let settled = now.since(held.since) >= self.wait;
+        (awake && self.confirmed && settled).then_some(held.slot)
+    }
+}
--- /dev/null
+++ b/crates/pier_limits/src/shares/static_split.rs
@@ -0,0 +1,106 @@
+//! The split that needs nobody to ask.
+
+use std::time;
+
+use pier_types::{sizes, times};
+use pier_wire::messages;
+
+use crate::hashing;
+
+/// Splits the fixed part of each limit over a fixed number of slots.
+///
+/// A share depends on the slot's number and the number of slots alone, not on which nodes are
+/// alive or which version of the record a node has seen. The slots of dead nodes stay unused;
+/// that is the price of a split which nobody has to confirm.
+///
+/// After a change of the number of slots each share is the smaller of the old and the new one
+/// until everybody has heard of the change.
+///
+/// ```
+/// use std::time;
+/// use pier_limits::shares;
+/// use pier_types::{ids, sizes, times};
+/// use pier_wire::messages;
+///
+/// let split = shares::StaticSplit::new(6, time::Duration::from_secs(10));
+/// let target = ids::TargetId::Vm("ledger-1".parse()?);
+/// let key = messages::ShareKey::of(&target, 1);
+/// let now = times::BootTime::default();
+/// let fixed = sizes::RequestCount::new(16);
+/// let sum = (0..6).map(|slot| split.share(key, slot, fixed, now).get()).sum::<u32>();
+/// assert_eq!(sum, 16);
+/// # Ok::<(), ids::NameError>(())
+/// ```
+#[derive(Debug, Clone)]
+pub struct StaticSplit {
+    slots: u32,
+    settle: time::Duration,
+    earlier: Option<(u32, times::BootTime)>,
+}
+
+impl StaticSplit {
+    /// Creates a split over a number of slots; a change takes the given time to settle.
+    pub const fn new(slots: u32, settle: time::Duration) -> Self {
+        Self {
+            slots,
+            settle,
+            earlier: None,
+        }
+    }
+
+    /// Changes the number of slots, as the configuration says.
+    pub fn resize(&mut self, slots: u32, now: times::BootTime) {
+        if slots == self.slots {
+            return;
+        }
+        let least = match self.settling(now) {
+            Some(earlier) => earlier.min(self.slots),
+            None => self.slots,
+        };
+        self.earlier = Some((least, now));
+        self.slots = slots;
+    }
+
+    /// Returns what the node of a slot may have in flight at a target, out of the fixed part.
+    pub fn share(
+        &self,
+        key: messages::ShareKey,
+        slot: u32,
+        fixed: sizes::RequestCount,
+        now: times::BootTime,
+    ) -> sizes::RequestCount {
+        let share = split(key, slot, self.slots, fixed.get());
+        let share = match self.settling(now) {
+            Some(earlier) => share.min(split(key, slot, earlier, fixed.get())),
+            None => share,
+        };
+        sizes::RequestCount::new(share)
+    }
+
+    fn settling(&self, now: times::BootTime) -> Option<u32> {
+        let (slots, changed_at) = self.earlier?;
+        (now.since(changed_at) < self.settle).then_some(slots)
+    }
+}
+
+/// Deals the amount out one by one, round after round, in an order that differs by target.
+fn split(key: messages::ShareKey, slot: u32, slots: u32, amount: u32) -> u32 {
+    if slot >= slots {
+        return 0;
+    }
+    let rest = amount % slots;
+    let extra = rest > 0 && rank(key, slot, slots) < rest;
+    amount / slots + u32::from(extra)
+}
+
+fn rank(key: messages::ShareKey, slot: u32, slots: u32) -> u32 {
+    let score = |slot: u32| {
+        (
+            hashing::score(&key.get().to_le_bytes(), &slot.to_le_bytes()),
+            slot,
+        )
+    };
+    let own = score(slot);
+    let ahead = (0..slots).filter(|&other| score(other) > own).count();
+    u32::try_from(ahead).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/pier_limits/tests/share_sums.rs
@@ -0,0 +1,371 @@
+//! Proves that the work of all nodes at one target never exceeds its limit.
+
+use std::{collections, time};
+
+use pier_limits::shares;
+use pier_types::{epochs, ids, sizes, times};
+use pier_wire::messages;
+use rand::{Rng, SeedableRng, rngs};
+
+const NODES: usize = 6;
+const SLOTS: u32 = 6;
+const STEP: time::Duration = time::Duration::from_millis(100);
+const STEPS: u64 = 3_000;
+const LEASE: time::Duration = time::Duration::from_secs(6);
+
+const TERMS: shares::ShareTerms = shares::ShareTerms {
+    life: time::Duration::from_secs(3),
+    work_limit: time::Duration::from_secs(8),
+    lease_margin: time::Duration::from_millis(200),
+};
+
+fn key() -> messages::ShareKey {
+    let target = ids::TargetId::Vm("vm-1".parse().unwrap());
+    messages::ShareKey::of(&target, 1)
+}
+
+fn name(index: usize) -> ids::NodeName {
+    format!("node-{index}").parse().unwrap()
+}
+
+struct Node {
+    holding: shares::ShareHolding,
+    /// When each request at the target ends, whatever becomes of the node.
+    work: Vec<times::BootTime>,
+    paused_until: times::BootTime,
+    believed: (usize, epochs::LeaseTerm),
+    ledger: Option<(shares::ShareLedger, times::BootTime)>,
+}
+
+enum Parcel {
+    Ask(messages::ShareAsk),
+    Grant(messages::ShareGrant),
+}
+
+struct Letter {
+    due: times::BootTime,
+    from: usize,
+    to: usize,
+    parcel: Parcel,
+}
+
+struct Trial {
+    rng: rngs::StdRng,
+    now: times::BootTime,
+    nodes: Vec<Node>,
+    letters: Vec<Letter>,
+    split: shares::StaticSplit,
+    holder: (usize, epochs::LeaseTerm, times::BootTime),
+    limit: u32,
+    highest: u32,
+    started: u64,
+}
+
+impl Trial {
+    fn new(seed: u64, limit: u32) -> Self {
+        let node = |_| Node {
+            holding: shares::ShareHolding::new(TERMS),
+            work: Vec::new(),
+            paused_until: times::BootTime::default(),
+            believed: (0, epochs::LeaseTerm::new(0)),
+            ledger: None,
+        };
+        Self {
+            rng: rngs::StdRng::seed_from_u64(seed),
+            now: times::BootTime::from_millis(10_000),
+            nodes: (0..NODES).map(node).collect(),
+            letters: Vec::new(),
+            split: shares::StaticSplit::new(SLOTS, TERMS.life),
+            holder: (0, epochs::LeaseTerm::new(0), times::BootTime::default()),
+            limit,
+            highest: limit,
+            started: 0,
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now.after(STEP);
+        let now = self.now;
+        for node in &mut self.nodes {
+            node.work.retain(|&ends_at| now < ends_at);
+        }
+        self.move_lease();
+        self.deliver();
+        for index in 0..NODES {
+            self.act(index);
+        }
+    }
+
+    /// Renews the lease or, once it ended, gives it to any node; old holders are not told.
+    fn move_lease(&mut self) {
+        let (holder, term, end) = self.holder;
+        let awake = self.nodes[holder].paused_until <= self.now;
+        if self.now < end {
+            if awake && self.rng.random_bool(0.2) && self.rng.random_bool(0.9) {
+                self.holder.2 = self.now.after(LEASE);
+                if let Some((_, ledger_end)) = &mut self.nodes[holder].ledger {
+                    *ledger_end = self.now.after(LEASE);
+                }
+            }
+            return;
+        }
+        let next = self.rng.random_range(0..NODES);
+        if self.nodes[next].paused_until > self.now {
+            return;
+        }
+        let term = term.next();
+        let mut ledger = shares::ShareLedger::new(TERMS, term, self.now);
+        ledger.record_nodes((0..NODES).map(name).collect());
+        self.nodes[next].ledger = Some((ledger, self.now.after(LEASE)));
+        self.holder = (next, term, self.now.after(LEASE));
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = std::mem::take(&mut self.letters)
+            .into_iter()
+            .partition::<Vec<_>, _>(|letter| letter.due <= now);
+        self.letters = later;
+        for letter in due {
+            if self.nodes[letter.to].paused_until > now {
+                self.letters.push(letter);
+                continue;
+            }
+            match letter.parcel {
+                Parcel::Grant(grant) => self.nodes[letter.to].holding.take(&grant),
+                Parcel::Ask(ask) => self.answer(letter.to, letter.from, &ask),
+            }
+        }
+    }
+
+    fn answer(&mut self, holder: usize, asker: usize, ask: &messages::ShareAsk) {
+        let now = self.now;
+        let limits = collections::BTreeMap::from([(key(), sizes::RequestCount::new(self.limit))]);
+        let Some((ledger, end)) = &mut self.nodes[holder].ledger else {
+            return;
+        };
+        ledger.set_limits(&limits, now);
+        if let Some(grant) = ledger.answer(&name(asker), ask, now, *end) {
+            self.send(holder, asker, Parcel::Grant(grant));
+        }
+    }
+
+    /// Loses one letter in five and delays some for long.
+    fn send(&mut self, from: usize, to: usize, parcel: Parcel) {
+        if self.rng.random_bool(0.2) {
+            return;
+        }
+        let slow = self.rng.random_bool(0.1);
+        let millis = self.rng.random_range(0..if slow { 6_000 } else { 150 });
+        let due = self.now.after(time::Duration::from_millis(millis));
+        self.letters.push(Letter {
+            due,
+            from,
+            to,
+            parcel,
+        });
+    }
+
+    fn act(&mut self, index: usize) {
+        if self.nodes[index].paused_until > self.now {
+            return;
+        }
+        if self.rng.random_bool(0.004) {
+            let pause = time::Duration::from_millis(self.rng.random_range(500..15_000));
+            self.nodes[index].paused_until = self.now.after(pause);
+            return;
+        }
+        if self.rng.random_bool(0.1) {
+            self.nodes[index].believed = (self.holder.0, self.holder.1);
+        }
+        if self.rng.random_bool(0.15) {
+            self.ask(index);
+        }
+        for _ in 0..self.rng.random_range(0..4) {
+            self.start(index);
+        }
+    }
+
+    fn fixed_share(&self, index: usize) -> u32 {
+        let fixed = shares::LimitSplit::of(sizes::RequestCount::new(self.limit)).fixed;
+        let slot = u32::try_from(index).unwrap();
+        self.split.share(key(), slot, fixed, self.now).get()
+    }
+
+    fn ask(&mut self, index: usize) {
+        let (holder, term) = self.nodes[index].believed;
+        let fixed = self.fixed_share(index);
+        let running = u32::try_from(self.nodes[index].work.len()).unwrap();
+        let running = running.saturating_sub(fixed);
+        let demand = shares::ShareDemand {
+            running: sizes::RequestCount::new(running),
+            wanted: sizes::RequestCount::new(self.rng.random_range(0..12)),
+        };
+        let none = running == 0 && demand.wanted.get() == 0;
+        let demand = if none {
+            collections::BTreeMap::new()
+        } else {
+            collections::BTreeMap::from([(key(), demand)])
+        };
+        let ask = self.nodes[index].holding.ask(term, &demand, self.now);
+        self.send(index, holder, Parcel::Ask(ask));
+    }
+
+    fn start(&mut self, index: usize) {
+        let share = self.nodes[index].holding.share(key(), self.now).get();
+        let allowed = usize::try_from(self.fixed_share(index) + share).unwrap();
+        if self.nodes[index].work.len() >= allowed {
+            return;
+        }
+        let millis = self.rng.random_range(100..8_000);
+        let ends_at = self.now.after(time::Duration::from_millis(millis));
+        self.nodes[index].work.push(ends_at);
+        self.started += 1;
+    }
+
+    fn in_flight(&self) -> u32 {
+        let count = self.nodes.iter().map(|node| node.work.len()).sum::<usize>();
+        u32::try_from(count).unwrap()
+    }
+}
+
+#[test]
+fn the_sum_never_exceeds_the_limit_over_loss_delay_pauses_and_holder_changes() {
+    for seed in 0..40 {
+        let limit = [1, 2, 5, 16, 40][usize::try_from(seed % 5).unwrap()];
+        let mut trial = Trial::new(seed, limit);
+        for step in 0..STEPS {
+            trial.step();
+            let sum = trial.in_flight();
+            assert!(sum <= limit, "seed {seed} step {step}: {sum} over {limit}");
+        }
+        assert!(
+            trial.started > 20,
+            "seed {seed}: only {} started",
+            trial.started
+        );
+    }
+}
+
+#[test]
+fn after_a_fall_of_the_limit_the_sum_comes_down_and_stays_down() {
+    for seed in 0..20 {
+        let mut trial = Trial::new(seed, 40);
+        for _ in 0..1_000 {
+            trial.step();
+        }
+        trial.limit = 6;
+        for step in 0..2_000 {
+            trial.step();
+            let sum = trial.in_flight();
+            assert!(
+                sum <= trial.highest,
+                "seed {seed}: never over the old limit"
+            );
+            // Old shares end after their life, the work under them after the longest work.
+            let settled = step * 100 > 3_000 + 8_000;
+            assert!(
+                !settled || sum <= 6,
+                "seed {seed} step {step}: {sum} over 6"
+            );
+        }
+    }
+}
+
+#[test]
+fn the_pool_is_used_when_all_is_well() {
+    let terms = shares::ShareTerms::default();
+    let start = times::BootTime::from_millis(1_000);
+    let mut ledger = shares::ShareLedger::new(terms, epochs::LeaseTerm::new(1), start);
+    ledger.record_nodes((0..NODES).map(name).collect());
+    let limits = collections::BTreeMap::from([(key(), sizes::RequestCount::new(64))]);
+    let mut holdings = (0..NODES)
+        .map(|_| shares::ShareHolding::new(terms))
+        .collect::<Vec<_>>();
+    let demand = shares::ShareDemand {
+        running: sizes::RequestCount::new(0),
+        wanted: sizes::RequestCount::new(8),
+    };
+    let demand = collections::BTreeMap::from([(key(), demand)]);
+    let mut now = start;
+    for _ in 0..6 {
+        now = now.after(time::Duration::from_secs(1));
+        ledger.set_limits(&limits, now);
+        for (index, holding) in holdings.iter_mut().enumerate() {
+            let ask = holding.ask(epochs::LeaseTerm::new(1), &demand, now);
+            let end = now.after(LEASE);
+            if let Some(grant) = ledger.answer(&name(index), &ask, now, end) {
+                holding.take(&grant);
+            }
+        }
+    }
+    let sum = holdings
+        .iter()
+        .map(|one| one.share(key(), now).get())
+        .sum::<u32>();
+    assert_eq!(sum, 48, "six nodes that want 8 each get the whole pool");
+}
+
+#[test]
+fn nodes_with_cold_evidence_stay_within_it_together() {
+    let terms = shares::ShareTerms::default();
+    let now = times::BootTime::from_millis(1_000);
+    let full = sizes::RequestCount::new(64);
+    for bearable in 0..64 {
+        let bearable = sizes::RequestCount::new(bearable);
+        let sum = [12, 12, 12, 12]
+            .map(|amount| {
+                let mut holding = shares::ShareHolding::new(terms);
+                let demand = collections::BTreeMap::from([(key(), shares::ShareDemand::default())]);
+                let ask = holding.ask(epochs::LeaseTerm::new(1), &demand, now);
+                holding.take(&messages::ShareGrant {
+                    round: ask.round,
+                    term: ask.term,
+                    life_ms: 3_000,
+                    entries: vec![messages::GrantEntry {
+                        key: key(),
+                        amount: sizes::RequestCount::new(amount),
+                        limit: full,
+                    }],
+                });
+                holding.bearable_share(key(), bearable, full, now).get()
+            })
+            .iter()
+            .sum::<u32>();
+        assert!(sum <= bearable.get());
+    }
+}
+
+fn ask_once(
+    ledger: &mut shares::ShareLedger,
+    asker: usize,
+    now: times::BootTime,
+) -> Option<messages::ShareGrant> {
+    let mut holding = shares::ShareHolding::new(TERMS);
+    let demand = shares::ShareDemand {
+        running: sizes::RequestCount::new(0),
+        wanted: sizes::RequestCount::new(2),
+    };
+    let demand = collections::BTreeMap::from([(key(), demand)]);
+    let ask = holding.ask(epochs::LeaseTerm::new(7), &demand, now);
+    ledger.answer(&name(asker), &ask, now, now.after(LEASE))
+}
+
+#[test]
+fn a_new_holder_lends_nothing_until_the_shares_of_the_one_before_have_ended() {
+    let start = times::BootTime::from_millis(1_000);
+    let mut ledger = shares::ShareLedger::new(TERMS, epochs::LeaseTerm::new(7), start);
+    ledger.record_nodes([name(0)].into());
+    let limits = collections::BTreeMap::from([(key(), sizes::RequestCount::new(8))]);
+    ledger.set_limits(&limits, start);
+    let early = start
+        .after(TERMS.life)
+        .before(time::Duration::from_millis(1));
+    assert_eq!(ask_once(&mut ledger, 0, early), None);
+    assert!(ask_once(&mut ledger, 0, start.after(TERMS.life)).is_some());
+    assert_eq!(
+        ask_once(&mut ledger, 1, start.after(TERMS.life)),
+        None,
+        "not recorded"
+    );
+}
--- /dev/null
+++ b/crates/pier_limits/tests/slot_rules.rs
@@ -0,0 +1,141 @@
+//! Proves that fixed shares never add up to more than the fixed part, whoever has seen what.
+
+use std::{collections, time};
+
+use pier_limits::shares;
+use pier_types::{ids, sizes, times};
+use pier_wire::messages;
+
+const SETTLE: time::Duration = time::Duration::from_secs(10);
+const START: times::BootTime = times::BootTime::from_millis(60_000);
+
+fn key(number: u64) -> messages::ShareKey {
+    let target = ids::TargetId::Vm("vm-1".parse().unwrap());
+    messages::ShareKey::of(&target, number)
+}
+
+fn sum(split: &shares::StaticSplit, slots: u32, fixed: u32, now: times::BootTime) -> u32 {
+    let fixed = sizes::RequestCount::new(fixed);
+    (0..slots)
+        .map(|slot| split.share(key(3), slot, fixed, now).get())
+        .sum()
+}
+
+#[test]
+fn the_shares_of_all_slots_are_the_fixed_part() {
+    for slots in 1..50 {
+        let split = shares::StaticSplit::new(slots, SETTLE);
+        for fixed in 0..60 {
+            assert_eq!(sum(&split, slots, fixed, START), fixed);
+        }
+    }
+}
+
+#[test]
+fn a_share_never_falls_when_the_limit_rises() {
+    let split = shares::StaticSplit::new(45, SETTLE);
+    for slot in 0..45 {
+        let mut last = 0;
+        for fixed in 0..200 {
+            let share = split.share(key(1), slot, sizes::RequestCount::new(fixed), START);
+            assert!(share.get() >= last);
+            last = share.get();
+        }
+    }
+}
+
+#[test]
+fn a_lone_request_is_dealt_to_different_slots_by_target() {
+    let split = shares::StaticSplit::new(6, SETTLE);
+    let one = sizes::RequestCount::new(1);
+    let chosen = (0..60)
+        .map(|number| (0..6).find(|&slot| split.share(key(number), slot, one, START).get() == 1))
+        .collect::<collections::BTreeSet<_>>();
+    assert_eq!(chosen.len(), 6, "each slot is chosen for some target");
+}
+
+#[test]
+fn nodes_that_heard_of_more_or_fewer_slots_at_different_times_stay_within_the_fixed_part() {
+    for (before, after) in [(6, 9), (9, 6), (6, 45), (5, 1)] {
+        let old = shares::StaticSplit::new(before, SETTLE);
+        let mut new = old.clone();
+        new.resize(after, START);
+        for heard in 0..=before.max(after) {
+            for fixed in 0..40 {
+                let amount = sizes::RequestCount::new(fixed);
+                let total = (0..before.max(after))
+                    .map(|slot| {
+                        if slot < heard { &new } else { &old }.share(key(1), slot, amount, START)
+                    })
+                    .map(sizes::RequestCount::get)
+                    .sum::<u32>();
+                assert!(total <= fixed, "{before} to {after}: {total} over {fixed}");
+            }
+        }
+        assert_eq!(sum(&new, after, 40, START.after(SETTLE)), 40);
+    }
+}
+
+fn record(entries: &[(u32, &str)]) -> collections::BTreeMap<u32, ids::NodeName> {
+    let parse = |(slot, name): &(u32, &str)| (*slot, name.parse().unwrap());
+    entries.iter().map(parse).collect()
+}
+
+fn settled_tenure() -> (shares::SlotTenure, times::BootTime) {
+    let mut tenure = shares::SlotTenure::new("n1".parse().unwrap(), SETTLE);
+    let mut now = START;
+    tenure.observe(&record(&[(2, "n1"), (3, "n2")]), now, now);
+    for _ in 0..11 {
+        now = now.after(time::Duration::from_secs(1));
+        assert!(!tenure.tick(now));
+    }
+    assert_eq!(tenure.slot(now), Some(2));
+    (tenure, now)
+}
+
+#[test]
+fn a_new_node_waits_until_the_work_of_the_one_before_has_ended() {
+    let mut tenure = shares::SlotTenure::new("n1".parse().unwrap(), SETTLE);
+    tenure.tick(START);
+    tenure.observe(&record(&[(2, "n1")]), START, START);
+    assert_eq!(tenure.slot(START), None);
+}
+
+#[test]
+fn a_node_that_lost_its_slot_stops_at_once() {
+    let (mut tenure, now) = settled_tenure();
+    tenure.observe(&record(&[(2, "n9")]), now, now);
+    assert_eq!(tenure.slot(now), None);
+}
+
+#[test]
+fn a_paused_node_drops_its_slot_until_it_has_read_the_record_again() {
+    let (mut tenure, now) = settled_tenure();
+    let woke = now.after(time::Duration::from_mins(5));
+    assert_eq!(
+        tenure.slot(woke),
+        None,
+        "also before the first tick after the pause"
+    );
+    assert!(tenure.tick(woke));
+    assert_eq!(tenure.slot(woke), None);
+    let slots = record(&[(2, "n1")]);
+    tenure.observe(&slots, now, woke);
+    assert_eq!(
+        tenure.slot(woke),
+        None,
+        "a read that was sent before the pause proves nothing"
+    );
+    tenure.observe(&slots, woke, woke);
+    assert_eq!(tenure.slot(woke), Some(2));
+}
+
+#[test]
+fn a_cut_off_node_keeps_its_slot() {
+    let (mut tenure, mut now) = settled_tenure();
+    for _ in 0..1_000 {
+        now = now.after(time::Duration::from_secs(1));
+        tenure.tick(now);
+    }
+    assert_eq!(tenure.slot(now), Some(2));
+}
--- a/crates/pier_wire/examples/entry_sizes.rs
+++ b/crates/pier_wire/examples/entry_sizes.rs
@@ -27,6 +27,7 @@
     let ask = messages::ShareAsk {
         round: 1_000,
         term: epochs::LeaseTerm::new(9),
+        total: COUNT,
         entries: (0..COUNT).map(ask).collect::<Result<_, _>>()?,
     };
     print(&mut out, "share ask", messages::PeerMessage::ShareAsk(ask))?;
--- a/crates/pier_wire/src/messages/peer_message.rs
+++ b/crates/pier_wire/src/messages/peer_message.rs
@@ -42,11 +42,12 @@
                 })
             }
             Self::ShareAsk(ask) => {
-                let (round, term) = (ask.round, ask.term);
+                let (round, term, total) = (ask.round, ask.term, ask.total);
                 halve(ask.entries, |entries| {
                     Self::ShareAsk(messages::ShareAsk {
                         round,
                         term,
+                        total,
                         entries,
                     })
                 })
--- a/crates/pier_wire/src/messages/share_ask.rs
+++ b/crates/pier_wire/src/messages/share_ask.rs
@@ -12,7 +12,10 @@
     pub round: u64,
     /// The lease term of the node that is asked.
     pub term: epochs::LeaseTerm,
-    /// One entry for each target.
+    /// Entries of the whole round, over all the datagrams that it was split into.
+    pub total: u32,
+    /// One entry for each target at which the node has or wants something; what a round does not
+    /// name, the node has given up.
     pub entries: Vec<AskEntry>,
 }
 
