Detect failures of VMs from few probers and pulled results

Cause: each node needs fresh evidence of each VM, but may not probe them all. Three probers a VM by rendezvous hash, the first each second, backups each 3 s unless evidence grows old; others pull. Evidence counts from when it was asked for, so it only looks too old. Ruled out: pushing results to all (each result travels three times); a verdict that one node tells another (each judges by itself from dated results).

--- /dev/null
+++ b/crates/pier_limits/src/probes/pull_plan.rs
@@ -0,0 +1,87 @@
+//! Whom this node asks for results.
+
+use std::collections;
+
+use pier_types::{ids, times};
+use pier_wire::messages;
+
+use crate::probes;
+
+/// Pulls whose replies are still awaited for each prober.
+const OPEN_PULLS: usize = 8;
+
+/// Makes pulls and knows when each was sent.
+///
+/// A reply counts only if it answers a pull that this node sent to that very prober, so that a
+/// replayed or misdirected reply is no evidence.
+#[derive(Debug, Default)]
+pub struct PullPlan {
+    last: u64,
+    open: collections::BTreeMap<ids::NodeName, collections::BTreeMap<u64, times::BootTime>>,
+}
+
+impl PullPlan {
+    /// Makes this round's pulls: each first prober is asked for its VMs, and backups for the VMs
+    /// in `old`.
+    pub fn round(
+        &mut self,
+        own: &ids::NodeName,
+        plan: &probes::ProbePlan,
+        peers: &collections::BTreeSet<ids::NodeName>,
+        old: &[ids::VmName],
+        now: times::BootTime,
+    ) -> Vec<(ids::NodeName, messages::ProbePull)> {
+        self.open.retain(|prober, _| peers.contains(prober));
+        let mut pulls = Vec::new();
+        for peer in peers.iter().filter(|peer| *peer != own) {
+            pulls.push(self.pull(peer, messages::PullScope::First, now));
+        }
+        for (peer, keys) in backups(own, plan, peers, old) {
+            pulls.push(self.pull(&peer, messages::PullScope::Named(keys), now));
+        }
+        pulls
+    }
+
+    /// Returns when the pull was sent that a reply of a prober answers.
+    pub fn asked_at(&self, prober: &ids::NodeName, pull: u64) -> Option<times::BootTime> {
+        self.open.get(prober)?.get(&pull).copied()
+    }
+
+    fn pull(
+        &mut self,
+        peer: &ids::NodeName,
+        scope: messages::PullScope,
+        now: times::BootTime,
+    ) -> (ids::NodeName, messages::ProbePull) {
+        self.last += 1;
+        let open = self.open.entry(peer.clone()).or_default();
+        open.insert(self.last, now);
+        while open.len() > OPEN_PULLS {
+            open.pop_first();
+        }
+        let pull = messages::ProbePull {
+            pull: self.last,
+            scope,
+        };
+        (peer.clone(), pull)
+    }
+}
+
+/// Groups the VMs with old evidence by their backup probers.
+fn backups(
+    own: &ids::NodeName,
+    plan: &probes::ProbePlan,
+    peers: &collections::BTreeSet<ids::NodeName>,
+    old: &[ids::VmName],
+) -> collections::BTreeMap<ids::NodeName, Vec<messages::VmKey>> {
+    let mut named = collections::BTreeMap::<ids::NodeName, Vec<messages::VmKey>>::new();
+    for vm in old {
+        for prober in plan.probers(vm).iter().skip(1) {
+            if prober != own && peers.contains(prober) {
+                let keys = named.entry(prober.clone()).or_default();
+                keys.push(messages::VmKey::of(vm));
+            }
+        }
+    }
+    named
+}
--- /dev/null
+++ b/crates/pier_limits/src/probes/roster_conflict.rs
@@ -0,0 +1,24 @@
+//! A contradiction in the VM list.
+
+use std::fmt;
+
+use pier_types::{epochs, ids};
+
+/// Two entries of one list that can not both be right.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RosterConflict {
+    /// The VM that is named twice.
+    pub vm: ids::VmName,
+    /// The incarnation that both entries claim.
+    pub incarnation: epochs::VmIncarnation,
+}
+
+impl fmt::Display for RosterConflict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "the VM list names {} twice as incarnation {} with other facts",
+            self.vm, self.incarnation
+        )
+    }
+}
--- /dev/null
+++ b/crates/pier_limits/src/probes/vm_track.rs
@@ -0,0 +1,102 @@
+//! The results of one VM.
+
+use std::time;
+
+use pier_types::{ids, times};
+use pier_wire::messages;
+
+use crate::probes;
+
+/// Failures in a row after which a silent VM has no evidence.
+const SILENT_LIMIT: u32 = 2;
+
+/// Silence after which a VM counts as dead.
+const DEAD_AFTER: time::Duration = time::Duration::from_secs(10);
+
+/// The freshest success and the freshest failure.
+#[derive(Debug, Default)]
+pub(crate) struct VmTrack {
+    pub(crate) evidence: Option<probes::VmEvidence>,
+    failure: Option<(messages::ProbeFailure, times::BootTime)>,
+    silences: u32,
+    first_at: Option<times::BootTime>,
+}
+
+impl VmTrack {
+    /// Takes in a success; late ones of an earlier probe or incarnation are dropped.
+    pub(crate) fn succeed(
+        &mut self,
+        vm: &ids::VmName,
+        found: probes::VmEvidence,
+        bound: time::Duration,
+    ) -> Option<probes::BoardChange> {
+        self.first_at.get_or_insert(found.probed_at);
+        let Some(known) = &self.evidence else {
+            self.evidence = Some(found);
+            self.silences = 0;
+            return None;
+        };
+        let earlier = known.report.incarnation;
+        let present = found.report.incarnation;
+        if present < earlier || (present == earlier && found.probed_at <= known.probed_at) {
+            return None;
+        }
+        let gap = found.probed_at.since(known.probed_at);
+        self.evidence = Some(found);
+        self.silences = 0;
+        if present > earlier {
+            let vm = vm.clone();
+            return Some(probes::BoardChange::Returned {
+                vm,
+                earlier,
+                present,
+            });
+        }
+        (gap > bound).then(|| probes::BoardChange::Resumed { vm: vm.clone() })
+    }
+
+    /// Takes in a failure; late ones are dropped.
+    pub(crate) fn fail(&mut self, failure: messages::ProbeFailure, probed_at: times::BootTime) {
+        self.first_at.get_or_insert(probed_at);
+        let known_at = self.failure.map(|(_, known_at)| known_at);
+        let answered_at = self.evidence.as_ref().map(|known| known.probed_at);
+        if known_at
+            .max(answered_at)
+            .is_some_and(|latest| probed_at <= latest)
+        {
+            return;
+        }
+        self.failure = Some((failure, probed_at));
+        self.silences = self.silences.saturating_add(1);
+    }
+
+    /// Returns the evidence unless it is too old or a later probe says otherwise.
+    ///
+    /// One refused connection is enough, as nothing listens there any more; a lost answer is
+    /// given a second try.
+    pub(crate) fn fresh(
+        &self,
+        now: times::BootTime,
+        bound: time::Duration,
+    ) -> Option<&probes::VmEvidence> {
+        let evidence = self.evidence.as_ref()?;
+        let young = now.since(evidence.probed_at) <= bound;
+        let denied = self.refused() || self.silences >= SILENT_LIMIT;
+        (young && !denied).then_some(evidence)
+    }
+
+    pub(crate) fn is_dead(&self, now: times::BootTime) -> bool {
+        let answered_at = self.evidence.as_ref().map(|known| known.probed_at);
+        let since = answered_at.or(self.first_at);
+        self.refused() || since.is_some_and(|since| now.since(since) > DEAD_AFTER)
+    }
+
+    /// Returns whether the latest probe failed.
+    pub(crate) const fn failing(&self) -> bool {
+        self.silences > 0
+    }
+
+    const fn refused(&self) -> bool {
+        self.silences > 0 && matches!(self.failure, Some((messages::ProbeFailure::Refused, _)))
+    }
+}
