Place and repair replica groups

Cause: a group needs all its members in one fabric domain, no VM may have two places, and one lost VM must not cost the weights that the others hold.

Decided: all groups of a data centre are one object whose value can not name a VM twice; generations are counted over the whole data centre, so a VM that changes groups never meets a lower fencing number. Spares load weights beside a serving group before they follow a leaving or slow member.

Ruled out: one object for each domain (a VM listed in another domain could then be in two objects), a count of generations for each group (an engine that keeps one number for all groups would refuse a VM's next group).

--- a/crates/pier_control/src/lib.rs
+++ b/crates/pier_control/src/lib.rs
@@ -4,3 +4,5 @@
 //! out. Nothing here talks to a network, reads a clock or draws a random number.
 
 pub mod leases;
+pub mod placements;
+pub mod planning;
--- /dev/null
+++ b/crates/pier_control/src/placements/member_slot.rs
@@ -0,0 +1,17 @@
+//! One place in a group.
+
+use std::net;
+
+use pier_types::{epochs, ids};
+use serde::{Deserialize, Serialize};
+
+/// A VM that is a member of a group; its rank is its position among the members.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberSlot {
+    /// The VM.
+    pub vm: ids::VmName,
+    /// The incarnation that was taken in; another one of the same name is no member.
+    pub incarnation: epochs::VmIncarnation,
+    /// Where its engine listens.
+    pub address: net::SocketAddr,
+}
--- /dev/null
+++ b/crates/pier_control/src/planning/plan_draft.rs
@@ -0,0 +1,170 @@
+//! The placement while one run changes it.
+
+use std::collections;
+
+use pier_types::ids;
+
+use crate::{placements, planning};
+
+/// A working copy of the placement, with the VMs that are free.
+#[derive(Debug)]
+pub(super) struct PlanDraft<'a> {
+    /// The input of the run.
+    pub input: &'a planning::PlanInput<'a>,
+    /// Durations and rules.
+    pub settings: &'a planning::PlannerSettings,
+    /// The data centre's VMs.
+    pub index: planning::VmIndex,
+    /// The groups, by number.
+    pub groups: collections::BTreeMap<u64, placements::GroupPlacement>,
+    /// Usable VMs without a place, by domain.
+    pub free: collections::BTreeMap<ids::DomainName, collections::BTreeSet<ids::VmName>>,
+    /// Numbers given out.
+    pub counters: placements::PlacementCounters,
+    /// What was changed and why.
+    pub reasons: Vec<planning::PlanReason>,
+}
+
+impl<'a> PlanDraft<'a> {
+    /// Starts from the placement in force.
+    pub fn new(
+        input: &'a planning::PlanInput<'a>,
+        settings: &'a planning::PlannerSettings,
+    ) -> Self {
+        let mut draft = Self {
+            input,
+            settings,
+            index: planning::VmIndex::build(input, settings),
+            groups: input.present.groups().clone(),
+            free: collections::BTreeMap::new(),
+            counters: input.present.counters(),
+            reasons: Vec::new(),
+        };
+        let seen = input.seen_generation;
+        draft.counters.last_generation = draft.counters.last_generation.max(seen);
+        draft.count_free();
+        draft.note_view();
+        draft
+    }
+
+    /// Returns the fault of each member of a group.
+    pub fn faults(&self, group: u64) -> Vec<planning::MemberFault> {
+        let Some(placement) = self.groups.get(&group) else {
+            return Vec::new();
+        };
+        self.slot_faults(&placement.members, &placement.domain)
+    }
+
+    /// Returns the fault of each of some slots.
+    pub fn slot_faults(
+        &self,
+        slots: &[placements::MemberSlot],
+        domain: &ids::DomainName,
+    ) -> Vec<planning::MemberFault> {
+        let fault = |slot| self.index.fault(slot, domain, self.input, self.settings);
+        slots.iter().map(fault).collect()
+    }
+
+    /// Returns the ranks of a group's members that are lost or reborn.
+    pub fn hard_ranks(&self, group: u64) -> Vec<usize> {
+        let faults = self.faults(group);
+        let ranks = faults
+            .iter()
+            .enumerate()
+            .filter(|(_rank, fault)| fault.is_hard());
+        ranks.map(|(rank, _fault)| rank).collect()
+    }
+
+    /// Returns how many free VMs a domain has.
+    pub fn free_count(&self, domain: &ids::DomainName) -> usize {
+        self.free.get(domain).map_or(0, collections::BTreeSet::len)
+    }
+
+    /// Takes a free VM of a domain into a slot.
+    pub fn take_free(&mut self, domain: &ids::DomainName) -> Option<placements::MemberSlot> {
+        let name = self.free.get_mut(domain)?.pop_first()?;
+        let vm = self.index.vm(&name)?;
+        Some(vm.slot(name))
+    }
+
+    /// Makes a VM free if it can be used.
+    pub fn release_vm(&mut self, name: &ids::VmName) {
+        let Some(vm) = self.index.vm(name).filter(|vm| vm.is_usable()) else {
+            return;
+        };
+        let domain = self.free.entry(vm.domain.clone()).or_default();
+        domain.insert(name.clone());
+    }
+
+    /// Ends a group and frees its VMs.
+    pub fn remove_group(&mut self, group: u64) {
+        let Some(placement) = self.groups.remove(&group) else {
+            return;
+        };
+        for vm in placement.vms() {
+            self.release_vm(vm);
+        }
+    }
+
+    /// Gives a group new members under a new generation.
+    pub fn replace_members(&mut self, group: u64, members: Vec<placements::MemberSlot>) {
+        let generation = self.counters.take_generation();
+        let Some(placement) = self.groups.get_mut(&group) else {
+            return;
+        };
+        let before: Vec<_> = placement.vms().into_iter().cloned().collect();
+        placement.members = members;
+        placement.generation = generation;
+        placement.successor = None;
+        let after: Vec<_> = placement.vms().into_iter().cloned().collect();
+        for vm in before.iter().filter(|vm| !after.contains(vm)) {
+            self.release_vm(vm);
+        }
+    }
+
+    /// Returns the numbers of a model's groups.
+    pub fn model_groups(&self, model: &ids::ModelName) -> Vec<u64> {
+        let groups = self
+            .groups
+            .iter()
+            .filter(|(_group, placement)| placement.model == *model);
+        groups.map(|(group, _placement)| *group).collect()
+    }
+
+    /// Returns all group numbers.
+    pub fn group_numbers(&self) -> Vec<u64> {
+        self.groups.keys().copied().collect()
+    }
+
+    /// Notes a change.
+    pub fn note(&mut self, reason: planning::PlanReason) {
+        self.reasons.push(reason);
+    }
+
+    /// Collects the usable VMs that have no place.
+    fn count_free(&mut self) {
+        let placed: collections::BTreeSet<_> =
+            self.groups.values().flat_map(|group| group.vms()).collect();
+        let usable = self
+            .index
+            .vms()
+            .filter(|(name, vm)| vm.is_usable() && !placed.contains(name));
+        for (name, vm) in usable {
+            let domain = self.free.entry(vm.domain.clone()).or_default();
+            domain.insert(name.clone());
+        }
+    }
+
+    /// Notes what is odd about the input.
+    fn note_view(&mut self) {
+        let ambiguous = self.index.ambiguous().iter().cloned();
+        self.reasons
+            .extend(ambiguous.map(planning::PlanReason::VmAmbiguous));
+        let held = self.index.held_domains().iter().cloned();
+        self.reasons
+            .extend(held.map(planning::PlanReason::DomainHeld));
+        if self.index.is_doubtful() {
+            self.reasons.push(planning::PlanReason::ViewDoubtful);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pier_control/src/planning/prepare_step.rs
@@ -0,0 +1,49 @@
+//! Prepares members for VMs that are about to go.
+
+use crate::{placements, planning};
+
+/// Gives each group with fading members a successor, as far as spares reach.
+///
+/// The spares load the weights while the group still serves; the step that mends groups lets the
+/// successor take over once they hold them.
+pub(super) fn prepare_successors(draft: &mut planning::PlanDraft<'_>) {
+    for group in draft.group_numbers() {
+        prepare_successor(draft, group);
+    }
+}
+
+/// Prepares one group's successor; replaces as many fading members as there are spares.
+fn prepare_successor(draft: &mut planning::PlanDraft<'_>, group: u64) {
+    let faults = draft.faults(group);
+    let Some(placement) = draft.groups.get(&group) else {
+        return;
+    };
+    let is_damaged = faults.iter().any(|fault| fault.is_hard());
+    if is_damaged || placement.successor.is_some() {
+        return;
+    }
+    let domain = placement.domain.clone();
+    let mut members = placement.members.clone();
+    let mut replaced = 0;
+    for (slot, fault) in members.iter_mut().zip(&faults) {
+        if *fault != planning::MemberFault::Fading {
+            continue;
+        }
+        let Some(spare) = draft.take_free(&domain) else {
+            break;
+        };
+        *slot = spare;
+        replaced += 1;
+    }
+    if replaced == 0 {
+        return;
+    }
+    let generation = draft.counters.take_generation();
+    if let Some(placement) = draft.groups.get_mut(&group) {
+        placement.successor = Some(placements::GroupSuccessor {
+            generation,
+            members,
+        });
+    }
+    draft.note(planning::PlanReason::SuccessorPrepared { group, replaced });
+}
--- /dev/null
+++ b/crates/pier_control/src/planning/repair_step.rs
@@ -0,0 +1,176 @@
+//! Mends groups that lost members, out of spares of the same domain.
+
+use crate::{placements, planning};
+
+/// Mends every group that can be mended: the most needed models first, and among a model's groups
+/// those that lack the fewest members.
+pub(super) fn repair_groups(draft: &mut planning::PlanDraft<'_>) {
+    for group in draft.group_numbers() {
+        check_successor(draft, group);
+    }
+    for group in repair_order(draft) {
+        repair_group(draft, group);
+    }
+    let mismatched: Vec<_> = draft.input.mismatched.iter().copied().collect();
+    for group in mismatched {
+        raise_generation(draft, group);
+    }
+}
+
+/// Returns the damaged groups in the order in which they get spares.
+fn repair_order(draft: &planning::PlanDraft<'_>) -> Vec<u64> {
+    let mut order: Vec<_> = draft
+        .groups
+        .iter()
+        .map(|(group, placement)| (draft.hard_ranks(*group).len(), placement, *group))
+        .filter(|(missing, _placement, _group)| *missing > 0)
+        .map(|(missing, placement, group)| {
+            let need = served_permille(draft, placement);
+            (need, missing, group)
+        })
+        .collect();
+    order.sort_unstable();
+    order
+        .into_iter()
+        .map(|(_need, _missing, group)| group)
+        .collect()
+}
+
+/// Returns how much of its replicas a group's model serves, in thousandths.
+fn served_permille(
+    draft: &planning::PlanDraft<'_>,
+    placement: &placements::GroupPlacement,
+) -> usize {
+    let groups = draft.model_groups(&placement.model);
+    let serving = groups
+        .iter()
+        .filter(|group| draft.input.serving.contains_key(group));
+    let wanted = draft.input.wanted.get(&placement.model);
+    let wanted = wanted.map_or(1, |wanted| wanted.replicas.max(1) as usize);
+    serving.count() * 1_000 / wanted
+}
+
+/// Replaces a group's lost members if there are enough spares for all of them.
+///
+/// A reborn member takes its own place again: the VM is in the right domain and has to load the
+/// weights like any spare.
+pub(super) fn repair_group(draft: &mut planning::PlanDraft<'_>, group: u64) -> bool {
+    let faults = draft.faults(group);
+    let Some(placement) = draft.groups.get(&group) else {
+        return false;
+    };
+    let domain = placement.domain.clone();
+    let mut members = placement.members.clone();
+    let mut lost = 0;
+    for (slot, fault) in members.iter_mut().zip(&faults) {
+        let own = draft.index.vm(&slot.vm).filter(|vm| vm.is_usable());
+        match (fault, own) {
+            (planning::MemberFault::Reborn, Some(vm)) => *slot = vm.slot(slot.vm.clone()),
+            (planning::MemberFault::Reborn | planning::MemberFault::Lost, _) => lost += 1,
+            _ => {}
+        }
+    }
+    let replaced = faults.iter().filter(|fault| fault.is_hard()).count();
+    let spares = draft.free_count(&domain) + idle_newcomers(draft, group);
+    if replaced == 0 || lost > spares {
+        return false;
+    }
+    drop_successor(draft, group);
+    for (slot, fault) in members.iter_mut().zip(&faults) {
+        let own = draft.index.vm(&slot.vm).filter(|vm| vm.is_usable());
+        let is_kept = *fault == planning::MemberFault::Reborn && own.is_some();
+        if !fault.is_hard() || is_kept {
+            continue;
+        }
+        if let Some(spare) = draft.take_free(&domain) {
+            *slot = spare;
+        }
+    }
+    draft.replace_members(group, members);
+    draft.note(planning::PlanReason::Repaired { group, replaced });
+    true
+}
+
+/// Returns how many usable VMs a group's successor holds back.
+fn idle_newcomers(draft: &planning::PlanDraft<'_>, group: u64) -> usize {
+    let Some(placement) = draft.groups.get(&group) else {
+        return 0;
+    };
+    let newcomers = placement.newcomers();
+    let usable = newcomers.iter().filter(|(_rank, slot)| {
+        draft
+            .index
+            .vm(&slot.vm)
+            .is_some_and(planning::PlanVm::is_usable)
+    });
+    usable.count()
+}
+
+/// Forgets a group's successor and frees the VMs that only it holds.
+fn drop_successor(draft: &mut planning::PlanDraft<'_>, group: u64) {
+    let Some(placement) = draft.groups.get_mut(&group) else {
+        return;
+    };
+    let newcomers = placement.newcomers().into_iter();
+    let names: Vec<_> = newcomers.map(|(_rank, slot)| slot.vm.clone()).collect();
+    placement.successor = None;
+    for name in names {
+        draft.release_vm(&name);
+    }
+}
+
+/// Lets a successor take over once it is ready or the members before it are lost; drops it when
+/// it is damaged itself.
+fn check_successor(draft: &mut planning::PlanDraft<'_>, group: u64) {
+    let Some(placement) = draft.groups.get(&group) else {
+        return;
+    };
+    let Some(next) = placement.successor.clone() else {
+        return;
+    };
+    let faults = draft.slot_faults(&next.members, &placement.domain);
+    if faults.iter().any(|fault| fault.is_hard()) {
+        drop_successor(draft, group);
+        draft.note(planning::PlanReason::SuccessorDropped(group));
+        return;
+    }
+    let is_broken = !draft.hard_ranks(group).is_empty();
+    if !is_broken && !draft.input.ready.contains(&group) {
+        return;
+    }
+    let leavers: Vec<_> = placement
+        .members
+        .iter()
+        .map(|slot| slot.vm.clone())
+        .collect();
+    let Some(placement) = draft.groups.get_mut(&group) else {
+        return;
+    };
+    placement.generation = next.generation;
+    placement.members = next.members;
+    placement.successor = None;
+    let kept: Vec<_> = placement
+        .members
+        .iter()
+        .map(|slot| slot.vm.clone())
+        .collect();
+    for vm in leavers.iter().filter(|vm| !kept.contains(vm)) {
+        draft.release_vm(vm);
+    }
+    draft.note(planning::PlanReason::SuccessorTookOver(group));
+}
+
+/// Gives a group whose member obeyed another order a new generation.
+fn raise_generation(draft: &mut planning::PlanDraft<'_>, group: u64) {
+    let Some(placement) = draft.groups.get(&group) else {
+        return;
+    };
+    let unchanged = draft.input.present.groups().get(&group);
+    if unchanged.is_none_or(|present| present.generation != placement.generation) {
+        return;
+    }
+    let members = placement.members.clone();
+    drop_successor(draft, group);
+    draft.replace_members(group, members);
+    draft.note(planning::PlanReason::GenerationRaised(group));
+}
--- /dev/null
+++ b/crates/pier_control/src/planning/replica_step.rs
@@ -0,0 +1,102 @@
+//! Drops and forms groups until each model has the replicas that it should have.
+
+use std::{cmp, collections};
+
+use pier_types::ids;
+
+use crate::{placements, planning};
+
+/// Ends groups of models that have more of them than wanted.
+pub(super) fn remove_surplus(draft: &mut planning::PlanDraft<'_>) {
+    let groups = draft.groups.values();
+    let models: collections::BTreeSet<_> = groups.map(|group| group.model.clone()).collect();
+    for model in models {
+        let wanted = draft.input.wanted.get(&model);
+        let allowed = wanted.map_or(0, |wanted| wanted.replicas as usize);
+        let is_rolling =
+            wanted.is_some_and(|wanted| planning::rollout_step::is_rolling(draft, wanted));
+        let allowed = allowed + usize::from(is_rolling && allowed > 0);
+        let mut victims = removal_order(draft, &model);
+        victims.truncate(victims.len().saturating_sub(allowed));
+        for group in victims {
+            draft.remove_group(group);
+            draft.note(planning::PlanReason::Removed(group));
+        }
+    }
+}
+
+/// Returns a model's groups, those first whose end costs the least: not serving, then of an old
+/// recipe, then the least loaded, then the youngest.
+pub(super) fn removal_order(draft: &planning::PlanDraft<'_>, model: &ids::ModelName) -> Vec<u64> {
+    let mut groups = draft.model_groups(model);
+    groups.sort_by_key(|group| {
+        let load = draft.input.serving.get(group).copied();
+        let recipe = draft.input.wanted.get(model).map(|wanted| &wanted.recipe);
+        let is_current = draft.groups.get(group).map(|group| &group.recipe) == recipe;
+        (load.is_some(), is_current, load, cmp::Reverse(*group))
+    });
+    groups
+}
+
+/// Forms groups, for the model first that is furthest below its replicas, the larger one of equals.
+pub(super) fn form_missing(draft: &mut planning::PlanDraft<'_>) {
+    let mut blocked = collections::BTreeSet::new();
+    while let Some(wanted) = neediest_model(draft, &blocked) {
+        if form_group(draft, wanted).is_none() {
+            blocked.insert(&wanted.model);
+            draft.note(planning::PlanReason::Unplaceable(wanted.model.clone()));
+        }
+    }
+}
+
+/// Returns the model that is furthest below its replicas.
+fn neediest_model<'a>(
+    draft: &planning::PlanDraft<'a>,
+    blocked: &collections::BTreeSet<&ids::ModelName>,
+) -> Option<&'a planning::WantedModel> {
+    let wanted = draft.input.wanted.values();
+    let open = wanted.filter(|wanted| wanted.members > 0 && !blocked.contains(&wanted.model));
+    open.filter_map(|wanted| {
+        let placed = draft.model_groups(&wanted.model).len();
+        let replicas = wanted.replicas as usize;
+        (placed < replicas).then(|| {
+            (
+                placed * 1_000 / replicas,
+                cmp::Reverse(wanted.members),
+                wanted,
+            )
+        })
+    })
+    .min_by_key(|(permille, members, _wanted)| (*permille, *members))
+    .map(|(_permille, _members, wanted)| wanted)
+}
+
+/// Forms one group in the domain where it strands the fewest accelerators.
+pub(super) fn form_group(
+    draft: &mut planning::PlanDraft<'_>,
+    wanted: &planning::WantedModel,
+) -> Option<u64> {
+    let size = wanted.members as usize;
+    let largest = draft
+        .input
+        .wanted
+        .values()
+        .map(|wanted| wanted.members as usize)
+        .max();
+    let domain = planning::domain_choice::choose_domain(draft, size, largest.unwrap_or(size))?;
+    let members: Vec<_> = (0..size)
+        .filter_map(|_rank| draft.take_free(&domain))
+        .collect();
+    let group = draft.counters.take_number();
+    let placement = placements::GroupPlacement {
+        model: wanted.model.clone(),
+        recipe: wanted.recipe.clone(),
+        domain,
+        generation: draft.counters.take_generation(),
+        members,
+        successor: None,
+    };
+    draft.groups.insert(group, placement);
+    draft.note(planning::PlanReason::Formed(group));
+    Some(group)
+}
--- /dev/null
+++ b/crates/pier_control/src/planning/rollout_step.rs
@@ -0,0 +1,89 @@
+//! Brings new versions, adapters and roles in without losing capacity.
+
+use crate::planning;
+
+/// Tells whether some group of a model still runs another recipe than the wanted one.
+pub(super) fn is_rolling(draft: &planning::PlanDraft<'_>, wanted: &planning::WantedModel) -> bool {
+    !outdated_groups(draft, wanted).is_empty()
+}
+
+/// Takes the next step of each model's rollout.
+pub(super) fn roll_out(draft: &mut planning::PlanDraft<'_>) {
+    let wanted: Vec<_> = draft.input.wanted.values().collect();
+    for wanted in wanted {
+        roll_out_model(draft, wanted);
+    }
+}
+
+/// Takes one step for a model: groups that do not serve change at once; of those that serve, one
+/// at a time, beside an extra group where there is room for one. At most one replica is missing.
+fn roll_out_model(draft: &mut planning::PlanDraft<'_>, wanted: &planning::WantedModel) {
+    let outdated = outdated_groups(draft, wanted);
+    let is_serving = |group: &u64| draft.input.serving.contains_key(group);
+    let groups = draft.model_groups(&wanted.model);
+    let serving = groups.iter().filter(|group| is_serving(group)).count();
+    let replicas = wanted.replicas as usize;
+    let (active, idle): (Vec<_>, Vec<_>) =
+        outdated.into_iter().partition(|group| is_serving(group));
+    for group in idle {
+        change_group(draft, group, wanted);
+    }
+    let Some(group) = active.first().copied() else {
+        return;
+    };
+    if serving > replicas {
+        draft.remove_group(group);
+        draft.note(planning::PlanReason::Removed(group));
+    } else if serving == replicas && keeps_weights(draft, group, wanted) {
+        change_group(draft, group, wanted);
+    } else if serving == replicas && groups.len() == replicas {
+        replace_group(draft, group, wanted);
+    }
+}
+
+/// Forms an extra group if there is room, else changes a serving group in place.
+fn replace_group(draft: &mut planning::PlanDraft<'_>, group: u64, wanted: &planning::WantedModel) {
+    if planning::domain_choice::has_room(draft, wanted.members as usize) {
+        planning::replica_step::form_group(draft, wanted);
+    } else {
+        change_group(draft, group, wanted);
+    }
+}
+
+/// Changes a group to the wanted recipe: in place if it has the right size, else it ends and is
+/// formed anew.
+fn change_group(draft: &mut planning::PlanDraft<'_>, group: u64, wanted: &planning::WantedModel) {
+    let Some(placement) = draft.groups.get_mut(&group) else {
+        return;
+    };
+    if placement.members.len() != wanted.members as usize {
+        draft.remove_group(group);
+        draft.note(planning::PlanReason::Removed(group));
+        return;
+    }
+    placement.recipe = wanted.recipe.clone();
+    let members = placement.members.clone();
+    draft.replace_members(group, members);
+    draft.note(planning::PlanReason::Updated(group));
+}
+
+/// Tells whether a group can change without loading weights anew.
+fn keeps_weights(
+    draft: &planning::PlanDraft<'_>,
+    group: u64,
+    wanted: &planning::WantedModel,
+) -> bool {
+    draft.groups.get(&group).is_some_and(|placement| {
+        let has_size = placement.members.len() == wanted.members as usize;
+        has_size && placement.recipe.version == wanted.recipe.version
+    })
+}
+
+/// Returns the groups of a model that do not run what is wanted.
+fn outdated_groups(draft: &planning::PlanDraft<'_>, wanted: &planning::WantedModel) -> Vec<u64> {
+    let groups = draft.groups.iter().filter(|(_group, placement)| {
+        let has_size = placement.members.len() == wanted.members as usize;
+        placement.model == wanted.model && (placement.recipe != wanted.recipe || !has_size)
+    });
+    groups.map(|(group, _placement)| *group).collect()
+}
--- /dev/null
+++ b/crates/pier_control/src/planning/vm_index.rs
@@ -0,0 +1,171 @@
+//! The VMs of a data centre, by name and by domain.
+
+use std::collections;
+
+use pier_types::{ids, vms};
+
+use crate::{placements, planning};
+
+/// What the list and the probes together tell of the data centre's VMs.
+#[derive(Debug, Clone)]
+pub(super) struct VmIndex {
+    vms: collections::BTreeMap<ids::VmName, planning::PlanVm>,
+    ambiguous: collections::BTreeSet<ids::VmName>,
+    held_domains: collections::BTreeSet<ids::DomainName>,
+    is_doubtful: bool,
+}
+
+impl VmIndex {
+    /// Builds the index.
+    pub fn build(input: &planning::PlanInput<'_>, settings: &planning::PlannerSettings) -> Self {
+        let mut index = Self {
+            vms: collections::BTreeMap::new(),
+            ambiguous: collections::BTreeSet::new(),
+            held_domains: collections::BTreeSet::new(),
+            is_doubtful: false,
+        };
+        for entry in input.vms {
+            index.add(entry, input);
+        }
+        for vm in &index.ambiguous {
+            index.vms.remove(vm);
+        }
+        index.judge_domains(input, settings);
+        index
+    }
+
+    /// Returns a VM that the list names once.
+    pub fn vm(&self, name: &ids::VmName) -> Option<&planning::PlanVm> {
+        self.vms.get(name)
+    }
+
+    /// Returns all VMs that the list names once.
+    pub fn vms(&self) -> impl Iterator<Item = (&ids::VmName, &planning::PlanVm)> {
+        self.vms.iter()
+    }
+
+    /// Returns VMs that the list names in two places.
+    pub fn ambiguous(&self) -> &collections::BTreeSet<ids::VmName> {
+        &self.ambiguous
+    }
+
+    /// Returns domains that went dark as a whole a short time ago.
+    pub fn held_domains(&self) -> &collections::BTreeSet<ids::DomainName> {
+        &self.held_domains
+    }
+
+    /// Tells whether so much is silent that the planner's own view is in doubt.
+    pub fn is_doubtful(&self) -> bool {
+        self.is_doubtful
+    }
+
+    /// Tells what is wrong with a member of a group.
+    pub fn fault(
+        &self,
+        slot: &placements::MemberSlot,
+        domain: &ids::DomainName,
+        input: &planning::PlanInput<'_>,
+        settings: &planning::PlannerSettings,
+    ) -> planning::MemberFault {
+        let condition = input.conditions.get(&slot.vm);
+        let Some(vm) = self.vms.get(&slot.vm) else {
+            return self.unlisted_fault(slot, condition);
+        };
+        if vm.domain != *domain {
+            return planning::MemberFault::Lost;
+        }
+        if vm.incarnation != slot.incarnation {
+            return if vm.is_silent() {
+                planning::MemberFault::Lost
+            } else {
+                planning::MemberFault::Reborn
+            };
+        }
+        match condition {
+            Some(planning::VmCondition::Unreachable { since }) => {
+                let is_over = input.now.since(*since) >= settings.repair_after;
+                if is_over && !self.is_doubtful && !self.held_domains.contains(domain) {
+                    planning::MemberFault::Lost
+                } else {
+                    planning::MemberFault::Awaited
+                }
+            }
+            Some(planning::VmCondition::Straggling { since, .. })
+                if input.now.since(*since) >= settings.straggler_hold =>
+            {
+                planning::MemberFault::Fading
+            }
+            _ if vm.is_leaving => planning::MemberFault::Fading,
+            _ => planning::MemberFault::Sound,
+        }
+    }
+
+    /// Judges a member that the list does not name: it is sound while it answers, since the list
+    /// lags, and also while the list contradicts itself about it.
+    fn unlisted_fault(
+        &self,
+        slot: &placements::MemberSlot,
+        condition: Option<&planning::VmCondition>,
+    ) -> planning::MemberFault {
+        let incarnation = condition.and_then(planning::VmCondition::incarnation);
+        if incarnation == Some(slot.incarnation) {
+            return planning::MemberFault::Sound;
+        }
+        if self.ambiguous.contains(&slot.vm) || self.is_doubtful {
+            planning::MemberFault::Awaited
+        } else {
+            planning::MemberFault::Lost
+        }
+    }
+
+    /// Adds one entry; the highest incarnation of a name counts.
+    fn add(&mut self, entry: &vms::VmEntry, input: &planning::PlanInput<'_>) {
+        let is_foreign = entry.data_centre != *input.present.data_centre();
+        if is_foreign || entry.pool != vms::VmPool::Accelerator {
+            return;
+        }
+        let condition = input.conditions.get(&entry.name).copied();
+        let reported = condition.and_then(|condition| condition.incarnation());
+        let vm = planning::PlanVm {
+            incarnation: entry.incarnation.max(reported.unwrap_or_default()),
+            address: entry.address,
+            domain: entry.domain.clone(),
+            is_leaving: entry.state == vms::VmState::Leaving,
+            condition,
+        };
+        match self.vms.get_mut(&entry.name) {
+            None => {
+                self.vms.insert(entry.name.clone(), vm);
+            }
+            Some(known) if known.domain != vm.domain || known.address != vm.address => {
+                self.ambiguous.insert(entry.name.clone());
+            }
+            Some(known) => {
+                known.incarnation = known.incarnation.max(vm.incarnation);
+                known.is_leaving |= vm.is_leaving;
+            }
+        }
+    }
+
+    /// Finds domains that went dark, and whether the whole view is in doubt.
+    fn judge_domains(
+        &mut self,
+        input: &planning::PlanInput<'_>,
+        settings: &planning::PlannerSettings,
+    ) {
+        let mut counts: collections::BTreeMap<&ids::DomainName, planning::DomainSilence> =
+            collections::BTreeMap::new();
+        for vm in self.vms.values() {
+            counts.entry(&vm.domain).or_default().add(vm, input);
+        }
+        let total: usize = counts.values().map(|count| count.total).sum();
+        let silent: usize = counts.values().map(|count| count.silent).sum();
+        self.is_doubtful = silent > 0 && silent * 1_000 >= total * settings.doubt_permille;
+        let held = counts.into_iter().filter(|(_domain, count)| {
+            let is_dark =
+                count.silent > 1 && count.silent * 1_000 >= count.total * settings.dark_permille;
+            is_dark && count.shortest < settings.dark_hold
+        });
+        self.held_domains = held.map(|(domain, _count)| domain.clone()).collect();
+    }
+}
