Choose targets by corrected load, prefix and locality

Cause: load reports lag, cache events have gaps, and shares must hold without a lock. Ruled out: least loaded of all (every node jumps to it), hashing of prefixes (crowds).

--- a/crates/pier_request/src/lib.rs
+++ b/crates/pier_request/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod claims;
 pub mod quarantine;
 pub mod retries;
+pub mod routing;
--- /dev/null
+++ b/crates/pier_request/src/routing/route_entry.rs
@@ -0,0 +1,64 @@
+//! One target as a routing decision sees it.
+
+use std::{sync, time};
+
+use pier_types::{routes, times};
+
+use crate::routing;
+
+/// Age from which a load report says nothing.
+const REPORT_LIFE: time::Duration = time::Duration::from_secs(5);
+
+/// What one request weighs against a target with a share of one.
+pub(super) const FULL_SCORE: u64 = 1_024;
+
+/// A target, its last report, and what this node did since.
+#[derive(Debug, Clone)]
+pub struct RouteEntry {
+    /// The target.
+    pub target: sync::Arc<routes::RouteTarget>,
+    /// What this node has there.
+    pub counter: sync::Arc<routing::TargetCounter>,
+    /// How many requests of this node had ended there when the report arrived.
+    pub(super) finished_base: u32,
+}
+
+impl RouteEntry {
+    /// Tells whether this node may send another request there.
+    pub fn has_room(&self) -> bool {
+        self.counter.in_flight() < self.target.share
+    }
+
+    /// Returns the estimated number of requests there, of all nodes.
+    pub fn estimated_load(&self, now: times::BootTime) -> u32 {
+        let load = &self.target.load;
+        let reported = load.running.get().saturating_add(load.queued.get());
+        // A target that was not heard of for long must not look idle.
+        let trusted = if now.since(load.probed_at) > REPORT_LIFE {
+            reported.max(self.target.share.get())
+        } else {
+            reported
+        };
+        let sent = self.counter.sent_since(load.probed_at);
+        let ended = self.counter.finished().wrapping_sub(self.finished_base);
+        let corrected = trusted.saturating_add(sent).saturating_sub(ended);
+        corrected.max(self.counter.in_flight().get())
+    }
+
+    /// Returns how loaded it would be with one more request; smaller is better.
+    pub(super) fn score(&self, now: times::BootTime) -> u64 {
+        let load = u64::from(self.estimated_load(now)) + 1;
+        load * FULL_SCORE / u64::from(self.target.share.get().max(1))
+    }
+
+    /// Takes a permit if the share allows.
+    pub(super) fn acquire(&self, now: times::BootTime) -> Option<routing::RoutePermit> {
+        if !self.counter.try_add(self.target.share, now) {
+            return None;
+        }
+        Some(routing::RoutePermit::new(
+            sync::Arc::clone(&self.target),
+            sync::Arc::clone(&self.counter),
+        ))
+    }
+}
--- /dev/null
+++ b/crates/pier_request/src/routing/route_permit.rs
@@ -0,0 +1,35 @@
+//! The right to have one request at a target.
+
+use std::sync;
+
+use pier_types::routes;
+
+use crate::routing;
+
+/// Holds one request of a target's share until it is dropped.
+#[derive(Debug)]
+pub struct RoutePermit {
+    target: sync::Arc<routes::RouteTarget>,
+    counter: sync::Arc<routing::TargetCounter>,
+}
+
+impl RoutePermit {
+    /// Wraps a request that was added to the counter.
+    pub(super) const fn new(
+        target: sync::Arc<routes::RouteTarget>,
+        counter: sync::Arc<routing::TargetCounter>,
+    ) -> Self {
+        Self { target, counter }
+    }
+
+    /// Returns the target as it was when the permit was given.
+    pub fn target(&self) -> &routes::RouteTarget {
+        &self.target
+    }
+}
+
+impl Drop for RoutePermit {
+    fn drop(&mut self) {
+        self.counter.remove();
+    }
+}
--- /dev/null
+++ b/crates/pier_request/src/routing/target_prefixes.rs
@@ -0,0 +1,68 @@
+//! The prefixes that one target is known to hold.
+
+use std::collections;
+
+use pier_types::epochs;
+
+use crate::routing;
+
+/// Most prefixes that are kept for a target.
+const PREFIX_LIMIT: usize = 256;
+
+/// Prefixes by their event's number, and the number by prefix.
+#[derive(Debug, Default)]
+pub(super) struct TargetPrefixes {
+    pub(super) generation: epochs::GroupGeneration,
+    latest: Option<epochs::EventSequence>,
+    by_prefix: collections::BTreeMap<routing::PrefixHash, epochs::EventSequence>,
+    by_sequence: collections::BTreeMap<epochs::EventSequence, routing::PrefixHash>,
+}
+
+impl TargetPrefixes {
+    /// Makes the empty set of a generation.
+    pub(super) fn new(generation: epochs::GroupGeneration) -> Self {
+        Self {
+            generation,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the number of the last event that was taken.
+    pub(super) const fn latest(&self) -> Option<epochs::EventSequence> {
+        self.latest
+    }
+
+    /// Tells whether an event was taken before.
+    pub(super) fn has_seen(&self, sequence: epochs::EventSequence) -> bool {
+        self.latest.is_some_and(|latest| sequence <= latest)
+    }
+
+    /// Tells whether events are missing before this one.
+    pub(super) fn is_gap(&self, sequence: epochs::EventSequence) -> bool {
+        self.latest.is_some_and(|latest| sequence > latest.next())
+    }
+
+    /// Takes an event; returns a prefix that is no longer kept because of it.
+    pub(super) fn apply(&mut self, event: &routing::CacheEvent) -> Option<routing::PrefixHash> {
+        self.latest = Some(event.sequence);
+        if let Some(old) = self.by_prefix.remove(&event.prefix) {
+            self.by_sequence.remove(&old);
+        }
+        if event.change == routing::CacheChange::Evicted {
+            return Some(event.prefix);
+        }
+        self.by_prefix.insert(event.prefix, event.sequence);
+        self.by_sequence.insert(event.sequence, event.prefix);
+        if self.by_prefix.len() <= PREFIX_LIMIT {
+            return None;
+        }
+        let (_sequence, oldest) = self.by_sequence.pop_first()?;
+        self.by_prefix.remove(&oldest);
+        Some(oldest)
+    }
+
+    /// Returns every prefix.
+    pub(super) fn prefixes(&self) -> impl Iterator<Item = routing::PrefixHash> {
+        self.by_prefix.keys().copied()
+    }
+}
--- /dev/null
+++ b/crates/pier_request/tests/routing_keeps_shares_and_spreads_load.rs
@@ -0,0 +1,285 @@
+//! Proves that shares hold, that lagging reports draw no crowd, and where requests go first.
+
+use std::{collections, sync, thread, time};
+
+use pier_request::routing;
+use pier_types::{epochs, ids, routes, sizes, times};
+use rand::{Rng, SeedableRng, rngs};
+
+const NOW: times::BootTime = times::BootTime::from_millis(10_000);
+
+/// Makes the table of one pool.
+#[derive(Default)]
+struct TableBuilder {
+    targets: Vec<sync::Arc<routes::RouteTarget>>,
+}
+
+impl TableBuilder {
+    fn add(mut self, number: usize, data_centre: &str, share: u32, running: u32) -> Self {
+        self.targets.push(sync::Arc::new(routes::RouteTarget {
+            target: target(number),
+            address: ([127, 0, 0, 1], 80).into(),
+            data_centre: data_centre.parse().unwrap(),
+            generation: epochs::GroupGeneration::new(1),
+            share: sizes::RequestCount::new(share),
+            load: routes::TargetLoad {
+                running: sizes::RequestCount::new(running),
+                queued: sizes::RequestCount::new(0),
+                probed_at: NOW,
+            },
+        }));
+        self
+    }
+
+    fn build(self) -> routes::RouteTable {
+        routes::RouteTable {
+            pools: [(pool_key(), self.targets)].into(),
+        }
+    }
+}
+
+fn target(number: usize) -> ids::TargetId {
+    ids::TargetId::Vm(format!("vm-{number:02}").parse().unwrap())
+}
+
+fn pool_key() -> routes::PoolKey {
+    routes::PoolKey::Model("draft".parse().unwrap())
+}
+
+fn view_of(table: &routes::RouteTable) -> routing::RoutingView {
+    let mut counters = routing::CounterRegistry::default();
+    routing::RoutingView::default().replace(table, &"a".parse().unwrap(), &mut counters)
+}
+
+fn pool_of(view: &routing::RoutingView) -> &routing::PoolView {
+    view.pool(&pool_key()).unwrap()
+}
+
+fn question<'a>(random: u64) -> routing::RouteQuestion<'a> {
+    routing::RouteQuestion {
+        tried: &[],
+        holders: None,
+        random,
+        now: NOW,
+    }
+}
+
+#[test]
+fn no_target_gets_more_than_its_share_over_threads() {
+    let table = (0..5).fold(TableBuilder::default(), |table, number| {
+        table.add(number, "a", 3, 0)
+    });
+    let view = sync::Arc::new(view_of(&table.build()));
+    let workers: Vec<_> = (0..8)
+        .map(|seed| {
+            let view = sync::Arc::clone(&view);
+            thread::spawn(move || {
+                let mut rng = rngs::StdRng::seed_from_u64(seed);
+                let mut held = Vec::new();
+                for _ in 0..3_000 {
+                    held.extend(pool_of(&view).choose(&question(rng.random())));
+                    for entry in pool_of(&view).entries() {
+                        assert!(entry.counter.in_flight() <= entry.target.share);
+                    }
+                    if rng.random_range(0..3) > 0 && !held.is_empty() {
+                        held.swap_remove(rng.random_range(0..held.len()));
+                    }
+                }
+            })
+        })
+        .collect();
+    for worker in workers {
+        worker.join().unwrap();
+    }
+    for entry in pool_of(&view).entries() {
+        assert_eq!(entry.counter.in_flight().get(), 0);
+    }
+}
+
+#[test]
+fn every_share_is_found_before_a_request_is_refused() {
+    let table = TableBuilder::default().add(0, "a", 2, 9).add(1, "a", 0, 0);
+    let table = table.add(2, "b", 3, 0).add(3, "a", 1, 0);
+    let view = view_of(&table.build());
+    let permits: Vec<_> = (0..6)
+        .map(|random| pool_of(&view).choose(&question(random)).unwrap())
+        .collect();
+    let refusal = pool_of(&view).choose(&question(6)).unwrap_err();
+    assert_eq!(refusal, routing::RouteRefusal::AllFull);
+    drop(permits);
+    assert!(pool_of(&view).choose(&question(7)).is_ok());
+}
+
+#[test]
+fn the_own_data_centre_goes_first_and_others_take_the_rest() {
+    let table = TableBuilder::default().add(0, "b", 5, 0).add(1, "a", 2, 5);
+    let view = view_of(&table.build());
+    let places: Vec<_> = (0..4)
+        .map(|random| pool_of(&view).choose(&question(random)).unwrap())
+        .collect();
+    let centres: Vec<_> = places
+        .iter()
+        .map(|permit| permit.target().data_centre.as_str())
+        .collect();
+    assert_eq!(centres, ["a", "a", "b", "b"]);
+}
+
+#[test]
+fn tried_targets_are_left_out() {
+    let table = TableBuilder::default().add(0, "a", 5, 0).add(1, "b", 5, 0);
+    let view = view_of(&table.build());
+    let tried = [target(0), target(1)];
+    let after_one = routing::RouteQuestion {
+        tried: &tried[..1],
+        ..question(1)
+    };
+    let permit = pool_of(&view).choose(&after_one).unwrap();
+    assert_eq!(permit.target().target, target(1));
+    let after_both = routing::RouteQuestion {
+        tried: &tried,
+        ..question(1)
+    };
+    let refusal = pool_of(&view).choose(&after_both).unwrap_err();
+    assert_eq!(refusal, routing::RouteRefusal::NoTarget);
+}
+
+#[test]
+fn counters_outlive_tables_while_requests_run() {
+    let mut counters = routing::CounterRegistry::default();
+    let own = "a".parse().unwrap();
+    let table = TableBuilder::default().add(0, "a", 1, 0).build();
+    let first = routing::RoutingView::default().replace(&table, &own, &mut counters);
+    let permit = pool_of(&first).choose(&question(1)).unwrap();
+    let empty = first.replace(&routes::RouteTable::default(), &own, &mut counters);
+    drop(first);
+    let second = empty.replace(&table, &own, &mut counters);
+    let refusal = pool_of(&second).choose(&question(2)).unwrap_err();
+    assert_eq!(refusal, routing::RouteRefusal::AllFull);
+    drop(permit);
+    assert!(pool_of(&second).choose(&question(3)).is_ok());
+    drop(second);
+    let _none = empty.replace(&routes::RouteTable::default(), &own, &mut counters);
+    assert!(counters.is_empty());
+}
+
+#[test]
+fn a_target_that_looked_idle_draws_no_crowd() {
+    let table = (1..20).fold(
+        TableBuilder::default().add(0, "a", 100, 0),
+        |table, number| table.add(number, "a", 100, 10),
+    );
+    let view = view_of(&table.build());
+    let mut permits = Vec::new();
+    let mut rng = rngs::StdRng::seed_from_u64(1);
+    for _ in 0..100 {
+        permits.push(pool_of(&view).choose(&question(rng.random())).unwrap());
+    }
+    let crowd = permits
+        .iter()
+        .filter(|permit| permit.target().target == target(0))
+        .count();
+    // A choice by the report alone would send all 100 there.
+    assert!((5..=25).contains(&crowd), "{crowd} of 100");
+}
+
+#[test]
+fn ended_requests_count_until_the_next_report_only() {
+    let mut counters = routing::CounterRegistry::default();
+    let own = "a".parse().unwrap();
+    let table = TableBuilder::default().add(0, "a", 9, 4).build();
+    let view = routing::RoutingView::default().replace(&table, &own, &mut counters);
+    let load =
+        |view: &routing::RoutingView| pool_of(view).entries().next().unwrap().estimated_load(NOW);
+    let permits: Vec<_> = (0..3)
+        .map(|random| pool_of(&view).choose(&question(random)))
+        .collect();
+    assert_eq!(load(&view), 7);
+    drop(permits);
+    assert_eq!(load(&view), 4);
+    // The same report in a new table changes nothing.
+    assert_eq!(load(&view.replace(&table, &own, &mut counters)), 4);
+}
+
+#[test]
+fn a_target_not_heard_of_for_long_does_not_look_idle() {
+    let table = TableBuilder::default().add(0, "a", 8, 0).build();
+    let view = view_of(&table);
+    let entry = pool_of(&view).entries().next().unwrap();
+    assert_eq!(entry.estimated_load(NOW), 0);
+    assert_eq!(
+        entry.estimated_load(NOW.after(time::Duration::from_secs(6))),
+        8
+    );
+}
+
+fn stored(sequence: u64, text: &str) -> routing::CacheEvent {
+    routing::CacheEvent {
+        sequence: epochs::EventSequence::new(sequence),
+        change: routing::CacheChange::Stored,
+        prefix: routing::PrefixHash::of_prompt(text),
+    }
+}
+
+fn holds(index: &routing::PrefixIndex, text: &str) -> bool {
+    let prefix = routing::PrefixHash::of_prompt(text);
+    index.snapshot().holders(prefix).is_some()
+}
+
+#[test]
+fn a_gap_or_another_generation_makes_a_target_forget() {
+    let mut index = routing::PrefixIndex::default();
+    let first = epochs::GroupGeneration::new(1);
+    index.apply(&target(0), first, &[stored(1, "one"), stored(2, "two")]);
+    index.apply(&target(0), first, &[stored(1, "late")]);
+    assert!(holds(&index, "one") && holds(&index, "two") && !holds(&index, "late"));
+    index.apply(&target(0), first, &[stored(4, "four")]);
+    assert!(!holds(&index, "one") && holds(&index, "four"));
+    assert_eq!(index.latest(&target(0)).get(), 4);
+    index.apply(&target(0), first.next(), &[stored(1, "new")]);
+    assert!(!holds(&index, "four") && holds(&index, "new"));
+    let evicted = routing::CacheEvent {
+        change: routing::CacheChange::Evicted,
+        ..stored(2, "new")
+    };
+    index.apply(&target(0), first.next(), &[evicted]);
+    assert!(!holds(&index, "new"));
+    index.apply(&target(0), first.next(), &[stored(3, "last")]);
+    index.retain(|_target| false);
+    assert!(index.snapshot().is_empty());
+}
+
+#[test]
+fn the_index_of_a_target_is_bounded() {
+    let mut index = routing::PrefixIndex::default();
+    for number in 1..=1_000 {
+        let event = stored(number, &format!("prompt {number}"));
+        index.apply(&target(0), epochs::GroupGeneration::new(1), &[event]);
+    }
+    assert_eq!(index.snapshot().len(), 256);
+    assert!(holds(&index, "prompt 1000") && !holds(&index, "prompt 1"));
+}
+
+#[test]
+fn a_popular_prefix_is_served_where_it_is_held_until_that_costs_more() {
+    let table = (0..10).fold(TableBuilder::default(), |table, number| {
+        table.add(number, "a", 100, 4)
+    });
+    let view = view_of(&table.build());
+    let holders = collections::BTreeSet::from([target(3)]);
+    let mut rng = rngs::StdRng::seed_from_u64(2);
+    let mut permits = Vec::new();
+    let mut at_holder = Vec::new();
+    for _ in 0..100 {
+        let asked = routing::RouteQuestion {
+            holders: Some(&holders),
+            ..question(rng.random())
+        };
+        let permit = pool_of(&view).choose(&asked).unwrap();
+        at_holder.push(permit.target().target == target(3));
+        permits.push(permit);
+    }
+    assert!(at_holder[..2].iter().all(|there| *there));
+    let crowd = at_holder.iter().filter(|there| **there).count();
+    // An even spread gives 10, a choice by the prefix alone 100.
+    assert!((10..=25).contains(&crowd), "{crowd} of 100");
+}
