Play cases of the fault matrix on nodes and stand-ins

Cause: promises were shown by hand only. Ruled out: judging by what the nodes say; only the stand-ins' records count. A switch that turns a protection off in the product; instead each case is played again through a blind retrier. Conclusion: the matrix is data from here on.

--- /dev/null
+++ b/crates/pier_matrix/src/bench/bench_node.rs
@@ -0,0 +1,82 @@
+//! A node that can be killed.
+
+use std::net;
+
+use anyhow::Context as _;
+use pier_node::{daemon, handle, settings};
+use tokio::{runtime, task};
+
+/// A node on threads of its own; ending the threads closes its sockets as a kill does.
+#[derive(Debug)]
+pub struct BenchNode {
+    handle: handle::NodeHandle,
+    daemon: Option<daemon::NodeDaemon>,
+    runtime: Option<runtime::Runtime>,
+    callers: net::SocketAddr,
+    peers: net::SocketAddr,
+}
+
+impl BenchNode {
+    /// Starts a node.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the settings are refused or the node does not start.
+    pub async fn launch(settings: &str) -> anyhow::Result<Self> {
+        let settings = settings::NodeSettings::parse(settings)?;
+        let runtime = runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()?;
+        let launching = runtime.spawn(daemon::NodeDaemon::launch(settings));
+        let daemon = launching.await.context("starting a node")??;
+        Ok(Self {
+            handle: daemon.handle().clone(),
+            callers: daemon.callers_address(),
+            peers: daemon.peers_address(),
+            daemon: Some(daemon),
+            runtime: Some(runtime),
+        })
+    }
+
+    /// Returns the node's handle.
+    pub fn handle(&self) -> &handle::NodeHandle {
+        &self.handle
+    }
+
+    /// Returns where callers reach it.
+    pub fn callers(&self) -> net::SocketAddr {
+        self.callers
+    }
+
+    /// Returns where other nodes reach it.
+    pub fn peers(&self) -> net::SocketAddr {
+        self.peers
+    }
+
+    /// Tells whether it was neither killed nor drained.
+    pub fn is_running(&self) -> bool {
+        self.daemon.is_some()
+    }
+
+    /// Ends the node at once.
+    pub fn kill(&mut self) {
+        self.daemon = None;
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Starts a graceful shutdown and returns the task that ends with it.
+    pub fn drain(&mut self) -> Option<task::JoinHandle<()>> {
+        let daemon = self.daemon.take()?;
+        let runtime = self.runtime.as_ref()?;
+        Some(runtime.spawn(daemon.drain()))
+    }
+}
+
+impl Drop for BenchNode {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/pier_matrix/src/bench/mod.rs
@@ -0,0 +1,11 @@
+//! Nodes and stand-ins in one process.
+
+mod bench_document;
+mod bench_node;
+mod bench_target;
+mod test_bench;
+
+pub use bench_document::{BEARER_KEY, BenchDocument};
+pub use bench_node::BenchNode;
+pub use bench_target::BenchTarget;
+pub use test_bench::TestBench;
--- /dev/null
+++ b/crates/pier_matrix/src/bench/test_bench.rs
@@ -0,0 +1,223 @@
+//! Nodes, targets and a platform.
+
+use std::{collections, net, time};
+
+use anyhow::Context as _;
+use pier_fakes::{engine, fault, platform, service};
+use pier_types::{routes, vms};
+
+use crate::bench;
+
+/// Time between two looks at a condition.
+const POLL: time::Duration = time::Duration::from_millis(10);
+
+/// Generous bound on a condition that has to come true.
+const CONDITION_LIMIT: time::Duration = time::Duration::from_mins(1);
+
+/// Everything that one play needs, in one process.
+#[derive(Debug)]
+pub struct TestBench {
+    platform: platform::FakePlatform,
+    document: bench::BenchDocument,
+    nodes: collections::BTreeMap<String, bench::BenchNode>,
+    targets: collections::BTreeMap<String, bench::BenchTarget>,
+    client: reqwest::Client,
+}
+
+impl TestBench {
+    /// Starts a platform that holds the configuration of some data centres.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be bound.
+    pub async fn launch(data_centres: &[&str]) -> anyhow::Result<Self> {
+        let bench = Self {
+            platform: platform::FakePlatform::builder().launch().await?,
+            document: bench::BenchDocument::new(data_centres.iter().copied()),
+            nodes: collections::BTreeMap::new(),
+            targets: collections::BTreeMap::new(),
+            client: reqwest::Client::builder().no_proxy().build()?,
+        };
+        bench.write_document().await?;
+        Ok(bench)
+    }
+
+    /// Returns the nodes by name.
+    pub fn nodes(&self) -> &collections::BTreeMap<String, bench::BenchNode> {
+        &self.nodes
+    }
+
+    /// Returns a node.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none of the name.
+    pub fn node_mut(&mut self, name: &str) -> anyhow::Result<&mut bench::BenchNode> {
+        self.nodes
+            .get_mut(name)
+            .with_context(|| format!("no node {name}"))
+    }
+
+    /// Returns the targets by name.
+    pub fn targets(&self) -> &collections::BTreeMap<String, bench::BenchTarget> {
+        &self.targets
+    }
+
+    /// Returns a target.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none of the name.
+    pub fn target_mut(&mut self, name: &str) -> anyhow::Result<&mut bench::BenchTarget> {
+        self.targets
+            .get_mut(name)
+            .with_context(|| format!("no target {name}"))
+    }
+
+    /// Returns the platform.
+    pub fn platform(&self) -> &platform::FakePlatform {
+        &self.platform
+    }
+
+    /// Starts a node in a data centre.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the node does not start.
+    pub async fn add_node(&mut self, name: &str, data_centre: &str) -> anyhow::Result<()> {
+        let running = self.nodes.values().filter(|node| node.is_running());
+        let seeds: Vec<String> = running.map(|node| node.peers().to_string()).collect();
+        let settings = format!(
+            "[node]\ndata-centre = {data_centre}\nregion = bench\ncallers = 127.0.0.1:0\n\
+             operators = 127.0.0.1:0\npeers = 127.0.0.1:0\nseeds = {}\n\
+             peer-key = 0123456789abcdef0123456789abcdef\ndrain-notice-seconds = 0\n\
+             [platform]\nurl = http://{}\n",
+            seeds.join(", "),
+            self.platform.address(),
+        );
+        let node = bench::BenchNode::launch(&settings).await?;
+        self.nodes.insert(name.to_owned(), node);
+        Ok(())
+    }
+
+    /// Starts an engine and lists its VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the engine does not start.
+    pub async fn add_engine(
+        &mut self,
+        settings: engine::EngineSettings,
+        data_centre: &str,
+        domain: &str,
+    ) -> anyhow::Result<()> {
+        let name = settings.vm.to_string();
+        let target = bench::BenchTarget::engine(settings, data_centre, domain).await?;
+        self.targets.insert(name, target);
+        self.publish_list();
+        Ok(())
+    }
+
+    /// Starts a plain service and lists its VM.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the service does not start.
+    pub async fn add_service(
+        &mut self,
+        name: &str,
+        call_time: time::Duration,
+        data_centre: &str,
+    ) -> anyhow::Result<()> {
+        let builder = service::FakeService::builder(name.parse()?).call_time(call_time);
+        let target = bench::BenchTarget::service(name, builder, data_centre, "plain").await?;
+        self.targets.insert(name.to_owned(), target);
+        self.publish_list();
+        Ok(())
+    }
+
+    /// Sets a fault on a stand-in.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no stand-in of the name or the fault does not parse.
+    pub fn set_fault(&mut self, name: &str, json: &str) -> anyhow::Result<()> {
+        let spec: fault::FaultSpec = serde_json::from_str(json)?;
+        if name == "platform" {
+            self.platform.set_fault(spec);
+            return Ok(());
+        }
+        self.target_mut(name)?.set_fault(spec);
+        Ok(())
+    }
+
+    /// Lists the targets as they are now.
+    pub fn publish_list(&self) {
+        let targets = self.targets.values();
+        let entries: Vec<vms::VmEntry> = targets.map(|target| target.entry().clone()).collect();
+        self.platform.set_vms(entries);
+    }
+
+    /// Replaces a part of the configuration, as an operator would.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform does not take the document.
+    pub async fn edit_document(&mut self, from: &str, to: &str) -> anyhow::Result<()> {
+        self.document.replace(from, to);
+        self.write_document().await
+    }
+
+    /// Waits until every running node of the data centre routes to a pool.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that does not happen.
+    pub async fn wait_for_routes(&self, pool: &routes::PoolKey) -> anyhow::Result<()> {
+        self.wait(&format!("routes to {pool}"), || {
+            let nodes = self.nodes.values().filter(|node| node.is_running());
+            let mut tables = nodes.map(|node| node.handle().routes());
+            tables.all(|table| {
+                table
+                    .targets(pool)
+                    .iter()
+                    .any(|target| target.share.get() > 0)
+            })
+        })
+        .await
+    }
+
+    /// Waits for a condition.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not come true.
+    pub async fn wait(&self, what: &str, mut holds: impl FnMut() -> bool) -> anyhow::Result<()> {
+        let waiting = async {
+            while !holds() {
+                tokio::time::sleep(POLL).await;
+            }
+        };
+        let waited = tokio::time::timeout(CONDITION_LIMIT, waiting).await;
+        waited.with_context(|| format!("waited in vain for {what}"))
+    }
+
+    /// Returns the addresses of all targets.
+    pub fn target_addresses(&self) -> Vec<net::SocketAddr> {
+        let targets = self.targets.values();
+        targets.map(|target| target.entry().address).collect()
+    }
+
+    /// Writes the document over whatever version is there; control calls are beyond every fault.
+    async fn write_document(&self) -> anyhow::Result<()> {
+        let address = self.platform.control_address();
+        let url = format!("http://{address}/objects/config/document");
+        let present = self.client.get(&url).send().await?;
+        let version = present.headers().get("x-object-version");
+        let version = version.and_then(|value| value.to_str().ok()).unwrap_or("0");
+        let writing = self.client.put(&url).header("if-version", version);
+        let text = self.document.text().to_owned();
+        writing.body(text).send().await?.error_for_status()?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/pier_matrix/src/cells/mod.rs
@@ -0,0 +1,13 @@
+//! The rows and columns of the matrix, and the page made from them.
+
+mod cell_key;
+mod cell_state;
+mod fault_column;
+mod fault_page;
+mod promise_row;
+
+pub use cell_key::CellKey;
+pub use cell_state::CellState;
+pub use fault_column::FaultColumn;
+pub use fault_page::FaultPage;
+pub use promise_row::PromiseRow;
--- /dev/null
+++ b/crates/pier_matrix/src/plays/call_outcome.rs
@@ -0,0 +1,54 @@
+//! What a caller of a play received.
+
+/// What a caller received.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct CallOutcome {
+    /// HTTP status; none when no answer came at all.
+    pub status: Option<u16>,
+    /// The body, as far as it came.
+    pub body: String,
+    /// Whether the body ended as HTTP says it should.
+    pub ended: bool,
+}
+
+impl CallOutcome {
+    /// Tells whether the answer is whole: a success that ended, a stream with its end mark.
+    pub fn is_whole(&self) -> bool {
+        let success = self.status.is_some_and(|status| status < 400);
+        let streamed = self.body.starts_with("data:") || self.body.starts_with("event:");
+        let marked = self.body.trim_end().ends_with("data: [DONE]");
+        success && self.ended && (!streamed || marked)
+    }
+
+    /// Returns the outcome that the error body names.
+    pub fn error_outcome(&self) -> Option<&'static str> {
+        let names = ["not-run", "unknown", "ran-failed"];
+        let quoted = |name: &&str| self.body.contains(&format!("\"outcome\":\"{name}\""));
+        names.into_iter().find(quoted)
+    }
+
+    /// Returns the text of the answer, streamed or not.
+    pub fn text(&self) -> String {
+        let events = self
+            .body
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "));
+        let mut text: String = events.filter_map(delta_of).collect();
+        if text.is_empty() {
+            text = message_of(&self.body).unwrap_or_default();
+        }
+        text
+    }
+}
+
+fn delta_of(event: &str) -> Option<String> {
+    let event: serde_json::Value = serde_json::from_str(event).ok()?;
+    let text = event.pointer("/choices/0/delta/content")?;
+    text.as_str().map(str::to_owned)
+}
+
+fn message_of(body: &str) -> Option<String> {
+    let body: serde_json::Value = serde_json::from_str(body).ok()?;
+    let text = body.pointer("/choices/0/message/content")?;
+    text.as_str().map(str::to_owned)
+}
--- /dev/null
+++ b/crates/pier_matrix/src/plays/case_judge.rs
@@ -0,0 +1,169 @@
+//! Judges a case by what the stand-ins recorded.
+
+use std::{collections, sync, time};
+
+use anyhow::Context as _;
+use pier_fakes::{engine, record};
+use pier_types::times;
+
+use crate::{bench, cases, plays};
+
+/// Knows what was sent, what came back and what really ran.
+#[derive(Debug)]
+pub(super) struct CaseJudge<'a> {
+    records: collections::BTreeMap<&'a str, Vec<record::RecordEntry>>,
+    calls: &'a collections::BTreeMap<String, sync::Arc<plays::CallEntry>>,
+    outcomes: &'a collections::BTreeMap<String, plays::CallOutcome>,
+    moments: &'a collections::BTreeMap<String, times::BootTime>,
+}
+
+impl<'a> CaseJudge<'a> {
+    /// Takes down what the stand-ins recorded.
+    pub(super) fn new(
+        targets: &'a collections::BTreeMap<String, bench::BenchTarget>,
+        calls: &'a collections::BTreeMap<String, sync::Arc<plays::CallEntry>>,
+        outcomes: &'a collections::BTreeMap<String, plays::CallOutcome>,
+        moments: &'a collections::BTreeMap<String, times::BootTime>,
+    ) -> Self {
+        let records = targets.iter();
+        let records = records.map(|(name, target)| (name.as_str(), target.record()));
+        Self {
+            records: records.collect(),
+            calls,
+            outcomes,
+            moments,
+        }
+    }
+
+    /// Checks one expectation.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not hold, and says what was found.
+    pub(super) fn check(&self, line: &cases::PlayLine) -> anyhow::Result<()> {
+        match line.verb.as_str() {
+            "runs-at-most" => self.check_runs(line.word(0)?, line.word(1)?.parse()?),
+            "truthful" => self.check_truth(),
+            "whole" => self.check_whole(),
+            "answered" => self.check_answered(line.word(0)?),
+            "outcome" => self.check_outcome(line.word(0)?, line.word(1)?),
+            "in-flight-at-most" => self.check_in_flight(line.word(0)?, line.word(1)?.parse()?),
+            "quiet-after" => self.check_quiet(line),
+            other => anyhow::bail!("no expectation {other:?}"),
+        }
+    }
+
+    /// A mark was run at most so often, over all targets.
+    fn check_runs(&self, label: &str, most: usize) -> anyhow::Result<()> {
+        let runs = self.runs(&format!("mark-{label}."));
+        anyhow::ensure!(runs <= most, "{label} ran {runs} times");
+        Ok(())
+    }
+
+    /// Whatever was refused as not run did not run.
+    fn check_truth(&self) -> anyhow::Result<()> {
+        for (label, outcome) in self.outcomes {
+            let call = self.calls.get(label).context("an outcome without a call")?;
+            let sharing = self.calls.values().filter(|other| other.mark == call.mark);
+            let alone = sharing.count() == 1;
+            if alone && outcome.error_outcome() == Some("not-run") {
+                let runs = self.runs(&call.mark);
+                anyhow::ensure!(runs == 0, "{label} was called not run and ran {runs} times");
+            }
+        }
+        Ok(())
+    }
+
+    /// Each call has its own whole answer or an explicit error.
+    fn check_whole(&self) -> anyhow::Result<()> {
+        for (label, outcome) in self.outcomes {
+            if outcome.is_whole() {
+                self.check_text(label, outcome)?;
+                continue;
+            }
+            let explicit = outcome.ended && outcome.error_outcome().is_some();
+            anyhow::ensure!(
+                explicit,
+                "{label} got neither answer nor error: {outcome:?}"
+            );
+        }
+        Ok(())
+    }
+
+    fn check_text(&self, label: &str, outcome: &plays::CallOutcome) -> anyhow::Result<()> {
+        let call = self.calls.get(label).context("an outcome without a call")?;
+        let body: serde_json::Value = serde_json::from_str(&call.body).unwrap_or_default();
+        let Some(tokens) = body["max_tokens"].as_u64() else {
+            let own = call.method == "GET" || outcome.body.contains(&call.mark);
+            anyhow::ensure!(own, "{label} got another call's answer: {}", outcome.body);
+            return Ok(());
+        };
+        let wanted = engine::AnswerText::new(&call.mark, tokens).whole();
+        let found = answer_text(outcome);
+        anyhow::ensure!(found == wanted, "{label} got {found:?} and not {wanted:?}");
+        Ok(())
+    }
+
+    fn check_answered(&self, label: &str) -> anyhow::Result<()> {
+        let outcome = self.outcomes.get(label).context("no such call")?;
+        anyhow::ensure!(outcome.is_whole(), "{label} got {outcome:?}");
+        Ok(())
+    }
+
+    fn check_outcome(&self, label: &str, wanted: &str) -> anyhow::Result<()> {
+        let outcome = self.outcomes.get(label).context("no such call")?;
+        let found = outcome.error_outcome();
+        anyhow::ensure!(found == Some(wanted), "{label} got {outcome:?}");
+        Ok(())
+    }
+
+    /// A target never had more calls in progress than it bears.
+    fn check_in_flight(&self, target: &str, most: usize) -> anyhow::Result<()> {
+        let entries = self.record(target)?;
+        for entry in entries.iter().filter(|entry| entry.started) {
+            let others = entries.iter().filter(|other| other.started);
+            let together = others.filter(|other| overlaps(other, entry.arrived_at));
+            let count = together.count();
+            anyhow::ensure!(count <= most, "{target} had {count} calls at once");
+        }
+        Ok(())
+    }
+
+    /// A target got no new call some milliseconds after a moment.
+    fn check_quiet(&self, line: &cases::PlayLine) -> anyhow::Result<()> {
+        let moment = self.moments.get(line.word(1)?).context("no such moment")?;
+        let millis = line.option("ms").context("no ms")?.parse()?;
+        let from = moment.after(time::Duration::from_millis(millis));
+        let late = self.record(line.word(0)?)?.iter();
+        let late = late.filter(|entry| entry.started && entry.arrived_at > from);
+        let count = late.count();
+        anyhow::ensure!(count == 0, "{count} new calls came later");
+        Ok(())
+    }
+
+    fn record(&self, target: &str) -> anyhow::Result<&Vec<record::RecordEntry>> {
+        let record = self.records.get(target);
+        record.with_context(|| format!("no target {target}"))
+    }
+
+    fn runs(&self, mark: &str) -> usize {
+        let entries = self.records.values().flatten();
+        let ran = entries.filter(|entry| entry.started);
+        ran.filter(|entry| entry.body_prefix.contains(mark) || entry.path.contains(mark))
+            .count()
+    }
+}
+
+fn overlaps(entry: &record::RecordEntry, moment: times::BootTime) -> bool {
+    let open = entry.ended_at.is_none_or(|end| end > moment);
+    entry.arrived_at <= moment && open
+}
+
+/// Returns the text of an answer of either route.
+fn answer_text(outcome: &plays::CallOutcome) -> String {
+    let plain: serde_json::Value = serde_json::from_str(&outcome.body).unwrap_or_default();
+    if let Some(text) = plain.pointer("/choices/0/text") {
+        return text.as_str().unwrap_or_default().to_owned();
+    }
+    outcome.text()
+}
--- /dev/null
+++ b/crates/pier_matrix/src/plays/mod.rs
@@ -0,0 +1,13 @@
+//! Plays a case and judges it.
+
+mod call_entry;
+mod call_outcome;
+mod case_judge;
+mod case_player;
+mod play_target;
+
+pub use call_entry::CallEntry;
+pub use call_outcome::CallOutcome;
+use case_judge::CaseJudge;
+pub use case_player::CasePlayer;
+pub use play_target::PlayTarget;
--- /dev/null
+++ b/crates/pier_matrix/src/plays/play_target.rs
@@ -0,0 +1,10 @@
+//! Who answers the callers of a play.
+
+/// Whether callers reach the product or something that lacks its protection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlayTarget {
+    /// The nodes.
+    Nodes,
+    /// A caller's library that sends straight to the targets and retries blindly.
+    BlindRetrier,
+}
--- /dev/null
+++ b/crates/pier_matrix/tests/fault_matrix.rs
@@ -0,0 +1,42 @@
+//! Plays every case: the promise holds at the nodes, and breaks where they are left out.
+
+use std::{fs, path};
+
+use pier_matrix::{cases, plays};
+
+/// The list of cases that fail for a known fault.
+const KNOWN_RED: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../KNOWN-RED.txt");
+
+fn play_case(path: &path::Path) -> datatest_stable::Result<()> {
+    let case = cases::FaultCase::load(path)?;
+    if is_known_red(path) {
+        println!("known red: {}", path.display());
+        return Ok(());
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(4)
+        .enable_all()
+        .build()?;
+    let protected = plays::CasePlayer::play(&case, plays::PlayTarget::Nodes);
+    runtime
+        .block_on(protected)
+        .map_err(|error| format!("{error:#}"))?;
+    if case.blind_holds.is_some() {
+        return Ok(());
+    }
+    let blind = plays::CasePlayer::play(&case, plays::PlayTarget::BlindRetrier);
+    match runtime.block_on(blind) {
+        Ok(()) => Err("the promise holds with the protection off: the case shows nothing".into()),
+        Err(_broken) => Ok(()),
+    }
+}
+
+fn is_known_red(path: &path::Path) -> bool {
+    let list = fs::read_to_string(KNOWN_RED).unwrap_or_default();
+    let name = path.file_name().unwrap_or_default().to_string_lossy();
+    list.contains(name.as_ref())
+}
+
+datatest_stable::harness! {
+    { test = play_case, root = "cases", pattern = r"^.*\.ini$" },
+}
