--- /dev/null
+++ b/crates/pier_control/src/health/group_health.rs
@@ -0,0 +1,167 @@
+//! The health of the groups of a data centre.
+
+use std::collections;
+
+use pier_types::{ids, reports, routes, times};
+
+use crate::{health, placements};
+
+/// Judges groups by the evidence of their members.
+///
+/// It remembers which members obeyed the present generation: one that later reports an older order
+/// has an engine that ignores fencing numbers and got a late order.
+#[derive(Debug, Clone)]
+pub struct GroupHealth {
+    settings: health::HealthSettings,
+    confirmed: collections::BTreeMap<u64, health::ConfirmedGroup>,
+}
+
+/// The newest evidence of each VM.
+type EvidenceMap = collections::BTreeMap<ids::VmName, health::VmEvidence>;
+
+impl GroupHealth {
+    /// Makes a judge that has seen nothing yet.
+    pub fn new(settings: health::HealthSettings) -> Self {
+        Self {
+            settings,
+            confirmed: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Judges every group of a placement.
+    pub fn observe(
+        &mut self,
+        placement: &placements::DataCentrePlacement,
+        evidence: &EvidenceMap,
+        now: times::BootTime,
+    ) -> health::HealthView {
+        let groups = placement.groups();
+        self.confirmed
+            .retain(|number, _group| groups.contains_key(number));
+        let mut view = health::HealthView::default();
+        for (number, group) in groups {
+            let id = placement.group_id(*number);
+            match self.judge(&id, group, evidence, now) {
+                Ok(serving) => drop(view.serving.insert(*number, serving)),
+                Err(reason) => drop(view.stopped.insert(*number, reason)),
+            }
+            if self.is_mismatched(&id, group, evidence, now) {
+                view.mismatched.insert(*number);
+            }
+            if self.is_successor_ready(&id, group, evidence, now) {
+                view.ready.insert(*number);
+            }
+        }
+        view
+    }
+
+    /// Judges one group.
+    fn judge(
+        &self,
+        id: &ids::GroupId,
+        group: &placements::GroupPlacement,
+        evidence: &EvidenceMap,
+        now: times::BootTime,
+    ) -> Result<health::ServingGroup, health::StopReason> {
+        let mut state = reports::EngineState::Warm;
+        let mut oldest = now;
+        for slot in &group.members {
+            let found = evidence.get(&slot.vm);
+            member_state(id, group, slot).check(found, now, &self.settings)?;
+            let found = found.ok_or_else(|| health::StopReason::NoEvidence(slot.vm.clone()))?;
+            state = state.min(found.report.state);
+            oldest = oldest.min(found.probed_at);
+        }
+        // The constructor of placements refuses a group without members.
+        let first = &group.members[0];
+        Ok(health::ServingGroup {
+            id: id.clone(),
+            model: group.model.clone(),
+            generation: group.generation,
+            address: first.address,
+            state,
+            load: evidence.get(&first.vm).map(target_load).unwrap_or_default(),
+            fresh_until: oldest.after(self.settings.freshness),
+        })
+    }
+
+    /// Tells whether a member obeyed another order than the present one, and notes the members
+    /// that obeyed the present one.
+    fn is_mismatched(
+        &mut self,
+        id: &ids::GroupId,
+        group: &placements::GroupPlacement,
+        evidence: &EvidenceMap,
+        now: times::BootTime,
+    ) -> bool {
+        let confirmed = self.confirmed.entry(id.number).or_default();
+        if confirmed.generation != group.generation {
+            *confirmed = health::ConfirmedGroup {
+                generation: group.generation,
+                members: collections::BTreeSet::new(),
+            };
+        }
+        let mut is_mismatched = false;
+        for slot in &group.members {
+            let found = evidence.get(&slot.vm);
+            let Some(found) = found.filter(|found| found.is_fresh(now, self.settings.freshness))
+            else {
+                continue;
+            };
+            let state = member_state(id, group, slot);
+            let is_same = found.report.incarnation == slot.incarnation;
+            if state.is_obeyed(&found.report) {
+                confirmed.members.insert(slot.vm.clone());
+            } else if is_same && confirmed.members.contains(&slot.vm) {
+                is_mismatched = true;
+            }
+            is_mismatched |= state.is_overruled(&found.report);
+        }
+        is_mismatched
+    }
+
+    /// Tells whether the new members of a group's successor hold the weights.
+    fn is_successor_ready(
+        &self,
+        id: &ids::GroupId,
+        group: &placements::GroupPlacement,
+        evidence: &EvidenceMap,
+        now: times::BootTime,
+    ) -> bool {
+        let Some(next) = &group.successor else {
+            return false;
+        };
+        group.newcomers().into_iter().all(|(_rank, slot)| {
+            let state = health::MemberState {
+                generation: next.generation,
+                ..member_state(id, group, slot)
+            };
+            state
+                .check(evidence.get(&slot.vm), now, &self.settings)
+                .is_ok()
+        })
+    }
+}
+
+/// Returns what a member of a group should report.
+fn member_state<'a>(
+    id: &'a ids::GroupId,
+    group: &'a placements::GroupPlacement,
+    slot: &'a placements::MemberSlot,
+) -> health::MemberState<'a> {
+    health::MemberState {
+        id,
+        model: &group.model,
+        generation: group.generation,
+        slot,
+    }
+}
+
+/// Returns the load that a report tells of.
+fn target_load(evidence: &health::VmEvidence) -> routes::TargetLoad {
+    routes::TargetLoad {
+        running: evidence.report.running,
+        queued: evidence.report.queued,
+        probed_at: evidence.probed_at,
+    }
+}
--- /dev/null
+++ b/crates/pier_control/src/health/health_view.rs
@@ -0,0 +1,31 @@
+//! Which groups serve, and why the others do not.
+
+use std::collections;
+
+use pier_types::sizes;
+
+use crate::health;
+
+/// The health of all groups of a data centre at one moment.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct HealthView {
+    /// The groups that may serve, by number.
+    pub serving: collections::BTreeMap<u64, health::ServingGroup>,
+    /// The first reason for which each other group may not.
+    pub stopped: collections::BTreeMap<u64, health::StopReason>,
+    /// Groups with a member that obeyed an order which is not the present one; the lease holder
+    /// raises their generation.
+    pub mismatched: collections::BTreeSet<u64>,
+    /// Groups whose successor's new members hold the weights.
+    pub ready: collections::BTreeSet<u64>,
+}
+
+impl HealthView {
+    /// Returns the requests that run in each serving group.
+    pub fn loads(&self) -> collections::BTreeMap<u64, sizes::RequestCount> {
+        let groups = self.serving.iter();
+        groups
+            .map(|(group, serving)| (*group, serving.load.running))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/pier_control/src/health/member_state.rs
@@ -0,0 +1,70 @@
+//! The evidence of one member against its place.
+
+use pier_types::{epochs, ids, reports, times};
+
+use crate::{health, placements};
+
+/// What a member should report.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct MemberState<'a> {
+    /// The group.
+    pub id: &'a ids::GroupId,
+    /// The model.
+    pub model: &'a ids::ModelName,
+    /// The generation.
+    pub generation: epochs::GroupGeneration,
+    /// The member's place.
+    pub slot: &'a placements::MemberSlot,
+}
+
+impl MemberState<'_> {
+    /// Tells why the member is not well, if it is not.
+    pub fn check(
+        &self,
+        evidence: Option<&health::VmEvidence>,
+        now: times::BootTime,
+        settings: &health::HealthSettings,
+    ) -> Result<(), health::StopReason> {
+        let vm = || self.slot.vm.clone();
+        let evidence = evidence.ok_or_else(|| health::StopReason::NoEvidence(vm()))?;
+        if !evidence.is_fresh(now, settings.freshness) {
+            return Err(health::StopReason::StaleEvidence(vm()));
+        }
+        let report = &evidence.report;
+        if report.incarnation != self.slot.incarnation {
+            return Err(health::StopReason::OtherIncarnation(vm()));
+        }
+        if report.group.as_ref() != Some(self.id) {
+            return Err(health::StopReason::OtherGroup(vm()));
+        }
+        if report.generation != self.generation {
+            let found = report.generation;
+            return Err(health::StopReason::OtherGeneration { vm: vm(), found });
+        }
+        if report.model.as_ref() != Some(self.model) {
+            return Err(health::StopReason::OtherModel(vm()));
+        }
+        if report.state < reports::EngineState::Cold {
+            let state = report.state;
+            return Err(health::StopReason::NotLoaded { vm: vm(), state });
+        }
+        Ok(())
+    }
+
+    /// Tells whether the member's engine obeyed the present order.
+    pub fn is_obeyed(&self, report: &reports::EngineReport) -> bool {
+        report.incarnation == self.slot.incarnation
+            && report.group.as_ref() == Some(self.id)
+            && report.generation == self.generation
+    }
+
+    /// Tells whether the member's engine obeyed a newer order than the present one, or one of
+    /// another group that the present order can not overrule.
+    pub fn is_overruled(&self, report: &reports::EngineReport) -> bool {
+        let is_same = report.incarnation == self.slot.incarnation;
+        let is_other = report.group.as_ref().is_some_and(|group| group != self.id);
+        is_same
+            && (report.generation > self.generation
+                || (is_other && report.generation == self.generation))
+    }
+}
--- /dev/null
+++ b/crates/pier_control/src/health/mod.rs
@@ -0,0 +1,26 @@
+//! Decides which groups may serve, on this node's own evidence.
+//!
+//! Keeps the promise that no replica group serves while any of its members is missing. A group
+//! serves only while every member was seen, under the placement's group, generation and
+//! incarnation, by a probe that was sent a short time ago. Missing evidence counts as bad evidence,
+//! and stopping needs nobody's consent.
+
+mod confirmed_group;
+mod group_health;
+mod health_settings;
+mod health_view;
+mod member_state;
+mod serving_group;
+mod stop_reason;
+mod vm_conditions;
+mod vm_evidence;
+
+use confirmed_group::ConfirmedGroup;
+pub use group_health::GroupHealth;
+pub use health_settings::HealthSettings;
+pub use health_view::HealthView;
+use member_state::MemberState;
+pub use serving_group::ServingGroup;
+pub use stop_reason::StopReason;
+pub use vm_conditions::vm_conditions;
+pub use vm_evidence::VmEvidence;
--- a/crates/pier_control/src/leases/lease_keeper.rs
+++ b/crates/pier_control/src/leases/lease_keeper.rs
@@ -158,26 +158,14 @@
         draw: leases::LeaseDraw,
     ) {
         self.read_at = now.after(self.settings.read_interval);
-        let (version, record, malformed) = match reading {
-            leases::LeaseReading::Absent => (epochs::ObjectVersion::default(), None, false),
-            leases::LeaseReading::Found { version, record } => (version, Some(record), false),
-            leases::LeaseReading::Malformed { version } => (version, None, true),
-        };
-        let known = self.observed.as_ref().map(|seen| seen.version);
-        let is_absent = version == epochs::ObjectVersion::default();
-        let is_news = known.is_none_or(|known| version > known || (is_absent && version != known));
-        if !is_news {
+        let jitter = u32::from(draw.jitter_permille.min(1_000));
+        let spread = self.settings.takeover_spread * jitter / 1_000;
+        let seen = leases::ObservedLease::new(reading, now, spread);
+        if !seen.is_news(self.observed.as_ref()) {
             return;
         }
-        self.settle(version, record.as_ref());
-        self.observed = Some(leases::ObservedLease {
-            version,
-            record,
-            malformed,
-            seen_at: now,
-            spread: self.settings.takeover_spread * u32::from(draw.jitter_permille.min(1_000))
-                / 1_000,
-        });
+        self.settle(seen.version, seen.record.as_ref());
+        self.observed = Some(seen);
     }
 
     /// Finds out whose write made a version, and steps down if it was another node's.
--- a/crates/pier_control/src/leases/observed_lease.rs
+++ b/crates/pier_control/src/leases/observed_lease.rs
@@ -22,6 +22,35 @@
 }
 
 impl ObservedLease {
+    /// Takes in what a read or a watch showed.
+    pub fn new(
+        reading: leases::LeaseReading,
+        seen_at: times::BootTime,
+        spread: time::Duration,
+    ) -> Self {
+        let (version, record, malformed) = match reading {
+            leases::LeaseReading::Absent => (epochs::ObjectVersion::default(), None, false),
+            leases::LeaseReading::Found { version, record } => (version, Some(record), false),
+            leases::LeaseReading::Malformed { version } => (version, None, true),
+        };
+        Self {
+            version,
+            record,
+            malformed,
+            seen_at,
+            spread,
+        }
+    }
+
+    /// Tells whether this is newer than what was seen before; reads may lag, and an object that
+    /// was deleted begins anew.
+    pub fn is_news(&self, known: Option<&Self>) -> bool {
+        let is_absent = self.version == epochs::ObjectVersion::default();
+        known.is_none_or(|known| {
+            self.version > known.version || (is_absent && known.version != self.version)
+        })
+    }
+
     /// Returns the first moment at which another node may take over.
     ///
     /// An absent object counts as a lease that was deleted just before it was first seen missing.
--- /dev/null
+++ b/crates/pier_control/src/loads/load_need.rs
@@ -0,0 +1,97 @@
+//! Which members of a group lack weights.
+
+use std::collections;
+
+use pier_types::{epochs, ids, reports, sizes};
+
+use crate::{health, loads, placements};
+
+/// The weights that a group still has to read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadNeed {
+    /// The group.
+    pub group: u64,
+    /// Members that lack weights.
+    pub members: u64,
+    /// What they read together.
+    pub bytes: sizes::ByteSize,
+    /// Whether they follow members that still serve.
+    pub is_successor: bool,
+    /// Whether some of them are reading already.
+    pub is_loading: bool,
+}
+
+impl LoadNeed {
+    /// Returns what a group lacks, if anything.
+    pub fn of(input: &loads::LoadInput<'_>, group: u64) -> Option<Self> {
+        let placement = input.placement.groups().get(&group)?;
+        let id = input.placement.group_id(group);
+        let newcomers = placement.newcomers().into_iter().map(|(_rank, slot)| slot);
+        let is_successor = placement.successor.is_some();
+        let slots: Vec<_> = placement.members.iter().chain(newcomers).collect();
+        let lacking = slots
+            .into_iter()
+            .filter(|slot| !holds_weights(placement, &id, slot, input.evidence));
+        let lacking: Vec<_> = lacking.collect();
+        if lacking.is_empty() {
+            return None;
+        }
+        let members = lacking.len() as u64;
+        let weights = input
+            .wanted
+            .get(&placement.model)
+            .map(|wanted| wanted.weight_bytes);
+        let bytes = weights.unwrap_or_default().get().saturating_mul(members);
+        let is_loading = lacking
+            .iter()
+            .any(|slot| is_loading(placement, &id, slot, input.evidence));
+        Some(Self {
+            group,
+            members,
+            bytes: sizes::ByteSize::new(bytes),
+            is_successor,
+            is_loading,
+        })
+    }
+}
+
+/// Tells whether a member holds the weights of its group.
+pub(crate) fn holds_weights(
+    placement: &placements::GroupPlacement,
+    id: &ids::GroupId,
+    slot: &placements::MemberSlot,
+    evidence: &collections::BTreeMap<ids::VmName, health::VmEvidence>,
+) -> bool {
+    let report = evidence.get(&slot.vm).map(|evidence| &evidence.report);
+    report.is_some_and(|report| {
+        is_of_group(report, placement.weights_from, id, slot)
+            && report.model.as_ref() == Some(&placement.model)
+            && report.state >= reports::EngineState::Cold
+    })
+}
+
+/// Tells whether a member reads its weights now.
+fn is_loading(
+    placement: &placements::GroupPlacement,
+    id: &ids::GroupId,
+    slot: &placements::MemberSlot,
+    evidence: &collections::BTreeMap<ids::VmName, health::VmEvidence>,
+) -> bool {
+    let report = evidence.get(&slot.vm).map(|evidence| &evidence.report);
+    report.is_some_and(|report| {
+        is_of_group(report, placement.weights_from, id, slot)
+            && report.state == reports::EngineState::Loading
+    })
+}
+
+/// Tells whether a report is of a member that obeyed an order of its group for the present weights.
+fn is_of_group(
+    report: &reports::EngineReport,
+    weights_from: epochs::GroupGeneration,
+    id: &ids::GroupId,
+    slot: &placements::MemberSlot,
+) -> bool {
+    report.incarnation == slot.incarnation
+        && report.group.as_ref() == Some(id)
+        && report.generation >= weights_from
+}
--- a/crates/pier_control/src/placements/group_placement.rs
+++ b/crates/pier_control/src/placements/group_placement.rs
@@ -18,6 +18,9 @@
     pub domain: ids::DomainName,
     /// The fencing number; rises with each change of members or recipe.
     pub generation: epochs::GroupGeneration,
+    /// The generation at which the version or adapters were last chosen; a member that obeyed an
+    /// order of this group from there on holds them.
+    pub weights_from: epochs::GroupGeneration,
     /// The members by rank; the first one takes the requests.
     pub members: Vec<placements::MemberSlot>,
     /// Members that are being prepared to follow.
--- a/crates/pier_control/src/planning/plan_draft.rs
+++ b/crates/pier_control/src/planning/plan_draft.rs
@@ -2,10 +2,14 @@
 
 use std::collections;
 
-use pier_types::ids;
+use pier_types::{epochs, ids};
 
 use crate::{placements, planning};
 
+/// How far a reported generation may lift the counter in one run; an engine that reports
+/// nonsense must not use the numbers up.
+const GENERATION_JUMP_LIMIT: u64 = 1_000_000;
+
 /// A working copy of the placement, with the VMs that are free.
 #[derive(Debug)]
 pub(super) struct PlanDraft<'a> {
@@ -40,7 +44,9 @@
             counters: input.present.counters(),
             reasons: Vec::new(),
         };
-        let seen = input.seen_generation;
+        let last = draft.counters.last_generation.get();
+        let plausible = epochs::GroupGeneration::new(last.saturating_add(GENERATION_JUMP_LIMIT));
+        let seen = input.seen_generation.min(plausible);
         draft.counters.last_generation = draft.counters.last_generation.max(seen);
         draft.count_free();
         draft.note_view();
--- a/crates/pier_control/src/planning/replica_step.rs
+++ b/crates/pier_control/src/planning/replica_step.rs
@@ -88,11 +88,13 @@
         .filter_map(|_rank| draft.take_free(&domain))
         .collect();
     let group = draft.counters.take_number();
+    let generation = draft.counters.take_generation();
     let placement = placements::GroupPlacement {
         model: wanted.model.clone(),
         recipe: wanted.recipe.clone(),
         domain,
-        generation: draft.counters.take_generation(),
+        generation,
+        weights_from: generation,
         members,
         successor: None,
     };
--- a/crates/pier_control/src/planning/rollout_step.rs
+++ b/crates/pier_control/src/planning/rollout_step.rs
@@ -61,9 +61,14 @@
         draft.note(planning::PlanReason::Removed(group));
         return;
     }
+    let has_version = placement.recipe.version == wanted.recipe.version;
+    let keeps_weights = has_version && placement.recipe.adapters == wanted.recipe.adapters;
     placement.recipe = wanted.recipe.clone();
     let members = placement.members.clone();
     draft.replace_members(group, members);
+    if let Some(placement) = draft.groups.get_mut(&group).filter(|_group| !keeps_weights) {
+        placement.weights_from = placement.generation;
+    }
     draft.note(planning::PlanReason::Updated(group));
 }
 
