Admit by weighted shares without a queue

Cause: a large customer must not starve a small one, and refusals have to be early and cheap. Ruled out: a queue in the node (engines queue already), fixed shares (strand what is not used).

--- /dev/null
+++ b/crates/pier_request/src/admission/customer_lane.rs
@@ -0,0 +1,58 @@
+//! What one customer has and wants in a pool.
+
+use std::sync::atomic;
+
+use pier_types::times;
+
+use crate::admission;
+
+/// The counters of one customer in one pool.
+#[derive(Debug, Default)]
+pub(super) struct CustomerLane {
+    in_flight: atomic::AtomicU32,
+    wanted: admission::WindowCounter,
+    refused: admission::WindowCounter,
+}
+
+impl CustomerLane {
+    /// Returns the requests in flight.
+    pub(super) fn in_flight(&self) -> u32 {
+        self.in_flight.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Returns the most requests that the customer lately wanted to have in flight at once.
+    pub(super) fn demand(&self, now: times::BootTime) -> u32 {
+        self.wanted.recent(now).max(self.in_flight())
+    }
+
+    /// Returns the demand that is not met, up to a share.
+    pub(super) fn owed(&self, share: u32, now: times::BootTime) -> u32 {
+        self.demand(now).min(share).saturating_sub(self.in_flight())
+    }
+
+    /// Notes that a request arrived.
+    pub(super) fn note_arrival(&self, now: times::BootTime) {
+        self.wanted.raise(self.in_flight().saturating_add(1), now);
+    }
+
+    /// Notes that a request was refused, and would be in flight otherwise.
+    pub(super) fn note_refusal(&self, now: times::BootTime) {
+        let refused = self.refused.add(now);
+        self.wanted
+            .raise(self.in_flight().saturating_add(refused), now);
+    }
+
+    /// Adds a request unless so many are in flight.
+    pub(super) fn try_add(&self, limit: u32) -> bool {
+        let order = atomic::Ordering::Relaxed;
+        let added = self.in_flight.fetch_update(order, order, |in_flight| {
+            (in_flight < limit).then(|| in_flight + 1)
+        });
+        added.is_ok()
+    }
+
+    /// Removes a request.
+    pub(super) fn remove(&self) {
+        self.in_flight.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/pier_request/src/admission/service_clock.rs
@@ -0,0 +1,60 @@
+//! How long requests of a pool take.
+
+use std::{sync::atomic, time};
+
+/// Weight of one sample in the mean, as a divisor.
+const MEAN_DIVISOR: u64 = 16;
+
+/// How fast the shortest time rises towards longer samples, as a divisor.
+const FLOOR_DIVISOR: u64 = 256;
+
+/// The recent mean and the recent shortest service time; zero while unknown.
+#[derive(Debug, Default)]
+pub struct ServiceClock {
+    mean_micros: atomic::AtomicU64,
+    floor_micros: atomic::AtomicU64,
+}
+
+impl ServiceClock {
+    /// Adds the time from the dispatch of a request to the end of its answer.
+    pub fn record(&self, elapsed: time::Duration) {
+        let sample = u64::try_from(elapsed.as_micros())
+            .unwrap_or(u64::MAX)
+            .max(1);
+        update(&self.mean_micros, |mean| drift(mean, sample, MEAN_DIVISOR));
+        update(&self.floor_micros, |floor| {
+            if sample < floor {
+                sample
+            } else {
+                drift(floor, sample, FLOOR_DIVISOR)
+            }
+        });
+    }
+
+    /// Returns the mean service time.
+    pub fn mean(&self) -> time::Duration {
+        time::Duration::from_micros(self.mean_micros.load(atomic::Ordering::Relaxed))
+    }
+
+    /// Returns the shortest service time.
+    pub fn floor(&self) -> time::Duration {
+        time::Duration::from_micros(self.floor_micros.load(atomic::Ordering::Relaxed))
+    }
+}
+
+fn update(cell: &atomic::AtomicU64, change: impl Fn(u64) -> u64) {
+    let order = atomic::Ordering::Relaxed;
+    // An update that always succeeds can be ignored.
+    let _ = cell.fetch_update(order, order, |old| Some(change(old)));
+}
+
+/// Moves a value towards a sample by a part of the difference; the first sample is taken whole.
+const fn drift(value: u64, sample: u64, divisor: u64) -> u64 {
+    if value == 0 {
+        return sample;
+    }
+    if sample >= value {
+        return value + (sample - value) / divisor;
+    }
+    value - (value - sample) / divisor
+}
--- a/crates/pier_request/src/lib.rs
+++ b/crates/pier_request/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here is decided from arguments: the present time, random numbers and what the network
 //! did are handed in by the daemon.
 
+pub mod admission;
 pub mod attempts;
 pub mod claims;
 pub mod quarantine;
--- a/crates/pier_request/src/routing/pool_view.rs
+++ b/crates/pier_request/src/routing/pool_view.rs
@@ -2,9 +2,9 @@
 
 use std::collections;
 
-use pier_types::{ids, sizes};
+use pier_types::ids;
 
-use crate::routing;
+use crate::{admission, routing};
 
 /// Targets drawn at random for each decision.
 const CANDIDATES: usize = 3;
@@ -18,11 +18,13 @@
     local: Vec<routing::RouteEntry>,
     remote: Vec<routing::RouteEntry>,
     places: collections::BTreeMap<ids::TargetId, usize>,
+    load: admission::PoolLoad,
 }
 
 impl PoolView {
     /// Adds a target.
     pub(super) fn add(&mut self, entry: routing::RouteEntry, is_local: bool) {
+        self.load.add(&entry.target);
         if !is_local {
             self.remote.push(entry);
             return;
@@ -37,10 +39,9 @@
         self.local.iter().chain(&self.remote)
     }
 
-    /// Returns the sum of the shares of this node.
-    pub fn capacity(&self) -> sizes::RequestCount {
-        let shares = self.entries().map(|entry| entry.target.share.get());
-        sizes::RequestCount::new(shares.fold(0, u32::saturating_add))
+    /// Returns the load of the pool when the table was made.
+    pub const fn load(&self) -> admission::PoolLoad {
+        self.load
     }
 
     /// Chooses a target and takes a permit there.
