Give operators their commands

Cause: operators check, show, compare and apply the document, take data centres and targets out and back, and start nodes. `config show` puts the version in its first line and `config apply` takes it from there, so that an edit is always bound to what was read. Each command keeps the version that it replaces under config/history, which is what lets a later loser see what changed under them.

Ruled out: rewriting the document in canonical form on drain (loses the operators' comments); telling "already drained" from a read alone (reads lag), so every edit is a conditional write; logs on standard output, where the daemon prints its ports.

--- /dev/null
+++ b/crates/buckthornpier/src/commands/apply_driver.rs
@@ -0,0 +1,183 @@
+//! Carries out the steps of a change on the platform.
+
+use std::{fmt::Write as _, time};
+
+use pier_config::{applies, documents};
+use pier_platform::objects;
+use pier_types::{codes, epochs, ids};
+
+use crate::{commands::platform_choice, exits, output};
+
+/// Pause before a step is tried again.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(300);
+/// Earlier versions that are kept for explaining conflicts.
+const HISTORY_VERSIONS: u64 = 20;
+
+/// Brings a change about and tells what became of it.
+pub(crate) fn run(
+    matches: &clap::ArgMatches,
+    change: applies::ApplyChange,
+) -> Result<(), exits::CommandFailure> {
+    let client = platform_choice::open(matches)?;
+    let nonce = ids::LeaseNonce::new(uuid::Uuid::new_v4().as_u128());
+    let driver = ApplyDriver { client };
+    let outcome = platform_choice::block_on(async { Ok(driver.drive(change, nonce).await) })?;
+    report(outcome)
+}
+
+/// Answers the questions of an [`applies::ApplyFlow`].
+struct ApplyDriver {
+    client: objects::ObjectClient,
+}
+
+impl ApplyDriver {
+    async fn drive(
+        &self,
+        change: applies::ApplyChange,
+        nonce: ids::LeaseNonce,
+    ) -> applies::ApplyOutcome {
+        let (mut flow, mut action) = applies::ApplyFlow::start(change, nonce);
+        loop {
+            let event = match action {
+                applies::ApplyAction::Read { pause } => {
+                    wait(pause).await;
+                    self.read().await
+                }
+                applies::ApplyAction::Archive { version, text } => {
+                    self.archive(version, text).await;
+                    applies::ApplyEvent::Archived
+                }
+                applies::ApplyAction::ReadArchive { version } => {
+                    let text = self.read_archive(version).await;
+                    applies::ApplyEvent::ArchiveRead { text }
+                }
+                applies::ApplyAction::Write {
+                    if_version,
+                    text,
+                    pause,
+                } => {
+                    wait(pause).await;
+                    self.write(if_version, text).await
+                }
+                applies::ApplyAction::Finish(outcome) => return outcome,
+            };
+            action = flow.step(event);
+        }
+    }
+
+    async fn read(&self) -> applies::ApplyEvent {
+        match self.client.read(documents::DOCUMENT_KEY).await {
+            objects::ReadResult::Found { version, bytes } => applies::ApplyEvent::Read {
+                version: epochs::ConfigVersion::new(version.get()),
+                text: String::from_utf8_lossy(&bytes).into_owned(),
+            },
+            objects::ReadResult::Absent => applies::ApplyEvent::Read {
+                version: epochs::ConfigVersion::default(),
+                text: String::new(),
+            },
+            objects::ReadResult::Away { reason } => applies::ApplyEvent::ReadFailed { reason },
+        }
+    }
+
+    async fn write(&self, if_version: epochs::ConfigVersion, text: String) -> applies::ApplyEvent {
+        let condition = epochs::ObjectVersion::new(if_version.get());
+        let key = documents::DOCUMENT_KEY;
+        match self.client.write(key, condition, text.into()).await {
+            objects::WriteResult::Written(version) => {
+                applies::ApplyEvent::Written(epochs::ConfigVersion::new(version.get()))
+            }
+            objects::WriteResult::Conflict(version) => {
+                applies::ApplyEvent::Conflict(epochs::ConfigVersion::new(version.get()))
+            }
+            objects::WriteResult::Unreached { reason } => applies::ApplyEvent::Unreached { reason },
+            objects::WriteResult::Unsettled { reason } => applies::ApplyEvent::Unsettled { reason },
+        }
+    }
+
+    /// Keeps a version and drops the one that is too old; a failure costs an explanation at most.
+    async fn archive(&self, version: epochs::ConfigVersion, text: String) {
+        let absent = epochs::ObjectVersion::new(0);
+        let _kept = self
+            .client
+            .write(&history_key(version), absent, text.into())
+            .await;
+        if let Some(old) = version.get().checked_sub(HISTORY_VERSIONS) {
+            let key = history_key(epochs::ConfigVersion::new(old));
+            let only = epochs::ObjectVersion::new(1);
+            let _dropped = self.client.delete(&key, only).await;
+        }
+    }
+
+    async fn read_archive(&self, version: epochs::ConfigVersion) -> Option<String> {
+        match self.client.read(&history_key(version)).await {
+            objects::ReadResult::Found { bytes, .. } => {
+                Some(String::from_utf8_lossy(&bytes).into_owned())
+            }
+            objects::ReadResult::Absent | objects::ReadResult::Away { .. } => None,
+        }
+    }
+}
+
+fn history_key(version: epochs::ConfigVersion) -> String {
+    format!("{}{version}", documents::HISTORY_PREFIX)
+}
+
+async fn wait(pause: bool) {
+    if pause {
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Tells the operator what became of a change.
+fn report(outcome: applies::ApplyOutcome) -> Result<(), exits::CommandFailure> {
+    match outcome {
+        applies::ApplyOutcome::Accepted { version } => {
+            output::line(format!("accepted: version {version}"));
+            Ok(())
+        }
+        applies::ApplyOutcome::Refused(error) => Err(exits::CommandFailure::bad_input(format!(
+            "{}: {error}",
+            describe(codes::ResultCode::ConfigInvalid)
+        ))),
+        applies::ApplyOutcome::EditRefused(error) => Err(exits::CommandFailure::bad_input(
+            format!("{}: {error}", describe(codes::ResultCode::ConfigInvalid)),
+        )),
+        applies::ApplyOutcome::Conflict(conflict) => Err(exits::CommandFailure::new(
+            exits::ExitCode::Conflict,
+            explain_conflict(&conflict),
+        )),
+        applies::ApplyOutcome::Away { reason } => Err(exits::CommandFailure::away(format!(
+            "the platform is away; nothing was changed: {reason}"
+        ))),
+        applies::ApplyOutcome::Unknown { reason } => Err(exits::CommandFailure::new(
+            exits::ExitCode::OutcomeUnknown,
+            format!(
+                "{}: {reason}\nlook with `config show` before doing it again",
+                describe(codes::ResultCode::ConfigOutcomeUnknown)
+            ),
+        )),
+    }
+}
+
+fn explain_conflict(conflict: &applies::ConflictReport) -> String {
+    let mut text = describe(codes::ResultCode::ConfigConflict);
+    let (base, present) = (conflict.base, conflict.present);
+    let _infallible = write!(text, " Nothing was changed: version {present} is in place.");
+    let from = if conflict.from_base {
+        format!("Changes from version {base} to {present}")
+    } else {
+        format!("Version {base} is not kept any more; changes from your text to version {present}")
+    };
+    let _infallible = write!(text, "\n{from}:");
+    for change in &conflict.changes {
+        let _infallible = write!(text, "\n  {change}");
+    }
+    if conflict.changes.is_empty() {
+        text.push_str("\n  none, or comments only");
+    }
+    text
+}
+
+fn describe(code: codes::ResultCode) -> String {
+    format!("code {code}: {}", code.meaning())
+}
--- /dev/null
+++ b/crates/buckthornpier/src/commands/config_apply.rs
@@ -0,0 +1,48 @@
+//! `buckthornpier config apply`.
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use pier_config::applies;
+use pier_types::epochs;
+
+use crate::{
+    commands::{apply_driver, config_check, platform_choice, shown_version},
+    exits,
+};
+
+/// Name of the command.
+pub(crate) const NAME: &str = "apply";
+
+/// Builds the command.
+pub(crate) fn build() -> Command {
+    let base = Arg::new("base")
+        .long("base")
+        .value_name("VERSION")
+        .value_parser(value_parser!(u64))
+        .help("The version that was edited; 0 for the first document [default: as `show` noted]");
+    let command = Command::new(NAME)
+        .about("Puts a document in place of the version that was edited, and of no other")
+        .after_help(
+            "The command says \"accepted\" only when the document is known to be in place. If another\n\
+             change came first, it shows what changed and ends with exit code 3.",
+        )
+        .arg(config_check::file_argument())
+        .arg(base);
+    platform_choice::add_arguments(command)
+}
+
+/// Applies a document.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), exits::CommandFailure> {
+    let file_text = config_check::read_file(matches)?;
+    let (shown, text) = shown_version::split(&file_text);
+    let given = matches.get_one::<u64>("base").copied();
+    let given = given.map(epochs::ConfigVersion::new);
+    let Some(base) = given.or(shown) else {
+        let text = "no base: give --base VERSION, or edit what `config show` printed";
+        return Err(exits::CommandFailure::bad_input(text));
+    };
+    let change = applies::ApplyChange::Replace {
+        text: text.to_owned(),
+        base,
+    };
+    apply_driver::run(matches, change)
+}
--- /dev/null
+++ b/crates/buckthornpier/src/commands/config_show.rs
@@ -0,0 +1,40 @@
+//! `buckthornpier config show`.
+
+use clap::{Arg, ArgAction, ArgMatches, Command};
+
+use crate::{
+    commands::{config_check, platform_choice, shown_version},
+    exits, output,
+};
+
+/// Name of the command.
+pub(crate) const NAME: &str = "show";
+
+/// Builds the command.
+pub(crate) fn build() -> Command {
+    let canonical = Arg::new("canonical")
+        .long("canonical")
+        .action(ArgAction::SetTrue)
+        .help("Show every entry with defaults filled in, without comments");
+    let command = Command::new(NAME)
+        .about("Prints the document in place; its first line remembers the version")
+        .arg(canonical);
+    platform_choice::add_arguments(command)
+}
+
+/// Shows the document.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), exits::CommandFailure> {
+    let client = platform_choice::open(matches)?;
+    let (version, text) = platform_choice::block_on(platform_choice::read_document(&client))?;
+    if version.get() == 0 {
+        output::note("there is no document yet");
+        return Ok(());
+    }
+    let shown = if matches.get_flag("canonical") {
+        config_check::parse(&text)?.to_string()
+    } else {
+        text
+    };
+    output::text(shown_version::add(version, &shown));
+    Ok(())
+}
--- /dev/null
+++ b/crates/buckthornpier/src/commands/drain_command.rs
@@ -0,0 +1,114 @@
+//! `buckthornpier drain` and `buckthornpier undrain`.
+
+use std::{fmt, str};
+
+use clap::{Arg, ArgAction, ArgMatches, Command};
+use pier_config::{applies, documents, edits};
+
+use crate::{
+    commands::{apply_driver, platform_choice},
+    exits,
+};
+
+/// Name of the command that takes something out.
+pub(crate) const DRAIN: &str = "drain";
+/// Name of the command that lets it come back.
+pub(crate) const UNDRAIN: &str = "undrain";
+
+const DATA_CENTRE: &str = "data-centre";
+const TARGET: &str = "target";
+
+/// Builds both commands.
+pub(crate) fn build() -> [Command; 2] {
+    let drain = Command::new(DRAIN)
+        .about(
+            "Takes a data centre or a target out of service: no new work, none in progress is cut",
+        )
+        .subcommand(
+            build_part(DATA_CENTRE, "Takes a data centre out of service").arg(
+                Arg::new("even-last")
+                    .long("even-last")
+                    .action(ArgAction::SetTrue)
+                    .help("Take it out even if no other is left in service"),
+            ),
+        )
+        .subcommand(
+            build_part(TARGET, "Takes one VM out").arg(
+                Arg::new("reason")
+                    .long("reason")
+                    .value_name("TEXT")
+                    .default_value("drained by an operator")
+                    .help("Why, for other operators"),
+            ),
+        );
+    let undrain = Command::new(UNDRAIN)
+        .about("Lets a data centre or a target come back; load returns step by step")
+        .subcommand(build_part(DATA_CENTRE, "Takes a data centre back"))
+        .subcommand(build_part(TARGET, "Takes one VM back"));
+    [drain, undrain].map(|command| {
+        command
+            .subcommand_required(true)
+            .arg_required_else_help(true)
+    })
+}
+
+fn build_part(name: &'static str, about: &'static str) -> Command {
+    let argument = Arg::new("name")
+        .value_name("NAME")
+        .required(true)
+        .help("Its name, as `status` shows it");
+    platform_choice::add_arguments(Command::new(name).about(about).arg(argument))
+}
+
+/// Takes something out.
+pub(crate) fn run_drain(matches: &ArgMatches) -> Result<(), exits::CommandFailure> {
+    match matches.subcommand() {
+        Some((DATA_CENTRE, matches)) => {
+            let edit = edits::DocumentEdit::DataCentre {
+                name: read_name(matches)?,
+                state: documents::DataCentreState::OutOfService,
+                even_last: matches.get_flag("even-last"),
+            };
+            apply_driver::run(matches, applies::ApplyChange::Edit(edit))
+        }
+        Some((TARGET, matches)) => {
+            let reason = matches.get_one::<String>("reason");
+            let edit = edits::DocumentEdit::DrainTarget {
+                vm: read_name(matches)?,
+                reason: reason.cloned().unwrap_or_default(),
+            };
+            apply_driver::run(matches, applies::ApplyChange::Edit(edit))
+        }
+        _ => Err(exits::CommandFailure::bad_input("no such command")),
+    }
+}
+
+/// Lets something come back.
+pub(crate) fn run_undrain(matches: &ArgMatches) -> Result<(), exits::CommandFailure> {
+    match matches.subcommand() {
+        Some((DATA_CENTRE, matches)) => {
+            let edit = edits::DocumentEdit::DataCentre {
+                name: read_name(matches)?,
+                state: documents::DataCentreState::InService,
+                even_last: false,
+            };
+            apply_driver::run(matches, applies::ApplyChange::Edit(edit))
+        }
+        Some((TARGET, matches)) => {
+            let vm = read_name(matches)?;
+            let edit = edits::DocumentEdit::UndrainTarget { vm };
+            apply_driver::run(matches, applies::ApplyChange::Edit(edit))
+        }
+        _ => Err(exits::CommandFailure::bad_input("no such command")),
+    }
+}
+
+fn read_name<T>(matches: &ArgMatches) -> Result<T, exits::CommandFailure>
+where
+    T: str::FromStr,
+    T::Err: fmt::Display,
+{
+    let name = matches.get_one::<String>("name");
+    let name = name.map_or("", String::as_str);
+    name.parse().map_err(exits::CommandFailure::bad_input)
+}
--- /dev/null
+++ b/crates/buckthornpier/src/commands/groups_command.rs
@@ -0,0 +1,31 @@
+//! `buckthornpier groups`.
+
+use clap::{ArgMatches, Command};
+
+use crate::{
+    commands::{node_reader, platform_choice},
+    exits,
+};
+
+/// Name of the command.
+pub(crate) const NAME: &str = "groups";
+/// Path of a node's answer.
+const PATH: &str = "/operator/groups";
+
+/// Builds the command.
+pub(crate) fn build() -> Command {
+    let command = Command::new(NAME)
+        .about("Shows the replica groups as nodes see them")
+        .after_help("A node out of reach ends the command with exit code 4.");
+    node_reader::add_argument(command)
+}
+
+/// Shows the groups.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), exits::CommandFailure> {
+    let nodes = node_reader::nodes(matches);
+    if nodes.is_empty() {
+        let text = "no node to ask: give --node ADDRESS:PORT";
+        return Err(exits::CommandFailure::bad_input(text));
+    }
+    platform_choice::block_on(node_reader::print_all(&nodes, PATH))
+}
--- /dev/null
+++ b/crates/buckthornpier/src/commands/node_reader.rs
@@ -0,0 +1,101 @@
+//! Reads what a node tells operators.
+
+use std::{net, time};
+
+use clap::{Arg, ArgAction, Command, value_parser};
+
+use crate::{exits, output};
+
+/// How long a node may take.
+const NODE_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
+/// Adds the argument that names nodes.
+pub(crate) fn add_argument(command: Command) -> Command {
+    let node = Arg::new("node")
+        .long("node")
+        .value_name("ADDRESS:PORT")
+        .value_parser(value_parser!(net::SocketAddr))
+        .action(ArgAction::Append)
+        .help("A node's operator port, by IP number; may be given several times");
+    command.arg(node)
+}
+
+/// Returns the nodes that the arguments name.
+pub(crate) fn nodes(matches: &clap::ArgMatches) -> Vec<net::SocketAddr> {
+    let nodes = matches.get_many::<net::SocketAddr>("node");
+    nodes
+        .map(|nodes| nodes.copied().collect())
+        .unwrap_or_default()
+}
+
+/// Prints what each node answers on a path, one `name = value` a line; fails if any is away.
+pub(crate) async fn print_all(
+    nodes: &[net::SocketAddr],
+    path: &str,
+) -> Result<(), exits::CommandFailure> {
+    let client = reqwest::Client::builder()
+        .redirect(reqwest::redirect::Policy::none())
+        .no_proxy()
+        .retry(reqwest::retry::never())
+        .timeout(NODE_TIMEOUT)
+        .build()
+        .map_err(anyhow::Error::from)?;
+    let mut away = Vec::new();
+    for node in nodes {
+        match read(&client, *node, path).await {
+            Ok(value) => {
+                output::line(format!("[node {node}]"));
+                print_value("", &value);
+            }
+            Err(error) => away.push(format!("node {node}: {error:#}")),
+        }
+    }
+    if away.is_empty() {
+        return Ok(());
+    }
+    Err(exits::CommandFailure::away(away.join("\n")))
+}
+
+async fn read(
+    client: &reqwest::Client,
+    node: net::SocketAddr,
+    path: &str,
+) -> anyhow::Result<serde_json::Value> {
+    let reply = client.get(format!("http://{node}{path}")).send().await?;
+    Ok(reply.error_for_status()?.json().await?)
+}
+
+/// Prints a JSON value, its nested names joined by dots.
+fn print_value(name: &str, value: &serde_json::Value) {
+    match value {
+        serde_json::Value::Object(fields) => {
+            for (field, value) in fields {
+                print_value(&join(name, field), value);
+            }
+        }
+        serde_json::Value::Array(items) if items.iter().any(serde_json::Value::is_object) => {
+            for (index, item) in items.iter().enumerate() {
+                print_value(&join(name, &index.to_string()), item);
+            }
+        }
+        serde_json::Value::Array(items) => {
+            let items = items.iter().map(plain).collect::<Vec<_>>();
+            output::line(format!("{name} = {}", items.join(", ")));
+        }
+        other => output::line(format!("{name} = {}", plain(other))),
+    }
+}
+
+fn join(name: &str, field: &str) -> String {
+    if name.is_empty() {
+        return field.to_owned();
+    }
+    format!("{name}.{field}")
+}
+
+fn plain(value: &serde_json::Value) -> String {
+    match value.as_str() {
+        Some(text) => text.to_owned(),
+        None => value.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/buckthornpier/src/commands/status_command.rs
@@ -0,0 +1,56 @@
+//! `buckthornpier status`.
+
+use clap::{ArgMatches, Command};
+
+use crate::{
+    commands::{config_check, node_reader, platform_choice},
+    exits, output,
+};
+
+/// Name of the command.
+pub(crate) const NAME: &str = "status";
+/// Path of a node's answer.
+const PATH: &str = "/operator/status";
+
+/// Builds the command.
+pub(crate) fn build() -> Command {
+    let command = Command::new(NAME)
+        .about("Shows what the platform holds, and what nodes say of themselves")
+        .after_help(
+            "Give a platform, nodes, or both. A node out of reach ends it with exit code 4.",
+        );
+    node_reader::add_argument(platform_choice::add_arguments(command))
+}
+
+/// Shows the state.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), exits::CommandFailure> {
+    let nodes = node_reader::nodes(matches);
+    if nodes.is_empty() && !platform_choice::is_given(matches) {
+        let text = "nothing to ask: give --platform URL, --settings FILE or --node ADDRESS:PORT";
+        return Err(exits::CommandFailure::bad_input(text));
+    }
+    if platform_choice::is_given(matches) {
+        show_platform(matches)?;
+    }
+    platform_choice::block_on(node_reader::print_all(&nodes, PATH))
+}
+
+fn show_platform(matches: &ArgMatches) -> Result<(), exits::CommandFailure> {
+    let client = platform_choice::open(matches)?;
+    let (version, text) = platform_choice::block_on(platform_choice::read_document(&client))?;
+    output::line("[platform]");
+    if version.get() == 0 {
+        output::line("document = none yet");
+        return Ok(());
+    }
+    let document = config_check::parse(&text)?;
+    output::line(format!("document = {}", document.name));
+    output::line(format!("version = {version}"));
+    for (name, section) in &document.data_centres {
+        output::line(format!("data-centre.{name} = {}", section.state));
+    }
+    for (vm, reason) in &document.drained {
+        output::line(format!("drained.{vm} = {reason}"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/buckthornpier/src/exits/mod.rs
@@ -0,0 +1,7 @@
+//! How a command ends.
+
+mod command_failure;
+mod exit_code;
+
+pub(crate) use command_failure::CommandFailure;
+pub(crate) use exit_code::ExitCode;
--- /dev/null
+++ b/crates/buckthornpier/src/logs/key_value_line.rs
@@ -0,0 +1,76 @@
+//! One event as a line of `key=value` pairs.
+
+use std::fmt;
+
+use log::kv;
+use pier_types::times;
+
+use crate::logs;
+
+/// Targets of this product's own lines; lines of libraries are marked as such.
+const OWN_TARGETS: [&str; 2] = ["pier_", "buckthornpier"];
+/// The key that names an event.
+const EVENT_KEY: &str = "event";
+
+/// Shows a log record as one line; values are quoted where they need it.
+#[derive(Debug)]
+pub(crate) struct KeyValueLine<'a> {
+    record: &'a log::Record<'a>,
+    time: times::WallTime,
+}
+
+impl<'a> KeyValueLine<'a> {
+    /// Takes a record and the time at which it was made.
+    pub(crate) fn new(record: &'a log::Record<'a>, time: times::WallTime) -> Self {
+        Self { record, time }
+    }
+
+    fn is_own(&self) -> bool {
+        let target = self.record.target();
+        OWN_TARGETS.iter().any(|prefix| target.starts_with(prefix))
+    }
+}
+
+impl fmt::Display for KeyValueLine<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let level = self.record.level().as_str().to_ascii_lowercase();
+        write!(f, "time={} level={level}", logs::UtcTime(self.time))?;
+        let pairs = self.record.key_values();
+        let named = pairs.get(kv::Key::from_str(EVENT_KEY)).is_some();
+        if !named {
+            let event = if self.is_own() { "message" } else { "library" };
+            write!(f, " {EVENT_KEY}={event}")?;
+        }
+        pairs
+            .visit(&mut PairWriter { f })
+            .map_err(|_error| fmt::Error)?;
+        if !named {
+            write_pair(f, "source", self.record.target())?;
+        }
+        let message = self.record.args().to_string();
+        if !message.is_empty() {
+            write_pair(f, "message", &message)?;
+        }
+        Ok(())
+    }
+}
+
+/// Writes each pair of a record.
+struct PairWriter<'a, 'b> {
+    f: &'a mut fmt::Formatter<'b>,
+}
+
+impl<'kvs> kv::VisitSource<'kvs> for PairWriter<'_, '_> {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        write_pair(self.f, key.as_str(), &value.to_string())?;
+        Ok(())
+    }
+}
+
+fn write_pair(f: &mut fmt::Formatter<'_>, key: &str, value: &str) -> fmt::Result {
+    let plain = |symbol: char| symbol.is_ascii_graphic() && !matches!(symbol, '"' | '=' | '\\');
+    if !value.is_empty() && value.chars().all(plain) {
+        return write!(f, " {key}={value}");
+    }
+    write!(f, " {key}={value:?}")
+}
--- /dev/null
+++ b/crates/buckthornpier/tests/common/mod.rs
@@ -0,0 +1,92 @@
+//! What the tests of the built binary share.
+
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+pub mod lossy_relay;
+
+use std::{fs, path, process};
+
+use pier_fakes::platform;
+
+/// The sample document.
+pub const SAMPLE: &str = include_str!("../../../../examples/laurel-north.ini");
+
+/// How a command ended.
+#[derive(Debug)]
+pub struct CommandEnd {
+    /// The exit code.
+    pub code: i32,
+    /// Standard output.
+    pub out: String,
+    /// Standard error.
+    pub err: String,
+}
+
+/// Starts the built binary.
+pub fn command(arguments: &[&str]) -> process::Command {
+    let mut command = process::Command::new(env!("CARGO_BIN_EXE_buckthornpier"));
+    command.args(arguments);
+    command
+}
+
+/// Runs the built binary to its end.
+pub fn run(arguments: &[&str]) -> CommandEnd {
+    let output = command(arguments).output().unwrap();
+    CommandEnd {
+        code: output.status.code().unwrap_or(-1),
+        out: String::from_utf8(output.stdout).unwrap(),
+        err: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+/// Runs the built binary and checks its exit code.
+pub fn expect(code: i32, arguments: &[&str]) -> CommandEnd {
+    let end = run(arguments);
+    assert_eq!(end.code, code, "{arguments:?}: {end:?}");
+    end
+}
+
+/// Writes a file that only the named test uses.
+pub fn file(test: &str, name: &str, content: &str) -> String {
+    let folder = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
+    fs::create_dir_all(&folder).unwrap();
+    let path = folder.join(name);
+    fs::write(&path, content).unwrap();
+    path.to_str().unwrap().to_owned()
+}
+
+/// Starts a platform and returns it with its URL.
+pub async fn platform() -> (platform::FakePlatform, String) {
+    let server = platform::FakePlatform::builder().launch().await.unwrap();
+    let url = format!("http://{}", server.address());
+    (server, url)
+}
+
+/// Starts a platform that holds the sample as version 1.
+pub async fn platform_with_sample(test: &str) -> (platform::FakePlatform, String) {
+    let (server, url) = platform().await;
+    let sample = file(test, "sample.ini", SAMPLE);
+    let end = expect(
+        0,
+        &[
+            "config",
+            "apply",
+            &sample,
+            "--base",
+            "0",
+            "--platform",
+            &url,
+        ],
+    );
+    assert_eq!(end.out, "accepted: version 1\n");
+    (server, url)
+}
+
+/// Counts the writes of the document that took effect.
+pub fn effective_writes(server: &platform::FakePlatform) -> usize {
+    let entries = server.record().entries();
+    let writes = entries.iter().filter(|entry| {
+        entry.method == "PUT" && entry.path == "objects/config/document" && entry.started
+    });
+    writes.count()
+}
