--- a/crates/pier_node/src/handle/mod.rs
+++ b/crates/pier_node/src/handle/mod.rs
@@ -1,9 +1,15 @@
 //! The handle that every part of a node shares.
 
 mod config_snapshot;
+mod group_snapshot;
+mod lease_snapshot;
 mod node_handle;
+mod peer_entry;
 mod request_guard;
 
 pub use config_snapshot::ConfigSnapshot;
+pub use group_snapshot::GroupSnapshot;
+pub use lease_snapshot::LeaseSnapshot;
 pub use node_handle::NodeHandle;
+pub use peer_entry::PeerEntry;
 pub use request_guard::RequestGuard;
--- a/crates/pier_node/src/handle/node_handle.rs
+++ b/crates/pier_node/src/handle/node_handle.rs
@@ -4,8 +4,9 @@
 use std::{collections, fmt};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use pier_control::health;
 use pier_platform::{lists, objects};
-use pier_types::{ids, routes, vms};
+use pier_types::{ids, routes, sizes, vms};
 use pier_wire::seals;
 
 use crate::{handle, settings, telemetry};
@@ -33,6 +34,11 @@
     config: ArcSwapOption<handle::ConfigSnapshot>,
     routes: ArcSwap<routes::RouteTable>,
     vms: ArcSwap<collections::BTreeMap<ids::VmName, vms::VmEntry>>,
+    evidence: ArcSwap<collections::BTreeMap<ids::VmName, health::VmEvidence>>,
+    groups: ArcSwap<handle::GroupSnapshot>,
+    lease: ArcSwapOption<handle::LeaseSnapshot>,
+    peers: ArcSwap<Vec<handle::PeerEntry>>,
+    shares: ArcSwap<collections::BTreeMap<ids::TargetId, sizes::RequestCount>>,
 }
 
 impl fmt::Debug for NodeHandle {
@@ -69,6 +75,11 @@
             config: ArcSwapOption::empty(),
             routes: ArcSwap::default(),
             vms: ArcSwap::default(),
+            evidence: ArcSwap::default(),
+            groups: ArcSwap::default(),
+            lease: ArcSwapOption::empty(),
+            peers: ArcSwap::default(),
+            shares: ArcSwap::default(),
         };
         Ok(Self {
             shared: sync::Arc::new(shared),
@@ -145,6 +156,62 @@
         self.shared.vms.store(sync::Arc::new(list));
     }
 
+    /// Returns the newest evidence of each VM of this data centre.
+    pub fn evidence(&self) -> sync::Arc<collections::BTreeMap<ids::VmName, health::VmEvidence>> {
+        self.shared.evidence.load_full()
+    }
+
+    /// Publishes the evidence that the probes brought.
+    pub fn publish_evidence(
+        &self,
+        evidence: collections::BTreeMap<ids::VmName, health::VmEvidence>,
+    ) {
+        self.shared.evidence.store(sync::Arc::new(evidence));
+    }
+
+    /// Returns the groups of this data centre and their health.
+    pub fn groups(&self) -> sync::Arc<handle::GroupSnapshot> {
+        self.shared.groups.load_full()
+    }
+
+    /// Publishes the groups of this data centre and their health.
+    pub fn publish_groups(&self, snapshot: handle::GroupSnapshot) {
+        self.shared.groups.store(sync::Arc::new(snapshot));
+    }
+
+    /// Returns the control lease of this data centre; none until it was read.
+    pub fn lease(&self) -> Option<sync::Arc<handle::LeaseSnapshot>> {
+        self.shared.lease.load_full()
+    }
+
+    /// Publishes the control lease of this data centre.
+    pub fn publish_lease(&self, snapshot: handle::LeaseSnapshot) {
+        self.shared.lease.store(Some(sync::Arc::new(snapshot)));
+    }
+
+    /// Returns the other nodes that are thought alive.
+    pub fn peers(&self) -> sync::Arc<Vec<handle::PeerEntry>> {
+        self.shared.peers.load_full()
+    }
+
+    /// Publishes the other nodes that are thought alive.
+    pub fn publish_peers(&self, peers: Vec<handle::PeerEntry>) {
+        self.shared.peers.store(sync::Arc::new(peers));
+    }
+
+    /// Returns how many requests this node may have in flight at each target.
+    pub fn shares(&self) -> sync::Arc<collections::BTreeMap<ids::TargetId, sizes::RequestCount>> {
+        self.shared.shares.load_full()
+    }
+
+    /// Publishes how many requests this node may have in flight at each target.
+    pub fn publish_shares(
+        &self,
+        shares: collections::BTreeMap<ids::TargetId, sizes::RequestCount>,
+    ) {
+        self.shared.shares.store(sync::Arc::new(shares));
+    }
+
     /// Counts a request as in progress until the guard is dropped.
     pub fn begin_request(&self) -> handle::RequestGuard {
         handle::RequestGuard::new(sync::Arc::clone(&self.shared.in_progress))
