Decide membership, isolation, warmth and the shift of a data centre

Cause: nodes come and go, get cut off, targets turn cold without warning, operators take a data centre out and back. Isolation: without the platform a data centre whose nodes hear one another goes on; a node that hears nobody stops new work after 5 s. Warmth: unknown is cold, cut at once, doubled on proof probed after the last change.

--- /dev/null
+++ b/crates/pier_limits/src/members/isolation_policy.rs
@@ -0,0 +1,78 @@
+//! What a cut-off node does.
+
+use std::time;
+
+use pier_types::times;
+
+use crate::members;
+
+/// Decides from a node's links what it may do; see `docs/design/cut-off-node.md`.
+///
+/// A data centre whose nodes hear one another goes on serving without the platform, for as long
+/// as it takes. A node that hears nobody can not learn that its data centre was taken out or that
+/// a target is leaving. It turns its readiness off at once and takes no new work after seconds.
+///
+/// ```
+/// use pier_limits::members;
+/// use pier_types::times;
+///
+/// let policy = members::IsolationPolicy::default();
+/// let facts = members::IsolationFacts::default();
+/// let stance = policy.stance(&facts, times::BootTime::from_millis(60_000));
+/// assert_eq!(stance.place, members::IsolationPlace::PlatformAway);
+/// assert!(!stance.one_time);
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct IsolationPolicy {
+    /// Silence after which the platform or the peers count as away.
+    pub away_after: time::Duration,
+    /// Silence of everybody after which no new work is taken.
+    pub stop_after: time::Duration,
+}
+
+impl Default for IsolationPolicy {
+    fn default() -> Self {
+        Self {
+            away_after: time::Duration::from_secs(3),
+            stop_after: time::Duration::from_secs(5),
+        }
+    }
+}
+
+impl IsolationPolicy {
+    /// Returns what the node may do now.
+    ///
+    /// A node that the record names as the only one of its data centre is never alone: it is the
+    /// whole data centre, which has to go on serving.
+    pub fn stance(
+        &self,
+        facts: &members::IsolationFacts,
+        now: times::BootTime,
+    ) -> members::IsolationStance {
+        let heard = |at: Option<times::BootTime>, limit: time::Duration| {
+            at.is_some_and(|at| now.since(at) <= limit)
+        };
+        if heard(facts.platform_at, self.away_after) {
+            return stance(members::IsolationPlace::Connected, true, true);
+        }
+        if !facts.has_peers || heard(facts.peer_at, self.away_after) {
+            return stance(members::IsolationPlace::PlatformAway, true, true);
+        }
+        let latest = facts.platform_at.max(facts.peer_at);
+        let new_work = heard(latest, self.stop_after);
+        stance(members::IsolationPlace::Alone, false, new_work)
+    }
+}
+
+const fn stance(
+    place: members::IsolationPlace,
+    ready: bool,
+    new_work: bool,
+) -> members::IsolationStance {
+    members::IsolationStance {
+        place,
+        ready,
+        new_work,
+        one_time: matches!(place, members::IsolationPlace::Connected),
+    }
+}
--- a/crates/pier_limits/src/shifts/mod.rs
+++ b/crates/pier_limits/src/shifts/mod.rs
@@ -1,1 +1,12 @@
-//! To come.
+//! A data centre that leaves and returns.
+//!
+//! Keeps the promise that a data centre which operators have taken out of service receives no new
+//! work after a few seconds.
+
+mod data_centre_shift;
+mod shift_policy;
+mod shift_weight;
+
+pub use data_centre_shift::DataCentreShift;
+pub use shift_policy::ShiftPolicy;
+pub use shift_weight::ShiftWeight;
--- a/crates/pier_limits/src/warmth/mod.rs
+++ b/crates/pier_limits/src/warmth/mod.rs
@@ -1,1 +1,13 @@
-//! To come.
+//! How much of its limit a target can bear now.
+//!
+//! Keeps the promise that a target in a cold start receives no more load than it can bear.
+
+mod slow_targets;
+mod target_pace;
+mod warmth_policy;
+mod warmth_ramp;
+
+pub use slow_targets::SlowTargets;
+pub use target_pace::TargetPace;
+pub use warmth_policy::WarmthPolicy;
+pub use warmth_ramp::WarmthRamp;
--- /dev/null
+++ b/crates/pier_limits/src/warmth/warmth_ramp.rs
@@ -0,0 +1,145 @@
+//! The limit of one target over time.
+
+use std::{collections, time};
+
+use pier_types::{epochs, reports, sizes, times};
+
+use crate::warmth;
+
+/// Cuts a target's limit at once on evidence of cold and raises it step by step on proof of warmth.
+///
+/// Unknown is cold. Proof is a report of warmth by a probe that was sent after the last change, so
+/// that each step is borne before the next one. Steps double the limit.
+///
+/// ```
+/// use pier_limits::warmth;
+/// use pier_types::{sizes, times};
+///
+/// let full = sizes::RequestCount::new(64);
+/// let ramp = warmth::WarmthRamp::new(full, warmth::WarmthPolicy::default());
+/// assert_eq!(ramp.limit(times::BootTime::default()).get(), 4);
+/// ```
+#[derive(Debug)]
+pub struct WarmthRamp {
+    full: sizes::RequestCount,
+    policy: warmth::WarmthPolicy,
+    level: sizes::RequestCount,
+    changed_at: times::BootTime,
+    warm_at: Option<times::BootTime>,
+    incarnation: Option<epochs::VmIncarnation>,
+    state: Option<reports::EngineState>,
+    pace: warmth::TargetPace,
+    jumps: u32,
+    failures: collections::BTreeSet<times::BootTime>,
+}
+
+impl WarmthRamp {
+    /// Creates the ramp of a target of which nothing is known.
+    pub fn new(full: sizes::RequestCount, policy: warmth::WarmthPolicy) -> Self {
+        Self {
+            full,
+            policy,
+            level: policy.cold.min(full),
+            changed_at: times::BootTime::default(),
+            warm_at: None,
+            incarnation: None,
+            state: None,
+            pace: warmth::TargetPace::default(),
+            jumps: 0,
+            failures: collections::BTreeSet::new(),
+        }
+    }
+
+    /// Changes the full limit, as the configuration says.
+    pub fn set_full(&mut self, full: sizes::RequestCount) {
+        self.full = full;
+        self.level = self.level.min(full);
+    }
+
+    /// Takes in a report, probed at `probed_at`.
+    pub fn hear_report(
+        &mut self,
+        incarnation: epochs::VmIncarnation,
+        state: reports::EngineState,
+        probed_at: times::BootTime,
+        now: times::BootTime,
+    ) {
+        let restarted = self.incarnation.is_some_and(|known| known != incarnation);
+        self.incarnation = Some(incarnation);
+        self.state = Some(state);
+        let lost_sight = self
+            .warm_at
+            .is_some_and(|warm_at| probed_at.since(warm_at) > self.policy.evidence_bound);
+        if restarted || lost_sight || state != reports::EngineState::Warm {
+            self.cut(now);
+        }
+        if state == reports::EngineState::Warm && !restarted {
+            self.warm_at = self.warm_at.max(Some(probed_at));
+            self.step(probed_at, now);
+        }
+    }
+
+    /// Takes in an answer's time to the first token.
+    pub fn hear_answer(&mut self, latency: time::Duration, now: times::BootTime) {
+        let usual = self.pace.latency * self.policy.jump_factor;
+        let jumped = self.pace.answers >= self.policy.jump_count && latency > usual;
+        if !jumped {
+            self.jumps = 0;
+            self.pace.answer(latency);
+            return;
+        }
+        self.jumps += 1;
+        if self.jumps >= self.policy.jump_count {
+            self.jumps = 0;
+            self.cut(now);
+        }
+    }
+
+    /// Takes in a failure of the target.
+    pub fn hear_failure(&mut self, now: times::BootTime) {
+        let burst_time = self.policy.burst_time;
+        self.failures.retain(|at| now.since(*at) < burst_time);
+        self.failures.insert(now);
+        let limit = usize::try_from(self.policy.burst_count).unwrap_or(usize::MAX);
+        if self.failures.len() >= limit {
+            self.failures.clear();
+            self.cut(now);
+        }
+    }
+
+    /// Returns the present limit.
+    pub fn limit(&self, now: times::BootTime) -> sizes::RequestCount {
+        let cold = self.policy.cold.min(self.full);
+        match self.state {
+            Some(reports::EngineState::Empty | reports::EngineState::Loading) => {
+                sizes::RequestCount::new(0)
+            }
+            Some(reports::EngineState::Warm) if self.knows(now) => self.level,
+            Some(_) | None => cold.min(self.level),
+        }
+    }
+
+    fn knows(&self, now: times::BootTime) -> bool {
+        let bound = self.policy.evidence_bound;
+        self.warm_at.is_some_and(|at| now.since(at) <= bound)
+    }
+
+    fn cut(&mut self, now: times::BootTime) {
+        self.level = self.policy.cold.min(self.full);
+        self.changed_at = now;
+        self.warm_at = None;
+        self.jumps = 0;
+        self.pace = warmth::TargetPace::default();
+    }
+
+    fn step(&mut self, probed_at: times::BootTime, now: times::BootTime) {
+        let borne = probed_at > self.changed_at;
+        let rested = now.since(self.changed_at) >= self.policy.step_time;
+        if !borne || !rested || self.level >= self.full {
+            return;
+        }
+        let doubled = self.level.get().saturating_mul(2).max(1);
+        self.level = sizes::RequestCount::new(doubled).min(self.full);
+        self.changed_at = now;
+    }
+}
