Count requests of one crash together, however they are marked

Cause: each request marks its own loss, so that one crash of many looked like many of one. Evidence: requests_marked_one_by_one_count_as_one_crash_of_many failed before and passes now. Conclusion: the suspects of a crash are at least the marks that name it.

--- a/crates/pier_request/src/quarantine/crash_ledger.rs
+++ b/crates/pier_request/src/quarantine/crash_ledger.rs
@@ -146,11 +146,13 @@
     /// Returns the requests that are kept away now.
     pub fn snapshot(&self, now: times::BootTime) -> quarantine::QuarantineSet {
         let mut set = quarantine::QuarantineSet::default();
+        let implicated = self.implicated_counts();
         let mut evidence = quarantine::CrashEvidence::default();
         let mut newest = times::BootTime::default();
         let mut marks = self.live_marks(now).peekable();
         while let Some((key, state)) = marks.next() {
-            evidence.add(&key.1, state.suspects);
+            let together = implicated.get(&(&key.1, key.2)).copied().unwrap_or(0);
+            evidence.add(&key.1, state.suspects.max(together));
             newest = newest.max(state.seen_at);
             let ends = marks.peek().is_none_or(|(next, _state)| next.0 != key.0);
             if !ends {
@@ -176,6 +178,18 @@
         self.marks.is_empty()
     }
 
+    /// Counts the requests implicated in each crash: each of them may be marked by itself, on its
+    /// own node.
+    fn implicated_counts(
+        &self,
+    ) -> collections::BTreeMap<(&ids::TargetId, epochs::GroupGeneration), u32> {
+        let mut counts = collections::BTreeMap::new();
+        for (_fingerprint, target, generation) in self.marks.keys() {
+            *counts.entry((target, *generation)).or_default() += 1;
+        }
+        counts
+    }
+
     fn live_marks(&self, now: times::BootTime) -> impl Iterator<Item = (&MarkKey, &MarkState)> {
         let live = move |state: &MarkState| !state.cleared && now.since(state.seen_at) < MARK_LIFE;
         self.marks.iter().filter(move |(_key, state)| live(state))
--- a/crates/pier_request/tests/crashing_requests_are_quarantined.rs
+++ b/crates/pier_request/tests/crashing_requests_are_quarantined.rs
@@ -257,3 +257,15 @@
         "{wronged} of 15,800 innocents kept away"
     );
 }
+
+#[test]
+fn requests_marked_one_by_one_count_as_one_crash_of_many() {
+    let mut ledger = quarantine::CrashLedger::default();
+    for vm in 0..2 {
+        for number in [7, 100 + vm, 200 + vm, 300 + vm, 400 + vm] {
+            crash(&mut ledger, vm, 1, &[number], 10);
+        }
+    }
+    // Alone on two targets it would be kept away; among five it is not yet.
+    assert!(!is_kept_away(&ledger, 7, 20));
+}
