Choose where a request is passed on; add the benchmark of one node

Cause: a data centre without targets has to know whom to ask, and the cost of a node is unmeasured. Ruled out: the least loaded node, since loads of other data centres are not known here; a lost data centre must cost one try, so candidates stand in different ones. Figures: none yet; the benchmark needs groups, which are not wired.

--- /dev/null
+++ b/crates/buckthornpier/examples/entry_cost/main.rs
@@ -0,0 +1,124 @@
+//! Measures what one node adds to a call and what a call costs it.
+//!
+//! Starts the stand-ins and one node as processes, then sends the same calls straight to the
+//! engine and through the node:
+//! `cargo build --release && cargo run --release -p buckthornpier --example entry_cost`
+
+mod load_run;
+mod process_set;
+
+use std::time;
+
+use anyhow::Context as _;
+
+/// Calls of each latency run.
+const LATENCY_CALLS: usize = 2_000;
+
+/// Calls in flight together in a throughput run.
+const THROUGHPUT_LANES: usize = 8;
+
+/// Calls of each lane of a throughput run.
+const LANE_CALLS: usize = 500;
+
+/// Streams in flight together in a token run.
+const STREAM_LANES: usize = 8;
+
+/// Streams of each lane of a token run.
+const LANE_STREAMS: usize = 6;
+
+/// Tokens of each stream.
+const STREAM_TOKENS: usize = 1_000;
+
+/// Time over which an idle node is watched.
+const IDLE_TIME: time::Duration = time::Duration::from_secs(10);
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let processes = process_set::ProcessSet::launch().await?;
+    let direct = load_run::LoadRun::new(processes.engine_address());
+    let routed = load_run::LoadRun::new(processes.node_address());
+    print_latency(&direct, &routed).await?;
+    print_throughput(&processes, &routed).await?;
+    print_tokens(&processes, &routed).await?;
+    print_idle(&processes).await
+}
+
+async fn print_latency(
+    direct: &load_run::LoadRun,
+    routed: &load_run::LoadRun,
+) -> anyhow::Result<()> {
+    direct.calls(LATENCY_CALLS / 10, 1).await?;
+    routed.calls(LATENCY_CALLS / 10, 1).await?;
+    let direct = direct.calls(LATENCY_CALLS, 1).await?;
+    let routed = routed.calls(LATENCY_CALLS, 1).await?;
+    for quantile in [0.5, 0.95] {
+        let (base, through) = (
+            direct.value_at_quantile(quantile),
+            routed.value_at_quantile(quantile),
+        );
+        println!(
+            "latency quantile={quantile} direct_us={base} node_us={through} ratio={:.2} added_us={}",
+            ratio(through, base),
+            through.saturating_sub(base),
+        );
+    }
+    Ok(())
+}
+
+async fn print_throughput(
+    processes: &process_set::ProcessSet,
+    routed: &load_run::LoadRun,
+) -> anyhow::Result<()> {
+    let before = processes.node_cpu()?;
+    let started = time::Instant::now();
+    let lanes = (0..THROUGHPUT_LANES).map(|_lane| routed.calls(LANE_CALLS, 1));
+    for lane in futures_util::future::join_all(lanes).await {
+        lane?;
+    }
+    let cpu = processes.node_cpu()?.saturating_sub(before);
+    let calls = THROUGHPUT_LANES * LANE_CALLS;
+    println!(
+        "calls calls={calls} seconds={:.2} cpu_us_a_call={:.0} calls_a_second_a_core={:.0}",
+        started.elapsed().as_secs_f64(),
+        cpu.as_secs_f64() * 1e6 / calls as f64,
+        calls as f64 / cpu.as_secs_f64(),
+    );
+    Ok(())
+}
+
+async fn print_tokens(
+    processes: &process_set::ProcessSet,
+    routed: &load_run::LoadRun,
+) -> anyhow::Result<()> {
+    let before = processes.node_cpu()?;
+    let started = time::Instant::now();
+    let lanes = (0..STREAM_LANES).map(|_lane| routed.streams(LANE_STREAMS, STREAM_TOKENS));
+    for lane in futures_util::future::join_all(lanes).await {
+        lane?;
+    }
+    let cpu = processes.node_cpu()?.saturating_sub(before);
+    let tokens = STREAM_LANES * LANE_STREAMS * STREAM_TOKENS;
+    println!(
+        "tokens tokens={tokens} seconds={:.2} cpu_us_a_token={:.2} tokens_a_second_a_core={:.0}",
+        started.elapsed().as_secs_f64(),
+        cpu.as_secs_f64() * 1e6 / tokens as f64,
+        tokens as f64 / cpu.as_secs_f64(),
+    );
+    Ok(())
+}
+
+async fn print_idle(processes: &process_set::ProcessSet) -> anyhow::Result<()> {
+    let before = processes.node_cpu()?;
+    tokio::time::sleep(IDLE_TIME).await;
+    let cpu = processes.node_cpu()?.saturating_sub(before);
+    println!(
+        "idle core_percent={:.2} resident_kb={}",
+        100.0 * cpu.as_secs_f64() / IDLE_TIME.as_secs_f64(),
+        processes.node_memory_kb().context("reading memory")?,
+    );
+    Ok(())
+}
+
+fn ratio(value: u64, base: u64) -> f64 {
+    value as f64 / base.max(1) as f64
+}
--- /dev/null
+++ b/crates/buckthornpier/examples/entry_cost/process_set.rs
@@ -0,0 +1,183 @@
+//! The processes of a run.
+
+use std::io::BufRead as _;
+use std::{env, fs, io, path, process, time};
+
+use anyhow::Context as _;
+use serde_json::json;
+
+/// VMs of the one group.
+const MEMBERS: usize = 4;
+
+/// Ticks of the processor clock in a second, as Linux counts them for users.
+const TICKS_PER_SECOND: u64 = 100;
+
+/// Longest time until the node serves.
+const START_LIMIT: time::Duration = time::Duration::from_mins(1);
+
+/// A platform, the engines of one group, and a node; all end with the value.
+#[derive(Debug)]
+pub struct ProcessSet {
+    children: Vec<process::Child>,
+    engine: String,
+    node: String,
+    node_id: u32,
+}
+
+impl ProcessSet {
+    /// Starts everything and waits until the node serves the model.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not start or the node does not come to serve.
+    pub async fn launch() -> anyhow::Result<Self> {
+        let mut set = Self {
+            children: Vec::new(),
+            engine: String::new(),
+            node: String::new(),
+            node_id: 0,
+        };
+        let platform = set.start_fake(&["platform"])?;
+        let mut list = Vec::new();
+        for number in 0..MEMBERS {
+            let vm = format!("vm-{number}");
+            let arguments = [
+                "engine",
+                "--vm",
+                &vm,
+                "--token-ms",
+                "0",
+                "--warm-after",
+                "1",
+            ];
+            let address = set.start_fake(&arguments)?;
+            list.push(json!({
+                "name": vm, "incarnation": 1, "address": address, "data_centre": "scot-central-a",
+                "domain": "fabric-1", "pool": "accelerator", "state": "live"
+            }));
+            set.engine = address;
+        }
+        set.engine = list[0]["address"].as_str().unwrap_or_default().to_owned();
+        publish(&platform, &list).await?;
+        set.start_node(&platform)?;
+        set.wait_until_served().await?;
+        Ok(set)
+    }
+
+    /// Returns where the group's first member listens.
+    pub fn engine_address(&self) -> &str {
+        &self.engine
+    }
+
+    /// Returns where the node takes callers.
+    pub fn node_address(&self) -> &str {
+        &self.node
+    }
+
+    /// Returns the processor time that the node has used.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system does not tell.
+    pub fn node_cpu(&self) -> anyhow::Result<time::Duration> {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.node_id))?;
+        let (_name, fields) = stat.rsplit_once(')').context("no such form")?;
+        let fields: Vec<&str> = fields.split_whitespace().collect();
+        let ticks = |place: usize| -> anyhow::Result<u64> {
+            Ok(fields.get(place).context("no such field")?.parse()?)
+        };
+        let total = ticks(11)? + ticks(12)?;
+        Ok(time::Duration::from_millis(
+            total * 1_000 / TICKS_PER_SECOND,
+        ))
+    }
+
+    /// Returns the memory that the node holds, in kilobytes.
+    pub fn node_memory_kb(&self) -> Option<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.node_id)).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        line.split_whitespace().nth(1)?.parse().ok()
+    }
+
+    fn start_fake(&mut self, arguments: &[&str]) -> anyhow::Result<String> {
+        let line = self.start("pier-fakes", arguments)?;
+        let address = line.strip_prefix("listening=").context("no address")?;
+        Ok(address.to_owned())
+    }
+
+    fn start_node(&mut self, platform: &str) -> anyhow::Result<()> {
+        let settings = format!(
+            "[node]\ndata-centre = scot-central-a\nregion = scot-central\ncallers = 127.0.0.1:0\n\
+             operators = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
+             peer-key = 0123456789abcdef0123456789abcdef\n[platform]\nurl = http://{platform}\n\
+             [telemetry]\nlog-level = warn\n"
+        );
+        let path = env::temp_dir().join(format!("entry-cost-{}.ini", process::id()));
+        fs::write(&path, settings)?;
+        let line = self.start(
+            "buckthornpier",
+            &["node", "--settings", &path.to_string_lossy()],
+        )?;
+        fs::remove_file(&path)?;
+        let mut fields = line.split_whitespace();
+        let callers = fields.find_map(|field| field.strip_prefix("callers="));
+        callers.context("no address")?.clone_into(&mut self.node);
+        self.node_id = self.children.last().context("no process")?.id();
+        Ok(())
+    }
+
+    /// Starts a program that stands beside this one's folder; returns its first line.
+    fn start(&mut self, name: &str, arguments: &[&str]) -> anyhow::Result<String> {
+        let folder = env::current_exe()?;
+        let folder = folder.parent().and_then(path::Path::parent);
+        let program = folder.context("no folder")?.join(name);
+        let mut child = process::Command::new(&program)
+            .args(arguments)
+            .stdout(process::Stdio::piped())
+            .spawn()
+            .with_context(|| format!("starting {}", program.display()))?;
+        let output = child.stdout.take().context("no output")?;
+        self.children.push(child);
+        let mut line = String::new();
+        io::BufReader::new(output).read_line(&mut line)?;
+        Ok(line.trim().to_owned())
+    }
+
+    async fn wait_until_served(&self) -> anyhow::Result<()> {
+        let run = crate::load_run::LoadRun::new(&self.node);
+        let started = time::Instant::now();
+        while let Err(error) = run.calls(1, 1).await {
+            if started.elapsed() > START_LIMIT {
+                return Err(error.context("the node does not serve"));
+            }
+            tokio::time::sleep(time::Duration::from_millis(100)).await;
+        }
+        Ok(())
+    }
+}
+
+impl Drop for ProcessSet {
+    fn drop(&mut self) {
+        for child in &mut self.children {
+            // A child that has ended already needs no end.
+            let _ended = child.kill();
+            let _reaped = child.wait();
+        }
+    }
+}
+
+async fn publish(platform: &str, list: &[serde_json::Value]) -> anyhow::Result<()> {
+    let client = reqwest::Client::new();
+    let url = format!("http://{platform}/control/vms");
+    client
+        .put(url)
+        .json(list)
+        .send()
+        .await?
+        .error_for_status()?;
+    let document = include_str!("../../../../examples/laurel-north.ini");
+    let url = format!("http://{platform}/objects/config/document");
+    let writing = client.put(url).header("if-version", "0").body(document);
+    writing.send().await?.error_for_status()?;
+    Ok(())
+}
--- a/crates/pier_node/src/forwards/mod.rs
+++ b/crates/pier_node/src/forwards/mod.rs
@@ -5,11 +5,13 @@
 //!
 //! [`End`]: pier_wire::frames::ForwardFrame::End
 
+mod forward_choice;
 mod forward_client;
 mod forward_error;
 mod forward_server;
 mod frame_stream;
 
+pub use forward_choice::ForwardChoice;
 pub use forward_client::ForwardClient;
 pub use forward_error::ForwardError;
 pub use forward_server::ForwardServer;
