Measure placement in virtual time and keep spares where members are

Cause: the tightest fit put the spares of the data centre into one domain, where they help nobody else.

Also: which groups are formed still follows from need, only their order of choice follows from size.

--- /dev/null
+++ b/crates/pier_control/examples/placement_study/planner_cost.rs
@@ -0,0 +1,129 @@
+//! CPU time and bytes of one run of the planner, over growing numbers of VMs.
+
+use std::{collections, hint, time};
+
+use pier_control::{placements, planning};
+use pier_types::{epochs, ids, sizes, times, vms};
+
+use crate::sim_vm;
+
+/// VMs in each domain.
+const DOMAIN_SIZE: u64 = 64;
+/// Runs that are timed; the median counts.
+const RUNS: usize = 101;
+
+/// Prints the cost at each size.
+pub fn print_costs() {
+    println!(
+        "planner: VMs, median of {RUNS} runs (nothing to do), median (one VM lost), bytes of the placement"
+    );
+    for size in [100, 200, 450, 900] {
+        let (idle, repair, bytes) = measure(size);
+        println!("planner: {size:4} {idle:>9.1?} {repair:>9.1?} {bytes:7}");
+    }
+}
+
+fn measure(size: u64) -> (time::Duration, time::Duration, usize) {
+    let vms: Vec<_> = (0..size)
+        .map(|vm| sim_vm::SimVm::new(vm, usize::try_from(vm / DOMAIN_SIZE).unwrap()))
+        .collect();
+    let entries: Vec<_> = vms.iter().map(|vm| vm.entry.clone()).collect();
+    let sound = planning::VmCondition::Sound {
+        incarnation: epochs::VmIncarnation::new(1),
+    };
+    let mut conditions: collections::BTreeMap<_, _> = entries
+        .iter()
+        .map(|entry| (entry.name.clone(), sound))
+        .collect();
+    let wanted: collections::BTreeMap<_, _> = [("large", size / 48, 32), ("small", size / 32, 4)]
+        .into_iter()
+        .map(wanted_model)
+        .collect();
+    let empty = placements::DataCentrePlacement::empty("dc".parse().unwrap());
+    let present = plan(&wanted, &entries, &conditions, &empty).placement;
+    let idle = median(|| {
+        drop(hint::black_box(plan(
+            &wanted,
+            &entries,
+            &conditions,
+            &present,
+        )));
+    });
+    let lost = present.groups()[&0].members[0].vm.clone();
+    conditions.insert(
+        lost,
+        planning::VmCondition::Unreachable {
+            since: times::BootTime::default(),
+        },
+    );
+    let repair = median(|| {
+        drop(hint::black_box(plan(
+            &wanted,
+            &entries,
+            &conditions,
+            &present,
+        )));
+    });
+    (idle, repair, present.encode().len())
+}
+
+fn plan(
+    wanted: &collections::BTreeMap<ids::ModelName, planning::WantedModel>,
+    entries: &[vms::VmEntry],
+    conditions: &collections::BTreeMap<ids::VmName, planning::VmCondition>,
+    present: &placements::DataCentrePlacement,
+) -> planning::PlacementPlan {
+    let serving = present
+        .groups()
+        .keys()
+        .map(|group| (*group, sizes::RequestCount::default()))
+        .collect();
+    let input = planning::PlanInput {
+        wanted,
+        vms: entries,
+        conditions,
+        serving: &serving,
+        mismatched: &collections::BTreeSet::new(),
+        ready: &collections::BTreeSet::new(),
+        seen_generation: epochs::GroupGeneration::default(),
+        present,
+        term: epochs::LeaseTerm::new(1),
+        now: times::BootTime::from_millis(1_000_000),
+    };
+    planning::PlacementPlan::make(&input, &planning::PlannerSettings::default()).unwrap()
+}
+
+fn median(mut run: impl FnMut()) -> time::Duration {
+    let mut samples: Vec<_> = (0..RUNS)
+        .map(|_run| {
+            let start = time::Instant::now();
+            run();
+            start.elapsed()
+        })
+        .collect();
+    samples.sort_unstable();
+    samples[RUNS / 2]
+}
+
+fn wanted_model(
+    (model, replicas, members): (&str, u64, u32),
+) -> (ids::ModelName, planning::WantedModel) {
+    let model: ids::ModelName = model.parse().unwrap();
+    let recipe = placements::GroupRecipe {
+        version: "v1".parse().unwrap(),
+        adapters: Vec::new(),
+        prefill: 0,
+    };
+    let replicas = u32::try_from(replicas).unwrap();
+    let weight_bytes = sizes::ByteSize::new(1);
+    (
+        model.clone(),
+        planning::WantedModel {
+            model,
+            replicas,
+            members,
+            recipe,
+            weight_bytes,
+        },
+    )
+}
--- /dev/null
+++ b/crates/pier_control/examples/placement_study/study_fleet.rs
@@ -0,0 +1,298 @@
+//! A data centre that goes through the events under one policy.
+
+use std::{collections, time};
+
+use pier_control::{health, leases, loads, orders, placements, planning};
+use pier_types::{epochs, ids, sizes, times, vms};
+
+use crate::{fleet_event, placement_policy, sim_vm, study_rates, study_totals};
+
+/// What the platform does later on.
+#[derive(Debug, Clone)]
+enum FollowUp {
+    Unlist(ids::VmName),
+    Add(usize),
+    Restart(Vec<ids::VmName>),
+    LookAgain,
+}
+
+/// The data centre.
+pub struct StudyFleet {
+    policy: placement_policy::PlacementPolicy,
+    vms: collections::BTreeMap<ids::VmName, sim_vm::SimVm>,
+    follow_ups: collections::BTreeMap<u64, Vec<FollowUp>>,
+    next_vm: u64,
+    wanted: collections::BTreeMap<ids::ModelName, planning::WantedModel>,
+    placement: placements::DataCentrePlacement,
+    health: health::GroupHealth,
+    queue: loads::LoadQueue,
+    orders: orders::OrderPlan,
+    /// What was counted.
+    pub totals: study_totals::StudyTotals,
+}
+
+impl StudyFleet {
+    /// Makes a data centre whose VMs are all up and empty.
+    pub fn new(policy: placement_policy::PlacementPolicy) -> Self {
+        let mut fleet = Self {
+            policy,
+            vms: collections::BTreeMap::new(),
+            follow_ups: collections::BTreeMap::new(),
+            next_vm: 0,
+            wanted: study_rates::MODELS.into_iter().map(wanted_model).collect(),
+            placement: placements::DataCentrePlacement::empty("dc".parse().unwrap()),
+            health: health::GroupHealth::new(health::HealthSettings::default()),
+            queue: loads::LoadQueue::new(loads::LoadSettings::default()),
+            orders: orders::OrderPlan::new(orders::OrderSettings::default()),
+            totals: study_totals::StudyTotals::default(),
+        };
+        for (domain, size) in study_rates::DOMAIN_SIZES.into_iter().enumerate() {
+            (0..size).for_each(|_vm| fleet.add_vm(domain));
+        }
+        fleet
+    }
+
+    /// Goes through the events; the first hour, in which all groups form, is not counted.
+    pub fn run(
+        &mut self,
+        events: &collections::BTreeMap<u64, Vec<fleet_event::FleetEvent>>,
+        end: u64,
+    ) {
+        let mut now = 0;
+        let mut changed_at = 0;
+        while now < end {
+            let due: Vec<_> = events
+                .range(now.saturating_sub(study_rates::STEP - 1)..=now)
+                .collect();
+            let is_hit = !due.is_empty() && now >= study_totals::WARM_UP;
+            if is_hit {
+                due.into_iter()
+                    .flat_map(|(_second, events)| events)
+                    .for_each(|event| self.hit(*event, now));
+            }
+            let is_followed = self.follow_up(now);
+            if self.step(now) || is_hit || is_followed {
+                changed_at = now;
+            }
+            let mut next = now + study_rates::STEP;
+            if now - changed_at > study_rates::QUIET {
+                let event = events
+                    .range(now + 1..)
+                    .next()
+                    .map(|(second, _events)| *second);
+                let follow_up = self.follow_ups.keys().next().copied();
+                let wake = event
+                    .into_iter()
+                    .chain(follow_up)
+                    .min()
+                    .unwrap_or(end)
+                    .min(end);
+                next = wake.next_multiple_of(study_rates::STEP).max(next);
+            }
+            self.count(now, next);
+            now = next;
+        }
+    }
+
+    fn add_vm(&mut self, domain: usize) {
+        let vm = sim_vm::SimVm::new(self.next_vm, domain);
+        self.next_vm += 1;
+        self.vms.insert(vm.entry.name.clone(), vm);
+    }
+
+    fn later(&mut self, second: u64, follow_up: FollowUp) {
+        let second = second.next_multiple_of(study_rates::STEP);
+        self.follow_ups.entry(second).or_default().push(follow_up);
+    }
+
+    /// Lets an event happen.
+    fn hit(&mut self, event: fleet_event::FleetEvent, now: u64) {
+        let staying = self
+            .vms
+            .values()
+            .filter(|vm| vm.is_up && vm.entry.state == vms::VmState::Live);
+        let names: Vec<_> = staying.map(|vm| vm.entry.name.clone()).collect();
+        let chosen =
+            |number: u64| names[usize::try_from(number % names.len() as u64).unwrap()].clone();
+        match event {
+            fleet_event::FleetEvent::Failure(number) => {
+                let name = chosen(number);
+                let vm = self.vms.get_mut(&name).unwrap();
+                vm.is_up = false;
+                let domain = domain_of(vm);
+                self.later(now + study_rates::LIST_LAG, FollowUp::Unlist(name));
+                self.later(now + study_rates::FAILED_VM_GAP, FollowUp::Add(domain));
+            }
+            fleet_event::FleetEvent::Replacement(number) => {
+                let name = chosen(number);
+                let vm = self.vms.get_mut(&name).unwrap();
+                vm.entry.state = vms::VmState::Leaving;
+                let domain = domain_of(vm);
+                self.later(now + study_rates::NOTICE, FollowUp::Unlist(name));
+                self.later(
+                    now + study_rates::NOTICE + study_rates::REPLACED_VM_GAP,
+                    FollowUp::Add(domain),
+                );
+            }
+            fleet_event::FleetEvent::Outage(number) => {
+                let domain =
+                    usize::try_from(number % study_rates::DOMAIN_SIZES.len() as u64).unwrap();
+                let dark = self
+                    .vms
+                    .values_mut()
+                    .filter(|vm| vm.is_up && domain_of(vm) == domain);
+                let names = dark.map(|vm| {
+                    vm.is_up = false;
+                    vm.entry.name.clone()
+                });
+                let names = names.collect();
+                self.later(now + study_rates::DARK_HOLD, FollowUp::LookAgain);
+                self.later(now + study_rates::OUTAGE_LENGTH, FollowUp::Restart(names));
+            }
+        }
+    }
+
+    /// Lets the platform do what is due.
+    fn follow_up(&mut self, now: u64) -> bool {
+        let Some(due) = self.follow_ups.remove(&now) else {
+            return false;
+        };
+        for follow_up in due {
+            match follow_up {
+                FollowUp::Unlist(name) => drop(self.vms.remove(&name)),
+                FollowUp::Add(domain) => self.add_vm(domain),
+                FollowUp::LookAgain => {}
+                FollowUp::Restart(names) => {
+                    for name in names {
+                        self.vms
+                            .get_mut(&name)
+                            .into_iter()
+                            .for_each(sim_vm::SimVm::restart);
+                    }
+                }
+            }
+        }
+        true
+    }
+
+    /// Lets loads, probes, the planner and orders go on; tells whether anything changed.
+    fn step(&mut self, second: u64) -> bool {
+        let now = times::BootTime::from_millis((1_000 + second) * 1_000);
+        let is_loading = self.read_weights();
+        self.vms.values_mut().for_each(|vm| vm.probe(now));
+        let evidence = self
+            .vms
+            .iter()
+            .map(|(name, vm)| (name.clone(), vm.evidence.clone()))
+            .collect();
+        let entries: Vec<_> = self.vms.values().map(|vm| vm.entry.clone()).collect();
+        let settings = health::HealthSettings::default();
+        let conditions =
+            health::vm_conditions(&evidence, &collections::BTreeMap::new(), now, &settings);
+        let view = self.health.observe(&self.placement, &evidence, now);
+        let placement = self.policy.plan(&planning::PlanInput {
+            wanted: &self.wanted,
+            vms: &entries,
+            conditions: &conditions,
+            serving: &view.loads(),
+            mismatched: &view.mismatched,
+            ready: &view.ready,
+            seen_generation: self.orders.seen_generation(),
+            present: &self.placement,
+            term: epochs::LeaseTerm::new(1),
+            now,
+        });
+        let is_changed = placement.groups() != self.placement.groups();
+        self.placement = placement;
+        let view = self.health.observe(&self.placement, &evidence, now);
+        let wanted = &self.wanted;
+        let admitted = self.queue.admit(&loads::LoadInput {
+            placement: &self.placement,
+            wanted,
+            evidence: &evidence,
+            view: &view,
+            now,
+        });
+        let term = epochs::LeaseTerm::new(1);
+        let grant = leases::LeaseGrant {
+            term,
+            until: now.after(time::Duration::from_secs(5)),
+        };
+        let input = orders::OrderInput {
+            placement: &self.placement,
+            vms: &entries,
+            evidence: &evidence,
+            admitted: &admitted,
+            grant: Some(grant),
+            now,
+        };
+        let due = self.orders.due(&input);
+        for order in &due {
+            let body = order
+                .body(Some(grant), now, self.orders.settings())
+                .unwrap();
+            self.vms
+                .get_mut(&order.vm)
+                .unwrap()
+                .obey(body, study_rates::WEIGHT_BYTES);
+        }
+        self.totals
+            .note(&self.wanted, &self.placement, &view, &self.vms);
+        is_loading || is_changed || !due.is_empty()
+    }
+
+    /// Lets engines read for one step; tells whether any does.
+    fn read_weights(&mut self) -> bool {
+        let rates = loads::LoadSettings::default();
+        let loading: Vec<_> = self
+            .vms
+            .values_mut()
+            .filter(|vm| vm.is_up && vm.bytes_left > 0)
+            .collect();
+        let share = rates.store_rate.get() / (loading.len() as u64).max(1);
+        let read = share.min(rates.vm_rate.get()) * study_rates::STEP;
+        let is_loading = !loading.is_empty();
+        for vm in loading {
+            self.totals.bytes_read += read.min(vm.bytes_left);
+            vm.bytes_left = vm.bytes_left.saturating_sub(read);
+        }
+        is_loading
+    }
+
+    fn count(&mut self, now: u64, next: u64) {
+        if now >= study_totals::WARM_UP {
+            self.totals.add(next - now);
+        }
+    }
+}
+
+fn domain_of(vm: &sim_vm::SimVm) -> usize {
+    vm.entry
+        .domain
+        .as_str()
+        .trim_start_matches("domain")
+        .parse()
+        .unwrap()
+}
+
+fn wanted_model(
+    (model, replicas, members): (&str, u32, u32),
+) -> (ids::ModelName, planning::WantedModel) {
+    let model: ids::ModelName = model.parse().unwrap();
+    let recipe = placements::GroupRecipe {
+        version: "v1".parse().unwrap(),
+        adapters: Vec::new(),
+        prefill: 0,
+    };
+    let weight_bytes = sizes::ByteSize::new(study_rates::WEIGHT_BYTES);
+    (
+        model.clone(),
+        planning::WantedModel {
+            model,
+            replicas,
+            members,
+            recipe,
+            weight_bytes,
+        },
+    )
+}
--- /dev/null
+++ b/crates/pier_control/examples/placement_study/study_totals.rs
@@ -0,0 +1,92 @@
+//! What the study counts.
+
+use std::collections;
+
+use pier_control::{health, placements, planning};
+use pier_types::ids;
+
+use crate::sim_vm;
+
+/// Time in which the groups form and nothing is counted, in seconds.
+pub const WARM_UP: u64 = 3_600;
+
+/// Sums over time, and the state that they grow by.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StudyTotals {
+    /// Seconds in which a wanted group did not serve, over all groups.
+    pub down: u64,
+    /// VM seconds of working VMs in groups that lack a member, or left over while a group is
+    /// wanted and can not be formed.
+    pub stranded: u64,
+    /// VM seconds of working VMs without a group while none is wanted.
+    pub spare: u64,
+    /// Seconds counted.
+    pub seconds: u64,
+    /// Bytes read from the weight store.
+    pub bytes_read: u64,
+    now_down: u64,
+    now_stranded: u64,
+    now_spare: u64,
+}
+
+impl StudyTotals {
+    /// Takes in the present state.
+    pub fn note(
+        &mut self,
+        wanted: &collections::BTreeMap<ids::ModelName, planning::WantedModel>,
+        placement: &placements::DataCentrePlacement,
+        view: &health::HealthView,
+        vms: &collections::BTreeMap<ids::VmName, sim_vm::SimVm>,
+    ) {
+        let is_up = |name: &ids::VmName| vms.get(name).is_some_and(|vm| vm.is_up);
+        let groups = placement.groups();
+        self.now_down = 0;
+        let mut missing_vms = 0;
+        for wanted in wanted.values() {
+            let serving = view
+                .serving
+                .values()
+                .filter(|group| group.model == wanted.model)
+                .count() as u64;
+            let placed = groups
+                .values()
+                .filter(|group| group.model == wanted.model)
+                .count() as u64;
+            self.now_down += u64::from(wanted.replicas).saturating_sub(serving);
+            missing_vms +=
+                u64::from(wanted.replicas).saturating_sub(placed) * u64::from(wanted.members);
+        }
+        let short = groups
+            .values()
+            .filter(|group| group.members.iter().any(|slot| !is_up(&slot.vm)));
+        let held: usize = short
+            .map(|group| group.members.iter().filter(|slot| is_up(&slot.vm)).count())
+            .sum();
+        let placed: collections::BTreeSet<_> =
+            groups.values().flat_map(|group| group.vms()).collect();
+        let free = vms
+            .iter()
+            .filter(|(name, vm)| vm.is_up && !placed.contains(name))
+            .count() as u64;
+        let left_over = free.min(missing_vms);
+        self.now_stranded = held as u64 + left_over;
+        self.now_spare = free - left_over;
+    }
+
+    /// Lets the present state last for some seconds.
+    pub fn add(&mut self, seconds: u64) {
+        self.down += self.now_down * seconds;
+        self.stranded += self.now_stranded * seconds;
+        self.spare += self.now_spare * seconds;
+        self.seconds += seconds;
+    }
+
+    /// Adds the sums of another run.
+    pub fn merge(&mut self, other: &Self) {
+        self.down += other.down;
+        self.stranded += other.stranded;
+        self.spare += other.spare;
+        self.seconds += other.seconds;
+        self.bytes_read += other.bytes_read;
+    }
+}
--- a/crates/pier_control/src/planning/domain_choice.rs
+++ b/crates/pier_control/src/planning/domain_choice.rs
@@ -11,14 +11,15 @@
     breaks_reserve: bool,
     /// How many places for the largest groups would be lost.
     places_lost: usize,
-    /// How many VMs would stay free.
-    remainder: usize,
+    /// How many members there would be for each thousand free VMs.
+    members_to_spares: usize,
 }
 
 /// Chooses the domain in which a new group strands the fewest accelerators.
 ///
 /// Spares come first, since single VMs fail far more often than domains; then whole places for the
-/// largest groups; then the tightest fit.
+/// largest groups; then the domain that keeps the most spares for its members, since a spare helps
+/// only within its domain.
 pub(super) fn choose_domain(
     draft: &planning::PlanDraft<'_>,
     size: usize,
@@ -68,6 +69,6 @@
     DomainCost {
         breaks_reserve: remainder < reserve,
         places_lost,
-        remainder,
+        members_to_spares: (placed + size) * 1_000 / (remainder + 1),
     }
 }
--- a/crates/pier_control/src/planning/plan_draft.rs
+++ b/crates/pier_control/src/planning/plan_draft.rs
@@ -11,7 +11,7 @@
 const GENERATION_JUMP_LIMIT: u64 = 1_000_000;
 
 /// A working copy of the placement, with the VMs that are free.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct PlanDraft<'a> {
     /// The input of the run.
     pub input: &'a planning::PlanInput<'a>,
--- a/crates/pier_control/src/planning/replica_step.rs
+++ b/crates/pier_control/src/planning/replica_step.rs
@@ -38,8 +38,32 @@
     groups
 }
 
-/// Forms groups, for the model first that is furthest below its replicas, the larger one of equals.
+/// Forms groups until each model has its replicas or nothing fits any more.
+///
+/// Which groups are formed follows from need: the model that is furthest below its replicas comes
+/// first. Where they go follows from size: the largest choose their domain first, which packs
+/// better. If that order forms fewer of them, the order of need stands.
 pub(super) fn form_missing(draft: &mut planning::PlanDraft<'_>) {
+    if neediest_model(draft, &collections::BTreeSet::new()).is_none() {
+        return;
+    }
+    let mut by_need = draft.clone();
+    form_by_need(&mut by_need);
+    let mut by_size = draft.clone();
+    form_by_size(&mut by_size, &by_need);
+    if by_size.groups.len() == by_need.groups.len() {
+        let blocked = by_need.reasons.into_iter();
+        let blocked =
+            blocked.filter(|reason| matches!(reason, planning::PlanReason::Unplaceable(_)));
+        by_size.reasons.extend(blocked);
+        *draft = by_size;
+    } else {
+        *draft = by_need;
+    }
+}
+
+/// Forms groups, for the model first that is furthest below its replicas, the larger one of equals.
+fn form_by_need(draft: &mut planning::PlanDraft<'_>) {
     let mut blocked = collections::BTreeSet::new();
     while let Some(wanted) = neediest_model(draft, &blocked) {
         if form_group(draft, wanted).is_none() {
@@ -49,6 +73,18 @@
     }
 }
 
+/// Forms as many groups of each model as another draft has, the largest first.
+fn form_by_size(draft: &mut planning::PlanDraft<'_>, goal: &planning::PlanDraft<'_>) {
+    let mut models: Vec<_> = draft.input.wanted.values().collect();
+    models.sort_by_key(|wanted| cmp::Reverse(wanted.members));
+    for wanted in models {
+        let present = draft.model_groups(&wanted.model).len();
+        for _missing in present..goal.model_groups(&wanted.model).len() {
+            form_group(draft, wanted);
+        }
+    }
+}
+
 /// Returns the model that is furthest below its replicas.
 fn neediest_model<'a>(
     draft: &planning::PlanDraft<'a>,
