--- /dev/null
+++ b/crates/pier_limits/examples/shift_study/centre_model.rs
@@ -0,0 +1,204 @@
+//! One data centre: its targets, its nodes and the real decisions between them.
+
+use std::{collections, time};
+
+use pier_limits::{shares, shifts, warmth};
+use pier_types::{epochs, ids, reports, sizes, times};
+use pier_wire::messages;
+
+pub const NODES: usize = 2;
+pub const TARGETS: usize = 6;
+const LIMIT: sizes::RequestCount = sizes::RequestCount::new(16);
+const TERM: epochs::LeaseTerm = epochs::LeaseTerm::new(1);
+const LEASE: time::Duration = time::Duration::from_mins(1);
+
+/// One running request.
+struct ModelWork {
+    node: usize,
+    ends_at: times::BootTime,
+}
+
+struct ModelTarget {
+    id: ids::TargetId,
+    incarnation: epochs::VmIncarnation,
+    ramp: warmth::WarmthRamp,
+    work: Vec<ModelWork>,
+}
+
+impl ModelTarget {
+    fn key(&self) -> messages::ShareKey {
+        messages::ShareKey::of(&self.id, self.incarnation.get())
+    }
+
+    fn running(&self, node: usize) -> u32 {
+        let own = self.work.iter().filter(|work| work.node == node);
+        u32::try_from(own.count()).unwrap_or(u32::MAX)
+    }
+
+    fn in_flight(&self) -> u32 {
+        u32::try_from(self.work.len()).unwrap_or(u32::MAX)
+    }
+}
+
+/// A data centre of the model.
+pub struct CentreModel {
+    targets: Vec<ModelTarget>,
+    ledger: shares::ShareLedger,
+    holdings: Vec<shares::ShareHolding>,
+    split: shares::StaticSplit,
+    /// Requests that each node was offered since its last question.
+    offered: [u32; NODES],
+}
+
+impl CentreModel {
+    pub fn new(name: &str, now: times::BootTime) -> Result<Self, ids::NameError> {
+        let terms = shares::ShareTerms::default();
+        let mut ledger = shares::ShareLedger::new(terms, TERM, now, 2);
+        let nodes = (0..NODES).map(node_name).collect::<Result<_, _>>()?;
+        ledger.record_nodes(nodes);
+        let targets = (0..TARGETS)
+            .map(|number| {
+                let name = format!("{name}-{number}");
+                Ok(ModelTarget {
+                    id: ids::TargetId::Vm(name.parse()?),
+                    incarnation: epochs::VmIncarnation::new(1),
+                    ramp: warmth::WarmthRamp::new(LIMIT, warmth::WarmthPolicy::default()),
+                    work: Vec::new(),
+                })
+            })
+            .collect::<Result<_, ids::NameError>>()?;
+        Ok(Self {
+            targets,
+            ledger,
+            holdings: (0..NODES)
+                .map(|_| shares::ShareHolding::new(terms))
+                .collect(),
+            split: shares::StaticSplit::new(2, terms.life),
+            offered: [0; NODES],
+        })
+    }
+
+    /// Restarts every target: its work is gone and it is cold.
+    pub fn restart(&mut self) {
+        for target in &mut self.targets {
+            target.incarnation = target.incarnation.next();
+            target.work.clear();
+        }
+    }
+
+    /// Ends work that is over; returns the worst excess over a limit.
+    pub fn advance(&mut self, now: times::BootTime) -> u32 {
+        let mut worst = 0;
+        for target in &mut self.targets {
+            target.work.retain(|work| now < work.ends_at);
+            let limit = target.ramp.limit(now).get();
+            worst = worst.max(target.in_flight().saturating_sub(limit));
+        }
+        worst
+    }
+
+    /// Brings every target's report.
+    pub fn report(&mut self, state: reports::EngineState, now: times::BootTime) {
+        let probed_at = now.before(time::Duration::from_millis(50));
+        for target in &mut self.targets {
+            target
+                .ramp
+                .hear_report(target.incarnation, state, probed_at, now);
+        }
+    }
+
+    /// Lets every node ask for its shares.
+    pub fn share(&mut self, now: times::BootTime) -> Result<(), ids::NameError> {
+        let limits = self
+            .targets
+            .iter()
+            .map(|target| (target.key(), target.ramp.limit(now)));
+        self.ledger.set_limits(&limits.collect(), now);
+        for node in 0..NODES {
+            let demand = self.demand(node, now);
+            let ask = self.holdings[node].ask(TERM, &demand, now);
+            let name = node_name(node)?;
+            if let Some(grant) = self.ledger.answer(&name, &ask, now, now.after(LEASE)) {
+                self.holdings[node].take(&grant);
+            }
+            self.offered[node] = 0;
+        }
+        Ok(())
+    }
+
+    /// Starts a request at the least loaded target with room for this node; false when there is
+    /// none.
+    pub fn start(&mut self, node: usize, ends_at: times::BootTime, now: times::BootTime) -> bool {
+        self.offered[node] += 1;
+        let best = (0..TARGETS)
+            .filter(|&index| self.has_room(node, index, now))
+            .min_by_key(|&index| self.targets[index].work.len());
+        let Some(index) = best else {
+            return false;
+        };
+        self.targets[index].work.push(ModelWork { node, ends_at });
+        true
+    }
+
+    /// Returns the sum of all free places.
+    pub fn room(&self, now: times::BootTime) -> u32 {
+        let free = |target: &ModelTarget| {
+            target
+                .ramp
+                .limit(now)
+                .get()
+                .saturating_sub(target.in_flight())
+        };
+        self.targets.iter().map(free).sum()
+    }
+
+    /// Returns the mean number of requests at a target.
+    pub fn mean_load(&self) -> u32 {
+        self.targets.iter().map(ModelTarget::in_flight).sum::<u32>() / 6
+    }
+
+    /// Returns the warm part of the capacity.
+    pub fn warm(&self, now: times::BootTime) -> shifts::ShiftWeight {
+        let limits = self
+            .targets
+            .iter()
+            .map(|target| u64::from(target.ramp.limit(now).get()));
+        let full = u64::from(LIMIT.get()) * 6;
+        shifts::ShiftWeight::of_parts(limits.sum(), full)
+    }
+
+    fn fixed(&self, node: usize, index: usize, now: times::BootTime) -> u32 {
+        let target = &self.targets[index];
+        let fixed = shares::LimitSplit::of(target.ramp.limit(now)).fixed;
+        let slot = u32::try_from(node).unwrap_or(u32::MAX);
+        self.split.share(target.key(), slot, fixed, now).get()
+    }
+
+    fn has_room(&self, node: usize, index: usize, now: times::BootTime) -> bool {
+        let target = &self.targets[index];
+        let lent = self.holdings[node].share(target.key(), now).get();
+        target.running(node) < self.fixed(node, index, now) + lent
+    }
+
+    fn demand(
+        &self,
+        node: usize,
+        now: times::BootTime,
+    ) -> collections::BTreeMap<messages::ShareKey, shares::ShareDemand> {
+        let headroom = self.offered[node].div_ceil(6) + 1;
+        let demand = |(index, target): (usize, &ModelTarget)| {
+            let fixed = self.fixed(node, index, now);
+            let running = target.running(node);
+            let need = shares::ShareDemand {
+                running: sizes::RequestCount::new(running.saturating_sub(fixed)),
+                wanted: sizes::RequestCount::new((running + headroom).saturating_sub(fixed)),
+            };
+            (target.key(), need)
+        };
+        self.targets.iter().enumerate().map(demand).collect()
+    }
+}
+
+fn node_name(node: usize) -> Result<ids::NodeName, ids::NameError> {
+    format!("node-{node}").parse()
+}
--- a/crates/pier_limits/src/shares/ledger_target.rs
+++ b/crates/pier_limits/src/shares/ledger_target.rs
@@ -40,10 +40,12 @@
         true
     }
 
-    /// Lends a share to a node that was just charged; `unheard` is what others may have in use.
+    /// Lends a share to a node that was just charged, at most `cap`; `unheard` is what others may
+    /// have in use.
     pub(crate) fn lend(
         &mut self,
         node: &ids::NodeName,
+        cap: sizes::RequestCount,
         unheard: sizes::RequestCount,
     ) -> sizes::RequestCount {
         let split = shares::LimitSplit::of(self.limit);
@@ -61,7 +63,7 @@
             return sizes::RequestCount::new(0);
         };
         let fair = fair_share(split.pool.get(), charge.wanted.get(), total);
-        let amount = fair.min(room).min(split.node_cap().get());
+        let amount = fair.min(room).min(cap.get());
         let amount = sizes::RequestCount::new(amount);
         charge.amount = charge.amount.max(amount);
         amount
--- a/crates/pier_limits/src/shares/limit_split.rs
+++ b/crates/pier_limits/src/shares/limit_split.rs
@@ -5,7 +5,7 @@
 /// One part in this many of a limit is split by slot; the rest is lent.
 const FIXED_DIVISOR: u32 = 4;
 
-/// One part in this many of the pool is the most that one node may hold.
+/// One part in this many of the pool is the most that one of many nodes may hold.
 const NODE_DIVISOR: u32 = 4;
 
 /// A limit's fixed part and its pool; together they are the limit, at every moment.
@@ -38,10 +38,12 @@
         }
     }
 
-    /// Returns the most of the pool that one node may hold, at least 1 while there is a pool.
+    /// Returns the most of the pool that one node may hold: a quarter, or an equal part where there
+    /// are fewer slots; at least 1 while there is a pool.
     ///
     /// It bounds what a node that was not heard of since a change of the lease holder may have.
-    pub const fn node_cap(self) -> sizes::RequestCount {
-        sizes::RequestCount::new(self.pool.get().div_ceil(NODE_DIVISOR))
+    pub fn node_cap(self, slots: u32) -> sizes::RequestCount {
+        let divisor = slots.clamp(1, NODE_DIVISOR);
+        sizes::RequestCount::new(self.pool.get().div_ceil(divisor))
     }
 }
--- a/crates/pier_limits/src/shares/share_ledger.rs
+++ b/crates/pier_limits/src/shares/share_ledger.rs
@@ -24,6 +24,7 @@
     terms: shares::ShareTerms,
     term: epochs::LeaseTerm,
     started_at: times::BootTime,
+    slots: u32,
     recorded: collections::BTreeSet<ids::NodeName>,
     rounds: collections::BTreeMap<ids::NodeName, shares::NodeRound>,
     targets: collections::BTreeMap<messages::ShareKey, shares::LedgerTarget>,
@@ -31,16 +32,18 @@
 
 impl ShareLedger {
     /// Creates the ledger of a holder that gained the lease at `started_at`, not earlier than the
-    /// end of the lease before.
+    /// end of the lease before; the data centre has a fixed number of slots for nodes.
     pub const fn new(
         terms: shares::ShareTerms,
         term: epochs::LeaseTerm,
         started_at: times::BootTime,
+        slots: u32,
     ) -> Self {
         Self {
             terms,
             term,
             started_at,
+            slots,
             recorded: collections::BTreeSet::new(),
             rounds: collections::BTreeMap::new(),
             targets: collections::BTreeMap::new(),
@@ -145,11 +148,11 @@
     ) -> Option<messages::GrantEntry> {
         let unheard = self.unheard(now);
         let target = self.targets.get_mut(&key)?;
-        let cap = shares::LimitSplit::of(target.limit).node_cap();
+        let cap = shares::LimitSplit::of(target.limit).node_cap(self.slots);
         let unheard = sizes::RequestCount::new(cap.get().saturating_mul(unheard));
         Some(messages::GrantEntry {
             key,
-            amount: target.lend(node, unheard),
+            amount: target.lend(node, cap, unheard),
             limit: target.limit,
         })
     }
--- a/crates/pier_limits/src/shifts/data_centre_shift.rs
+++ b/crates/pier_limits/src/shifts/data_centre_shift.rs
@@ -71,6 +71,14 @@
         timed.min(warm)
     }
 
+    /// Returns whether the data centre is in service.
+    ///
+    /// While it returns, the weight steers where a request goes first; one that was refused
+    /// elsewhere as not run may still be tried here. While it leaves, the weight binds each try.
+    pub const fn in_service(&self) -> bool {
+        self.in_service
+    }
+
     /// Returns whether the last change is over, but for the data centre's warming up.
     pub fn is_settled(&self, now: times::BootTime) -> bool {
         let end = if self.in_service {
--- a/crates/pier_limits/tests/share_sums.rs
+++ b/crates/pier_limits/tests/share_sums.rs
@@ -114,7 +114,7 @@
             return;
         }
         let term = term.next();
-        let mut ledger = shares::ShareLedger::new(TERMS, term, self.now);
+        let mut ledger = shares::ShareLedger::new(TERMS, term, self.now, SLOTS);
         ledger.record_nodes((0..NODES).map(name).collect());
         self.nodes[next].ledger = Some((ledger, self.now.after(LEASE)));
         self.holder = (next, term, self.now.after(LEASE));
@@ -276,7 +276,7 @@
 fn the_pool_is_used_when_all_is_well() {
     let terms = shares::ShareTerms::default();
     let start = times::BootTime::from_millis(1_000);
-    let mut ledger = shares::ShareLedger::new(terms, epochs::LeaseTerm::new(1), start);
+    let mut ledger = shares::ShareLedger::new(terms, epochs::LeaseTerm::new(1), start, SLOTS);
     ledger.record_nodes((0..NODES).map(name).collect());
     let limits = collections::BTreeMap::from([(key(), sizes::RequestCount::new(64))]);
     let mut holdings = (0..NODES)
@@ -354,7 +354,7 @@
 #[test]
 fn a_new_holder_lends_nothing_until_the_shares_of_the_one_before_have_ended() {
     let start = times::BootTime::from_millis(1_000);
-    let mut ledger = shares::ShareLedger::new(TERMS, epochs::LeaseTerm::new(7), start);
+    let mut ledger = shares::ShareLedger::new(TERMS, epochs::LeaseTerm::new(7), start, SLOTS);
     ledger.record_nodes([name(0)].into());
     let limits = collections::BTreeMap::from([(key(), sizes::RequestCount::new(8))]);
     ledger.set_limits(&limits, start);
