Bring configurations into force at every node

Cause: the decision which version is in force had no adapter. One watch per node stays open on the platform; a fresh node asks its seeds for their copy over the authenticated connection of forwarded requests; hints of peers go to ConfigInbox. /operator/status and /operator/groups answer.

Seen to fail with the protection off: seeds not asked (a fresh node cut off from the platform never gets a version), highest version seen not kept.

--- a/crates/buckthornpier/tests/common/mod.rs
+++ b/crates/buckthornpier/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod lossy_relay;
+pub mod node_process;
 
 use std::{fs, path, process};
 
--- /dev/null
+++ b/crates/buckthornpier/tests/config_in_force.rs
@@ -0,0 +1,98 @@
+//! An accepted document comes into force at every node, a bad one at none.
+
+mod common;
+
+use common::node_process;
+use pier_platform::objects;
+use pier_types::epochs;
+
+/// Watches that one node may send while a document changes five times.
+const WATCH_CALLS: usize = 15;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn accepted_versions_reach_every_node() {
+    let (_server, url) = common::platform_with_sample("reach").await;
+    let nodes =
+        ["a", "b", "c"].map(|name| node_process::NodeProcess::start("reach", name, &url, ""));
+    for node in &nodes {
+        node.wait_for("config.version = 1");
+    }
+    let drain = ["drain", "data-centre", "scot-central-b", "--platform", &url];
+    common::expect(0, &drain);
+    for node in &nodes {
+        let status = node.wait_for("config.version = 2");
+        assert!(status.contains("config.data_centres.scot-central-b = out-of-service\n"));
+    }
+    for node in nodes {
+        let (code, log) = node.stop();
+        assert_eq!(code, Some(0));
+        let change = "change=\"[data-centre scot-central-b] state: in-service -> out-of-service\"";
+        assert!(log.contains(change), "{log}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_document_changes_nothing() {
+    let (server, url) = common::platform_with_sample("bad").await;
+    let node = node_process::NodeProcess::start("bad", "a", &url, "");
+    node.wait_for("config.version = 1");
+    let client = objects::ObjectClient::new(&url).unwrap();
+    let write = |version, text: String| {
+        let client = client.clone();
+        async move {
+            let condition = epochs::ObjectVersion::new(version);
+            client
+                .write("config/document", condition, text.into())
+                .await
+        }
+    };
+    let bad = common::SAMPLE.replacen("members = 4", "members = 0", 1);
+    let _written = write(1, bad).await;
+    let status = node.wait_for("config.refused = 2");
+    assert!(status.contains("config.version = 1\n"), "{status}");
+    let _written = write(2, common::SAMPLE.replacen("= 72", "= 48", 1)).await;
+    let status = node.wait_for("config.version = 3");
+    assert!(status.contains("config.refused = null\n"), "{status}");
+    let deleted = epochs::ObjectVersion::new(3);
+    let _deleted = client.delete("config/document", deleted).await;
+    let apply = common::file("bad", "again.ini", common::SAMPLE);
+    common::expect(
+        0,
+        &["config", "apply", &apply, "--base", "0", "--platform", &url],
+    );
+    node.wait_for("config.version = 5");
+    let calls = server.record().entries();
+    let watches = calls.iter().filter(|call| call.effect == "watched").count();
+    assert!(watches < WATCH_CALLS, "{watches} watches of one node");
+    let (_code, log) = node.stop();
+    assert!(
+        log.contains("event=config-refused version=2 source=platform fault="),
+        "{log}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn fresh_node_cut_off_from_the_platform_asks_its_peers() {
+    let (_server, url) = common::platform_with_sample("peers").await;
+    let first = node_process::NodeProcess::start("peers", "a", &url, "");
+    first.wait_for("config.version = 1");
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let away = format!("http://{}", closed.local_addr().unwrap());
+    drop(closed);
+    let seeds = first.peers.to_string();
+    let second = node_process::NodeProcess::start("peers", "b", &away, &seeds);
+    second.wait_for("config.version = 1");
+    let groups = ["groups", "--node", &second.operators.to_string()];
+    common::expect(0, &groups);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn node_out_of_reach_is_told() {
+    let (_server, url) = common::platform().await;
+    let node = node_process::NodeProcess::start("reachless", "a", &url, "");
+    let operators = node.operators.to_string();
+    let (code, _log) = node.stop();
+    assert_eq!(code, Some(0));
+    common::expect(4, &["status", "--node", &operators]);
+    common::expect(4, &["groups", "--node", &operators]);
+}
--- /dev/null
+++ b/crates/pier_node/src/configs/config_report.rs
@@ -0,0 +1,42 @@
+//! Log lines of the configuration.
+
+use pier_config::{changes, documents, watches};
+
+/// Says that a version came into force, and what it changes.
+pub(super) fn log_applied(
+    record: &watches::ForceRecord,
+    before: Option<&documents::ConfigDocument>,
+) {
+    log::info!(
+        event = "config-applied",
+        version:% = record.version,
+        document:% = record.document.name;
+        ""
+    );
+    let Some(before) = before else { return };
+    for change in changes::DocumentDiff::between(before, &record.document).changes {
+        log::info!(event = "config-change", version:% = record.version, change:% = change; "");
+    }
+}
+
+/// Says loudly what is wrong with a document; a refused one fault by fault.
+pub(super) fn log_report(report: &watches::WatchReport) {
+    let watches::WatchReport::CopyRefused {
+        version,
+        source,
+        error,
+    } = report
+    else {
+        log::error!(event = "config-trouble", cause:% = report; "");
+        return;
+    };
+    for fault in &error.faults {
+        log::error!(
+            event = "config-refused",
+            version:% = version,
+            source:% = source,
+            fault:% = fault;
+            ""
+        );
+    }
+}
--- /dev/null
+++ b/crates/pier_node/src/configs/mod.rs
@@ -0,0 +1,16 @@
+//! Brings configurations into force: platform and peers in, [`crate::handle::ConfigSnapshot`] out.
+//!
+//! What may come into force is decided by `pier_config::watches`; this module only carries news to it
+//! and its actions out.
+
+mod config_inbox;
+mod config_loop;
+mod config_report;
+mod peer_copies;
+mod platform_watch;
+mod watch_pause;
+
+pub use config_inbox::{ConfigInbox, ConfigNews};
+pub use config_loop::ConfigLoop;
+pub(crate) use peer_copies::answer_peer;
+pub use watch_pause::WatchPause;
--- /dev/null
+++ b/crates/pier_node/src/configs/peer_copies.rs
@@ -0,0 +1,86 @@
+//! Copies of the document that nodes give one another, over the connection of forwarded requests.
+
+use std::{net, time};
+
+use anyhow::Context as _;
+use pier_config::watches;
+use pier_types::{epochs, ids, routes};
+use pier_wire::frames;
+use serde::{Deserialize, Serialize};
+
+use crate::{callers, forwards, handle};
+
+/// Path that asks for a copy; callers can not reach it.
+const COPY_PATH: &str = "/peer/config";
+/// Name that stands where a forwarded request names its customer and pool.
+const PEER_NAME: &str = "peer";
+/// Bound on one copy's way.
+const COPY_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// A node's version in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct PeerCopy {
+    node: ids::NodeName,
+    version: epochs::ConfigVersion,
+    text: String,
+}
+
+/// Answers a peer's question for the version in force; none if the request asks for something else.
+pub(crate) fn answer_peer(
+    handle: &handle::NodeHandle,
+    request: &callers::CallerRequest,
+) -> Option<callers::CallerReply> {
+    if request.path != COPY_PATH {
+        return None;
+    }
+    let kind = "application/json";
+    let Some(snapshot) = handle.config() else {
+        return Some(callers::CallerReply::whole(404, kind, "null".into()));
+    };
+    let copy = PeerCopy {
+        node: handle.name().clone(),
+        version: snapshot.version,
+        text: snapshot.text.clone(),
+    };
+    let body = serde_json::to_vec(&copy).unwrap_or_default();
+    Some(callers::CallerReply::whole(200, kind, body.into()))
+}
+
+/// Asks the node at an address for its version in force.
+///
+/// # Errors
+///
+/// Fails when the node can not be reached in time or has no configuration.
+pub(super) async fn ask_peer(
+    client: &forwards::ForwardClient,
+    address: net::SocketAddr,
+) -> anyhow::Result<watches::ConfigCopy> {
+    let asking = client.send(address, question()?, &[]);
+    let reply = tokio::time::timeout(COPY_TIMEOUT, asking).await;
+    let reply = reply.context("no copy in time")?;
+    let reply = reply.map_err(|error| anyhow::anyhow!("{error:?}"))?;
+    anyhow::ensure!(reply.status == 200, "the peer has no configuration");
+    let callers::ReplyBody::Whole(body) = reply.body else {
+        anyhow::bail!("the copy is no whole answer");
+    };
+    let copy: PeerCopy = serde_json::from_slice(&body)?;
+    Ok(watches::ConfigCopy {
+        version: copy.version,
+        text: copy.text.into(),
+        source: watches::ConfigSource::Peer(copy.node),
+    })
+}
+
+fn question() -> anyhow::Result<frames::ForwardBegin> {
+    Ok(frames::ForwardBegin {
+        pool: routes::PoolKey::Service(PEER_NAME.parse()?),
+        customer: PEER_NAME.parse()?,
+        attempt: ids::AttemptId::new(rand::random()),
+        method: "GET".to_owned(),
+        path: COPY_PATH.to_owned(),
+        headers: Vec::new(),
+        trace_parent: None,
+        deadline_ms: u32::try_from(COPY_TIMEOUT.as_millis()).unwrap_or(u32::MAX),
+        hops: 1,
+    })
+}
--- /dev/null
+++ b/crates/pier_node/src/configs/platform_watch.rs
@@ -0,0 +1,120 @@
+//! Watches the document on the platform.
+
+use std::{sync::Arc, time};
+
+use pier_config::{documents, watches};
+use pier_platform::objects;
+use pier_types::epochs;
+use tokio::sync::watch;
+
+use crate::{configs, handle};
+
+/// Shortest wait of a watch; it ends in an answer either way, so a dead connection is noticed.
+const WATCH_WAIT: time::Duration = time::Duration::from_secs(20);
+/// What chance may add to a wait, so that nodes spread out.
+const WATCH_JITTER: time::Duration = time::Duration::from_secs(10);
+
+/// The task that holds one watch open all the time.
+#[derive(Debug)]
+pub(super) struct PlatformWatch {
+    handle: handle::NodeHandle,
+    inbox: configs::ConfigInbox,
+    in_force: watch::Receiver<epochs::ConfigVersion>,
+    /// The highest version that the platform gave, also if it was refused.
+    seen: epochs::ConfigVersion,
+    away: bool,
+}
+
+impl PlatformWatch {
+    /// Makes the task.
+    pub(super) fn new(
+        handle: handle::NodeHandle,
+        inbox: configs::ConfigInbox,
+        in_force: watch::Receiver<epochs::ConfigVersion>,
+    ) -> Self {
+        Self {
+            handle,
+            inbox,
+            in_force,
+            seen: epochs::ConfigVersion::default(),
+            away: false,
+        }
+    }
+
+    /// Watches until the runtime ends.
+    pub(super) async fn run(mut self) {
+        let mut pause = configs::WatchPause::default();
+        loop {
+            if self.watch_once().await {
+                pause.reset();
+            } else {
+                tokio::time::sleep(pause.next(rand::random())).await;
+            }
+        }
+    }
+
+    /// Waits for one answer; tells whether the next question may follow at once.
+    async fn watch_once(&mut self) -> bool {
+        let after = self.seen.max(*self.in_force.borrow());
+        let after = epochs::ObjectVersion::new(after.get());
+        let wait = WATCH_WAIT + WATCH_JITTER.mul_f64(rand::random());
+        let client = self.handle.objects();
+        match client.watch(documents::DOCUMENT_KEY, after, wait).await {
+            objects::WatchResult::Changed { version, bytes } => {
+                self.note_answer();
+                let copy = copy_of(version, &bytes);
+                let news = copy.version > self.seen;
+                self.seen = self.seen.max(copy.version);
+                self.inbox.send(configs::ConfigNews::Copy(copy)).await;
+                news
+            }
+            objects::WatchResult::Unchanged => {
+                self.note_answer();
+                true
+            }
+            objects::WatchResult::Absent => {
+                self.note_answer();
+                self.inbox.send(configs::ConfigNews::Absent).await;
+                false
+            }
+            objects::WatchResult::Away { reason } => {
+                self.note_away(&reason);
+                false
+            }
+        }
+    }
+
+    fn note_answer(&mut self) {
+        if self.away {
+            log::info!(event = "config-platform-back"; "");
+        }
+        self.away = false;
+    }
+
+    fn note_away(&mut self, reason: &str) {
+        if !self.away {
+            log::warn!(event = "config-platform-away", cause = reason; "");
+        }
+        self.away = true;
+    }
+}
+
+/// Reads the document once, beside the watch.
+pub(super) async fn read_once(handle: handle::NodeHandle, inbox: configs::ConfigInbox) {
+    match handle.objects().read(documents::DOCUMENT_KEY).await {
+        objects::ReadResult::Found { version, bytes } => {
+            let copy = copy_of(version, &bytes);
+            inbox.send(configs::ConfigNews::Copy(copy)).await;
+        }
+        // The watch tells both.
+        objects::ReadResult::Absent | objects::ReadResult::Away { .. } => {}
+    }
+}
+
+fn copy_of(version: epochs::ObjectVersion, bytes: &[u8]) -> watches::ConfigCopy {
+    watches::ConfigCopy {
+        version: epochs::ConfigVersion::new(version.get()),
+        text: Arc::from(String::from_utf8_lossy(bytes)),
+        source: watches::ConfigSource::Platform,
+    }
+}
--- a/crates/pier_node/src/daemon/node_daemon.rs
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -5,7 +5,7 @@
 use anyhow::Context as _;
 use pier_types::ids;
 
-use crate::{callers, daemon, forwards, handle, operators, settings, tables, telemetry};
+use crate::{callers, configs, daemon, forwards, handle, operators, settings, tables, telemetry};
 
 /// Time between two looks at the requests in progress during a drain.
 const DRAIN_POLL: time::Duration = time::Duration::from_millis(20);
@@ -36,6 +36,7 @@
         let traces = open_traces(settings.collector_url.clone()).await?;
         let handle = handle::NodeHandle::new(draw_name(&settings)?, settings, client, traces)?;
         tables::spawn(handle.clone());
+        Self::spawn_configs(&handle)?;
         let peers = Self::launch_forwards(&handle).await?;
         let operators = Self::launch_operators(&handle).await?;
         let callers = Self::launch_callers(&handle).await?;
@@ -137,6 +138,12 @@
         Ok(address)
     }
 
+    fn spawn_configs(handle: &handle::NodeHandle) -> anyhow::Result<configs::ConfigInbox> {
+        let key = handle.settings().peer_key.parse()?;
+        let client = forwards::ForwardClient::new(key, handle.name().clone(), handle.instance());
+        Ok(configs::ConfigLoop::spawn(handle.clone(), client))
+    }
+
     async fn launch_operators(handle: &handle::NodeHandle) -> anyhow::Result<daemon::WebServer> {
         let settings = handle.settings();
         let handle = handle.clone();
--- a/crates/pier_node/src/forwards/forward_server.rs
+++ b/crates/pier_node/src/forwards/forward_server.rs
@@ -7,7 +7,7 @@
 use pier_wire::{frames, seals};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::{callers, forwards, handle, requests};
+use crate::{callers, configs, forwards, handle, requests};
 
 /// Bound on the handshake and on the request's arrival.
 const ARRIVAL_TIMEOUT: time::Duration = time::Duration::from_secs(10);
@@ -103,6 +103,9 @@
             let code = codes::ResultCode::NoServingTarget;
             return writer.write(&failed(code, code.outcome(), None)).await;
         }
+        if let Some(reply) = configs::answer_peer(&self.handle, &request) {
+            return send_reply(reply, writer).await;
+        }
         let path = requests::RequestPath::new(self.handle.clone());
         let reply = path.serve(request).await;
         if let Some(code) = reply.code {
--- a/crates/pier_node/src/handle/node_handle.rs
+++ b/crates/pier_node/src/handle/node_handle.rs
@@ -6,7 +6,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use pier_control::health;
 use pier_platform::{lists, objects};
-use pier_types::{ids, routes, sizes, vms};
+use pier_types::{epochs, ids, routes, sizes, vms};
 use pier_wire::seals;
 
 use crate::{handle, settings, telemetry};
@@ -32,6 +32,7 @@
     draining: atomic::AtomicBool,
     in_progress: sync::Arc<atomic::AtomicUsize>,
     config: ArcSwapOption<handle::ConfigSnapshot>,
+    refused: atomic::AtomicU64,
     routes: ArcSwap<routes::RouteTable>,
     vms: ArcSwap<collections::BTreeMap<ids::VmName, vms::VmEntry>>,
     evidence: ArcSwap<collections::BTreeMap<ids::VmName, health::VmEvidence>>,
@@ -73,6 +74,7 @@
             draining: atomic::AtomicBool::new(false),
             in_progress: sync::Arc::default(),
             config: ArcSwapOption::empty(),
+            refused: atomic::AtomicU64::new(0),
             routes: ArcSwap::default(),
             vms: ArcSwap::default(),
             evidence: ArcSwap::default(),
@@ -111,6 +113,20 @@
         self.shared.config.store(Some(sync::Arc::new(snapshot)));
     }
 
+    /// Returns the version above the one in force that was refused, if any.
+    pub fn refused_config(&self) -> Option<epochs::ConfigVersion> {
+        let version = self.shared.refused.load(atomic::Ordering::Relaxed);
+        (version > 0).then_some(epochs::ConfigVersion::new(version))
+    }
+
+    /// Publishes which version above the one in force was refused.
+    pub fn publish_refused(&self, version: Option<epochs::ConfigVersion>) {
+        let version = version.map_or(0, epochs::ConfigVersion::get);
+        self.shared
+            .refused
+            .store(version, atomic::Ordering::Relaxed);
+    }
+
     /// Returns the node's name, drawn anew at each start.
     pub fn name(&self) -> &ids::NodeName {
         &self.shared.name
--- a/crates/pier_node/src/lib.rs
+++ b/crates/pier_node/src/lib.rs
@@ -5,6 +5,7 @@
 //! for a control loop.
 
 pub mod callers;
+pub mod configs;
 pub mod daemon;
 pub mod forwards;
 pub mod handle;
--- a/crates/pier_node/src/operators/mod.rs
+++ b/crates/pier_node/src/operators/mod.rs
@@ -1,5 +1,6 @@
 //! The operators' port: metrics and state.
 
+mod node_status;
 mod operator_routes;
 
 pub use operator_routes::OperatorRoutes;
--- a/crates/pier_node/src/operators/operator_routes.rs
+++ b/crates/pier_node/src/operators/operator_routes.rs
@@ -3,7 +3,7 @@
 use rocket::http::{ContentType, Status};
 use rocket::{Route, State};
 
-use crate::handle;
+use crate::{handle, operators::node_status};
 
 /// The routes of the operators' port.
 #[derive(Debug)]
@@ -12,7 +12,7 @@
 impl OperatorRoutes {
     /// Returns the routes to mount at `/`; the server manages the [`handle::NodeHandle`].
     pub fn routes() -> Vec<Route> {
-        rocket::routes![healthz, readyz, metrics]
+        rocket::routes![healthz, readyz, metrics, status, groups]
     }
 }
 
@@ -36,3 +36,13 @@
     let kind = ContentType::new("application", "openmetrics-text");
     Ok((kind.with_params(("version", "1.0.0")), text))
 }
+
+#[rocket::get("/operator/status")]
+fn status(handle: &State<handle::NodeHandle>) -> (ContentType, String) {
+    (ContentType::JSON, node_status::status(handle).to_string())
+}
+
+#[rocket::get("/operator/groups")]
+fn groups(handle: &State<handle::NodeHandle>) -> (ContentType, String) {
+    (ContentType::JSON, node_status::groups(handle).to_string())
+}
--- a/crates/pier_node/src/tables/table_loop.rs
+++ b/crates/pier_node/src/tables/table_loop.rs
@@ -37,7 +37,11 @@
         .await?;
     let list: Vec<vms::VmEntry> = answer.error_for_status()?.json().await?;
     let mut pools = collections::BTreeMap::<_, Vec<_>>::new();
-    for entry in &list {
+    let config = handle.config();
+    let admitted = list
+        .iter()
+        .filter(|entry| takes_new_work(entry, config.as_deref()));
+    for entry in admitted {
         if let Some((pool, target)) = probe(handle, entry).await {
             pools.entry(pool).or_default().push(sync::Arc::new(target));
         }
@@ -48,6 +52,15 @@
     Ok(())
 }
 
+/// Tells whether neither the platform nor operators keep new work away from a VM.
+fn takes_new_work(entry: &vms::VmEntry, config: Option<&handle::ConfigSnapshot>) -> bool {
+    let stays = entry.state == vms::VmState::Live;
+    let admits = |snapshot: &handle::ConfigSnapshot| {
+        snapshot.document.admits(&entry.data_centre, &entry.name)
+    };
+    stays && config.is_none_or(admits)
+}
+
 async fn probe(
     handle: &handle::NodeHandle,
     entry: &vms::VmEntry,
