--- a/crates/pier_node/src/operators/mod.rs
+++ b/crates/pier_node/src/operators/mod.rs
@@ -1,5 +1,6 @@
 //! The operators' port: metrics and state.
 
+mod group_list;
 mod node_status;
 mod operator_routes;
 
--- a/crates/pier_node/src/operators/node_status.rs
+++ b/crates/pier_node/src/operators/node_status.rs
@@ -1,4 +1,4 @@
-//! What a node tells operators, as JSON.
+//! What a node tells operators of itself, as JSON.
 
 use pier_types::routes;
 use serde_json::json;
@@ -16,30 +16,12 @@
         "draining": handle.is_draining(),
         "requests_in_progress": handle.requests_in_progress(),
         "config": config(handle),
+        "lease": lease(handle),
+        "peers": peers(handle),
         "targets": target_counts(&handle.routes()),
     })
 }
 
-/// Returns every target that this node may send new work to.
-pub(super) fn groups(handle: &handle::NodeHandle) -> serde_json::Value {
-    let table = handle.routes();
-    let targets = table.pools.iter().flat_map(|(pool, targets)| {
-        targets.iter().map(move |target| {
-            json!({
-                "pool": pool.to_string(),
-                "target": target.target.to_string(),
-                "data_centre": target.data_centre,
-                "address": target.address,
-                "generation": target.generation,
-                "share": target.share,
-                "running": target.load.running,
-                "queued": target.load.queued,
-            })
-        })
-    });
-    json!({"groups": targets.collect::<Vec<_>>()})
-}
-
 fn config(handle: &handle::NodeHandle) -> serde_json::Value {
     let refused = handle.refused_config();
     let Some(snapshot) = handle.config() else {
@@ -59,6 +41,23 @@
     })
 }
 
+fn lease(handle: &handle::NodeHandle) -> serde_json::Value {
+    let Some(snapshot) = handle.lease() else {
+        return json!("none seen");
+    };
+    json!({
+        "holder": snapshot.record.holder,
+        "term": snapshot.record.term,
+        "held_here": snapshot.held_until.is_some(),
+    })
+}
+
+fn peers(handle: &handle::NodeHandle) -> serde_json::Value {
+    let peers = handle.peers();
+    let names = peers.iter().map(|peer| peer.node.to_string());
+    json!(names.collect::<Vec<_>>())
+}
+
 fn target_counts(table: &routes::RouteTable) -> serde_json::Value {
     let pools = table.pools.iter();
     let counts = pools.map(|(pool, targets)| (pool.to_string(), json!(targets.len())));
--- a/crates/pier_node/src/operators/operator_routes.rs
+++ b/crates/pier_node/src/operators/operator_routes.rs
@@ -3,7 +3,10 @@
 use rocket::http::{ContentType, Status};
 use rocket::{Route, State};
 
-use crate::{handle, operators::node_status};
+use crate::{
+    handle,
+    operators::{group_list, node_status},
+};
 
 /// The routes of the operators' port.
 #[derive(Debug)]
@@ -44,5 +47,5 @@
 
 #[rocket::get("/operator/groups")]
 fn groups(handle: &State<handle::NodeHandle>) -> (ContentType, String) {
-    (ContentType::JSON, node_status::groups(handle).to_string())
+    (ContentType::JSON, group_list::groups(handle).to_string())
 }
