--- /dev/null
+++ b/crates/pier_types/examples/result_codes/main.rs
@@ -0,0 +1,7 @@
+//! Prints `docs/RESULT-CODES.md`.
+
+mod render;
+
+fn main() {
+    print!("{}", render::render());
+}
