--- a/crates/pier_node/src/configs/config_loop.rs
+++ b/crates/pier_node/src/configs/config_loop.rs
@@ -153,6 +153,8 @@
         }
         let refused = self.watcher.refused().map(|copy| copy.version);
         self.handle.publish_refused(refused);
+        let metrics = self.handle.metrics();
+        metrics.record_config(self.watcher.version(), refused);
     }
 
     fn apply(&self, record: &watches::ForceRecord) {
--- a/crates/pier_node/src/telemetry/node_metrics.rs
+++ b/crates/pier_node/src/telemetry/node_metrics.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, time};
 
-use pier_types::codes;
+use pier_types::{codes, epochs};
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::{counter, family, gauge, histogram};
 use prometheus_client::registry;
@@ -26,6 +26,8 @@
     answers: family::Family<AnswerLabels, counter::Counter>,
     first_part: histogram::Histogram,
     in_progress: gauge::Gauge,
+    config_version: gauge::Gauge,
+    config_refused: gauge::Gauge,
 }
 
 impl fmt::Debug for NodeMetrics {
@@ -42,6 +44,8 @@
             answers: family::Family::default(),
             first_part: histogram::Histogram::new(LATENCY_BOUNDS_SECONDS),
             in_progress: gauge::Gauge::default(),
+            config_version: gauge::Gauge::default(),
+            config_refused: gauge::Gauge::default(),
         };
         metrics.register();
         spans.register(&mut metrics.registry);
@@ -59,6 +63,17 @@
         self.first_part.observe(elapsed.as_secs_f64());
     }
 
+    /// Records the configuration in force and the version above it that was refused, if any.
+    pub fn record_config(
+        &self,
+        in_force: epochs::ConfigVersion,
+        refused: Option<epochs::ConfigVersion>,
+    ) {
+        let number = |version: epochs::ConfigVersion| i64::try_from(version.get()).unwrap_or(0);
+        self.config_version.set(number(in_force));
+        self.config_refused.set(refused.map_or(0, number));
+    }
+
     /// Returns every metric as `OpenMetrics` text.
     ///
     /// # Errors
@@ -82,5 +97,16 @@
         let help = "Requests in progress";
         self.registry
             .register("requests_in_progress", help, in_progress);
+        self.register_config();
+    }
+
+    fn register_config(&mut self) {
+        let version = self.config_version.clone();
+        let help = "Version of the configuration in force, 0 for none";
+        self.registry.register("config_version", help, version);
+        let refused = self.config_refused.clone();
+        let help = "Version above the one in force that was refused, 0 for none";
+        self.registry
+            .register("config_refused_version", help, refused);
     }
 }
