--- a/crates/buckthornpier/src/logs/key_value_line.rs
+++ b/crates/buckthornpier/src/logs/key_value_line.rs
@@ -24,11 +24,11 @@
     pub(crate) fn new(record: &'a log::Record<'a>, time: times::WallTime) -> Self {
         Self { record, time }
     }
+}
 
-    fn is_own(&self) -> bool {
-        let target = self.record.target();
-        OWN_TARGETS.iter().any(|prefix| target.starts_with(prefix))
-    }
+/// Tells whether a line comes from this product and not from a library.
+pub(crate) fn is_own_target(target: &str) -> bool {
+    OWN_TARGETS.iter().any(|prefix| target.starts_with(prefix))
 }
 
 impl fmt::Display for KeyValueLine<'_> {
@@ -38,7 +38,11 @@
         let pairs = self.record.key_values();
         let named = pairs.get(kv::Key::from_str(EVENT_KEY)).is_some();
         if !named {
-            let event = if self.is_own() { "message" } else { "library" };
+            let event = if is_own_target(self.record.target()) {
+                "message"
+            } else {
+                "library"
+            };
             write!(f, " {EVENT_KEY}={event}")?;
         }
         pairs
--- a/crates/buckthornpier/src/logs/mod.rs
+++ b/crates/buckthornpier/src/logs/mod.rs
@@ -4,6 +4,6 @@
 mod log_setup;
 mod utc_time;
 
-pub(crate) use key_value_line::KeyValueLine;
+pub(crate) use key_value_line::{KeyValueLine, is_own_target};
 pub(crate) use log_setup::start;
 pub(crate) use utc_time::UtcTime;
