--- a/crates/pier_node/src/operators/mod.rs
+++ b/crates/pier_node/src/operators/mod.rs
@@ -1,5 +1,7 @@
 //! The operators' port: metrics and state.
 
+mod group_list;
+mod node_status;
 mod operator_routes;
 
 pub use operator_routes::OperatorRoutes;
