Prove which targets may receive new work

Ruled out: testing them through processes alone, where a late list hides a wrong rule. Conclusion: leaving, drained, stale, shareless and out-of-service targets get nothing.

--- /dev/null
+++ b/crates/pier_node/src/tables/list_loop.rs
@@ -0,0 +1,53 @@
+//! The loop that reads the platform's VM list.
+
+use std::{collections, time};
+
+use pier_platform::lists;
+use pier_types::{ids, vms};
+
+use crate::handle;
+
+/// Time between two readings.
+const LIST_PERIOD: time::Duration = time::Duration::from_secs(1);
+
+/// Starts the loop; it ends with the runtime. While the platform is away the last list stays.
+pub fn spawn(handle: handle::NodeHandle) {
+    tokio::spawn(async move {
+        let mut away = false;
+        loop {
+            let fetched = handle.lists().fetch().await;
+            report_change(&fetched, &mut away);
+            if let Ok(listing) = fetched {
+                publish(&handle, listing);
+            }
+            tokio::time::sleep(LIST_PERIOD).await;
+        }
+    });
+}
+
+fn report_change(fetched: &anyhow::Result<lists::VmListing>, away: &mut bool) {
+    match fetched {
+        Ok(listing) if *away => {
+            log::info!(event = "vm-list-back", vms = listing.entries.len(); "");
+            *away = false;
+        }
+        Err(error) if !*away => {
+            log::warn!(event = "vm-list-away", cause:% = error; "");
+            *away = true;
+        }
+        _ => {}
+    }
+}
+
+/// Publishes the VMs of this node's data centre; no other node's are any concern of it.
+fn publish(handle: &handle::NodeHandle, listing: lists::VmListing) {
+    let own = &handle.settings().data_centre;
+    let entries = listing.entries.into_iter();
+    let entries = entries.filter(|entry| entry.data_centre == *own);
+    let list: collections::BTreeMap<ids::VmName, vms::VmEntry> =
+        entries.map(|entry| (entry.name.clone(), entry)).collect();
+    if *handle.vms() != list {
+        log::info!(event = "vm-list-changed", vms = list.len(); "");
+        handle.publish_vms(list);
+    }
+}
--- /dev/null
+++ b/crates/pier_node/tests/route_table.rs
@@ -0,0 +1,182 @@
+//! Which targets may receive new work: one rule a test, on a table that else has the target.
+
+use std::{collections, time};
+
+use pier_config::documents;
+use pier_control::{health, placements};
+use pier_node::{handle, tables};
+use pier_types::{epochs, ids, reports, routes, sizes, times, vms};
+
+const DOCUMENT: &str = include_str!("../../../examples/laurel-north.ini");
+
+const NOW: times::BootTime = times::BootTime::from_millis(60_000);
+
+/// Everything a table is built from, with one service VM and one group that may be used.
+struct TableScene {
+    document: documents::ConfigDocument,
+    groups: handle::GroupSnapshot,
+    vms: collections::BTreeMap<ids::VmName, vms::VmEntry>,
+    evidence: collections::BTreeMap<ids::VmName, health::VmEvidence>,
+    shares: collections::BTreeMap<ids::TargetId, sizes::RequestCount>,
+}
+
+impl TableScene {
+    fn new() -> Self {
+        let evidence = health::VmEvidence {
+            report: report(),
+            probed_at: NOW,
+        };
+        let share = sizes::RequestCount::new(3);
+        let targets = [
+            ids::TargetId::Vm(vm("app-1")),
+            ids::TargetId::Group(group_id()),
+        ];
+        Self {
+            document: DOCUMENT.parse().unwrap(),
+            groups: group_snapshot(),
+            vms: collections::BTreeMap::from([(vm("app-1"), service_entry())]),
+            evidence: collections::BTreeMap::from([(vm("app-1"), evidence)]),
+            shares: targets.into_iter().map(|target| (target, share)).collect(),
+        }
+    }
+
+    /// Returns the usable targets of the service and of the model.
+    fn counts(&self, now: times::BootTime) -> (usize, usize) {
+        let builder = tables::TableBuilder {
+            data_centre: &"scot-central-a".parse().unwrap(),
+            document: &self.document,
+            groups: &self.groups,
+            vms: &self.vms,
+            evidence: &self.evidence,
+            shares: &self.shares,
+        };
+        let table = builder.build(now);
+        let usable = |pool| {
+            let targets = table.targets(pool).iter();
+            targets.filter(|target| target.share.get() > 0).count()
+        };
+        let service = routes::PoolKey::Service("nominations".parse().unwrap());
+        let model = routes::PoolKey::Model("drafter".parse().unwrap());
+        (usable(&service), usable(&model))
+    }
+}
+
+fn vm(name: &str) -> ids::VmName {
+    name.parse().unwrap()
+}
+
+fn group_id() -> ids::GroupId {
+    "scot-central-a/1".parse().unwrap()
+}
+
+fn service_entry() -> vms::VmEntry {
+    vms::VmEntry {
+        name: vm("app-1"),
+        incarnation: epochs::VmIncarnation::new(1),
+        address: "127.0.0.1:9".parse().unwrap(),
+        data_centre: "scot-central-a".parse().unwrap(),
+        domain: "fabric-1".parse().unwrap(),
+        pool: vms::VmPool::Service("nominations".parse().unwrap()),
+        state: vms::VmState::Live,
+    }
+}
+
+fn report() -> reports::EngineReport {
+    reports::EngineReport {
+        vm: vm("app-1"),
+        incarnation: epochs::VmIncarnation::new(1),
+        group: None,
+        generation: epochs::GroupGeneration::default(),
+        model: None,
+        state: reports::EngineState::Warm,
+        running: sizes::RequestCount::default(),
+        queued: sizes::RequestCount::default(),
+    }
+}
+
+fn group_snapshot() -> handle::GroupSnapshot {
+    let json = r#"{"data_centre": "scot-central-a", "lease_term": 1,
+        "counters": {"next_number": 2, "last_generation": 1},
+        "groups": {"1": {"model": "drafter", "domain": "fabric-1", "generation": 1,
+            "weights_from": 1, "recipe": {"version": "1", "adapters": [], "prefill": 0},
+            "members": [{"vm": "gpu-1", "incarnation": 1, "address": "127.0.0.1:9"}]}}}"#;
+    let serving = health::ServingGroup {
+        id: group_id(),
+        model: "drafter".parse().unwrap(),
+        generation: epochs::GroupGeneration::new(1),
+        address: "127.0.0.1:9".parse().unwrap(),
+        state: reports::EngineState::Warm,
+        load: routes::TargetLoad::default(),
+        fresh_until: NOW,
+    };
+    let mut health = health::HealthView::default();
+    health.serving.insert(1, serving);
+    handle::GroupSnapshot {
+        placement: Some(placements::DataCentrePlacement::parse(json.as_bytes()).unwrap()),
+        health,
+    }
+}
+
+#[test]
+fn a_target_with_fresh_evidence_and_a_share_is_used() {
+    assert_eq!(TableScene::new().counts(NOW), (1, 1));
+}
+
+#[test]
+fn a_leaving_vm_gets_no_new_work() {
+    let mut scene = TableScene::new();
+    let entry = scene.vms.get_mut(&vm("app-1")).unwrap();
+    entry.state = vms::VmState::Leaving;
+    assert_eq!(scene.counts(NOW), (0, 1));
+}
+
+#[test]
+fn a_group_with_a_leaving_member_gets_no_new_work() {
+    let mut scene = TableScene::new();
+    let mut entry = service_entry();
+    entry.name = vm("gpu-1");
+    entry.pool = vms::VmPool::Accelerator;
+    entry.state = vms::VmState::Leaving;
+    scene.vms.insert(vm("gpu-1"), entry);
+    assert_eq!(scene.counts(NOW), (1, 0));
+}
+
+#[test]
+fn a_drained_target_gets_no_new_work() {
+    for (name, left) in [("app-1", (0, 1)), ("gpu-1", (1, 0))] {
+        let mut scene = TableScene::new();
+        let drained = &mut scene.document.drained;
+        drained.insert(vm(name), "repair".to_owned());
+        assert_eq!(scene.counts(NOW), left);
+    }
+}
+
+#[test]
+fn an_out_of_service_data_centre_gets_no_new_work() {
+    let mut scene = TableScene::new();
+    let name = "scot-central-a".parse().unwrap();
+    let section = scene.document.data_centres.get_mut(&name).unwrap();
+    section.state = documents::DataCentreState::OutOfService;
+    assert_eq!(scene.counts(NOW), (0, 0));
+}
+
+#[test]
+fn stale_evidence_counts_as_none() {
+    let scene = TableScene::new();
+    let later = NOW.after(time::Duration::from_secs(10));
+    assert_eq!(scene.counts(later), (0, 0));
+}
+
+#[test]
+fn a_target_without_a_share_gets_no_new_work() {
+    let mut scene = TableScene::new();
+    scene.shares.clear();
+    assert_eq!(scene.counts(NOW), (0, 0));
+}
+
+#[test]
+fn a_group_that_the_placement_lacks_gets_no_new_work() {
+    let mut scene = TableScene::new();
+    scene.groups.placement = None;
+    assert_eq!(scene.counts(NOW), (1, 0));
+}
