Let plays abandon calls and kill nodes in place of draining them

Cause: cases for callers that leave and for graceful shutdown need both. Ruled out: none. Conclusion: the protection of a drain is taken off by a kill.

--- a/crates/pier_matrix/src/cases/fault_case.rs
+++ b/crates/pier_matrix/src/cases/fault_case.rs
@@ -15,6 +15,8 @@
     pub expect: Vec<cases::PlayLine>,
     /// Seed of whatever the play draws at random.
     pub seed: u64,
+    /// Whether the protection is taken off by killing nodes in place of draining them.
+    pub hasty_off: bool,
     /// Why the blind retrier keeps this promise as well, for cases that can not fail there.
     pub blind_holds: Option<String>,
 }
@@ -53,6 +55,7 @@
             play: read_lines(&file, "play")?,
             expect: read_lines(&file, "expect")?,
             seed,
+            hasty_off: file.get_from(Some("case"), "off") == Some("kill"),
             blind_holds: file
                 .get_from(Some("case"), "blind-holds")
                 .map(str::to_owned),
--- a/crates/pier_matrix/src/plays/case_player.rs
+++ b/crates/pier_matrix/src/plays/case_player.rs
@@ -78,7 +78,7 @@
             "nodes" => self.add_nodes(line).await,
             "engines" => self.add_engines(line).await,
             "services" => self.add_services(line).await,
-            "serve" => self.wait_for_pool(line).await,
+            "serve" | "serve-all" => self.wait_for_pool(line).await,
             "fault" => self.bench.set_fault(line.word(0)?, &line.rest(1)),
             "clear" => {
                 self.bench.platform().clear_faults();
@@ -88,10 +88,8 @@
             "await" => self.wait_for_call(line.word(0)?).await,
             "settle" => self.settle().await,
             "started" => self.wait_for_start(line).await,
-            "kill" => {
-                self.bench.node_mut(line.word(0)?)?.kill();
-                Ok(())
-            }
+            "kill" => self.kill(line.word(0)?),
+            "abandon" => self.abandon(line.word(0)?),
             "drain" => self.drain(line.word(0)?),
             "leave" => self.leave(line.word(0)?),
             "edit" => self.edit(line).await,
@@ -162,7 +160,7 @@
         let label = line.word(0)?.to_owned();
         let call = sync::Arc::new(call_of(line, &label)?);
         let sending = match self.target {
-            plays::PlayTarget::Nodes => {
+            plays::PlayTarget::Nodes | plays::PlayTarget::HastyNodes => {
                 let node = self.bench.nodes().get(&call.node);
                 let address = node.context("no such node")?.callers();
                 let client = self.client.clone();
@@ -211,9 +209,27 @@
             .await
     }
 
+    fn kill(&mut self, name: &str) -> anyhow::Result<()> {
+        if self.target != plays::PlayTarget::BlindRetrier {
+            self.bench.node_mut(name)?.kill();
+        }
+        Ok(())
+    }
+
+    /// The caller leaves without waiting for its answer.
+    fn abandon(&mut self, label: &str) -> anyhow::Result<()> {
+        let running = self.running.remove(label);
+        running
+            .with_context(|| format!("{label} is not on its way"))?
+            .abort();
+        Ok(())
+    }
+
     fn drain(&mut self, name: &str) -> anyhow::Result<()> {
-        if self.target == plays::PlayTarget::BlindRetrier {
-            return Ok(());
+        match self.target {
+            plays::PlayTarget::Nodes => {}
+            plays::PlayTarget::HastyNodes => return self.kill(name),
+            plays::PlayTarget::BlindRetrier => return Ok(()),
         }
         let drain = self.bench.node_mut(name)?.drain();
         self.drains.extend(drain);
@@ -323,6 +339,8 @@
 }
 
 /// Sends a call to one target after the other until something answers with success.
+///
+/// What a broken answer had brought stays with the caller, as it does for a streaming one.
 async fn send_blindly(
     client: &reqwest::Client,
     targets: &[std::net::SocketAddr],
@@ -333,14 +351,19 @@
         call.path = path.to_owned();
     }
     let mut outcome = plays::CallOutcome::default();
+    let mut received = String::new();
     for target in targets.iter().cycle().take(BLIND_SENDS * targets.len()) {
         let address = target.to_string();
         let sending = send_once(client, &address, &call);
         let sent = tokio::time::timeout(BLIND_TIMEOUT, sending).await;
         outcome = sent.unwrap_or_default();
         if outcome.is_whole() {
+            outcome.body.insert_str(0, &received);
             return outcome;
         }
+        if outcome.status.is_some_and(|status| status < 400) {
+            received.push_str(&outcome.body);
+        }
     }
     outcome
 }
--- a/crates/pier_matrix/src/plays/play_target.rs
+++ b/crates/pier_matrix/src/plays/play_target.rs
@@ -5,6 +5,8 @@
 pub enum PlayTarget {
     /// The nodes.
     Nodes,
+    /// The nodes, but killed where the play drains them.
+    HastyNodes,
     /// A caller's library that sends straight to the targets and retries blindly.
     BlindRetrier,
 }
--- a/crates/pier_matrix/tests/fault_matrix.rs
+++ b/crates/pier_matrix/tests/fault_matrix.rs
@@ -24,8 +24,12 @@
     if case.blind_holds.is_some() {
         return Ok(());
     }
-    let blind = plays::CasePlayer::play(&case, plays::PlayTarget::BlindRetrier);
-    match runtime.block_on(blind) {
+    let target = if case.hasty_off {
+        plays::PlayTarget::HastyNodes
+    } else {
+        plays::PlayTarget::BlindRetrier
+    };
+    match runtime.block_on(plays::CasePlayer::play(&case, target)) {
         Ok(()) => Err("the promise holds with the protection off: the case shows nothing".into()),
         Err(_broken) => Ok(()),
     }
