Count a VM's silence only while this node could see

Cause: after its own pause or isolation a node finds all evidence old; those VMs whose next report came last would have been given up at once.

Seen: with the silence counted from the last answered probe alone, the test of the node's own pause fails (it passes with the protection); a VM that never answered counts from when it was first named.

--- /dev/null
+++ b/crates/pier_control/src/health/condition_tracker.rs
@@ -0,0 +1,117 @@
+//! Follows the condition of each VM over time.
+
+use std::{collections, time};
+
+use pier_types::{ids, times};
+
+use crate::{health, planning};
+
+/// A longer time between two updates means that this node itself was paused.
+const LONGEST_GAP: time::Duration = time::Duration::from_secs(2);
+
+/// Silence of this part of all VMs, in thousandths, is taken for a fault of this node.
+const BLIND_PERMILLE: usize = 500;
+
+/// Turns evidence that comes and goes into conditions for the planner.
+///
+/// It remembers the last evidence of VMs that fell silent, and since when a listed VM has given
+/// none at all. Silence is counted only while this node was awake and could see most of the VMs:
+/// after its own pause or isolation every VM is given the full time again.
+#[derive(Debug, Clone)]
+pub struct ConditionTracker {
+    settings: health::HealthSettings,
+    last: collections::BTreeMap<ids::VmName, health::VmEvidence>,
+    awaited: collections::BTreeMap<ids::VmName, times::BootTime>,
+    slow: collections::BTreeMap<ids::VmName, times::BootTime>,
+    seeing_since: times::BootTime,
+    updated_at: times::BootTime,
+}
+
+impl ConditionTracker {
+    /// Makes a tracker that starts to see now.
+    pub fn new(settings: health::HealthSettings, now: times::BootTime) -> Self {
+        Self {
+            settings,
+            last: collections::BTreeMap::new(),
+            awaited: collections::BTreeMap::new(),
+            slow: collections::BTreeMap::new(),
+            seeing_since: now,
+            updated_at: now,
+        }
+    }
+
+    /// Takes in the present evidence and the VMs that are slow now; returns the condition of each
+    /// VM that the list or the placement names.
+    pub fn update(
+        &mut self,
+        evidence: &collections::BTreeMap<ids::VmName, health::VmEvidence>,
+        slow: &collections::BTreeSet<ids::VmName>,
+        named: &collections::BTreeSet<ids::VmName>,
+        now: times::BootTime,
+    ) -> collections::BTreeMap<ids::VmName, planning::VmCondition> {
+        self.remember(evidence, named, now);
+        self.follow_slow(slow, now);
+        if now.since(self.updated_at) > LONGEST_GAP || self.is_blind(named, now) {
+            self.seeing_since = now;
+        }
+        self.updated_at = now;
+        let conditions = health::vm_conditions(&self.last, &self.slow, now, &self.settings);
+        let mut conditions: collections::BTreeMap<_, _> = conditions
+            .into_iter()
+            .map(|(vm, condition)| (vm, self.counted(condition)))
+            .collect();
+        for (vm, since) in &self.awaited {
+            let since = (*since).max(self.seeing_since);
+            conditions.insert(vm.clone(), planning::VmCondition::Unreachable { since });
+        }
+        conditions
+    }
+
+    /// Keeps the newest evidence of each named VM.
+    fn remember(
+        &mut self,
+        evidence: &collections::BTreeMap<ids::VmName, health::VmEvidence>,
+        named: &collections::BTreeSet<ids::VmName>,
+        now: times::BootTime,
+    ) {
+        for (vm, found) in evidence {
+            self.last.insert(vm.clone(), found.clone());
+        }
+        let last = &mut self.last;
+        last.retain(|vm, _found| named.contains(vm));
+        self.awaited
+            .retain(|vm, _since| named.contains(vm) && !last.contains_key(vm));
+        for vm in named.iter().filter(|vm| !last.contains_key(*vm)) {
+            self.awaited.entry(vm.clone()).or_insert(now);
+        }
+    }
+
+    /// Keeps since when each slow VM has been slow.
+    fn follow_slow(&mut self, slow: &collections::BTreeSet<ids::VmName>, now: times::BootTime) {
+        self.slow.retain(|vm, _since| slow.contains(vm));
+        for vm in slow {
+            self.slow.entry(vm.clone()).or_insert(now);
+        }
+    }
+
+    /// Tells whether so many VMs are silent that this node is the one cut off.
+    fn is_blind(&self, named: &collections::BTreeSet<ids::VmName>, now: times::BootTime) -> bool {
+        let is_heard = |vm: &&ids::VmName| {
+            let found = self.last.get(*vm);
+            found.is_some_and(|found| found.is_fresh(now, self.settings.silent_after))
+        };
+        let silent = named.len() - named.iter().filter(is_heard).count();
+        silent > 0 && silent * 1_000 >= named.len() * BLIND_PERMILLE
+    }
+
+    /// Counts silence only from when this node could see.
+    fn counted(&self, condition: planning::VmCondition) -> planning::VmCondition {
+        match condition {
+            planning::VmCondition::Unreachable { since } => {
+                let since = since.max(self.seeing_since);
+                planning::VmCondition::Unreachable { since }
+            }
+            heard => heard,
+        }
+    }
+}
--- a/crates/pier_control/src/health/mod.rs
+++ b/crates/pier_control/src/health/mod.rs
@@ -5,6 +5,7 @@
 //! incarnation, by a probe that was sent a short time ago. Missing evidence counts as bad evidence,
 //! and stopping needs nobody's consent.
 
+mod condition_tracker;
 mod confirmed_group;
 mod group_health;
 mod health_settings;
@@ -15,6 +16,7 @@
 mod vm_conditions;
 mod vm_evidence;
 
+pub use condition_tracker::ConditionTracker;
 use confirmed_group::ConfirmedGroup;
 pub use group_health::GroupHealth;
 pub use health_settings::HealthSettings;
--- /dev/null
+++ b/crates/pier_control/tests/silence_counts_only_while_seeing.rs
@@ -0,0 +1,107 @@
+//! A VM is given up only for silence that this node was able to see.
+
+mod common;
+
+use std::collections;
+
+use pier_control::{health, planning};
+use pier_types::ids;
+
+const VMS: [&str; 4] = ["a", "b", "c", "d"];
+
+struct Watch {
+    tracker: health::ConditionTracker,
+    now_ms: u64,
+}
+
+impl Watch {
+    fn new() -> Self {
+        let settings = health::HealthSettings::default();
+        Self {
+            tracker: health::ConditionTracker::new(settings, common::millis(100_000)),
+            now_ms: 100_000,
+        }
+    }
+
+    /// Lets time pass in steps of a second in which the named VMs answer.
+    fn pass(
+        &mut self,
+        seconds: u64,
+        heard: &[&str],
+    ) -> collections::BTreeMap<ids::VmName, planning::VmCondition> {
+        let mut conditions = collections::BTreeMap::new();
+        for _second in 0..seconds {
+            self.now_ms += 1_000;
+            conditions = self.update(heard);
+        }
+        conditions
+    }
+
+    fn update(
+        &mut self,
+        heard: &[&str],
+    ) -> collections::BTreeMap<ids::VmName, planning::VmCondition> {
+        let found = |name: &&str| {
+            (
+                common::vm(name),
+                common::evidence(name, None, 0, self.now_ms),
+            )
+        };
+        let evidence = heard.iter().map(found).collect();
+        let named = VMS.iter().map(|name| common::vm(name)).collect();
+        self.tracker.update(
+            &evidence,
+            &collections::BTreeSet::new(),
+            &named,
+            common::millis(self.now_ms),
+        )
+    }
+}
+
+fn silence_ms(
+    conditions: &collections::BTreeMap<ids::VmName, planning::VmCondition>,
+    vm: &str,
+    now_ms: u64,
+) -> Option<u64> {
+    match conditions[&common::vm(vm)] {
+        planning::VmCondition::Unreachable { since } => Some(now_ms - since.as_micros() / 1_000),
+        _ => None,
+    }
+}
+
+#[test]
+fn silence_of_one_vm_counts_from_its_last_answered_probe() {
+    let mut watch = Watch::new();
+    watch.pass(3, &VMS);
+    let conditions = watch.pass(12, &["a", "b", "c"]);
+    assert_eq!(silence_ms(&conditions, "d", watch.now_ms), Some(12_000));
+    assert_eq!(silence_ms(&conditions, "a", watch.now_ms), None);
+}
+
+#[test]
+fn vm_that_never_answered_is_silent_since_it_was_first_named() {
+    let mut watch = Watch::new();
+    let conditions = watch.pass(12, &["a", "b", "c"]);
+    assert_eq!(silence_ms(&conditions, "d", watch.now_ms), Some(11_000));
+}
+
+#[test]
+fn own_pause_and_own_isolation_give_every_vm_the_full_time_again() {
+    let mut watch = Watch::new();
+    watch.pass(3, &VMS);
+    watch.now_ms += 60_000;
+    let conditions = watch.update(&["a", "b", "c"]);
+    assert_eq!(
+        silence_ms(&conditions, "d", watch.now_ms),
+        Some(0),
+        "this node was paused"
+    );
+    watch.pass(3, &VMS);
+    watch.pass(60, &[]);
+    let conditions = watch.pass(1, &["a", "b", "c"]);
+    assert_eq!(
+        silence_ms(&conditions, "d", watch.now_ms),
+        Some(1_000),
+        "this node was cut off"
+    );
+}
