Drive lease, placement, health and orders in the daemon

Cause: the decisions need their adapters: one task owns the state machines, calls run beside it and report as events, and the lease is looked at again where an order is sent.

--- a/crates/pier_control/src/health/group_health.rs
+++ b/crates/pier_control/src/health/group_health.rs
@@ -1,6 +1,6 @@
 //! The health of the groups of a data centre.
 
-use std::collections;
+use std::{collections, time};
 
 use pier_types::{ids, reports, routes, times};
 
@@ -28,6 +28,11 @@
         }
     }
 
+    /// Sets how old the evidence of a member may be.
+    pub fn set_freshness(&mut self, freshness: time::Duration) {
+        self.settings.freshness = freshness;
+    }
+
     /// Judges every group of a placement.
     pub fn observe(
         &mut self,
--- a/crates/pier_control/src/leases/lease_settings.rs
+++ b/crates/pier_control/src/leases/lease_settings.rs
@@ -15,7 +15,7 @@
     pub retry_delay: time::Duration,
     /// A call without an answer counts as lost after this time.
     pub call_timeout: time::Duration,
-    /// The object is read this often even if no watch tells of it.
+    /// The object is watched; it is read this often in case the watch misses something.
     pub read_interval: time::Duration,
 }
 
@@ -27,7 +27,7 @@
             takeover_spread: time::Duration::from_secs(1),
             retry_delay: time::Duration::from_millis(500),
             call_timeout: time::Duration::from_secs(2),
-            read_interval: time::Duration::from_secs(5),
+            read_interval: time::Duration::from_secs(30),
         }
     }
 }
--- a/crates/pier_control/src/loads/load_queue.rs
+++ b/crates/pier_control/src/loads/load_queue.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use pier_types::{epochs, times};
+use pier_types::{epochs, rates, times};
 
 use crate::loads;
 
@@ -26,6 +26,11 @@
         }
     }
 
+    /// Sets what the store gives to all VMs together.
+    pub fn set_store_rate(&mut self, rate: rates::ByteRate) {
+        self.settings.store_rate = rate;
+    }
+
     /// Returns the groups that may load now.
     ///
     /// Groups that serve nothing come before successors; among them the model that is furthest
--- /dev/null
+++ b/crates/pier_node/src/control/control_loop.rs
@@ -0,0 +1,215 @@
+//! The task that owns the control decisions of a node.
+
+use std::{collections, time};
+
+use pier_config::documents;
+use pier_control::{health, leases, loads, orders, placements, planning};
+use pier_types::{epochs, ids, times, times::clocks};
+use tokio::sync::mpsc;
+
+use crate::{control, handle};
+
+/// Time between two looks at the evidence; a group stops at the latest so long after its evidence
+/// has become too old.
+const TICK: time::Duration = time::Duration::from_millis(200);
+
+/// Time between two runs of the planner.
+const PLAN_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Starts the control loop; it ends with the runtime.
+pub fn spawn(handle: handle::NodeHandle, settings: &control::ControlSettings) {
+    let (sender, events) = mpsc::unbounded_channel();
+    let control = ControlLoop::new(handle, sender, settings);
+    tokio::spawn(control.run(events));
+}
+
+/// The state of the control loop.
+#[derive(Debug)]
+struct ControlLoop {
+    settings: control::ControlSettings,
+    handle: handle::NodeHandle,
+    events: control::EventSender,
+    lease: control::LeaseDriver,
+    placement: control::PlacementDriver,
+    tracker: health::ConditionTracker,
+    health: health::GroupHealth,
+    queue: loads::LoadQueue,
+    orders: orders::OrderPlan,
+    planned_at: times::BootTime,
+}
+
+impl ControlLoop {
+    fn new(
+        handle: handle::NodeHandle,
+        events: control::EventSender,
+        settings: &control::ControlSettings,
+    ) -> Self {
+        Self {
+            lease: control::LeaseDriver::new(handle.clone(), events.clone(), settings.lease),
+            placement: control::PlacementDriver::new(handle.clone(), events.clone()),
+            tracker: health::ConditionTracker::new(settings.health, clocks::boot_now()),
+            health: health::GroupHealth::new(settings.health),
+            queue: loads::LoadQueue::new(settings.loads),
+            orders: orders::OrderPlan::new(settings.orders),
+            planned_at: times::BootTime::default(),
+            settings: *settings,
+            handle,
+            events,
+        }
+    }
+
+    /// Takes in events and ticks until the runtime ends.
+    async fn run(mut self, mut events: mpsc::UnboundedReceiver<control::ControlEvent>) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _tick = ticks.tick() => self.tick(clocks::boot_now()),
+                Some(event) = events.recv() => self.take(event, clocks::boot_now()),
+            }
+        }
+    }
+
+    fn take(&mut self, event: control::ControlEvent, now: times::BootTime) {
+        match event {
+            control::ControlEvent::Lease(event) => self.lease.step(event, now),
+            control::ControlEvent::PlacementSeen(result) => self.placement.see(result),
+            control::ControlEvent::PlacementWritten(result) => self.placement.finish_write(result),
+            control::ControlEvent::OrderAnswered(order, reply) => {
+                self.orders.note_reply(&order, reply);
+            }
+        }
+    }
+
+    /// Judges the groups on every node; plans and orders if this one holds the lease.
+    fn tick(&mut self, now: times::BootTime) {
+        self.lease.step(leases::LeaseEvent::Tick, now);
+        let config = self.handle.config();
+        if let Some(config) = &config {
+            self.health.set_freshness(config.document.limits.freshness);
+        }
+        let evidence = self.handle.evidence();
+        let placement = self.placement.placement().cloned();
+        let view = placement
+            .as_ref()
+            .map(|placement| self.health.observe(placement, &evidence, now))
+            .unwrap_or_default();
+        let conditions = self.conditions(placement.as_ref(), &evidence, now);
+        self.handle.publish_groups(handle::GroupSnapshot {
+            placement: placement.clone(),
+            health: view.clone(),
+        });
+        let (Some(config), Some(grant)) = (config, self.lease.grant(now)) else {
+            return;
+        };
+        if now.since(self.planned_at) >= PLAN_INTERVAL {
+            self.planned_at = now;
+            self.plan(&config.document, &conditions, &view, grant.term, now);
+        }
+        if let Some(placement) = placement {
+            self.order(&config.document, &placement, &evidence, &view, now);
+        }
+    }
+
+    /// Judges each VM that the list or the placement names.
+    fn conditions(
+        &mut self,
+        placement: Option<&placements::DataCentrePlacement>,
+        evidence: &collections::BTreeMap<ids::VmName, health::VmEvidence>,
+        now: times::BootTime,
+    ) -> collections::BTreeMap<ids::VmName, planning::VmCondition> {
+        let list = self.handle.vms();
+        let data_centre = &self.handle.settings().data_centre;
+        let listed = list
+            .values()
+            .filter(|entry| entry.data_centre == *data_centre);
+        let groups = placement
+            .into_iter()
+            .flat_map(|placement| placement.groups().values());
+        let members = groups.flat_map(|group| group.vms()).cloned();
+        let named = listed
+            .map(|entry| entry.name.clone())
+            .chain(members)
+            .collect();
+        let slow = collections::BTreeSet::new();
+        self.tracker.update(evidence, &slow, &named, now)
+    }
+
+    /// Plans the next placement and writes it if it differs.
+    fn plan(
+        &mut self,
+        document: &documents::ConfigDocument,
+        conditions: &collections::BTreeMap<ids::VmName, planning::VmCondition>,
+        view: &health::HealthView,
+        term: epochs::LeaseTerm,
+        now: times::BootTime,
+    ) {
+        let Some(present) = self.placement.plannable() else {
+            return;
+        };
+        let mismatched = view
+            .mismatched
+            .union(self.orders.fenced())
+            .copied()
+            .collect();
+        let input = planning::PlanInput {
+            wanted: &control::wanted_models(document, present.data_centre()),
+            vms: &control::wanted_models::planned_vms(&self.handle.vms(), document),
+            conditions,
+            serving: &view.loads(),
+            mismatched: &mismatched,
+            ready: &view.ready,
+            seen_generation: self.orders.seen_generation(),
+            present: &present,
+            term,
+            now,
+        };
+        match planning::PlacementPlan::make(&input, &self.settings.planner) {
+            Ok(plan) if plan.is_changed || self.placement.is_deleted() => self.write(plan),
+            Ok(_unchanged) => {}
+            Err(error) => log::error!(event = "plan-invalid", cause:% = error; ""),
+        }
+    }
+
+    fn write(&mut self, plan: planning::PlacementPlan) {
+        for reason in &plan.reasons {
+            log::info!(event = "placement-planned", reason:% = reason; "");
+        }
+        self.orders.clear_fenced();
+        self.placement.write(plan.placement);
+    }
+
+    /// Sends the orders that are due.
+    fn order(
+        &mut self,
+        document: &documents::ConfigDocument,
+        placement: &placements::DataCentrePlacement,
+        evidence: &collections::BTreeMap<ids::VmName, health::VmEvidence>,
+        view: &health::HealthView,
+        now: times::BootTime,
+    ) {
+        let wanted = control::wanted_models(document, placement.data_centre());
+        self.queue.set_store_rate(document.limits.weight_store_rate);
+        let admitted = self.queue.admit(&loads::LoadInput {
+            placement,
+            wanted: &wanted,
+            evidence,
+            view,
+            now,
+        });
+        let vms: Vec<_> = self.handle.vms().values().cloned().collect();
+        let due = self.orders.due(&orders::OrderInput {
+            placement,
+            vms: &vms,
+            evidence,
+            admitted: &admitted,
+            grant: self.lease.grant(now),
+            now,
+        });
+        for order in due {
+            let grant = self.lease.shared_grant();
+            let settings = *self.orders.settings();
+            control::order_calls::send(&self.handle, &self.events, &grant, order, settings);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pier_node/src/control/lease_driver.rs
@@ -0,0 +1,96 @@
+//! Drives the control lease of this node's data centre.
+
+use std::{collections, sync};
+
+use pier_control::leases;
+use pier_types::{epochs, ids, times};
+
+use crate::{control, handle};
+
+/// The lease's state machine with its calls.
+#[derive(Debug)]
+pub(super) struct LeaseDriver {
+    handle: handle::NodeHandle,
+    events: control::EventSender,
+    keeper: leases::LeaseKeeper,
+    grant: control::SharedGrant,
+    is_resigned: bool,
+}
+
+impl LeaseDriver {
+    /// Makes a driver that has seen nothing yet, and starts its watch.
+    pub(super) fn new(
+        handle: handle::NodeHandle,
+        events: control::EventSender,
+        settings: leases::LeaseSettings,
+    ) -> Self {
+        control::lease_calls::watch(&handle, &events);
+        Self {
+            keeper: leases::LeaseKeeper::new(handle.name().clone(), settings),
+            grant: sync::Arc::default(),
+            is_resigned: false,
+            handle,
+            events,
+        }
+    }
+
+    /// Returns the lease if this node holds it now.
+    pub(super) fn grant(&self, now: times::BootTime) -> Option<leases::LeaseGrant> {
+        self.keeper.grant(now)
+    }
+
+    /// Returns the lease as tasks can see it at any moment.
+    pub(super) fn shared_grant(&self) -> control::SharedGrant {
+        sync::Arc::clone(&self.grant)
+    }
+
+    /// Takes in an event and makes the calls that are due.
+    pub(super) fn step(&mut self, event: leases::LeaseEvent, now: times::BootTime) {
+        self.keeper.set_present(self.present_nodes());
+        let held = self.keeper.grant(now).map(|grant| grant.term);
+        let actions = if self.handle.is_draining() && !self.is_resigned {
+            self.is_resigned = true;
+            self.keeper.resign(now, draw())
+        } else {
+            self.keeper.step(event, now, draw())
+        };
+        self.publish(now, held);
+        for action in actions {
+            control::lease_calls::make(&self.handle, &self.events, action);
+        }
+    }
+
+    /// Publishes the record and this node's own claim.
+    fn publish(&self, now: times::BootTime, before: Option<epochs::LeaseTerm>) {
+        let grant = self.keeper.grant(now);
+        self.grant.store(grant.map(sync::Arc::new));
+        if grant.map(|grant| grant.term) != before {
+            let term = grant.map(|grant| grant.term.get());
+            log::info!(event = "lease-changed", held = grant.is_some(), term:? = term; "");
+        }
+        if let Some((_version, record)) = self.keeper.record() {
+            self.handle.publish_lease(handle::LeaseSnapshot {
+                record: record.clone(),
+                held_until: grant.map(|grant| grant.until),
+            });
+        }
+    }
+
+    /// Returns the nodes of this data centre that are thought alive.
+    fn present_nodes(&self) -> collections::BTreeSet<ids::NodeName> {
+        let data_centre = &self.handle.settings().data_centre;
+        let peers = self.handle.peers();
+        let present = peers
+            .iter()
+            .filter(|peer| peer.data_centre == *data_centre && !peer.draining);
+        present.map(|peer| peer.node.clone()).collect()
+    }
+}
+
+/// Draws the randomness of one step.
+fn draw() -> leases::LeaseDraw {
+    leases::LeaseDraw {
+        nonce: ids::LeaseNonce::new(rand::random()),
+        jitter_permille: rand::random_range(0..=1_000),
+    }
+}
--- /dev/null
+++ b/crates/pier_node/src/control/placement_driver.rs
@@ -0,0 +1,139 @@
+//! Follows the placement object, and writes it for the lease holder.
+
+use pier_control::placements;
+use pier_platform::objects;
+use pier_types::{epochs, ids};
+
+use crate::{control, handle};
+
+/// The newest placement that this node knows, with its calls.
+#[derive(Debug)]
+pub(super) struct PlacementDriver {
+    handle: handle::NodeHandle,
+    events: control::EventSender,
+    /// Version of the object; none until it was read.
+    version: Option<epochs::ObjectVersion>,
+    /// The last placement that parsed; stays in force over later ones that do not.
+    placement: Option<placements::DataCentrePlacement>,
+    /// Whether the newest value does not parse; it is then never overwritten.
+    is_blocked: bool,
+    /// The write under way.
+    writing: Option<placements::DataCentrePlacement>,
+}
+
+impl PlacementDriver {
+    /// Makes a driver that has seen nothing yet, and starts its watch.
+    pub(super) fn new(handle: handle::NodeHandle, events: control::EventSender) -> Self {
+        control::placement_calls::watch(&handle, &events);
+        Self {
+            handle,
+            events,
+            version: None,
+            placement: None,
+            is_blocked: false,
+            writing: None,
+        }
+    }
+
+    /// Returns the placement in force, if there is one.
+    pub(super) fn placement(&self) -> Option<&placements::DataCentrePlacement> {
+        self.placement.as_ref()
+    }
+
+    /// Returns the placement that the lease holder may plan on: the newest one, with no write
+    /// under way. An absent object counts as an empty placement.
+    pub(super) fn plannable(&self) -> Option<placements::DataCentrePlacement> {
+        if self.version.is_none() || self.is_blocked || self.writing.is_some() {
+            return None;
+        }
+        let empty = || placements::DataCentrePlacement::empty(self.data_centre().clone());
+        Some(self.placement.clone().unwrap_or_else(empty))
+    }
+
+    /// Tells whether somebody deleted the object.
+    pub(super) fn is_deleted(&self) -> bool {
+        self.version == Some(epochs::ObjectVersion::default()) && self.placement.is_some()
+    }
+
+    /// Writes a placement over the newest one.
+    pub(super) fn write(&mut self, placement: placements::DataCentrePlacement) {
+        let Some(version) = self.version else {
+            return;
+        };
+        control::placement_calls::write(&self.handle, &self.events, &placement, version);
+        self.writing = Some(placement);
+    }
+
+    /// Takes in what a read or a watch showed.
+    pub(super) fn see(&mut self, result: objects::ReadResult) {
+        match result {
+            objects::ReadResult::Found { version, bytes } => self.see_value(version, &bytes),
+            objects::ReadResult::Absent => self.see_absent(),
+            objects::ReadResult::Away { reason } => {
+                log::warn!(event = "placement-unread", cause:% = reason; "");
+            }
+        }
+    }
+
+    /// Takes in how a write ended; what is not known is read.
+    pub(super) fn finish_write(&mut self, result: objects::WriteResult) {
+        let written = self.writing.take();
+        match (result, written) {
+            (objects::WriteResult::Written(version), Some(placement)) => {
+                if self.version.is_none_or(|known| version > known) {
+                    self.adopt(version, placement);
+                }
+            }
+            (result, _) => {
+                log::warn!(event = "placement-unwritten", result:? = result; "");
+                control::placement_calls::read(&self.handle, &self.events);
+            }
+        }
+    }
+
+    fn see_value(&mut self, version: epochs::ObjectVersion, bytes: &[u8]) {
+        if self.version.is_some_and(|known| version <= known) {
+            return;
+        }
+        match placements::DataCentrePlacement::parse(bytes) {
+            Ok(placement) if placement.data_centre() == self.data_centre() => {
+                self.adopt(version, placement);
+            }
+            Ok(placement) => {
+                let found = placement.data_centre();
+                log::error!(event = "placement-foreign", version:% = version, found:% = found; "");
+                self.block(version);
+            }
+            Err(error) => {
+                log::error!(event = "placement-unreadable", version:% = version, cause:% = error; "");
+                self.block(version);
+            }
+        }
+    }
+
+    /// An object that somebody deleted is written anew on the last good placement, whose counters
+    /// go on.
+    fn see_absent(&mut self) {
+        self.version = Some(epochs::ObjectVersion::default());
+        self.is_blocked = false;
+    }
+
+    fn block(&mut self, version: epochs::ObjectVersion) {
+        self.version = Some(version);
+        self.is_blocked = true;
+    }
+
+    fn adopt(
+        &mut self,
+        version: epochs::ObjectVersion,
+        placement: placements::DataCentrePlacement,
+    ) {
+        self.version = Some(version);
+        self.is_blocked = false;
+        self.placement = Some(placement);
+    }
+
+    fn data_centre(&self) -> &ids::DataCentreName {
+        &self.handle.settings().data_centre
+    }
+}
--- /dev/null
+++ b/crates/pier_node/src/control/wanted_models.rs
@@ -0,0 +1,57 @@
+//! What the configuration asks of a data centre.
+
+use std::collections;
+
+use pier_config::documents;
+use pier_control::{placements, planning};
+use pier_types::{ids, vms};
+
+/// Returns what a data centre is to run of each model.
+///
+/// A data centre that is out of service keeps its groups, so that it can return at once.
+pub fn wanted_models(
+    document: &documents::ConfigDocument,
+    data_centre: &ids::DataCentreName,
+) -> collections::BTreeMap<ids::ModelName, planning::WantedModel> {
+    let section = document.data_centres.get(data_centre);
+    let replicas = section.into_iter().flat_map(|section| &section.replicas);
+    let wanted = replicas.filter_map(|(model, replicas)| {
+        let section = document.models.get(model)?;
+        let wanted = planning::WantedModel {
+            model: model.clone(),
+            replicas: replicas.get(),
+            members: section.members.get(),
+            recipe: group_recipe(section),
+            weight_bytes: section.weight_bytes,
+        };
+        Some((model.clone(), wanted))
+    });
+    wanted.collect()
+}
+
+/// Returns the VMs as the planner is to see them: one that operators took out is leaving.
+pub(super) fn planned_vms(
+    list: &collections::BTreeMap<ids::VmName, vms::VmEntry>,
+    document: &documents::ConfigDocument,
+) -> Vec<vms::VmEntry> {
+    let entries = list.values().cloned().map(|mut entry| {
+        if document.drained.contains_key(&entry.name) {
+            entry.state = vms::VmState::Leaving;
+        }
+        entry
+    });
+    entries.collect()
+}
+
+/// Returns what the groups of a model run.
+fn group_recipe(section: &documents::ModelSection) -> placements::GroupRecipe {
+    let prefill = match section.roles {
+        documents::RoleLayout::Unified => 0,
+        documents::RoleLayout::Split { prefill, .. } => prefill.get(),
+    };
+    placements::GroupRecipe {
+        version: section.version.clone().into(),
+        adapters: section.adapters.clone(),
+        prefill,
+    }
+}
--- a/crates/pier_node/src/lib.rs
+++ b/crates/pier_node/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod callers;
 pub mod configs;
+pub mod control;
 pub mod daemon;
 pub mod forwards;
 pub mod handle;
