--- a/crates/buckthornpier/src/commands/status_command.rs
+++ b/crates/buckthornpier/src/commands/status_command.rs
@@ -1,9 +1,10 @@
 //! `buckthornpier status`.
 
 use clap::{ArgMatches, Command};
+use pier_config::documents;
 
 use crate::{
-    commands::{config_check, node_reader, platform_choice},
+    commands::{node_reader, platform_choice},
     exits, output,
 };
 
@@ -43,14 +44,20 @@
         output::line("document = none yet");
         return Ok(());
     }
-    let document = config_check::parse(&text)?;
-    output::line(format!("document = {}", document.name));
     output::line(format!("version = {version}"));
+    match text.parse::<documents::ConfigDocument>() {
+        Ok(document) => show_document(&document),
+        Err(error) => output::line(format!("document = refused, {error}")),
+    }
+    Ok(())
+}
+
+fn show_document(document: &documents::ConfigDocument) {
+    output::line(format!("document = {}", document.name));
     for (name, section) in &document.data_centres {
         output::line(format!("data-centre.{name} = {}", section.state));
     }
     for (vm, reason) in &document.drained {
         output::line(format!("drained.{vm} = {reason}"));
     }
-    Ok(())
 }
--- a/crates/buckthornpier/tests/config_in_force.rs
+++ b/crates/buckthornpier/tests/config_in_force.rs
@@ -50,6 +50,12 @@
     let _written = write(1, bad).await;
     let status = node.wait_for("config.refused = 2");
     assert!(status.contains("config.version = 1\n"), "{status}");
+    let platform = common::expect(0, &["status", "--platform", &url]).out;
+    assert!(
+        platform.contains("document = refused, 1 fault(s)"),
+        "{platform}"
+    );
+    common::expect(2, &["drain", "target", "vm-1", "--platform", &url]);
     let _written = write(2, common::SAMPLE.replacen("= 72", "= 48", 1)).await;
     let status = node.wait_for("config.version = 3");
     assert!(status.contains("config.refused = null\n"), "{status}");
--- a/crates/pier_config/src/applies/apply_flow.rs
+++ b/crates/pier_config/src/applies/apply_flow.rs
@@ -2,7 +2,7 @@
 
 use pier_types::{epochs, ids};
 
-use crate::{applies, changes, documents};
+use crate::{applies, documents, edits};
 
 /// Reads in a row that may fail or lag behind.
 const READ_TRIES: u32 = 8;
@@ -166,7 +166,7 @@
             }
             applies::ApplyChange::Replace { text, .. } => Ok(text.clone()),
             applies::ApplyChange::Edit(_) if version.get() == 0 => {
-                Err(crate::edits::EditError::NoDocument)
+                Err(edits::EditError::NoDocument)
             }
             applies::ApplyChange::Edit(edit) => edit.apply(&text),
         };
@@ -282,12 +282,12 @@
             applies::ApplyChange::Replace { text, base } => (*base, text.as_str()),
             applies::ApplyChange::Edit(_) => (self.base.version, self.base.new_text.as_str()),
         };
-        applies::ApplyOutcome::Conflict(applies::ConflictReport {
-            base,
-            present,
-            from_base: base_text.is_some(),
-            changes: list_changes(base_text.unwrap_or(own_text), present_text),
-        })
+        let report = applies::ConflictReport::new(base, present);
+        let report = match base_text {
+            Some(base_text) => report.compare_base(base_text, present_text),
+            None => report.compare_own(own_text, present_text),
+        };
+        applies::ApplyOutcome::Conflict(report)
     }
 
     /// An answer to a question that was not asked: nothing certain can be said any more.
@@ -305,15 +305,3 @@
         applies::ApplyAction::Finish(outcome)
     }
 }
-
-fn list_changes(before: &str, after: &str) -> Vec<String> {
-    let documents = (
-        before.parse::<documents::ConfigDocument>(),
-        after.parse::<documents::ConfigDocument>(),
-    );
-    let (Ok(before), Ok(after)) = documents else {
-        return vec!["the documents can not be compared: one of them does not parse".to_owned()];
-    };
-    let diff = changes::DocumentDiff::between(&before, &after);
-    diff.changes.iter().map(ToString::to_string).collect()
-}
--- a/crates/pier_config/src/applies/apply_outcome.rs
+++ b/crates/pier_config/src/applies/apply_outcome.rs
@@ -2,7 +2,7 @@
 
 use pier_types::epochs;
 
-use crate::{edits, faults};
+use crate::{applies, edits, faults};
 
 /// What became of a change, as far as it is certain.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -17,7 +17,7 @@
     /// The edit is refused; it had no effect.
     EditRefused(edits::EditError),
     /// Another change came first; this one had no effect.
-    Conflict(ConflictReport),
+    Conflict(applies::ConflictReport),
     /// The platform is away; the change had no effect.
     Away {
         /// What went wrong, for people.
@@ -29,16 +29,3 @@
         reason: String,
     },
 }
-
-/// What changed under an operator.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ConflictReport {
-    /// The version that the change was meant for.
-    pub base: epochs::ConfigVersion,
-    /// The version in place.
-    pub present: epochs::ConfigVersion,
-    /// Whether `changes` leads from the base; else it leads from the operator's own text.
-    pub from_base: bool,
-    /// The changes that lead to the version in place, one a line.
-    pub changes: Vec<String>,
-}
--- a/crates/pier_config/src/applies/mod.rs
+++ b/crates/pier_config/src/applies/mod.rs
@@ -7,11 +7,13 @@
 mod apply_event;
 mod apply_flow;
 mod apply_outcome;
+mod conflict_report;
 mod mark_chain;
 
 pub use apply_action::ApplyAction;
 pub use apply_change::ApplyChange;
 pub use apply_event::ApplyEvent;
 pub use apply_flow::ApplyFlow;
-pub use apply_outcome::{ApplyOutcome, ConflictReport};
+pub use apply_outcome::ApplyOutcome;
+pub use conflict_report::ConflictReport;
 pub use mark_chain::{MarkChain, MarkVerdict};
