--- a/crates/buckthornpier/src/commands/apply_driver.rs
+++ b/crates/buckthornpier/src/commands/apply_driver.rs
@@ -165,6 +165,8 @@
     let _infallible = write!(text, " Nothing was changed: version {present} is in place.");
     let from = if conflict.from_base {
         format!("Changes from version {base} to {present}")
+    } else if base.get() == 0 {
+        format!("There is a document already; changes from your text to version {present}")
     } else {
         format!("Version {base} is not kept any more; changes from your text to version {present}")
     };
--- a/crates/pier_config/src/applies/apply_flow.rs
+++ b/crates/pier_config/src/applies/apply_flow.rs
@@ -2,7 +2,10 @@
 
 use pier_types::{epochs, ids};
 
-use crate::{applies, documents, edits};
+use crate::{
+    applies::{self, BaseText, FlowStage},
+    documents, edits,
+};
 
 /// Reads in a row that may fail or lag behind.
 const READ_TRIES: u32 = 8;
@@ -26,33 +29,6 @@
     rounds: u32,
 }
 
-/// The version that the write replaces.
-#[derive(Debug, Clone, Default)]
-struct BaseText {
-    version: epochs::ConfigVersion,
-    text: String,
-    /// The text that is to take its place.
-    new_text: String,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum FlowStage {
-    /// Waits for the version to build on, at least this one.
-    Reading(epochs::ConfigVersion),
-    /// Waits for the base to be kept.
-    Archiving,
-    /// Waits for the first result of the write.
-    Writing,
-    /// Waits for the result of a write sent again, or reads back.
-    Settling,
-    /// Knows of a conflict and reads what is present, at least this version.
-    Explaining(epochs::ConfigVersion),
-    /// Knows of a conflict and looks for the base in the history.
-    Comparing(epochs::ConfigVersion, String),
-    /// Has said what became of the change.
-    Finished,
-}
-
 impl ApplyFlow {
     /// Starts a change; the nonce is drawn at random for it alone.
     pub fn start(
@@ -181,6 +157,9 @@
         let new_text = applies::MarkChain::of_text(&text)
             .with(mark)
             .write_to(&edited);
+        if let Err(error) = new_text.parse::<documents::ConfigDocument>() {
+            return self.finish(applies::ApplyOutcome::Refused(error));
+        }
         self.base = BaseText {
             version,
             text,
--- a/crates/pier_config/src/applies/mod.rs
+++ b/crates/pier_config/src/applies/mod.rs
@@ -8,6 +8,7 @@
 mod apply_flow;
 mod apply_outcome;
 mod conflict_report;
+mod flow_stage;
 mod mark_chain;
 
 pub use apply_action::ApplyAction;
@@ -16,4 +17,5 @@
 pub use apply_flow::ApplyFlow;
 pub use apply_outcome::ApplyOutcome;
 pub use conflict_report::ConflictReport;
+use flow_stage::{BaseText, FlowStage};
 pub use mark_chain::{MarkChain, MarkVerdict};
