Let a node without the platform follow the others

Cause: only a fresh node asked its seeds; one that lost the platform later kept its version until told. Now it asks one other node a second, peers or seeds, for anything above its own version. The watch is shorter (8 to 12 s), so that a platform that swallows packets is noticed sooner.

Ruled out: asking all the time (a connection a second for each node, for nothing). Seen to fail with the protection off: the node never gets version 2.

--- a/crates/buckthornpier/tests/config_in_force.rs
+++ b/crates/buckthornpier/tests/config_in_force.rs
@@ -92,6 +92,24 @@
     common::expect(0, &groups);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn node_that_loses_the_platform_learns_from_its_peers() {
+    let (_server, url) = common::platform_with_sample("loses").await;
+    let (lost_server, lost_url) = common::platform_with_sample("loses").await;
+    let first = node_process::NodeProcess::start("loses", "a", &url, "");
+    let seeds = first.peers.to_string();
+    let second = node_process::NodeProcess::start("loses", "b", &lost_url, &seeds);
+    second.wait_for("config.version = 1");
+    drop(lost_server);
+    let drain = ["drain", "data-centre", "scot-central-a", "--platform", &url];
+    common::expect(0, &drain);
+    let status = second.wait_for("config.version = 2");
+    assert!(
+        status.contains("config.data_centres.scot-central-a = out-of-service\n"),
+        "{status}"
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn node_out_of_reach_is_told() {
     let (_server, url) = common::platform().await;
--- a/crates/pier_node/src/configs/config_inbox.rs
+++ b/crates/pier_node/src/configs/config_inbox.rs
@@ -25,6 +25,8 @@
     Copy(watches::ConfigCopy),
     /// The platform has no document.
     Absent,
+    /// The platform stopped answering, or answers again.
+    PlatformAway(bool),
 }
 
 /// Takes news for the loop; a clone is cheap.
--- a/crates/pier_node/src/configs/config_loop.rs
+++ b/crates/pier_node/src/configs/config_loop.rs
@@ -13,8 +13,10 @@
 
 /// Time between two looks at waiting copies, and between questions of a fresh node to its seeds.
 const TICK_PERIOD: time::Duration = time::Duration::from_millis(100);
-/// Ticks between two questions of a fresh node to one of its seeds.
-const SEED_TICKS: u64 = 5;
+/// Ticks between two questions of a fresh node to another node.
+const FRESH_TICKS: u64 = 5;
+/// Ticks between two questions to another node while the platform is away.
+const AWAY_TICKS: u64 = 10;
 /// Time after which a refused document is told again.
 const REMIND_PERIOD: time::Duration = time::Duration::from_mins(1);
 
@@ -27,6 +29,7 @@
     watcher: watches::ConfigWatcher,
     in_force: watch::Sender<epochs::ConfigVersion>,
     addresses: collections::BTreeMap<ids::NodeName, net::SocketAddr>,
+    platform_away: bool,
     ticks: u64,
     reminded: times::BootTime,
 }
@@ -50,6 +53,7 @@
             watcher: watches::ConfigWatcher::new(now),
             in_force,
             addresses: collections::BTreeMap::new(),
+            platform_away: false,
             ticks: 0,
             reminded: now,
         };
@@ -87,6 +91,10 @@
             }
             configs::ConfigNews::Copy(copy) => self.watcher.offer(&copy, now),
             configs::ConfigNews::Absent => self.watcher.absent(),
+            configs::ConfigNews::PlatformAway(away) => {
+                self.platform_away = away;
+                Vec::new()
+            }
         };
         self.act(actions);
     }
@@ -95,27 +103,35 @@
         let now = times::clocks::boot_now();
         let actions = self.watcher.tick(now);
         self.act(actions);
-        if self.watcher.in_force().is_none() {
-            self.ask_next_seed();
-        }
+        self.ask_around();
         self.remind(now);
         self.ticks += 1;
     }
 
-    /// Asks one seed after another while this node has no configuration.
-    fn ask_next_seed(&self) {
-        let seeds = &self.handle.settings().seeds;
-        if seeds.is_empty() || !self.ticks.is_multiple_of(SEED_TICKS) {
-            return;
-        }
-        let round = usize::try_from(self.ticks / SEED_TICKS).unwrap_or(0);
-        if round == 0 {
-            for seed in seeds {
+    /// Asks other nodes while this one is fresh or the platform is away: all seeds at the start, later
+    /// one node at a time, drawn by chance.
+    fn ask_around(&self) {
+        let fresh = self.watcher.in_force().is_none();
+        if fresh && self.ticks == 0 {
+            for seed in &self.handle.settings().seeds {
                 self.ask(*seed);
             }
-            return;
         }
-        self.ask(seeds[round % seeds.len()]);
+        let period = if fresh { FRESH_TICKS } else { AWAY_TICKS };
+        let due = self.ticks > 0 && self.ticks.is_multiple_of(period);
+        if due && (fresh || self.platform_away) {
+            self.ask_any();
+        }
+    }
+
+    fn ask_any(&self) {
+        let peers = self.handle.peers();
+        let peers = peers.iter().map(|peer| peer.address);
+        let seeds = self.handle.settings().seeds.iter().copied();
+        let nodes = peers.chain(seeds).collect::<Vec<_>>();
+        if !nodes.is_empty() {
+            self.ask(nodes[rand::random_range(0..nodes.len())]);
+        }
     }
 
     /// Says again that a document above the one in force is refused.
@@ -171,8 +187,9 @@
 
     fn ask(&self, address: net::SocketAddr) {
         let (client, inbox) = (self.client.clone(), self.inbox.clone());
+        let after = self.watcher.version();
         tokio::spawn(async move {
-            match peer_copies::ask_peer(&client, address).await {
+            match peer_copies::ask_peer(&client, address, after).await {
                 Ok(copy) => inbox.send(configs::ConfigNews::Copy(copy)).await,
                 Err(error) => {
                     let cause = format!("{error:#}");
--- a/crates/pier_node/src/configs/peer_copies.rs
+++ b/crates/pier_node/src/configs/peer_copies.rs
@@ -12,6 +12,8 @@
 
 /// Path that asks for a copy; callers can not reach it.
 const COPY_PATH: &str = "/peer/config";
+/// Beginning of the query that names the version the asker has in force.
+const AFTER_FIELD: &str = "after=";
 /// Name that stands where a forwarded request names its customer and pool.
 const PEER_NAME: &str = "peer";
 /// Bound on one copy's way.
@@ -25,7 +27,7 @@
     text: String,
 }
 
-/// Answers a peer's question for the version in force; none if the request asks for something else.
+/// Answers a peer's question for a version above its own; none if the request asks for something else.
 pub(crate) fn answer_peer(
     handle: &handle::NodeHandle,
     request: &callers::CallerRequest,
@@ -34,7 +36,12 @@
         return None;
     }
     let kind = "application/json";
-    let Some(snapshot) = handle.config() else {
+    let after = request.query.strip_prefix(AFTER_FIELD);
+    let after = after
+        .and_then(|after| after.parse().ok())
+        .unwrap_or_default();
+    let newer = handle.config().filter(|snapshot| snapshot.version > after);
+    let Some(snapshot) = newer else {
         return Some(callers::CallerReply::whole(404, kind, "null".into()));
     };
     let copy = PeerCopy {
@@ -46,20 +53,21 @@
     Some(callers::CallerReply::whole(200, kind, body.into()))
 }
 
-/// Asks the node at an address for its version in force.
+/// Asks the node at an address for a version above the one named.
 ///
 /// # Errors
 ///
-/// Fails when the node can not be reached in time or has no configuration.
+/// Fails when the node can not be reached in time or has no such version.
 pub(super) async fn ask_peer(
     client: &forwards::ForwardClient,
     address: net::SocketAddr,
+    after: epochs::ConfigVersion,
 ) -> anyhow::Result<watches::ConfigCopy> {
-    let asking = client.send(address, question()?, &[]);
+    let asking = client.send(address, question(after)?, &[]);
     let reply = tokio::time::timeout(COPY_TIMEOUT, asking).await;
     let reply = reply.context("no copy in time")?;
     let reply = reply.map_err(|error| anyhow::anyhow!("{error:?}"))?;
-    anyhow::ensure!(reply.status == 200, "the peer has no configuration");
+    anyhow::ensure!(reply.status == 200, "the peer has no version above {after}");
     let callers::ReplyBody::Whole(body) = reply.body else {
         anyhow::bail!("the copy is no whole answer");
     };
@@ -71,13 +79,13 @@
     })
 }
 
-fn question() -> anyhow::Result<frames::ForwardBegin> {
+fn question(after: epochs::ConfigVersion) -> anyhow::Result<frames::ForwardBegin> {
     Ok(frames::ForwardBegin {
         pool: routes::PoolKey::Service(PEER_NAME.parse()?),
         customer: PEER_NAME.parse()?,
         attempt: ids::AttemptId::new(rand::random()),
         method: "GET".to_owned(),
-        path: COPY_PATH.to_owned(),
+        path: format!("{COPY_PATH}?{AFTER_FIELD}{after}"),
         headers: Vec::new(),
         trace_parent: None,
         deadline_ms: u32::try_from(COPY_TIMEOUT.as_millis()).unwrap_or(u32::MAX),
--- a/crates/pier_node/src/configs/platform_watch.rs
+++ b/crates/pier_node/src/configs/platform_watch.rs
@@ -10,9 +10,9 @@
 use crate::{configs, handle};
 
 /// Shortest wait of a watch; it ends in an answer either way, so a dead connection is noticed.
-const WATCH_WAIT: time::Duration = time::Duration::from_secs(20);
+const WATCH_WAIT: time::Duration = time::Duration::from_secs(8);
 /// What chance may add to a wait, so that nodes spread out.
-const WATCH_JITTER: time::Duration = time::Duration::from_secs(10);
+const WATCH_JITTER: time::Duration = time::Duration::from_secs(4);
 
 /// The task that holds one watch open all the time.
 #[derive(Debug)]
@@ -61,7 +61,7 @@
         let client = self.handle.objects();
         match client.watch(documents::DOCUMENT_KEY, after, wait).await {
             objects::WatchResult::Changed { version, bytes } => {
-                self.note_answer();
+                self.note_answer().await;
                 let copy = copy_of(version, &bytes);
                 let news = copy.version > self.seen;
                 self.seen = self.seen.max(copy.version);
@@ -69,33 +69,40 @@
                 news
             }
             objects::WatchResult::Unchanged => {
-                self.note_answer();
+                self.note_answer().await;
                 true
             }
             objects::WatchResult::Absent => {
-                self.note_answer();
+                self.note_answer().await;
                 self.inbox.send(configs::ConfigNews::Absent).await;
                 false
             }
             objects::WatchResult::Away { reason } => {
-                self.note_away(&reason);
+                self.note_away(&reason).await;
                 false
             }
         }
     }
 
-    fn note_answer(&mut self) {
+    async fn note_answer(&mut self) {
         if self.away {
             log::info!(event = "config-platform-back"; "");
+            self.tell_away(false).await;
         }
-        self.away = false;
     }
 
-    fn note_away(&mut self, reason: &str) {
+    async fn note_away(&mut self, reason: &str) {
         if !self.away {
             log::warn!(event = "config-platform-away", cause = reason; "");
+            self.tell_away(true).await;
         }
-        self.away = true;
+    }
+
+    async fn tell_away(&mut self, away: bool) {
+        self.away = away;
+        self.inbox
+            .send(configs::ConfigNews::PlatformAway(away))
+            .await;
     }
 }
 
