--- a/crates/pier_config/src/applies/apply_flow.rs
+++ b/crates/pier_config/src/applies/apply_flow.rs
@@ -2,7 +2,10 @@
 
 use pier_types::{epochs, ids};
 
-use crate::{applies, changes, documents};
+use crate::{
+    applies::{self, BaseText, FlowStage},
+    documents, edits,
+};
 
 /// Reads in a row that may fail or lag behind.
 const READ_TRIES: u32 = 8;
@@ -26,33 +29,6 @@
     rounds: u32,
 }
 
-/// The version that the write replaces.
-#[derive(Debug, Clone, Default)]
-struct BaseText {
-    version: epochs::ConfigVersion,
-    text: String,
-    /// The text that is to take its place.
-    new_text: String,
-}
-
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum FlowStage {
-    /// Waits for the version to build on, at least this one.
-    Reading(epochs::ConfigVersion),
-    /// Waits for the base to be kept.
-    Archiving,
-    /// Waits for the first result of the write.
-    Writing,
-    /// Waits for the result of a write sent again, or reads back.
-    Settling,
-    /// Knows of a conflict and reads what is present, at least this version.
-    Explaining(epochs::ConfigVersion),
-    /// Knows of a conflict and looks for the base in the history.
-    Comparing(epochs::ConfigVersion, String),
-    /// Has said what became of the change.
-    Finished,
-}
-
 impl ApplyFlow {
     /// Starts a change; the nonce is drawn at random for it alone.
     pub fn start(
@@ -166,7 +142,7 @@
             }
             applies::ApplyChange::Replace { text, .. } => Ok(text.clone()),
             applies::ApplyChange::Edit(_) if version.get() == 0 => {
-                Err(crate::edits::EditError::NoDocument)
+                Err(edits::EditError::NoDocument)
             }
             applies::ApplyChange::Edit(edit) => edit.apply(&text),
         };
@@ -181,6 +157,9 @@
         let new_text = applies::MarkChain::of_text(&text)
             .with(mark)
             .write_to(&edited);
+        if let Err(error) = new_text.parse::<documents::ConfigDocument>() {
+            return self.finish(applies::ApplyOutcome::Refused(error));
+        }
         self.base = BaseText {
             version,
             text,
@@ -282,12 +261,12 @@
             applies::ApplyChange::Replace { text, base } => (*base, text.as_str()),
             applies::ApplyChange::Edit(_) => (self.base.version, self.base.new_text.as_str()),
         };
-        applies::ApplyOutcome::Conflict(applies::ConflictReport {
-            base,
-            present,
-            from_base: base_text.is_some(),
-            changes: list_changes(base_text.unwrap_or(own_text), present_text),
-        })
+        let report = applies::ConflictReport::new(base, present);
+        let report = match base_text {
+            Some(base_text) => report.compare_base(base_text, present_text),
+            None => report.compare_own(own_text, present_text),
+        };
+        applies::ApplyOutcome::Conflict(report)
     }
 
     /// An answer to a question that was not asked: nothing certain can be said any more.
@@ -305,15 +284,3 @@
         applies::ApplyAction::Finish(outcome)
     }
 }
-
-fn list_changes(before: &str, after: &str) -> Vec<String> {
-    let documents = (
-        before.parse::<documents::ConfigDocument>(),
-        after.parse::<documents::ConfigDocument>(),
-    );
-    let (Ok(before), Ok(after)) = documents else {
-        return vec!["the documents can not be compared: one of them does not parse".to_owned()];
-    };
-    let diff = changes::DocumentDiff::between(&before, &after);
-    diff.changes.iter().map(ToString::to_string).collect()
-}
