--- a/crates/pier_platform/tests/write_results_tell_the_truth.rs
+++ b/crates/pier_platform/tests/write_results_tell_the_truth.rs
@@ -61,6 +61,44 @@
     assert_eq!(calls.load(sync::atomic::Ordering::SeqCst), 1);
 }
 
+#[tokio::test]
+async fn write_on_a_connection_that_dies_is_sent_once() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let base = format!("http://{}", listener.local_addr().unwrap());
+    let calls = sync::Arc::new(sync::atomic::AtomicU32::new(0));
+    let counter = sync::Arc::clone(&calls);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _peer)) = listener.accept().await {
+            let mut buffer = [0_u8; 4096];
+            // The first call is answered and its connection kept; the second one kills it.
+            while stream.read(&mut buffer).await.unwrap_or(0) > 0 {
+                if counter.fetch_add(1, sync::atomic::Ordering::SeqCst) > 0 {
+                    break;
+                }
+                let reply = b"HTTP/1.1 200 OK\r\nX-Object-Version: 4\r\nContent-Length: 0\r\n\r\n";
+                stream.write_all(reply).await.unwrap();
+            }
+        }
+    });
+    let client = objects::ObjectClient::new(&base).unwrap();
+    let mut results = Vec::new();
+    for version in [3, 4] {
+        let condition = epochs::ObjectVersion::new(version);
+        results.push(
+            client
+                .write("config/document", condition, "text".into())
+                .await,
+        );
+    }
+    let written = epochs::ObjectVersion::new(4);
+    assert_eq!(results[0], objects::WriteResult::Written(written));
+    assert!(
+        matches!(results[1], objects::WriteResult::Unsettled { .. }),
+        "{results:?}"
+    );
+    assert_eq!(calls.load(sync::atomic::Ordering::SeqCst), 2);
+}
+
 #[tokio::test]
 async fn server_fault_redirect_and_bare_success_are_unsettled() {
     for reply in [
