--- a/crates/pier_node/src/control/placement_calls.rs
+++ b/crates/pier_node/src/control/placement_calls.rs
@@ -11,8 +11,8 @@
 /// How long a watch of the placement waits.
 const WATCH_WAIT: time::Duration = time::Duration::from_secs(20);
 
-/// Pause after a watch that told nothing new.
-const WATCH_PAUSE: time::Duration = time::Duration::from_secs(1);
+/// Pause after a call that told nothing.
+const READ_PAUSE: time::Duration = time::Duration::from_secs(1);
 
 /// Writes a placement in a task of its own and reports how it ended.
 pub(super) fn write(
@@ -39,28 +39,26 @@
     });
 }
 
-/// Watches the placement until the loop ends.
-pub(super) fn watch(handle: &handle::NodeHandle, events: &control::EventSender) {
+/// Follows the placement until the loop ends: reads it, then watches for what comes after.
+///
+/// A watch does not tell of an object that is absent or was deleted, so a plain read follows each
+/// watch that ended without a change.
+pub(super) fn follow(handle: &handle::NodeHandle, events: &control::EventSender) {
     let (handle, events) = (handle.clone(), events.clone());
     tokio::spawn(async move {
         let key = placement_key(&handle);
-        let mut after = epochs::ObjectVersion::default();
+        let mut after = None;
         while !events.is_closed() {
-            let result = handle.objects().watch(&key, after, WATCH_WAIT).await;
-            let seen = match result {
-                objects::WatchResult::Changed { version, bytes } => {
-                    after = version;
-                    objects::ReadResult::Found { version, bytes }
-                }
-                objects::WatchResult::Unchanged => continue,
-                objects::WatchResult::Absent => {
-                    after = epochs::ObjectVersion::default();
-                    tokio::time::sleep(WATCH_PAUSE).await;
-                    objects::ReadResult::Absent
-                }
-                objects::WatchResult::Away { reason } => {
-                    tokio::time::sleep(WATCH_PAUSE).await;
-                    objects::ReadResult::Away { reason }
+            let seen = match after {
+                None => handle.objects().read(&key).await,
+                Some(version) => watch(&handle, &key, version).await,
+            };
+            after = match &seen {
+                objects::ReadResult::Found { version, .. } => Some(*version),
+                objects::ReadResult::Absent => Some(epochs::ObjectVersion::default()),
+                objects::ReadResult::Away { .. } => {
+                    tokio::time::sleep(READ_PAUSE).await;
+                    after
                 }
             };
             let _ended = events.send(control::ControlEvent::PlacementSeen(seen));
@@ -68,6 +66,25 @@
     });
 }
 
+/// Waits for a version over the one named; reads the object if none came.
+async fn watch(
+    handle: &handle::NodeHandle,
+    key: &str,
+    after: epochs::ObjectVersion,
+) -> objects::ReadResult {
+    match handle.objects().watch(key, after, WATCH_WAIT).await {
+        objects::WatchResult::Changed { version, bytes } => {
+            objects::ReadResult::Found { version, bytes }
+        }
+        objects::WatchResult::Unchanged => handle.objects().read(key).await,
+        objects::WatchResult::Absent => {
+            tokio::time::sleep(READ_PAUSE).await;
+            objects::ReadResult::Absent
+        }
+        objects::WatchResult::Away { reason } => objects::ReadResult::Away { reason },
+    }
+}
+
 fn placement_key(handle: &handle::NodeHandle) -> String {
     format!("placement/{}", handle.settings().data_centre)
 }
--- a/crates/pier_node/src/control/placement_driver.rs
+++ b/crates/pier_node/src/control/placement_driver.rs
@@ -22,9 +22,9 @@
 }
 
 impl PlacementDriver {
-    /// Makes a driver that has seen nothing yet, and starts its watch.
+    /// Makes a driver that has seen nothing yet, and starts to follow the object.
     pub(super) fn new(handle: handle::NodeHandle, events: control::EventSender) -> Self {
-        control::placement_calls::watch(&handle, &events);
+        control::placement_calls::follow(&handle, &events);
         Self {
             handle,
             events,
