--- a/crates/pier_node/src/handle/node_handle.rs
+++ b/crates/pier_node/src/handle/node_handle.rs
@@ -9,7 +9,7 @@
 use pier_types::{epochs, ids, routes, sizes, vms};
 use pier_wire::seals;
 
-use crate::{handle, settings, telemetry};
+use crate::{handle, requests, settings, telemetry};
 
 /// Shared state of one node; a clone is cheap and sees the same state.
 ///
@@ -27,6 +27,7 @@
     client: reqwest::Client,
     objects: objects::ObjectClient,
     lists: lists::VmListClient,
+    requests: requests::RequestState,
     metrics: telemetry::NodeMetrics,
     traces: telemetry::TraceSink,
     draining: atomic::AtomicBool,
@@ -69,6 +70,7 @@
             objects: objects::ObjectClient::new(&settings.platform_url)?,
             lists: lists::VmListClient::new(&settings.platform_url)?,
             settings,
+            requests: requests::RequestState::new()?,
             metrics: telemetry::NodeMetrics::new(traces.counts()),
             traces,
             draining: atomic::AtomicBool::new(false),
@@ -110,6 +112,7 @@
 
     /// Publishes a configuration that came into force.
     pub fn publish_config(&self, snapshot: handle::ConfigSnapshot) {
+        self.shared.requests.publish_config(&snapshot.document);
         self.shared.config.store(Some(sync::Arc::new(snapshot)));
     }
 
@@ -142,6 +145,11 @@
         &self.shared.client
     }
 
+    /// Returns what requests read of the system.
+    pub fn requests(&self) -> &requests::RequestState {
+        &self.shared.requests
+    }
+
     /// Returns the metrics.
     pub fn metrics(&self) -> &telemetry::NodeMetrics {
         &self.shared.metrics
@@ -159,6 +167,8 @@
 
     /// Publishes the targets that may receive new work.
     pub fn publish_routes(&self, table: routes::RouteTable) {
+        let data_centre = &self.shared.settings.data_centre;
+        self.shared.requests.publish_routes(&table, data_centre);
         self.shared.routes.store(sync::Arc::new(table));
     }
 
--- /dev/null
+++ b/crates/pier_node/src/requests/attempt_call.rs
@@ -0,0 +1,132 @@
+//! One dispatch of a request to one target.
+
+use pier_request::attempts;
+use pier_types::{ids, routes, sizes, times::clocks};
+
+use crate::{handle, requests, telemetry};
+
+/// Header by which a target says that it did not start a request.
+const NOT_STARTED_HEADER: &str = "x-not-started";
+
+/// A dispatch that is about to be sent.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct AttemptCall<'a> {
+    /// The node.
+    pub(super) handle: &'a handle::NodeHandle,
+    /// The request.
+    pub(super) plan: &'a requests::RequestPlan,
+    /// The target.
+    pub(super) target: &'a routes::RouteTarget,
+    /// Identifies the dispatch.
+    pub(super) attempt: ids::AttemptId,
+    /// Tokens that the caller has already.
+    pub(super) resume_from: sizes::TokenCount,
+}
+
+impl AttemptCall<'_> {
+    /// Sends the request and returns the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no answer begins; the fault says what is certain.
+    pub(super) async fn send(
+        &self,
+        parent: &telemetry::TraceParent,
+    ) -> Result<reqwest::Response, requests::AttemptFault> {
+        let remaining = self.plan.deadline.since(clocks::boot_now());
+        let sending = self.request(parent).send();
+        let Ok(sent) = tokio::time::timeout(remaining, sending).await else {
+            self.cancel();
+            let end = attempts::AttemptEnd::TimedOut;
+            let cause = "no answer before the deadline";
+            return Err(requests::AttemptFault::new(end, cause));
+        };
+        let answer = sent.map_err(|error| fault_of(&error))?;
+        self.check(answer)
+    }
+
+    /// Tells the target to end the attempt; nobody waits for it any more.
+    pub(super) fn cancel(&self) {
+        if !self.plan.can_resume() {
+            return;
+        }
+        let url = format!(
+            "http://{}/attempts/{}/cancel",
+            self.target.address, self.attempt
+        );
+        let cancelling = self.handle.client().post(url).send();
+        tokio::spawn(async move {
+            // The connection is closed as well, which most targets take as a cancel.
+            let _unheard = cancelling.await;
+        });
+    }
+
+    fn request(&self, parent: &telemetry::TraceParent) -> reqwest::RequestBuilder {
+        let plan = self.plan;
+        let method = reqwest::Method::from_bytes(plan.method.as_bytes());
+        let method = method.unwrap_or(reqwest::Method::GET);
+        let url = format!("http://{}{}", self.target.address, plan.path);
+        let remaining = plan.deadline.since(clocks::boot_now());
+        let mut request = self
+            .client()
+            .request(method, url)
+            .header("x-attempt-id", self.attempt.to_string())
+            .header("x-generation", self.target.generation.to_string())
+            .header("x-priority", plan.priority.to_string())
+            .header("x-deadline-ms", remaining.as_millis().to_string())
+            .header("traceparent", parent.to_string())
+            .body(plan.body.clone());
+        if let ids::TargetId::Group(group) = &self.target.target {
+            request = request.header("x-group", group.to_string());
+        }
+        if let Some(kind) = &plan.content_type {
+            request = request.header("content-type", kind);
+        }
+        if let Some(key) = &plan.key {
+            request = request.header("idempotency-key", key.as_str());
+        }
+        if self.resume_from.get() > 0 {
+            request = request.header("x-resume-from", self.resume_from.to_string());
+        }
+        request
+    }
+
+    fn client(&self) -> &reqwest::Client {
+        if self.plan.key.is_some() {
+            return self.handle.requests().one_time_client();
+        }
+        self.handle.client()
+    }
+
+    /// Tells answers from refusals; a plain service's answer is relayed whatever its status.
+    fn check(
+        &self,
+        answer: reqwest::Response,
+    ) -> Result<reqwest::Response, requests::AttemptFault> {
+        let status = answer.status();
+        let cause = format!("{} answered with status {status}", self.target.target);
+        if answer.headers().contains_key(NOT_STARTED_HEADER) {
+            let end = attempts::AttemptEnd::NotStarted;
+            return Err(requests::AttemptFault::new(end, cause));
+        }
+        let is_model = matches!(self.plan.pool, routes::PoolKey::Model(_));
+        if is_model && status.is_server_error() {
+            let end = attempts::AttemptEnd::Failed;
+            return Err(requests::AttemptFault::crashed(end, cause));
+        }
+        if is_model && !status.is_success() {
+            let end = attempts::AttemptEnd::Rejected;
+            return Err(requests::AttemptFault::new(end, cause));
+        }
+        Ok(answer)
+    }
+}
+
+/// Tells what is certain after an error of the HTTP library.
+fn fault_of(error: &reqwest::Error) -> requests::AttemptFault {
+    let cause = format!("{error:?}");
+    if error.is_connect() || error.is_builder() {
+        return requests::AttemptFault::new(attempts::AttemptEnd::NotConnected, cause);
+    }
+    requests::AttemptFault::crashed(attempts::AttemptEnd::Lost, cause)
+}
--- /dev/null
+++ b/crates/pier_node/src/requests/claim_driver.rs
@@ -0,0 +1,93 @@
+//! Carries out the platform calls of a claim.
+
+use std::time;
+
+use pier_platform::objects;
+use pier_request::claims;
+use pier_types::{codes, times::clocks};
+
+/// Bound on one call to the platform.
+const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+/// Speaks to the platform about one claim.
+#[derive(Debug, Clone)]
+pub(super) struct ClaimDriver {
+    objects: objects::ObjectClient,
+    key: String,
+}
+
+/// What became of the wish to dispatch.
+#[derive(Debug)]
+pub(super) enum ClaimVerdict {
+    /// The request may be dispatched.
+    Dispatch(claims::ClaimGrant),
+    /// It ran before, with this answer.
+    Reply(claims::StoredAnswer),
+    /// It is not dispatched.
+    Refuse {
+        /// What the caller is told.
+        code: codes::ResultCode,
+        /// Writes that free the key.
+        cleanup: Option<claims::OutcomeFlow>,
+    },
+}
+
+impl ClaimDriver {
+    /// Prepares to speak about the claim at a key.
+    pub(super) fn new(objects: &objects::ObjectClient, key: String) -> Self {
+        let objects = objects.clone().with_call_timeout(CALL_TIMEOUT);
+        Self { objects, key }
+    }
+
+    /// Claims the key, or finds out why not.
+    pub(super) async fn claim(&self, order: claims::ClaimOrder) -> ClaimVerdict {
+        let (mut flow, mut action) = claims::ClaimFlow::start(order, clocks::boot_now());
+        loop {
+            let event = match action {
+                claims::ClaimAction::Write(write) => self.write(&write).await,
+                claims::ClaimAction::Read { pause } => self.read(pause).await,
+                claims::ClaimAction::Dispatch(grant) => return ClaimVerdict::Dispatch(grant),
+                claims::ClaimAction::Reply(answer) => return ClaimVerdict::Reply(answer),
+                claims::ClaimAction::Refuse { code, cleanup } => {
+                    return ClaimVerdict::Refuse { code, cleanup };
+                }
+            };
+            action = flow.handle(event, clocks::boot_now(), clocks::wall_now());
+        }
+    }
+
+    /// Writes the claim once.
+    pub(super) async fn write(&self, write: &claims::ClaimWrite) -> claims::ClaimEvent {
+        let Ok(bytes) = write.record.to_bytes() else {
+            return claims::ClaimEvent::NotSent;
+        };
+        let written = self
+            .objects
+            .write(&self.key, write.if_version, bytes.into());
+        match written.await {
+            objects::WriteResult::Written(version) => claims::ClaimEvent::Written { version },
+            objects::WriteResult::Conflict(_version) => claims::ClaimEvent::Conflict,
+            objects::WriteResult::Unreached { .. } => claims::ClaimEvent::NotSent,
+            objects::WriteResult::Unsettled { .. } => claims::ClaimEvent::ReplyLost,
+        }
+    }
+
+    /// Reads the claim after a pause.
+    pub(super) async fn read(&self, pause: time::Duration) -> claims::ClaimEvent {
+        tokio::time::sleep(pause).await;
+        match self.objects.read(&self.key).await {
+            objects::ReadResult::Found { version, bytes } => claims::ClaimRecord::from_bytes(
+                &bytes,
+            )
+            .map_or_else(
+                |error| {
+                    log::error!(event = "claim-unreadable", key = self.key, cause:% = error; "");
+                    claims::ClaimEvent::Unreadable
+                },
+                |record| claims::ClaimEvent::Found { version, record },
+            ),
+            objects::ReadResult::Absent => claims::ClaimEvent::Absent,
+            objects::ReadResult::Away { .. } => claims::ClaimEvent::ReplyLost,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pier_node/src/requests/event_reader.rs
@@ -0,0 +1,62 @@
+//! Cuts a target's stream into events.
+
+use bytes::{Buf as _, Bytes, BytesMut};
+
+/// Greatest size of one event in bytes.
+const EVENT_LIMIT: usize = 1024 * 1024;
+
+/// The blank line that ends an event.
+const EVENT_END: &[u8] = b"\n\n";
+
+/// Reads server-sent events from an answer as they come.
+#[derive(Debug)]
+pub(super) struct EventReader {
+    answer: reqwest::Response,
+    buffer: BytesMut,
+    scanned: usize,
+}
+
+impl EventReader {
+    /// Begins with the head of an answer.
+    pub(super) fn new(answer: reqwest::Response) -> Self {
+        Self {
+            answer,
+            buffer: BytesMut::new(),
+            scanned: 0,
+        }
+    }
+
+    /// Returns the next event without its blank line; nothing at the end of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection breaks or an event is too large.
+    pub(super) async fn next(&mut self) -> anyhow::Result<Option<Bytes>> {
+        loop {
+            if let Some(event) = self.cut() {
+                return Ok(Some(event));
+            }
+            anyhow::ensure!(self.buffer.len() <= EVENT_LIMIT, "an event is too large");
+            let Some(part) = self.answer.chunk().await? else {
+                return Ok(None);
+            };
+            self.buffer.extend_from_slice(&part);
+        }
+    }
+
+    fn cut(&mut self) -> Option<Bytes> {
+        let unseen = self.buffer.get(self.scanned..)?;
+        let found = unseen
+            .windows(EVENT_END.len())
+            .position(|window| window == EVENT_END);
+        let Some(offset) = found else {
+            // The last byte may begin the blank line.
+            self.scanned = self.buffer.len().saturating_sub(1);
+            return None;
+        };
+        let event = self.buffer.split_to(self.scanned + offset);
+        self.buffer.advance(EVENT_END.len());
+        self.scanned = 0;
+        Some(event.freeze())
+    }
+}
--- /dev/null
+++ b/crates/pier_node/src/requests/forward_run.rs
@@ -0,0 +1,183 @@
+//! Passes a request on when this node has no room for it.
+
+use std::time;
+
+use pier_request::retries;
+use pier_types::{codes, ids, times::clocks};
+use pier_wire::frames;
+
+use crate::{callers, forwards, handle, requests, telemetry};
+
+/// Shortest time for which a data centre without room is spared.
+const LEAST_SPARE: time::Duration = time::Duration::from_millis(100);
+
+/// Longest time for which a data centre without room is spared.
+const MOST_SPARE: time::Duration = time::Duration::from_secs(2);
+
+/// Passes requests on to other data centres, each at most once.
+#[derive(Debug)]
+pub(super) struct ForwardRun<'a> {
+    handle: &'a handle::NodeHandle,
+    plan: &'a requests::RequestPlan,
+    client: forwards::ForwardClient,
+}
+
+/// What becomes of a request after a node did not answer it.
+enum ForwardNext {
+    /// It certainly did not run there; another node may take it.
+    TryNext,
+    /// It may have run there, and may be repeated.
+    Repeat(callers::ErrorBody),
+    /// Nobody else may take it.
+    Stop(callers::ErrorBody),
+}
+
+impl<'a> ForwardRun<'a> {
+    /// Serves a request that this node refused; the refusal stands when nobody else takes it.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the refusal, or with what is known after a node that took it was lost.
+    pub(super) async fn serve(
+        handle: &'a handle::NodeHandle,
+        plan: &'a requests::RequestPlan,
+        parent: &telemetry::TraceParent,
+        refusal: callers::ErrorBody,
+    ) -> Result<callers::CallerReply, callers::ErrorBody> {
+        if plan.hops > 0 || !may_help(refusal.code) {
+            return Err(refusal);
+        }
+        let Ok(key) = handle.settings().peer_key.parse() else {
+            return Err(refusal);
+        };
+        let client = forwards::ForwardClient::new(key, handle.name().clone(), handle.instance());
+        let run = Self {
+            handle,
+            plan,
+            client,
+        };
+        // Once it may have run somewhere, no later refusal may say that it did not.
+        let mut lost = None;
+        for peer in run.candidates() {
+            match run.send(&peer, parent).await {
+                Ok(reply) => return Ok(reply),
+                Err(ForwardNext::TryNext) => {}
+                Err(ForwardNext::Repeat(error)) => lost = Some(error),
+                Err(ForwardNext::Stop(error)) => return Err(lost.unwrap_or(error)),
+            }
+        }
+        Err(lost.unwrap_or(refusal))
+    }
+
+    fn candidates(&self) -> Vec<handle::PeerEntry> {
+        let Some(config) = self.handle.config() else {
+            return Vec::new();
+        };
+        let peers = self.handle.peers();
+        let choice = forwards::ForwardChoice {
+            data_centre: &self.handle.settings().data_centre,
+            document: &config.document,
+            peers: &peers,
+        };
+        let full = self.handle.requests().full_peers();
+        let now = clocks::boot_now();
+        let mut candidates = choice.candidates(rand::random());
+        candidates.retain(|peer| !full.contains(&self.plan.pool, &peer.data_centre, now));
+        candidates
+    }
+
+    async fn send(
+        &self,
+        peer: &handle::PeerEntry,
+        parent: &telemetry::TraceParent,
+    ) -> Result<callers::CallerReply, ForwardNext> {
+        let mut span = telemetry::HopSpan::start(self.handle.traces(), "forward", Some(parent));
+        span.note("node", peer.node.to_string());
+        let begin = self.begin(&span.parent());
+        let sent = self.client.send(peer.address, begin, &self.plan.body).await;
+        sent.map_err(|error| {
+            span.fail(code_of(&error));
+            self.after(peer, error)
+        })
+    }
+
+    fn begin(&self, parent: &telemetry::TraceParent) -> frames::ForwardBegin {
+        let plan = self.plan;
+        let headers = plan.headers.iter();
+        let headers = headers.map(|(name, value)| frames::ForwardHeader {
+            name: name.clone(),
+            value: value.clone(),
+        });
+        let remaining = plan.deadline.since(clocks::boot_now()).as_millis();
+        frames::ForwardBegin {
+            pool: plan.pool.clone(),
+            customer: plan.customer.clone(),
+            attempt: ids::AttemptId::new(rand::random()),
+            method: plan.method.clone(),
+            path: plan.entry_path.clone(),
+            headers: headers.collect(),
+            trace_parent: Some(parent.to_string()),
+            deadline_ms: u32::try_from(remaining).unwrap_or(u32::MAX),
+            hops: plan.hops + 1,
+        }
+    }
+
+    fn after(&self, peer: &handle::PeerEntry, error: forwards::ForwardError) -> ForwardNext {
+        match error {
+            forwards::ForwardError::NotSent { .. } => ForwardNext::TryNext,
+            forwards::ForwardError::Refused(failure)
+                if may_help(failure.code) && failure.outcome == codes::RunOutcome::NotRun =>
+            {
+                self.spare(peer, &failure);
+                ForwardNext::TryNext
+            }
+            forwards::ForwardError::Refused(failure) => {
+                let error = callers::ErrorBody::new(failure.code, failure.code.meaning())
+                    .outcome(failure.outcome);
+                ForwardNext::Stop(match failure.retry_after_ms {
+                    Some(millis) => error.retry_after_ms(millis.into()),
+                    None => error,
+                })
+            }
+            forwards::ForwardError::Lost { cause } => {
+                let code = codes::ResultCode::NodeLost;
+                let error = callers::ErrorBody::new(code, cause);
+                if self.may_repeat() {
+                    return ForwardNext::Repeat(error);
+                }
+                ForwardNext::Stop(error)
+            }
+        }
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.plan.rule == retries::RepeatRule::Repeatable
+            && self.handle.requests().node_budget().take()
+    }
+
+    fn spare(&self, peer: &handle::PeerEntry, failure: &frames::AnswerFailure) {
+        let wait = failure.retry_after_ms.unwrap_or_default();
+        let wait = time::Duration::from_millis(wait.into()).clamp(LEAST_SPARE, MOST_SPARE);
+        let until = clocks::boot_now().after(wait);
+        let state = self.handle.requests();
+        state.note_full_peer(&self.plan.pool, &peer.data_centre, until);
+    }
+}
+
+/// Tells whether another data centre may have what this one lacks.
+const fn may_help(code: codes::ResultCode) -> bool {
+    matches!(
+        code,
+        codes::ResultCode::NoServingTarget
+            | codes::ResultCode::Overloaded
+            | codes::ResultCode::CustomerOverShare
+    )
+}
+
+const fn code_of(error: &forwards::ForwardError) -> codes::ResultCode {
+    match error {
+        forwards::ForwardError::NotSent { .. } => codes::ResultCode::NoServingTarget,
+        forwards::ForwardError::Lost { .. } => codes::ResultCode::NodeLost,
+        forwards::ForwardError::Refused(failure) => failure.code,
+    }
+}
--- /dev/null
+++ b/crates/pier_node/src/requests/full_peers.rs
@@ -0,0 +1,39 @@
+//! Data centres that lately had no room for requests of other ones.
+
+use std::{collections, sync};
+
+use pier_types::{ids, routes, times};
+
+/// Until when a data centre is spared, by pool.
+#[derive(Debug, Clone, Default)]
+pub(super) struct FullPeers {
+    until: collections::BTreeMap<(routes::PoolKey, ids::DataCentreName), times::BootTime>,
+}
+
+impl FullPeers {
+    /// Returns a copy with one more data centre, without those whose time is over.
+    pub(super) fn with(
+        &self,
+        pool: &routes::PoolKey,
+        data_centre: &ids::DataCentreName,
+        until: times::BootTime,
+        now: times::BootTime,
+    ) -> sync::Arc<Self> {
+        let mut full = self.clone();
+        full.until.retain(|_key, until| *until > now);
+        full.until
+            .insert((pool.clone(), data_centre.clone()), until);
+        sync::Arc::new(full)
+    }
+
+    /// Tells whether a data centre is spared.
+    pub(super) fn contains(
+        &self,
+        pool: &routes::PoolKey,
+        data_centre: &ids::DataCentreName,
+        now: times::BootTime,
+    ) -> bool {
+        let key = (pool.clone(), data_centre.clone());
+        self.until.get(&key).is_some_and(|until| *until > now)
+    }
+}
--- /dev/null
+++ b/crates/pier_node/src/requests/one_time_run.rs
@@ -0,0 +1,213 @@
+//! The run of a request that may run at most once.
+
+use std::time;
+
+use pier_request::claims;
+use pier_types::{codes, ids, times::clocks};
+use tokio::sync::oneshot;
+
+use crate::{callers, requests};
+
+/// Longest time from the check of a key to its dispatch, within the margin of the claim's rules.
+const CLAIM_LIMIT: time::Duration = time::Duration::from_secs(5);
+
+/// Time after the deadline until a run counts as over.
+const ACTIVE_MARGIN: time::Duration = time::Duration::from_secs(5);
+
+/// Time that a refusal waits for its key to be freed, so that the caller can send it again at once.
+const RELEASE_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+
+/// Time that a caller gets to take the last event of a failed stream.
+const LAST_EVENT_TIMEOUT: time::Duration = time::Duration::from_secs(5);
+
+/// When to come back after a refusal, in milliseconds.
+const RETRY_AFTER_MILLIS: u64 = 1_000;
+
+/// The answer to a caller, or the error in its place.
+type ReplyResult = Result<callers::CallerReply, callers::ErrorBody>;
+
+/// Runs requests with an idempotency key: claims, dispatches, records.
+///
+/// Runs in a task of its own, since its outcome is recorded whether its caller still waits or not.
+#[derive(Debug)]
+pub(super) struct OneTimeRun {
+    run: requests::RequestRun,
+    driver: requests::ClaimDriver,
+}
+
+impl OneTimeRun {
+    /// Serves a request with a key.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the answer to the caller when there is no other.
+    pub(super) async fn serve(
+        run: requests::RequestRun,
+        key: &claims::IdempotencyKey,
+    ) -> ReplyResult {
+        let object_key = claims::ClaimRecord::object_key(&run.plan.customer, key);
+        let driver = requests::ClaimDriver::new(run.handle.objects(), object_key);
+        let (reply, answer) = oneshot::channel();
+        tokio::spawn(Self { run, driver }.claim(reply));
+        answer
+            .await
+            .unwrap_or_else(|_lost| Err(requests::internal_fault()))
+    }
+
+    // A caller who left does not hear the reply; its outcome is recorded all the same.
+    async fn claim(self, reply: oneshot::Sender<ReplyResult>) {
+        match self.driver.claim(self.order()).await {
+            requests::ClaimVerdict::Dispatch(grant) => self.dispatch(grant, reply).await,
+            requests::ClaimVerdict::Reply(answer) => {
+                let _unheard = reply.send(replay(&answer));
+            }
+            requests::ClaimVerdict::Refuse { code, cleanup } => {
+                let _unheard = reply.send(Err(refusal(code)));
+                if let Some(cleanup) = cleanup {
+                    self.recorder().record(cleanup).await;
+                }
+            }
+        }
+    }
+
+    fn order(&self) -> claims::ClaimOrder {
+        let plan = &self.run.plan;
+        let wall = clocks::wall_now();
+        let active = plan.deadline.since(clocks::boot_now()) + ACTIVE_MARGIN;
+        let limit = CLAIM_LIMIT.min(plan.retention.margin);
+        claims::ClaimOrder {
+            fingerprint: plan.fingerprint,
+            nonce: ids::LeaseNonce::new(rand::random()),
+            node: self.run.handle.name().clone(),
+            claimed_at: wall,
+            active_until: wall.after(active),
+            dispatch_by: plan.read_at.after(limit).min(plan.deadline),
+        }
+    }
+
+    fn recorder(&self) -> requests::OutcomeDriver {
+        requests::OutcomeDriver::new(self.driver.clone())
+    }
+
+    async fn dispatch(mut self, grant: claims::ClaimGrant, reply: oneshot::Sender<ReplyResult>) {
+        self.run.grant = Some(grant);
+        if self.run.plan.stream {
+            return self.dispatch_stream(reply).await;
+        }
+        match requests::WholeRun::run(&mut self.run).await {
+            Ok(answer) => {
+                let stored = answer.to_stored();
+                let _unheard = reply.send(Ok(answer.into_reply()));
+                self.record(|grant| grant.finish(stored)).finish().await;
+            }
+            Err(error) => {
+                let recording = self.start_failure(&error).await;
+                let _unheard = reply.send(Err(error));
+                recording.finish().await;
+            }
+        }
+    }
+
+    async fn dispatch_stream(mut self, reply: oneshot::Sender<ReplyResult>) {
+        let mut sink = requests::RelaySink::new(reply).keep();
+        match requests::StreamRun::run(&mut self.run, &mut sink).await {
+            Ok(()) => {
+                let kept = sink.into_kept();
+                let recording = self.record(|grant| finish_stream(grant, kept));
+                recording.finish().await;
+            }
+            Err(error) => {
+                let recording = self.start_failure(&error).await;
+                sink.fail(error, LAST_EVENT_TIMEOUT).await;
+                recording.finish().await;
+            }
+        }
+    }
+
+    /// Begins to record a failure; waits a moment when the key is freed by it.
+    async fn start_failure(&mut self, error: &callers::ErrorBody) -> OutcomeTask {
+        if self.run.is_not_run() && error.outcome == codes::RunOutcome::NotRun {
+            let mut recording = self.record(claims::ClaimGrant::release);
+            recording.wait(RELEASE_TIMEOUT).await;
+            return recording;
+        }
+        if error.outcome == codes::RunOutcome::RanFailed {
+            let stored = requests::WholeAnswer::from(error).to_stored();
+            return self.record(|grant| grant.finish(stored));
+        }
+        self.record(claims::ClaimGrant::lose)
+    }
+
+    /// Begins to record what became of the claim.
+    fn record(
+        &mut self,
+        outcome: impl FnOnce(claims::ClaimGrant) -> claims::OutcomeFlow,
+    ) -> OutcomeTask {
+        let flow = self.run.grant.take().map(outcome);
+        let recorder = self.recorder();
+        OutcomeTask {
+            task: tokio::spawn(async move {
+                if let Some(flow) = flow {
+                    recorder.record(flow).await;
+                }
+            }),
+        }
+    }
+}
+
+/// A record that is being written.
+#[derive(Debug)]
+struct OutcomeTask {
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl OutcomeTask {
+    /// Waits for it, but not for long.
+    async fn wait(&mut self, limit: time::Duration) {
+        let _unfinished = tokio::time::timeout(limit, &mut self.task).await;
+    }
+
+    /// Waits until it ends; the request counts as in progress until then.
+    async fn finish(self) {
+        if self.task.is_finished() {
+            return;
+        }
+        // A task that panicked has nothing more to write.
+        let _panicked = self.task.await;
+    }
+}
+
+fn finish_stream(grant: claims::ClaimGrant, kept: Option<bytes::Bytes>) -> claims::OutcomeFlow {
+    let Some(body) = kept else {
+        return grant.finish_unkept();
+    };
+    let answer = requests::WholeAnswer {
+        status: 200,
+        content_type: callers::EVENT_STREAM.to_owned(),
+        body,
+    };
+    grant.finish(answer.to_stored())
+}
+
+fn replay(answer: &claims::StoredAnswer) -> ReplyResult {
+    let body = answer.body.to_bytes().ok_or_else(|| {
+        let code = codes::ResultCode::EarlierOutcomeUnknown;
+        callers::ErrorBody::new(code, "the stored answer is damaged")
+    })?;
+    let kind = answer.content_type.clone();
+    Ok(callers::CallerReply::whole(
+        answer.status,
+        kind,
+        body.into(),
+    ))
+}
+
+fn refusal(code: codes::ResultCode) -> callers::ErrorBody {
+    let error = callers::ErrorBody::new(code, code.meaning());
+    match code {
+        codes::ResultCode::PlatformUnavailable
+        | codes::ResultCode::ClaimUnknown
+        | codes::ResultCode::EarlierRunActive => error.retry_after_ms(RETRY_AFTER_MILLIS),
+        _ => error,
+    }
+}
--- /dev/null
+++ b/crates/pier_node/src/requests/outcome_driver.rs
@@ -0,0 +1,55 @@
+//! Records what became of a claimed request.
+
+use std::time;
+
+use pier_request::claims;
+
+use crate::requests;
+
+/// Time between two tries while the platform is away.
+const TRY_PERIOD: time::Duration = time::Duration::from_secs(5);
+
+/// Most tries; the claim then stays without an outcome.
+const TRY_LIMIT: u32 = 60;
+
+/// Carries out the platform calls that record an outcome.
+#[derive(Debug, Clone)]
+pub(super) struct OutcomeDriver {
+    driver: requests::ClaimDriver,
+}
+
+impl OutcomeDriver {
+    /// Records over the connection of a claim.
+    pub(super) const fn new(driver: requests::ClaimDriver) -> Self {
+        Self { driver }
+    }
+
+    /// Records an outcome, trying again while the platform is away.
+    pub(super) async fn record(&self, flow: claims::OutcomeFlow) {
+        for _ in 0..TRY_LIMIT {
+            if self.record_once(flow.clone()).await {
+                return;
+            }
+            tokio::time::sleep(TRY_PERIOD).await;
+        }
+        log::error!(event = "claim-outcome-lost"; "");
+    }
+
+    /// Returns whether the platform settled the matter.
+    async fn record_once(&self, mut flow: claims::OutcomeFlow) -> bool {
+        let mut action = flow.start();
+        let mut was_reached = true;
+        loop {
+            let event = match action {
+                claims::OutcomeAction::Write(write) => self.driver.write(&write).await,
+                claims::OutcomeAction::Read { pause } => self.driver.read(pause).await,
+                claims::OutcomeAction::Done { recorded } => return recorded || was_reached,
+            };
+            was_reached = !matches!(
+                event,
+                claims::ClaimEvent::ReplyLost | claims::ClaimEvent::NotSent
+            );
+            action = flow.handle(event);
+        }
+    }
+}
--- a/crates/pier_node/src/requests/request_path.rs
+++ b/crates/pier_node/src/requests/request_path.rs
@@ -2,20 +2,13 @@
 
 use std::time;
 
-use futures_util::StreamExt as _;
-use pier_types::{codes, ids, routes, times};
-use tokio::sync::mpsc;
+use pier_request::{admission, routing};
+use pier_types::{codes, times::clocks};
 
 use crate::{callers, handle, requests, telemetry};
 
-/// Parts of a stream that may wait for a slow caller.
-const STREAM_BUFFER: usize = 16;
-
-/// Time a caller waits when it names none.
-const DEFAULT_DEADLINE: time::Duration = time::Duration::from_mins(2);
-
-/// When to come back while nothing serves, in milliseconds.
-const RETRY_AFTER_MILLIS: u64 = 1_000;
+/// When to come back while there is no configuration, in milliseconds.
+const CONFIG_RETRY_MILLIS: u64 = 1_000;
 
 /// Takes one request from its arrival to its answer.
 #[derive(Debug, Clone)]
@@ -42,7 +35,7 @@
         if let Some(code) = reply.code {
             span.fail(code);
         }
-        let now = times::clocks::boot_now();
+        let now = clocks::boot_now();
         self.handle
             .metrics()
             .record_first_part(now.since(arrived_at));
@@ -55,94 +48,81 @@
         request: callers::CallerRequest,
         parent: &telemetry::TraceParent,
     ) -> Result<callers::CallerReply, callers::ErrorBody> {
-        let route = requests::RequestRoute::read(&request)?;
-        let target = self.choose(&route.pool)?;
-        let mut span = telemetry::HopSpan::start(self.handle.traces(), "attempt", Some(parent));
-        span.note("target", target.target.to_string());
-        let answer = self.send(&request, &route, &target, &span.parent()).await?;
-        if route.stream {
-            return Ok(relay(answer));
+        let plan = self.plan(request)?;
+        self.check_quarantine(&plan)?;
+        let ticket = match self.admit(&plan) {
+            Ok(ticket) => ticket,
+            Err(refusal) => {
+                return requests::ForwardRun::serve(&self.handle, &plan, parent, refusal).await;
+            }
+        };
+        let (key, stream) = (plan.key.clone(), plan.stream);
+        let run = requests::RequestRun::new(self.handle.clone(), plan, parent.clone(), ticket);
+        match key {
+            Some(key) => requests::OneTimeRun::serve(run, &key).await,
+            None if stream => requests::StreamRun::serve(run).await,
+            None => {
+                let mut run = run;
+                let answer = requests::WholeRun::run(&mut run).await?;
+                Ok(answer.into_reply())
+            }
         }
-        read_whole(answer).await
     }
 
-    fn choose(
+    fn plan(
         &self,
-        pool: &routes::PoolKey,
-    ) -> Result<std::sync::Arc<routes::RouteTarget>, callers::ErrorBody> {
-        let table = self.handle.routes();
-        let targets = table.targets(pool);
-        let index = rand::random_range(0..targets.len().max(1));
-        let target = targets.get(index).cloned();
-        target.ok_or_else(|| {
-            let code = codes::ResultCode::NoServingTarget;
-            callers::ErrorBody::new(code, format!("nothing serves {pool} now"))
-                .retry_after_ms(RETRY_AFTER_MILLIS)
-        })
+        request: callers::CallerRequest,
+    ) -> Result<requests::RequestPlan, callers::ErrorBody> {
+        let config = self.handle.config().ok_or_else(|| {
+            let code = codes::ResultCode::ConfigUnavailable;
+            callers::ErrorBody::new(code, code.meaning()).retry_after_ms(CONFIG_RETRY_MILLIS)
+        })?;
+        let now = clocks::boot_now();
+        requests::RequestPlan::read(request, &config.document, now, clocks::wall_now())
+    }
+
+    fn check_quarantine(&self, plan: &requests::RequestPlan) -> Result<(), callers::ErrorBody> {
+        let set = self.handle.requests().quarantine();
+        let Some(remaining) = set.remaining(plan.fingerprint, clocks::boot_now()) else {
+            return Ok(());
+        };
+        let code = codes::ResultCode::RequestQuarantined;
+        let error = callers::ErrorBody::new(code, code.meaning());
+        Err(error.retry_after_ms(to_millis(remaining)))
     }
 
-    async fn send(
+    fn admit(
         &self,
-        request: &callers::CallerRequest,
-        route: &requests::RequestRoute,
-        target: &routes::RouteTarget,
-        parent: &telemetry::TraceParent,
-    ) -> Result<reqwest::Response, callers::ErrorBody> {
-        let attempt = ids::AttemptId::new(uuid::Uuid::new_v4().as_u128());
-        let method = reqwest::Method::from_bytes(request.method.as_bytes());
-        let method = method.unwrap_or(reqwest::Method::GET);
-        let url = format!("http://{}{}", target.address, route.path);
-        let mut outgoing = self
-            .handle
-            .client()
-            .request(method, url)
-            .timeout(DEFAULT_DEADLINE)
-            .header("x-attempt-id", attempt.to_string())
-            .header("x-generation", target.generation.to_string())
-            .header("traceparent", parent.to_string())
-            .body(request.body.clone());
-        for name in ["content-type", "idempotency-key"] {
-            if let Some(value) = request.header(name) {
-                outgoing = outgoing.header(name, value);
+        plan: &requests::RequestPlan,
+    ) -> Result<admission::AdmissionTicket, callers::ErrorBody> {
+        let state = self.handle.requests();
+        let now = clocks::boot_now();
+        let targets = state.targets();
+        let pool = targets.pool(&plan.pool, plan.freshness, now);
+        let question = admission::AdmissionQuestion {
+            customer: &plan.customer,
+            priority: plan.priority,
+            load: pool.map(routing::PoolView::load).unwrap_or_default(),
+            deadline: plan.deadline,
+            now,
+        };
+        let customers = state.customers();
+        let Some(gate) = customers.gate_of(&plan.pool) else {
+            let code = codes::ResultCode::NoServingTarget;
+            return Err(callers::ErrorBody::new(code, code.meaning()));
+        };
+        gate.admit(&question).map_err(|refusal| {
+            let error = callers::ErrorBody::new(refusal.code, refusal.code.meaning());
+            match refusal.retry_after {
+                Some(wait) => error.retry_after_ms(to_millis(wait)),
+                None => error,
             }
-        }
-        outgoing.send().await.map_err(|error| {
-            let code = if error.is_connect() {
-                codes::ResultCode::TargetRefused
-            } else {
-                codes::ResultCode::TargetLost
-            };
-            callers::ErrorBody::new(code, format!("{}: {error}", target.target))
         })
     }
 }
 
-async fn read_whole(answer: reqwest::Response) -> Result<callers::CallerReply, callers::ErrorBody> {
-    let status = answer.status().as_u16();
-    let kind = answer.headers().get(reqwest::header::CONTENT_TYPE);
-    let kind = kind.and_then(|value| value.to_str().ok());
-    let kind = kind.unwrap_or("application/octet-stream").to_owned();
-    let body = answer.bytes().await.map_err(|error| {
-        let code = codes::ResultCode::TargetLost;
-        callers::ErrorBody::new(code, format!("the answer broke off: {error}"))
-    })?;
-    Ok(callers::CallerReply::whole(status, kind, body))
-}
-
-fn relay(answer: reqwest::Response) -> callers::CallerReply {
-    let (sender, receiver) = mpsc::channel(STREAM_BUFFER);
-    tokio::spawn(async move {
-        let mut parts = answer.bytes_stream();
-        while let Some(part) = parts.next().await {
-            let part = part.unwrap_or_else(|error| {
-                let code = codes::ResultCode::StreamBroken;
-                let error = callers::ErrorBody::new(code, format!("{error}"));
-                error.to_event().into()
-            });
-            if sender.send(part).await.is_err() {
-                return;
-            }
-        }
-    });
-    callers::CallerReply::events(receiver)
+fn to_millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis())
+        .unwrap_or(u64::MAX)
+        .max(1)
 }
--- a/crates/pier_node/src/requests/request_route.rs
+++ b/crates/pier_node/src/requests/request_route.rs
@@ -1,19 +1,31 @@
 //! What a request asks for.
 
-use pier_types::{codes, routes};
+use pier_request::routing;
+use pier_types::{codes, ids, routes};
 use serde::Deserialize;
+use serde_json::Value;
 
-use crate::callers;
+use crate::{callers, requests};
 
 /// Prefix of the paths of plain services.
 const SERVICE_PREFIX: &str = "/services/";
 
+/// Path of chats.
+const CHAT_PATH: &str = "/v1/chat/completions";
+
+/// Path of plain completions.
+const PROMPT_PATH: &str = "/v1/completions";
+
 /// The fields of a model request that the system reads itself.
 #[derive(Debug, Deserialize)]
 struct ModelFields {
-    model: String,
+    model: ids::ModelName,
     #[serde(default)]
     stream: bool,
+    #[serde(default)]
+    prompt: Value,
+    #[serde(default)]
+    messages: Value,
 }
 
 /// Where a request wants to go.
@@ -25,6 +37,8 @@
     pub(super) path: String,
     /// Whether the answer is streamed.
     pub(super) stream: bool,
+    /// The prefix of its prompt.
+    pub(super) prefix: Option<routing::PrefixHash>,
 }
 
 impl RequestRoute {
@@ -38,7 +52,7 @@
             return Self::read_service(request, rest);
         }
         match (request.method.as_str(), request.path.as_str()) {
-            ("POST", "/v1/chat/completions" | "/v1/completions") => Self::read_model(request),
+            ("POST", CHAT_PATH | PROMPT_PATH) => Self::read_model(request),
             (method, path) => {
                 let message = format!("{method} {path} is no route of this system");
                 Err(callers::ErrorBody::new(
@@ -67,6 +81,7 @@
             pool: routes::PoolKey::Service(name),
             path,
             stream: false,
+            prefix: None,
         })
     }
 
@@ -77,14 +92,18 @@
         };
         let fields: ModelFields = serde_json::from_slice(&request.body)
             .map_err(|error| malformed(format!("the body is not as required: {error}")))?;
-        let model = fields
-            .model
-            .parse()
-            .map_err(|error| malformed(format!("{error}")))?;
+        let prompt = requests::PromptFields::new(fields.prompt, fields.messages);
+        if request.path == CHAT_PATH && !prompt.is_chat() {
+            return Err(malformed("the body lacks the array messages".to_owned()));
+        }
+        if request.path == PROMPT_PATH && !prompt.is_prompt() {
+            return Err(malformed("the body lacks a prompt".to_owned()));
+        }
         Ok(Self {
-            pool: routes::PoolKey::Model(model),
+            pool: routes::PoolKey::Model(fields.model),
             path: request.path.clone(),
             stream: fields.stream,
+            prefix: Some(routing::PrefixHash::of_prompt(&prompt.text())),
         })
     }
 }
--- /dev/null
+++ b/crates/pier_node/src/requests/request_run.rs
@@ -0,0 +1,226 @@
+//! A request that was admitted, over all of its attempts.
+
+use std::{sync, time};
+
+use pier_request::{admission, attempts, claims, quarantine, retries, routing};
+use pier_types::{codes, epochs, ids, routes, sizes, times, times::clocks};
+
+use crate::{callers, handle, requests, telemetry};
+
+/// When to come back after a request that was not run, in milliseconds.
+const RETRY_AFTER_MILLIS: u64 = 1_000;
+
+/// Pause after a target closed the connection, before the request goes to another one.
+const CRASH_PAUSE: time::Duration = time::Duration::from_millis(150);
+
+/// Holds an admitted request's place and what is known of its attempts.
+#[derive(Debug)]
+pub(super) struct RequestRun {
+    /// The node.
+    pub(super) handle: handle::NodeHandle,
+    /// The request.
+    pub(super) plan: sync::Arc<requests::RequestPlan>,
+    /// The hop that the attempts belong to.
+    pub(super) parent: telemetry::TraceParent,
+    /// The right to dispatch a one-time request.
+    pub(super) grant: Option<claims::ClaimGrant>,
+    ticket: admission::AdmissionTicket,
+    ledger: attempts::OutcomeLedger,
+    tried: Vec<ids::TargetId>,
+    attempts: u32,
+    // Keeps the node from stopping while the request runs, also when its caller left.
+    _guard: handle::RequestGuard,
+}
+
+impl RequestRun {
+    /// Begins the run of an admitted request.
+    pub(super) fn new(
+        handle: handle::NodeHandle,
+        plan: requests::RequestPlan,
+        parent: telemetry::TraceParent,
+        ticket: admission::AdmissionTicket,
+    ) -> Self {
+        let run = Self {
+            plan: sync::Arc::new(plan),
+            parent,
+            grant: None,
+            ticket,
+            ledger: attempts::OutcomeLedger::default(),
+            tried: Vec::new(),
+            attempts: 0,
+            _guard: handle.begin_request(),
+            handle,
+        };
+        run.with_budgets(|customer, node| {
+            customer.add_fresh();
+            node.add_fresh();
+        });
+        run
+    }
+
+    /// Chooses a target for the next attempt.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it is too late, or when no target can take it.
+    pub(super) fn choose(&mut self) -> Result<routing::RoutePermit, callers::ErrorBody> {
+        let now = clocks::boot_now();
+        let may_dispatch = self
+            .grant
+            .as_ref()
+            .is_none_or(|grant| grant.may_dispatch(now));
+        if now >= self.plan.deadline || !may_dispatch {
+            let code = codes::ResultCode::DeadlineTooClose;
+            return Err(self.final_error(code, "it is too late to send the request"));
+        }
+        let chosen = self.choose_target(now);
+        self.attempts += 1;
+        chosen.map_err(|refusal| self.final_error(refusal.code(), refusal.code().meaning()))
+    }
+
+    /// Decides after an attempt without a whole answer; returns the pause before the next one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no other attempt may follow; the error is the answer to the caller.
+    pub(super) fn after(
+        &mut self,
+        fault: &requests::AttemptFault,
+        permit: &routing::RoutePermit,
+        delivered: sizes::TokenCount,
+    ) -> Result<time::Duration, callers::ErrorBody> {
+        self.ledger.record(fault.end);
+        self.tried.push(permit.target().target.clone());
+        if fault.may_have_died {
+            self.tell_crash(permit);
+        }
+        let decision = self.with_budgets(|customer_budget, node_budget| {
+            let question = retries::RetryQuestion {
+                rule: self.plan.rule,
+                end: fault.end,
+                attempts: self.attempts,
+                delivered,
+                can_resume: self.plan.can_resume(),
+                deadline: self.plan.deadline,
+                customer_budget,
+                node_budget,
+            };
+            retries::RetryPolicy::default().decide(&question, clocks::boot_now())
+        });
+        match decision {
+            retries::RetryDecision::Retry { pause, .. } if !self.is_kept_away() => {
+                if fault.may_have_died {
+                    // By then it is known whether the request crashed the target.
+                    return Ok(pause.max(CRASH_PAUSE));
+                }
+                Ok(pause)
+            }
+            retries::RetryDecision::Retry { .. } => {
+                let code = codes::ResultCode::RequestQuarantined;
+                Err(self.final_error(code, code.meaning()))
+            }
+            retries::RetryDecision::Stop(code) => Err(self.final_error(code, &fault.cause)),
+        }
+    }
+
+    /// Notes that the answer is whole.
+    pub(super) fn succeed(&self, started_at: times::BootTime) {
+        self.ticket
+            .record_service(clocks::boot_now().since(started_at));
+        let fingerprint = self.plan.fingerprint;
+        let state = self.handle.requests();
+        if state.quarantine().is_implicated(fingerprint) {
+            state.tell_crash(requests::CrashNews::Completed(fingerprint));
+        }
+    }
+
+    /// Tells whether it is certain that no attempt ran.
+    pub(super) fn is_not_run(&self) -> bool {
+        self.ledger.is_not_run()
+    }
+
+    /// Makes the answer to the caller when nothing more is tried.
+    pub(super) fn final_error(
+        &self,
+        refusal: codes::ResultCode,
+        message: &str,
+    ) -> callers::ErrorBody {
+        let code = self.ledger.final_code(refusal);
+        let error = callers::ErrorBody::new(code, message);
+        if code.outcome() == codes::RunOutcome::NotRun {
+            return error.retry_after_ms(RETRY_AFTER_MILLIS);
+        }
+        error
+    }
+
+    fn choose_target(
+        &self,
+        now: times::BootTime,
+    ) -> Result<routing::RoutePermit, routing::RouteRefusal> {
+        let state = self.handle.requests();
+        let targets = state.targets();
+        let pool = targets.pool(&self.plan.pool, self.plan.freshness, now);
+        let pool = pool.ok_or(routing::RouteRefusal::NoTarget)?;
+        let prefixes = state.prefixes();
+        let question = routing::RouteQuestion {
+            tried: &self.tried,
+            holders: self.plan.prefix.and_then(|prefix| prefixes.holders(prefix)),
+            random: rand::random(),
+            now,
+        };
+        let chosen = pool.choose(&question);
+        if chosen.is_err() && !self.tried.is_empty() {
+            // Better the same target once more than none.
+            let tried = &[];
+            return pool.choose(&routing::RouteQuestion { tried, ..question });
+        }
+        chosen
+    }
+
+    fn tell_crash(&self, permit: &routing::RoutePermit) {
+        let target = permit.target();
+        let own = permit.in_flight().get();
+        let news = requests::CrashNews::Died {
+            target: target.target.clone(),
+            generation: target.generation,
+            fingerprint: self.plan.fingerprint,
+            suspects: own.max(target.load.running.get()),
+            address: target.address,
+            incarnation: self.probed_incarnation(target),
+        };
+        self.handle.requests().tell_crash(news);
+    }
+
+    /// Returns the incarnation of the VM that takes a target's requests, by the last probe.
+    fn probed_incarnation(&self, target: &routes::RouteTarget) -> Option<epochs::VmIncarnation> {
+        let list = self.handle.vms();
+        let vm = match &target.target {
+            ids::TargetId::Vm(vm) => vm,
+            ids::TargetId::Group(_group) => {
+                let mut entries = list.values();
+                &entries.find(|entry| entry.address == target.address)?.name
+            }
+        };
+        let evidence = self.handle.evidence();
+        Some(evidence.get(vm)?.report.incarnation)
+    }
+
+    fn is_kept_away(&self) -> bool {
+        let set = self.handle.requests().quarantine();
+        let set: &quarantine::QuarantineSet = &set;
+        set.remaining(self.plan.fingerprint, clocks::boot_now())
+            .is_some()
+    }
+
+    /// Hands out the budgets of the customer and the node.
+    fn with_budgets<T>(
+        &self,
+        use_both: impl FnOnce(&retries::RetryBudget, &retries::RetryBudget) -> T,
+    ) -> T {
+        let state = self.handle.requests();
+        let customers = state.customers();
+        let node = state.node_budget();
+        let customer = customers.budget_of(&self.plan.customer);
+        use_both(customer.map_or(node, |budget| budget), node)
+    }
+}
--- /dev/null
+++ b/crates/pier_node/src/requests/request_state.rs
@@ -0,0 +1,168 @@
+//! What requests read of the system.
+
+use std::sync;
+
+use arc_swap::ArcSwap;
+use pier_config::documents;
+use pier_request::{quarantine, retries, routing};
+use pier_types::{ids, routes, times, times::clocks};
+use tokio::sync::mpsc;
+
+use crate::requests;
+
+/// Retries of the whole node for a thousand fresh requests.
+const NODE_RETRIES_PER_THOUSAND: u32 = 200;
+
+/// Retries of the whole node in a burst.
+const NODE_BURST: u32 = 100;
+
+/// Pieces of news of crashes that may wait; more are dropped.
+const NEWS_LIMIT: usize = 1_024;
+
+/// State that requests read without a lock, published whole by the control loops.
+#[derive(Debug)]
+pub struct RequestState {
+    targets: ArcSwap<requests::TargetView>,
+    full_peers: ArcSwap<requests::FullPeers>,
+    customers: ArcSwap<requests::CustomerTable>,
+    prefixes: ArcSwap<routing::PrefixSnapshot>,
+    quarantine: ArcSwap<quarantine::QuarantineSet>,
+    node_budget: retries::RetryBudget,
+    one_time_client: reqwest::Client,
+    news: mpsc::Sender<requests::CrashNews>,
+    // Taken by control loops alone, never by a request.
+    waiting_news: sync::Mutex<Option<mpsc::Receiver<requests::CrashNews>>>,
+    crashes: sync::Mutex<quarantine::CrashLedger>,
+    counters: sync::Mutex<routing::CounterRegistry>,
+}
+
+impl RequestState {
+    /// Makes the state of a node that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an HTTP client can not be made.
+    pub fn new() -> anyhow::Result<Self> {
+        let (news, waiting_news) = mpsc::channel(NEWS_LIMIT);
+        Ok(Self {
+            targets: ArcSwap::default(),
+            full_peers: ArcSwap::default(),
+            customers: ArcSwap::default(),
+            prefixes: ArcSwap::default(),
+            quarantine: ArcSwap::default(),
+            node_budget: retries::RetryBudget::new(NODE_RETRIES_PER_THOUSAND, NODE_BURST),
+            one_time_client: requests::target_client::one_time()?,
+            news,
+            waiting_news: sync::Mutex::new(Some(waiting_news)),
+            crashes: sync::Mutex::default(),
+            counters: sync::Mutex::default(),
+        })
+    }
+
+    /// Publishes the targets that may receive new work.
+    pub fn publish_routes(&self, table: &routes::RouteTable, data_centre: &ids::DataCentreName) {
+        let mut counters = unpoisoned(&self.counters);
+        let view = self
+            .targets
+            .load()
+            .view
+            .replace(table, data_centre, &mut counters);
+        let built_at = clocks::boot_now();
+        self.targets
+            .store(sync::Arc::new(requests::TargetView { view, built_at }));
+    }
+
+    /// Publishes what a document says of customers.
+    pub fn publish_config(&self, document: &documents::ConfigDocument) {
+        let table = self.customers.load().replace(document);
+        self.customers.store(sync::Arc::new(table));
+    }
+
+    /// Publishes which targets hold which prefix.
+    pub fn publish_prefixes(&self, prefixes: routing::PrefixSnapshot) {
+        self.prefixes.store(sync::Arc::new(prefixes));
+    }
+
+    /// Returns crashes to tell other nodes, in one datagram of so many marks.
+    pub fn crash_delta(&self, limit: usize) -> quarantine::CrashDelta {
+        unpoisoned(&self.crashes).delta(clocks::boot_now(), limit)
+    }
+
+    /// Takes crashes that another node told of.
+    pub fn merge_crashes(&self, delta: &quarantine::CrashDelta) {
+        let now = clocks::boot_now();
+        self.change_crashes(|ledger| ledger.merge(delta, now));
+    }
+
+    /// Changes the ledger of crashes and publishes who is kept away.
+    pub(super) fn change_crashes(&self, change: impl FnOnce(&mut quarantine::CrashLedger)) {
+        let mut ledger = unpoisoned(&self.crashes);
+        change(&mut ledger);
+        let set = ledger.snapshot(clocks::boot_now());
+        self.quarantine.store(sync::Arc::new(set));
+    }
+
+    /// Returns the news of crashes to the task that waits for them, once.
+    pub(super) fn take_crash_news(&self) -> Option<mpsc::Receiver<requests::CrashNews>> {
+        unpoisoned(&self.waiting_news).take()
+    }
+
+    /// Hands on news of a crash; dropped when too much waits.
+    pub(super) fn tell_crash(&self, news: requests::CrashNews) {
+        if let Err(error) = self.news.try_send(news) {
+            log::warn!(event = "crash-news-dropped", cause:% = error; "");
+        }
+    }
+
+    /// Returns the targets.
+    pub(super) fn targets(&self) -> arc_swap::Guard<sync::Arc<requests::TargetView>> {
+        self.targets.load()
+    }
+
+    /// Returns the data centres that lately had no room.
+    pub(super) fn full_peers(&self) -> arc_swap::Guard<sync::Arc<requests::FullPeers>> {
+        self.full_peers.load()
+    }
+
+    /// Notes that a data centre has no room in a pool for a while.
+    pub(super) fn note_full_peer(
+        &self,
+        pool: &routes::PoolKey,
+        data_centre: &ids::DataCentreName,
+        until: times::BootTime,
+    ) {
+        let now = clocks::boot_now();
+        self.full_peers
+            .rcu(|full| full.with(pool, data_centre, until, now));
+    }
+
+    /// Returns what the configuration says of customers.
+    pub(super) fn customers(&self) -> arc_swap::Guard<sync::Arc<requests::CustomerTable>> {
+        self.customers.load()
+    }
+
+    /// Returns which targets hold which prefix.
+    pub(super) fn prefixes(&self) -> arc_swap::Guard<sync::Arc<routing::PrefixSnapshot>> {
+        self.prefixes.load()
+    }
+
+    /// Returns the requests that are kept away.
+    pub(super) fn quarantine(&self) -> arc_swap::Guard<sync::Arc<quarantine::QuarantineSet>> {
+        self.quarantine.load()
+    }
+
+    /// Returns the retry budget of the node.
+    pub(super) const fn node_budget(&self) -> &retries::RetryBudget {
+        &self.node_budget
+    }
+
+    /// Returns the client for one-time requests.
+    pub(super) const fn one_time_client(&self) -> &reqwest::Client {
+        &self.one_time_client
+    }
+}
+
+/// Locks; a control loop that panicked leaves values that are still whole.
+fn unpoisoned<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/pier_node/src/requests/whole_run.rs
@@ -0,0 +1,83 @@
+//! The run of a request whose answer is given whole.
+
+use pier_request::{attempts, routing};
+use pier_types::{ids, sizes, times::clocks};
+
+use crate::{callers, requests, telemetry};
+
+/// Runs requests whose answer is given whole.
+#[derive(Debug)]
+pub(super) struct WholeRun;
+
+impl WholeRun {
+    /// Sends a request until an answer is whole or nothing more may be tried.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the answer to the caller when there is no other.
+    pub(super) async fn run(
+        run: &mut requests::RequestRun,
+    ) -> Result<requests::WholeAnswer, callers::ErrorBody> {
+        loop {
+            let permit = run.choose()?;
+            let started_at = clocks::boot_now();
+            let fault = match Self::attempt(run, &permit).await {
+                Ok(answer) => {
+                    run.succeed(started_at);
+                    return Ok(answer);
+                }
+                Err(fault) => fault,
+            };
+            let pause = run.after(&fault, &permit, sizes::TokenCount::default())?;
+            drop(permit);
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    async fn attempt(
+        run: &requests::RequestRun,
+        permit: &routing::RoutePermit,
+    ) -> Result<requests::WholeAnswer, requests::AttemptFault> {
+        let mut span = telemetry::HopSpan::start(run.handle.traces(), "attempt", Some(&run.parent));
+        span.note("target", permit.target().target.to_string());
+        let call = requests::AttemptCall {
+            handle: &run.handle,
+            plan: &run.plan,
+            target: permit.target(),
+            attempt: ids::AttemptId::new(rand::random()),
+            resume_from: sizes::TokenCount::default(),
+        };
+        let answer = call.send(&span.parent()).await;
+        let read = match answer {
+            Ok(answer) => read_whole(&call, answer).await,
+            Err(fault) => Err(fault),
+        };
+        read.inspect_err(|fault| span.fail(fault.end.code()))
+    }
+}
+
+async fn read_whole(
+    call: &requests::AttemptCall<'_>,
+    answer: reqwest::Response,
+) -> Result<requests::WholeAnswer, requests::AttemptFault> {
+    let status = answer.status().as_u16();
+    let kind = answer.headers().get(reqwest::header::CONTENT_TYPE);
+    let kind = kind.and_then(|value| value.to_str().ok());
+    let content_type = kind.unwrap_or("application/octet-stream").to_owned();
+    let remaining = call.plan.deadline.since(clocks::boot_now());
+    let Ok(body) = tokio::time::timeout(remaining, answer.bytes()).await else {
+        call.cancel();
+        let end = attempts::AttemptEnd::TimedOut;
+        let cause = "the answer was not whole before the deadline";
+        return Err(requests::AttemptFault::new(end, cause));
+    };
+    let body = body.map_err(|error| {
+        let end = attempts::AttemptEnd::Broken;
+        requests::AttemptFault::crashed(end, format!("the answer broke off: {error}"))
+    })?;
+    Ok(requests::WholeAnswer {
+        status,
+        content_type,
+        body,
+    })
+}
--- /dev/null
+++ b/crates/pier_node/tests/requests/engines.rs
@@ -0,0 +1,104 @@
+//! A request that crashes its engines is kept away; a target at its share gets no more.
+
+use std::time;
+
+use pier_fakes::{engine, fault};
+use pier_types::sizes;
+
+use crate::test_node;
+
+async fn launch_engines(node: &test_node::TestNode, count: usize) -> Vec<engine::FakeEngine> {
+    let mut engines = Vec::new();
+    for number in 0..count {
+        engines.push(test_node::launch_engine(&format!("vm-{number}")).await);
+    }
+    let targets = engines.iter().enumerate();
+    let targets = targets
+        .map(|(number, engine)| test_node::target(&format!("vm-{number}"), engine.address()));
+    node.publish(targets.collect());
+    engines
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crashing_request_is_kept_away_and_others_go_on() {
+    let platform = test_node::launch_platform().await;
+    let node = test_node::TestNode::launch(platform.address());
+    let engines = launch_engines(&node, 6).await;
+    for engine in &engines {
+        engine.set_fault(fault::FaultSpec::new(fault::FaultKind::CrashOnPrompt {
+            marker: "poison".to_owned(),
+            for_ms: 0,
+            exit: false,
+        }));
+    }
+    let mut codes = Vec::new();
+    for _ in 0..4 {
+        let poison = test_node::completion(test_node::LARGE_KEY, "poison", false);
+        let answer = node.send(poison).await;
+        codes.push((answer.code(), answer.outcome()));
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+    let crashed = engines
+        .iter()
+        .filter(|engine| engine.report().incarnation.get() > 1)
+        .count();
+    assert!(
+        (2..=3).contains(&crashed),
+        "{crashed} engines crashed: {codes:?}"
+    );
+    assert_eq!(codes[0].1, "unknown");
+    assert_eq!(codes[3], (2006, "not-run".to_owned()));
+    let other = test_node::completion(test_node::LARGE_KEY, "draft", false);
+    let served = node.send(other).await;
+    assert!(
+        served.status == 200 || served.outcome() == "not-run",
+        "{}",
+        served.text
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_share_is_never_exceeded_and_the_rest_is_refused_at_once() {
+    let platform = test_node::launch_platform().await;
+    let node = test_node::TestNode::launch(platform.address());
+    let engine = test_node::launch_engine("vm-0").await;
+    engine.set_fault(fault::FaultSpec::new(fault::FaultKind::TokenTime {
+        ms: 20,
+    }));
+    let mut target = test_node::target("vm-0", engine.address());
+    target.share = sizes::RequestCount::new(3);
+    node.publish(vec![target]);
+    let sends = (0..20).map(|number| {
+        let prompt = format!("draft {number}");
+        node.send(test_node::completion(test_node::LARGE_KEY, &prompt, false))
+    });
+    let answers = futures_util::future::join_all(sends).await;
+    let served = answers.iter().filter(|answer| answer.status == 200).count();
+    assert_eq!(served, 3);
+    for refused in answers.iter().filter(|answer| answer.status != 200) {
+        assert!([2001, 2002].contains(&refused.code()), "{}", refused.text);
+        assert_eq!(refused.outcome(), "not-run");
+        assert!(refused.retry_after_ms.is_some());
+    }
+    let entries = engine.record().entries();
+    assert_eq!(entries.iter().filter(|entry| entry.started).count(), 3);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_old_table_serves_nobody() {
+    let platform = test_node::launch_platform().await;
+    let sample = include_str!("../../../../examples/tarifas.ini");
+    let sample = sample.replace("freshness-ms = 2500", "freshness-ms = 500");
+    let node = test_node::TestNode::with_sample(platform.address(), &sample);
+    let engine = test_node::launch_engine("vm-0").await;
+    let table = test_node::table_of(&[test_node::target("vm-0", engine.address())]);
+    node.handle.publish_routes(table.clone());
+    let asked = test_node::completion(test_node::LARGE_KEY, "draft", false);
+    assert_eq!(node.send(asked.clone()).await.status, 200);
+    tokio::time::sleep(time::Duration::from_millis(700)).await;
+    let refused = node.send(asked).await;
+    assert_eq!(
+        (refused.code(), refused.outcome().as_str()),
+        (2003, "not-run")
+    );
+}
--- /dev/null
+++ b/crates/pier_node/tests/requests/main.rs
@@ -0,0 +1,8 @@
+//! Proves the promises of one request on the node's own path, against stand-ins that record what
+//! really ran.
+
+mod engines;
+mod one_time;
+mod refusals;
+mod streams;
+mod test_node;
--- /dev/null
+++ b/crates/pier_node/tests/requests/test_node.rs
@@ -0,0 +1,247 @@
+//! A node's request path over stand-ins on loopback ports.
+
+use std::{net, sync, time};
+
+use pier_config::documents;
+use pier_control::health;
+use pier_fakes::{engine, platform, service};
+use pier_node::{callers, handle, requests, settings, telemetry};
+use pier_types::{epochs, ids, reports, routes, sizes, times::clocks};
+use serde_json::Value;
+
+/// Bearer key of the customer that may repeat completions.
+pub const LARGE_KEY: &str = "sample-key-facturacion";
+
+/// Bearer key of the customer that may not.
+pub const SMALL_KEY: &str = "sample-key-inquilinos";
+
+const SAMPLE: &str = include_str!("../../../../examples/tarifas.ini");
+
+/// Requests that the node may have at each target.
+const SHARE: u32 = 8;
+
+/// The request path of one node, without the daemon around it.
+pub struct TestNode {
+    /// The handle.
+    pub handle: handle::NodeHandle,
+}
+
+/// What a caller was told.
+#[derive(Debug)]
+pub struct TestAnswer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The whole body.
+    pub text: String,
+    /// When to come back.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl TestAnswer {
+    /// Returns the number of the result code, 0 without one.
+    pub fn code(&self) -> u64 {
+        self.error()["code"].as_u64().unwrap_or(0)
+    }
+
+    /// Returns the outcome in the error body.
+    pub fn outcome(&self) -> String {
+        self.error()["outcome"].as_str().unwrap_or("").to_owned()
+    }
+
+    /// Returns the receipt of a plain service.
+    pub fn receipt(&self) -> u64 {
+        let body: Value = serde_json::from_str(&self.text).unwrap();
+        body["receipt"].as_u64().unwrap()
+    }
+
+    /// Returns the positions of the streamed tokens.
+    pub fn indexes(&self) -> Vec<u64> {
+        let events = self.text.split("\n\n");
+        let data = events.filter_map(|event| event.strip_prefix("data: "));
+        let tokens = data.filter_map(|data| serde_json::from_str::<Value>(data).ok());
+        tokens.filter_map(|token| token["index"].as_u64()).collect()
+    }
+
+    fn error(&self) -> Value {
+        let last = self.text.trim_end().rsplit("data: ").next().unwrap();
+        let body: Value = serde_json::from_str(last).unwrap_or_default();
+        body["error"].clone()
+    }
+}
+
+impl TestNode {
+    /// Makes a node over a platform.
+    pub fn launch(platform: net::SocketAddr) -> Self {
+        Self::with_sample(platform, SAMPLE)
+    }
+
+    /// Makes a node with another configuration.
+    pub fn with_sample(platform: net::SocketAddr, sample: &str) -> Self {
+        let text = format!(
+            "[node]\ndata-centre = mvd-a\nregion = mvd\ncallers = 127.0.0.1:0\n\
+             operators = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
+             peer-key = 0123456789abcdef0123456789abcdef\n[platform]\nurl = http://{platform}\n"
+        );
+        let settings = settings::NodeSettings::parse(&text).unwrap();
+        let traces = telemetry::TraceSink::open(None).unwrap();
+        let client = reqwest::Client::builder()
+            .no_proxy()
+            .retry(reqwest::retry::never())
+            .build()
+            .unwrap();
+        let name = "node-1".parse().unwrap();
+        let handle = handle::NodeHandle::new(name, settings, client, traces).unwrap();
+        requests::spawn(handle.clone());
+        handle.publish_config(handle::ConfigSnapshot {
+            version: epochs::ConfigVersion::new(1),
+            document: sample.parse::<documents::ConfigDocument>().unwrap(),
+            text: sample.to_owned(),
+        });
+        Self { handle }
+    }
+
+    /// Publishes the targets, and goes on doing so.
+    pub fn publish(&self, targets: Vec<routes::RouteTarget>) {
+        let handle = self.handle.clone();
+        handle.publish_evidence(targets.iter().map(evidence_of).collect());
+        handle.publish_routes(table_of(&targets));
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(time::Duration::from_millis(100)).await;
+                handle.publish_routes(table_of(&targets));
+            }
+        });
+    }
+
+    /// Sends a request and reads the whole answer.
+    pub async fn send(&self, request: callers::CallerRequest) -> TestAnswer {
+        let path = requests::RequestPath::new(self.handle.clone());
+        let reply = path.serve(request).await;
+        let mut bytes = Vec::new();
+        match reply.body {
+            callers::ReplyBody::Whole(body) => bytes.extend_from_slice(&body),
+            callers::ReplyBody::Stream(mut parts) => {
+                while let Some(part) = parts.recv().await {
+                    bytes.extend_from_slice(&part);
+                }
+            }
+        }
+        TestAnswer {
+            status: reply.status,
+            text: String::from_utf8(bytes).unwrap(),
+            retry_after_ms: reply.retry_after_ms,
+        }
+    }
+
+    /// Waits until no request is in progress, so that every outcome is recorded.
+    pub async fn settle(&self) {
+        for _ in 0..1_000 {
+            if self.handle.requests_in_progress() == 0 {
+                return;
+            }
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+        panic!("requests are still in progress");
+    }
+}
+
+/// Makes the table of the targets: accelerators serve the model, the others the ledger.
+pub fn table_of(targets: &[routes::RouteTarget]) -> routes::RouteTable {
+    let mut table = routes::RouteTable::default();
+    for target in targets {
+        let pool = if target.target.to_string().starts_with("vm:ledger") {
+            routes::PoolKey::Service("libro".parse().unwrap())
+        } else {
+            routes::PoolKey::Model("redactor".parse().unwrap())
+        };
+        let mut target = target.clone();
+        target.load.probed_at = clocks::boot_now();
+        let targets = table.pools.entry(pool).or_default();
+        targets.push(sync::Arc::new(target));
+    }
+    table
+}
+
+/// Makes the evidence of a target that has not been restarted yet.
+fn evidence_of(target: &routes::RouteTarget) -> (ids::VmName, health::VmEvidence) {
+    let ids::TargetId::Vm(vm) = &target.target else {
+        panic!("not a VM");
+    };
+    let report = reports::EngineReport {
+        vm: vm.clone(),
+        incarnation: epochs::VmIncarnation::new(1),
+        group: None,
+        generation: epochs::GroupGeneration::default(),
+        model: None,
+        state: reports::EngineState::Warm,
+        running: sizes::RequestCount::default(),
+        queued: sizes::RequestCount::default(),
+    };
+    let probed_at = clocks::boot_now();
+    (vm.clone(), health::VmEvidence { report, probed_at })
+}
+
+/// Makes a target.
+pub fn target(name: &str, address: net::SocketAddr) -> routes::RouteTarget {
+    routes::RouteTarget {
+        target: ids::TargetId::Vm(name.parse().unwrap()),
+        address,
+        data_centre: "mvd-a".parse().unwrap(),
+        generation: epochs::GroupGeneration::default(),
+        share: sizes::RequestCount::new(SHARE),
+        load: routes::TargetLoad::default(),
+    }
+}
+
+/// Starts a platform.
+pub async fn launch_platform() -> platform::FakePlatform {
+    platform::FakePlatform::builder().launch().await.unwrap()
+}
+
+/// Starts an engine that holds the model.
+pub async fn launch_engine(name: &str) -> engine::FakeEngine {
+    let settings = engine::EngineSettings::new(name.parse().unwrap());
+    let builder = engine::FakeEngine::builder(settings).preload("redactor".parse().unwrap());
+    builder.launch().await.unwrap()
+}
+
+/// Starts a ledger.
+pub async fn launch_ledger(name: &str) -> service::FakeService {
+    let builder = service::FakeService::builder(name.parse().unwrap());
+    builder.launch().await.unwrap()
+}
+
+/// Makes a request.
+pub fn request(key: &str, method: &str, path: &str, body: &str) -> callers::CallerRequest {
+    callers::CallerRequest {
+        method: method.to_owned(),
+        path: path.to_owned(),
+        query: String::new(),
+        headers: [("authorization".to_owned(), format!("Bearer {key}"))].into(),
+        body: body.as_bytes().to_vec(),
+        arrived_at: clocks::boot_now(),
+        hops: 0,
+    }
+}
+
+/// Makes a completion request.
+pub fn completion(key: &str, prompt: &str, stream: bool) -> callers::CallerRequest {
+    let body = serde_json::json!({
+        "model": "redactor", "prompt": prompt, "stream": stream, "max_tokens": 12,
+    });
+    request(key, "POST", "/v1/completions", &body.to_string())
+}
+
+/// Makes a charge with an idempotency key issued now.
+pub fn charge(unique: &str) -> callers::CallerRequest {
+    let issued = clocks::wall_now();
+    let mut charge = request(
+        LARGE_KEY,
+        "POST",
+        "/services/libro/charges",
+        "{\"cabinet\":7}",
+    );
+    let key = format!("{issued}-{unique}");
+    charge.headers.insert("idempotency-key".to_owned(), key);
+    charge
+}
--- a/crates/pier_request/src/admission/admission_gate.rs
+++ b/crates/pier_request/src/admission/admission_gate.rs
@@ -99,7 +99,9 @@
             return Ok(self.ticket(lane));
         }
         lane.note_refusal(question.now);
-        Err(self.refuse(lane.in_flight() >= share))
+        // Alone, a customer that has its share has all there is.
+        let shares_with_others = share < question.load.capacity;
+        Err(self.refuse(shares_with_others && lane.in_flight() >= share))
     }
 
     /// Returns how many requests are in flight.
--- a/crates/pier_request/src/attempts/attempt_end.rs
+++ b/crates/pier_request/src/attempts/attempt_end.rs
@@ -13,8 +13,10 @@
     Lost,
     /// The answer began and broke off.
     Broken,
-    /// The target ran the request and answered with a failure.
+    /// The target answered with a fault of its own, which another one may not have.
     Failed,
+    /// The target answered that it can not do what is asked for.
+    Rejected,
     /// The caller's deadline passed after the request was sent.
     TimedOut,
 }
@@ -32,13 +34,8 @@
             Self::NotStarted => codes::ResultCode::TargetRefused,
             Self::Lost => codes::ResultCode::TargetLost,
             Self::Broken => codes::ResultCode::StreamBroken,
-            Self::Failed => codes::ResultCode::TargetFailed,
+            Self::Failed | Self::Rejected => codes::ResultCode::TargetFailed,
             Self::TimedOut => codes::ResultCode::DeadlinePassed,
         }
     }
-
-    /// Tells whether the target may have died of this attempt or beside it.
-    pub const fn is_loss(self) -> bool {
-        matches!(self, Self::Lost | Self::Broken)
-    }
 }
--- a/crates/pier_request/src/retries/repeat_rule.rs
+++ b/crates/pier_request/src/retries/repeat_rule.rs
@@ -25,10 +25,10 @@
                 end,
                 attempts::AttemptEnd::NotConnected | attempts::AttemptEnd::NotStarted
             ),
-            // A failure that the target answered would come again; a passed deadline stays passed.
+            // What one target can not do no other can; a passed deadline stays passed.
             (Self::Repeatable, end) => !matches!(
                 end,
-                attempts::AttemptEnd::Failed | attempts::AttemptEnd::TimedOut
+                attempts::AttemptEnd::Rejected | attempts::AttemptEnd::TimedOut
             ),
         }
     }
--- a/crates/pier_request/src/routing/route_permit.rs
+++ b/crates/pier_request/src/routing/route_permit.rs
@@ -2,7 +2,7 @@
 
 use std::sync;
 
-use pier_types::routes;
+use pier_types::{routes, sizes};
 
 use crate::routing;
 
@@ -26,6 +26,11 @@
     pub fn target(&self) -> &routes::RouteTarget {
         &self.target
     }
+
+    /// Returns how many requests of this node are at the target, this one included.
+    pub fn in_flight(&self) -> sizes::RequestCount {
+        self.counter.in_flight()
+    }
 }
 
 impl Drop for RoutePermit {
--- a/crates/pier_request/tests/answers_are_whole_and_in_order.rs
+++ b/crates/pier_request/tests/answers_are_whole_and_in_order.rs
@@ -112,6 +112,7 @@
         attempts::AttemptEnd::Lost,
         attempts::AttemptEnd::Broken,
         attempts::AttemptEnd::Failed,
+        attempts::AttemptEnd::Rejected,
         attempts::AttemptEnd::TimedOut,
     ];
     let certain = |end: attempts::AttemptEnd| {
--- a/crates/pier_request/tests/retries_keep_their_rules.rs
+++ b/crates/pier_request/tests/retries_keep_their_rules.rs
@@ -5,12 +5,13 @@
 use pier_request::{attempts, retries};
 use pier_types::{codes, sizes, times};
 
-const ENDS: [attempts::AttemptEnd; 6] = [
+const ENDS: [attempts::AttemptEnd; 7] = [
     attempts::AttemptEnd::NotConnected,
     attempts::AttemptEnd::NotStarted,
     attempts::AttemptEnd::Lost,
     attempts::AttemptEnd::Broken,
     attempts::AttemptEnd::Failed,
+    attempts::AttemptEnd::Rejected,
     attempts::AttemptEnd::TimedOut,
 ];
 
@@ -63,6 +64,22 @@
     }
 }
 
+#[test]
+fn repeatable_requests_are_repeated_unless_that_can_not_help() {
+    let budget = retries::RetryBudget::new(0, 1_000);
+    for end in ENDS {
+        let asked = retries::RetryQuestion {
+            end,
+            ..question(&budget)
+        };
+        let hopeless = [
+            attempts::AttemptEnd::Rejected,
+            attempts::AttemptEnd::TimedOut,
+        ];
+        assert_eq!(is_retry(&asked), !hopeless.contains(&end));
+    }
+}
+
 #[test]
 fn a_retry_never_passes_the_deadline_or_the_attempt_limit() {
     let budget = retries::RetryBudget::new(0, 1_000);
