--- a/crates/pier_node/tests/requests/engines.rs
+++ b/crates/pier_node/tests/requests/engines.rs
@@ -57,6 +57,24 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_cut_by_targets_that_live_on_put_nobody_away() {
+    let platform = test_node::launch_platform().await;
+    let node = test_node::TestNode::launch(platform.address());
+    for number in 0..3 {
+        let name = format!("vm-{number}");
+        let engine = test_node::launch_engine(&name).await;
+        let cut = fault::FaultSpec::new(fault::FaultKind::LoseRequest);
+        engine.set_fault(cut.count(1));
+        node.publish_once(&[test_node::target(&name, engine.address())]);
+        let asked = test_node::completion(test_node::SMALL_KEY, "draft", false);
+        let answer = node.send(asked).await;
+        assert_eq!(answer.status, 502, "{}", answer.text);
+        // Time for the engine to be asked whether it is still the same process.
+        tokio::time::sleep(time::Duration::from_millis(250)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_share_is_never_exceeded_and_the_rest_is_refused_at_once() {
     let platform = test_node::launch_platform().await;
--- a/crates/pier_node/tests/requests/test_node.rs
+++ b/crates/pier_node/tests/requests/test_node.rs
@@ -113,6 +113,13 @@
         });
     }
 
+    /// Publishes the targets once.
+    pub fn publish_once(&self, targets: &[routes::RouteTarget]) {
+        let evidence = targets.iter().map(evidence_of);
+        self.handle.publish_evidence(evidence.collect());
+        self.handle.publish_routes(table_of(targets));
+    }
+
     /// Sends a request and reads the whole answer.
     pub async fn send(&self, request: callers::CallerRequest) -> TestAnswer {
         let path = requests::RequestPath::new(self.handle.clone());
