Run the control loops and the decided route table in the daemon

Cause: the node still took every VM with a report for a target. Ruled out: publishing the table only when it changes, since requests rely on a table only while it is young, which stops a node that was paused. Conclusion: the VM list, control and table loops run; shares follow.

--- a/crates/pier_node/src/daemon/node_daemon.rs
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -6,7 +6,8 @@
 use pier_types::ids;
 
 use crate::{
-    callers, configs, daemon, forwards, handle, operators, requests, settings, tables, telemetry,
+    callers, configs, control, daemon, forwards, handle, operators, requests, settings, tables,
+    telemetry,
 };
 
 /// Time between two looks at the requests in progress during a drain.
@@ -37,7 +38,9 @@
         let client = target_client()?;
         let traces = open_traces(settings.collector_url.clone()).await?;
         let handle = handle::NodeHandle::new(draw_name(&settings)?, settings, client, traces)?;
+        tables::spawn_list(handle.clone());
         tables::spawn(handle.clone());
+        control::spawn(handle.clone(), &control::ControlSettings::default());
         requests::spawn(handle.clone());
         Self::spawn_configs(&handle)?;
         let peers = Self::launch_forwards(&handle).await?;
--- a/crates/pier_node/src/handle/node_handle.rs
+++ b/crates/pier_node/src/handle/node_handle.rs
@@ -260,6 +260,6 @@
 
     /// Tells whether the balancer may send callers here.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining() && !self.routes().pools.is_empty()
+        !self.is_draining() && self.config().is_some() && !self.routes().pools.is_empty()
     }
 }
--- a/crates/pier_node/src/tables/mod.rs
+++ b/crates/pier_node/src/tables/mod.rs
@@ -1,7 +1,9 @@
 //! Publishes what a request reads: which targets may receive new work.
 
+mod list_loop;
 mod table_builder;
 mod table_loop;
 
+pub use list_loop::spawn as spawn_list;
 pub use table_builder::TableBuilder;
 pub use table_loop::spawn;
