Talk with other nodes by datagrams and publish evidence of every VM

Cause: each node has to know the other nodes and each VM of its data centre within the budget. The peer loop sends gossip, signs of life and pulls each second, answers pulls, passes on configuration versions and crashes; the probe driver probes what falls to this node. Not wired yet: shares, isolation, shift, VmRoster, stragglers.

--- a/crates/pier_limits/src/members/member_table.rs
+++ b/crates/pier_limits/src/members/member_table.rs
@@ -7,6 +7,9 @@
 
 use crate::{hashing, members};
 
+/// Heartbeats after which a peer is sent the whole entry again, in case that it forgot this node.
+const GREETING_PERIOD: u64 = 10;
+
 /// Learns of nodes from their own datagrams and from gossip.
 ///
 /// A heartbeat that rises is the only sign of life; old gossip never brings a forgotten node back.
@@ -73,8 +76,19 @@
         self.own.beat
     }
 
-    /// Takes in a node's own sign of life; false when the node is not known, so that it is to be
-    /// sent the own entry and will answer with its own.
+    /// Returns the message that goes along with each datagram to a peer: the short sign of life, or
+    /// the whole entry to a peer that was not heard directly lately, and to each now and then.
+    pub fn greeting(&self, peer: &ids::NodeName, now: times::BootTime) -> messages::PeerMessage {
+        let direct_at = self.records.get(peer).and_then(|record| record.direct_at);
+        let heard = direct_at.is_some_and(|at| now.since(at) <= self.policy.suspect_after);
+        if heard && !self.own.beat.heartbeat.is_multiple_of(GREETING_PERIOD) {
+            return messages::PeerMessage::Beat(self.own.beat);
+        }
+        messages::PeerMessage::Members(vec![self.own.clone()])
+    }
+
+    /// Takes in a node's own sign of life; false when the node is not known, which its next whole
+    /// entry will change.
     pub fn hear_beat(
         &mut self,
         sender: &ids::NodeName,
@@ -194,38 +208,58 @@
         scored.into_iter().map(|(_, node)| node).collect()
     }
 
-    /// Plans one round: a few peers in turn, a delegate's partners across, and one of the
-    /// `seeds`, which are the addresses from the settings, in turn.
+    /// Plans one round: a few peers, a delegate's partners across, and one of the `seeds`, which
+    /// are the addresses from the settings; other ones in each round.
     pub fn gossip(
         &mut self,
         seeds: &[net::SocketAddr],
         now: times::BootTime,
     ) -> members::GossipPlan {
         self.round = self.round.wrapping_add(1);
-        let mut plan = members::GossipPlan::default();
         let (near, far) = self
             .records
             .values()
             .partition::<Vec<_>, _>(|record| record.entry.data_centre == self.own.data_centre);
         let fanout = self.policy.fanout;
-        plan.receivers
-            .extend(in_turn(&near, self.round, fanout).map(|one| one.entry.address));
+        let mut receivers = self.addresses(&near, "near", fanout);
         if self.delegates(now).contains(&self.own.node) {
-            plan.receivers
-                .extend(in_turn(&far, self.round, fanout).map(|one| one.entry.address));
+            receivers.extend(self.addresses(&far, "far", fanout));
         }
-        plan.receivers.extend(in_turn(seeds, self.round, 1));
-        plan.receivers.remove(&self.own.address);
+        receivers.extend(choose(seeds, &self.seed("seed"), self.round, 1));
+        receivers.remove(&self.own.address);
+        members::GossipPlan {
+            receivers,
+            entries: self.sample(now),
+        }
+    }
+
+    fn addresses(
+        &self,
+        records: &[&members::MemberRecord],
+        purpose: &str,
+        count: usize,
+    ) -> collections::BTreeSet<net::SocketAddr> {
+        let chosen = choose(records, &self.seed(purpose), self.round, count);
+        chosen
+            .into_iter()
+            .map(|record| record.entry.address)
+            .collect()
+    }
+
+    /// Returns the own entry and some of other live nodes.
+    fn sample(&self, now: times::BootTime) -> Vec<messages::MemberEntry> {
         let known = self
             .records
             .values()
             .filter(|record| record.health(&self.policy, now) == members::MemberHealth::Alive)
             .collect::<Vec<_>>();
-        plan.entries.push(self.own.clone());
-        let sample = in_turn(&known, self.round, self.policy.sample);
-        plan.entries
-            .extend(sample.map(|record| record.entry.clone()));
-        plan
+        let chosen = choose(&known, &self.seed("entry"), self.round, self.policy.sample);
+        let others = chosen.into_iter().map(|record| record.entry.clone());
+        [self.own.clone()].into_iter().chain(others).collect()
+    }
+
+    fn seed(&self, purpose: &str) -> Vec<u8> {
+        [purpose.as_bytes(), self.own.node.as_str().as_bytes()].concat()
     }
 
     fn live(
@@ -310,9 +344,22 @@
     }
 }
 
-/// Takes a few items, going on each round where the last one stopped.
-fn in_turn<T: Copy>(items: &[T], round: usize, count: usize) -> impl Iterator<Item = T> {
-    let start = round.wrapping_mul(count) % items.len().max(1);
-    let turned = items.iter().cycle().skip(start);
-    turned.take(count.min(items.len())).copied()
+/// Takes a few items, other ones in each round.
+///
+/// The choice hashes the seed, the round and the place, so that receivers and entries are chosen
+/// independently of each other. Turns of fixed length would send a receiver the same entries
+/// each time.
+fn choose<T: Copy>(items: &[T], seed: &[u8], round: usize, count: usize) -> Vec<T> {
+    let mut scored = items
+        .iter()
+        .enumerate()
+        .map(|(place, item)| (hashing::score(seed, &mixed(round, place)), *item))
+        .collect::<Vec<_>>();
+    scored.sort_unstable_by_key(|(score, _)| *score);
+    scored.truncate(count);
+    scored.into_iter().map(|(_, item)| item).collect()
+}
+
+fn mixed(round: usize, place: usize) -> Vec<u8> {
+    [round.to_le_bytes(), place.to_le_bytes()].concat()
 }
--- a/crates/pier_limits/src/probes/evidence_board.rs
+++ b/crates/pier_limits/src/probes/evidence_board.rs
@@ -70,6 +70,17 @@
         }
     }
 
+    /// Changes the age up to which evidence counts, as the configuration says.
+    pub const fn set_bound(&mut self, bound: time::Duration) {
+        self.bound = bound;
+    }
+
+    /// Returns the latest result of a VM as it is told to others: a later failure stands before
+    /// the evidence it denies.
+    pub fn latest(&self, vm: &ids::VmName, now: times::BootTime) -> Option<messages::ProbeResult> {
+        self.tracks.get(vm)?.latest(vm, now)
+    }
+
     /// Forgets the VMs that are not listed.
     pub fn retain(&mut self, listed: &collections::BTreeSet<ids::VmName>) {
         self.tracks.retain(|vm, _| listed.contains(vm));
@@ -80,6 +91,11 @@
         self.tracks.clear();
     }
 
+    /// Returns the fresh evidence of one VM.
+    pub fn fresh(&self, vm: &ids::VmName, now: times::BootTime) -> Option<&probes::VmEvidence> {
+        self.tracks.get(vm)?.fresh(now, self.bound)
+    }
+
     /// Returns the fresh evidence, that of stragglers included.
     pub fn evidence(
         &self,
--- a/crates/pier_limits/src/probes/vm_track.rs
+++ b/crates/pier_limits/src/probes/vm_track.rs
@@ -85,6 +85,26 @@
         (young && !denied).then_some(evidence)
     }
 
+    /// Returns the latest result, aged up to now.
+    pub(crate) fn latest(
+        &self,
+        vm: &ids::VmName,
+        now: times::BootTime,
+    ) -> Option<messages::ProbeResult> {
+        let failed = self.failure.filter(|_| self.silences > 0);
+        let (probed_at, latency, outcome) = match (failed, &self.evidence) {
+            (Some((failure, probed_at)), _) => (probed_at, time::Duration::ZERO, Err(failure)),
+            (None, Some(found)) => (found.probed_at, found.latency, Ok(found.report.clone())),
+            (None, None) => return None,
+        };
+        Some(messages::ProbeResult {
+            vm: vm.clone(),
+            age: now.since(probed_at),
+            latency,
+            outcome,
+        })
+    }
+
     pub(crate) fn is_dead(&self, now: times::BootTime) -> bool {
         let answered_at = self.evidence.as_ref().map(|known| known.probed_at);
         let since = answered_at.or(self.first_at);
--- a/crates/pier_limits/tests/failure_detection.rs
+++ b/crates/pier_limits/tests/failure_detection.rs
@@ -103,6 +103,19 @@
     assert!(!board.evidence(at(2_000)).contains_key(&vm(2)));
 }
 
+#[test]
+fn others_are_told_the_latest_result_with_its_age() {
+    let mut board = board();
+    let told = board.latest(&vm(1), at(700)).unwrap();
+    assert_eq!(told.age, time::Duration::from_millis(700));
+    assert!(told.outcome.is_ok());
+    board.observe(failure(1, messages::ProbeFailure::Silent), at(1_000));
+    let told = board.latest(&vm(1), at(1_100)).unwrap();
+    assert_eq!(told.age, time::Duration::from_millis(100));
+    assert_eq!(told.outcome, Err(messages::ProbeFailure::Silent));
+    assert_eq!(board.latest(&vm(9), at(1_100)), None);
+}
+
 #[test]
 fn a_straggler_is_told_apart_from_the_dead() {
     let mut board = board();
--- a/crates/pier_limits/tests/membership.rs
+++ b/crates/pier_limits/tests/membership.rs
@@ -97,6 +97,19 @@
     assert_eq!(table.peer_heard_at(), Some(at(1)));
 }
 
+#[test]
+fn a_peer_that_was_not_heard_directly_is_sent_the_whole_entry() {
+    let mut table = table();
+    table.beat(epochs::ConfigVersion::new(1), false);
+    let whole = |message| matches!(message, messages::PeerMessage::Members(_));
+    assert!(whole(table.greeting(&name(2), START)));
+    table.hear_entries(&name(3), vec![entry(2, "a", 5)], START);
+    assert!(whole(table.greeting(&name(2), START)));
+    table.hear_entries(&name(2), vec![entry(2, "a", 6)], START);
+    assert!(!whole(table.greeting(&name(2), at(3))));
+    assert!(whole(table.greeting(&name(2), at(4))));
+}
+
 #[test]
 fn memory_stays_bounded_and_living_nodes_are_kept() {
     let mut table = table();
@@ -199,6 +212,27 @@
     assert_eq!(complete(&tables, at(159)), [5].into());
 }
 
+#[test]
+fn each_receiver_is_told_of_every_node_in_time() {
+    let mut table = table();
+    let mut told = collections::BTreeMap::<_, collections::BTreeSet<_>>::new();
+    for second in 0..400 {
+        for number in 2..=45 {
+            table.hear_entries(&name(number), vec![entry(number, "a", second)], at(second));
+        }
+        let plan = table.gossip(&[], at(second));
+        for receiver in plan.receivers {
+            let names = plan.entries.iter().map(|entry| entry.node.clone());
+            told.entry(receiver).or_default().extend(names);
+        }
+    }
+    assert_eq!(told.len(), 44);
+    assert!(
+        told.values().all(|names| names.len() > 30),
+        "not the same few each time"
+    );
+}
+
 #[test]
 fn few_delegates_speak_across() {
     let mut tables = (1..=18)
--- a/crates/pier_node/src/daemon/node_daemon.rs
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -5,7 +5,9 @@
 use anyhow::Context as _;
 use pier_types::ids;
 
-use crate::{callers, configs, daemon, forwards, handle, operators, settings, tables, telemetry};
+use crate::{
+    callers, configs, daemon, forwards, handle, operators, peers, settings, tables, telemetry,
+};
 
 /// Time between two looks at the requests in progress during a drain.
 const DRAIN_POLL: time::Duration = time::Duration::from_millis(20);
@@ -36,8 +38,11 @@
         let traces = open_traces(settings.collector_url.clone()).await?;
         let handle = handle::NodeHandle::new(draw_name(&settings)?, settings, client, traces)?;
         tables::spawn(handle.clone());
-        Self::spawn_configs(&handle)?;
+        let configs = Self::spawn_configs(&handle)?;
         let peers = Self::launch_forwards(&handle).await?;
+        let socket = peers::PeerSocket::bind(peers).await?;
+        // Nothing in this process counts crashes yet.
+        let _links = peers::PeerLoop::spawn(handle.clone(), socket, configs)?;
         let operators = Self::launch_operators(&handle).await?;
         let callers = Self::launch_callers(&handle).await?;
         log::info!(
--- a/crates/pier_node/src/lib.rs
+++ b/crates/pier_node/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod forwards;
 pub mod handle;
 pub mod operators;
+pub mod peers;
+pub mod probes;
 pub mod requests;
 pub mod settings;
 pub mod tables;
--- /dev/null
+++ b/crates/pier_node/src/peers/datagram_refusals.rs
@@ -0,0 +1,40 @@
+//! Counts refused datagrams.
+
+use std::{collections, net, time};
+
+use pier_types::times;
+use pier_wire::seals;
+
+/// Time between two log lines about refused datagrams.
+const REPORT_PERIOD: time::Duration = time::Duration::from_secs(10);
+
+/// Counts by reason, logged now and then, so that a flood does not fill the log.
+#[derive(Debug, Default)]
+pub(super) struct DatagramRefusals {
+    counts: collections::BTreeMap<&'static str, u64>,
+    last_source: Option<net::SocketAddr>,
+    reported_at: times::BootTime,
+}
+
+impl DatagramRefusals {
+    /// Counts one; an echo of this node's own datagram is no fault.
+    pub(super) fn count(&mut self, refusal: seals::SealRefusal, source: net::SocketAddr) {
+        if refusal == seals::SealRefusal::OwnEcho {
+            return;
+        }
+        *self.counts.entry(refusal.as_str()).or_default() += 1;
+        self.last_source = Some(source);
+    }
+
+    /// Logs the counts when it is time.
+    pub(super) fn report(&mut self, now: times::BootTime) {
+        if self.counts.is_empty() || now.since(self.reported_at) < REPORT_PERIOD {
+            return;
+        }
+        self.reported_at = now;
+        let source = self.last_source.map(|source| source.to_string());
+        for (reason, count) in std::mem::take(&mut self.counts) {
+            log::warn!(event = "datagrams-refused", reason, count, source:? = source; "");
+        }
+    }
+}
--- /dev/null
+++ b/crates/pier_node/src/peers/peer_loop.rs
@@ -0,0 +1,248 @@
+//! The task that talks with the other nodes.
+
+use std::{collections, io, net, time};
+
+use pier_limits::{members, probes as decisions};
+use pier_types::{epochs, ids, times, times::clocks};
+use pier_wire::{messages, seals};
+use tokio::sync::mpsc;
+
+use crate::{configs, handle, peers, probes};
+
+/// Time between two looks at what is due.
+const TICK: time::Duration = time::Duration::from_millis(100);
+
+/// Time between two rounds of gossip and pulls.
+const ROUND: time::Duration = time::Duration::from_secs(1);
+
+/// A gap between ticks after which all evidence is dropped: the node itself was paused.
+const PAUSE_LIMIT: time::Duration = time::Duration::from_secs(2);
+
+/// The state of the loop.
+#[derive(Debug)]
+pub struct PeerLoop {
+    handle: handle::NodeHandle,
+    socket: peers::PeerSocket,
+    configs: configs::ConfigInbox,
+    links: peers::LoopLinks,
+    sealer: seals::DatagramSealer,
+    opener: seals::DatagramOpener,
+    members: members::MemberTable,
+    pulls: decisions::PullPlan,
+    probes: probes::ProbeDriver,
+    refusals: peers::DatagramRefusals,
+    ticked_at: times::BootTime,
+    round_at: times::BootTime,
+}
+
+impl PeerLoop {
+    /// Starts the loop; it ends with the runtime.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the settings' key is refused.
+    pub fn spawn(
+        handle: handle::NodeHandle,
+        socket: peers::PeerSocket,
+        configs: configs::ConfigInbox,
+    ) -> anyhow::Result<peers::PeerLinks> {
+        let key: seals::WireKey = handle.settings().peer_key.parse()?;
+        let (links, ends) = peers::PeerLinks::open();
+        let (sender, outcomes) = mpsc::unbounded_channel();
+        let own = own_entry(&handle, socket.address());
+        let now = clocks::boot_now();
+        let peer_loop = Self {
+            sealer: seals::DatagramSealer::new(
+                key.clone(),
+                handle.name().clone(),
+                handle.instance(),
+            ),
+            opener: seals::DatagramOpener::new(key, handle.instance()),
+            members: members::MemberTable::new(own, members::MemberPolicy::default()),
+            pulls: decisions::PullPlan::default(),
+            probes: probes::ProbeDriver::new(handle.clone(), sender),
+            refusals: peers::DatagramRefusals::default(),
+            ticked_at: now,
+            round_at: times::BootTime::default(),
+            handle,
+            socket,
+            configs,
+            links: ends,
+        };
+        tokio::spawn(peer_loop.run(outcomes));
+        Ok(links)
+    }
+
+    async fn run(mut self, mut outcomes: mpsc::UnboundedReceiver<probes::ProbeOutcome>) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _tick = ticks.tick() => self.tick(clocks::boot_now()),
+                received = self.socket.receive() => self.take(received, clocks::boot_now()),
+                Some(outcome) = outcomes.recv() => self.probes.take(outcome),
+                Some(crashes) = self.links.crashes_out.recv() => self.tell_crashes(&crashes),
+            }
+        }
+    }
+
+    fn tick(&mut self, now: times::BootTime) {
+        if now.since(self.ticked_at) > PAUSE_LIMIT {
+            log::warn!(event = "node-paused", millis = now.since(self.ticked_at).as_millis(); "");
+            self.probes.forget();
+        }
+        self.ticked_at = now;
+        self.members.tick(now);
+        let mut nodes = self.live_nodes(now);
+        if now.since(self.round_at) >= ROUND {
+            self.round_at = now;
+            self.round(&nodes, now);
+        }
+        nodes.insert(self.handle.name().clone());
+        self.probes.tick(&nodes, now);
+        self.publish_peers(now);
+        self.refusals.report(now);
+    }
+
+    /// Sends gossip, and to each node of the data centre a sign of life and a pull.
+    fn round(&mut self, nodes: &collections::BTreeSet<ids::NodeName>, now: times::BootTime) {
+        self.members
+            .beat(self.config_version(), self.handle.is_draining());
+        let gossip = self.members.gossip(&self.handle.settings().seeds, now);
+        for receiver in gossip.receivers {
+            let entries = messages::PeerMessage::Members(gossip.entries.clone());
+            self.send(receiver, vec![entries]);
+        }
+        let own = self.handle.name().clone();
+        let old = self.probes.old(now);
+        let pulls = self.pulls.round(&own, self.probes.plan(), nodes, &old, now);
+        let peers = self.members.live_peers(now);
+        for (peer, pull) in pulls {
+            if let Some(entry) = peers.get(&peer) {
+                let greeting = self.members.greeting(&peer, now);
+                let pull = messages::PeerMessage::ProbePull(pull);
+                self.send(entry.address, vec![greeting, pull]);
+            }
+        }
+    }
+
+    fn take(&mut self, received: io::Result<(Vec<u8>, net::SocketAddr)>, now: times::BootTime) {
+        let Ok((datagram, source)) = received else {
+            // An earlier datagram met a closed port; the next one may be received all the same.
+            return;
+        };
+        match self.opener.open(&datagram, now) {
+            Ok(opened) => self.take_messages(opened, source, now),
+            Err(refusal) => self.refusals.count(refusal, source),
+        }
+    }
+
+    fn take_messages(
+        &mut self,
+        opened: seals::OpenedDatagram,
+        source: net::SocketAddr,
+        now: times::BootTime,
+    ) {
+        let (sender, instance) = (opened.sender, opened.instance);
+        for message in opened.messages {
+            match message {
+                messages::PeerMessage::Beat(beat) => {
+                    self.members.hear_beat(&sender, instance, beat, now);
+                    self.hint(&sender, source, beat.config);
+                }
+                messages::PeerMessage::Members(entries) => {
+                    for entry in &entries {
+                        self.hint(&entry.node, entry.address, entry.beat.config);
+                    }
+                    self.members.hear_entries(&sender, entries, now);
+                }
+                messages::PeerMessage::ProbePull(pull) => {
+                    let batch = self.probes.answer(&pull, clocks::boot_now());
+                    self.send(source, vec![messages::PeerMessage::ProbeBatch(batch)]);
+                }
+                messages::PeerMessage::ProbeBatch(batch) => {
+                    if let Some(asked_at) = self.pulls.asked_at(&sender, batch.pull) {
+                        self.probes.take_batch(&batch, asked_at);
+                    }
+                }
+                messages::PeerMessage::Crashes(crashes) => {
+                    // A batch that finds no room is told again by its sender.
+                    let _dropped = self.links.crashes_in.try_send(crashes);
+                }
+                messages::PeerMessage::ConfigHint(version) => self.hint(&sender, source, version),
+                messages::PeerMessage::ShareAsk(_) | messages::PeerMessage::ShareGrant(_) => {}
+            }
+        }
+    }
+
+    /// Passes on that a node holds a version, if it is above the one in force here.
+    fn hint(&self, node: &ids::NodeName, address: net::SocketAddr, version: epochs::ConfigVersion) {
+        if version > self.config_version() {
+            self.configs.hint(node.clone(), address, version);
+        }
+    }
+
+    fn tell_crashes(&mut self, crashes: &[messages::CrashDelta]) {
+        let now = clocks::boot_now();
+        let addresses = self.peer_entries(now).into_iter().map(|peer| peer.address);
+        for address in addresses.collect::<Vec<_>>() {
+            let crashes = messages::PeerMessage::Crashes(crashes.to_vec());
+            self.send(address, vec![crashes]);
+        }
+    }
+
+    fn send(&mut self, receiver: net::SocketAddr, messages: Vec<messages::PeerMessage>) {
+        match self.sealer.seal(messages) {
+            Ok(datagrams) => {
+                for datagram in datagrams {
+                    self.socket.send(&datagram, receiver);
+                }
+            }
+            Err(error) => log::error!(event = "datagram-unsealed", cause:% = error; ""),
+        }
+    }
+
+    fn live_nodes(&self, now: times::BootTime) -> collections::BTreeSet<ids::NodeName> {
+        self.members.live_peers(now).into_keys().collect()
+    }
+
+    fn config_version(&self) -> epochs::ConfigVersion {
+        let config = self.handle.config();
+        config.map_or_else(epochs::ConfigVersion::default, |config| config.version)
+    }
+
+    fn publish_peers(&self, now: times::BootTime) {
+        let present = self.peer_entries(now);
+        if *self.handle.peers() != present {
+            log::info!(event = "peers-changed", peers = present.len(); "");
+            self.handle.publish_peers(present);
+        }
+    }
+
+    /// Returns the live nodes of all data centres.
+    fn peer_entries(&self, now: times::BootTime) -> Vec<handle::PeerEntry> {
+        let views = self.members.views(now).into_iter();
+        let live = views.filter(|(_, health)| *health == members::MemberHealth::Alive);
+        live.map(|(entry, _)| handle::PeerEntry {
+            node: entry.node.clone(),
+            data_centre: entry.data_centre.clone(),
+            address: entry.address,
+            draining: entry.beat.draining,
+        })
+        .collect()
+    }
+}
+
+fn own_entry(handle: &handle::NodeHandle, address: net::SocketAddr) -> messages::MemberEntry {
+    messages::MemberEntry {
+        node: handle.name().clone(),
+        instance: handle.instance(),
+        data_centre: handle.settings().data_centre.clone(),
+        address,
+        beat: messages::MemberBeat {
+            heartbeat: 0,
+            config: epochs::ConfigVersion::default(),
+            draining: false,
+        },
+    }
+}
--- /dev/null
+++ b/crates/pier_node/src/probes/probe_call.rs
@@ -0,0 +1,123 @@
+//! One probe over HTTP.
+
+use std::time;
+
+use pier_limits::probes as decisions;
+use pier_types::{ids, reports, times, times::clocks, vms};
+use pier_wire::messages;
+use tokio::sync::mpsc;
+
+use crate::handle;
+
+/// Bound on one probe; shorter than the time between two.
+const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+
+/// Greatest length of a report, in bytes.
+const REPORT_LIMIT: u64 = 16 * 1_024;
+
+/// The end of one probe.
+#[derive(Debug)]
+pub struct ProbeOutcome {
+    /// When the probe was sent.
+    pub asked_at: times::BootTime,
+    /// What it brought; its age is zero at `asked_at`.
+    pub result: messages::ProbeResult,
+}
+
+/// Probes a VM in a task of its own and reports how it ended.
+pub(super) fn make(
+    handle: &handle::NodeHandle,
+    outcomes: &mpsc::UnboundedSender<ProbeOutcome>,
+    entry: &vms::VmEntry,
+) {
+    let (handle, outcomes) = (handle.clone(), outcomes.clone());
+    let vm = entry.name.clone();
+    let url = format!("http://{}/report", entry.address);
+    tokio::spawn(async move {
+        let asked_at = clocks::boot_now();
+        let outcome = fetch(&handle, &url).await;
+        let result = messages::ProbeResult {
+            latency: clocks::boot_now().since(asked_at),
+            age: time::Duration::ZERO,
+            outcome: outcome.and_then(|report| check(report, &vm)),
+            vm,
+        };
+        // The loop is gone only when the node ends.
+        let _ended = outcomes.send(ProbeOutcome { asked_at, result });
+    });
+}
+
+async fn fetch(
+    handle: &handle::NodeHandle,
+    url: &str,
+) -> Result<reports::EngineReport, messages::ProbeFailure> {
+    let call = handle.client().get(url).timeout(PROBE_TIMEOUT).send();
+    let answer = call.await.map_err(|error| failure_of(&error))?;
+    let long = answer
+        .content_length()
+        .is_some_and(|length| length > REPORT_LIMIT);
+    if long || !answer.status().is_success() {
+        return Err(messages::ProbeFailure::Garbled);
+    }
+    let report = answer.json().await;
+    report.map_err(|error| failure_of(&error))
+}
+
+/// A VM whose port is closed refuses at once; any other trouble may be of the way there.
+fn failure_of(error: &reqwest::Error) -> messages::ProbeFailure {
+    if error.is_timeout() {
+        return messages::ProbeFailure::Silent;
+    }
+    if error.is_decode() {
+        return messages::ProbeFailure::Garbled;
+    }
+    if error.is_connect() && is_refused(error) {
+        return messages::ProbeFailure::Refused;
+    }
+    messages::ProbeFailure::Silent
+}
+
+fn is_refused(error: &reqwest::Error) -> bool {
+    let mut source = std::error::Error::source(error);
+    while let Some(cause) = source {
+        let io = cause.downcast_ref::<std::io::Error>();
+        if io.is_some_and(|io| io.kind() == std::io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        source = cause.source();
+    }
+    false
+}
+
+fn check(
+    report: reports::EngineReport,
+    vm: &ids::VmName,
+) -> Result<reports::EngineReport, messages::ProbeFailure> {
+    if report.vm == *vm {
+        Ok(report)
+    } else {
+        Err(messages::ProbeFailure::Garbled)
+    }
+}
+
+/// Logs what a result changed.
+pub(super) fn log_change(change: &decisions::BoardChange) {
+    match change {
+        decisions::BoardChange::Returned {
+            vm,
+            earlier,
+            present,
+        } => {
+            log::info!(
+                event = "vm-returned",
+                vm:% = vm,
+                earlier:% = earlier,
+                present:% = present;
+                ""
+            );
+        }
+        decisions::BoardChange::Resumed { vm } => {
+            log::info!(event = "vm-resumed", vm:% = vm; "");
+        }
+    }
+}
--- /dev/null
+++ b/crates/pier_node/src/probes/probe_driver.rs
@@ -0,0 +1,168 @@
+//! Drives the probes of a node.
+
+use std::{collections, sync, time};
+
+use pier_control::health;
+use pier_limits::probes as decisions;
+use pier_types::{ids, times, vms};
+use pier_wire::messages;
+use tokio::sync::mpsc;
+
+use crate::{handle, probes, probes::probe_call};
+
+/// Age up to which evidence counts when no configuration says so.
+const DEFAULT_FRESHNESS: time::Duration = time::Duration::from_secs(4);
+
+/// Age from which backup probers are asked.
+const OLD_AFTER: time::Duration = time::Duration::from_millis(2_500);
+
+type VmList = collections::BTreeMap<ids::VmName, vms::VmEntry>;
+
+/// Owns what is known of each VM of the data centre.
+#[derive(Debug)]
+pub(crate) struct ProbeDriver {
+    handle: handle::NodeHandle,
+    outcomes: mpsc::UnboundedSender<probes::ProbeOutcome>,
+    board: decisions::EvidenceBoard,
+    plan: decisions::ProbePlan,
+    schedule: decisions::ProbeSchedule,
+    duties: collections::BTreeMap<ids::VmName, usize>,
+    nodes: collections::BTreeSet<ids::NodeName>,
+    list: sync::Arc<VmList>,
+    listed: collections::BTreeSet<ids::VmName>,
+    names: collections::BTreeMap<messages::VmKey, ids::VmName>,
+}
+
+impl ProbeDriver {
+    /// Makes a driver that knows no VM yet.
+    pub(crate) fn new(
+        handle: handle::NodeHandle,
+        outcomes: mpsc::UnboundedSender<probes::ProbeOutcome>,
+    ) -> Self {
+        let bound = handle
+            .config()
+            .map_or(DEFAULT_FRESHNESS, |config| config.document.limits.freshness);
+        Self {
+            handle,
+            outcomes,
+            board: decisions::EvidenceBoard::new(bound),
+            plan: decisions::ProbePlan::default(),
+            schedule: decisions::ProbeSchedule::default(),
+            duties: collections::BTreeMap::new(),
+            nodes: collections::BTreeSet::new(),
+            list: sync::Arc::default(),
+            listed: collections::BTreeSet::new(),
+            names: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Returns who probes what.
+    pub(crate) const fn plan(&self) -> &decisions::ProbePlan {
+        &self.plan
+    }
+
+    /// Returns the VMs whose backup probers are to be asked.
+    pub(crate) fn old(&self, now: times::BootTime) -> Vec<ids::VmName> {
+        self.board.older_than(OLD_AFTER, &self.listed, now)
+    }
+
+    /// Takes over the live nodes and the VM list, probes what is due and publishes the evidence.
+    pub(crate) fn tick(
+        &mut self,
+        nodes: &collections::BTreeSet<ids::NodeName>,
+        now: times::BootTime,
+    ) {
+        self.replan(nodes, now);
+        if let Some(config) = self.handle.config() {
+            self.board.set_bound(config.document.limits.freshness);
+        }
+        let old = self.old(now).into_iter().collect();
+        for vm in self.schedule.due(&old, now) {
+            if let Some(entry) = self.list.get(&vm) {
+                probe_call::make(&self.handle, &self.outcomes, entry);
+            }
+        }
+        self.publish(now);
+    }
+
+    /// Takes in the end of a probe of this node.
+    pub(crate) fn take(&mut self, outcome: probes::ProbeOutcome) {
+        self.observe(outcome.result, outcome.asked_at);
+    }
+
+    /// Takes in results that another node brought for a pull sent at `asked_at`.
+    pub(crate) fn take_batch(&mut self, batch: &messages::ProbeBatch, asked_at: times::BootTime) {
+        for result in batch.unpack(|key| self.names.get(&key).cloned()) {
+            self.observe(result, asked_at);
+        }
+    }
+
+    /// Answers a pull with this node's own results.
+    pub(crate) fn answer(
+        &self,
+        pull: &messages::ProbePull,
+        now: times::BootTime,
+    ) -> messages::ProbeBatch {
+        let asked = |vm: &ids::VmName, rank: usize| match &pull.scope {
+            messages::PullScope::First => rank == 0,
+            messages::PullScope::Named(keys) => keys.contains(&messages::VmKey::of(vm)),
+        };
+        let results = self
+            .duties
+            .iter()
+            .filter(|(vm, rank)| asked(vm, **rank))
+            .filter_map(|(vm, _)| self.board.latest(vm, now))
+            .collect::<Vec<_>>();
+        messages::ProbeBatch::pack(pull.pull, &results)
+    }
+
+    /// Drops all evidence, as after a pause.
+    pub(crate) fn forget(&mut self) {
+        self.board.clear();
+    }
+
+    fn observe(&mut self, result: messages::ProbeResult, asked_at: times::BootTime) {
+        if !self.listed.contains(&result.vm) {
+            return;
+        }
+        if let Some(change) = self.board.observe(result, asked_at) {
+            probe_call::log_change(&change);
+        }
+    }
+
+    fn replan(&mut self, nodes: &collections::BTreeSet<ids::NodeName>, now: times::BootTime) {
+        let list = self.handle.vms();
+        if sync::Arc::ptr_eq(&list, &self.list) && *nodes == self.nodes {
+            return;
+        }
+        let own = &self.handle.settings().data_centre;
+        self.listed = list
+            .values()
+            .filter(|entry| entry.data_centre == *own)
+            .map(|entry| entry.name.clone())
+            .collect();
+        self.names = self
+            .listed
+            .iter()
+            .map(|vm| (messages::VmKey::of(vm), vm.clone()))
+            .collect();
+        self.list = list;
+        self.nodes.clone_from(nodes);
+        self.plan = decisions::ProbePlan::build(nodes, &self.listed);
+        self.duties = self.plan.duties(self.handle.name());
+        self.schedule.assign(&self.duties, now);
+        self.board.retain(&self.listed);
+    }
+
+    fn publish(&self, now: times::BootTime) {
+        let evidence = self.board.evidence(now).into_iter();
+        let evidence = evidence.map(|(vm, found)| {
+            let evidence = health::VmEvidence {
+                report: found.report,
+                probed_at: found.probed_at,
+            };
+            (vm, evidence)
+        });
+        self.handle.publish_evidence(evidence.collect());
+    }
+}
--- a/crates/pier_wire/examples/entry_sizes.rs
+++ b/crates/pier_wire/examples/entry_sizes.rs
@@ -118,5 +118,8 @@
         fingerprint: ids::RequestFingerprint::of("college", "/v1", &number.to_le_bytes()),
         target: ids::TargetId::Group(format!("mvd-a/{number}").parse()?),
         generation: epochs::GroupGeneration::new(321),
+        suspects: 3,
+        cleared: false,
+        age_ms: 45_000,
     })
 }
--- a/crates/pier_wire/src/messages/crash_delta.rs
+++ b/crates/pier_wire/src/messages/crash_delta.rs
@@ -12,4 +12,10 @@
     pub target: ids::TargetId,
     /// The generation of that target.
     pub generation: epochs::GroupGeneration,
+    /// How many requests ran there, this one included.
+    pub suspects: u32,
+    /// Whether the same request ran to its end elsewhere, which clears it.
+    pub cleared: bool,
+    /// Milliseconds since the crash was seen, when this was sent.
+    pub age_ms: u64,
 }
