--- a/crates/pier_node/src/daemon/node_daemon.rs
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -6,8 +6,8 @@
 use pier_types::ids;
 
 use crate::{
-    callers, configs, control, daemon, forwards, handle, operators, requests, settings, tables,
-    telemetry,
+    callers, configs, control, daemon, forwards, handle, operators, peers, requests, settings,
+    tables, telemetry,
 };
 
 /// Time between two looks at the requests in progress during a drain.
@@ -42,8 +42,11 @@
         tables::spawn(handle.clone());
         control::spawn(handle.clone(), &control::ControlSettings::default());
         requests::spawn(handle.clone());
-        Self::spawn_configs(&handle)?;
+        let configs = Self::spawn_configs(&handle)?;
         let peers = Self::launch_forwards(&handle).await?;
+        let socket = peers::PeerSocket::bind(peers).await?;
+        // Nothing in this process counts crashes yet.
+        let _links = peers::PeerLoop::spawn(handle.clone(), socket, configs)?;
         let operators = Self::launch_operators(&handle).await?;
         let callers = Self::launch_callers(&handle).await?;
         log::info!(
