Share limits between nodes in the daemon

Cause: the route table has no shares, so that no target gets any work. The driver lowers its shares, waits until the table that requests read shows the lower ones, and only then asks the lease holder. With the lease it answers the others. Ruled out: asking at once (a request could still start under the share that was just given up); counting nothing for a target that left the view (the most that was allowed is reported). The daemon's test does not miss the room and cap checks of the ledger; share_sums does.

--- a/crates/pier_limits/src/probes/evidence_board.rs
+++ b/crates/pier_limits/src/probes/evidence_board.rs
@@ -70,6 +70,11 @@
         }
     }
 
+    /// Returns the age up to which evidence counts.
+    pub const fn bound(&self) -> time::Duration {
+        self.bound
+    }
+
     /// Changes the age up to which evidence counts, as the configuration says.
     pub const fn set_bound(&mut self, bound: time::Duration) {
         self.bound = bound;
--- a/crates/pier_limits/src/shares/share_holding.rs
+++ b/crates/pier_limits/src/shares/share_holding.rs
@@ -65,6 +65,20 @@
         }
     }
 
+    /// Lowers the shares to what is wanted, ahead of a question, so that whoever starts work has
+    /// seen the lower ones when the question says so; what `wanted` does not name is given up.
+    pub fn give_up(
+        &mut self,
+        wanted: &collections::BTreeMap<messages::ShareKey, sizes::RequestCount>,
+    ) {
+        self.held.retain(|key, _| wanted.contains_key(key));
+        for (key, wanted) in wanted {
+            if let Some(held) = self.held.get_mut(key) {
+                held.amount = held.amount.min(*wanted);
+            }
+        }
+    }
+
     /// Makes the next question and gives up what it does not keep.
     ///
     /// `demand` names every target at which the node has lent work running or wants some; what it
--- a/crates/pier_node/src/daemon/node_daemon.rs
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -45,8 +45,7 @@
         let configs = Self::spawn_configs(&handle)?;
         let peers = Self::launch_forwards(&handle).await?;
         let socket = peers::PeerSocket::bind(peers).await?;
-        // Nothing in this process counts crashes yet.
-        let _links = peers::PeerLoop::spawn(handle.clone(), socket, configs)?;
+        peers::PeerLoop::spawn(handle.clone(), socket, configs)?;
         let operators = Self::launch_operators(&handle).await?;
         let callers = Self::launch_callers(&handle).await?;
         log::info!(
--- /dev/null
+++ b/crates/pier_node/src/peers/known_target.rs
@@ -0,0 +1,55 @@
+//! A target whose limit this node has a part of.
+
+use pier_limits::{shares, warmth};
+use pier_types::{epochs, sizes, times};
+
+use crate::peers::share_target;
+
+/// Generations are other keys, so that a ramp never sees another incarnation.
+const ONE_INCARNATION: epochs::VmIncarnation = epochs::VmIncarnation::new(1);
+
+/// What is known of a target over time.
+#[derive(Debug)]
+pub(super) struct KnownTarget {
+    pub(super) target: share_target::ShareTarget,
+    pub(super) ramp: warmth::WarmthRamp,
+    /// When it was last among the targets.
+    pub(super) seen_at: times::BootTime,
+    /// What this node was last allowed to have in flight there.
+    pub(super) allowed: sizes::RequestCount,
+}
+
+impl KnownTarget {
+    pub(super) fn new(target: share_target::ShareTarget, now: times::BootTime) -> Self {
+        let policy = warmth::WarmthPolicy {
+            cold: target.cold_limit,
+            ..warmth::WarmthPolicy::default()
+        };
+        let ramp = warmth::WarmthRamp::new(target.warm_limit, policy);
+        Self {
+            target,
+            ramp,
+            seen_at: now,
+            allowed: sizes::RequestCount::default(),
+        }
+    }
+
+    /// Takes in what the control loops see now; the ramp hears each probe once.
+    pub(super) fn see(&mut self, target: share_target::ShareTarget, now: times::BootTime) {
+        let first = self.seen_at == now;
+        self.seen_at = now;
+        if first || target.probed_at > self.target.probed_at {
+            let (state, probed_at) = (target.state, target.probed_at);
+            self.ramp
+                .hear_report(ONE_INCARNATION, state, probed_at, now);
+        }
+        self.ramp.set_full(target.warm_limit);
+        self.target = target;
+    }
+
+    /// Returns the target's present limit and its two parts.
+    pub(super) fn split(&self, now: times::BootTime) -> (sizes::RequestCount, shares::LimitSplit) {
+        let limit = self.ramp.limit(now);
+        (limit, shares::LimitSplit::of(limit))
+    }
+}
--- a/crates/pier_node/src/peers/peer_loop.rs
+++ b/crates/pier_node/src/peers/peer_loop.rs
@@ -7,7 +7,11 @@
 use pier_wire::{messages, seals};
 use tokio::sync::mpsc;
 
-use crate::{configs, handle, peers, probes};
+use crate::{
+    configs, handle, peers,
+    peers::{crash_marks, share_driver},
+    probes,
+};
 
 /// Time between two looks at what is due.
 const TICK: time::Duration = time::Duration::from_millis(100);
@@ -24,12 +28,12 @@
     handle: handle::NodeHandle,
     socket: peers::PeerSocket,
     configs: configs::ConfigInbox,
-    links: peers::LoopLinks,
     sealer: seals::DatagramSealer,
     opener: seals::DatagramOpener,
     members: members::MemberTable,
     pulls: decisions::PullPlan,
     probes: probes::ProbeDriver,
+    shares: share_driver::ShareDriver,
     refusals: peers::DatagramRefusals,
     ticked_at: times::BootTime,
     round_at: times::BootTime,
@@ -45,9 +49,8 @@
         handle: handle::NodeHandle,
         socket: peers::PeerSocket,
         configs: configs::ConfigInbox,
-    ) -> anyhow::Result<peers::PeerLinks> {
+    ) -> anyhow::Result<()> {
         let key: seals::WireKey = handle.settings().peer_key.parse()?;
-        let (links, ends) = peers::PeerLinks::open();
         let (sender, outcomes) = mpsc::unbounded_channel();
         let own = own_entry(&handle, socket.address());
         let now = clocks::boot_now();
@@ -61,16 +64,16 @@
             members: members::MemberTable::new(own, members::MemberPolicy::default()),
             pulls: decisions::PullPlan::default(),
             probes: probes::ProbeDriver::new(handle.clone(), sender),
+            shares: share_driver::ShareDriver::new(handle.clone()),
             refusals: peers::DatagramRefusals::default(),
             ticked_at: now,
             round_at: times::BootTime::default(),
             handle,
             socket,
             configs,
-            links: ends,
         };
         tokio::spawn(peer_loop.run(outcomes));
-        Ok(links)
+        Ok(())
     }
 
     async fn run(mut self, mut outcomes: mpsc::UnboundedReceiver<probes::ProbeOutcome>) {
@@ -81,7 +84,6 @@
                 _tick = ticks.tick() => self.tick(clocks::boot_now()),
                 received = self.socket.receive() => self.take(received, clocks::boot_now()),
                 Some(outcome) = outcomes.recv() => self.probes.take(outcome),
-                Some(crashes) = self.links.crashes_out.recv() => self.tell_crashes(&crashes),
             }
         }
     }
@@ -97,9 +99,11 @@
         if now.since(self.round_at) >= ROUND {
             self.round_at = now;
             self.round(&nodes, now);
+            self.tell_crashes(now);
         }
         nodes.insert(self.handle.name().clone());
         self.probes.tick(&nodes, now);
+        self.ask_for_shares(now);
         self.publish_peers(now);
         self.refusals.report(now);
     }
@@ -126,6 +130,16 @@
         }
     }
 
+    fn ask_for_shares(&mut self, now: times::BootTime) {
+        let Some((holder, ask)) = self.shares.tick(now) else {
+            return;
+        };
+        let peers = self.members.live_peers(now);
+        if let Some(entry) = peers.get(&holder) {
+            self.send(entry.address, vec![messages::PeerMessage::ShareAsk(ask)]);
+        }
+    }
+
     fn take(&mut self, received: io::Result<(Vec<u8>, net::SocketAddr)>, now: times::BootTime) {
         let Ok((datagram, source)) = received else {
             // An earlier datagram met a closed port; the next one may be received all the same.
@@ -166,11 +180,17 @@
                     }
                 }
                 messages::PeerMessage::Crashes(crashes) => {
-                    // A batch that finds no room is told again by its sender.
-                    let _dropped = self.links.crashes_in.try_send(crashes);
+                    let delta = crash_marks::from_message(crashes);
+                    self.handle.requests().merge_crashes(&delta);
                 }
                 messages::PeerMessage::ConfigHint(version) => self.hint(&sender, source, version),
-                messages::PeerMessage::ShareAsk(_) | messages::PeerMessage::ShareGrant(_) => {}
+                messages::PeerMessage::ShareAsk(ask) => {
+                    let grant = self.shares.answer(&sender, &ask, clocks::boot_now());
+                    if let Some(grant) = grant {
+                        self.send(source, vec![messages::PeerMessage::ShareGrant(grant)]);
+                    }
+                }
+                messages::PeerMessage::ShareGrant(grant) => self.shares.take(&grant),
             }
         }
     }
@@ -182,12 +202,19 @@
         }
     }
 
-    fn tell_crashes(&mut self, crashes: &[messages::CrashDelta]) {
-        let now = clocks::boot_now();
-        let addresses = self.peer_entries(now).into_iter().map(|peer| peer.address);
-        for address in addresses.collect::<Vec<_>>() {
-            let crashes = messages::PeerMessage::Crashes(crashes.to_vec());
-            self.send(address, vec![crashes]);
+    /// Tells all live nodes of crashes that a request may be to blame for.
+    fn tell_crashes(&mut self, now: times::BootTime) {
+        let delta = self
+            .handle
+            .requests()
+            .crash_delta(crash_marks::MARKS_PER_ROUND);
+        if delta.marks.is_empty() {
+            return;
+        }
+        let crashes = crash_marks::to_message(delta);
+        for peer in self.peer_entries(now) {
+            let message = messages::PeerMessage::Crashes(crashes.clone());
+            self.send(peer.address, vec![message]);
         }
     }
 
--- a/crates/pier_node/src/probes/probe_driver.rs
+++ b/crates/pier_node/src/probes/probe_driver.rs
@@ -13,8 +13,9 @@
 /// Age up to which evidence counts when no configuration says so.
 const DEFAULT_FRESHNESS: time::Duration = time::Duration::from_secs(4);
 
-/// Age from which backup probers are asked.
-const OLD_AFTER: time::Duration = time::Duration::from_millis(2_500);
+/// Backup probers are asked once evidence has reached this part of the age up to which it counts,
+/// in percent.
+const OLD_PERCENT: u32 = 75;
 
 type VmList = collections::BTreeMap<ids::VmName, vms::VmEntry>;
 
@@ -63,7 +64,8 @@
 
     /// Returns the VMs whose backup probers are to be asked.
     pub(crate) fn old(&self, now: times::BootTime) -> Vec<ids::VmName> {
-        self.board.older_than(OLD_AFTER, &self.listed, now)
+        let age = self.board.bound() * OLD_PERCENT / 100;
+        self.board.older_than(age, &self.listed, now)
     }
 
     /// Takes over the live nodes and the VM list, probes what is due and publishes the evidence.
--- a/crates/pier_node/src/requests/request_state.rs
+++ b/crates/pier_node/src/requests/request_state.rs
@@ -1,11 +1,11 @@
 //! What requests read of the system.
 
-use std::sync;
+use std::{collections, sync};
 
 use arc_swap::ArcSwap;
 use pier_config::documents;
 use pier_request::{quarantine, retries, routing};
-use pier_types::{ids, routes, times, times::clocks};
+use pier_types::{epochs, ids, routes, sizes, times, times::clocks};
 use tokio::sync::mpsc;
 
 use crate::requests;
@@ -83,6 +83,20 @@
         self.prefixes.store(sync::Arc::new(prefixes));
     }
 
+    /// Returns how many requests this node has in flight at each target of the present view.
+    pub fn in_flight(
+        &self,
+    ) -> collections::BTreeMap<(ids::TargetId, epochs::GroupGeneration), sizes::RequestCount> {
+        let targets = self.targets.load();
+        let entries = targets.view.pools().flat_map(|(_key, pool)| pool.entries());
+        let counts = entries.map(|entry| {
+            let target = &entry.target;
+            let key = (target.target.clone(), target.generation);
+            (key, entry.counter.in_flight())
+        });
+        counts.collect()
+    }
+
     /// Returns crashes to tell other nodes, in one datagram of so many marks.
     pub fn crash_delta(&self, limit: usize) -> quarantine::CrashDelta {
         unpoisoned(&self.crashes).delta(clocks::boot_now(), limit)
--- a/crates/pier_node/tests/peers_and_probes.rs
+++ b/crates/pier_node/tests/peers_and_probes.rs
@@ -1,9 +1,12 @@
-//! Nodes over real sockets: they find each other, share probe results, and ignore bad datagrams.
+//! Nodes over real sockets: they find each other, share probe results and limits, and
+//! ignore bad datagrams.
 
 use std::{collections, net, time};
 
+use pier_control::leases;
 use pier_node::{configs, forwards, handle, peers, settings, telemetry};
-use pier_types::{epochs, ids, reports, sizes, vms};
+use pier_request::quarantine;
+use pier_types::{epochs, ids, reports, sizes, times, vms};
 use pier_wire::{messages, seals};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
@@ -15,13 +18,12 @@
 struct TestNode {
     handle: handle::NodeHandle,
     address: net::SocketAddr,
-    links: peers::PeerLinks,
 }
 
 async fn start_node(number: u32, seeds: &[net::SocketAddr]) -> TestNode {
     let seeds = seeds.iter().map(ToString::to_string).collect::<Vec<_>>();
     let text = format!(
-        "[node]\ndata-centre = mvd-a\nregion = mvd\ncallers = 127.0.0.1:0\n\
+        "[node]\ndata-centre = scot-central-a\nregion = scot-central\ncallers = 127.0.0.1:0\n\
          operators = 127.0.0.1:0\npeers = 127.0.0.1:0\npeer-key = {KEY}\nseeds = {}\n\
          [platform]\nurl = http://127.0.0.1:9\n",
         seeds.join(",")
@@ -37,12 +39,8 @@
         .await
         .unwrap();
     let address = socket.address();
-    let links = peers::PeerLoop::spawn(handle.clone(), socket, inbox).unwrap();
-    TestNode {
-        handle,
-        address,
-        links,
-    }
+    peers::PeerLoop::spawn(handle.clone(), socket, inbox).unwrap();
+    TestNode { handle, address }
 }
 
 async fn start_nodes(count: u32) -> Vec<TestNode> {
@@ -67,7 +65,7 @@
         name: name.clone(),
         incarnation: epochs::VmIncarnation::new(1),
         address: listener.local_addr().unwrap(),
-        data_centre: "mvd-a".parse().unwrap(),
+        data_centre: "scot-central-a".parse().unwrap(),
         domain: "d1".parse().unwrap(),
         pool: vms::VmPool::Accelerator,
         state: vms::VmState::Live,
@@ -104,6 +102,11 @@
     for number in 0..count {
         started.push(start_vm(number).await);
     }
+    publish_vms(&started, nodes);
+    started
+}
+
+fn publish_vms(started: &[TestVm], nodes: &[TestNode]) {
     let list = started
         .iter()
         .map(|vm| (vm.entry.name.clone(), vm.entry.clone()));
@@ -111,7 +114,6 @@
     for node in nodes {
         node.handle.publish_vms(list.clone());
     }
-    started
 }
 
 async fn wait_for(what: &str, reached: impl Fn() -> bool) {
@@ -161,7 +163,7 @@
     let entry = messages::MemberEntry {
         node: name.clone(),
         instance,
-        data_centre: "mvd-a".parse().unwrap(),
+        data_centre: "scot-central-a".parse().unwrap(),
         address: "127.0.0.1:9".parse().unwrap(),
         beat: messages::MemberBeat {
             heartbeat: 1,
@@ -201,12 +203,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn crashes_reach_the_other_nodes() {
-    let mut nodes = start_nodes(3).await;
+    let nodes = start_nodes(3).await;
     wait_for("each node knows the two others", || {
         nodes.iter().all(|node| node.handle.peers().len() == 2)
     })
     .await;
-    let crash = messages::CrashDelta {
+    let mark = quarantine::CrashMark {
         fingerprint: ids::RequestFingerprint::of("college", "/v1", b"body"),
         target: ids::TargetId::Vm("vm-1".parse().unwrap()),
         generation: epochs::GroupGeneration::new(4),
@@ -214,10 +216,76 @@
         cleared: false,
         age_ms: 15,
     };
-    let told = nodes[0].links.crashes_out.send(vec![crash.clone()]).await;
-    told.unwrap();
-    for node in &mut nodes[1..] {
-        let heard = tokio::time::timeout(PATIENCE, node.links.crashes_in.recv()).await;
-        assert_eq!(heard.unwrap(), Some(vec![crash.clone()]));
+    let delta = quarantine::CrashDelta { marks: vec![mark] };
+    nodes[0].handle.requests().merge_crashes(&delta);
+    wait_for("all nodes hold the mark", || {
+        let holds = |node: &TestNode| {
+            let told = node.handle.requests().crash_delta(16);
+            told.marks.iter().any(|mark| mark.suspects == 2)
+        };
+        nodes.iter().all(holds)
+    })
+    .await;
+}
+
+const DOCUMENT: &str = include_str!("../../../examples/laurel-north.ini");
+
+/// Publishes the configuration and a lease that the first node holds.
+fn publish_lease(nodes: &[TestNode], term: u64) {
+    let slots = (0..)
+        .zip(nodes)
+        .map(|(slot, node)| (slot, node.handle.name().clone()));
+    let record = leases::LeaseRecord {
+        holder: nodes[0].handle.name().clone(),
+        term: epochs::LeaseTerm::new(term),
+        nonce: ids::LeaseNonce::new(term.into()),
+        duration_ms: 60_000,
+        roster: leases::NodeRoster {
+            slots: slots.collect(),
+        },
+    };
+    for (index, node) in nodes.iter().enumerate() {
+        node.handle.publish_config(handle::ConfigSnapshot {
+            version: epochs::ConfigVersion::new(1),
+            document: DOCUMENT.parse().unwrap(),
+            text: DOCUMENT.to_owned(),
+        });
+        let until = times::clocks::boot_now().after(PATIENCE);
+        node.handle.publish_lease(handle::LeaseSnapshot {
+            record: record.clone(),
+            held_until: (index == 0).then_some(until),
+        });
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_share_a_limit_and_never_hold_more_than_the_pool() {
+    let nodes = start_nodes(2).await;
+    publish_lease(&nodes, 1);
+    let mut started = start_vms(1, &nodes).await;
+    started[0].entry.pool = vms::VmPool::Service("nominations".parse().unwrap());
+    publish_vms(&started, &nodes);
+    let target = ids::TargetId::Vm(started[0].entry.name.clone());
+    let share = |node: &TestNode| {
+        let shares = node.handle.shares();
+        shares.get(&target).copied().unwrap_or_default().get()
+    };
+    // A warm limit of 16: a pool of 12, of which each of two nodes may hold half.
+    wait_for("each node holds its half of the pool", || {
+        let held = nodes.iter().map(share).collect::<Vec<_>>();
+        assert!(held.iter().sum::<u32>() <= 12, "{held:?}");
+        held == [6, 6]
+    })
+    .await;
+    for node in &nodes {
+        let lease = node.handle.lease().unwrap();
+        node.handle.publish_lease(handle::LeaseSnapshot {
+            record: lease.record.clone(),
+            held_until: None,
+        });
+    }
+    wait_for("shares end when nobody lends", || {
+        nodes.iter().all(|node| share(node) == 0)
+    })
+    .await;
+}
