Hand the lease over at a drain, leave unnamed data centres alone

Cause: a data centre that the document does not name would have lost all its groups, which is more likely an operator's slip than a wish.

Seen: with the resignation at a drain left out, its test never sees the other holder; 7 tests of control_loops and 3 of wanted_models pass.

--- a/crates/pier_control/examples/placement_study/planner_cost.rs
+++ b/crates/pier_control/examples/placement_study/planner_cost.rs
@@ -2,8 +2,8 @@
 
 use std::{collections, hint, time};
 
-use pier_control::{placements, planning};
-use pier_types::{epochs, ids, sizes, times, vms};
+use pier_control::{health, placements, planning};
+use pier_types::{epochs, ids, reports, sizes, times, vms};
 
 use crate::sim_vm;
 
@@ -18,12 +18,23 @@
         "planner: VMs, median of {RUNS} runs (nothing to do), median (one VM lost), bytes of the placement"
     );
     for size in [100, 200, 450, 900] {
-        let (idle, repair, bytes) = measure(size);
-        println!("planner: {size:4} {idle:>9.1?} {repair:>9.1?} {bytes:7}");
+        let cost = measure(size);
+        println!(
+            "planner: {size:4} {:>9.1?} {:>9.1?} {:>9.1?} {:7}",
+            cost.idle, cost.repair, cost.judge, cost.bytes
+        );
     }
 }
 
-fn measure(size: u64) -> (time::Duration, time::Duration, usize) {
+/// Medians at one size.
+struct PlannerCost {
+    idle: time::Duration,
+    repair: time::Duration,
+    judge: time::Duration,
+    bytes: usize,
+}
+
+fn measure(size: u64) -> PlannerCost {
     let vms: Vec<_> = (0..size)
         .map(|vm| sim_vm::SimVm::new(vm, usize::try_from(vm / DOMAIN_SIZE).unwrap()))
         .collect();
@@ -64,7 +75,45 @@
             &present,
         )));
     });
-    (idle, repair, present.encode().len())
+    PlannerCost {
+        idle,
+        repair,
+        judge: judge_cost(&present),
+        bytes: present.encode().len(),
+    }
+}
+
+/// Times one look at all groups, each member of which is well.
+fn judge_cost(present: &placements::DataCentrePlacement) -> time::Duration {
+    let now = times::BootTime::from_millis(1_000_000);
+    let mut evidence = collections::BTreeMap::new();
+    for (number, group) in present.groups() {
+        for slot in &group.members {
+            let report = reports::EngineReport {
+                vm: slot.vm.clone(),
+                incarnation: slot.incarnation,
+                group: Some(present.group_id(*number)),
+                generation: group.generation,
+                model: Some(group.model.clone()),
+                state: reports::EngineState::Warm,
+                running: sizes::RequestCount::default(),
+                queued: sizes::RequestCount::default(),
+            };
+            evidence.insert(
+                slot.vm.clone(),
+                health::VmEvidence {
+                    report,
+                    probed_at: now,
+                },
+            );
+        }
+    }
+    let mut health = health::GroupHealth::new(health::HealthSettings::default());
+    assert_eq!(
+        health.observe(present, &evidence, now).serving.len(),
+        present.groups().len()
+    );
+    median(|| drop(hint::black_box(health.observe(present, &evidence, now))))
 }
 
 fn plan(
--- a/crates/pier_node/src/control/control_loop.rs
+++ b/crates/pier_node/src/control/control_loop.rs
@@ -2,9 +2,8 @@
 
 use std::{collections, time};
 
-use pier_config::documents;
 use pier_control::{health, leases, loads, orders, placements, planning};
-use pier_types::{epochs, ids, times, times::clocks};
+use pier_types::{epochs, ids, times, times::clocks, vms};
 use tokio::sync::mpsc;
 
 use crate::{control, handle};
@@ -16,6 +15,9 @@
 /// Time between two runs of the planner.
 const PLAN_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
+/// What the data centre is to run, by model.
+type WantedMap = collections::BTreeMap<ids::ModelName, planning::WantedModel>;
+
 /// Starts the control loop; it ends with the runtime.
 pub fn spawn(handle: handle::NodeHandle, settings: &control::ControlSettings) {
     let (sender, events) = mpsc::unbounded_channel();
@@ -102,12 +104,19 @@
         let (Some(config), Some(grant)) = (config, self.lease.grant(now)) else {
             return;
         };
+        let data_centre = &self.handle.settings().data_centre;
+        let Some(wanted) = control::wanted_models(&config.document, data_centre) else {
+            return;
+        };
         if now.since(self.planned_at) >= PLAN_INTERVAL {
             self.planned_at = now;
-            self.plan(&config.document, &conditions, &view, grant.term, now);
+            let vms = control::wanted_models::planned_vms(&self.handle.vms(), &config.document);
+            self.plan(&wanted, &vms, &conditions, &view, grant.term, now);
         }
         if let Some(placement) = placement {
-            self.order(&config.document, &placement, &evidence, &view, now);
+            self.queue
+                .set_store_rate(config.document.limits.weight_store_rate);
+            self.order(&wanted, &placement, &evidence, &view, now);
         }
     }
 
@@ -138,7 +147,8 @@
     /// Plans the next placement and writes it if it differs.
     fn plan(
         &mut self,
-        document: &documents::ConfigDocument,
+        wanted: &WantedMap,
+        vms: &[vms::VmEntry],
         conditions: &collections::BTreeMap<ids::VmName, planning::VmCondition>,
         view: &health::HealthView,
         term: epochs::LeaseTerm,
@@ -153,8 +163,8 @@
             .copied()
             .collect();
         let input = planning::PlanInput {
-            wanted: &control::wanted_models(document, present.data_centre()),
-            vms: &control::wanted_models::planned_vms(&self.handle.vms(), document),
+            wanted,
+            vms,
             conditions,
             serving: &view.loads(),
             mismatched: &mismatched,
@@ -182,17 +192,15 @@
     /// Sends the orders that are due.
     fn order(
         &mut self,
-        document: &documents::ConfigDocument,
+        wanted: &WantedMap,
         placement: &placements::DataCentrePlacement,
         evidence: &collections::BTreeMap<ids::VmName, health::VmEvidence>,
         view: &health::HealthView,
         now: times::BootTime,
     ) {
-        let wanted = control::wanted_models(document, placement.data_centre());
-        self.queue.set_store_rate(document.limits.weight_store_rate);
         let admitted = self.queue.admit(&loads::LoadInput {
             placement,
-            wanted: &wanted,
+            wanted,
             evidence,
             view,
             now,
--- a/crates/pier_node/src/control/wanted_models.rs
+++ b/crates/pier_node/src/control/wanted_models.rs
@@ -8,14 +8,14 @@
 
 /// Returns what a data centre is to run of each model.
 ///
-/// A data centre that is out of service keeps its groups, so that it can return at once.
+/// A data centre that is out of service keeps its groups, so that it can return at once. For one
+/// that the document does not name there is no answer: its groups are left as they are.
 pub fn wanted_models(
     document: &documents::ConfigDocument,
     data_centre: &ids::DataCentreName,
-) -> collections::BTreeMap<ids::ModelName, planning::WantedModel> {
-    let section = document.data_centres.get(data_centre);
-    let replicas = section.into_iter().flat_map(|section| &section.replicas);
-    let wanted = replicas.filter_map(|(model, replicas)| {
+) -> Option<collections::BTreeMap<ids::ModelName, planning::WantedModel>> {
+    let section = document.data_centres.get(data_centre)?;
+    let wanted = section.replicas.iter().filter_map(|(model, replicas)| {
         let section = document.models.get(model)?;
         let wanted = planning::WantedModel {
             model: model.clone(),
@@ -26,7 +26,7 @@
         };
         Some((model.clone(), wanted))
     });
-    wanted.collect()
+    Some(wanted.collect())
 }
 
 /// Returns the VMs as the planner is to see them: one that operators took out is leaving.
--- a/crates/pier_node/tests/control_loops.rs
+++ b/crates/pier_node/tests/control_loops.rs
@@ -69,6 +69,20 @@
     control_bench::wait_for("a new generation", || other.serving().filter(is_new));
 }
 
+#[test]
+fn holder_that_drains_hands_the_lease_over() {
+    let bench = control_bench::ControlBench::new(&["a", "b"], true);
+    let nodes = [bench.start_node("n1"), bench.start_node("n2")];
+    let holder = control_bench::wait_for("a holder", || {
+        nodes.iter().position(control_bench::TestNode::holds)
+    });
+    nodes[holder].handle.start_drain();
+    control_bench::wait_for("the other holder", || {
+        nodes[1 - holder].holds().then_some(())
+    });
+    assert!(!nodes[holder].holds());
+}
+
 #[test]
 fn groups_serve_on_while_the_platform_is_away() {
     let bench = control_bench::ControlBench::new(&["a", "b", "c"], true);
