--- a/crates/pier_control/examples/placement_study/main.rs
+++ b/crates/pier_control/examples/placement_study/main.rs
@@ -1,6 +1,6 @@
 //! Measures the planner in virtual time against two baselines, with the same events for each.
 //!
-//! `cargo run --release -p pier_control --example placement_study [DAYS [SEEDS]]`
+//! `cargo run --release -p pier_control --example placement_study [DAYS [SEEDS [SMALL_GROUPS]]]`
 
 mod fleet_event;
 mod placement_policy;
@@ -22,8 +22,14 @@
         .collect();
     let days = numbers.first().copied().unwrap_or(DEFAULT_DAYS);
     let seeds = numbers.get(1).copied().unwrap_or(DEFAULT_SEEDS);
+    let small_groups = numbers
+        .get(2)
+        .and_then(|number| u32::try_from(*number).ok());
+    let small_groups = small_groups.unwrap_or(study_rates::SMALL_GROUPS);
     planner_cost::print_costs();
-    println!("study: {days} days of one data centre for each seed of 1 to {seeds}");
+    println!(
+        "study: {days} days of one data centre for each seed of 1 to {seeds}, {small_groups} small groups"
+    );
     for seed in 1..=seeds {
         print_events(seed, days);
     }
@@ -33,10 +39,14 @@
         placement_policy::PlacementPolicy::FirstFit,
     ];
     thread::scope(|scope| {
-        let runs =
-            policies.map(|policy| (policy, scope.spawn(move || run_seeds(policy, days, seeds))));
+        let runs = policies.map(|policy| {
+            (
+                policy,
+                scope.spawn(move || run_seeds(policy, days, seeds, small_groups)),
+            )
+        });
         for (policy, run) in runs {
-            print_totals(policy, &run.join().unwrap());
+            print_totals(policy, &run.join().unwrap(), small_groups);
         }
     });
 }
@@ -45,23 +55,25 @@
     policy: placement_policy::PlacementPolicy,
     days: u64,
     seeds: u64,
+    small_groups: u32,
 ) -> study_totals::StudyTotals {
     let mut totals = study_totals::StudyTotals::default();
     for seed in 1..=seeds {
         let events = fleet_event::draw_events(seed, days);
-        let mut fleet = study_fleet::StudyFleet::new(policy);
+        let mut fleet = study_fleet::StudyFleet::new(policy, small_groups);
         fleet.run(&events, days * study_rates::DAY_SECONDS);
         totals.merge(&fleet.totals);
     }
     totals
 }
 
-fn print_totals(policy: placement_policy::PlacementPolicy, totals: &study_totals::StudyTotals) {
+fn print_totals(
+    policy: placement_policy::PlacementPolicy,
+    totals: &study_totals::StudyTotals,
+    small_groups: u32,
+) {
     let days = totals.seconds as f64 / study_rates::DAY_SECONDS as f64;
-    let groups: u32 = study_rates::MODELS
-        .iter()
-        .map(|(_model, replicas, _members)| replicas)
-        .sum();
+    let groups = study_rates::LARGE_GROUPS + small_groups;
     let down = totals.down as f64 / days / f64::from(groups);
     let stranded = totals.stranded as f64 / totals.seconds as f64;
     let spare = totals.spare as f64 / totals.seconds as f64;
--- a/crates/pier_control/examples/placement_study/study_fleet.rs
+++ b/crates/pier_control/examples/placement_study/study_fleet.rs
@@ -32,14 +32,18 @@
 }
 
 impl StudyFleet {
-    /// Makes a data centre whose VMs are all up and empty.
-    pub fn new(policy: placement_policy::PlacementPolicy) -> Self {
+    /// Makes a data centre that wants so many groups of 4, and whose VMs are all up and empty.
+    pub fn new(policy: placement_policy::PlacementPolicy, small_groups: u32) -> Self {
+        let models = [
+            ("large", study_rates::LARGE_GROUPS, 32),
+            ("small", small_groups, 4),
+        ];
         let mut fleet = Self {
             policy,
             vms: collections::BTreeMap::new(),
             follow_ups: collections::BTreeMap::new(),
             next_vm: 0,
-            wanted: study_rates::MODELS.into_iter().map(wanted_model).collect(),
+            wanted: models.into_iter().map(wanted_model).collect(),
             placement: placements::DataCentrePlacement::empty("dc".parse().unwrap()),
             health: health::GroupHealth::new(health::HealthSettings::default()),
             queue: loads::LoadQueue::new(loads::LoadSettings::default()),
