Replace stragglers: the probes' judgement reaches the planner

Cause: the planner replaces slow members, but nothing told it which VMs are slow.

Seen: the new test of control_loops; before, stragglers were never replaced.

--- a/crates/pier_node/src/control/control_loop.rs
+++ b/crates/pier_node/src/control/control_loop.rs
@@ -140,7 +140,7 @@
             .map(|entry| entry.name.clone())
             .chain(members)
             .collect();
-        let slow = collections::BTreeSet::new();
+        let slow = self.handle.stragglers();
         self.tracker.update(evidence, &slow, &named, now)
     }
 
--- a/crates/pier_node/src/handle/node_handle.rs
+++ b/crates/pier_node/src/handle/node_handle.rs
@@ -37,6 +37,7 @@
     routes: ArcSwap<routes::RouteTable>,
     vms: ArcSwap<collections::BTreeMap<ids::VmName, vms::VmEntry>>,
     evidence: ArcSwap<collections::BTreeMap<ids::VmName, health::VmEvidence>>,
+    stragglers: ArcSwap<collections::BTreeSet<ids::VmName>>,
     groups: ArcSwap<handle::GroupSnapshot>,
     lease: ArcSwapOption<handle::LeaseSnapshot>,
     peers: ArcSwap<Vec<handle::PeerEntry>>,
@@ -80,6 +81,7 @@
             routes: ArcSwap::default(),
             vms: ArcSwap::default(),
             evidence: ArcSwap::default(),
+            stragglers: ArcSwap::default(),
             groups: ArcSwap::default(),
             lease: ArcSwapOption::empty(),
             peers: ArcSwap::default(),
@@ -195,6 +197,16 @@
         self.shared.evidence.store(sync::Arc::new(evidence));
     }
 
+    /// Returns the VMs of this data centre that answer far slower than the others.
+    pub fn stragglers(&self) -> sync::Arc<collections::BTreeSet<ids::VmName>> {
+        self.shared.stragglers.load_full()
+    }
+
+    /// Publishes the VMs that answer far slower than the others.
+    pub fn publish_stragglers(&self, stragglers: collections::BTreeSet<ids::VmName>) {
+        self.shared.stragglers.store(sync::Arc::new(stragglers));
+    }
+
     /// Returns the groups of this data centre and their health.
     pub fn groups(&self) -> sync::Arc<handle::GroupSnapshot> {
         self.shared.groups.load_full()
--- a/crates/pier_node/src/probes/probe_driver.rs
+++ b/crates/pier_node/src/probes/probe_driver.rs
@@ -164,5 +164,10 @@
             (vm, evidence)
         });
         self.handle.publish_evidence(evidence.collect());
+        let standings = self.board.standings(now).into_iter();
+        let slow =
+            standings.filter(|(_vm, standing)| *standing == decisions::VmStanding::Straggler);
+        self.handle
+            .publish_stragglers(slow.map(|(vm, _standing)| vm).collect());
     }
 }
--- a/crates/pier_node/tests/control_bench/mod.rs
+++ b/crates/pier_node/tests/control_bench/mod.rs
@@ -196,6 +196,7 @@
         },
         planner: planning::PlannerSettings {
             repair_after: time::Duration::from_millis(1_500),
+            straggler_hold: time::Duration::from_secs(1),
             ..planning::PlannerSettings::default()
         },
         health: health::HealthSettings {
--- a/crates/pier_node/tests/control_loops.rs
+++ b/crates/pier_node/tests/control_loops.rs
@@ -46,6 +46,27 @@
     );
 }
 
+#[test]
+fn straggler_is_followed_by_a_spare_that_loaded_beforehand() {
+    let bench = control_bench::ControlBench::new(&["a", "b", "c"], true);
+    let node = bench.start_node("n1");
+    let first = control_bench::wait_for("a serving group", || node.serving());
+    let slow = node.members()[1].clone();
+    node.handle.publish_stragglers([slow.clone()].into());
+    let is_prepared = || {
+        let groups = node.handle.groups();
+        let group = groups.placement.as_ref()?.groups().values().next()?;
+        (group.successor.is_some() && groups.health.serving.len() == 1).then_some(())
+    };
+    control_bench::wait_for("a successor beside the serving group", is_prepared);
+    let second = control_bench::wait_for("the successor", || {
+        node.serving()
+            .filter(|group| group.generation > first.generation)
+    });
+    assert_eq!(second.id, first.id);
+    assert!(!node.members().contains(&slow));
+}
+
 #[test]
 fn another_node_takes_over_from_a_killed_holder() {
     let bench = control_bench::ControlBench::new(&["a", "b", "c"], true);
