Keep the lease over a lagging read that misses the object

Cause: reads may lag; right after its first write a holder may be told that there is no lease object, and dropped a lease that was good.

Seen: the new test fails with the rule left out; the property test still finds no second holder.

--- a/crates/pier_control/src/leases/lease_keeper.rs
+++ b/crates/pier_control/src/leases/lease_keeper.rs
@@ -34,10 +34,7 @@
     observed: Option<leases::ObservedLease>,
     held: Option<leases::HeldLease>,
     pending: Vec<leases::PendingWrite>,
-    reading_since: Option<times::BootTime>,
-    writing: Option<(ids::LeaseNonce, times::BootTime)>,
-    read_at: times::BootTime,
-    write_at: times::BootTime,
+    calls: leases::CallState,
     resigned: bool,
 }
 
@@ -51,10 +48,7 @@
             observed: None,
             held: None,
             pending: Vec::new(),
-            reading_since: None,
-            writing: None,
-            read_at: times::BootTime::default(),
-            write_at: times::BootTime::default(),
+            calls: leases::CallState::default(),
             resigned: false,
         }
     }
@@ -99,14 +93,14 @@
         draw: leases::LeaseDraw,
     ) -> Vec<leases::LeaseAction> {
         match event {
-            leases::LeaseEvent::Tick => self.expire_calls(now),
+            leases::LeaseEvent::Tick => self.calls.expire(now, self.settings.call_timeout),
             leases::LeaseEvent::ReadDone(reading) => {
-                self.reading_since = None;
+                self.calls.reading_since = None;
                 self.observe(reading, now, draw);
             }
             leases::LeaseEvent::ReadFailed => {
-                self.reading_since = None;
-                self.read_at = now.after(self.settings.retry_delay);
+                self.calls.reading_since = None;
+                self.calls.read_at = now.after(self.settings.retry_delay);
             }
             leases::LeaseEvent::WriteDone { nonce, outcome } => {
                 self.finish_write(nonce, outcome, now, draw);
@@ -137,19 +131,6 @@
         }]
     }
 
-    /// Gives up on calls that got no answer in time.
-    fn expire_calls(&mut self, now: times::BootTime) {
-        let timeout = self.settings.call_timeout;
-        let expired = |since: times::BootTime| now.since(since) >= timeout;
-        if self.reading_since.is_some_and(expired) {
-            self.reading_since = None;
-        }
-        if self.writing.is_some_and(|(_nonce, since)| expired(since)) {
-            self.writing = None;
-            self.read_at = now;
-        }
-    }
-
     /// Takes in what a read or a watch showed.
     fn observe(
         &mut self,
@@ -157,11 +138,15 @@
         now: times::BootTime,
         draw: leases::LeaseDraw,
     ) {
-        self.read_at = now.after(self.settings.read_interval);
+        self.calls.read_at = now.after(self.settings.read_interval);
         let jitter = u32::from(draw.jitter_permille.min(1_000));
         let spread = self.settings.takeover_spread * jitter / 1_000;
+        let reading_is_absent = reading == leases::LeaseReading::Absent;
         let seen = leases::ObservedLease::new(reading, now, spread);
-        if !seen.is_news(self.observed.as_ref()) {
+        // A read that lags may miss an object that this node has just written. If it was deleted,
+        // this node's lease ends by itself, since no renewal can succeed.
+        let may_lag = reading_is_absent && self.holds(now);
+        if may_lag || !seen.is_news(self.observed.as_ref()) {
             return;
         }
         self.settle(seen.version, seen.record.as_ref());
@@ -209,8 +194,12 @@
         now: times::BootTime,
         draw: leases::LeaseDraw,
     ) {
-        if self.writing.is_some_and(|(last, _since)| last == nonce) {
-            self.writing = None;
+        if self
+            .calls
+            .writing
+            .is_some_and(|(last, _since)| last == nonce)
+        {
+            self.calls.writing = None;
         }
         let known = self
             .pending
@@ -224,7 +213,7 @@
             let reading = leases::LeaseReading::Found { version, record };
             self.observe(reading, now, draw);
         } else {
-            self.read_at = now;
+            self.calls.read_at = now;
         }
     }
 
@@ -238,12 +227,12 @@
         if self.resigned {
             return actions;
         }
-        if self.reading_since.is_none() && now >= self.read_at {
-            self.reading_since = Some(now);
-            self.read_at = now.after(self.settings.retry_delay);
+        if self.calls.reading_since.is_none() && now >= self.calls.read_at {
+            self.calls.reading_since = Some(now);
+            self.calls.read_at = now.after(self.settings.retry_delay);
             actions.push(leases::LeaseAction::Read);
         }
-        if self.writing.is_none() && now >= self.write_at {
+        if self.calls.writing.is_none() && now >= self.calls.write_at {
             actions.extend(self.next_write(now, draw));
         }
         actions
@@ -271,8 +260,8 @@
             if_version,
             sent_at: now,
         });
-        self.writing = Some((draw.nonce, now));
-        self.write_at = now.after(self.settings.retry_delay);
+        self.calls.writing = Some((draw.nonce, now));
+        self.calls.write_at = now.after(self.settings.retry_delay);
         Some(leases::LeaseAction::Write { record, if_version })
     }
 
--- a/crates/pier_control/src/leases/mod.rs
+++ b/crates/pier_control/src/leases/mod.rs
@@ -5,6 +5,7 @@
 //! Its holder counts from before it sent the write, every other node from when it first saw the
 //! version, so no clock is ever compared with another one.
 
+mod call_state;
 mod held_lease;
 mod lease_action;
 mod lease_draw;
@@ -20,6 +21,7 @@
 mod pending_write;
 mod write_outcome;
 
+use call_state::CallState;
 use held_lease::HeldLease;
 pub use lease_action::LeaseAction;
 pub use lease_draw::LeaseDraw;
--- a/crates/pier_control/tests/lease_is_held_by_one_node.rs
+++ b/crates/pier_control/tests/lease_is_held_by_one_node.rs
@@ -237,6 +237,29 @@
     );
 }
 
+#[test]
+fn lagging_read_that_misses_the_object_does_not_end_the_lease() {
+    let (mut keeper, now, record) = keeper_that_wrote();
+    let outcome = leases::WriteOutcome::Stored(epochs::ObjectVersion::new(1));
+    let nonce = record.nonce;
+    keeper.step(
+        leases::LeaseEvent::WriteDone { nonce, outcome },
+        now,
+        draw(4),
+    );
+    let absent = || leases::LeaseEvent::ReadDone(leases::LeaseReading::Absent);
+    keeper.step(absent(), now, draw(5));
+    assert!(keeper.holds(now));
+    // If it was deleted, the lease ends on time and is not taken again before a whole life passed.
+    let end = now.after(time::Duration::from_secs(9));
+    keeper.step(absent(), end, draw(6));
+    assert!(!keeper.holds(end));
+    let soon = end.after(time::Duration::from_secs(9));
+    let actions = keeper.step(leases::LeaseEvent::Tick, soon, draw(7));
+    let writes = |action: &leases::LeaseAction| matches!(action, leases::LeaseAction::Write { .. });
+    assert!(!actions.iter().any(writes), "{actions:?}");
+}
+
 #[test]
 fn malformed_record_is_neither_overwritten_nor_waited_out() {
     let mut keeper =
