--- /dev/null
+++ b/crates/pier_node/tests/requests/forwards.rs
@@ -0,0 +1,194 @@
+//! A request is passed on once, to a data centre that has room, and its outcome stays true.
+
+use std::{net, sync, time};
+
+use pier_fakes::{fault, service};
+use pier_node::{forwards, handle};
+use tokio::io::AsyncReadExt as _;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::test_node;
+
+/// Starts the side of a node that takes requests over; returns what others know of it.
+async fn listen(node: &test_node::TestNode, data_centre: &str) -> handle::PeerEntry {
+    let key = node.handle.settings().peer_key.parse().unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(forwards::ForwardServer::new(node.handle.clone(), key).run(listener));
+    peer(data_centre, address)
+}
+
+fn peer(data_centre: &str, address: net::SocketAddr) -> handle::PeerEntry {
+    handle::PeerEntry {
+        node: format!("node-{data_centre}").parse().unwrap(),
+        data_centre: data_centre.parse().unwrap(),
+        address,
+        draining: false,
+    }
+}
+
+/// Listens, takes one connection, and closes it after some bytes.
+async fn launch_broken_peer(data_centre: &str, bytes: usize) -> handle::PeerEntry {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        loop {
+            let (mut stream, _peer) = listener.accept().await.unwrap();
+            let _read = stream.read_exact(&mut vec![0; bytes]).await;
+        }
+    });
+    peer(data_centre, address)
+}
+
+fn runs(ledger: &service::FakeService) -> usize {
+    let entries = ledger.record().entries();
+    entries.iter().filter(|entry| entry.started).count()
+}
+
+/// Passes bytes on to a peer, and cuts each connection once the ledger ran something more.
+async fn launch_cutting_peer(
+    behind: &handle::PeerEntry,
+    ledger: sync::Arc<service::FakeService>,
+) -> handle::PeerEntry {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let target = behind.address;
+    tokio::spawn(async move {
+        loop {
+            let (mut client, _peer) = listener.accept().await.unwrap();
+            let mut server = TcpStream::connect(target).await.unwrap();
+            let before = runs(&ledger);
+            let ran = async {
+                while runs(&ledger) == before {
+                    tokio::time::sleep(time::Duration::from_millis(2)).await;
+                }
+            };
+            tokio::select! {
+                _copied = tokio::io::copy_bidirectional(&mut client, &mut server) => {}
+                () = ran => {}
+            }
+        }
+    });
+    peer(behind.data_centre.as_str(), address)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_lost_after_it_took_a_request_leaves_the_outcome_unknown() {
+    for (method, most_runs) in [("GET", 2), ("POST", 1)] {
+        let platform = test_node::launch_platform().await;
+        let [entry, other] = [(); 2].map(|()| test_node::TestNode::launch(platform.address()));
+        let ledger = service::FakeService::builder("ledger-1".parse().unwrap())
+            .call_time(time::Duration::from_millis(300));
+        let ledger = sync::Arc::new(ledger.launch().await.unwrap());
+        other.publish(vec![test_node::target("ledger-1", ledger.address())]);
+        entry.publish(Vec::new());
+        let mut peers = Vec::new();
+        for data_centre in ["mvd-b", "mvd-c"] {
+            let behind = listen(&other, data_centre).await;
+            peers.push(launch_cutting_peer(&behind, sync::Arc::clone(&ledger)).await);
+        }
+        entry.handle.publish_peers(peers);
+        let path = "/services/libro/balances";
+        let asked = test_node::request(test_node::LARGE_KEY, method, path, "");
+        let answer = entry.send(asked).await;
+        assert_eq!(
+            (answer.code(), answer.outcome().as_str()),
+            (4008, "unknown")
+        );
+        assert_eq!(runs(&ledger), most_runs);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_without_targets_passes_its_requests_on() {
+    let platform = test_node::launch_platform().await;
+    let entry = test_node::TestNode::launch(platform.address());
+    let other = test_node::TestNode::launch(platform.address());
+    let engine = test_node::launch_engine("vm-0").await;
+    let ledger = test_node::launch_ledger("ledger-1").await;
+    other.publish(vec![
+        test_node::target("vm-0", engine.address()),
+        test_node::target("ledger-1", ledger.address()),
+    ]);
+    entry.publish(Vec::new());
+    let peers = vec![listen(&other, "mvd-b").await];
+    entry.handle.publish_peers(peers);
+    for stream in [false, true] {
+        let asked = test_node::completion(test_node::LARGE_KEY, "draft", stream);
+        let answer = entry.send(asked).await;
+        assert_eq!(answer.status, 200, "{}", answer.text);
+        assert!(
+            !stream || answer.text.ends_with("data: [DONE]\n\n"),
+            "{}",
+            answer.text
+        );
+    }
+    let charge = test_node::charge("forward_01");
+    let first = entry.send(charge.clone()).await;
+    other.settle().await;
+    let second = other.send(charge).await;
+    assert_eq!((first.status, &first.text), (200, &second.text));
+    assert_eq!(runs(&ledger), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_passed_on_once_only() {
+    let platform = test_node::launch_platform().await;
+    let nodes = [(); 2].map(|()| test_node::TestNode::launch(platform.address()));
+    let peers = [
+        listen(&nodes[0], "mvd-b").await,
+        listen(&nodes[1], "mvd-c").await,
+    ];
+    for (node, peer) in nodes.iter().zip(peers.iter().rev()) {
+        node.publish(Vec::new());
+        node.handle.publish_peers(vec![peer.clone()]);
+    }
+    let asked = test_node::completion(test_node::LARGE_KEY, "draft", false);
+    let answer = nodes[0].send(asked).await;
+    assert_eq!(
+        (answer.code(), answer.outcome().as_str()),
+        (2003, "not-run")
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_is_gone_is_left_out_for_the_next_one() {
+    let platform = test_node::launch_platform().await;
+    let entry = test_node::TestNode::launch(platform.address());
+    let other = test_node::TestNode::launch(platform.address());
+    let engine = test_node::launch_engine("vm-0").await;
+    other.publish(vec![test_node::target("vm-0", engine.address())]);
+    entry.publish(Vec::new());
+    let gone = launch_broken_peer("mvd-b", 1).await;
+    entry
+        .handle
+        .publish_peers(vec![gone, listen(&other, "mvd-c").await]);
+    for number in 0..8 {
+        let prompt = format!("draft {number}");
+        let asked = test_node::completion(test_node::SMALL_KEY, &prompt, false);
+        let answer = entry.send(asked).await;
+        assert_eq!(answer.status, 200, "{}", answer.text);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_of_the_other_node_keeps_its_outcome() {
+    let platform = test_node::launch_platform().await;
+    let entry = test_node::TestNode::launch(platform.address());
+    let other = test_node::TestNode::launch(platform.address());
+    let ledger = test_node::launch_ledger("ledger-1").await;
+    let lost = fault::FaultSpec::new(fault::FaultKind::EffectWithoutReply);
+    ledger.set_fault(lost.count(1));
+    other.publish(vec![test_node::target("ledger-1", ledger.address())]);
+    entry.publish(Vec::new());
+    entry
+        .handle
+        .publish_peers(vec![listen(&other, "mvd-b").await]);
+    let post = test_node::request(test_node::LARGE_KEY, "POST", "/services/libro/charges", "1");
+    let answer = entry.send(post).await;
+    assert_eq!(
+        (answer.code(), answer.outcome().as_str()),
+        (4002, "unknown")
+    );
+    assert_eq!(runs(&ledger), 1);
+}
--- a/crates/pier_node/tests/requests/main.rs
+++ b/crates/pier_node/tests/requests/main.rs
@@ -2,6 +2,7 @@
 //! really ran.
 
 mod engines;
+mod forwards;
 mod one_time;
 mod refusals;
 mod streams;
