Follow the targets' prefix caches within a bounded traffic

Cause: affinity needs the events of every target, and asking all of them each second is over the budget of a node. Conclusion: one target every 125 ms in turn.

--- a/crates/pier_node/src/daemon/node_daemon.rs
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -41,7 +41,7 @@
         tables::spawn_list(handle.clone());
         tables::spawn(handle.clone());
         control::spawn(handle.clone(), &control::ControlSettings::default());
-        requests::spawn(handle.clone());
+        requests::spawn(&handle);
         let configs = Self::spawn_configs(&handle)?;
         let peers = Self::launch_forwards(&handle).await?;
         let socket = peers::PeerSocket::bind(peers).await?;
--- a/crates/pier_node/src/requests/crash_watch.rs
+++ b/crates/pier_node/src/requests/crash_watch.rs
@@ -16,26 +16,32 @@
 /// Bound on the answer of a target that may have crashed.
 const REPORT_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
-/// Starts what the request path needs beside the requests themselves.
-pub fn spawn(handle: handle::NodeHandle) {
-    let Some(mut news) = handle.requests().take_crash_news() else {
-        return;
-    };
-    tokio::spawn(async move {
-        let mut ticks = tokio::time::interval(EXPIRE_PERIOD);
-        loop {
-            tokio::select! {
-                news = news.recv() => match news {
-                    Some(news) => take(&handle, news),
-                    None => return,
-                },
-                _tick = ticks.tick() => {
-                    let now = clocks::boot_now();
-                    handle.requests().change_crashes(|ledger| ledger.expire(now));
+/// The owner of the ledger.
+#[derive(Debug)]
+pub(super) struct CrashWatch;
+
+impl CrashWatch {
+    /// Starts the task; it ends with the runtime.
+    pub(super) fn spawn(handle: handle::NodeHandle) {
+        let Some(mut news) = handle.requests().take_crash_news() else {
+            return;
+        };
+        tokio::spawn(async move {
+            let mut ticks = tokio::time::interval(EXPIRE_PERIOD);
+            loop {
+                tokio::select! {
+                    news = news.recv() => match news {
+                        Some(news) => take(&handle, news),
+                        None => return,
+                    },
+                    _tick = ticks.tick() => {
+                        let now = clocks::boot_now();
+                        handle.requests().change_crashes(|ledger| ledger.expire(now));
+                    }
                 }
             }
-        }
-    });
+        });
+    }
 }
 
 fn take(handle: &handle::NodeHandle, news: requests::CrashNews) {
--- a/crates/pier_node/src/requests/mod.rs
+++ b/crates/pier_node/src/requests/mod.rs
@@ -6,7 +6,7 @@
 
 use pier_types::codes;
 
-use crate::callers;
+use crate::{callers, handle};
 
 mod abort_guard;
 mod answer_store;
@@ -21,6 +21,7 @@
 mod full_peers;
 mod one_time_run;
 mod outcome_driver;
+mod prefix_watch;
 mod prompt_fields;
 mod relay_sink;
 mod request_path;
@@ -41,13 +42,14 @@
 use attempt_fault::AttemptFault;
 use claim_driver::{ClaimDriver, ClaimVerdict};
 use crash_news::CrashNews;
-pub use crash_watch::spawn;
+use crash_watch::CrashWatch;
 use customer_table::CustomerTable;
 use event_reader::EventReader;
 use forward_run::ForwardRun;
 use full_peers::FullPeers;
 use one_time_run::OneTimeRun;
 use outcome_driver::OutcomeDriver;
+use prefix_watch::PrefixWatch;
 use prompt_fields::PromptFields;
 use relay_sink::{PushResult, RelaySink};
 pub use request_path::RequestPath;
@@ -61,6 +63,12 @@
 use whole_answer::WholeAnswer;
 use whole_run::WholeRun;
 
+/// Starts what the request path needs beside the requests themselves; it ends with the runtime.
+pub fn spawn(handle: &handle::NodeHandle) {
+    CrashWatch::spawn(handle.clone());
+    PrefixWatch::spawn(handle.clone());
+}
+
 /// Makes the answer to a request whose task ended without one.
 fn internal_fault() -> callers::ErrorBody {
     let code = codes::ResultCode::InternalFault;
--- /dev/null
+++ b/crates/pier_node/src/requests/prefix_watch.rs
@@ -0,0 +1,142 @@
+//! The task that follows the targets' prefix caches.
+
+use std::{sync, time};
+
+use pier_request::routing;
+use pier_types::{epochs, ids, routes};
+use serde::Deserialize;
+
+use crate::handle;
+
+/// Time between two questions to targets, whatever their number.
+///
+/// The traffic of a node is bounded thereby; with many targets each one's events come later.
+const POLL_PERIOD: time::Duration = time::Duration::from_millis(125);
+
+/// Bound on the answer of a target.
+const POLL_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
+/// Follows the prefix caches of this data centre's targets, one after the other.
+#[derive(Debug)]
+pub(super) struct PrefixWatch {
+    handle: handle::NodeHandle,
+    index: routing::PrefixIndex,
+    turn: usize,
+}
+
+/// What a target says of its cache.
+#[derive(Debug, Deserialize)]
+struct CacheReport {
+    events: Vec<CacheFields>,
+    latest: epochs::EventSequence,
+}
+
+/// One event as a target writes it.
+#[derive(Debug, Deserialize)]
+struct CacheFields {
+    sequence: epochs::EventSequence,
+    kind: CacheKind,
+    prefix: String,
+}
+
+/// What happened to a prefix.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum CacheKind {
+    Stored,
+    Evicted,
+}
+
+impl PrefixWatch {
+    /// Starts the task; it ends with the runtime.
+    pub(super) fn spawn(handle: handle::NodeHandle) {
+        let mut watch = Self {
+            handle,
+            index: routing::PrefixIndex::default(),
+            turn: 0,
+        };
+        tokio::spawn(async move {
+            let mut ticks = tokio::time::interval(POLL_PERIOD);
+            ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+            loop {
+                ticks.tick().await;
+                watch.poll_next().await;
+            }
+        });
+    }
+
+    async fn poll_next(&mut self) {
+        let targets = self.targets();
+        self.index
+            .retain(|known| targets.iter().any(|target| target.target == *known));
+        if targets.is_empty() {
+            return;
+        }
+        self.turn = (self.turn + 1) % targets.len();
+        let Some(target) = targets.get(self.turn) else {
+            return;
+        };
+        if let Some(report) = self.ask(target).await {
+            self.apply(target, &report);
+            self.handle
+                .requests()
+                .publish_prefixes(self.index.snapshot());
+        }
+    }
+
+    /// Returns the targets of this data centre whose models are routed by prefix.
+    fn targets(&self) -> Vec<sync::Arc<routes::RouteTarget>> {
+        let Some(config) = self.handle.config() else {
+            return Vec::new();
+        };
+        let has_affinity = |pool: &routes::PoolKey| match pool {
+            routes::PoolKey::Model(model) => {
+                let section = config.document.models.get(model);
+                section.is_some_and(|section| section.prefix_affinity)
+            }
+            routes::PoolKey::Service(_service) => false,
+        };
+        let own = &self.handle.settings().data_centre;
+        let targets = self.handle.requests().targets();
+        let pools = targets.view.pools();
+        let entries = pools
+            .filter(|(pool, _view)| has_affinity(pool))
+            .flat_map(|(_pool, view)| view.entries());
+        entries
+            .map(|entry| sync::Arc::clone(&entry.target))
+            .filter(|target| target.data_centre == *own)
+            .collect()
+    }
+
+    async fn ask(&self, target: &routes::RouteTarget) -> Option<CacheReport> {
+        let after = self.index.latest(&target.target);
+        let url = format!("http://{}/cache-events?after={after}", target.address);
+        let asking = self.handle.client().get(url).timeout(POLL_TIMEOUT).send();
+        // A target that does not answer keeps what is known of it; its events come later.
+        asking.await.ok()?.json().await.ok()
+    }
+
+    fn apply(&mut self, target: &routes::RouteTarget, report: &CacheReport) {
+        let (id, generation): (&ids::TargetId, _) = (&target.target, target.generation);
+        if report.latest < self.index.latest(id) {
+            // Its numbers started again, as after a restart.
+            self.index.reset(id, generation);
+            return;
+        }
+        let events = report.events.iter().filter_map(event_of);
+        self.index
+            .apply(id, generation, &events.collect::<Vec<_>>());
+    }
+}
+
+/// Reads an event; one with an unknown form of prefix leaves a gap, which the index handles.
+fn event_of(fields: &CacheFields) -> Option<routing::CacheEvent> {
+    Some(routing::CacheEvent {
+        sequence: fields.sequence,
+        change: match fields.kind {
+            CacheKind::Stored => routing::CacheChange::Stored,
+            CacheKind::Evicted => routing::CacheChange::Evicted,
+        },
+        prefix: fields.prefix.parse().ok()?,
+    })
+}
--- a/crates/pier_node/tests/requests/engines.rs
+++ b/crates/pier_node/tests/requests/engines.rs
@@ -120,3 +120,27 @@
         (2003, "not-run")
     );
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_prompt_goes_where_its_prefix_is_cached() {
+    let platform = test_node::launch_platform().await;
+    let node = test_node::TestNode::launch(platform.address());
+    let engines = launch_engines(&node, 6).await;
+    let served = || {
+        let served = engines.iter().map(|engine| {
+            let entries = engine.record().entries();
+            entries.iter().filter(|entry| entry.started).count()
+        });
+        served.collect::<Vec<_>>()
+    };
+    let asked = test_node::completion(test_node::LARGE_KEY, "a long shared preface", false);
+    assert_eq!(node.send(asked.clone()).await.status, 200);
+    let first = served();
+    // Time for each engine to be asked for its events.
+    tokio::time::sleep(time::Duration::from_millis(1_500)).await;
+    for _ in 0..6 {
+        assert_eq!(node.send(asked.clone()).await.status, 200);
+    }
+    let expected: Vec<usize> = first.iter().map(|count| count * 7).collect();
+    assert_eq!(served(), expected);
+}
--- a/crates/pier_node/tests/requests/test_node.rs
+++ b/crates/pier_node/tests/requests/test_node.rs
@@ -91,7 +91,7 @@
             .unwrap();
         let name = "node-1".parse().unwrap();
         let handle = handle::NodeHandle::new(name, settings, client, traces).unwrap();
-        requests::spawn(handle.clone());
+        requests::spawn(&handle);
         handle.publish_config(handle::ConfigSnapshot {
             version: epochs::ConfigVersion::new(1),
             document: sample.parse::<documents::ConfigDocument>().unwrap(),
