Refuse keys whose time of issue has leading zeros

Cause: one time of issue had several forms. Evidence: tests/idempotency_keys.rs passes with the new case.

--- a/crates/pier_request/src/claims/idempotency_key.rs
+++ b/crates/pier_request/src/claims/idempotency_key.rs
@@ -52,7 +52,7 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let malformed = codes::ResultCode::MalformedKey;
         let (issued, unique) = text.split_once('-').ok_or(malformed)?;
-        let digits = issued.bytes().all(|byte| byte.is_ascii_digit());
+        let digits = issued.bytes().all(|byte| byte.is_ascii_digit()) && !issued.starts_with('0');
         let allowed = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'_';
         let lengths = (1..=ISSUED_DIGITS).contains(&issued.len())
             && (UNIQUE_LEAST..=UNIQUE_MOST).contains(&unique.len());
--- a/crates/pier_request/tests/idempotency_keys.rs
+++ b/crates/pier_request/tests/idempotency_keys.rs
@@ -41,10 +41,12 @@
         "+1-abcdefgh",
         "1-abc defgh",
     ];
-    for text in bad
-        .into_iter()
-        .chain([long.as_str(), "1-abcdefgh-i", "9999999999999999-abcdefgh"])
-    {
+    for text in bad.into_iter().chain([
+        long.as_str(),
+        "1-abcdefgh-i",
+        "01-abcdefgh",
+        "9999999999999999-abcdefgh",
+    ]) {
         let parsed = text.parse::<claims::IdempotencyKey>();
         assert_eq!(parsed, Err(codes::ResultCode::MalformedKey), "{text}");
     }
