Let shares outlive a change of the lease holder

Cause: shares of 3 s ended while the lease moved (about 10 s), so that a data centre had only its fixed parts, and in the first two minutes of a node nothing at all. Also, nodes that the record no longer named were not counted by a new holder, though work of theirs may go on. Shares last 15 s. A new holder counts the most for each node that was named lately and not heard.

--- a/crates/pier_limits/examples/membership_cost.rs
+++ b/crates/pier_limits/examples/membership_cost.rs
@@ -141,8 +141,13 @@
         schedule.assign(&duties, now);
         let terms = shares::ShareTerms::default();
         let ledger = (number == 0).then(|| {
-            let mut ledger =
-                shares::ShareLedger::new(terms, epochs::LeaseTerm::new(1), now, count.into());
+            let mut ledger = shares::ShareLedger::new(
+                terms,
+                epochs::LeaseTerm::new(1),
+                now,
+                count.into(),
+                [].into(),
+            );
             ledger.record_nodes(nodes);
             ledger
         });
--- a/crates/pier_limits/examples/shift_study/centre_model.rs
+++ b/crates/pier_limits/examples/shift_study/centre_model.rs
@@ -53,7 +53,7 @@
 impl CentreModel {
     pub fn new(name: &str, now: times::BootTime) -> Result<Self, ids::NameError> {
         let terms = shares::ShareTerms::default();
-        let mut ledger = shares::ShareLedger::new(terms, TERM, now, 2);
+        let mut ledger = shares::ShareLedger::new(terms, TERM, now, 2, [].into());
         let nodes = (0..NODES).map(node_name).collect::<Result<_, _>>()?;
         ledger.record_nodes(nodes);
         let targets = (0..TARGETS)
--- a/crates/pier_limits/src/shares/share_ledger.rs
+++ b/crates/pier_limits/src/shares/share_ledger.rs
@@ -14,9 +14,9 @@
 /// The bound outlives the share by the longest time that work can take, or until the node reports
 /// less. The bounds' sum stays within the pool; when a limit falls, nothing is lent until it does.
 ///
-/// A new holder knows nothing of shares that an earlier one lent. It lends nothing until all of
-/// these have ended, and for each recorded node that it has not heard of it counts the most that
-/// a node may hold, until work under such shares must have ended as well.
+/// A new holder knows nothing of shares that an earlier one lent. For each node that was recorded
+/// lately and that it has not heard of it counts the most that a node may hold, until work under
+/// an earlier share must have ended. Nodes that it hears of say themselves what they have.
 ///
 /// Keeps the promise that a target receives no more load than it can bear.
 #[derive(Debug)]
@@ -26,6 +26,7 @@
     started_at: times::BootTime,
     slots: u32,
     recorded: collections::BTreeSet<ids::NodeName>,
+    expected: collections::BTreeSet<ids::NodeName>,
     rounds: collections::BTreeMap<ids::NodeName, shares::NodeRound>,
     targets: collections::BTreeMap<messages::ShareKey, shares::LedgerTarget>,
 }
@@ -33,11 +34,14 @@
 impl ShareLedger {
     /// Creates the ledger of a holder that gained the lease at `started_at`, not earlier than the
     /// end of the lease before; the data centre has a fixed number of slots for nodes.
+    ///
+    /// `former` are the nodes that the record named within [`shares::ShareTerms::charge_time`].
     pub const fn new(
         terms: shares::ShareTerms,
         term: epochs::LeaseTerm,
         started_at: times::BootTime,
         slots: u32,
+        former: collections::BTreeSet<ids::NodeName>,
     ) -> Self {
         Self {
             terms,
@@ -45,14 +49,16 @@
             started_at,
             slots,
             recorded: collections::BTreeSet::new(),
+            expected: former,
             rounds: collections::BTreeMap::new(),
             targets: collections::BTreeMap::new(),
         }
     }
 
-    /// Sets the nodes of the lease record; only these are lent anything.
+    /// Sets the nodes of the lease record; only these are lent anything, but those that it no
+    /// longer names may still have something.
     pub fn record_nodes(&mut self, nodes: collections::BTreeSet<ids::NodeName>) {
-        self.rounds.retain(|node, _| nodes.contains(node));
+        self.expected.extend(nodes.iter().cloned());
         self.recorded = nodes;
     }
 
@@ -91,12 +97,8 @@
         if now.after(self.terms.lease_margin) >= lease_end {
             return None;
         }
-        let fresh = self.charge(node, ask, now);
-        let lending = now.since(self.started_at) >= self.terms.life;
-        if !lending {
-            return None;
-        }
-        let entries = fresh
+        let entries = self
+            .charge(node, ask, now)
             .into_iter()
             .filter_map(|entry| self.lend(node, entry.key, now))
             .collect();
@@ -157,13 +159,13 @@
         })
     }
 
-    /// Counts the recorded nodes that may still have work under an earlier holder's shares.
+    /// Counts the nodes that may still have work under an earlier holder's shares.
     fn unheard(&self, now: times::BootTime) -> u32 {
         if now.since(self.started_at) >= self.terms.charge_time() {
             return 0;
         }
         let heard = |node: &ids::NodeName| self.rounds.get(node).is_some_and(|round| round.heard);
-        let unheard = self.recorded.iter().filter(|node| !heard(node)).count();
+        let unheard = self.expected.iter().filter(|node| !heard(node)).count();
         u32::try_from(unheard).unwrap_or(u32::MAX)
     }
 }
--- a/crates/pier_limits/src/shares/share_terms.rs
+++ b/crates/pier_limits/src/shares/share_terms.rs
@@ -16,7 +16,7 @@
 impl Default for ShareTerms {
     fn default() -> Self {
         Self {
-            life: time::Duration::from_secs(3),
+            life: time::Duration::from_secs(15),
             work_limit: time::Duration::from_mins(2),
             lease_margin: time::Duration::from_millis(500),
         }
--- a/crates/pier_node/src/peers/share_driver.rs
+++ b/crates/pier_node/src/peers/share_driver.rs
@@ -2,6 +2,7 @@
 
 use std::{collections, sync, time};
 
+use pier_control::leases;
 use pier_limits::shares;
 use pier_types::{epochs, ids, sizes, times};
 use pier_wire::messages;
@@ -36,6 +37,8 @@
     holding: shares::ShareHolding,
     ledger: Option<(epochs::LeaseTerm, shares::ShareLedger)>,
     targets: collections::BTreeMap<messages::ShareKey, known_target::KnownTarget>,
+    /// When each node was last named by the lease record.
+    recorded_at: collections::BTreeMap<ids::NodeName, times::BootTime>,
     record_nonce: Option<ids::LeaseNonce>,
     records_since_pause: u32,
     /// Wishes of the round for which shares were lowered, until its question is asked.
@@ -54,6 +57,7 @@
             holding: shares::ShareHolding::new(terms),
             ledger: None,
             targets: collections::BTreeMap::new(),
+            recorded_at: collections::BTreeMap::new(),
             record_nonce: None,
             records_since_pause: 0,
             lowered: None,
@@ -133,6 +137,7 @@
             times::BootTime::default()
         };
         self.tenure.observe(&record.roster.slots, asked_at, now);
+        self.note_recorded(&record.roster, now);
         let slots = self.slots();
         self.split.resize(slots, now);
         if lease.held_until.is_none() {
@@ -144,7 +149,8 @@
             .as_ref()
             .is_none_or(|(term, _)| *term != record.term)
         {
-            let ledger = shares::ShareLedger::new(self.terms, record.term, now, slots);
+            let former = self.recorded_at.keys().cloned().collect();
+            let ledger = shares::ShareLedger::new(self.terms, record.term, now, slots, former);
             self.ledger = Some((record.term, ledger));
         }
         if let Some((_term, ledger)) = &mut self.ledger {
@@ -152,6 +158,16 @@
         }
     }
 
+    /// Remembers who may still have work under a share.
+    fn note_recorded(&mut self, roster: &leases::NodeRoster, now: times::BootTime) {
+        for node in roster.slots.values() {
+            self.recorded_at.insert(node.clone(), now);
+        }
+        let keep = self.terms.charge_time();
+        self.recorded_at
+            .retain(|_, recorded_at| now.since(*recorded_at) < keep);
+    }
+
     /// Targets that vanished are kept as long as work there may go on.
     fn follow_targets(&mut self, now: times::BootTime) {
         if let Some(config) = self.handle.config() {
