Break up a small working group for a much larger short one

Cause: in a nearly full data centre (444 of 450 VMs placed) a group of 32 that lacked one member stood idle until the platform replaced it.

With spares the rule is seldom needed.

--- a/crates/pier_control/examples/placement_study/planner_cost.rs
+++ b/crates/pier_control/examples/placement_study/planner_cost.rs
@@ -5,7 +5,7 @@
 use pier_control::{health, placements, planning};
 use pier_types::{epochs, ids, reports, sizes, times, vms};
 
-use crate::sim_vm;
+use crate::{sim_vm, study_models};
 
 /// VMs in each domain.
 const DOMAIN_SIZE: u64 = 64;
@@ -34,8 +34,8 @@
     bytes: usize,
 }
 
-fn measure(size: u64) -> PlannerCost {
-    let vms: Vec<_> = (0..size)
+fn measure(size: u32) -> PlannerCost {
+    let vms: Vec<_> = (0..u64::from(size))
         .map(|vm| sim_vm::SimVm::new(vm, usize::try_from(vm / DOMAIN_SIZE).unwrap()))
         .collect();
     let entries: Vec<_> = vms.iter().map(|vm| vm.entry.clone()).collect();
@@ -48,7 +48,7 @@
         .collect();
     let wanted: collections::BTreeMap<_, _> = [("large", size / 48, 32), ("small", size / 32, 4)]
         .into_iter()
-        .map(wanted_model)
+        .map(study_models::wanted_model)
         .collect();
     let empty = placements::DataCentrePlacement::empty("dc".parse().unwrap());
     let present = plan(&wanted, &entries, &conditions, &empty).placement;
@@ -153,26 +153,3 @@
     samples.sort_unstable();
     samples[RUNS / 2]
 }
-
-fn wanted_model(
-    (model, replicas, members): (&str, u64, u32),
-) -> (ids::ModelName, planning::WantedModel) {
-    let model: ids::ModelName = model.parse().unwrap();
-    let recipe = placements::GroupRecipe {
-        version: "v1".parse().unwrap(),
-        adapters: Vec::new(),
-        prefill: 0,
-    };
-    let replicas = u32::try_from(replicas).unwrap();
-    let weight_bytes = sizes::ByteSize::new(1);
-    (
-        model.clone(),
-        planning::WantedModel {
-            model,
-            replicas,
-            members,
-            recipe,
-            weight_bytes,
-        },
-    )
-}
--- a/crates/pier_control/examples/placement_study/study_fleet.rs
+++ b/crates/pier_control/examples/placement_study/study_fleet.rs
@@ -3,9 +3,9 @@
 use std::{collections, time};
 
 use pier_control::{health, leases, loads, orders, placements, planning};
-use pier_types::{epochs, ids, sizes, times, vms};
+use pier_types::{epochs, ids, times, vms};
 
-use crate::{fleet_event, placement_policy, sim_vm, study_rates, study_totals};
+use crate::{fleet_event, placement_policy, sim_vm, study_models, study_rates, study_totals};
 
 /// What the platform does later on.
 #[derive(Debug, Clone)]
@@ -43,7 +43,7 @@
             vms: collections::BTreeMap::new(),
             follow_ups: collections::BTreeMap::new(),
             next_vm: 0,
-            wanted: models.into_iter().map(wanted_model).collect(),
+            wanted: models.into_iter().map(study_models::wanted_model).collect(),
             placement: placements::DataCentrePlacement::empty("dc".parse().unwrap()),
             health: health::GroupHealth::new(health::HealthSettings::default()),
             queue: loads::LoadQueue::new(loads::LoadSettings::default()),
@@ -278,25 +278,3 @@
         .parse()
         .unwrap()
 }
-
-fn wanted_model(
-    (model, replicas, members): (&str, u32, u32),
-) -> (ids::ModelName, planning::WantedModel) {
-    let model: ids::ModelName = model.parse().unwrap();
-    let recipe = placements::GroupRecipe {
-        version: "v1".parse().unwrap(),
-        adapters: Vec::new(),
-        prefill: 0,
-    };
-    let weight_bytes = sizes::ByteSize::new(study_rates::WEIGHT_BYTES);
-    (
-        model.clone(),
-        planning::WantedModel {
-            model,
-            replicas,
-            members,
-            recipe,
-            weight_bytes,
-        },
-    )
-}
--- /dev/null
+++ b/crates/pier_control/examples/placement_study/study_models.rs
@@ -0,0 +1,26 @@
+//! What the data centre of the study is to run.
+
+use pier_control::{placements, planning};
+use pier_types::{ids, sizes};
+
+use crate::study_rates;
+
+/// Makes a wanted model out of its name, its replicas and the VMs in each.
+pub fn wanted_model(
+    (model, replicas, members): (&str, u32, u32),
+) -> (ids::ModelName, planning::WantedModel) {
+    let model: ids::ModelName = model.parse().unwrap();
+    let recipe = placements::GroupRecipe {
+        version: "v1".parse().unwrap(),
+        adapters: Vec::new(),
+        prefill: 0,
+    };
+    let wanted = planning::WantedModel {
+        model: model.clone(),
+        replicas,
+        members,
+        recipe,
+        weight_bytes: sizes::ByteSize::new(study_rates::WEIGHT_BYTES),
+    };
+    (model, wanted)
+}
--- a/crates/pier_control/examples/placement_study/study_totals.rs
+++ b/crates/pier_control/examples/placement_study/study_totals.rs
@@ -15,6 +15,8 @@
 pub struct StudyTotals {
     /// Seconds in which a wanted group did not serve, over all groups.
     pub down: u64,
+    /// The same, each group counted as often as it has members.
+    pub down_vms: u64,
     /// VM seconds of working VMs in groups that lack a member, or left over while a group is
     /// wanted and can not be formed.
     pub stranded: u64,
@@ -25,6 +27,7 @@
     /// Bytes read from the weight store.
     pub bytes_read: u64,
     now_down: u64,
+    now_down_vms: u64,
     now_stranded: u64,
     now_spare: u64,
 }
@@ -41,6 +44,7 @@
         let is_up = |name: &ids::VmName| vms.get(name).is_some_and(|vm| vm.is_up);
         let groups = placement.groups();
         self.now_down = 0;
+        self.now_down_vms = 0;
         let mut missing_vms = 0;
         for wanted in wanted.values() {
             let serving = view
@@ -52,7 +56,9 @@
                 .values()
                 .filter(|group| group.model == wanted.model)
                 .count() as u64;
-            self.now_down += u64::from(wanted.replicas).saturating_sub(serving);
+            let down = u64::from(wanted.replicas).saturating_sub(serving);
+            self.now_down += down;
+            self.now_down_vms += down * u64::from(wanted.members);
             missing_vms +=
                 u64::from(wanted.replicas).saturating_sub(placed) * u64::from(wanted.members);
         }
@@ -76,6 +82,7 @@
     /// Lets the present state last for some seconds.
     pub fn add(&mut self, seconds: u64) {
         self.down += self.now_down * seconds;
+        self.down_vms += self.now_down_vms * seconds;
         self.stranded += self.now_stranded * seconds;
         self.spare += self.now_spare * seconds;
         self.seconds += seconds;
@@ -84,6 +91,7 @@
     /// Adds the sums of another run.
     pub fn merge(&mut self, other: &Self) {
         self.down += other.down;
+        self.down_vms += other.down_vms;
         self.stranded += other.stranded;
         self.spare += other.spare;
         self.seconds += other.seconds;
--- a/crates/pier_control/src/planning/breakup_step.rs
+++ b/crates/pier_control/src/planning/breakup_step.rs
@@ -2,13 +2,19 @@
 
 use crate::planning;
 
+/// A working group is broken up only for one that is so many times larger.
+const SMALL_PART: usize = 4;
+
 /// Breaks up short groups, by this rule:
 ///
 /// 1. Short groups of one domain are taken in the order of missing members, then of numbers. Each
 ///    may be completed with the members of the short group of its domain that lacks the most, the
 ///    youngest of equals, as long as that one stands later in the order. The donor ends.
 /// 2. A group that is still short ends if another domain can hold it whole; it is formed there.
-/// 3. Otherwise it keeps its members and waits for the platform to replace the lost ones.
+/// 3. Otherwise a working group of its domain, at most a quarter of its size, ends for it: the one
+///    that just suffices, the least loaded of equals. Its model must serve at least as large a part
+///    of its replicas as the model of the short group.
+/// 4. Otherwise it keeps its members and waits for the platform to replace the lost ones.
 pub(super) fn break_up_groups(draft: &mut planning::PlanDraft<'_>) {
     let mut short = short_groups(draft);
     while !short.is_empty() {
@@ -28,7 +34,7 @@
         if has_room && !is_held {
             draft.remove_group(group);
             draft.note(planning::PlanReason::Moved(group));
-        } else {
+        } else if !complete_from_small(draft, group) {
             draft.note(planning::PlanReason::LeftShort { group, missing });
         }
     }
@@ -58,10 +64,7 @@
         return true;
     };
     let domain = placement.domain.clone();
-    let needed = draft
-        .hard_ranks(group)
-        .len()
-        .saturating_sub(draft.free_count(&domain));
+    let needed = missing_spares(draft, group);
     let donors = later
         .iter()
         .enumerate()
@@ -84,6 +87,44 @@
     planning::repair_step::repair_group(draft, group)
 }
 
+/// Completes a group with the members of a much smaller one that works.
+fn complete_from_small(draft: &mut planning::PlanDraft<'_>, group: u64) -> bool {
+    let Some(donor) = small_donor(draft, group) else {
+        return false;
+    };
+    draft.remove_group(donor);
+    draft.note(planning::PlanReason::BrokenUp {
+        group: donor,
+        receiver: group,
+    });
+    planning::repair_step::repair_group(draft, group)
+}
+
+/// Returns the working group that costs the least to break up for a much larger one.
+fn small_donor(draft: &planning::PlanDraft<'_>, group: u64) -> Option<u64> {
+    let receiver = draft.groups.get(&group)?;
+    let served = planning::repair_step::served_permille(draft, receiver);
+    let needed = missing_spares(draft, group);
+    let donors = draft.groups.iter().filter(|(donor, donated)| {
+        donated.domain == receiver.domain
+            && donated.members.len() * SMALL_PART <= receiver.members.len()
+            && usable_members(draft, **donor) >= needed
+            && planning::repair_step::served_permille(draft, donated) >= served
+    });
+    let donor = donors.min_by_key(|(donor, donated)| {
+        let load = draft.input.serving.get(donor).copied();
+        (donated.members.len(), load, *donor)
+    });
+    donor.map(|(donor, _donated)| *donor)
+}
+
+/// Returns how many members a group lacks beyond the spares of its domain.
+fn missing_spares(draft: &planning::PlanDraft<'_>, group: u64) -> usize {
+    let domain = draft.groups.get(&group).map(|placement| &placement.domain);
+    let spares = domain.map_or(0, |domain| draft.free_count(domain));
+    draft.hard_ranks(group).len().saturating_sub(spares)
+}
+
 /// Returns how many members of a group could join another one.
 fn usable_members(draft: &planning::PlanDraft<'_>, group: u64) -> usize {
     let members = draft.groups.get(&group).map(|placement| &placement.members);
--- a/crates/pier_control/src/planning/repair_step.rs
+++ b/crates/pier_control/src/planning/repair_step.rs
@@ -37,7 +37,7 @@
 }
 
 /// Returns how much of its replicas a group's model serves, in thousandths.
-fn served_permille(
+pub(super) fn served_permille(
     draft: &planning::PlanDraft<'_>,
     placement: &placements::GroupPlacement,
 ) -> usize {
--- a/crates/pier_node/src/control/order_calls.rs
+++ b/crates/pier_node/src/control/order_calls.rs
@@ -1,5 +1,7 @@
 //! Orders to engines.
 
+use std::{sync, time};
+
 use pier_control::orders;
 use pier_types::{epochs, times::clocks};
 use serde::Deserialize;
@@ -22,7 +24,7 @@
     settings: orders::OrderSettings,
 ) {
     let (handle, events) = (handle.clone(), events.clone());
-    let grant = std::sync::Arc::clone(grant);
+    let grant = sync::Arc::clone(grant);
     tokio::spawn(async move {
         let lease = grant.load().as_ref().map(|grant| **grant);
         let Some(body) = order.body(lease, clocks::boot_now(), &settings) else {
@@ -48,7 +50,7 @@
     order: &orders::MemberOrder,
     body: &orders::EngineOrder,
 ) -> orders::OrderReply {
-    let life = std::time::Duration::from_millis(body.expires_in_ms);
+    let life = time::Duration::from_millis(body.expires_in_ms);
     let url = format!("http://{}/orders", order.address);
     let call = handle.client().post(url).json(body).timeout(life);
     let Ok(reply) = call.send().await else {
