Doubt one's own view only when more than half is silent

Cause: in a data centre of two VMs, or of two equal domains, half of it silent is one ordinary loss; the spare that was there was not used.

Seen: the new scenario of two VMs failed before (view-doubtful) and passes now; the scenario of a doubtful view has four of six VMs silent in place of three.

--- a/crates/pier_control/src/health/condition_tracker.rs
+++ b/crates/pier_control/src/health/condition_tracker.rs
@@ -9,7 +9,7 @@
 /// A longer time between two updates means that this node itself was paused.
 const LONGEST_GAP: time::Duration = time::Duration::from_secs(2);
 
-/// Silence of this part of all VMs, in thousandths, is taken for a fault of this node.
+/// Silence of more than this part of all VMs, in thousandths, is taken for a fault of this node.
 const BLIND_PERMILLE: usize = 500;
 
 /// Turns evidence that comes and goes into conditions for the planner.
@@ -101,7 +101,7 @@
             found.is_some_and(|found| found.is_fresh(now, self.settings.silent_after))
         };
         let silent = named.len() - named.iter().filter(is_heard).count();
-        silent > 0 && silent * 1_000 >= named.len() * BLIND_PERMILLE
+        silent * 1_000 > named.len() * BLIND_PERMILLE
     }
 
     /// Counts silence only from when this node could see.
--- a/crates/pier_control/src/planning/planner_settings.rs
+++ b/crates/pier_control/src/planning/planner_settings.rs
@@ -13,7 +13,7 @@
     pub dark_hold: time::Duration,
     /// A domain is dark when this part of its VMs is silent, in thousandths.
     pub dark_permille: usize,
-    /// Silence of this part of the whole data centre is taken for a fault of the planner's own
+    /// Silence of more than this part of the data centre is taken for a fault of the planner's own
     /// view, in thousandths; no VM is then replaced for its silence.
     pub doubt_permille: usize,
     /// One spare VM is kept for so many members in a domain.
--- a/crates/pier_control/src/planning/vm_index.rs
+++ b/crates/pier_control/src/planning/vm_index.rs
@@ -160,7 +160,7 @@
         }
         let total: usize = counts.values().map(|count| count.total).sum();
         let silent: usize = counts.values().map(|count| count.silent).sum();
-        self.is_doubtful = silent > 0 && silent * 1_000 >= total * settings.doubt_permille;
+        self.is_doubtful = silent * 1_000 > total * settings.doubt_permille;
         let held = counts.into_iter().filter(|(_domain, count)| {
             let is_dark =
                 count.silent > 1 && count.silent * 1_000 >= count.total * settings.dark_permille;
