Weigh only requests that have not ended; make the tests steady

Tests that set faults on every call had them used up by the calls for cache events; they name the path now. One took a port whose listener was still closing; it takes a port that is closed. Waits that were sleeps poll for what they wait for.

--- a/crates/pier_node/src/requests/request_state.rs
+++ b/crates/pier_node/src/requests/request_state.rs
@@ -97,6 +97,11 @@
         counts.collect()
     }
 
+    /// Returns how many prefixes are known to be cached somewhere.
+    pub fn prefix_count(&self) -> usize {
+        self.prefixes.load().len()
+    }
+
     /// Returns crashes to tell other nodes, in one datagram of so many marks.
     pub fn crash_delta(&self, limit: usize) -> quarantine::CrashDelta {
         unpoisoned(&self.crashes).delta(clocks::boot_now(), limit)
--- a/crates/pier_node/tests/requests/engines.rs
+++ b/crates/pier_node/tests/requests/engines.rs
@@ -36,7 +36,7 @@
         let poison = test_node::completion(test_node::LARGE_KEY, "poison", false);
         let answer = node.send(poison).await;
         codes.push((answer.code(), answer.outcome()));
-        tokio::time::sleep(time::Duration::from_millis(50)).await;
+        node.wait_for_crashes(2).await;
     }
     let crashed = engines
         .iter()
@@ -57,6 +57,31 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashed_targets_is_refused_by_nodes_that_heard_of_it() {
+    let platform = test_node::launch_platform().await;
+    let [first, second] = [(); 2].map(|()| test_node::TestNode::launch(platform.address()));
+    let engines = launch_engines(&first, 4).await;
+    for engine in &engines {
+        let crash = fault::FaultKind::CrashOnPrompt {
+            marker: "poison".to_owned(),
+            for_ms: 0,
+            exit: false,
+        };
+        engine.set_fault(fault::FaultSpec::new(crash));
+    }
+    let poison = test_node::completion(test_node::LARGE_KEY, "poison", false);
+    assert_eq!(first.send(poison.clone()).await.outcome(), "unknown");
+    first.wait_for_crashes(2).await;
+    let delta = first.handle.requests().crash_delta(10);
+    second.handle.requests().merge_crashes(&delta);
+    let refused = second.send(poison).await;
+    assert_eq!(
+        (refused.code(), refused.outcome().as_str()),
+        (2006, "not-run")
+    );
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn connections_cut_by_targets_that_live_on_put_nobody_away() {
     let platform = test_node::launch_platform().await;
@@ -64,8 +89,10 @@
     for number in 0..3 {
         let name = format!("vm-{number}");
         let engine = test_node::launch_engine(&name).await;
-        let cut = fault::FaultSpec::new(fault::FaultKind::LoseRequest);
-        engine.set_fault(cut.count(1));
+        engine.set_fault(fault::FaultSpec {
+            path: Some("v1/completions".to_owned()),
+            ..fault::FaultSpec::new(fault::FaultKind::LoseRequest).count(1)
+        });
         node.publish_once(&[test_node::target(&name, engine.address())]);
         let asked = test_node::completion(test_node::SMALL_KEY, "draft", false);
         let answer = node.send(asked).await;
@@ -136,8 +163,7 @@
     let asked = test_node::completion(test_node::LARGE_KEY, "a long shared preface", false);
     assert_eq!(node.send(asked.clone()).await.status, 200);
     let first = served();
-    // Time for each engine to be asked for its events.
-    tokio::time::sleep(time::Duration::from_millis(1_500)).await;
+    node.wait_for_prefix().await;
     for _ in 0..6 {
         assert_eq!(node.send(asked.clone()).await.status, 200);
     }
--- a/crates/pier_node/tests/requests/forwards.rs
+++ b/crates/pier_node/tests/requests/forwards.rs
@@ -2,12 +2,12 @@
 
 use std::{net, sync, time};
 
-use pier_fakes::{fault, service};
+use pier_fakes::service;
 use pier_node::{forwards, handle};
 use tokio::io::AsyncReadExt as _;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::test_node;
+use crate::{cutting_target, test_node};
 
 /// Starts the side of a node that takes requests over; returns what others know of it.
 async fn listen(node: &test_node::TestNode, data_centre: &str) -> handle::PeerEntry {
@@ -176,10 +176,8 @@
     let platform = test_node::launch_platform().await;
     let entry = test_node::TestNode::launch(platform.address());
     let other = test_node::TestNode::launch(platform.address());
-    let ledger = test_node::launch_ledger("ledger-1").await;
-    let lost = fault::FaultSpec::new(fault::FaultKind::EffectWithoutReply);
-    ledger.set_fault(lost.count(1));
-    other.publish(vec![test_node::target("ledger-1", ledger.address())]);
+    let cutting = cutting_target::CuttingTarget::launch().await;
+    other.publish(vec![test_node::target("ledger-1", cutting.address)]);
     entry.publish(Vec::new());
     entry
         .handle
@@ -190,5 +188,5 @@
         (answer.code(), answer.outcome().as_str()),
         (4002, "unknown")
     );
-    assert_eq!(runs(&ledger), 1);
+    assert_eq!(cutting.taken(), 1);
 }
--- a/crates/pier_node/tests/requests/main.rs
+++ b/crates/pier_node/tests/requests/main.rs
@@ -1,6 +1,7 @@
 //! Proves the promises of one request on the node's own path, against stand-ins that record what
 //! really ran.
 
+mod cutting_target;
 mod engines;
 mod forwards;
 mod one_time;
--- a/crates/pier_node/tests/requests/one_time.rs
+++ b/crates/pier_node/tests/requests/one_time.rs
@@ -3,7 +3,7 @@
 use pier_fakes::{fault, platform, service};
 use pier_node::callers;
 
-use crate::test_node;
+use crate::{cutting_target, test_node};
 
 struct OneTimeBench {
     platform: platform::FakePlatform,
@@ -27,6 +27,15 @@
         }
     }
 
+    /// Puts a target in the ledger's place that takes requests and never answers.
+    async fn cut_ledger(&self) -> cutting_target::CuttingTarget {
+        let cutting = cutting_target::CuttingTarget::launch().await;
+        for node in &self.nodes {
+            node.publish(vec![test_node::target("ledger-1", cutting.address)]);
+        }
+        cutting
+    }
+
     /// Sends a charge through each node in turn and returns the answers.
     async fn send_twice(&self, charge: &callers::CallerRequest) -> [test_node::TestAnswer; 2] {
         let first = self.nodes[0].send(charge.clone()).await;
@@ -98,15 +107,14 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_answer_of_the_ledger_is_unknown_and_never_repeated() {
     let bench = OneTimeBench::launch().await;
-    let lost = fault::FaultSpec::new(fault::FaultKind::EffectWithoutReply);
-    bench.ledger.set_fault(lost.count(1));
+    let cutting = bench.cut_ledger().await;
     let [first, second] = bench.send_twice(&test_node::charge("charge_05")).await;
     assert_eq!((first.code(), first.outcome().as_str()), (4002, "unknown"));
     assert_eq!(
         (second.code(), second.outcome().as_str()),
         (4006, "unknown")
     );
-    assert_eq!(bench.runs(), 1);
+    assert_eq!(cutting.taken(), 1);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -174,13 +182,25 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn without_a_key_nothing_is_repeated_that_may_not_be() {
     let bench = OneTimeBench::launch().await;
-    let lost = fault::FaultSpec::new(fault::FaultKind::EffectWithoutReply);
-    bench.ledger.set_fault(lost.count(1));
+    let cutting = bench.cut_ledger().await;
     let post = test_node::request(test_node::LARGE_KEY, "POST", "/services/libro/charges", "1");
     let answer = bench.nodes[0].send(post).await;
     assert_eq!(
         (answer.code(), answer.outcome().as_str()),
         (4002, "unknown")
     );
-    assert_eq!(bench.runs(), 1);
+    assert_eq!(cutting.taken(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_may_be_repeated_is_within_the_limit_of_attempts() {
+    let bench = OneTimeBench::launch().await;
+    let cutting = bench.cut_ledger().await;
+    let get = test_node::request(test_node::LARGE_KEY, "GET", "/services/libro/balance", "");
+    let answer = bench.nodes[0].send(get).await;
+    assert_eq!(
+        (answer.code(), answer.outcome().as_str()),
+        (4002, "unknown")
+    );
+    assert!((2..=3).contains(&cutting.taken()), "{}", cutting.taken());
 }
--- a/crates/pier_node/tests/requests/refusals.rs
+++ b/crates/pier_node/tests/requests/refusals.rs
@@ -92,9 +92,10 @@
 async fn a_target_that_can_not_be_reached_is_a_certain_not_run() {
     let platform = test_node::launch_platform().await;
     let node = test_node::TestNode::launch(platform.address());
-    let engine = test_node::launch_engine("vm-0").await;
-    let address = engine.address();
-    drop(engine);
+    // A port that was free a moment ago; nobody listens there.
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
     node.publish(vec![test_node::target("vm-0", address)]);
     for key in [test_node::LARGE_KEY, test_node::SMALL_KEY] {
         let answer = node.send(test_node::completion(key, "draft", false)).await;
--- a/crates/pier_node/tests/requests/streams.rs
+++ b/crates/pier_node/tests/requests/streams.rs
@@ -29,7 +29,10 @@
 
     fn set_fault(&self, kind: &fault::FaultKind, count: u32) {
         for engine in &self.engines {
-            engine.set_fault(fault::FaultSpec::new(kind.clone()).count(count));
+            engine.set_fault(fault::FaultSpec {
+                path: Some("v1/completions".to_owned()),
+                ..fault::FaultSpec::new(kind.clone()).count(count)
+            });
         }
     }
 
--- a/crates/pier_node/tests/requests/test_node.rs
+++ b/crates/pier_node/tests/requests/test_node.rs
@@ -8,6 +8,7 @@
 use pier_node::{callers, handle, requests, settings, telemetry};
 use pier_types::{epochs, ids, reports, routes, sizes, times::clocks};
 use serde_json::Value;
+use tokio::task;
 
 /// Bearer key of the customer that may repeat completions.
 pub const LARGE_KEY: &str = "sample-key-facturacion";
@@ -24,6 +25,7 @@
 pub struct TestNode {
     /// The handle.
     pub handle: handle::NodeHandle,
+    republishing: sync::Mutex<Option<task::JoinHandle<()>>>,
 }
 
 /// What a caller was told.
@@ -97,20 +99,26 @@
             document: sample.parse::<documents::ConfigDocument>().unwrap(),
             text: sample.to_owned(),
         });
-        Self { handle }
+        Self {
+            handle,
+            republishing: sync::Mutex::default(),
+        }
     }
 
-    /// Publishes the targets, and goes on doing so.
+    /// Publishes the targets, and goes on doing so until others are published.
     pub fn publish(&self, targets: Vec<routes::RouteTarget>) {
+        if let Some(former) = self.republishing.lock().unwrap().take() {
+            former.abort();
+        }
+        self.publish_once(&targets);
         let handle = self.handle.clone();
-        handle.publish_evidence(targets.iter().map(evidence_of).collect());
-        handle.publish_routes(table_of(&targets));
-        tokio::spawn(async move {
+        let republishing = tokio::spawn(async move {
             loop {
                 tokio::time::sleep(time::Duration::from_millis(100)).await;
                 handle.publish_routes(table_of(&targets));
             }
         });
+        *self.republishing.lock().unwrap() = Some(republishing);
     }
 
     /// Publishes the targets once.
@@ -140,16 +148,31 @@
         }
     }
 
+    /// Waits until the node knows of so many crashes.
+    pub async fn wait_for_crashes(&self, count: usize) {
+        wait_until(|| self.handle.requests().crash_delta(100).marks.len() >= count).await;
+    }
+
+    /// Waits until the node knows where a prefix is cached.
+    pub async fn wait_for_prefix(&self) {
+        wait_until(|| self.handle.requests().prefix_count() > 0).await;
+    }
+
     /// Waits until no request is in progress, so that every outcome is recorded.
     pub async fn settle(&self) {
-        for _ in 0..1_000 {
-            if self.handle.requests_in_progress() == 0 {
-                return;
-            }
-            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        wait_until(|| self.handle.requests_in_progress() == 0).await;
+    }
+}
+
+/// Polls until something holds; a test that waits in vain fails.
+async fn wait_until(holds: impl Fn() -> bool) {
+    for _ in 0..2_000 {
+        if holds() {
+            return;
         }
-        panic!("requests are still in progress");
+        tokio::time::sleep(time::Duration::from_millis(5)).await;
     }
+    panic!("waited in vain");
 }
 
 /// Makes the table of the targets: accelerators serve the model, the others the ledger.
--- a/crates/pier_request/src/routing/route_entry.rs
+++ b/crates/pier_request/src/routing/route_entry.rs
@@ -41,8 +41,12 @@
         };
         let sent = self.counter.sent_since(load.probed_at);
         let ended = self.counter.finished().wrapping_sub(self.finished_base);
-        let corrected = trusted.saturating_add(sent).saturating_sub(ended);
-        corrected.max(self.counter.in_flight().get())
+        let in_flight = self.counter.in_flight().get();
+        // Sends are counted by buckets of time; what has ended already weighs nothing.
+        let added = sent.saturating_sub(ended).min(in_flight);
+        let removed = ended.saturating_sub(sent);
+        let corrected = trusted.saturating_add(added).saturating_sub(removed);
+        corrected.max(in_flight)
     }
 
     /// Returns how loaded it would be with one more request; smaller is better.
--- a/crates/pier_request/tests/routing_keeps_shares_and_spreads_load.rs
+++ b/crates/pier_request/tests/routing_keeps_shares_and_spreads_load.rs
@@ -200,6 +200,26 @@
     assert_eq!(load(&view.replace(&table, &own, &mut counters)), 4);
 }
 
+#[test]
+fn short_requests_before_a_report_do_not_weigh_after_it() {
+    let mut counters = routing::CounterRegistry::default();
+    let own = "a".parse().unwrap();
+    let table = TableBuilder::default().add(0, "a", 9, 1).build();
+    let view = routing::RoutingView::default().replace(&table, &own, &mut counters);
+    for random in 0..5 {
+        drop(pool_of(&view).choose(&question(random)));
+    }
+    // The next probe falls into the same bucket of time as the sends.
+    let later = NOW.after(time::Duration::from_millis(1));
+    let mut table = table;
+    for target in table.pools.values_mut().flatten() {
+        sync::Arc::make_mut(target).load.probed_at = later;
+    }
+    let view = view.replace(&table, &own, &mut counters);
+    let entry = pool_of(&view).entries().next().unwrap();
+    assert_eq!(entry.estimated_load(later), 1);
+}
+
 #[test]
 fn a_target_not_heard_of_for_long_does_not_look_idle() {
     let table = TableBuilder::default().add(0, "a", 8, 0).build();
