End a drain although callers keep idle connections open

Cause: the server's grace was the whole drain limit (600 s), and it waits that long for idle connections; a node with one idle connection had not exited 15 s after SIGTERM. Ruled out: requests in progress; the count was 0. A draining node also answers with connection: close, so that no idle connection brings a late request. Conclusion: the node waits for requests itself; the server's grace is for connections only.

--- a/crates/pier_matrix/src/plays/call_outcome.rs
+++ b/crates/pier_matrix/src/plays/call_outcome.rs
@@ -43,12 +43,14 @@
 
 fn delta_of(event: &str) -> Option<String> {
     let event: serde_json::Value = serde_json::from_str(event).ok()?;
-    let text = event.pointer("/choices/0/delta/content")?;
+    let chat = event.pointer("/choices/0/delta/content");
+    let text = chat.or_else(|| event.pointer("/choices/0/text"))?;
     text.as_str().map(str::to_owned)
 }
 
 fn message_of(body: &str) -> Option<String> {
     let body: serde_json::Value = serde_json::from_str(body).ok()?;
-    let text = body.pointer("/choices/0/message/content")?;
+    let chat = body.pointer("/choices/0/message/content");
+    let text = chat.or_else(|| body.pointer("/choices/0/text"))?;
     text.as_str().map(str::to_owned)
 }
--- a/crates/pier_matrix/src/plays/case_judge.rs
+++ b/crates/pier_matrix/src/plays/case_judge.rs
@@ -99,7 +99,7 @@
             return Ok(());
         };
         let wanted = engine::AnswerText::new(&call.mark, tokens).whole();
-        let found = answer_text(outcome);
+        let found = outcome.text();
         anyhow::ensure!(found == wanted, "{label} got {found:?} and not {wanted:?}");
         Ok(())
     }
@@ -158,12 +158,3 @@
     let open = entry.ended_at.is_none_or(|end| end > moment);
     entry.arrived_at <= moment && open
 }
-
-/// Returns the text of an answer of either route.
-fn answer_text(outcome: &plays::CallOutcome) -> String {
-    let plain: serde_json::Value = serde_json::from_str(&outcome.body).unwrap_or_default();
-    if let Some(text) = plain.pointer("/choices/0/text") {
-        return text.as_str().unwrap_or_default().to_owned();
-    }
-    outcome.text()
-}
--- a/crates/pier_node/src/callers/caller_routes.rs
+++ b/crates/pier_node/src/callers/caller_routes.rs
@@ -66,6 +66,15 @@
         plain(503, "not ready\n")
     }
 
+    /// Asks callers to reconnect elsewhere, so that no idle connection brings a request while the
+    /// server stops.
+    fn part_if_draining<'r>(&self, mut response: Response<'r>) -> Response<'r> {
+        if self.handle.is_draining() {
+            response.set_header(Header::new("connection", "close"));
+        }
+        response
+    }
+
     async fn serve(&self, head: &Request<'_>, data: Data<'_>) -> callers::CallerReply {
         let arrived_at = times::clocks::boot_now();
         let body = match read_body(data).await {
@@ -85,7 +94,7 @@
         let guard = self.handle.begin_request();
         let reply = self.answer(request, data).await;
         match response_of(reply, guard, request) {
-            Ok(response) => Outcome::Success(response),
+            Ok(response) => Outcome::Success(self.part_if_draining(response)),
             Err(status) => Outcome::Error(status),
         }
     }
--- a/crates/pier_node/src/daemon/node_daemon.rs
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -129,10 +129,7 @@
     async fn launch_callers(handle: &handle::NodeHandle) -> anyhow::Result<daemon::WebServer> {
         let settings = handle.settings();
         let routes = callers::CallerRoutes::new(handle.clone()).routes();
-        daemon::WebServer::launch(settings.callers, settings.drain_limit, |rocket| {
-            rocket.mount("/", routes)
-        })
-        .await
+        daemon::WebServer::launch(settings.callers, |rocket| rocket.mount("/", routes)).await
     }
 
     async fn launch_forwards(handle: &handle::NodeHandle) -> anyhow::Result<net::SocketAddr> {
@@ -155,7 +152,7 @@
     async fn launch_operators(handle: &handle::NodeHandle) -> anyhow::Result<daemon::WebServer> {
         let settings = handle.settings();
         let handle = handle.clone();
-        daemon::WebServer::launch(settings.operators, settings.drain_limit, |rocket| {
+        daemon::WebServer::launch(settings.operators, |rocket| {
             let routes = operators::OperatorRoutes::routes();
             rocket.manage(handle).mount("/", routes)
         })
--- a/crates/pier_node/src/daemon/web_server.rs
+++ b/crates/pier_node/src/daemon/web_server.rs
@@ -1,12 +1,19 @@
 //! One HTTP server of a node.
 
-use std::{net, time};
+use std::net;
 
 use anyhow::Context as _;
 use rocket::figment::Figment;
 use rocket::tokio::task;
 use tokio::sync::oneshot;
 
+/// Time that connections without a request may stay open at a stop, in seconds. The node waits for
+/// requests in progress itself, before it stops the server.
+const GRACE_SECONDS: u32 = 2;
+
+/// Time after that until what is left is closed, in seconds.
+const MERCY_SECONDS: u32 = 1;
+
 /// A running server.
 #[derive(Debug)]
 pub(super) struct WebServer {
@@ -23,11 +30,10 @@
     /// Fails when the address can not be bound.
     pub(super) async fn launch(
         address: net::SocketAddr,
-        drain_limit: time::Duration,
         configure: impl FnOnce(rocket::Rocket<rocket::Build>) -> rocket::Rocket<rocket::Build>,
     ) -> anyhow::Result<Self> {
         let (sender, receiver) = oneshot::channel();
-        let rocket = configure(rocket::custom(figment(address, drain_limit)));
+        let rocket = configure(rocket::custom(figment(address)));
         let rocket = rocket.attach(report_port(sender)).ignite().await;
         let rocket = rocket.map_err(|error| anyhow::anyhow!("server on {address}: {error}"))?;
         let shutdown = rocket.shutdown();
@@ -69,8 +75,7 @@
     })
 }
 
-fn figment(address: net::SocketAddr, drain_limit: time::Duration) -> Figment {
-    let grace = u32::try_from(drain_limit.as_secs()).unwrap_or(u32::MAX);
+fn figment(address: net::SocketAddr) -> Figment {
     let config = rocket::Config {
         address: address.ip(),
         port: address.port(),
@@ -81,8 +86,8 @@
         shutdown: rocket::config::Shutdown {
             ctrlc: false,
             signals: std::collections::HashSet::new(),
-            grace,
-            mercy: 1,
+            grace: GRACE_SECONDS,
+            mercy: MERCY_SECONDS,
             force: false,
             ..rocket::config::Shutdown::default()
         },
