--- a/crates/pier_node/tests/requests/main.rs
+++ b/crates/pier_node/tests/requests/main.rs
@@ -5,6 +5,7 @@
 mod engines;
 mod forwards;
 mod one_time;
+mod one_time_streams;
 mod refusals;
 mod streams;
 mod test_node;
--- a/crates/pier_node/tests/requests/streams.rs
+++ b/crates/pier_node/tests/requests/streams.rs
@@ -4,18 +4,17 @@
 
 use pier_fakes::{engine, fault, platform};
 use pier_node::{callers, requests};
-use pier_types::times::clocks;
 
 use crate::test_node;
 
-struct StreamBench {
+pub struct StreamBench {
     _platform: platform::FakePlatform,
-    engines: Vec<engine::FakeEngine>,
-    node: test_node::TestNode,
+    pub engines: Vec<engine::FakeEngine>,
+    pub node: test_node::TestNode,
 }
 
 impl StreamBench {
-    async fn launch(count: usize) -> Self {
+    pub async fn launch(count: usize) -> Self {
         let platform = test_node::launch_platform().await;
         let node = test_node::TestNode::launch(platform.address());
         let mut engines = Vec::new();
@@ -33,7 +32,7 @@
         }
     }
 
-    fn set_fault(&self, kind: &fault::FaultKind, count: u32) {
+    pub fn set_fault(&self, kind: &fault::FaultKind, count: u32) {
         for engine in &self.engines {
             engine.set_fault(fault::FaultSpec {
                 path: Some("v1/completions".to_owned()),
@@ -42,7 +41,7 @@
         }
     }
 
-    fn runs(&self) -> usize {
+    pub fn runs(&self) -> usize {
         let records = self.engines.iter().map(|engine| engine.record().entries());
         records.flatten().filter(|entry| entry.started).count()
     }
@@ -53,7 +52,7 @@
     }
 }
 
-fn in_order() -> Vec<u64> {
+pub fn in_order() -> Vec<u64> {
     (0..12).collect()
 }
 
@@ -240,65 +239,3 @@
     );
     assert!(!text.contains("[DONE]"));
 }
-
-fn with_key(mut request: callers::CallerRequest, unique: &str) -> callers::CallerRequest {
-    let key = format!("{}-{unique}", clocks::wall_now());
-    request.headers.insert("idempotency-key".to_owned(), key);
-    request
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn a_stream_with_a_key_runs_once_and_is_replayed_whole() {
-    let bench = StreamBench::launch(2).await;
-    let asked = test_node::completion(test_node::LARGE_KEY, "draft", true);
-    let asked = with_key(asked, "stream_01");
-    let first = bench.node.send(asked.clone()).await;
-    bench.node.settle().await;
-    let second = bench.node.send(asked).await;
-    assert_eq!(first.indexes(), in_order());
-    assert_eq!((first.status, &first.text), (second.status, &second.text));
-    assert_eq!(bench.runs(), 1);
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn a_broken_stream_with_a_key_is_never_resumed() {
-    let bench = StreamBench::launch(2).await;
-    let broken = fault::FaultKind::HalfAnswer {
-        tokens: 5,
-        clean_end: true,
-    };
-    bench.set_fault(&broken, 1);
-    let asked = test_node::completion(test_node::LARGE_KEY, "draft", true);
-    let asked = with_key(asked, "stream_02");
-    let first = bench.node.send(asked.clone()).await;
-    bench.node.settle().await;
-    let second = bench.node.send(asked).await;
-    assert_eq!((first.code(), first.outcome().as_str()), (4004, "unknown"));
-    assert_eq!(
-        (second.code(), second.outcome().as_str()),
-        (4006, "unknown")
-    );
-    assert_eq!(bench.runs(), 1);
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn a_stream_with_a_key_runs_to_its_end_when_its_caller_leaves() {
-    let bench = StreamBench::launch(1).await;
-    bench.engines[0].set_fault(fault::FaultSpec::new(fault::FaultKind::TokenTime {
-        ms: 20,
-    }));
-    let asked = test_node::completion(test_node::LARGE_KEY, "draft", true);
-    let asked = with_key(asked, "stream_03");
-    let path = requests::RequestPath::new(bench.node.handle.clone());
-    let reply = path.serve(asked.clone()).await;
-    let callers::ReplyBody::Stream(mut parts) = reply.body else {
-        panic!("no stream");
-    };
-    parts.recv().await.unwrap();
-    drop(parts);
-    bench.node.settle().await;
-    let answer = bench.node.send(asked).await;
-    assert_eq!(answer.indexes(), in_order());
-    assert!(answer.text.ends_with("data: [DONE]\n\n"));
-    assert_eq!(bench.runs(), 1);
-}
