Tell a caller the refusal of the data centre that was asked

Cause: a request passed on to a full data centre was refused as if no target existed anywhere. Ruled out: the gossip; the node had reached the other data centre, whose cold group was full. Conclusion: the last refusal by a node with targets goes before the own one.

--- a/crates/pier_matrix/src/bench/bench_target.rs
+++ b/crates/pier_matrix/src/bench/bench_target.rs
@@ -20,7 +20,7 @@
 }
 
 impl BenchTarget {
-    /// Starts a model engine.
+    /// Starts a model engine; a preloaded one holds the bench's model, cold and in no group.
     ///
     /// # Errors
     ///
@@ -29,9 +29,17 @@
         settings: engine::EngineSettings,
         data_centre: &str,
         domain: &str,
+        is_preloaded: bool,
     ) -> anyhow::Result<Self> {
         let name = settings.vm.clone();
-        let server = engine::FakeEngine::builder(settings).launch().await?;
+        let mut builder = engine::FakeEngine::builder(settings);
+        if is_preloaded {
+            builder = builder.preload("draft".parse()?);
+        }
+        let server = builder.launch().await?;
+        if is_preloaded {
+            server.set_fault(fault::FaultSpec::new(fault::FaultKind::Cold));
+        }
         let address = server.address();
         let entry = entry_of(name, address, data_centre, domain, vms::VmPool::Accelerator)?;
         let server = TargetServer::Engine(server);
--- a/crates/pier_matrix/src/bench/test_bench.rs
+++ b/crates/pier_matrix/src/bench/test_bench.rs
@@ -110,9 +110,11 @@
         settings: engine::EngineSettings,
         data_centre: &str,
         domain: &str,
+        is_preloaded: bool,
     ) -> anyhow::Result<()> {
         let name = settings.vm.to_string();
-        let target = bench::BenchTarget::engine(settings, data_centre, domain).await?;
+        let launching = bench::BenchTarget::engine(settings, data_centre, domain, is_preloaded);
+        let target = launching.await?;
         self.targets.insert(name, target);
         self.publish_list();
         Ok(())
--- a/crates/pier_matrix/src/plays/case_player.rs
+++ b/crates/pier_matrix/src/plays/case_player.rs
@@ -129,7 +129,11 @@
             if let Some(limit) = line.option("cold-limit") {
                 settings.cold_limit = limit.parse()?;
             }
-            self.bench.add_engine(settings, data_centre, domain).await?;
+            let is_preloaded = self.target == plays::PlayTarget::BlindRetrier;
+            let adding = self
+                .bench
+                .add_engine(settings, data_centre, domain, is_preloaded);
+            adding.await?;
         }
         Ok(())
     }
@@ -165,7 +169,10 @@
                 let address = node.context("no such node")?.callers();
                 let client = self.client.clone();
                 let call = sync::Arc::clone(&call);
-                task::spawn(async move { send_once(&client, &address.to_string(), &call).await })
+                let timeout = time::Duration::from_millis(call.deadline_ms) + PATIENCE;
+                task::spawn(async move {
+                    send_once(&client, &address.to_string(), &call, timeout).await
+                })
             }
             plays::PlayTarget::BlindRetrier => {
                 let targets = self.bench.target_addresses();
@@ -307,6 +314,7 @@
     client: &reqwest::Client,
     address: &str,
     call: &plays::CallEntry,
+    timeout: time::Duration,
 ) -> plays::CallOutcome {
     let method = reqwest::Method::from_bytes(call.method.as_bytes());
     let method = method.unwrap_or(reqwest::Method::POST);
@@ -315,7 +323,7 @@
         .bearer_auth(&call.bearer)
         .header("x-deadline-ms", call.deadline_ms.to_string())
         .header("content-type", "application/json")
-        .timeout(time::Duration::from_millis(call.deadline_ms) + PATIENCE)
+        .timeout(timeout)
         .body(call.body.clone());
     if let Some(key) = &call.key {
         request = request.header("idempotency-key", key);
@@ -354,9 +362,7 @@
     let mut received = String::new();
     for target in targets.iter().cycle().take(BLIND_SENDS * targets.len()) {
         let address = target.to_string();
-        let sending = send_once(client, &address, &call);
-        let sent = tokio::time::timeout(BLIND_TIMEOUT, sending).await;
-        outcome = sent.unwrap_or_default();
+        outcome = send_once(client, &address, &call, BLIND_TIMEOUT).await;
         if outcome.is_whole() {
             outcome.body.insert_str(0, &received);
             return outcome;
--- a/crates/pier_node/src/requests/forward_run.rs
+++ b/crates/pier_node/src/requests/forward_run.rs
@@ -24,8 +24,9 @@
 
 /// What becomes of a request after a node did not answer it.
 enum ForwardNext {
-    /// It certainly did not run there; another node may take it.
-    TryNext,
+    /// It certainly did not run there; another node may take it. A refusal tells more than this
+    /// node's own, which has no targets.
+    TryNext(Option<callers::ErrorBody>),
     /// It may have run there, and may be repeated.
     Repeat(callers::ErrorBody),
     /// Nobody else may take it.
@@ -58,10 +59,11 @@
         };
         // Once it may have run somewhere, no later refusal may say that it did not.
         let mut lost = None;
+        let mut refusal = refusal;
         for peer in run.candidates() {
             match run.send(&peer, parent).await {
                 Ok(reply) => return Ok(reply),
-                Err(ForwardNext::TryNext) => {}
+                Err(ForwardNext::TryNext(told)) => refusal = told.unwrap_or(refusal),
                 Err(ForwardNext::Repeat(error)) => lost = Some(error),
                 Err(ForwardNext::Stop(error)) => return Err(lost.unwrap_or(error)),
             }
@@ -124,21 +126,14 @@
 
     fn after(&self, peer: &handle::PeerEntry, error: forwards::ForwardError) -> ForwardNext {
         match error {
-            forwards::ForwardError::NotSent { .. } => ForwardNext::TryNext,
+            forwards::ForwardError::NotSent { .. } => ForwardNext::TryNext(None),
             forwards::ForwardError::Refused(failure)
                 if may_help(failure.code) && failure.outcome == codes::RunOutcome::NotRun =>
             {
                 self.spare(peer, &failure);
-                ForwardNext::TryNext
-            }
-            forwards::ForwardError::Refused(failure) => {
-                let error = callers::ErrorBody::new(failure.code, failure.code.meaning())
-                    .outcome(failure.outcome);
-                ForwardNext::Stop(match failure.retry_after_ms {
-                    Some(millis) => error.retry_after_ms(millis.into()),
-                    None => error,
-                })
+                ForwardNext::TryNext(Some(error_of(&failure)))
             }
+            forwards::ForwardError::Refused(failure) => ForwardNext::Stop(error_of(&failure)),
             forwards::ForwardError::Lost { cause } => {
                 let code = codes::ResultCode::NodeLost;
                 let error = callers::ErrorBody::new(code, cause);
@@ -164,6 +159,16 @@
     }
 }
 
+/// Returns what the caller is told of another node's refusal.
+fn error_of(failure: &frames::AnswerFailure) -> callers::ErrorBody {
+    let error = callers::ErrorBody::new(failure.code, failure.code.meaning());
+    let error = error.outcome(failure.outcome);
+    match failure.retry_after_ms {
+        Some(millis) => error.retry_after_ms(millis.into()),
+        None => error,
+    }
+}
+
 /// Tells whether another data centre may have what this one lacks.
 const fn may_help(code: codes::ResultCode) -> bool {
     matches!(
