Show the main job in one process on loopback

Cause: a first look needs no settings. The demonstration starts the ordinary stand-ins and nodes, prints what each caller was told beside what the stand-ins recorded, and judges nothing. A log is started first: without one the HTTP library prints lines of its own while several servers start.

--- /dev/null
+++ b/crates/buckthornpier/src/demo/demo_answer.rs
@@ -0,0 +1,93 @@
+//! What a caller of the demonstration was told.
+
+use std::fmt;
+
+use serde_json::Value;
+
+/// An answer, read for display.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct DemoAnswer {
+    /// The HTTP status.
+    pub(super) status: u16,
+    /// The answer's text, or the refusal in a few words.
+    pub(super) text: String,
+    /// Whether it is a whole answer.
+    pub(super) whole: bool,
+}
+
+impl DemoAnswer {
+    /// Reads a body.
+    pub(super) fn read(status: u16, body: &str) -> Self {
+        if body.starts_with("data: ") || body.starts_with("event: ") {
+            return Self::read_stream(status, body);
+        }
+        let value = serde_json::from_str::<Value>(body).unwrap_or_default();
+        if value["error"].is_object() {
+            return Self::refusal(status, &value["error"]);
+        }
+        let choice = &value["choices"][0];
+        let text = choice["message"]["content"].as_str();
+        let receipt = || format!("receipt {}", value["receipt"]);
+        Self {
+            status,
+            text: text.map_or_else(receipt, str::to_owned),
+            whole: true,
+        }
+    }
+
+    fn read_stream(status: u16, body: &str) -> Self {
+        let mut text = String::new();
+        for event in body.split("\n\n") {
+            if let Some(data) = event.strip_prefix("event: error\ndata: ") {
+                let value = serde_json::from_str::<Value>(data).unwrap_or_default();
+                return Self::refusal(status, &value["error"]);
+            }
+            match event.strip_prefix("data: ") {
+                Some("[DONE]") => {
+                    return Self {
+                        status,
+                        text,
+                        whole: true,
+                    };
+                }
+                Some(data) => {
+                    let value = serde_json::from_str::<Value>(data).unwrap_or_default();
+                    let token = value["choices"][0]["delta"]["content"].as_str();
+                    text.push_str(token.unwrap_or_default());
+                }
+                None => {}
+            }
+        }
+        Self {
+            status,
+            text,
+            whole: false,
+        }
+    }
+
+    fn refusal(status: u16, error: &Value) -> Self {
+        let word = |name: &str| error[name].as_str().unwrap_or_default().to_owned();
+        Self {
+            status,
+            text: format!(
+                "code {} {}, outcome {}: {}",
+                error["code"],
+                word("name"),
+                word("outcome"),
+                word("message")
+            ),
+            whole: false,
+        }
+    }
+}
+
+impl fmt::Display for DemoAnswer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let kind = if self.whole {
+            "whole answer"
+        } else {
+            "no whole answer"
+        };
+        write!(f, "HTTP {}, {kind}: {}", self.status, self.text)
+    }
+}
--- /dev/null
+++ b/crates/buckthornpier/src/demo/demo_stage.rs
@@ -0,0 +1,151 @@
+//! The stand-ins and nodes of the demonstration.
+
+use std::time;
+
+use anyhow::Context as _;
+use pier_fakes::{engine, fault, platform, record, service};
+use pier_node::{daemon, settings};
+use pier_types::{epochs, vms};
+
+use crate::demo::demo_document;
+
+/// Time that an engine takes for one token.
+const TOKEN_TIME: time::Duration = time::Duration::from_millis(10);
+
+/// The key between the nodes; they live in one process and only on loopback.
+const PEER_KEY: &str = "only-nodes-of-the-demonstration-know-this";
+
+/// Everything that runs.
+#[derive(Debug)]
+pub(super) struct DemoStage {
+    /// The platform.
+    pub(super) platform: platform::FakePlatform,
+    /// The engines.
+    pub(super) engines: Vec<engine::FakeEngine>,
+    /// The plain service.
+    pub(super) ledger: service::FakeService,
+    /// The nodes.
+    pub(super) nodes: Vec<daemon::NodeDaemon>,
+}
+
+impl DemoStage {
+    /// Starts stand-ins and nodes on ports that the system chooses.
+    pub(super) async fn launch() -> anyhow::Result<Self> {
+        let platform = platform::FakePlatform::builder().launch().await?;
+        let mut engines = Vec::new();
+        for number in 1..=demo_document::GROUPS * demo_document::MEMBERS {
+            engines.push(launch_engine(number).await?);
+        }
+        let ledger = service::FakeService::builder("ledger-1".parse()?);
+        let mut stage = Self {
+            platform,
+            engines,
+            ledger: ledger.launch().await?,
+            nodes: Vec::new(),
+        };
+        stage.publish().await?;
+        for _number in 0..demo_document::NODES {
+            stage.add_node().await?;
+        }
+        Ok(stage)
+    }
+
+    /// Sets a fault on every engine.
+    pub(super) fn strike_engines(&self, spec: &fault::FaultSpec) {
+        for engine in &self.engines {
+            engine.set_fault(spec.clone());
+        }
+    }
+
+    /// Ends every fault.
+    pub(super) fn clear_faults(&self) {
+        self.platform.clear_faults();
+        for engine in &self.engines {
+            engine.clear_faults();
+        }
+    }
+
+    /// Returns the runs of a prompt on all engines.
+    pub(super) fn runs_of(&self, prompt: &str) -> Vec<record::RecordEntry> {
+        let entries = self
+            .engines
+            .iter()
+            .flat_map(|engine| engine.record().entries());
+        let runs = entries.filter(|entry| entry.started && entry.body_prefix.contains(prompt));
+        runs.collect()
+    }
+
+    /// Returns how often the ledger ran a key.
+    pub(super) fn charges_of(&self, key: &str) -> usize {
+        let entries = self.ledger.record().entries();
+        let runs = entries.iter();
+        runs.filter(|entry| entry.started && entry.key.as_deref() == Some(key))
+            .count()
+    }
+
+    /// Lets every node finish what it began, then stops it.
+    pub(super) async fn stop(self) {
+        for node in self.nodes {
+            node.drain().await;
+        }
+    }
+
+    /// Tells the platform which VMs there are and what the configuration is.
+    async fn publish(&self) -> anyhow::Result<()> {
+        let mut entries = Vec::new();
+        for (index, engine) in self.engines.iter().enumerate() {
+            let name = format!("engine-{}", index + 1);
+            entries.push(entry(&name, engine.address(), vms::VmPool::Accelerator)?);
+        }
+        let pool = vms::VmPool::Service(demo_document::SERVICE.parse()?);
+        entries.push(entry("ledger-1", self.ledger.address(), pool)?);
+        self.platform.set_vms(entries);
+        let address = self.platform.address();
+        let url = format!("http://{address}/objects/config/document");
+        let client = reqwest::Client::builder().no_proxy().build()?;
+        let write = client.put(url).header("If-Version", 0);
+        let written = write.body(demo_document::text()).send().await?;
+        written.error_for_status().context("writing the document")?;
+        Ok(())
+    }
+
+    async fn add_node(&mut self) -> anyhow::Result<()> {
+        let seeds = self.nodes.iter().map(daemon::NodeDaemon::peers_address);
+        let seeds: Vec<_> = seeds.map(|address| address.to_string()).collect();
+        let text = format!(
+            "[node]\ndata-centre = {}\nregion = demo\ncallers = 127.0.0.1:0\n\
+             operators = 127.0.0.1:0\npeers = 127.0.0.1:0\nseeds = {}\npeer-key = {PEER_KEY}\n\
+             drain-notice-seconds = 0\n[platform]\nurl = http://{}\n",
+            demo_document::DATA_CENTRE,
+            seeds.join(", "),
+            self.platform.address(),
+        );
+        let settings = settings::NodeSettings::parse(&text)?;
+        self.nodes.push(daemon::NodeDaemon::launch(settings).await?);
+        Ok(())
+    }
+}
+
+async fn launch_engine(number: usize) -> anyhow::Result<engine::FakeEngine> {
+    let mut settings = engine::EngineSettings::new(format!("engine-{number}").parse()?);
+    settings.token_time = TOKEN_TIME;
+    let builder = engine::FakeEngine::builder(settings);
+    let builder = builder.preload(demo_document::MODEL.parse()?);
+    Ok(builder.launch().await?)
+}
+
+fn entry(
+    name: &str,
+    address: std::net::SocketAddr,
+    pool: vms::VmPool,
+) -> anyhow::Result<vms::VmEntry> {
+    Ok(vms::VmEntry {
+        name: name.parse()?,
+        incarnation: epochs::VmIncarnation::new(1),
+        address,
+        data_centre: demo_document::DATA_CENTRE.parse()?,
+        domain: "fabric-1".parse()?,
+        pool,
+        state: vms::VmState::Live,
+    })
+}
--- a/crates/buckthornpier/src/demo/mod.rs
+++ b/crates/buckthornpier/src/demo/mod.rs
@@ -1,10 +1,35 @@
 //! `buckthornpier demo`: everything in one process on loopback, for a first look.
+//!
+//! Stand-ins and nodes are the ordinary ones; only their settings are embedded. Nothing is judged
+//! here: each step prints what its caller was told beside what the stand-ins recorded.
+
+mod demo_answer;
+mod demo_caller;
+mod demo_document;
+mod demo_stage;
+mod demo_tour;
+
+use anyhow::Context as _;
+use demo_answer::DemoAnswer;
+use demo_caller::DemoCaller;
+use demo_stage::DemoStage;
+use demo_tour::DemoTour;
+
+use crate::logs;
 
 /// Runs the demonstration.
 ///
 /// # Errors
 ///
-/// Fails always: this build has none yet.
+/// Fails when a port can not be bound or nothing serves in time.
 pub(crate) fn run() -> anyhow::Result<()> {
-    anyhow::bail!("this build has no demonstration yet")
+    logs::start(log::LevelFilter::Error)?;
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    let runtime = builder.enable_all().build();
+    let runtime = runtime.context("starting the threads")?;
+    runtime.block_on(async {
+        let stage = DemoStage::launch().await?;
+        let tour = DemoTour::new(stage)?;
+        tour.run().await
+    })
 }
--- /dev/null
+++ b/crates/buckthornpier/tests/processes_drain.rs
@@ -0,0 +1,57 @@
+//! SIGTERM turns a node unready, cuts nothing off, and ends it with code 0.
+
+mod support;
+
+#[tokio::test]
+async fn a_node_that_is_told_to_stop_finishes_what_it_began() {
+    let mut cluster = support::TestCluster::start(support::ClusterPlan::default()).await;
+    let prompts: Vec<_> = (0..2).map(|turn| format!("under a drain {turn}")).collect();
+    let mut calls = Vec::new();
+    for prompt in &prompts {
+        let call = cluster.nodes[0].complete(prompt).tokens(600).stream();
+        calls.push(tokio::spawn(call.send_until_run()));
+    }
+    for prompt in &prompts {
+        cluster.engine_running(prompt).await;
+    }
+    cluster.nodes[0].process.terminate();
+    support::wait_for("node that is not ready", async || {
+        (!cluster.nodes[0].is_ready().await).then_some(())
+    })
+    .await;
+    let unfinished = calls.iter().filter(|call| !call.is_finished()).count();
+    assert!(
+        unfinished > 0,
+        "the streams were too short to prove anything"
+    );
+    for (prompt, call) in prompts.iter().zip(calls) {
+        let outcome = call.await.unwrap();
+        let whole = support::whole_answer(prompt, 600);
+        assert_eq!(outcome.answer(), Some(whole.as_str()), "{outcome:?}");
+    }
+    let status = cluster.nodes[0].process.ended().await;
+    assert!(status.success(), "{status}");
+    for (index, node) in cluster.nodes.iter().enumerate().skip(1) {
+        let answer = node
+            .complete(&format!("after a drain {index}"))
+            .send()
+            .await;
+        assert!(answer.answer().is_some(), "{answer:?}");
+    }
+}
+
+#[tokio::test]
+async fn an_idle_connection_of_a_caller_does_not_hold_up_the_end() {
+    let plan = support::ClusterPlan {
+        nodes: 1,
+        ..support::ClusterPlan::default()
+    };
+    let mut cluster = support::TestCluster::start(plan).await;
+    let client = support::client();
+    let url = format!("http://{}/healthz", cluster.nodes[0].callers);
+    assert_eq!(client.get(url).send().await.unwrap().status(), 200);
+    cluster.nodes[0].process.terminate();
+    let status = cluster.nodes[0].process.ended().await;
+    assert!(status.success(), "{status}");
+    drop(client);
+}
--- /dev/null
+++ b/crates/buckthornpier/tests/support/caller_call.rs
@@ -0,0 +1,102 @@
+//! One call of a caller.
+
+use std::net;
+
+use pier_types::codes;
+use serde_json::json;
+
+use crate::support;
+
+/// A call that is not sent yet.
+#[derive(Debug)]
+pub struct CallerCall {
+    request: reqwest::RequestBuilder,
+    body: serde_json::Value,
+    bearer: &'static str,
+}
+
+impl CallerCall {
+    /// Makes a call to the model by a customer that lets it be repeated.
+    pub fn completion(node: net::SocketAddr, prompt: &str) -> Self {
+        let url = format!("http://{node}/v1/completions");
+        Self {
+            request: support::client().post(url),
+            body: json!({"model": support::MODEL, "prompt": prompt}),
+            bearer: support::REPEAT_KEY,
+        }
+    }
+
+    /// Makes a call that posts a charge.
+    pub fn charge(node: net::SocketAddr, text: &str) -> Self {
+        let url = format!("http://{node}/services/{}/charges", support::SERVICE);
+        Self {
+            request: support::client().post(url),
+            body: json!({"charge": text}),
+            bearer: support::REPEAT_KEY,
+        }
+    }
+
+    /// Sets the number of tokens of the answer.
+    #[must_use]
+    pub fn tokens(mut self, count: u64) -> Self {
+        self.body["max_tokens"] = json!(count);
+        self
+    }
+
+    /// Asks for a stream.
+    #[must_use]
+    pub fn stream(mut self) -> Self {
+        self.body["stream"] = json!(true);
+        self
+    }
+
+    /// Sets who calls.
+    #[must_use]
+    pub fn bearer(mut self, bearer: &'static str) -> Self {
+        self.bearer = bearer;
+        self
+    }
+
+    /// Marks it as one-time.
+    #[must_use]
+    pub fn once(mut self, key: &str) -> Self {
+        self.request = self.request.header("Idempotency-Key", key);
+        self
+    }
+
+    /// Sets the caller's deadline, in milliseconds.
+    #[must_use]
+    pub fn deadline(mut self, millis: u64) -> Self {
+        self.request = self.request.header("X-Deadline-Ms", millis);
+        self
+    }
+
+    /// Sends it, and again as long as it is refused as not run, as a caller may; waits for the end.
+    pub async fn send_until_run(self) -> support::CallerOutcome {
+        let call = &self;
+        support::wait_for("place for the call", async || {
+            let again = Self {
+                request: call.request.try_clone()?,
+                body: call.body.clone(),
+                bearer: call.bearer,
+            };
+            let outcome = again.send().await;
+            let refused = outcome.run_outcome() == Some(codes::RunOutcome::NotRun);
+            (!refused).then_some(outcome)
+        })
+        .await
+    }
+
+    /// Sends it and waits for the end of the answer.
+    pub async fn send(self) -> support::CallerOutcome {
+        let request = self.request.bearer_auth(self.bearer).json(&self.body);
+        let Ok(answer) = request.send().await else {
+            return support::CallerOutcome::Cut;
+        };
+        let status = answer.status().as_u16();
+        match answer.text().await {
+            Ok(text) => support::CallerOutcome::read(status, &text),
+            Err(_broken) => support::CallerOutcome::Cut,
+        }
+    }
+}
--- /dev/null
+++ b/crates/buckthornpier/tests/support/child_process.rs
@@ -0,0 +1,97 @@
+//! A process that a test started, and its end.
+
+use std::{
+    io::{self, BufRead},
+    process,
+};
+
+use rustix::process as unix;
+
+use crate::support;
+
+/// A child process whose first line tells that it serves; killed when dropped.
+#[derive(Debug)]
+pub struct ChildProcess {
+    child: process::Child,
+    first_line: String,
+    _stdout: io::BufReader<process::ChildStdout>,
+}
+
+impl ChildProcess {
+    /// Starts a process and waits for its first line.
+    pub fn start(command: &mut process::Command) -> Self {
+        command.stdin(process::Stdio::null());
+        command.stdout(process::Stdio::piped());
+        if std::env::var_os("PIER_TEST_LOGS").is_none() {
+            command.stderr(process::Stdio::null());
+        }
+        let mut child = command.spawn().unwrap();
+        let mut stdout = io::BufReader::new(child.stdout.take().unwrap());
+        let mut first_line = String::new();
+        stdout.read_line(&mut first_line).unwrap();
+        assert!(!first_line.is_empty(), "{command:?} ended before it served");
+        Self {
+            child,
+            first_line,
+            _stdout: stdout,
+        }
+    }
+
+    /// Returns the value of `NAME=VALUE` in the first line.
+    pub fn told(&self, name: &str) -> String {
+        let fields = self.first_line.split_whitespace();
+        let mut values = fields.filter_map(|field| field.strip_prefix(name)?.strip_prefix('='));
+        let value = values.next();
+        value
+            .unwrap_or_else(|| panic!("no {name} in {:?}", self.first_line))
+            .to_owned()
+    }
+
+    /// Sends SIGSTOP: the process freezes with its connections open.
+    pub fn freeze(&self) {
+        self.signal(unix::Signal::STOP);
+    }
+
+    /// Sends SIGCONT.
+    pub fn thaw(&self) {
+        self.signal(unix::Signal::CONT);
+    }
+
+    /// Sends SIGTERM.
+    pub fn terminate(&self) {
+        self.signal(unix::Signal::TERM);
+    }
+
+    /// Sends SIGKILL and waits for the end.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Waits until the process has ended by itself.
+    pub async fn ended(&mut self) -> process::ExitStatus {
+        let child = &mut self.child;
+        let waiting = async {
+            loop {
+                if let Some(status) = child.try_wait().unwrap() {
+                    return status;
+                }
+                tokio::time::sleep(support::WAIT_STEP).await;
+            }
+        };
+        let ended = tokio::time::timeout(support::WAIT_LIMIT, waiting).await;
+        ended.expect("the process does not end")
+    }
+
+    fn signal(&self, signal: unix::Signal) {
+        let id = unix::Pid::from_child(&self.child);
+        unix::kill_process(id, signal).unwrap();
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        let _ended_already = self.child.kill();
+        let _ended_already = self.child.wait();
+    }
+}
--- /dev/null
+++ b/crates/buckthornpier/tests/support/mod.rs
@@ -0,0 +1,65 @@
+//! Stand-ins and nodes as separate processes, callers, and the comparison of outcomes with records.
+
+#![allow(
+    dead_code,
+    unused_imports,
+    reason = "each file of tests uses another part"
+)]
+
+mod caller_call;
+mod caller_outcome;
+mod child_process;
+mod fake_process;
+mod node_process;
+mod test_cluster;
+mod test_document;
+
+pub use caller_call::CallerCall;
+pub use caller_outcome::{CallerFailure, CallerOutcome};
+pub use child_process::ChildProcess;
+pub use fake_process::FakeProcess;
+pub use node_process::NodeProcess;
+pub use test_cluster::{ClusterPlan, TestCluster, whole_answer};
+pub use test_document::{MODEL, ONCE_KEY, REPEAT_KEY, SERVICE, document_text};
+
+use std::{future, sync::atomic, time};
+
+/// Longest wait for a condition; reached only when something is broken.
+pub const WAIT_LIMIT: time::Duration = time::Duration::from_mins(1);
+
+/// Time between two looks at a condition.
+const WAIT_STEP: time::Duration = time::Duration::from_millis(20);
+
+/// Waits until a condition gives a value.
+pub async fn wait_for<T, F>(what: &str, mut look: impl FnMut() -> F) -> T
+where
+    F: future::Future<Output = Option<T>>,
+{
+    let waiting = async {
+        loop {
+            if let Some(value) = look().await {
+                return value;
+            }
+            tokio::time::sleep(WAIT_STEP).await;
+        }
+    };
+    let waited = tokio::time::timeout(WAIT_LIMIT, waiting).await;
+    waited.unwrap_or_else(|_elapsed| panic!("no {what} within {WAIT_LIMIT:?}"))
+}
+
+/// Returns a client that does nothing by itself.
+pub fn client() -> reqwest::Client {
+    let builder = reqwest::Client::builder()
+        .no_proxy()
+        .redirect(reqwest::redirect::Policy::none())
+        .retry(reqwest::retry::never());
+    builder.build().unwrap()
+}
+
+/// Returns an idempotency key that no other call has.
+pub fn fresh_key() -> String {
+    static COUNT: atomic::AtomicU64 = atomic::AtomicU64::new(1);
+    let count = COUNT.fetch_add(1, atomic::Ordering::SeqCst);
+    let issued = pier_types::times::clocks::wall_now().as_millis();
+    format!("{issued}-call_{count:08}")
+}
