Write the page of the fault matrix from its cases

Cause: nobody could see which promise is proved under which fault. Ruled out: a page kept by hand; a test compares it with the cases and checks that named tests exist. Conclusion: an empty cell is shown as not proved.

--- /dev/null
+++ b/crates/pier_matrix/src/cells/cell_sheet.rs
@@ -0,0 +1,129 @@
+//! Cells that are stated and not played.
+
+use std::{collections, fs, path};
+
+use crate::{cases, cells};
+
+/// A line of `cells.ini`: which cells it speaks of, and what it says.
+#[derive(Debug, Clone)]
+struct SheetLine {
+    promises: String,
+    steps: String,
+    faults: String,
+    state: cells::CellState,
+}
+
+/// The cells that other tests prove and those that no fault can touch.
+#[derive(Debug, Clone, Default)]
+pub struct CellSheet {
+    lines: Vec<SheetLine>,
+}
+
+impl CellSheet {
+    /// Reads a sheet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text breaks the form or names an unknown step or fault.
+    pub fn parse(text: &str) -> Result<Self, cases::CaseError> {
+        let file = ini::Ini::load_from_str_noescape(text);
+        let file = file.map_err(|error| cases::CaseError::new(format!("{error}")))?;
+        let mut sheet = Self::default();
+        for (pattern, proof) in file.section(Some("tests")).into_iter().flatten() {
+            let proof = proof.to_owned();
+            sheet.add(pattern, cells::CellState::Proved { proof })?;
+        }
+        for (pattern, reason) in file.section(Some("not-applicable")).into_iter().flatten() {
+            let reason = reason.to_owned();
+            sheet.add(pattern, cells::CellState::NotApplicable { reason })?;
+        }
+        Ok(sheet)
+    }
+
+    /// Returns the state of every cell: by its case file, else by the sheet.
+    ///
+    /// `red` holds the names of case files that are known to fail.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a case file can not be read.
+    pub fn states(
+        &self,
+        folder: &path::Path,
+        red: &str,
+    ) -> Result<collections::BTreeMap<cells::CellKey, cells::CellState>, cases::CaseError> {
+        let mut states = collections::BTreeMap::new();
+        for key in cells::CellKey::all() {
+            let line = self.lines.iter().find(|line| line.matches(&key));
+            if let Some(line) = line {
+                states.insert(key, line.state.clone());
+            }
+        }
+        for (name, case) in read_cases(folder)? {
+            for key in case.cells {
+                let proof = format!("cases/{name}");
+                let state = if red.contains(&name) {
+                    cells::CellState::Red { proof }
+                } else {
+                    cells::CellState::Proved { proof }
+                };
+                states.insert(key, state);
+            }
+        }
+        Ok(states)
+    }
+
+    /// Returns the tests that the sheet names, as `CRATE/tests/FILE.rs::TEST`.
+    pub fn tests(&self) -> collections::BTreeSet<&str> {
+        let proofs = self.lines.iter().filter_map(|line| match &line.state {
+            cells::CellState::Proved { proof } => Some(proof.as_str()),
+            _ => None,
+        });
+        proofs.collect()
+    }
+
+    fn add(&mut self, pattern: &str, state: cells::CellState) -> Result<(), cases::CaseError> {
+        let parts: Vec<&str> = pattern.split('/').collect();
+        let [promises, steps, faults] = parts[..] else {
+            let message = format!("{pattern:?} is not promises/steps/faults");
+            return Err(cases::CaseError::new(message));
+        };
+        let line = SheetLine {
+            promises: promises.to_owned(),
+            steps: steps.to_owned(),
+            faults: faults.to_owned(),
+            state,
+        };
+        let speaks = cells::CellKey::all().iter().any(|key| line.matches(key));
+        if !speaks {
+            let message = format!("{pattern:?} speaks of no cell");
+            return Err(cases::CaseError::new(message));
+        }
+        self.lines.push(line);
+        Ok(())
+    }
+}
+
+impl SheetLine {
+    fn matches(&self, key: &cells::CellKey) -> bool {
+        lists(&self.promises, key.promise.name())
+            && lists(&self.steps, &key.step)
+            && lists(&self.faults, key.fault.name())
+    }
+}
+
+fn lists(list: &str, name: &str) -> bool {
+    list == "*" || list.split(',').any(|item| item == name)
+}
+
+fn read_cases(folder: &path::Path) -> Result<Vec<(String, cases::FaultCase)>, cases::CaseError> {
+    let failed = |error: std::io::Error| cases::CaseError::new(format!("{error}"));
+    let mut found = Vec::new();
+    for entry in fs::read_dir(folder).map_err(failed)? {
+        let path = entry.map_err(failed)?.path();
+        let name = path.file_name().unwrap_or_default().to_string_lossy();
+        found.push((name.into_owned(), cases::FaultCase::load(&path)?));
+    }
+    found.sort_by(|one, other| one.0.cmp(&other.0));
+    Ok(found)
+}
--- a/crates/pier_matrix/src/cells/fault_page.rs
+++ b/crates/pier_matrix/src/cells/fault_page.rs
@@ -100,8 +100,9 @@
 
 const HEAD: &str = "# Fault matrix
 
-Written by `cargo test -p pier_matrix`; change the case files, not this page. A proved cell names the case or test
-that passes now and was seen to fail with the protection off: a case is played a second time through a caller's
+Written by `cargo run -p pier_matrix --example write_fault_page`; change the case files and `cells.ini`, not this
+page. A proved cell names the case or test
+that passes now and was seen to fail with the protection off (for tests: stated in the commit that brought them). A case is played a second time through a caller's
 library that retries blindly, and must break the promise there.
 
 ";
