Stop new work at a node that is cut off, and lend a scarce pool whole

A node that hears nobody keeps callers away and publishes no shares after 5 s; if targets answer it, it goes on for 2 min, within which no other node uses its slot. Parts are rounded up; the room that others leave bounds them as before.

--- a/crates/pier_limits/src/members/isolation_facts.rs
+++ b/crates/pier_limits/src/members/isolation_facts.rs
@@ -11,4 +11,6 @@
     pub peer_at: Option<times::BootTime>,
     /// Whether the lease record names other nodes of the data centre.
     pub has_peers: bool,
+    /// Whether VMs of the data centre answer this node's probes.
+    pub sees_targets: bool,
 }
--- a/crates/pier_limits/src/members/isolation_policy.rs
+++ b/crates/pier_limits/src/members/isolation_policy.rs
@@ -10,7 +10,9 @@
 ///
 /// A data centre whose nodes hear one another goes on serving without the platform, for as long
 /// as it takes. A node that hears nobody can not learn that its data centre was taken out or that
-/// a target is leaving. It turns its readiness off at once and takes no new work after seconds.
+/// a target is leaving. If it reaches no target either, it is itself cut off: it turns its
+/// readiness off at once and takes no new work after seconds. If targets answer it, the other
+/// nodes are probably gone, and it goes on until its slot may have been given to another node.
 ///
 /// ```
 /// use pier_limits::members;
@@ -28,6 +30,9 @@
     pub away_after: time::Duration,
     /// Silence of everybody after which no new work is taken.
     pub stop_after: time::Duration,
+    /// The same for a node whom targets answer; at most the time that a new node waits before it
+    /// uses a slot.
+    pub survivor_stop_after: time::Duration,
 }
 
 impl Default for IsolationPolicy {
@@ -35,6 +40,7 @@
         Self {
             away_after: time::Duration::from_secs(3),
             stop_after: time::Duration::from_secs(5),
+            survivor_stop_after: time::Duration::from_mins(2),
         }
     }
 }
@@ -59,8 +65,13 @@
             return stance(members::IsolationPlace::PlatformAway, true, true);
         }
         let latest = facts.platform_at.max(facts.peer_at);
-        let new_work = heard(latest, self.stop_after);
-        stance(members::IsolationPlace::Alone, false, new_work)
+        let (limit, ready) = if facts.sees_targets {
+            (self.survivor_stop_after, true)
+        } else {
+            (self.stop_after, false)
+        };
+        let new_work = heard(latest, limit);
+        stance(members::IsolationPlace::Alone, ready && new_work, new_work)
     }
 }
 
--- a/crates/pier_limits/src/shares/ledger_target.rs
+++ b/crates/pier_limits/src/shares/ledger_target.rs
@@ -97,11 +97,12 @@
     }
 }
 
-/// The wish itself while all wishes fit, else its part of the pool, at least 1.
+/// The wish itself while all wishes fit, else its part of the pool, rounded up so that no place is
+/// left over; what others have bounds it anyway.
 fn fair_share(pool: u32, wanted: u32, total: u32) -> u32 {
     if total <= pool || wanted == 0 {
         return wanted;
     }
-    let part = u64::from(pool) * u64::from(wanted) / u64::from(total);
-    u32::try_from(part).unwrap_or(pool).max(1)
+    let part = u64::from(pool) * u64::from(wanted);
+    u32::try_from(part.div_ceil(u64::from(total))).unwrap_or(pool)
 }
--- a/crates/pier_limits/tests/share_sums.rs
+++ b/crates/pier_limits/tests/share_sums.rs
@@ -318,6 +318,29 @@
     assert_eq!(sum, 48, "six nodes that want 8 each get the whole pool");
 }
 
+#[test]
+fn uneven_wishes_leave_no_place_of_the_pool_unused() {
+    let start = times::BootTime::from_millis(1_000);
+    let term = epochs::LeaseTerm::new(7);
+    let mut ledger = shares::ShareLedger::new(TERMS, term, start, 2, [].into());
+    ledger.record_nodes([name(0), name(1)].into());
+    let limits = collections::BTreeMap::from([(key(), sizes::RequestCount::new(16))]);
+    let mut holdings = [0, 1].map(|_| shares::ShareHolding::new(TERMS));
+    for _ in 0..4 {
+        for (index, holding) in holdings.iter_mut().enumerate() {
+            ledger.set_limits(&limits, start);
+            let wanted = sizes::RequestCount::new([9, 7][index]);
+            let running = sizes::RequestCount::new(0);
+            let demand = shares::ShareDemand { running, wanted };
+            let ask = holding.ask(term, &[(key(), demand)].into(), start);
+            let grant = ledger.answer(&name(index), &ask, start, start.after(LEASE));
+            holding.take(&grant.unwrap());
+        }
+    }
+    let held = holdings.map(|holding| holding.share(key(), start).get());
+    assert_eq!(held, [6, 6]);
+}
+
 #[test]
 fn nodes_with_cold_evidence_stay_within_it_together() {
     let terms = shares::ShareTerms::default();
--- a/crates/pier_node/src/handle/node_handle.rs
+++ b/crates/pier_node/src/handle/node_handle.rs
@@ -6,7 +6,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use pier_control::health;
 use pier_platform::{lists, objects};
-use pier_types::{epochs, ids, routes, sizes, vms};
+use pier_types::{epochs, ids, routes, sizes, times, vms};
 use pier_wire::seals;
 
 use crate::{handle, requests, settings, telemetry};
@@ -42,6 +42,8 @@
     lease: ArcSwapOption<handle::LeaseSnapshot>,
     peers: ArcSwap<Vec<handle::PeerEntry>>,
     shares: ArcSwap<collections::BTreeMap<ids::TargetId, sizes::RequestCount>>,
+    platform_at: atomic::AtomicU64,
+    kept_away: atomic::AtomicBool,
 }
 
 impl fmt::Debug for NodeHandle {
@@ -86,6 +88,8 @@
             lease: ArcSwapOption::empty(),
             peers: ArcSwap::default(),
             shares: ArcSwap::default(),
+            platform_at: atomic::AtomicU64::new(0),
+            kept_away: atomic::AtomicBool::new(false),
         };
         Ok(Self {
             shared: sync::Arc::new(shared),
@@ -250,6 +254,26 @@
         self.shared.shares.store(sync::Arc::new(shares));
     }
 
+    /// Notes that the platform answered a call that was sent at the given moment.
+    pub fn note_platform(&self, asked_at: times::BootTime) {
+        let micros = asked_at.as_micros();
+        self.shared
+            .platform_at
+            .fetch_max(micros, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns when the last call was sent that the platform answered.
+    pub fn platform_at(&self) -> Option<times::BootTime> {
+        let micros = self.shared.platform_at.load(atomic::Ordering::Relaxed);
+        (micros > 0).then_some(times::BootTime::from_micros(micros))
+    }
+
+    /// Tells whether the balancer is to keep callers away, as this node is cut off.
+    pub fn keep_callers_away(&self, kept_away: bool) {
+        let order = atomic::Ordering::SeqCst;
+        self.shared.kept_away.store(kept_away, order);
+    }
+
     /// Counts a request as in progress until the guard is dropped.
     pub fn begin_request(&self) -> handle::RequestGuard {
         handle::RequestGuard::new(sync::Arc::clone(&self.shared.in_progress))
@@ -272,6 +296,10 @@
 
     /// Tells whether the balancer may send callers here.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining() && self.config().is_some() && !self.routes().pools.is_empty()
+        let kept_away = self.shared.kept_away.load(atomic::Ordering::SeqCst);
+        !kept_away
+            && !self.is_draining()
+            && self.config().is_some()
+            && !self.routes().pools.is_empty()
     }
 }
--- a/crates/pier_node/src/peers/known_target.rs
+++ b/crates/pier_node/src/peers/known_target.rs
@@ -15,8 +15,8 @@
     pub(super) ramp: warmth::WarmthRamp,
     /// When it was last among the targets.
     pub(super) seen_at: times::BootTime,
-    /// What this node was last allowed to have in flight there.
-    pub(super) allowed: sizes::RequestCount,
+    /// The most that this node may have in flight there since it was last counted.
+    pub(super) greatest: sizes::RequestCount,
 }
 
 impl KnownTarget {
@@ -30,7 +30,7 @@
             target,
             ramp,
             seen_at: now,
-            allowed: sizes::RequestCount::default(),
+            greatest: sizes::RequestCount::default(),
         }
     }
 
--- a/crates/pier_node/src/peers/peer_loop.rs
+++ b/crates/pier_node/src/peers/peer_loop.rs
@@ -35,6 +35,7 @@
     probes: probes::ProbeDriver,
     shares: share_driver::ShareDriver,
     refusals: peers::DatagramRefusals,
+    place: members::IsolationPlace,
     ticked_at: times::BootTime,
     round_at: times::BootTime,
 }
@@ -66,6 +67,7 @@
             probes: probes::ProbeDriver::new(handle.clone(), sender),
             shares: share_driver::ShareDriver::new(handle.clone()),
             refusals: peers::DatagramRefusals::default(),
+            place: members::IsolationPlace::PlatformAway,
             ticked_at: now,
             round_at: times::BootTime::default(),
             handle,
@@ -103,6 +105,7 @@
         }
         nodes.insert(self.handle.name().clone());
         self.probes.tick(&nodes, now);
+        self.judge_isolation(now);
         self.ask_for_shares(now);
         self.publish_peers(now);
         self.refusals.report(now);
@@ -130,6 +133,28 @@
         }
     }
 
+    /// Stops new work, or lets it go on, by what this node hears of the rest.
+    fn judge_isolation(&mut self, now: times::BootTime) {
+        let own = self.handle.name();
+        let lease = self.handle.lease();
+        let slots = lease
+            .iter()
+            .flat_map(|lease| lease.record.roster.slots.values());
+        let facts = members::IsolationFacts {
+            platform_at: self.handle.platform_at(),
+            peer_at: self.members.peer_heard_at(),
+            has_peers: slots.into_iter().any(|node| node != own),
+            sees_targets: !self.handle.evidence().is_empty(),
+        };
+        let stance = members::IsolationPolicy::default().stance(&facts, now);
+        if self.place != stance.place {
+            self.place = stance.place;
+            log::info!(event = "links-changed", place:% = stance.place; "");
+        }
+        self.handle.keep_callers_away(!stance.ready);
+        self.shares.allow_new_work(stance.new_work);
+    }
+
     fn ask_for_shares(&mut self, now: times::BootTime) {
         let Some((holder, ask)) = self.shares.tick(now) else {
             return;
--- a/crates/pier_node/src/peers/share_driver.rs
+++ b/crates/pier_node/src/peers/share_driver.rs
@@ -44,6 +44,7 @@
     /// Wishes of the round for which shares were lowered, until its question is asked.
     lowered: Option<collections::BTreeMap<messages::ShareKey, sizes::RequestCount>>,
     round_at: times::BootTime,
+    new_work: bool,
 }
 
 impl ShareDriver {
@@ -62,6 +63,7 @@
             records_since_pause: 0,
             lowered: None,
             round_at: times::BootTime::default(),
+            new_work: true,
             handle,
         }
     }
@@ -99,6 +101,11 @@
         None
     }
 
+    /// Says whether this node may take new work at all; else it publishes no share.
+    pub(super) const fn allow_new_work(&mut self, allowed: bool) {
+        self.new_work = allowed;
+    }
+
     /// Answers a question, if this node holds the lease.
     pub(super) fn answer(
         &mut self,
@@ -236,6 +243,7 @@
     }
 
     fn publish(&mut self, now: times::BootTime) {
+        let running = self.handle.requests().in_flight();
         let mut published = collections::BTreeMap::new();
         let keys = self.targets.keys().copied().collect::<Vec<_>>();
         for key in keys {
@@ -243,7 +251,7 @@
             if let Some(known) = self.targets.get_mut(&key)
                 && known.seen_at == now
             {
-                known.allowed = allowed;
+                known.greatest = allowed.max(sizes::RequestCount::new(running_at(known, &running)));
                 published.insert(known.target.id.clone(), allowed);
             }
         }
@@ -254,7 +262,8 @@
 
     /// Returns what this node may have in flight at a target, by its own evidence of warmth.
     fn allowed(&self, key: messages::ShareKey, now: times::BootTime) -> sizes::RequestCount {
-        let Some(known) = self.targets.get(&key) else {
+        let known = self.targets.get(&key).filter(|_| self.new_work);
+        let Some(known) = known else {
             return sizes::RequestCount::default();
         };
         let (limit, _split) = known.split(now);
@@ -295,8 +304,8 @@
     }
 }
 
-/// Returns what this node has in flight; the most that it was allowed where nobody counts it now.
+/// Returns what this node has in flight; the most that it may have where nobody counts it now.
 fn running_at(known: &known_target::KnownTarget, running: &RunningMap) -> u32 {
     let key = (known.target.id.clone(), known.target.generation);
-    running.get(&key).copied().unwrap_or(known.allowed).get()
+    running.get(&key).copied().unwrap_or(known.greatest).get()
 }
--- a/crates/pier_node/src/tables/list_loop.rs
+++ b/crates/pier_node/src/tables/list_loop.rs
@@ -3,7 +3,7 @@
 use std::{collections, time};
 
 use pier_platform::lists;
-use pier_types::{ids, vms};
+use pier_types::{ids, times::clocks, vms};
 
 use crate::handle;
 
@@ -15,9 +15,11 @@
     tokio::spawn(async move {
         let mut away = false;
         loop {
+            let asked_at = clocks::boot_now();
             let fetched = handle.lists().fetch().await;
             report_change(&fetched, &mut away);
             if let Ok(listing) = fetched {
+                handle.note_platform(asked_at);
                 publish(&handle, listing);
             }
             tokio::time::sleep(LIST_PERIOD).await;
--- a/crates/pier_node/tests/peers_and_probes.rs
+++ b/crates/pier_node/tests/peers_and_probes.rs
@@ -6,7 +6,7 @@
 use pier_control::leases;
 use pier_node::{configs, forwards, handle, peers, settings, telemetry};
 use pier_request::quarantine;
-use pier_types::{epochs, ids, reports, sizes, times, vms};
+use pier_types::{epochs, ids, reports, routes, sizes, times, vms};
 use pier_wire::{messages, seals};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
@@ -289,3 +289,32 @@
     })
     .await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_hears_nobody_keeps_callers_away_until_it_hears_a_peer() {
+    let node = start_node(0, &[]).await;
+    publish_lease(std::slice::from_ref(&node), 1);
+    let pool = routes::PoolKey::Model("drafter".parse().unwrap());
+    let table = routes::RouteTable {
+        pools: [(pool, Vec::new())].into(),
+    };
+    node.handle.publish_routes(table);
+    // The record names no other node, so this one is the whole data centre.
+    wait_for("a node that is the whole data centre is ready", || {
+        node.handle.is_ready()
+    })
+    .await;
+    let mut lease = node.handle.lease().unwrap().as_ref().clone();
+    let other = "scot-central-a-1".parse().unwrap();
+    lease.record.roster.slots.insert(1, other);
+    node.handle.publish_lease(lease);
+    wait_for("a node that hears nobody is not ready", || {
+        !node.handle.is_ready()
+    })
+    .await;
+    let _peer = start_node(1, &[node.address]).await;
+    wait_for("it is ready once it hears the other", || {
+        node.handle.is_ready()
+    })
+    .await;
+}
