Keep a silent node's slot until it can no longer be using it

Cause: the roster gave the slot of a node that was silent for seconds to the next one, while a cut-off node that still hears a neighbour goes on under the fixed part of that slot. Ruled out: waiting for the VM list, which does not name entry VMs; never freeing a slot, since each restart would use one up.

--- a/crates/pier_control/src/leases/mod.rs
+++ b/crates/pier_control/src/leases/mod.rs
@@ -19,6 +19,7 @@
 mod node_roster;
 mod observed_lease;
 mod pending_write;
+mod roster_memory;
 mod write_outcome;
 
 use call_state::CallState;
@@ -35,4 +36,5 @@
 pub use node_roster::NodeRoster;
 use observed_lease::ObservedLease;
 use pending_write::PendingWrite;
+pub use roster_memory::RosterMemory;
 pub use write_outcome::WriteOutcome;
--- /dev/null
+++ b/crates/pier_control/tests/slots_outlive_silence.rs
@@ -0,0 +1,54 @@
+//! A silent node keeps its slot until it can no longer be using it.
+
+use std::{collections, time};
+
+use pier_control::leases;
+use pier_types::{ids, times};
+
+const RETENTION: time::Duration = time::Duration::from_hours(1);
+
+fn names(list: &[&str]) -> collections::BTreeSet<ids::NodeName> {
+    list.iter().map(|name| name.parse().unwrap()).collect()
+}
+
+fn at(seconds: u64) -> times::BootTime {
+    times::BootTime::from_millis(seconds * 1_000)
+}
+
+#[test]
+fn silent_node_keeps_its_slot_for_the_retention() {
+    let mut memory = leases::RosterMemory::new(RETENTION);
+    let recorded = names(&["n1", "n2"]);
+    memory.staying(&recorded, &recorded, &names(&[]), at(0));
+    let staying = memory.staying(&names(&["n1"]), &recorded, &names(&[]), at(3_600));
+    assert_eq!(staying, recorded);
+    let staying = memory.staying(&names(&["n1"]), &recorded, &names(&[]), at(3_601));
+    assert_eq!(staying, names(&["n1"]));
+}
+
+#[test]
+fn new_holder_counts_recorded_nodes_as_heard_of_now() {
+    let mut memory = leases::RosterMemory::new(RETENTION);
+    let recorded = names(&["n1", "n2"]);
+    let staying = memory.staying(&names(&["n1"]), &recorded, &names(&[]), at(9_000));
+    assert_eq!(staying, recorded);
+}
+
+#[test]
+fn node_that_says_that_it_stops_frees_its_slot_at_once() {
+    let mut memory = leases::RosterMemory::new(RETENTION);
+    let recorded = names(&["n1", "n2"]);
+    let staying = memory.staying(&names(&["n1"]), &recorded, &names(&["n2"]), at(0));
+    assert_eq!(staying, names(&["n1"]));
+}
+
+#[test]
+fn slot_of_a_silent_node_goes_to_no_other() {
+    let mut memory = leases::RosterMemory::new(RETENTION);
+    let roster = leases::NodeRoster::default().updated(&names(&["n1", "n2"]));
+    let recorded = roster.slots.values().cloned().collect();
+    let staying = memory.staying(&names(&["n1", "n3"]), &recorded, &names(&[]), at(0));
+    let roster = roster.updated(&staying);
+    assert_eq!(roster.slots[&1].as_str(), "n2");
+    assert_eq!(roster.slots[&2].as_str(), "n3");
+}
--- a/crates/pier_node/src/control/lease_driver.rs
+++ b/crates/pier_node/src/control/lease_driver.rs
@@ -1,12 +1,15 @@
 //! Drives the control lease of this node's data centre.
 
-use std::{collections, sync};
+use std::{collections, sync, time};
 
 use pier_control::leases;
 use pier_types::{epochs, ids, times};
 
 use crate::{control, handle};
 
+/// Time for which a silent node keeps its slot; regions lose each other for as long.
+const SLOT_RETENTION: time::Duration = time::Duration::from_hours(1);
+
 /// The lease's state machine with its calls.
 #[derive(Debug)]
 pub(super) struct LeaseDriver {
@@ -14,6 +17,7 @@
     events: control::EventSender,
     keeper: leases::LeaseKeeper,
     grant: control::SharedGrant,
+    roster: leases::RosterMemory,
     is_resigned: bool,
 }
 
@@ -28,6 +32,7 @@
         Self {
             keeper: leases::LeaseKeeper::new(handle.name().clone(), settings),
             grant: sync::Arc::default(),
+            roster: leases::RosterMemory::new(SLOT_RETENTION),
             is_resigned: false,
             handle,
             events,
@@ -46,7 +51,8 @@
 
     /// Takes in an event and makes the calls that are due.
     pub(super) fn step(&mut self, event: leases::LeaseEvent, now: times::BootTime) {
-        self.keeper.set_present(self.present_nodes());
+        let present = self.present_nodes(now);
+        self.keeper.set_present(present);
         let held = self.keeper.grant(now).map(|grant| grant.term);
         let actions = if self.handle.is_draining() && !self.is_resigned {
             self.is_resigned = true;
@@ -76,17 +82,26 @@
         }
     }
 
-    /// Returns the nodes of this data centre that are thought alive.
-    fn present_nodes(&self) -> collections::BTreeSet<ids::NodeName> {
+    /// Returns the nodes of this data centre that have or keep a slot.
+    fn present_nodes(&mut self, now: times::BootTime) -> collections::BTreeSet<ids::NodeName> {
         let data_centre = &self.handle.settings().data_centre;
         let peers = self.handle.peers();
-        let present = peers
-            .iter()
-            .filter(|peer| peer.data_centre == *data_centre && !peer.draining);
-        present.map(|peer| peer.node.clone()).collect()
+        let own = peers.iter().filter(|peer| peer.data_centre == *data_centre);
+        let (stopping, live): (Vec<_>, Vec<_>) = own.partition(|peer| peer.draining);
+        let record = self.keeper.record();
+        let recorded = record
+            .into_iter()
+            .flat_map(|(_version, record)| record.roster.slots.values().cloned())
+            .collect();
+        self.roster
+            .staying(&names(&live), &recorded, &names(&stopping), now)
     }
 }
 
+fn names(peers: &[&handle::PeerEntry]) -> collections::BTreeSet<ids::NodeName> {
+    peers.iter().map(|peer| peer.node.clone()).collect()
+}
+
 /// Draws the randomness of one step.
 fn draw() -> leases::LeaseDraw {
     leases::LeaseDraw {
