--- a/crates/buckthornpier/tests/processes_run_once.rs
+++ b/crates/buckthornpier/tests/processes_run_once.rs
@@ -191,3 +191,24 @@
     let again = send_everywhere(&cluster, text, &key).await;
     assert_at_most_once(&cluster, text, &again).await;
 }
+
+#[tokio::test]
+async fn while_the_platform_is_frozen_a_one_time_call_is_not_run_and_stays_so() {
+    let cluster = support::TestCluster::start(support::ClusterPlan::default()).await;
+    cluster.platform.process.freeze();
+    let (text, key) = ("platform frozen.", support::fresh_key());
+    let refused = cluster.nodes[0].charge(text).once(&key).send().await;
+    let prompt = "platform frozen under a draft";
+    let answer = cluster.nodes[1].complete(prompt).tokens(4).send().await;
+    cluster.platform.process.thaw();
+    assert_eq!(
+        refused.run_outcome(),
+        Some(codes::RunOutcome::NotRun),
+        "{refused:?}"
+    );
+    let whole = support::whole_answer(prompt, 4);
+    assert_eq!(answer.answer(), Some(whole.as_str()), "{answer:?}");
+    assert_eq!(cluster.charges_of(text).await, []);
+    let again = send_everywhere(&cluster, text, &key).await;
+    assert_at_most_once(&cluster, text, &again).await;
+}
