End the work of a group that lost a member and go on elsewhere

Cause: an engine that froze in mid-stream held its request until the deadline (120 s), although the group's evidence was stale after 2.5 s and another group had room. Ruled out: a bound on the time between tokens, since a slow group is not a broken one. Ending work while this node sees no other target, since a node that is cut off would end what may still finish. Counting it as a crash, since a pause is none. Conclusion: only repeatable requests are moved, 1 s after their group stopped serving.

--- a/crates/pier_node/src/requests/attempt_call.rs
+++ b/crates/pier_node/src/requests/attempt_call.rs
@@ -1,6 +1,8 @@
 //! One dispatch of a request to one target.
 
-use pier_request::attempts;
+use std::time;
+
+use pier_request::{attempts, retries};
 use pier_types::{ids, routes, sizes, times::clocks};
 
 use crate::{handle, requests, telemetry};
@@ -8,6 +10,12 @@
 /// Header by which a target says that it did not start a request.
 const NOT_STARTED_HEADER: &str = "x-not-started";
 
+/// Time between two looks at the health of an attempt's group.
+const HEALTH_PERIOD: time::Duration = time::Duration::from_millis(200);
+
+/// Time for which a group has to be broken before its work is ended; evidence may come late.
+const BROKEN_PATIENCE: time::Duration = time::Duration::from_secs(1);
+
 /// A dispatch that is about to be sent.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct AttemptCall<'a> {
@@ -34,8 +42,12 @@
         parent: &telemetry::TraceParent,
     ) -> Result<reqwest::Response, requests::AttemptFault> {
         let remaining = self.plan.deadline.since(clocks::boot_now());
-        let sending = self.request(parent).send();
-        let Ok(sent) = tokio::time::timeout(remaining, sending).await else {
+        let sending = tokio::time::timeout(remaining, self.request(parent).send());
+        let sent = tokio::select! {
+            sent = sending => sent,
+            fault = self.group_broken() => return Err(fault),
+        };
+        let Ok(sent) = sent else {
             self.cancel();
             let end = attempts::AttemptEnd::TimedOut;
             let cause = "no answer before the deadline";
@@ -45,6 +57,46 @@
         self.check(answer)
     }
 
+    /// Waits until the group has been broken for a while and another target could go on.
+    ///
+    /// Never ends for requests that may not be repeated, nor while this node sees no other target:
+    /// a node that is cut off must not end what may still finish.
+    pub(super) async fn group_broken(&self) -> requests::AttemptFault {
+        let mut broken_since = None;
+        loop {
+            tokio::time::sleep(HEALTH_PERIOD).await;
+            let now = clocks::boot_now();
+            if self.is_group_serving() || !self.could_go_on_elsewhere() {
+                broken_since = None;
+                continue;
+            }
+            let since = *broken_since.get_or_insert(now);
+            if now.since(since) >= BROKEN_PATIENCE {
+                self.cancel();
+                let end = attempts::AttemptEnd::Broken;
+                let cause = "a member of the group is missing";
+                return requests::AttemptFault::new(end, cause);
+            }
+        }
+    }
+
+    fn is_group_serving(&self) -> bool {
+        let ids::TargetId::Group(group) = &self.target.target else {
+            return true;
+        };
+        let groups = self.handle.groups();
+        let serving = groups.health.serving.get(&group.number);
+        serving.is_some_and(|serving| serving.generation == self.target.generation)
+    }
+
+    fn could_go_on_elsewhere(&self) -> bool {
+        let table = self.handle.routes();
+        let mut others = table.targets(&self.plan.pool).iter();
+        let usable =
+            others.any(|other| other.target != self.target.target && other.share.get() > 0);
+        usable && self.plan.rule == retries::RepeatRule::Repeatable
+    }
+
     /// Tells the target to end the attempt; nobody waits for it any more.
     pub(super) fn cancel(&self) {
         if !self.plan.can_resume() {
--- a/crates/pier_node/src/requests/stream_run.rs
+++ b/crates/pier_node/src/requests/stream_run.rs
@@ -1,6 +1,6 @@
 //! The run of a request whose answer is streamed.
 
-use std::time;
+use std::{pin, time};
 
 use bytes::Bytes;
 use pier_request::{attempts, routing};
@@ -114,12 +114,14 @@
     sink: &mut requests::RelaySink,
 ) -> Result<(), StreamStop> {
     let mut reader = requests::EventReader::new(answer);
+    let mut group_broken = pin::pin!(call.group_broken());
     let mut cause = "the stream ended without its end mark".to_owned();
     loop {
         let remaining = call.plan.deadline.since(clocks::boot_now());
         let next = tokio::select! {
             next = tokio::time::timeout(remaining, reader.next()) => next,
             () = sink.left() => return Err(StreamStop::CallerLeft),
+            fault = &mut group_broken => return Err(StreamStop::Fault(fault)),
         };
         let Ok(next) = next else {
             call.cancel();
--- a/crates/pier_node/src/requests/whole_run.rs
+++ b/crates/pier_node/src/requests/whole_run.rs
@@ -65,7 +65,12 @@
     let kind = kind.and_then(|value| value.to_str().ok());
     let content_type = kind.unwrap_or("application/octet-stream").to_owned();
     let remaining = call.plan.deadline.since(clocks::boot_now());
-    let Ok(body) = tokio::time::timeout(remaining, answer.bytes()).await else {
+    let reading = tokio::time::timeout(remaining, answer.bytes());
+    let read = tokio::select! {
+        read = reading => read,
+        fault = call.group_broken() => return Err(fault),
+    };
+    let Ok(body) = read else {
         call.cancel();
         let end = attempts::AttemptEnd::TimedOut;
         let cause = "the answer was not whole before the deadline";
