Show that a frozen engine holds its stream until the deadline

An engine is stopped by SIGSTOP in the middle of a stream whose customer allows repetition, with a second group of the same model idle. Seen twice: the stream ends with code 4005 DeadlinePassed, outcome unknown, after its whole deadline (45 s, and 120 s by default), although the group's evidence is stale after 2.5 s. Wanted: the work of a group that no longer serves is ended and resumed elsewhere.

--- a/crates/buckthornpier/tests/processes_engines_fail.rs
+++ b/crates/buckthornpier/tests/processes_engines_fail.rs
@@ -95,3 +95,17 @@
     let outcome = harmless.send_until_run().await;
     assert!(outcome.answer().is_some(), "{outcome:?}");
 }
+
+#[tokio::test]
+async fn a_frozen_engine_never_adds_to_an_answer_that_went_on_elsewhere() {
+    let cluster = support::TestCluster::start(support::ClusterPlan::default()).await;
+    let prompt = "frozen under a stream";
+    let call = cluster.nodes[0].complete(prompt).tokens(TOKENS).stream();
+    let call = tokio::spawn(call.deadline(45_000).send());
+    let engine = cluster.engine_running(prompt).await;
+    cluster.engines[engine].process.freeze();
+    let outcome = call.await.unwrap();
+    cluster.engines[engine].process.thaw();
+    let whole = support::whole_answer(prompt, TOKENS);
+    assert_eq!(outcome.answer(), Some(whole.as_str()), "{outcome:?}");
+}
