--- a/crates/pier_matrix/src/plays/case_judge.rs
+++ b/crates/pier_matrix/src/plays/case_judge.rs
@@ -49,6 +49,7 @@
             "outcome" => self.check_outcome(line.word(0)?, line.word(1)?),
             "in-flight-at-most" => self.check_in_flight(line.word(0)?, line.word(1)?.parse()?),
             "quiet-after" => self.check_quiet(line),
+            "never-down" => self.check_never_down(line.word(0)?),
             other => anyhow::bail!("no expectation {other:?}"),
         }
     }
@@ -129,6 +130,14 @@
         Ok(())
     }
 
+    /// An engine was never brought down by the load it got.
+    fn check_never_down(&self, target: &str) -> anyhow::Result<()> {
+        let mut entries = self.record(target)?.iter();
+        let lost = entries.find(|entry| entry.effect.contains("engine down"));
+        anyhow::ensure!(lost.is_none(), "{target} came down: {lost:?}");
+        Ok(())
+    }
+
     /// A target got no new call some milliseconds after a moment.
     fn check_quiet(&self, line: &cases::PlayLine) -> anyhow::Result<()> {
         let moment = self.moments.get(line.word(1)?).context("no such moment")?;
--- a/crates/pier_node/tests/requests/refusals.rs
+++ b/crates/pier_node/tests/requests/refusals.rs
@@ -92,10 +92,10 @@
 async fn a_target_that_can_not_be_reached_is_a_certain_not_run() {
     let platform = test_node::launch_platform().await;
     let node = test_node::TestNode::launch(platform.address());
-    // A port that was free a moment ago; nobody listens there.
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    drop(listener);
+    // Held to the end of the test, so that nobody else listens there, and never listening itself.
+    let held_port = tokio::net::TcpSocket::new_v4().unwrap();
+    held_port.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = held_port.local_addr().unwrap();
     node.publish(vec![test_node::target("vm-0", address)]);
     for key in [test_node::LARGE_KEY, test_node::SMALL_KEY] {
         let answer = node.send(test_node::completion(key, "draft", false)).await;
