Shift load while a data centre leaves and returns

Cause: the daemon flipped a data centre in and out at once; the decided shift was not wired. Ruled out: weights computed by one node, which needs an answer from it; binding the part while the data centre returns, since a request that no other takes may be served there.

--- a/crates/pier_node/src/handle/mod.rs
+++ b/crates/pier_node/src/handle/mod.rs
@@ -6,6 +6,7 @@
 mod node_handle;
 mod peer_entry;
 mod request_guard;
+mod shift_snapshot;
 
 pub use config_snapshot::ConfigSnapshot;
 pub use group_snapshot::GroupSnapshot;
@@ -13,3 +14,4 @@
 pub use node_handle::NodeHandle;
 pub use peer_entry::PeerEntry;
 pub use request_guard::RequestGuard;
+pub use shift_snapshot::ShiftSnapshot;
--- a/crates/pier_node/src/handle/node_handle.rs
+++ b/crates/pier_node/src/handle/node_handle.rs
@@ -39,6 +39,7 @@
     evidence: ArcSwap<collections::BTreeMap<ids::VmName, health::VmEvidence>>,
     stragglers: ArcSwap<collections::BTreeSet<ids::VmName>>,
     groups: ArcSwap<handle::GroupSnapshot>,
+    shift: ArcSwap<handle::ShiftSnapshot>,
     lease: ArcSwapOption<handle::LeaseSnapshot>,
     peers: ArcSwap<Vec<handle::PeerEntry>>,
     shares: ArcSwap<collections::BTreeMap<ids::TargetId, sizes::RequestCount>>,
@@ -85,6 +86,7 @@
             evidence: ArcSwap::default(),
             stragglers: ArcSwap::default(),
             groups: ArcSwap::default(),
+            shift: ArcSwap::default(),
             lease: ArcSwapOption::empty(),
             peers: ArcSwap::default(),
             shares: ArcSwap::default(),
@@ -221,6 +223,16 @@
         self.shared.groups.store(sync::Arc::new(snapshot));
     }
 
+    /// Returns how much new work this data centre gets now.
+    pub fn shift(&self) -> handle::ShiftSnapshot {
+        **self.shared.shift.load()
+    }
+
+    /// Publishes how much new work this data centre gets now.
+    pub fn publish_shift(&self, snapshot: handle::ShiftSnapshot) {
+        self.shared.shift.store(sync::Arc::new(snapshot));
+    }
+
     /// Returns the control lease of this data centre; none until it was read.
     pub fn lease(&self) -> Option<sync::Arc<handle::LeaseSnapshot>> {
         self.shared.lease.load_full()
--- a/crates/pier_node/src/requests/request_path.rs
+++ b/crates/pier_node/src/requests/request_path.rs
@@ -10,6 +10,9 @@
 /// When to come back while there is no configuration, in milliseconds.
 const CONFIG_RETRY_MILLIS: u64 = 1_000;
 
+/// When to come back while this data centre takes no new work, in milliseconds.
+const SHIFT_RETRY_MILLIS: u64 = 1_000;
+
 /// Takes one request from its arrival to its answer.
 #[derive(Debug, Clone)]
 pub struct RequestPath {
@@ -50,6 +53,9 @@
     ) -> Result<callers::CallerReply, callers::ErrorBody> {
         let plan = self.plan(request)?;
         self.check_quarantine(&plan)?;
+        if let Some(answer) = self.steer(&plan, parent).await {
+            return answer;
+        }
         let ticket = match self.admit(&plan) {
             Ok(ticket) => ticket,
             Err(refusal) => {
@@ -69,6 +75,27 @@
         }
     }
 
+    /// Sends a request elsewhere while this data centre leaves or returns; none when it is to be
+    /// served here.
+    async fn steer(
+        &self,
+        plan: &requests::RequestPlan,
+        parent: &telemetry::TraceParent,
+    ) -> Option<Result<callers::CallerReply, callers::ErrorBody>> {
+        let shift = self.handle.shift();
+        let forwarded = plan.hops > 0;
+        if shift.weight.includes(plan.fingerprint.get()) || (forwarded && shift.in_service) {
+            return None;
+        }
+        let code = codes::ResultCode::NoServingTarget;
+        let refusal = callers::ErrorBody::new(code, "this data centre takes no new work")
+            .retry_after_ms(SHIFT_RETRY_MILLIS);
+        match requests::ForwardRun::serve(&self.handle, plan, parent, refusal).await {
+            Err(error) if shift.in_service && error.outcome == codes::RunOutcome::NotRun => None,
+            answer => Some(answer),
+        }
+    }
+
     fn plan(
         &self,
         request: callers::CallerRequest,
--- a/crates/pier_node/src/tables/table_builder.rs
+++ b/crates/pier_node/src/tables/table_builder.rs
@@ -13,6 +13,8 @@
 pub struct TableBuilder<'a> {
     /// The data centre of this node.
     pub data_centre: &'a ids::DataCentreName,
+    /// How much new work the data centre gets.
+    pub shift: handle::ShiftSnapshot,
     /// The configuration in force.
     pub document: &'a documents::ConfigDocument,
     /// The groups of the data centre and their health.
@@ -28,13 +30,13 @@
 impl TableBuilder<'_> {
     /// Builds the table of the targets that may receive new work now.
     ///
-    /// A target is left out when its data centre is out of service, when it or a member of its
+    /// A target is left out when its data centre gets no new work, when it or a member of its
     /// group is leaving or drained, when its evidence is not fresh, or when this node has no share
     /// of it. Pools of the configuration stay present, so that an empty pool is told from an
     /// unknown one.
     pub fn build(&self, now: times::BootTime) -> routes::RouteTable {
         let mut pools = self.empty_pools();
-        if self.document.is_in_service(self.data_centre) {
+        if self.shift.is_open() {
             self.add_groups(&mut pools, now);
             self.add_services(&mut pools, now);
         }
--- a/crates/pier_node/src/tables/table_loop.rs
+++ b/crates/pier_node/src/tables/table_loop.rs
@@ -14,21 +14,25 @@
     tokio::spawn(async move {
         let mut ticks = tokio::time::interval(BUILD_PERIOD);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut shift = tables::ShiftDriver::default();
         loop {
             ticks.tick().await;
-            rebuild(&handle, times::clocks::boot_now());
+            rebuild(&handle, &mut shift, times::clocks::boot_now());
         }
     });
 }
 
-fn rebuild(handle: &handle::NodeHandle, now: times::BootTime) {
+fn rebuild(handle: &handle::NodeHandle, shift: &mut tables::ShiftDriver, now: times::BootTime) {
     let Some(config) = handle.config() else {
         return;
     };
     let (groups, vms) = (handle.groups(), handle.vms());
     let (evidence, shares) = (handle.evidence(), handle.shares());
+    let data_centre = &handle.settings().data_centre;
+    let shift = shift.update(&config.document, data_centre, &groups, now);
     let builder = tables::TableBuilder {
-        data_centre: &handle.settings().data_centre,
+        data_centre,
+        shift,
         document: &config.document,
         groups: &groups,
         vms: &vms,
@@ -36,5 +40,6 @@
         shares: &shares,
     };
     // Published unchanged as well: requests rely on a table only while it is young.
+    handle.publish_shift(shift);
     handle.publish_routes(builder.build(now));
 }
