Measure what one node adds and costs

Cause: the cost of a node was not measured. Ruled out: calls to an engine without its group's fencing number, which it refuses; bursts without a repeat, since a node's share grows with demand and the first calls of a burst are refused.

--- a/crates/buckthornpier/examples/entry_cost/load_run.rs
+++ b/crates/buckthornpier/examples/entry_cost/load_run.rs
@@ -7,12 +7,15 @@
 /// Greatest time that is told apart, in microseconds.
 const LONGEST_MICROS: u64 = 60_000_000;
 
+/// Time before a call is sent again that found no room.
+const RETRY_PAUSE: time::Duration = time::Duration::from_millis(50);
+
 /// Sends calls to one address.
 #[derive(Debug, Clone)]
 pub struct LoadRun {
     client: reqwest::Client,
     url: String,
-    generation: String,
+    group: (String, String),
 }
 
 impl LoadRun {
@@ -21,13 +24,13 @@
         Self {
             client: reqwest::Client::new(),
             url: format!("http://{address}/v1/completions"),
-            generation: String::new(),
+            group: <(String, String)>::default(),
         }
     }
 
-    /// Sets the fencing number that an engine asks for.
-    pub fn generation(mut self, generation: String) -> Self {
-        self.generation = generation;
+    /// Sets the group and the fencing number that an engine asks for.
+    pub fn group(mut self, group: String, generation: String) -> Self {
+        self.group = (group, generation);
         self
     }
 
@@ -69,6 +72,7 @@
         Ok(())
     }
 
+    /// Sends a call; a refusal for want of room is followed by another try, as the node asks.
     async fn send(
         &self,
         number: usize,
@@ -78,11 +82,19 @@
         let body = serde_json::json!({
             "model": "drafter", "prompt": format!("call {number}"), "max_tokens": tokens, "stream": stream
         });
-        let sending = self
-            .client
-            .post(&self.url)
-            .bearer_auth("sample-key-strathmore");
-        let answer = sending.json(&body).send().await?;
-        Ok(answer.error_for_status()?)
+        loop {
+            let sending = self.client.post(&self.url).json(&body);
+            let sending = sending.bearer_auth("sample-key-strathmore");
+            let sending = sending.header("x-group", &self.group.0);
+            let sending = sending.header("x-generation", &self.group.1);
+            let answer = sending.send().await?;
+            let status = answer.status();
+            if status.is_success() {
+                return Ok(answer);
+            }
+            let full = status == reqwest::StatusCode::TOO_MANY_REQUESTS;
+            anyhow::ensure!(full, "{status}: {}", answer.text().await?);
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
     }
 }
--- a/crates/buckthornpier/examples/entry_cost/main.rs
+++ b/crates/buckthornpier/examples/entry_cost/main.rs
@@ -36,7 +36,8 @@
 async fn main() -> anyhow::Result<()> {
     let processes = process_set::ProcessSet::launch().await?;
     let direct = load_run::LoadRun::new(processes.engine_address());
-    let direct = direct.generation(processes.engine_generation().await?);
+    let (group, generation) = processes.engine_group();
+    let direct = direct.group(group, generation);
     let routed = load_run::LoadRun::new(processes.node_address());
     print_latency(&direct, &routed).await?;
     print_throughput(&processes, &routed).await?;
--- a/crates/buckthornpier/examples/entry_cost/process_set.rs
+++ b/crates/buckthornpier/examples/entry_cost/process_set.rs
@@ -20,6 +20,7 @@
 pub struct ProcessSet {
     children: Vec<process::Child>,
     engine: String,
+    group: (String, String),
     node: String,
     node_id: u32,
 }
@@ -34,6 +35,7 @@
         let mut set = Self {
             children: Vec::new(),
             engine: String::new(),
+            group: <(String, String)>::default(),
             node: String::new(),
             node_id: 0,
         };
@@ -55,12 +57,11 @@
                 "name": vm, "incarnation": 1, "address": address, "data_centre": "scot-central-a",
                 "domain": "fabric-1", "pool": "accelerator", "state": "live"
             }));
-            set.engine = address;
         }
-        set.engine = list[0]["address"].as_str().unwrap_or_default().to_owned();
         publish(&platform, &list).await?;
         set.start_node(&platform)?;
         set.wait_until_served().await?;
+        set.find_group(&platform).await?;
         Ok(set)
     }
 
@@ -69,15 +70,9 @@
         &self.engine
     }
 
-    /// Returns the generation of the group that the first member serves.
-    ///
-    /// # Errors
-    ///
-    /// Fails when the engine does not report.
-    pub async fn engine_generation(&self) -> anyhow::Result<String> {
-        let answer = reqwest::get(format!("http://{}/report", self.engine)).await?;
-        let report: serde_json::Value = answer.json().await?;
-        Ok(report["generation"].to_string())
+    /// Returns the group and its generation, as requests to its first member name them.
+    pub fn engine_group(&self) -> (String, String) {
+        self.group.clone()
     }
 
     /// Returns where the node takes callers.
@@ -154,6 +149,22 @@
         Ok(line.trim().to_owned())
     }
 
+    /// Reads which engine is the group's first member.
+    async fn find_group(&mut self, platform: &str) -> anyhow::Result<()> {
+        let url = format!("http://{platform}/objects/placement/scot-central-a");
+        let placement: serde_json::Value = reqwest::get(url).await?.json().await?;
+        let groups = placement["groups"].as_object().context("no groups")?;
+        let (number, group) = groups.iter().next().context("no group")?;
+        let address = &group["members"][0]["address"];
+        address
+            .as_str()
+            .context("no address")?
+            .clone_into(&mut self.engine);
+        let id = format!("scot-central-a/{number}");
+        self.group = (id, group["generation"].to_string());
+        Ok(())
+    }
+
     async fn wait_until_served(&self) -> anyhow::Result<()> {
         let run = crate::load_run::LoadRun::new(&self.node);
         let started = time::Instant::now();
