Give one play's keys one time of issue

Cause: a play drew the time of issue of a key anew for each send, cut to the minute; over a minute's end the re-send had another key, and the charge rightly ran 2 times (at-most-once--node-replaced). Conclusion: the time is taken once a play.

--- a/crates/pier_matrix/src/plays/case_player.rs
+++ b/crates/pier_matrix/src/plays/case_player.rs
@@ -33,6 +33,7 @@
     outcomes: collections::BTreeMap<String, plays::CallOutcome>,
     drains: Vec<task::JoinHandle<()>>,
     moments: collections::BTreeMap<String, times::BootTime>,
+    keys_issued_at: times::WallTime,
 }
 
 impl CasePlayer {
@@ -54,6 +55,7 @@
             outcomes: collections::BTreeMap::new(),
             drains: Vec::new(),
             moments: collections::BTreeMap::new(),
+            keys_issued_at: times::clocks::wall_now(),
         };
         for line in &case.play {
             let step = player.step(line).await;
@@ -162,7 +164,7 @@
 
     fn send(&mut self, line: &cases::PlayLine) -> anyhow::Result<()> {
         let label = line.word(0)?.to_owned();
-        let call = sync::Arc::new(call_of(line, &label)?);
+        let call = sync::Arc::new(call_of(line, &label, self.keys_issued_at)?);
         let sending = match self.target {
             plays::PlayTarget::Nodes | plays::PlayTarget::HastyNodes => {
                 let node = self.bench.nodes().get(&call.node);
@@ -258,7 +260,11 @@
 }
 
 /// Reads what a line sends.
-fn call_of(line: &cases::PlayLine, label: &str) -> anyhow::Result<plays::CallEntry> {
+fn call_of(
+    line: &cases::PlayLine,
+    label: &str,
+    keys_issued_at: times::WallTime,
+) -> anyhow::Result<plays::CallEntry> {
     let mark = line.option("mark").unwrap_or(label);
     let mark = format!("mark-{mark}.");
     let kind = line.word(2)?;
@@ -267,7 +273,9 @@
         node: line.word(1)?.to_owned(),
         method: "POST".to_owned(),
         path: "/v1/completions".to_owned(),
-        key: line.option("key").map(issue_key),
+        key: line
+            .option("key")
+            .map(|name| format!("{keys_issued_at}-{name:0>8}")),
         bearer: line
             .option("bearer")
             .unwrap_or(bench::BEARER_KEY)
@@ -301,14 +309,6 @@
     Ok(())
 }
 
-/// Makes an idempotency key; one play's keys of the same name are equal.
-fn issue_key(name: &str) -> String {
-    const HOUR_MILLIS: u64 = 3_600_000;
-    let now = times::clocks::wall_now().as_millis();
-    let issued = now - now % (HOUR_MILLIS / 60);
-    format!("{issued}-{name:0>8}")
-}
-
 /// Sends a call once and reads whatever comes.
 async fn send_once(
     client: &reqwest::Client,
