--- a/crates/pier_fakes/src/platform/platform_app.rs
+++ b/crates/pier_fakes/src/platform/platform_app.rs
@@ -5,6 +5,7 @@
 use pier_types::times::clocks;
 use serde_json::json;
 use tokio::sync::watch;
+use xxhash_rust::xxh3;
 
 use crate::{fault, platform, record, serve};
 
@@ -32,13 +33,23 @@
         }
     }
 
-    fn vms(&self, sequence: u64) -> serve::FakeReply {
+    fn vms(&self, request: &serve::FakeRequest) -> serve::FakeReply {
         let mut list = serve::lock(&self.list);
-        let entries = list.visible(clocks::boot_now());
+        let entries = json!(list.visible(clocks::boot_now()));
+        let tag = format!("\"{:016x}\"", xxh3::xxh3_64(entries.to_string().as_bytes()));
+        let is_known = request.header("if-none-match") == Some(tag.as_str());
+        let effect = if is_known {
+            "list unchanged"
+        } else {
+            "listed VMs"
+        };
         self.core
             .record
-            .close(sequence, record::RunEnd::Finished, "listed VMs");
-        serve::FakeReply::json(200, &json!(entries))
+            .close(request.sequence, record::RunEnd::Finished, effect);
+        if is_known {
+            return serve::FakeReply::status(304);
+        }
+        serve::FakeReply::json(200, &entries).header("ETag", tag)
     }
 
     fn put_vms(&self, request: &serve::FakeRequest) -> serve::FakeReply {
@@ -64,7 +75,7 @@
     async fn answer(&self, request: serve::FakeRequest) -> serve::FakeReply {
         let (method, path) = request.route();
         match (method, path.as_slice()) {
-            ("GET", ["vms"]) => self.vms(request.sequence),
+            ("GET", ["vms"]) => self.vms(&request),
             ("GET", ["list"]) => self.list_objects(&request),
             ("GET", ["objects", _, ..]) => self.read_object(&request).await,
             ("PUT" | "DELETE", ["objects", _, ..]) => self.write_object(&request),
--- a/crates/pier_platform/src/lists/vm_list_client.rs
+++ b/crates/pier_platform/src/lists/vm_list_client.rs
@@ -2,6 +2,7 @@
 
 use std::{sync, time};
 
+use anyhow::Context as _;
 use pier_types::vms;
 
 use crate::{http, lists};
@@ -37,9 +38,32 @@
     /// Fails when the platform is away or its list does not parse; the last good list then stays
     /// in force at the caller.
     pub async fn fetch(&self) -> anyhow::Result<lists::VmListing> {
-        let call = self.http.get(self.url.as_ref()).timeout(LIST_TIMEOUT);
+        let listing = self.fetch_changed(None).await?;
+        listing.context("an unchanged list that was not known before")
+    }
+
+    /// Fetches the list unless it still has the tag of the one known; none when it has.
+    ///
+    /// # Errors
+    ///
+    /// As [`VmListClient::fetch`].
+    pub async fn fetch_changed(
+        &self,
+        known_tag: Option<&str>,
+    ) -> anyhow::Result<Option<lists::VmListing>> {
+        let mut call = self.http.get(self.url.as_ref()).timeout(LIST_TIMEOUT);
+        if let Some(tag) = known_tag {
+            call = call.header(reqwest::header::IF_NONE_MATCH, tag);
+        }
         let reply = call.send().await?.error_for_status()?;
+        if reply.status() == reqwest::StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        let tag = reply.headers().get(reqwest::header::ETAG);
+        let tag = tag.and_then(|tag| tag.to_str().ok()).map(str::to_owned);
         let raw_entries = reply.json::<Vec<vms::VmEntry>>().await?;
-        Ok(lists::VmListing::new(raw_entries))
+        let mut listing = lists::VmListing::new(raw_entries);
+        listing.tag = tag;
+        Ok(Some(listing))
     }
 }
--- a/crates/pier_platform/src/lists/vm_listing.rs
+++ b/crates/pier_platform/src/lists/vm_listing.rs
@@ -14,6 +14,8 @@
     pub entries: Vec<vms::VmEntry>,
     /// Names that stood in the list more than once, for the log.
     pub repeated: Vec<ids::VmName>,
+    /// The platform's mark of this list, if it gave one.
+    pub tag: Option<String>,
 }
 
 impl VmListing {
@@ -34,6 +36,7 @@
         Self {
             entries: kept.into_values().collect(),
             repeated: repeated.into_iter().collect(),
+            tag: None,
         }
     }
 
--- a/crates/pier_platform/tests/reads_tell_what_is_known.rs
+++ b/crates/pier_platform/tests/reads_tell_what_is_known.rs
@@ -86,3 +86,16 @@
     let listing = client.list("claim/").await;
     assert!(matches!(listing, objects::ListResult::Away { .. }));
 }
+
+#[tokio::test]
+async fn unchanged_list_is_not_sent_again() {
+    let platform = platform::FakePlatform::builder().launch().await.unwrap();
+    let base = format!("http://{}", platform.address());
+    let client = lists::VmListClient::new(&base).unwrap();
+    let listing = client.fetch().await.unwrap();
+    assert!(listing.tag.is_some());
+    let again = client.fetch_changed(listing.tag.as_deref()).await.unwrap();
+    assert_eq!(again, None);
+    let other = client.fetch_changed(Some("\"other\"")).await.unwrap();
+    assert_eq!(other, Some(listing));
+}
