--- /dev/null
+++ b/crates/pier_matrix/src/plays/call_sender.rs
@@ -0,0 +1,78 @@
+//! Sends a call to a node, or blindly to the targets.
+
+use std::time;
+
+use futures_util::StreamExt as _;
+
+use crate::plays;
+
+/// Times that the blind retrier sends a call.
+const BLIND_SENDS: usize = 3;
+
+/// Time that the blind retrier waits for an answer.
+const BLIND_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+
+/// Sends a call once and reads whatever comes.
+pub(super) async fn send_once(
+    client: &reqwest::Client,
+    address: &str,
+    call: &plays::CallEntry,
+    timeout: time::Duration,
+) -> plays::CallOutcome {
+    let method = reqwest::Method::from_bytes(call.method.as_bytes());
+    let method = method.unwrap_or(reqwest::Method::POST);
+    let mut request = client
+        .request(method, format!("http://{address}{}", call.path))
+        .bearer_auth(&call.bearer)
+        .header("x-deadline-ms", call.deadline_ms.to_string())
+        .header("content-type", "application/json")
+        .timeout(timeout)
+        .body(call.body.clone());
+    if let Some(key) = &call.key {
+        request = request.header("idempotency-key", key);
+    }
+    let Ok(answer) = request.send().await else {
+        return plays::CallOutcome::default();
+    };
+    let mut outcome = plays::CallOutcome {
+        status: Some(answer.status().as_u16()),
+        ..plays::CallOutcome::default()
+    };
+    let mut parts = answer.bytes_stream();
+    while let Some(part) = parts.next().await {
+        let Ok(part) = part else {
+            return outcome;
+        };
+        outcome.body.push_str(&String::from_utf8_lossy(&part));
+    }
+    outcome.ended = true;
+    outcome
+}
+
+/// Sends a call to one target after the other until something answers with success.
+///
+/// What a broken answer had brought stays with the caller, as it does for a streaming one.
+pub(super) async fn send_blindly(
+    client: &reqwest::Client,
+    targets: &[std::net::SocketAddr],
+    call: &plays::CallEntry,
+) -> plays::CallOutcome {
+    let mut call = call.clone();
+    if let Some(path) = call.path.strip_prefix("/services/ledger") {
+        call.path = path.to_owned();
+    }
+    let mut outcome = plays::CallOutcome::default();
+    let mut received = String::new();
+    for target in targets.iter().cycle().take(BLIND_SENDS * targets.len()) {
+        let address = target.to_string();
+        outcome = send_once(client, &address, &call, BLIND_TIMEOUT).await;
+        if outcome.is_whole() {
+            outcome.body.insert_str(0, &received);
+            return outcome;
+        }
+        if outcome.status.is_some_and(|status| status < 400) {
+            received.push_str(&outcome.body);
+        }
+    }
+    outcome
+}
--- a/crates/pier_matrix/src/plays/case_player.rs
+++ b/crates/pier_matrix/src/plays/case_player.rs
@@ -3,22 +3,12 @@
 use std::{collections, sync, time};
 
 use anyhow::Context as _;
-use futures_util::StreamExt as _;
 use pier_fakes::engine;
 use pier_types::{routes, times};
 use tokio::task;
 
 use crate::{bench, cases, plays};
 
-/// Times that the blind retrier sends a call.
-const BLIND_SENDS: usize = 3;
-
-/// Time that the blind retrier waits for an answer.
-const BLIND_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
-
-/// Time a caller waits when the play names none, in milliseconds.
-const DEADLINE_MILLIS: u64 = 10_000;
-
 /// Time a caller waits beyond its deadline before it counts the answer as lost.
 const PATIENCE: time::Duration = time::Duration::from_secs(30);
 
@@ -164,7 +154,7 @@
 
     fn send(&mut self, line: &cases::PlayLine) -> anyhow::Result<()> {
         let label = line.word(0)?.to_owned();
-        let call = sync::Arc::new(call_of(line, &label, self.keys_issued_at)?);
+        let call = sync::Arc::new(plays::CallEntry::read(line, &label, self.keys_issued_at)?);
         let sending = match self.target {
             plays::PlayTarget::Nodes | plays::PlayTarget::HastyNodes => {
                 let node = self.bench.nodes().get(&call.node);
@@ -173,14 +163,14 @@
                 let call = sync::Arc::clone(&call);
                 let timeout = time::Duration::from_millis(call.deadline_ms) + PATIENCE;
                 task::spawn(async move {
-                    send_once(&client, &address.to_string(), &call, timeout).await
+                    plays::send_once(&client, &address.to_string(), &call, timeout).await
                 })
             }
             plays::PlayTarget::BlindRetrier => {
                 let targets = self.bench.target_addresses();
                 let client = self.client.clone();
                 let call = sync::Arc::clone(&call);
-                task::spawn(async move { send_blindly(&client, &targets, &call).await })
+                task::spawn(async move { plays::send_blindly(&client, &targets, &call).await })
             }
         };
         self.calls.insert(label.clone(), call);
@@ -259,117 +249,8 @@
     }
 }
 
-/// Reads what a line sends.
-fn call_of(
-    line: &cases::PlayLine,
-    label: &str,
-    keys_issued_at: times::WallTime,
-) -> anyhow::Result<plays::CallEntry> {
-    let mark = line.option("mark").unwrap_or(label);
-    let mark = format!("mark-{mark}.");
-    let kind = line.word(2)?;
-    let deadline_ms = line.option("deadline-ms").map(str::parse).transpose()?;
-    let mut call = plays::CallEntry {
-        node: line.word(1)?.to_owned(),
-        method: "POST".to_owned(),
-        path: "/v1/completions".to_owned(),
-        key: line
-            .option("key")
-            .map(|name| format!("{keys_issued_at}-{name:0>8}")),
-        bearer: line
-            .option("bearer")
-            .unwrap_or(bench::BEARER_KEY)
-            .to_owned(),
-        body: String::new(),
-        mark: mark.clone(),
-        deadline_ms: deadline_ms.unwrap_or(DEADLINE_MILLIS),
-    };
-    let tokens: u64 = line.option("tokens").unwrap_or("8").parse()?;
-    let fields = serde_json::json!({
-        "model": "draft", "prompt": mark, "max_tokens": tokens, "stream": kind == "stream"
-    });
-    match kind {
-        "draft" | "stream" => call.body = fields.to_string(),
-        "charge" => {
-            "/services/ledger/charges".clone_into(&mut call.path);
-            call.body = serde_json::json!({ "for": mark }).to_string();
-        }
-        "balance" => {
-            "GET".clone_into(&mut call.method);
-            call.path = format!("/services/ledger/balance/{mark}");
-        }
-        other => anyhow::bail!("no call {other:?}"),
-    }
-    Ok(call)
-}
-
 async fn pause(millis: &str) -> anyhow::Result<()> {
     let millis = millis.parse()?;
     tokio::time::sleep(time::Duration::from_millis(millis)).await;
     Ok(())
 }
-
-/// Sends a call once and reads whatever comes.
-async fn send_once(
-    client: &reqwest::Client,
-    address: &str,
-    call: &plays::CallEntry,
-    timeout: time::Duration,
-) -> plays::CallOutcome {
-    let method = reqwest::Method::from_bytes(call.method.as_bytes());
-    let method = method.unwrap_or(reqwest::Method::POST);
-    let mut request = client
-        .request(method, format!("http://{address}{}", call.path))
-        .bearer_auth(&call.bearer)
-        .header("x-deadline-ms", call.deadline_ms.to_string())
-        .header("content-type", "application/json")
-        .timeout(timeout)
-        .body(call.body.clone());
-    if let Some(key) = &call.key {
-        request = request.header("idempotency-key", key);
-    }
-    let Ok(answer) = request.send().await else {
-        return plays::CallOutcome::default();
-    };
-    let mut outcome = plays::CallOutcome {
-        status: Some(answer.status().as_u16()),
-        ..plays::CallOutcome::default()
-    };
-    let mut parts = answer.bytes_stream();
-    while let Some(part) = parts.next().await {
-        let Ok(part) = part else {
-            return outcome;
-        };
-        outcome.body.push_str(&String::from_utf8_lossy(&part));
-    }
-    outcome.ended = true;
-    outcome
-}
-
-/// Sends a call to one target after the other until something answers with success.
-///
-/// What a broken answer had brought stays with the caller, as it does for a streaming one.
-async fn send_blindly(
-    client: &reqwest::Client,
-    targets: &[std::net::SocketAddr],
-    call: &plays::CallEntry,
-) -> plays::CallOutcome {
-    let mut call = call.clone();
-    if let Some(path) = call.path.strip_prefix("/services/ledger") {
-        call.path = path.to_owned();
-    }
-    let mut outcome = plays::CallOutcome::default();
-    let mut received = String::new();
-    for target in targets.iter().cycle().take(BLIND_SENDS * targets.len()) {
-        let address = target.to_string();
-        outcome = send_once(client, &address, &call, BLIND_TIMEOUT).await;
-        if outcome.is_whole() {
-            outcome.body.insert_str(0, &received);
-            return outcome;
-        }
-        if outcome.status.is_some_and(|status| status < 400) {
-            received.push_str(&outcome.body);
-        }
-    }
-    outcome
-}
