Tell held cells from proved ones

Cause: cells of cases that can not fail with the protection off were counted as proved, against the page's own words. Ruled out: dropping these cases; they still have to pass.

--- a/crates/pier_matrix/src/cells/cell_sheet.rs
+++ b/crates/pier_matrix/src/cells/cell_sheet.rs
@@ -61,12 +61,14 @@
         }
         for (name, case) in read_cases(folder)? {
             for key in case.cells {
-                let proof = format!("cases/{name}");
-                let state = if red.contains(&name) {
-                    cells::CellState::Red { proof }
-                } else {
-                    cells::CellState::Proved { proof }
-                };
+                let present = states.get(&key);
+                let is_proved = matches!(present, Some(cells::CellState::Proved { .. }));
+                let is_red = red.contains(&name);
+                // What was seen to fail says more than a case that can not.
+                if is_proved && case.blind_holds.is_some() && !is_red {
+                    continue;
+                }
+                let state = state_of(&name, case.blind_holds.as_ref(), is_red);
                 states.insert(key, state);
             }
         }
@@ -112,6 +114,19 @@
     }
 }
 
+/// Returns what a case says of its cells.
+fn state_of(name: &str, blind_holds: Option<&String>, is_red: bool) -> cells::CellState {
+    let proof = format!("cases/{name}");
+    match blind_holds {
+        _ if is_red => cells::CellState::Red { proof },
+        Some(reason) => cells::CellState::Held {
+            proof,
+            reason: reason.clone(),
+        },
+        None => cells::CellState::Proved { proof },
+    }
+}
+
 fn lists(list: &str, name: &str) -> bool {
     list == "*" || list.split(',').any(|item| item == name)
 }
--- a/crates/pier_matrix/src/cells/cell_state.rs
+++ b/crates/pier_matrix/src/cells/cell_state.rs
@@ -10,6 +10,13 @@
         /// The case file or the test that proves it.
         proof: String,
     },
+    /// A case passes, but was not seen to fail with the protection off.
+    Held {
+        /// The case file.
+        proof: String,
+        /// Why it can not fail there.
+        reason: String,
+    },
     /// The fault can not touch the step.
     NotApplicable {
         /// Why not.
@@ -29,6 +36,7 @@
     pub fn mark(&self) -> &'static str {
         match self {
             Self::Proved { .. } => "P",
+            Self::Held { .. } => "h",
             Self::NotApplicable { .. } => "-",
             Self::Red { .. } => "R",
             Self::NotProved => "?",
@@ -40,6 +48,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Proved { proof } => write!(f, "proved by {proof}"),
+            Self::Held { proof, reason } => write!(f, "held by {proof}: {reason}"),
             Self::NotApplicable { reason } => write!(f, "not applicable: {reason}"),
             Self::Red { proof } => write!(f, "red: {proof}"),
             Self::NotProved => f.write_str("not proved"),
--- a/crates/pier_matrix/src/cells/fault_page.rs
+++ b/crates/pier_matrix/src/cells/fault_page.rs
@@ -40,8 +40,9 @@
         let count = |mark: &str| counts.get(mark).copied().unwrap_or(0);
         let _infallible = writeln!(
             page,
-            "Cells: {} proved (P), {} not applicable (-), {} red (R), {} not proved (?).\n",
+            "Cells: {} proved (P), {} held (h), {} not applicable (-), {} red (R), {} not proved (?).\n",
             count("P"),
+            count("h"),
             count("-"),
             count("R"),
             count("?"),
@@ -81,6 +82,9 @@
                 let mark = state.mark();
                 let _infallible = writeln!(page, "| {key} | {mark} `{proof}` |");
             }
+            if let cells::CellState::Held { proof, reason } = state {
+                let _infallible = writeln!(page, "| {key} | h `{proof}`: {reason} |");
+            }
         }
     }
 
@@ -103,7 +107,8 @@
 Written by `cargo run -p pier_matrix --example write_fault_page`; change the case files and `cells.ini`, not this
 page. A proved cell names the case or test
 that passes now and was seen to fail with the protection off (for tests: stated in the commit that brought them). A case is played a second time through a caller's
-library that retries blindly, and must break the promise there.
+library that retries blindly, or with kills for drains, and must break the promise there. Where it can not, its cells are
+held and not proved, with the reason.
 
 ";
 
