--- a/crates/pier_matrix/src/cells/fault_column.rs
+++ b/crates/pier_matrix/src/cells/fault_column.rs
@@ -41,6 +41,8 @@
     NodeFrozen,
     /// A node is replaced by a new one.
     NodeReplaced,
+    /// The step by itself, without a fault.
+    NoFault,
     /// Two of these at once.
     TwoFaults,
     /// The same fault twice.
@@ -68,6 +70,7 @@
         Self::NodeKilled,
         Self::NodeFrozen,
         Self::NodeReplaced,
+        Self::NoFault,
         Self::TwoFaults,
         Self::FaultTwice,
     ];
@@ -93,6 +96,7 @@
             Self::NodeKilled => "node-killed",
             Self::NodeFrozen => "node-frozen",
             Self::NodeReplaced => "node-replaced",
+            Self::NoFault => "no-fault",
             Self::TwoFaults => "two-faults",
             Self::FaultTwice => "fault-twice",
         }
@@ -119,6 +123,7 @@
             Self::NodeKilled => "A node is killed.",
             Self::NodeFrozen => "A node is frozen and wakes later.",
             Self::NodeReplaced => "A node is replaced by a new one.",
+            Self::NoFault => "The step by itself, without a fault.",
             Self::TwoFaults => "Two of these at once.",
             Self::FaultTwice => "The same fault twice.",
         }
