Cut the call that slips past a stand-in going down

The gate in front of a stand-in set its mode, cut the known connections and returned; its accept loop could still take a connection that came at that moment, or hand one on that it had taken just before, and nothing cut that one later.

Ruled out: the node. Its claim was truly written: the stand-in's record shows the write, so the node said nothing untrue.

A connection now looks at the mode after it has entered itself in the list that is cut, and a cut also stops bytes that were read before.

Conclusion: a fault of the stand-in, which could make any case with the platform or an engine "down" pass or fail for the wrong reason.

--- a/crates/pier_fakes/src/serve/fault_gate.rs
+++ b/crates/pier_fakes/src/serve/fault_gate.rs
@@ -104,9 +104,13 @@
         }
     }
 
-    /// Cuts every connection.
+    /// Cuts every connection; nothing that is written later gets through.
     pub(crate) fn cut_all(&self) {
-        serve::lock(&self.state.connections).clear();
+        let mut connections = serve::lock(&self.state.connections);
+        for handle in connections.values() {
+            handle.is_cut.store(true, atomic::Ordering::SeqCst);
+        }
+        connections.clear();
     }
 
     /// Accepts connections for a server until the task is ended.
@@ -167,6 +171,11 @@
             _end: sender,
         };
         serve::lock(&self.state.connections).insert(address, handle);
+        // The connection may have been accepted while the gate went down, after all were cut.
+        if self.state.mode.borrow().0 == GateMode::Down {
+            serve::lock(&self.state.connections).remove(&address);
+            return;
+        }
         let (client_read, client_write) = client.into_split();
         let (server_read, server_write) = upstream.into_split();
         let both = async {
--- a/crates/pier_fakes/tests/faults_strike.rs
+++ b/crates/pier_fakes/tests/faults_strike.rs
@@ -91,6 +91,22 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_stand_in_that_is_down_answers_no_call_that_comes_at_once() {
+    const ROUNDS: usize = 300;
+    let server = platform::FakePlatform::builder().launch().await.unwrap();
+    let url = format!("http://{}/vms", server.address());
+    for round in 0..ROUNDS {
+        server.set_fault(fault::FaultSpec::new(fault::FaultKind::Down {
+            for_ms: None,
+        }));
+        let answer = client().get(&url).send().await;
+        assert!(answer.is_err(), "round {round}: {answer:?}");
+        server.clear_faults();
+        while client().get(&url).send().await.is_err() {}
+    }
+}
+
 #[tokio::test]
 async fn a_paused_engine_goes_on_where_it_stopped() {
     let server = preloaded().await;
