Show how much downtime of a full data centre nothing could avoid

Ruled out: a better choice. The study now also counts the time in which the working VMs could not hold all wanted groups, however they were grouped.

Conclusion: no change of the planner.

--- a/crates/pier_control/examples/placement_study/study_fleet.rs
+++ b/crates/pier_control/examples/placement_study/study_fleet.rs
@@ -5,7 +5,9 @@
 use pier_control::{health, leases, loads, orders, placements, planning};
 use pier_types::{epochs, ids, times, vms};
 
-use crate::{fleet_event, placement_policy, sim_vm, study_models, study_rates, study_totals};
+use crate::{
+    fleet_event, placement_policy, sim_vm, study_floor, study_models, study_rates, study_totals,
+};
 
 /// What the platform does later on.
 #[derive(Debug, Clone)]
@@ -19,6 +21,7 @@
 /// The data centre.
 pub struct StudyFleet {
     policy: placement_policy::PlacementPolicy,
+    small_groups: u32,
     vms: collections::BTreeMap<ids::VmName, sim_vm::SimVm>,
     follow_ups: collections::BTreeMap<u64, Vec<FollowUp>>,
     next_vm: u64,
@@ -32,14 +35,19 @@
 }
 
 impl StudyFleet {
-    /// Makes a data centre that wants so many groups of 4, and whose VMs are all up and empty.
+    /// Makes a data centre that wants so many small groups, and whose VMs are all up and empty.
     pub fn new(policy: placement_policy::PlacementPolicy, small_groups: u32) -> Self {
         let models = [
-            ("large", study_rates::LARGE_GROUPS, 32),
-            ("small", small_groups, 4),
+            (
+                "large",
+                study_rates::LARGE_GROUPS,
+                study_rates::LARGE_MEMBERS,
+            ),
+            ("small", small_groups, study_rates::SMALL_MEMBERS),
         ];
         let mut fleet = Self {
             policy,
+            small_groups,
             vms: collections::BTreeMap::new(),
             follow_ups: collections::BTreeMap::new(),
             next_vm: 0,
@@ -242,6 +250,8 @@
         }
         self.totals
             .note(&self.wanted, &self.placement, &view, &self.vms);
+        let floor = study_floor::missing_groups(&self.vms, self.small_groups);
+        self.totals.note_floor(floor);
         is_loading || is_changed || !due.is_empty()
     }
 
--- /dev/null
+++ b/crates/pier_control/examples/placement_study/study_floor.rs
@@ -0,0 +1,33 @@
+//! The downtime that no choice of groups could avoid.
+
+use std::collections;
+
+use pier_types::ids;
+
+use crate::{sim_vm, study_rates};
+
+/// Returns how many wanted groups the working VMs could not hold, however they were grouped.
+///
+/// It knows no weight loads, no detection and no VM that leaves: it is less than any policy can
+/// reach.
+pub fn missing_groups(
+    vms: &collections::BTreeMap<ids::VmName, sim_vm::SimVm>,
+    small_groups: u32,
+) -> u64 {
+    let mut up_vms = collections::BTreeMap::<ids::DomainName, u32>::new();
+    for vm in vms.values().filter(|vm| vm.is_up) {
+        *up_vms.entry(vm.entry.domain.clone()).or_default() += 1;
+    }
+    let places = |members: u32| up_vms.values().map(|up| up / members).sum::<u32>();
+    let small_places = places(study_rates::SMALL_MEMBERS);
+    let small_for_large = study_rates::LARGE_MEMBERS / study_rates::SMALL_MEMBERS;
+    let most_large = places(study_rates::LARGE_MEMBERS).min(study_rates::LARGE_GROUPS);
+    let best = (0..=most_large)
+        .map(|large| {
+            let left = small_places.saturating_sub(large * small_for_large);
+            large + left.min(small_groups)
+        })
+        .max();
+    let wanted = study_rates::LARGE_GROUPS + small_groups;
+    u64::from(wanted.saturating_sub(best.unwrap_or_default()))
+}
--- a/crates/pier_control/examples/placement_study/study_rates.rs
+++ b/crates/pier_control/examples/placement_study/study_rates.rs
@@ -11,10 +11,14 @@
 pub const OUTAGES_A_DAY: f64 = 1.0 / 45.0;
 /// VMs in each fabric domain.
 pub const DOMAIN_SIZES: [u64; 7] = [72, 68, 66, 64, 62, 60, 58];
-/// Groups of 32 VMs that are wanted.
+/// Large groups that are wanted.
 pub const LARGE_GROUPS: u32 = 10;
-/// Groups of 4 VMs that are wanted unless the command line says otherwise.
+/// VMs in a large group.
+pub const LARGE_MEMBERS: u32 = 32;
+/// Small groups that are wanted unless the command line says otherwise.
 pub const SMALL_GROUPS: u32 = 24;
+/// VMs in a small group.
+pub const SMALL_MEMBERS: u32 = 4;
 /// Until the list forgets a VM that failed, in seconds.
 pub const LIST_LAG: u64 = 60;
 /// Until the platform brings another VM for one that failed, in seconds.
--- a/crates/pier_control/examples/placement_study/study_totals.rs
+++ b/crates/pier_control/examples/placement_study/study_totals.rs
@@ -15,7 +15,9 @@
 pub struct StudyTotals {
     /// Seconds in which a wanted group did not serve, over all groups.
     pub down: u64,
-    /// The same, each group counted as often as it has members.
+    /// The part of them that no choice of groups could avoid.
+    pub floor: u64,
+    /// All of them, each group counted as often as it has members.
     pub down_vms: u64,
     /// VM seconds of working VMs in groups that lack a member, or left over while a group is
     /// wanted and can not be formed.
@@ -27,6 +29,7 @@
     /// Bytes read from the weight store.
     pub bytes_read: u64,
     now_down: u64,
+    now_floor: u64,
     now_down_vms: u64,
     now_stranded: u64,
     now_spare: u64,
@@ -79,9 +82,15 @@
         self.now_spare = free - left_over;
     }
 
+    /// Takes in how many groups could not serve at present under any policy.
+    pub fn note_floor(&mut self, missing: u64) {
+        self.now_floor = missing;
+    }
+
     /// Lets the present state last for some seconds.
     pub fn add(&mut self, seconds: u64) {
         self.down += self.now_down * seconds;
+        self.floor += self.now_floor * seconds;
         self.down_vms += self.now_down_vms * seconds;
         self.stranded += self.now_stranded * seconds;
         self.spare += self.now_spare * seconds;
@@ -91,6 +100,7 @@
     /// Adds the sums of another run.
     pub fn merge(&mut self, other: &Self) {
         self.down += other.down;
+        self.floor += other.floor;
         self.down_vms += other.down_vms;
         self.stranded += other.stranded;
         self.spare += other.spare;
