Give the control loop one view of a tick; read a stand-in's last error

Cause: `plan` and `order` took six arguments that one tick had just gathered.

Ruled out: a change of behaviour: the order of the steps of a tick is the same, but that the store's rate is now set before a placement is known.

After: none in the tests of pier_node and pier_fakes (17 groups, all pass).

--- a/crates/pier_fakes/src/serve/rocket_server.rs
+++ b/crates/pier_fakes/src/serve/rocket_server.rs
@@ -37,13 +37,13 @@
         let rocket = rocket::custom(server_settings(listen))
             .mount("/", handler.routes())
             .attach(liftoff);
-        let running = tokio::spawn(rocket.launch());
+        let running = tokio::spawn(run(rocket));
         if let Ok((address, shutdown)) = receiver.await {
             return Ok(Self { address, shutdown });
         }
         let error = match running.await {
-            Ok(Ok(_stopped)) => "stopped before it served".to_owned(),
-            Ok(Err(error)) => error.to_string(),
+            Ok(Ok(())) => "stopped before it served".to_owned(),
+            Ok(Err(error)) => error,
             Err(error) => error.to_string(),
         };
         Err(serve::FakeError::Launch(error))
@@ -55,6 +55,12 @@
     }
 }
 
+/// Serves until it is stopped; the library panics over an error that nobody reads.
+async fn run(rocket: rocket::Rocket<rocket::Build>) -> Result<(), String> {
+    let ended = rocket.launch().await;
+    ended.map(drop).map_err(|error| error.to_string())
+}
+
 /// Returns settings that take nothing from files or the environment.
 fn server_settings(listen: net::SocketAddr) -> figment::Figment {
     let no_signals: [&str; 0] = [];
--- a/crates/pier_node/src/control/control_loop.rs
+++ b/crates/pier_node/src/control/control_loop.rs
@@ -2,6 +2,7 @@
 
 use std::{collections, time};
 
+use pier_config::documents;
 use pier_control::{health, leases, loads, orders, placements, planning};
 use pier_types::{epochs, ids, times, times::clocks, vms};
 use tokio::sync::mpsc;
@@ -90,34 +91,50 @@
         if let Some(config) = &config {
             self.health.set_freshness(config.document.limits.freshness);
         }
+        let view = self.observe(now);
+        self.handle.publish_groups(handle::GroupSnapshot {
+            placement: view.placement.clone(),
+            health: view.health.clone(),
+        });
+        if let (Some(config), Some(grant)) = (config, self.lease.grant(now)) {
+            self.act(&config.document, &view, grant.term, now);
+        }
+    }
+
+    /// Judges the groups and the VMs.
+    fn observe(&mut self, now: times::BootTime) -> control::ControlView {
         let evidence = self.handle.evidence();
         let placement = self.placement.placement().cloned();
-        let view = placement
+        let health = placement
             .as_ref()
-            .map(|placement| self.health.observe(placement, &evidence, now))
-            .unwrap_or_default();
-        let conditions = self.conditions(placement.as_ref(), &evidence, now);
-        self.handle.publish_groups(handle::GroupSnapshot {
-            placement: placement.clone(),
-            health: view.clone(),
-        });
-        let (Some(config), Some(grant)) = (config, self.lease.grant(now)) else {
-            return;
-        };
+            .map(|placement| self.health.observe(placement, &evidence, now));
+        control::ControlView {
+            conditions: self.conditions(placement.as_ref(), &evidence, now),
+            health: health.unwrap_or_default(),
+            placement,
+            evidence,
+        }
+    }
+
+    /// Plans and orders as the holder of the lease.
+    fn act(
+        &mut self,
+        document: &documents::ConfigDocument,
+        view: &control::ControlView,
+        term: epochs::LeaseTerm,
+        now: times::BootTime,
+    ) {
         let data_centre = &self.handle.settings().data_centre;
-        let Some(wanted) = control::wanted_models(&config.document, data_centre) else {
+        let Some(wanted) = control::wanted_models(document, data_centre) else {
             return;
         };
         if now.since(self.planned_at) >= PLAN_INTERVAL {
             self.planned_at = now;
-            let vms = control::wanted_models::planned_vms(&self.handle.vms(), &config.document);
-            self.plan(&wanted, &vms, &conditions, &view, grant.term, now);
-        }
-        if let Some(placement) = placement {
-            self.queue
-                .set_store_rate(config.document.limits.weight_store_rate);
-            self.order(&wanted, &placement, &evidence, &view, now);
+            let vms = control::wanted_models::planned_vms(&self.handle.vms(), document);
+            self.plan(&wanted, &vms, view, term, now);
         }
+        self.queue.set_store_rate(document.limits.weight_store_rate);
+        self.order(&wanted, view, now);
     }
 
     /// Judges each VM that the list or the placement names.
@@ -149,8 +166,7 @@
         &mut self,
         wanted: &WantedMap,
         vms: &[vms::VmEntry],
-        conditions: &collections::BTreeMap<ids::VmName, planning::VmCondition>,
-        view: &health::HealthView,
+        view: &control::ControlView,
         term: epochs::LeaseTerm,
         now: times::BootTime,
     ) {
@@ -158,6 +174,7 @@
             return;
         };
         let mismatched = view
+            .health
             .mismatched
             .union(self.orders.fenced())
             .copied()
@@ -165,10 +182,10 @@
         let input = planning::PlanInput {
             wanted,
             vms,
-            conditions,
-            serving: &view.loads(),
+            conditions: &view.conditions,
+            serving: &view.health.loads(),
             mismatched: &mismatched,
-            ready: &view.ready,
+            ready: &view.health.ready,
             seen_generation: self.orders.seen_generation(),
             present: &present,
             term,
@@ -190,19 +207,16 @@
     }
 
     /// Sends the orders that are due.
-    fn order(
-        &mut self,
-        wanted: &WantedMap,
-        placement: &placements::DataCentrePlacement,
-        evidence: &collections::BTreeMap<ids::VmName, health::VmEvidence>,
-        view: &health::HealthView,
-        now: times::BootTime,
-    ) {
+    fn order(&mut self, wanted: &WantedMap, view: &control::ControlView, now: times::BootTime) {
+        let Some(placement) = &view.placement else {
+            return;
+        };
+        let evidence = &view.evidence;
         let admitted = self.queue.admit(&loads::LoadInput {
             placement,
             wanted,
             evidence,
-            view,
+            view: &view.health,
             now,
         });
         let vms: Vec<_> = self.handle.vms().values().cloned().collect();
--- a/crates/pier_node/src/control/mod.rs
+++ b/crates/pier_node/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod control_event;
 mod control_loop;
 mod control_settings;
+mod control_view;
 mod lease_calls;
 mod lease_driver;
 mod order_calls;
@@ -23,6 +24,7 @@
 use control_event::ControlEvent;
 pub use control_loop::spawn;
 pub use control_settings::ControlSettings;
+use control_view::ControlView;
 use lease_driver::LeaseDriver;
 use placement_driver::PlacementDriver;
 pub use wanted_models::wanted_models;
