--- /dev/null
+++ b/crates/pier_request/examples/admission_price/arrival_draw.rs
@@ -0,0 +1,64 @@
+//! The requests of one run, drawn from a seed.
+
+use pier_request::admission;
+use rand::{Rng, SeedableRng, rngs};
+
+use crate::study_policy;
+
+/// Length of a run, in milliseconds.
+pub const LENGTH_MS: u64 = 600_000;
+
+const SHORTEST_SERVICE_MS: u64 = 500;
+const LONGEST_SERVICE_MS: u64 = 1_500;
+
+/// Of each minute, the part with three times the ordinary rate of high priority.
+const BURST_MS: u64 = 10_000;
+const MINUTE_MS: u64 = 60_000;
+const BURST_FACTOR: u32 = 3;
+
+/// Of the arrivals outside a burst, in hundredths.
+const HIGH_PERCENT: u32 = 20;
+const NORMAL_PERCENT: u32 = 40;
+
+/// One request.
+#[derive(Debug, Clone, Copy)]
+pub struct StudyArrival {
+    /// When it comes, in milliseconds.
+    pub at_ms: u64,
+    /// How long it holds a place, in milliseconds.
+    pub service_ms: u64,
+    /// Its priority.
+    pub priority: admission::RequestPriority,
+}
+
+/// Draws the arrivals of a run whose offered work outside bursts is `load` hundredths of the
+/// capacity.
+pub fn draw(load: u32, seed: u64) -> Vec<StudyArrival> {
+    let mut rng = rngs::StdRng::seed_from_u64(seed);
+    let mean_service = u64::midpoint(SHORTEST_SERVICE_MS, LONGEST_SERVICE_MS);
+    let rate_ms = f64::from(study_policy::CAPACITY * load) / 100.0 / mean_service as f64;
+    let mut arrivals = Vec::new();
+    for at_ms in 0..LENGTH_MS {
+        let bursting = at_ms % MINUTE_MS < BURST_MS;
+        let high = HIGH_PERCENT * if bursting { BURST_FACTOR } else { 1 };
+        let parts = [
+            (admission::RequestPriority::High, high),
+            (admission::RequestPriority::Normal, NORMAL_PERCENT),
+            (
+                admission::RequestPriority::Low,
+                100 - HIGH_PERCENT - NORMAL_PERCENT,
+            ),
+        ];
+        for (priority, percent) in parts {
+            // At most one arrival of each priority in a millisecond.
+            if rng.random_bool((rate_ms * f64::from(percent) / 100.0).min(1.0)) {
+                arrivals.push(StudyArrival {
+                    at_ms,
+                    service_ms: rng.random_range(SHORTEST_SERVICE_MS..=LONGEST_SERVICE_MS),
+                    priority,
+                });
+            }
+        }
+    }
+    arrivals
+}
--- /dev/null
+++ b/crates/pier_request/examples/admission_price/study_totals.rs
@@ -0,0 +1,56 @@
+//! What a policy did, over all seeds.
+
+use std::fmt;
+
+use pier_request::admission;
+
+use crate::{arrival_draw, study_policy};
+
+/// Sums over the runs of one policy.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StudyTotals {
+    arrivals: [u64; 3],
+    refused: [u64; 3],
+    used_ms: u64,
+    length_ms: u64,
+}
+
+impl StudyTotals {
+    /// Counts one arrival.
+    pub fn note(&mut self, arrival: &arrival_draw::StudyArrival, is_admitted: bool) {
+        let index = match arrival.priority {
+            admission::RequestPriority::Low => 0,
+            admission::RequestPriority::Normal => 1,
+            admission::RequestPriority::High => 2,
+        };
+        self.arrivals[index] += 1;
+        if is_admitted {
+            self.used_ms += arrival.service_ms;
+        } else {
+            self.refused[index] += 1;
+        }
+    }
+
+    /// Counts the time of one run, in milliseconds.
+    pub fn add_time(&mut self, length_ms: u64) {
+        self.length_ms += length_ms;
+    }
+
+    fn refused_permille(&self, index: usize) -> f64 {
+        self.refused[index] as f64 * 1_000.0 / self.arrivals[index].max(1) as f64
+    }
+}
+
+impl fmt::Display for StudyTotals {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let places = f64::from(study_policy::CAPACITY) * self.length_ms as f64;
+        write!(
+            f,
+            "{:21.1} {:23.1} {:20.1} {:13.0}",
+            self.refused_permille(2),
+            self.refused_permille(1),
+            self.refused_permille(0),
+            self.used_ms as f64 * 1_000.0 / places,
+        )
+    }
+}
