--- /dev/null
+++ b/crates/pier_request/examples/cache_moves/study_pool.rs
@@ -0,0 +1,97 @@
+//! The groups of one model in one data centre, with the routing rule of the product.
+
+use std::collections;
+
+use rand::{Rng, rngs};
+
+use crate::{lru_cache, study_loss};
+
+/// Groups of the model.
+const GROUPS: usize = 10;
+
+/// Time that a request takes, in milliseconds.
+const SERVICE_MS: u64 = 2_000;
+
+/// Time until a node has asked each group for its cache events, in milliseconds.
+const INDEX_MS: u64 = 4_000;
+
+/// Groups that are drawn for a choice.
+const DRAWN: usize = 3;
+
+/// The groups, and what a node knows of their caches.
+#[derive(Debug)]
+pub struct StudyPool {
+    caches: Vec<lru_cache::LruCache>,
+    known: Vec<lru_cache::LruCache>,
+    ends: Vec<collections::VecDeque<u64>>,
+}
+
+impl Default for StudyPool {
+    fn default() -> Self {
+        Self {
+            caches: vec![lru_cache::LruCache::default(); GROUPS],
+            known: vec![lru_cache::LruCache::default(); GROUPS],
+            ends: vec![collections::VecDeque::new(); GROUPS],
+        }
+    }
+}
+
+impl StudyPool {
+    /// Lets caches be lost.
+    pub fn lose(&mut self, loss: study_loss::StudyLoss) {
+        match loss {
+            study_loss::StudyLoss::None | study_loss::StudyLoss::AllImported => {}
+            study_loss::StudyLoss::OneGroup => self.forget(0),
+            study_loss::StudyLoss::OneGroupMoved => {
+                self.move_away(0);
+                self.forget(0);
+            }
+            study_loss::StudyLoss::All => (0..GROUPS).for_each(|group| self.forget(group)),
+        }
+    }
+
+    /// Serves one request; returns whether its prefix was cached.
+    pub fn serve(&mut self, prefix: usize, now_ms: u64, rng: &mut rngs::StdRng) -> bool {
+        let turn = usize::try_from(now_ms * GROUPS as u64 / INDEX_MS).unwrap_or(0) % GROUPS;
+        self.known[turn] = self.caches[turn].clone();
+        for ends in &mut self.ends {
+            while ends.front().is_some_and(|end| *end <= now_ms) {
+                ends.pop_front();
+            }
+        }
+        let group = self.choose(prefix, rng);
+        self.ends[group].push_back(now_ms + SERVICE_MS);
+        self.caches[group].touch(prefix)
+    }
+
+    /// Chooses the least loaded of the drawn groups, or a holder that is not much more loaded.
+    fn choose(&self, prefix: usize, rng: &mut rngs::StdRng) -> usize {
+        let load = |group: &usize| self.ends[*group].len();
+        let drawn = (0..DRAWN).map(|_draw| rng.random_range(0..GROUPS));
+        let best = drawn.min_by_key(load).unwrap_or(0);
+        let bound = (load(&best) + load(&best) / 2).max(load(&best) + 2);
+        let holders = (0..GROUPS).filter(|group| self.known[*group].holds(prefix));
+        holders
+            .filter(|group| load(group) <= bound)
+            .min_by_key(load)
+            .unwrap_or(best)
+    }
+
+    fn forget(&mut self, group: usize) {
+        self.caches[group] = lru_cache::LruCache::default();
+        self.known[group] = lru_cache::LruCache::default();
+    }
+
+    /// Moves the newer half of what a group alone holds to the others in turn.
+    fn move_away(&mut self, group: usize) {
+        let others: Vec<usize> = (0..GROUPS).filter(|other| *other != group).collect();
+        let sole = self.caches[group].prefixes().filter(|prefix| {
+            let mut holders = others.iter();
+            !holders.any(|other| self.caches[*other].holds(*prefix))
+        });
+        let sole: Vec<usize> = sole.collect();
+        for (number, prefix) in sole.iter().skip(sole.len() / 2).enumerate() {
+            self.caches[others[number % others.len()]].touch(*prefix);
+        }
+    }
+}
