Free the slot of a node whose address another one has taken

Cause: a killed node kept its slot for an hour, so its restarted successor, drawn under a new name, had lent shares only; with all nodes of a data centre killed at once none of the configured slots was left, and the data centre could start nothing whenever the lease holder or the platform was away in that hour.

Ruled out: a shorter retention: a node that is cut off goes on under its slot. A lasting name from the settings: two processes could then bear it at once. Trusting the membership alone just after a restart: both names may be thought alive, and nothing tells which came first; so the former must be silent for a minute, longer than any node remembers it.

Before: one hour. After: a minute, and then the 2 min that work of the former node may last. The record holds the addresses, so a new lease holder knows them too.

Conclusion: holds for VMs that keep their address. Not shown on whole processes, which would take three minutes.

--- a/crates/pier_control/src/leases/lease_keeper.rs
+++ b/crates/pier_control/src/leases/lease_keeper.rs
@@ -1,6 +1,6 @@
 //! The state machine of the control lease.
 
-use std::collections;
+use std::{collections, net};
 
 use pier_types::{epochs, ids, times};
 
@@ -31,6 +31,7 @@
     node: ids::NodeName,
     settings: leases::LeaseSettings,
     present: collections::BTreeSet<ids::NodeName>,
+    addresses: collections::BTreeMap<ids::NodeName, net::SocketAddr>,
     observed: Option<leases::ObservedLease>,
     held: Option<leases::HeldLease>,
     pending: Vec<leases::PendingWrite>,
@@ -43,6 +44,7 @@
     pub fn new(node: ids::NodeName, settings: leases::LeaseSettings) -> Self {
         Self {
             present: [node.clone()].into(),
+            addresses: collections::BTreeMap::new(),
             node,
             settings,
             observed: None,
@@ -85,6 +87,14 @@
         self.present = present;
     }
 
+    /// Sets where nodes take datagrams, for the next record's roster.
+    pub fn set_addresses(
+        &mut self,
+        addresses: collections::BTreeMap<ids::NodeName, net::SocketAddr>,
+    ) {
+        self.addresses = addresses;
+    }
+
     /// Takes in an event and returns the calls to make.
     pub fn step(
         &mut self,
@@ -284,7 +294,9 @@
             term,
             nonce: draw.nonce,
             duration_ms: u64::try_from(self.settings.duration.as_millis()).unwrap_or(u64::MAX),
-            roster: roster.updated(&self.present),
+            roster: roster
+                .updated(&self.present)
+                .with_addresses(&self.addresses),
         }
     }
 }
--- a/crates/pier_control/src/leases/node_roster.rs
+++ b/crates/pier_control/src/leases/node_roster.rs
@@ -1,6 +1,6 @@
 //! The nodes of a data centre, in numbered slots.
 
-use std::collections;
+use std::{collections, net};
 
 use pier_types::ids;
 use serde::{Deserialize, Serialize};
@@ -19,6 +19,9 @@
 pub struct NodeRoster {
     /// The node in each slot; a slot without a node is free.
     pub slots: collections::BTreeMap<u32, ids::NodeName>,
+    /// Where recorded nodes took datagrams, as far as that is known.
+    #[serde(default)]
+    pub addresses: collections::BTreeMap<ids::NodeName, net::SocketAddr>,
 }
 
 impl NodeRoster {
@@ -35,7 +38,23 @@
                 slots.insert(slot, node.clone());
             }
         }
-        Self { slots }
+        let addresses = self.addresses.clone();
+        Self { slots, addresses }
+    }
+
+    /// Returns the roster with the addresses of its nodes; one that is not among `known` keeps
+    /// its former one.
+    #[must_use]
+    pub fn with_addresses(
+        mut self,
+        known: &collections::BTreeMap<ids::NodeName, net::SocketAddr>,
+    ) -> Self {
+        self.addresses
+            .extend(known.iter().map(|(node, address)| (node.clone(), *address)));
+        let slots = &self.slots;
+        self.addresses
+            .retain(|node, _address| slots.values().any(|recorded| recorded == node));
+        self
     }
 
     /// Tells whether a slot is taken by one of the nodes that stay.
--- a/crates/pier_control/tests/slots_outlive_silence.rs
+++ b/crates/pier_control/tests/slots_outlive_silence.rs
@@ -1,6 +1,6 @@
 //! A silent node keeps its slot until it can no longer be using it.
 
-use std::{collections, time};
+use std::{collections, net, time};
 
 use pier_control::leases;
 use pier_types::{ids, times};
@@ -15,6 +15,14 @@
     times::BootTime::from_millis(seconds * 1_000)
 }
 
+fn addresses(list: &[(&str, u16)]) -> collections::BTreeMap<ids::NodeName, net::SocketAddr> {
+    let address = |port: u16| net::SocketAddr::from(([10, 0, 0, 1], port));
+    let entries = list.iter();
+    entries
+        .map(|(name, port)| (name.parse().unwrap(), address(*port)))
+        .collect()
+}
+
 #[test]
 fn silent_node_keeps_its_slot_for_the_retention() {
     let mut memory = leases::RosterMemory::new(RETENTION);
@@ -52,3 +60,33 @@
     assert_eq!(roster.slots[&1].as_str(), "n2");
     assert_eq!(roster.slots[&2].as_str(), "n3");
 }
+
+#[test]
+fn node_whose_address_another_one_took_is_replaced_after_a_minute() {
+    let mut memory = leases::RosterMemory::new(RETENTION);
+    let recorded = addresses(&[("n1", 1), ("n2", 2), ("n3", 3)]);
+    let live = addresses(&[("n1", 1), ("n4", 2)]);
+    let nodes = names(&["n1", "n2", "n3"]);
+    memory.staying(&names(&["n1", "n2", "n4"]), &nodes, &names(&[]), at(0));
+    assert!(memory.replaced(&live, &recorded, at(59)).is_empty());
+    assert_eq!(memory.replaced(&live, &recorded, at(60)), names(&["n2"]));
+}
+
+#[test]
+fn live_node_is_not_replaced_by_one_that_is_thought_to_share_its_address() {
+    let mut memory = leases::RosterMemory::new(RETENTION);
+    let recorded = addresses(&[("n2", 2)]);
+    let live = addresses(&[("n2", 2), ("n4", 2)]);
+    memory.staying(&names(&["n4"]), &names(&["n2"]), &names(&[]), at(0));
+    assert!(memory.replaced(&live, &recorded, at(3_000)).is_empty());
+}
+
+#[test]
+fn roster_remembers_addresses_of_its_nodes_alone() {
+    let roster = leases::NodeRoster::default().updated(&names(&["n1", "n2"]));
+    let roster = roster.with_addresses(&addresses(&[("n1", 1), ("n2", 2), ("n9", 9)]));
+    assert_eq!(roster.addresses, addresses(&[("n1", 1), ("n2", 2)]));
+    let roster = roster.updated(&names(&["n2", "n3"]));
+    let roster = roster.with_addresses(&addresses(&[("n3", 3)]));
+    assert_eq!(roster.addresses, addresses(&[("n2", 2), ("n3", 3)]));
+}
--- a/crates/pier_node/src/control/lease_driver.rs
+++ b/crates/pier_node/src/control/lease_driver.rs
@@ -1,6 +1,6 @@
 //! Drives the control lease of this node's data centre.
 
-use std::{collections, sync, time};
+use std::{collections, net, sync, time};
 
 use pier_control::leases;
 use pier_types::{epochs, ids, times};
@@ -51,8 +51,10 @@
 
     /// Takes in an event and makes the calls that are due.
     pub(super) fn step(&mut self, event: leases::LeaseEvent, now: times::BootTime) {
-        let present = self.present_nodes(now);
+        let addresses = self.addresses();
+        let present = self.present_nodes(&addresses, now);
         self.keeper.set_present(present);
+        self.keeper.set_addresses(addresses);
         let held = self.keeper.grant(now).map(|grant| grant.term);
         let actions = if self.handle.is_draining() && !self.is_resigned {
             self.is_resigned = true;
@@ -83,18 +85,38 @@
     }
 
     /// Returns the nodes of this data centre that have or keep a slot.
-    fn present_nodes(&mut self, now: times::BootTime) -> collections::BTreeSet<ids::NodeName> {
+    fn present_nodes(
+        &mut self,
+        addresses: &collections::BTreeMap<ids::NodeName, net::SocketAddr>,
+        now: times::BootTime,
+    ) -> collections::BTreeSet<ids::NodeName> {
         let data_centre = &self.handle.settings().data_centre;
         let peers = self.handle.peers();
         let own = peers.iter().filter(|peer| peer.data_centre == *data_centre);
         let (stopping, live): (Vec<_>, Vec<_>) = own.partition(|peer| peer.draining);
-        let record = self.keeper.record();
-        let recorded = record
-            .into_iter()
-            .flat_map(|(_version, record)| record.roster.slots.values().cloned())
-            .collect();
-        self.roster
-            .staying(&names(&live), &recorded, &names(&stopping), now)
+        let record = self.keeper.record().map(|(_version, record)| record);
+        let roster = record.map(|record| record.roster.clone());
+        let roster = roster.unwrap_or_default();
+        let recorded = roster.slots.values().cloned().collect();
+        let mut ended = self.roster.replaced(addresses, &roster.addresses, now);
+        ended.extend(names(&stopping));
+        self.roster.staying(&names(&live), &recorded, &ended, now)
+    }
+
+    /// Returns where the live nodes of this data centre take datagrams.
+    fn addresses(&self) -> collections::BTreeMap<ids::NodeName, net::SocketAddr> {
+        let settings = self.handle.settings();
+        let peers = self.handle.peers();
+        let own = peers
+            .iter()
+            .filter(|peer| peer.data_centre == settings.data_centre);
+        let mut addresses: collections::BTreeMap<_, _> =
+            own.map(|peer| (peer.node.clone(), peer.address)).collect();
+        // A port that the system chose tells nothing about the next process.
+        if settings.peers.port() != 0 {
+            addresses.insert(self.handle.name().clone(), settings.peers);
+        }
+        addresses
     }
 }
 
--- a/crates/pier_node/tests/peers_and_probes.rs
+++ b/crates/pier_node/tests/peers_and_probes.rs
@@ -242,6 +242,7 @@
         duration_ms: 60_000,
         roster: leases::NodeRoster {
             slots: slots.collect(),
+            ..leases::NodeRoster::default()
         },
     };
     for (index, node) in nodes.iter().enumerate() {
