--- a/crates/pier_node/src/operators/group_list.rs
+++ b/crates/pier_node/src/operators/group_list.rs
@@ -1,14 +1,15 @@
 //! The groups and targets of a node's data centre, as JSON.
 
-use std::sync;
+use std::{collections, sync};
 
 use pier_control::{health, placements};
-use pier_types::routes;
+use pier_types::{ids, routes, vms};
 use serde_json::json;
 
 use crate::handle;
 
-/// Returns the groups that the placement holds, and the targets that may get new work.
+/// Returns the groups that the placement holds, the spares of each fabric domain, and the targets
+/// that may get new work.
 pub(super) fn groups(handle: &handle::NodeHandle) -> serde_json::Value {
     let snapshot = handle.groups();
     let placement = snapshot.placement.as_ref();
@@ -20,6 +21,7 @@
     });
     json!({
         "groups": groups.unwrap_or_default(),
+        "spares": count_spares(handle, placement),
         "targets": targets.collect::<Vec<_>>(),
     })
 }
@@ -43,6 +45,29 @@
     lines.collect()
 }
 
+/// Counts the accelerator VMs that stay and belong to no group, by fabric domain.
+fn count_spares(
+    handle: &handle::NodeHandle,
+    placement: Option<&placements::DataCentrePlacement>,
+) -> collections::BTreeMap<ids::DomainName, usize> {
+    let groups = placement
+        .into_iter()
+        .flat_map(|placement| placement.groups().values());
+    let placed: collections::BTreeSet<_> = groups.flat_map(|group| group.vms()).collect();
+    let list = handle.vms();
+    let is_spare = |entry: &&vms::VmEntry| {
+        entry.data_centre == handle.settings().data_centre
+            && entry.pool == vms::VmPool::Accelerator
+            && entry.state == vms::VmState::Live
+            && !placed.contains(&entry.name)
+    };
+    let mut spares = collections::BTreeMap::new();
+    for entry in list.values().filter(is_spare) {
+        *spares.entry(entry.domain.clone()).or_default() += 1;
+    }
+    spares
+}
+
 /// Tells whether a group serves, and else why it does not.
 fn state(number: u64, health: &health::HealthView) -> String {
     if health.serving.contains_key(&number) {
