Say at once how a call ended that no target started

Cause: a play that waits for a call to start waited 60 s also when the call had its answer already, and then said nothing of that answer, so that the half-answer case (known red) could not be traced. Now the wait ends with the call, and the failure names the answer and, for a refusal, what the node knew: routes with shares and age of evidence, groups that do not serve with the reason, shares. A case that failed before fails still; only the wait is shorter.

--- a/crates/pier_matrix/src/plays/call_outcome.rs
+++ b/crates/pier_matrix/src/plays/call_outcome.rs
@@ -9,6 +9,8 @@
     pub body: String,
     /// Whether the body ended as HTTP says it should.
     pub ended: bool,
+    /// What the node knew of its targets when it refused; empty otherwise.
+    pub node_view: String,
 }
 
 impl CallOutcome {
--- a/crates/pier_matrix/src/plays/case_player.rs
+++ b/crates/pier_matrix/src/plays/case_player.rs
@@ -18,9 +18,7 @@
     bench: bench::TestBench,
     target: plays::PlayTarget,
     client: reqwest::Client,
-    calls: collections::BTreeMap<String, sync::Arc<plays::CallEntry>>,
-    running: collections::BTreeMap<String, task::JoinHandle<plays::CallOutcome>>,
-    outcomes: collections::BTreeMap<String, plays::CallOutcome>,
+    board: plays::CallBoard,
     drains: Vec<task::JoinHandle<()>>,
     moments: collections::BTreeMap<String, times::BootTime>,
     keys_issued_at: times::WallTime,
@@ -40,9 +38,7 @@
                 .no_proxy()
                 .retry(reqwest::retry::never())
                 .build()?,
-            calls: collections::BTreeMap::new(),
-            running: collections::BTreeMap::new(),
-            outcomes: collections::BTreeMap::new(),
+            board: plays::CallBoard::default(),
             drains: Vec::new(),
             moments: collections::BTreeMap::new(),
             keys_issued_at: times::clocks::wall_now(),
@@ -54,8 +50,8 @@
         player.settle().await?;
         let judge = plays::CaseJudge::new(
             player.bench.targets(),
-            &player.calls,
-            &player.outcomes,
+            player.board.calls(),
+            player.board.outcomes(),
             &player.moments,
         );
         for line in &case.expect {
@@ -77,11 +73,11 @@
                 Ok(())
             }
             "send" => self.send(line),
-            "await" => self.wait_for_call(line.word(0)?).await,
+            "await" => self.board.wait_for(line.word(0)?).await,
             "settle" => self.settle().await,
             "started" => self.wait_for_start(line).await,
             "kill" => self.kill(line.word(0)?),
-            "abandon" => self.abandon(line.word(0)?),
+            "abandon" => self.board.abandon(line.word(0)?),
             "drain" => self.drain(line.word(0)?),
             "leave" => self.leave(line.word(0)?),
             "edit" => self.edit(line).await,
@@ -158,12 +154,18 @@
         let sending = match self.target {
             plays::PlayTarget::Nodes | plays::PlayTarget::HastyNodes => {
                 let node = self.bench.nodes().get(&call.node);
-                let address = node.context("no such node")?.callers();
+                let node = node.context("no such node")?;
+                let (address, handle) = (node.callers(), node.handle().clone());
                 let client = self.client.clone();
                 let call = sync::Arc::clone(&call);
                 let timeout = time::Duration::from_millis(call.deadline_ms) + PATIENCE;
                 task::spawn(async move {
-                    plays::send_once(&client, &address.to_string(), &call, timeout).await
+                    let address = address.to_string();
+                    let mut outcome = plays::send_once(&client, &address, &call, timeout).await;
+                    if outcome.status.is_some_and(|status| status >= 400) {
+                        outcome.node_view = bench::node_view(&handle, times::clocks::boot_now());
+                    }
+                    outcome
                 })
             }
             plays::PlayTarget::BlindRetrier => {
@@ -173,39 +175,37 @@
                 task::spawn(async move { plays::send_blindly(&client, &targets, &call).await })
             }
         };
-        self.calls.insert(label.clone(), call);
-        self.running.insert(label, sending);
-        Ok(())
-    }
-
-    async fn wait_for_call(&mut self, label: &str) -> anyhow::Result<()> {
-        let running = self.running.remove(label);
-        let running = running.with_context(|| format!("{label} is not on its way"))?;
-        let outcome = running.await?;
-        self.outcomes.insert(label.to_owned(), outcome);
+        self.board.add(label, call, sending);
         Ok(())
     }
 
     async fn settle(&mut self) -> anyhow::Result<()> {
-        let labels: Vec<String> = self.running.keys().cloned().collect();
-        for label in labels {
-            self.wait_for_call(&label).await?;
-        }
+        self.board.wait_for_all().await?;
         for drain in self.drains.drain(..) {
             drain.await?;
         }
         Ok(())
     }
 
-    async fn wait_for_start(&self, line: &cases::PlayLine) -> anyhow::Result<()> {
+    /// Waits until a target starts a call; a call that ended before is never started.
+    async fn wait_for_start(&mut self, line: &cases::PlayLine) -> anyhow::Result<()> {
         let mark = format!("mark-{}.", line.word(0)?);
-        let targets = self.bench.targets();
-        self.bench
-            .wait("a call to start", || {
-                let mut entries = targets.values().flat_map(bench::BenchTarget::record);
-                entries.any(|entry| entry.started && entry.body_prefix.contains(&mark))
-            })
-            .await
+        let (board, targets) = (&self.board, self.bench.targets());
+        let mut started = false;
+        let waited = self.bench.wait("a call to start", || {
+            // In this order: a call may start and end between the two looks.
+            let ended = board.has_ended(&mark);
+            let mut entries = targets.values().flat_map(bench::BenchTarget::record);
+            started = entries.any(|entry| entry.started && entry.body_prefix.contains(&mark));
+            started || ended
+        });
+        let waited = waited.await;
+        if started {
+            return Ok(());
+        }
+        let outcome = self.board.describe(&mark).await?;
+        waited.with_context(|| outcome.clone())?;
+        anyhow::bail!("never started: {outcome}")
     }
 
     fn kill(&mut self, name: &str) -> anyhow::Result<()> {
@@ -215,15 +215,6 @@
         Ok(())
     }
 
-    /// The caller leaves without waiting for its answer.
-    fn abandon(&mut self, label: &str) -> anyhow::Result<()> {
-        let running = self.running.remove(label);
-        running
-            .with_context(|| format!("{label} is not on its way"))?
-            .abort();
-        Ok(())
-    }
-
     fn drain(&mut self, name: &str) -> anyhow::Result<()> {
         match self.target {
             plays::PlayTarget::Nodes => {}
--- a/crates/pier_matrix/src/plays/mod.rs
+++ b/crates/pier_matrix/src/plays/mod.rs
@@ -1,5 +1,6 @@
 //! Plays a case and judges it.
 
+mod call_board;
 mod call_entry;
 mod call_outcome;
 mod call_sender;
@@ -7,6 +8,7 @@
 mod case_player;
 mod play_target;
 
+use call_board::CallBoard;
 pub use call_entry::CallEntry;
 pub use call_outcome::CallOutcome;
 use call_sender::{send_blindly, send_once};
