Deal the unwanted part of a pool to all nodes; ask when something changed

Cause: a node asked for its use plus two places, so that a burst after idle met a share of two although the target was free; and it asked each second also when nothing had changed. Now the lease holder lends each node its wish and an equal part of what all wishes leave of the pool; a node keeps what it has until the answer lowers it, instead of giving up ahead of the question. The bound of a node's work is as before the greatest of kept, running and granted, so the sum stays within the limit.

--- a/crates/pier_limits/examples/shift_study/centre_model.rs
+++ b/crates/pier_limits/examples/shift_study/centre_model.rs
@@ -10,6 +10,8 @@
 pub const TARGETS: usize = 6;
 const LIMIT: sizes::RequestCount = sizes::RequestCount::new(16);
 const TERM: epochs::LeaseTerm = epochs::LeaseTerm::new(1);
+/// Places wanted beyond those in use, at least; as the daemon has it.
+const LEAST_HEADROOM: u32 = 2;
 const LEASE: time::Duration = time::Duration::from_mins(1);
 
 /// One running request.
@@ -45,9 +47,8 @@
     targets: Vec<ModelTarget>,
     ledger: shares::ShareLedger,
     holdings: Vec<shares::ShareHolding>,
+    schedules: Vec<shares::AskSchedule>,
     split: shares::StaticSplit,
-    /// Requests that each node was offered since its last question.
-    offered: [u32; NODES],
 }
 
 impl CentreModel {
@@ -73,8 +74,8 @@
             holdings: (0..NODES)
                 .map(|_| shares::ShareHolding::new(terms))
                 .collect(),
+            schedules: (0..NODES).map(|_| shares::AskSchedule::default()).collect(),
             split: shares::StaticSplit::new(2, terms.life),
-            offered: [0; NODES],
         })
     }
 
@@ -107,7 +108,7 @@
         }
     }
 
-    /// Lets every node ask for its shares.
+    /// Lets every node ask for its shares whose question is due.
     pub fn share(&mut self, now: times::BootTime) -> Result<(), ids::NameError> {
         let limits = self
             .targets
@@ -116,12 +117,15 @@
         self.ledger.set_limits(&limits.collect(), now);
         for node in 0..NODES {
             let demand = self.demand(node, now);
+            if !self.schedules[node].is_due(TERM, &demand, &self.holdings[node], now) {
+                continue;
+            }
+            self.schedules[node].note(TERM, &demand, now);
             let ask = self.holdings[node].ask(TERM, &demand, now);
             let name = node_name(node)?;
             if let Some(grant) = self.ledger.answer(&name, &ask, now, now.after(LEASE)) {
                 self.holdings[node].take(&grant);
             }
-            self.offered[node] = 0;
         }
         Ok(())
     }
@@ -129,7 +133,6 @@
     /// Starts a request at the least loaded target with room for this node; false when there is
     /// none.
     pub fn start(&mut self, node: usize, ends_at: times::BootTime, now: times::BootTime) -> bool {
-        self.offered[node] += 1;
         let best = (0..TARGETS)
             .filter(|&index| self.has_room(node, index, now))
             .min_by_key(|&index| self.targets[index].work.len());
@@ -185,13 +188,13 @@
         node: usize,
         now: times::BootTime,
     ) -> collections::BTreeMap<messages::ShareKey, shares::ShareDemand> {
-        let headroom = self.offered[node].div_ceil(6) + 1;
         let demand = |(index, target): (usize, &ModelTarget)| {
             let fixed = self.fixed(node, index, now);
             let running = target.running(node);
+            let headroom = LEAST_HEADROOM.max(running / 2);
             let need = shares::ShareDemand {
                 running: sizes::RequestCount::new(running.saturating_sub(fixed)),
-                wanted: sizes::RequestCount::new((running + headroom).saturating_sub(fixed)),
+                wanted: sizes::RequestCount::new((running + headroom).saturating_sub(fixed).max(1)),
             };
             (target.key(), need)
         };
--- a/crates/pier_limits/examples/shift_study/study_run.rs
+++ b/crates/pier_limits/examples/shift_study/study_run.rs
@@ -14,6 +14,8 @@
 const RETURN: u64 = 80_000;
 const WARM_AGAIN: u64 = 90_000;
 const END: u64 = 160_000;
+/// Time between two looks at whether a question is due, in milliseconds; as the daemon's.
+const SHARE_STEP: u64 = 100;
 const CENTRES: usize = 3;
 /// Time after each change in which refusals count as caused by it, in milliseconds.
 const MOVING: u64 = 10_000;
@@ -69,6 +71,9 @@
             if millis % 1_000 == 0 {
                 self.report(millis);
             }
+            if millis % SHARE_STEP == 0 {
+                self.share();
+            }
             self.arrive(millis);
         }
         self.result
@@ -92,6 +97,11 @@
                 reports::EngineState::Warm
             };
             centre.report(state, self.now);
+        }
+    }
+
+    fn share(&mut self) {
+        for centre in &mut self.centres {
             if let Err(error) = centre.share(self.now) {
                 unreachable_name(&error);
             }
--- a/crates/pier_limits/src/shares/ledger_target.rs
+++ b/crates/pier_limits/src/shares/ledger_target.rs
@@ -40,15 +40,13 @@
         true
     }
 
-    /// Lends a share to a node that was just charged, at most `cap`; `unheard` is what others may
-    /// have in use.
+    /// Lends a share to a node that was just charged.
     pub(crate) fn lend(
         &mut self,
         node: &ids::NodeName,
-        cap: sizes::RequestCount,
-        unheard: sizes::RequestCount,
+        bounds: &shares::LendBounds,
     ) -> sizes::RequestCount {
-        let split = shares::LimitSplit::of(self.limit);
+        let pool = shares::LimitSplit::of(self.limit).pool.get();
         let others = self.sum(|other, charge| {
             if other == node {
                 0
@@ -56,14 +54,14 @@
                 charge.amount.get()
             }
         });
-        let used = others.saturating_add(unheard.get());
-        let room = split.pool.get().saturating_sub(used);
+        let used = others.saturating_add(bounds.unheard.get());
+        let room = pool.saturating_sub(used);
         let total = self.sum(|_, charge| charge.wanted.get());
         let Some(charge) = self.charges.get_mut(node) else {
             return sizes::RequestCount::new(0);
         };
-        let fair = fair_share(split.pool.get(), charge.wanted.get(), total);
-        let amount = fair.min(room).min(cap.get());
+        let fair = fair_share(pool, charge.wanted.get(), total, bounds.nodes);
+        let amount = fair.min(room).min(bounds.cap.get());
         let amount = sizes::RequestCount::new(amount);
         charge.amount = charge.amount.max(amount);
         amount
@@ -97,11 +95,16 @@
     }
 }
 
-/// The wish itself while all wishes fit, else its part of the pool, rounded up so that no place is
-/// left over; what others have bounds it anyway.
-fn fair_share(pool: u32, wanted: u32, total: u32) -> u32 {
-    if total <= pool || wanted == 0 {
-        return wanted;
+/// The wish and an equal part of what all wishes leave of the pool; where they leave nothing, the
+/// wish's part of the pool, rounded up so that no place is left over.
+///
+/// Who wants nothing is lent nothing. What others have bounds it anyway.
+fn fair_share(pool: u32, wanted: u32, total: u32, nodes: u32) -> u32 {
+    if wanted == 0 {
+        return 0;
+    }
+    if total <= pool {
+        return wanted + (pool - total).div_ceil(nodes.max(1));
     }
     let part = u64::from(pool) * u64::from(wanted);
     u32::try_from(part.div_ceil(u64::from(total))).unwrap_or(pool)
--- a/crates/pier_limits/src/shares/mod.rs
+++ b/crates/pier_limits/src/shares/mod.rs
@@ -4,8 +4,10 @@
 //! rest is a pool that the lease holder lends for a short time ([`ShareLedger`]) and that each
 //! node uses only until that time, counted from its question, has passed ([`ShareHolding`]).
 
+mod ask_schedule;
 mod ledger_charge;
 mod ledger_target;
+mod lend_bounds;
 mod limit_split;
 mod node_round;
 mod share_demand;
@@ -15,8 +17,10 @@
 mod slot_tenure;
 mod static_split;
 
+pub use ask_schedule::AskSchedule;
 pub(crate) use ledger_charge::LedgerCharge;
 pub(crate) use ledger_target::LedgerTarget;
+pub(crate) use lend_bounds::LendBounds;
 pub use limit_split::LimitSplit;
 pub(crate) use node_round::NodeRound;
 pub use share_demand::ShareDemand;
--- a/crates/pier_limits/src/shares/share_demand.rs
+++ b/crates/pier_limits/src/shares/share_demand.rs
@@ -7,6 +7,7 @@
 pub struct ShareDemand {
     /// Requests in flight beyond the fixed part.
     pub running: sizes::RequestCount,
-    /// Requests that it would like to have in flight beyond the fixed part.
+    /// Requests that it would like to have in flight beyond the fixed part; none when it will
+    /// start no more work there.
     pub wanted: sizes::RequestCount,
 }
--- a/crates/pier_limits/src/shares/share_holding.rs
+++ b/crates/pier_limits/src/shares/share_holding.rs
@@ -9,10 +9,10 @@
 
 /// What this node was lent, and until when it may start work under it.
 ///
-/// With each question the node gives up what it does not need; from then on it uses at most what
-/// the question names as kept, until the answer to this very question comes. An answer to an
-/// earlier question is dropped. So the lease holder's bound is right whichever messages are lost,
-/// delayed or doubled. A share's life is counted from its question.
+/// Each question names the share that the node keeps; from then on it uses at most that, until the
+/// answer to this very question comes, which may raise or lower it. An answer to an earlier
+/// question is dropped. So the lease holder's bound is right whichever messages are lost, delayed
+/// or doubled. A share's life is counted from its question.
 ///
 /// ```
 /// use pier_limits::shares;
@@ -65,21 +65,7 @@
         }
     }
 
-    /// Lowers the shares to what is wanted, ahead of a question, so that whoever starts work has
-    /// seen the lower ones when the question says so; what `wanted` does not name is given up.
-    pub fn give_up(
-        &mut self,
-        wanted: &collections::BTreeMap<messages::ShareKey, sizes::RequestCount>,
-    ) {
-        self.held.retain(|key, _| wanted.contains_key(key));
-        for (key, wanted) in wanted {
-            if let Some(held) = self.held.get_mut(key) {
-                held.amount = held.amount.min(*wanted);
-            }
-        }
-    }
-
-    /// Makes the next question and gives up what it does not keep.
+    /// Makes the next question; whoever starts work must have seen every lower share by then.
     ///
     /// `demand` names every target at which the node has lent work running or wants some; what it
     /// does not name is given up.
@@ -161,16 +147,21 @@
         need: shares::ShareDemand,
         now: times::BootTime,
     ) -> messages::AskEntry {
-        let need_now = need.wanted.max(need.running);
-        let keep = self.share(key, now).min(need_now);
+        let keep = self.share(key, now);
         if let Some(held) = self.held.get_mut(&key) {
-            held.amount = held.amount.min(keep);
+            held.amount = keep;
         }
+        let nothing = sizes::RequestCount::new(0);
+        let wanted = if need.wanted > nothing {
+            need.wanted.max(need.running)
+        } else {
+            nothing
+        };
         messages::AskEntry {
             key,
             keep,
             running: need.running,
-            wanted: need_now,
+            wanted,
         }
     }
 }
--- a/crates/pier_limits/src/shares/share_ledger.rs
+++ b/crates/pier_limits/src/shares/share_ledger.rs
@@ -149,12 +149,17 @@
         now: times::BootTime,
     ) -> Option<messages::GrantEntry> {
         let unheard = self.unheard(now);
+        let nodes = u32::try_from(self.recorded.len()).unwrap_or(u32::MAX);
         let target = self.targets.get_mut(&key)?;
         let cap = shares::LimitSplit::of(target.limit).node_cap(self.slots);
-        let unheard = sizes::RequestCount::new(cap.get().saturating_mul(unheard));
+        let bounds = shares::LendBounds {
+            cap,
+            unheard: sizes::RequestCount::new(cap.get().saturating_mul(unheard)),
+            nodes,
+        };
         Some(messages::GrantEntry {
             key,
-            amount: target.lend(node, cap, unheard),
+            amount: target.lend(node, &bounds),
             limit: target.limit,
         })
     }
--- a/crates/pier_node/src/peers/known_target.rs
+++ b/crates/pier_node/src/peers/known_target.rs
@@ -3,7 +3,7 @@
 use pier_limits::{shares, warmth};
 use pier_types::{epochs, sizes, times};
 
-use crate::peers::share_target;
+use crate::peers::{share_target, target_book};
 
 /// Generations are other keys, so that a ramp never sees another incarnation.
 const ONE_INCARNATION: epochs::VmIncarnation = epochs::VmIncarnation::new(1);
@@ -47,6 +47,12 @@
         self.target = target;
     }
 
+    /// Returns what this node has in flight; the most that it may have where nobody counts it now.
+    pub(super) fn running(&self, running: &target_book::RunningMap) -> u32 {
+        let key = (self.target.id.clone(), self.target.generation);
+        running.get(&key).copied().unwrap_or(self.greatest).get()
+    }
+
     /// Returns the target's present limit and its two parts.
     pub(super) fn split(&self, now: times::BootTime) -> (sizes::RequestCount, shares::LimitSplit) {
         let limit = self.ramp.limit(now);
--- a/crates/pier_node/src/peers/mod.rs
+++ b/crates/pier_node/src/peers/mod.rs
@@ -11,6 +11,8 @@
 mod peer_socket;
 mod share_driver;
 mod share_target;
+mod slot_watch;
+mod target_book;
 
 pub use peer_loop::PeerLoop;
 pub use peer_socket::PeerSocket;
--- a/crates/pier_node/src/peers/peer_loop.rs
+++ b/crates/pier_node/src/peers/peer_loop.rs
@@ -215,7 +215,9 @@
                         self.send(source, vec![messages::PeerMessage::ShareGrant(grant)]);
                     }
                 }
-                messages::PeerMessage::ShareGrant(grant) => self.shares.take(&grant),
+                messages::PeerMessage::ShareGrant(grant) => {
+                    self.shares.take(&grant, clocks::boot_now());
+                }
             }
         }
     }
--- a/crates/pier_node/src/peers/share_driver.rs
+++ b/crates/pier_node/src/peers/share_driver.rs
@@ -1,49 +1,34 @@
 //! Shares the limits of the data centre's targets with the other nodes.
 
-use std::{collections, sync, time};
+use std::time;
 
-use pier_control::leases;
 use pier_limits::shares;
 use pier_types::{epochs, ids, sizes, times};
 use pier_wire::messages;
 
 use crate::{
     handle,
-    peers::{known_target, share_target},
+    peers::{share_target, slot_watch, target_book},
 };
 
-/// Time between two questions.
-const ROUND: time::Duration = time::Duration::from_secs(1);
-
 /// A published share ends this long before it does, as requests see it a little later.
 const PUBLISH_MARGIN: time::Duration = time::Duration::from_millis(500);
 
-/// Time in which every node has heard of another number of slots.
-const SLOT_SETTLE: time::Duration = time::Duration::from_secs(10);
-
-/// Places wanted beyond those in use, at least.
-const LEAST_HEADROOM: u32 = 2;
-
-type RunningMap =
-    collections::BTreeMap<(ids::TargetId, epochs::GroupGeneration), sizes::RequestCount>;
+/// Time in which requests that saw a higher share have been counted as in flight.
+const LOWERING_TIME: time::Duration = time::Duration::from_millis(250);
 
 /// Owns this node's part of each limit and, with the lease, the account of all parts.
 #[derive(Debug)]
 pub(super) struct ShareDriver {
     handle: handle::NodeHandle,
     terms: shares::ShareTerms,
-    split: shares::StaticSplit,
-    tenure: shares::SlotTenure,
+    slots: slot_watch::SlotWatch,
+    targets: target_book::TargetBook,
     holding: shares::ShareHolding,
+    schedule: shares::AskSchedule,
     ledger: Option<(epochs::LeaseTerm, shares::ShareLedger)>,
-    targets: collections::BTreeMap<messages::ShareKey, known_target::KnownTarget>,
-    /// When each node was last named by the lease record.
-    recorded_at: collections::BTreeMap<ids::NodeName, times::BootTime>,
-    record_nonce: Option<ids::LeaseNonce>,
-    records_since_pause: u32,
-    /// Wishes of the round for which shares were lowered, until its question is asked.
-    lowered: Option<collections::BTreeMap<messages::ShareKey, sizes::RequestCount>>,
-    round_at: times::BootTime,
+    /// When an answer or a pause last may have lowered shares.
+    lowered_at: times::BootTime,
     new_work: bool,
 }
 
@@ -53,16 +38,12 @@
         let terms = shares::ShareTerms::default();
         Self {
             terms,
-            split: shares::StaticSplit::new(1, SLOT_SETTLE),
-            tenure: shares::SlotTenure::new(handle.name().clone(), terms.work_limit),
+            slots: slot_watch::SlotWatch::new(handle.name().clone(), terms),
+            targets: target_book::TargetBook::new(terms),
             holding: shares::ShareHolding::new(terms),
+            schedule: shares::AskSchedule::default(),
             ledger: None,
-            targets: collections::BTreeMap::new(),
-            recorded_at: collections::BTreeMap::new(),
-            record_nonce: None,
-            records_since_pause: 0,
-            lowered: None,
-            round_at: times::BootTime::default(),
+            lowered_at: times::BootTime::default(),
             new_work: true,
             handle,
         }
@@ -74,19 +55,15 @@
         &mut self,
         now: times::BootTime,
     ) -> Option<(ids::NodeName, messages::ShareAsk)> {
-        if self.tenure.tick(now) {
+        if self.slots.tick(now) {
             self.holding.drop_all();
-            self.lowered = None;
-            self.records_since_pause = 0;
+            self.lowered_at = now;
         }
         let lease = self.handle.lease();
         self.follow_lease(lease.as_deref(), now);
-        self.follow_targets(now);
-        if self.lowered.is_none() && now.since(self.round_at) >= ROUND {
-            self.round_at = now;
-            let wanted = self.wanted(now);
-            self.holding.give_up(&wanted);
-            self.lowered = Some(wanted);
+        if let Some(config) = self.handle.config() {
+            let found = share_target::gather(&self.handle, &config.document);
+            self.targets.follow(found, now);
         }
         self.publish(now);
         let record = &lease?.record;
@@ -96,7 +73,7 @@
         }
         let own = self.handle.name().clone();
         if let Some(grant) = self.answer(&own, &ask, now) {
-            self.take(&grant);
+            self.take(&grant, now);
         }
         None
     }
@@ -114,39 +91,27 @@
         now: times::BootTime,
     ) -> Option<messages::ShareGrant> {
         let lease_end = self.handle.lease()?.held_until?;
-        let limits = self.limits(now);
+        let limits = self.targets.limits(now);
         let (_term, ledger) = self.ledger.as_mut()?;
         ledger.set_limits(&limits, now);
         ledger.answer(node, ask, now, lease_end)
     }
 
     /// Takes in the lease holder's answer.
-    pub(super) fn take(&mut self, grant: &messages::ShareGrant) {
+    pub(super) fn take(&mut self, grant: &messages::ShareGrant, now: times::BootTime) {
         self.holding.take(grant);
+        self.lowered_at = now;
     }
 
     /// Follows the record's slots and opens an account when this node gains the lease.
-    ///
-    /// After a pause the second new record counts: the read that brought the first one may have
-    /// been sent before.
     fn follow_lease(&mut self, lease: Option<&handle::LeaseSnapshot>, now: times::BootTime) {
         let Some(lease) = lease else {
             return;
         };
         let record = &lease.record;
-        if self.record_nonce != Some(record.nonce) {
-            self.record_nonce = Some(record.nonce);
-            self.records_since_pause += 1;
-        }
-        let asked_at = if self.records_since_pause > 1 {
-            now
-        } else {
-            times::BootTime::default()
-        };
-        self.tenure.observe(&record.roster.slots, asked_at, now);
-        self.note_recorded(&record.roster, now);
-        let slots = self.slots();
-        self.split.resize(slots, now);
+        self.slots.observe(record, now);
+        let slots = self.slot_count();
+        self.targets.resize(slots, now);
         if lease.held_until.is_none() {
             self.ledger = None;
             return;
@@ -156,7 +121,7 @@
             .as_ref()
             .is_none_or(|(term, _)| *term != record.term)
         {
-            let former = self.recorded_at.keys().cloned().collect();
+            let former = self.slots.former_nodes();
             let ledger = shares::ShareLedger::new(self.terms, record.term, now, slots, former);
             self.ledger = Some((record.term, ledger));
         }
@@ -165,66 +130,17 @@
         }
     }
 
-    /// Remembers who may still have work under a share.
-    fn note_recorded(&mut self, roster: &leases::NodeRoster, now: times::BootTime) {
-        for node in roster.slots.values() {
-            self.recorded_at.insert(node.clone(), now);
-        }
-        let keep = self.terms.charge_time();
-        self.recorded_at
-            .retain(|_, recorded_at| now.since(*recorded_at) < keep);
-    }
-
-    /// Targets that vanished are kept as long as work there may go on.
-    fn follow_targets(&mut self, now: times::BootTime) {
-        if let Some(config) = self.handle.config() {
-            for (key, target) in share_target::gather(&self.handle, &config.document) {
-                let known = self.targets.entry(key);
-                let known =
-                    known.or_insert_with(|| known_target::KnownTarget::new(target.clone(), now));
-                known.see(target, now);
-            }
-        }
-        let keep = self.terms.charge_time();
-        self.targets
-            .retain(|_, known| now.since(known.seen_at) < keep);
-    }
-
-    /// Returns what this node would like to have beyond its fixed part.
-    fn wanted(
-        &self,
-        now: times::BootTime,
-    ) -> collections::BTreeMap<messages::ShareKey, sizes::RequestCount> {
-        let running = self.handle.requests().in_flight();
-        let wanted = |known: &known_target::KnownTarget| {
-            let running = running_at(known, &running);
-            let gone = known.seen_at != now;
-            let headroom = if gone {
-                0
-            } else {
-                LEAST_HEADROOM.max(running / 2)
-            };
-            let wanted = (running + headroom).saturating_sub(self.fixed(known, now));
-            sizes::RequestCount::new(wanted)
-        };
-        let targets = self.targets.iter();
-        targets.map(|(key, known)| (*key, wanted(known))).collect()
-    }
-
-    /// Makes the question once requests see the lowered shares.
+    /// Makes a question if one is due and requests see the shares that it will name.
     fn ask(&mut self, term: epochs::LeaseTerm, now: times::BootTime) -> Option<messages::ShareAsk> {
         if !self.is_in_force(now) {
             return None;
         }
-        let wanted = self.lowered.take()?;
         let running = self.handle.requests().in_flight();
-        let demand = |(key, wanted): (messages::ShareKey, sizes::RequestCount)| {
-            let known = self.targets.get(&key)?;
-            let running = running_at(known, &running).saturating_sub(self.fixed(known, now));
-            let running = sizes::RequestCount::new(running);
-            Some((key, shares::ShareDemand { running, wanted }))
-        };
-        let demand = wanted.into_iter().filter_map(demand).collect();
+        let demand = self.targets.demand(self.slots.slot(now), &running, now);
+        if !self.schedule.is_due(term, &demand, &self.holding, now) {
+            return None;
+        }
+        self.schedule.note(term, &demand, now);
         Some(self.holding.ask(term, &demand, now))
     }
 
@@ -234,7 +150,7 @@
         let table = self.handle.routes();
         let own = &self.handle.settings().data_centre;
         let targets = table.pools.values().flatten();
-        now.since(self.round_at) >= PUBLISH_MARGIN / 2
+        now.since(self.lowered_at) >= LOWERING_TIME
             && targets
                 .filter(|target| target.data_centre == *own)
                 .all(|target| {
@@ -244,15 +160,14 @@
 
     fn publish(&mut self, now: times::BootTime) {
         let running = self.handle.requests().in_flight();
-        let mut published = collections::BTreeMap::new();
-        let keys = self.targets.keys().copied().collect::<Vec<_>>();
-        for key in keys {
-            let allowed = self.allowed(key, now);
-            if let Some(known) = self.targets.get_mut(&key)
-                && known.seen_at == now
-            {
-                known.greatest = allowed.max(sizes::RequestCount::new(running_at(known, &running)));
-                published.insert(known.target.id.clone(), allowed);
+        let slot = self.slots.slot(now);
+        let later = now.after(PUBLISH_MARGIN);
+        let mut published = self
+            .targets
+            .allow(&self.holding, slot, &running, later, now);
+        if !self.new_work {
+            for share in published.values_mut() {
+                *share = sizes::RequestCount::default();
             }
         }
         if *self.handle.shares() != published {
@@ -260,42 +175,9 @@
         }
     }
 
-    /// Returns what this node may have in flight at a target, by its own evidence of warmth.
-    fn allowed(&self, key: messages::ShareKey, now: times::BootTime) -> sizes::RequestCount {
-        let known = self.targets.get(&key).filter(|_| self.new_work);
-        let Some(known) = known else {
-            return sizes::RequestCount::default();
-        };
-        let (limit, _split) = known.split(now);
-        let full = known.target.warm_limit;
-        let later = now.after(PUBLISH_MARGIN);
-        let lent = self.holding.bearable_share(key, limit, full, later);
-        sizes::RequestCount::new(self.fixed(known, now).saturating_add(lent.get()))
-    }
-
-    fn fixed(&self, known: &known_target::KnownTarget, now: times::BootTime) -> u32 {
-        let Some(slot) = self.tenure.slot(now) else {
-            return 0;
-        };
-        let (_limit, split) = known.split(now);
-        self.split
-            .share(known.target.key, slot, split.fixed, now)
-            .get()
-    }
-
-    fn limits(
-        &self,
-        now: times::BootTime,
-    ) -> collections::BTreeMap<messages::ShareKey, sizes::RequestCount> {
-        let targets = self.targets.iter();
-        targets
-            .map(|(key, known)| (*key, known.split(now).0))
-            .collect()
-    }
-
     /// Returns the number of slots that the configuration gives the data centre.
-    fn slots(&self) -> u32 {
-        let config: Option<sync::Arc<handle::ConfigSnapshot>> = self.handle.config();
+    fn slot_count(&self) -> u32 {
+        let config = self.handle.config();
         let own = &self.handle.settings().data_centre;
         let section = config
             .as_ref()
@@ -303,9 +185,3 @@
         section.map_or(1, |section| section.entry_slots.get().max(1))
     }
 }
-
-/// Returns what this node has in flight; the most that it may have where nobody counts it now.
-fn running_at(known: &known_target::KnownTarget, running: &RunningMap) -> u32 {
-    let key = (known.target.id.clone(), known.target.generation);
-    running.get(&key).copied().unwrap_or(known.greatest).get()
-}
--- /dev/null
+++ b/crates/pier_node/src/peers/slot_watch.rs
@@ -0,0 +1,73 @@
+//! Follows the lease record's roster.
+
+use std::{collections, time};
+
+use pier_control::leases;
+use pier_limits::shares;
+use pier_types::{ids, times};
+
+/// Knows this node's slot, and which nodes may still have work under a share.
+#[derive(Debug)]
+pub(super) struct SlotWatch {
+    tenure: shares::SlotTenure,
+    /// How long a node that the record no longer names may have work under a share.
+    keep: time::Duration,
+    /// When each node was last named by the record.
+    recorded_at: collections::BTreeMap<ids::NodeName, times::BootTime>,
+    record_nonce: Option<ids::LeaseNonce>,
+    records_since_pause: u32,
+}
+
+impl SlotWatch {
+    /// Makes a watch that has seen no record.
+    pub(super) fn new(node: ids::NodeName, terms: shares::ShareTerms) -> Self {
+        Self {
+            tenure: shares::SlotTenure::new(node, terms.work_limit),
+            keep: terms.charge_time(),
+            recorded_at: collections::BTreeMap::new(),
+            record_nonce: None,
+            records_since_pause: 0,
+        }
+    }
+
+    /// Tells that the node runs; true when a pause lies behind it.
+    pub(super) fn tick(&mut self, now: times::BootTime) -> bool {
+        let paused = self.tenure.tick(now);
+        if paused {
+            self.records_since_pause = 0;
+        }
+        paused
+    }
+
+    /// Takes in the record.
+    ///
+    /// After a pause the second new record counts: the read that brought the first one may have
+    /// been sent before.
+    pub(super) fn observe(&mut self, record: &leases::LeaseRecord, now: times::BootTime) {
+        if self.record_nonce != Some(record.nonce) {
+            self.record_nonce = Some(record.nonce);
+            self.records_since_pause += 1;
+        }
+        let asked_at = if self.records_since_pause > 1 {
+            now
+        } else {
+            times::BootTime::default()
+        };
+        self.tenure.observe(&record.roster.slots, asked_at, now);
+        for node in record.roster.slots.values() {
+            self.recorded_at.insert(node.clone(), now);
+        }
+        self.recorded_at
+            .retain(|_, recorded_at| now.since(*recorded_at) < self.keep);
+    }
+
+    /// Returns the slot whose shares may be used now.
+    pub(super) fn slot(&self, now: times::BootTime) -> Option<u32> {
+        self.tenure.slot(now)
+    }
+
+    /// Returns the nodes that may still have work under a share.
+    pub(super) fn former_nodes(&self) -> collections::BTreeSet<ids::NodeName> {
+        self.recorded_at.keys().cloned().collect()
+    }
+}
