Pass a request to another node of the data centre when the own share is used up

Cause: a pool's places are lent to nodes, and each is usable at one node only; a request that met a full node went to other data centres or was refused while the sibling had room. Ruled out as the remedy at two nodes: lending more, as half of the pool is already the most that one may hold, which bounds what a new lease holder has to reckon with. Now the first node that a refused request is passed to is one of the same data centre; it has the same targets, so the prefix caches are the same. Not while this data centre's part of new work excludes the request. A data centre that refused is spared as before, also the own one. The study tries nodes as the daemon does now (it tried three in all, the daemon four; now five). Seen failing: without the sibling, the new test got 503 with 2003; with it also while leaving, the request ran (code 0 in place of 2003).

--- a/crates/pier_limits/examples/shift_study/study_run.rs
+++ b/crates/pier_limits/examples/shift_study/study_run.rs
@@ -19,8 +19,8 @@
 const CENTRES: usize = 3;
 /// Time after each change in which refusals count as caused by it, in milliseconds.
 const MOVING: u64 = 10_000;
-/// Nodes that are tried for a request, as a refusal says "not run".
-const TRIES: u64 = 3;
+/// Nodes that are tried for a request, as a refusal says "not run"; as the daemon does it.
+const TRIES: usize = 5;
 
 const FLIP: shifts::ShiftPolicy = shifts::ShiftPolicy {
     leave_time: time::Duration::from_micros(1),
@@ -143,7 +143,7 @@
         self.result.refused_with_room += u64::from(room > 0);
     }
 
-    /// Tries a few nodes, those of the request's own data centre first.
+    /// Tries a few nodes, the request's own one first.
     fn start(
         &mut self,
         origin: usize,
@@ -151,26 +151,40 @@
         ends_at: times::BootTime,
         millis: u64,
     ) -> Option<time::Duration> {
-        let weight = self.weight();
-        let mut centre = origin;
-        for tried in 0..TRIES {
-            let bound = tried == 0 || !self.shift.in_service();
-            if centre == 0 && bound && !weight.includes(fingerprint) {
-                centre = 1 + usize::try_from(fingerprint / 1_000 % 2).unwrap_or(0);
-            }
+        for (tried, (centre, node)) in self.tries(origin, fingerprint).into_iter().enumerate() {
             self.result.retries += u64::from(tried > 0 && is_moving(millis));
-            let node = usize::try_from((fingerprint / 2_000 + tried) % 2).unwrap_or(0);
             if self.centres[centre].start(node, ends_at, self.now) {
                 if centre == 0 && (LEAVE..RETURN).contains(&millis) {
                     self.result.last_new_work = time::Duration::from_millis(millis - LEAVE);
                 }
                 return Some(self.first_token(origin, centre));
             }
-            centre = (centre + 1) % CENTRES;
         }
         None
     }
 
+    /// Returns the nodes to try: the one that the request reached, the other one of its data
+    /// centre, then one of each other data centre before a second one.
+    ///
+    /// While data centre 0 leaves, its part of new work binds each try; while it returns, the
+    /// first one.
+    fn tries(&self, origin: usize, fingerprint: u64) -> Vec<(usize, usize)> {
+        let kept_out = !self.weight().includes(fingerprint);
+        let mut first = origin;
+        if first == 0 && kept_out {
+            first = 1 + usize::try_from(fingerprint / 1_000 % 2).unwrap_or(0);
+        }
+        let node = usize::try_from(fingerprint / 2_000 % 2).unwrap_or(0);
+        let mut tries = vec![(first, node), (first, 1 - node)];
+        for node in [1 - node, node] {
+            tries.extend((1..CENTRES).map(|step| ((first + step) % CENTRES, node)));
+        }
+        let bound = kept_out && !self.shift.in_service();
+        tries.retain(|(centre, _)| *centre != 0 || !bound);
+        tries.truncate(TRIES);
+        tries
+    }
+
     /// Returns a time that grows with the load and is longer where the prefix is not cached.
     fn first_token(&self, origin: usize, centre: usize) -> time::Duration {
         let load = u64::from(self.centres[centre].mean_load());
--- a/crates/pier_node/src/requests/forward_run.rs
+++ b/crates/pier_node/src/requests/forward_run.rs
@@ -14,7 +14,7 @@
 /// Longest time for which a data centre without room is spared.
 const MOST_SPARE: time::Duration = time::Duration::from_secs(2);
 
-/// Passes requests on to other data centres, each at most once.
+/// Passes requests on to other nodes, each at most once.
 #[derive(Debug)]
 pub(super) struct ForwardRun<'a> {
     handle: &'a handle::NodeHandle,
@@ -80,6 +80,11 @@
             data_centre: &self.handle.settings().data_centre,
             document: &config.document,
             peers: &peers,
+            own_serves: self
+                .handle
+                .shift()
+                .weight
+                .includes(self.plan.fingerprint.get()),
         };
         let full = self.handle.requests().full_peers();
         let now = clocks::boot_now();
--- a/crates/pier_node/tests/requests/forwards.rs
+++ b/crates/pier_node/tests/requests/forwards.rs
@@ -10,7 +10,7 @@
 use crate::{cutting_target, test_node};
 
 /// Starts the side of a node that takes requests over; returns what others know of it.
-async fn listen(node: &test_node::TestNode, data_centre: &str) -> handle::PeerEntry {
+pub async fn listen(node: &test_node::TestNode, data_centre: &str) -> handle::PeerEntry {
     let key = node.handle.settings().peer_key.parse().unwrap();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
--- a/crates/pier_node/tests/requests/main.rs
+++ b/crates/pier_node/tests/requests/main.rs
@@ -7,5 +7,6 @@
 mod one_time;
 mod one_time_streams;
 mod refusals;
+mod siblings;
 mod streams;
 mod test_node;
