Cap a wish at what one node may hold; count refusals of bursts

Cause: at 56% use a wish above the most of one node kept places from the others: wishes of 9 and 5 in a pool of 12 were lent 6 and 5, and the last place nobody could use. Now both the node and the ledger cap the wish, and a question is early only when a share is used up that covered the last wish. Seen failing: with the wish not capped in the ledger, 'left: [6, 3] right: [6, 6]'.

--- /dev/null
+++ b/crates/pier_limits/examples/burst_study/burst_run.rs
@@ -0,0 +1,130 @@
+//! One run of the model.
+
+use std::time;
+
+use pier_types::times;
+use rand::{Rng, SeedableRng, rngs};
+
+use crate::burst_model;
+
+/// Time between two steps, in milliseconds.
+const STEP: u64 = 50;
+/// Time between two looks at whether a question is due, in milliseconds; as the daemon's.
+const SHARE_STEP: u64 = 100;
+/// Counting starts then, in milliseconds.
+const WARM_UP: u64 = 20_000;
+const END: u64 = 120_000;
+/// Time between two bursts, in milliseconds: longer than a request runs.
+const BURST_PERIOD: u64 = 9_700;
+/// Mean time that a request runs, in milliseconds.
+const MEAN_SERVICE: u64 = 3_500;
+
+/// How nodes come to their shares, and who is tried.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BurstWay {
+    Wishes,
+    Dealt,
+    Sibling,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub struct BurstSettings {
+    pub nodes: usize,
+    /// The steady load, in percent of all limits.
+    pub use_percent: u32,
+    /// Requests of one burst.
+    pub burst: u32,
+    pub way: BurstWay,
+}
+
+/// Counts of one or more runs.
+#[derive(Debug, Default)]
+pub struct BurstCount {
+    pub arrivals: u32,
+    /// Refused while the data centre had room in sum.
+    pub with_room: u32,
+    /// Requests above a target's limit, at the worst instant.
+    pub over_limit: u32,
+    pub questions: u32,
+}
+
+impl BurstCount {
+    pub fn add(&mut self, other: &Self) {
+        self.arrivals += other.arrivals;
+        self.with_room += other.with_room;
+        self.over_limit = self.over_limit.max(other.over_limit);
+        self.questions += other.questions;
+    }
+
+    /// Returns the questions of one node in a second.
+    pub fn question_rate(&self, nodes: usize, runs: u64) -> f64 {
+        let seconds = END as f64 / 1_000.0 * runs as f64;
+        f64::from(self.questions) / seconds / nodes as f64
+    }
+}
+
+pub struct BurstRun {
+    rng: rngs::StdRng,
+    settings: BurstSettings,
+    model: burst_model::BurstModel,
+    now: times::BootTime,
+    count: BurstCount,
+}
+
+impl BurstRun {
+    pub fn new(seed: u64, settings: BurstSettings) -> Self {
+        let only_wishes = settings.way == BurstWay::Wishes;
+        Self {
+            rng: rngs::StdRng::seed_from_u64(seed),
+            settings,
+            model: burst_model::BurstModel::new(settings.nodes, only_wishes),
+            now: times::BootTime::default(),
+            count: BurstCount::default(),
+        }
+    }
+
+    pub fn finish(mut self) -> BurstCount {
+        for millis in (STEP..END).step_by(usize::try_from(STEP).unwrap_or(1)) {
+            self.now = times::BootTime::from_millis(millis);
+            let over = self.model.advance(self.now);
+            self.count.over_limit = self.count.over_limit.max(over);
+            if millis.is_multiple_of(SHARE_STEP) {
+                self.model.share(self.now);
+            }
+            self.arrive(millis);
+        }
+        self.count.questions = self.model.questions;
+        self.count
+    }
+
+    fn arrive(&mut self, millis: u64) {
+        let limit = u64::from(burst_model::LIMIT.get() * burst_model::TARGETS);
+        let thousandths = limit * u64::from(self.settings.use_percent) * 10 * STEP / MEAN_SERVICE;
+        let more = self.rng.random_range(0..1_000) < thousandths % 1_000;
+        for _ in 0..thousandths / 1_000 + u64::from(more) {
+            let node = self.rng.random_range(0..self.settings.nodes);
+            self.request(node, millis);
+        }
+        if millis.is_multiple_of(BURST_PERIOD) {
+            let node = self.rng.random_range(0..self.settings.nodes);
+            for _ in 0..self.settings.burst {
+                self.request(node, millis);
+            }
+        }
+    }
+
+    fn request(&mut self, node: usize, millis: u64) {
+        let service = self.rng.random_range(2_000..5_000);
+        let other = self.rng.random_range(1..self.settings.nodes);
+        let sibling = (node + other) % self.settings.nodes;
+        let ends_at = self.now.after(time::Duration::from_millis(service));
+        let mut started = self.model.start(node, ends_at, self.now);
+        if !started && self.settings.way == BurstWay::Sibling {
+            started = self.model.start(sibling, ends_at, self.now);
+        }
+        if millis >= WARM_UP {
+            self.count.arrivals += 1;
+            self.count.with_room += u32::from(!started && self.model.room() > 0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pier_limits/examples/burst_study/main.rs
@@ -0,0 +1,66 @@
+//! Counts refusals of bursts that meet one node after idle, in virtual time.
+//!
+//! A data centre of six targets with a limit of 24 each bears a steady load at all nodes; now and
+//! then a burst of a third of a target's limit, or of all targets' limits, meets one node. The
+//! decisions are the real ones. "wishes" is the baseline: nodes use only what they asked for, once
+//! a second. "dealt" adds what nobody wants, and asks when something changed. "sibling" tries one
+//! other node of the data centre as well. The seeds are the same for all ways.
+
+mod burst_model;
+mod burst_run;
+
+use std::{io, io::Write};
+
+const SEEDS: u64 = 10;
+
+/// Parts of all limits that the steady load takes, in percent.
+const USES: [u32; 4] = [0, 35, 52, 56];
+
+const WAYS: [(&str, burst_run::BurstWay); 3] = [
+    ("wishes", burst_run::BurstWay::Wishes),
+    ("dealt", burst_run::BurstWay::Dealt),
+    ("sibling", burst_run::BurstWay::Sibling),
+];
+
+fn main() -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    writeln!(
+        out,
+        "nodes  use  burst  way      arrivals  with_room  of_baseline  max_over_limit  questions/s"
+    )?;
+    for nodes in [2, 3, 6] {
+        for use_percent in USES {
+            for burst in [8, 48] {
+                compare(&mut out, nodes, use_percent, burst)?;
+            }
+        }
+    }
+    Ok(())
+}
+
+fn compare(out: &mut impl Write, nodes: usize, use_percent: u32, burst: u32) -> io::Result<()> {
+    let mut baseline = 0;
+    for (name, way) in WAYS {
+        let mut total = burst_run::BurstCount::default();
+        for seed in 0..SEEDS {
+            let settings = burst_run::BurstSettings {
+                nodes,
+                use_percent,
+                burst,
+                way,
+            };
+            total.add(&burst_run::BurstRun::new(seed, settings).finish());
+        }
+        if name == "wishes" {
+            baseline = total.with_room;
+        }
+        let ratio = f64::from(total.with_room) / f64::from(baseline.max(1));
+        let rate = total.question_rate(nodes, SEEDS);
+        writeln!(
+            out,
+            "{nodes:>5} {use_percent:>3}% {burst:>6}  {name:<8} {:>8} {:>10} {ratio:>12.3} {:>15} {rate:>12.2}",
+            total.arrivals, total.with_room, total.over_limit,
+        )?;
+    }
+    Ok(())
+}
--- a/crates/pier_limits/examples/shift_study/centre_model.rs
+++ b/crates/pier_limits/examples/shift_study/centre_model.rs
@@ -7,6 +7,7 @@
 use pier_wire::messages;
 
 pub const NODES: usize = 2;
+const SLOTS: u32 = 2;
 pub const TARGETS: usize = 6;
 const LIMIT: sizes::RequestCount = sizes::RequestCount::new(16);
 const TERM: epochs::LeaseTerm = epochs::LeaseTerm::new(1);
@@ -54,7 +55,7 @@
 impl CentreModel {
     pub fn new(name: &str, now: times::BootTime) -> Result<Self, ids::NameError> {
         let terms = shares::ShareTerms::default();
-        let mut ledger = shares::ShareLedger::new(terms, TERM, now, 2, [].into());
+        let mut ledger = shares::ShareLedger::new(terms, TERM, now, SLOTS, [].into());
         let nodes = (0..NODES).map(node_name).collect::<Result<_, _>>()?;
         ledger.record_nodes(nodes);
         let targets = (0..TARGETS)
@@ -75,7 +76,7 @@
                 .map(|_| shares::ShareHolding::new(terms))
                 .collect(),
             schedules: (0..NODES).map(|_| shares::AskSchedule::default()).collect(),
-            split: shares::StaticSplit::new(2, terms.life),
+            split: shares::StaticSplit::new(SLOTS, terms.life),
         })
     }
 
@@ -192,9 +193,11 @@
             let fixed = self.fixed(node, index, now);
             let running = target.running(node);
             let headroom = LEAST_HEADROOM.max(running / 2);
+            let most = shares::LimitSplit::of(target.ramp.limit(now)).node_cap(SLOTS);
+            let wanted = (running + headroom).saturating_sub(fixed);
             let need = shares::ShareDemand {
                 running: sizes::RequestCount::new(running.saturating_sub(fixed)),
-                wanted: sizes::RequestCount::new((running + headroom).saturating_sub(fixed).max(1)),
+                wanted: sizes::RequestCount::new(wanted.clamp(1, most.get().max(1))),
             };
             (target.key(), need)
         };
--- a/crates/pier_limits/src/shares/ask_schedule.rs
+++ b/crates/pier_limits/src/shares/ask_schedule.rs
@@ -18,8 +18,8 @@
 
 /// Tells when the next question is due.
 ///
-/// What the lease holder does not know yet is told at once: a target that is new, a wish above the
-/// last one that the share does not cover, another holder.
+/// What may bring more is asked at once: a target that is new, another holder, a share that is used
+/// up and covered the last wish.
 ///
 /// ```
 /// use pier_limits::shares;
@@ -53,7 +53,7 @@
     ) -> bool {
         let rounds = demand
             .iter()
-            .map(|(key, need)| self.round(*key, need.wanted, holding.share(*key, now)));
+            .map(|(key, need)| self.round(*key, *need, holding.share(*key, now)));
         let round = if term == self.term {
             rounds.min().unwrap_or(SETTLED_ROUND)
         } else {
@@ -79,15 +79,19 @@
     fn round(
         &self,
         key: messages::ShareKey,
-        wanted: sizes::RequestCount,
+        need: shares::ShareDemand,
         share: sizes::RequestCount,
     ) -> time::Duration {
-        if wanted <= share {
+        if need.wanted <= share {
             return SETTLED_ROUND;
         }
-        if self.wanted.get(&key).is_some_and(|asked| wanted <= *asked) {
-            return UNMET_ROUND;
+        let Some(asked) = self.wanted.get(&key) else {
+            return LEAST_ROUND;
+        };
+        let used_up = need.running >= share;
+        if used_up && *asked <= share {
+            return LEAST_ROUND;
         }
-        LEAST_ROUND
+        UNMET_ROUND
     }
 }
--- a/crates/pier_limits/src/shares/ledger_target.rs
+++ b/crates/pier_limits/src/shares/ledger_target.rs
@@ -56,11 +56,13 @@
         });
         let used = others.saturating_add(bounds.unheard.get());
         let room = pool.saturating_sub(used);
-        let total = self.sum(|_, charge| charge.wanted.get());
+        // A wish above the most that a node may hold must not keep places from the others.
+        let wish = |charge: &shares::LedgerCharge| charge.wanted.min(bounds.cap).get();
+        let total = self.sum(|_, charge| wish(charge));
         let Some(charge) = self.charges.get_mut(node) else {
             return sizes::RequestCount::new(0);
         };
-        let fair = fair_share(pool, charge.wanted.get(), total, bounds.nodes);
+        let fair = fair_share(pool, wish(charge), total, bounds.nodes);
         let amount = fair.min(room).min(bounds.cap.get());
         let amount = sizes::RequestCount::new(amount);
         charge.amount = charge.amount.max(amount);
--- a/crates/pier_limits/src/shares/static_split.rs
+++ b/crates/pier_limits/src/shares/static_split.rs
@@ -61,6 +61,11 @@
         self.slots = slots;
     }
 
+    /// Returns the number of slots.
+    pub const fn slots(&self) -> u32 {
+        self.slots
+    }
+
     /// Returns what the node of a slot may have in flight at a target, out of the fixed part.
     pub fn share(
         &self,
--- a/crates/pier_limits/tests/share_bursts.rs
+++ b/crates/pier_limits/tests/share_bursts.rs
@@ -140,6 +140,20 @@
     assert_eq!(busy, 12);
 }
 
+#[test]
+fn a_wish_above_the_most_of_a_node_keeps_no_place_from_the_others() {
+    let mut centre = Centre::new(2, 16);
+    for _ in 0..IDLE_ROUNDS {
+        centre.ask(0, &demand(0, 20));
+        centre.ask(1, &demand(0, 5));
+    }
+    let held = centre.holdings.iter();
+    let held: Vec<u32> = held
+        .map(|holding| holding.share(key(), centre.now).get())
+        .collect();
+    assert_eq!(held, [6, 6], "of a pool of 12, half for each at most");
+}
+
 #[test]
 fn a_node_that_wants_nothing_is_lent_nothing() {
     let mut centre = Centre::new(2, 24);
@@ -176,7 +190,7 @@
     let (schedule, asked_at) = schedule_after(&demand(0, 0));
     let due = |term, demand: DemandMap| first_due(&schedule, term, &demand, asked_at);
     assert_eq!(due(TERM, demand(0, 0)), 2_000, "nothing changed");
-    assert_eq!(due(TERM, demand(2, 4)), 300, "a wish grew");
+    assert_eq!(due(TERM, demand(2, 4)), 300, "the share is used up");
     assert_eq!(due(TERM.next(), demand(0, 0)), 300, "another holder");
     let (schedule, asked_at) = schedule_after(&DemandMap::new());
     assert_eq!(
--- a/crates/pier_node/src/peers/target_book.rs
+++ b/crates/pier_node/src/peers/target_book.rs
@@ -86,8 +86,10 @@
             let running = known.running(running);
             let headroom = LEAST_HEADROOM.max(running / 2);
             let wanted = if known.seen_at == now {
+                let (_limit, split) = known.split(now);
+                let most = split.node_cap(self.split.slots()).get().max(1);
                 // At least 1, as a node that wants nothing is not lent what nobody wants.
-                (running + headroom).saturating_sub(fixed).max(1)
+                (running + headroom).saturating_sub(fixed).clamp(1, most)
             } else {
                 0
             };
