Let a backup probe at once when evidence grows old

Not the shares, which had been suspected. Its own backup probe was to close the gap, but was planned a second after evidence was found old. A user meets it with freshness-ms below about 2,400, which the configuration accepts. Now a backup that has not probed for a second does so at once, and evidence is old early enough to be replaced in the table that requests read. With the shipped 2,500 ms nothing changes but the backup's haste.

--- a/crates/pier_limits/src/probes/evidence_board.rs
+++ b/crates/pier_limits/src/probes/evidence_board.rs
@@ -16,6 +16,13 @@
 /// Fewest VMs of a domain for a judgement on the whole domain.
 const DOMAIN_LEAST: usize = 2;
 
+/// Backup probers are asked once evidence has reached this part of the age up to which it counts,
+/// in percent.
+const OLD_PERCENT: u32 = 75;
+
+/// Time in which a backup's probe is due, is answered, and shows in the table that requests read.
+const REFRESH_TIME: time::Duration = time::Duration::from_millis(600);
+
 /// Keeps what is known of each listed VM; no evidence is the same as bad evidence.
 ///
 /// ```
@@ -124,6 +131,20 @@
             .collect()
     }
 
+    /// Returns the VMs whose evidence will soon be too old unless a backup prober brings newer one.
+    pub fn old(
+        &self,
+        listed: &collections::BTreeSet<ids::VmName>,
+        now: times::BootTime,
+    ) -> Vec<ids::VmName> {
+        let age = self.bound * OLD_PERCENT / 100;
+        self.older_than(
+            age.min(self.bound.saturating_sub(REFRESH_TIME)),
+            listed,
+            now,
+        )
+    }
+
     /// Returns the VMs without evidence of a given youth; their backup probers are to be asked.
     pub fn older_than(
         &self,
--- a/crates/pier_limits/src/probes/probe_schedule.rs
+++ b/crates/pier_limits/src/probes/probe_schedule.rs
@@ -22,6 +22,7 @@
 struct ProbeDuty {
     rank: usize,
     due_at: times::BootTime,
+    probed_at: Option<times::BootTime>,
 }
 
 impl ProbeSchedule {
@@ -36,6 +37,7 @@
             let first = ProbeDuty {
                 rank: *rank,
                 due_at: now.after(phase(vm)),
+                probed_at: None,
             };
             let duty = self.duties.entry(vm.clone()).or_insert(first);
             duty.rank = *rank;
@@ -44,7 +46,8 @@
 
     /// Returns the VMs to probe now and plans their next probes.
     ///
-    /// Backups hurry for a VM in `old`, whose evidence no longer comes in time.
+    /// Backups hurry for a VM in `old`, whose evidence no longer comes in time: they probe at once
+    /// if they have not done so within the interval of first probers.
     pub fn due(
         &mut self,
         old: &collections::BTreeSet<ids::VmName>,
@@ -53,9 +56,9 @@
         let mut due = Vec::new();
         for (vm, duty) in &mut self.duties {
             let hurried = duty.rank == 0 || old.contains(vm);
-            let latest = now.after(FIRST_INTERVAL);
-            if hurried && duty.due_at > latest {
-                duty.due_at = latest;
+            if hurried {
+                let last = duty.probed_at.unwrap_or(now);
+                duty.due_at = duty.due_at.min(last.after(FIRST_INTERVAL));
             }
             if now < duty.due_at {
                 continue;
@@ -66,6 +69,7 @@
                 BACKUP_INTERVAL
             };
             duty.due_at = next_after(duty.due_at, interval, now);
+            duty.probed_at = Some(now);
             due.push(vm.clone());
         }
         due
--- /dev/null
+++ b/crates/pier_limits/tests/old_evidence.rs
@@ -0,0 +1,89 @@
+//! Proves that a backup prober keeps evidence young that the first prober's results can not.
+
+use std::{collections, time};
+
+use pier_limits::probes;
+use pier_types::{epochs, ids, reports, sizes, times};
+use pier_wire::messages;
+
+/// Time between two ticks of a node, in milliseconds.
+const TICK: u64 = 100;
+
+/// What is left of the bound for evidence to reach the table: a tick of publishing, two of the
+/// control loop, one of the table.
+const LAG: time::Duration = time::Duration::from_millis(4 * TICK);
+
+fn at(millis: u64) -> times::BootTime {
+    times::BootTime::from_millis(100_000 + millis)
+}
+
+fn result(vm: &ids::VmName, age: time::Duration) -> messages::ProbeResult {
+    messages::ProbeResult {
+        vm: vm.clone(),
+        age,
+        latency: time::Duration::from_millis(2),
+        outcome: Ok(reports::EngineReport {
+            vm: vm.clone(),
+            incarnation: epochs::VmIncarnation::new(1),
+            group: None,
+            generation: epochs::GroupGeneration::new(0),
+            model: None,
+            state: reports::EngineState::Warm,
+            running: sizes::RequestCount::new(0),
+            queued: sizes::RequestCount::new(0),
+        }),
+    }
+}
+
+/// Returns the greatest age of a VM's evidence at a backup, which pulls the first prober's
+/// results once a second; phases are in ticks.
+fn greatest_age(
+    bound: time::Duration,
+    vm: &ids::VmName,
+    probe_phase: u64,
+    pull_phase: u64,
+) -> time::Duration {
+    let listed = collections::BTreeSet::from([vm.clone()]);
+    let mut board = probes::EvidenceBoard::new(bound);
+    let mut schedule = probes::ProbeSchedule::default();
+    schedule.assign(&[(vm.clone(), 1)].into(), at(0));
+    let mut first_probed = at(0);
+    let mut newest = at(0);
+    let mut greatest = time::Duration::ZERO;
+    for tick in 0..300 {
+        let now = at(tick * TICK);
+        // Before this tick brings newer evidence; the first ones are the start.
+        if tick >= 100 {
+            greatest = greatest.max(now.since(newest));
+        }
+        if tick % 10 == probe_phase {
+            first_probed = now;
+        }
+        if tick % 10 == pull_phase {
+            board.observe(result(vm, now.since(first_probed)), now);
+            newest = newest.max(first_probed);
+        }
+        let old = board.old(&listed, now).into_iter().collect();
+        if !schedule.due(&old, now).is_empty() {
+            board.observe(result(vm, time::Duration::ZERO), now);
+            newest = now;
+        }
+    }
+    greatest
+}
+
+#[test]
+fn evidence_of_a_vm_that_another_node_probes_stays_within_the_bound_at_any_phase() {
+    for bound in [1_500, 2_000, 2_500, 4_000].map(time::Duration::from_millis) {
+        for number in 0..20 {
+            let vm = format!("vm-{number}").parse().unwrap();
+            for (probe, pull) in (0..100).map(|phases| (phases / 10, phases % 10)) {
+                let age = greatest_age(bound, &vm, probe, pull);
+                assert!(
+                    age + LAG <= bound,
+                    "{vm}, probed at {probe}, pulled at {pull}: {age:?} of {bound:?}"
+                );
+            }
+        }
+    }
+}
--- a/crates/pier_node/src/probes/probe_driver.rs
+++ b/crates/pier_node/src/probes/probe_driver.rs
@@ -13,10 +13,6 @@
 /// Age up to which evidence counts when no configuration says so.
 const DEFAULT_FRESHNESS: time::Duration = time::Duration::from_secs(4);
 
-/// Backup probers are asked once evidence has reached this part of the age up to which it counts,
-/// in percent.
-const OLD_PERCENT: u32 = 75;
-
 type VmList = collections::BTreeMap<ids::VmName, vms::VmEntry>;
 
 /// Owns what is known of each VM of the data centre.
@@ -64,8 +60,7 @@
 
     /// Returns the VMs whose backup probers are to be asked.
     pub(crate) fn old(&self, now: times::BootTime) -> Vec<ids::VmName> {
-        let age = self.board.bound() * OLD_PERCENT / 100;
-        self.board.older_than(age, &self.listed, now)
+        self.board.old(&self.listed, now)
     }
 
     /// Takes over the live nodes and the VM list, probes what is due and publishes the evidence.
