Ask for shares every two seconds while nothing changes

Cause: the lease holder's datagrams were over the aim of 27 kB/s, as each node asked each second, also when it wanted what it had been refused before. Now the same wish is asked again after 2 s, also an unmet one; another unmet wish after 1 s.

--- a/crates/pier_limits/src/shares/ask_schedule.rs
+++ b/crates/pier_limits/src/shares/ask_schedule.rs
@@ -7,10 +7,10 @@
 
 use crate::shares;
 
-/// Time between two questions while the node has what it wants.
+/// Time between two questions while the node has what it wants, or wants what it wanted before.
 const SETTLED_ROUND: time::Duration = time::Duration::from_secs(2);
 
-/// Time between two questions while it wants more than it was lent.
+/// Time between two questions while it wants another number than before, above its share.
 const UNMET_ROUND: time::Duration = time::Duration::from_secs(1);
 
 /// Least time between two questions, also when something changed.
@@ -19,7 +19,7 @@
 /// Tells when the next question is due.
 ///
 /// What may bring more is asked at once: a target that is new, another holder, a share that is used
-/// up and covered the last wish.
+/// up and covered the last wish. A wish that was not met is repeated seldom while it stays the same.
 ///
 /// ```
 /// use pier_limits::shares;
@@ -88,6 +88,9 @@
         let Some(asked) = self.wanted.get(&key) else {
             return LEAST_ROUND;
         };
+        if *asked == need.wanted {
+            return SETTLED_ROUND;
+        }
         let used_up = need.running >= share;
         if used_up && *asked <= share {
             return LEAST_ROUND;
