Ask again after a second when the holder did not answer or did not know

Cause: with the seldom question a lost datagram, or a holder that has not heard of a new target yet, would leave a node without a share for 2 s in place of 1.

--- a/crates/pier_limits/src/shares/ask_schedule.rs
+++ b/crates/pier_limits/src/shares/ask_schedule.rs
@@ -10,7 +10,8 @@
 /// Time between two questions while the node has what it wants, or wants what it wanted before.
 const SETTLED_ROUND: time::Duration = time::Duration::from_secs(2);
 
-/// Time between two questions while it wants another number than before, above its share.
+/// Time between two questions while it wants another number than before, above its share, or was not
+/// answered.
 const UNMET_ROUND: time::Duration = time::Duration::from_secs(1);
 
 /// Least time between two questions, also when something changed.
@@ -19,7 +20,8 @@
 /// Tells when the next question is due.
 ///
 /// What may bring more is asked at once: a target that is new, another holder, a share that is used
-/// up and covered the last wish. A wish that was not met is repeated seldom while it stays the same.
+/// up and covered the last wish. A wish that was not met is repeated seldom while it stays the same,
+/// unless the question was not answered, or by a lease holder that does not know the target yet.
 ///
 /// ```
 /// use pier_limits::shares;
@@ -53,7 +55,7 @@
     ) -> bool {
         let rounds = demand
             .iter()
-            .map(|(key, need)| self.round(*key, *need, holding.share(*key, now)));
+            .map(|(key, need)| self.round(*key, *need, holding, now));
         let round = if term == self.term {
             rounds.min().unwrap_or(SETTLED_ROUND)
         } else {
@@ -80,15 +82,17 @@
         &self,
         key: messages::ShareKey,
         need: shares::ShareDemand,
-        share: sizes::RequestCount,
+        holding: &shares::ShareHolding,
+        now: times::BootTime,
     ) -> time::Duration {
+        let share = holding.share(key, now);
         if need.wanted <= share {
             return SETTLED_ROUND;
         }
         let Some(asked) = self.wanted.get(&key) else {
             return LEAST_ROUND;
         };
-        if *asked == need.wanted {
+        if *asked == need.wanted && holding.is_settled(key) {
             return SETTLED_ROUND;
         }
         let used_up = need.running >= share;
--- a/crates/pier_limits/src/shares/share_holding.rs
+++ b/crates/pier_limits/src/shares/share_holding.rs
@@ -33,6 +33,8 @@
     round: u64,
     term: epochs::LeaseTerm,
     asked_at: times::BootTime,
+    /// Whether an answer to the last question came.
+    answered: bool,
     held: collections::BTreeMap<messages::ShareKey, HeldShare>,
 }
 
@@ -61,6 +63,7 @@
             round: 0,
             term: epochs::LeaseTerm::new(0),
             asked_at: times::BootTime::from_micros(0),
+            answered: false,
             held: collections::BTreeMap::new(),
         }
     }
@@ -78,6 +81,7 @@
         self.round += 1;
         self.term = term;
         self.asked_at = now;
+        self.answered = false;
         self.held.retain(|key, _| demand.contains_key(key));
         let entries = demand
             .iter()
@@ -96,6 +100,7 @@
         if grant.round != self.round || grant.term != self.term {
             return;
         }
+        self.answered = true;
         let life = time::Duration::from_millis(grant.life_ms.into()).min(self.terms.life);
         for entry in &grant.entries {
             let share = HeldShare {
@@ -112,6 +117,12 @@
         self.held.clear();
     }
 
+    /// Tells whether the lease holder answered the last question and knew the target.
+    pub fn is_settled(&self, key: messages::ShareKey) -> bool {
+        let held = self.held.get(&key);
+        self.answered && held.is_some_and(|held| held.limit > sizes::RequestCount::new(0))
+    }
+
     /// Returns what may be in flight beyond the fixed part.
     pub fn share(&self, key: messages::ShareKey, now: times::BootTime) -> sizes::RequestCount {
         let held = self.held.get(&key);
--- a/crates/pier_limits/tests/share_bursts.rs
+++ b/crates/pier_limits/tests/share_bursts.rs
@@ -200,6 +200,23 @@
     );
     let (schedule, asked_at) = schedule_after(&demand(2, 4));
     let due = |demand: DemandMap| first_due(&schedule, TERM, &demand, asked_at);
-    assert_eq!(due(demand(2, 4)), 2_000, "the same unmet wish");
+    assert_eq!(due(demand(2, 4)), 1_000, "not answered");
     assert_eq!(due(demand(3, 5)), 1_000, "another unmet wish");
 }
+
+#[test]
+fn an_unmet_wish_is_repeated_seldom_unless_the_holder_did_not_know_the_target() {
+    let wish = demand(2, 4);
+    for (limit, expected) in [(0, 1_000), (8, 2_000)] {
+        let (schedule, asked_at) = schedule_after(&wish);
+        let mut centre = Centre::new(4, limit);
+        centre.now = asked_at;
+        centre.ask(0, &wish);
+        let due = |millis: &u64| {
+            let now = asked_at.after(time::Duration::from_millis(*millis));
+            schedule.is_due(TERM, &wish, &centre.holdings[0], now)
+        };
+        let first = (0..=3_000).step_by(100).find(due);
+        assert_eq!(first, Some(expected), "limit {limit}");
+    }
+}
