Drive a loaded fleet of daemons through a data centre's leaving and return

Cause: the service while a data centre leaves and returns was measured on the pure decisions only. pier_load draws calls from a seed, sends them in real time to real nodes over loopback, and reads what callers received against the engines' records.

--- /dev/null
+++ b/crates/pier_load/examples/data_centre_drive/drive_table.rs
@@ -0,0 +1,98 @@
+//! Prints what a drive showed.
+
+use pier_load::{drives, reviews};
+
+/// Prints one line for each phase and one for the engines; times as ratios to the first phase.
+pub fn print(
+    way: &str,
+    run: &drives::DriveRun,
+    phases: &reviews::PhaseTimes,
+) -> anyhow::Result<()> {
+    let entries = run.records.values().flatten().flatten();
+    let review = reviews::CallReview::new(entries);
+    let false_answers = run.calls.iter().filter_map(|call| review.check(call).err());
+    let false_answers: Vec<String> = false_answers.map(|error| error.to_string()).collect();
+    println!(
+        "way      phase      calls  whole refused broken retries  first_p50 first_p95  gap_p95  codes"
+    );
+    let mut base: Option<reviews::PhaseReview> = None;
+    for phase in reviews::DrivePhase::ALL {
+        let calls = run.calls.iter();
+        let calls = calls.filter(|call| phases.phase(run.start, call.sent_at) == phase);
+        let present = reviews::PhaseReview::new(calls, &review)?;
+        print_phase(way, phase, &present, base.as_ref().unwrap_or(&present));
+        base.get_or_insert(present);
+    }
+    print_engines(way, run, phases, &false_answers);
+    Ok(())
+}
+
+fn print_phase(
+    way: &str,
+    phase: reviews::DrivePhase,
+    present: &reviews::PhaseReview,
+    base: &reviews::PhaseReview,
+) {
+    println!(
+        "{way:<8} {phase:<9} {:>6} {:>6} {:>7} {:>6} {:>7}  {:>9.2} {:>9.2} {:>8.2}  {:?}",
+        present.calls,
+        present.whole,
+        present.refusals(),
+        present.broken,
+        present.retries,
+        ratio(&present.first_token, &base.first_token, 0.5),
+        ratio(&present.first_token, &base.first_token, 0.95),
+        ratio(&present.token_gap, &base.token_gap, 0.95),
+        present.refused,
+    );
+}
+
+fn print_engines(
+    way: &str,
+    run: &drives::DriveRun,
+    phases: &reviews::PhaseTimes,
+    false_answers: &[String],
+) {
+    for (data_centre, engines) in &run.records {
+        let review = reviews::EngineReview::new(engines);
+        println!(
+            "{way:<8} engines={data_centre} most_in_flight={} lost={}",
+            review.most_in_flight(),
+            review.lost()
+        );
+    }
+    if let Some((data_centre, engines)) = run.records.iter().next() {
+        let review = reviews::EngineReview::new(engines);
+        let last = review.last_new_work(run.left_at, run.back_at);
+        println!(
+            "{way:<8} left={data_centre} last_new_work_ms={} second_by_second_after_return={:?}",
+            last.map_or(0, |time| time.as_millis()),
+            second_by_second(&review, run, phases),
+        );
+    }
+    println!(
+        "{way:<8} false_answers={} {:?}",
+        false_answers.len(),
+        false_answers.first()
+    );
+}
+
+/// Returns the new requests of each second from the return on.
+fn second_by_second(
+    review: &reviews::EngineReview<'_>,
+    run: &drives::DriveRun,
+    phases: &reviews::PhaseTimes,
+) -> Vec<usize> {
+    let seconds = (phases.returning + phases.after).as_secs();
+    let second = |number| run.back_at.after(std::time::Duration::from_secs(number));
+    let counts = (0..seconds).map(|number| review.arrivals(second(number), second(number + 1)));
+    counts.collect()
+}
+
+fn ratio(
+    present: &hdrhistogram::Histogram<u64>,
+    base: &hdrhistogram::Histogram<u64>,
+    quantile: f64,
+) -> f64 {
+    present.value_at_quantile(quantile) as f64 / base.value_at_quantile(quantile).max(1) as f64
+}
--- /dev/null
+++ b/crates/pier_load/examples/data_centre_drive/main.rs
@@ -0,0 +1,102 @@
+//! Measures what callers notice while a data centre leaves and returns.
+//!
+//! Real nodes over loopback, three data centres of two nodes and three engines; one is taken out,
+//! its engines are restarted cold, and it is taken back. The same calls go to a second fleet at the
+//! same time whose nodes move load at once:
+//! `cargo run --release -p pier_load --example data_centre_drive -- --use 35`
+
+mod drive_table;
+
+use std::{str, time};
+
+use anyhow::Context as _;
+use pier_limits::shifts;
+use pier_load::{calls, drives, fleets, reviews};
+use pier_types::{rates, sizes};
+
+/// Mean time that a call takes at an engine: prompt and tokens.
+const MEAN_CALL: time::Duration = time::Duration::from_millis(630);
+
+const PHASES: reviews::PhaseTimes = reviews::PhaseTimes {
+    before: time::Duration::from_secs(15),
+    leaving: time::Duration::from_secs(6),
+    out: time::Duration::from_secs(14),
+    returning: time::Duration::from_secs(35),
+    after: time::Duration::from_secs(15),
+};
+
+fn main() -> anyhow::Result<()> {
+    let matches = arguments().get_matches();
+    let percent: u32 = parse(&matches, "use")?;
+    let seed: u64 = parse(&matches, "seed")?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(compare(percent, seed))
+}
+
+/// Drives both ways at the same time, so that the machine is equally busy for both.
+async fn compare(percent: u32, seed: u64) -> anyhow::Result<()> {
+    let flip = shifts::ShiftPolicy {
+        leave_time: time::Duration::ZERO,
+        return_time: time::Duration::ZERO,
+    };
+    let gradual = plan(shifts::ShiftPolicy::default());
+    let mix = mix(&gradual, percent);
+    let (gradual, flip) = tokio::join!(
+        drives::DriveRun::drive(gradual, &mix, PHASES, seed),
+        drives::DriveRun::drive(plan(flip), &mix, PHASES, seed),
+    );
+    println!("use={percent}% seed={seed} calls_a_second={}", mix.rate);
+    drive_table::print("gradual", &gradual?, &PHASES)?;
+    drive_table::print("flip", &flip?, &PHASES)
+}
+
+fn plan(shift: shifts::ShiftPolicy) -> fleets::FleetPlan {
+    fleets::FleetPlan {
+        data_centres: ["north", "south", "west"].map(str::to_owned).to_vec(),
+        nodes: 2,
+        engines: 3,
+        warm_limit: sizes::RequestCount::new(12),
+        cold_limit: sizes::RequestCount::new(3),
+        warm_after: sizes::RequestCount::new(20),
+        token_time: time::Duration::from_millis(25),
+        prefill_time: time::Duration::from_millis(60),
+        cached_prefixes: 8,
+        load_time: time::Duration::from_secs(2),
+        retry_percent: 10,
+        shift,
+    }
+}
+
+fn mix(plan: &fleets::FleetPlan, percent: u32) -> calls::LoadMix {
+    let millis = u32::try_from(MEAN_CALL.as_millis()).unwrap_or(u32::MAX);
+    let rate = plan.capacity().get() * 1_000 * percent / 100 / millis;
+    calls::LoadMix {
+        rate: rates::RequestRate::new(rate),
+        least_tokens: 16,
+        most_tokens: 32,
+        streamed_percent: 70,
+        unusual_percent: 10,
+        shared_prefixes: 24,
+        deadline: time::Duration::from_secs(20),
+    }
+}
+
+fn arguments() -> clap::Command {
+    let percent = clap::Arg::new("use")
+        .long("use")
+        .default_value("35")
+        .help("load, as a percentage of what all engines bear");
+    let seed = clap::Arg::new("seed")
+        .long("seed")
+        .default_value("1")
+        .help("seed of the calls");
+    clap::Command::new("data_centre_drive").args([percent, seed])
+}
+
+fn parse<T: str::FromStr>(matches: &clap::ArgMatches, name: &str) -> anyhow::Result<T> {
+    let text: &String = matches.get_one(name).context("no value")?;
+    let value = text.parse().ok();
+    value.with_context(|| format!("--{name} {text:?} is no number"))
+}
--- /dev/null
+++ b/crates/pier_load/src/calls/call_sender.rs
@@ -0,0 +1,135 @@
+//! Sends calls when they are due.
+
+use std::{net, sync, time};
+
+use futures_util::StreamExt as _;
+use pier_types::{times, times::clocks};
+
+use crate::calls;
+
+/// Time beyond its deadline after which a caller gives up on an answer.
+const HANG_TIME: time::Duration = time::Duration::from_secs(20);
+
+/// Sends calls to nodes as their callers do; nothing is sent twice.
+#[derive(Debug, Clone)]
+pub struct CallSender {
+    client: reqwest::Client,
+    entries: sync::Arc<Vec<net::SocketAddr>>,
+    bearer: sync::Arc<str>,
+    model: sync::Arc<str>,
+}
+
+impl CallSender {
+    /// Makes a sender to some nodes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the HTTP client can not be made.
+    pub fn new(entries: Vec<net::SocketAddr>, bearer: &str, model: &str) -> anyhow::Result<Self> {
+        anyhow::ensure!(!entries.is_empty(), "no node to send to");
+        Ok(Self {
+            client: reqwest::Client::builder().no_proxy().build()?,
+            entries: sync::Arc::new(entries),
+            bearer: bearer.into(),
+            model: model.into(),
+        })
+    }
+
+    /// Sends a schedule in real time, whether answers come or not, and waits for every answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a sending task breaks.
+    pub async fn send_all(
+        &self,
+        schedule: &calls::CallSchedule,
+        start: times::BootTime,
+    ) -> anyhow::Result<Vec<calls::CallRecord>> {
+        let mut running = Vec::new();
+        for plan in &schedule.calls {
+            let due = start.after(plan.at);
+            tokio::time::sleep(due.since(clocks::boot_now())).await;
+            let (sender, plan) = (self.clone(), plan.clone());
+            running.push(tokio::spawn(async move { sender.send(plan).await }));
+        }
+        let mut records = Vec::new();
+        for call in running {
+            records.push(call.await?);
+        }
+        Ok(records)
+    }
+
+    /// Sends one call and reads whatever comes.
+    pub async fn send(&self, plan: calls::CallPlan) -> calls::CallRecord {
+        let sent_at = clocks::boot_now();
+        let mut events = calls::EventTimes::default();
+        let limit = plan.deadline + HANG_TIME;
+        let reading = self.read_answer(&plan, &mut events);
+        let outcome = match tokio::time::timeout(limit, reading).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(error)) => calls::CallOutcome::Broken {
+                cause: format!("{error:#}"),
+            },
+            Err(_elapsed) => calls::CallOutcome::Broken {
+                cause: "no end".to_owned(),
+            },
+        };
+        calls::CallRecord {
+            plan,
+            sent_at,
+            ended_at: clocks::boot_now(),
+            outcome,
+            first_token: events.first_at.map(|at| at.since(sent_at)),
+            token_gaps: events.gaps,
+        }
+    }
+
+    async fn read_answer(
+        &self,
+        plan: &calls::CallPlan,
+        events: &mut calls::EventTimes,
+    ) -> anyhow::Result<calls::CallOutcome> {
+        let entry = self.entries[plan.entry % self.entries.len()];
+        let call = self.client.post(format!("http://{entry}/v1/completions"));
+        let call = call
+            .bearer_auth(&self.bearer)
+            .header("content-type", "application/json")
+            .header("x-deadline-ms", plan.deadline.as_millis().to_string())
+            .header("x-priority", plan.priority.to_string());
+        let answer = call.body(plan.body(&self.model)).send().await?;
+        if !answer.status().is_success() {
+            return Ok(calls::CallOutcome::of_error(&answer.json().await?));
+        }
+        if !plan.is_streamed {
+            let body: serde_json::Value = answer.json().await?;
+            let text = body["choices"][0]["text"].as_str().unwrap_or_default();
+            return Ok(outcome_of(plan, text));
+        }
+        let mut parts = answer.bytes_stream();
+        while let Some(part) = parts.next().await {
+            events.hear(&part?, clocks::boot_now());
+        }
+        Ok(stream_outcome(plan, events))
+    }
+}
+
+fn stream_outcome(plan: &calls::CallPlan, events: &calls::EventTimes) -> calls::CallOutcome {
+    if let Some(error) = &events.error {
+        return calls::CallOutcome::of_error(error);
+    }
+    if !events.is_done {
+        return calls::CallOutcome::Broken {
+            cause: "no end mark".to_owned(),
+        };
+    }
+    outcome_of(plan, &events.text)
+}
+
+fn outcome_of(plan: &calls::CallPlan, text: &str) -> calls::CallOutcome {
+    if text == plan.answer() {
+        return calls::CallOutcome::Whole;
+    }
+    calls::CallOutcome::Wrong {
+        text: text.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/pier_load/src/drives/drive_run.rs
@@ -0,0 +1,115 @@
+//! A data centre taken out of a loaded fleet and back.
+
+use std::{collections, time};
+
+use anyhow::Context as _;
+use pier_config::documents;
+use pier_fakes::record;
+use pier_types::{times, times::clocks};
+
+use crate::{calls, fleets, reviews};
+
+/// Most warm-up rounds.
+const WARM_UP_ROUNDS: u64 = 60;
+
+/// Number of the first call of a warm-up round; those of the drive are smaller.
+const WARM_UP_NUMBER: usize = 1_000_000;
+
+/// Time of one warm-up round.
+const WARM_UP_TIME: time::Duration = time::Duration::from_secs(2);
+
+/// Rounds that are sent at least, so that shares follow the load.
+const LEAST_ROUNDS: u64 = 5;
+
+/// Everything that one drive showed.
+#[derive(Debug)]
+pub struct DriveRun {
+    /// When the first phase began.
+    pub start: times::BootTime,
+    /// When the platform accepted that the data centre is out.
+    pub left_at: times::BootTime,
+    /// When every node of the data centre knew that it gets no new work.
+    pub closed_at: times::BootTime,
+    /// When the platform accepted that it is back.
+    pub back_at: times::BootTime,
+    /// What callers saw.
+    pub calls: Vec<calls::CallRecord>,
+    /// What the engines recorded, by data centre.
+    pub records: collections::BTreeMap<String, Vec<Vec<record::RecordEntry>>>,
+}
+
+impl DriveRun {
+    /// Warms a fleet up under the load, then takes its first data centre out and back.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the fleet does not get warm or the platform does not take a change.
+    pub async fn drive(
+        plan: fleets::FleetPlan,
+        mix: &calls::LoadMix,
+        phases: reviews::PhaseTimes,
+        seed: u64,
+    ) -> anyhow::Result<Self> {
+        let data_centre = plan.data_centres.first().context("no data centre")?.clone();
+        let fleet = fleets::LoadFleet::launch(plan).await?;
+        fleet.wait_for_shares().await?;
+        let sender = fleet.sender()?;
+        warm_up(&fleet, &sender, mix, seed).await?;
+        let schedule = calls::CallSchedule::draw(mix, phases.total(), seed);
+        let start = clocks::boot_now();
+        let sending = sender.send_all(&schedule, start);
+        let changing = change(&fleet, &data_centre, &phases, start);
+        let (calls, moments) = tokio::join!(sending, changing);
+        let (left_at, closed_at, back_at) = moments?;
+        Ok(Self {
+            start,
+            left_at,
+            closed_at,
+            back_at,
+            calls: calls?,
+            records: fleet.records(),
+        })
+    }
+}
+
+/// Sends load until every engine is warm.
+async fn warm_up(
+    fleet: &fleets::LoadFleet,
+    sender: &calls::CallSender,
+    mix: &calls::LoadMix,
+    seed: u64,
+) -> anyhow::Result<()> {
+    for round in 1..=WARM_UP_ROUNDS {
+        let schedule = calls::CallSchedule::draw(mix, WARM_UP_TIME, seed + round);
+        let schedule = schedule.number_from(WARM_UP_NUMBER);
+        sender.send_all(&schedule, clocks::boot_now()).await?;
+        if fleet.is_warm() && round >= LEAST_ROUNDS {
+            return Ok(());
+        }
+    }
+    anyhow::bail!("the engines did not get warm")
+}
+
+/// Takes the data centre out and back at the times of the phases; its engines are restarted when
+/// their work is over.
+async fn change(
+    fleet: &fleets::LoadFleet,
+    data_centre: &str,
+    phases: &reviews::PhaseTimes,
+    start: times::BootTime,
+) -> anyhow::Result<(times::BootTime, times::BootTime, times::BootTime)> {
+    sleep_until(start.after(phases.leaves_at())).await;
+    let out = documents::DataCentreState::OutOfService;
+    let left_at = fleet.set_state(data_centre, out).await?;
+    let closed_at = fleet.wait_until_closed(data_centre).await?;
+    sleep_until(start.after(phases.out_at())).await;
+    fleet.restart_engines(data_centre)?;
+    sleep_until(start.after(phases.returns_at())).await;
+    let back = documents::DataCentreState::InService;
+    let back_at = fleet.set_state(data_centre, back).await?;
+    Ok((left_at, closed_at, back_at))
+}
+
+async fn sleep_until(at: times::BootTime) {
+    tokio::time::sleep(at.since(clocks::boot_now())).await;
+}
--- /dev/null
+++ b/crates/pier_load/src/fleets/load_fleet.rs
@@ -0,0 +1,253 @@
+//! A running fleet.
+
+use std::{collections, time};
+
+use anyhow::Context as _;
+use pier_config::{documents, edits};
+use pier_fakes::{engine, fault, platform, record};
+use pier_node::{daemon, settings};
+use pier_platform::objects;
+use pier_types::{epochs, ids, reports, routes, sizes, times, times::clocks, vms};
+
+use crate::{calls, fleets};
+
+/// Time between two looks at a condition.
+const POLL: time::Duration = time::Duration::from_millis(20);
+
+/// Generous bound on a condition that has to come true.
+const CONDITION_LIMIT: time::Duration = time::Duration::from_mins(2);
+
+/// A platform, and the nodes and engines of each data centre; all end with the value.
+#[derive(Debug)]
+pub struct LoadFleet {
+    plan: fleets::FleetPlan,
+    platform: platform::FakePlatform,
+    objects: objects::ObjectClient,
+    nodes: Vec<daemon::NodeDaemon>,
+    engines: collections::BTreeMap<String, Vec<engine::FakeEngine>>,
+}
+
+impl LoadFleet {
+    /// Starts everything; nothing is served yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a part does not start.
+    pub async fn launch(plan: fleets::FleetPlan) -> anyhow::Result<Self> {
+        let platform = platform::FakePlatform::builder().launch().await?;
+        let objects = objects::ObjectClient::new(&format!("http://{}", platform.address()))?;
+        let mut fleet = Self {
+            plan,
+            platform,
+            objects,
+            nodes: Vec::new(),
+            engines: collections::BTreeMap::new(),
+        };
+        let text = fleets::FleetDocument::text(&fleet.plan);
+        let _document: documents::ConfigDocument = text.parse()?;
+        fleet.write(epochs::ObjectVersion::new(0), text).await?;
+        fleet.start_engines().await?;
+        fleet.start_nodes().await?;
+        Ok(fleet)
+    }
+
+    /// Returns a sender of calls that any node may get.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the HTTP client can not be made.
+    pub fn sender(&self) -> anyhow::Result<calls::CallSender> {
+        let nodes = self.nodes.iter();
+        let entries = nodes.map(daemon::NodeDaemon::callers_address).collect();
+        calls::CallSender::new(entries, fleets::BEARER_KEY, fleets::MODEL_NAME)
+    }
+
+    /// Waits until every node may send to every engine of its data centre.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that does not happen.
+    pub async fn wait_for_shares(&self) -> anyhow::Result<()> {
+        let pool = routes::PoolKey::Model(fleets::MODEL_NAME.parse()?);
+        let engines = self.plan.engines as usize;
+        self.wait("shares", || {
+            self.nodes.iter().all(|node| {
+                let table = node.handle().routes();
+                let targets = table.targets(&pool).iter();
+                let usable = targets.filter(|target| target.share > sizes::RequestCount::new(0));
+                usable.count() == engines
+            })
+        })
+        .await
+    }
+
+    /// Tells whether every engine is warm.
+    pub fn is_warm(&self) -> bool {
+        let mut engines = self.engines.values().flatten();
+        engines.all(|engine| engine.report().state == reports::EngineState::Warm)
+    }
+
+    /// Takes a data centre out of service or back, as the operators' command does: an edit of the
+    /// present document, written on condition that it is still present. Returns when it was accepted.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the edit is refused or the platform does not take it.
+    pub async fn set_state(
+        &self,
+        data_centre: &str,
+        state: documents::DataCentreState,
+    ) -> anyhow::Result<times::BootTime> {
+        let read = self.objects.read(documents::DOCUMENT_KEY).await;
+        let objects::ReadResult::Found { version, bytes } = read else {
+            anyhow::bail!("no document: {read:?}");
+        };
+        let edit = edits::DocumentEdit::DataCentre {
+            name: data_centre.parse()?,
+            state,
+            even_last: false,
+        };
+        let text = edit.apply(std::str::from_utf8(&bytes)?)?;
+        self.write(version, text).await?;
+        Ok(clocks::boot_now())
+    }
+
+    /// Waits until no node of a data centre starts new work there; returns when that was seen.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that does not happen.
+    pub async fn wait_until_closed(&self, data_centre: &str) -> anyhow::Result<times::BootTime> {
+        let pool = routes::PoolKey::Model(fleets::MODEL_NAME.parse()?);
+        self.wait("the end of new work", || {
+            let handles = self.nodes.iter().map(daemon::NodeDaemon::handle);
+            let mut near =
+                handles.filter(|node| node.settings().data_centre.as_str() == data_centre);
+            near.all(|node| !node.shift().is_open() && node.routes().targets(&pool).is_empty())
+        })
+        .await?;
+        Ok(clocks::boot_now())
+    }
+
+    /// Restarts the engines of a data centre: they lose weights, caches and work.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such data centre.
+    pub fn restart_engines(&self, data_centre: &str) -> anyhow::Result<()> {
+        let engines = self.engines.get(data_centre);
+        for engine in engines.context("no such data centre")? {
+            engine.set_fault(fault::FaultSpec::new(fault::FaultKind::Restart {
+                for_ms: 0,
+            }));
+        }
+        Ok(())
+    }
+
+    /// Returns the completions that reached each engine, by data centre.
+    pub fn records(&self) -> collections::BTreeMap<String, Vec<Vec<record::RecordEntry>>> {
+        let engines = self.engines.iter();
+        engines
+            .map(|(data_centre, engines)| {
+                (
+                    data_centre.clone(),
+                    engines.iter().map(completions).collect(),
+                )
+            })
+            .collect()
+    }
+
+    async fn start_engines(&mut self) -> anyhow::Result<()> {
+        let mut list = Vec::new();
+        for data_centre in self.plan.data_centres.clone() {
+            let mut engines = Vec::new();
+            for number in 0..self.plan.engines {
+                let name: ids::VmName = format!("{data_centre}-{number}").parse()?;
+                let settings = self.engine_settings(name.clone());
+                let engine = engine::FakeEngine::builder(settings).launch().await?;
+                list.push(entry_of(name, &engine, &data_centre)?);
+                engines.push(engine);
+            }
+            self.engines.insert(data_centre, engines);
+        }
+        self.platform.set_vms(list);
+        Ok(())
+    }
+
+    fn engine_settings(&self, name: ids::VmName) -> engine::EngineSettings {
+        let plan = &self.plan;
+        engine::EngineSettings {
+            token_time: plan.token_time,
+            prefill_time: plan.prefill_time,
+            load_time: plan.load_time,
+            cold_limit: plan.cold_limit,
+            warm_after: plan.warm_after,
+            cache_limit: plan.cached_prefixes,
+            ..engine::EngineSettings::new(name)
+        }
+    }
+
+    async fn start_nodes(&mut self) -> anyhow::Result<()> {
+        for data_centre in self.plan.data_centres.clone() {
+            for _number in 0..self.plan.nodes {
+                let settings = settings::NodeSettings::parse(&self.settings_text(&data_centre))?;
+                let builder = daemon::NodeBuilder::new(settings).shift(self.plan.shift);
+                self.nodes.push(builder.launch().await?);
+            }
+        }
+        Ok(())
+    }
+
+    fn settings_text(&self, data_centre: &str) -> String {
+        let seeds = self.nodes.iter();
+        let seeds: Vec<String> = seeds.map(|node| node.peers_address().to_string()).collect();
+        format!(
+            "[node]\ndata-centre = {data_centre}\nregion = load\ncallers = 127.0.0.1:0\n\
+             operators = 127.0.0.1:0\npeers = 127.0.0.1:0\nseeds = {}\n\
+             peer-key = 0123456789abcdef0123456789abcdef\ndrain-notice-seconds = 0\n\
+             [platform]\nurl = http://{}\n",
+            seeds.join(", "),
+            self.platform.address(),
+        )
+    }
+
+    async fn write(&self, version: epochs::ObjectVersion, text: String) -> anyhow::Result<()> {
+        let key = documents::DOCUMENT_KEY;
+        let written = self.objects.write(key, version, text.into()).await;
+        let accepted = matches!(written, objects::WriteResult::Written(_));
+        anyhow::ensure!(accepted, "the document was not written: {written:?}");
+        Ok(())
+    }
+
+    async fn wait(&self, what: &str, mut holds: impl FnMut() -> bool) -> anyhow::Result<()> {
+        let waiting = async {
+            while !holds() {
+                tokio::time::sleep(POLL).await;
+            }
+        };
+        let waited = tokio::time::timeout(CONDITION_LIMIT, waiting).await;
+        waited.with_context(|| format!("waited in vain for {what}"))
+    }
+}
+
+fn completions(engine: &engine::FakeEngine) -> Vec<record::RecordEntry> {
+    let mut entries = engine.record().entries();
+    entries.retain(|entry| entry.path == "v1/completions");
+    entries
+}
+
+fn entry_of(
+    name: ids::VmName,
+    engine: &engine::FakeEngine,
+    data_centre: &str,
+) -> anyhow::Result<vms::VmEntry> {
+    Ok(vms::VmEntry {
+        name,
+        incarnation: epochs::VmIncarnation::new(1),
+        address: engine.address(),
+        data_centre: data_centre.parse()?,
+        domain: format!("{data_centre}-fabric").parse()?,
+        pool: vms::VmPool::Accelerator,
+        state: vms::VmState::Live,
+    })
+}
--- /dev/null
+++ b/crates/pier_load/src/reviews/call_review.rs
@@ -0,0 +1,83 @@
+//! Whether each call got what it was promised.
+
+use std::collections;
+
+use pier_fakes::record;
+
+use crate::calls;
+
+/// Compares what callers were told with what the engines ran.
+#[derive(Debug)]
+pub struct CallReview {
+    runs: collections::BTreeMap<String, usize>,
+    arrivals: collections::BTreeMap<String, usize>,
+}
+
+impl CallReview {
+    /// Reads the completions that reached any engine.
+    pub fn new<'a>(entries: impl IntoIterator<Item = &'a record::RecordEntry>) -> Self {
+        let mut review = Self {
+            runs: collections::BTreeMap::new(),
+            arrivals: collections::BTreeMap::new(),
+        };
+        for entry in entries {
+            let Some(mark) = mark_of(&entry.body_prefix) else {
+                continue;
+            };
+            *review.arrivals.entry(mark.to_owned()).or_default() += 1;
+            if entry.started {
+                *review.runs.entry(mark.to_owned()).or_default() += 1;
+            }
+        }
+        review
+    }
+
+    /// Returns how often a call came to an engine after the first time.
+    pub fn retries(&self, call: &calls::CallRecord) -> usize {
+        let arrivals = self.arrivals.get(&call.plan.mark());
+        arrivals.map_or(0, |count| count.saturating_sub(1))
+    }
+
+    /// Returns whether a call came to one of the engines.
+    pub fn reached(&self, call: &calls::CallRecord) -> bool {
+        self.arrivals.contains_key(&call.plan.mark())
+    }
+
+    /// Checks one call.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it got neither its whole answer nor a refusal that is true and says when to come
+    /// back.
+    pub fn check(&self, call: &calls::CallRecord) -> anyhow::Result<()> {
+        let mark = call.plan.mark();
+        let runs = self.runs.get(&mark).copied().unwrap_or_default();
+        match &call.outcome {
+            calls::CallOutcome::Whole => {
+                anyhow::ensure!(runs > 0, "{mark} has an answer and never ran");
+            }
+            calls::CallOutcome::Refused {
+                code,
+                is_not_run,
+                has_retry_after,
+            } => {
+                let truthful = runs == 0 || !is_not_run;
+                anyhow::ensure!(truthful, "{mark} ran, and {code} says that it did not");
+                let helpful = *has_retry_after || !is_not_run;
+                anyhow::ensure!(helpful, "{mark}: {code} does not say when to come back");
+            }
+            calls::CallOutcome::Wrong { text } => {
+                anyhow::bail!("{mark} got another answer: {text}");
+            }
+            calls::CallOutcome::Broken { cause } => anyhow::bail!("{mark} was left with: {cause}"),
+        }
+        Ok(())
+    }
+}
+
+/// Returns the mark of a call in the first characters of its body.
+fn mark_of(body: &str) -> Option<&str> {
+    let start = body.find("call-")?;
+    let end = body[start..].find('.')?;
+    Some(&body[start..=start + end])
+}
--- /dev/null
+++ b/crates/pier_load/src/reviews/engine_review.rs
@@ -0,0 +1,72 @@
+//! What the engines of one data centre recorded.
+
+use std::time;
+
+use pier_fakes::record;
+use pier_types::times;
+
+/// Reads the records of some engines.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineReview<'a> {
+    engines: &'a [Vec<record::RecordEntry>],
+}
+
+impl<'a> EngineReview<'a> {
+    /// Reads the completions that reached each engine.
+    pub const fn new(engines: &'a [Vec<record::RecordEntry>]) -> Self {
+        Self { engines }
+    }
+
+    /// Returns the most requests that one engine had in progress at once.
+    pub fn most_in_flight(&self) -> usize {
+        let engines = self.engines.iter();
+        engines.map(|engine| peak(engine)).max().unwrap_or_default()
+    }
+
+    /// Returns how many requests were lost because an engine came down.
+    pub fn lost(&self) -> usize {
+        let entries = self.entries();
+        entries
+            .filter(|entry| entry.effect.contains("engine down"))
+            .count()
+    }
+
+    /// Returns how long after a moment the last new request came, before another moment.
+    pub fn last_new_work(
+        &self,
+        after: times::BootTime,
+        before: times::BootTime,
+    ) -> Option<time::Duration> {
+        let arrivals = self.entries().map(|entry| entry.arrived_at);
+        let new = arrivals.filter(|at| *at > after && *at < before);
+        new.max().map(|at| at.since(after))
+    }
+
+    /// Returns how many requests came between two moments.
+    pub fn arrivals(&self, from: times::BootTime, until: times::BootTime) -> usize {
+        let arrivals = self.entries().map(|entry| entry.arrived_at);
+        arrivals.filter(|at| *at >= from && *at < until).count()
+    }
+
+    fn entries(&self) -> impl Iterator<Item = &record::RecordEntry> {
+        self.engines.iter().flatten()
+    }
+}
+
+/// Returns the most entries that were in progress at once; a place that is left can be taken again
+/// in the same moment.
+fn peak(entries: &[record::RecordEntry]) -> usize {
+    let mut changes: Vec<(times::BootTime, i64)> = Vec::new();
+    for entry in entries.iter().filter(|entry| entry.started) {
+        changes.push((entry.arrived_at, 1));
+        changes.extend(entry.ended_at.map(|at| (at, -1)));
+    }
+    changes.sort_unstable();
+    let mut present = 0_i64;
+    let mut most = 0;
+    for (_at, change) in changes {
+        present += change;
+        most = most.max(present);
+    }
+    usize::try_from(most).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/pier_load/src/reviews/phase_review.rs
@@ -0,0 +1,83 @@
+//! The service in one phase.
+
+use std::{collections, time};
+
+use crate::{calls, reviews};
+
+/// Greatest time that is told apart, in microseconds.
+const LONGEST_MICROS: u64 = 120_000_000;
+
+/// What callers noticed in one phase.
+#[derive(Debug)]
+pub struct PhaseReview {
+    /// Calls that were sent in it.
+    pub calls: usize,
+    /// Calls with a whole answer.
+    pub whole: usize,
+    /// Explicit refusals and failures by result code.
+    pub refused: collections::BTreeMap<u64, usize>,
+    /// Calls with a wrong answer or none at all.
+    pub broken: usize,
+    /// Times that a call came to an engine after the first time.
+    pub retries: usize,
+    /// Times to the first token.
+    pub first_token: hdrhistogram::Histogram<u64>,
+    /// Times between tokens.
+    pub token_gap: hdrhistogram::Histogram<u64>,
+}
+
+impl PhaseReview {
+    /// Reads the calls of a phase.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a histogram can not be made.
+    pub fn new<'a>(
+        records: impl IntoIterator<Item = &'a calls::CallRecord>,
+        review: &reviews::CallReview,
+    ) -> anyhow::Result<Self> {
+        let histogram = || hdrhistogram::Histogram::new_with_bounds(1, LONGEST_MICROS, 3);
+        let mut phase = Self {
+            calls: 0,
+            whole: 0,
+            refused: collections::BTreeMap::new(),
+            broken: 0,
+            retries: 0,
+            first_token: histogram()?,
+            token_gap: histogram()?,
+        };
+        for record in records {
+            phase.add(record, review);
+        }
+        Ok(phase)
+    }
+
+    /// Returns how many calls were refused or failed explicitly.
+    pub fn refusals(&self) -> usize {
+        self.refused.values().sum()
+    }
+
+    fn add(&mut self, record: &calls::CallRecord, review: &reviews::CallReview) {
+        self.calls += 1;
+        self.retries += review.retries(record);
+        match &record.outcome {
+            calls::CallOutcome::Whole => self.whole += 1,
+            calls::CallOutcome::Refused { code, .. } => {
+                *self.refused.entry(*code).or_default() += 1;
+            }
+            calls::CallOutcome::Wrong { .. } | calls::CallOutcome::Broken { .. } => {
+                self.broken += 1;
+            }
+        }
+        if let Some(first) = record.first_token {
+            self.first_token.saturating_record(micros(first));
+        }
+        for gap in &record.token_gaps {
+            self.token_gap.saturating_record(micros(*gap));
+        }
+    }
+}
+
+fn micros(time: time::Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/pier_node/src/daemon/mod.rs
+++ b/crates/pier_node/src/daemon/mod.rs
@@ -1,8 +1,10 @@
 //! Starts the parts of a node and stops them in order.
 
+mod node_builder;
 mod node_daemon;
 mod stop_signal;
 mod web_server;
 
+pub use node_builder::NodeBuilder;
 pub use node_daemon::NodeDaemon;
 use web_server::WebServer;
--- a/crates/pier_node/src/daemon/node_daemon.rs
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -3,6 +3,7 @@
 use std::{net, time};
 
 use anyhow::Context as _;
+use pier_limits::shifts;
 use pier_types::ids;
 
 use crate::{
@@ -29,17 +30,25 @@
 }
 
 impl NodeDaemon {
-    /// Starts every part of a node.
+    /// Starts every part of a node with the usual times.
     ///
     /// # Errors
     ///
     /// Fails when a port can not be bound.
     pub async fn launch(settings: settings::NodeSettings) -> anyhow::Result<Self> {
+        daemon::NodeBuilder::new(settings).launch().await
+    }
+
+    /// Starts every part of a node.
+    pub(super) async fn start(
+        settings: settings::NodeSettings,
+        shift: shifts::ShiftPolicy,
+    ) -> anyhow::Result<Self> {
         let client = target_client()?;
         let traces = open_traces(settings.collector_url.clone()).await?;
         let handle = handle::NodeHandle::new(draw_name(&settings)?, settings, client, traces)?;
         tables::spawn_list(handle.clone());
-        tables::spawn(handle.clone());
+        tables::spawn(handle.clone(), shift);
         control::spawn(handle.clone(), &control::ControlSettings::default());
         requests::spawn(&handle);
         let configs = Self::spawn_configs(&handle)?;
--- a/crates/pier_node/src/tables/shift_driver.rs
+++ b/crates/pier_node/src/tables/shift_driver.rs
@@ -7,12 +7,21 @@
 use crate::handle;
 
 /// The shift of this node's data centre; none until a configuration is known.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ShiftDriver {
+    policy: shifts::ShiftPolicy,
     shift: Option<shifts::DataCentreShift>,
 }
 
 impl ShiftDriver {
+    /// Follows the data centre with the given times.
+    pub(super) const fn new(policy: shifts::ShiftPolicy) -> Self {
+        Self {
+            policy,
+            shift: None,
+        }
+    }
+
     /// Returns how much new work the data centre gets now.
     pub(super) fn update(
         &mut self,
@@ -22,7 +31,8 @@
         now: times::BootTime,
     ) -> handle::ShiftSnapshot {
         let in_service = document.is_in_service(data_centre);
-        let fresh = || shifts::DataCentreShift::new(in_service, shifts::ShiftPolicy::default());
+        let policy = self.policy;
+        let fresh = || shifts::DataCentreShift::new(in_service, policy);
         let shift = self.shift.get_or_insert_with(fresh);
         shift.set_service(in_service, now);
         handle::ShiftSnapshot {
--- a/crates/pier_node/src/tables/table_loop.rs
+++ b/crates/pier_node/src/tables/table_loop.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use pier_limits::shifts;
 use pier_types::times;
 
 use crate::{handle, tables};
@@ -10,11 +11,11 @@
 const BUILD_PERIOD: time::Duration = time::Duration::from_millis(100);
 
 /// Starts the loop; it ends with the runtime.
-pub fn spawn(handle: handle::NodeHandle) {
+pub fn spawn(handle: handle::NodeHandle, policy: shifts::ShiftPolicy) {
     tokio::spawn(async move {
         let mut ticks = tokio::time::interval(BUILD_PERIOD);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        let mut shift = tables::ShiftDriver::default();
+        let mut shift = tables::ShiftDriver::new(policy);
         loop {
             ticks.tick().await;
             rebuild(&handle, &mut shift, times::clocks::boot_now());
