Let a data centre return with cold targets

Cause: the weight of a returning data centre was bound by its warm groups alone. Engines get warm by work, so a data centre that came back cold got none on the first try for the whole 30 s, and then everything at once; only what others refused warmed it. Seen with the daemon at 35 % use: 0 to 9 requests a second for 20 s where its part is 16. Ruled out: counting cold groups whole, which would send them more than they bear on the first try.

--- a/crates/pier_limits/src/shifts/data_centre_shift.rs
+++ b/crates/pier_limits/src/shifts/data_centre_shift.rs
@@ -9,8 +9,8 @@
 /// Decides how much of its usual new work a data centre gets, at each node by itself.
 ///
 /// It leaves over a short time, so that the others' shares can follow, and gets nothing after
-/// that, whatever the others can take. It returns over a longer time and never ahead of the
-/// warm part of its capacity. Work in progress is not touched.
+/// that, whatever the others can take. It returns over a longer time and never ahead of what its
+/// targets bear, cold ones little. Work in progress is not touched.
 ///
 /// ```
 /// use std::time;
@@ -61,14 +61,18 @@
         self.since = now;
     }
 
-    /// Returns the part of the usual load now; `warm` is the warm part of the data centre's
-    /// capacity.
-    pub fn weight(&self, warm: shifts::ShiftWeight, now: times::BootTime) -> shifts::ShiftWeight {
+    /// Returns the part of the usual load now; `bearable` is the part of the data centre's capacity
+    /// that its targets bear now, see [`shifts::CentreCapacity`].
+    pub fn weight(
+        &self,
+        bearable: shifts::ShiftWeight,
+        now: times::BootTime,
+    ) -> shifts::ShiftWeight {
         let timed = self.timed(now);
         if self.is_settled(now) || !self.in_service {
             return timed;
         }
-        timed.min(warm)
+        timed.min(bearable)
     }
 
     /// Returns whether the data centre is in service.
--- a/crates/pier_load/examples/data_centre_drive/drive_table.rs
+++ b/crates/pier_load/examples/data_centre_drive/drive_table.rs
@@ -1,12 +1,16 @@
 //! Prints what a drive showed.
 
+use std::time;
+
 use pier_load::{drives, reviews};
+use pier_types::sizes;
 
 /// Prints one line for each phase and one for the engines; times as ratios to the first phase.
 pub fn print(
     way: &str,
     run: &drives::DriveRun,
     phases: &reviews::PhaseTimes,
+    capacity: sizes::RequestCount,
 ) -> anyhow::Result<()> {
     let entries = run.records.values().flatten().flatten();
     let review = reviews::CallReview::new(entries);
@@ -23,6 +27,10 @@
         print_phase(way, phase, &present, base.as_ref().unwrap_or(&present));
         base.get_or_insert(present);
     }
+    println!(
+        "{way:<8} use_before={:.0}%",
+        100.0 * use_before(run, phases, capacity)
+    );
     print_engines(way, run, phases, &false_answers);
     Ok(())
 }
@@ -77,6 +85,23 @@
     );
 }
 
+/// Returns which part of all places was in use before the change.
+fn use_before(
+    run: &drives::DriveRun,
+    phases: &reviews::PhaseTimes,
+    capacity: sizes::RequestCount,
+) -> f64 {
+    let end = run.start.after(phases.leaves_at());
+    let entries = run.records.values().flatten().flatten();
+    let before = entries.filter(|entry| entry.arrived_at >= run.start && entry.arrived_at < end);
+    let busy = before.map(|entry| {
+        let ended_at = entry.ended_at.unwrap_or(end).min(end);
+        ended_at.since(entry.arrived_at).as_secs_f64()
+    });
+    let places = f64::from(capacity.get()) * phases.leaves_at().as_secs_f64();
+    busy.sum::<f64>() / places
+}
+
 /// Returns the new requests of each second from the return on.
 fn second_by_second(
     review: &reviews::EngineReview<'_>,
@@ -84,7 +109,7 @@
     phases: &reviews::PhaseTimes,
 ) -> Vec<usize> {
     let seconds = (phases.returning + phases.after).as_secs();
-    let second = |number| run.back_at.after(std::time::Duration::from_secs(number));
+    let second = |number| run.back_at.after(time::Duration::from_secs(number));
     let counts = (0..seconds).map(|number| review.arrivals(second(number), second(number + 1)));
     counts.collect()
 }
--- a/crates/pier_load/examples/data_centre_drive/main.rs
+++ b/crates/pier_load/examples/data_centre_drive/main.rs
@@ -14,8 +14,8 @@
 use pier_load::{calls, drives, fleets, reviews};
 use pier_types::{rates, sizes};
 
-/// Mean time that a call takes at an engine: prompt and tokens.
-const MEAN_CALL: time::Duration = time::Duration::from_millis(630);
+/// Mean time that a call takes at an engine: prompt and tokens, and what its timers add.
+const MEAN_CALL: time::Duration = time::Duration::from_millis(780);
 
 const PHASES: reviews::PhaseTimes = reviews::PhaseTimes {
     before: time::Duration::from_secs(15),
@@ -29,27 +29,29 @@
     let matches = arguments().get_matches();
     let percent: u32 = parse(&matches, "use")?;
     let seed: u64 = parse(&matches, "seed")?;
+    let settle = time::Duration::from_secs(parse(&matches, "settle")?);
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(compare(percent, seed))
+    runtime.block_on(compare(percent, seed, settle))
 }
 
 /// Drives both ways at the same time, so that the machine is equally busy for both.
-async fn compare(percent: u32, seed: u64) -> anyhow::Result<()> {
-    let flip = shifts::ShiftPolicy {
+async fn compare(percent: u32, seed: u64, settle: time::Duration) -> anyhow::Result<()> {
+    let flip_policy = shifts::ShiftPolicy {
         leave_time: time::Duration::ZERO,
         return_time: time::Duration::ZERO,
     };
     let gradual = plan(shifts::ShiftPolicy::default());
     let mix = mix(&gradual, percent);
     let (gradual, flip) = tokio::join!(
-        drives::DriveRun::drive(gradual, &mix, PHASES, seed),
-        drives::DriveRun::drive(plan(flip), &mix, PHASES, seed),
+        drives::DriveRun::drive(gradual, &mix, PHASES, seed, settle),
+        drives::DriveRun::drive(plan(flip_policy), &mix, PHASES, seed, settle),
     );
     println!("use={percent}% seed={seed} calls_a_second={}", mix.rate);
-    drive_table::print("gradual", &gradual?, &PHASES)?;
-    drive_table::print("flip", &flip?, &PHASES)
+    let capacity = plan(flip_policy).capacity();
+    drive_table::print("gradual", &gradual?, &PHASES, capacity)?;
+    drive_table::print("flip", &flip?, &PHASES, capacity)
 }
 
 fn plan(shift: shifts::ShiftPolicy) -> fleets::FleetPlan {
@@ -78,7 +80,7 @@
         most_tokens: 32,
         streamed_percent: 70,
         unusual_percent: 10,
-        shared_prefixes: 24,
+        shared_prefixes: 16,
         deadline: time::Duration::from_secs(20),
     }
 }
@@ -92,7 +94,11 @@
         .long("seed")
         .default_value("1")
         .help("seed of the calls");
-    clap::Command::new("data_centre_drive").args([percent, seed])
+    let settle = clap::Arg::new("settle")
+        .long("settle")
+        .default_value("125")
+        .help("seconds that the nodes run before the load; below 125 they use lent shares only");
+    clap::Command::new("data_centre_drive").args([percent, seed, settle])
 }
 
 fn parse<T: str::FromStr>(matches: &clap::ArgMatches, name: &str) -> anyhow::Result<T> {
--- a/crates/pier_load/src/drives/drive_run.rs
+++ b/crates/pier_load/src/drives/drive_run.rs
@@ -41,6 +41,9 @@
 impl DriveRun {
     /// Warms a fleet up under the load, then takes its first data centre out and back.
     ///
+    /// `settle` is how long the nodes run before that. They use lent shares only until the longest
+    /// work of an earlier holder of their slots would be over.
+    ///
     /// # Errors
     ///
     /// Fails when the fleet does not get warm or the platform does not take a change.
@@ -49,10 +52,13 @@
         mix: &calls::LoadMix,
         phases: reviews::PhaseTimes,
         seed: u64,
+        settle: time::Duration,
     ) -> anyhow::Result<Self> {
         let data_centre = plan.data_centres.first().context("no data centre")?.clone();
         let fleet = fleets::LoadFleet::launch(plan).await?;
+        let launched_at = clocks::boot_now();
         fleet.wait_for_shares().await?;
+        sleep_until(launched_at.after(settle)).await;
         let sender = fleet.sender()?;
         warm_up(&fleet, &sender, mix, seed).await?;
         let schedule = calls::CallSchedule::draw(mix, phases.total(), seed);
--- a/crates/pier_load/tests/data_centre_drive.rs
+++ b/crates/pier_load/tests/data_centre_drive.rs
@@ -47,7 +47,7 @@
 async fn every_call_gets_its_answer_or_a_true_refusal_while_a_data_centre_leaves_and_returns() {
     let plan = plan();
     let warm_limit = plan.warm_limit.get() as usize;
-    let run = drives::DriveRun::drive(plan, &mix(), PHASES, 11).await;
+    let run = drives::DriveRun::drive(plan, &mix(), PHASES, 11, time::Duration::ZERO).await;
     let run = run.unwrap();
     check_calls(&run);
     check_engines(&run, warm_limit);
--- a/crates/pier_node/src/tables/mod.rs
+++ b/crates/pier_node/src/tables/mod.rs
@@ -5,8 +5,7 @@
 mod table_builder;
 mod table_loop;
 
-use shift_driver::ShiftDriver;
-
 pub use list_loop::spawn as spawn_list;
+pub use shift_driver::ShiftDriver;
 pub use table_builder::TableBuilder;
 pub use table_loop::spawn;
--- a/crates/pier_node/src/tables/shift_driver.rs
+++ b/crates/pier_node/src/tables/shift_driver.rs
@@ -2,20 +2,20 @@
 
 use pier_config::documents;
 use pier_limits::shifts;
-use pier_types::{ids, reports, times};
+use pier_types::{ids, reports, sizes, times};
 
 use crate::handle;
 
 /// The shift of this node's data centre; none until a configuration is known.
 #[derive(Debug)]
-pub(super) struct ShiftDriver {
+pub struct ShiftDriver {
     policy: shifts::ShiftPolicy,
     shift: Option<shifts::DataCentreShift>,
 }
 
 impl ShiftDriver {
     /// Follows the data centre with the given times.
-    pub(super) const fn new(policy: shifts::ShiftPolicy) -> Self {
+    pub const fn new(policy: shifts::ShiftPolicy) -> Self {
         Self {
             policy,
             shift: None,
@@ -23,7 +23,7 @@
     }
 
     /// Returns how much new work the data centre gets now.
-    pub(super) fn update(
+    pub fn update(
         &mut self,
         document: &documents::ConfigDocument,
         data_centre: &ids::DataCentreName,
@@ -36,24 +36,41 @@
         let shift = self.shift.get_or_insert_with(fresh);
         shift.set_service(in_service, now);
         handle::ShiftSnapshot {
-            weight: shift.weight(warm_part(document, data_centre, groups), now),
+            weight: shift.weight(bearable_part(document, data_centre, groups), now),
             in_service,
         }
     }
 }
 
-/// Returns which part of the wanted groups is warm; everything where no group is wanted.
-fn warm_part(
+/// Returns which part of the wanted capacity the serving groups bear now.
+fn bearable_part(
     document: &documents::ConfigDocument,
     data_centre: &ids::DataCentreName,
     groups: &handle::GroupSnapshot,
 ) -> shifts::ShiftWeight {
+    let mut capacity = shifts::CentreCapacity::default();
     let section = document.data_centres.get(data_centre);
-    let replicas = section
-        .into_iter()
-        .flat_map(|section| section.replicas.values());
-    let wanted = replicas.map(|count| u64::from(count.get())).sum();
-    let serving = groups.health.serving.values();
-    let warm = serving.filter(|group| group.state == reports::EngineState::Warm);
-    shifts::ShiftWeight::of_parts(warm.count() as u64, wanted)
+    let replicas = section.into_iter().flat_map(|section| &section.replicas);
+    for (model, count) in replicas {
+        if let Some(model) = document.models.get(model) {
+            capacity.want(model.warm_limit, count.get().into());
+        }
+    }
+    for group in groups.health.serving.values() {
+        if let Some(model) = document.models.get(&group.model) {
+            capacity.serve(bearable(model, group.state));
+        }
+    }
+    capacity.part()
+}
+
+/// Returns what a group bears in a state.
+fn bearable(model: &documents::ModelSection, state: reports::EngineState) -> sizes::RequestCount {
+    match state {
+        reports::EngineState::Warm => model.warm_limit,
+        reports::EngineState::Cold => model.cold_limit.min(model.warm_limit),
+        reports::EngineState::Empty | reports::EngineState::Loading => {
+            sizes::RequestCount::default()
+        }
+    }
 }
