--- a/crates/pier_load/examples/data_centre_drive/drive_table.rs
+++ b/crates/pier_load/examples/data_centre_drive/drive_table.rs
@@ -17,7 +17,7 @@
     let false_answers = run.calls.iter().filter_map(|call| review.check(call).err());
     let false_answers: Vec<String> = false_answers.map(|error| error.to_string()).collect();
     println!(
-        "way      phase      calls  whole refused broken retries  first_p50 first_p95  gap_p95  codes"
+        "way      phase      calls  whole refused broken retries  first_p50 first_p95  gap_p95  by code, by priority"
     );
     let mut base: Option<reviews::PhaseReview> = None;
     for phase in reviews::DrivePhase::ALL {
@@ -42,7 +42,7 @@
     base: &reviews::PhaseReview,
 ) {
     println!(
-        "{way:<8} {phase:<9} {:>6} {:>6} {:>7} {:>6} {:>7}  {:>9.2} {:>9.2} {:>8.2}  {:?}",
+        "{way:<8} {phase:<9} {:>6} {:>6} {:>7} {:>6} {:>7}  {:>9.2} {:>9.2} {:>8.2}  {:?} {:?}",
         present.calls,
         present.whole,
         present.refusals(),
@@ -52,6 +52,7 @@
         ratio(&present.first_token, &base.first_token, 0.95),
         ratio(&present.token_gap, &base.token_gap, 0.95),
         present.refused,
+        present.refused_by_priority,
     );
 }
 
--- a/crates/pier_load/src/reviews/phase_review.rs
+++ b/crates/pier_load/src/reviews/phase_review.rs
@@ -2,6 +2,8 @@
 
 use std::{collections, time};
 
+use pier_config::documents;
+
 use crate::{calls, reviews};
 
 /// Greatest time that is told apart, in microseconds.
@@ -16,6 +18,8 @@
     pub whole: usize,
     /// Explicit refusals and failures by result code.
     pub refused: collections::BTreeMap<u64, usize>,
+    /// Explicit refusals and failures by the call's priority.
+    pub refused_by_priority: collections::BTreeMap<documents::CallPriority, usize>,
     /// Calls with a wrong answer or none at all.
     pub broken: usize,
     /// Times that a call came to an engine after the first time.
@@ -41,6 +45,7 @@
             calls: 0,
             whole: 0,
             refused: collections::BTreeMap::new(),
+            refused_by_priority: collections::BTreeMap::new(),
             broken: 0,
             retries: 0,
             first_token: histogram()?,
@@ -63,7 +68,9 @@
         match &record.outcome {
             calls::CallOutcome::Whole => self.whole += 1,
             calls::CallOutcome::Refused { code, .. } => {
+                let priority = record.plan.priority;
                 *self.refused.entry(*code).or_default() += 1;
+                *self.refused_by_priority.entry(priority).or_default() += 1;
             }
             calls::CallOutcome::Wrong { .. } | calls::CallOutcome::Broken { .. } => {
                 self.broken += 1;
