Serve what nobody else takes until a data centre has left

Cause: while a data centre left, a request beyond its part was refused when no other one took it, though its own targets still got new work for up to 2 s. Ruled out: leaving only as fast as the others have room, which breaks the promise.

--- a/crates/pier_limits/src/shifts/data_centre_shift.rs
+++ b/crates/pier_limits/src/shifts/data_centre_shift.rs
@@ -77,8 +77,8 @@
 
     /// Returns whether the data centre is in service.
     ///
-    /// While it returns, the weight steers where a request goes first; one that was refused
-    /// elsewhere as not run may still be tried here. While it leaves, the weight binds each try.
+    /// The weight steers where a request goes first; one that was refused elsewhere as not run may
+    /// still be tried here, until a data centre that leaves has the weight none.
     pub const fn in_service(&self) -> bool {
         self.in_service
     }
--- a/crates/pier_load/src/drives/drive_run.rs
+++ b/crates/pier_load/src/drives/drive_run.rs
@@ -10,7 +10,7 @@
 use crate::{calls, fleets, reviews};
 
 /// Most warm-up rounds.
-const WARM_UP_ROUNDS: u64 = 60;
+const WARM_UP_ROUNDS: u64 = 200;
 
 /// Number of the first call of a warm-up round; those of the drive are smaller.
 const WARM_UP_NUMBER: usize = 1_000_000;
@@ -58,9 +58,8 @@
         let fleet = fleets::LoadFleet::launch(plan).await?;
         let launched_at = clocks::boot_now();
         fleet.wait_for_shares().await?;
-        sleep_until(launched_at.after(settle)).await;
         let sender = fleet.sender()?;
-        warm_up(&fleet, &sender, mix, seed).await?;
+        warm_up(&fleet, &sender, mix, seed, launched_at.after(settle)).await?;
         let schedule = calls::CallSchedule::draw(mix, phases.total(), seed);
         let start = clocks::boot_now();
         let sending = sender.send_all(&schedule, start);
@@ -78,18 +77,20 @@
     }
 }
 
-/// Sends load until every engine is warm.
+/// Sends load until every engine is warm, at least until a moment.
 async fn warm_up(
     fleet: &fleets::LoadFleet,
     sender: &calls::CallSender,
     mix: &calls::LoadMix,
     seed: u64,
+    until: times::BootTime,
 ) -> anyhow::Result<()> {
     for round in 1..=WARM_UP_ROUNDS {
         let schedule = calls::CallSchedule::draw(mix, WARM_UP_TIME, seed + round);
         let schedule = schedule.number_from(WARM_UP_NUMBER);
         sender.send_all(&schedule, clocks::boot_now()).await?;
-        if fleet.is_warm() && round >= LEAST_ROUNDS {
+        let settled = clocks::boot_now() >= until && round >= LEAST_ROUNDS;
+        if settled && fleet.is_warm() {
             return Ok(());
         }
     }
@@ -109,7 +110,7 @@
     let left_at = fleet.set_state(data_centre, out).await?;
     let closed_at = fleet.wait_until_closed(data_centre).await?;
     sleep_until(start.after(phases.out_at())).await;
-    fleet.restart_engines(data_centre)?;
+    fleet.restart_engines(data_centre, time::Duration::ZERO)?;
     sleep_until(start.after(phases.returns_at())).await;
     let back = documents::DataCentreState::InService;
     let back_at = fleet.set_state(data_centre, back).await?;
--- a/crates/pier_load/src/fleets/load_fleet.rs
+++ b/crates/pier_load/src/fleets/load_fleet.rs
@@ -5,7 +5,8 @@
 use anyhow::Context as _;
 use pier_config::{documents, edits};
 use pier_fakes::{engine, fault, platform, record};
-use pier_node::{daemon, settings};
+use pier_limits::shifts;
+use pier_node::{daemon, handle, settings};
 use pier_platform::objects;
 use pier_types::{epochs, ids, reports, routes, sizes, times, times::clocks, vms};
 
@@ -120,26 +121,46 @@
     pub async fn wait_until_closed(&self, data_centre: &str) -> anyhow::Result<times::BootTime> {
         let pool = routes::PoolKey::Model(fleets::MODEL_NAME.parse()?);
         self.wait("the end of new work", || {
-            let handles = self.nodes.iter().map(daemon::NodeDaemon::handle);
-            let mut near =
-                handles.filter(|node| node.settings().data_centre.as_str() == data_centre);
+            let mut near = self.near(data_centre);
             near.all(|node| !node.shift().is_open() && node.routes().targets(&pool).is_empty())
         })
         .await?;
         Ok(clocks::boot_now())
     }
 
-    /// Restarts the engines of a data centre: they lose weights, caches and work.
+    /// Tells whether a node of a data centre may send to an engine.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the model's name breaks the rules.
+    pub fn has_targets(&self, data_centre: &str) -> anyhow::Result<bool> {
+        let pool = routes::PoolKey::Model(fleets::MODEL_NAME.parse()?);
+        let mut near = self.near(data_centre);
+        Ok(near.any(|node| !node.routes().targets(&pool).is_empty()))
+    }
+
+    /// Tells whether every node of a data centre still starts new work there.
+    pub fn is_open(&self, data_centre: &str) -> bool {
+        self.near(data_centre).all(|node| node.shift().is_open())
+    }
+
+    /// Tells whether every node of a data centre sends a part of new work elsewhere.
+    pub fn is_shifting(&self, data_centre: &str) -> bool {
+        let mut near = self.near(data_centre);
+        near.all(|node| node.shift().weight < shifts::ShiftWeight::WHOLE)
+    }
+
+    /// Restarts the engines of a data centre: they lose weights, caches and work, and are away for
+    /// a time.
     ///
     /// # Errors
     ///
     /// Fails when there is no such data centre.
-    pub fn restart_engines(&self, data_centre: &str) -> anyhow::Result<()> {
+    pub fn restart_engines(&self, data_centre: &str, away: time::Duration) -> anyhow::Result<()> {
+        let for_ms = u64::try_from(away.as_millis())?;
         let engines = self.engines.get(data_centre);
         for engine in engines.context("no such data centre")? {
-            engine.set_fault(fault::FaultSpec::new(fault::FaultKind::Restart {
-                for_ms: 0,
-            }));
+            engine.set_fault(fault::FaultSpec::new(fault::FaultKind::Restart { for_ms }));
         }
         Ok(())
     }
@@ -157,6 +178,12 @@
             .collect()
     }
 
+    /// Returns the nodes of a data centre.
+    fn near(&self, data_centre: &str) -> impl Iterator<Item = &handle::NodeHandle> {
+        let handles = self.nodes.iter().map(daemon::NodeDaemon::handle);
+        handles.filter(move |node| node.settings().data_centre.as_str() == data_centre)
+    }
+
     async fn start_engines(&mut self) -> anyhow::Result<()> {
         let mut list = Vec::new();
         for data_centre in self.plan.data_centres.clone() {
@@ -219,7 +246,12 @@
         Ok(())
     }
 
-    async fn wait(&self, what: &str, mut holds: impl FnMut() -> bool) -> anyhow::Result<()> {
+    /// Waits until a condition holds.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not come true.
+    pub async fn wait(&self, what: &str, mut holds: impl FnMut() -> bool) -> anyhow::Result<()> {
         let waiting = async {
             while !holds() {
                 tokio::time::sleep(POLL).await;
--- a/crates/pier_node/src/handle/shift_snapshot.rs
+++ b/crates/pier_node/src/handle/shift_snapshot.rs
@@ -7,13 +7,14 @@
 pub struct ShiftSnapshot {
     /// The part.
     pub weight: shifts::ShiftWeight,
-    /// Whether the data centre is in service: requests beyond the part may then still be served
-    /// here, when no other data centre takes them.
+    /// Whether the data centre is in service.
     pub in_service: bool,
 }
 
 impl ShiftSnapshot {
     /// Tells whether any new work may go to the data centre.
+    ///
+    /// Requests beyond the part are then still served here, when no other data centre takes them.
     pub fn is_open(self) -> bool {
         self.in_service || self.weight > shifts::ShiftWeight::NONE
     }
--- a/crates/pier_node/src/requests/request_path.rs
+++ b/crates/pier_node/src/requests/request_path.rs
@@ -84,14 +84,14 @@
     ) -> Option<Result<callers::CallerReply, callers::ErrorBody>> {
         let shift = self.handle.shift();
         let forwarded = plan.hops > 0;
-        if shift.weight.includes(plan.fingerprint.get()) || (forwarded && shift.in_service) {
+        if shift.weight.includes(plan.fingerprint.get()) || (forwarded && shift.is_open()) {
             return None;
         }
         let code = codes::ResultCode::NoServingTarget;
         let refusal = callers::ErrorBody::new(code, "this data centre takes no new work")
             .retry_after_ms(SHIFT_RETRY_MILLIS);
         match requests::ForwardRun::serve(&self.handle, plan, parent, refusal).await {
-            Err(error) if shift.in_service && error.outcome == codes::RunOutcome::NotRun => None,
+            Err(error) if shift.is_open() && error.outcome == codes::RunOutcome::NotRun => None,
             answer => Some(answer),
         }
     }
