--- a/crates/pier_load/examples/data_centre_drive/main.rs
+++ b/crates/pier_load/examples/data_centre_drive/main.rs
@@ -105,8 +105,8 @@
         .help("seed of the calls");
     let settle = clap::Arg::new("settle")
         .long("settle")
-        .default_value("135")
-        .help("seconds that the nodes run before the load; below 135 they use lent shares only");
+        .default_value("160")
+        .help("seconds that the nodes run before the load; below 140 they use lent shares only");
     let return_time = clap::Arg::new("return")
         .long("return")
         .default_value("30")
--- a/crates/pier_load/src/drives/drive_run.rs
+++ b/crates/pier_load/src/drives/drive_run.rs
@@ -66,13 +66,15 @@
         let changing = change(&fleet, &data_centre, &phases, start);
         let (calls, moments) = tokio::join!(sending, changing);
         let (left_at, closed_at, back_at) = moments?;
+        let records = fleet.records();
+        fleet.stop().await;
         Ok(Self {
             start,
             left_at,
             closed_at,
             back_at,
             calls: calls?,
-            records: fleet.records(),
+            records,
         })
     }
 }
--- a/crates/pier_load/src/fleets/load_fleet.rs
+++ b/crates/pier_load/src/fleets/load_fleet.rs
@@ -3,6 +3,7 @@
 use std::{collections, time};
 
 use anyhow::Context as _;
+use futures_util::future;
 use pier_config::{documents, edits};
 use pier_fakes::{engine, fault, platform, record};
 use pier_limits::shifts;
@@ -184,6 +185,12 @@
         handles.filter(move |node| node.settings().data_centre.as_str() == data_centre)
     }
 
+    /// Stops every node gracefully.
+    pub async fn stop(self) {
+        let stopping = self.nodes.into_iter().map(daemon::NodeDaemon::drain);
+        future::join_all(stopping).await;
+    }
+
     async fn start_engines(&mut self) -> anyhow::Result<()> {
         let mut list = Vec::new();
         for data_centre in self.plan.data_centres.clone() {
