Let the lease holder read the VM list for its data centre

The holder of the control lease reads twice a second; the others pull the changes of their data centre's part, and read themselves when they know of no reading of the last 2.2 to 2.6 s. A list is replaced only by one that was certainly read later, by the node's own clock.

Ruled out: order by tag (no order), by lease term (own readings and a paused holder have no place in it), by the start of the reading alone (a node went back from list 18 to 17 in no_node_goes_back_whatever_is_lost_late_or_paused).

Taken out and seen to fail, then restored: the comparison of spans, the check that the list is still the one the pull named, the count from the pull, the join of spans, the sender of a note, the tag's list.

The format of datagrams is version 2. Replies to one datagram go back together.

--- a/crates/pier_limits/src/lib.rs
+++ b/crates/pier_limits/src/lib.rs
@@ -6,10 +6,12 @@
 //! - [`warmth`]: how much of its limit a target can bear now.
 //! - [`members`]: which nodes are there, and what a cut-off node may do.
 //! - [`probes`]: who probes which VM, and what is known of each.
+//! - [`relays`]: how the VM list reaches each node.
 //! - [`shifts`]: a data centre leaving and returning.
 
 pub mod members;
 pub mod probes;
+pub mod relays;
 pub mod shares;
 pub mod shifts;
 pub mod warmth;
--- /dev/null
+++ b/crates/pier_limits/src/relays/reading_span.rs
@@ -0,0 +1,39 @@
+//! When the platform was read.
+
+use pier_types::times;
+
+/// Bounds on the moment at which the platform answered, by this node's own clock.
+///
+/// ```
+/// use pier_limits::relays;
+/// use pier_types::times;
+///
+/// let at = times::BootTime::from_millis;
+/// let early = relays::ReadingSpan { from: at(10), to: at(30) };
+/// let late = relays::ReadingSpan { from: at(30), to: at(40) };
+/// assert!(late.follows(early));
+/// assert!(!early.follows(late));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadingSpan {
+    /// Not before.
+    pub from: times::BootTime,
+    /// Not after.
+    pub to: times::BootTime,
+}
+
+impl ReadingSpan {
+    /// Tells whether this reading certainly came after another one.
+    pub fn follows(self, earlier: Self) -> bool {
+        self.from >= earlier.to
+    }
+
+    /// Returns the span of a list that both readings brought: any other list has to follow both.
+    #[must_use]
+    pub fn joined(self, other: Self) -> Self {
+        Self {
+            from: self.from.max(other.from),
+            to: self.to.max(other.to),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pier_limits/tests/vm_relay/main.rs
@@ -0,0 +1,5 @@
+//! Proves that each node gets the VM list, and never goes back to an older one.
+
+mod relay_rules;
+mod relay_study;
+mod relayed_fleet;
--- /dev/null
+++ b/crates/pier_limits/tests/vm_relay/relay_rules.rs
@@ -0,0 +1,262 @@
+//! The rules one by one.
+
+use std::time;
+
+use pier_limits::relays;
+use pier_types::{epochs, ids, times, vms};
+use pier_wire::messages;
+
+const START: times::BootTime = times::BootTime::from_millis(100_000);
+
+fn at(millis: u64) -> times::BootTime {
+    START.after(time::Duration::from_millis(millis))
+}
+
+fn entry(number: u32, state: vms::VmState) -> vms::VmEntry {
+    vms::VmEntry {
+        name: format!("vm-{number}").parse().unwrap(),
+        incarnation: epochs::VmIncarnation::new(1),
+        address: "127.0.0.1:80".parse().unwrap(),
+        data_centre: "mvd-a".parse().unwrap(),
+        domain: "d1".parse().unwrap(),
+        pool: vms::VmPool::Accelerator,
+        state,
+    }
+}
+
+/// A list of live VMs of which the first ones leave.
+fn list(count: u32, leaving: u32) -> relays::VmMap {
+    let state = |number| {
+        if number < leaving {
+            vms::VmState::Leaving
+        } else {
+            vms::VmState::Live
+        }
+    };
+    let entries = (0..count).map(|number| entry(number, state(number)));
+    entries.map(|entry| (entry.name.clone(), entry)).collect()
+}
+
+fn listed(list: relays::VmMap, tag: &str) -> relays::ReadingOutcome {
+    let tag = Some(tag.to_owned());
+    relays::ReadingOutcome::Listed { list, tag }
+}
+
+/// A relay that read a list between two moments.
+fn reader(list: relays::VmMap, from: u64, to: u64) -> relays::VmRelay {
+    let mut relay = relays::VmRelay::new(time::Duration::ZERO);
+    read(&mut relay, list, from, to);
+    relay
+}
+
+fn read(
+    relay: &mut relays::VmRelay,
+    list: relays::VmMap,
+    from: u64,
+    to: u64,
+) -> relays::RelayEvent {
+    relay.start_reading(at(from));
+    relay.end_reading(listed(list, "tag"), at(to))
+}
+
+fn name(text: &str) -> ids::NodeName {
+    text.parse().unwrap()
+}
+
+/// Lets one relay pull from another; the note is made and arrives at the times named.
+fn pull(
+    follower: &mut relays::VmRelay,
+    reader: &relays::VmRelay,
+    [asked, made, arrived]: [u64; 3],
+) -> relays::RelayEvent {
+    let pull = follower.pull(&name("r"), at(asked));
+    let note = reader.answer(pull, at(made)).unwrap();
+    follower.take(&name("r"), note, at(arrived))
+}
+
+fn is_due(relay: &relays::VmRelay, millis: u64) -> bool {
+    relay.is_reading_due(relays::ListDuty::Follower, at(millis))
+}
+
+#[test]
+fn a_change_reaches_a_follower_without_a_reading_of_its_own() {
+    let mut source = reader(list(450, 0), 0, 10);
+    let mut follower = reader(list(450, 0), 0, 10);
+    read(&mut source, list(450, 2), 500, 510);
+    let event = pull(&mut follower, &source, [600, 601, 602]);
+    assert_eq!(event, relays::RelayEvent::Changed);
+    assert_eq!(*follower.list().unwrap(), list(450, 2));
+    read(&mut source, list(449, 2), 1_000, 1_010);
+    pull(&mut follower, &source, [1_600, 1_601, 1_602]);
+    assert_eq!(*follower.list().unwrap(), list(449, 2));
+}
+
+#[test]
+fn a_follower_reads_only_while_it_hears_of_no_recent_reading() {
+    let mut source = reader(list(3, 0), 0, 10);
+    let mut follower = reader(list(3, 0), 0, 10);
+    assert!(is_due(&follower, 1_000), "nobody reads for it yet");
+    read(&mut source, list(3, 0), 900, 910);
+    let event = pull(&mut follower, &source, [1_000, 1_001, 1_002]);
+    assert_eq!(event, relays::RelayEvent::Confirmed);
+    assert!(!is_due(&follower, 2_900));
+    assert!(is_due(&follower, 3_200), "the reader fell silent");
+    pull(&mut follower, &source, [3_200, 3_201, 3_202]);
+    assert!(is_due(&follower, 3_203), "the reader itself reads no more");
+    let delayed = relays::VmRelay::new(time::Duration::from_millis(300));
+    assert!(is_due(&delayed, 0), "the first reading waits for nothing");
+}
+
+#[test]
+fn a_reader_reads_twice_a_second_whatever_it_hears() {
+    let mut source = reader(list(3, 0), 0, 10);
+    let due = |source: &relays::VmRelay, millis| {
+        source.is_reading_due(relays::ListDuty::Reader, at(millis))
+    };
+    assert!(!due(&source, 499));
+    assert!(due(&source, 500));
+    source.start_reading(at(500));
+    assert!(!due(&source, 5_000), "one reading at a time");
+}
+
+#[test]
+fn a_list_that_may_be_older_is_not_taken() {
+    let source = reader(list(3, 0), 400, 410);
+    // The follower's own reading was answered between 405 and 600: which came first is unknown.
+    let mut follower = reader(list(3, 1), 405, 600);
+    let pulled = pull(&mut follower, &source, [700, 701, 702]);
+    assert_eq!(pulled, relays::RelayEvent::Ignored);
+    assert_eq!(*follower.list().unwrap(), list(3, 1));
+    assert!(
+        !is_due(&follower, 703),
+        "an older list is no reason to read"
+    );
+}
+
+#[test]
+fn a_reader_that_wakes_from_a_pause_brings_nothing_back() {
+    let mut source = reader(list(3, 0), 0, 10);
+    let mut follower = reader(list(3, 0), 0, 10);
+    let earlier = follower.pull(&name("r"), at(100));
+    let note = source.answer(earlier, at(110)).unwrap();
+    read(&mut follower, list(3, 2), 60_000, 60_010);
+    // A note that was made before the pause arrives after it; so does one that is made then.
+    let event = follower.take(&name("r"), note, at(60_100));
+    assert_eq!(event, relays::RelayEvent::Ignored);
+    let event = pull(&mut follower, &source, [60_200, 60_201, 60_202]);
+    assert_eq!(event, relays::RelayEvent::Ignored);
+    // Its reading from before the pause ends after it, and is older than what it pulled since.
+    source.start_reading(at(500));
+    let event = pull(&mut source, &follower, [60_300, 60_301, 60_302]);
+    assert_eq!(event, relays::RelayEvent::Changed);
+    let event = source.end_reading(listed(list(3, 1), "old"), at(60_400));
+    assert_eq!(event, relays::RelayEvent::Ignored);
+    let event = pull(&mut follower, &source, [60_500, 60_501, 60_502]);
+    assert_ne!(event, relays::RelayEvent::Changed);
+    assert_eq!(*follower.list().unwrap(), list(3, 2));
+}
+
+#[test]
+fn a_note_counts_once_and_only_from_the_node_that_was_asked() {
+    let source = reader(list(3, 1), 500, 510);
+    let mut follower = reader(list(3, 1), 0, 10);
+    let pull = follower.pull(&name("r"), at(600));
+    let note = source.answer(pull, at(601)).unwrap();
+    let other = follower.take(&name("x"), note.clone(), at(602));
+    assert_eq!(other, relays::RelayEvent::Ignored);
+    let first = follower.take(&name("r"), note.clone(), at(602));
+    assert_eq!(first, relays::RelayEvent::Confirmed);
+    let again = follower.take(&name("r"), note, at(9_000));
+    assert_eq!(again, relays::RelayEvent::Ignored);
+}
+
+#[test]
+fn a_follower_that_is_behind_reads_the_platform() {
+    let mut source = reader(list(450, 0), 0, 10);
+    let mut follower = reader(list(450, 0), 0, 10);
+    pull(&mut follower, &source, [11, 12, 13]);
+    read(&mut source, list(450, 300), 500, 510);
+    let event = pull(&mut follower, &source, [1_100, 1_101, 1_102]);
+    assert_eq!(
+        event,
+        relays::RelayEvent::Behind,
+        "300 entries fit no datagram"
+    );
+    assert!(is_due(&follower, 1_103));
+    read(&mut follower, list(450, 300), 1_200, 1_210);
+    assert_eq!(*follower.list().unwrap(), list(450, 300));
+}
+
+#[test]
+fn a_note_for_a_list_that_was_replaced_meanwhile_is_not_applied() {
+    let mut source = reader(list(3, 0), 0, 10);
+    let mut follower = reader(list(3, 0), 0, 10);
+    read(&mut source, list(3, 0), 90, 95);
+    follower.start_reading(at(20));
+    let pull = follower.pull(&name("r"), at(100));
+    let same = source.answer(pull, at(101)).unwrap();
+    assert_eq!(same.body, messages::NoteBody::Same);
+    follower.end_reading(listed(list(3, 1), "other"), at(102));
+    let event = follower.take(&name("r"), same, at(103));
+    assert_eq!(event, relays::RelayEvent::Ignored);
+    assert_eq!(
+        follower.seen_at(),
+        Some(at(20)),
+        "the note told of another list"
+    );
+}
+
+#[test]
+fn a_delayed_note_counts_from_its_pull() {
+    let source = reader(list(3, 0), 500, 510);
+    let mut follower = reader(list(3, 0), 0, 10);
+    pull(&mut follower, &source, [600, 1_900, 3_000]);
+    // Made up to 1,300 ms after the pull, which the follower can not know.
+    assert!(follower.seen_at().unwrap() <= at(500));
+    assert!(is_due(&follower, 3_001));
+}
+
+#[test]
+fn another_list_has_to_follow_every_reading_of_the_one_in_force() {
+    let mut source = reader(list(3, 0), 90, 95);
+    let mut follower = reader(list(3, 0), 0, 100);
+    let event = pull(&mut follower, &source, [101, 101, 102]);
+    assert_eq!(event, relays::RelayEvent::Confirmed);
+    read(&mut source, list(3, 1), 97, 99);
+    // The follower's own reading may have been answered after 97.
+    let event = pull(&mut follower, &source, [103, 103, 104]);
+    assert_eq!(event, relays::RelayEvent::Ignored);
+    read(&mut source, list(3, 1), 120, 121);
+    let event = pull(&mut follower, &source, [122, 122, 123]);
+    assert_eq!(event, relays::RelayEvent::Changed);
+}
+
+#[test]
+fn a_tag_is_named_only_for_the_list_that_had_it() {
+    let mut source = reader(list(3, 0), 0, 10);
+    let mut follower = reader(list(3, 0), 0, 10);
+    assert_eq!(follower.start_reading(at(100)).as_deref(), Some("tag"));
+    follower.end_reading(relays::ReadingOutcome::Unchanged, at(110));
+    assert_eq!(follower.seen_at(), Some(at(100)));
+    read(&mut source, list(3, 1), 500, 510);
+    pull(&mut follower, &source, [600, 601, 602]);
+    assert_eq!(
+        follower.start_reading(at(700)),
+        None,
+        "the tag is another list's"
+    );
+    let event = follower.end_reading(relays::ReadingOutcome::Unchanged, at(710));
+    assert_eq!(event, relays::RelayEvent::Ignored);
+}
+
+#[test]
+fn a_new_reader_knows_the_changes_that_it_followed() {
+    let mut first = reader(list(450, 0), 0, 10);
+    let mut second = reader(list(450, 0), 0, 10);
+    let mut third = reader(list(450, 0), 0, 10);
+    read(&mut first, list(450, 1), 500, 510);
+    pull(&mut second, &first, [600, 601, 602]);
+    let event = pull(&mut third, &second, [700, 701, 702]);
+    assert_eq!(event, relays::RelayEvent::Changed);
+    assert_eq!(*third.list().unwrap(), list(450, 1));
+}
--- /dev/null
+++ b/crates/pier_limits/tests/vm_relay/relayed_fleet.rs
@@ -0,0 +1,279 @@
+//! Nodes of one data centre before a platform, in virtual time.
+
+use std::{collections, time};
+
+use pier_limits::relays;
+use pier_types::{epochs, ids, times, vms};
+use pier_wire::messages;
+use rand::{Rng as _, rngs};
+
+/// Nodes of the fleet.
+pub const NODES: usize = 5;
+
+/// Longest way of a call or a datagram, in milliseconds.
+const LONGEST_WAY: u64 = 1_500;
+
+/// What the platform answers a reading.
+type ReadAnswer = (u64, Option<(relays::VmMap, String)>);
+
+/// Something under way; `node` is where it arrives.
+#[derive(Clone)]
+enum Parcel {
+    Question {
+        node: usize,
+        tag: Option<String>,
+    },
+    Answer {
+        node: usize,
+        answer: Option<ReadAnswer>,
+    },
+    Pull {
+        node: usize,
+        from: usize,
+        pull: messages::ListPull,
+    },
+    Note {
+        node: usize,
+        from: usize,
+        note: messages::ListNote,
+    },
+}
+
+struct FleetNode {
+    relay: relays::VmRelay,
+    /// Its clock is ahead of the true time by this.
+    ahead: time::Duration,
+    paused_until: u64,
+    version: u64,
+    pulled_at: u64,
+}
+
+/// The fleet with its platform and network.
+pub struct RelayedFleet {
+    /// The version of the platform's list; the incarnation of its first VM.
+    pub version: u64,
+    /// Readings that reached the platform.
+    pub readings: usize,
+    /// Loss of each message, in percent.
+    pub loss: u32,
+    /// Nodes that can not reach the platform.
+    pub cut_off: collections::BTreeSet<usize>,
+    /// The node that each node thinks is the reader.
+    pub reader: [usize; NODES],
+    nodes: Vec<FleetNode>,
+    mail: collections::BTreeMap<(u64, u64), Parcel>,
+    posted: u64,
+    longest_way: u64,
+    random: rngs::StdRng,
+}
+
+fn name(node: usize) -> ids::NodeName {
+    format!("n{node}").parse().unwrap()
+}
+
+fn entry(number: u64, incarnation: u64) -> vms::VmEntry {
+    vms::VmEntry {
+        name: format!("vm-{number}").parse().unwrap(),
+        incarnation: epochs::VmIncarnation::new(incarnation),
+        address: "127.0.0.1:80".parse().unwrap(),
+        data_centre: "mvd-a".parse().unwrap(),
+        domain: "d1".parse().unwrap(),
+        pool: vms::VmPool::Accelerator,
+        state: vms::VmState::Live,
+    }
+}
+
+/// The list at a version: a VM that tells it, and others that come and go.
+fn list_at(version: u64) -> relays::VmMap {
+    let others = (1..40).filter(|number| !(number + version).is_multiple_of(7));
+    let entries = others.map(|number| entry(number, 1));
+    let entries = entries.chain([entry(0, version)]);
+    entries.map(|entry| (entry.name.clone(), entry)).collect()
+}
+
+impl RelayedFleet {
+    pub fn new(mut random: rngs::StdRng) -> Self {
+        let nodes = (0..NODES).map(|node| FleetNode {
+            relay: relays::VmRelay::new(time::Duration::from_millis(random.random_range(0..400))),
+            ahead: time::Duration::from_secs(100 + 1_000 * node as u64),
+            paused_until: 0,
+            version: 0,
+            pulled_at: 0,
+        });
+        let nodes = nodes.collect();
+        Self {
+            version: 1,
+            readings: 0,
+            loss: 0,
+            cut_off: collections::BTreeSet::new(),
+            reader: [0; NODES],
+            nodes,
+            mail: collections::BTreeMap::new(),
+            posted: 0,
+            longest_way: 5,
+            random,
+        }
+    }
+
+    /// Makes the ways long, so that messages overtake each other, or short.
+    pub fn set_slow(&mut self, slow: bool) {
+        self.longest_way = if slow { LONGEST_WAY } else { 5 };
+    }
+
+    /// Stops a node until a time; what arrives meanwhile waits.
+    pub fn pause(&mut self, node: usize, until: u64) {
+        self.nodes[node].paused_until = until;
+    }
+
+    /// Returns the version of the list that a node has.
+    pub fn held(&self, node: usize) -> u64 {
+        self.nodes[node].version
+    }
+
+    /// Moves all that is due at a time, in milliseconds, and checks that no node went back.
+    pub fn tick(&mut self, now: u64) {
+        while let Some(((due, _), _)) = self.mail.first_key_value()
+            && *due <= now
+        {
+            let (_, parcel) = self.mail.pop_first().unwrap();
+            self.deliver(parcel, now);
+        }
+        for node in 0..NODES {
+            if self.nodes[node].paused_until <= now {
+                self.act(node, now);
+            }
+        }
+    }
+
+    fn act(&mut self, node: usize, now: u64) {
+        let clock = self.clock(node, now);
+        let reader = self.reader[node];
+        let duty = if reader == node {
+            relays::ListDuty::Reader
+        } else {
+            relays::ListDuty::Follower
+        };
+        let relay = &mut self.nodes[node].relay;
+        if relay.is_reading_due(duty, clock) {
+            let tag = relay.start_reading(clock);
+            if self.cut_off.contains(&node) {
+                self.post_later(5_000, Parcel::Answer { node, answer: None }, now);
+            } else {
+                self.post(Parcel::Question { node, tag }, now);
+            }
+        }
+        if reader != node && now >= self.nodes[node].pulled_at + 1_000 {
+            self.nodes[node].pulled_at = now;
+            let pull = self.nodes[node].relay.pull(&name(reader), clock);
+            self.send(
+                Parcel::Pull {
+                    node: reader,
+                    from: node,
+                    pull,
+                },
+                now,
+            );
+        }
+    }
+
+    fn deliver(&mut self, parcel: Parcel, now: u64) {
+        let receiver = match &parcel {
+            Parcel::Question { .. } => None,
+            Parcel::Answer { node, .. } | Parcel::Pull { node, .. } | Parcel::Note { node, .. } => {
+                Some(*node)
+            }
+        };
+        if let Some(node) = receiver
+            && self.nodes[node].paused_until > now
+        {
+            let wait = self.nodes[node].paused_until - now;
+            self.post_later(wait, parcel, now);
+            return;
+        }
+        match parcel {
+            Parcel::Question { node, tag } => self.answer_reading(node, tag.as_deref(), now),
+            Parcel::Answer { node, answer } => self.end_reading(node, answer, now),
+            Parcel::Pull { node, from, pull } => {
+                let clock = self.clock(node, now);
+                let note = self.nodes[node].relay.answer(pull, clock);
+                if let Some(note) = note {
+                    self.send(
+                        Parcel::Note {
+                            node: from,
+                            from: node,
+                            note,
+                        },
+                        now,
+                    );
+                }
+            }
+            Parcel::Note { node, from, note } => {
+                let clock = self.clock(node, now);
+                let event = self.nodes[node].relay.take(&name(from), note, clock);
+                self.check(node, event);
+            }
+        }
+    }
+
+    fn answer_reading(&mut self, node: usize, tag: Option<&str>, now: u64) {
+        self.readings += 1;
+        let present = self.version.to_string();
+        let body = (tag != Some(&present)).then(|| (list_at(self.version), present));
+        let answer = Some((self.version, body));
+        self.post(Parcel::Answer { node, answer }, now);
+    }
+
+    fn end_reading(&mut self, node: usize, answer: Option<ReadAnswer>, now: u64) {
+        let outcome = match answer {
+            None => relays::ReadingOutcome::Failed,
+            Some((_version, None)) => relays::ReadingOutcome::Unchanged,
+            Some((_version, Some((list, tag)))) => {
+                let tag = Some(tag);
+                relays::ReadingOutcome::Listed { list, tag }
+            }
+        };
+        let clock = self.clock(node, now);
+        let event = self.nodes[node].relay.end_reading(outcome, clock);
+        self.check(node, event);
+    }
+
+    fn check(&mut self, node: usize, event: relays::RelayEvent) {
+        let fleet_node = &mut self.nodes[node];
+        let Some(list) = fleet_node.relay.list() else {
+            return;
+        };
+        let version = list[&"vm-0".parse().unwrap()].incarnation.get();
+        assert!(
+            version >= fleet_node.version,
+            "node {node} went back from list {} to {version}: {event:?}",
+            fleet_node.version
+        );
+        assert_eq!(*list, list_at(version), "a list of no version");
+        fleet_node.version = version;
+    }
+
+    /// Sends a datagram: it may be lost, come twice, or be overtaken.
+    fn send(&mut self, parcel: Parcel, now: u64) {
+        let twice = parcel.clone();
+        if self.random.random_range(0..100) >= self.loss {
+            self.post(parcel, now);
+        }
+        if self.random.random_range(0..100) < self.loss {
+            self.post(twice, now);
+        }
+    }
+
+    fn post(&mut self, parcel: Parcel, now: u64) {
+        let way = self.random.random_range(1..=self.longest_way);
+        self.post_later(way, parcel, now);
+    }
+
+    fn post_later(&mut self, wait: u64, parcel: Parcel, now: u64) {
+        self.posted += 1;
+        self.mail.insert((now + wait, self.posted), parcel);
+    }
+
+    fn clock(&self, node: usize, now: u64) -> times::BootTime {
+        times::BootTime::from_millis(now).after(self.nodes[node].ahead)
+    }
+}
--- a/crates/pier_node/src/daemon/node_daemon.rs
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -38,7 +38,6 @@
         let client = target_client()?;
         let traces = open_traces(settings.collector_url.clone()).await?;
         let handle = handle::NodeHandle::new(draw_name(&settings)?, settings, client, traces)?;
-        tables::spawn_list(handle.clone());
         tables::spawn(handle.clone());
         control::spawn(handle.clone(), &control::ControlSettings::default());
         requests::spawn(&handle);
--- /dev/null
+++ b/crates/pier_node/src/peers/list_driver.rs
@@ -0,0 +1,131 @@
+//! Keeps the VM list of the data centre, by the lease holder's readings or by own ones.
+
+use std::time;
+
+use pier_limits::relays;
+use pier_types::{ids, times};
+use pier_wire::messages;
+use tokio::sync::mpsc;
+
+use crate::{handle, peers::list_call};
+
+/// Longest delay by which this node's readings come after those of others that lost the same
+/// reader.
+const LONGEST_DELAY: time::Duration = time::Duration::from_millis(400);
+
+/// The relay with its calls.
+#[derive(Debug)]
+pub(super) struct ListDriver {
+    handle: handle::NodeHandle,
+    outcomes: mpsc::UnboundedSender<list_call::ListOutcome>,
+    relay: relays::VmRelay,
+    is_away: bool,
+}
+
+impl ListDriver {
+    /// Makes a driver without a list.
+    pub(super) fn new(
+        handle: handle::NodeHandle,
+        outcomes: mpsc::UnboundedSender<list_call::ListOutcome>,
+    ) -> Self {
+        let delay = LONGEST_DELAY.mul_f64(rand::random_range(0.0..=1.0));
+        Self {
+            handle,
+            outcomes,
+            relay: relays::VmRelay::new(delay),
+            is_away: false,
+        }
+    }
+
+    /// Reads the platform when that is due.
+    pub(super) fn tick(&mut self, now: times::BootTime) {
+        if self.relay.is_reading_due(self.duty(now), now) {
+            let tag = self.relay.start_reading(now);
+            list_call::make(&self.handle, &self.outcomes, tag);
+        }
+    }
+
+    /// Takes in how a reading ended.
+    pub(super) fn take_outcome(&mut self, outcome: list_call::ListOutcome, now: times::BootTime) {
+        self.report_away(&outcome);
+        let outcome = match outcome {
+            list_call::ListOutcome::Read(outcome) => outcome,
+            list_call::ListOutcome::Away(_) => relays::ReadingOutcome::Failed,
+        };
+        let event = self.relay.end_reading(outcome, now);
+        self.publish(event);
+    }
+
+    /// Makes a pull for the node that reads for all; none when that is this node or not known.
+    pub(super) fn pull(
+        &mut self,
+        now: times::BootTime,
+    ) -> Option<(ids::NodeName, messages::ListPull)> {
+        let lease = self.handle.lease()?;
+        let holder = &lease.record.holder;
+        if holder == self.handle.name() {
+            return None;
+        }
+        let pull = self.relay.pull(holder, now);
+        Some((holder.clone(), pull))
+    }
+
+    /// Answers another node's pull.
+    pub(super) fn answer(
+        &self,
+        pull: messages::ListPull,
+        now: times::BootTime,
+    ) -> Option<messages::ListNote> {
+        self.relay.answer(pull, now)
+    }
+
+    /// Takes in another node's answer.
+    pub(super) fn take_note(
+        &mut self,
+        sender: &ids::NodeName,
+        note: messages::ListNote,
+        now: times::BootTime,
+    ) {
+        let event = self.relay.take(sender, note, now);
+        self.publish(event);
+    }
+
+    fn duty(&self, now: times::BootTime) -> relays::ListDuty {
+        let held_until = self.handle.lease().and_then(|lease| lease.held_until);
+        if held_until.is_some_and(|until| now < until) {
+            relays::ListDuty::Reader
+        } else {
+            relays::ListDuty::Follower
+        }
+    }
+
+    fn publish(&self, event: relays::RelayEvent) {
+        match event {
+            relays::RelayEvent::Changed => {
+                let list = self.relay.list().unwrap_or_default();
+                log::info!(event = "vm-list-changed", vms = list.len(); "");
+                self.handle.publish_vms(list.as_ref().clone());
+            }
+            relays::RelayEvent::Behind => log::info!(event = "vm-list-behind"; ""),
+            relays::RelayEvent::Confirmed | relays::RelayEvent::Ignored => {}
+        }
+        // A reading by the node that reads for all is word of the platform as well.
+        if let Some(seen_at) = self.relay.seen_at() {
+            self.handle.note_platform(seen_at);
+        }
+    }
+
+    fn report_away(&mut self, outcome: &list_call::ListOutcome) {
+        match outcome {
+            list_call::ListOutcome::Read(_) if self.is_away => {
+                log::info!(event = "vm-list-back"; "");
+                self.is_away = false;
+            }
+            list_call::ListOutcome::Away(error) if !self.is_away => {
+                log::warn!(event = "vm-list-away", cause:% = error; "");
+                self.is_away = true;
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/pier_node/src/peers/mod.rs
+++ b/crates/pier_node/src/peers/mod.rs
@@ -1,5 +1,5 @@
 //! Talks with the other nodes by datagrams: signs of life, probe results, crashes, configuration
-//! versions, shares of limits.
+//! versions, shares of limits, the VM list.
 //!
 //! Every decision is one of `pier_limits`; this module moves the datagrams and the clock. One task
 //! owns all of it, so that nothing here is locked.
@@ -7,7 +7,10 @@
 mod crash_marks;
 mod datagram_refusals;
 mod known_target;
+mod list_call;
+mod list_driver;
 mod peer_loop;
+mod peer_mail;
 mod peer_socket;
 mod share_driver;
 mod share_target;
@@ -16,3 +19,4 @@
 pub use peer_socket::PeerSocket;
 
 use datagram_refusals::DatagramRefusals;
+use list_driver::ListDriver;
--- a/crates/pier_node/src/peers/peer_loop.rs
+++ b/crates/pier_node/src/peers/peer_loop.rs
@@ -1,6 +1,6 @@
 //! The task that talks with the other nodes.
 
-use std::{collections, io, net, time};
+use std::{collections, net, time};
 
 use pier_limits::{members, probes as decisions};
 use pier_types::{epochs, ids, times, times::clocks};
@@ -9,7 +9,7 @@
 
 use crate::{
     configs, handle, peers,
-    peers::{crash_marks, share_driver},
+    peers::{crash_marks, list_call, share_driver},
     probes,
 };
 
@@ -25,16 +25,17 @@
 /// The state of the loop.
 #[derive(Debug)]
 pub struct PeerLoop {
-    handle: handle::NodeHandle,
+    pub(super) handle: handle::NodeHandle,
     socket: peers::PeerSocket,
-    configs: configs::ConfigInbox,
+    pub(super) configs: configs::ConfigInbox,
     sealer: seals::DatagramSealer,
-    opener: seals::DatagramOpener,
-    members: members::MemberTable,
-    pulls: decisions::PullPlan,
-    probes: probes::ProbeDriver,
-    shares: share_driver::ShareDriver,
-    refusals: peers::DatagramRefusals,
+    pub(super) opener: seals::DatagramOpener,
+    pub(super) members: members::MemberTable,
+    pub(super) pulls: decisions::PullPlan,
+    pub(super) probes: probes::ProbeDriver,
+    pub(super) shares: share_driver::ShareDriver,
+    pub(super) lists: peers::ListDriver,
+    pub(super) refusals: peers::DatagramRefusals,
     place: members::IsolationPlace,
     ticked_at: times::BootTime,
     round_at: times::BootTime,
@@ -53,6 +54,7 @@
     ) -> anyhow::Result<()> {
         let key: seals::WireKey = handle.settings().peer_key.parse()?;
         let (sender, outcomes) = mpsc::unbounded_channel();
+        let (list_sender, readings) = mpsc::unbounded_channel();
         let own = own_entry(&handle, socket.address());
         let now = clocks::boot_now();
         let peer_loop = Self {
@@ -66,6 +68,7 @@
             pulls: decisions::PullPlan::default(),
             probes: probes::ProbeDriver::new(handle.clone(), sender),
             shares: share_driver::ShareDriver::new(handle.clone()),
+            lists: peers::ListDriver::new(handle.clone(), list_sender),
             refusals: peers::DatagramRefusals::default(),
             place: members::IsolationPlace::PlatformAway,
             ticked_at: now,
@@ -74,11 +77,15 @@
             socket,
             configs,
         };
-        tokio::spawn(peer_loop.run(outcomes));
+        tokio::spawn(peer_loop.run(outcomes, readings));
         Ok(())
     }
 
-    async fn run(mut self, mut outcomes: mpsc::UnboundedReceiver<probes::ProbeOutcome>) {
+    async fn run(
+        mut self,
+        mut outcomes: mpsc::UnboundedReceiver<probes::ProbeOutcome>,
+        mut readings: mpsc::UnboundedReceiver<list_call::ListOutcome>,
+    ) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -86,6 +93,9 @@
                 _tick = ticks.tick() => self.tick(clocks::boot_now()),
                 received = self.socket.receive() => self.take(received, clocks::boot_now()),
                 Some(outcome) = outcomes.recv() => self.probes.take(outcome),
+                Some(reading) = readings.recv() => {
+                    self.lists.take_outcome(reading, clocks::boot_now());
+                }
             }
         }
     }
@@ -97,6 +107,7 @@
         }
         self.ticked_at = now;
         self.members.tick(now);
+        self.lists.tick(now);
         let mut nodes = self.live_nodes(now);
         if now.since(self.round_at) >= ROUND {
             self.round_at = now;
@@ -124,11 +135,14 @@
         let old = self.probes.old(now);
         let pulls = self.pulls.round(&own, self.probes.plan(), nodes, &old, now);
         let peers = self.members.live_peers(now);
+        let mut list_pull = self.lists.pull(now);
         for (peer, pull) in pulls {
             if let Some(entry) = peers.get(&peer) {
                 let greeting = self.members.greeting(&peer, now);
-                let pull = messages::PeerMessage::ProbePull(pull);
-                self.send(entry.address, vec![greeting, pull]);
+                let mut letter = vec![greeting, messages::PeerMessage::ProbePull(pull)];
+                let list_pull = list_pull.take_if(|(reader, _)| *reader == peer);
+                letter.extend(list_pull.map(|(_, pull)| messages::PeerMessage::ListPull(pull)));
+                self.send(entry.address, letter);
             }
         }
     }
@@ -165,68 +179,6 @@
         }
     }
 
-    fn take(&mut self, received: io::Result<(Vec<u8>, net::SocketAddr)>, now: times::BootTime) {
-        let Ok((datagram, source)) = received else {
-            // An earlier datagram met a closed port; the next one may be received all the same.
-            return;
-        };
-        match self.opener.open(&datagram, now) {
-            Ok(opened) => self.take_messages(opened, source, now),
-            Err(refusal) => self.refusals.count(refusal, source),
-        }
-    }
-
-    fn take_messages(
-        &mut self,
-        opened: seals::OpenedDatagram,
-        source: net::SocketAddr,
-        now: times::BootTime,
-    ) {
-        let (sender, instance) = (opened.sender, opened.instance);
-        for message in opened.messages {
-            match message {
-                messages::PeerMessage::Beat(beat) => {
-                    self.members.hear_beat(&sender, instance, beat, now);
-                    self.hint(&sender, source, beat.config);
-                }
-                messages::PeerMessage::Members(entries) => {
-                    for entry in &entries {
-                        self.hint(&entry.node, entry.address, entry.beat.config);
-                    }
-                    self.members.hear_entries(&sender, entries, now);
-                }
-                messages::PeerMessage::ProbePull(pull) => {
-                    let batch = self.probes.answer(&pull, clocks::boot_now());
-                    self.send(source, vec![messages::PeerMessage::ProbeBatch(batch)]);
-                }
-                messages::PeerMessage::ProbeBatch(batch) => {
-                    if let Some(asked_at) = self.pulls.asked_at(&sender, batch.pull) {
-                        self.probes.take_batch(&batch, asked_at);
-                    }
-                }
-                messages::PeerMessage::Crashes(crashes) => {
-                    let delta = crash_marks::from_message(crashes);
-                    self.handle.requests().merge_crashes(&delta);
-                }
-                messages::PeerMessage::ConfigHint(version) => self.hint(&sender, source, version),
-                messages::PeerMessage::ShareAsk(ask) => {
-                    let grant = self.shares.answer(&sender, &ask, clocks::boot_now());
-                    if let Some(grant) = grant {
-                        self.send(source, vec![messages::PeerMessage::ShareGrant(grant)]);
-                    }
-                }
-                messages::PeerMessage::ShareGrant(grant) => self.shares.take(&grant),
-            }
-        }
-    }
-
-    /// Passes on that a node holds a version, if it is above the one in force here.
-    fn hint(&self, node: &ids::NodeName, address: net::SocketAddr, version: epochs::ConfigVersion) {
-        if version > self.config_version() {
-            self.configs.hint(node.clone(), address, version);
-        }
-    }
-
     /// Tells all live nodes of crashes that a request may be to blame for.
     fn tell_crashes(&mut self, now: times::BootTime) {
         let delta = self
@@ -243,7 +195,7 @@
         }
     }
 
-    fn send(&mut self, receiver: net::SocketAddr, messages: Vec<messages::PeerMessage>) {
+    pub(super) fn send(&mut self, receiver: net::SocketAddr, messages: Vec<messages::PeerMessage>) {
         match self.sealer.seal(messages) {
             Ok(datagrams) => {
                 for datagram in datagrams {
@@ -258,7 +210,7 @@
         self.members.live_peers(now).into_keys().collect()
     }
 
-    fn config_version(&self) -> epochs::ConfigVersion {
+    pub(super) fn config_version(&self) -> epochs::ConfigVersion {
         let config = self.handle.config();
         config.map_or_else(epochs::ConfigVersion::default, |config| config.version)
     }
--- /dev/null
+++ b/crates/pier_node/src/peers/peer_mail.rs
@@ -0,0 +1,102 @@
+//! What the peer loop does with datagrams that arrive.
+
+use std::{io, net};
+
+use pier_types::{epochs, ids, times, times::clocks};
+use pier_wire::{messages, seals};
+
+use crate::peers::{self, crash_marks};
+
+impl peers::PeerLoop {
+    pub(super) fn take(
+        &mut self,
+        received: io::Result<(Vec<u8>, net::SocketAddr)>,
+        now: times::BootTime,
+    ) {
+        let Ok((datagram, source)) = received else {
+            // An earlier datagram met a closed port; the next one may be received all the same.
+            return;
+        };
+        match self.opener.open(&datagram, now) {
+            Ok(opened) => self.take_messages(opened, source, now),
+            Err(refusal) => self.refusals.count(refusal, source),
+        }
+    }
+
+    /// Takes in the messages of one datagram; what answers them goes back together.
+    fn take_messages(
+        &mut self,
+        opened: seals::OpenedDatagram,
+        source: net::SocketAddr,
+        now: times::BootTime,
+    ) {
+        let (sender, instance) = (opened.sender, opened.instance);
+        let mut replies = Vec::new();
+        for message in opened.messages {
+            match message {
+                messages::PeerMessage::Beat(beat) => {
+                    self.members.hear_beat(&sender, instance, beat, now);
+                    self.hint(&sender, source, beat.config);
+                }
+                messages::PeerMessage::Members(entries) => {
+                    for entry in &entries {
+                        self.hint(&entry.node, entry.address, entry.beat.config);
+                    }
+                    self.members.hear_entries(&sender, entries, now);
+                }
+                messages::PeerMessage::ConfigHint(version) => self.hint(&sender, source, version),
+                message => replies.extend(self.take_other(&sender, message, now)),
+            }
+        }
+        if !replies.is_empty() {
+            self.send(source, replies);
+        }
+    }
+
+    /// Takes in a message that tells nothing of nodes, and answers it if it is a question.
+    fn take_other(
+        &mut self,
+        sender: &ids::NodeName,
+        message: messages::PeerMessage,
+        now: times::BootTime,
+    ) -> Option<messages::PeerMessage> {
+        match message {
+            messages::PeerMessage::ProbePull(pull) => {
+                let batch = self.probes.answer(&pull, clocks::boot_now());
+                return Some(messages::PeerMessage::ProbeBatch(batch));
+            }
+            messages::PeerMessage::ShareAsk(ask) => {
+                let grant = self.shares.answer(sender, &ask, clocks::boot_now());
+                return grant.map(messages::PeerMessage::ShareGrant);
+            }
+            messages::PeerMessage::ListPull(pull) => {
+                let note = self.lists.answer(pull, now);
+                return note.map(messages::PeerMessage::ListNote);
+            }
+            messages::PeerMessage::ProbeBatch(batch) => {
+                if let Some(asked_at) = self.pulls.asked_at(sender, batch.pull) {
+                    self.probes.take_batch(&batch, asked_at);
+                }
+            }
+            messages::PeerMessage::ShareGrant(grant) => self.shares.take(&grant),
+            messages::PeerMessage::ListNote(note) => {
+                self.lists.take_note(sender, note, now);
+            }
+            messages::PeerMessage::Crashes(crashes) => {
+                let delta = crash_marks::from_message(crashes);
+                self.handle.requests().merge_crashes(&delta);
+            }
+            messages::PeerMessage::Beat(_)
+            | messages::PeerMessage::Members(_)
+            | messages::PeerMessage::ConfigHint(_) => {}
+        }
+        None
+    }
+
+    /// Passes on that a node holds a version, if it is above the one in force here.
+    fn hint(&self, node: &ids::NodeName, address: net::SocketAddr, version: epochs::ConfigVersion) {
+        if version > self.config_version() {
+            self.configs.hint(node.clone(), address, version);
+        }
+    }
+}
--- a/crates/pier_node/src/tables/mod.rs
+++ b/crates/pier_node/src/tables/mod.rs
@@ -1,12 +1,10 @@
 //! Publishes what a request reads: which targets may receive new work.
 
-mod list_loop;
 mod shift_driver;
 mod table_builder;
 mod table_loop;
 
 use shift_driver::ShiftDriver;
 
-pub use list_loop::spawn as spawn_list;
 pub use table_builder::TableBuilder;
 pub use table_loop::spawn;
--- a/crates/pier_wire/src/messages/mod.rs
+++ b/crates/pier_wire/src/messages/mod.rs
@@ -1,6 +1,10 @@
 //! What datagrams between nodes carry.
 
 mod crash_delta;
+mod list_change;
+mod list_digest;
+mod list_note;
+mod list_pull;
 mod member_beat;
 mod member_entry;
 mod peer_message;
@@ -15,6 +19,10 @@
 mod vm_key;
 
 pub use crash_delta::CrashDelta;
+pub use list_change::ListChange;
+pub use list_digest::ListDigest;
+pub use list_note::{ListNote, NoteBody};
+pub use list_pull::ListPull;
 pub use member_beat::MemberBeat;
 pub use member_entry::MemberEntry;
 pub use peer_message::PeerMessage;
--- a/crates/pier_wire/src/messages/peer_message.rs
+++ b/crates/pier_wire/src/messages/peer_message.rs
@@ -3,7 +3,7 @@
 use pier_types::epochs;
 use serde::{Deserialize, Serialize};
 
-use crate::messages;
+use crate::{messages, seals};
 
 /// One message between nodes; each is idempotent or names the question it answers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -24,9 +24,24 @@
     Crashes(Vec<messages::CrashDelta>),
     /// The highest configuration version that the sender has seen.
     ConfigHint(epochs::ConfigVersion),
+    /// A question for the VM list.
+    ListPull(messages::ListPull),
+    /// What the sender's VM list has that the asker's has not.
+    ListNote(messages::ListNote),
 }
 
 impl PeerMessage {
+    /// Returns the length of the encoded message, in bytes.
+    pub fn encoded_bytes(&self) -> usize {
+        // A message that does not encode fits no datagram.
+        postcard::to_stdvec(self).map_or(usize::MAX, |encoded| encoded.len())
+    }
+
+    /// Tells whether the message fits one datagram.
+    pub fn fits(&self) -> bool {
+        self.encoded_bytes() <= seals::MESSAGE_ROOM
+    }
+
     /// Splits a batch into two halves; none when it holds fewer than two entries.
     pub fn split(self) -> Option<(Self, Self)> {
         match self {
@@ -72,7 +87,11 @@
                     scope: messages::PullScope::Named(keys),
                 })
             }),
-            Self::ProbePull(_) | Self::Beat(_) | Self::ConfigHint(_) => None,
+            Self::ProbePull(_)
+            | Self::Beat(_)
+            | Self::ConfigHint(_)
+            | Self::ListPull(_)
+            | Self::ListNote(_) => None,
         }
     }
 }
--- a/crates/pier_wire/src/seals/datagram_sealer.rs
+++ b/crates/pier_wire/src/seals/datagram_sealer.rs
@@ -11,6 +11,9 @@
 /// Longest encoded header: version, name with length, instance, sequence.
 const HEADER_ROOM: usize = 1 + 130 + 16 + 10;
 
+/// Room for messages in one datagram, in bytes.
+pub(crate) const MESSAGE_ROOM: usize = DATAGRAM_LIMIT - seals::TAG_BYTES - HEADER_ROOM;
+
 /// Numbers and authenticates the datagrams of one node.
 ///
 /// ```
@@ -60,15 +63,14 @@
         &mut self,
         messages: Vec<messages::PeerMessage>,
     ) -> Result<Vec<Vec<u8>>, seals::SealError> {
-        let room = DATAGRAM_LIMIT - seals::TAG_BYTES - HEADER_ROOM;
         let mut pieces = Vec::new();
         for message in messages {
-            encode_pieces(message, room, &mut pieces)?;
+            encode_pieces(message, &mut pieces)?;
         }
         let mut datagrams = Vec::new();
         let mut body = Vec::new();
         for piece in pieces {
-            if !body.is_empty() && body.len() + piece.len() > room {
+            if !body.is_empty() && body.len() + piece.len() > MESSAGE_ROOM {
                 datagrams.push(self.finish(&body)?);
                 body.clear();
             }
@@ -101,16 +103,15 @@
 
 fn encode_pieces(
     message: messages::PeerMessage,
-    room: usize,
     pieces: &mut Vec<Vec<u8>>,
 ) -> Result<(), seals::SealError> {
     let piece = postcard::to_stdvec(&message).map_err(|_error| seals::SealError::Unencodable)?;
-    if piece.len() <= room {
+    if piece.len() <= MESSAGE_ROOM {
         pieces.push(piece);
         return Ok(());
     }
     let bytes = piece.len();
     let (front, back) = message.split().ok_or(seals::SealError::TooLong { bytes })?;
-    encode_pieces(front, room, pieces)?;
-    encode_pieces(back, room, pieces)
+    encode_pieces(front, pieces)?;
+    encode_pieces(back, pieces)
 }
--- a/crates/pier_wire/src/seals/seal_header.rs
+++ b/crates/pier_wire/src/seals/seal_header.rs
@@ -6,7 +6,7 @@
 use crate::seals;
 
 /// Version of the datagram format; the first byte of each datagram.
-pub(crate) const WIRE_VERSION: u8 = 1;
+pub(crate) const WIRE_VERSION: u8 = 2;
 
 /// Length of the authentication tag at the end, in bytes.
 pub(crate) const TAG_BYTES: usize = 16;
