Give a node that is behind the whole VM list from the holder

Cause: a node that starts while it can not reach the platform had no list, and a change of more entries than fit a datagram sent each node to the platform.

A node that is behind asks the lease holder over the connection of forwarded requests, with the same two ages as a note; the platform is asked if that fails. The question's form is shared with copies of the configuration.

--- a/crates/pier_limits/src/relays/reading_outcome.rs
+++ b/crates/pier_limits/src/relays/reading_outcome.rs
@@ -1,8 +1,10 @@
-//! The end of one reading of the platform.
+//! The end of one reading.
+
+use std::time;
 
 use crate::relays;
 
-/// How a reading of the platform's VM list ended.
+/// How a reading of the VM list ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ReadingOutcome {
     /// The platform did not answer.
@@ -16,4 +18,13 @@
         /// The platform's tag of the whole list, if it gave one.
         tag: Option<String>,
     },
+    /// Another node gave its whole list, with the ages of its reading when it answered.
+    Copied {
+        /// The part of the own data centre.
+        list: relays::VmMap,
+        /// Time since the reading was sent to the platform.
+        oldest: time::Duration,
+        /// Time since the reading was answered.
+        youngest: time::Duration,
+    },
 }
--- a/crates/pier_limits/src/relays/vm_relay.rs
+++ b/crates/pier_limits/src/relays/vm_relay.rs
@@ -92,9 +92,15 @@
         self.held.as_ref().map(|held| sync::Arc::clone(&held.list))
     }
 
-    /// Returns a moment after which the platform certainly answered the latest known reading.
-    pub fn seen_at(&self) -> Option<times::BootTime> {
-        self.held.as_ref().map(|held| held.span.from)
+    /// Returns when the platform was read that brought the list in force.
+    pub fn span(&self) -> Option<relays::ReadingSpan> {
+        self.held.as_ref().map(|held| held.span)
+    }
+
+    /// Tells whether the reader has a newer list that it could not tell by changes; it is to be
+    /// asked for the whole one.
+    pub const fn is_behind(&self) -> bool {
+        self.is_behind
     }
 
     /// Tells whether this node has to read the platform now.
@@ -152,6 +158,18 @@
                 }
                 event
             }
+            relays::ReadingOutcome::Copied {
+                list,
+                oldest,
+                youngest,
+            } => {
+                let digest = messages::ListDigest::of(list.values());
+                let span = relays::ReadingSpan {
+                    from: from.before(oldest),
+                    to: now.before(youngest),
+                };
+                self.replace(list, digest, span)
+            }
         }
     }
 
--- a/crates/pier_limits/tests/vm_relay/relay_rules.rs
+++ b/crates/pier_limits/tests/vm_relay/relay_rules.rs
@@ -74,6 +74,11 @@
     follower.take(&name("r"), note, at(arrived))
 }
 
+/// Returns a moment after which the platform was read.
+fn seen_at(relay: &relays::VmRelay) -> Option<times::BootTime> {
+    relay.span().map(|span| span.from)
+}
+
 fn is_due(relay: &relays::VmRelay, millis: u64) -> bool {
     relay.is_reading_due(relays::ListDuty::Follower, at(millis))
 }
@@ -187,6 +192,44 @@
     assert_eq!(*follower.list().unwrap(), list(450, 300));
 }
 
+/// Lets a relay ask for a whole list at one time and get it at another.
+fn copy(
+    follower: &mut relays::VmRelay,
+    source: &relays::VmRelay,
+    [asked, made, arrived]: [u64; 3],
+) -> relays::RelayEvent {
+    follower.start_reading(at(asked));
+    let span = source.span().unwrap();
+    let outcome = relays::ReadingOutcome::Copied {
+        list: source.list().unwrap().as_ref().clone(),
+        oldest: at(made).since(span.from),
+        youngest: at(made).since(span.to),
+    };
+    follower.end_reading(outcome, at(arrived))
+}
+
+#[test]
+fn a_whole_copy_is_as_old_as_the_reading_behind_it() {
+    let source = reader(list(450, 300), 500, 510);
+    let mut follower = relays::VmRelay::new(time::Duration::ZERO);
+    assert!(!follower.is_behind());
+    let event = pull(&mut follower, &source, [600, 601, 602]);
+    assert_eq!(event, relays::RelayEvent::Behind);
+    assert!(follower.is_behind());
+    let event = copy(&mut follower, &source, [700, 710, 730]);
+    assert_eq!(event, relays::RelayEvent::Changed);
+    assert!(!follower.is_behind());
+    let (from, to) = (at(490), at(530));
+    assert_eq!(follower.span(), Some(relays::ReadingSpan { from, to }));
+    let mut newer = reader(list(450, 301), 520, 540);
+    let event = copy(&mut newer, &source, [800, 801, 802]);
+    assert_eq!(
+        event,
+        relays::RelayEvent::Ignored,
+        "the copy is the older list"
+    );
+}
+
 #[test]
 fn a_note_for_a_list_that_was_replaced_meanwhile_is_not_applied() {
     let mut source = reader(list(3, 0), 0, 10);
@@ -200,7 +243,7 @@
     let event = follower.take(&name("r"), same, at(103));
     assert_eq!(event, relays::RelayEvent::Ignored);
     assert_eq!(
-        follower.seen_at(),
+        seen_at(&follower),
         Some(at(20)),
         "the note told of another list"
     );
@@ -212,7 +255,7 @@
     let mut follower = reader(list(3, 0), 0, 10);
     pull(&mut follower, &source, [600, 1_900, 3_000]);
     // Made up to 1,300 ms after the pull, which the follower can not know.
-    assert!(follower.seen_at().unwrap() <= at(500));
+    assert!(seen_at(&follower).unwrap() <= at(500));
     assert!(is_due(&follower, 3_001));
 }
 
@@ -237,7 +280,7 @@
     let mut follower = reader(list(3, 0), 0, 10);
     assert_eq!(follower.start_reading(at(100)).as_deref(), Some("tag"));
     follower.end_reading(relays::ReadingOutcome::Unchanged, at(110));
-    assert_eq!(follower.seen_at(), Some(at(100)));
+    assert_eq!(seen_at(&follower), Some(at(100)));
     read(&mut source, list(3, 1), 500, 510);
     pull(&mut follower, &source, [600, 601, 602]);
     assert_eq!(
--- a/crates/pier_node/src/forwards/forward_server.rs
+++ b/crates/pier_node/src/forwards/forward_server.rs
@@ -7,7 +7,7 @@
 use pier_wire::{frames, seals};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::{callers, configs, forwards, handle, requests};
+use crate::{callers, configs, forwards, handle, peers, requests};
 
 /// Bound on the handshake and on the request's arrival.
 const ARRIVAL_TIMEOUT: time::Duration = time::Duration::from_secs(10);
@@ -106,6 +106,10 @@
         if let Some(reply) = configs::answer_peer(&self.handle, &request) {
             return send_reply(reply, writer).await;
         }
+        let now = times::clocks::boot_now();
+        if let Some(reply) = peers::answer_list(&self.handle, &request, now) {
+            return send_reply(reply, writer).await;
+        }
         let path = requests::RequestPath::new(self.handle.clone());
         let reply = path.serve(request).await;
         if let Some(code) = reply.code {
--- a/crates/pier_node/src/handle/mod.rs
+++ b/crates/pier_node/src/handle/mod.rs
@@ -3,6 +3,7 @@
 mod config_snapshot;
 mod group_snapshot;
 mod lease_snapshot;
+mod list_snapshot;
 mod node_handle;
 mod peer_entry;
 mod request_guard;
@@ -11,6 +12,7 @@
 pub use config_snapshot::ConfigSnapshot;
 pub use group_snapshot::GroupSnapshot;
 pub use lease_snapshot::LeaseSnapshot;
+pub use list_snapshot::ListSnapshot;
 pub use node_handle::NodeHandle;
 pub use peer_entry::PeerEntry;
 pub use request_guard::RequestGuard;
--- a/crates/pier_node/src/handle/node_handle.rs
+++ b/crates/pier_node/src/handle/node_handle.rs
@@ -41,6 +41,7 @@
     groups: ArcSwap<handle::GroupSnapshot>,
     shift: ArcSwap<handle::ShiftSnapshot>,
     lease: ArcSwapOption<handle::LeaseSnapshot>,
+    list: ArcSwapOption<handle::ListSnapshot>,
     peers: ArcSwap<Vec<handle::PeerEntry>>,
     shares: ArcSwap<collections::BTreeMap<ids::TargetId, sizes::RequestCount>>,
     platform_at: atomic::AtomicU64,
@@ -88,6 +89,7 @@
             groups: ArcSwap::default(),
             shift: ArcSwap::default(),
             lease: ArcSwapOption::empty(),
+            list: ArcSwapOption::empty(),
             peers: ArcSwap::default(),
             shares: ArcSwap::default(),
             platform_at: atomic::AtomicU64::new(0),
@@ -190,6 +192,16 @@
         self.shared.vms.store(sync::Arc::new(list));
     }
 
+    /// Returns the VM list with the reading that brought it, for other nodes.
+    pub fn list_snapshot(&self) -> Option<sync::Arc<handle::ListSnapshot>> {
+        self.shared.list.load_full()
+    }
+
+    /// Publishes the VM list with the reading that brought it.
+    pub fn publish_list(&self, snapshot: handle::ListSnapshot) {
+        self.shared.list.store(Some(sync::Arc::new(snapshot)));
+    }
+
     /// Returns the newest evidence of each VM of this data centre.
     pub fn evidence(&self) -> sync::Arc<collections::BTreeMap<ids::VmName, health::VmEvidence>> {
         self.shared.evidence.load_full()
--- /dev/null
+++ b/crates/pier_node/src/peers/list_copy.rs
@@ -0,0 +1,79 @@
+//! Whole VM lists that nodes give one another, over the connection of forwarded requests.
+
+use std::{net, time};
+
+use anyhow::Context as _;
+use pier_limits::relays;
+use pier_types::{times, vms};
+use serde::{Deserialize, Serialize};
+
+use crate::{callers, forwards, handle};
+
+/// Path that asks for a copy; callers can not reach it.
+const COPY_PATH: &str = "/peer/vms";
+
+/// Bound on one copy's way.
+const COPY_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+
+/// A node's list with the ages of its reading; they bound it as those of a note do.
+#[derive(Debug, Serialize, Deserialize)]
+struct ListCopy {
+    oldest_us: u64,
+    youngest_us: u64,
+    entries: Vec<vms::VmEntry>,
+}
+
+/// Answers a peer's question for the VM list; none if the request asks for something else.
+pub(crate) fn answer_list(
+    handle: &handle::NodeHandle,
+    request: &callers::CallerRequest,
+    now: times::BootTime,
+) -> Option<callers::CallerReply> {
+    if request.path != COPY_PATH {
+        return None;
+    }
+    let kind = "application/json";
+    let Some(snapshot) = handle.list_snapshot() else {
+        return Some(callers::CallerReply::whole(404, kind, "null".into()));
+    };
+    let copy = ListCopy {
+        oldest_us: micros(now.since(snapshot.span.from)),
+        youngest_us: micros(now.since(snapshot.span.to)),
+        entries: snapshot.list.values().cloned().collect(),
+    };
+    let body = serde_json::to_vec(&copy).unwrap_or_default();
+    Some(callers::CallerReply::whole(200, kind, body.into()))
+}
+
+/// Asks the node at an address for its list.
+///
+/// # Errors
+///
+/// Fails when the node can not be reached in time or has no list.
+pub(super) async fn ask_peer(
+    handle: &handle::NodeHandle,
+    address: net::SocketAddr,
+) -> anyhow::Result<relays::ReadingOutcome> {
+    let key = handle.settings().peer_key.parse()?;
+    let client = forwards::ForwardClient::new(key, handle.name().clone(), handle.instance());
+    let question = forwards::peer_question(COPY_PATH.to_owned(), COPY_TIMEOUT)?;
+    let asking = client.send(address, question, &[]);
+    let reply = tokio::time::timeout(COPY_TIMEOUT, asking).await;
+    let reply = reply.context("no copy in time")?;
+    let reply = reply.map_err(|error| anyhow::anyhow!("{error:?}"))?;
+    anyhow::ensure!(reply.status == 200, "the peer has no VM list");
+    let callers::ReplyBody::Whole(body) = reply.body else {
+        anyhow::bail!("the copy is no whole answer");
+    };
+    let copy: ListCopy = serde_json::from_slice(&body)?;
+    let entries = copy.entries.into_iter();
+    Ok(relays::ReadingOutcome::Copied {
+        list: entries.map(|entry| (entry.name.clone(), entry)).collect(),
+        oldest: time::Duration::from_micros(copy.oldest_us),
+        youngest: time::Duration::from_micros(copy.youngest_us),
+    })
+}
+
+fn micros(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/pier_node/src/peers/list_driver.rs
+++ b/crates/pier_node/src/peers/list_driver.rs
@@ -1,6 +1,6 @@
 //! Keeps the VM list of the data centre, by the lease holder's readings or by own ones.
 
-use std::time;
+use std::{net, time};
 
 use pier_limits::relays;
 use pier_types::{ids, times};
@@ -40,8 +40,11 @@
     /// Reads the platform when that is due.
     pub(super) fn tick(&mut self, now: times::BootTime) {
         if self.relay.is_reading_due(self.duty(now), now) {
-            let tag = self.relay.start_reading(now);
-            list_call::make(&self.handle, &self.outcomes, tag);
+            let source = list_call::ListSource {
+                peer: self.reader_address().filter(|_| self.relay.is_behind()),
+                known_tag: self.relay.start_reading(now),
+            };
+            list_call::make(&self.handle, &self.outcomes, source);
         }
     }
 
@@ -49,7 +52,9 @@
     pub(super) fn take_outcome(&mut self, outcome: list_call::ListOutcome, now: times::BootTime) {
         self.report_away(&outcome);
         let outcome = match outcome {
-            list_call::ListOutcome::Read(outcome) => outcome,
+            list_call::ListOutcome::Read(outcome) | list_call::ListOutcome::Copied(outcome) => {
+                outcome
+            }
             list_call::ListOutcome::Away(_) => relays::ReadingOutcome::Failed,
         };
         let event = self.relay.end_reading(outcome, now);
@@ -110,11 +115,21 @@
             relays::RelayEvent::Confirmed | relays::RelayEvent::Ignored => {}
         }
         // A reading by the node that reads for all is word of the platform as well.
-        if let Some(seen_at) = self.relay.seen_at() {
-            self.handle.note_platform(seen_at);
+        if let (Some(list), Some(span)) = (self.relay.list(), self.relay.span()) {
+            self.handle.note_platform(span.from);
+            self.handle
+                .publish_list(handle::ListSnapshot { list, span });
         }
     }
 
+    /// Returns where the node that reads for all is reached.
+    fn reader_address(&self) -> Option<net::SocketAddr> {
+        let lease = self.handle.lease()?;
+        let peers = self.handle.peers();
+        let reader = peers.iter().find(|peer| peer.node == lease.record.holder);
+        reader.map(|reader| reader.address)
+    }
+
     fn report_away(&mut self, outcome: &list_call::ListOutcome) {
         match outcome {
             list_call::ListOutcome::Read(_) if self.is_away => {
--- a/crates/pier_node/src/peers/mod.rs
+++ b/crates/pier_node/src/peers/mod.rs
@@ -8,6 +8,7 @@
 mod datagram_refusals;
 mod known_target;
 mod list_call;
+mod list_copy;
 mod list_driver;
 mod peer_loop;
 mod peer_mail;
@@ -18,5 +19,7 @@
 pub use peer_loop::PeerLoop;
 pub use peer_socket::PeerSocket;
 
+pub(crate) use list_copy::answer_list;
+
 use datagram_refusals::DatagramRefusals;
 use list_driver::ListDriver;
--- a/crates/pier_node/tests/peers_and_probes.rs
+++ b/crates/pier_node/tests/peers_and_probes/node_peers.rs
@@ -1,130 +1,13 @@
-//! Nodes over real sockets: they find each other, share probe results and limits, and
-//! ignore bad datagrams.
+//! Nodes that find each other, and what they tell each other.
 
-use std::{collections, net, time};
-
-use pier_control::leases;
-use pier_node::{configs, forwards, handle, peers, settings, telemetry};
+use pier_node::handle;
 use pier_request::quarantine;
-use pier_types::{epochs, ids, reports, routes, sizes, times, vms};
+use pier_types::{epochs, ids, routes, vms};
 use pier_wire::{messages, seals};
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-
-const KEY: &str = "0123456789abcdef0123456789abcdef";
-
-/// Longest wait for something that has to come; far above what it takes.
-const PATIENCE: time::Duration = time::Duration::from_mins(1);
-
-struct TestNode {
-    handle: handle::NodeHandle,
-    address: net::SocketAddr,
-}
 
-async fn start_node(number: u32, seeds: &[net::SocketAddr]) -> TestNode {
-    let seeds = seeds.iter().map(ToString::to_string).collect::<Vec<_>>();
-    let text = format!(
-        "[node]\ndata-centre = scot-central-a\nregion = scot-central\ncallers = 127.0.0.1:0\n\
-         operators = 127.0.0.1:0\npeers = 127.0.0.1:0\npeer-key = {KEY}\nseeds = {}\n\
-         [platform]\nurl = http://127.0.0.1:9\n",
-        seeds.join(",")
-    );
-    let settings = settings::NodeSettings::parse(&text).unwrap();
-    let name = format!("mvd-a-{number}").parse::<ids::NodeName>().unwrap();
-    let client = reqwest::Client::builder().no_proxy().build().unwrap();
-    let traces = telemetry::TraceSink::open(None).unwrap();
-    let handle = handle::NodeHandle::new(name.clone(), settings, client, traces).unwrap();
-    let forwards = forwards::ForwardClient::new(KEY.parse().unwrap(), name, handle.instance());
-    let inbox = configs::ConfigLoop::spawn(handle.clone(), forwards);
-    let socket = peers::PeerSocket::bind("127.0.0.1:0".parse().unwrap())
-        .await
-        .unwrap();
-    let address = socket.address();
-    peers::PeerLoop::spawn(handle.clone(), socket, inbox).unwrap();
-    TestNode { handle, address }
-}
-
-async fn start_nodes(count: u32) -> Vec<TestNode> {
-    let mut nodes = vec![start_node(0, &[]).await];
-    for number in 1..count {
-        let seed = nodes[0].address;
-        nodes.push(start_node(number, &[seed]).await);
-    }
-    nodes
-}
-
-/// A VM that answers each connection with a report, until its task is ended.
-struct TestVm {
-    entry: vms::VmEntry,
-    task: tokio::task::JoinHandle<()>,
-}
-
-async fn start_vm(number: u32) -> TestVm {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let name = format!("vm-{number}").parse::<ids::VmName>().unwrap();
-    let entry = vms::VmEntry {
-        name: name.clone(),
-        incarnation: epochs::VmIncarnation::new(1),
-        address: listener.local_addr().unwrap(),
-        data_centre: "scot-central-a".parse().unwrap(),
-        domain: "d1".parse().unwrap(),
-        pool: vms::VmPool::Accelerator,
-        state: vms::VmState::Live,
-    };
-    let report = serde_json::to_string(&reports::EngineReport {
-        vm: name,
-        incarnation: epochs::VmIncarnation::new(1),
-        group: None,
-        generation: epochs::GroupGeneration::new(0),
-        model: None,
-        state: reports::EngineState::Warm,
-        running: sizes::RequestCount::new(number),
-        queued: sizes::RequestCount::new(0),
-    })
-    .unwrap();
-    let answer = format!(
-        "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\
-         connection: close\r\n\r\n{report}",
-        report.len()
-    );
-    let task = tokio::spawn(async move {
-        loop {
-            let (mut stream, _source) = listener.accept().await.unwrap();
-            let mut request = [0; 1_024];
-            let _read = stream.read(&mut request).await;
-            let _written = stream.write_all(answer.as_bytes()).await;
-        }
-    });
-    TestVm { entry, task }
-}
-
-async fn start_vms(count: u32, nodes: &[TestNode]) -> Vec<TestVm> {
-    let mut started = Vec::new();
-    for number in 0..count {
-        started.push(start_vm(number).await);
-    }
-    publish_vms(&started, nodes);
-    started
-}
-
-fn publish_vms(started: &[TestVm], nodes: &[TestNode]) {
-    let list = started
-        .iter()
-        .map(|vm| (vm.entry.name.clone(), vm.entry.clone()));
-    let list = list.collect::<collections::BTreeMap<_, _>>();
-    for node in nodes {
-        node.handle.publish_vms(list.clone());
-    }
-}
-
-async fn wait_for(what: &str, reached: impl Fn() -> bool) {
-    let waiting = async {
-        while !reached() {
-            tokio::time::sleep(time::Duration::from_millis(20)).await;
-        }
-    };
-    let reached = tokio::time::timeout(PATIENCE, waiting).await;
-    assert!(reached.is_ok(), "never reached: {what}");
-}
+use crate::peer_bench::{
+    KEY, TestNode, publish_lease, publish_vms, start_node, start_nodes, start_vms, wait_for,
+};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn nodes_find_each_other_and_see_every_vm_and_a_dead_one_go() {
@@ -228,36 +111,6 @@
     .await;
 }
 
-const DOCUMENT: &str = include_str!("../../../examples/laurel-north.ini");
-
-/// Publishes the configuration and a lease that the first node holds.
-fn publish_lease(nodes: &[TestNode], term: u64) {
-    let slots = (0..)
-        .zip(nodes)
-        .map(|(slot, node)| (slot, node.handle.name().clone()));
-    let record = leases::LeaseRecord {
-        holder: nodes[0].handle.name().clone(),
-        term: epochs::LeaseTerm::new(term),
-        nonce: ids::LeaseNonce::new(term.into()),
-        duration_ms: 60_000,
-        roster: leases::NodeRoster {
-            slots: slots.collect(),
-        },
-    };
-    for (index, node) in nodes.iter().enumerate() {
-        node.handle.publish_config(handle::ConfigSnapshot {
-            version: epochs::ConfigVersion::new(1),
-            document: DOCUMENT.parse().unwrap(),
-            text: DOCUMENT.to_owned(),
-        });
-        let until = times::clocks::boot_now().after(PATIENCE);
-        node.handle.publish_lease(handle::LeaseSnapshot {
-            record: record.clone(),
-            held_until: (index == 0).then_some(until),
-        });
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn nodes_share_a_limit_and_never_hold_more_than_the_pool() {
     let nodes = start_nodes(2).await;
--- a/crates/pier_wire/tests/round_trips.rs
+++ b/crates/pier_wire/tests/round_trips.rs
@@ -137,11 +137,11 @@
     let place = results.iter().position(|one| one.vm.as_str() == "vm-7");
     let place = place.unwrap();
     for (number, change) in changes.iter().enumerate() {
-        let mut changed = results.clone();
-        let mut report = changed[place].outcome.clone().unwrap();
-        change(&mut changed[place], &mut report);
-        changed[place].outcome = Ok(report);
-        assert_ne!(digest(&changed), digest(&results), "change {number}");
+        let mut other = results.clone();
+        let mut report = other[place].outcome.clone().unwrap();
+        change(&mut other[place], &mut report);
+        other[place].outcome = Ok(report);
+        assert_ne!(digest(&other), digest(&results), "change {number}");
     }
     let mut failed = results.clone();
     failed[place].outcome = Err(messages::ProbeFailure::Refused);
