Split the member table and the relay by job

What a table tells, whom it gossips with, the list in force and the pulls under way stand in files of their own.

--- /dev/null
+++ b/crates/pier_limits/src/members/member_gossip.rs
@@ -0,0 +1,103 @@
+//! Whom a member table gossips with, and of whom.
+
+use std::{collections, net};
+
+use pier_types::{ids, times};
+use pier_wire::messages;
+
+use crate::{hashing, members};
+
+impl members::MemberTable {
+    /// Returns the nodes of the own data centre that speak across, as this node sees it.
+    pub fn delegates(&self, now: times::BootTime) -> collections::BTreeSet<ids::NodeName> {
+        let peers = self.live(&self.own.data_centre, now);
+        let mut scored = peers
+            .filter(|record| !record.entry.beat.draining)
+            .map(|record| &record.entry.node)
+            .chain([&self.own.node])
+            .map(|node| {
+                (
+                    hashing::score(b"delegate", node.as_str().as_bytes()),
+                    node.clone(),
+                )
+            })
+            .collect::<Vec<_>>();
+        scored.sort_unstable_by(|one, two| two.cmp(one));
+        scored.truncate(self.policy.delegates);
+        scored.into_iter().map(|(_, node)| node).collect()
+    }
+
+    /// Plans one round: a few peers, a delegate's partners across, and one of the `seeds`, which
+    /// are the addresses from the settings; other ones in each round.
+    pub fn gossip(
+        &mut self,
+        seeds: &[net::SocketAddr],
+        now: times::BootTime,
+    ) -> members::GossipPlan {
+        self.round = self.round.wrapping_add(1);
+        let (near, far) = self
+            .records
+            .values()
+            .partition::<Vec<_>, _>(|record| record.entry.data_centre == self.own.data_centre);
+        let fanout = self.policy.fanout;
+        let mut receivers = self.addresses(&near, "near", fanout);
+        if self.delegates(now).contains(&self.own.node) {
+            receivers.extend(self.addresses(&far, "far", fanout));
+        }
+        receivers.extend(choose(seeds, &self.seed("seed"), self.round, 1));
+        receivers.remove(&self.own.address);
+        members::GossipPlan {
+            receivers,
+            entries: self.sample(now),
+        }
+    }
+
+    fn addresses(
+        &self,
+        records: &[&members::MemberRecord],
+        purpose: &str,
+        count: usize,
+    ) -> collections::BTreeSet<net::SocketAddr> {
+        let chosen = choose(records, &self.seed(purpose), self.round, count);
+        chosen
+            .into_iter()
+            .map(|record| record.entry.address)
+            .collect()
+    }
+
+    /// Returns the own entry and some of other live nodes.
+    fn sample(&self, now: times::BootTime) -> Vec<messages::MemberEntry> {
+        let known = self
+            .records
+            .values()
+            .filter(|record| record.health(&self.policy, now) == members::MemberHealth::Alive)
+            .collect::<Vec<_>>();
+        let chosen = choose(&known, &self.seed("entry"), self.round, self.policy.sample);
+        let others = chosen.into_iter().map(|record| record.entry.clone());
+        [self.own.clone()].into_iter().chain(others).collect()
+    }
+
+    fn seed(&self, purpose: &str) -> Vec<u8> {
+        [purpose.as_bytes(), self.own.node.as_str().as_bytes()].concat()
+    }
+}
+
+/// Takes a few items, other ones in each round.
+///
+/// The choice hashes the seed, the round and the place, so that receivers and entries are chosen
+/// independently of each other. Turns of fixed length would send a receiver the same entries
+/// each time.
+fn choose<T: Copy>(items: &[T], seed: &[u8], round: usize, count: usize) -> Vec<T> {
+    let mut scored = items
+        .iter()
+        .enumerate()
+        .map(|(place, item)| (hashing::score(seed, &mixed(round, place)), *item))
+        .collect::<Vec<_>>();
+    scored.sort_unstable_by_key(|(score, _)| *score);
+    scored.truncate(count);
+    scored.into_iter().map(|(_, item)| item).collect()
+}
+
+fn mixed(round: usize, place: usize) -> Vec<u8> {
+    [round.to_le_bytes(), place.to_le_bytes()].concat()
+}
--- a/crates/pier_limits/src/members/member_table.rs
+++ b/crates/pier_limits/src/members/member_table.rs
@@ -1,11 +1,11 @@
 //! The nodes that this node knows.
 
-use std::{collections, net};
+use std::collections;
 
 use pier_types::{epochs, ids, times};
 use pier_wire::{messages, seals};
 
-use crate::{hashing, members};
+use crate::members;
 
 /// Heartbeats after which a peer is sent the whole entry again, in case that it forgot this node.
 const GREETING_PERIOD: u64 = 10;
@@ -38,11 +38,11 @@
 /// ```
 #[derive(Debug)]
 pub struct MemberTable {
-    own: messages::MemberEntry,
-    policy: members::MemberPolicy,
-    records: collections::BTreeMap<ids::NodeName, members::MemberRecord>,
+    pub(super) own: messages::MemberEntry,
+    pub(super) policy: members::MemberPolicy,
+    pub(super) records: collections::BTreeMap<ids::NodeName, members::MemberRecord>,
     tombstones: members::TombstoneList,
-    round: usize,
+    pub(super) round: usize,
 }
 
 impl MemberTable {
@@ -132,147 +132,6 @@
         self.tombstones.expire(now);
     }
 
-    /// Returns every known node with its health, this node left out.
-    pub fn views(
-        &self,
-        now: times::BootTime,
-    ) -> Vec<(&messages::MemberEntry, members::MemberHealth)> {
-        self.records
-            .values()
-            .map(|record| (&record.entry, record.health(&self.policy, now)))
-            .collect()
-    }
-
-    /// Returns the live nodes of the own data centre, this node left out.
-    pub fn live_peers(
-        &self,
-        now: times::BootTime,
-    ) -> collections::BTreeMap<ids::NodeName, messages::MemberEntry> {
-        self.live(&self.own.data_centre, now)
-            .map(|record| (record.entry.node.clone(), record.entry.clone()))
-            .collect()
-    }
-
-    /// Returns the live, not draining nodes of a data centre from which datagrams came directly;
-    /// requests are forwarded only to these.
-    pub fn forward_peers(
-        &self,
-        data_centre: &ids::DataCentreName,
-        now: times::BootTime,
-    ) -> Vec<messages::MemberEntry> {
-        let direct = |record: &&members::MemberRecord| {
-            record
-                .direct_at
-                .is_some_and(|at| now.since(at) <= self.policy.suspect_after)
-        };
-        self.live(data_centre, now)
-            .filter(direct)
-            .filter(|record| !record.entry.beat.draining)
-            .map(|record| record.entry.clone())
-            .collect()
-    }
-
-    /// Returns when a node of the own data centre was last heard directly.
-    pub fn peer_heard_at(&self) -> Option<times::BootTime> {
-        self.records
-            .values()
-            .filter(|record| record.entry.data_centre == self.own.data_centre)
-            .filter_map(|record| record.direct_at)
-            .max()
-    }
-
-    /// Returns the highest configuration version that any node has told of.
-    pub fn highest_config(&self) -> epochs::ConfigVersion {
-        self.records
-            .values()
-            .map(|record| record.entry.beat.config)
-            .fold(self.own.beat.config, epochs::ConfigVersion::max)
-    }
-
-    /// Returns the nodes of the own data centre that speak across, as this node sees it.
-    pub fn delegates(&self, now: times::BootTime) -> collections::BTreeSet<ids::NodeName> {
-        let peers = self.live(&self.own.data_centre, now);
-        let mut scored = peers
-            .filter(|record| !record.entry.beat.draining)
-            .map(|record| &record.entry.node)
-            .chain([&self.own.node])
-            .map(|node| {
-                (
-                    hashing::score(b"delegate", node.as_str().as_bytes()),
-                    node.clone(),
-                )
-            })
-            .collect::<Vec<_>>();
-        scored.sort_unstable_by(|one, two| two.cmp(one));
-        scored.truncate(self.policy.delegates);
-        scored.into_iter().map(|(_, node)| node).collect()
-    }
-
-    /// Plans one round: a few peers, a delegate's partners across, and one of the `seeds`, which
-    /// are the addresses from the settings; other ones in each round.
-    pub fn gossip(
-        &mut self,
-        seeds: &[net::SocketAddr],
-        now: times::BootTime,
-    ) -> members::GossipPlan {
-        self.round = self.round.wrapping_add(1);
-        let (near, far) = self
-            .records
-            .values()
-            .partition::<Vec<_>, _>(|record| record.entry.data_centre == self.own.data_centre);
-        let fanout = self.policy.fanout;
-        let mut receivers = self.addresses(&near, "near", fanout);
-        if self.delegates(now).contains(&self.own.node) {
-            receivers.extend(self.addresses(&far, "far", fanout));
-        }
-        receivers.extend(choose(seeds, &self.seed("seed"), self.round, 1));
-        receivers.remove(&self.own.address);
-        members::GossipPlan {
-            receivers,
-            entries: self.sample(now),
-        }
-    }
-
-    fn addresses(
-        &self,
-        records: &[&members::MemberRecord],
-        purpose: &str,
-        count: usize,
-    ) -> collections::BTreeSet<net::SocketAddr> {
-        let chosen = choose(records, &self.seed(purpose), self.round, count);
-        chosen
-            .into_iter()
-            .map(|record| record.entry.address)
-            .collect()
-    }
-
-    /// Returns the own entry and some of other live nodes.
-    fn sample(&self, now: times::BootTime) -> Vec<messages::MemberEntry> {
-        let known = self
-            .records
-            .values()
-            .filter(|record| record.health(&self.policy, now) == members::MemberHealth::Alive)
-            .collect::<Vec<_>>();
-        let chosen = choose(&known, &self.seed("entry"), self.round, self.policy.sample);
-        let others = chosen.into_iter().map(|record| record.entry.clone());
-        [self.own.clone()].into_iter().chain(others).collect()
-    }
-
-    fn seed(&self, purpose: &str) -> Vec<u8> {
-        [purpose.as_bytes(), self.own.node.as_str().as_bytes()].concat()
-    }
-
-    fn live(
-        &self,
-        data_centre: &ids::DataCentreName,
-        now: times::BootTime,
-    ) -> impl Iterator<Item = &members::MemberRecord> {
-        self.records.values().filter(move |record| {
-            record.entry.data_centre == *data_centre
-                && record.health(&self.policy, now) == members::MemberHealth::Alive
-        })
-    }
-
     fn hear_entry(&mut self, entry: messages::MemberEntry, direct: bool, now: times::BootTime) {
         if entry.node == self.own.node || self.tombstones.covers(&entry) {
             return;
@@ -343,23 +202,3 @@
         record.heard_at = now;
     }
 }
-
-/// Takes a few items, other ones in each round.
-///
-/// The choice hashes the seed, the round and the place, so that receivers and entries are chosen
-/// independently of each other. Turns of fixed length would send a receiver the same entries
-/// each time.
-fn choose<T: Copy>(items: &[T], seed: &[u8], round: usize, count: usize) -> Vec<T> {
-    let mut scored = items
-        .iter()
-        .enumerate()
-        .map(|(place, item)| (hashing::score(seed, &mixed(round, place)), *item))
-        .collect::<Vec<_>>();
-    scored.sort_unstable_by_key(|(score, _)| *score);
-    scored.truncate(count);
-    scored.into_iter().map(|(_, item)| item).collect()
-}
-
-fn mixed(round: usize, place: usize) -> Vec<u8> {
-    [round.to_le_bytes(), place.to_le_bytes()].concat()
-}
--- a/crates/pier_limits/src/members/mod.rs
+++ b/crates/pier_limits/src/members/mod.rs
@@ -7,10 +7,12 @@
 mod isolation_facts;
 mod isolation_policy;
 mod isolation_stance;
+mod member_gossip;
 mod member_health;
 mod member_policy;
 mod member_record;
 mod member_table;
+mod member_views;
 mod tombstone_list;
 
 pub use gossip_plan::GossipPlan;
--- /dev/null
+++ b/crates/pier_limits/src/relays/held_list.rs
@@ -0,0 +1,118 @@
+//! The VM list in force.
+
+use std::sync;
+
+use pier_wire::messages;
+
+use crate::relays;
+
+/// Holds the list in force, when it was read, and what led to it.
+#[derive(Debug)]
+pub(crate) struct HeldList {
+    present: Option<PresentList>,
+    history: relays::ListHistory,
+}
+
+#[derive(Debug)]
+struct PresentList {
+    list: sync::Arc<relays::VmMap>,
+    digest: messages::ListDigest,
+    span: relays::ReadingSpan,
+}
+
+impl HeldList {
+    /// Creates a holder without a list.
+    pub(crate) const fn new() -> Self {
+        Self {
+            present: None,
+            history: relays::ListHistory::new(),
+        }
+    }
+
+    /// Returns the list.
+    pub(crate) fn list(&self) -> Option<&sync::Arc<relays::VmMap>> {
+        self.present.as_ref().map(|present| &present.list)
+    }
+
+    /// Returns the list's digest.
+    pub(crate) fn digest(&self) -> Option<messages::ListDigest> {
+        self.present.as_ref().map(|present| present.digest)
+    }
+
+    /// Returns when the list was read.
+    pub(crate) fn span(&self) -> Option<relays::ReadingSpan> {
+        self.present.as_ref().map(|present| present.span)
+    }
+
+    /// Tells whether a reading certainly came after all that brought the list.
+    pub(crate) fn is_followed_by(&self, span: relays::ReadingSpan) -> bool {
+        self.span().is_none_or(|present| span.follows(present))
+    }
+
+    /// Returns how the list differs from another one; none without a list.
+    pub(crate) fn difference(
+        &self,
+        known: Option<messages::ListDigest>,
+    ) -> Option<messages::NoteBody> {
+        let present = self.present.as_ref()?;
+        let Some(known) = known else {
+            return Some(messages::NoteBody::Behind);
+        };
+        if known == present.digest {
+            return Some(messages::NoteBody::Same);
+        }
+        let changes = self.history.changes_since(known, &present.list);
+        let digest = present.digest;
+        Some(changes.map_or(messages::NoteBody::Behind, |changes| {
+            messages::NoteBody::Changes { digest, changes }
+        }))
+    }
+
+    /// Returns the list after changes; none without a list.
+    pub(crate) fn changed_by(&self, changes: Vec<messages::ListChange>) -> Option<relays::VmMap> {
+        let mut list = self.list()?.as_ref().clone();
+        for change in changes {
+            match change {
+                messages::ListChange::Put(entry) => list.insert(entry.name.clone(), entry),
+                messages::ListChange::Gone(vm) => list.remove(&vm),
+            };
+        }
+        Some(list)
+    }
+
+    /// Puts another list in force if it certainly was read later.
+    pub(crate) fn replace(
+        &mut self,
+        list: relays::VmMap,
+        span: relays::ReadingSpan,
+    ) -> relays::RelayEvent {
+        let digest = messages::ListDigest::of(list.values());
+        if self.digest() == Some(digest) {
+            return self.confirm(span);
+        }
+        if !self.is_followed_by(span) {
+            return relays::RelayEvent::Ignored;
+        }
+        if let Some(present) = &self.present {
+            self.history.record(present.digest, &present.list, &list);
+        }
+        self.present = Some(PresentList {
+            list: sync::Arc::new(list),
+            digest,
+            span,
+        });
+        relays::RelayEvent::Changed
+    }
+
+    /// Notes that a reading brought the list in force once more.
+    pub(crate) fn confirm(&mut self, span: relays::ReadingSpan) -> relays::RelayEvent {
+        let Some(present) = &mut self.present else {
+            return relays::RelayEvent::Ignored;
+        };
+        if span.from <= present.span.from {
+            return relays::RelayEvent::Ignored;
+        }
+        present.span = present.span.joined(span);
+        relays::RelayEvent::Confirmed
+    }
+}
--- /dev/null
+++ b/crates/pier_limits/src/relays/list_pulls.rs
@@ -0,0 +1,68 @@
+//! Pulls of the VM list whose notes are awaited.
+
+use std::collections;
+
+use pier_types::{ids, times};
+use pier_wire::messages;
+
+/// Pulls whose notes are still awaited.
+const OPEN_PULLS: usize = 8;
+
+/// Numbers pulls and knows whom each went to.
+#[derive(Debug)]
+pub(crate) struct ListPulls {
+    last: u64,
+    open: collections::BTreeMap<u64, OpenPull>,
+}
+
+/// A pull whose note is awaited.
+#[derive(Debug)]
+pub(crate) struct OpenPull {
+    reader: ids::NodeName,
+    /// When it was sent.
+    pub(crate) asked_at: times::BootTime,
+    /// The list that the note will speak of.
+    pub(crate) known: Option<messages::ListDigest>,
+}
+
+impl ListPulls {
+    /// Creates a plan without pulls.
+    pub(crate) const fn new() -> Self {
+        Self {
+            last: 0,
+            open: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Makes a pull.
+    pub(crate) fn open(
+        &mut self,
+        reader: &ids::NodeName,
+        known: Option<messages::ListDigest>,
+        now: times::BootTime,
+    ) -> messages::ListPull {
+        self.last += 1;
+        let open = OpenPull {
+            reader: reader.clone(),
+            asked_at: now,
+            known,
+        };
+        self.open.insert(self.last, open);
+        while self.open.len() > OPEN_PULLS {
+            self.open.pop_first();
+        }
+        messages::ListPull {
+            pull: self.last,
+            known,
+        }
+    }
+
+    /// Returns the pull that a node's note answers, and forgets it, so that no note counts twice.
+    pub(crate) fn close(&mut self, sender: &ids::NodeName, pull: u64) -> Option<OpenPull> {
+        let open = self.open.get(&pull)?;
+        if open.reader != *sender {
+            return None;
+        }
+        self.open.remove(&pull)
+    }
+}
--- a/crates/pier_limits/src/relays/vm_relay.rs
+++ b/crates/pier_limits/src/relays/vm_relay.rs
@@ -1,6 +1,6 @@
 //! Keeps one node's VM list up to date, by others or by its own readings.
 
-use std::{collections, sync, time};
+use std::{sync, time};
 
 use pier_types::{ids, times};
 use pier_wire::messages;
@@ -17,9 +17,6 @@
 /// delay is added.
 const RELAY_LIMIT: time::Duration = time::Duration::from_millis(2_200);
 
-/// Pulls whose notes are still awaited.
-const OPEN_PULLS: usize = 8;
-
 /// Decides when to read the platform, what to tell other nodes, and which list is in force.
 ///
 /// A list is replaced only by one that was read later. "Later" is told by this node's own clock
@@ -41,32 +38,17 @@
 #[derive(Debug)]
 pub struct VmRelay {
     delay: time::Duration,
-    held: Option<HeldList>,
-    history: relays::ListHistory,
+    held: relays::HeldList,
+    /// The platform's tag and the list that had it.
     tagged: Option<(String, messages::ListDigest)>,
+    /// When the reading under way was sent.
     reading_from: Option<times::BootTime>,
+    /// When the latest reading was sent.
     read_at: Option<times::BootTime>,
     /// The latest reading by another node that brought the list in force.
     relayed_from: Option<times::BootTime>,
     is_behind: bool,
-    last_pull: u64,
-    open_pulls: collections::BTreeMap<u64, OpenPull>,
-}
-
-/// A pull whose note is awaited.
-#[derive(Debug)]
-struct OpenPull {
-    reader: ids::NodeName,
-    asked_at: times::BootTime,
-    known: Option<messages::ListDigest>,
-}
-
-/// The list in force.
-#[derive(Debug)]
-struct HeldList {
-    list: sync::Arc<relays::VmMap>,
-    digest: messages::ListDigest,
-    span: relays::ReadingSpan,
+    pulls: relays::ListPulls,
 }
 
 impl VmRelay {
@@ -75,26 +57,24 @@
     pub const fn new(delay: time::Duration) -> Self {
         Self {
             delay,
-            held: None,
-            history: relays::ListHistory::new(),
+            held: relays::HeldList::new(),
             tagged: None,
             reading_from: None,
             read_at: None,
             relayed_from: None,
             is_behind: false,
-            last_pull: 0,
-            open_pulls: collections::BTreeMap::new(),
+            pulls: relays::ListPulls::new(),
         }
     }
 
     /// Returns the list in force.
     pub fn list(&self) -> Option<sync::Arc<relays::VmMap>> {
-        self.held.as_ref().map(|held| sync::Arc::clone(&held.list))
+        self.held.list().cloned()
     }
 
     /// Returns when the platform was read that brought the list in force.
     pub fn span(&self) -> Option<relays::ReadingSpan> {
-        self.held.as_ref().map(|held| held.span)
+        self.held.span()
     }
 
     /// Tells whether the reader has a newer list that it could not tell by changes; it is to be
@@ -123,11 +103,8 @@
         self.reading_from = Some(now);
         self.read_at = Some(now);
         self.is_behind = false;
-        let digest = self.digest()?;
-        let tagged = self.tagged.as_ref();
-        tagged
-            .filter(|(_tag, of)| *of == digest)
-            .map(|(tag, _of)| tag.clone())
+        let (tag, digest) = self.tagged.as_ref()?;
+        (self.held.digest() == Some(*digest)).then(|| tag.clone())
     }
 
     /// Takes in how the reading ended.
@@ -142,53 +119,25 @@
         let span = relays::ReadingSpan { from, to: now };
         match outcome {
             relays::ReadingOutcome::Failed => relays::RelayEvent::Ignored,
-            relays::ReadingOutcome::Unchanged => {
-                let tagged = self.tagged.as_ref().map(|(_tag, digest)| *digest);
-                if tagged == self.digest() {
-                    self.confirm(span)
-                } else {
-                    relays::RelayEvent::Ignored
-                }
-            }
-            relays::ReadingOutcome::Listed { list, tag } => {
-                let digest = messages::ListDigest::of(list.values());
-                let event = self.replace(list, digest, span);
-                if event != relays::RelayEvent::Ignored {
-                    self.tagged = tag.map(|tag| (tag, digest));
-                }
-                event
-            }
+            relays::ReadingOutcome::Unchanged => self.confirm_tagged(span),
+            relays::ReadingOutcome::Listed { list, tag } => self.take_listed(list, tag, span),
             relays::ReadingOutcome::Copied {
                 list,
                 oldest,
                 youngest,
             } => {
-                let digest = messages::ListDigest::of(list.values());
                 let span = relays::ReadingSpan {
                     from: from.before(oldest),
                     to: now.before(youngest),
                 };
-                self.replace(list, digest, span)
+                self.held.replace(list, span)
             }
         }
     }
 
     /// Makes a pull to the node that reads for all.
     pub fn pull(&mut self, reader: &ids::NodeName, now: times::BootTime) -> messages::ListPull {
-        self.last_pull += 1;
-        let open = OpenPull {
-            reader: reader.clone(),
-            asked_at: now,
-            known: self.digest(),
-        };
-        self.open_pulls.insert(self.last_pull, open);
-        while self.open_pulls.len() > OPEN_PULLS {
-            self.open_pulls.pop_first();
-        }
-        messages::ListPull {
-            pull: self.last_pull,
-            known: self.digest(),
-        }
+        self.pulls.open(reader, self.held.digest(), now)
     }
 
     /// Answers another node's pull; none while this node has no list.
@@ -197,12 +146,12 @@
         pull: messages::ListPull,
         now: times::BootTime,
     ) -> Option<messages::ListNote> {
-        let held = self.held.as_ref()?;
+        let span = self.held.span()?;
         let note = messages::ListNote {
             pull: pull.pull,
-            oldest_ms: to_millis(now.since(held.span.from) + ROUNDING),
-            youngest_ms: to_millis(now.since(held.span.to)),
-            body: self.difference(held, pull.known),
+            oldest_ms: to_millis(now.since(span.from) + ROUNDING),
+            youngest_ms: to_millis(now.since(span.to)),
+            body: self.held.difference(pull.known)?,
         };
         if messages::PeerMessage::ListNote(note.clone()).fits() {
             return Some(note);
@@ -218,11 +167,11 @@
         note: messages::ListNote,
         now: times::BootTime,
     ) -> relays::RelayEvent {
-        let Some(pull) = self.close_pull(sender, note.pull) else {
+        let Some(pull) = self.pulls.close(sender, note.pull) else {
             return relays::RelayEvent::Ignored;
         };
         // The note speaks of the list that was held when the pull was sent.
-        if pull.known != self.digest() {
+        if pull.known != self.held.digest() {
             return relays::RelayEvent::Ignored;
         }
         let span = relays::ReadingSpan {
@@ -233,50 +182,38 @@
             messages::NoteBody::Same => {
                 // Also when this node read later itself: it need not go on reading.
                 self.relayed_from = self.relayed_from.max(Some(span.from));
-                self.confirm(span)
+                self.held.confirm(span)
             }
             messages::NoteBody::Changes { digest, changes } => self.apply(digest, changes, span),
             messages::NoteBody::Behind => self.fall_behind(span),
         }
     }
 
-    fn digest(&self) -> Option<messages::ListDigest> {
-        self.held.as_ref().map(|held| held.digest)
-    }
-
     fn lacks_reader(&self, now: times::BootTime) -> bool {
         let limit = RELAY_LIMIT + self.delay;
         let is_old = |from| now.since(from) >= limit;
         self.is_behind || self.relayed_from.is_none_or(is_old)
     }
 
-    fn difference(
-        &self,
-        held: &HeldList,
-        known: Option<messages::ListDigest>,
-    ) -> messages::NoteBody {
-        let Some(known) = known else {
-            return messages::NoteBody::Behind;
-        };
-        if known == held.digest {
-            return messages::NoteBody::Same;
-        }
-        match self.history.changes_since(known, &held.list) {
-            Some(changes) => messages::NoteBody::Changes {
-                digest: held.digest,
-                changes,
-            },
-            None => messages::NoteBody::Behind,
+    fn confirm_tagged(&mut self, span: relays::ReadingSpan) -> relays::RelayEvent {
+        let tagged = self.tagged.as_ref().map(|(_tag, digest)| *digest);
+        if tagged != self.held.digest() {
+            return relays::RelayEvent::Ignored;
         }
+        self.held.confirm(span)
     }
 
-    /// Forgets a pull once it is answered, so that no note counts twice.
-    fn close_pull(&mut self, sender: &ids::NodeName, pull: u64) -> Option<OpenPull> {
-        let open = self.open_pulls.get(&pull)?;
-        if open.reader != *sender {
-            return None;
+    fn take_listed(
+        &mut self,
+        list: relays::VmMap,
+        tag: Option<String>,
+        span: relays::ReadingSpan,
+    ) -> relays::RelayEvent {
+        let event = self.held.replace(list, span);
+        if event != relays::RelayEvent::Ignored {
+            self.tagged = tag.zip(self.held.digest());
         }
-        self.open_pulls.remove(&pull)
+        event
     }
 
     fn apply(
@@ -285,21 +222,14 @@
         changes: Vec<messages::ListChange>,
         span: relays::ReadingSpan,
     ) -> relays::RelayEvent {
-        let Some(held) = &self.held else {
+        let Some(list) = self.held.changed_by(changes) else {
             return relays::RelayEvent::Ignored;
         };
-        let mut list = held.list.as_ref().clone();
-        for change in changes {
-            match change {
-                messages::ListChange::Put(entry) => list.insert(entry.name.clone(), entry),
-                messages::ListChange::Gone(vm) => list.remove(&vm),
-            };
-        }
         // Another history than the sender's, or a collision of digests.
         if messages::ListDigest::of(list.values()) != digest {
             return self.fall_behind(span);
         }
-        let event = self.replace(list, digest, span);
+        let event = self.held.replace(list, span);
         if event == relays::RelayEvent::Changed {
             self.relayed_from = Some(span.from);
         }
@@ -307,51 +237,12 @@
     }
 
     fn fall_behind(&mut self, span: relays::ReadingSpan) -> relays::RelayEvent {
-        let newer = self
-            .held
-            .as_ref()
-            .is_none_or(|held| span.follows(held.span));
-        if !newer {
+        if !self.held.is_followed_by(span) {
             return relays::RelayEvent::Ignored;
         }
         self.is_behind = true;
         relays::RelayEvent::Behind
     }
-
-    fn replace(
-        &mut self,
-        list: relays::VmMap,
-        digest: messages::ListDigest,
-        span: relays::ReadingSpan,
-    ) -> relays::RelayEvent {
-        if let Some(held) = &self.held {
-            if held.digest == digest {
-                return self.confirm(span);
-            }
-            if !span.follows(held.span) {
-                return relays::RelayEvent::Ignored;
-            }
-            self.history.record(held.digest, &held.list, &list);
-        }
-        self.held = Some(HeldList {
-            list: sync::Arc::new(list),
-            digest,
-            span,
-        });
-        relays::RelayEvent::Changed
-    }
-
-    /// Notes that a reading brought the list in force once more.
-    fn confirm(&mut self, span: relays::ReadingSpan) -> relays::RelayEvent {
-        let Some(held) = &mut self.held else {
-            return relays::RelayEvent::Ignored;
-        };
-        if span.from <= held.span.from {
-            return relays::RelayEvent::Ignored;
-        }
-        held.span = held.span.joined(span);
-        relays::RelayEvent::Confirmed
-    }
 }
 
 /// Added before cutting to whole milliseconds, so that an age is rounded up.
