--- a/crates/pier_limits/examples/membership_cost/cost_node.rs
+++ b/crates/pier_limits/examples/membership_cost/cost_node.rs
@@ -3,7 +3,7 @@
 use std::{collections, time};
 
 use pier_limits::{members, probes, relays, shares};
-use pier_types::{epochs, ids, sizes, times};
+use pier_types::{epochs, ids, times};
 use pier_wire::{messages, seals};
 
 use crate::{Fault, cost_inputs, sent_bytes};
@@ -15,18 +15,18 @@
 pub struct CostNode {
     name: ids::NodeName,
     sealer: seals::DatagramSealer,
-    opener: seals::DatagramOpener,
-    table: members::MemberTable,
+    pub(super) opener: seals::DatagramOpener,
+    pub(super) table: members::MemberTable,
     schedule: probes::ProbeSchedule,
     plan: probes::ProbePlan,
-    pulls: probes::PullPlan,
+    pub(super) pulls: probes::PullPlan,
     /// What it knows of each VM.
     pub board: probes::EvidenceBoard,
-    duties: collections::BTreeMap<ids::VmName, usize>,
-    names: collections::BTreeMap<messages::VmKey, ids::VmName>,
-    holding: shares::ShareHolding,
-    ledger: Option<shares::ShareLedger>,
-    relay: relays::VmRelay,
+    pub(super) duties: collections::BTreeMap<ids::VmName, usize>,
+    pub(super) names: collections::BTreeMap<messages::VmKey, ids::VmName>,
+    pub(super) holding: shares::ShareHolding,
+    pub(super) ledger: Option<shares::ShareLedger>,
+    pub(super) relay: relays::VmRelay,
     /// What it sent.
     pub sent: sent_bytes::SentBytes,
     /// Readings of the platform's VM list.
@@ -193,99 +193,10 @@
         Ok(sealed)
     }
 
-    /// Takes in a datagram; returns the replies, which go back together.
-    pub fn receive(
+    pub(super) fn seal(
         &mut self,
-        datagram: &[u8],
-        now: times::BootTime,
+        messages: Vec<messages::PeerMessage>,
     ) -> Result<Vec<Vec<u8>>, Fault> {
-        let opened = self.opener.open(datagram, now)?;
-        let mut replies = Vec::new();
-        for message in opened.messages {
-            match message {
-                messages::PeerMessage::Beat(beat) => {
-                    self.table
-                        .hear_beat(&opened.sender, opened.instance, beat, now);
-                }
-                messages::PeerMessage::Members(entries) => {
-                    self.table.hear_entries(&opened.sender, entries, now);
-                }
-                messages::PeerMessage::ProbePull(pull) => replies.push(self.answer(&pull, now)),
-                messages::PeerMessage::LoadBatch(loads) => {
-                    if let Some(batch) = self.pulls.complete(&opened.sender, &loads) {
-                        self.take_batch(&opened.sender, &batch);
-                    }
-                }
-                messages::PeerMessage::ProbeBatch(batch) => {
-                    self.pulls.remember(&opened.sender, &batch);
-                    self.take_batch(&opened.sender, &batch);
-                }
-                messages::PeerMessage::ShareAsk(ask) => {
-                    replies.extend(self.lend(&opened.sender, &ask, now)?);
-                }
-                messages::PeerMessage::ShareGrant(grant) => self.holding.take(&grant),
-                messages::PeerMessage::ListPull(pull) => {
-                    let note = self.relay.answer(pull, now);
-                    replies.extend(note.map(messages::PeerMessage::ListNote));
-                }
-                messages::PeerMessage::ListNote(note) => {
-                    self.relay.take(&opened.sender, note, now);
-                }
-                messages::PeerMessage::Crashes(_) | messages::PeerMessage::ConfigHint(_) => {}
-            }
-        }
-        self.seal(replies)
-    }
-
-    fn answer(&self, pull: &messages::ProbePull, now: times::BootTime) -> messages::PeerMessage {
-        let asked = |vm: &ids::VmName, rank: usize| match &pull.scope {
-            messages::PullScope::First => rank == 0,
-            messages::PullScope::Named(keys) => keys.contains(&messages::VmKey::of(vm)),
-        };
-        let results = self
-            .duties
-            .iter()
-            .filter(|(vm, rank)| asked(vm, **rank))
-            .filter_map(|(vm, _)| self.board.fresh(vm, now))
-            .map(|one| messages::ProbeResult {
-                vm: one.report.vm.clone(),
-                age: now.since(one.probed_at),
-                latency: one.latency,
-                outcome: Ok(one.report.clone()),
-            })
-            .collect::<Vec<_>>();
-        messages::ProbeBatch::pack(pull.pull, &results).reply(pull.known)
-    }
-
-    fn take_batch(&mut self, sender: &ids::NodeName, batch: &messages::ProbeBatch) {
-        let Some(asked_at) = self.pulls.asked_at(sender, batch.pull) else {
-            return;
-        };
-        for result in batch.unpack(|key| self.names.get(&key).cloned()) {
-            self.board.observe(result, asked_at);
-        }
-    }
-
-    fn lend(
-        &mut self,
-        sender: &ids::NodeName,
-        ask: &messages::ShareAsk,
-        now: times::BootTime,
-    ) -> Result<Option<messages::PeerMessage>, Fault> {
-        let Some(ledger) = &mut self.ledger else {
-            return Ok(None);
-        };
-        let limits = cost_inputs::demand()?
-            .into_keys()
-            .map(|key| (key, sizes::RequestCount::new(64)));
-        ledger.set_limits(&limits.collect(), now);
-        let end = now.after(time::Duration::from_mins(1));
-        Ok(ledger
-            .answer(sender, ask, now, end)
-            .map(messages::PeerMessage::ShareGrant))
-    }
-
-    fn seal(&mut self, messages: Vec<messages::PeerMessage>) -> Result<Vec<Vec<u8>>, Fault> {
         for message in &messages {
             self.sent.count_message(message);
         }
--- a/crates/pier_limits/tests/vm_relay/relay_rules.rs
+++ b/crates/pier_limits/tests/vm_relay/relay_rules.rs
@@ -3,85 +3,9 @@
 use std::time;
 
 use pier_limits::relays;
-use pier_types::{epochs, ids, times, vms};
 use pier_wire::messages;
 
-const START: times::BootTime = times::BootTime::from_millis(100_000);
-
-fn at(millis: u64) -> times::BootTime {
-    START.after(time::Duration::from_millis(millis))
-}
-
-fn entry(number: u32, state: vms::VmState) -> vms::VmEntry {
-    vms::VmEntry {
-        name: format!("vm-{number}").parse().unwrap(),
-        incarnation: epochs::VmIncarnation::new(1),
-        address: "127.0.0.1:80".parse().unwrap(),
-        data_centre: "mvd-a".parse().unwrap(),
-        domain: "d1".parse().unwrap(),
-        pool: vms::VmPool::Accelerator,
-        state,
-    }
-}
-
-/// A list of live VMs of which the first ones leave.
-fn list(count: u32, leaving: u32) -> relays::VmMap {
-    let state = |number| {
-        if number < leaving {
-            vms::VmState::Leaving
-        } else {
-            vms::VmState::Live
-        }
-    };
-    let entries = (0..count).map(|number| entry(number, state(number)));
-    entries.map(|entry| (entry.name.clone(), entry)).collect()
-}
-
-fn listed(list: relays::VmMap, tag: &str) -> relays::ReadingOutcome {
-    let tag = Some(tag.to_owned());
-    relays::ReadingOutcome::Listed { list, tag }
-}
-
-/// A relay that read a list between two moments.
-fn reader(list: relays::VmMap, from: u64, to: u64) -> relays::VmRelay {
-    let mut relay = relays::VmRelay::new(time::Duration::ZERO);
-    read(&mut relay, list, from, to);
-    relay
-}
-
-fn read(
-    relay: &mut relays::VmRelay,
-    list: relays::VmMap,
-    from: u64,
-    to: u64,
-) -> relays::RelayEvent {
-    relay.start_reading(at(from));
-    relay.end_reading(listed(list, "tag"), at(to))
-}
-
-fn name(text: &str) -> ids::NodeName {
-    text.parse().unwrap()
-}
-
-/// Lets one relay pull from another; the note is made and arrives at the times named.
-fn pull(
-    follower: &mut relays::VmRelay,
-    reader: &relays::VmRelay,
-    [asked, made, arrived]: [u64; 3],
-) -> relays::RelayEvent {
-    let pull = follower.pull(&name("r"), at(asked));
-    let note = reader.answer(pull, at(made)).unwrap();
-    follower.take(&name("r"), note, at(arrived))
-}
-
-/// Returns a moment after which the platform was read.
-fn seen_at(relay: &relays::VmRelay) -> Option<times::BootTime> {
-    relay.span().map(|span| span.from)
-}
-
-fn is_due(relay: &relays::VmRelay, millis: u64) -> bool {
-    relay.is_reading_due(relays::ListDuty::Follower, at(millis))
-}
+use crate::relay_bench::{at, copy, is_due, list, listed, name, pull, read, reader, seen_at};
 
 #[test]
 fn a_change_reaches_a_follower_without_a_reading_of_its_own() {
@@ -192,22 +116,6 @@
     assert_eq!(*follower.list().unwrap(), list(450, 300));
 }
 
-/// Lets a relay ask for a whole list at one time and get it at another.
-fn copy(
-    follower: &mut relays::VmRelay,
-    source: &relays::VmRelay,
-    [asked, made, arrived]: [u64; 3],
-) -> relays::RelayEvent {
-    follower.start_reading(at(asked));
-    let span = source.span().unwrap();
-    let outcome = relays::ReadingOutcome::Copied {
-        list: source.list().unwrap().as_ref().clone(),
-        oldest: at(made).since(span.from),
-        youngest: at(made).since(span.to),
-    };
-    follower.end_reading(outcome, at(arrived))
-}
-
 #[test]
 fn a_whole_copy_is_as_old_as_the_reading_behind_it() {
     let source = reader(list(450, 300), 500, 510);
