Cut links between nodes and to the platform in the fault matrix

`pier_matrix::links`: relays for datagrams and connections between each two nodes, and from each node to the platform. Nodes tell one another their addresses, so the relay opens each datagram, puts the relays' addresses in place of the nodes' and seals it again; nothing in the product knows of it. A play cuts a link one way or both and heals it. Ruled out: a setting for an advertised address (product code for tests only).

`comes-back=yes` lets a caller send again what was refused as not run, as the refusal tells it: some cases failed now and then on a busy machine with "No target serves this model" or "Every target is at its limit" at the very moment of the call.

Dark domains stay unused by the daemon; failure-detection.md says why.

--- /dev/null
+++ b/crates/pier_matrix/src/links/datagram_relay.rs
@@ -0,0 +1,97 @@
+//! Passes the datagrams of one node on to another.
+
+use std::sync;
+
+use pier_types::times::clocks;
+use pier_wire::{messages, seals};
+use tokio::net;
+
+use crate::links;
+
+/// Passes datagrams on in one direction.
+///
+/// Nodes tell one another their addresses. The relay opens each datagram and puts the addresses of
+/// relays in their place, so that no node ever reaches another past the relays.
+#[derive(Debug)]
+pub(super) struct DatagramRelay {
+    /// Name of the node that sends.
+    pub(super) sender: String,
+    /// Name of the node that receives.
+    pub(super) receiver: String,
+    /// Where the sender sends to.
+    pub(super) inlet: sync::Arc<net::UdpSocket>,
+    /// Where the receiver sees the sender.
+    pub(super) outlet: sync::Arc<net::UdpSocket>,
+    /// Whether the direction is cut.
+    pub(super) gate: links::LinkGate,
+    /// The addresses of all nodes.
+    pub(super) book: sync::Arc<sync::Mutex<links::AddressBook>>,
+    /// The key that all nodes share.
+    pub(super) key: seals::WireKey,
+}
+
+impl DatagramRelay {
+    /// Relays until the task is ended; what can not be relayed is lost, as datagrams may be.
+    pub(super) async fn run(self) {
+        let mut opener =
+            seals::DatagramOpener::new(self.key.clone(), seals::NodeInstance::new(u128::MAX));
+        let mut sealer = None;
+        let mut buffer = vec![0; seals::DATAGRAM_LIMIT + 1];
+        loop {
+            let Ok(length) = self.inlet.recv(&mut buffer).await else {
+                continue;
+            };
+            if self.gate.is_cut() {
+                continue;
+            }
+            if let Ok(opened) = opener.open(&buffer[..length], clocks::boot_now()) {
+                self.pass_on(opened, &mut sealer).await;
+            }
+        }
+    }
+
+    async fn pass_on(
+        &self,
+        opened: seals::OpenedDatagram,
+        sealer: &mut Option<seals::DatagramSealer>,
+    ) {
+        let Some((receiver, messages)) = self.translate(opened.messages) else {
+            return;
+        };
+        let sealer = sealer.get_or_insert_with(|| {
+            seals::DatagramSealer::new(self.key.clone(), opened.sender, opened.instance)
+        });
+        for datagram in sealer.seal(messages).unwrap_or_default() {
+            let _lost = self.outlet.send_to(&datagram, receiver).await;
+        }
+    }
+
+    /// Returns the receiver's address and what it is to get; none until it is known.
+    fn translate(
+        &self,
+        messages: Vec<messages::PeerMessage>,
+    ) -> Option<(std::net::SocketAddr, Vec<messages::PeerMessage>)> {
+        let book = self.book.lock();
+        let book = book.unwrap_or_else(sync::PoisonError::into_inner);
+        let receiver = book.bound(&self.receiver)?;
+        let messages = messages.into_iter();
+        let messages = messages.map(|message| match message {
+            messages::PeerMessage::Members(entries) => {
+                let entries = entries.into_iter();
+                let entries = entries.filter_map(|entry| self.translate_entry(&book, entry));
+                messages::PeerMessage::Members(entries.collect())
+            }
+            other => other,
+        });
+        Some((receiver, messages.collect()))
+    }
+
+    fn translate_entry(
+        &self,
+        book: &links::AddressBook,
+        mut entry: messages::MemberEntry,
+    ) -> Option<messages::MemberEntry> {
+        entry.address = book.translate(entry.address, &self.sender, &self.receiver)?;
+        Some(entry)
+    }
+}
--- /dev/null
+++ b/crates/pier_matrix/src/links/link_gate.rs
@@ -0,0 +1,37 @@
+//! Whether one direction of a link is cut.
+
+use std::sync;
+
+use tokio::sync::watch;
+
+/// One direction of a link; a cheap handle over shared state.
+#[derive(Debug, Clone)]
+pub(super) struct LinkGate {
+    is_cut: sync::Arc<watch::Sender<bool>>,
+}
+
+impl Default for LinkGate {
+    fn default() -> Self {
+        Self {
+            is_cut: sync::Arc::new(watch::Sender::new(false)),
+        }
+    }
+}
+
+impl LinkGate {
+    /// Cuts the direction, or heals it.
+    pub(super) fn set_cut(&self, is_cut: bool) {
+        self.is_cut.send_replace(is_cut);
+    }
+
+    /// Tells whether nothing gets through.
+    pub(super) fn is_cut(&self) -> bool {
+        *self.is_cut.borrow()
+    }
+
+    /// Waits while nothing gets through.
+    pub(super) async fn wait_open(&self) {
+        let mut is_cut = self.is_cut.subscribe();
+        let _closed = is_cut.wait_for(|is_cut| !is_cut).await;
+    }
+}
--- /dev/null
+++ b/crates/pier_matrix/src/links/link_set.rs
@@ -0,0 +1,152 @@
+//! All links of a bench.
+
+use std::{collections, net, sync};
+
+use anyhow::Context as _;
+use pier_wire::seals;
+use tokio::{net as sockets, task};
+
+use crate::links;
+
+/// Name of the platform among the ends of links.
+pub const PLATFORM: &str = "platform";
+
+/// Times that a port is sought that is free for datagrams and connections.
+const PORT_TRIES: usize = 20;
+
+/// The links between each two nodes and between each node and the platform.
+#[derive(Debug)]
+pub struct LinkSet {
+    key: seals::WireKey,
+    gates: collections::BTreeMap<(String, String), links::LinkGate>,
+    book: sync::Arc<sync::Mutex<links::AddressBook>>,
+    nodes: collections::BTreeSet<String>,
+    relays: task::JoinSet<()>,
+}
+
+impl LinkSet {
+    /// Makes the links to a platform for nodes that share a key.
+    pub fn new(platform: net::SocketAddr, key: seals::WireKey) -> Self {
+        let mut book = links::AddressBook::default();
+        book.set_bound(PLATFORM, platform);
+        Self {
+            key,
+            gates: collections::BTreeMap::new(),
+            book: sync::Arc::new(sync::Mutex::new(book)),
+            nodes: collections::BTreeSet::new(),
+            relays: task::JoinSet::new(),
+        }
+    }
+
+    /// Makes the links of a node that is about to start; returns where it reaches the platform.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port can be bound.
+    pub async fn join(&mut self, node: &str) -> anyhow::Result<net::SocketAddr> {
+        for other in self.nodes.clone() {
+            self.link(node, &other).await?;
+        }
+        self.nodes.insert(node.to_owned());
+        let listener = sockets::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        self.relay_streams(listener, node, PLATFORM);
+        Ok(address)
+    }
+
+    /// Notes which address a node bound; before that nothing reaches it.
+    pub fn set_bound(&self, node: &str, address: net::SocketAddr) {
+        self.book().set_bound(node, address);
+    }
+
+    /// Returns at which address one node sees another.
+    pub fn seen(&self, viewer: &str, node: &str) -> Option<net::SocketAddr> {
+        self.book().seen(viewer, node)
+    }
+
+    /// Cuts or heals the direction from one end to another.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such link.
+    pub fn set_cut(&self, from: &str, to: &str, is_cut: bool) -> anyhow::Result<()> {
+        let pair = (from.to_owned(), to.to_owned());
+        let gate = self.gates.get(&pair);
+        let gate = gate.with_context(|| format!("no link from {from} to {to}"))?;
+        gate.set_cut(is_cut);
+        Ok(())
+    }
+
+    /// Heals every link.
+    pub fn heal(&self) {
+        for gate in self.gates.values() {
+            gate.set_cut(false);
+        }
+    }
+
+    async fn link(&mut self, one: &str, other: &str) -> anyhow::Result<()> {
+        let (one_streams, one_datagrams) = bind_both().await?;
+        let (other_streams, other_datagrams) = bind_both().await?;
+        self.book()
+            .set_seen(one, other, one_datagrams.local_addr()?);
+        self.book()
+            .set_seen(other, one, other_datagrams.local_addr()?);
+        self.relay_datagrams(one, other, &one_datagrams, &other_datagrams);
+        self.relay_datagrams(other, one, &other_datagrams, &one_datagrams);
+        self.relay_streams(one_streams, one, other);
+        self.relay_streams(other_streams, other, one);
+        Ok(())
+    }
+
+    fn relay_datagrams(
+        &mut self,
+        sender: &str,
+        receiver: &str,
+        inlet: &sync::Arc<sockets::UdpSocket>,
+        outlet: &sync::Arc<sockets::UdpSocket>,
+    ) {
+        let relay = links::DatagramRelay {
+            sender: sender.to_owned(),
+            receiver: receiver.to_owned(),
+            inlet: sync::Arc::clone(inlet),
+            outlet: sync::Arc::clone(outlet),
+            gate: self.gate(sender, receiver),
+            book: sync::Arc::clone(&self.book),
+            key: self.key.clone(),
+        };
+        self.relays.spawn(relay.run());
+    }
+
+    fn relay_streams(&mut self, listener: sockets::TcpListener, client: &str, server: &str) {
+        let relay = links::StreamRelay {
+            listener,
+            server: server.to_owned(),
+            forth: self.gate(client, server),
+            back: self.gate(server, client),
+            book: sync::Arc::clone(&self.book),
+        };
+        self.relays.spawn(relay.run());
+    }
+
+    fn gate(&mut self, from: &str, to: &str) -> links::LinkGate {
+        let pair = (from.to_owned(), to.to_owned());
+        self.gates.entry(pair).or_default().clone()
+    }
+
+    fn book(&self) -> sync::MutexGuard<'_, links::AddressBook> {
+        self.book
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+/// Binds one port for connections and datagrams, as a node does.
+async fn bind_both() -> anyhow::Result<(sockets::TcpListener, sync::Arc<sockets::UdpSocket>)> {
+    for _try in 0..PORT_TRIES {
+        let listener = sockets::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0)).await?;
+        if let Ok(socket) = sockets::UdpSocket::bind(listener.local_addr()?).await {
+            return Ok((listener, sync::Arc::new(socket)));
+        }
+    }
+    anyhow::bail!("no port is free for both")
+}
--- a/crates/pier_matrix/src/plays/call_entry.rs
+++ b/crates/pier_matrix/src/plays/call_entry.rs
@@ -26,6 +26,8 @@
     pub mark: String,
     /// Time the caller waits, in milliseconds.
     pub deadline_ms: u64,
+    /// Whether the caller sends again, after a pause, what was refused as not run.
+    pub comes_back: bool,
 }
 
 impl CallEntry {
@@ -57,6 +59,7 @@
             body: String::new(),
             mark: mark.clone(),
             deadline_ms: deadline_ms.unwrap_or(DEADLINE_MILLIS),
+            comes_back: line.option("comes-back") == Some("yes"),
         };
         let tokens: u64 = line.option("tokens").unwrap_or("8").parse()?;
         let fields = serde_json::json!({
--- a/crates/pier_matrix/src/plays/call_sender.rs
+++ b/crates/pier_matrix/src/plays/call_sender.rs
@@ -12,6 +12,30 @@
 /// Time that the blind retrier waits for an answer.
 const BLIND_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
+/// Times that a caller who comes back sends a call.
+const PATIENT_SENDS: usize = 200;
+
+/// Time that a caller who comes back waits before it sends again.
+const PATIENT_PAUSE: time::Duration = time::Duration::from_millis(200);
+
+/// Sends a call to a node, again and again if the caller comes back and the call did not run.
+pub(super) async fn send_to_node(
+    client: &reqwest::Client,
+    address: &str,
+    call: &plays::CallEntry,
+    timeout: time::Duration,
+) -> plays::CallOutcome {
+    let mut outcome = send_once(client, address, call, timeout).await;
+    for _again in 1..PATIENT_SENDS {
+        if !call.comes_back || outcome.error_outcome() != Some("not-run") {
+            break;
+        }
+        tokio::time::sleep(PATIENT_PAUSE).await;
+        outcome = send_once(client, address, call, timeout).await;
+    }
+    outcome
+}
+
 /// Sends a call once and reads whatever comes.
 pub(super) async fn send_once(
     client: &reqwest::Client,
--- a/crates/pier_matrix/src/plays/case_player.rs
+++ b/crates/pier_matrix/src/plays/case_player.rs
@@ -12,6 +12,9 @@
 /// Time a caller waits beyond its deadline before it counts the answer as lost.
 const PATIENCE: time::Duration = time::Duration::from_secs(30);
 
+/// Bound on a whole play; one that hangs fails.
+const PLAY_LIMIT: time::Duration = time::Duration::from_mins(4);
+
 /// Plays one case on a bench of its own.
 #[derive(Debug)]
 pub struct CasePlayer {
@@ -33,6 +36,14 @@
     ///
     /// Fails when the play can not be played or something expected does not hold.
     pub async fn play(case: &cases::FaultCase, target: plays::PlayTarget) -> anyhow::Result<()> {
+        let playing = tokio::time::timeout(PLAY_LIMIT, Self::play_through(case, target));
+        playing.await.context("the play did not end")?
+    }
+
+    async fn play_through(
+        case: &cases::FaultCase,
+        target: plays::PlayTarget,
+    ) -> anyhow::Result<()> {
         let mut player = Self {
             bench: bench::TestBench::launch(&["a", "b"]).await?,
             target,
@@ -67,6 +78,9 @@
 
     async fn step(&mut self, line: &cases::PlayLine) -> anyhow::Result<()> {
         match line.verb.as_str() {
+            "links" => self.bench.add_links(),
+            "cut" => self.cut(line),
+            "heal" => self.heal(),
             "nodes" => self.add_nodes(line).await,
             "engines" => self.add_engines(line).await,
             "services" => self.add_services(line).await,
@@ -163,7 +177,7 @@
                 let call = sync::Arc::clone(&call);
                 let timeout = time::Duration::from_millis(call.deadline_ms) + PATIENCE;
                 task::spawn(async move {
-                    plays::send_once(&client, &address.to_string(), &call, timeout).await
+                    plays::send_to_node(&client, &address.to_string(), &call, timeout).await
                 })
             }
             plays::PlayTarget::BlindRetrier => {
@@ -215,6 +229,25 @@
         Ok(())
     }
 
+    /// Cuts the link between two ends, or only from the first to the second.
+    fn cut(&self, line: &cases::PlayLine) -> anyhow::Result<()> {
+        if self.target == plays::PlayTarget::BlindRetrier {
+            return Ok(());
+        }
+        let (from, to) = (line.word(0)?, line.word(1)?);
+        let links = self.bench.links()?;
+        links.set_cut(from, to, true)?;
+        if line.option("way") != Some("one") {
+            links.set_cut(to, from, true)?;
+        }
+        Ok(())
+    }
+
+    fn heal(&self) -> anyhow::Result<()> {
+        self.bench.links()?.heal();
+        Ok(())
+    }
+
     /// The caller leaves without waiting for its answer.
     fn abandon(&mut self, label: &str) -> anyhow::Result<()> {
         let running = self.running.remove(label);
--- a/crates/pier_matrix/src/plays/mod.rs
+++ b/crates/pier_matrix/src/plays/mod.rs
@@ -9,7 +9,7 @@
 
 pub use call_entry::CallEntry;
 pub use call_outcome::CallOutcome;
-use call_sender::{send_blindly, send_once};
+use call_sender::{send_blindly, send_to_node};
 use case_judge::CaseJudge;
 pub use case_player::CasePlayer;
 pub use play_target::PlayTarget;
