Let a node cut off from the platform take the VM list from its peers

Cause: the VM list was read from the platform only. A node that the platform does not answer, while its peers read it, went on sending to a target that leaves for as long as the cut lasted.

Case leaving-target--platform-parted failed first: "expected quiet-after [vm-1, M]: 2 new calls came later". With the platform away from all nodes nothing changes but two questions a second and node.

The list is passed on only by the node that read it, with its age, counted back from the question; the younger one wins. A reading that was asked for before the list in force was read is dropped. Ruled out: leaving marks in datagrams, as every message would have to name VMs that joined or moved as well.

The question over the connection of forwarded requests stood in the copies of configurations; it is shared now.

--- a/crates/pier_node/src/configs/peer_copies.rs
+++ b/crates/pier_node/src/configs/peer_copies.rs
@@ -1,11 +1,9 @@
 //! Copies of the document that nodes give one another, over the connection of forwarded requests.
 
-use std::{net, time};
+use std::net;
 
-use anyhow::Context as _;
 use pier_config::watches;
-use pier_types::{epochs, ids, routes};
-use pier_wire::frames;
+use pier_types::{epochs, ids};
 use serde::{Deserialize, Serialize};
 
 use crate::{callers, forwards, handle};
@@ -14,10 +12,6 @@
 const COPY_PATH: &str = "/peer/config";
 /// Beginning of the query that names the version the asker has in force.
 const AFTER_FIELD: &str = "after=";
-/// Name that stands where a forwarded request names its customer and pool.
-const PEER_NAME: &str = "peer";
-/// Bound on one copy's way.
-const COPY_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
 /// A node's version in force.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -63,14 +57,8 @@
     address: net::SocketAddr,
     after: epochs::ConfigVersion,
 ) -> anyhow::Result<watches::ConfigCopy> {
-    let asking = client.send(address, question(after)?, &[]);
-    let reply = tokio::time::timeout(COPY_TIMEOUT, asking).await;
-    let reply = reply.context("no copy in time")?;
-    let reply = reply.map_err(|error| anyhow::anyhow!("{error:?}"))?;
-    anyhow::ensure!(reply.status == 200, "the peer has no version above {after}");
-    let callers::ReplyBody::Whole(body) = reply.body else {
-        anyhow::bail!("the copy is no whole answer");
-    };
+    let path = format!("{COPY_PATH}?{AFTER_FIELD}{after}");
+    let body = forwards::ask(client, address, path).await?;
     let copy: PeerCopy = serde_json::from_slice(&body)?;
     Ok(watches::ConfigCopy {
         version: copy.version,
@@ -78,17 +66,3 @@
         source: watches::ConfigSource::Peer(copy.node),
     })
 }
-
-fn question(after: epochs::ConfigVersion) -> anyhow::Result<frames::ForwardBegin> {
-    Ok(frames::ForwardBegin {
-        pool: routes::PoolKey::Service(PEER_NAME.parse()?),
-        customer: PEER_NAME.parse()?,
-        attempt: ids::AttemptId::new(rand::random()),
-        method: "GET".to_owned(),
-        path: format!("{COPY_PATH}?{AFTER_FIELD}{after}"),
-        headers: Vec::new(),
-        trace_parent: None,
-        deadline_ms: u32::try_from(COPY_TIMEOUT.as_millis()).unwrap_or(u32::MAX),
-        hops: 1,
-    })
-}
--- a/crates/pier_node/src/daemon/node_daemon.rs
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -38,7 +38,7 @@
         let client = target_client()?;
         let traces = open_traces(settings.collector_url.clone()).await?;
         let handle = handle::NodeHandle::new(draw_name(&settings)?, settings, client, traces)?;
-        tables::spawn_list(handle.clone());
+        tables::ListLoop::spawn(handle.clone(), forward_client(&handle)?);
         tables::spawn(handle.clone());
         control::spawn(handle.clone(), &control::ControlSettings::default());
         requests::spawn(&handle);
@@ -144,8 +144,7 @@
     }
 
     fn spawn_configs(handle: &handle::NodeHandle) -> anyhow::Result<configs::ConfigInbox> {
-        let key = handle.settings().peer_key.parse()?;
-        let client = forwards::ForwardClient::new(key, handle.name().clone(), handle.instance());
+        let client = forward_client(handle)?;
         Ok(configs::ConfigLoop::spawn(handle.clone(), client))
     }
 
@@ -160,6 +159,13 @@
     }
 }
 
+/// Makes the client that speaks to other nodes.
+fn forward_client(handle: &handle::NodeHandle) -> anyhow::Result<forwards::ForwardClient> {
+    let key = handle.settings().peer_key.parse()?;
+    let (name, instance) = (handle.name().clone(), handle.instance());
+    Ok(forwards::ForwardClient::new(key, name, instance))
+}
+
 /// Draws a name that no earlier start had, so that a restarted node is never taken for its predecessor.
 fn draw_name(settings: &settings::NodeSettings) -> anyhow::Result<ids::NodeName> {
     let unique = uuid::Uuid::new_v4().simple().to_string();
--- a/crates/pier_node/src/forwards/forward_server.rs
+++ b/crates/pier_node/src/forwards/forward_server.rs
@@ -7,7 +7,7 @@
 use pier_wire::{frames, seals};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::{callers, configs, forwards, handle, requests};
+use crate::{callers, configs, forwards, handle, requests, tables};
 
 /// Bound on the handshake and on the request's arrival.
 const ARRIVAL_TIMEOUT: time::Duration = time::Duration::from_secs(10);
@@ -103,7 +103,9 @@
             let code = codes::ResultCode::NoServingTarget;
             return writer.write(&failed(code, code.outcome(), None)).await;
         }
-        if let Some(reply) = configs::answer_peer(&self.handle, &request) {
+        let answer = configs::answer_peer(&self.handle, &request);
+        let answer = answer.or_else(|| tables::answer_peer(&self.handle, &request));
+        if let Some(reply) = answer {
             return send_reply(reply, writer).await;
         }
         let path = requests::RequestPath::new(self.handle.clone());
--- a/crates/pier_node/src/forwards/mod.rs
+++ b/crates/pier_node/src/forwards/mod.rs
@@ -10,9 +10,11 @@
 mod forward_error;
 mod forward_server;
 mod frame_stream;
+mod peer_question;
 
 pub use forward_choice::ForwardChoice;
 pub use forward_client::ForwardClient;
 pub use forward_error::ForwardError;
 pub use forward_server::ForwardServer;
 use frame_stream::{FrameReader, FrameWriter};
+pub(crate) use peer_question::ask;
