--- a/crates/pier_limits/src/relays/vm_relay.rs
+++ b/crates/pier_limits/src/relays/vm_relay.rs
@@ -15,7 +15,10 @@
 
 /// Age of the latest known reading from which a node reads the platform itself; the node's own
 /// delay is added.
-const RELAY_LIMIT: time::Duration = time::Duration::from_millis(2_200);
+const RELAY_LIMIT: time::Duration = time::Duration::from_millis(1_700);
+
+/// Age of its latest reading from which the node that reads for all asks another one.
+const READER_LIMIT: time::Duration = time::Duration::from_millis(1_200);
 
 /// Decides when to read the platform, what to tell other nodes, and which list is in force.
 ///
@@ -135,7 +138,18 @@
         }
     }
 
-    /// Makes a pull to the node that reads for all.
+    /// Tells whether neither this node nor the one that reads for all has read the platform
+    /// lately, so that any other node is to be asked.
+    pub fn lacks_reading(&self, duty: relays::ListDuty, now: times::BootTime) -> bool {
+        let limit = match duty {
+            relays::ListDuty::Reader => READER_LIMIT,
+            relays::ListDuty::Follower => RELAY_LIMIT + self.delay,
+        };
+        let span = self.held.span();
+        span.is_none_or(|span| now.since(span.from) >= limit)
+    }
+
+    /// Makes a pull to the node that reads for all, or to another one.
     pub fn pull(&mut self, reader: &ids::NodeName, now: times::BootTime) -> messages::ListPull {
         self.pulls.open(reader, self.held.digest(), now)
     }
--- a/crates/pier_node/src/peers/peer_loop.rs
+++ b/crates/pier_node/src/peers/peer_loop.rs
@@ -114,6 +114,7 @@
             self.round(&nodes, now);
             self.tell_crashes(now);
         }
+        self.search_list(&nodes, now);
         nodes.insert(self.handle.name().clone());
         self.probes.tick(&nodes, now);
         self.judge_isolation(now);
@@ -147,6 +148,21 @@
         }
     }
 
+    /// Asks another node for the VM list while the one that reads for all does not tell it.
+    fn search_list(&mut self, nodes: &collections::BTreeSet<ids::NodeName>, now: times::BootTime) {
+        let Some((node, pull)) = self.lists.search(nodes, now) else {
+            return;
+        };
+        let address = self
+            .members
+            .live_peers(now)
+            .get(&node)
+            .map(|entry| entry.address);
+        if let Some(address) = address {
+            self.send(address, vec![messages::PeerMessage::ListPull(pull)]);
+        }
+    }
+
     /// Stops new work, or lets it go on, by what this node hears of the rest.
     fn judge_isolation(&mut self, now: times::BootTime) {
         let own = self.handle.name();
