Count refusals in entry_cost, after idle and at the full limit

Cause: the runs of eight calls at once were said to be refused at a limit of 24, but the limit was 2: a group is as cold as its coldest member, and of a stand-in's group only the first member answers calls, so that the others never get warm.

--- a/crates/buckthornpier/examples/entry_cost/load_run.rs
+++ b/crates/buckthornpier/examples/entry_cost/load_run.rs
@@ -1,6 +1,6 @@
 //! Sends calls and takes their time.
 
-use std::time;
+use std::{sync, sync::atomic, time};
 
 use futures_util::StreamExt as _;
 
@@ -16,6 +16,7 @@
     client: reqwest::Client,
     url: String,
     group: (String, String),
+    refusals: sync::Arc<atomic::AtomicUsize>,
 }
 
 impl LoadRun {
@@ -25,6 +26,7 @@
             client: reqwest::Client::new(),
             url: format!("http://{address}/v1/completions"),
             group: <(String, String)>::default(),
+            refusals: sync::Arc::default(),
         }
     }
 
@@ -34,6 +36,11 @@
         self
     }
 
+    /// Returns how many calls were refused for want of room since the last look.
+    pub fn take_refusals(&self) -> usize {
+        self.refusals.swap(0, atomic::Ordering::Relaxed)
+    }
+
     /// Sends calls one after the other; returns their times in microseconds.
     ///
     /// # Errors
@@ -94,6 +101,7 @@
             }
             let full = status == reqwest::StatusCode::TOO_MANY_REQUESTS;
             anyhow::ensure!(full, "{status}: {}", answer.text().await?);
+            self.refusals.fetch_add(1, atomic::Ordering::Relaxed);
             tokio::time::sleep(RETRY_PAUSE).await;
         }
     }
--- a/crates/buckthornpier/examples/entry_cost/main.rs
+++ b/crates/buckthornpier/examples/entry_cost/main.rs
@@ -17,7 +17,7 @@
 /// Calls in flight together in a throughput run.
 const THROUGHPUT_LANES: usize = 8;
 
-/// Calls of each lane of a throughput run.
+/// Calls of each lane of a throughput run; the first ones meet an idle node.
 const LANE_CALLS: usize = 500;
 
 /// Streams in flight together in a token run.
@@ -71,6 +71,7 @@
     processes: &process_set::ProcessSet,
     routed: &load_run::LoadRun,
 ) -> anyhow::Result<()> {
+    tokio::time::sleep(IDLE_TIME).await;
     let before = processes.node_cpu()?;
     let started = time::Instant::now();
     let lanes = (0..THROUGHPUT_LANES).map(|_lane| routed.calls(LANE_CALLS, 1));
@@ -80,7 +81,8 @@
     let cpu = processes.node_cpu()?.saturating_sub(before);
     let calls = THROUGHPUT_LANES * LANE_CALLS;
     println!(
-        "calls calls={calls} seconds={:.2} cpu_us_a_call={:.0} calls_a_second_a_core={:.0}",
+        "calls calls={calls} refused={} seconds={:.2} cpu_us_a_call={:.0} calls_a_second_a_core={:.0}",
+        routed.take_refusals(),
         started.elapsed().as_secs_f64(),
         cpu.as_secs_f64() * 1e6 / calls as f64,
         calls as f64 / cpu.as_secs_f64(),
@@ -92,6 +94,7 @@
     processes: &process_set::ProcessSet,
     routed: &load_run::LoadRun,
 ) -> anyhow::Result<()> {
+    tokio::time::sleep(IDLE_TIME).await;
     let before = processes.node_cpu()?;
     let started = time::Instant::now();
     let lanes = (0..STREAM_LANES).map(|_lane| routed.streams(LANE_STREAMS, STREAM_TOKENS));
@@ -101,7 +104,8 @@
     let cpu = processes.node_cpu()?.saturating_sub(before);
     let tokens = STREAM_LANES * LANE_STREAMS * STREAM_TOKENS;
     println!(
-        "tokens tokens={tokens} seconds={:.2} cpu_us_a_token={:.2} tokens_a_second_a_core={:.0}",
+        "tokens tokens={tokens} refused={} seconds={:.2} cpu_us_a_token={:.2} tokens_a_second_a_core={:.0}",
+        routed.take_refusals(),
         started.elapsed().as_secs_f64(),
         cpu.as_secs_f64() * 1e6 / tokens as f64,
         tokens as f64 / cpu.as_secs_f64(),
--- a/crates/buckthornpier/examples/entry_cost/process_set.rs
+++ b/crates/buckthornpier/examples/entry_cost/process_set.rs
@@ -198,6 +198,8 @@
         .await?
         .error_for_status()?;
     let document = include_str!("../../../../examples/laurel-north.ini");
+    // Only the first member of a stand-in's group answers calls, so that the group never is warm.
+    let document = document.replace("cold-limit = 2\n", "cold-limit = 24\n");
     let url = format!("http://{platform}/objects/config/document");
     let writing = client.put(url).header("if-version", "0").body(document);
     writing.send().await?.error_for_status()?;
