--- a/crates/pier_load/examples/data_centre_drive/drive_table.rs
+++ b/crates/pier_load/examples/data_centre_drive/drive_table.rs
@@ -20,7 +20,7 @@
         "way      phase      calls  whole refused broken retries  first_p50 first_p95  gap_p95  by code, by priority"
     );
     let mut base: Option<reviews::PhaseReview> = None;
-    for phase in reviews::DrivePhase::ALL {
+    for phase in reviews::DrivePhase::COMPARED {
         let calls = run.calls.iter();
         let calls = calls.filter(|call| phases.phase(run.start, call.sent_at) == phase);
         let present = reviews::PhaseReview::new(calls, &review)?;
@@ -92,14 +92,15 @@
     phases: &reviews::PhaseTimes,
     capacity: sizes::RequestCount,
 ) -> f64 {
+    let from = run.start.after(phases.lead);
     let end = run.start.after(phases.leaves_at());
     let entries = run.records.values().flatten().flatten();
-    let before = entries.filter(|entry| entry.arrived_at >= run.start && entry.arrived_at < end);
+    let before = entries.filter(|entry| entry.arrived_at >= from && entry.arrived_at < end);
     let busy = before.map(|entry| {
         let ended_at = entry.ended_at.unwrap_or(end).min(end);
         ended_at.since(entry.arrived_at).as_secs_f64()
     });
-    let places = f64::from(capacity.get()) * phases.leaves_at().as_secs_f64();
+    let places = f64::from(capacity.get()) * phases.before.as_secs_f64();
     busy.sum::<f64>() / places
 }
 
--- a/crates/pier_load/examples/data_centre_drive/main.rs
+++ b/crates/pier_load/examples/data_centre_drive/main.rs
@@ -18,6 +18,7 @@
 const MEAN_CALL: time::Duration = time::Duration::from_millis(780);
 
 const PHASES: reviews::PhaseTimes = reviews::PhaseTimes {
+    lead: time::Duration::from_secs(6),
     before: time::Duration::from_secs(12),
     leaving: time::Duration::from_secs(6),
     out: time::Duration::from_secs(12),
--- a/crates/pier_load/src/reviews/drive_phase.rs
+++ b/crates/pier_load/src/reviews/drive_phase.rs
@@ -7,6 +7,8 @@
 /// A part of a drive, in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum DrivePhase {
+    /// The load has just begun, and shares do not follow it yet; judged, but not compared.
+    Lead,
     /// All data centres serve.
     Before,
     /// One was just taken out.
@@ -20,8 +22,8 @@
 }
 
 impl DrivePhase {
-    /// All phases in order.
-    pub const ALL: [Self; 5] = [
+    /// The phases that are compared, in order.
+    pub const COMPARED: [Self; 5] = [
         Self::Before,
         Self::Leaving,
         Self::Out,
@@ -33,6 +35,7 @@
 impl fmt::Display for DrivePhase {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.pad(match self {
+            Self::Lead => "lead",
             Self::Before => "before",
             Self::Leaving => "leaving",
             Self::Out => "out",
@@ -45,6 +48,8 @@
 /// How long each phase lasts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PhaseTimes {
+    /// From the first call until shares follow the load.
+    pub lead: time::Duration,
     /// Before the change.
     pub before: time::Duration,
     /// From the change until no new work is expected.
@@ -64,13 +69,13 @@
     }
 
     /// Returns when the data centre is taken out, from the start.
-    pub const fn leaves_at(&self) -> time::Duration {
-        self.before
+    pub fn leaves_at(&self) -> time::Duration {
+        self.lead + self.before
     }
 
     /// Returns when no new work is expected any more, from the start.
     pub fn out_at(&self) -> time::Duration {
-        self.before + self.leaving
+        self.leaves_at() + self.leaving
     }
 
     /// Returns when the data centre is taken back, from the start.
@@ -81,7 +86,9 @@
     /// Returns the phase of a moment.
     pub fn phase(&self, start: times::BootTime, at: times::BootTime) -> DrivePhase {
         let elapsed = at.since(start);
-        if elapsed < self.leaves_at() {
+        if elapsed < self.lead {
+            DrivePhase::Lead
+        } else if elapsed < self.leaves_at() {
             DrivePhase::Before
         } else if elapsed < self.out_at() {
             DrivePhase::Leaving
--- a/crates/pier_load/tests/data_centre_drive.rs
+++ b/crates/pier_load/tests/data_centre_drive.rs
@@ -7,6 +7,7 @@
 use pier_types::{rates, sizes};
 
 const PHASES: reviews::PhaseTimes = reviews::PhaseTimes {
+    lead: time::Duration::ZERO,
     before: time::Duration::from_secs(1),
     leaving: time::Duration::from_secs(6),
     out: time::Duration::from_secs(2),
