--- a/crates/pier_load/src/drives/drive_run.rs
+++ b/crates/pier_load/src/drives/drive_run.rs
@@ -66,7 +66,7 @@
         let changing = change(&fleet, &data_centre, &phases, start);
         let (calls, moments) = tokio::join!(sending, changing);
         let (left_at, closed_at, back_at) = moments?;
-        let records = fleet.records();
+        let records = fleet.engines().records();
         fleet.stop().await;
         Ok(Self {
             start,
@@ -92,7 +92,7 @@
         let schedule = schedule.number_from(WARM_UP_NUMBER);
         sender.send_all(&schedule, clocks::boot_now()).await?;
         let settled = clocks::boot_now() >= until && round >= LEAST_ROUNDS;
-        if settled && fleet.is_warm() {
+        if settled && fleet.engines().is_warm() {
             return Ok(());
         }
     }
@@ -112,7 +112,7 @@
     let left_at = fleet.set_state(data_centre, out).await?;
     let closed_at = fleet.wait_until_closed(data_centre).await?;
     sleep_until(start.after(phases.out_at())).await;
-    fleet.restart_engines(data_centre, time::Duration::ZERO)?;
+    fleet.engines().restart(data_centre, time::Duration::ZERO)?;
     sleep_until(start.after(phases.returns_at())).await;
     let back = documents::DataCentreState::InService;
     let back_at = fleet.set_state(data_centre, back).await?;
--- a/crates/pier_load/src/fleets/load_fleet.rs
+++ b/crates/pier_load/src/fleets/load_fleet.rs
@@ -1,15 +1,15 @@
 //! A running fleet.
 
-use std::{collections, time};
+use std::time;
 
 use anyhow::Context as _;
 use futures_util::future;
 use pier_config::{documents, edits};
-use pier_fakes::{engine, fault, platform, record};
+use pier_fakes::platform;
 use pier_limits::shifts;
 use pier_node::{daemon, handle, settings};
 use pier_platform::objects;
-use pier_types::{epochs, ids, reports, routes, sizes, times, times::clocks, vms};
+use pier_types::{epochs, routes, sizes, times, times::clocks};
 
 use crate::{calls, fleets};
 
@@ -26,7 +26,7 @@
     platform: platform::FakePlatform,
     objects: objects::ObjectClient,
     nodes: Vec<daemon::NodeDaemon>,
-    engines: collections::BTreeMap<String, Vec<engine::FakeEngine>>,
+    engines: fleets::EngineSet,
 }
 
 impl LoadFleet {
@@ -38,21 +38,27 @@
     pub async fn launch(plan: fleets::FleetPlan) -> anyhow::Result<Self> {
         let platform = platform::FakePlatform::builder().launch().await?;
         let objects = objects::ObjectClient::new(&format!("http://{}", platform.address()))?;
+        let (engines, list) = fleets::EngineSet::launch(&plan).await?;
+        platform.set_vms(list);
         let mut fleet = Self {
             plan,
             platform,
             objects,
             nodes: Vec::new(),
-            engines: collections::BTreeMap::new(),
+            engines,
         };
         let text = fleets::FleetDocument::text(&fleet.plan);
         let _document: documents::ConfigDocument = text.parse()?;
         fleet.write(epochs::ObjectVersion::new(0), text).await?;
-        fleet.start_engines().await?;
         fleet.start_nodes().await?;
         Ok(fleet)
     }
 
+    /// Returns the engines.
+    pub const fn engines(&self) -> &fleets::EngineSet {
+        &self.engines
+    }
+
     /// Returns a sender of calls that any node may get.
     ///
     /// # Errors
@@ -83,12 +89,6 @@
         .await
     }
 
-    /// Tells whether every engine is warm.
-    pub fn is_warm(&self) -> bool {
-        let mut engines = self.engines.values().flatten();
-        engines.all(|engine| engine.report().state == reports::EngineState::Warm)
-    }
-
     /// Takes a data centre out of service or back, as the operators' command does: an edit of the
     /// present document, written on condition that it is still present. Returns when it was accepted.
     ///
@@ -151,74 +151,16 @@
         near.all(|node| node.shift().weight < shifts::ShiftWeight::WHOLE)
     }
 
-    /// Restarts the engines of a data centre: they lose weights, caches and work, and are away for
-    /// a time.
-    ///
-    /// # Errors
-    ///
-    /// Fails when there is no such data centre.
-    pub fn restart_engines(&self, data_centre: &str, away: time::Duration) -> anyhow::Result<()> {
-        let for_ms = u64::try_from(away.as_millis())?;
-        let engines = self.engines.get(data_centre);
-        for engine in engines.context("no such data centre")? {
-            engine.set_fault(fault::FaultSpec::new(fault::FaultKind::Restart { for_ms }));
-        }
-        Ok(())
-    }
-
-    /// Returns the completions that reached each engine, by data centre.
-    pub fn records(&self) -> collections::BTreeMap<String, Vec<Vec<record::RecordEntry>>> {
-        let engines = self.engines.iter();
-        engines
-            .map(|(data_centre, engines)| {
-                (
-                    data_centre.clone(),
-                    engines.iter().map(completions).collect(),
-                )
-            })
-            .collect()
-    }
-
-    /// Returns the nodes of a data centre.
-    fn near(&self, data_centre: &str) -> impl Iterator<Item = &handle::NodeHandle> {
-        let handles = self.nodes.iter().map(daemon::NodeDaemon::handle);
-        handles.filter(move |node| node.settings().data_centre.as_str() == data_centre)
-    }
-
     /// Stops every node gracefully.
     pub async fn stop(self) {
         let stopping = self.nodes.into_iter().map(daemon::NodeDaemon::drain);
         future::join_all(stopping).await;
     }
 
-    async fn start_engines(&mut self) -> anyhow::Result<()> {
-        let mut list = Vec::new();
-        for data_centre in self.plan.data_centres.clone() {
-            let mut engines = Vec::new();
-            for number in 0..self.plan.engines {
-                let name: ids::VmName = format!("{data_centre}-{number}").parse()?;
-                let settings = self.engine_settings(name.clone());
-                let engine = engine::FakeEngine::builder(settings).launch().await?;
-                list.push(entry_of(name, &engine, &data_centre)?);
-                engines.push(engine);
-            }
-            self.engines.insert(data_centre, engines);
-        }
-        self.platform.set_vms(list);
-        Ok(())
-    }
-
-    fn engine_settings(&self, name: ids::VmName) -> engine::EngineSettings {
-        let plan = &self.plan;
-        engine::EngineSettings {
-            token_time: plan.token_time,
-            prefill_time: plan.prefill_time,
-            load_time: plan.load_time,
-            cold_limit: plan.cold_limit,
-            warm_after: plan.warm_after,
-            cache_limit: plan.cached_prefixes,
-            ..engine::EngineSettings::new(name)
-        }
+    /// Returns the nodes of a data centre.
+    fn near(&self, data_centre: &str) -> impl Iterator<Item = &handle::NodeHandle> {
+        let handles = self.nodes.iter().map(daemon::NodeDaemon::handle);
+        handles.filter(move |node| node.settings().data_centre.as_str() == data_centre)
     }
 
     async fn start_nodes(&mut self) -> anyhow::Result<()> {
@@ -268,25 +210,3 @@
         waited.with_context(|| format!("waited in vain for {what}"))
     }
 }
-
-fn completions(engine: &engine::FakeEngine) -> Vec<record::RecordEntry> {
-    let mut entries = engine.record().entries();
-    entries.retain(|entry| entry.path == "v1/completions");
-    entries
-}
-
-fn entry_of(
-    name: ids::VmName,
-    engine: &engine::FakeEngine,
-    data_centre: &str,
-) -> anyhow::Result<vms::VmEntry> {
-    Ok(vms::VmEntry {
-        name,
-        incarnation: epochs::VmIncarnation::new(1),
-        address: engine.address(),
-        data_centre: data_centre.parse()?,
-        domain: format!("{data_centre}-fabric").parse()?,
-        pool: vms::VmPool::Accelerator,
-        state: vms::VmState::Live,
-    })
-}
--- a/crates/pier_load/tests/leaving_alone.rs
+++ b/crates/pier_load/tests/leaving_alone.rs
@@ -45,7 +45,7 @@
 async fn what_nobody_else_takes_is_served_until_the_data_centre_has_left() {
     let fleet = fleets::LoadFleet::launch(plan()).await.unwrap();
     fleet.wait_for_shares().await.unwrap();
-    fleet.restart_engines("south", AWAY_TIME).unwrap();
+    fleet.engines().restart("south", AWAY_TIME).unwrap();
     let empty = fleet.wait("no target", || !fleet.has_targets("south").unwrap());
     empty.await.unwrap();
     let sender = fleet.sender().unwrap();
