Tell what a node's resident memory consists of

Cause: 42 MB resident was counted whole against the 32 MB for control, and nobody knew what it was.

node_memory starts a node over a stand-in and VMs that only report, and reads the node's mappings.

Ruled out by trial: HTTP clients, 0.1 to 0.2 MB each after the first.

--- /dev/null
+++ b/crates/buckthornpier/examples/node_memory/node_process.rs
@@ -0,0 +1,72 @@
+//! The node as a process.
+
+use std::{env, fs, io, io::BufRead as _, net, path, process};
+
+use anyhow::Context as _;
+
+/// A node that ends with the value.
+#[derive(Debug)]
+pub struct NodeProcess {
+    child: process::Child,
+}
+
+impl NodeProcess {
+    /// Starts a node over a platform and waits until it accepts connections.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program does not stand beside this one's folder or does not start.
+    pub fn start(platform: net::SocketAddr, threads: Option<u32>) -> anyhow::Result<Self> {
+        let settings = format!(
+            "[node]\ndata-centre = scot-central-a\nregion = scot-central\ncallers = 127.0.0.1:0\n\
+             operators = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
+             peer-key = 0123456789abcdef0123456789abcdef\n[platform]\nurl = http://{platform}\n\
+             [telemetry]\nlog-level = warn\n"
+        );
+        let file = env::temp_dir().join(format!("node-memory-{}.ini", process::id()));
+        fs::write(&file, settings)?;
+        let mut command = process::Command::new(program()?);
+        command.args(["node", "--settings"]).arg(&file);
+        if let Some(threads) = threads {
+            command.env("TOKIO_WORKER_THREADS", threads.to_string());
+        }
+        let mut child = command.stdout(process::Stdio::piped()).spawn()?;
+        let output = child.stdout.take().context("no output")?;
+        let node = Self { child };
+        let mut line = String::new();
+        io::BufReader::new(output).read_line(&mut line)?;
+        fs::remove_file(&file)?;
+        anyhow::ensure!(line.contains("callers="), "the node did not start");
+        Ok(node)
+    }
+
+    /// Returns the number of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Ends the node.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it has ended before.
+    pub fn stop(&mut self) -> anyhow::Result<()> {
+        self.child.kill()?;
+        self.child.wait()?;
+        Ok(())
+    }
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        // A child that has ended already needs no end.
+        let _ended = self.stop();
+    }
+}
+
+/// Returns the program beside this one's folder.
+fn program() -> anyhow::Result<path::PathBuf> {
+    let own = env::current_exe()?;
+    let folder = own.parent().and_then(path::Path::parent);
+    Ok(folder.context("no folder")?.join("buckthornpier"))
+}
