--- a/crates/pier_limits/examples/membership_cost/cost_node.rs
+++ b/crates/pier_limits/examples/membership_cost/cost_node.rs
@@ -25,6 +25,7 @@
     pub(super) duties: collections::BTreeMap<ids::VmName, usize>,
     pub(super) names: collections::BTreeMap<messages::VmKey, ids::VmName>,
     pub(super) holding: shares::ShareHolding,
+    asking: shares::AskSchedule,
     pub(super) ledger: Option<shares::ShareLedger>,
     pub(super) relay: relays::VmRelay,
     /// What it sent.
@@ -91,6 +92,7 @@
                 .map(|vm| (messages::VmKey::of(vm), vm.clone()))
                 .collect(),
             holding: shares::ShareHolding::new(terms),
+            asking: shares::AskSchedule::default(),
             ledger,
             relay: relays::VmRelay::new(time::Duration::from_millis(u64::from(number) * 8)),
             sent: sent_bytes::SentBytes::default(),
@@ -175,10 +177,10 @@
             }
             mail.push((peers[&peer].address, letter));
         }
-        if own != 0 {
-            let ask = self
-                .holding
-                .ask(epochs::LeaseTerm::new(1), &cost_inputs::demand()?, now);
+        let (term, demand) = (epochs::LeaseTerm::new(1), cost_inputs::demand()?);
+        if own != 0 && self.asking.is_due(term, &demand, &self.holding, now) {
+            self.asking.note(term, &demand, now);
+            let ask = self.holding.ask(term, &demand, now);
             mail.push((
                 cost_inputs::address(0),
                 vec![messages::PeerMessage::ShareAsk(ask)],
--- a/crates/pier_node/src/peers/mod.rs
+++ b/crates/pier_node/src/peers/mod.rs
@@ -15,6 +15,8 @@
 mod peer_socket;
 mod share_driver;
 mod share_target;
+mod slot_watch;
+mod target_book;
 
 pub use peer_loop::PeerLoop;
 pub use peer_socket::PeerSocket;
--- a/crates/pier_node/src/peers/peer_mail.rs
+++ b/crates/pier_node/src/peers/peer_mail.rs
@@ -81,7 +81,9 @@
                     self.take_batch(sender, &batch);
                 }
             }
-            messages::PeerMessage::ShareGrant(grant) => self.shares.take(&grant),
+            messages::PeerMessage::ShareGrant(grant) => {
+                self.shares.take(&grant, clocks::boot_now());
+            }
             messages::PeerMessage::ListNote(note) => {
                 self.lists.take_note(sender, note, now);
             }
--- a/crates/pier_node/src/tables/mod.rs
+++ b/crates/pier_node/src/tables/mod.rs
@@ -4,7 +4,6 @@
 mod table_builder;
 mod table_loop;
 
-use shift_driver::ShiftDriver;
-
+pub use shift_driver::ShiftDriver;
 pub use table_builder::TableBuilder;
 pub use table_loop::spawn;
