Pass requests on only to nodes that were heard, within a data centre

Cause: forward_peers was decided and tested but not used: a request went to any live node of the own data centre, also to one known only through others, which may be cut off from this one.

Each known node tells whether it takes forwards; the choice leaves the others out. Elsewhere every live node may be tried as before, as only delegates speak across. Two tests, each seen to fail with its half taken out: told-of stood among the nodes that take forwards ("left: [heard, told-of]"), and among the candidates.

--- a/crates/pier_node/src/forwards/forward_choice.rs
+++ b/crates/pier_node/src/forwards/forward_choice.rs
@@ -56,7 +56,8 @@
     fn usable(&self) -> impl Iterator<Item = &handle::PeerEntry> {
         self.peers.iter().filter(|peer| {
             let may_serve = self.own_serves || !self.is_own(peer);
-            may_serve && !peer.draining && self.document.is_in_service(&peer.data_centre)
+            let is_open = peer.takes_forwards && !peer.draining;
+            may_serve && is_open && self.document.is_in_service(&peer.data_centre)
         })
     }
 
--- a/crates/pier_node/src/handle/peer_entry.rs
+++ b/crates/pier_node/src/handle/peer_entry.rs
@@ -15,4 +15,7 @@
     pub address: net::SocketAddr,
     /// Whether it is about to stop.
     pub draining: bool,
+    /// Whether requests may be passed on to it. A node of the own data centre that is known only
+    /// through others may be cut off from this one; elsewhere only a few nodes are heard directly.
+    pub takes_forwards: bool,
 }
--- a/crates/pier_node/src/peers/peer_loop.rs
+++ b/crates/pier_node/src/peers/peer_loop.rs
@@ -225,6 +225,10 @@
 
     /// Returns the live nodes of all data centres.
     fn peer_entries(&self, now: times::BootTime) -> Vec<handle::PeerEntry> {
+        let own = &self.handle.settings().data_centre;
+        let heard = self.members.forward_peers(own, now);
+        let heard = heard.into_iter().map(|entry| entry.node);
+        let heard = heard.collect::<collections::BTreeSet<_>>();
         let views = self.members.views(now).into_iter();
         let live = views.filter(|(_, health)| *health == members::MemberHealth::Alive);
         live.map(|(entry, _)| handle::PeerEntry {
@@ -232,6 +236,7 @@
             data_centre: entry.data_centre.clone(),
             address: entry.address,
             draining: entry.beat.draining,
+            takes_forwards: entry.data_centre != *own || heard.contains(&entry.node),
         })
         .collect()
     }
--- a/crates/pier_node/tests/peers_and_probes/node_peers.rs
+++ b/crates/pier_node/tests/peers_and_probes/node_peers.rs
@@ -40,12 +40,10 @@
     .await;
 }
 
-fn sealed(key: &str, node: &str) -> Vec<u8> {
-    let name = node.parse::<ids::NodeName>().unwrap();
-    let instance = seals::NodeInstance::new(77);
-    let entry = messages::MemberEntry {
-        node: name.clone(),
-        instance,
+fn entry(node: &str, instance: u128) -> messages::MemberEntry {
+    messages::MemberEntry {
+        node: node.parse().unwrap(),
+        instance: seals::NodeInstance::new(instance),
         data_centre: "scot-central-a".parse().unwrap(),
         address: "127.0.0.1:9".parse().unwrap(),
         beat: messages::MemberBeat {
@@ -53,22 +51,44 @@
             config: epochs::ConfigVersion::new(0),
             draining: false,
         },
-    };
+    }
+}
+
+/// Returns a node's datagram with its own entry and some of others.
+fn sealed(key: &str, node: &str, others: &[&str]) -> Vec<u8> {
+    let name = node.parse::<ids::NodeName>().unwrap();
+    let instance = seals::NodeInstance::new(77);
+    let others = (78..).zip(others);
+    let others = others.map(|(instance, other)| entry(other, instance));
+    let entries = [entry(node, 77)].into_iter().chain(others).collect();
     let mut sealer = seals::DatagramSealer::new(key.parse().unwrap(), name, instance);
-    let message = messages::PeerMessage::Members(vec![entry]);
+    let message = messages::PeerMessage::Members(entries);
     sealer.seal(vec![message]).unwrap().remove(0)
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_is_known_only_through_another_takes_no_forwards() {
+    let node = start_node(0, &[]).await;
+    let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let datagram = sealed(KEY, "heard", &["told-of"]);
+    socket.send_to(&datagram, node.address).await.unwrap();
+    wait_for("both are known", || node.handle.peers().len() == 2).await;
+    let peers = node.handle.peers();
+    let takes = peers.iter().filter(|peer| peer.takes_forwards);
+    let takes = takes.map(|peer| peer.node.as_str()).collect::<Vec<_>>();
+    assert_eq!(takes, ["heard"]);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn forged_and_damaged_datagrams_change_nothing() {
     let node = start_node(0, &[]).await;
     let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
-    let forged = sealed("another-key-that-is-long-enough-too", "ghost-1");
-    let mut damaged = sealed(KEY, "ghost-2");
+    let forged = sealed("another-key-that-is-long-enough-too", "ghost-1", &[]);
+    let mut damaged = sealed(KEY, "ghost-2", &[]);
     damaged[30] ^= 1;
-    let truncated = sealed(KEY, "ghost-3");
+    let truncated = sealed(KEY, "ghost-3", &[]);
     let truncated = truncated[..truncated.len() - 1].to_vec();
-    let genuine = sealed(KEY, "real");
+    let genuine = sealed(KEY, "real", &[]);
     for datagram in [forged, damaged, truncated, vec![1; 1_400], vec![], genuine] {
         socket.send_to(&datagram, node.address).await.unwrap();
     }
--- a/crates/pier_node/tests/requests/forwards.rs
+++ b/crates/pier_node/tests/requests/forwards.rs
@@ -24,6 +24,7 @@
         data_centre: data_centre.parse().unwrap(),
         address,
         draining: false,
+        takes_forwards: true,
     }
 }
 
@@ -190,3 +191,26 @@
     );
     assert_eq!(cutting.taken(), 1);
 }
+
+#[test]
+fn a_node_that_takes_no_forwards_is_no_candidate() {
+    let document = include_str!("../../../../examples/tarifas.ini");
+    let document = document.parse().unwrap();
+    let address = "127.0.0.1:9".parse().unwrap();
+    let heard = peer("mvd-a", address);
+    let told_of = handle::PeerEntry {
+        node: "told-of".parse().unwrap(),
+        takes_forwards: false,
+        ..heard.clone()
+    };
+    let peers = [told_of, heard.clone()];
+    let choice = forwards::ForwardChoice {
+        data_centre: &"mvd-a".parse().unwrap(),
+        document: &document,
+        peers: &peers,
+        own_serves: true,
+    };
+    for random in 0..4 {
+        assert_eq!(choice.candidates(random), std::slice::from_ref(&heard));
+    }
+}
