--- a/crates/buckthornpier/examples/node_memory/main.rs
+++ b/crates/buckthornpier/examples/node_memory/main.rs
@@ -19,26 +19,18 @@
 /// Time until the memory of a node is taken as settled.
 const SETTLE_TIME: time::Duration = time::Duration::from_secs(12);
 
-/// Threads of the node's runtime; none means as many as the machine has cores.
-const THREADS: [Option<u32>; 3] = [None, Some(4), Some(2)];
-
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
     let mut out = io::stdout().lock();
     writeln!(out, "{}", memory_parts::HEADING)?;
     let reporters = vm_reporters::start(LISTED[2]).await?;
     let server = platform::FakePlatform::builder().launch().await?;
-    for threads in THREADS {
-        server.set_vms(Vec::new());
-        let mut node = node_process::NodeProcess::start(server.address(), threads)?;
-        for listed in LISTED {
-            server.set_vms(reporters[..usize::try_from(listed)?].to_vec());
-            tokio::time::sleep(SETTLE_TIME).await;
-            let parts = memory_parts::MemoryParts::read(node.id())?;
-            let threads = threads.map_or_else(|| "cores".to_owned(), |count| count.to_string());
-            writeln!(out, "{threads:>7} {listed:>4} {parts}")?;
-        }
-        node.stop()?;
+    let mut node = node_process::NodeProcess::start(server.address())?;
+    for listed in LISTED {
+        server.set_vms(reporters[..usize::try_from(listed)?].to_vec());
+        tokio::time::sleep(SETTLE_TIME).await;
+        let parts = memory_parts::MemoryParts::read(node.id())?;
+        writeln!(out, "{listed:>4} {parts}")?;
     }
-    Ok(())
+    node.stop()
 }
--- a/crates/buckthornpier/examples/node_memory/memory_parts.rs
+++ b/crates/buckthornpier/examples/node_memory/memory_parts.rs
@@ -6,7 +6,7 @@
 
 /// The columns.
 pub const HEADING: &str =
-    "threads  vms  resident_kB  program_kB  libraries_kB  stacks_kB  other_kB  tasks  stack_maps";
+    " vms  resident_kB  program_kB  libraries_kB  stacks_kB  other_kB  tasks  stack_maps";
 
 /// Size of a thread's stack as the standard library and the runtime ask for it, in kilobytes.
 const STACK_KB: u64 = 2_048;
--- a/crates/buckthornpier/examples/node_memory/node_process.rs
+++ b/crates/buckthornpier/examples/node_memory/node_process.rs
@@ -16,7 +16,7 @@
     /// # Errors
     ///
     /// Fails when the program does not stand beside this one's folder or does not start.
-    pub fn start(platform: net::SocketAddr, threads: Option<u32>) -> anyhow::Result<Self> {
+    pub fn start(platform: net::SocketAddr) -> anyhow::Result<Self> {
         let settings = format!(
             "[node]\ndata-centre = scot-central-a\nregion = scot-central\ncallers = 127.0.0.1:0\n\
              operators = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
@@ -27,9 +27,6 @@
         fs::write(&file, settings)?;
         let mut command = process::Command::new(program()?);
         command.args(["node", "--settings"]).arg(&file);
-        if let Some(threads) = threads {
-            command.env("TOKIO_WORKER_THREADS", threads.to_string());
-        }
         let mut child = command.stdout(process::Stdio::piped()).spawn()?;
         let output = child.stdout.take().context("no output")?;
         let node = Self { child };
