--- a/crates/pier_limits/examples/membership_cost/cost_node.rs
+++ b/crates/pier_limits/examples/membership_cost/cost_node.rs
@@ -25,7 +25,7 @@
     pub(super) duties: collections::BTreeMap<ids::VmName, usize>,
     pub(super) names: collections::BTreeMap<messages::VmKey, ids::VmName>,
     pub(super) holding: shares::ShareHolding,
-    pub(super) asking: shares::AskSchedule,
+    asking: shares::AskSchedule,
     pub(super) ledger: Option<shares::ShareLedger>,
     pub(super) relay: relays::VmRelay,
     /// What it sent.
