Cut the load of a target that turns cold again by what requests saw

Cause: WarmthRamp::{hear_answer,hear_failure} and SlowTargets were decided but nothing fed them, so a target that turned cold without warning kept its warm share until the next report and the next table. Done: requests tell first-token times and failures by a message without waiting; the owner of the ramps bounds the target's counter by an atomic at once when its limit falls. Slow targets weigh four times as much in a choice. Ruled out: a second ramp per request in atomics (the rule would stand twice); waiting for the next table (0.1 s, in which a crowd fits); latency of whole answers (it grows with their length). Left: a node cuts by its own evidence; others follow with theirs or the next report.

--- a/crates/pier_limits/src/warmth/warmth_ramp.rs
+++ b/crates/pier_limits/src/warmth/warmth_ramp.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// Returns how fast the target has answered since it was last cut.
+    pub const fn pace(&self) -> warmth::TargetPace {
+        self.pace
+    }
+
     /// Returns the present limit.
     pub fn limit(&self, now: times::BootTime) -> sizes::RequestCount {
         let cold = self.policy.cold.min(self.full);
--- a/crates/pier_node/src/peers/known_target.rs
+++ b/crates/pier_node/src/peers/known_target.rs
@@ -3,7 +3,7 @@
 use pier_limits::{shares, warmth};
 use pier_types::{epochs, sizes, times};
 
-use crate::peers::share_target;
+use crate::{peers::share_target, requests};
 
 /// Generations are other keys, so that a ramp never sees another incarnation.
 const ONE_INCARNATION: epochs::VmIncarnation = epochs::VmIncarnation::new(1);
@@ -47,6 +47,18 @@
         self.target = target;
     }
 
+    /// Takes in what a request saw; returns whether the limit fell.
+    pub(super) fn hear(&mut self, news: &requests::WarmthNews, now: times::BootTime) -> bool {
+        let before = self.ramp.limit(now);
+        match news.sign {
+            requests::WarmthSign::FirstToken(latency) => {
+                self.ramp.hear_answer(latency, news.seen_at);
+            }
+            requests::WarmthSign::Failure => self.ramp.hear_failure(news.seen_at),
+        }
+        self.ramp.limit(now) < before
+    }
+
     /// Returns the target's present limit and its two parts.
     pub(super) fn split(&self, now: times::BootTime) -> (sizes::RequestCount, shares::LimitSplit) {
         let limit = self.ramp.limit(now);
--- a/crates/pier_node/src/peers/peer_loop.rs
+++ b/crates/pier_node/src/peers/peer_loop.rs
@@ -2,6 +2,7 @@
 
 use std::{collections, io, net, time};
 
+use anyhow::Context as _;
 use pier_limits::{members, probes as decisions};
 use pier_types::{epochs, ids, times, times::clocks};
 use pier_wire::{messages, seals};
@@ -10,7 +11,7 @@
 use crate::{
     configs, handle, peers,
     peers::{crash_marks, share_driver},
-    probes,
+    probes, requests,
 };
 
 /// Time between two looks at what is due.
@@ -45,7 +46,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when the settings' key is refused.
+    /// Fails when the settings' key is refused, or when the loop runs already.
     pub fn spawn(
         handle: handle::NodeHandle,
         socket: peers::PeerSocket,
@@ -74,11 +75,17 @@
             socket,
             configs,
         };
-        tokio::spawn(peer_loop.run(outcomes));
+        let warmth = peer_loop.handle.requests().take_warmth_news();
+        let warmth = warmth.context("another loop has the evidence of warmth")?;
+        tokio::spawn(peer_loop.run(outcomes, warmth));
         Ok(())
     }
 
-    async fn run(mut self, mut outcomes: mpsc::UnboundedReceiver<probes::ProbeOutcome>) {
+    async fn run(
+        mut self,
+        mut outcomes: mpsc::UnboundedReceiver<probes::ProbeOutcome>,
+        mut warmth: mpsc::Receiver<requests::WarmthNews>,
+    ) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
@@ -86,6 +93,7 @@
                 _tick = ticks.tick() => self.tick(clocks::boot_now()),
                 received = self.socket.receive() => self.take(received, clocks::boot_now()),
                 Some(outcome) = outcomes.recv() => self.probes.take(outcome),
+                Some(news) = warmth.recv() => self.shares.hear(&news, clocks::boot_now()),
             }
         }
     }
--- a/crates/pier_node/src/peers/share_driver.rs
+++ b/crates/pier_node/src/peers/share_driver.rs
@@ -3,13 +3,14 @@
 use std::{collections, sync, time};
 
 use pier_control::leases;
-use pier_limits::shares;
+use pier_limits::{shares, warmth};
 use pier_types::{epochs, ids, sizes, times};
 use pier_wire::messages;
 
 use crate::{
     handle,
     peers::{known_target, share_target},
+    requests,
 };
 
 /// Time between two questions.
@@ -87,6 +88,7 @@
             let wanted = self.wanted(now);
             self.holding.give_up(&wanted);
             self.lowered = Some(wanted);
+            self.mark_slow(now);
         }
         self.publish(now);
         let record = &lease?.record;
@@ -120,6 +122,29 @@
         ledger.answer(node, ask, now, lease_end)
     }
 
+    /// Takes in what a request saw of a target; a limit that falls binds requests at once.
+    pub(super) fn hear(&mut self, news: &requests::WarmthNews, now: times::BootTime) {
+        let key = messages::ShareKey::of(&news.target, news.generation.get());
+        let Some(known) = self.targets.get_mut(&key) else {
+            return;
+        };
+        if !known.hear(news, now) {
+            return;
+        }
+        let limit = known.ramp.limit(now);
+        let allowed = self.allowed(key, now);
+        log::warn!(
+            event = "target-cold-again",
+            target:% = news.target,
+            sign:? = news.sign,
+            limit = limit.get(),
+            share = allowed.get();
+            ""
+        );
+        let bounds = collections::BTreeMap::from([(news.target.clone(), allowed)]);
+        self.handle.requests().bound_targets(&bounds);
+    }
+
     /// Takes in the lease holder's answer.
     pub(super) fn take(&mut self, grant: &messages::ShareGrant) {
         self.holding.take(grant);
@@ -255,11 +280,24 @@
                 published.insert(known.target.id.clone(), allowed);
             }
         }
+        self.handle.requests().bound_targets(&published);
         if *self.handle.shares() != published {
             self.handle.publish_shares(published);
         }
     }
 
+    /// Says which targets answer slower than those that can stand in for them.
+    fn mark_slow(&self, now: times::BootTime) {
+        let mut pools: collections::BTreeMap<_, collections::BTreeMap<_, _>> =
+            collections::BTreeMap::new();
+        for known in self.targets.values().filter(|known| known.seen_at == now) {
+            let pool = pools.entry(&known.target.pool).or_default();
+            pool.insert(known.target.id.clone(), known.ramp.pace());
+        }
+        let slow = pools.values().flat_map(warmth::SlowTargets::find);
+        self.handle.requests().mark_slow(&slow.collect());
+    }
+
     /// Returns what this node may have in flight at a target, by its own evidence of warmth.
     fn allowed(&self, key: messages::ShareKey, now: times::BootTime) -> sizes::RequestCount {
         let known = self.targets.get(&key).filter(|_| self.new_work);
--- a/crates/pier_node/src/peers/share_target.rs
+++ b/crates/pier_node/src/peers/share_target.rs
@@ -3,7 +3,7 @@
 use std::collections;
 
 use pier_config::documents;
-use pier_types::{epochs, ids, reports, sizes, times, vms};
+use pier_types::{epochs, ids, reports, routes, sizes, times, vms};
 use pier_wire::messages;
 
 use crate::handle;
@@ -13,6 +13,7 @@
 pub(super) struct ShareTarget {
     pub(super) key: messages::ShareKey,
     pub(super) id: ids::TargetId,
+    pub(super) pool: routes::PoolKey,
     pub(super) generation: epochs::GroupGeneration,
     pub(super) warm_limit: sizes::RequestCount,
     pub(super) cold_limit: sizes::RequestCount,
@@ -33,6 +34,7 @@
         Some(ShareTarget {
             key: messages::ShareKey::of(&id, serving.generation.get()),
             id,
+            pool: routes::PoolKey::Model(serving.model.clone()),
             generation: serving.generation,
             warm_limit: model.warm_limit,
             cold_limit: model.cold_limit,
@@ -58,6 +60,7 @@
             Some(ShareTarget {
                 key: messages::ShareKey::of(&id, incarnation),
                 id,
+                pool: routes::PoolKey::Service(name.clone()),
                 generation,
                 warm_limit: service.warm_limit,
                 cold_limit: service.cold_limit,
--- a/crates/pier_node/src/requests/attempt_fault.rs
+++ b/crates/pier_node/src/requests/attempt_fault.rs
@@ -23,6 +23,16 @@
         }
     }
 
+    /// Tells whether it speaks against the target being warm.
+    ///
+    /// A rejection speaks of the request, and a deadline of the caller as much as of the target.
+    pub(super) const fn is_sign_of_cold(&self) -> bool {
+        !matches!(
+            self.end,
+            attempts::AttemptEnd::Rejected | attempts::AttemptEnd::TimedOut
+        )
+    }
+
     /// Makes a fault after which the target is asked whether it is still the same process.
     pub(super) fn crashed(end: attempts::AttemptEnd, cause: impl Into<String>) -> Self {
         Self {
--- a/crates/pier_node/src/requests/mod.rs
+++ b/crates/pier_node/src/requests/mod.rs
@@ -33,6 +33,8 @@
 mod target_client;
 mod target_view;
 mod token_event;
+mod token_pace;
+mod warmth_news;
 mod whole_answer;
 mod whole_run;
 
@@ -60,6 +62,8 @@
 use stream_run::StreamRun;
 use target_view::TargetView;
 use token_event::TokenEvent;
+use token_pace::TokenPace;
+pub use warmth_news::{WarmthNews, WarmthSign};
 use whole_answer::WholeAnswer;
 use whole_run::WholeRun;
 
--- a/crates/pier_node/src/requests/request_run.rs
+++ b/crates/pier_node/src/requests/request_run.rs
@@ -94,6 +94,11 @@
         if fault.may_have_died {
             self.tell_crash(permit);
         }
+        if fault.is_sign_of_cold() {
+            let sign = requests::WarmthSign::Failure;
+            let news = requests::WarmthNews::of(permit.target(), sign, clocks::boot_now());
+            self.handle.requests().tell_warmth(news);
+        }
         let decision = self.with_budgets(|customer_budget, node_budget| {
             let question = retries::RetryQuestion {
                 rule: self.plan.rule,
--- a/crates/pier_node/src/requests/request_state.rs
+++ b/crates/pier_node/src/requests/request_state.rs
@@ -19,6 +19,9 @@
 /// Pieces of news of crashes that may wait; more are dropped.
 const NEWS_LIMIT: usize = 1_024;
 
+/// Pieces of evidence of warmth that may wait; more are dropped.
+const WARMTH_LIMIT: usize = 4_096;
+
 /// State that requests read without a lock, published whole by the control loops.
 #[derive(Debug)]
 pub struct RequestState {
@@ -32,6 +35,8 @@
     news: mpsc::Sender<requests::CrashNews>,
     // Taken by control loops alone, never by a request.
     waiting_news: sync::Mutex<Option<mpsc::Receiver<requests::CrashNews>>>,
+    warmth: mpsc::Sender<requests::WarmthNews>,
+    waiting_warmth: sync::Mutex<Option<mpsc::Receiver<requests::WarmthNews>>>,
     crashes: sync::Mutex<quarantine::CrashLedger>,
     counters: sync::Mutex<routing::CounterRegistry>,
 }
@@ -44,6 +49,7 @@
     /// Fails when an HTTP client can not be made.
     pub fn new() -> anyhow::Result<Self> {
         let (news, waiting_news) = mpsc::channel(NEWS_LIMIT);
+        let (warmth, waiting_warmth) = mpsc::channel(WARMTH_LIMIT);
         Ok(Self {
             targets: ArcSwap::default(),
             full_peers: ArcSwap::default(),
@@ -54,6 +60,8 @@
             one_time_client: requests::target_client::one_time()?,
             news,
             waiting_news: sync::Mutex::new(Some(waiting_news)),
+            warmth,
+            waiting_warmth: sync::Mutex::new(Some(waiting_warmth)),
             crashes: sync::Mutex::default(),
             counters: sync::Mutex::default(),
         })
@@ -97,6 +105,42 @@
         counts.collect()
     }
 
+    /// Bounds what this node has in flight at targets, ahead of the next table.
+    pub fn bound_targets(
+        &self,
+        bounds: &collections::BTreeMap<ids::TargetId, sizes::RequestCount>,
+    ) {
+        let targets = self.targets.load();
+        for (_key, pool) in targets.view.pools() {
+            for entry in pool.entries() {
+                if let Some(bound) = bounds.get(&entry.target.target) {
+                    entry.counter.set_ceiling(*bound);
+                }
+            }
+        }
+    }
+
+    /// Says which targets are slower than those that can stand in for them.
+    pub fn mark_slow(&self, slow: &collections::BTreeSet<ids::TargetId>) {
+        let targets = self.targets.load();
+        for (_key, pool) in targets.view.pools() {
+            for entry in pool.entries() {
+                entry.counter.set_slow(slow.contains(&entry.target.target));
+            }
+        }
+    }
+
+    /// Returns the evidence of warmth to the task that waits for it, once.
+    pub fn take_warmth_news(&self) -> Option<mpsc::Receiver<requests::WarmthNews>> {
+        unpoisoned(&self.waiting_warmth).take()
+    }
+
+    /// Hands on evidence of warmth; dropped when too much waits.
+    pub(super) fn tell_warmth(&self, news: requests::WarmthNews) {
+        // What waits already says enough of the targets.
+        let _dropped = self.warmth.try_send(news);
+    }
+
     /// Returns how many prefixes are known to be cached somewhere.
     pub fn prefix_count(&self) -> usize {
         self.prefixes.load().len()
--- a/crates/pier_node/src/requests/stream_run.rs
+++ b/crates/pier_node/src/requests/stream_run.rs
@@ -92,9 +92,10 @@
             attempt,
             resume_from: tracker.begin(attempt),
         };
+        let pace = requests::TokenPace::new(clocks::boot_now());
         let answer = call.send(&span.parent()).await;
         let relayed = match answer {
-            Ok(answer) => relay(&call, answer, tracker, sink).await,
+            Ok(answer) => relay(&call, answer, pace, tracker, sink).await,
             Err(fault) => Err(StreamStop::Fault(fault)),
         };
         match &relayed {
@@ -110,6 +111,7 @@
 async fn relay(
     call: &requests::AttemptCall<'_>,
     answer: reqwest::Response,
+    mut pace: requests::TokenPace,
     tracker: &mut attempts::AttemptTracker<Bytes>,
     sink: &mut requests::RelaySink,
 ) -> Result<(), StreamStop> {
@@ -138,7 +140,10 @@
             }
         };
         match take(call, tracker, event)? {
-            TakenEvent::Tokens => push_ready(call, tracker, sink).await?,
+            TakenEvent::Tokens => {
+                pace.take(call, clocks::boot_now());
+                push_ready(call, tracker, sink).await?;
+            }
             TakenEvent::Nothing => {}
             TakenEvent::Done => break,
         }
--- /dev/null
+++ b/crates/pier_node/src/requests/token_pace.rs
@@ -0,0 +1,31 @@
+//! How fast the tokens of one attempt come.
+
+use pier_types::times;
+
+use crate::requests;
+
+/// Watches the times of one attempt's tokens.
+#[derive(Debug)]
+pub(super) struct TokenPace {
+    sent_at: times::BootTime,
+    last_at: Option<times::BootTime>,
+}
+
+impl TokenPace {
+    /// Begins when the attempt is sent.
+    pub(super) const fn new(sent_at: times::BootTime) -> Self {
+        Self {
+            sent_at,
+            last_at: None,
+        }
+    }
+
+    /// Takes in a token; the first one is evidence of the target's warmth.
+    pub(super) fn take(&mut self, call: &requests::AttemptCall<'_>, now: times::BootTime) {
+        if self.last_at.replace(now).is_none() {
+            let sign = requests::WarmthSign::FirstToken(now.since(self.sent_at));
+            let news = requests::WarmthNews::of(call.target, sign, now);
+            call.handle.requests().tell_warmth(news);
+        }
+    }
+}
--- a/crates/pier_request/src/routing/pool_view.rs
+++ b/crates/pier_request/src/routing/pool_view.rs
@@ -121,7 +121,7 @@
 /// A prefix saves part of the work of one request, so that it is worth waiting for two others, or
 /// for half as much load again, but not for the crowd that a popular prefix would draw.
 fn most_for_holder(holder: &routing::RouteEntry, best: u64) -> u64 {
-    let one = super::route_entry::FULL_SCORE / u64::from(holder.target.share.get().max(1));
+    let one = super::route_entry::FULL_SCORE / u64::from(holder.limit().get().max(1));
     best + (best / 2).max(one * 2)
 }
 
@@ -160,5 +160,5 @@
 }
 
 fn may_serve(entry: &routing::RouteEntry, question: &routing::RouteQuestion<'_>) -> bool {
-    entry.target.share.get() > 0 && !question.tried.contains(&entry.target.target)
+    entry.limit().get() > 0 && !question.tried.contains(&entry.target.target)
 }
--- a/crates/pier_request/src/routing/route_entry.rs
+++ b/crates/pier_request/src/routing/route_entry.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use pier_types::{routes, times};
+use pier_types::{routes, sizes, times};
 
 use crate::routing;
 
@@ -12,6 +12,9 @@
 /// What one request weighs against a target with a share of one.
 pub(super) const FULL_SCORE: u64 = 1_024;
 
+/// How many times a request weighs at a slow target.
+const SLOW_WEIGHT: u64 = 4;
+
 /// A target, its last report, and what this node did since.
 #[derive(Debug, Clone)]
 pub struct RouteEntry {
@@ -26,7 +29,12 @@
 impl RouteEntry {
     /// Tells whether this node may send another request there.
     pub fn has_room(&self) -> bool {
-        self.counter.in_flight() < self.target.share
+        self.counter.in_flight() < self.limit()
+    }
+
+    /// Returns how many requests this node may have in flight there.
+    pub fn limit(&self) -> sizes::RequestCount {
+        self.target.share.min(self.counter.ceiling())
     }
 
     /// Returns the estimated number of requests there, of all nodes.
@@ -52,7 +60,12 @@
     /// Returns how loaded it would be with one more request; smaller is better.
     pub(super) fn score(&self, now: times::BootTime) -> u64 {
         let load = u64::from(self.estimated_load(now)) + 1;
-        load * FULL_SCORE / u64::from(self.target.share.get().max(1))
+        let weight = if self.counter.is_slow() {
+            SLOW_WEIGHT
+        } else {
+            1
+        };
+        load * weight * FULL_SCORE / u64::from(self.limit().get().max(1))
     }
 
     /// Takes a permit if the share allows.
--- a/crates/pier_request/tests/routing_keeps_shares_and_spreads_load.rs
+++ b/crates/pier_request/tests/routing_keeps_shares_and_spreads_load.rs
@@ -256,3 +256,39 @@
     // An even spread gives 10, a choice by the prefix alone 100.
     assert!((10..=25).contains(&crowd), "{crowd} of 100");
 }
+
+#[test]
+fn a_ceiling_binds_at_once_ahead_of_the_next_table() {
+    let view = view_of(&TableBuilder::default().add(0, "a", 9, 0).build());
+    let counter = &pool_of(&view).entries().next().unwrap().counter;
+    let held: Vec<_> = (0..5)
+        .map(|random| pool_of(&view).choose(&question(random)).unwrap())
+        .collect();
+    counter.set_ceiling(sizes::RequestCount::new(4));
+    let refusal = pool_of(&view).choose(&question(5)).unwrap_err();
+    assert_eq!(refusal, routing::RouteRefusal::AllFull);
+    drop(held);
+    let held: Vec<_> = (0..9)
+        .filter_map(|random| pool_of(&view).choose(&question(random)).ok())
+        .collect();
+    assert_eq!(held.len(), 4);
+    counter.set_ceiling(sizes::RequestCount::new(9));
+    assert!(pool_of(&view).choose(&question(6)).is_ok());
+}
+
+#[test]
+fn a_slow_target_is_sent_less_but_still_used_when_the_others_are_full() {
+    let table = (0..4).fold(TableBuilder::default(), |table, number| {
+        table.add(number, "a", 40, 0)
+    });
+    let view = view_of(&table.build());
+    let slow = pool_of(&view).entries().next().unwrap();
+    slow.counter.set_slow(true);
+    let mut held: Vec<_> = (0..80)
+        .map(|random| pool_of(&view).choose(&question(random)).unwrap())
+        .collect();
+    let at_slow = slow.counter.in_flight().get();
+    assert!(at_slow <= 10, "{at_slow} of 80 at the slow target of four");
+    held.extend((80..160).map(|random| pool_of(&view).choose(&question(random)).unwrap()));
+    assert_eq!(slow.counter.in_flight().get(), 40);
+}
