--- a/crates/pier_node/src/callers/caller_routes.rs
+++ b/crates/pier_node/src/callers/caller_routes.rs
@@ -1,9 +1,8 @@
 //! The routes of the callers' port.
 
-use std::{io, time};
+use std::io;
 
-use pier_types::{codes, times};
-use rocket::data::ToByteUnit as _;
+use pier_types::times;
 use rocket::http::{Header, Method, Status};
 use rocket::response::Responder as _;
 use rocket::response::stream::ByteStream;
@@ -13,12 +12,6 @@
 
 use crate::{callers, handle, requests};
 
-/// Greatest size of a body, in bytes, before the configuration's own limit is asked.
-const BODY_LIMIT_BYTES: u64 = 8 * 1024 * 1024;
-
-/// Time a caller has to send its body whole.
-const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(30);
-
 /// Milliseconds in a second.
 const MILLIS_PER_SECOND: u64 = 1_000;
 
@@ -75,11 +68,19 @@
         response
     }
 
+    /// Refuses a request whose body was not read whole.
+    fn refuse(&self, error: callers::ErrorBody) -> callers::CallerReply {
+        self.handle.metrics().count_answer(Some(error.code));
+        error.into()
+    }
+
     async fn serve(&self, head: &Request<'_>, data: Data<'_>) -> callers::CallerReply {
         let arrived_at = times::clocks::boot_now();
-        let body = match read_body(data).await {
+        let timeout = self.handle.settings().body_timeout;
+        let reader = callers::BodyReader { timeout };
+        let body = match reader.read(data).await {
             Ok(body) => body,
-            Err(error) => return error.into(),
+            Err(error) => return self.refuse(error),
         };
         let request = request_of(head, body, arrived_at);
         requests::RequestPath::new(self.handle.clone())
@@ -104,24 +105,6 @@
     callers::CallerReply::whole(status, "text/plain", text.into())
 }
 
-async fn read_body(data: Data<'_>) -> Result<Vec<u8>, callers::ErrorBody> {
-    let reading = data.open(BODY_LIMIT_BYTES.bytes()).into_bytes();
-    let body = tokio::time::timeout(BODY_TIMEOUT, reading).await;
-    let incomplete = || {
-        let code = codes::ResultCode::IncompleteBody;
-        callers::ErrorBody::new(code, "the body did not arrive whole in time")
-    };
-    let body = body
-        .map_err(|_elapsed| incomplete())?
-        .map_err(|_broken: io::Error| incomplete())?;
-    if !body.is_complete() {
-        let code = codes::ResultCode::BodyTooLarge;
-        let message = format!("the body is over {BODY_LIMIT_BYTES} bytes");
-        return Err(callers::ErrorBody::new(code, message));
-    }
-    Ok(body.into_inner())
-}
-
 fn request_of(
     head: &Request<'_>,
     body: Vec<u8>,
--- a/crates/pier_node/src/callers/mod.rs
+++ b/crates/pier_node/src/callers/mod.rs
@@ -1,10 +1,12 @@
 //! Callers' HTTP: reads requests whole, writes answers as they come.
 
+mod body_reader;
 mod caller_reply;
 mod caller_request;
 mod caller_routes;
 mod error_body;
 
+use body_reader::BodyReader;
 pub use caller_reply::{CallerReply, EVENT_STREAM, ReplyBody};
 pub use caller_request::CallerRequest;
 pub use caller_routes::CallerRoutes;
--- a/crates/pier_node/src/daemon/node_daemon.rs
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -16,6 +16,9 @@
 /// Bound on connecting to a target.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
+/// Ports of the system's choice that are tried for connections and datagrams together.
+const PORT_TRIES: u32 = 10;
+
 /// Idle connections are closed before a target would close them.
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
@@ -43,8 +46,9 @@
         control::spawn(handle.clone(), &control::ControlSettings::default());
         requests::spawn(&handle);
         let configs = Self::spawn_configs(&handle)?;
-        let peers = Self::launch_forwards(&handle).await?;
-        let socket = peers::PeerSocket::bind(peers).await?;
+        let (listener, socket) = bind_peers(handle.settings().peers).await?;
+        let peers = socket.address();
+        Self::launch_forwards(&handle, listener)?;
         peers::PeerLoop::spawn(handle.clone(), socket, configs)?;
         let operators = Self::launch_operators(&handle).await?;
         let callers = Self::launch_callers(&handle).await?;
@@ -132,15 +136,14 @@
         daemon::WebServer::launch(settings.callers, |rocket| rocket.mount("/", routes)).await
     }
 
-    async fn launch_forwards(handle: &handle::NodeHandle) -> anyhow::Result<net::SocketAddr> {
+    fn launch_forwards(
+        handle: &handle::NodeHandle,
+        listener: tokio::net::TcpListener,
+    ) -> anyhow::Result<()> {
         let key = handle.settings().peer_key.parse()?;
-        let wanted = handle.settings().peers;
-        let listener = tokio::net::TcpListener::bind(wanted).await;
-        let listener = listener.with_context(|| format!("binding {wanted}"))?;
-        let address = listener.local_addr()?;
         let server = forwards::ForwardServer::new(handle.clone(), key);
         tokio::spawn(server.run(listener));
-        Ok(address)
+        Ok(())
     }
 
     fn spawn_configs(handle: &handle::NodeHandle) -> anyhow::Result<configs::ConfigInbox> {
@@ -160,6 +163,26 @@
     }
 }
 
+/// Binds the same port for connections and for datagrams.
+///
+/// A port of the system's choice is free for connections alone, so that another one is tried when
+/// somebody has it for datagrams.
+async fn bind_peers(
+    wanted: net::SocketAddr,
+) -> anyhow::Result<(tokio::net::TcpListener, peers::PeerSocket)> {
+    let mut tries_left = if wanted.port() == 0 { PORT_TRIES } else { 1 };
+    loop {
+        let listener = tokio::net::TcpListener::bind(wanted).await;
+        let listener = listener.with_context(|| format!("binding {wanted}"))?;
+        tries_left -= 1;
+        match peers::PeerSocket::bind(listener.local_addr()?).await {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(error) if tries_left == 0 => return Err(error),
+            Err(_taken) => {}
+        }
+    }
+}
+
 /// Draws a name that no earlier start had, so that a restarted node is never taken for its predecessor.
 fn draw_name(settings: &settings::NodeSettings) -> anyhow::Result<ids::NodeName> {
     let unique = uuid::Uuid::new_v4().simple().to_string();
--- a/crates/pier_node/src/settings/node_settings.rs
+++ b/crates/pier_node/src/settings/node_settings.rs
@@ -1,6 +1,6 @@
 //! The settings of one node.
 
-use std::{net, path, time};
+use std::{net, ops, path, time};
 
 use anyhow::Context as _;
 use pier_types::ids;
@@ -13,6 +13,12 @@
 /// Time between turning unready and closing the port when the settings name none.
 const DEFAULT_NOTICE: time::Duration = time::Duration::from_secs(5);
 
+/// Time that a caller has to send its body when the settings name none.
+const DEFAULT_BODY_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+
+/// Bounds of the time that a caller has to send its body, in seconds.
+const BODY_TIMEOUT_BOUNDS: ops::RangeInclusive<u64> = 1..=600;
+
 /// Least length of the key that authenticates messages between nodes, in characters.
 const PEER_KEY_LENGTH: usize = 32;
 
@@ -58,6 +64,8 @@
     pub drain_limit: time::Duration,
     /// Time between turning unready and closing the port.
     pub drain_notice: time::Duration,
+    /// Time that a caller has to send its body whole.
+    pub body_timeout: time::Duration,
     /// OTLP collector, base of its HTTP address.
     pub collector_url: Option<String>,
     /// Least level of log lines.
@@ -102,6 +110,7 @@
         let platform_url = Self::read_url(reader, "platform", "url");
         let drain_limit = reader.optional("node", "drain-limit-seconds", seconds);
         let drain_notice = reader.optional("node", "drain-notice-seconds", seconds);
+        let body_timeout = Self::read_body_timeout(reader);
         let collector_url = Self::read_optional_url(reader, "telemetry", "collector");
         let levels = "one of off, error, warn, info, debug, trace";
         let log_level = reader.optional("telemetry", "log-level", levels);
@@ -116,11 +125,25 @@
             platform_url: platform_url?,
             drain_limit: drain_limit.map_or(DEFAULT_DRAIN, time::Duration::from_secs),
             drain_notice: drain_notice.map_or(DEFAULT_NOTICE, time::Duration::from_secs),
+            body_timeout,
             collector_url,
             log_level: log_level.unwrap_or(log::LevelFilter::Info),
         })
     }
 
+    fn read_body_timeout(reader: &mut settings::SettingsReader<'_>) -> time::Duration {
+        let (least, greatest) = (BODY_TIMEOUT_BOUNDS.start(), BODY_TIMEOUT_BOUNDS.end());
+        let allowed = format!("whole seconds, {least} to {greatest}");
+        let key = "body-timeout-seconds";
+        let Some(seconds) = reader.optional::<u64>("node", key, &allowed) else {
+            return DEFAULT_BODY_TIMEOUT;
+        };
+        if !BODY_TIMEOUT_BOUNDS.contains(&seconds) {
+            reader.refuse("node", key, &seconds.to_string(), &allowed);
+        }
+        time::Duration::from_secs(seconds)
+    }
+
     fn read_peer_key(reader: &mut settings::SettingsReader<'_>) -> Option<String> {
         let allowed = format!("at least {PEER_KEY_LENGTH} characters, the same on every node");
         let key: String = reader.required("node", "peer-key", &allowed)?;
--- a/crates/pier_node/tests/bad_bytes.rs
+++ b/crates/pier_node/tests/bad_bytes.rs
@@ -1,17 +1,22 @@
 //! Senders that break HTTP's rules or stop half-way leave the node serving others.
 
-use std::net as addresses;
+mod support;
+
+use std::{net as addresses, time};
 
 use pier_fakes::platform;
 use pier_node::{daemon, settings};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net;
 
+/// Only keeps a hanging test from running for ever; far below the default time to send a body.
+const HANG_GUARD: time::Duration = time::Duration::from_secs(20);
+
 /// Headers of the flood.
 const FLOOD_HEADERS: usize = 20_000;
 
 /// Bytes of a body that is over every limit.
-const LARGE_BODY: usize = 9 * 1024 * 1024;
+const LARGE_BODY: usize = 24 * 1024 * 1024;
 
 async fn launch(platform: &platform::FakePlatform) -> daemon::NodeDaemon {
     let text = format!(
@@ -72,18 +77,61 @@
 async fn an_over_long_body_is_refused_as_not_run() {
     let platform = platform::FakePlatform::builder().launch().await.unwrap();
     let node = launch(&platform).await;
-    let client = reqwest::Client::builder().no_proxy().build().unwrap();
-    let url = format!("http://{}/v1/completions", node.callers_address());
-    let sending = client.post(url).body(vec![b'x'; LARGE_BODY]).send();
-    // The refusal may overtake the body, and the rest of it then finds the connection closed.
-    if let Ok(answer) = sending.await {
-        assert_eq!(answer.status(), 413);
-        assert!(answer.text().await.unwrap().contains("not-run"));
-    }
+    let head = "POST /v1/completions HTTP/1.1\r\nHost: node\r\nContent-Length: ";
+    let mut request = format!("{head}{LARGE_BODY}\r\n\r\n").into_bytes();
+    request.resize(request.len() + LARGE_BODY, b'x');
+    let connecting = net::TcpStream::connect(node.callers_address());
+    let mut connection = connecting.await.unwrap();
+    // Many senders look for an answer only after they have sent everything.
+    connection.write_all(&request).await.unwrap();
+    let mut buffer = vec![0; 4_096];
+    let length = connection.read(&mut buffer).await.unwrap();
+    let answer = String::from_utf8_lossy(&buffer[..length]);
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer:?}");
+    assert!(answer.contains("not-run"), "{answer}");
     assert_alive(node.callers_address()).await;
     node.drain().await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_sender_is_refused_as_not_run_when_its_time_is_up() {
+    let serving = support::ServingNode::start("body-timeout-seconds = 1").await;
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer {}\r\n\
+         Content-Length: 100\r\n\r\n{{\"model\": \"draft\", ",
+        support::REPEAT_KEY,
+    );
+    let asking = exchange(serving.node.callers_address(), head.as_bytes());
+    let answer = tokio::time::timeout(HANG_GUARD, asking).await.unwrap();
+    let answer = answer.to_lowercase();
+    assert!(answer.starts_with("http/1.1 408"), "{answer}");
+    assert!(answer.contains("\"code\":1011"), "{answer}");
+    assert!(answer.contains("\"outcome\":\"not-run\""), "{answer}");
+    assert!(answer.contains("retry-after: 1"), "{answer}");
+    assert_eq!(serving.runs_of("draft"), []);
+    let metrics = serving.node.handle().metrics().encode().unwrap();
+    let counted = "buckthornpier_answers_total{code=\"1011\"} 1";
+    assert!(metrics.contains(counted), "{metrics}");
+    assert_alive(serving.node.callers_address()).await;
+}
+
+#[test]
+fn the_time_to_send_a_body_is_a_checked_setting() {
+    for seconds in ["0", "601", "soon"] {
+        let text = format!(
+            "[node]\ndata-centre = a\nregion = r\ncallers = 127.0.0.1:0\n\
+             operators = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
+             peer-key = 0123456789abcdef0123456789abcdef\nbody-timeout-seconds = {seconds}\n\
+             [platform]\nurl = http://127.0.0.1:9\n"
+        );
+        let refused = settings::NodeSettings::parse(&text).unwrap_err();
+        assert!(
+            refused.to_string().contains("body-timeout-seconds"),
+            "{refused:#}"
+        );
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn bytes_that_are_no_http_are_refused_and_others_are_served() {
     let platform = platform::FakePlatform::builder().launch().await.unwrap();
--- a/crates/pier_node/tests/support/mod.rs
+++ b/crates/pier_node/tests/support/mod.rs
@@ -143,7 +143,9 @@
     /// Returns the runs whose prompt holds a text.
     pub fn runs_of(&self, text: &str) -> Vec<record::RecordEntry> {
         let entries = self.engine.record().entries().into_iter();
-        let holds = |entry: &record::RecordEntry| entry.body_prefix.contains(text);
+        let holds = |entry: &record::RecordEntry| {
+            entry.path.starts_with("v1/") && entry.body_prefix.contains(text)
+        };
         entries.filter(holds).collect()
     }
 
