End what may be repeated when its caller leaves before the answer

Cause: the HTTP library spawns each handler in a task of its own, so that no future of the node was dropped when a caller closed its connection; a run of a whole answer went on to its end, and a stream's that had not begun as well. Done: the node asks the kernel's list of connections while requests wait; a repeatable run is dropped and its attempt cancelled at the engine, a one-time or not repeatable one goes on. New metric callers_left. Ruled out: waiting for the dropped future (it never is); the end of the body (no sign once it is whole); a gate in front of the server (a copy of each byte). Seen failing: with no sign from the watch and with the cancel taken out 'waited in vain for the end of the run'; with not repeatable runs dropped too 'left: (Broken, 34) right: (Finished, 150)'. Left: a caller that leaves while the list has never shown a connection of the node is not noticed.

--- a/crates/pier_node/src/callers/caller_routes.rs
+++ b/crates/pier_node/src/callers/caller_routes.rs
@@ -12,6 +12,9 @@
 
 use crate::{callers, handle, requests};
 
+/// HTTP status of an answer that nobody hears.
+const CALLER_LEFT: u16 = 499;
+
 /// Milliseconds in a second.
 const MILLIS_PER_SECOND: u64 = 1_000;
 
@@ -30,12 +33,14 @@
 #[derive(Debug, Clone)]
 pub struct CallerRoutes {
     handle: handle::NodeHandle,
+    watch: callers::CallerWatch,
 }
 
 impl CallerRoutes {
-    /// Makes the routes over a node.
+    /// Makes the routes over a node, and starts to watch for callers that leave.
     pub fn new(handle: handle::NodeHandle) -> Self {
-        Self { handle }
+        let watch = callers::CallerWatch::spawn();
+        Self { handle, watch }
     }
 
     /// Returns the routes to mount at `/`.
@@ -83,9 +88,15 @@
             Err(error) => return self.refuse(error),
         };
         let request = request_of(head, body, arrived_at);
-        requests::RequestPath::new(self.handle.clone())
-            .serve(request)
-            .await
+        let path = requests::RequestPath::new(self.handle.clone());
+        let port = head.rocket().config().port;
+        tokio::select! {
+            reply = path.serve(request) => reply,
+            () = self.watch.gone(port, head.remote()) => {
+                self.handle.metrics().count_caller_left();
+                plain(CALLER_LEFT, "the caller left\n")
+            }
+        }
     }
 }
 
--- /dev/null
+++ b/crates/pier_node/src/callers/caller_watch.rs
@@ -0,0 +1,117 @@
+//! Notices callers that leave before their answer.
+//!
+//! The HTTP library runs each handler in a task of its own that outlives the connection and gives no
+//! sign when the caller hangs up, so the kernel's list of connections is asked.
+
+use std::{future, net, time};
+
+use tokio::sync::{mpsc, oneshot};
+
+use crate::callers;
+
+/// Time between two looks at the connections.
+const LOOK_PERIOD: time::Duration = time::Duration::from_millis(250);
+
+/// Looks in a row that have to miss a connection; one look may skip a line while the list changes.
+const MISSES: u32 = 3;
+
+/// Callers that may wait to be watched; more are not watched.
+const QUEUE_LIMIT: usize = 1_024;
+
+/// Watches the connections of callers that wait for their answers.
+#[derive(Debug, Clone)]
+pub(super) struct CallerWatch {
+    entries: mpsc::Sender<WatchEntry>,
+}
+
+/// A caller that waits.
+#[derive(Debug)]
+struct WatchEntry {
+    port: u16,
+    caller: net::SocketAddr,
+    misses: u32,
+    gone: oneshot::Sender<()>,
+}
+
+impl CallerWatch {
+    /// Starts the task that looks; it ends with the last watch.
+    pub(super) fn spawn() -> Self {
+        let (entries, waiting) = mpsc::channel(QUEUE_LIMIT);
+        tokio::spawn(look(waiting));
+        Self { entries }
+    }
+
+    /// Waits until a caller of the port has closed its connection; for ever where that can not be seen.
+    pub(super) async fn gone(&self, port: u16, caller: Option<net::SocketAddr>) {
+        let Some(caller) = caller else {
+            return future::pending().await;
+        };
+        let (gone, noticed) = oneshot::channel();
+        let entry = WatchEntry {
+            port,
+            caller,
+            misses: 0,
+            gone,
+        };
+        if self.entries.try_send(entry).is_err() || noticed.await.is_err() {
+            future::pending::<()>().await;
+        }
+    }
+}
+
+async fn look(mut waiting: mpsc::Receiver<WatchEntry>) {
+    let mut entries: Vec<WatchEntry> = Vec::new();
+    // Whether the list has ever shown one of the node's own connections.
+    let mut is_trusted = false;
+    loop {
+        if entries.is_empty() {
+            let Some(entry) = waiting.recv().await else {
+                return;
+            };
+            entries.push(entry);
+        }
+        // The first look is at once, since its caller may leave soon.
+        if is_trusted {
+            tokio::time::sleep(LOOK_PERIOD).await;
+        }
+        while let Ok(entry) = waiting.try_recv() {
+            entries.push(entry);
+        }
+        entries.retain(|entry| !entry.gone.is_closed());
+        let Some(port) = entries.first().map(|entry| entry.port) else {
+            continue;
+        };
+        let loading = move || callers::ConnectionTable::load(port);
+        let Ok(Ok(table)) = tokio::task::spawn_blocking(loading).await else {
+            continue;
+        };
+        if is_trusted {
+            entries = keep_present(entries, &table);
+            continue;
+        }
+        is_trusted = entries.iter().any(|entry| table.contains(entry.caller));
+        if !is_trusted {
+            // A list that does not show the node's connections says nothing of them.
+            entries.clear();
+        }
+    }
+}
+
+/// Tells of those who left; returns the others.
+fn keep_present(entries: Vec<WatchEntry>, table: &callers::ConnectionTable) -> Vec<WatchEntry> {
+    let mut present = Vec::new();
+    for mut entry in entries {
+        entry.misses = if table.contains(entry.caller) {
+            0
+        } else {
+            entry.misses + 1
+        };
+        if entry.misses < MISSES {
+            present.push(entry);
+        } else {
+            // The answer may have come at this very moment.
+            let _answered = entry.gone.send(());
+        }
+    }
+    present
+}
--- a/crates/pier_node/src/requests/attempt_call.rs
+++ b/crates/pier_node/src/requests/attempt_call.rs
@@ -4,6 +4,7 @@
 
 use pier_request::{attempts, retries};
 use pier_types::{ids, routes, sizes, times::clocks};
+use tokio::runtime;
 
 use crate::{handle, requests, telemetry};
 
@@ -106,8 +107,12 @@
             "http://{}/attempts/{}/cancel",
             self.target.address, self.attempt
         );
+        // A node that stops drops attempts where nothing can be sent any more.
+        let Ok(runtime) = runtime::Handle::try_current() else {
+            return;
+        };
         let cancelling = self.handle.client().post(url).send();
-        tokio::spawn(async move {
+        runtime.spawn(async move {
             // The connection is closed as well, which most targets take as a cancel.
             let _unheard = cancelling.await;
         });
--- /dev/null
+++ b/crates/pier_node/src/requests/attempt_guard.rs
@@ -0,0 +1,29 @@
+//! Ends an attempt whose caller left.
+
+use crate::requests;
+
+/// Cancels an attempt at its target when dropped, unless it has ended.
+#[derive(Debug)]
+pub(super) struct AttemptGuard<'a> {
+    call: Option<requests::AttemptCall<'a>>,
+}
+
+impl<'a> AttemptGuard<'a> {
+    /// Guards an attempt that is about to be sent.
+    pub(super) const fn new(call: requests::AttemptCall<'a>) -> Self {
+        Self { call: Some(call) }
+    }
+
+    /// Notes that the attempt has ended.
+    pub(super) fn disarm(mut self) {
+        self.call = None;
+    }
+}
+
+impl Drop for AttemptGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(call) = &self.call {
+            call.cancel();
+        }
+    }
+}
--- a/crates/pier_node/src/requests/request_path.rs
+++ b/crates/pier_node/src/requests/request_path.rs
@@ -67,11 +67,7 @@
         match key {
             Some(key) => requests::OneTimeRun::serve(run, &key).await,
             None if stream => requests::StreamRun::serve(run).await,
-            None => {
-                let mut run = run;
-                let answer = requests::WholeRun::run(&mut run).await?;
-                Ok(answer.into_reply())
-            }
+            None => requests::WholeRun::serve(run).await,
         }
     }
 
--- a/crates/pier_node/src/requests/stream_run.rs
+++ b/crates/pier_node/src/requests/stream_run.rs
@@ -93,11 +93,13 @@
             resume_from: tracker.begin(attempt),
         };
         let pace = requests::TokenPace::new(clocks::boot_now());
+        let guard = requests::AttemptGuard::new(call);
         let answer = call.send(&span.parent()).await;
         let relayed = match answer {
             Ok(answer) => relay(&call, answer, pace, tracker, sink).await,
             Err(fault) => Err(StreamStop::Fault(fault)),
         };
+        guard.disarm();
         match &relayed {
             Ok(()) => {}
             Err(StreamStop::CallerLeft) => call.cancel(),
--- a/crates/pier_node/src/requests/whole_run.rs
+++ b/crates/pier_node/src/requests/whole_run.rs
@@ -1,6 +1,6 @@
 //! The run of a request whose answer is given whole.
 
-use pier_request::{attempts, routing};
+use pier_request::{attempts, retries, routing};
 use pier_types::{ids, sizes, times::clocks};
 
 use crate::{callers, requests, telemetry};
@@ -10,6 +10,26 @@
 pub(super) struct WholeRun;
 
 impl WholeRun {
+    /// Serves a request.
+    ///
+    /// One that may not be repeated goes on when its caller leaves: what it does may not be undone,
+    /// and nobody could do it again.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the answer to the caller when there is no other.
+    pub(super) async fn serve(
+        mut run: requests::RequestRun,
+    ) -> Result<callers::CallerReply, callers::ErrorBody> {
+        if run.plan.rule == retries::RepeatRule::Repeatable {
+            return Ok(Self::run(&mut run).await?.into_reply());
+        }
+        let running = tokio::spawn(async move { Self::run(&mut run).await });
+        let answer = running.await;
+        let answer = answer.unwrap_or_else(|_panicked| Err(requests::internal_fault()));
+        answer.map(requests::WholeAnswer::into_reply)
+    }
+
     /// Sends a request until an answer is whole or nothing more may be tried.
     ///
     /// # Errors
@@ -47,11 +67,13 @@
             attempt: ids::AttemptId::new(rand::random()),
             resume_from: sizes::TokenCount::default(),
         };
+        let guard = requests::AttemptGuard::new(call);
         let answer = call.send(&span.parent()).await;
         let read = match answer {
             Ok(answer) => read_whole(&call, answer).await,
             Err(fault) => Err(fault),
         };
+        guard.disarm();
         read.inspect_err(|fault| span.fail(fault.end.code()))
     }
 }
--- a/crates/pier_node/src/telemetry/node_metrics.rs
+++ b/crates/pier_node/src/telemetry/node_metrics.rs
@@ -24,6 +24,7 @@
 pub struct NodeMetrics {
     registry: registry::Registry,
     answers: family::Family<AnswerLabels, counter::Counter>,
+    callers_left: counter::Counter,
     first_part: histogram::Histogram,
     in_progress: gauge::Gauge,
     config_version: gauge::Gauge,
@@ -42,6 +43,7 @@
         let mut metrics = Self {
             registry: registry::Registry::with_prefix("buckthornpier"),
             answers: family::Family::default(),
+            callers_left: counter::Counter::default(),
             first_part: histogram::Histogram::new(LATENCY_BOUNDS_SECONDS),
             in_progress: gauge::Gauge::default(),
             config_version: gauge::Gauge::default(),
@@ -58,6 +60,11 @@
         self.answers.get_or_create(&AnswerLabels { code }).inc();
     }
 
+    /// Counts a caller that left before its answer began.
+    pub fn count_caller_left(&self) {
+        self.callers_left.inc();
+    }
+
     /// Records the time from a request's arrival to the first part of its answer.
     pub fn record_first_part(&self, elapsed: time::Duration) {
         self.first_part.observe(elapsed.as_secs_f64());
@@ -89,6 +96,9 @@
         let answers = self.answers.clone();
         let help = "Answered requests by result code, 0 for success";
         self.registry.register("answers", help, answers);
+        let callers_left = self.callers_left.clone();
+        let help = "Callers that left before their answer began";
+        self.registry.register("callers_left", help, callers_left);
         let first_part = self.first_part.clone();
         let help = "Time from a request's arrival to the first part of its answer";
         self.registry
--- /dev/null
+++ b/crates/pier_node/tests/leaving_callers.rs
@@ -0,0 +1,118 @@
+//! Callers that hang up before a whole answer: what may be repeated is ended at the engine, the rest goes on.
+
+mod support;
+
+use std::{net, time};
+
+use pier_fakes::record;
+use pier_node::callers;
+
+/// Tokens of a run that outlasts its test unless it is ended.
+const ENDLESS: u64 = 10_000;
+
+/// Tokens of a run that lasts for some looks at the connections.
+const LASTING: u64 = 150;
+
+/// Sends a call, and hangs up once it runs.
+async fn leave(serving: &support::ServingNode, call: reqwest::RequestBuilder, prompt: &str) {
+    let calling = tokio::spawn(call.send());
+    support::wait_for("the run", || {
+        serving.runs_of(prompt).iter().any(|run| run.started)
+    })
+    .await;
+    calling.abort();
+}
+
+async fn end_of(serving: &support::ServingNode, prompt: &str) -> record::RecordEntry {
+    support::wait_for("the end of the run", || {
+        let runs = serving.runs_of(prompt);
+        runs.iter().all(|run| run.end != record::RunEnd::Active)
+    })
+    .await;
+    let runs = serving.runs_of(prompt);
+    assert_eq!(runs.len(), 1, "{runs:?}");
+    runs[0].clone()
+}
+
+async fn start() -> support::ServingNode {
+    let serving = support::ServingNode::start("").await;
+    serving.set_engine_fault(r#"{"kind": "token-time", "ms": 20}"#);
+    serving
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeatable_run_is_cancelled_when_its_caller_leaves() {
+    let serving = start().await;
+    for (prompt, is_stream) in [("whole", false), ("stream", true)] {
+        let call = serving.completion(prompt, ENDLESS, is_stream);
+        leave(&serving, call, prompt).await;
+        let run = end_of(&serving, prompt).await;
+        assert_eq!(run.end, record::RunEnd::Broken);
+        assert!(run.effect.contains("cancelled"), "{}", run.effect);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_one_time_run_goes_on_and_its_answer_is_kept_for_its_caller() {
+    let serving = start().await;
+    let key = support::fresh_key("lodged_once");
+    let call = || {
+        let call = serving.completion("one time", LASTING, false);
+        call.header("idempotency-key", key.as_str())
+    };
+    leave(&serving, call(), "one time").await;
+    let run = end_of(&serving, "one time").await;
+    assert_eq!((run.end, run.tokens), (record::RunEnd::Finished, LASTING));
+    // The record of the outcome follows the run.
+    let again = async {
+        loop {
+            let answer = call().send().await.unwrap();
+            if answer.status() != 409 {
+                return answer;
+            }
+            tokio::time::sleep(time::Duration::from_millis(20)).await;
+        }
+    };
+    assert_eq!(again.await.status(), 200);
+    assert_eq!(serving.runs_of("one time").len(), 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_that_may_not_be_repeated_goes_on() {
+    let serving = start().await;
+    let call = serving.single_completion("not again", LASTING);
+    leave(&serving, call, "not again").await;
+    let run = end_of(&serving, "not again").await;
+    assert_eq!((run.end, run.tokens), (record::RunEnd::Finished, LASTING));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_waits_gets_its_whole_answer() {
+    let serving = start().await;
+    let call = serving.completion("patience", LASTING, false);
+    assert_eq!(call.send().await.unwrap().status(), 200);
+    let run = end_of(&serving, "patience").await;
+    assert_eq!((run.end, run.tokens), (record::RunEnd::Finished, LASTING));
+}
+
+#[test]
+fn the_list_of_connections_shows_those_that_are_open() {
+    let mut table = callers::ConnectionTable::default();
+    let text = "  sl  local_address rem_address   st tx_queue rx_queue
+   0: 0100007F:1F90 00000000:0000 0A 00000000:00000000
+   1: 0100007F:1F90 0200007F:C000 01 00000000:00000000
+   2: 0100007F:1F90 0200007F:C001 08 00000000:00000000
+   3: 0100007F:1F91 0200007F:C002 01 00000000:00000000
+   4: broken
+";
+    table.add(text, 8_080);
+    let caller = |port: u16| net::SocketAddr::from(([127, 0, 0, 2], port));
+    assert!(table.contains(caller(0xC000)));
+    assert!(!table.contains(caller(0xC001)), "closed by its caller");
+    assert!(!table.contains(caller(0xC002)), "of another port");
+    let mut table = callers::ConnectionTable::default();
+    let text = "   0: 0000000000000000FFFF00000100007F:1F90 \
+                0000000000000000FFFF00000200007F:C000 01 00000000:00000000";
+    table.add(text, 8_080);
+    assert!(table.contains(caller(0xC000)), "of a port of both families");
+}
--- a/crates/pier_node/tests/support/mod.rs
+++ b/crates/pier_node/tests/support/mod.rs
@@ -106,6 +106,13 @@
         self.client.post(url).bearer_auth(REPEAT_KEY).json(&body)
     }
 
+    /// Prepares a completion of the customer that lets nothing be repeated.
+    pub fn single_completion(&self, prompt: &str, tokens: u64) -> reqwest::RequestBuilder {
+        let url = format!("http://{}/v1/completions", self.node.callers_address());
+        let body = json!({"model": "draft", "prompt": prompt, "max_tokens": tokens});
+        self.client.post(url).bearer_auth(ONCE_KEY).json(&body)
+    }
+
     /// Prepares a charge.
     pub fn charge(&self, text: &str) -> reqwest::RequestBuilder {
         let address = self.node.callers_address();
