--- a/crates/pier_node/src/callers/caller_routes.rs
+++ b/crates/pier_node/src/callers/caller_routes.rs
@@ -93,7 +93,7 @@
         tokio::select! {
             reply = path.serve(request) => reply,
             () = self.watch.gone(port, head.remote()) => {
-                self.handle.metrics().count_caller_left();
+                self.handle.metrics().requests().count_caller_left();
                 plain(CALLER_LEFT, "the caller left\n")
             }
         }
--- a/crates/pier_node/src/handle/node_handle.rs
+++ b/crates/pier_node/src/handle/node_handle.rs
@@ -163,6 +163,18 @@
         &self.shared.metrics
     }
 
+    /// Returns every metric as `OpenMetrics` text.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a metric can not be written as text.
+    pub fn metrics_text(&self) -> Result<String, fmt::Error> {
+        let quarantined = self.requests().quarantined_count();
+        self.metrics()
+            .record_load(self.requests_in_progress(), quarantined);
+        self.metrics().encode()
+    }
+
     /// Returns where trace spans go.
     pub fn traces(&self) -> &telemetry::TraceSink {
         &self.shared.traces
--- a/crates/pier_node/src/operators/operator_routes.rs
+++ b/crates/pier_node/src/operators/operator_routes.rs
@@ -34,7 +34,7 @@
 
 #[rocket::get("/metrics")]
 fn metrics(handle: &State<handle::NodeHandle>) -> Result<(ContentType, String), Status> {
-    let text = handle.metrics().encode();
+    let text = handle.metrics_text();
     let text = text.map_err(|_error| Status::InternalServerError)?;
     let kind = ContentType::new("application", "openmetrics-text");
     Ok((kind.with_params(("version", "1.0.0")), text))
--- a/crates/pier_node/src/peers/peer_loop.rs
+++ b/crates/pier_node/src/peers/peer_loop.rs
@@ -180,7 +180,12 @@
         };
         match self.opener.open(&datagram, now) {
             Ok(opened) => self.take_messages(opened, source, now),
-            Err(refusal) => self.refusals.count(refusal, source),
+            Err(refusal) => {
+                if refusal != seals::SealRefusal::OwnEcho {
+                    self.handle.metrics().requests().count_datagram(refusal);
+                }
+                self.refusals.count(refusal, source);
+            }
         }
     }
 
--- a/crates/pier_node/src/requests/attempt_guard.rs
+++ b/crates/pier_node/src/requests/attempt_guard.rs
@@ -1,6 +1,6 @@
 //! Ends an attempt whose caller left.
 
-use crate::requests;
+use crate::{requests, telemetry};
 
 /// Cancels an attempt at its target when dropped, unless it has ended.
 #[derive(Debug)]
@@ -23,6 +23,8 @@
 impl Drop for AttemptGuard<'_> {
     fn drop(&mut self) {
         if let Some(call) = &self.call {
+            let metrics = call.handle.metrics().requests();
+            metrics.count_attempt(telemetry::AttemptOutcome::CallerLeft);
             call.cancel();
         }
     }
--- a/crates/pier_node/src/requests/forward_run.rs
+++ b/crates/pier_node/src/requests/forward_run.rs
@@ -97,6 +97,8 @@
         span.note("node", peer.node.to_string());
         let begin = self.begin(&span.parent());
         let sent = self.client.send(peer.address, begin, &self.plan.body).await;
+        let metrics = self.handle.metrics().requests();
+        metrics.count_forward(outcome_of(&sent));
         sent.map_err(|error| {
             span.fail(code_of(&error));
             self.after(peer, error)
@@ -186,3 +188,14 @@
         forwards::ForwardError::Refused(failure) => failure.code,
     }
 }
+
+const fn outcome_of(
+    sent: &Result<callers::CallerReply, forwards::ForwardError>,
+) -> telemetry::ForwardOutcome {
+    match sent {
+        Ok(_reply) => telemetry::ForwardOutcome::Answered,
+        Err(forwards::ForwardError::NotSent { .. }) => telemetry::ForwardOutcome::NotSent,
+        Err(forwards::ForwardError::Refused(_failure)) => telemetry::ForwardOutcome::Refused,
+        Err(forwards::ForwardError::Lost { .. }) => telemetry::ForwardOutcome::Lost,
+    }
+}
--- a/crates/pier_node/src/requests/one_time_run.rs
+++ b/crates/pier_node/src/requests/one_time_run.rs
@@ -6,7 +6,7 @@
 use pier_types::{codes, ids, times::clocks};
 use tokio::sync::oneshot;
 
-use crate::{callers, requests};
+use crate::{callers, requests, telemetry};
 
 /// Longest time from the check of a key to its dispatch, within the margin of the claim's rules.
 const CLAIM_LIMIT: time::Duration = time::Duration::from_secs(5);
@@ -57,11 +57,16 @@
     // A caller who left does not hear the reply; its outcome is recorded all the same.
     async fn claim(self, reply: oneshot::Sender<ReplyResult>) {
         match self.driver.claim(self.order()).await {
-            requests::ClaimVerdict::Dispatch(grant) => self.dispatch(grant, reply).await,
+            requests::ClaimVerdict::Dispatch(grant) => {
+                self.count(telemetry::ClaimOutcome::Claimed);
+                self.dispatch(grant, reply).await;
+            }
             requests::ClaimVerdict::Reply(answer) => {
+                self.count(telemetry::ClaimOutcome::Replayed);
                 let _unheard = reply.send(replay(&answer));
             }
             requests::ClaimVerdict::Refuse { code, cleanup } => {
+                self.count(telemetry::ClaimOutcome::Refused);
                 let _unheard = reply.send(Err(refusal(code)));
                 if let Some(cleanup) = cleanup {
                     self.recorder().record(cleanup).await;
@@ -70,6 +75,10 @@
         }
     }
 
+    fn count(&self, outcome: telemetry::ClaimOutcome) {
+        self.run.handle.metrics().requests().count_claim(outcome);
+    }
+
     fn order(&self) -> claims::ClaimOrder {
         let plan = &self.run.plan;
         let wall = clocks::wall_now();
@@ -96,6 +105,7 @@
         }
         match requests::WholeRun::run(&mut self.run).await {
             Ok(answer) => {
+                self.count(telemetry::ClaimOutcome::Finished);
                 let stored = answer.to_stored();
                 let _unheard = reply.send(Ok(answer.into_reply()));
                 self.record(|grant| grant.finish(stored)).finish().await;
@@ -112,6 +122,7 @@
         let mut sink = requests::RelaySink::new(reply).keep();
         match requests::StreamRun::run(&mut self.run, &mut sink).await {
             Ok(()) => {
+                self.count(telemetry::ClaimOutcome::Finished);
                 let kept = sink.into_kept();
                 let recording = self.record(|grant| finish_stream(grant, kept));
                 recording.finish().await;
@@ -127,14 +138,17 @@
     /// Begins to record a failure; waits a moment when the key is freed by it.
     async fn start_failure(&mut self, error: &callers::ErrorBody) -> OutcomeTask {
         if self.run.is_not_run() && error.outcome == codes::RunOutcome::NotRun {
+            self.count(telemetry::ClaimOutcome::Released);
             let mut recording = self.record(claims::ClaimGrant::release);
             recording.wait(RELEASE_TIMEOUT).await;
             return recording;
         }
         if error.outcome == codes::RunOutcome::RanFailed {
+            self.count(telemetry::ClaimOutcome::Finished);
             let stored = requests::WholeAnswer::from(error).to_stored();
             return self.record(|grant| grant.finish(stored));
         }
+        self.count(telemetry::ClaimOutcome::Unknown);
         self.record(claims::ClaimGrant::lose)
     }
 
--- a/crates/pier_node/src/requests/request_run.rs
+++ b/crates/pier_node/src/requests/request_run.rs
@@ -90,6 +90,8 @@
         delivered: sizes::TokenCount,
     ) -> Result<time::Duration, callers::ErrorBody> {
         self.ledger.record(fault.end);
+        let metrics = self.handle.metrics().requests();
+        metrics.count_attempt(fault.end.into());
         self.tried.push(permit.target().target.clone());
         if fault.may_have_died {
             self.tell_crash(permit);
@@ -112,6 +114,15 @@
             };
             retries::RetryPolicy::default().decide(&question, clocks::boot_now())
         });
+        match decision {
+            retries::RetryDecision::Retry { .. } => {
+                metrics.count_retry(telemetry::RetryOutcome::Granted);
+            }
+            retries::RetryDecision::BudgetSpent(_code) => {
+                metrics.count_retry(telemetry::RetryOutcome::BudgetSpent);
+            }
+            retries::RetryDecision::Stop(_code) => {}
+        }
         match decision {
             retries::RetryDecision::Retry { pause, .. } if !self.is_kept_away() => {
                 if fault.may_have_died {
@@ -124,12 +135,16 @@
                 let code = codes::ResultCode::RequestQuarantined;
                 Err(self.final_error(code, code.meaning()))
             }
-            retries::RetryDecision::Stop(code) => Err(self.final_error(code, &fault.cause)),
+            retries::RetryDecision::Stop(code) | retries::RetryDecision::BudgetSpent(code) => {
+                Err(self.final_error(code, &fault.cause))
+            }
         }
     }
 
     /// Notes that the answer is whole.
     pub(super) fn succeed(&self, started_at: times::BootTime) {
+        let metrics = self.handle.metrics().requests();
+        metrics.count_attempt(telemetry::AttemptOutcome::Whole);
         self.ticket
             .record_service(clocks::boot_now().since(started_at));
         let fingerprint = self.plan.fingerprint;
--- a/crates/pier_node/src/requests/request_state.rs
+++ b/crates/pier_node/src/requests/request_state.rs
@@ -141,6 +141,11 @@
         let _dropped = self.warmth.try_send(news);
     }
 
+    /// Returns how many requests are kept away.
+    pub fn quarantined_count(&self) -> usize {
+        self.quarantine.load().len()
+    }
+
     /// Returns how many prefixes are known to be cached somewhere.
     pub fn prefix_count(&self) -> usize {
         self.prefixes.load().len()
--- a/crates/pier_node/src/requests/stream_run.rs
+++ b/crates/pier_node/src/requests/stream_run.rs
@@ -102,7 +102,11 @@
         guard.disarm();
         match &relayed {
             Ok(()) => {}
-            Err(StreamStop::CallerLeft) => call.cancel(),
+            Err(StreamStop::CallerLeft) => {
+                let metrics = run.handle.metrics().requests();
+                metrics.count_attempt(telemetry::AttemptOutcome::CallerLeft);
+                call.cancel();
+            }
             Err(StreamStop::Fault(fault)) => span.fail(fault.end.code()),
         }
         relayed
--- a/crates/pier_node/src/requests/token_pace.rs
+++ b/crates/pier_node/src/requests/token_pace.rs
@@ -22,7 +22,11 @@
 
     /// Takes in a token; the first one is evidence of the target's warmth.
     pub(super) fn take(&mut self, call: &requests::AttemptCall<'_>, now: times::BootTime) {
-        if self.last_at.replace(now).is_none() {
+        let metrics = call.handle.metrics().requests();
+        if let Some(last_at) = self.last_at.replace(now) {
+            metrics.record_token_gap(now.since(last_at));
+        } else {
+            metrics.record_first_token(now.since(self.sent_at));
             let sign = requests::WarmthSign::FirstToken(now.since(self.sent_at));
             let news = requests::WarmthNews::of(call.target, sign, now);
             call.handle.requests().tell_warmth(news);
--- a/crates/pier_node/src/telemetry/node_metrics.rs
+++ b/crates/pier_node/src/telemetry/node_metrics.rs
@@ -24,7 +24,8 @@
 pub struct NodeMetrics {
     registry: registry::Registry,
     answers: family::Family<AnswerLabels, counter::Counter>,
-    callers_left: counter::Counter,
+    requests: telemetry::RequestMetrics,
+    quarantined: gauge::Gauge,
     first_part: histogram::Histogram,
     in_progress: gauge::Gauge,
     config_version: gauge::Gauge,
@@ -43,7 +44,8 @@
         let mut metrics = Self {
             registry: registry::Registry::with_prefix("buckthornpier"),
             answers: family::Family::default(),
-            callers_left: counter::Counter::default(),
+            requests: telemetry::RequestMetrics::default(),
+            quarantined: gauge::Gauge::default(),
             first_part: histogram::Histogram::new(LATENCY_BOUNDS_SECONDS),
             in_progress: gauge::Gauge::default(),
             config_version: gauge::Gauge::default(),
@@ -60,9 +62,16 @@
         self.answers.get_or_create(&AnswerLabels { code }).inc();
     }
 
-    /// Counts a caller that left before its answer began.
-    pub fn count_caller_left(&self) {
-        self.callers_left.inc();
+    /// Returns the metrics of requests' ways.
+    pub const fn requests(&self) -> &telemetry::RequestMetrics {
+        &self.requests
+    }
+
+    /// Records how many requests are in progress and how many are kept away.
+    pub fn record_load(&self, in_progress: usize, quarantined: usize) {
+        let number = |count| i64::try_from(count).unwrap_or(i64::MAX);
+        self.in_progress.set(number(in_progress));
+        self.quarantined.set(number(quarantined));
     }
 
     /// Records the time from a request's arrival to the first part of its answer.
@@ -96,9 +105,6 @@
         let answers = self.answers.clone();
         let help = "Answered requests by result code, 0 for success";
         self.registry.register("answers", help, answers);
-        let callers_left = self.callers_left.clone();
-        let help = "Callers that left before their answer began";
-        self.registry.register("callers_left", help, callers_left);
         let first_part = self.first_part.clone();
         let help = "Time from a request's arrival to the first part of its answer";
         self.registry
@@ -107,6 +113,11 @@
         let help = "Requests in progress";
         self.registry
             .register("requests_in_progress", help, in_progress);
+        let quarantined = self.quarantined.clone();
+        let help = "Requests that crashed several targets and are kept away";
+        self.registry
+            .register("quarantined_requests", help, quarantined);
+        self.requests.register(&mut self.registry);
         self.register_config();
     }
 
--- a/crates/pier_node/tests/bad_bytes.rs
+++ b/crates/pier_node/tests/bad_bytes.rs
@@ -109,7 +109,7 @@
     assert!(answer.contains("\"outcome\":\"not-run\""), "{answer}");
     assert!(answer.contains("retry-after: 1"), "{answer}");
     assert_eq!(serving.runs_of("draft"), []);
-    let metrics = serving.node.handle().metrics().encode().unwrap();
+    let metrics = serving.node.handle().metrics_text().unwrap();
     let counted = "buckthornpier_answers_total{code=\"1011\"} 1";
     assert!(metrics.contains(counted), "{metrics}");
     assert_alive(serving.node.callers_address()).await;
--- a/crates/pier_request/src/retries/retry_decision.rs
+++ b/crates/pier_request/src/retries/retry_decision.rs
@@ -16,4 +16,6 @@
     },
     /// Answer the caller at once; nothing more is tried.
     Stop(codes::ResultCode),
+    /// Answer the caller at once; a retry would be allowed, but a budget is spent.
+    BudgetSpent(codes::ResultCode),
 }
--- a/crates/pier_request/src/retries/retry_policy.rs
+++ b/crates/pier_request/src/retries/retry_policy.rs
@@ -46,7 +46,7 @@
             return retries::RetryDecision::Stop(code);
         }
         if !question.customer_budget.take_with(question.node_budget) {
-            return retries::RetryDecision::Stop(budget_code(question.end));
+            return retries::RetryDecision::BudgetSpent(budget_code(question.end));
         }
         retries::RetryDecision::Retry {
             pause,
--- a/crates/pier_request/tests/retries_keep_their_rules.rs
+++ b/crates/pier_request/tests/retries_keep_their_rules.rs
@@ -128,7 +128,7 @@
             node_budget: &node,
             ..question(&customer)
         };
-        let retries::RetryDecision::Stop(code) = decide(&asked) else {
+        let retries::RetryDecision::BudgetSpent(code) = decide(&asked) else {
             panic!("retried without a budget");
         };
         assert_eq!(code.outcome(), end.outcome());
