--- a/crates/pier_limits/src/shares/share_holding.rs
+++ b/crates/pier_limits/src/shares/share_holding.rs
@@ -9,10 +9,10 @@
 
 /// What this node was lent, and until when it may start work under it.
 ///
-/// With each question the node gives up what it does not need; from then on it uses at most what
-/// the question names as kept, until the answer to this very question comes. An answer to an
-/// earlier question is dropped. So the lease holder's bound is right whichever messages are lost,
-/// delayed or doubled. A share's life is counted from its question.
+/// Each question names the share that the node keeps; from then on it uses at most that, until the
+/// answer to this very question comes, which may raise or lower it. An answer to an earlier
+/// question is dropped. So the lease holder's bound is right whichever messages are lost, delayed
+/// or doubled. A share's life is counted from its question.
 ///
 /// ```
 /// use pier_limits::shares;
@@ -33,6 +33,8 @@
     round: u64,
     term: epochs::LeaseTerm,
     asked_at: times::BootTime,
+    /// Whether an answer to the last question came.
+    answered: bool,
     held: collections::BTreeMap<messages::ShareKey, HeldShare>,
 }
 
@@ -61,25 +63,12 @@
             round: 0,
             term: epochs::LeaseTerm::new(0),
             asked_at: times::BootTime::from_micros(0),
+            answered: false,
             held: collections::BTreeMap::new(),
         }
     }
 
-    /// Lowers the shares to what is wanted, ahead of a question, so that whoever starts work has
-    /// seen the lower ones when the question says so; what `wanted` does not name is given up.
-    pub fn give_up(
-        &mut self,
-        wanted: &collections::BTreeMap<messages::ShareKey, sizes::RequestCount>,
-    ) {
-        self.held.retain(|key, _| wanted.contains_key(key));
-        for (key, wanted) in wanted {
-            if let Some(held) = self.held.get_mut(key) {
-                held.amount = held.amount.min(*wanted);
-            }
-        }
-    }
-
-    /// Makes the next question and gives up what it does not keep.
+    /// Makes the next question; whoever starts work must have seen every lower share by then.
     ///
     /// `demand` names every target at which the node has lent work running or wants some; what it
     /// does not name is given up.
@@ -92,6 +81,7 @@
         self.round += 1;
         self.term = term;
         self.asked_at = now;
+        self.answered = false;
         self.held.retain(|key, _| demand.contains_key(key));
         let entries = demand
             .iter()
@@ -110,6 +100,7 @@
         if grant.round != self.round || grant.term != self.term {
             return;
         }
+        self.answered = true;
         let life = time::Duration::from_millis(grant.life_ms.into()).min(self.terms.life);
         for entry in &grant.entries {
             let share = HeldShare {
@@ -126,6 +117,12 @@
         self.held.clear();
     }
 
+    /// Tells whether the lease holder answered the last question and knew the target.
+    pub fn is_settled(&self, key: messages::ShareKey) -> bool {
+        let held = self.held.get(&key);
+        self.answered && held.is_some_and(|held| held.limit > sizes::RequestCount::new(0))
+    }
+
     /// Returns what may be in flight beyond the fixed part.
     pub fn share(&self, key: messages::ShareKey, now: times::BootTime) -> sizes::RequestCount {
         let held = self.held.get(&key);
@@ -161,16 +158,21 @@
         need: shares::ShareDemand,
         now: times::BootTime,
     ) -> messages::AskEntry {
-        let need_now = need.wanted.max(need.running);
-        let keep = self.share(key, now).min(need_now);
+        let keep = self.share(key, now);
         if let Some(held) = self.held.get_mut(&key) {
-            held.amount = held.amount.min(keep);
+            held.amount = keep;
         }
+        let nothing = sizes::RequestCount::new(0);
+        let wanted = if need.wanted > nothing {
+            need.wanted.max(need.running)
+        } else {
+            nothing
+        };
         messages::AskEntry {
             key,
             keep,
             running: need.running,
-            wanted: need_now,
+            wanted,
         }
     }
 }
