Check once that the list of connections can be relied on; say when not

Cause: the watch relied on the list only after it had shown a waiting caller; a first caller that left before the first look was never noticed. Done: the watch makes a connection to itself at its start and looks for it; no caller is needed for that.

--- a/crates/pier_node/src/callers/caller_watch.rs
+++ b/crates/pier_node/src/callers/caller_watch.rs
@@ -61,8 +61,12 @@
 
 async fn look(mut waiting: mpsc::Receiver<WatchEntry>) {
     let mut entries: Vec<WatchEntry> = Vec::new();
-    // Whether the list has ever shown one of the node's own connections.
-    let mut is_trusted = false;
+    let checking = tokio::task::spawn_blocking(callers::ConnectionTable::check);
+    if !matches!(checking.await, Ok(Ok(true))) {
+        // A list that does not show the node's connections says nothing of them.
+        log::warn!(event = "callers-not-watched"; "");
+        return;
+    }
     loop {
         if entries.is_empty() {
             let Some(entry) = waiting.recv().await else {
@@ -70,10 +74,7 @@
             };
             entries.push(entry);
         }
-        // The first look is at once, since its caller may leave soon.
-        if is_trusted {
-            tokio::time::sleep(LOOK_PERIOD).await;
-        }
+        tokio::time::sleep(LOOK_PERIOD).await;
         while let Ok(entry) = waiting.try_recv() {
             entries.push(entry);
         }
@@ -85,15 +86,7 @@
         let Ok(Ok(table)) = tokio::task::spawn_blocking(loading).await else {
             continue;
         };
-        if is_trusted {
-            entries = keep_present(entries, &table);
-            continue;
-        }
-        is_trusted = entries.iter().any(|entry| table.contains(entry.caller));
-        if !is_trusted {
-            // A list that does not show the node's connections says nothing of them.
-            entries.clear();
-        }
+        entries = keep_present(entries, &table);
     }
 }
 
--- a/crates/pier_node/src/callers/connection_table.rs
+++ b/crates/pier_node/src/callers/connection_table.rs
@@ -36,6 +36,19 @@
         Ok(table)
     }
 
+    /// Tells whether the kernel's lists show connections of this process; blocks for a moment.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a list can not be read or no connection of the process to itself can be made.
+    pub fn check() -> io::Result<bool> {
+        let listener = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))?;
+        let address = listener.local_addr()?;
+        let caller = net::TcpStream::connect(address)?;
+        let _accepted = listener.accept()?;
+        Ok(Self::load(address.port())?.contains(caller.local_addr()?))
+    }
+
     /// Adds the open connections to a port out of one list.
     pub fn add(&mut self, text: &str, port: u16) {
         let found = text.lines().filter_map(|line| read_line(line, port));
