--- a/crates/pier_node/src/peers/known_target.rs
+++ b/crates/pier_node/src/peers/known_target.rs
@@ -3,7 +3,10 @@
 use pier_limits::{shares, warmth};
 use pier_types::{epochs, sizes, times};
 
-use crate::peers::{share_target, target_book};
+use crate::{
+    peers::{share_target, target_book},
+    requests,
+};
 
 /// Generations are other keys, so that a ramp never sees another incarnation.
 const ONE_INCARNATION: epochs::VmIncarnation = epochs::VmIncarnation::new(1);
@@ -47,6 +50,18 @@
         self.target = target;
     }
 
+    /// Takes in what a request saw; returns whether the limit fell.
+    pub(super) fn hear(&mut self, news: &requests::WarmthNews, now: times::BootTime) -> bool {
+        let before = self.ramp.limit(now);
+        match news.sign {
+            requests::WarmthSign::FirstToken(latency) => {
+                self.ramp.hear_answer(latency, news.seen_at);
+            }
+            requests::WarmthSign::Failure => self.ramp.hear_failure(news.seen_at),
+        }
+        self.ramp.limit(now) < before
+    }
+
     /// Returns what this node has in flight; the most that it may have where nobody counts it now.
     pub(super) fn running(&self, running: &target_book::RunningMap) -> u32 {
         let key = (self.target.id.clone(), self.target.generation);
--- a/crates/pier_node/src/peers/peer_loop.rs
+++ b/crates/pier_node/src/peers/peer_loop.rs
@@ -2,6 +2,7 @@
 
 use std::{collections, net, time};
 
+use anyhow::Context as _;
 use pier_limits::{members, probes as decisions};
 use pier_types::{epochs, ids, times, times::clocks};
 use pier_wire::{messages, seals};
@@ -10,7 +11,7 @@
 use crate::{
     configs, handle, peers,
     peers::{crash_marks, list_call, share_driver},
-    probes,
+    probes, requests,
 };
 
 /// Time between two looks at what is due.
@@ -46,7 +47,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when the settings' key is refused.
+    /// Fails when the settings' key is refused, or when the loop runs already.
     pub fn spawn(
         handle: handle::NodeHandle,
         socket: peers::PeerSocket,
@@ -77,7 +78,9 @@
             socket,
             configs,
         };
-        tokio::spawn(peer_loop.run(outcomes, readings));
+        let warmth = peer_loop.handle.requests().take_warmth_news();
+        let warmth = warmth.context("another loop has the evidence of warmth")?;
+        tokio::spawn(peer_loop.run(outcomes, readings, warmth));
         Ok(())
     }
 
@@ -85,6 +88,7 @@
         mut self,
         mut outcomes: mpsc::UnboundedReceiver<probes::ProbeOutcome>,
         mut readings: mpsc::UnboundedReceiver<list_call::ListOutcome>,
+        mut warmth: mpsc::Receiver<requests::WarmthNews>,
     ) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -96,6 +100,7 @@
                 Some(reading) = readings.recv() => {
                     self.lists.take_outcome(reading, clocks::boot_now());
                 }
+                Some(news) = warmth.recv() => self.shares.hear(&news, clocks::boot_now()),
             }
         }
     }
--- a/crates/pier_node/src/requests/stream_run.rs
+++ b/crates/pier_node/src/requests/stream_run.rs
@@ -92,14 +92,21 @@
             attempt,
             resume_from: tracker.begin(attempt),
         };
+        let pace = requests::TokenPace::new(clocks::boot_now());
+        let guard = requests::AttemptGuard::new(call);
         let answer = call.send(&span.parent()).await;
         let relayed = match answer {
-            Ok(answer) => relay(&call, answer, tracker, sink).await,
+            Ok(answer) => relay(&call, answer, pace, tracker, sink).await,
             Err(fault) => Err(StreamStop::Fault(fault)),
         };
+        guard.disarm();
         match &relayed {
             Ok(()) => {}
-            Err(StreamStop::CallerLeft) => call.cancel(),
+            Err(StreamStop::CallerLeft) => {
+                let metrics = run.handle.metrics().requests();
+                metrics.count_attempt(telemetry::AttemptOutcome::CallerLeft);
+                call.cancel();
+            }
             Err(StreamStop::Fault(fault)) => span.fail(fault.end.code()),
         }
         relayed
@@ -110,6 +117,7 @@
 async fn relay(
     call: &requests::AttemptCall<'_>,
     answer: reqwest::Response,
+    mut pace: requests::TokenPace,
     tracker: &mut attempts::AttemptTracker<Bytes>,
     sink: &mut requests::RelaySink,
 ) -> Result<(), StreamStop> {
@@ -138,7 +146,10 @@
             }
         };
         match take(call, tracker, event)? {
-            TakenEvent::Tokens => push_ready(call, tracker, sink).await?,
+            TakenEvent::Tokens => {
+                pace.take(call, clocks::boot_now());
+                push_ready(call, tracker, sink).await?;
+            }
             TakenEvent::Nothing => {}
             TakenEvent::Done => break,
         }
