--- a/crates/pier_limits/tests/vm_relay/relay_rules.rs
+++ b/crates/pier_limits/tests/vm_relay/relay_rules.rs
@@ -28,8 +28,8 @@
     read(&mut source, list(3, 0), 900, 910);
     let event = pull(&mut follower, &source, [1_000, 1_001, 1_002]);
     assert_eq!(event, relays::RelayEvent::Confirmed);
-    assert!(!is_due(&follower, 2_900));
-    assert!(is_due(&follower, 3_200), "the reader fell silent");
+    assert!(!is_due(&follower, 2_598));
+    assert!(is_due(&follower, 2_600), "the reader fell silent");
     pull(&mut follower, &source, [3_200, 3_201, 3_202]);
     assert!(is_due(&follower, 3_203), "the reader itself reads no more");
     let delayed = relays::VmRelay::new(time::Duration::from_millis(300));
@@ -48,6 +48,30 @@
     assert!(!due(&source, 5_000), "one reading at a time");
 }
 
+#[test]
+fn a_node_searches_once_it_can_neither_read_nor_be_told() {
+    let reads_for_all = relays::ListDuty::Reader;
+    let source = reader(list(3, 0), 900, 910);
+    assert!(!source.lacks_reading(reads_for_all, at(2_099)));
+    assert!(source.lacks_reading(reads_for_all, at(2_100)));
+    let mut follower = reader(list(3, 0), 0, 10);
+    pull(&mut follower, &source, [1_000, 1_001, 1_002]);
+    assert!(!follower.lacks_reading(relays::ListDuty::Follower, at(2_598)));
+    assert!(follower.lacks_reading(relays::ListDuty::Follower, at(2_600)));
+    let fresh = relays::VmRelay::new(time::Duration::ZERO);
+    assert!(fresh.lacks_reading(relays::ListDuty::Follower, at(0)));
+}
+
+#[test]
+fn a_cut_off_reader_takes_the_list_of_a_node_that_reads() {
+    let mut source = reader(list(3, 0), 0, 10);
+    let mut other = reader(list(3, 0), 0, 10);
+    read(&mut other, list(2, 1), 2_000, 2_010);
+    let event = pull(&mut source, &other, [2_400, 2_401, 2_402]);
+    assert_eq!(event, relays::RelayEvent::Changed);
+    assert_eq!(*source.list().unwrap(), list(2, 1));
+}
+
 #[test]
 fn a_list_that_may_be_older_is_not_taken() {
     let source = reader(list(3, 0), 400, 410);
--- a/crates/pier_node/src/peers/peer_loop.rs
+++ b/crates/pier_node/src/peers/peer_loop.rs
@@ -2,6 +2,7 @@
 
 use std::{collections, net, time};
 
+use anyhow::Context as _;
 use pier_limits::{members, probes as decisions};
 use pier_types::{epochs, ids, times, times::clocks};
 use pier_wire::{messages, seals};
@@ -10,7 +11,7 @@
 use crate::{
     configs, handle, peers,
     peers::{crash_marks, list_call, share_driver},
-    probes,
+    probes, requests,
 };
 
 /// Time between two looks at what is due.
@@ -46,7 +47,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when the settings' key is refused.
+    /// Fails when the settings' key is refused, or when the loop runs already.
     pub fn spawn(
         handle: handle::NodeHandle,
         socket: peers::PeerSocket,
@@ -77,7 +78,9 @@
             socket,
             configs,
         };
-        tokio::spawn(peer_loop.run(outcomes, readings));
+        let warmth = peer_loop.handle.requests().take_warmth_news();
+        let warmth = warmth.context("another loop has the evidence of warmth")?;
+        tokio::spawn(peer_loop.run(outcomes, readings, warmth));
         Ok(())
     }
 
@@ -85,6 +88,7 @@
         mut self,
         mut outcomes: mpsc::UnboundedReceiver<probes::ProbeOutcome>,
         mut readings: mpsc::UnboundedReceiver<list_call::ListOutcome>,
+        mut warmth: mpsc::Receiver<requests::WarmthNews>,
     ) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -96,6 +100,7 @@
                 Some(reading) = readings.recv() => {
                     self.lists.take_outcome(reading, clocks::boot_now());
                 }
+                Some(news) = warmth.recv() => self.shares.hear(&news, clocks::boot_now()),
             }
         }
     }
@@ -114,6 +119,7 @@
             self.round(&nodes, now);
             self.tell_crashes(now);
         }
+        self.search_list(&nodes, now);
         nodes.insert(self.handle.name().clone());
         self.probes.tick(&nodes, now);
         self.judge_isolation(now);
@@ -147,6 +153,21 @@
         }
     }
 
+    /// Asks another node for the VM list while the one that reads for all does not tell it.
+    fn search_list(&mut self, nodes: &collections::BTreeSet<ids::NodeName>, now: times::BootTime) {
+        let Some((node, pull)) = self.lists.search(nodes, now) else {
+            return;
+        };
+        let address = self
+            .members
+            .live_peers(now)
+            .get(&node)
+            .map(|entry| entry.address);
+        if let Some(address) = address {
+            self.send(address, vec![messages::PeerMessage::ListPull(pull)]);
+        }
+    }
+
     /// Stops new work, or lets it go on, by what this node hears of the rest.
     fn judge_isolation(&mut self, now: times::BootTime) {
         let own = self.handle.name();
@@ -225,6 +246,10 @@
 
     /// Returns the live nodes of all data centres.
     fn peer_entries(&self, now: times::BootTime) -> Vec<handle::PeerEntry> {
+        let own = &self.handle.settings().data_centre;
+        let heard = self.members.forward_peers(own, now);
+        let heard = heard.into_iter().map(|entry| entry.node);
+        let heard = heard.collect::<collections::BTreeSet<_>>();
         let views = self.members.views(now).into_iter();
         let live = views.filter(|(_, health)| *health == members::MemberHealth::Alive);
         live.map(|(entry, _)| handle::PeerEntry {
@@ -232,6 +257,7 @@
             data_centre: entry.data_centre.clone(),
             address: entry.address,
             draining: entry.beat.draining,
+            takes_forwards: entry.data_centre != *own || heard.contains(&entry.node),
         })
         .collect()
     }
