--- a/crates/pier_node/src/telemetry/node_metrics.rs
+++ b/crates/pier_node/src/telemetry/node_metrics.rs
@@ -24,6 +24,8 @@
 pub struct NodeMetrics {
     registry: registry::Registry,
     answers: family::Family<AnswerLabels, counter::Counter>,
+    requests: telemetry::RequestMetrics,
+    quarantined: gauge::Gauge,
     first_part: histogram::Histogram,
     in_progress: gauge::Gauge,
     config_version: gauge::Gauge,
@@ -42,6 +44,8 @@
         let mut metrics = Self {
             registry: registry::Registry::with_prefix("buckthornpier"),
             answers: family::Family::default(),
+            requests: telemetry::RequestMetrics::default(),
+            quarantined: gauge::Gauge::default(),
             first_part: histogram::Histogram::new(LATENCY_BOUNDS_SECONDS),
             in_progress: gauge::Gauge::default(),
             config_version: gauge::Gauge::default(),
@@ -58,6 +62,18 @@
         self.answers.get_or_create(&AnswerLabels { code }).inc();
     }
 
+    /// Returns the metrics of requests' ways.
+    pub const fn requests(&self) -> &telemetry::RequestMetrics {
+        &self.requests
+    }
+
+    /// Records how many requests are in progress and how many are kept away.
+    pub fn record_load(&self, in_progress: usize, quarantined: usize) {
+        let number = |count| i64::try_from(count).unwrap_or(i64::MAX);
+        self.in_progress.set(number(in_progress));
+        self.quarantined.set(number(quarantined));
+    }
+
     /// Records the time from a request's arrival to the first part of its answer.
     pub fn record_first_part(&self, elapsed: time::Duration) {
         self.first_part.observe(elapsed.as_secs_f64());
@@ -97,6 +113,11 @@
         let help = "Requests in progress";
         self.registry
             .register("requests_in_progress", help, in_progress);
+        let quarantined = self.quarantined.clone();
+        let help = "Requests that crashed several targets and are kept away";
+        self.registry
+            .register("quarantined_requests", help, quarantined);
+        self.requests.register(&mut self.registry);
         self.register_config();
     }
 
