Say that the VM list is back when the lease holder has read it since

Cause: a node that failed to read the list and then heard of the holder's reading reads no more itself, and so never logged vm-list-back.

The relay tells whether the list is away; a later reading of any node ends it. The test failed first with "the reader has read since".

--- a/crates/pier_limits/src/relays/vm_relay.rs
+++ b/crates/pier_limits/src/relays/vm_relay.rs
@@ -48,6 +48,7 @@
     /// The latest reading by another node that brought the list in force.
     relayed_from: Option<times::BootTime>,
     is_behind: bool,
+    is_away: bool,
     pulls: relays::ListPulls,
 }
 
@@ -63,6 +64,7 @@
             read_at: None,
             relayed_from: None,
             is_behind: false,
+            is_away: false,
             pulls: relays::ListPulls::new(),
         }
     }
@@ -83,6 +85,11 @@
         self.is_behind
     }
 
+    /// Tells whether this node's latest reading failed and it heard of no later one.
+    pub const fn is_away(&self) -> bool {
+        self.is_away
+    }
+
     /// Tells whether this node has to read the platform now.
     pub fn is_reading_due(&self, duty: relays::ListDuty, now: times::BootTime) -> bool {
         if self.reading_from.is_some() {
@@ -117,6 +124,7 @@
             return relays::RelayEvent::Ignored;
         };
         let span = relays::ReadingSpan { from, to: now };
+        self.is_away = outcome == relays::ReadingOutcome::Failed;
         match outcome {
             relays::ReadingOutcome::Failed => relays::RelayEvent::Ignored,
             relays::ReadingOutcome::Unchanged => self.confirm_tagged(span),
@@ -178,7 +186,7 @@
             from: pull.asked_at.before(millis(note.oldest_ms)),
             to: now.before(millis(note.youngest_ms)),
         };
-        match note.body {
+        let event = match note.body {
             messages::NoteBody::Same => {
                 // Also when this node read later itself: it need not go on reading.
                 self.relayed_from = self.relayed_from.max(Some(span.from));
@@ -186,7 +194,9 @@
             }
             messages::NoteBody::Changes { digest, changes } => self.apply(digest, changes, span),
             messages::NoteBody::Behind => self.fall_behind(span),
-        }
+        };
+        self.is_away &= event == relays::RelayEvent::Ignored;
+        event
     }
 
     fn lacks_reader(&self, now: times::BootTime) -> bool {
--- a/crates/pier_limits/tests/vm_relay/relay_rules.rs
+++ b/crates/pier_limits/tests/vm_relay/relay_rules.rs
@@ -211,3 +211,23 @@
     assert_eq!(event, relays::RelayEvent::Changed);
     assert_eq!(*third.list().unwrap(), list(450, 1));
 }
+
+#[test]
+fn a_list_that_can_not_be_read_is_back_with_any_later_reading() {
+    let mut source = reader(list(3, 0), 0, 10);
+    let mut follower = reader(list(3, 0), 0, 10);
+    let fail = |follower: &mut relays::VmRelay, millis| {
+        follower.start_reading(at(millis));
+        follower.end_reading(relays::ReadingOutcome::Failed, at(millis + 5));
+        assert!(follower.is_away());
+    };
+    fail(&mut follower, 1_000);
+    pull(&mut follower, &source, [1_100, 1_101, 1_102]);
+    assert!(follower.is_away(), "the reader has read nothing since");
+    read(&mut source, list(3, 0), 2_000, 2_010);
+    pull(&mut follower, &source, [2_100, 2_101, 2_102]);
+    assert!(!follower.is_away(), "the reader has read since");
+    fail(&mut follower, 3_000);
+    read(&mut follower, list(3, 0), 4_000, 4_010);
+    assert!(!follower.is_away());
+}
--- a/crates/pier_node/src/peers/list_driver.rs
+++ b/crates/pier_node/src/peers/list_driver.rs
@@ -19,7 +19,6 @@
     handle: handle::NodeHandle,
     outcomes: mpsc::UnboundedSender<list_call::ListOutcome>,
     relay: relays::VmRelay,
-    is_away: bool,
 }
 
 impl ListDriver {
@@ -33,7 +32,6 @@
             handle,
             outcomes,
             relay: relays::VmRelay::new(delay),
-            is_away: false,
         }
     }
 
@@ -50,15 +48,20 @@
 
     /// Takes in how a reading ended.
     pub(super) fn take_outcome(&mut self, outcome: list_call::ListOutcome, now: times::BootTime) {
-        self.report_away(&outcome);
+        let was_away = self.relay.is_away();
         let outcome = match outcome {
             list_call::ListOutcome::Read(outcome) | list_call::ListOutcome::Copied(outcome) => {
                 outcome
             }
-            list_call::ListOutcome::Away(_) => relays::ReadingOutcome::Failed,
+            list_call::ListOutcome::Away(error) => {
+                if !was_away {
+                    log::warn!(event = "vm-list-away", cause:% = error; "");
+                }
+                relays::ReadingOutcome::Failed
+            }
         };
         let event = self.relay.end_reading(outcome, now);
-        self.publish(event);
+        self.publish(event, was_away);
     }
 
     /// Makes a pull for the node that reads for all; none when that is this node or not known.
@@ -91,8 +94,9 @@
         note: messages::ListNote,
         now: times::BootTime,
     ) {
+        let was_away = self.relay.is_away();
         let event = self.relay.take(sender, note, now);
-        self.publish(event);
+        self.publish(event, was_away);
     }
 
     fn duty(&self, now: times::BootTime) -> relays::ListDuty {
@@ -104,7 +108,10 @@
         }
     }
 
-    fn publish(&self, event: relays::RelayEvent) {
+    fn publish(&self, event: relays::RelayEvent, was_away: bool) {
+        if was_away && !self.relay.is_away() {
+            log::info!(event = "vm-list-back"; "");
+        }
         match event {
             relays::RelayEvent::Changed => {
                 let list = self.relay.list().unwrap_or_default();
@@ -129,18 +136,4 @@
         let reader = peers.iter().find(|peer| peer.node == lease.record.holder);
         reader.map(|reader| reader.address)
     }
-
-    fn report_away(&mut self, outcome: &list_call::ListOutcome) {
-        match outcome {
-            list_call::ListOutcome::Read(_) if self.is_away => {
-                log::info!(event = "vm-list-back"; "");
-                self.is_away = false;
-            }
-            list_call::ListOutcome::Away(error) if !self.is_away => {
-                log::warn!(event = "vm-list-away", cause:% = error; "");
-                self.is_away = true;
-            }
-            _ => {}
-        }
-    }
 }
