--- a/crates/pier_matrix/src/bench/test_bench.rs
+++ b/crates/pier_matrix/src/bench/test_bench.rs
@@ -14,9 +14,6 @@
 /// Generous bound on a condition that has to come true.
 const CONDITION_LIMIT: time::Duration = time::Duration::from_mins(1);
 
-/// Key that the bench's nodes share.
-const PEER_KEY: &str = "0123456789abcdef0123456789abcdef";
-
 /// Everything that one play needs, in one process.
 #[derive(Debug)]
 pub struct TestBench {
@@ -25,6 +22,8 @@
     nodes: collections::BTreeMap<String, bench::BenchNode>,
     targets: collections::BTreeMap<String, bench::BenchTarget>,
     links: Option<links::LinkSet>,
+    /// Key that the bench's nodes share and those of no other bench, which may take over the port of a killed one.
+    peer_key: String,
     client: reqwest::Client,
 }
 
@@ -41,6 +40,7 @@
             nodes: collections::BTreeMap::new(),
             targets: collections::BTreeMap::new(),
             links: None,
+            peer_key: bench::NodePlan::fresh_key(),
             client: reqwest::Client::builder().no_proxy().build()?,
         };
         bench.write_document().await?;
@@ -91,7 +91,7 @@
     /// Fails when a node runs already, since it would be reached past the links.
     pub fn add_links(&mut self) -> anyhow::Result<()> {
         anyhow::ensure!(self.nodes.is_empty(), "links come before nodes");
-        let links = links::LinkSet::new(self.platform.address(), PEER_KEY.parse()?);
+        let links = links::LinkSet::new(self.platform.address(), self.peer_key.parse()?);
         self.links = Some(links);
         Ok(())
     }
@@ -115,14 +115,13 @@
             Some(links) => links.join(name).await?,
             None => self.platform.address(),
         };
-        let settings = format!(
-            "[node]\ndata-centre = {data_centre}\nregion = bench\ncallers = 127.0.0.1:0\n\
-             operators = 127.0.0.1:0\npeers = 127.0.0.1:0\nseeds = {}\n\
-             peer-key = {PEER_KEY}\ndrain-notice-seconds = 0\n\
-             [platform]\nurl = http://{platform}\n",
-            self.seeds_of(name).join(", "),
-        );
-        let node = bench::BenchNode::launch(&settings).await?;
+        let plan = bench::NodePlan {
+            data_centre: data_centre.to_owned(),
+            seeds: self.seeds_of(name),
+            peer_key: self.peer_key.clone(),
+            platform,
+        };
+        let node = bench::BenchNode::launch(&plan.settings()).await?;
         if let Some(links) = &self.links {
             links.set_bound(name, node.peers());
         }
@@ -131,14 +130,13 @@
     }
 
     /// Returns where a new node reaches the running ones.
-    fn seeds_of(&self, name: &str) -> Vec<String> {
+    fn seeds_of(&self, name: &str) -> Vec<net::SocketAddr> {
         let running = self.nodes.iter().filter(|(_, node)| node.is_running());
         let address = |(other, node): (&String, &bench::BenchNode)| match &self.links {
             Some(links) => links.seen(name, other),
             None => Some(node.peers()),
         };
-        let addresses = running.filter_map(address);
-        addresses.map(|address| address.to_string()).collect()
+        running.filter_map(address).collect()
     }
 
     /// Starts an engine and lists its VM.
