--- a/crates/pier_matrix/src/bench/mod.rs
+++ b/crates/pier_matrix/src/bench/mod.rs
@@ -3,6 +3,7 @@
 mod bench_document;
 mod bench_node;
 mod bench_target;
+mod node_plan;
 mod node_view;
 mod test_bench;
 
@@ -10,4 +11,5 @@
 pub use bench_node::BenchNode;
 pub use bench_target::BenchTarget;
 pub use node_view::node_view;
+use node_plan::NodePlan;
 pub use test_bench::TestBench;
