Keep one priority of requests, and the peers' key in its type

Cause: CallPriority (documents) and RequestPriority (admission) were the same three values with the same text; the peers' key was parsed at each forward. Done: pier_types::priorities::RequestPriority; the headroom of a priority is admission's own. NodeSettings holds the key in its type, so that starting a node no longer fails on it half-way.

--- a/crates/pier_config/src/documents/customer_section.rs
+++ b/crates/pier_config/src/documents/customer_section.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use pier_types::{ids, sizes};
+use pier_types::{ids, priorities, sizes};
 
 use crate::documents;
 
@@ -14,7 +14,7 @@
     /// Its share when capacity is short.
     pub weight: sizes::CustomerWeight,
     /// The highest priority that its callers may ask for.
-    pub max_priority: documents::CallPriority,
+    pub max_priority: priorities::RequestPriority,
     /// Models that it may call.
     pub models: collections::BTreeSet<ids::ModelName>,
     /// Plain services that it may call.
--- a/crates/pier_config/src/documents/mod.rs
+++ b/crates/pier_config/src/documents/mod.rs
@@ -1,7 +1,6 @@
 //! The document's typed content.
 
 mod applied_mark;
-mod call_priority;
 mod config_document;
 mod customer_section;
 mod data_centre_section;
@@ -18,7 +17,6 @@
 mod service_section;
 
 pub use applied_mark::AppliedMark;
-pub use call_priority::CallPriority;
 pub use config_document::{ConfigDocument, DOCUMENT_KEY, HISTORY_PREFIX};
 pub use customer_section::CustomerSection;
 pub use data_centre_section::DataCentreSection;
--- a/crates/pier_config/src/parsing/customer_parser.rs
+++ b/crates/pier_config/src/parsing/customer_parser.rs
@@ -1,6 +1,6 @@
 //! Parses `[customer NAME]`.
 
-use pier_types::sizes;
+use pier_types::{priorities, sizes};
 
 use crate::{documents, parsing::section_reader};
 
@@ -16,7 +16,7 @@
     let weight = reader.small_number("weight", 1..=WEIGHT_LIMIT, Some(1));
     let max_priority = reader.optional(
         "max-priority",
-        documents::CallPriority::Normal,
+        priorities::RequestPriority::Normal,
         "low, normal, high",
         |text| text.parse().ok(),
     );
--- a/crates/pier_config/tests/document_names_every_fault.rs
+++ b/crates/pier_config/tests/document_names_every_fault.rs
@@ -1,6 +1,7 @@
 //! A document is taken whole or refused with every fault named.
 
 use pier_config::documents;
+use pier_types::priorities;
 
 const SAMPLE: &str = include_str!("../../../examples/laurel-north.ini");
 
@@ -31,7 +32,7 @@
     let document = SAMPLE.parse::<documents::ConfigDocument>().unwrap();
     let (name, section) = document.customer_of("sample-key-strathmore").unwrap();
     assert_eq!(name.as_str(), "strathmore-college");
-    assert_eq!(section.max_priority, documents::CallPriority::High);
+    assert_eq!(section.max_priority, priorities::RequestPriority::High);
     assert!(document.customer_of("sample-key").is_none());
 }
 
--- a/crates/pier_load/src/calls/call_plan.rs
+++ b/crates/pier_load/src/calls/call_plan.rs
@@ -2,8 +2,8 @@
 
 use std::time;
 
-use pier_config::documents;
 use pier_fakes::engine;
+use pier_types::priorities;
 use serde_json::json;
 
 /// Characters of a prompt that are shared: as many as name a prefix.
@@ -25,7 +25,7 @@
     /// Whether the answer is streamed.
     pub is_streamed: bool,
     /// How urgent it is.
-    pub priority: documents::CallPriority,
+    pub priority: priorities::RequestPriority,
     /// Time that its caller waits.
     pub deadline: time::Duration,
 }
--- a/crates/pier_load/src/calls/call_schedule.rs
+++ b/crates/pier_load/src/calls/call_schedule.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use pier_config::documents;
+use pier_types::priorities;
 use rand::{Rng as _, SeedableRng as _, rngs};
 
 use crate::calls;
@@ -80,12 +80,12 @@
     }
 }
 
-fn draw_priority(mix: &calls::LoadMix, percent: u32) -> documents::CallPriority {
+fn draw_priority(mix: &calls::LoadMix, percent: u32) -> priorities::RequestPriority {
     if percent < mix.unusual_percent {
-        documents::CallPriority::High
+        priorities::RequestPriority::High
     } else if percent < 2 * mix.unusual_percent {
-        documents::CallPriority::Low
+        priorities::RequestPriority::Low
     } else {
-        documents::CallPriority::Normal
+        priorities::RequestPriority::Normal
     }
 }
--- a/crates/pier_load/src/reviews/phase_review.rs
+++ b/crates/pier_load/src/reviews/phase_review.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use pier_config::documents;
+use pier_types::priorities;
 
 use crate::{calls, reviews};
 
@@ -19,7 +19,7 @@
     /// Explicit refusals and failures by result code.
     pub refused: collections::BTreeMap<u64, usize>,
     /// Explicit refusals and failures by the call's priority.
-    pub refused_by_priority: collections::BTreeMap<documents::CallPriority, usize>,
+    pub refused_by_priority: collections::BTreeMap<priorities::RequestPriority, usize>,
     /// Calls with a wrong answer or none at all.
     pub broken: usize,
     /// Times that a call came to an engine after the first time.
--- a/crates/pier_load/tests/leaving_alone.rs
+++ b/crates/pier_load/tests/leaving_alone.rs
@@ -5,7 +5,7 @@
 use pier_config::documents;
 use pier_limits::shifts;
 use pier_load::{calls, fleets};
-use pier_types::sizes;
+use pier_types::{priorities, sizes};
 
 /// Longer than the test: the other data centre has no target meanwhile.
 const AWAY_TIME: time::Duration = time::Duration::from_mins(10);
@@ -36,7 +36,7 @@
         prefix: 0,
         tokens: 2,
         is_streamed: false,
-        priority: documents::CallPriority::High,
+        priority: priorities::RequestPriority::High,
         deadline: time::Duration::from_secs(10),
     }
 }
--- a/crates/pier_load/tests/reviews.rs
+++ b/crates/pier_load/tests/reviews.rs
@@ -2,10 +2,9 @@
 
 use std::time;
 
-use pier_config::documents;
 use pier_fakes::record;
 use pier_load::{calls, reviews};
-use pier_types::times;
+use pier_types::{priorities, times};
 
 fn at(millis: u64) -> times::BootTime {
     times::BootTime::from_millis(millis)
@@ -19,7 +18,7 @@
         prefix: 0,
         tokens: 2,
         is_streamed: false,
-        priority: documents::CallPriority::Normal,
+        priority: priorities::RequestPriority::Normal,
         deadline: time::Duration::from_secs(1),
     };
     calls::CallRecord {
--- a/crates/pier_node/src/daemon/node_daemon.rs
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -54,10 +54,10 @@
         tables::spawn(handle.clone(), shift);
         control::spawn(handle.clone(), &control::ControlSettings::default());
         requests::spawn(&handle);
-        let configs = Self::spawn_configs(&handle)?;
+        let configs = Self::spawn_configs(&handle);
         let (listener, socket) = bind_peers(handle.settings().peers).await?;
         let peers = socket.address();
-        Self::launch_forwards(&handle, listener)?;
+        Self::launch_forwards(&handle, listener);
         peers::PeerLoop::spawn(handle.clone(), socket, configs)?;
         let operators = Self::launch_operators(&handle).await?;
         let callers = Self::launch_callers(&handle).await?;
@@ -145,20 +145,16 @@
         daemon::WebServer::launch(settings.callers, |rocket| rocket.mount("/", routes)).await
     }
 
-    fn launch_forwards(
-        handle: &handle::NodeHandle,
-        listener: tokio::net::TcpListener,
-    ) -> anyhow::Result<()> {
-        let key = handle.settings().peer_key.parse()?;
+    fn launch_forwards(handle: &handle::NodeHandle, listener: tokio::net::TcpListener) {
+        let key = handle.settings().peer_key.clone();
         let server = forwards::ForwardServer::new(handle.clone(), key);
         tokio::spawn(server.run(listener));
-        Ok(())
     }
 
-    fn spawn_configs(handle: &handle::NodeHandle) -> anyhow::Result<configs::ConfigInbox> {
-        let key = handle.settings().peer_key.parse()?;
+    fn spawn_configs(handle: &handle::NodeHandle) -> configs::ConfigInbox {
+        let key = handle.settings().peer_key.clone();
         let client = forwards::ForwardClient::new(key, handle.name().clone(), handle.instance());
-        Ok(configs::ConfigLoop::spawn(handle.clone(), client))
+        configs::ConfigLoop::spawn(handle.clone(), client)
     }
 
     async fn launch_operators(handle: &handle::NodeHandle) -> anyhow::Result<daemon::WebServer> {
--- a/crates/pier_node/src/peers/peer_loop.rs
+++ b/crates/pier_node/src/peers/peer_loop.rs
@@ -46,13 +46,13 @@
     ///
     /// # Errors
     ///
-    /// Fails when the settings' key is refused, or when the loop runs already.
+    /// Fails when the loop runs already.
     pub fn spawn(
         handle: handle::NodeHandle,
         socket: peers::PeerSocket,
         configs: configs::ConfigInbox,
     ) -> anyhow::Result<()> {
-        let key: seals::WireKey = handle.settings().peer_key.parse()?;
+        let key = handle.settings().peer_key.clone();
         let (sender, outcomes) = mpsc::unbounded_channel();
         let own = own_entry(&handle, socket.address());
         let now = clocks::boot_now();
--- a/crates/pier_node/src/requests/forward_run.rs
+++ b/crates/pier_node/src/requests/forward_run.rs
@@ -48,9 +48,7 @@
         if plan.hops > 0 || !may_help(refusal.code) {
             return Err(refusal);
         }
-        let Ok(key) = handle.settings().peer_key.parse() else {
-            return Err(refusal);
-        };
+        let key = handle.settings().peer_key.clone();
         let client = forwards::ForwardClient::new(key, handle.name().clone(), handle.instance());
         let run = Self {
             handle,
--- a/crates/pier_node/src/requests/request_plan.rs
+++ b/crates/pier_node/src/requests/request_plan.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use pier_config::documents;
-use pier_request::{admission, claims, retries, routing};
-use pier_types::{codes, ids, routes, sizes, times};
+use pier_request::{claims, retries, routing};
+use pier_types::{codes, ids, priorities, routes, sizes, times};
 
 use crate::{callers, requests};
 
@@ -38,7 +38,7 @@
     /// Whose request it is.
     pub(super) customer: ids::CustomerName,
     /// Its priority.
-    pub(super) priority: admission::RequestPriority,
+    pub(super) priority: priorities::RequestPriority,
     /// When the caller stops waiting.
     pub(super) deadline: times::BootTime,
     /// When its key's age was checked, or a little before.
@@ -208,16 +208,12 @@
 fn read_priority(
     request: &callers::CallerRequest,
     section: &documents::CustomerSection,
-) -> Result<admission::RequestPriority, callers::ErrorBody> {
-    let most = match section.max_priority {
-        documents::CallPriority::Low => admission::RequestPriority::Low,
-        documents::CallPriority::Normal => admission::RequestPriority::Normal,
-        documents::CallPriority::High => admission::RequestPriority::High,
-    };
+) -> Result<priorities::RequestPriority, callers::ErrorBody> {
+    let most = section.max_priority;
     let Some(text) = request.header("x-priority") else {
-        return Ok(admission::RequestPriority::default().min(most));
+        return Ok(priorities::RequestPriority::default().min(most));
     };
-    let asked: admission::RequestPriority = text.parse().map_err(|error| {
+    let asked: priorities::RequestPriority = text.parse().map_err(|error| {
         let code = codes::ResultCode::MalformedBody;
         callers::ErrorBody::new(code, format!("header X-Priority: {error}"))
     })?;
--- a/crates/pier_node/src/settings/node_settings.rs
+++ b/crates/pier_node/src/settings/node_settings.rs
@@ -4,6 +4,7 @@
 
 use anyhow::Context as _;
 use pier_types::ids;
+use pier_wire::seals;
 
 use crate::settings;
 
@@ -57,7 +58,7 @@
     /// Addresses of nodes to say hello to at the start.
     pub seeds: Vec<net::SocketAddr>,
     /// Key that authenticates messages between nodes.
-    pub peer_key: String,
+    pub peer_key: seals::WireKey,
     /// Base of the platform's object API.
     pub platform_url: String,
     /// Longest time that the node waits for requests in progress once told to stop.
@@ -144,13 +145,15 @@
         time::Duration::from_secs(seconds)
     }
 
-    fn read_peer_key(reader: &mut settings::SettingsReader<'_>) -> Option<String> {
+    fn read_peer_key(reader: &mut settings::SettingsReader<'_>) -> Option<seals::WireKey> {
         let allowed = format!("at least {PEER_KEY_LENGTH} characters, the same on every node");
         let key: String = reader.required("node", "peer-key", &allowed)?;
-        if key.len() < PEER_KEY_LENGTH {
+        let parsed = key.parse().ok();
+        let parsed = parsed.filter(|_parsed| key.len() >= PEER_KEY_LENGTH);
+        if parsed.is_none() {
             reader.refuse("node", "peer-key", "(hidden)", &allowed);
         }
-        Some(key)
+        parsed
     }
 
     fn read_url(
--- a/crates/pier_node/tests/requests/forwards.rs
+++ b/crates/pier_node/tests/requests/forwards.rs
@@ -11,7 +11,7 @@
 
 /// Starts the side of a node that takes requests over; returns what others know of it.
 pub async fn listen(node: &test_node::TestNode, data_centre: &str) -> handle::PeerEntry {
-    let key = node.handle.settings().peer_key.parse().unwrap();
+    let key = node.handle.settings().peer_key.clone();
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(forwards::ForwardServer::new(node.handle.clone(), key).run(listener));
--- a/crates/pier_request/examples/admission_price/arrival_draw.rs
+++ b/crates/pier_request/examples/admission_price/arrival_draw.rs
@@ -1,6 +1,6 @@
 //! The requests of one run, drawn from a seed.
 
-use pier_request::admission;
+use pier_types::priorities;
 use rand::{Rng, SeedableRng, rngs};
 
 use crate::study_policy;
@@ -28,7 +28,7 @@
     /// How long it holds a place, in milliseconds.
     pub service_ms: u64,
     /// Its priority.
-    pub priority: admission::RequestPriority,
+    pub priority: priorities::RequestPriority,
 }
 
 /// Draws the arrivals of a run whose offered work outside bursts is `load` hundredths of the
@@ -42,10 +42,10 @@
         let bursting = at_ms % MINUTE_MS < BURST_MS;
         let high = HIGH_PERCENT * if bursting { BURST_FACTOR } else { 1 };
         let parts = [
-            (admission::RequestPriority::High, high),
-            (admission::RequestPriority::Normal, NORMAL_PERCENT),
+            (priorities::RequestPriority::High, high),
+            (priorities::RequestPriority::Normal, NORMAL_PERCENT),
             (
-                admission::RequestPriority::Low,
+                priorities::RequestPriority::Low,
                 100 - HIGH_PERCENT - NORMAL_PERCENT,
             ),
         ];
--- a/crates/pier_request/examples/admission_price/study_policy.rs
+++ b/crates/pier_request/examples/admission_price/study_policy.rs
@@ -3,7 +3,7 @@
 use std::{cell, fmt, rc};
 
 use pier_request::admission;
-use pier_types::{ids, sizes, times};
+use pier_types::{ids, priorities, sizes, times};
 
 /// Places of the pool.
 pub const CAPACITY: u32 = 20;
@@ -89,7 +89,7 @@
     /// Admits a request or refuses it.
     pub fn admit(
         &self,
-        priority: admission::RequestPriority,
+        priority: priorities::RequestPriority,
         now: times::BootTime,
     ) -> Option<StudyTicket> {
         if self.kind == PolicyKind::Plain {
@@ -104,7 +104,7 @@
 
     fn ask_gate(
         &self,
-        priority: admission::RequestPriority,
+        priority: priorities::RequestPriority,
         now: times::BootTime,
     ) -> Option<StudyTicket> {
         let question = admission::AdmissionQuestion {
@@ -122,11 +122,11 @@
     }
 
     /// Returns the places up to which the price is at most the worth of a priority.
-    fn limit(&self, priority: admission::RequestPriority) -> u32 {
+    fn limit(&self, priority: priorities::RequestPriority) -> u32 {
         let worth = match priority {
-            admission::RequestPriority::Low => WORTH[0],
-            admission::RequestPriority::Normal => WORTH[1],
-            admission::RequestPriority::High => WORTH[2],
+            priorities::RequestPriority::Low => WORTH[0],
+            priorities::RequestPriority::Normal => WORTH[1],
+            priorities::RequestPriority::High => WORTH[2],
         };
         // price(use) = lowest worth * e^(use / flat part - 1) above the flat part.
         let part = flat_part() * (1.0 + (worth / WORTH[0]).ln());
--- a/crates/pier_request/examples/admission_price/study_totals.rs
+++ b/crates/pier_request/examples/admission_price/study_totals.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use pier_request::admission;
+use pier_types::priorities;
 
 use crate::{arrival_draw, study_policy};
 
@@ -19,9 +19,9 @@
     /// Counts one arrival.
     pub fn note(&mut self, arrival: &arrival_draw::StudyArrival, is_admitted: bool) {
         let index = match arrival.priority {
-            admission::RequestPriority::Low => 0,
-            admission::RequestPriority::Normal => 1,
-            admission::RequestPriority::High => 2,
+            priorities::RequestPriority::Low => 0,
+            priorities::RequestPriority::Normal => 1,
+            priorities::RequestPriority::High => 2,
         };
         self.arrivals[index] += 1;
         if is_admitted {
--- a/crates/pier_request/src/admission/admission_gate.rs
+++ b/crates/pier_request/src/admission/admission_gate.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, ptr, sync, sync::atomic, time};
 
-use pier_types::{codes, ids, sizes};
+use pier_types::{codes, ids, priorities, sizes};
 
 use crate::admission;
 
@@ -22,7 +22,7 @@
 ///
 /// ```
 /// use pier_request::admission;
-/// use pier_types::{codes, sizes, times};
+/// use pier_types::{codes, priorities, sizes, times};
 ///
 /// let customer = "college".parse()?;
 /// let weights = [(customer, sizes::CustomerWeight::new(1))].into();
@@ -30,7 +30,7 @@
 /// let customer = "college".parse()?;
 /// let question = admission::AdmissionQuestion {
 ///     customer: &customer,
-///     priority: admission::RequestPriority::Normal,
+///     priority: priorities::RequestPriority::Normal,
 ///     load: admission::PoolLoad { capacity: 1, ..admission::PoolLoad::default() },
 ///     deadline: times::BootTime::from_millis(9_000),
 ///     now: times::BootTime::from_millis(1_000),
@@ -178,24 +178,24 @@
     fn headroom(&self, question: &admission::AdmissionQuestion<'_>) -> u32 {
         let [normal, high] = &*self.seen;
         let higher_seen = match question.priority {
-            admission::RequestPriority::Low => {
+            priorities::RequestPriority::Low => {
                 normal.recent(question.now).max(high.recent(question.now))
             }
-            admission::RequestPriority::Normal => high.recent(question.now),
-            admission::RequestPriority::High => 0,
+            priorities::RequestPriority::Normal => high.recent(question.now),
+            priorities::RequestPriority::High => 0,
         };
         if higher_seen == 0 {
             return 0;
         }
-        question.priority.headroom_percent()
+        headroom_percent(question.priority)
     }
 
     fn note_priority(&self, question: &admission::AdmissionQuestion<'_>) {
         let [normal, high] = &*self.seen;
         match question.priority {
-            admission::RequestPriority::Low => {}
-            admission::RequestPriority::Normal => normal.raise(1, question.now),
-            admission::RequestPriority::High => high.raise(1, question.now),
+            priorities::RequestPriority::Low => {}
+            priorities::RequestPriority::Normal => normal.raise(1, question.now),
+            priorities::RequestPriority::High => high.raise(1, question.now),
         }
     }
 
@@ -238,3 +238,12 @@
 ) -> admission::AdmissionRefusal {
     admission::AdmissionRefusal { code, retry_after }
 }
+
+/// Returns the hundredths of a full pool that are left to higher priorities.
+const fn headroom_percent(priority: priorities::RequestPriority) -> u32 {
+    match priority {
+        priorities::RequestPriority::Low => 20,
+        priorities::RequestPriority::Normal => 5,
+        priorities::RequestPriority::High => 0,
+    }
+}
--- a/crates/pier_request/src/admission/admission_question.rs
+++ b/crates/pier_request/src/admission/admission_question.rs
@@ -1,6 +1,6 @@
 //! What is asked of admission.
 
-use pier_types::{ids, times};
+use pier_types::{ids, priorities, times};
 
 use crate::admission;
 
@@ -10,7 +10,7 @@
     /// Who sent it.
     pub customer: &'a ids::CustomerName,
     /// Its priority, within what the customer may use.
-    pub priority: admission::RequestPriority,
+    pub priority: priorities::RequestPriority,
     /// The load of the pool that it needs.
     pub load: admission::PoolLoad,
     /// When the caller stops waiting.
--- a/crates/pier_request/src/admission/mod.rs
+++ b/crates/pier_request/src/admission/mod.rs
@@ -10,7 +10,6 @@
 mod admission_ticket;
 mod customer_lane;
 mod pool_load;
-mod request_priority;
 mod service_clock;
 mod window_counter;
 
@@ -20,6 +19,5 @@
 pub use admission_ticket::AdmissionTicket;
 use customer_lane::CustomerLane;
 pub use pool_load::PoolLoad;
-pub use request_priority::RequestPriority;
 pub use service_clock::ServiceClock;
 use window_counter::WindowCounter;
--- a/crates/pier_request/tests/admission_is_fair_and_immediate.rs
+++ b/crates/pier_request/tests/admission_is_fair_and_immediate.rs
@@ -3,7 +3,7 @@
 use std::{collections, sync, thread, time};
 
 use pier_request::admission;
-use pier_types::{codes, ids, sizes, times};
+use pier_types::{codes, ids, priorities, sizes, times};
 use rand::{Rng, SeedableRng, rngs};
 
 const CAPACITY: u32 = 20;
@@ -22,7 +22,7 @@
 fn question(customer: &ids::CustomerName, now: u64) -> admission::AdmissionQuestion<'_> {
     admission::AdmissionQuestion {
         customer,
-        priority: admission::RequestPriority::Normal,
+        priority: priorities::RequestPriority::Normal,
         load: admission::PoolLoad {
             capacity: CAPACITY,
             running: CAPACITY,
@@ -141,13 +141,13 @@
         let tickets = (0..CAPACITY).map_while(|_| gate.admit(&asked(priority, now)).ok());
         tickets.collect::<Vec<_>>()
     };
-    assert_eq!(fill(admission::RequestPriority::Low, 1_000).len(), 20);
-    let high = gate.admit(&asked(admission::RequestPriority::High, 1_000));
-    assert_eq!(fill(admission::RequestPriority::Low, 1_100).len(), 15);
-    assert_eq!(fill(admission::RequestPriority::Normal, 1_100).len(), 18);
-    assert_eq!(fill(admission::RequestPriority::High, 1_100).len(), 19);
+    assert_eq!(fill(priorities::RequestPriority::Low, 1_000).len(), 20);
+    let high = gate.admit(&asked(priorities::RequestPriority::High, 1_000));
+    assert_eq!(fill(priorities::RequestPriority::Low, 1_100).len(), 15);
+    assert_eq!(fill(priorities::RequestPriority::Normal, 1_100).len(), 18);
+    assert_eq!(fill(priorities::RequestPriority::High, 1_100).len(), 19);
     drop(high);
-    assert_eq!(fill(admission::RequestPriority::Low, 20_000).len(), 20);
+    assert_eq!(fill(priorities::RequestPriority::Low, 20_000).len(), 20);
 }
 
 #[test]
--- a/crates/pier_types/src/lib.rs
+++ b/crates/pier_types/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod epochs;
 pub mod ids;
 mod macros;
+pub mod priorities;
 pub mod rates;
 pub mod reports;
 pub mod routes;
--- a/crates/pier_request/src/admission/request_priority.rs
+++ b/crates/pier_types/src/priorities/request_priority.rs
@@ -4,13 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Which requests go first when a pool is nearly full.
+/// Which requests go first when a pool is nearly full; a customer has a highest one.
 ///
 /// ```
-/// use pier_request::admission;
+/// use pier_types::priorities;
 ///
-/// let asked: admission::RequestPriority = "high".parse()?;
-/// let allowed = asked.min(admission::RequestPriority::Normal);
+/// let asked: priorities::RequestPriority = "high".parse()?;
+/// let allowed = asked.min(priorities::RequestPriority::Normal);
 /// assert_eq!(allowed.to_string(), "normal");
 /// # Ok::<(), String>(())
 /// ```
@@ -28,17 +28,6 @@
     High,
 }
 
-impl RequestPriority {
-    /// Returns the hundredths of a full pool that are left to higher priorities.
-    pub(super) const fn headroom_percent(self) -> u32 {
-        match self {
-            Self::Low => 20,
-            Self::Normal => 5,
-            Self::High => 0,
-        }
-    }
-}
-
 impl fmt::Display for RequestPriority {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
