Ask a peer for its configuration by a frame of its own

Cause: the question went as a forwarded GET /peer/config with a made-up pool and customer, and the server looked at the path of each forwarded request for it. Done: ForwardFrame::AskConfig with the version in force; the answer is as before. Nodes of two releases do not hand each other copies until both know the frame; a request is not concerned.

--- a/crates/pier_node/src/configs/peer_copies.rs
+++ b/crates/pier_node/src/configs/peer_copies.rs
@@ -4,18 +4,12 @@
 
 use anyhow::Context as _;
 use pier_config::watches;
-use pier_types::{epochs, ids, routes};
+use pier_types::{epochs, ids};
 use pier_wire::frames;
 use serde::{Deserialize, Serialize};
 
 use crate::{callers, forwards, handle};
 
-/// Path that asks for a copy; callers can not reach it.
-const COPY_PATH: &str = "/peer/config";
-/// Beginning of the query that names the version the asker has in force.
-const AFTER_FIELD: &str = "after=";
-/// Name that stands where a forwarded request names its customer and pool.
-const PEER_NAME: &str = "peer";
 /// Bound on one copy's way.
 const COPY_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
@@ -27,22 +21,16 @@
     text: String,
 }
 
-/// Answers a peer's question for a version above its own; none if the request asks for something else.
+/// Answers a peer's question for a version above its own.
 pub(crate) fn answer_peer(
     handle: &handle::NodeHandle,
-    request: &callers::CallerRequest,
-) -> Option<callers::CallerReply> {
-    if request.path != COPY_PATH {
-        return None;
-    }
+    question: frames::ConfigQuestion,
+) -> callers::CallerReply {
     let kind = "application/json";
-    let after = request.query.strip_prefix(AFTER_FIELD);
-    let after = after
-        .and_then(|after| after.parse().ok())
-        .unwrap_or_default();
+    let after = question.after;
     let newer = handle.config().filter(|snapshot| snapshot.version > after);
     let Some(snapshot) = newer else {
-        return Some(callers::CallerReply::whole(404, kind, "null".into()));
+        return callers::CallerReply::whole(404, kind, "null".into());
     };
     let copy = PeerCopy {
         node: handle.name().clone(),
@@ -50,7 +38,7 @@
         text: snapshot.text.clone(),
     };
     let body = serde_json::to_vec(&copy).unwrap_or_default();
-    Some(callers::CallerReply::whole(200, kind, body.into()))
+    callers::CallerReply::whole(200, kind, body.into())
 }
 
 /// Asks the node at an address for a version above the one named.
@@ -63,10 +51,9 @@
     address: net::SocketAddr,
     after: epochs::ConfigVersion,
 ) -> anyhow::Result<watches::ConfigCopy> {
-    let asking = client.send(address, question(after)?, &[]);
+    let asking = client.ask_config(address, frames::ConfigQuestion { after });
     let reply = tokio::time::timeout(COPY_TIMEOUT, asking).await;
-    let reply = reply.context("no copy in time")?;
-    let reply = reply.map_err(|error| anyhow::anyhow!("{error:?}"))?;
+    let reply = reply.context("no copy in time")??;
     anyhow::ensure!(reply.status == 200, "the peer has no version above {after}");
     let callers::ReplyBody::Whole(body) = reply.body else {
         anyhow::bail!("the copy is no whole answer");
@@ -78,17 +65,3 @@
         source: watches::ConfigSource::Peer(copy.node),
     })
 }
-
-fn question(after: epochs::ConfigVersion) -> anyhow::Result<frames::ForwardBegin> {
-    Ok(frames::ForwardBegin {
-        pool: routes::PoolKey::Service(PEER_NAME.parse()?),
-        customer: PEER_NAME.parse()?,
-        attempt: ids::AttemptId::new(rand::random()),
-        method: "GET".to_owned(),
-        path: format!("{COPY_PATH}?{AFTER_FIELD}{after}"),
-        headers: Vec::new(),
-        trace_parent: None,
-        deadline_ms: u32::try_from(COPY_TIMEOUT.as_millis()).unwrap_or(u32::MAX),
-        hops: 1,
-    })
-}
--- a/crates/pier_node/src/forwards/forward_client.rs
+++ b/crates/pier_node/src/forwards/forward_client.rs
@@ -60,6 +60,29 @@
         })?
     }
 
+    /// Asks the node at an address for its configuration; the bound on the time is the caller's.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the node can not be reached or is lost.
+    pub async fn ask_config(
+        &self,
+        address: net::SocketAddr,
+        question: frames::ConfigQuestion,
+    ) -> anyhow::Result<callers::CallerReply> {
+        let (mut reader, mut writer) = self.connect(address).await?;
+        writer
+            .write(&frames::ForwardFrame::AskConfig(question))
+            .await?;
+        let frames::AnswerFrame::Head(head) = reader.expect().await? else {
+            anyhow::bail!("the answer has no head");
+        };
+        let body = read_whole(reader).await;
+        let body = body.map_err(|error| anyhow::anyhow!("{error}"))?;
+        let kind = content_type(&head);
+        Ok(callers::CallerReply::whole(head.status, kind, body))
+    }
+
     /// Connects and sends everything before the end mark, then the mark itself.
     async fn send_whole(
         &self,
--- a/crates/pier_node/src/forwards/forward_server.rs
+++ b/crates/pier_node/src/forwards/forward_server.rs
@@ -21,6 +21,15 @@
 /// Forwards a request may have behind it.
 const HOP_LIMIT: u8 = 1;
 
+/// What came over a connection.
+#[derive(Debug)]
+enum Arrival {
+    /// A request, whole.
+    Request(callers::CallerRequest),
+    /// A question for a configuration.
+    Question(frames::ConfigQuestion),
+}
+
 /// Takes requests over from other nodes.
 #[derive(Debug, Clone)]
 pub struct ForwardServer {
@@ -63,7 +72,13 @@
         let mut writer = forwards::FrameWriter::new(writer);
         let arriving = self.receive(&mut reader, &mut writer);
         let arrived = tokio::time::timeout(ARRIVAL_TIMEOUT, arriving).await;
-        let request = arrived.context("the request did not arrive in time")??;
+        let request = match arrived.context("the request did not arrive in time")?? {
+            Arrival::Request(request) => request,
+            Arrival::Question(question) => {
+                let copy = configs::answer_peer(&self.handle, question);
+                return send_reply(copy, &mut writer).await;
+            }
+        };
         let guard = self.handle.begin_request();
         let answering = self.answer(request, &mut writer);
         let result = tokio::select! {
@@ -79,7 +94,7 @@
         &self,
         reader: &mut forwards::FrameReader,
         writer: &mut forwards::FrameWriter,
-    ) -> anyhow::Result<callers::CallerRequest> {
+    ) -> anyhow::Result<Arrival> {
         let hello = reader.expect().await?;
         let (key, node) = (self.key.clone(), self.handle.name().clone());
         let nonce = rand::random();
@@ -87,11 +102,14 @@
             frames::ServerHandshake::answer(key, hello, node, self.handle.instance(), nonce)?;
         writer.write(&challenge).await?;
         handshake.verify(&reader.expect().await?)?;
-        let frames::ForwardFrame::Begin(begin) = reader.expect().await? else {
-            anyhow::bail!("the request has no beginning");
+        let begin = match reader.expect().await? {
+            frames::ForwardFrame::Begin(begin) => begin,
+            frames::ForwardFrame::AskConfig(question) => return Ok(Arrival::Question(question)),
+            _ => anyhow::bail!("the request has no beginning"),
         };
         let body = receive_body(reader).await?;
-        Ok(request_of(*begin, body, times::clocks::boot_now()))
+        let request = request_of(*begin, body, times::clocks::boot_now());
+        Ok(Arrival::Request(request))
     }
 
     async fn answer(
@@ -103,9 +121,6 @@
             let code = codes::ResultCode::NoServingTarget;
             return writer.write(&failed(code, code.outcome(), None)).await;
         }
-        if let Some(reply) = configs::answer_peer(&self.handle, &request) {
-            return send_reply(reply, writer).await;
-        }
         let path = requests::RequestPath::new(self.handle.clone());
         let reply = path.serve(request).await;
         if let Some(code) = reply.code {
@@ -125,6 +140,7 @@
             frames::ForwardFrame::End => return Ok(body),
             frames::ForwardFrame::Begin(_) => anyhow::bail!("a second beginning"),
             frames::ForwardFrame::Cancel => anyhow::bail!("the request was taken back"),
+            frames::ForwardFrame::AskConfig(_) => anyhow::bail!("a question within a request"),
         }
         anyhow::ensure!(body.len() <= BODY_LIMIT_BYTES, "the body is too large");
     }
--- a/crates/pier_wire/src/frames/forward_frame.rs
+++ b/crates/pier_wire/src/frames/forward_frame.rs
@@ -15,4 +15,6 @@
     End,
     /// The caller left; the attempt is ended.
     Cancel,
+    /// In place of a request: the sender asks for a configuration.
+    AskConfig(frames::ConfigQuestion),
 }
--- a/crates/pier_wire/src/frames/mod.rs
+++ b/crates/pier_wire/src/frames/mod.rs
@@ -6,6 +6,7 @@
 mod answer_chunk;
 mod answer_frame;
 mod client_handshake;
+mod config_question;
 mod forward_begin;
 mod forward_frame;
 mod frame_codec;
@@ -17,6 +18,7 @@
 pub use answer_chunk::AnswerChunk;
 pub use answer_frame::{AnswerFailure, AnswerFrame, AnswerHead};
 pub use client_handshake::ClientHandshake;
+pub use config_question::ConfigQuestion;
 pub use forward_begin::{ForwardBegin, ForwardHeader};
 pub use forward_frame::ForwardFrame;
 pub use frame_codec::{FRAME_LIMIT, FrameCodec};
--- a/crates/pier_wire/tests/round_trips.rs
+++ b/crates/pier_wire/tests/round_trips.rs
@@ -125,6 +125,9 @@
         }),
         frames::ForwardFrame::End,
         frames::ForwardFrame::Cancel,
+        frames::ForwardFrame::AskConfig(frames::ConfigQuestion {
+            after: epochs::ConfigVersion::new(300),
+        }),
     ];
     let mut whole = bytes::BytesMut::new();
     for frame in &sent {
