--- /dev/null
+++ b/crates/pier_limits/src/relays/vm_relay.rs
@@ -0,0 +1,271 @@
+//! Keeps one node's VM list up to date, by others or by its own readings.
+
+use std::{sync, time};
+
+use pier_types::{ids, times};
+use pier_wire::messages;
+
+use crate::relays;
+
+/// Time between two readings by the node that reads for all.
+const READER_PERIOD: time::Duration = time::Duration::from_millis(500);
+
+/// Least time between two readings by any other node.
+const OWN_PERIOD: time::Duration = time::Duration::from_secs(1);
+
+/// Age of the latest known reading from which a node reads the platform itself; the node's own
+/// delay is added.
+const RELAY_LIMIT: time::Duration = time::Duration::from_millis(1_700);
+
+/// Age of its latest reading from which the node that reads for all asks another one.
+const READER_LIMIT: time::Duration = time::Duration::from_millis(1_200);
+
+/// Decides when to read the platform, what to tell other nodes, and which list is in force.
+///
+/// A list is replaced only by one that was read later. "Later" is told by this node's own clock
+/// alone: of each reading, own or another node's, it is known between which two moments the
+/// platform answered it. So neither a delayed note, nor a reader that was paused, nor a change of
+/// readers brings an older list back.
+///
+/// ```
+/// use std::time;
+/// use pier_limits::relays;
+/// use pier_types::times;
+///
+/// let now = times::BootTime::from_millis(9_000);
+/// let mut relay = relays::VmRelay::new(time::Duration::ZERO);
+/// assert!(relay.is_reading_due(relays::ListDuty::Follower, now));
+/// relay.start_reading(now);
+/// assert!(!relay.is_reading_due(relays::ListDuty::Follower, now));
+/// ```
+#[derive(Debug)]
+pub struct VmRelay {
+    delay: time::Duration,
+    held: relays::HeldList,
+    /// The platform's tag and the list that had it.
+    tagged: Option<(String, messages::ListDigest)>,
+    /// When the reading under way was sent.
+    reading_from: Option<times::BootTime>,
+    /// When the latest reading was sent.
+    read_at: Option<times::BootTime>,
+    /// The latest reading by another node that brought the list in force.
+    relayed_from: Option<times::BootTime>,
+    is_behind: bool,
+    pulls: relays::ListPulls,
+}
+
+impl VmRelay {
+    /// Creates a relay without a list; `delay` is drawn for each node, so that nodes that lose
+    /// their reader do not all read the platform at once.
+    pub const fn new(delay: time::Duration) -> Self {
+        Self {
+            delay,
+            held: relays::HeldList::new(),
+            tagged: None,
+            reading_from: None,
+            read_at: None,
+            relayed_from: None,
+            is_behind: false,
+            pulls: relays::ListPulls::new(),
+        }
+    }
+
+    /// Returns the list in force.
+    pub fn list(&self) -> Option<sync::Arc<relays::VmMap>> {
+        self.held.list().cloned()
+    }
+
+    /// Returns when the platform was read that brought the list in force.
+    pub fn span(&self) -> Option<relays::ReadingSpan> {
+        self.held.span()
+    }
+
+    /// Tells whether the reader has a newer list that it could not tell by changes; it is to be
+    /// asked for the whole one.
+    pub const fn is_behind(&self) -> bool {
+        self.is_behind
+    }
+
+    /// Tells whether this node has to read the platform now.
+    pub fn is_reading_due(&self, duty: relays::ListDuty, now: times::BootTime) -> bool {
+        if self.reading_from.is_some() {
+            return false;
+        }
+        let Some(read_at) = self.read_at else {
+            return true;
+        };
+        let paused = now.since(read_at);
+        match duty {
+            relays::ListDuty::Reader => paused >= READER_PERIOD,
+            relays::ListDuty::Follower => paused >= OWN_PERIOD && self.lacks_reader(now),
+        }
+    }
+
+    /// Notes that a reading is sent; returns the tag to name, if the list in force has one.
+    pub fn start_reading(&mut self, now: times::BootTime) -> Option<String> {
+        self.reading_from = Some(now);
+        self.read_at = Some(now);
+        self.is_behind = false;
+        let (tag, digest) = self.tagged.as_ref()?;
+        (self.held.digest() == Some(*digest)).then(|| tag.clone())
+    }
+
+    /// Takes in how the reading ended.
+    pub fn end_reading(
+        &mut self,
+        outcome: relays::ReadingOutcome,
+        now: times::BootTime,
+    ) -> relays::RelayEvent {
+        let Some(from) = self.reading_from.take() else {
+            return relays::RelayEvent::Ignored;
+        };
+        let span = relays::ReadingSpan { from, to: now };
+        match outcome {
+            relays::ReadingOutcome::Failed => relays::RelayEvent::Ignored,
+            relays::ReadingOutcome::Unchanged => self.confirm_tagged(span),
+            relays::ReadingOutcome::Listed { list, tag } => self.take_listed(list, tag, span),
+            relays::ReadingOutcome::Copied {
+                list,
+                oldest,
+                youngest,
+            } => {
+                let span = relays::ReadingSpan {
+                    from: from.before(oldest),
+                    to: now.before(youngest),
+                };
+                self.held.replace(list, span)
+            }
+        }
+    }
+
+    /// Tells whether neither this node nor the one that reads for all has read the platform
+    /// lately, so that any other node is to be asked.
+    pub fn lacks_reading(&self, duty: relays::ListDuty, now: times::BootTime) -> bool {
+        let limit = match duty {
+            relays::ListDuty::Reader => READER_LIMIT,
+            relays::ListDuty::Follower => RELAY_LIMIT + self.delay,
+        };
+        let span = self.held.span();
+        span.is_none_or(|span| now.since(span.from) >= limit)
+    }
+
+    /// Makes a pull to the node that reads for all, or to another one.
+    pub fn pull(&mut self, reader: &ids::NodeName, now: times::BootTime) -> messages::ListPull {
+        self.pulls.open(reader, self.held.digest(), now)
+    }
+
+    /// Answers another node's pull; none while this node has no list.
+    pub fn answer(
+        &self,
+        pull: messages::ListPull,
+        now: times::BootTime,
+    ) -> Option<messages::ListNote> {
+        let span = self.held.span()?;
+        let note = messages::ListNote {
+            pull: pull.pull,
+            oldest_ms: to_millis(now.since(span.from) + ROUNDING),
+            youngest_ms: to_millis(now.since(span.to)),
+            body: self.held.difference(pull.known)?,
+        };
+        if messages::PeerMessage::ListNote(note.clone()).fits() {
+            return Some(note);
+        }
+        let body = messages::NoteBody::Behind;
+        Some(messages::ListNote { body, ..note })
+    }
+
+    /// Takes in a note, if it answers a pull that was sent to its sender.
+    pub fn take(
+        &mut self,
+        sender: &ids::NodeName,
+        note: messages::ListNote,
+        now: times::BootTime,
+    ) -> relays::RelayEvent {
+        let Some(pull) = self.pulls.close(sender, note.pull) else {
+            return relays::RelayEvent::Ignored;
+        };
+        // The note speaks of the list that was held when the pull was sent.
+        if pull.known != self.held.digest() {
+            return relays::RelayEvent::Ignored;
+        }
+        let span = relays::ReadingSpan {
+            from: pull.asked_at.before(millis(note.oldest_ms)),
+            to: now.before(millis(note.youngest_ms)),
+        };
+        match note.body {
+            messages::NoteBody::Same => {
+                // Also when this node read later itself: it need not go on reading.
+                self.relayed_from = self.relayed_from.max(Some(span.from));
+                self.held.confirm(span)
+            }
+            messages::NoteBody::Changes { digest, changes } => self.apply(digest, changes, span),
+            messages::NoteBody::Behind => self.fall_behind(span),
+        }
+    }
+
+    fn lacks_reader(&self, now: times::BootTime) -> bool {
+        let limit = RELAY_LIMIT + self.delay;
+        let is_old = |from| now.since(from) >= limit;
+        self.is_behind || self.relayed_from.is_none_or(is_old)
+    }
+
+    fn confirm_tagged(&mut self, span: relays::ReadingSpan) -> relays::RelayEvent {
+        let tagged = self.tagged.as_ref().map(|(_tag, digest)| *digest);
+        if tagged != self.held.digest() {
+            return relays::RelayEvent::Ignored;
+        }
+        self.held.confirm(span)
+    }
+
+    fn take_listed(
+        &mut self,
+        list: relays::VmMap,
+        tag: Option<String>,
+        span: relays::ReadingSpan,
+    ) -> relays::RelayEvent {
+        let event = self.held.replace(list, span);
+        if event != relays::RelayEvent::Ignored {
+            self.tagged = tag.zip(self.held.digest());
+        }
+        event
+    }
+
+    fn apply(
+        &mut self,
+        digest: messages::ListDigest,
+        changes: Vec<messages::ListChange>,
+        span: relays::ReadingSpan,
+    ) -> relays::RelayEvent {
+        let Some(list) = self.held.changed_by(changes) else {
+            return relays::RelayEvent::Ignored;
+        };
+        // Another history than the sender's, or a collision of digests.
+        if messages::ListDigest::of(list.values()) != digest {
+            return self.fall_behind(span);
+        }
+        let event = self.held.replace(list, span);
+        if event == relays::RelayEvent::Changed {
+            self.relayed_from = Some(span.from);
+        }
+        event
+    }
+
+    fn fall_behind(&mut self, span: relays::ReadingSpan) -> relays::RelayEvent {
+        if !self.held.is_followed_by(span) {
+            return relays::RelayEvent::Ignored;
+        }
+        self.is_behind = true;
+        relays::RelayEvent::Behind
+    }
+}
+
+/// Added before cutting to whole milliseconds, so that an age is rounded up.
+const ROUNDING: time::Duration = time::Duration::from_micros(999);
+
+const fn millis(millis: u32) -> time::Duration {
+    time::Duration::from_millis(millis as u64)
+}
+
+fn to_millis(duration: time::Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
--- a/crates/pier_node/src/configs/peer_copies.rs
+++ b/crates/pier_node/src/configs/peer_copies.rs
@@ -2,7 +2,6 @@
 
 use std::{net, time};
 
-use anyhow::Context as _;
 use pier_config::watches;
 use pier_types::{epochs, ids};
 use pier_wire::frames;
@@ -24,10 +23,9 @@
 /// Answers a peer's question for a version above its own.
 pub(crate) fn answer_peer(
     handle: &handle::NodeHandle,
-    question: frames::ConfigQuestion,
+    after: epochs::ConfigVersion,
 ) -> callers::CallerReply {
     let kind = "application/json";
-    let after = question.after;
     let newer = handle.config().filter(|snapshot| snapshot.version > after);
     let Some(snapshot) = newer else {
         return callers::CallerReply::whole(404, kind, "null".into());
@@ -51,13 +49,8 @@
     address: net::SocketAddr,
     after: epochs::ConfigVersion,
 ) -> anyhow::Result<watches::ConfigCopy> {
-    let asking = client.ask_config(address, frames::ConfigQuestion { after });
-    let reply = tokio::time::timeout(COPY_TIMEOUT, asking).await;
-    let reply = reply.context("no copy in time")??;
-    anyhow::ensure!(reply.status == 200, "the peer has no version above {after}");
-    let callers::ReplyBody::Whole(body) = reply.body else {
-        anyhow::bail!("the copy is no whole answer");
-    };
+    let question = frames::PeerQuestion::Config(after);
+    let body = client.ask(address, question, COPY_TIMEOUT).await?;
     let copy: PeerCopy = serde_json::from_slice(&body)?;
     Ok(watches::ConfigCopy {
         version: copy.version,
--- a/crates/pier_node/src/forwards/forward_client.rs
+++ b/crates/pier_node/src/forwards/forward_client.rs
@@ -60,27 +60,34 @@
         })?
     }
 
-    /// Asks the node at an address for its configuration; the bound on the time is the caller's.
+    /// Asks the node at an address for what it keeps, within a time.
     ///
     /// # Errors
     ///
-    /// Fails when the node can not be reached or is lost.
-    pub async fn ask_config(
+    /// Fails when the node does not answer in time, is lost, or has no such copy.
+    pub(crate) async fn ask(
         &self,
         address: net::SocketAddr,
-        question: frames::ConfigQuestion,
-    ) -> anyhow::Result<callers::CallerReply> {
+        question: frames::PeerQuestion,
+        limit: time::Duration,
+    ) -> anyhow::Result<Bytes> {
+        let asking = tokio::time::timeout(limit, self.ask_whole(address, question));
+        asking.await.context("no copy in time")?
+    }
+
+    async fn ask_whole(
+        &self,
+        address: net::SocketAddr,
+        question: frames::PeerQuestion,
+    ) -> anyhow::Result<Bytes> {
         let (mut reader, mut writer) = self.connect(address).await?;
-        writer
-            .write(&frames::ForwardFrame::AskConfig(question))
-            .await?;
+        writer.write(&frames::ForwardFrame::Ask(question)).await?;
         let frames::AnswerFrame::Head(head) = reader.expect().await? else {
             anyhow::bail!("the answer has no head");
         };
+        anyhow::ensure!(head.status == 200, "the peer has no such copy");
         let body = read_whole(reader).await;
-        let body = body.map_err(|error| anyhow::anyhow!("{error}"))?;
-        let kind = content_type(&head);
-        Ok(callers::CallerReply::whole(head.status, kind, body))
+        body.map_err(|error| anyhow::anyhow!("{error}"))
     }
 
     /// Connects and sends everything before the end mark, then the mark itself.
--- a/crates/pier_node/src/forwards/forward_server.rs
+++ b/crates/pier_node/src/forwards/forward_server.rs
@@ -7,7 +7,7 @@
 use pier_wire::{frames, seals};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::{callers, configs, forwards, handle, requests};
+use crate::{callers, configs, forwards, handle, peers, requests};
 
 /// Bound on the handshake and on the request's arrival.
 const ARRIVAL_TIMEOUT: time::Duration = time::Duration::from_secs(10);
@@ -26,8 +26,8 @@
 enum Arrival {
     /// A request, whole.
     Request(callers::CallerRequest),
-    /// A question for a configuration.
-    Question(frames::ConfigQuestion),
+    /// A question of a node.
+    Question(frames::PeerQuestion),
 }
 
 /// Takes requests over from other nodes.
@@ -75,7 +75,7 @@
         let request = match arrived.context("the request did not arrive in time")?? {
             Arrival::Request(request) => request,
             Arrival::Question(question) => {
-                let copy = configs::answer_peer(&self.handle, question);
+                let copy = self.copy(question);
                 return send_reply(copy, &mut writer).await;
             }
         };
@@ -89,6 +89,16 @@
         result
     }
 
+    /// Answers a node's question.
+    fn copy(&self, question: frames::PeerQuestion) -> callers::CallerReply {
+        match question {
+            frames::PeerQuestion::Config(after) => configs::answer_peer(&self.handle, after),
+            frames::PeerQuestion::VmList => {
+                peers::answer_list(&self.handle, times::clocks::boot_now())
+            }
+        }
+    }
+
     /// Reads a request; nothing is dispatched unless its end mark came.
     async fn receive(
         &self,
@@ -104,7 +114,7 @@
         handshake.verify(&reader.expect().await?)?;
         let begin = match reader.expect().await? {
             frames::ForwardFrame::Begin(begin) => begin,
-            frames::ForwardFrame::AskConfig(question) => return Ok(Arrival::Question(question)),
+            frames::ForwardFrame::Ask(question) => return Ok(Arrival::Question(question)),
             _ => anyhow::bail!("the request has no beginning"),
         };
         let body = receive_body(reader).await?;
@@ -140,7 +150,7 @@
             frames::ForwardFrame::End => return Ok(body),
             frames::ForwardFrame::Begin(_) => anyhow::bail!("a second beginning"),
             frames::ForwardFrame::Cancel => anyhow::bail!("the request was taken back"),
-            frames::ForwardFrame::AskConfig(_) => anyhow::bail!("a question within a request"),
+            frames::ForwardFrame::Ask(_) => anyhow::bail!("a question within a request"),
         }
         anyhow::ensure!(body.len() <= BODY_LIMIT_BYTES, "the body is too large");
     }
--- a/crates/pier_node/src/peers/peer_loop.rs
+++ b/crates/pier_node/src/peers/peer_loop.rs
@@ -1,6 +1,6 @@
 //! The task that talks with the other nodes.
 
-use std::{collections, io, net, time};
+use std::{collections, net, time};
 
 use anyhow::Context as _;
 use pier_limits::{members, probes as decisions};
@@ -10,7 +10,7 @@
 
 use crate::{
     configs, handle, peers,
-    peers::{crash_marks, share_driver},
+    peers::{crash_marks, list_call, share_driver},
     probes, requests,
 };
 
@@ -26,16 +26,17 @@
 /// The state of the loop.
 #[derive(Debug)]
 pub struct PeerLoop {
-    handle: handle::NodeHandle,
+    pub(super) handle: handle::NodeHandle,
     socket: peers::PeerSocket,
-    configs: configs::ConfigInbox,
+    pub(super) configs: configs::ConfigInbox,
     sealer: seals::DatagramSealer,
-    opener: seals::DatagramOpener,
-    members: members::MemberTable,
-    pulls: decisions::PullPlan,
-    probes: probes::ProbeDriver,
-    shares: share_driver::ShareDriver,
-    refusals: peers::DatagramRefusals,
+    pub(super) opener: seals::DatagramOpener,
+    pub(super) members: members::MemberTable,
+    pub(super) pulls: decisions::PullPlan,
+    pub(super) probes: probes::ProbeDriver,
+    pub(super) shares: share_driver::ShareDriver,
+    pub(super) lists: peers::ListDriver,
+    pub(super) refusals: peers::DatagramRefusals,
     place: members::IsolationPlace,
     ticked_at: times::BootTime,
     round_at: times::BootTime,
@@ -54,6 +55,7 @@
     ) -> anyhow::Result<()> {
         let key = handle.settings().peer_key.clone();
         let (sender, outcomes) = mpsc::unbounded_channel();
+        let (list_sender, readings) = mpsc::unbounded_channel();
         let own = own_entry(&handle, socket.address());
         let now = clocks::boot_now();
         let peer_loop = Self {
@@ -67,6 +69,7 @@
             pulls: decisions::PullPlan::default(),
             probes: probes::ProbeDriver::new(handle.clone(), sender),
             shares: share_driver::ShareDriver::new(handle.clone()),
+            lists: peers::ListDriver::new(handle.clone(), list_sender),
             refusals: peers::DatagramRefusals::default(),
             place: members::IsolationPlace::PlatformAway,
             ticked_at: now,
@@ -77,13 +80,14 @@
         };
         let warmth = peer_loop.handle.requests().take_warmth_news();
         let warmth = warmth.context("another loop has the evidence of warmth")?;
-        tokio::spawn(peer_loop.run(outcomes, warmth));
+        tokio::spawn(peer_loop.run(outcomes, readings, warmth));
         Ok(())
     }
 
     async fn run(
         mut self,
         mut outcomes: mpsc::UnboundedReceiver<probes::ProbeOutcome>,
+        mut readings: mpsc::UnboundedReceiver<list_call::ListOutcome>,
         mut warmth: mpsc::Receiver<requests::WarmthNews>,
     ) {
         let mut ticks = tokio::time::interval(TICK);
@@ -93,6 +97,9 @@
                 _tick = ticks.tick() => self.tick(clocks::boot_now()),
                 received = self.socket.receive() => self.take(received, clocks::boot_now()),
                 Some(outcome) = outcomes.recv() => self.probes.take(outcome),
+                Some(reading) = readings.recv() => {
+                    self.lists.take_outcome(reading, clocks::boot_now());
+                }
                 Some(news) = warmth.recv() => self.shares.hear(&news, clocks::boot_now()),
             }
         }
@@ -105,12 +112,14 @@
         }
         self.ticked_at = now;
         self.members.tick(now);
+        self.lists.tick(now);
         let mut nodes = self.live_nodes(now);
         if now.since(self.round_at) >= ROUND {
             self.round_at = now;
             self.round(&nodes, now);
             self.tell_crashes(now);
         }
+        self.search_list(&nodes, now);
         nodes.insert(self.handle.name().clone());
         self.probes.tick(&nodes, now);
         self.judge_isolation(now);
@@ -132,15 +141,33 @@
         let old = self.probes.old(now);
         let pulls = self.pulls.round(&own, self.probes.plan(), nodes, &old, now);
         let peers = self.members.live_peers(now);
+        let mut list_pull = self.lists.pull(now);
         for (peer, pull) in pulls {
             if let Some(entry) = peers.get(&peer) {
                 let greeting = self.members.greeting(&peer, now);
-                let pull = messages::PeerMessage::ProbePull(pull);
-                self.send(entry.address, vec![greeting, pull]);
+                let mut letter = vec![greeting, messages::PeerMessage::ProbePull(pull)];
+                let list_pull = list_pull.take_if(|(reader, _)| *reader == peer);
+                letter.extend(list_pull.map(|(_, pull)| messages::PeerMessage::ListPull(pull)));
+                self.send(entry.address, letter);
             }
         }
     }
 
+    /// Asks another node for the VM list while the one that reads for all does not tell it.
+    fn search_list(&mut self, nodes: &collections::BTreeSet<ids::NodeName>, now: times::BootTime) {
+        let Some((node, pull)) = self.lists.search(nodes, now) else {
+            return;
+        };
+        let address = self
+            .members
+            .live_peers(now)
+            .get(&node)
+            .map(|entry| entry.address);
+        if let Some(address) = address {
+            self.send(address, vec![messages::PeerMessage::ListPull(pull)]);
+        }
+    }
+
     /// Stops new work, or lets it go on, by what this node hears of the rest.
     fn judge_isolation(&mut self, now: times::BootTime) {
         let own = self.handle.name();
@@ -173,75 +200,6 @@
         }
     }
 
-    fn take(&mut self, received: io::Result<(Vec<u8>, net::SocketAddr)>, now: times::BootTime) {
-        let Ok((datagram, source)) = received else {
-            // An earlier datagram met a closed port; the next one may be received all the same.
-            return;
-        };
-        match self.opener.open(&datagram, now) {
-            Ok(opened) => self.take_messages(opened, source, now),
-            Err(refusal) => {
-                if refusal != seals::SealRefusal::OwnEcho {
-                    self.handle.metrics().requests().count_datagram(refusal);
-                }
-                self.refusals.count(refusal, source);
-            }
-        }
-    }
-
-    fn take_messages(
-        &mut self,
-        opened: seals::OpenedDatagram,
-        source: net::SocketAddr,
-        now: times::BootTime,
-    ) {
-        let (sender, instance) = (opened.sender, opened.instance);
-        for message in opened.messages {
-            match message {
-                messages::PeerMessage::Beat(beat) => {
-                    self.members.hear_beat(&sender, instance, beat, now);
-                    self.hint(&sender, source, beat.config);
-                }
-                messages::PeerMessage::Members(entries) => {
-                    for entry in &entries {
-                        self.hint(&entry.node, entry.address, entry.beat.config);
-                    }
-                    self.members.hear_entries(&sender, entries, now);
-                }
-                messages::PeerMessage::ProbePull(pull) => {
-                    let batch = self.probes.answer(&pull, clocks::boot_now());
-                    self.send(source, vec![messages::PeerMessage::ProbeBatch(batch)]);
-                }
-                messages::PeerMessage::ProbeBatch(batch) => {
-                    if let Some(asked_at) = self.pulls.asked_at(&sender, batch.pull) {
-                        self.probes.take_batch(&batch, asked_at);
-                    }
-                }
-                messages::PeerMessage::Crashes(crashes) => {
-                    let delta = crash_marks::from_message(crashes);
-                    self.handle.requests().merge_crashes(&delta);
-                }
-                messages::PeerMessage::ConfigHint(version) => self.hint(&sender, source, version),
-                messages::PeerMessage::ShareAsk(ask) => {
-                    let grant = self.shares.answer(&sender, &ask, clocks::boot_now());
-                    if let Some(grant) = grant {
-                        self.send(source, vec![messages::PeerMessage::ShareGrant(grant)]);
-                    }
-                }
-                messages::PeerMessage::ShareGrant(grant) => {
-                    self.shares.take(&grant, clocks::boot_now());
-                }
-            }
-        }
-    }
-
-    /// Passes on that a node holds a version, if it is above the one in force here.
-    fn hint(&self, node: &ids::NodeName, address: net::SocketAddr, version: epochs::ConfigVersion) {
-        if version > self.config_version() {
-            self.configs.hint(node.clone(), address, version);
-        }
-    }
-
     /// Tells all live nodes of crashes that a request may be to blame for.
     fn tell_crashes(&mut self, now: times::BootTime) {
         let delta = self
@@ -258,7 +216,7 @@
         }
     }
 
-    fn send(&mut self, receiver: net::SocketAddr, messages: Vec<messages::PeerMessage>) {
+    pub(super) fn send(&mut self, receiver: net::SocketAddr, messages: Vec<messages::PeerMessage>) {
         match self.sealer.seal(messages) {
             Ok(datagrams) => {
                 for datagram in datagrams {
@@ -273,7 +231,7 @@
         self.members.live_peers(now).into_keys().collect()
     }
 
-    fn config_version(&self) -> epochs::ConfigVersion {
+    pub(super) fn config_version(&self) -> epochs::ConfigVersion {
         let config = self.handle.config();
         config.map_or_else(epochs::ConfigVersion::default, |config| config.version)
     }
@@ -288,6 +246,10 @@
 
     /// Returns the live nodes of all data centres.
     fn peer_entries(&self, now: times::BootTime) -> Vec<handle::PeerEntry> {
+        let own = &self.handle.settings().data_centre;
+        let heard = self.members.forward_peers(own, now);
+        let heard = heard.into_iter().map(|entry| entry.node);
+        let heard = heard.collect::<collections::BTreeSet<_>>();
         let views = self.members.views(now).into_iter();
         let live = views.filter(|(_, health)| *health == members::MemberHealth::Alive);
         live.map(|(entry, _)| handle::PeerEntry {
@@ -295,6 +257,7 @@
             data_centre: entry.data_centre.clone(),
             address: entry.address,
             draining: entry.beat.draining,
+            takes_forwards: entry.data_centre != *own || heard.contains(&entry.node),
         })
         .collect()
     }
--- a/crates/pier_wire/src/frames/mod.rs
+++ b/crates/pier_wire/src/frames/mod.rs
@@ -6,23 +6,23 @@
 mod answer_chunk;
 mod answer_frame;
 mod client_handshake;
-mod config_question;
 mod forward_begin;
 mod forward_frame;
 mod frame_codec;
 mod frame_error;
 mod handshake_frames;
 mod handshake_proof;
+mod peer_question;
 mod server_handshake;
 
 pub use answer_chunk::AnswerChunk;
 pub use answer_frame::{AnswerFailure, AnswerFrame, AnswerHead};
 pub use client_handshake::ClientHandshake;
-pub use config_question::ConfigQuestion;
 pub use forward_begin::{ForwardBegin, ForwardHeader};
 pub use forward_frame::ForwardFrame;
 pub use frame_codec::{FRAME_LIMIT, FrameCodec};
 pub use frame_error::FrameError;
 pub use handshake_frames::{HandshakeChallenge, HandshakeHello, HandshakeNonce, HandshakeReply};
 pub(crate) use handshake_proof::{HandshakeSide, Transcript};
+pub use peer_question::PeerQuestion;
 pub use server_handshake::ServerHandshake;
