--- a/crates/pier_wire/src/frames/mod.rs
+++ b/crates/pier_wire/src/frames/mod.rs
@@ -12,6 +12,7 @@
 mod frame_error;
 mod handshake_frames;
 mod handshake_proof;
+mod peer_question;
 mod server_handshake;
 
 pub use answer_chunk::AnswerChunk;
@@ -23,4 +24,5 @@
 pub use frame_error::FrameError;
 pub use handshake_frames::{HandshakeChallenge, HandshakeHello, HandshakeNonce, HandshakeReply};
 pub(crate) use handshake_proof::{HandshakeSide, Transcript};
+pub use peer_question::PeerQuestion;
 pub use server_handshake::ServerHandshake;
--- a/crates/pier_wire/tests/round_trips.rs
+++ b/crates/pier_wire/tests/round_trips.rs
@@ -191,6 +191,10 @@
         }),
         frames::ForwardFrame::End,
         frames::ForwardFrame::Cancel,
+        frames::ForwardFrame::Ask(frames::PeerQuestion::Config(epochs::ConfigVersion::new(
+            300,
+        ))),
+        frames::ForwardFrame::Ask(frames::PeerQuestion::VmList),
     ];
     let mut whole = bytes::BytesMut::new();
     for frame in &sent {
