--- a/crates/pier_node/src/configs/peer_copies.rs
+++ b/crates/pier_node/src/configs/peer_copies.rs
@@ -1,7 +1,8 @@
 //! Copies of the document that nodes give one another, over the connection of forwarded requests.
 
-use std::net;
+use std::{net, time};
 
+use anyhow::Context as _;
 use pier_config::watches;
 use pier_types::{epochs, ids};
 use serde::{Deserialize, Serialize};
@@ -12,6 +13,8 @@
 const COPY_PATH: &str = "/peer/config";
 /// Beginning of the query that names the version the asker has in force.
 const AFTER_FIELD: &str = "after=";
+/// Bound on one copy's way.
+const COPY_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
 /// A node's version in force.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -58,7 +61,15 @@
     after: epochs::ConfigVersion,
 ) -> anyhow::Result<watches::ConfigCopy> {
     let path = format!("{COPY_PATH}?{AFTER_FIELD}{after}");
-    let body = forwards::ask(client, address, path).await?;
+    let question = forwards::peer_question(path, COPY_TIMEOUT)?;
+    let asking = client.send(address, question, &[]);
+    let reply = tokio::time::timeout(COPY_TIMEOUT, asking).await;
+    let reply = reply.context("no copy in time")?;
+    let reply = reply.map_err(|error| anyhow::anyhow!("{error:?}"))?;
+    anyhow::ensure!(reply.status == 200, "the peer has no version above {after}");
+    let callers::ReplyBody::Whole(body) = reply.body else {
+        anyhow::bail!("the copy is no whole answer");
+    };
     let copy: PeerCopy = serde_json::from_slice(&body)?;
     Ok(watches::ConfigCopy {
         version: copy.version,
--- a/crates/pier_node/src/daemon/node_daemon.rs
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -3,6 +3,7 @@
 use std::{net, time};
 
 use anyhow::Context as _;
+use pier_limits::shifts;
 use pier_types::ids;
 
 use crate::{
@@ -16,6 +17,9 @@
 /// Bound on connecting to a target.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
+/// Ports of the system's choice that are tried for connections and datagrams together.
+const PORT_TRIES: u32 = 10;
+
 /// Idle connections are closed before a target would close them.
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
@@ -29,22 +33,30 @@
 }
 
 impl NodeDaemon {
-    /// Starts every part of a node.
+    /// Starts every part of a node with the usual times.
     ///
     /// # Errors
     ///
     /// Fails when a port can not be bound.
     pub async fn launch(settings: settings::NodeSettings) -> anyhow::Result<Self> {
+        daemon::NodeBuilder::new(settings).launch().await
+    }
+
+    /// Starts every part of a node.
+    pub(super) async fn start(
+        settings: settings::NodeSettings,
+        shift: shifts::ShiftPolicy,
+    ) -> anyhow::Result<Self> {
         let client = target_client()?;
         let traces = open_traces(settings.collector_url.clone()).await?;
         let handle = handle::NodeHandle::new(draw_name(&settings)?, settings, client, traces)?;
-        tables::ListLoop::spawn(handle.clone(), forward_client(&handle)?);
-        tables::spawn(handle.clone());
+        tables::spawn(handle.clone(), shift);
         control::spawn(handle.clone(), &control::ControlSettings::default());
         requests::spawn(&handle);
         let configs = Self::spawn_configs(&handle)?;
-        let peers = Self::launch_forwards(&handle).await?;
-        let socket = peers::PeerSocket::bind(peers).await?;
+        let (listener, socket) = bind_peers(handle.settings().peers).await?;
+        let peers = socket.address();
+        Self::launch_forwards(&handle, listener)?;
         peers::PeerLoop::spawn(handle.clone(), socket, configs)?;
         let operators = Self::launch_operators(&handle).await?;
         let callers = Self::launch_callers(&handle).await?;
@@ -132,19 +144,19 @@
         daemon::WebServer::launch(settings.callers, |rocket| rocket.mount("/", routes)).await
     }
 
-    async fn launch_forwards(handle: &handle::NodeHandle) -> anyhow::Result<net::SocketAddr> {
+    fn launch_forwards(
+        handle: &handle::NodeHandle,
+        listener: tokio::net::TcpListener,
+    ) -> anyhow::Result<()> {
         let key = handle.settings().peer_key.parse()?;
-        let wanted = handle.settings().peers;
-        let listener = tokio::net::TcpListener::bind(wanted).await;
-        let listener = listener.with_context(|| format!("binding {wanted}"))?;
-        let address = listener.local_addr()?;
         let server = forwards::ForwardServer::new(handle.clone(), key);
         tokio::spawn(server.run(listener));
-        Ok(address)
+        Ok(())
     }
 
     fn spawn_configs(handle: &handle::NodeHandle) -> anyhow::Result<configs::ConfigInbox> {
-        let client = forward_client(handle)?;
+        let key = handle.settings().peer_key.parse()?;
+        let client = forwards::ForwardClient::new(key, handle.name().clone(), handle.instance());
         Ok(configs::ConfigLoop::spawn(handle.clone(), client))
     }
 
@@ -159,11 +171,24 @@
     }
 }
 
-/// Makes the client that speaks to other nodes.
-fn forward_client(handle: &handle::NodeHandle) -> anyhow::Result<forwards::ForwardClient> {
-    let key = handle.settings().peer_key.parse()?;
-    let (name, instance) = (handle.name().clone(), handle.instance());
-    Ok(forwards::ForwardClient::new(key, name, instance))
+/// Binds the same port for connections and for datagrams.
+///
+/// A port of the system's choice is free for connections alone, so that another one is tried when
+/// somebody has it for datagrams.
+async fn bind_peers(
+    wanted: net::SocketAddr,
+) -> anyhow::Result<(tokio::net::TcpListener, peers::PeerSocket)> {
+    let mut tries_left = if wanted.port() == 0 { PORT_TRIES } else { 1 };
+    loop {
+        let listener = tokio::net::TcpListener::bind(wanted).await;
+        let listener = listener.with_context(|| format!("binding {wanted}"))?;
+        tries_left -= 1;
+        match peers::PeerSocket::bind(listener.local_addr()?).await {
+            Ok(socket) => return Ok((listener, socket)),
+            Err(error) if tries_left == 0 => return Err(error),
+            Err(_taken) => {}
+        }
+    }
 }
 
 /// Draws a name that no earlier start had, so that a restarted node is never taken for its predecessor.
--- a/crates/pier_node/src/forwards/forward_server.rs
+++ b/crates/pier_node/src/forwards/forward_server.rs
@@ -7,7 +7,7 @@
 use pier_wire::{frames, seals};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::{callers, configs, forwards, handle, requests, tables};
+use crate::{callers, configs, forwards, handle, peers, requests};
 
 /// Bound on the handshake and on the request's arrival.
 const ARRIVAL_TIMEOUT: time::Duration = time::Duration::from_secs(10);
@@ -103,9 +103,11 @@
             let code = codes::ResultCode::NoServingTarget;
             return writer.write(&failed(code, code.outcome(), None)).await;
         }
-        let answer = configs::answer_peer(&self.handle, &request);
-        let answer = answer.or_else(|| tables::answer_peer(&self.handle, &request));
-        if let Some(reply) = answer {
+        if let Some(reply) = configs::answer_peer(&self.handle, &request) {
+            return send_reply(reply, writer).await;
+        }
+        let now = times::clocks::boot_now();
+        if let Some(reply) = peers::answer_list(&self.handle, &request, now) {
             return send_reply(reply, writer).await;
         }
         let path = requests::RequestPath::new(self.handle.clone());
--- a/crates/pier_node/src/forwards/mod.rs
+++ b/crates/pier_node/src/forwards/mod.rs
@@ -17,4 +17,4 @@
 pub use forward_error::ForwardError;
 pub use forward_server::ForwardServer;
 use frame_stream::{FrameReader, FrameWriter};
-pub(crate) use peer_question::ask;
+pub(crate) use peer_question::peer_question;
--- a/crates/pier_node/src/probes/probe_driver.rs
+++ b/crates/pier_node/src/probes/probe_driver.rs
@@ -13,10 +13,6 @@
 /// Age up to which evidence counts when no configuration says so.
 const DEFAULT_FRESHNESS: time::Duration = time::Duration::from_secs(4);
 
-/// Backup probers are asked once evidence has reached this part of the age up to which it counts,
-/// in percent.
-const OLD_PERCENT: u32 = 75;
-
 type VmList = collections::BTreeMap<ids::VmName, vms::VmEntry>;
 
 /// Owns what is known of each VM of the data centre.
@@ -64,8 +60,7 @@
 
     /// Returns the VMs whose backup probers are to be asked.
     pub(crate) fn old(&self, now: times::BootTime) -> Vec<ids::VmName> {
-        let age = self.board.bound() * OLD_PERCENT / 100;
-        self.board.older_than(age, &self.listed, now)
+        self.board.old(&self.listed, now)
     }
 
     /// Takes over the live nodes and the VM list, probes what is due and publishes the evidence.
@@ -99,12 +94,12 @@
         }
     }
 
-    /// Answers a pull with this node's own results.
+    /// Answers a pull with this node's own results, or with what the asker lacks of them.
     pub(crate) fn answer(
         &self,
         pull: &messages::ProbePull,
         now: times::BootTime,
-    ) -> messages::ProbeBatch {
+    ) -> messages::PeerMessage {
         let asked = |vm: &ids::VmName, rank: usize| match &pull.scope {
             messages::PullScope::First => rank == 0,
             messages::PullScope::Named(keys) => keys.contains(&messages::VmKey::of(vm)),
@@ -115,7 +110,7 @@
             .filter(|(vm, rank)| asked(vm, **rank))
             .filter_map(|(vm, _)| self.board.latest(vm, now))
             .collect::<Vec<_>>();
-        messages::ProbeBatch::pack(pull.pull, &results)
+        messages::ProbeBatch::pack(pull.pull, &results).reply(pull.known)
     }
 
     /// Drops all evidence, as after a pause.
--- a/crates/pier_node/src/requests/forward_run.rs
+++ b/crates/pier_node/src/requests/forward_run.rs
@@ -14,7 +14,7 @@
 /// Longest time for which a data centre without room is spared.
 const MOST_SPARE: time::Duration = time::Duration::from_secs(2);
 
-/// Passes requests on to other data centres, each at most once.
+/// Passes requests on to other nodes, each at most once.
 #[derive(Debug)]
 pub(super) struct ForwardRun<'a> {
     handle: &'a handle::NodeHandle,
@@ -80,6 +80,11 @@
             data_centre: &self.handle.settings().data_centre,
             document: &config.document,
             peers: &peers,
+            own_serves: self
+                .handle
+                .shift()
+                .weight
+                .includes(self.plan.fingerprint.get()),
         };
         let full = self.handle.requests().full_peers();
         let now = clocks::boot_now();
@@ -97,6 +102,8 @@
         span.note("node", peer.node.to_string());
         let begin = self.begin(&span.parent());
         let sent = self.client.send(peer.address, begin, &self.plan.body).await;
+        let metrics = self.handle.metrics().requests();
+        metrics.count_forward(outcome_of(&sent));
         sent.map_err(|error| {
             span.fail(code_of(&error));
             self.after(peer, error)
@@ -186,3 +193,14 @@
         forwards::ForwardError::Refused(failure) => failure.code,
     }
 }
+
+const fn outcome_of(
+    sent: &Result<callers::CallerReply, forwards::ForwardError>,
+) -> telemetry::ForwardOutcome {
+    match sent {
+        Ok(_reply) => telemetry::ForwardOutcome::Answered,
+        Err(forwards::ForwardError::NotSent { .. }) => telemetry::ForwardOutcome::NotSent,
+        Err(forwards::ForwardError::Refused(_failure)) => telemetry::ForwardOutcome::Refused,
+        Err(forwards::ForwardError::Lost { .. }) => telemetry::ForwardOutcome::Lost,
+    }
+}
