--- a/crates/pier_limits/tests/vm_relay/relayed_fleet.rs
+++ b/crates/pier_limits/tests/vm_relay/relayed_fleet.rs
@@ -46,6 +46,7 @@
     paused_until: u64,
     version: u64,
     pulled_at: u64,
+    ticked_at: u64,
 }
 
 /// The fleet with its platform and network.
@@ -58,6 +59,8 @@
     pub loss: u32,
     /// Nodes that can not reach the platform.
     pub cut_off: collections::BTreeSet<usize>,
+    /// Time between two looks of a node at what is due, in milliseconds.
+    pub tick: u64,
     /// The node that each node thinks is the reader.
     pub reader: [usize; NODES],
     nodes: Vec<FleetNode>,
@@ -99,12 +102,14 @@
             paused_until: 0,
             version: 0,
             pulled_at: 0,
+            ticked_at: 0,
         });
         let nodes = nodes.collect();
         Self {
             version: 1,
             readings: 0,
             loss: 0,
+            tick: 0,
             cut_off: collections::BTreeSet::new(),
             reader: [0; NODES],
             nodes,
@@ -139,7 +144,9 @@
             self.deliver(parcel, now);
         }
         for node in 0..NODES {
-            if self.nodes[node].paused_until <= now {
+            let due_at = self.nodes[node].ticked_at + self.tick;
+            if self.nodes[node].paused_until <= now && due_at <= now {
+                self.nodes[node].ticked_at = now;
                 self.act(node, now);
             }
         }
--- a/crates/pier_matrix/src/plays/case_player.rs
+++ b/crates/pier_matrix/src/plays/case_player.rs
@@ -12,6 +12,9 @@
 /// Time a caller waits beyond its deadline before it counts the answer as lost.
 const PATIENCE: time::Duration = time::Duration::from_secs(30);
 
+/// Bound on a whole play; one that hangs fails.
+const PLAY_LIMIT: time::Duration = time::Duration::from_mins(4);
+
 /// Plays one case on a bench of its own.
 #[derive(Debug)]
 pub struct CasePlayer {
@@ -31,6 +34,14 @@
     ///
     /// Fails when the play can not be played or something expected does not hold.
     pub async fn play(case: &cases::FaultCase, target: plays::PlayTarget) -> anyhow::Result<()> {
+        let playing = tokio::time::timeout(PLAY_LIMIT, Self::play_through(case, target));
+        playing.await.context("the play did not end")?
+    }
+
+    async fn play_through(
+        case: &cases::FaultCase,
+        target: plays::PlayTarget,
+    ) -> anyhow::Result<()> {
         let mut player = Self {
             bench: bench::TestBench::launch(&["a", "b"]).await?,
             target,
@@ -63,6 +74,9 @@
 
     async fn step(&mut self, line: &cases::PlayLine) -> anyhow::Result<()> {
         match line.verb.as_str() {
+            "links" => self.bench.add_links(),
+            "cut" => self.cut(line),
+            "heal" => self.heal(),
             "nodes" => self.add_nodes(line).await,
             "engines" => self.add_engines(line).await,
             "services" => self.add_services(line).await,
@@ -161,7 +175,7 @@
                 let timeout = time::Duration::from_millis(call.deadline_ms) + PATIENCE;
                 task::spawn(async move {
                     let address = address.to_string();
-                    let mut outcome = plays::send_once(&client, &address, &call, timeout).await;
+                    let mut outcome = plays::send_to_node(&client, &address, &call, timeout).await;
                     if outcome.status.is_some_and(|status| status >= 400) {
                         outcome.node_view = bench::node_view(&handle, times::clocks::boot_now());
                     }
@@ -215,6 +229,25 @@
         Ok(())
     }
 
+    /// Cuts the link between two ends, or only from the first to the second.
+    fn cut(&self, line: &cases::PlayLine) -> anyhow::Result<()> {
+        if self.target == plays::PlayTarget::BlindRetrier {
+            return Ok(());
+        }
+        let (from, to) = (line.word(0)?, line.word(1)?);
+        let links = self.bench.links()?;
+        links.set_cut(from, to, true)?;
+        if line.option("way") != Some("one") {
+            links.set_cut(to, from, true)?;
+        }
+        Ok(())
+    }
+
+    fn heal(&self) -> anyhow::Result<()> {
+        self.bench.links()?.heal();
+        Ok(())
+    }
+
     fn drain(&mut self, name: &str) -> anyhow::Result<()> {
         match self.target {
             plays::PlayTarget::Nodes => {}
--- a/crates/pier_node/src/peers/list_driver.rs
+++ b/crates/pier_node/src/peers/list_driver.rs
@@ -1,6 +1,6 @@
 //! Keeps the VM list of the data centre, by the lease holder's readings or by own ones.
 
-use std::{net, time};
+use std::{collections, net, time};
 
 use pier_limits::relays;
 use pier_types::{ids, times};
@@ -13,12 +13,19 @@
 /// reader.
 const LONGEST_DELAY: time::Duration = time::Duration::from_millis(400);
 
+/// Time between two pulls to nodes that do not read for all.
+const SEARCH_PERIOD: time::Duration = time::Duration::from_millis(400);
+
 /// The relay with its calls.
 #[derive(Debug)]
 pub(super) struct ListDriver {
     handle: handle::NodeHandle,
     outcomes: mpsc::UnboundedSender<list_call::ListOutcome>,
     relay: relays::VmRelay,
+    /// The node whose list this node could not follow by changes.
+    ahead: Option<ids::NodeName>,
+    searched_at: times::BootTime,
+    searched: usize,
 }
 
 impl ListDriver {
@@ -32,6 +39,9 @@
             handle,
             outcomes,
             relay: relays::VmRelay::new(delay),
+            ahead: None,
+            searched_at: times::BootTime::default(),
+            searched: 0,
         }
     }
 
@@ -39,7 +49,7 @@
     pub(super) fn tick(&mut self, now: times::BootTime) {
         if self.relay.is_reading_due(self.duty(now), now) {
             let source = list_call::ListSource {
-                peer: self.reader_address().filter(|_| self.relay.is_behind()),
+                peer: self.ahead_address().filter(|_| self.relay.is_behind()),
                 known_tag: self.relay.start_reading(now),
             };
             list_call::make(&self.handle, &self.outcomes, source);
@@ -78,6 +88,25 @@
         Some((holder.clone(), pull))
     }
 
+    /// Makes a pull for the next of the data centre's other nodes, while neither this node nor the
+    /// one that reads for all has read the platform lately.
+    pub(super) fn search(
+        &mut self,
+        nodes: &collections::BTreeSet<ids::NodeName>,
+        now: times::BootTime,
+    ) -> Option<(ids::NodeName, messages::ListPull)> {
+        let is_due = now.since(self.searched_at) >= SEARCH_PERIOD;
+        if !is_due || !self.relay.lacks_reading(self.duty(now), now) {
+            return None;
+        }
+        self.searched_at = now;
+        self.searched = self.searched.wrapping_add(1);
+        let turn = self.searched % nodes.len().max(1);
+        let node = nodes.iter().nth(turn)?.clone();
+        let pull = self.relay.pull(&node, now);
+        Some((node, pull))
+    }
+
     /// Answers another node's pull.
     pub(super) fn answer(
         &self,
@@ -96,6 +125,9 @@
     ) {
         let was_away = self.relay.is_away();
         let event = self.relay.take(sender, note, now);
+        if event == relays::RelayEvent::Behind {
+            self.ahead = Some(sender.clone());
+        }
         self.publish(event, was_away);
     }
 
@@ -129,11 +161,11 @@
         }
     }
 
-    /// Returns where the node that reads for all is reached.
-    fn reader_address(&self) -> Option<net::SocketAddr> {
-        let lease = self.handle.lease()?;
+    /// Returns where the node is reached that has a newer list.
+    fn ahead_address(&self) -> Option<net::SocketAddr> {
+        let ahead = self.ahead.as_ref()?;
         let peers = self.handle.peers();
-        let reader = peers.iter().find(|peer| peer.node == lease.record.holder);
-        reader.map(|reader| reader.address)
+        let ahead = peers.iter().find(|peer| peer.node == *ahead);
+        ahead.map(|ahead| ahead.address)
     }
 }
--- a/crates/pier_node/src/peers/share_driver.rs
+++ b/crates/pier_node/src/peers/share_driver.rs
@@ -9,6 +9,7 @@
 use crate::{
     handle,
     peers::{share_target, slot_watch, target_book},
+    requests,
 };
 
 /// A published share ends this long before it does, as requests see it a little later.
@@ -17,6 +18,9 @@
 /// Time in which requests that saw a higher share have been counted as in flight.
 const LOWERING_TIME: time::Duration = time::Duration::from_millis(250);
 
+/// Time between two looks for slow targets.
+const MARK_PERIOD: time::Duration = time::Duration::from_secs(1);
+
 /// Owns this node's part of each limit and, with the lease, the account of all parts.
 #[derive(Debug)]
 pub(super) struct ShareDriver {
@@ -29,6 +33,8 @@
     ledger: Option<(epochs::LeaseTerm, shares::ShareLedger)>,
     /// When an answer or a pause last may have lowered shares.
     lowered_at: times::BootTime,
+    /// When slow targets were last looked for.
+    marked_at: times::BootTime,
     new_work: bool,
 }
 
@@ -44,6 +50,7 @@
             schedule: shares::AskSchedule::default(),
             ledger: None,
             lowered_at: times::BootTime::default(),
+            marked_at: times::BootTime::default(),
             new_work: true,
             handle,
         }
@@ -66,6 +73,7 @@
             self.targets.follow(found, now);
         }
         self.publish(now);
+        self.mark_slow(now);
         let record = &lease?.record;
         let ask = self.ask(record.term, now)?;
         if record.holder != *self.handle.name() {
@@ -97,6 +105,25 @@
         ledger.answer(node, ask, now, lease_end)
     }
 
+    /// Takes in what a request saw of a target; a limit that falls binds requests at once.
+    pub(super) fn hear(&mut self, news: &requests::WarmthNews, now: times::BootTime) {
+        let later = now.after(PUBLISH_MARGIN);
+        let slot = self.slots.slot(now);
+        let cut = self.targets.hear(news, &self.holding, slot, later, now);
+        let Some(allowed) = cut.filter(|_| self.new_work) else {
+            return;
+        };
+        log::warn!(
+            event = "target-cold-again",
+            target:% = news.target,
+            sign:? = news.sign,
+            share = allowed.get();
+            ""
+        );
+        let bounds = target_book::AllowedMap::from([(news.target.clone(), allowed)]);
+        self.handle.requests().bound_targets(&bounds);
+    }
+
     /// Takes in the lease holder's answer.
     pub(super) fn take(&mut self, grant: &messages::ShareGrant, now: times::BootTime) {
         self.holding.take(grant);
@@ -170,11 +197,22 @@
                 *share = sizes::RequestCount::default();
             }
         }
+        self.handle.requests().bound_targets(&published);
         if *self.handle.shares() != published {
             self.handle.publish_shares(published);
         }
     }
 
+    /// Says which targets are slow, now and then.
+    fn mark_slow(&mut self, now: times::BootTime) {
+        if now.since(self.marked_at) < MARK_PERIOD {
+            return;
+        }
+        self.marked_at = now;
+        let slow = self.targets.slow_targets(now);
+        self.handle.requests().mark_slow(&slow);
+    }
+
     /// Returns the number of slots that the configuration gives the data centre.
     fn slot_count(&self) -> u32 {
         let config = self.handle.config();
--- a/crates/pier_node/src/peers/target_book.rs
+++ b/crates/pier_node/src/peers/target_book.rs
@@ -2,11 +2,14 @@
 
 use std::{collections, time};
 
-use pier_limits::shares;
+use pier_limits::{shares, warmth};
 use pier_types::{epochs, ids, sizes, times};
 use pier_wire::messages;
 
-use crate::peers::{known_target, share_target};
+use crate::{
+    peers::{known_target, share_target},
+    requests,
+};
 
 /// Time in which every node has heard of another number of slots.
 const SLOT_SETTLE: time::Duration = time::Duration::from_secs(10);
@@ -112,16 +115,10 @@
         lent_until: times::BootTime,
         now: times::BootTime,
     ) -> AllowedMap {
-        let allowed = |known: &known_target::KnownTarget| {
-            let (limit, _split) = known.split(now);
-            let full = known.target.warm_limit;
-            let lent = holding.bearable_share(known.target.key, limit, full, lent_until);
-            self.fixed(known, slot, now).saturating_add(lent.get())
-        };
         let present = self.targets.iter();
         let present = present.filter(|(_, known)| known.seen_at == now);
         let allowed: Vec<_> = present
-            .map(|(key, known)| (*key, sizes::RequestCount::new(allowed(known))))
+            .map(|(key, known)| (*key, self.allowed(known, holding, slot, lent_until, now)))
             .collect();
         let mut published = AllowedMap::new();
         for (key, allowed) in allowed {
@@ -134,6 +131,55 @@
         published
     }
 
+    /// Takes in what a request saw; returns what this node may have in flight there from now on if
+    /// the target's limit fell.
+    pub(super) fn hear(
+        &mut self,
+        news: &requests::WarmthNews,
+        holding: &shares::ShareHolding,
+        slot: Option<u32>,
+        lent_until: times::BootTime,
+        now: times::BootTime,
+    ) -> Option<sizes::RequestCount> {
+        let key = messages::ShareKey::of(&news.target, news.generation.get());
+        if !self.targets.get_mut(&key)?.hear(news, now) {
+            return None;
+        }
+        let known = self.targets.get(&key)?;
+        Some(self.allowed(known, holding, slot, lent_until, now))
+    }
+
+    /// Returns the targets that answer slower than those that can stand in for them.
+    pub(super) fn slow_targets(
+        &self,
+        now: times::BootTime,
+    ) -> collections::BTreeSet<ids::TargetId> {
+        let mut pools: collections::BTreeMap<_, collections::BTreeMap<_, _>> =
+            collections::BTreeMap::new();
+        for known in self.targets.values().filter(|known| known.seen_at == now) {
+            let pool = pools.entry(&known.target.pool).or_default();
+            pool.insert(known.target.id.clone(), known.ramp.pace());
+        }
+        let slow = pools.values().flat_map(warmth::SlowTargets::find);
+        slow.collect()
+    }
+
+    /// Returns what this node may have in flight at a target, by its own evidence of warmth.
+    fn allowed(
+        &self,
+        known: &known_target::KnownTarget,
+        holding: &shares::ShareHolding,
+        slot: Option<u32>,
+        lent_until: times::BootTime,
+        now: times::BootTime,
+    ) -> sizes::RequestCount {
+        let (limit, _split) = known.split(now);
+        let full = known.target.warm_limit;
+        let lent = holding.bearable_share(known.target.key, limit, full, lent_until);
+        let fixed = self.fixed(known, slot, now);
+        sizes::RequestCount::new(fixed.saturating_add(lent.get()))
+    }
+
     /// Returns the share of a slot; none without one.
     fn fixed(
         &self,
