--- a/crates/pier_limits/tests/vm_relay/relay_study.rs
+++ b/crates/pier_limits/tests/vm_relay/relay_study.rs
@@ -100,3 +100,20 @@
         assert!(unknown.is_empty(), "seed {seed}: {unknown:?}");
     }
 }
+
+/// Time between two ticks of a busy daemon, in milliseconds; the daemon's own is a tenth of a
+/// second, and a late tick delays those after it.
+const LATE_TICK: u64 = 110;
+
+#[test]
+fn followers_leave_the_platform_alone_when_ticks_are_late() {
+    for seed in 0..20 {
+        let mut fleet = fleet(seed);
+        fleet.tick = LATE_TICK;
+        run(&mut fleet, 0, 10_000);
+        let before = fleet.readings;
+        run(&mut fleet, 10_000, 40_000);
+        let readings = fleet.readings - before;
+        assert!(readings <= 61, "seed {seed}: {readings} in 30 s");
+    }
+}
