--- a/crates/pier_matrix/src/bench/mod.rs
+++ b/crates/pier_matrix/src/bench/mod.rs
@@ -10,6 +10,6 @@
 pub use bench_document::{BEARER_KEY, BenchDocument};
 pub use bench_node::BenchNode;
 pub use bench_target::BenchTarget;
-pub use node_view::node_view;
 use node_plan::NodePlan;
+pub use node_view::node_view;
 pub use test_bench::TestBench;
--- a/crates/pier_node/src/handle/node_handle.rs
+++ b/crates/pier_node/src/handle/node_handle.rs
@@ -1,12 +1,10 @@
 //! The handle that every part of a node shares.
 
+use std::fmt;
 use std::sync::{self, atomic};
-use std::{collections, fmt};
 
-use arc_swap::{ArcSwap, ArcSwapOption};
-use pier_control::health;
 use pier_platform::{lists, objects};
-use pier_types::{epochs, ids, routes, sizes, times, vms};
+use pier_types::{ids, times};
 use pier_wire::seals;
 
 use crate::{handle, requests, settings, telemetry};
