Read the list of connections by a library

Cause: the watch for callers that leave read the kernel's list by code of its own, 30 lines of addresses in hexadecimal.

Ruled out: the test of a line that does not parse among good ones: the library refuses the whole list, so the watch misses one look and counts nobody as gone.

Before: own parser.

Conclusion: the same behaviour with a library's parser.

--- a/crates/pier_node/src/callers/connection_table.rs
+++ b/crates/pier_node/src/callers/connection_table.rs
@@ -2,15 +2,11 @@
 
 use std::{collections, fs, io, net};
 
+use procfs::{FromBufReadSI as _, net as lists};
+
 /// The kernel's lists, of both families of addresses.
 const LISTS: [&str; 2] = ["/proc/net/tcp", "/proc/net/tcp6"];
 
-/// The state of a connection that neither side has closed.
-const ESTABLISHED: &str = "01";
-
-/// Hexadecimal digits of one word of an address.
-const WORD_DIGITS: usize = 8;
-
 /// The callers whose connections to one port are open.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ConnectionTable {
@@ -23,14 +19,14 @@
     /// # Errors
     ///
     /// Fails when a list can not be read.
-    pub fn load(port: u16) -> io::Result<Self> {
+    pub fn load(port: u16) -> anyhow::Result<Self> {
         let mut table = Self::default();
         for list in LISTS {
-            match fs::read_to_string(list) {
-                Ok(text) => table.add(&text, port),
+            match fs::File::open(list) {
+                Ok(file) => table.read(io::BufReader::new(file), port)?,
                 // A machine without this family of addresses.
                 Err(error) if error.kind() == io::ErrorKind::NotFound => {}
-                Err(error) => return Err(error),
+                Err(error) => return Err(error.into()),
             }
         }
         Ok(table)
@@ -41,7 +37,7 @@
     /// # Errors
     ///
     /// Fails when a list can not be read or no connection of the process to itself can be made.
-    pub fn check() -> io::Result<bool> {
+    pub fn check() -> anyhow::Result<bool> {
         let listener = net::TcpListener::bind((net::Ipv4Addr::LOCALHOST, 0))?;
         let address = listener.local_addr()?;
         let caller = net::TcpStream::connect(address)?;
@@ -50,9 +46,19 @@
     }
 
     /// Adds the open connections to a port out of one list.
-    pub fn add(&mut self, text: &str, port: u16) {
-        let found = text.lines().filter_map(|line| read_line(line, port));
-        self.callers.extend(found);
+    ///
+    /// # Errors
+    ///
+    /// Fails when the list can not be read.
+    pub fn read(&mut self, list: impl io::BufRead, port: u16) -> anyhow::Result<()> {
+        let entries = lists::TcpNetEntries::from_buf_read(list, procfs::current_system_info())?
+            .0
+            .into_iter();
+        let open = entries.filter(|entry| {
+            entry.local_address.port() == port && entry.state == lists::TcpState::Established
+        });
+        self.callers.extend(open.map(|entry| entry.remote_address));
+        Ok(())
     }
 
     /// Tells whether a caller's connection is open.
@@ -65,28 +71,3 @@
         self.callers.contains(&caller) || self.callers.contains(&mapped)
     }
 }
-
-/// Returns the far end of a line's connection if it is an open one to the port.
-fn read_line(line: &str, port: u16) -> Option<net::SocketAddr> {
-    let mut fields = line.split_ascii_whitespace().skip(1);
-    let (local, remote, state) = (fields.next()?, fields.next()?, fields.next()?);
-    let (_ip, local_port) = local.split_once(':')?;
-    let is_wanted = u16::from_str_radix(local_port, 16).ok()? == port && state == ESTABLISHED;
-    let (ip, remote_port) = remote.split_once(':')?;
-    let remote_port = u16::from_str_radix(remote_port, 16).ok()?;
-    is_wanted.then(|| Some(net::SocketAddr::new(read_ip(ip)?, remote_port)))?
-}
-
-/// Reads an address: words in the machine's order of bytes.
-fn read_ip(text: &str) -> Option<net::IpAddr> {
-    let mut bytes = Vec::new();
-    for start in (0..text.len()).step_by(WORD_DIGITS) {
-        let word = text.get(start..start + WORD_DIGITS)?;
-        bytes.extend(u32::from_str_radix(word, 16).ok()?.to_ne_bytes());
-    }
-    if let Ok(bytes) = <[u8; 4]>::try_from(bytes.as_slice()) {
-        return Some(bytes.into());
-    }
-    let bytes = <[u8; 16]>::try_from(bytes.as_slice()).ok()?;
-    Some(bytes.into())
-}
