Ask a spared data centre when no other is left

Cause: after one refusal a node spares the whole data centre for up to 2 s.

One try tells what is true now.

Before: the new test got 503 with 2003 right after the other data centre had a target again.

--- a/crates/pier_node/src/requests/forward_run.rs
+++ b/crates/pier_node/src/requests/forward_run.rs
@@ -86,9 +86,15 @@
         };
         let full = self.handle.requests().full_peers();
         let now = clocks::boot_now();
-        let mut candidates = choice.candidates(rand::random());
-        candidates.retain(|peer| !full.contains(&self.plan.pool, &peer.data_centre, now));
-        candidates
+        let candidates = choice.candidates(rand::random()).into_iter();
+        let (mut spared, open): (Vec<_>, Vec<_>) =
+            candidates.partition(|peer| full.contains(&self.plan.pool, &peer.data_centre, now));
+        if open.is_empty() {
+            // It may have room again; that costs one try, and a refusal then tells what is true now.
+            spared.truncate(1);
+            return spared;
+        }
+        open
     }
 
     async fn send(
--- a/crates/pier_node/tests/requests/forwards.rs
+++ b/crates/pier_node/tests/requests/forwards.rs
@@ -132,6 +132,27 @@
     assert_eq!(runs(&ledger), 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_that_refused_is_asked_again_when_no_other_is_left() {
+    let platform = test_node::launch_platform().await;
+    let entry = test_node::TestNode::launch(platform.address());
+    let other = test_node::TestNode::launch(platform.address());
+    let engine = test_node::launch_engine("vm-0").await;
+    entry.publish(Vec::new());
+    other.publish(Vec::new());
+    let peers = vec![listen(&other, "mvd-b").await];
+    entry.handle.publish_peers(peers);
+    let asked = test_node::completion(test_node::LARGE_KEY, "draft", false);
+    let refused = entry.send(asked.clone()).await;
+    assert_eq!(
+        (refused.code(), refused.retry_after_ms),
+        (2003, Some(2_000))
+    );
+    other.publish(vec![test_node::target("vm-0", engine.address())]);
+    let answer = entry.send(asked).await;
+    assert_eq!(answer.status, 200, "{}", answer.text);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_is_passed_on_once_only() {
     let platform = test_node::launch_platform().await;
