--- a/crates/buckthornpier/src/logs/log_setup.rs
+++ b/crates/buckthornpier/src/logs/log_setup.rs
@@ -6,9 +6,14 @@
 
 use crate::logs;
 
+/// The HTTP library, which reports each start of a server as a warning; `node-started` tells it
+/// already.
+const HTTP_LIBRARY: &str = "rocket";
+
 /// Sends every line of this process to standard error, one event a line.
 ///
-/// Libraries are heard from warnings up, unless the level asks for more than events.
+/// Libraries are heard from warnings up, the HTTP library from errors up, unless the level asks
+/// for more than events.
 ///
 /// # Errors
 ///
@@ -30,6 +35,14 @@
 }
 
 fn is_wanted(metadata: &log::Metadata<'_>, level: log::LevelFilter) -> bool {
-    let detailed = level > log::LevelFilter::Info;
-    detailed || metadata.level() <= log::Level::Warn || logs::is_own_target(metadata.target())
+    let target = metadata.target();
+    if level > log::LevelFilter::Info || logs::is_own_target(target) {
+        return true;
+    }
+    let least = if target.starts_with(HTTP_LIBRARY) {
+        log::Level::Error
+    } else {
+        log::Level::Warn
+    };
+    metadata.level() <= least
 }
