--- /dev/null
+++ b/crates/buckthornpier/src/commands/edge_command.rs
@@ -0,0 +1,47 @@
+//! `buckthornpier edge`: the node on a platform whose targets register themselves.
+
+use std::path;
+
+use anyhow::Context as _;
+use clap::{Arg, ArgMatches, Command, value_parser};
+
+use crate::{exits, logs};
+
+/// Name of the command.
+pub(crate) const NAME: &str = "edge";
+
+/// Builds the command.
+pub(crate) fn build() -> Command {
+    let settings = Arg::new("settings")
+        .long("settings")
+        .value_name("FILE")
+        .value_parser(value_parser!(path::PathBuf))
+        .required(true)
+        .help("INI file with this node's addresses, data centre and bounds");
+    Command::new(NAME)
+        .about("Runs a node on the users' platform until SIGTERM, then drains it and exits with 0")
+        .after_help(
+            "The log goes to standard output, one line of key=value pairs for each event; a reader\n\
+             that falls behind loses lines, which are counted.\n\
+             Settings that are refused end the command with exit code 2; nothing was started.",
+        )
+        .arg(settings)
+}
+
+/// Runs the node.
+pub(crate) fn run(matches: &ArgMatches) -> Result<(), exits::CommandFailure> {
+    let Some(path) = matches.get_one::<path::PathBuf>("settings") else {
+        return Err(exits::CommandFailure::bad_input("--settings is missing"));
+    };
+    let settings = pier_edge::settings::EdgeSettings::load(path)
+        .map_err(|error| exits::CommandFailure::bad_input(error.to_string()))?;
+    logs::start_bounded(settings.log_level)?;
+    let adapter = pier_adapter::PlatformAdapter::new(settings.store)?;
+    // One thread: an entry VM has a part of one core, and turns of threads cost it time.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context("starting the runtime")?;
+    runtime.block_on(pier_edge::run(path, settings, adapter))?;
+    Ok(())
+}
--- a/crates/buckthornpier/src/commands/mod.rs
+++ b/crates/buckthornpier/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod config_show;
 mod demo_command;
 mod drain_command;
+mod edge_command;
 mod groups_command;
 mod node_command;
 mod node_reader;
@@ -40,6 +41,7 @@
     match matches.subcommand() {
         Some((node_command::NAME, matches)) => node_command::run(matches),
         Some((root_command::CONFIG, matches)) => dispatch_config(matches),
+        Some((edge_command::NAME, matches)) => edge_command::run(matches),
         Some((drain_command::DRAIN, matches)) => drain_command::run_drain(matches),
         Some((drain_command::UNDRAIN, matches)) => drain_command::run_undrain(matches),
         Some((status_command::NAME, matches)) => status_command::run(matches),
--- a/crates/buckthornpier/src/commands/root_command.rs
+++ b/crates/buckthornpier/src/commands/root_command.rs
@@ -3,7 +3,7 @@
 use clap::Command;
 
 use crate::commands::{
-    config_apply, config_check, config_diff, config_show, demo_command, drain_command,
+    config_apply, config_check, config_diff, config_show, demo_command, edge_command, drain_command,
     groups_command, node_command, status_command,
 };
 
@@ -28,6 +28,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(node_command::build())
+        .subcommand(edge_command::build())
         .subcommand(build_config())
         .subcommands(drain_command::build())
         .subcommand(status_command::build())
--- /dev/null
+++ b/crates/buckthornpier/src/logs/bounded_output.rs
@@ -0,0 +1,74 @@
+//! Standard output that never blocks.
+
+use std::{io, time};
+
+use rustix::fs;
+
+/// Most lines in one second; more are left out and counted.
+const LINES_PER_SECOND: u32 = 600;
+
+/// Writes lines to standard output; what it does not take at once is lost and counted.
+#[derive(Debug)]
+pub(crate) struct BoundedOutput {
+    second: u64,
+    lines: u32,
+    lost: u64,
+    started: time::Instant,
+}
+
+impl BoundedOutput {
+    /// Makes standard output non-blocking.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the system refuses it.
+    pub(crate) fn open() -> io::Result<Self> {
+        let stdout = io::stdout();
+        let flags = fs::fcntl_getfl(&stdout)?;
+        fs::fcntl_setfl(&stdout, flags | fs::OFlags::NONBLOCK)?;
+        Ok(Self {
+            second: 0,
+            lines: 0,
+            lost: 0,
+            started: time::Instant::now(),
+        })
+    }
+
+    /// Counts a line against the bound of its second.
+    fn is_over(&mut self) -> bool {
+        let second = self.started.elapsed().as_secs();
+        if second != self.second {
+            self.second = second;
+            self.lines = 0;
+        }
+        self.lines += 1;
+        self.lines > LINES_PER_SECOND
+    }
+
+    fn put(bytes: &[u8]) -> bool {
+        matches!(rustix::io::write(io::stdout(), bytes), Ok(written) if written == bytes.len())
+    }
+}
+
+impl io::Write for BoundedOutput {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if self.is_over() {
+            self.lost += 1;
+            return Ok(line.len());
+        }
+        if self.lost > 0 {
+            let note = format!("event=log-lines-lost count={}\n", self.lost);
+            if Self::put(note.as_bytes()) {
+                self.lost = 0;
+            }
+        }
+        if !Self::put(line) {
+            self.lost += 1;
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
--- a/crates/buckthornpier/src/logs/log_setup.rs
+++ b/crates/buckthornpier/src/logs/log_setup.rs
@@ -19,6 +19,24 @@
 ///
 /// Fails when a log was started before.
 pub(crate) fn start(level: log::LevelFilter) -> anyhow::Result<()> {
+    dispatch(level).chain(io::stderr()).apply()?;
+    note_panics();
+    Ok(())
+}
+
+/// Sends every line of this process to standard output, and never waits for its reader.
+///
+/// # Errors
+///
+/// Fails when a log was started before, or standard output can not be set up.
+pub(crate) fn start_bounded(level: log::LevelFilter) -> anyhow::Result<()> {
+    let output: Box<dyn io::Write + Send> = Box::new(logs::BoundedOutput::open()?);
+    dispatch(level).chain(output).apply()?;
+    note_panics();
+    Ok(())
+}
+
+fn dispatch(level: log::LevelFilter) -> fern::Dispatch {
     fern::Dispatch::new()
         .level(level)
         .filter(move |metadata| is_wanted(metadata, level))
@@ -26,12 +44,12 @@
             let line = logs::KeyValueLine::new(record, times::clocks::wall_now());
             out.finish(format_args!("{line}"));
         })
-        .chain(io::stderr())
-        .apply()?;
+}
+
+fn note_panics() {
     panic::set_hook(Box::new(|info| {
         log::error!(event = "panic", cause:% = info; "");
     }));
-    Ok(())
 }
 
 fn is_wanted(metadata: &log::Metadata<'_>, level: log::LevelFilter) -> bool {
--- /dev/null
+++ b/crates/pier_edge/src/control/centre_steward.rs
@@ -0,0 +1,351 @@
+//! The planning of one data centre.
+
+use std::{collections, sync, time};
+
+use pier_fleet::{documents, formation, stewards, targets};
+use pier_types::{epochs, ids, times};
+
+use super::order_desk;
+use crate::{control, links, peers, records, state};
+
+/// Pause before a VM that refused an order gets the next one.
+const REFUSAL_PAUSE: time::Duration = time::Duration::from_millis(200);
+
+/// Pause between two rounds of questions to a group that stands still.
+const GROUP_PAUSE: time::Duration = time::Duration::from_millis(600);
+
+/// Plans one data centre while this node is its steward.
+#[derive(Debug)]
+pub(super) struct CentreSteward<P> {
+    state: state::EdgeState<P>,
+    desk: control::OrderDesk<P>,
+    data_centre: ids::DataCentreName,
+    election: stewards::StewardElection,
+    planner: Option<formation::FormationPlanner>,
+    watch: control::MemberWatch,
+    held_until: collections::BTreeMap<ids::VmName, times::BootTime>,
+    draining_since: collections::BTreeMap<ids::VmName, times::BootTime>,
+}
+
+impl<P: links::FleetPlatform> CentreSteward<P> {
+    pub(super) fn new(
+        state: state::EdgeState<P>,
+        desk: control::OrderDesk<P>,
+        data_centre: ids::DataCentreName,
+    ) -> Self {
+        let is_local = state.settings().data_centre == data_centre;
+        Self {
+            election: stewards::StewardElection::new(state.node().clone(), is_local),
+            state,
+            desk,
+            data_centre,
+            planner: None,
+            watch: control::MemberWatch::default(),
+            held_until: collections::BTreeMap::new(),
+            draining_since: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Takes the planning over if it is due, and sends the orders that are due; returns the first
+    /// members that take no new requests.
+    pub(super) async fn step(&mut self, now: times::BootTime) -> collections::BTreeSet<ids::VmName> {
+        if self.state.is_draining() {
+            self.planner = None;
+            return collections::BTreeSet::new();
+        }
+        let own = &self.state.settings().data_centre;
+        let view = self
+            .state
+            .with_peers(|peers| peers.steward_view(&self.data_centre, own, now));
+        if self.election.should_claim(&view, now) {
+            self.claim(&view).await;
+            return collections::BTreeSet::new();
+        }
+        if !self.election.holds(&view) {
+            self.planner = None;
+            return collections::BTreeSet::new();
+        }
+        let term = view.word.map(|word| word.term).unwrap_or_default();
+        self.plan(term, now)
+    }
+
+    /// Takes in news of one of this data centre's VMs.
+    pub(super) fn take_news(&mut self, news: &order_desk::DeskNews, now: times::BootTime) {
+        match news {
+            order_desk::DeskNews::Ordered { order, outcome } => {
+                self.take_outcome(order, outcome, now);
+            }
+            order_desk::DeskNews::Asked { vm, born, report } => match report {
+                Ok(report) => {
+                    self.watch.note_answer(vm);
+                    let standing = &report.standing;
+                    self.state.with_book(|book| book.hear(vm, standing, now));
+                    self.held_until.remove(vm);
+                }
+                Err(cause) => {
+                    if self.watch.note_silence(vm, *born) {
+                        log::warn!(event = "member-lost", target_vm:% = vm, cause = cause.as_str(); "");
+                    }
+                }
+            },
+        }
+    }
+
+    fn take_outcome(
+        &mut self,
+        order: &formation::GroupOrder,
+        outcome: &links::OrderOutcome,
+        now: times::BootTime,
+    ) {
+        self.held_until.remove(&order.vm);
+        match outcome {
+            links::OrderOutcome::Begun | links::OrderOutcome::Done => {
+                self.watch.note_answer(&order.vm);
+                let has_begun = *outcome == links::OrderOutcome::Begun;
+                self.state.with_book(|book| {
+                    let record = book.records().get(&order.vm);
+                    let before = record.map(|record| record.entry.standing.clone());
+                    let before = before.filter(|standing| {
+                        standing.born == order.born && standing.orders == order.expected_orders
+                    });
+                    if let Some(before) = before {
+                        let after = order_desk::standing_after(order, &before, has_begun);
+                        book.hear(&order.vm, &after, now);
+                    }
+                });
+            }
+            links::OrderOutcome::Unfit | links::OrderOutcome::WrongVm => self.ask(&order.vm, now),
+            links::OrderOutcome::Outdated => {
+                if let Some(planner) = &mut self.planner {
+                    planner.raise_generation(order.generation);
+                    planner.renew(&order.group);
+                }
+                self.ask(&order.vm, now);
+            }
+            links::OrderOutcome::Unknown(_) => {
+                self.held_until.insert(order.vm.clone(), now.after(REFUSAL_PAUSE));
+            }
+            links::OrderOutcome::Unreached(cause) | links::OrderOutcome::Lost(cause) => {
+                if self.watch.note_failed_order(&order.vm, order.born) {
+                    log::warn!(event = "member-lost", target_vm:% = order.vm, cause = cause.as_str(); "");
+                }
+            }
+        }
+    }
+
+    /// Asks a VM, and holds its orders until it has answered.
+    fn ask(&mut self, vm: &ids::VmName, now: times::BootTime) {
+        self.held_until.insert(vm.clone(), now.after(REFUSAL_PAUSE));
+        let known = self.state.with_book(|book| {
+            let record = book.records().get(vm)?;
+            Some((record.entry.standing.born, record.entry.address))
+        });
+        if let Some((born, address)) = known {
+            self.desk.ask(vm.clone(), born, address);
+        }
+    }
+
+    async fn claim(&self, view: &stewards::StewardView) {
+        let term = view.word.as_ref().map(|word| word.term).unwrap_or_default().next();
+        let version = view.word.as_ref().map(|word| word.version).unwrap_or_default();
+        let record = peers::StewardRecord {
+            holder: self.state.node().clone(),
+            term,
+        };
+        let Ok(text) = serde_json::to_string(&record) else {
+            log::error!(event = "steward-not-written", data_centre:% = self.data_centre; "");
+            return;
+        };
+        let name = format!("{}{}", records::STEWARD_PREFIX, self.data_centre);
+        self.state.metrics().count_store_call("nodes", "write");
+        let written = self.state.platform().write(&name, Some(version), text).await;
+        match written {
+            links::StoreWrite::Written(version) => {
+                log::info!(
+                    event = "steward-taken",
+                    data_centre:% = self.data_centre,
+                    term:% = term,
+                    former:? = view.word.as_ref().map(|word| word.holder.to_string());
+                    ""
+                );
+                let place = self.data_centre.clone();
+                self.state.with_peers(|peers| peers.set_steward(place, record, version));
+            }
+            links::StoreWrite::Conflict(Some(found)) => {
+                let keeper = records::RecordKeeper::new(self.state.clone());
+                let at = found.version;
+                let changes = vec![links::RecordChange::Put(found)];
+                let changes = links::RecordChanges { changes, at };
+                keeper.apply_changes(links::RecordKind::Nodes, changes, order_desk::now());
+            }
+            other => {
+                log::warn!(
+                    event = "steward-not-written",
+                    data_centre:% = self.data_centre,
+                    outcome:? = other;
+                    ""
+                );
+            }
+        }
+    }
+
+    /// Plans and sends the orders that are due.
+    fn plan(
+        &mut self,
+        term: epochs::LeaseTerm,
+        now: times::BootTime,
+    ) -> collections::BTreeSet<ids::VmName> {
+        let Some(document) = self.state.document() else {
+            return collections::BTreeSet::new();
+        };
+        let engines = document.services().values().filter_map(|service| {
+            let engine = service.engine.clone().filter(|engine| !engine.models.is_empty())?;
+            Some((service.name.clone(), engine))
+        });
+        let engines: Vec<_> = engines.collect();
+        let mut planner = self
+            .planner
+            .take()
+            .unwrap_or_else(|| formation::FormationPlanner::new(term, now));
+        for (service, engine) in &engines {
+            self.plan_service(&mut planner, service, engine, now);
+        }
+        let retiring = planner.retiring();
+        self.planner = Some(planner);
+        retiring
+    }
+
+    fn plan_service(
+        &mut self,
+        planner: &mut formation::FormationPlanner,
+        service: &ids::ServiceName,
+        engine: &sync::Arc<documents::EngineSpec>,
+        now: times::BootTime,
+    ) {
+        let records = self.own_records(service, now);
+        self.watch.retain(|vm| records.contains_key(vm));
+        self.ask_stuck(&records, now);
+        for vm in self.watch.due(now) {
+            if let Some(record) = records.get(&vm) {
+                self.desk.ask(vm, record.entry.standing.born, record.entry.address);
+            }
+        }
+        let facts = self.facts(&records, now);
+        let in_flight = self.in_flight();
+        planner.set_load_rate(self.load_rate(engine, now));
+        let input = formation::FormationInput {
+            facts: &facts,
+            engine,
+            in_flight: &in_flight,
+        };
+        for order in planner.plan(&input, now) {
+            let Some(record) = records.get(&order.vm) else {
+                continue;
+            };
+            // Until the call ends; the news of it lifts the hold.
+            self.held_until.insert(order.vm.clone(), now.after(time::Duration::from_secs(5)));
+            self.desk.order(order, record.entry.address);
+        }
+    }
+
+    /// Returns this data centre's registrations of a service.
+    fn own_records(
+        &self,
+        service: &ids::ServiceName,
+        now: times::BootTime,
+    ) -> collections::BTreeMap<ids::VmName, targets::TargetRecord> {
+        self.state.with_book(|book| {
+            let records = book.records().iter();
+            let own = records.filter(|(_vm, record)| {
+                record.entry.service == *service
+                    && record.entry.data_centre == self.data_centre
+                    && record.stands(now)
+            });
+            own.map(|(vm, record)| (vm.clone(), record.clone())).collect()
+        })
+    }
+
+    fn facts(
+        &mut self,
+        records: &collections::BTreeMap<ids::VmName, targets::TargetRecord>,
+        now: times::BootTime,
+    ) -> collections::BTreeMap<ids::VmName, formation::MemberFacts> {
+        self.draining_since.retain(|vm, _since| records.contains_key(vm));
+        self.held_until.retain(|_vm, until| *until > now);
+        let mut facts = collections::BTreeMap::new();
+        for (vm, record) in records {
+            let Some(domain) = &record.entry.standing.domain else {
+                continue;
+            };
+            let draining_since = record
+                .entry
+                .is_draining
+                .then(|| *self.draining_since.entry(vm.clone()).or_insert(now));
+            let member = formation::MemberFacts {
+                vm: vm.clone(),
+                domain: domain.clone(),
+                standing: record.entry.standing.clone(),
+                draining_since,
+                is_lost: self.watch.is_lost(vm, record.entry.standing.born),
+                is_held: self.held_until.contains_key(vm),
+            };
+            facts.insert(vm.clone(), member);
+        }
+        facts
+    }
+
+    /// Asks every member of a group whose first member moves nothing.
+    fn ask_stuck(
+        &mut self,
+        records: &collections::BTreeMap<ids::VmName, targets::TargetRecord>,
+        now: times::BootTime,
+    ) {
+        let mut stuck = self.state.with_peers(|peers| peers.stuck(now));
+        let slots = self.state.slots();
+        let own = slots.iter().filter(|slot| slot.gauge.is_stuck(now));
+        stuck.extend(own.map(|slot| slot.vm.clone()));
+        for head in stuck {
+            let Some(record) = records.get(&head) else {
+                continue;
+            };
+            let Some(place) = &record.entry.standing.membership else {
+                continue;
+            };
+            if !self.watch.should_ask(&head, GROUP_PAUSE, now) {
+                continue;
+            }
+            for (vm, member) in records {
+                let membership = member.entry.standing.membership.as_ref();
+                if membership.is_some_and(|membership| membership.group == place.group) {
+                    let born = member.entry.standing.born;
+                    self.desk.ask(vm.clone(), born, member.entry.address);
+                }
+            }
+        }
+    }
+
+    fn in_flight(&self) -> collections::BTreeMap<ids::VmName, u32> {
+        let slots = self.state.slots();
+        let counts = slots.iter().map(|slot| {
+            let count = slot.gauge.running() + slot.gauge.waiting();
+            (slot.vm.clone(), count)
+        });
+        counts.collect()
+    }
+
+    /// Returns this data centre's part of the loads; none before any request was served.
+    fn load_rate(
+        &self,
+        engine: &documents::EngineSpec,
+        now: times::BootTime,
+    ) -> Option<(f64, f64)> {
+        let has_served =
+            self.state.has_served() || self.state.with_peers(|peers| peers.has_served(now));
+        if !has_served {
+            return None;
+        }
+        let centres = self.state.settings().data_centres.len().max(1) as f64;
+        let per_second = engine.loads_per_second / centres;
+        Some((per_second, per_second.max(1.0)))
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/control/member_watch.rs
@@ -0,0 +1,85 @@
+//! Which VMs do not answer.
+
+use std::{collections, time};
+
+use pier_types::{epochs, ids, times};
+
+/// Pause between two questions to a VM that did not answer.
+const ASK_PAUSE: time::Duration = time::Duration::from_millis(1_500);
+
+/// Orders without an answer after which a VM counts as lost.
+const SILENT_ORDERS: u32 = 4;
+
+/// Remembers which VMs were asked and stayed silent.
+#[derive(Debug, Default)]
+pub(super) struct MemberWatch {
+    silent: collections::BTreeMap<ids::VmName, SilentMember>,
+    failed_orders: collections::BTreeMap<ids::VmName, u32>,
+    asked_at: collections::BTreeMap<ids::VmName, times::BootTime>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct SilentMember {
+    born: epochs::VmIncarnation,
+}
+
+impl MemberWatch {
+    /// Tells whether a VM counts as lost; one that has started anew does not.
+    pub(super) fn is_lost(&self, vm: &ids::VmName, born: epochs::VmIncarnation) -> bool {
+        self.silent.get(vm).is_some_and(|silent| silent.born == born)
+    }
+
+    /// Tells whether to ask a VM now.
+    pub(super) fn should_ask(
+        &mut self,
+        vm: &ids::VmName,
+        pause: time::Duration,
+        now: times::BootTime,
+    ) -> bool {
+        let rested = self.asked_at.get(vm).is_none_or(|at| now.since(*at) >= pause);
+        if rested {
+            self.asked_at.insert(vm.clone(), now);
+        }
+        rested
+    }
+
+    /// Returns the lost VMs that are due to be asked again.
+    pub(super) fn due(&mut self, now: times::BootTime) -> Vec<ids::VmName> {
+        let names: Vec<_> = self.silent.keys().cloned().collect();
+        let due = names.into_iter();
+        due.filter(|vm| self.should_ask(vm, ASK_PAUSE, now)).collect()
+    }
+
+    pub(super) fn note_answer(&mut self, vm: &ids::VmName) {
+        self.silent.remove(vm);
+        self.failed_orders.remove(vm);
+    }
+
+    /// Notes that a VM did not answer; returns whether that is news.
+    pub(super) fn note_silence(&mut self, vm: &ids::VmName, born: epochs::VmIncarnation) -> bool {
+        let was = self.silent.insert(vm.clone(), SilentMember { born });
+        was.is_none_or(|was| was.born != born)
+    }
+
+    /// Notes that an order got no answer; returns whether the VM now counts as lost.
+    pub(super) fn note_failed_order(
+        &mut self,
+        vm: &ids::VmName,
+        born: epochs::VmIncarnation,
+    ) -> bool {
+        let failed = self.failed_orders.entry(vm.clone()).or_insert(0);
+        *failed += 1;
+        if *failed < SILENT_ORDERS {
+            return false;
+        }
+        self.failed_orders.remove(vm);
+        self.note_silence(vm, born)
+    }
+
+    /// Forgets VMs that are no longer registered.
+    pub(super) fn retain(&mut self, is_known: impl Fn(&ids::VmName) -> bool) {
+        self.silent.retain(|vm, _silent| is_known(vm));
+        self.failed_orders.retain(|vm, _count| is_known(vm));
+        self.asked_at.retain(|vm, _at| is_known(vm));
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/control/order_desk.rs
@@ -0,0 +1,116 @@
+//! Sends orders and questions to VMs.
+
+use std::{net, time};
+
+use pier_fleet::{formation, targets};
+use pier_types::{epochs, ids, times};
+use tokio::sync::mpsc;
+
+use crate::{links, state};
+
+/// How long an order or a question may take: many times the way between data centres, and little
+/// against the time that a group stands still.
+const CALL_TIME: time::Duration = time::Duration::from_millis(300);
+
+/// News of a VM.
+#[derive(Debug)]
+pub(super) enum DeskNews {
+    /// An order ended.
+    Ordered {
+        order: formation::GroupOrder,
+        outcome: links::OrderOutcome,
+    },
+    /// A VM was asked.
+    Asked {
+        vm: ids::VmName,
+        born: epochs::VmIncarnation,
+        report: Result<links::MemberReport, String>,
+    },
+}
+
+/// Sends orders and questions without waiting for them.
+#[derive(Debug, Clone)]
+pub(super) struct OrderDesk<P> {
+    state: state::EdgeState<P>,
+    news: mpsc::UnboundedSender<DeskNews>,
+}
+
+impl<P: links::FleetPlatform> OrderDesk<P> {
+    pub(super) const fn new(
+        state: state::EdgeState<P>,
+        news: mpsc::UnboundedSender<DeskNews>,
+    ) -> Self {
+        Self { state, news }
+    }
+
+    /// Sends an order to a VM.
+    pub(super) fn order(&self, order: formation::GroupOrder, address: net::SocketAddr) {
+        let desk = self.clone();
+        self.state.metrics().count_order(order.kind.label());
+        tokio::spawn(async move {
+            let platform = desk.state.platform();
+            let outcome = platform.order(&order, address, CALL_TIME).await;
+            log::info!(
+                event = "group-order",
+                order = order.kind.label(),
+                target_vm:% = order.vm,
+                group:% = order.group,
+                generation:% = order.generation,
+                expected_orders = order.expected_orders,
+                outcome:? = outcome;
+                ""
+            );
+            // The receiver ends only with the process.
+            let _ended = desk.news.send(DeskNews::Ordered { order, outcome });
+        });
+    }
+
+    /// Asks a VM about itself.
+    pub(super) fn ask(
+        &self,
+        vm: ids::VmName,
+        born: epochs::VmIncarnation,
+        address: net::SocketAddr,
+    ) {
+        let desk = self.clone();
+        self.state.metrics().count_question();
+        tokio::spawn(async move {
+            let report = desk.state.platform().ask(&vm, address, CALL_TIME).await;
+            log::debug!(event = "member-asked", target_vm:% = vm, outcome:? = report; "");
+            // The receiver ends only with the process.
+            let _ended = desk.news.send(DeskNews::Asked { vm, born, report });
+        });
+    }
+}
+
+/// Returns a VM's standing as it is once an order has begun.
+pub(super) fn standing_after(
+    order: &formation::GroupOrder,
+    before: &targets::TargetStanding,
+    has_begun: bool,
+) -> targets::TargetStanding {
+    let mut standing = before.clone();
+    if has_begun {
+        standing.orders = order.expected_orders + 1;
+    }
+    match &order.kind {
+        formation::OrderKind::Join { model, members, .. } => {
+            let rank = members.iter().position(|member| *member == order.vm);
+            standing.membership = Some(targets::GroupMembership {
+                group: order.group.clone(),
+                generation: order.generation,
+                rank: u32::try_from(rank.unwrap_or(0)).unwrap_or(u32::MAX),
+                phase: targets::GroupPhase::Joining,
+            });
+            standing.running = Some(model.clone());
+        }
+        formation::OrderKind::Open => {}
+        formation::OrderKind::Leave => standing.membership = None,
+    }
+    standing
+}
+
+/// Tells the present time to those that decide on news.
+pub(super) fn now() -> times::BootTime {
+    times::clocks::boot_now()
+}
--- /dev/null
+++ b/crates/pier_edge/src/daemon/stop_signals.rs
@@ -0,0 +1,46 @@
+//! Signals to the process.
+
+use anyhow::Context as _;
+use tokio::signal::unix;
+
+/// Signals that were listened to since before anything else was started.
+#[derive(Debug)]
+pub(super) struct StopSignals {
+    terminate: unix::Signal,
+    interrupt: unix::Signal,
+    hangup: unix::Signal,
+}
+
+/// What a signal asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StopWord {
+    /// Finish what is in progress and end.
+    Stop,
+    /// Look at the settings again.
+    Reload,
+}
+
+impl StopSignals {
+    /// Starts to listen.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the signals can not be listened to.
+    pub(super) fn listen() -> anyhow::Result<Self> {
+        let listen = |kind| unix::signal(kind).context("listening for signals");
+        Ok(Self {
+            terminate: listen(unix::SignalKind::terminate())?,
+            interrupt: listen(unix::SignalKind::interrupt())?,
+            hangup: listen(unix::SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for the next signal.
+    pub(super) async fn next(&mut self) -> StopWord {
+        tokio::select! {
+            _ = self.terminate.recv() => StopWord::Stop,
+            _ = self.interrupt.recv() => StopWord::Stop,
+            _ = self.hangup.recv() => StopWord::Reload,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/links/mod.rs
@@ -0,0 +1,25 @@
+//! What a platform's adapter does for a node.
+
+mod answer_head;
+mod caller_head;
+mod fleet_platform;
+mod member_report;
+mod order_outcome;
+mod record_change;
+mod record_kind;
+mod send_terms;
+mod store_error;
+mod store_record;
+mod store_write;
+
+pub use answer_head::AnswerHead;
+pub use caller_head::CallerHead;
+pub use fleet_platform::{CallerDialect, FleetPlatform, MemberLink, RecordStore};
+pub use member_report::MemberReport;
+pub use order_outcome::OrderOutcome;
+pub use record_change::{RecordChange, RecordChanges};
+pub use record_kind::RecordKind;
+pub use send_terms::SendTerms;
+pub use store_error::StoreError;
+pub use store_record::{RecordContent, RecordList, StoreRecord};
+pub use store_write::StoreWrite;
--- /dev/null
+++ b/crates/pier_edge/src/peers/node_beat.rs
@@ -0,0 +1,48 @@
+//! Messages and records of nodes.
+
+use std::net;
+
+use pier_types::{epochs, ids};
+use serde::{Deserialize, Serialize};
+
+/// What a node tells all others several times a second.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct NodeBeat {
+    pub node: ids::NodeName,
+    pub data_centre: ids::DataCentreName,
+    /// Rises with each beat of one start.
+    pub number: u64,
+    /// Whether the node stops and plans nothing more.
+    pub is_leaving: bool,
+    /// Whether the node has served a request, so that loads count.
+    pub has_served: bool,
+    pub loads: Vec<LoadWord>,
+    /// Targets that move nothing, by this node's own evidence.
+    pub stuck: Vec<ids::VmName>,
+    /// First members that take no new requests, told by the steward.
+    pub retiring: Vec<ids::VmName>,
+}
+
+/// A node's load at one target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LoadWord {
+    pub vm: ids::VmName,
+    pub running: u32,
+    pub waiting: u32,
+    pub prompt: u64,
+}
+
+/// A node's record in the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct NodeRecord {
+    pub node: ids::NodeName,
+    pub data_centre: ids::DataCentreName,
+    pub peers: net::SocketAddr,
+}
+
+/// The record that names a data centre's planner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StewardRecord {
+    pub holder: ids::NodeName,
+    pub term: epochs::LeaseTerm,
+}
--- /dev/null
+++ b/crates/pier_edge/src/peers/peer_table.rs
@@ -0,0 +1,197 @@
+//! The other nodes, as far as they are known.
+
+use std::{collections, net, time};
+
+use pier_fleet::stewards;
+use pier_types::{epochs, ids, times};
+
+use crate::peers;
+
+/// Silence after which a node does not count as living: ten beats.
+const LIFE: time::Duration = time::Duration::from_millis(1_000);
+
+/// Silence after which a node has no part in shared limits any more.
+const SHARE_LIFE: time::Duration = time::Duration::from_secs(30);
+
+/// Silence after which another node's load is taken as gone.
+const LOAD_LIFE: time::Duration = time::Duration::from_millis(1_500);
+
+/// What a node knows of the others.
+#[derive(Debug)]
+pub(crate) struct PeerTable {
+    own: ids::NodeName,
+    /// By address, since a node that starts again keeps it.
+    peers: collections::BTreeMap<net::SocketAddr, KnownPeer>,
+    stewards: collections::BTreeMap<ids::DataCentreName, stewards::StewardWord>,
+}
+
+#[derive(Debug)]
+struct KnownPeer {
+    node: ids::NodeName,
+    known_at: times::BootTime,
+    heard_at: Option<times::BootTime>,
+    beat: Option<peers::NodeBeat>,
+}
+
+impl PeerTable {
+    pub(crate) fn new(own: ids::NodeName) -> Self {
+        Self {
+            own,
+            peers: collections::BTreeMap::new(),
+            stewards: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Takes in a node's record.
+    pub(crate) fn note_record(&mut self, record: peers::NodeRecord, now: times::BootTime) {
+        if record.node == self.own {
+            return;
+        }
+        let known = self.peers.get(&record.peers);
+        if known.is_some_and(|known| known.node == record.node || known.heard_at.is_some()) {
+            return;
+        }
+        let peer = KnownPeer {
+            node: record.node,
+            known_at: now,
+            heard_at: None,
+            beat: None,
+        };
+        self.peers.insert(record.peers, peer);
+    }
+
+    /// Takes in a beat; an older one of the same start is dropped.
+    pub(crate) fn hear(
+        &mut self,
+        beat: peers::NodeBeat,
+        from: net::SocketAddr,
+        now: times::BootTime,
+    ) {
+        if beat.node == self.own {
+            return;
+        }
+        let known = self.peers.get(&from).and_then(|known| known.beat.as_ref());
+        if known.is_some_and(|known| known.node == beat.node && known.number >= beat.number) {
+            return;
+        }
+        let peer = KnownPeer {
+            node: beat.node.clone(),
+            known_at: now,
+            heard_at: Some(now),
+            beat: Some(beat),
+        };
+        self.peers.insert(from, peer);
+    }
+
+    /// Drops nodes that have been silent for long.
+    pub(crate) fn expire(&mut self, now: times::BootTime) {
+        self.peers.retain(|_address, peer| {
+            let last = peer.heard_at.unwrap_or(peer.known_at);
+            now.since(last) < SHARE_LIFE
+        });
+    }
+
+    pub(crate) fn addresses(&self) -> Vec<net::SocketAddr> {
+        self.peers.keys().copied().collect()
+    }
+
+    /// Returns how many nodes share a limit, this one included.
+    pub(crate) fn nodes(&self, now: times::BootTime) -> u32 {
+        let sharing = self.peers.values().filter(|peer| {
+            let last = peer.heard_at.unwrap_or(peer.known_at);
+            now.since(last) < SHARE_LIFE
+        });
+        u32::try_from(sharing.count()).unwrap_or(u32::MAX).saturating_add(1)
+    }
+
+    /// Returns the load of all other nodes at each target.
+    pub(crate) fn loads(
+        &self,
+        now: times::BootTime,
+    ) -> collections::BTreeMap<ids::VmName, (u32, u32, u64)> {
+        let mut loads = collections::BTreeMap::new();
+        for beat in self.beats(now, LOAD_LIFE) {
+            for word in &beat.loads {
+                let load = loads.entry(word.vm.clone()).or_insert((0, 0, 0));
+                load.0 += word.running;
+                load.1 += word.waiting;
+                load.2 += word.prompt;
+            }
+        }
+        loads
+    }
+
+    /// Returns the targets that other nodes find stuck.
+    pub(crate) fn stuck(&self, now: times::BootTime) -> collections::BTreeSet<ids::VmName> {
+        let beats = self.beats(now, LIFE);
+        beats.flat_map(|beat| beat.stuck.iter().cloned()).collect()
+    }
+
+    /// Returns the first members that stewards take out of use.
+    pub(crate) fn retiring(&self, now: times::BootTime) -> collections::BTreeSet<ids::VmName> {
+        let beats = self.beats(now, LIFE);
+        beats.flat_map(|beat| beat.retiring.iter().cloned()).collect()
+    }
+
+    /// Tells whether any other node has served a request.
+    pub(crate) fn has_served(&self, now: times::BootTime) -> bool {
+        self.beats(now, SHARE_LIFE).any(|beat| beat.has_served)
+    }
+
+    pub(crate) fn set_steward(
+        &mut self,
+        data_centre: ids::DataCentreName,
+        record: peers::StewardRecord,
+        version: epochs::ObjectVersion,
+    ) {
+        let known = self.stewards.get(&data_centre);
+        if known.is_some_and(|known| known.version >= version) {
+            return;
+        }
+        let word = stewards::StewardWord {
+            holder: record.holder,
+            term: record.term,
+            version,
+        };
+        self.stewards.insert(data_centre, word);
+    }
+
+    /// Tells whether this node plans any data centre.
+    pub(crate) fn is_steward(&self) -> bool {
+        self.stewards.values().any(|word| word.holder == self.own)
+    }
+
+    /// Returns the election's view of a data centre; `own` is this node's data centre.
+    pub(crate) fn steward_view(
+        &self,
+        data_centre: &ids::DataCentreName,
+        own: &ids::DataCentreName,
+        now: times::BootTime,
+    ) -> stewards::StewardView {
+        let mut view = stewards::StewardView {
+            word: self.stewards.get(data_centre).cloned(),
+            ..stewards::StewardView::default()
+        };
+        let living = self.beats(now, LIFE).filter(|beat| !beat.is_leaving);
+        let nodes = living.map(|beat| (beat.node.clone(), beat.data_centre.clone()));
+        for (node, place) in nodes.chain([(self.own.clone(), own.clone())]) {
+            if place == *data_centre {
+                view.local.insert(node);
+            } else {
+                view.remote.insert(node);
+            }
+        }
+        view
+    }
+
+    fn beats(
+        &self,
+        now: times::BootTime,
+        life: time::Duration,
+    ) -> impl Iterator<Item = &peers::NodeBeat> {
+        let heard = self.peers.values().filter(move |peer| {
+            peer.heard_at.is_some_and(|at| now.since(at) < life)
+        });
+        heard.filter_map(|peer| peer.beat.as_ref())
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/records/node_record.rs
@@ -0,0 +1,36 @@
+//! Writes this node's own record.
+
+use crate::{links, peers, records, state};
+
+/// Starts to write the record until it is written; it stays as it is for the node's life.
+pub(crate) fn spawn<P: links::FleetPlatform>(state: state::EdgeState<P>) {
+    tokio::spawn(async move {
+        let record = peers::NodeRecord {
+            node: state.node().clone(),
+            data_centre: state.settings().data_centre.clone(),
+            peers: state.settings().peers,
+        };
+        let text = match serde_json::to_string(&record) {
+            Ok(text) => text,
+            Err(error) => {
+                log::error!(event = "node-record-not-written", cause:% = error; "");
+                return;
+            }
+        };
+        let name = format!("{}{}", records::NODE_PREFIX, state.settings().name);
+        let mut pause = records::WatchPause::default();
+        loop {
+            state.metrics().count_store_call("nodes", "write");
+            match state.platform().write(&name, None, text.clone()).await {
+                links::StoreWrite::Written(version) => {
+                    log::info!(event = "node-record-written", version:% = version; "");
+                    return;
+                }
+                other => {
+                    log::warn!(event = "node-record-not-written", outcome:? = other; "");
+                    tokio::time::sleep(pause.next(rand::random())).await;
+                }
+            }
+        }
+    });
+}
--- /dev/null
+++ b/crates/pier_edge/src/records/record_keeper.rs
@@ -0,0 +1,202 @@
+//! Applies what the store holds.
+
+use std::collections;
+
+use pier_types::{epochs, ids, times};
+
+use crate::{links, peers, records, state};
+
+/// Applies records of every kind to a node's state.
+#[derive(Debug, Clone)]
+pub(crate) struct RecordKeeper<P> {
+    state: state::EdgeState<P>,
+}
+
+impl<P: links::FleetPlatform> RecordKeeper<P> {
+    pub(crate) const fn new(state: state::EdgeState<P>) -> Self {
+        Self { state }
+    }
+
+    /// Applies a whole list.
+    pub(crate) fn apply_list(
+        &self,
+        kind: links::RecordKind,
+        list: links::RecordList,
+        now: times::BootTime,
+    ) {
+        match kind {
+            links::RecordKind::Targets => {
+                let entries = list.records.into_iter().filter_map(|record| match record.content {
+                    links::RecordContent::Target(entry) => Some(*entry),
+                    other => {
+                        note_unreadable(kind, &record.name, &other);
+                        None
+                    }
+                });
+                let entries = entries.collect();
+                self.state.with_book(|book| book.replace(entries, now));
+                self.state.set_listed();
+                self.targets_changed(now);
+            }
+            links::RecordKind::OutOfService => {
+                let closed = list.records.into_iter().filter_map(closed_centre).collect();
+                self.set_closed(closed, now);
+            }
+            links::RecordKind::Document | links::RecordKind::Nodes => {
+                for record in list.records {
+                    self.apply_record(kind, record, now);
+                }
+            }
+        }
+    }
+
+    /// Applies changes in their order.
+    pub(crate) fn apply_changes(
+        &self,
+        kind: links::RecordKind,
+        changes: links::RecordChanges,
+        now: times::BootTime,
+    ) {
+        let count = changes.changes.len();
+        for change in changes.changes {
+            match change {
+                links::RecordChange::Put(record) => self.apply_record(kind, record, now),
+                links::RecordChange::Gone(name) => self.apply_gone(kind, &name, now),
+            }
+        }
+        if kind == links::RecordKind::Targets && count > 0 {
+            self.targets_changed(now);
+        }
+    }
+
+    /// Notes that the store answers again.
+    pub(crate) fn note_return(&self, kind: links::RecordKind, now: times::BootTime) {
+        if kind == links::RecordKind::Targets {
+            self.state.with_book(|book| book.note_return(now));
+        }
+    }
+
+    fn targets_changed(&self, now: times::BootTime) {
+        self.state.rebuild(now);
+        self.state.notify_book();
+    }
+
+    fn apply_record(&self, kind: links::RecordKind, record: links::StoreRecord, now: times::BootTime) {
+        match record.content {
+            links::RecordContent::Target(entry) => {
+                if entry.is_draining {
+                    log::info!(event = "target-leaving", target_vm:% = entry.vm; "");
+                }
+                self.state.with_book(|book| book.put(*entry, now));
+            }
+            links::RecordContent::Document(document) => {
+                let version = document.version();
+                if self.state.set_document(document) {
+                    log::info!(event = "document-in-force", version:% = version; "");
+                    self.state.metrics().set_document_version(version.get());
+                    self.state.rebuild(now);
+                }
+            }
+            links::RecordContent::OutOfService(data_centre) => {
+                let mut closed = (*self.state.closed()).clone();
+                closed.insert(data_centre);
+                self.set_closed(closed, now);
+            }
+            links::RecordContent::Node(text) => self.apply_node(&record.name, record.version, &text, now),
+            other @ links::RecordContent::Unreadable(_) => {
+                note_unreadable(kind, &record.name, &other);
+                if kind == links::RecordKind::Targets {
+                    self.apply_gone(kind, &record.name, now);
+                }
+            }
+        }
+    }
+
+    fn apply_gone(&self, kind: links::RecordKind, name: &str, now: times::BootTime) {
+        match kind {
+            links::RecordKind::Targets => {
+                if let Ok(vm) = name.parse::<ids::VmName>() {
+                    log::info!(event = "target-gone", target_vm:% = vm; "");
+                    self.state.with_book(|book| book.remove(&vm, now));
+                }
+            }
+            links::RecordKind::OutOfService => {
+                let mut closed = (*self.state.closed()).clone();
+                closed.retain(|data_centre| data_centre.as_str() != name);
+                self.set_closed(closed, now);
+            }
+            links::RecordKind::Document | links::RecordKind::Nodes => {}
+        }
+    }
+
+    fn set_closed(&self, closed: collections::BTreeSet<ids::DataCentreName>, now: times::BootTime) {
+        if *self.state.closed() != closed {
+            log::info!(event = "data-centres-out-of-service", centres:? = closed; "");
+            self.state.set_closed(closed);
+            self.state.rebuild(now);
+        }
+    }
+
+    fn apply_node(
+        &self,
+        name: &str,
+        version: epochs::ObjectVersion,
+        text: &str,
+        now: times::BootTime,
+    ) {
+        let failure = if let Some(place) = name.strip_prefix(records::STEWARD_PREFIX) {
+            self.apply_steward(place, version, text).err()
+        } else {
+            let record = serde_json::from_str::<peers::NodeRecord>(text);
+            let applied = record.map(|record| {
+                self.state.with_peers(|peers| peers.note_record(record, now));
+            });
+            applied.err().map(anyhow::Error::from)
+        };
+        if let Some(failure) = failure {
+            log::warn!(event = "node-record-unreadable", record = name, cause:% = failure; "");
+        }
+    }
+
+    fn apply_steward(
+        &self,
+        place: &str,
+        version: epochs::ObjectVersion,
+        text: &str,
+    ) -> anyhow::Result<()> {
+        let data_centre: ids::DataCentreName = place.parse()?;
+        let record: peers::StewardRecord = serde_json::from_str(text)?;
+        log::info!(
+            event = "steward-known",
+            data_centre:% = data_centre,
+            holder:% = record.holder,
+            term:% = record.term;
+            ""
+        );
+        self.state.with_peers(|peers| peers.set_steward(data_centre, record, version));
+        self.state.notify_book();
+        Ok(())
+    }
+}
+
+fn closed_centre(record: links::StoreRecord) -> Option<ids::DataCentreName> {
+    match record.content {
+        links::RecordContent::OutOfService(data_centre) => Some(data_centre),
+        other => {
+            note_unreadable(links::RecordKind::OutOfService, &record.name, &other);
+            None
+        }
+    }
+}
+
+fn note_unreadable(kind: links::RecordKind, name: &str, content: &links::RecordContent) {
+    if let links::RecordContent::Unreadable(reason) = content {
+        log::warn!(
+            event = "record-unreadable",
+            kind = kind.label(),
+            record = name,
+            cause = reason.as_str();
+            ""
+        );
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/records/watch_pause.rs
@@ -0,0 +1,31 @@
+//! Pauses between calls to the store.
+
+use std::time;
+
+/// First pause after a call that failed.
+const FIRST_PAUSE: time::Duration = time::Duration::from_millis(100);
+
+/// Longest pause after calls that failed.
+const LAST_PAUSE: time::Duration = time::Duration::from_millis(800);
+
+/// Doubles the pause with each failure, and cuts it by chance.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct WatchPause {
+    failures: u32,
+}
+
+impl WatchPause {
+    /// Returns whether the calls before this one had failed.
+    pub(crate) fn reset(&mut self) -> bool {
+        let failed = self.failures > 0;
+        self.failures = 0;
+        failed
+    }
+
+    /// Returns the next pause; `draw` is between 0 and 1.
+    pub(crate) fn next(&mut self, draw: f64) -> time::Duration {
+        let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(6));
+        self.failures += 1;
+        pause.min(LAST_PAUSE).mul_f64(0.5 + draw.clamp(0.0, 1.0) / 2.0)
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/serving/caller_server.rs
@@ -0,0 +1,111 @@
+//! Accepts callers.
+
+use std::{convert, net, pin::pin, time};
+
+use anyhow::Context as _;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
+
+use super::{connection_pool, request_entry};
+use crate::{links, state};
+
+/// Least buffer that the library takes.
+const LEAST_BUFFER: usize = 8_192;
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
+
+/// Serves callers on one port.
+#[derive(Debug)]
+pub(crate) struct CallerServer<P> {
+    state: state::EdgeState<P>,
+    listener: TcpListener,
+    closing: watch::Sender<bool>,
+}
+
+impl<P: links::FleetPlatform> CallerServer<P> {
+    /// Opens the port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the port can not be bound.
+    pub(crate) async fn bind(
+        state: state::EdgeState<P>,
+        address: net::SocketAddr,
+    ) -> anyhow::Result<Self> {
+        let listener = TcpListener::bind(address).await;
+        Ok(Self {
+            state,
+            listener: listener.with_context(|| format!("binding {address}"))?,
+            closing: watch::Sender::new(false),
+        })
+    }
+
+    /// Returns what closes idle connections once it is set.
+    pub(crate) fn closing(&self) -> watch::Sender<bool> {
+        self.closing.clone()
+    }
+
+    /// Accepts connections until the process ends.
+    pub(crate) async fn run(self) {
+        loop {
+            match self.listener.accept().await {
+                Ok((stream, _from)) => {
+                    let serving = serve_connection(self.state.clone(), stream, self.closing.subscribe());
+                    tokio::spawn(serving);
+                }
+                Err(error) => {
+                    log::warn!(event = "accept-failed", cause:% = error; "");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+}
+
+async fn serve_connection<P: links::FleetPlatform>(
+    state: state::EdgeState<P>,
+    stream: TcpStream,
+    mut closing: watch::Receiver<bool>,
+) {
+    connection_pool::set_socket_times(&stream);
+    let limits = state.document().map(|document| document.limits()).unwrap_or_default();
+    let head_size = usize::try_from(limits.head_size.get()).unwrap_or(usize::MAX);
+    let service = service_fn(move |request: http::Request<Incoming>| {
+        let state = state.clone();
+        async move { Ok::<_, convert::Infallible>(request_entry::serve(state, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The library counts the idle time before a request into the time for its head.
+        .header_read_timeout(limits.idle_time + limits.head_time)
+        .max_buf_size(head_size.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    let ended = tokio::select! {
+        ended = &mut connection => Some(ended),
+        () = wait_for_close(&mut closing) => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(event = "caller-connection-ended", cause:% = error; "");
+    }
+}
+
+/// Waits until connections are to be closed.
+async fn wait_for_close(closing: &mut watch::Receiver<bool>) {
+    if closing.wait_for(|closing| *closing).await.is_err() {
+        // The server has ended, and the process with it.
+        std::future::pending::<()>().await;
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/serving/connection_pool.rs
@@ -0,0 +1,162 @@
+//! Connections to one target.
+
+use std::{
+    net,
+    sync::{self, atomic},
+    time,
+};
+
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use pier_types::times;
+use tokio::{net::TcpStream, task};
+
+use crate::state;
+
+/// Time for a connection to a target, several ways between data centres.
+const CONNECT_TIME: time::Duration = time::Duration::from_millis(350);
+
+/// Unacknowledged bytes end a connection after this time.
+const SILENCE_TIME: time::Duration = time::Duration::from_millis(2_000);
+
+/// Time between two probes of an idle connection; the kernel counts in seconds.
+const PROBE_TIME: time::Duration = time::Duration::from_secs(1);
+
+/// How long a connection is kept idle when the target does not say.
+const IDLE_TIME: time::Duration = time::Duration::from_secs(4);
+
+/// Part of the target's own idle time that a connection is used for, so that both ends do not
+/// meet in the middle.
+const IDLE_PERCENT: u32 = 60;
+
+/// Keeps connections to one target open between requests.
+#[derive(Debug)]
+pub(crate) struct ConnectionPool {
+    address: net::SocketAddr,
+    most: usize,
+    open: sync::Arc<atomic::AtomicUsize>,
+    idle: sync::Mutex<Vec<IdleConnection>>,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: PooledConnection,
+    since: times::BootTime,
+    until: times::BootTime,
+}
+
+/// A connection that one request uses; it ends when dropped.
+#[derive(Debug)]
+pub(crate) struct PooledConnection {
+    pub sender: http1::SendRequest<Full<bytes::Bytes>>,
+    driver: task::AbortHandle,
+    open: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl Drop for PooledConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+        self.open.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+impl ConnectionPool {
+    pub(crate) fn new(address: net::SocketAddr, most: usize) -> Self {
+        Self {
+            address,
+            most,
+            open: sync::Arc::default(),
+            idle: sync::Mutex::default(),
+        }
+    }
+
+    /// Tells whether every connection that this node may have is in use.
+    pub(crate) fn is_full(&self) -> bool {
+        let idle = state::lock(&self.idle).len();
+        self.open.load(atomic::Ordering::Relaxed) >= self.most + idle
+    }
+
+    /// Takes an idle connection that was used at most `age` ago.
+    pub(crate) fn take_idle(
+        &self,
+        age: time::Duration,
+        now: times::BootTime,
+    ) -> Option<PooledConnection> {
+        let mut idle = state::lock(&self.idle);
+        idle.retain(|held| now < held.until && !held.connection.sender.is_closed());
+        let fresh = |held: &IdleConnection| {
+            held.connection.sender.is_ready() && now.since(held.since) <= age
+        };
+        let at = idle.iter().rposition(fresh)?;
+        Some(idle.swap_remove(at).connection)
+    }
+
+    /// Closes idle connections whose time is over.
+    pub(crate) fn expire(&self, now: times::BootTime) {
+        let mut idle = state::lock(&self.idle);
+        idle.retain(|held| now < held.until && !held.connection.sender.is_closed());
+    }
+
+    /// Gives a connection back after a whole answer.
+    pub(crate) fn give_back(
+        &self,
+        connection: PooledConnection,
+        idle_time: Option<time::Duration>,
+        now: times::BootTime,
+    ) {
+        let stated = idle_time.map(|stated| stated * IDLE_PERCENT / 100);
+        let until = now.after(stated.unwrap_or(IDLE_TIME).min(IDLE_TIME));
+        let mut idle = state::lock(&self.idle);
+        idle.push(IdleConnection {
+            connection,
+            since: now,
+            until,
+        });
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the target refuses it or does not answer in time.
+    pub(crate) async fn connect(&self) -> Result<PooledConnection, String> {
+        let connecting = tokio::time::timeout(CONNECT_TIME, TcpStream::connect(self.address));
+        let stream = match connecting.await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(error.to_string()),
+            Err(_elapsed) => return Err("no connection in time".to_owned()),
+        };
+        set_socket_times(&stream);
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|error| error.to_string())?;
+        // A failure of the connection is seen by the request that uses it.
+        let driver = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::trace!(event = "target-connection-ended", cause:% = error; "");
+            }
+        });
+        self.open.fetch_add(1, atomic::Ordering::Relaxed);
+        Ok(PooledConnection {
+            sender,
+            driver: driver.abort_handle(),
+            open: sync::Arc::clone(&self.open),
+        })
+    }
+}
+
+/// Makes the kernel find a peer that went silent.
+pub(crate) fn set_socket_times(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    let keep_alive = socket2::TcpKeepalive::new()
+        .with_time(PROBE_TIME)
+        .with_interval(PROBE_TIME);
+    let results = [
+        stream.set_nodelay(true),
+        socket.set_tcp_user_timeout(Some(SILENCE_TIME)),
+        socket.set_tcp_keepalive(&keep_alive),
+    ];
+    for error in results.into_iter().filter_map(Result::err) {
+        log::debug!(event = "socket-option-refused", cause:% = error; "");
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/serving/mod.rs
@@ -0,0 +1,24 @@
+//! Callers' requests, and their way to targets.
+
+mod caller_server;
+mod connection_pool;
+mod edge_body;
+mod event_splitter;
+mod refusal;
+mod request_entry;
+mod request_job;
+mod send_fault;
+mod stream_relay;
+mod stream_run;
+mod target_call;
+mod whole_run;
+
+pub(crate) use caller_server::CallerServer;
+pub(crate) use connection_pool::{ConnectionPool, PooledConnection};
+pub(crate) use edge_body::{EdgeBody, StreamCut};
+use event_splitter::EventSplitter;
+use refusal::Refusal;
+use request_job::{JobChoice, RequestJob};
+use send_fault::SendFault;
+use stream_relay::StreamRelay;
+use target_call::TargetCall;
--- /dev/null
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -0,0 +1,145 @@
+//! One caller's request on its way.
+
+use std::{sync, time};
+
+use pier_fleet::{dispatch, documents};
+use pier_types::{ids, times};
+
+use crate::{links, serving, state};
+
+/// How soon a service without any target is expected to have one again: about a repair of a group.
+const NO_TARGET_WAIT: time::Duration = time::Duration::from_millis(1_000);
+
+/// Ranks of the products' own are mapped on the engines' by this step.
+const RANK_STEP: u8 = 2;
+
+/// Least urgent rank that a target takes.
+const LAST_RANK: u8 = 9;
+
+/// A request that was read whole, with all that its way depends on.
+#[derive(Debug)]
+pub(super) struct RequestJob<P> {
+    pub state: state::EdgeState<P>,
+    pub parts: http::request::Parts,
+    pub body: bytes::Bytes,
+    pub head: links::CallerHead,
+    pub document: sync::Arc<documents::FleetDocument>,
+    pub route: sync::Arc<documents::RouteRule>,
+    pub service: ids::ServiceName,
+    pub grant: Option<documents::CustomerGrant>,
+    pub arrived_at: times::BootTime,
+    /// When the caller or the route gives the request up.
+    pub until: times::BootTime,
+}
+
+/// Where a request goes next.
+#[derive(Debug)]
+pub(super) enum JobChoice {
+    Send {
+        slot: sync::Arc<state::TargetSlot>,
+        expected: time::Duration,
+    },
+    Refuse(serving::Refusal),
+}
+
+impl<P: links::FleetPlatform> RequestJob<P> {
+    /// Returns the request's rank, 0 first.
+    pub(super) fn rank(&self) -> u8 {
+        let own = self.grant.as_ref().and_then(|grant| grant.rank);
+        own.unwrap_or(self.route.rank)
+    }
+
+    pub(super) fn time_left(&self, now: times::BootTime) -> time::Duration {
+        self.until.since(now)
+    }
+
+    fn engine(&self) -> Option<(&documents::EngineSpec, f64)> {
+        let service = self.document.services().get(&self.service)?;
+        let engine = service.engine.as_deref()?;
+        let model = engine.model(self.head.model.as_ref()?)?;
+        Some((engine, model.pace))
+    }
+
+    /// Chooses among the targets that were not tried.
+    pub(super) fn choose(
+        &self,
+        tried: &[ids::VmName],
+        is_resumed: bool,
+        now: times::BootTime,
+    ) -> JobChoice {
+        let table = self.state.table();
+        let pool = table.services.get(&self.service);
+        let all = pool.map_or(&[][..], |pool| pool.candidates(self.head.model.as_ref()));
+        let open: Vec<_> = all.iter().filter(|slot| !tried.contains(&slot.vm)).collect();
+        let engine = self.engine();
+        let facts: Vec<_> = open.iter().map(|slot| slot.facts(engine, now)).collect();
+        let request = dispatch::RequestFacts {
+            prompt: self.head.prompt_tokens,
+            objective_left: self.route.objective.saturating_sub(now.since(self.arrived_at)),
+            time_left: self.time_left(now),
+            rank: self.rank(),
+            is_resumed,
+            draw: rand::random(),
+        };
+        let outcome = match engine {
+            Some((engine, pace)) => dispatch::choose_stream(engine, pace, &request, &facts),
+            None => dispatch::choose_plain(&request, &facts),
+        };
+        match outcome {
+            dispatch::ChoiceOutcome::Send { position, expected } => JobChoice::Send {
+                slot: sync::Arc::clone(open[position]),
+                expected,
+            },
+            dispatch::ChoiceOutcome::Full {
+                retry_after,
+                expected,
+            } => {
+                log::info!(
+                    event = "request-over-capacity",
+                    attempt = self.head.attempt.as_str(),
+                    candidates = open.len(),
+                    expected_ms = millis(expected),
+                    objective_ms = millis(request.objective_left),
+                    rank = request.rank;
+                    ""
+                );
+                JobChoice::Refuse(serving::Refusal::Overloaded { retry_after })
+            }
+            dispatch::ChoiceOutcome::NoTarget => JobChoice::Refuse(serving::Refusal::NoTarget {
+                retry_after: NO_TARGET_WAIT,
+            }),
+        }
+    }
+
+    /// Makes the call for one target.
+    pub(super) fn call(
+        &self,
+        slot: &state::TargetSlot,
+        after_event: Option<&str>,
+        now: times::BootTime,
+    ) -> http::Request<http_body_util::Full<bytes::Bytes>> {
+        let is_resumed = after_event.is_some();
+        let rank = if is_resumed {
+            0
+        } else {
+            self.rank().saturating_mul(RANK_STEP).min(LAST_RANK)
+        };
+        let terms = links::SendTerms {
+            vm: &slot.vm,
+            time_left: self.time_left(now),
+            customer: self.grant.as_ref().map(|grant| &grant.customer),
+            rank,
+            after_event,
+        };
+        let headers = self.state.platform().target_headers(&self.parts, &terms);
+        let mut request = http::Request::new(http_body_util::Full::new(self.body.clone()));
+        *request.method_mut() = self.parts.method.clone();
+        *request.uri_mut() = self.parts.uri.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+pub(super) fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/pier_edge/src/serving/stream_relay.rs
@@ -0,0 +1,273 @@
+//! Passes a stream on, and continues it elsewhere when its target is lost.
+
+use std::{sync, time};
+
+use http_body_util::BodyExt as _;
+use pier_types::{ids, times};
+use tokio::sync::{mpsc, watch};
+
+use super::request_job::millis;
+use crate::{links, serving, state};
+
+/// How long a stream may wait for another target: callers leave after two seconds without an event.
+const RESUME_TIME: time::Duration = time::Duration::from_millis(1_500);
+
+/// Pause between two looks for a target with room.
+const RESUME_PAUSE: time::Duration = time::Duration::from_millis(60);
+
+/// Targets to which one stream goes at most beyond what its route allows, as lost ones do not count.
+const EXTRA_SENDS: u32 = 2;
+
+/// One stream on its way from targets to a caller.
+#[derive(Debug)]
+pub(super) struct StreamRelay<P> {
+    job: serving::RequestJob<P>,
+    call: serving::TargetCall,
+    broken: watch::Receiver<bool>,
+    parts: mpsc::Sender<Result<bytes::Bytes, serving::StreamCut>>,
+    tried: Vec<ids::VmName>,
+    sends: u32,
+    splitter: serving::EventSplitter,
+    last_event: Option<String>,
+    events: u32,
+    last_at: times::BootTime,
+    longest_gap: time::Duration,
+    resumed: u32,
+    _progress: state::ProgressGuard<P>,
+}
+
+/// What happened next to a stream.
+enum RelayStep {
+    Data(bytes::Bytes),
+    Ended,
+    Lost(String),
+    CallerLeft,
+    TimeOver,
+}
+
+impl<P: links::FleetPlatform> StreamRelay<P> {
+    pub(super) fn new(
+        job: serving::RequestJob<P>,
+        call: serving::TargetCall,
+        parts: mpsc::Sender<Result<bytes::Bytes, serving::StreamCut>>,
+        tried: Vec<ids::VmName>,
+        sends: u32,
+        progress: state::ProgressGuard<P>,
+    ) -> Self {
+        Self {
+            broken: call.slot.watch_break(),
+            last_event: job.head.last_event.clone(),
+            last_at: call.sent_at,
+            job,
+            call,
+            parts,
+            tried,
+            sends,
+            splitter: serving::EventSplitter::default(),
+            events: 0,
+            longest_gap: time::Duration::ZERO,
+            resumed: 0,
+            _progress: progress,
+        }
+    }
+
+    /// Passes events on until the stream ends.
+    pub(super) async fn run(mut self) {
+        let outcome = loop {
+            match self.step().await {
+                RelayStep::Data(data) => {
+                    if !self.pass_on(&data).await {
+                        break "caller-left";
+                    }
+                }
+                RelayStep::Ended => {
+                    let rest = self.splitter.take_rest();
+                    if !rest.is_empty() {
+                        // The caller sees the end either way.
+                        let _left = self.parts.send(Ok(rest)).await;
+                    }
+                    break "complete";
+                }
+                RelayStep::CallerLeft => break "caller-left",
+                RelayStep::TimeOver => {
+                    self.cut().await;
+                    break "time-over";
+                }
+                RelayStep::Lost(reason) => {
+                    if !self.resume(&reason).await {
+                        self.cut().await;
+                        break "cut";
+                    }
+                }
+            }
+        };
+        let now = times::clocks::boot_now();
+        let metrics = self.job.state.metrics();
+        metrics.count_stream(outcome);
+        log::info!(
+            event = "stream-ended",
+            attempt = self.job.head.attempt.as_str(),
+            target_vm:% = self.call.slot.vm,
+            outcome = outcome,
+            events = self.events,
+            resumed = self.resumed,
+            longest_gap_ms = millis(self.longest_gap),
+            taken_ms = millis(now.since(self.job.arrived_at));
+            ""
+        );
+        if outcome == "complete" {
+            self.call.finish();
+        }
+    }
+
+    async fn step(&mut self) -> RelayStep {
+        let left = self.job.time_left(times::clocks::boot_now());
+        tokio::select! {
+            frame = self.call.body.frame() => match frame {
+                None => RelayStep::Ended,
+                Some(Ok(frame)) => {
+                    frame.into_data().map_or_else(
+                        |_trailers| RelayStep::Data(bytes::Bytes::new()),
+                        RelayStep::Data,
+                    )
+                }
+                Some(Err(error)) => RelayStep::Lost(error.to_string()),
+            },
+            () = self.parts.closed() => RelayStep::CallerLeft,
+            _changed = self.broken.changed() => RelayStep::Lost("the target is stuck".to_owned()),
+            () = tokio::time::sleep(left) => RelayStep::TimeOver,
+        }
+    }
+
+    /// Passes the whole events among the bytes on; returns whether the caller is still there.
+    async fn pass_on(&mut self, data: &[u8]) -> bool {
+        let Some(events) = self.splitter.push(data) else {
+            return true;
+        };
+        let now = times::clocks::boot_now();
+        let gauge = &self.call.slot.gauge;
+        gauge.note_progress(now);
+        let gap = now.since(self.last_at);
+        if self.events == 0 {
+            self.call.guard.note_begun();
+            self.job.state.metrics().observe_first_event(now.since(self.job.arrived_at));
+        } else {
+            self.longest_gap = self.longest_gap.max(gap);
+            gauge.note_gap(gap / events.count.max(1), now);
+        }
+        self.last_at = now;
+        self.events += events.count;
+        if events.last_id.is_some() {
+            self.last_event = events.last_id;
+        }
+        self.parts.send(Ok(events.bytes)).await.is_ok()
+    }
+
+    /// Ends the connection to the caller without a proper end of the body.
+    async fn cut(&self) {
+        // The caller may have left already.
+        let _left = self.parts.send(Err(serving::StreamCut)).await;
+    }
+
+    /// Goes on at another target behind the last event that was passed on.
+    async fn resume(&mut self, reason: &str) -> bool {
+        let state = self.job.state.clone();
+        let started = times::clocks::boot_now();
+        log::info!(
+            event = "stream-lost",
+            attempt = self.job.head.attempt.as_str(),
+            target_vm:% = self.call.slot.vm,
+            cause = reason,
+            events = self.events,
+            silent_ms = millis(started.since(self.last_at));
+            ""
+        );
+        state.metrics().count_resume("tried");
+        if !self.job.route.repeat.may_repeat() {
+            return false;
+        }
+        let most = self.job.route.max_sends + EXTRA_SENDS;
+        self.splitter.take_rest();
+        let mut has_budget = false;
+        loop {
+            let now = times::clocks::boot_now();
+            let is_over = now.since(started) >= RESUME_TIME || self.job.time_left(now).is_zero();
+            if is_over || self.sends >= most || self.parts.is_closed() {
+                return false;
+            }
+            let chosen = match self.job.choose(&self.tried, true, now) {
+                serving::JobChoice::Send { slot, .. } => slot,
+                serving::JobChoice::Refuse(_) => {
+                    // A group that was formed anew may serve under the same VM.
+                    self.tried.clear();
+                    tokio::time::sleep(RESUME_PAUSE).await;
+                    continue;
+                }
+            };
+            let nodes = state.with_peers(|peers| peers.nodes(now));
+            if !has_budget && !state.retries().take(&self.job.service, nodes, now) {
+                log::info!(event = "retry-budget-empty", attempt = self.job.head.attempt.as_str(); "");
+                return false;
+            }
+            has_budget = true;
+            self.tried.push(chosen.vm.clone());
+            if self.send_on(&chosen).await {
+                state.metrics().count_resume("done");
+                return true;
+            }
+        }
+    }
+
+    /// Sends the request for the rest of the stream to a target.
+    async fn send_on(&mut self, slot: &sync::Arc<state::TargetSlot>) -> bool {
+        let left = self.job.time_left(times::clocks::boot_now());
+        let after = self.last_event.clone();
+        let sending = serving::TargetCall::send(&self.job, slot, after.as_deref(), left);
+        let sent = tokio::select! {
+            sent = sending => sent,
+            () = self.parts.closed() => return false,
+        };
+        match sent {
+            Ok(call) if call.head.status.is_success() && call.answer.is_genuine => {
+                log::info!(
+                    event = "stream-resumed",
+                    attempt = self.job.head.attempt.as_str(),
+                    target_vm:% = slot.vm,
+                    after = after.as_deref().unwrap_or("");
+                    ""
+                );
+                self.sends += 1;
+                self.resumed += 1;
+                self.broken = slot.watch_break();
+                self.call = call;
+                if self.events > 0 {
+                    self.call.guard.note_begun();
+                }
+                true
+            }
+            Ok(call) => {
+                log::info!(
+                    event = "resume-refused",
+                    attempt = self.job.head.attempt.as_str(),
+                    target_vm:% = slot.vm,
+                    status = call.head.status.as_u16();
+                    ""
+                );
+                false
+            }
+            Err(fault) => {
+                log::info!(
+                    event = "resume-failed",
+                    attempt = self.job.head.attempt.as_str(),
+                    target_vm:% = slot.vm,
+                    fault:? = fault;
+                    ""
+                );
+                if fault.may_have_run() {
+                    self.sends += 1;
+                }
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -0,0 +1,85 @@
+//! One send of a request to one target.
+
+use std::{sync, time};
+
+use http_body_util::Full;
+use hyper::body::Incoming;
+use pier_types::times;
+
+use crate::{links, serving, state};
+
+/// Age of an idle connection up to which it is used for what may run only once: a younger one has
+/// hardly been closed by the target.
+const ONE_TIME_AGE: time::Duration = time::Duration::from_secs(1);
+
+/// A send that was answered, or is about to be.
+#[derive(Debug)]
+pub(super) struct TargetCall {
+    pub slot: sync::Arc<state::TargetSlot>,
+    pub connection: serving::PooledConnection,
+    pub guard: state::GaugeGuard,
+    pub head: http::response::Parts,
+    pub answer: links::AnswerHead,
+    pub body: Incoming,
+    pub sent_at: times::BootTime,
+}
+
+impl TargetCall {
+    /// Sends a request and waits for the answer's head.
+    pub(super) async fn send<P: links::FleetPlatform>(
+        job: &serving::RequestJob<P>,
+        slot: &sync::Arc<state::TargetSlot>,
+        after_event: Option<&str>,
+        limit: time::Duration,
+    ) -> Result<Self, serving::SendFault> {
+        let mut broken = slot.watch_break();
+        let age = if job.route.repeat.may_repeat() {
+            time::Duration::MAX
+        } else {
+            ONE_TIME_AGE
+        };
+        let now = times::clocks::boot_now();
+        let idle = slot.connections.take_idle(age, now);
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => slot.connections.connect().await.map_err(serving::SendFault::Unreached)?,
+        };
+        let now = times::clocks::boot_now();
+        let guard = slot.gauge.begin(job.head.prompt_tokens, now);
+        slot.count_send(now);
+        let request: http::Request<Full<bytes::Bytes>> = job.call(slot, after_event, now);
+        let response = tokio::select! {
+            response = connection.sender.try_send_request(request) => response,
+            _changed = broken.changed() => return Err(serving::SendFault::Stuck),
+            () = tokio::time::sleep(limit) => return Err(serving::SendFault::TimedOut),
+        };
+        let response = response.map_err(|mut fault| {
+            let reason = fault.error().to_string();
+            if fault.take_message().is_some() {
+                serving::SendFault::NotSent(reason)
+            } else {
+                serving::SendFault::MayHaveRun(reason)
+            }
+        })?;
+        let (head, body) = response.into_parts();
+        let answer = job.state.platform().read_answer(&job.head.attempt, &head);
+        Ok(Self {
+            slot: sync::Arc::clone(slot),
+            connection,
+            guard,
+            head,
+            answer,
+            body,
+            sent_at: now,
+        })
+    }
+
+    /// Gives the connection back once the answer was read whole.
+    pub(super) fn finish(self) {
+        let now = times::clocks::boot_now();
+        if !self.answer.closes {
+            let idle_time = self.answer.idle_time;
+            self.slot.connections.give_back(self.connection, idle_time, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/serving/whole_run.rs
@@ -0,0 +1,195 @@
+//! Requests whose answers are read whole before they are passed on.
+
+use std::time;
+
+use http_body_util::BodyExt as _;
+use pier_types::{ids, times};
+
+use super::request_job::millis;
+use crate::{links, serving};
+
+/// Greatest answer that is read whole.
+const ANSWER_SIZE: usize = 16 << 20;
+
+/// Times of a target's usual answer after which a repeatable request is sent to another one.
+const PATIENCE: u32 = 6;
+
+/// Least such time.
+const LEAST_PATIENCE: time::Duration = time::Duration::from_millis(300);
+
+/// Time before the end that is left for this node's own answer.
+const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(30);
+
+/// Most targets to which no connection came about.
+const CONNECT_TRIES: usize = 3;
+
+/// An answer that was read whole.
+pub(super) type WholeAnswer = (http::response::Parts, bytes::Bytes);
+
+/// Sends a request until an answer is there that can be passed on.
+pub(super) async fn run<P: links::FleetPlatform>(
+    job: &serving::RequestJob<P>,
+) -> Result<WholeAnswer, serving::Refusal> {
+    let mut progress = SendProgress::default();
+    loop {
+        let now = times::clocks::boot_now();
+        if job.time_left(now) <= ANSWER_MARGIN {
+            return progress.give_up(serving::Refusal::TimedOut, job);
+        }
+        let slot = match job.choose(&progress.tried, false, now) {
+            serving::JobChoice::Send { slot, .. } => slot,
+            serving::JobChoice::Refuse(refusal) => return progress.give_up(refusal, job),
+        };
+        if progress.sends > 0 {
+            let nodes = job.state.with_peers(|peers| peers.nodes(now));
+            let has_budget = job.state.retries().take(&job.service, nodes, now);
+            if progress.sends >= job.route.max_sends || !has_budget {
+                return progress.give_up(serving::Refusal::Broken, job);
+            }
+        }
+        let limit = send_limit(job, &slot, progress.sends, now);
+        log::debug!(event = "request-sent", attempt = job.head.attempt.as_str(), target_vm:% = slot.vm; "");
+        let sent = send_once(job, &slot, limit).await;
+        progress.tried.push(slot.vm.clone());
+        let taken = times::clocks::boot_now().since(now);
+        match sent {
+            Ok((head, body, answer)) => {
+                let is_failure = head.status.is_server_error();
+                slot.gauge.note_answer(taken, is_failure || answer.is_not_run);
+                if answer.is_not_run {
+                    progress.refused = true;
+                    progress.sends += 1;
+                } else if is_failure && job.route.repeat.may_repeat() && answer.is_genuine {
+                    progress.sends += 1;
+                    progress.answer = Some((head, body));
+                } else {
+                    return Ok((head, body));
+                }
+            }
+            Err(fault) => {
+                log::info!(
+                    event = "send-failed",
+                    attempt = job.head.attempt.as_str(),
+                    target_vm:% = slot.vm,
+                    fault:? = fault,
+                    taken_ms = millis(taken);
+                    ""
+                );
+                slot.gauge.note_answer(taken, true);
+                if fault.may_have_run() {
+                    progress.sends += 1;
+                    progress.may_have_run = true;
+                    if !job.route.repeat.may_repeat() {
+                        return progress.give_up(serving::Refusal::Broken, job);
+                    }
+                } else {
+                    progress.unreached += 1;
+                    if progress.unreached >= CONNECT_TRIES {
+                        let wait = time::Duration::from_millis(200);
+                        let refusal = serving::Refusal::NoTarget { retry_after: wait };
+                        return progress.give_up(refusal, job);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// What became of the sends so far.
+#[derive(Debug, Default)]
+struct SendProgress {
+    tried: Vec<ids::VmName>,
+    sends: u32,
+    unreached: usize,
+    may_have_run: bool,
+    refused: bool,
+    /// A target's own failure, passed on when nothing better comes.
+    answer: Option<WholeAnswer>,
+}
+
+impl SendProgress {
+    /// Ends the request with the best truth about it.
+    fn give_up<P>(
+        &mut self,
+        refusal: serving::Refusal,
+        job: &serving::RequestJob<P>,
+    ) -> Result<WholeAnswer, serving::Refusal> {
+        if let Some(answer) = self.answer.take() {
+            return Ok(answer);
+        }
+        if self.may_have_run {
+            return Err(match refusal {
+                serving::Refusal::TimedOut => serving::Refusal::TimedOut,
+                _ if job.route.repeat.may_repeat() => serving::Refusal::NotRun {
+                    retry_after: time::Duration::from_millis(100),
+                },
+                _ => serving::Refusal::Broken,
+            });
+        }
+        if self.refused || refusal == serving::Refusal::Broken {
+            return Err(serving::Refusal::NotRun {
+                retry_after: time::Duration::from_millis(100),
+            });
+        }
+        if refusal == serving::Refusal::TimedOut {
+            return Err(serving::Refusal::NotRun {
+                retry_after: time::Duration::from_millis(500),
+            });
+        }
+        Err(refusal)
+    }
+}
+
+/// Returns how long one send may take.
+fn send_limit<P: links::FleetPlatform>(
+    job: &serving::RequestJob<P>,
+    slot: &crate::state::TargetSlot,
+    sends: u32,
+    now: times::BootTime,
+) -> time::Duration {
+    let left = job.time_left(now).saturating_sub(ANSWER_MARGIN);
+    if !job.route.repeat.may_repeat() || sends + 1 >= job.route.max_sends {
+        return left;
+    }
+    let patience = (slot.gauge.answer_time() * PATIENCE).max(LEAST_PATIENCE);
+    left.min(patience)
+}
+
+async fn send_once<P: links::FleetPlatform>(
+    job: &serving::RequestJob<P>,
+    slot: &std::sync::Arc<crate::state::TargetSlot>,
+    limit: time::Duration,
+) -> Result<(http::response::Parts, bytes::Bytes, links::AnswerHead), serving::SendFault> {
+    let started = times::clocks::boot_now();
+    let mut call = serving::TargetCall::send(job, slot, None, limit).await?;
+    call.guard.note_begun();
+    let left = limit.saturating_sub(times::clocks::boot_now().since(started));
+    let body = tokio::time::timeout(left, read_whole(&mut call.body)).await;
+    let body = match body {
+        Ok(body) => body.map_err(serving::SendFault::MayHaveRun)?,
+        Err(_elapsed) => return Err(serving::SendFault::TimedOut),
+    };
+    let (head, answer) = (call.head.clone(), call.answer.clone());
+    if !answer.is_not_run && !answer.is_genuine && head.status.is_success() {
+        let reason = "the answer bears no mark of the target".to_owned();
+        return Err(serving::SendFault::MayHaveRun(reason));
+    }
+    slot.gauge.note_progress(times::clocks::boot_now());
+    call.finish();
+    Ok((head, body, answer))
+}
+
+/// Reads a body up to its proper end.
+pub(super) async fn read_whole(body: &mut hyper::body::Incoming) -> Result<bytes::Bytes, String> {
+    let mut whole = bytes::BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        if let Some(data) = frame.data_ref() {
+            if whole.len() + data.len() > ANSWER_SIZE {
+                return Err("the answer is too large".to_owned());
+            }
+            whole.extend_from_slice(data);
+        }
+    }
+    Ok(whole.freeze())
+}
--- /dev/null
+++ b/crates/pier_edge/src/settings/edge_settings.rs
@@ -0,0 +1,111 @@
+//! The settings of one node.
+
+use std::{collections, net, path, str, time};
+
+use ini::Ini;
+use pier_types::{ids, sizes};
+
+use crate::settings;
+
+/// Where a node listens, where it stands and what bounds it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EdgeSettings {
+    /// Name of the VM.
+    pub name: String,
+    /// The node's data centre.
+    pub data_centre: ids::DataCentreName,
+    /// All data centres.
+    pub data_centres: collections::BTreeSet<ids::DataCentreName>,
+    /// Where callers are accepted.
+    pub callers: net::SocketAddr,
+    /// Where the balancer asks whether the node is ready.
+    pub readiness: net::SocketAddr,
+    /// Where datagrams of other nodes arrive.
+    pub peers: net::SocketAddr,
+    /// Where metrics are served.
+    pub metrics: net::SocketAddr,
+    /// The platform's store.
+    pub store: net::SocketAddr,
+    /// Memory that the process may use.
+    pub memory: sizes::ByteSize,
+    /// Least severe lines that are logged.
+    pub log_level: log::LevelFilter,
+    /// Figures that bound what nodes do together.
+    pub bounds: settings::EdgeBounds,
+}
+
+impl EdgeSettings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file can not be read, or a value is missing or malformed.
+    pub fn load(path: &path::Path) -> Result<Self, settings::SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|error| {
+            settings::SettingsError::Unreadable(format!("{}: {error}", path.display()))
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Reads settings out of the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the text is no INI file, or a value is missing or malformed.
+    pub fn parse(text: &str) -> Result<Self, settings::SettingsError> {
+        let ini = Ini::load_from_str(text)
+            .map_err(|error| settings::SettingsError::Unreadable(error.to_string()))?;
+        let reader = SectionReader { ini: &ini };
+        let data_centre: ids::DataCentreName = reader.value("node", "data_centre")?;
+        let listed: String = reader.value("node", "data_centres")?;
+        let names = listed.split(',').map(str::trim);
+        let mut data_centres: collections::BTreeSet<_> =
+            names.filter_map(|name| name.parse().ok()).collect();
+        data_centres.insert(data_centre.clone());
+        let mebibytes: u64 = reader.value("limits", "memory_mib")?;
+        Ok(Self {
+            name: reader.value("node", "name")?,
+            data_centre,
+            data_centres,
+            callers: reader.value("listen", "callers")?,
+            readiness: reader.value("listen", "readiness")?,
+            peers: reader.value("listen", "peers")?,
+            metrics: reader.value("listen", "metrics")?,
+            store: reader.value("platform", "store")?,
+            memory: sizes::ByteSize::new(mebibytes << 20),
+            log_level: reader.value("log", "level")?,
+            bounds: settings::EdgeBounds {
+                grace: seconds(reader.value("bounds", "grace_seconds")?),
+                retry_ratio: reader.value("bounds", "retry_ratio")?,
+                retry_burst: reader.value("bounds", "retry_burst")?,
+                retry_window: seconds(reader.value("bounds", "retry_window_seconds")?),
+            },
+        })
+    }
+}
+
+fn seconds(number: f64) -> time::Duration {
+    time::Duration::from_secs_f64(number.clamp(0.0, 86_400.0))
+}
+
+struct SectionReader<'a> {
+    ini: &'a Ini,
+}
+
+impl SectionReader<'_> {
+    fn value<T: str::FromStr>(
+        &self,
+        section: &'static str,
+        key: &'static str,
+    ) -> Result<T, settings::SettingsError> {
+        let text = self.ini.get_from(Some(section), key);
+        let text = text.ok_or(settings::SettingsError::Missing { section, key })?;
+        text.trim()
+            .parse()
+            .map_err(|_reason| settings::SettingsError::Malformed {
+                section,
+                key,
+                value: text.to_owned(),
+            })
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/settings/mod.rs
@@ -0,0 +1,9 @@
+//! Settings of a node, read from an INI file.
+
+mod edge_bounds;
+mod edge_settings;
+mod settings_error;
+
+pub use edge_bounds::EdgeBounds;
+pub use edge_settings::EdgeSettings;
+pub use settings_error::SettingsError;
--- /dev/null
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -0,0 +1,231 @@
+//! The state of a node.
+
+use std::{
+    collections,
+    sync::{self, atomic},
+};
+
+use pier_fleet::{documents, targets};
+use pier_types::{ids, times};
+use tokio::sync::Notify;
+
+use crate::{links, peers, settings, state, telemetry};
+
+/// A cheap handle on everything that the parts of a node share.
+#[derive(Debug)]
+pub(crate) struct EdgeState<P> {
+    shared: sync::Arc<SharedState<P>>,
+}
+
+impl<P> Clone for EdgeState<P> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: sync::Arc::clone(&self.shared),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct SharedState<P> {
+    settings: settings::EdgeSettings,
+    node: ids::NodeName,
+    platform: P,
+    document: arc_swap::ArcSwapOption<documents::FleetDocument>,
+    table: arc_swap::ArcSwap<state::ServingTable>,
+    closed: arc_swap::ArcSwap<collections::BTreeSet<ids::DataCentreName>>,
+    book: sync::Mutex<targets::TargetBook>,
+    slots: sync::Mutex<collections::BTreeMap<state::SlotKey, sync::Arc<state::TargetSlot>>>,
+    peers: sync::Mutex<peers::PeerTable>,
+    retries: state::RetryPurse,
+    metrics: telemetry::EdgeMetrics,
+    listed: atomic::AtomicBool,
+    draining: atomic::AtomicBool,
+    in_progress: atomic::AtomicU32,
+    has_served: atomic::AtomicBool,
+    own_retiring: sync::Mutex<collections::BTreeSet<ids::VmName>>,
+    book_changed: Notify,
+}
+
+impl<P: links::FleetPlatform> EdgeState<P> {
+    pub(crate) fn new(
+        settings: settings::EdgeSettings,
+        node: ids::NodeName,
+        platform: P,
+    ) -> Self {
+        let shared = SharedState {
+            retries: state::RetryPurse::new(settings.bounds),
+            peers: sync::Mutex::new(peers::PeerTable::new(node.clone())),
+            settings,
+            node,
+            platform,
+            document: arc_swap::ArcSwapOption::empty(),
+            table: arc_swap::ArcSwap::default(),
+            closed: arc_swap::ArcSwap::default(),
+            book: sync::Mutex::default(),
+            slots: sync::Mutex::default(),
+            metrics: telemetry::EdgeMetrics::default(),
+            listed: atomic::AtomicBool::new(false),
+            draining: atomic::AtomicBool::new(false),
+            in_progress: atomic::AtomicU32::new(0),
+            has_served: atomic::AtomicBool::new(false),
+            own_retiring: sync::Mutex::default(),
+            book_changed: Notify::new(),
+        };
+        Self {
+            shared: sync::Arc::new(shared),
+        }
+    }
+
+    pub(crate) fn settings(&self) -> &settings::EdgeSettings {
+        &self.shared.settings
+    }
+
+    /// Returns this start's own name.
+    pub(crate) fn node(&self) -> &ids::NodeName {
+        &self.shared.node
+    }
+
+    pub(crate) fn platform(&self) -> &P {
+        &self.shared.platform
+    }
+
+    pub(crate) fn metrics(&self) -> &telemetry::EdgeMetrics {
+        &self.shared.metrics
+    }
+
+    pub(crate) fn retries(&self) -> &state::RetryPurse {
+        &self.shared.retries
+    }
+
+    pub(crate) fn document(&self) -> Option<sync::Arc<documents::FleetDocument>> {
+        self.shared.document.load_full()
+    }
+
+    /// Puts a document into force unless a newer one is; returns whether it did.
+    pub(crate) fn set_document(&self, document: sync::Arc<documents::FleetDocument>) -> bool {
+        let known = self.shared.document.load_full();
+        if known.is_some_and(|known| known.version() >= document.version()) {
+            return false;
+        }
+        self.shared.document.store(Some(document));
+        true
+    }
+
+    pub(crate) fn table(&self) -> sync::Arc<state::ServingTable> {
+        self.shared.table.load_full()
+    }
+
+    pub(crate) fn closed(&self) -> sync::Arc<collections::BTreeSet<ids::DataCentreName>> {
+        self.shared.closed.load_full()
+    }
+
+    pub(crate) fn set_closed(&self, closed: collections::BTreeSet<ids::DataCentreName>) {
+        self.shared.closed.store(sync::Arc::new(closed));
+    }
+
+    pub(crate) fn with_book<T>(&self, change: impl FnOnce(&mut targets::TargetBook) -> T) -> T {
+        change(&mut state::target_slot::lock(&self.shared.book))
+    }
+
+    pub(crate) fn with_peers<T>(&self, change: impl FnOnce(&mut peers::PeerTable) -> T) -> T {
+        change(&mut state::target_slot::lock(&self.shared.peers))
+    }
+
+    /// Returns every slot, also those that take no new requests.
+    pub(crate) fn slots(&self) -> Vec<sync::Arc<state::TargetSlot>> {
+        let slots = state::target_slot::lock(&self.shared.slots);
+        slots.values().cloned().collect()
+    }
+
+    pub(crate) fn set_own_retiring(&self, retiring: collections::BTreeSet<ids::VmName>) {
+        *state::target_slot::lock(&self.shared.own_retiring) = retiring;
+    }
+
+    pub(crate) fn own_retiring(&self) -> collections::BTreeSet<ids::VmName> {
+        state::target_slot::lock(&self.shared.own_retiring).clone()
+    }
+
+    /// Wakes whoever waits for changes of the registrations.
+    pub(crate) fn notify_book(&self) {
+        self.shared.book_changed.notify_waiters();
+    }
+
+    pub(crate) async fn book_change(&self) {
+        self.shared.book_changed.notified().await;
+    }
+
+    /// Builds the table of targets anew.
+    pub(crate) fn rebuild(&self, now: times::BootTime) {
+        let Some(document) = self.document() else {
+            return;
+        };
+        let (nodes, mut retiring) = self.with_peers(|peers| (peers.nodes(now), peers.retiring(now)));
+        retiring.extend(self.own_retiring());
+        let closed = self.closed();
+        let table = self.with_book(|book| {
+            book.expire(now);
+            let builder = state::table_builder::TableBuilder {
+                settings: self.settings(),
+                document: &document,
+                book,
+                closed: &closed,
+                retiring: &retiring,
+                nodes,
+                now,
+            };
+            builder.build(&mut state::target_slot::lock(&self.shared.slots))
+        });
+        self.shared.table.store(sync::Arc::new(table));
+    }
+
+    /// Notes that the registrations were read once.
+    pub(crate) fn set_listed(&self) {
+        self.shared.listed.store(true, atomic::Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.shared.draining.load(atomic::Ordering::Relaxed)
+    }
+
+    pub(crate) fn start_drain(&self) {
+        self.shared.draining.store(true, atomic::Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_ready(&self) -> bool {
+        let listed = self.shared.listed.load(atomic::Ordering::Relaxed);
+        listed && self.shared.document.load().is_some() && !self.is_draining()
+    }
+
+    pub(crate) fn note_served(&self) {
+        self.shared.has_served.store(true, atomic::Ordering::Relaxed);
+    }
+
+    pub(crate) fn has_served(&self) -> bool {
+        self.shared.has_served.load(atomic::Ordering::Relaxed)
+    }
+
+    pub(crate) fn in_progress(&self) -> u32 {
+        self.shared.in_progress.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Counts a request until the guard is dropped.
+    pub(crate) fn begin_request(&self) -> ProgressGuard<P> {
+        self.shared.in_progress.fetch_add(1, atomic::Ordering::Relaxed);
+        ProgressGuard {
+            state: self.clone(),
+        }
+    }
+}
+
+/// Keeps a request counted as in progress.
+#[derive(Debug)]
+pub(crate) struct ProgressGuard<P> {
+    state: EdgeState<P>,
+}
+
+impl<P> Drop for ProgressGuard<P> {
+    fn drop(&mut self) {
+        let count = &self.state.shared.in_progress;
+        count.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/state/mod.rs
@@ -0,0 +1,14 @@
+//! What the parts of a node share.
+
+mod edge_state;
+mod retry_purse;
+mod serving_table;
+mod table_builder;
+mod target_gauge;
+mod target_slot;
+
+pub(crate) use edge_state::{EdgeState, ProgressGuard};
+pub(crate) use retry_purse::RetryPurse;
+pub(crate) use serving_table::ServingTable;
+pub(crate) use target_gauge::{GaugeGuard, TargetGauge};
+pub(crate) use target_slot::{SlotKey, TargetSlot, lock};
--- /dev/null
+++ b/crates/pier_edge/src/state/retry_purse.rs
@@ -0,0 +1,65 @@
+//! This node's part of the retries that all nodes may make.
+
+use std::{collections, sync};
+
+use pier_fleet::budgets;
+use pier_types::{ids, times};
+
+use crate::{settings, state};
+
+/// Part of the allowance that is kept back, since windows of nodes do not begin together.
+const KEPT_PERCENT: u32 = 75;
+
+/// Counts fresh requests and repeats of each service in a sliding window.
+#[derive(Debug)]
+pub(crate) struct RetryPurse {
+    bounds: settings::EdgeBounds,
+    services: sync::Mutex<collections::BTreeMap<ids::ServiceName, ServiceWindow>>,
+}
+
+#[derive(Debug)]
+struct ServiceWindow {
+    fresh: budgets::WindowCount,
+    repeats: budgets::WindowCount,
+}
+
+impl RetryPurse {
+    pub(crate) fn new(bounds: settings::EdgeBounds) -> Self {
+        Self {
+            bounds,
+            services: sync::Mutex::default(),
+        }
+    }
+
+    pub(crate) fn add_fresh(&self, service: &ids::ServiceName, now: times::BootTime) {
+        self.with(service, |window| window.fresh.add(now));
+    }
+
+    /// Takes one repeat, if this node's part of the allowance has one left.
+    pub(crate) fn take(&self, service: &ids::ServiceName, nodes: u32, now: times::BootTime) -> bool {
+        let bounds = self.bounds;
+        self.with(service, |window| {
+            let ratio = f64::from(window.fresh.total(now)) * bounds.retry_ratio;
+            let burst = f64::from(bounds.retry_burst) / f64::from(nodes.max(1));
+            let most = (ratio + burst) * f64::from(KEPT_PERCENT) / 100.0;
+            if f64::from(window.repeats.total(now)) + 1.0 > most {
+                return false;
+            }
+            window.repeats.add(now);
+            true
+        })
+    }
+
+    fn with<T>(
+        &self,
+        service: &ids::ServiceName,
+        change: impl FnOnce(&mut ServiceWindow) -> T,
+    ) -> T {
+        let mut services = state::target_slot::lock(&self.services);
+        let window = services.entry(service.clone());
+        change(window.or_insert_with(|| ServiceWindow {
+            fresh: budgets::WindowCount::new(self.bounds.retry_window),
+            repeats: budgets::WindowCount::new(self.bounds.retry_window),
+        }))
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/state/serving_table.rs
@@ -0,0 +1,37 @@
+//! The targets that take requests now.
+
+use std::{collections, sync};
+
+use pier_types::ids;
+
+use crate::state;
+
+/// The targets of each service.
+#[derive(Debug, Default)]
+pub(crate) struct ServingTable {
+    pub services: collections::BTreeMap<ids::ServiceName, ServicePool>,
+}
+
+/// The targets of one service.
+#[derive(Debug, Default)]
+pub(crate) struct ServicePool {
+    /// Targets of a plain service.
+    pub plain: Vec<sync::Arc<state::TargetSlot>>,
+    /// First members of serving groups, by model.
+    pub groups: collections::BTreeMap<ids::ModelName, Vec<sync::Arc<state::TargetSlot>>>,
+}
+
+impl ServicePool {
+    /// Returns the targets for a request that names a model, or none.
+    pub(crate) fn candidates(
+        &self,
+        model: Option<&ids::ModelName>,
+    ) -> &[sync::Arc<state::TargetSlot>] {
+        match model {
+            Some(model) if !self.groups.is_empty() => {
+                self.groups.get(model).map_or(&[], Vec::as_slice)
+            }
+            _ => &self.plain,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/state/table_builder.rs
@@ -0,0 +1,131 @@
+//! Builds the table of targets.
+
+use std::{collections, sync};
+
+use pier_fleet::{documents, targets};
+use pier_types::{epochs, ids, times};
+
+use crate::{settings, state};
+
+/// Connections that a node may open beyond its part of what a target takes from all.
+const LEAST_CONNECTIONS: usize = 4;
+
+/// Everything that a table follows from.
+#[derive(Debug)]
+pub(super) struct TableBuilder<'a> {
+    pub settings: &'a settings::EdgeSettings,
+    pub document: &'a documents::FleetDocument,
+    pub book: &'a targets::TargetBook,
+    pub closed: &'a collections::BTreeSet<ids::DataCentreName>,
+    /// First members whose groups are about to be formed anew.
+    pub retiring: &'a collections::BTreeSet<ids::VmName>,
+    pub nodes: u32,
+    pub now: times::BootTime,
+}
+
+impl TableBuilder<'_> {
+    /// Builds the table out of the targets that take work; known slots are kept with their load.
+    pub(super) fn build(
+        &self,
+        slots: &mut collections::BTreeMap<state::SlotKey, sync::Arc<state::TargetSlot>>,
+    ) -> state::ServingTable {
+        let mut table = state::ServingTable::default();
+        let mut kept = collections::BTreeSet::new();
+        for record in self.book.records().values() {
+            let Some(service) = self.document.services().get(&record.entry.service) else {
+                continue;
+            };
+            let place = match &service.engine {
+                Some(engine) if !engine.models.is_empty() => match self.group_place(record, engine)
+                {
+                    Some(place) => Some(place),
+                    None => continue,
+                },
+                _ => None,
+            };
+            let slot = self.slot(record, service, place.as_ref(), slots);
+            kept.insert(slot.key());
+            if !self.takes_work(record) {
+                continue;
+            }
+            let pool = table.services.entry(service.name.clone()).or_default();
+            match place {
+                Some((model, _generation)) => pool.groups.entry(model).or_default().push(slot),
+                None => pool.plain.push(slot),
+            }
+        }
+        slots.retain(|key, slot| {
+            let stays = kept.contains(key);
+            // A plain target that leaves the list ends its work by itself; a group that was formed
+            // anew or broke can not.
+            if !stays && slot.model.is_some() {
+                slot.break_off();
+            }
+            stays
+        });
+        table
+    }
+
+    fn takes_work(&self, record: &targets::TargetRecord) -> bool {
+        record.takes_work(self.now)
+            && !self.closed.contains(&record.entry.data_centre)
+            && !self.retiring.contains(&record.entry.vm)
+    }
+
+    /// Returns the model and generation of the group that a VM is the open first member of, if
+    /// every member stands by it.
+    fn group_place(
+        &self,
+        record: &targets::TargetRecord,
+        engine: &documents::EngineSpec,
+    ) -> Option<(ids::ModelName, epochs::GroupGeneration)> {
+        let place = record.entry.standing.membership.as_ref()?;
+        let is_open = place.rank == 0 && place.phase == targets::GroupPhase::Open;
+        let model = record.entry.standing.running.as_ref()?;
+        let spec = engine.model(model).filter(|_spec| is_open)?;
+        let members = self.book.records().values().filter(|other| {
+            let membership = other.entry.standing.membership.as_ref();
+            let same = membership.is_some_and(|membership| {
+                membership.group == place.group
+                    && membership.generation == place.generation
+                    && matches!(
+                        membership.phase,
+                        targets::GroupPhase::Ready | targets::GroupPhase::Open
+                    )
+            });
+            same && other.stands(self.now)
+        });
+        let size = usize::try_from(spec.size.get()).unwrap_or(usize::MAX);
+        (members.count() == size).then(|| (model.clone(), place.generation))
+    }
+
+    fn slot(
+        &self,
+        record: &targets::TargetRecord,
+        service: &documents::ServiceSpec,
+        place: Option<&(ids::ModelName, epochs::GroupGeneration)>,
+        slots: &mut collections::BTreeMap<state::SlotKey, sync::Arc<state::TargetSlot>>,
+    ) -> sync::Arc<state::TargetSlot> {
+        let entry = &record.entry;
+        let generation = place.map(|(_model, generation)| *generation).unwrap_or_default();
+        let key = (entry.vm.clone(), entry.standing.born, generation);
+        let nodes = usize::try_from(self.nodes.max(1)).unwrap_or(1);
+        let part = usize::try_from(service.connections).unwrap_or(usize::MAX) / nodes;
+        let batch = service.engine.as_ref().map(|engine| engine.batch.get());
+        let slot = slots.entry(key.clone()).or_insert_with(|| {
+            sync::Arc::new(state::TargetSlot::new(
+                key,
+                entry.address,
+                place.map(|(model, _generation)| model.clone()),
+                batch.unwrap_or_else(|| entry.slots.get()).max(1),
+                entry.data_centre == self.settings.data_centre,
+                part.max(LEAST_CONNECTIONS),
+            ))
+        });
+        let mut cold = state::target_slot::lock(&slot.cold);
+        cold.until = record.cold_until;
+        cold.per_second = service.cold_per_second / f64::from(self.nodes.max(1));
+        drop(cold);
+        sync::Arc::clone(slot)
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/state/target_gauge.rs
@@ -0,0 +1,199 @@
+//! Load and progress at one target.
+
+use std::{
+    sync::{self, atomic},
+    time,
+};
+
+use pier_types::times;
+
+/// Weight of the newest reading in a running mean, as a divisor.
+const MEAN_WEIGHT: u64 = 8;
+
+/// Answer time that is assumed before any was measured.
+const FIRST_ANSWER_TIME: time::Duration = time::Duration::from_millis(60);
+
+/// Silence after which measured gaps no longer speak for the present.
+const GAP_LIFE: time::Duration = time::Duration::from_secs(3);
+
+const ORDER: atomic::Ordering = atomic::Ordering::Relaxed;
+
+/// Counts this node's requests at a target, and what others say of theirs.
+#[derive(Debug)]
+pub(crate) struct TargetGauge {
+    running: atomic::AtomicU32,
+    waiting: atomic::AtomicU32,
+    waiting_prompt: atomic::AtomicU64,
+    heard_running: atomic::AtomicU32,
+    heard_waiting: atomic::AtomicU32,
+    heard_prompt: atomic::AtomicU64,
+    last_progress: atomic::AtomicU64,
+    gap_micros: atomic::AtomicU64,
+    gap_at: atomic::AtomicU64,
+    answer_micros: atomic::AtomicU64,
+    failure_permille: atomic::AtomicU64,
+    stuck_until: atomic::AtomicU64,
+}
+
+impl Default for TargetGauge {
+    fn default() -> Self {
+        let first = u64::try_from(FIRST_ANSWER_TIME.as_micros()).unwrap_or(u64::MAX);
+        Self {
+            running: atomic::AtomicU32::new(0),
+            waiting: atomic::AtomicU32::new(0),
+            waiting_prompt: atomic::AtomicU64::new(0),
+            heard_running: atomic::AtomicU32::new(0),
+            heard_waiting: atomic::AtomicU32::new(0),
+            heard_prompt: atomic::AtomicU64::new(0),
+            last_progress: atomic::AtomicU64::new(0),
+            gap_micros: atomic::AtomicU64::new(0),
+            gap_at: atomic::AtomicU64::new(0),
+            answer_micros: atomic::AtomicU64::new(first),
+            failure_permille: atomic::AtomicU64::new(0),
+            stuck_until: atomic::AtomicU64::new(0),
+        }
+    }
+}
+
+impl TargetGauge {
+    /// Counts a request that is about to be sent, until the guard is dropped.
+    pub(crate) fn begin(
+        self: &sync::Arc<Self>,
+        prompt: u64,
+        now: times::BootTime,
+    ) -> GaugeGuard {
+        if self.own_in_flight() == 0 {
+            self.note_progress(now);
+        }
+        self.waiting.fetch_add(1, ORDER);
+        self.waiting_prompt.fetch_add(prompt, ORDER);
+        GaugeGuard {
+            gauge: sync::Arc::clone(self),
+            prompt,
+            has_begun: false,
+        }
+    }
+
+    pub(crate) fn own_running(&self) -> u32 {
+        self.running.load(ORDER)
+    }
+
+    pub(crate) fn own_waiting(&self) -> u32 {
+        self.waiting.load(ORDER)
+    }
+
+    pub(crate) fn own_waiting_prompt(&self) -> u64 {
+        self.waiting_prompt.load(ORDER)
+    }
+
+    pub(crate) fn own_in_flight(&self) -> u32 {
+        self.own_running() + self.own_waiting()
+    }
+
+    pub(crate) fn running(&self) -> u32 {
+        self.own_running() + self.heard_running.load(ORDER)
+    }
+
+    pub(crate) fn waiting(&self) -> u32 {
+        self.own_waiting() + self.heard_waiting.load(ORDER)
+    }
+
+    pub(crate) fn waiting_prompt(&self) -> u64 {
+        self.own_waiting_prompt() + self.heard_prompt.load(ORDER)
+    }
+
+    /// Takes in what the other nodes have at the target.
+    pub(crate) fn set_heard(&self, running: u32, waiting: u32, prompt: u64) {
+        self.heard_running.store(running, ORDER);
+        self.heard_waiting.store(waiting, ORDER);
+        self.heard_prompt.store(prompt, ORDER);
+    }
+
+    pub(crate) fn note_progress(&self, now: times::BootTime) {
+        self.last_progress.fetch_max(now.as_micros(), ORDER);
+    }
+
+    pub(crate) fn last_progress(&self) -> times::BootTime {
+        times::BootTime::from_micros(self.last_progress.load(ORDER))
+    }
+
+    /// Takes in the time between two events of one stream.
+    pub(crate) fn note_gap(&self, gap: time::Duration, now: times::BootTime) {
+        fold_mean(&self.gap_micros, gap);
+        self.gap_at.store(now.as_micros(), ORDER);
+    }
+
+    /// Returns the mean gap of late, if one was measured.
+    pub(crate) fn gap(&self, now: times::BootTime) -> Option<time::Duration> {
+        let at = times::BootTime::from_micros(self.gap_at.load(ORDER));
+        let micros = self.gap_micros.load(ORDER);
+        (micros > 0 && now.since(at) < GAP_LIFE).then(|| time::Duration::from_micros(micros))
+    }
+
+    pub(crate) fn note_answer(&self, taken: time::Duration, is_failure: bool) {
+        fold_mean(&self.answer_micros, taken);
+        let reading = if is_failure { 1_000 } else { 0 };
+        let fold = |mean: u64| Some((mean * (MEAN_WEIGHT - 1) + reading) / MEAN_WEIGHT);
+        let _same = self.failure_permille.fetch_update(ORDER, ORDER, fold);
+    }
+
+    pub(crate) fn answer_time(&self) -> time::Duration {
+        time::Duration::from_micros(self.answer_micros.load(ORDER))
+    }
+
+    pub(crate) fn failure_rate(&self) -> f64 {
+        self.failure_permille.load(ORDER) as f64 / 1_000.0
+    }
+
+    /// Sends nothing new to the target until a time.
+    pub(crate) fn set_stuck(&self, until: times::BootTime) {
+        self.stuck_until.fetch_max(until.as_micros(), ORDER);
+    }
+
+    pub(crate) fn is_stuck(&self, now: times::BootTime) -> bool {
+        now.as_micros() < self.stuck_until.load(ORDER)
+    }
+}
+
+fn fold_mean(cell: &atomic::AtomicU64, reading: time::Duration) {
+    let reading = u64::try_from(reading.as_micros()).unwrap_or(u64::MAX / MEAN_WEIGHT);
+    let fold = |mean: u64| {
+        if mean == 0 {
+            return Some(reading);
+        }
+        Some((mean * (MEAN_WEIGHT - 1) + reading) / MEAN_WEIGHT)
+    };
+    let _same = cell.fetch_update(ORDER, ORDER, fold);
+}
+
+/// Keeps a request counted.
+#[derive(Debug)]
+pub(crate) struct GaugeGuard {
+    gauge: sync::Arc<TargetGauge>,
+    prompt: u64,
+    has_begun: bool,
+}
+
+impl GaugeGuard {
+    /// Notes that the first part of the answer has come.
+    pub(crate) fn note_begun(&mut self) {
+        if self.has_begun {
+            return;
+        }
+        self.has_begun = true;
+        self.gauge.waiting.fetch_sub(1, ORDER);
+        self.gauge.waiting_prompt.fetch_sub(self.prompt, ORDER);
+        self.gauge.running.fetch_add(1, ORDER);
+    }
+}
+
+impl Drop for GaugeGuard {
+    fn drop(&mut self) {
+        if self.has_begun {
+            self.gauge.running.fetch_sub(1, ORDER);
+        } else {
+            self.gauge.waiting.fetch_sub(1, ORDER);
+            self.gauge.waiting_prompt.fetch_sub(self.prompt, ORDER);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/state/target_slot.rs
@@ -0,0 +1,131 @@
+//! One target that requests can be sent to.
+
+use std::{net, sync};
+
+use pier_fleet::{budgets, dispatch, documents};
+use pier_types::{epochs, ids, times};
+use tokio::sync::watch;
+
+use crate::{serving, state};
+
+/// Tells one target, in one start and one generation of its group, apart.
+pub(crate) type SlotKey = (ids::VmName, epochs::VmIncarnation, epochs::GroupGeneration);
+
+/// A target with its connections and its load.
+#[derive(Debug)]
+pub(crate) struct TargetSlot {
+    pub vm: ids::VmName,
+    pub born: epochs::VmIncarnation,
+    pub generation: epochs::GroupGeneration,
+    pub model: Option<ids::ModelName>,
+    pub slots: u32,
+    pub is_local: bool,
+    pub gauge: sync::Arc<state::TargetGauge>,
+    pub connections: serving::ConnectionPool,
+    pub cold_gate: sync::Mutex<budgets::ColdGate>,
+    pub cold: sync::Mutex<ColdTerms>,
+    broken: watch::Sender<bool>,
+}
+
+/// Until when a target is cold, and this node's part of what it bears.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct ColdTerms {
+    pub until: times::BootTime,
+    pub per_second: f64,
+}
+
+impl TargetSlot {
+    #[expect(clippy::too_many_arguments, reason = "each field is one fact of the entry")]
+    pub(crate) fn new(
+        key: SlotKey,
+        address: net::SocketAddr,
+        model: Option<ids::ModelName>,
+        slots: u32,
+        is_local: bool,
+        connections: usize,
+    ) -> Self {
+        Self {
+            vm: key.0,
+            born: key.1,
+            generation: key.2,
+            model,
+            slots,
+            is_local,
+            gauge: sync::Arc::default(),
+            connections: serving::ConnectionPool::new(address, connections),
+            cold_gate: sync::Mutex::default(),
+            cold: sync::Mutex::default(),
+            broken: watch::Sender::new(false),
+        }
+    }
+
+    pub(crate) fn key(&self) -> SlotKey {
+        (self.vm.clone(), self.born, self.generation)
+    }
+
+    /// Ends what is in flight at the target; it goes on elsewhere where that is allowed.
+    pub(crate) fn break_off(&self) {
+        self.broken.send_replace(true);
+    }
+
+    /// Lets a target that was broken off be used again.
+    pub(crate) fn restore(&self) {
+        self.broken.send_if_modified(|broken| std::mem::replace(broken, false));
+    }
+
+    /// Returns what tells a request that the target was broken off from now on.
+    pub(crate) fn watch_break(&self) -> watch::Receiver<bool> {
+        let mut receiver = self.broken.subscribe();
+        receiver.mark_unchanged();
+        receiver
+    }
+
+    /// Returns the load as a choice sees it.
+    pub(crate) fn facts(
+        &self,
+        engine: Option<(&documents::EngineSpec, f64)>,
+        now: times::BootTime,
+    ) -> dispatch::LoadFacts {
+        let running = self.gauge.running();
+        let waiting_prompt = self.gauge.waiting_prompt();
+        let slowness = engine.map_or(1.0, |(engine, pace)| {
+            let expected = dispatch::PassModel::new(engine, pace).pass_time(running, waiting_prompt);
+            let gap = self.gauge.gap(now).unwrap_or(expected);
+            (gap.as_secs_f64() / expected.as_secs_f64().max(0.001)).clamp(1.0, 20.0)
+        });
+        let is_closed =
+            self.connections.is_full() || self.gauge.is_stuck(now) || !self.allows_cold(now);
+        dispatch::LoadFacts {
+            running,
+            waiting: self.gauge.waiting(),
+            waiting_prompt,
+            slots: self.slots,
+            slowness,
+            failure_rate: self.gauge.failure_rate(),
+            is_local: self.is_local,
+            is_used_up: is_closed,
+            answer_time: self.gauge.answer_time(),
+        }
+    }
+
+    /// Counts a send against the share of a cold target.
+    pub(crate) fn count_send(&self, now: times::BootTime) {
+        let terms = *lock(&self.cold);
+        if terms.until > now && terms.per_second > 0.0 {
+            lock(&self.cold_gate).take(terms.per_second, now);
+        }
+    }
+
+    fn allows_cold(&self, now: times::BootTime) -> bool {
+        let terms = *lock(&self.cold);
+        if terms.until <= now || terms.per_second <= 0.0 {
+            return true;
+        }
+        lock(&self.cold_gate).allows(terms.per_second, now)
+    }
+}
+
+/// Locks a value; one that a panic left behind is used as it is.
+pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -0,0 +1,138 @@
+//! The metrics that a node serves.
+
+use std::{fmt, sync::Mutex, time};
+
+use prometheus_client::{
+    encoding::text,
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+
+use crate::state;
+
+type Labels = Vec<(&'static str, String)>;
+
+/// Upper ends of the classes of latencies, in seconds.
+const LATENCY_CLASSES: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0];
+
+/// Counts what a node does.
+pub(crate) struct EdgeMetrics {
+    registry: Mutex<Registry>,
+    answers: Family<Labels, Counter>,
+    answer_time: Histogram,
+    first_event: Histogram,
+    streams: Family<Labels, Counter>,
+    resumes: Family<Labels, Counter>,
+    stuck: Counter,
+    store_calls: Family<Labels, Counter>,
+    store_failures: Family<Labels, Counter>,
+    orders: Family<Labels, Counter>,
+    questions: Counter,
+    bad_beats: Counter,
+    document_version: Gauge,
+}
+
+impl fmt::Debug for EdgeMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EdgeMetrics").finish_non_exhaustive()
+    }
+}
+
+impl Default for EdgeMetrics {
+    fn default() -> Self {
+        let metrics = Self {
+            registry: Mutex::new(Registry::with_prefix("buckthornpier")),
+            answers: Family::default(),
+            answer_time: Histogram::new(LATENCY_CLASSES),
+            first_event: Histogram::new(LATENCY_CLASSES),
+            streams: Family::default(),
+            resumes: Family::default(),
+            stuck: Counter::default(),
+            store_calls: Family::default(),
+            store_failures: Family::default(),
+            orders: Family::default(),
+            questions: Counter::default(),
+            bad_beats: Counter::default(),
+            document_version: Gauge::default(),
+        };
+        let mut registry = state::lock(&metrics.registry);
+        registry.register("answers", "Answers by cause and status", metrics.answers.clone());
+        registry.register("answer_seconds", "Time to the answer's head", metrics.answer_time.clone());
+        registry.register("first_event_seconds", "Time to a stream's first event", metrics.first_event.clone());
+        registry.register("streams", "Streams by how they ended", metrics.streams.clone());
+        registry.register("resumes", "Streams that lost their target", metrics.resumes.clone());
+        registry.register("stuck_targets", "Targets found stuck by silence", metrics.stuck.clone());
+        registry.register("store_calls", "Calls to the store", metrics.store_calls.clone());
+        registry.register("store_failures", "Calls to the store that failed", metrics.store_failures.clone());
+        registry.register("group_orders", "Orders to members of groups", metrics.orders.clone());
+        registry.register("member_questions", "Questions to members of groups", metrics.questions.clone());
+        registry.register("bad_beats", "Datagrams that were not understood", metrics.bad_beats.clone());
+        registry.register("document_version", "Version of the document in force", metrics.document_version.clone());
+        drop(registry);
+        metrics
+    }
+}
+
+impl EdgeMetrics {
+    pub(crate) fn count_answer(&self, cause: &str, status: u16, taken: time::Duration) {
+        let labels = vec![("cause", cause.to_owned()), ("status", status.to_string())];
+        self.answers.get_or_create(&labels).inc();
+        self.answer_time.observe(taken.as_secs_f64());
+    }
+
+    pub(crate) fn observe_first_event(&self, taken: time::Duration) {
+        self.first_event.observe(taken.as_secs_f64());
+    }
+
+    pub(crate) fn count_stream(&self, outcome: &str) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.streams.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn count_resume(&self, outcome: &str) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.resumes.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn count_stuck(&self) {
+        self.stuck.inc();
+    }
+
+    pub(crate) fn count_store_call(&self, kind: &str, call: &str) {
+        let labels = vec![("kind", kind.to_owned()), ("call", call.to_owned())];
+        self.store_calls.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn count_store_failure(&self, kind: &str) {
+        let labels = vec![("kind", kind.to_owned())];
+        self.store_failures.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn count_order(&self, order: &str) {
+        let labels = vec![("order", order.to_owned())];
+        self.orders.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn count_question(&self) {
+        self.questions.inc();
+    }
+
+    pub(crate) fn count_bad_beat(&self) {
+        self.bad_beats.inc();
+    }
+
+    pub(crate) fn set_document_version(&self, version: u64) {
+        self.document_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+    }
+
+    /// Returns the page of all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the library can not write the text.
+    pub(crate) fn page(&self) -> Result<String, fmt::Error> {
+        let mut page = String::new();
+        text::encode(&mut page, &state::lock(&self.registry))?;
+        Ok(page)
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/telemetry/metrics_server.rs
@@ -0,0 +1,68 @@
+//! Small pages for the balancer and for metrics.
+
+use std::{convert, net};
+
+use anyhow::Context as _;
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+
+use crate::{links, state};
+
+/// Serves `/readyz` and `/metrics` on an address.
+///
+/// # Errors
+///
+/// Fails when the port can not be bound.
+pub(crate) async fn spawn<P: links::FleetPlatform>(
+    state: state::EdgeState<P>,
+    address: net::SocketAddr,
+) -> anyhow::Result<()> {
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.with_context(|| format!("binding {address}"))?;
+    tokio::spawn(async move {
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _from)) => stream,
+                Err(error) => {
+                    log::warn!(event = "accept-failed", cause:% = error; "");
+                    tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                    continue;
+                }
+            };
+            let state = state.clone();
+            let service = service_fn(move |request: http::Request<Incoming>| {
+                let response = page(&state, request.uri().path());
+                async move { Ok::<_, convert::Infallible>(response) }
+            });
+            let mut server = http1::Builder::new();
+            server.timer(TokioTimer::new());
+            let connection = server.serve_connection(TokioIo::new(stream), service);
+            tokio::spawn(async move {
+                if let Err(error) = connection.await {
+                    log::debug!(event = "page-connection-ended", cause:% = error; "");
+                }
+            });
+        }
+    });
+    Ok(())
+}
+
+fn page<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    path: &str,
+) -> http::Response<Full<bytes::Bytes>> {
+    let (status, text) = match path {
+        "/readyz" if state.is_ready() => (http::StatusCode::OK, "ready\n".to_owned()),
+        "/readyz" => (http::StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+        "/metrics" => state.metrics().page().map_or_else(
+            |error| (http::StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+            |page| (http::StatusCode::OK, page),
+        ),
+        _ => (http::StatusCode::NOT_FOUND, "no such page\n".to_owned()),
+    };
+    let mut response = http::Response::new(Full::new(text.into()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/pier_edge/src/telemetry/mod.rs
@@ -0,0 +1,7 @@
+//! Counters and histograms of a node.
+
+mod edge_metrics;
+mod metrics_server;
+
+pub(crate) use edge_metrics::EdgeMetrics;
+pub(crate) use metrics_server::spawn;
--- /dev/null
+++ b/crates/pier_fleet/src/budgets/mod.rs
@@ -0,0 +1,9 @@
+//! This node's part of limits that all nodes keep together.
+
+mod cold_gate;
+mod load_budget;
+mod window_count;
+
+pub use cold_gate::ColdGate;
+pub use load_budget::LoadBudget;
+pub use window_count::WindowCount;
--- /dev/null
+++ b/crates/pier_fleet/src/dispatch/mod.rs
@@ -0,0 +1,18 @@
+//! Who waits, who is refused, and where work goes.
+//!
+//! Keeps the promise that a request which can not be answered in time is refused at once, with a
+//! time to come back that follows from the load.
+
+mod choice_outcome;
+mod load_facts;
+mod pass_model;
+mod plain_choice;
+mod request_facts;
+mod stream_choice;
+
+pub use choice_outcome::ChoiceOutcome;
+pub use load_facts::LoadFacts;
+pub use pass_model::PassModel;
+pub use plain_choice::choose_plain;
+pub use request_facts::RequestFacts;
+pub use stream_choice::choose_stream;
--- /dev/null
+++ b/crates/pier_fleet/src/dispatch/pass_model.rs
@@ -0,0 +1,68 @@
+//! Times of an engine's passes.
+
+use std::time;
+
+use crate::{dispatch, documents};
+
+/// Milliseconds in a second.
+const MILLIS: f64 = 1_000.0;
+
+/// Predicts when a group answers, from its published times and its load.
+///
+/// A group works in passes: each runs some token steps for the requests that write, and reads
+/// waiting prompts between them. A request that arrives waits for the pass under way.
+#[derive(Debug, Clone, Copy)]
+pub struct PassModel<'a> {
+    engine: &'a documents::EngineSpec,
+    pace: f64,
+}
+
+impl<'a> PassModel<'a> {
+    /// Makes the model of a group that runs at a factor on the engine's times.
+    pub const fn new(engine: &'a documents::EngineSpec, pace: f64) -> Self {
+        Self { engine, pace }
+    }
+
+    /// Returns the time between two events of a stream at a group with this load.
+    pub fn pass_time(&self, running: u32, reading: u64) -> time::Duration {
+        let batch = self.engine.batch.get();
+        let steps = f64::from(self.engine.steps_per_pass);
+        let token_ms = steps * self.engine.step_time_ms(f64::from(running.min(batch)));
+        let most_read = self.engine.chunk.get() as f64 * steps;
+        let read_ms = (reading as f64).min(most_read) / self.engine.read_per_ms;
+        self.scaled(token_ms + read_ms)
+    }
+
+    /// Returns the expected time to the first event of a request with so many prompt tokens.
+    pub fn first_event(&self, load: &dispatch::LoadFacts, prompt: u64) -> time::Duration {
+        let steps = f64::from(self.engine.steps_per_pass);
+        let running = load.running.min(self.engine.batch.get());
+        let token_ms = steps * self.engine.step_time_ms(f64::from(running));
+        let backlog = (load.waiting_prompt + prompt) as f64;
+        let passes = (backlog / (self.engine.chunk.get() as f64 * steps)).max(1.0);
+        let read_ms = backlog / self.engine.read_per_ms;
+        let current_ms = if load.running == 0 {
+            0.0
+        } else {
+            token_ms / 2.0
+        };
+        let own = current_ms + passes * token_ms + read_ms;
+        let total = (own + self.slot_wait_ms(load)) * load.slowness;
+        self.scaled(total)
+    }
+
+    /// Returns the milliseconds until a place in the batch is free.
+    fn slot_wait_ms(&self, load: &dispatch::LoadFacts) -> f64 {
+        let batch = f64::from(self.engine.batch.get().max(1));
+        let ahead = f64::from(load.in_flight()) + 1.0 - batch;
+        if ahead <= 0.0 {
+            return 0.0;
+        }
+        let answer_ms = self.engine.usual_answer.get() as f64 * self.engine.step_time_ms(batch);
+        ahead * answer_ms / batch
+    }
+
+    fn scaled(&self, millis: f64) -> time::Duration {
+        time::Duration::from_secs_f64((millis * self.pace / MILLIS).clamp(0.0, 3_600.0))
+    }
+}
--- /dev/null
+++ b/crates/pier_fleet/src/dispatch/request_facts.rs
@@ -0,0 +1,20 @@
+//! What a choice knows of a request.
+
+use std::time;
+
+/// One request as a choice sees it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestFacts {
+    /// Prompt tokens, 0 when unknown.
+    pub prompt: u64,
+    /// Promised time to the first part, less what has passed of it.
+    pub objective_left: time::Duration,
+    /// Time that is left in all.
+    pub time_left: time::Duration,
+    /// Rank among requests, 0 first.
+    pub rank: u8,
+    /// Whether the caller already has a part of the answer.
+    pub is_resumed: bool,
+    /// An evenly spread number that parts nodes which see the same loads.
+    pub draw: u32,
+}
--- /dev/null
+++ b/crates/pier_fleet/src/documents/split_share.rs
@@ -0,0 +1,12 @@
+//! A service's part of a route.
+
+use pier_types::ids;
+
+/// A service and its weight.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SplitShare {
+    /// The service.
+    pub service: ids::ServiceName,
+    /// Weight against the route's other services.
+    pub weight: u32,
+}
--- /dev/null
+++ b/crates/pier_fleet/src/formation/domain_plan.rs
@@ -0,0 +1,485 @@
+//! One run over one fabric domain.
+
+use std::{collections, time};
+
+use pier_types::{ids, times};
+
+use crate::{documents, formation, targets};
+
+/// How long streams of a group that loses a leaving member may still run.
+///
+/// A leaving VM goes on for two seconds at least after its word; the rest is for the orders.
+const RETIRE_TIME: time::Duration = time::Duration::from_millis(1_500);
+
+/// How long a first member that does not answer may still think that its group is open; its
+/// members are free for other groups only after it.
+const SILENT_TIME: time::Duration = time::Duration::from_secs(5);
+
+/// How long a group may lack members before its VMs are given to other groups.
+const SHORT_TIME: time::Duration = time::Duration::from_secs(8);
+
+/// Pause before a first member that was told to serve is told again.
+const OPEN_PAUSE: time::Duration = time::Duration::from_secs(1);
+
+/// Mends, forms and prepares the groups of one domain.
+#[derive(Debug)]
+pub(super) struct DomainPlan<'a> {
+    planner: &'a mut formation::FormationPlanner,
+    input: &'a formation::FormationInput<'a>,
+    domain: &'a ids::DomainName,
+    now: times::BootTime,
+    pub orders: Vec<formation::GroupOrder>,
+}
+
+impl<'a> DomainPlan<'a> {
+    pub fn new(
+        planner: &'a mut formation::FormationPlanner,
+        input: &'a formation::FormationInput<'a>,
+        domain: &'a ids::DomainName,
+        now: times::BootTime,
+    ) -> Self {
+        Self {
+            planner,
+            input,
+            domain,
+            now,
+            orders: Vec::new(),
+        }
+    }
+
+    /// Brings each group of the domain a step further, or forms it anew without lost members.
+    pub fn mend_groups(&mut self) {
+        for name in self.group_names() {
+            let Some(mut group) = self.planner.groups.remove(&name) else {
+                continue;
+            };
+            let states = group.states(&name, self.input.facts);
+            self.mend_group(&name, &mut group, &states);
+            if !group.members.is_empty() {
+                self.planner.groups.insert(name, group);
+            }
+        }
+    }
+
+    /// Forms new groups out of free VMs, the model that is furthest below its part first.
+    pub fn form_groups(&mut self) {
+        let lacking = self.lacking();
+        if !lacking.is_empty() {
+            return;
+        }
+        while let Some(model) = self.next_model() {
+            let size = usize::try_from(model.size.get()).unwrap_or(usize::MAX);
+            let mut pool = self.free_pool(model);
+            pool.truncate(size);
+            let Some(name) = self.free_name(model) else {
+                return;
+            };
+            let members = pool.iter().map(|vm| self.planned_member(vm)).collect();
+            let mut group = formation::PlannedGroup {
+                model: model.name.clone(),
+                generation: self.planner.next_generation(),
+                members,
+                is_whole: true,
+                opened_at: None,
+                retiring_since: None,
+                broken_since: None,
+            };
+            let states = group.states(&name, self.input.facts);
+            self.step_group(&name, &mut group, &states);
+            self.planner.groups.insert(name, group);
+        }
+    }
+
+    /// Starts the models of this domain's groups on its free VMs.
+    pub fn prepare_spares(&mut self) {
+        let models = &self.input.engine.models;
+        let (lacking, grouped) = (self.lacking(), self.grouped());
+        let free = self.free_vms();
+        let facts = free.iter().filter_map(|vm| self.input.facts.get(vm));
+        let mut standby = formation::spare_choice::count_standby(facts, models);
+        for vm in free {
+            let Some(facts) = self.input.facts.get(&vm).cloned() else {
+                continue;
+            };
+            let present = self.standby_model(&facts);
+            if let Some(present) = &present {
+                let short = lacking.get(present).copied().unwrap_or(0);
+                let wanted_elsewhere = lacking.iter().any(|(model, count)| {
+                    model != present && *count > standby.get(model).copied().unwrap_or(0)
+                });
+                if short > 0 || !wanted_elsewhere {
+                    continue;
+                }
+            }
+            let choice =
+                formation::spare_choice::choose_model(models, &lacking, &grouped, &standby);
+            let Some(model) = choice else { return };
+            if present.as_ref() == Some(&model.name) || facts.is_held {
+                continue;
+            }
+            if self.order_standby(&facts, model) {
+                *standby.entry(model.name.clone()).or_insert(0) += 1;
+            }
+        }
+    }
+
+    fn group_names(&self) -> Vec<ids::GroupName> {
+        let is_here = |group: &formation::PlannedGroup| {
+            group.members.iter().any(|member| {
+                let facts = self.input.facts.get(&member.vm);
+                facts.is_some_and(|facts| facts.domain == *self.domain)
+            })
+        };
+        let groups = self.planner.groups.iter();
+        groups
+            .filter(|(_name, group)| is_here(group))
+            .map(|(name, _group)| name.clone())
+            .collect()
+    }
+
+    fn mend_group(
+        &mut self,
+        name: &ids::GroupName,
+        group: &mut formation::PlannedGroup,
+        states: &[formation::MemberState],
+    ) {
+        let has_fault = states.iter().any(|state| state.is_fault());
+        if has_fault || !group.is_whole {
+            self.repair(name, group, states);
+            return;
+        }
+        let is_leaving = states.contains(&formation::MemberState::Leaving);
+        if is_leaving && self.may_retire(group) {
+            self.repair(name, group, states);
+            return;
+        }
+        if !is_leaving {
+            group.retiring_since = None;
+        }
+        self.step_group(name, group, states);
+    }
+
+    /// Tells whether a group with a leaving member is to be formed anew now.
+    fn may_retire(&self, group: &mut formation::PlannedGroup) -> bool {
+        let Some(model) = self.input.engine.model(&group.model) else {
+            return false;
+        };
+        let leaving = group.members.iter().filter(|member| {
+            let facts = self.input.facts.get(&member.vm);
+            facts.is_none_or(|facts| facts.draining_since.is_some())
+        });
+        let leaving = leaving.count();
+        if self.ready_pool(model).len() < leaving {
+            return false;
+        }
+        let since = *group.retiring_since.get_or_insert(self.now);
+        let head = group.members.first().map(|member| &member.vm);
+        let in_flight = head.and_then(|vm| self.input.in_flight.get(vm)).copied();
+        let is_idle = in_flight.unwrap_or(0) == 0 && self.now > since;
+        is_idle || self.now.since(since) >= RETIRE_TIME
+    }
+
+    /// Sends what brings a whole group a step further.
+    fn step_group(
+        &mut self,
+        name: &ids::GroupName,
+        group: &mut formation::PlannedGroup,
+        states: &[formation::MemberState],
+    ) {
+        for (member, state) in group.members.iter().zip(states) {
+            if *state == formation::MemberState::Unjoined {
+                self.order_join(name, group, &member.vm);
+            }
+        }
+        let is_ready = |state: &formation::MemberState| {
+            matches!(
+                state,
+                formation::MemberState::Ready | formation::MemberState::Open
+            )
+        };
+        let head_waits = states.first() == Some(&formation::MemberState::Ready);
+        let is_due = group
+            .opened_at
+            .is_none_or(|at| self.now.since(at) >= OPEN_PAUSE);
+        if head_waits && is_due && states.iter().all(is_ready) {
+            self.order_open(name, group);
+        }
+    }
+
+    /// Forms a group anew out of its survivors and standby VMs.
+    fn repair(
+        &mut self,
+        name: &ids::GroupName,
+        group: &mut formation::PlannedGroup,
+        states: &[formation::MemberState],
+    ) {
+        let Some(model) = self.input.engine.model(&group.model) else {
+            group.members.clear();
+            return;
+        };
+        let size = usize::try_from(model.size.get()).unwrap_or(usize::MAX);
+        let kept = group.members.iter().zip(states).filter(|(member, state)| {
+            let usable = self.input.facts.get(&member.vm).is_some_and(formation::MemberFacts::is_usable);
+            usable && !matches!(state, formation::MemberState::Gone | formation::MemberState::Strayed | formation::MemberState::Leaving)
+        });
+        let mut kept: Vec<_> = kept.map(|(member, _state)| member.vm.clone()).collect();
+        let since = *group.broken_since.get_or_insert(self.now);
+        group.is_whole = false;
+        let need = size.saturating_sub(kept.len());
+        let pool = self.ready_pool(model);
+        if pool.len() < need {
+            let is_given_up = kept.is_empty() || self.now.since(since) >= SHORT_TIME;
+            if is_given_up && self.head_is_closed(name, group) {
+                self.dissolve(name, group, &kept);
+            }
+            return;
+        }
+        kept.extend(pool.into_iter().take(need));
+        kept.truncate(size);
+        *group = formation::PlannedGroup {
+            model: group.model.clone(),
+            generation: self.planner.next_generation(),
+            members: kept.iter().map(|vm| self.planned_member(vm)).collect(),
+            is_whole: true,
+            opened_at: None,
+            retiring_since: None,
+            broken_since: None,
+        };
+        let states = group.states(name, self.input.facts);
+        self.step_group(name, group, &states);
+    }
+
+    /// Gives a group up; its survivors leave it, so that they can be used elsewhere.
+    fn dissolve(
+        &mut self,
+        name: &ids::GroupName,
+        group: &mut formation::PlannedGroup,
+        survivors: &[ids::VmName],
+    ) {
+        for vm in survivors {
+            let Some(facts) = self.input.facts.get(vm).filter(|facts| !facts.is_held) else {
+                continue;
+            };
+            let kind = formation::OrderKind::Leave;
+            self.push_order(facts, name.clone(), group.generation, kind);
+        }
+        group.members.clear();
+    }
+
+    /// Tells whether nothing can be open any more under a group's name.
+    fn head_is_closed(&self, name: &ids::GroupName, group: &formation::PlannedGroup) -> bool {
+        let Some(head) = group.members.first() else {
+            return true;
+        };
+        if let Some(since) = self.planner.lost_since.get(&head.vm) {
+            return self.now.since(*since) >= SILENT_TIME;
+        }
+        let Some(facts) = self.input.facts.get(&head.vm) else {
+            return false;
+        };
+        let place = facts.standing.membership.as_ref();
+        place.is_none_or(|place| {
+            place.group != *name
+                || !matches!(
+                    place.phase,
+                    targets::GroupPhase::Open | targets::GroupPhase::Closing
+                )
+        })
+    }
+
+    fn planned_member(&self, vm: &ids::VmName) -> formation::PlannedMember {
+        let facts = self.input.facts.get(vm);
+        formation::PlannedMember {
+            vm: vm.clone(),
+            born: facts.map(|facts| facts.standing.born).unwrap_or_default(),
+            was_in: false,
+        }
+    }
+
+    /// Returns the usable VMs of the domain that no group has.
+    fn free_vms(&self) -> Vec<ids::VmName> {
+        let is_planned = |vm: &ids::VmName| {
+            let mut groups = self.planner.groups.values();
+            groups.any(|group| group.has(vm))
+        };
+        let facts = self.input.facts.values();
+        let free = facts.filter(|facts| {
+            facts.domain == *self.domain && facts.is_usable() && !is_planned(&facts.vm)
+        });
+        free.map(|facts| facts.vm.clone()).collect()
+    }
+
+    /// Returns the free VMs, those that can run the model soonest first.
+    fn free_pool(&self, model: &documents::ModelSpec) -> Vec<ids::VmName> {
+        let mut pool = self.free_vms();
+        pool.sort_by_key(|vm| self.distance(vm, model));
+        pool
+    }
+
+    /// Returns the free VMs that need no load for the model.
+    fn ready_pool(&self, model: &documents::ModelSpec) -> Vec<ids::VmName> {
+        let mut pool = self.free_pool(model);
+        pool.retain(|vm| self.distance(vm, model) < 2);
+        pool
+    }
+
+    fn distance(&self, vm: &ids::VmName, model: &documents::ModelSpec) -> u8 {
+        let facts = self.input.facts.get(vm);
+        facts.map_or(u8::MAX, |facts| facts.distance(model))
+    }
+
+    /// Returns how many members the groups of each model lack.
+    fn lacking(&self) -> collections::BTreeMap<ids::ModelName, u32> {
+        let mut lacking = collections::BTreeMap::new();
+        for name in self.group_names() {
+            let Some(group) = self.planner.groups.get(&name).filter(|group| !group.is_whole)
+            else {
+                continue;
+            };
+            let Some(model) = self.input.engine.model(&group.model) else {
+                continue;
+            };
+            let usable = group.members.iter().filter(|member| {
+                let facts = self.input.facts.get(&member.vm);
+                facts.is_some_and(formation::MemberFacts::is_usable)
+            });
+            let usable = u32::try_from(usable.count()).unwrap_or(u32::MAX);
+            let missing = model.size.get().saturating_sub(usable);
+            *lacking.entry(model.name.clone()).or_insert(0) += missing;
+        }
+        lacking
+    }
+
+    /// Returns how many members the groups of each model have.
+    fn grouped(&self) -> collections::BTreeMap<ids::ModelName, u32> {
+        let mut grouped = collections::BTreeMap::new();
+        for name in self.group_names() {
+            if let Some(group) = self.planner.groups.get(&name) {
+                let count = u32::try_from(group.members.len()).unwrap_or(u32::MAX);
+                *grouped.entry(group.model.clone()).or_insert(0) += count;
+            }
+        }
+        grouped
+    }
+
+    /// Returns the model of the next new group that the domain's free VMs can hold.
+    fn next_model(&self) -> Option<&'a documents::ModelSpec> {
+        let free = self.free_vms().len();
+        let has_groups = !self.group_names().is_empty();
+        let reserve = usize::from(has_groups);
+        let counts = |model: &documents::ModelSpec| {
+            let groups = self.planner.groups.values();
+            groups.filter(|group| group.model == model.name).count() as f64
+        };
+        let fill = |model: &documents::ModelSpec| {
+            let wanted = (model.share / f64::from(model.size.get().max(1))).max(1e-6);
+            counts(model) / wanted
+        };
+        let fits = |model: &&documents::ModelSpec| {
+            let size = usize::try_from(model.size.get()).unwrap_or(usize::MAX);
+            size > 0 && free >= size + reserve
+        };
+        let models = self.input.engine.models.iter().filter(fits);
+        models.min_by(|left, right| {
+            let order = fill(left).partial_cmp(&fill(right));
+            let by_size = right.size.cmp(&left.size);
+            order.unwrap_or(std::cmp::Ordering::Equal).then(by_size)
+        })
+    }
+
+    /// Returns a name that no group of the domain bears.
+    fn free_name(&self, model: &documents::ModelSpec) -> Option<ids::GroupName> {
+        let numbers = 0..u32::try_from(self.input.facts.len()).unwrap_or(u32::MAX);
+        let names = numbers.filter_map(|number| {
+            formation::group_naming::group_name(&model.name, self.domain, number)
+        });
+        let mut free = names.filter(|name| !self.planner.groups.contains_key(name));
+        free.next()
+    }
+
+    /// Returns the model of a VM's standby group.
+    fn standby_model(&self, facts: &formation::MemberFacts) -> Option<ids::ModelName> {
+        let place = facts.standing.membership.as_ref()?;
+        if !formation::group_naming::is_standby(&place.group) {
+            return None;
+        }
+        let model = formation::group_naming::model_of(&place.group, &self.input.engine.models)?;
+        Some(model.name.clone())
+    }
+
+    fn order_join(
+        &mut self,
+        name: &ids::GroupName,
+        group: &formation::PlannedGroup,
+        vm: &ids::VmName,
+    ) {
+        let Some(model) = self.input.engine.model(&group.model) else {
+            return;
+        };
+        let Some(facts) = self.input.facts.get(vm).filter(|facts| !facts.is_held) else {
+            return;
+        };
+        let needs_load = facts.distance(model) == 2;
+        if needs_load && !self.planner.take_load(self.now) {
+            return;
+        }
+        let kind = formation::OrderKind::Join {
+            model: model.name.clone(),
+            members: group.names(),
+            needs_load,
+        };
+        self.push_order(facts, name.clone(), group.generation, kind);
+    }
+
+    fn order_open(&mut self, name: &ids::GroupName, group: &mut formation::PlannedGroup) {
+        let Some(head) = group.members.first() else {
+            return;
+        };
+        let Some(facts) = self.input.facts.get(&head.vm).filter(|facts| !facts.is_held) else {
+            return;
+        };
+        group.opened_at = Some(self.now);
+        let kind = formation::OrderKind::Open;
+        self.push_order(facts, name.clone(), group.generation, kind);
+    }
+
+    /// Starts a model on a free VM in a group of its own; returns whether the order is sent.
+    fn order_standby(
+        &mut self,
+        facts: &formation::MemberFacts,
+        model: &documents::ModelSpec,
+    ) -> bool {
+        let Some(name) = formation::group_naming::standby_name(&model.name, &facts.vm) else {
+            return false;
+        };
+        let needs_load = facts.distance(model) == 2;
+        if needs_load && !self.planner.take_load(self.now) {
+            return false;
+        }
+        let kind = formation::OrderKind::Join {
+            model: model.name.clone(),
+            members: vec![facts.vm.clone()],
+            needs_load,
+        };
+        let generation = self.planner.next_generation();
+        self.push_order(facts, name, generation, kind);
+        true
+    }
+
+    fn push_order(
+        &mut self,
+        facts: &formation::MemberFacts,
+        group: ids::GroupName,
+        generation: pier_types::epochs::GroupGeneration,
+        kind: formation::OrderKind,
+    ) {
+        self.orders.push(formation::GroupOrder {
+            vm: facts.vm.clone(),
+            born: facts.standing.born,
+            expected_orders: facts.standing.orders,
+            group,
+            generation,
+            kind,
+        });
+    }
+}
--- /dev/null
+++ b/crates/pier_fleet/src/formation/formation_planner.rs
@@ -0,0 +1,169 @@
+//! The planner of one data centre's groups.
+
+use std::collections;
+
+use pier_types::{epochs, ids, times};
+
+use crate::{budgets, formation, targets};
+
+/// Generations that each term of a planner has of its own.
+const TERM_GENERATIONS: u64 = 1_000_000;
+
+/// Plans groups from what the VMs say of themselves, and says which orders are due.
+///
+/// It keeps the lists of members that it ordered; a planner that takes over rebuilds them from the
+/// VMs' own words. Each order names the count of orders that the VM must have taken, so an order
+/// that arrives late, or from a former planner, is void.
+#[derive(Debug, Clone)]
+pub struct FormationPlanner {
+    pub(super) groups: collections::BTreeMap<ids::GroupName, formation::PlannedGroup>,
+    pub(super) last_generation: u64,
+    pub(super) loads: budgets::LoadBudget,
+    pub(super) counts_loads: bool,
+    pub(super) lost_since: collections::BTreeMap<ids::VmName, times::BootTime>,
+}
+
+impl FormationPlanner {
+    /// Makes the planner of a term.
+    pub const fn new(term: epochs::LeaseTerm, now: times::BootTime) -> Self {
+        Self {
+            groups: collections::BTreeMap::new(),
+            last_generation: term.get().saturating_mul(TERM_GENERATIONS),
+            loads: budgets::LoadBudget::new(now),
+            counts_loads: true,
+            lost_since: collections::BTreeMap::new(),
+        }
+    }
+
+    /// Sets this planner's part of the loads; none while loads do not count yet.
+    pub fn set_load_rate(&mut self, rate: Option<(f64, f64)>) {
+        self.counts_loads = rate.is_some();
+        if let Some((per_second, most)) = rate {
+            self.loads.set_rate(per_second, most);
+        }
+    }
+
+    /// Returns the first members whose groups are about to be formed anew and take no new requests.
+    pub fn retiring(&self) -> collections::BTreeSet<ids::VmName> {
+        let groups = self.groups.values();
+        let retiring = groups.filter(|group| group.retiring_since.is_some());
+        let heads = retiring.filter_map(|group| group.members.first());
+        heads.map(|member| member.vm.clone()).collect()
+    }
+
+    /// Raises the generations above one that a VM refused to go below.
+    pub fn raise_generation(&mut self, seen: epochs::GroupGeneration) {
+        self.last_generation = self.last_generation.max(seen.get());
+    }
+
+    /// Forms a group anew under a new generation, after a VM refused the present one.
+    pub fn renew(&mut self, group: &ids::GroupName) {
+        let generation = self.next_generation();
+        if let Some(group) = self.groups.get_mut(group) {
+            group.generation = generation;
+            group.opened_at = None;
+            for member in &mut group.members {
+                member.was_in = false;
+            }
+        }
+    }
+
+    /// Returns the orders that are due.
+    pub fn plan(
+        &mut self,
+        input: &formation::FormationInput<'_>,
+        now: times::BootTime,
+    ) -> Vec<formation::GroupOrder> {
+        self.note_lost(input, now);
+        self.adopt(input);
+        let mut orders = Vec::new();
+        let domains: collections::BTreeSet<_> = input
+            .facts
+            .values()
+            .map(|facts| facts.domain.clone())
+            .collect();
+        for domain in &domains {
+            let mut plan = formation::DomainPlan::new(self, input, domain, now);
+            plan.mend_groups();
+            plan.form_groups();
+            plan.prepare_spares();
+            orders.append(&mut plan.orders);
+        }
+        self.groups.retain(|_name, group| !group.members.is_empty());
+        orders
+    }
+
+    pub(super) fn next_generation(&mut self) -> epochs::GroupGeneration {
+        self.last_generation = self.last_generation.saturating_add(1);
+        epochs::GroupGeneration::new(self.last_generation)
+    }
+
+    /// Takes a load out of the budget, if loads count by now.
+    pub(super) fn take_load(&mut self, now: times::BootTime) -> bool {
+        !self.counts_loads || self.loads.take(now)
+    }
+
+    /// Remembers since when each VM of a group has been lost.
+    fn note_lost(&mut self, input: &formation::FormationInput<'_>, now: times::BootTime) {
+        let is_lost =
+            |vm: &ids::VmName| input.facts.get(vm).is_none_or(|facts| facts.is_lost);
+        self.lost_since.retain(|vm, _since| is_lost(vm));
+        let members = self.groups.values().flat_map(|group| &group.members);
+        for member in members.filter(|member| is_lost(&member.vm)) {
+            self.lost_since.entry(member.vm.clone()).or_insert(now);
+        }
+    }
+
+    /// Takes in groups that the VMs report and this planner does not know.
+    fn adopt(&mut self, input: &formation::FormationInput<'_>) {
+        for facts in input.facts.values() {
+            let Some(place) = &facts.standing.membership else {
+                continue;
+            };
+            self.last_generation = self.last_generation.max(place.generation.get());
+            let is_known = self.groups.contains_key(&place.group);
+            if !is_known && !formation::group_naming::is_standby(&place.group) {
+                self.adopt_group(&place.group.clone(), input);
+            }
+        }
+    }
+
+    fn adopt_group(&mut self, name: &ids::GroupName, input: &formation::FormationInput<'_>) {
+        let Some(model) = formation::group_naming::model_of(name, &input.engine.models) else {
+            return;
+        };
+        let places = input.facts.values().filter_map(|facts| {
+            let place = facts.standing.membership.as_ref()?;
+            (place.group == *name).then_some((facts, place))
+        });
+        let places: Vec<_> = places.collect();
+        let newest = places.iter().map(|(_facts, place)| place.generation).max();
+        let Some(generation) = newest else { return };
+        let mut ranks: Vec<_> = places
+            .iter()
+            .filter(|(_facts, place)| place.generation == generation)
+            .map(|(facts, place)| (place.rank, *facts, place.phase))
+            .collect();
+        ranks.sort_by_key(|(rank, ..)| *rank);
+        let size = usize::try_from(model.size.get()).unwrap_or(usize::MAX);
+        let is_open = ranks
+            .iter()
+            .any(|(_rank, _facts, phase)| *phase == targets::GroupPhase::Open);
+        let is_whole = ranks.len() == size;
+        let members = ranks.iter().map(|(_rank, facts, _phase)| formation::PlannedMember {
+            vm: facts.vm.clone(),
+            born: facts.standing.born,
+            was_in: true,
+        });
+        let group = formation::PlannedGroup {
+            model: model.name.clone(),
+            generation,
+            members: members.collect(),
+            is_whole,
+            opened_at: is_open.then_some(times::BootTime::default()),
+            retiring_since: None,
+            broken_since: None,
+        };
+        self.groups.insert(name.clone(), group);
+    }
+}
--- /dev/null
+++ b/crates/pier_fleet/src/formation/mod.rs
@@ -0,0 +1,24 @@
+//! Which VMs form which group.
+//!
+//! Keeps the promises that no VM belongs to two groups and that a group serves only when every
+//! member was seen ready under its present generation. A broken group is repaired in place: the
+//! survivors keep the group's name and weights, and a standby VM of the same fabric domain that
+//! runs the same model takes the lost member's rank.
+
+mod domain_plan;
+mod formation_input;
+mod formation_planner;
+mod group_naming;
+mod group_order;
+mod member_facts;
+mod member_state;
+mod planned_group;
+mod spare_choice;
+
+use domain_plan::DomainPlan;
+pub use formation_input::FormationInput;
+pub use formation_planner::FormationPlanner;
+pub use group_order::{GroupOrder, OrderKind};
+pub use member_facts::MemberFacts;
+use member_state::MemberState;
+use planned_group::{PlannedGroup, PlannedMember};
--- /dev/null
+++ b/crates/pier_fleet/src/formation/planned_group.rs
@@ -0,0 +1,92 @@
+//! A group that the planner wants.
+
+use std::collections;
+
+use pier_types::{epochs, ids, times};
+
+use crate::{formation, targets};
+
+/// A member with the start that was meant.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct PlannedMember {
+    pub vm: ids::VmName,
+    pub born: epochs::VmIncarnation,
+    /// Whether the member was seen in this generation.
+    pub was_in: bool,
+}
+
+/// A group with its present list of members.
+#[derive(Debug, Clone)]
+pub(super) struct PlannedGroup {
+    pub model: ids::ModelName,
+    pub generation: epochs::GroupGeneration,
+    pub members: Vec<PlannedMember>,
+    /// Whether the members are to be brought together; not while the group lacks some.
+    pub is_whole: bool,
+    /// When the first member was told to serve.
+    pub opened_at: Option<times::BootTime>,
+    /// Since when a member is leaving.
+    pub retiring_since: Option<times::BootTime>,
+    /// Since when the group has been short of members.
+    pub broken_since: Option<times::BootTime>,
+}
+
+impl PlannedGroup {
+    /// Returns how each member stands, by rank.
+    pub fn states(
+        &mut self,
+        name: &ids::GroupName,
+        facts: &collections::BTreeMap<ids::VmName, formation::MemberFacts>,
+    ) -> Vec<formation::MemberState> {
+        let generation = self.generation;
+        let members = self.members.iter_mut();
+        members
+            .map(|member| member_state(member, facts.get(&member.vm), name, generation))
+            .collect()
+    }
+
+    /// Tells whether a VM is a member.
+    pub fn has(&self, vm: &ids::VmName) -> bool {
+        self.members.iter().any(|member| member.vm == *vm)
+    }
+
+    /// Returns the members' names by rank.
+    pub fn names(&self) -> Vec<ids::VmName> {
+        self.members.iter().map(|member| member.vm.clone()).collect()
+    }
+}
+
+fn member_state(
+    member: &mut PlannedMember,
+    facts: Option<&formation::MemberFacts>,
+    group: &ids::GroupName,
+    generation: epochs::GroupGeneration,
+) -> formation::MemberState {
+    let Some(facts) = facts.filter(|facts| !facts.is_lost) else {
+        return formation::MemberState::Gone;
+    };
+    if facts.standing.born != member.born {
+        return formation::MemberState::Gone;
+    }
+    let Some(place) = facts.place_in(group, generation) else {
+        return if member.was_in {
+            formation::MemberState::Strayed
+        } else if facts.draining_since.is_some() {
+            formation::MemberState::Gone
+        } else {
+            formation::MemberState::Unjoined
+        };
+    };
+    member.was_in = true;
+    if place.phase == targets::GroupPhase::Broken {
+        return formation::MemberState::Broken;
+    }
+    if facts.draining_since.is_some() {
+        return formation::MemberState::Leaving;
+    }
+    match place.phase {
+        targets::GroupPhase::Joining => formation::MemberState::Joining,
+        targets::GroupPhase::Open => formation::MemberState::Open,
+        _ => formation::MemberState::Ready,
+    }
+}
--- /dev/null
+++ b/crates/pier_fleet/src/formation/spare_choice.rs
@@ -0,0 +1,52 @@
+//! What standby VMs are prepared for.
+
+use std::collections;
+
+use pier_types::ids;
+
+use crate::{documents, formation};
+
+/// Chooses the model that one more standby VM of a domain should run.
+///
+/// Models of groups that lack members go first; then the model whose members are covered by the
+/// fewest standby VMs, since each member is as likely to be lost as any other.
+pub(super) fn choose_model<'a>(
+    models: &'a [documents::ModelSpec],
+    lacking: &collections::BTreeMap<ids::ModelName, u32>,
+    grouped: &collections::BTreeMap<ids::ModelName, u32>,
+    standby: &collections::BTreeMap<ids::ModelName, u32>,
+) -> Option<&'a documents::ModelSpec> {
+    let count = |map: &collections::BTreeMap<ids::ModelName, u32>, model: &ids::ModelName| {
+        f64::from(map.get(model).copied().unwrap_or(0))
+    };
+    let need = |model: &documents::ModelSpec| {
+        let missing = count(lacking, &model.name) - count(standby, &model.name);
+        let covered = count(grouped, &model.name) / (count(standby, &model.name) + 1.0);
+        (missing.max(0.0), covered)
+    };
+    let runs = |model: &&documents::ModelSpec| {
+        grouped.contains_key(&model.name) || lacking.contains_key(&model.name)
+    };
+    models
+        .iter()
+        .filter(runs)
+        .max_by(|left, right| need(left).partial_cmp(&need(right)).unwrap_or(std::cmp::Ordering::Equal))
+}
+
+/// Counts the standby VMs of each model.
+pub(super) fn count_standby<'a>(
+    free: impl Iterator<Item = &'a formation::MemberFacts>,
+    models: &[documents::ModelSpec],
+) -> collections::BTreeMap<ids::ModelName, u32> {
+    let mut counts = collections::BTreeMap::new();
+    for facts in free {
+        let membership = facts.standing.membership.as_ref();
+        let model = membership.and_then(|membership| {
+            formation::group_naming::model_of(&membership.group, models)
+        });
+        if let Some(model) = model {
+            *counts.entry(model.name.clone()).or_insert(0) += 1;
+        }
+    }
+    counts
+}
--- /dev/null
+++ b/crates/pier_fleet/src/stalls/progress_facts.rs
@@ -0,0 +1,20 @@
+//! What a node saw of a target's progress.
+
+use std::time;
+
+use pier_types::times;
+
+/// Progress of this node's own requests at one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProgressFacts {
+    /// Requests of this node that are in flight there.
+    pub in_flight: u32,
+    /// Requests of this node whose answer has begun.
+    pub running: u32,
+    /// When any of them last made progress; a request that is sent to an idle target counts.
+    pub last_progress: times::BootTime,
+    /// Expected time of one pass with the present load.
+    pub pass_time: time::Duration,
+    /// Expected time to a first event with the present load.
+    pub first_event: time::Duration,
+}
--- /dev/null
+++ b/crates/pier_fleet/src/stewards/steward_election.rs
@@ -0,0 +1,92 @@
+//! Decides when to take the planning over.
+
+use std::time;
+
+use pier_types::{ids, times};
+
+use crate::stewards;
+
+/// Silence of a steward after which a node of its data centre takes over.
+const LOCAL_PATIENCE: time::Duration = time::Duration::from_millis(300);
+
+/// The same for a node of another data centre, which lets local nodes go first.
+const REMOTE_PATIENCE: time::Duration = time::Duration::from_millis(2_500);
+
+/// Pause between two tries to write the record.
+const TRY_PAUSE: time::Duration = time::Duration::from_millis(700);
+
+/// Elects the steward of one data centre on behalf of one node.
+///
+/// The record on the platform names the steward; whether it lives is judged from the nodes' own
+/// beats, so that nothing has to be renewed. Two nodes may think for a moment that they are the
+/// steward. That harms nothing: each order names the count of orders that its VM must have taken,
+/// so of two orders for the same state only one is carried out.
+#[derive(Debug, Clone)]
+pub struct StewardElection {
+    node: ids::NodeName,
+    is_local: bool,
+    vacant_since: Option<times::BootTime>,
+    tried_at: Option<times::BootTime>,
+}
+
+impl StewardElection {
+    /// Makes the election of a data centre; `is_local` tells whether the node stands in it.
+    pub const fn new(node: ids::NodeName, is_local: bool) -> Self {
+        Self {
+            node,
+            is_local,
+            vacant_since: None,
+            tried_at: None,
+        }
+    }
+
+    /// Tells whether the record names this node.
+    pub fn holds(&self, view: &stewards::StewardView) -> bool {
+        view.word.as_ref().is_some_and(|word| word.holder == self.node)
+    }
+
+    /// Tells whether to write this node into the record now.
+    pub fn should_claim(&mut self, view: &stewards::StewardView, now: times::BootTime) -> bool {
+        if self.is_served(view) {
+            self.vacant_since = None;
+            return false;
+        }
+        let since = *self.vacant_since.get_or_insert(now);
+        if !self.is_first(view) {
+            return false;
+        }
+        let patience = match (&view.word, self.is_local) {
+            (None, true) => time::Duration::ZERO,
+            (Some(_silent), true) => LOCAL_PATIENCE,
+            (_, false) => REMOTE_PATIENCE,
+        };
+        let rested = self.tried_at.is_none_or(|at| now.since(at) >= TRY_PAUSE);
+        if now.since(since) < patience || !rested {
+            return false;
+        }
+        self.tried_at = Some(now);
+        true
+    }
+
+    /// Tells whether the recorded steward lives.
+    fn is_served(&self, view: &stewards::StewardView) -> bool {
+        let Some(word) = &view.word else {
+            return false;
+        };
+        word.holder == self.node
+            || view.local.contains(&word.holder)
+            || (view.local.is_empty() && view.remote.contains(&word.holder))
+    }
+
+    /// Tells whether this node is the next in line among those that are heard of.
+    fn is_first(&self, view: &stewards::StewardView) -> bool {
+        let nodes = if self.is_local {
+            &view.local
+        } else if view.local.is_empty() {
+            &view.remote
+        } else {
+            return false;
+        };
+        nodes.iter().all(|node| *node >= self.node)
+    }
+}
--- a/crates/pier_types/src/ids/names.rs
+++ b/crates/pier_types/src/ids/names.rs
@@ -22,6 +22,11 @@
     DomainName,
     "fabric domain"
 );
+macros::name_newtype!(
+    /// Name of a replica group, kept over changes of its members.
+    GroupName,
+    "group"
+);
 macros::name_newtype!(
     /// Name of a model.
     ModelName,
