--- a/crates/buckthornpier/src/commands/root_command.rs
+++ b/crates/buckthornpier/src/commands/root_command.rs
@@ -3,8 +3,8 @@
 use clap::Command;
 
 use crate::commands::{
-    config_apply, config_check, config_diff, config_show, demo_command, edge_command, drain_command,
-    groups_command, node_command, status_command,
+    config_apply, config_check, config_diff, config_show, demo_command, drain_command,
+    edge_command, groups_command, node_command, status_command,
 };
 
 /// Name of the command that holds those on the configuration document.
--- a/crates/buckthornpier/src/logs/bounded_output.rs
+++ b/crates/buckthornpier/src/logs/bounded_output.rs
@@ -13,6 +13,8 @@
     second: u64,
     lines: u32,
     lost: u64,
+    /// The line that is being put together; the library writes it in pieces.
+    line: Vec<u8>,
     started: time::Instant,
 }
 
@@ -30,6 +32,7 @@
             second: 0,
             lines: 0,
             lost: 0,
+            line: Vec::new(),
             started: time::Instant::now(),
         })
     }
@@ -45,16 +48,12 @@
         self.lines > LINES_PER_SECOND
     }
 
-    fn put(bytes: &[u8]) -> bool {
-        matches!(rustix::io::write(io::stdout(), bytes), Ok(written) if written == bytes.len())
-    }
-}
-
-impl io::Write for BoundedOutput {
-    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+    /// Writes the line that is whole now, unless it is over the bound.
+    fn end_line(&mut self) {
+        let line = std::mem::take(&mut self.line);
         if self.is_over() {
             self.lost += 1;
-            return Ok(line.len());
+            return;
         }
         if self.lost > 0 {
             let note = format!("event=log-lines-lost count={}\n", self.lost);
@@ -62,10 +61,23 @@
                 self.lost = 0;
             }
         }
-        if !Self::put(line) {
+        if !Self::put(&line) {
             self.lost += 1;
         }
-        Ok(line.len())
+    }
+
+    fn put(bytes: &[u8]) -> bool {
+        matches!(rustix::io::write(io::stdout(), bytes), Ok(written) if written == bytes.len())
+    }
+}
+
+impl io::Write for BoundedOutput {
+    fn write(&mut self, piece: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(piece);
+        if self.line.ends_with(b"\n") {
+            self.end_line();
+        }
+        Ok(piece.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/crates/buckthornpier/src/logs/mod.rs
+++ b/crates/buckthornpier/src/logs/mod.rs
@@ -5,7 +5,7 @@
 mod log_setup;
 mod utc_time;
 
-pub(crate) use key_value_line::{KeyValueLine, is_own_target};
 use bounded_output::BoundedOutput;
+pub(crate) use key_value_line::{KeyValueLine, is_own_target};
 pub(crate) use log_setup::{start, start_bounded};
 pub(crate) use utc_time::UtcTime;
--- a/crates/pier_edge/src/control/centre_steward.rs
+++ b/crates/pier_edge/src/control/centre_steward.rs
@@ -48,7 +48,10 @@
 
     /// Takes the planning over if it is due, and sends the orders that are due; returns the first
     /// members that take no new requests.
-    pub(super) async fn step(&mut self, now: times::BootTime) -> collections::BTreeSet<ids::VmName> {
+    pub(super) async fn step(
+        &mut self,
+        now: times::BootTime,
+    ) -> collections::BTreeSet<ids::VmName> {
         if self.state.is_draining() {
             self.planner = None;
             return collections::BTreeSet::new();
@@ -80,7 +83,6 @@
                     self.watch.note_answer(vm);
                     let standing = &report.standing;
                     self.state.with_book(|book| book.hear(vm, standing, now));
-                    self.held_until.remove(vm);
                 }
                 Err(cause) => {
                     if self.watch.note_silence(vm, *born) {
@@ -123,7 +125,8 @@
                 self.ask(&order.vm, now);
             }
             links::OrderOutcome::Unknown(_) => {
-                self.held_until.insert(order.vm.clone(), now.after(REFUSAL_PAUSE));
+                self.held_until
+                    .insert(order.vm.clone(), now.after(REFUSAL_PAUSE));
             }
             links::OrderOutcome::Unreached(cause) | links::OrderOutcome::Lost(cause) => {
                 if self.watch.note_failed_order(&order.vm, order.born) {
@@ -146,8 +149,17 @@
     }
 
     async fn claim(&self, view: &stewards::StewardView) {
-        let term = view.word.as_ref().map(|word| word.term).unwrap_or_default().next();
-        let version = view.word.as_ref().map(|word| word.version).unwrap_or_default();
+        let term = view
+            .word
+            .as_ref()
+            .map(|word| word.term)
+            .unwrap_or_default()
+            .next();
+        let version = view
+            .word
+            .as_ref()
+            .map(|word| word.version)
+            .unwrap_or_default();
         let record = peers::StewardRecord {
             holder: self.state.node().clone(),
             term,
@@ -158,7 +170,11 @@
         };
         let name = format!("{}{}", records::STEWARD_PREFIX, self.data_centre);
         self.state.metrics().count_store_call("nodes", "write");
-        let written = self.state.platform().write(&name, Some(version), text).await;
+        let written = self
+            .state
+            .platform()
+            .write(&name, Some(version), text)
+            .await;
         match written {
             links::StoreWrite::Written(version) => {
                 log::info!(
@@ -169,7 +185,8 @@
                     ""
                 );
                 let place = self.data_centre.clone();
-                self.state.with_peers(|peers| peers.set_steward(place, record, version));
+                self.state
+                    .with_peers(|peers| peers.set_steward(place, record, version));
             }
             links::StoreWrite::Conflict(Some(found)) => {
                 let keeper = records::RecordKeeper::new(self.state.clone());
@@ -199,7 +216,10 @@
             return collections::BTreeSet::new();
         };
         let engines = document.services().values().filter_map(|service| {
-            let engine = service.engine.clone().filter(|engine| !engine.models.is_empty())?;
+            let engine = service
+                .engine
+                .clone()
+                .filter(|engine| !engine.models.is_empty())?;
             Some((service.name.clone(), engine))
         });
         let engines: Vec<_> = engines.collect();
@@ -227,7 +247,8 @@
         self.ask_stuck(&records, now);
         for vm in self.watch.due(now) {
             if let Some(record) = records.get(&vm) {
-                self.desk.ask(vm, record.entry.standing.born, record.entry.address);
+                self.desk
+                    .ask(vm, record.entry.standing.born, record.entry.address);
             }
         }
         let facts = self.facts(&records, now);
@@ -243,7 +264,8 @@
                 continue;
             };
             // Until the call ends; the news of it lifts the hold.
-            self.held_until.insert(order.vm.clone(), now.after(time::Duration::from_secs(5)));
+            self.held_until
+                .insert(order.vm.clone(), now.after(time::Duration::from_secs(5)));
             self.desk.order(order, record.entry.address);
         }
     }
@@ -261,7 +283,8 @@
                     && record.entry.data_centre == self.data_centre
                     && record.stands(now)
             });
-            own.map(|(vm, record)| (vm.clone(), record.clone())).collect()
+            own.map(|(vm, record)| (vm.clone(), record.clone()))
+                .collect()
         })
     }
 
@@ -270,7 +293,8 @@
         records: &collections::BTreeMap<ids::VmName, targets::TargetRecord>,
         now: times::BootTime,
     ) -> collections::BTreeMap<ids::VmName, formation::MemberFacts> {
-        self.draining_since.retain(|vm, _since| records.contains_key(vm));
+        self.draining_since
+            .retain(|vm, _since| records.contains_key(vm));
         self.held_until.retain(|_vm, until| *until > now);
         let mut facts = collections::BTreeMap::new();
         for (vm, record) in records {
--- a/crates/pier_edge/src/control/member_watch.rs
+++ b/crates/pier_edge/src/control/member_watch.rs
@@ -26,7 +26,9 @@
 impl MemberWatch {
     /// Tells whether a VM counts as lost; one that has started anew does not.
     pub(super) fn is_lost(&self, vm: &ids::VmName, born: epochs::VmIncarnation) -> bool {
-        self.silent.get(vm).is_some_and(|silent| silent.born == born)
+        self.silent
+            .get(vm)
+            .is_some_and(|silent| silent.born == born)
     }
 
     /// Tells whether to ask a VM now.
@@ -36,7 +38,10 @@
         pause: time::Duration,
         now: times::BootTime,
     ) -> bool {
-        let rested = self.asked_at.get(vm).is_none_or(|at| now.since(*at) >= pause);
+        let rested = self
+            .asked_at
+            .get(vm)
+            .is_none_or(|at| now.since(*at) >= pause);
         if rested {
             self.asked_at.insert(vm.clone(), now);
         }
@@ -47,7 +52,8 @@
     pub(super) fn due(&mut self, now: times::BootTime) -> Vec<ids::VmName> {
         let names: Vec<_> = self.silent.keys().cloned().collect();
         let due = names.into_iter();
-        due.filter(|vm| self.should_ask(vm, ASK_PAUSE, now)).collect()
+        due.filter(|vm| self.should_ask(vm, ASK_PAUSE, now))
+            .collect()
     }
 
     pub(super) fn note_answer(&mut self, vm: &ids::VmName) {
--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -28,7 +28,9 @@
 /// # Errors
 ///
 /// Fails when the port can not be bound.
-pub(crate) async fn spawn<P: links::FleetPlatform>(state: state::EdgeState<P>) -> anyhow::Result<()> {
+pub(crate) async fn spawn<P: links::FleetPlatform>(
+    state: state::EdgeState<P>,
+) -> anyhow::Result<()> {
     let address = state.settings().peers;
     let socket = UdpSocket::bind(address).await;
     let socket = sync::Arc::new(socket.with_context(|| format!("binding {address}"))?);
@@ -128,9 +130,14 @@
     let mut stuck = Vec::new();
     for slot in state.slots() {
         let Some(model) = &slot.model else { continue };
-        let engines = document.services().values().filter_map(|service| service.engine.as_ref());
+        let engines = document
+            .services()
+            .values()
+            .filter_map(|service| service.engine.as_ref());
         let mut specs = engines.filter_map(|engine| Some((engine, engine.model(model)?.pace)));
-        let Some((engine, pace)) = specs.next() else { continue };
+        let Some((engine, pace)) = specs.next() else {
+            continue;
+        };
         if slot.gauge.is_stuck(now) {
             stuck.push(slot.vm.clone());
             continue;
@@ -138,7 +145,9 @@
         slot.restore();
         let load = slot.facts(Some((engine.as_ref(), pace)), now);
         let passes = dispatch::PassModel::new(engine, pace);
-        let pass_time = passes.pass_time(load.running, load.waiting_prompt).mul_f64(load.slowness);
+        let pass_time = passes
+            .pass_time(load.running, load.waiting_prompt)
+            .mul_f64(load.slowness);
         let facts = stalls::ProgressFacts {
             in_flight: slot.gauge.own_in_flight(),
             running: slot.gauge.own_running(),
--- a/crates/pier_edge/src/peers/peer_table.rs
+++ b/crates/pier_edge/src/peers/peer_table.rs
@@ -101,7 +101,9 @@
             let last = peer.heard_at.unwrap_or(peer.known_at);
             now.since(last) < SHARE_LIFE
         });
-        u32::try_from(sharing.count()).unwrap_or(u32::MAX).saturating_add(1)
+        u32::try_from(sharing.count())
+            .unwrap_or(u32::MAX)
+            .saturating_add(1)
     }
 
     /// Returns the load of all other nodes at each target.
@@ -130,7 +132,9 @@
     /// Returns the first members that stewards take out of use.
     pub(crate) fn retiring(&self, now: times::BootTime) -> collections::BTreeSet<ids::VmName> {
         let beats = self.beats(now, LIFE);
-        beats.flat_map(|beat| beat.retiring.iter().cloned()).collect()
+        beats
+            .flat_map(|beat| beat.retiring.iter().cloned())
+            .collect()
     }
 
     /// Tells whether any other node has served a request.
@@ -189,9 +193,10 @@
         now: times::BootTime,
         life: time::Duration,
     ) -> impl Iterator<Item = &peers::NodeBeat> {
-        let heard = self.peers.values().filter(move |peer| {
-            peer.heard_at.is_some_and(|at| now.since(at) < life)
-        });
+        let heard = self
+            .peers
+            .values()
+            .filter(move |peer| peer.heard_at.is_some_and(|at| now.since(at) < life));
         heard.filter_map(|peer| peer.beat.as_ref())
     }
 }
--- a/crates/pier_edge/src/records/record_keeper.rs
+++ b/crates/pier_edge/src/records/record_keeper.rs
@@ -26,13 +26,16 @@
     ) {
         match kind {
             links::RecordKind::Targets => {
-                let entries = list.records.into_iter().filter_map(|record| match record.content {
-                    links::RecordContent::Target(entry) => Some(*entry),
-                    other => {
-                        note_unreadable(kind, &record.name, &other);
-                        None
-                    }
-                });
+                let entries = list
+                    .records
+                    .into_iter()
+                    .filter_map(|record| match record.content {
+                        links::RecordContent::Target(entry) => Some(*entry),
+                        other => {
+                            note_unreadable(kind, &record.name, &other);
+                            None
+                        }
+                    });
                 let entries = entries.collect();
                 self.state.with_book(|book| book.replace(entries, now));
                 self.state.set_listed();
@@ -81,7 +84,12 @@
         self.state.notify_book();
     }
 
-    fn apply_record(&self, kind: links::RecordKind, record: links::StoreRecord, now: times::BootTime) {
+    fn apply_record(
+        &self,
+        kind: links::RecordKind,
+        record: links::StoreRecord,
+        now: times::BootTime,
+    ) {
         match record.content {
             links::RecordContent::Target(entry) => {
                 if entry.is_draining {
@@ -102,7 +110,9 @@
                 closed.insert(data_centre);
                 self.set_closed(closed, now);
             }
-            links::RecordContent::Node(text) => self.apply_node(&record.name, record.version, &text, now),
+            links::RecordContent::Node(text) => {
+                self.apply_node(&record.name, record.version, &text, now)
+            }
             other @ links::RecordContent::Unreadable(_) => {
                 note_unreadable(kind, &record.name, &other);
                 if kind == links::RecordKind::Targets {
@@ -149,7 +159,8 @@
         } else {
             let record = serde_json::from_str::<peers::NodeRecord>(text);
             let applied = record.map(|record| {
-                self.state.with_peers(|peers| peers.note_record(record, now));
+                self.state
+                    .with_peers(|peers| peers.note_record(record, now));
             });
             applied.err().map(anyhow::Error::from)
         };
@@ -173,7 +184,8 @@
             term:% = record.term;
             ""
         );
-        self.state.with_peers(|peers| peers.set_steward(data_centre, record, version));
+        self.state
+            .with_peers(|peers| peers.set_steward(data_centre, record, version));
         self.state.notify_book();
         Ok(())
     }
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -51,7 +51,9 @@
     }
 
     async fn list(&mut self) -> Option<epochs::ObjectVersion> {
-        self.state.metrics().count_store_call(self.kind.label(), "list");
+        self.state
+            .metrics()
+            .count_store_call(self.kind.label(), "list");
         match self.state.platform().list(self.kind).await {
             Ok(list) => {
                 let now = times::clocks::boot_now();
@@ -69,7 +71,9 @@
 
     async fn watch(&mut self, version: epochs::ObjectVersion) -> Option<epochs::ObjectVersion> {
         let started = times::clocks::boot_now();
-        self.state.metrics().count_store_call(self.kind.label(), "watch");
+        self.state
+            .metrics()
+            .count_store_call(self.kind.label(), "watch");
         let platform = self.state.platform();
         match platform.watch(self.kind, version, WATCH_WAIT).await {
             Ok(changes) => {
@@ -95,7 +99,11 @@
     fn least_pause(&self) -> time::Duration {
         let is_steward = self.kind == links::RecordKind::Targets
             && self.state.with_peers(|peers| peers.is_steward());
-        if is_steward { STEWARD_PAUSE } else { CHANGE_PAUSE }
+        if is_steward {
+            STEWARD_PAUSE
+        } else {
+            CHANGE_PAUSE
+        }
     }
 
     fn note_success(&mut self, now: times::BootTime) {
--- a/crates/pier_edge/src/records/watch_pause.rs
+++ b/crates/pier_edge/src/records/watch_pause.rs
@@ -26,6 +26,8 @@
     pub(crate) fn next(&mut self, draw: f64) -> time::Duration {
         let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(6));
         self.failures += 1;
-        pause.min(LAST_PAUSE).mul_f64(0.5 + draw.clamp(0.0, 1.0) / 2.0)
+        pause
+            .min(LAST_PAUSE)
+            .mul_f64(0.5 + draw.clamp(0.0, 1.0) / 2.0)
     }
 }
--- a/crates/pier_edge/src/serving/caller_server.rs
+++ b/crates/pier_edge/src/serving/caller_server.rs
@@ -55,7 +55,8 @@
         loop {
             match self.listener.accept().await {
                 Ok((stream, _from)) => {
-                    let serving = serve_connection(self.state.clone(), stream, self.closing.subscribe());
+                    let serving =
+                        serve_connection(self.state.clone(), stream, self.closing.subscribe());
                     tokio::spawn(serving);
                 }
                 Err(error) => {
@@ -73,7 +74,10 @@
     mut closing: watch::Receiver<bool>,
 ) {
     connection_pool::set_socket_times(&stream);
-    let limits = state.document().map(|document| document.limits()).unwrap_or_default();
+    let limits = state
+        .document()
+        .map(|document| document.limits())
+        .unwrap_or_default();
     let head_size = usize::try_from(limits.head_size.get()).unwrap_or(usize::MAX);
     let service = service_fn(move |request: http::Request<Incoming>| {
         let state = state.clone();
--- a/crates/pier_edge/src/serving/request_entry.rs
+++ b/crates/pier_edge/src/serving/request_entry.rs
@@ -27,7 +27,9 @@
     let taken = times::clocks::boot_now().since(arrived_at);
     let mut response = match outcome {
         Ok(response) => {
-            state.metrics().count_answer("passed", response.status().as_u16(), taken);
+            state
+                .metrics()
+                .count_answer("passed", response.status().as_u16(), taken);
             log::info!(
                 event = "request-answered",
                 attempt = attempt.as_str(),
@@ -39,7 +41,9 @@
         }
         Err(refusal) => {
             let response = refusal.response();
-            state.metrics().count_answer(refusal.label(), response.status().as_u16(), taken);
+            state
+                .metrics()
+                .count_answer(refusal.label(), response.status().as_u16(), taken);
             log::info!(
                 event = "request-refused",
                 attempt = attempt.as_str(),
@@ -53,7 +57,9 @@
     };
     if state.is_draining() {
         let close = http::HeaderValue::from_static("close");
-        response.headers_mut().insert(http::header::CONNECTION, close);
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, close);
     }
     response
 }
@@ -96,13 +102,21 @@
                 let body = serving::EdgeBody::Stream(receiver);
                 Ok(response_of(&platform, &head, body, true))
             }
-            stream_run::StreamStart::Whole(head, body) => {
-                Ok(response_of(&platform, &head, serving::EdgeBody::whole(body), false))
-            }
+            stream_run::StreamStart::Whole(head, body) => Ok(response_of(
+                &platform,
+                &head,
+                serving::EdgeBody::whole(body),
+                false,
+            )),
         };
     }
     let (head, body) = whole_run::run(&job).await?;
-    Ok(response_of(state.platform(), &head, serving::EdgeBody::whole(body), false))
+    Ok(response_of(
+        state.platform(),
+        &head,
+        serving::EdgeBody::whole(body),
+        false,
+    ))
 }
 
 fn grant(
--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -70,12 +70,18 @@
         let table = self.state.table();
         let pool = table.services.get(&self.service);
         let all = pool.map_or(&[][..], |pool| pool.candidates(self.head.model.as_ref()));
-        let open: Vec<_> = all.iter().filter(|slot| !tried.contains(&slot.vm)).collect();
+        let open: Vec<_> = all
+            .iter()
+            .filter(|slot| !tried.contains(&slot.vm))
+            .collect();
         let engine = self.engine();
         let facts: Vec<_> = open.iter().map(|slot| slot.facts(engine, now)).collect();
         let request = dispatch::RequestFacts {
             prompt: self.head.prompt_tokens,
-            objective_left: self.route.objective.saturating_sub(now.since(self.arrived_at)),
+            objective_left: self
+                .route
+                .objective
+                .saturating_sub(now.since(self.arrived_at)),
             time_left: self.time_left(now),
             rank: self.rank(),
             is_resumed,
--- a/crates/pier_edge/src/serving/stream_relay.rs
+++ b/crates/pier_edge/src/serving/stream_relay.rs
@@ -150,7 +150,10 @@
         let gap = now.since(self.last_at);
         if self.events == 0 {
             self.call.guard.note_begun();
-            self.job.state.metrics().observe_first_event(now.since(self.job.arrived_at));
+            self.job
+                .state
+                .metrics()
+                .observe_first_event(now.since(self.job.arrived_at));
         } else {
             self.longest_gap = self.longest_gap.max(gap);
             gauge.note_gap(gap / events.count.max(1), now);
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -88,7 +88,8 @@
             Ok(call) if call.head.status.is_success() => {
                 let (sender, receiver) = mpsc::channel(STREAM_DEPTH);
                 let head = call.head.clone();
-                let relay = serving::StreamRelay::new(job, call, sender, tried, sends + 1, progress);
+                let relay =
+                    serving::StreamRelay::new(job, call, sender, tried, sends + 1, progress);
                 tokio::spawn(relay.run());
                 return Ok(StreamStart::Stream(head, receiver));
             }
@@ -116,7 +117,8 @@
         );
         lost += 1;
         if let serving::SendFault::Unreached(_) = fault {
-            slot.gauge.set_stuck(times::clocks::boot_now().after(time::Duration::from_millis(500)));
+            slot.gauge
+                .set_stuck(times::clocks::boot_now().after(time::Duration::from_millis(500)));
         }
         if fault.may_have_run() {
             may_have_run = true;
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -42,7 +42,11 @@
         let idle = slot.connections.take_idle(age, now);
         let mut connection = match idle {
             Some(connection) => connection,
-            None => slot.connections.connect().await.map_err(serving::SendFault::Unreached)?,
+            None => slot
+                .connections
+                .connect()
+                .await
+                .map_err(serving::SendFault::Unreached)?,
         };
         let now = times::clocks::boot_now();
         let guard = slot.gauge.begin(job.head.prompt_tokens, now);
@@ -79,7 +83,9 @@
         let now = times::clocks::boot_now();
         if !self.answer.closes {
             let idle_time = self.answer.idle_time;
-            self.slot.connections.give_back(self.connection, idle_time, now);
+            self.slot
+                .connections
+                .give_back(self.connection, idle_time, now);
         }
     }
 }
--- a/crates/pier_edge/src/serving/whole_run.rs
+++ b/crates/pier_edge/src/serving/whole_run.rs
@@ -55,7 +55,8 @@
         match sent {
             Ok((head, body, answer)) => {
                 let is_failure = head.status.is_server_error();
-                slot.gauge.note_answer(taken, is_failure || answer.is_not_run);
+                slot.gauge
+                    .note_answer(taken, is_failure || answer.is_not_run);
                 if answer.is_not_run {
                     progress.refused = true;
                     progress.sends += 1;
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -47,11 +47,7 @@
 }
 
 impl<P: links::FleetPlatform> EdgeState<P> {
-    pub(crate) fn new(
-        settings: settings::EdgeSettings,
-        node: ids::NodeName,
-        platform: P,
-    ) -> Self {
+    pub(crate) fn new(settings: settings::EdgeSettings, node: ids::NodeName, platform: P) -> Self {
         let shared = SharedState {
             retries: state::RetryPurse::new(settings.bounds),
             peers: sync::Mutex::new(peers::PeerTable::new(node.clone())),
@@ -159,7 +155,8 @@
         let Some(document) = self.document() else {
             return;
         };
-        let (nodes, mut retiring) = self.with_peers(|peers| (peers.nodes(now), peers.retiring(now)));
+        let (nodes, mut retiring) =
+            self.with_peers(|peers| (peers.nodes(now), peers.retiring(now)));
         retiring.extend(self.own_retiring());
         let closed = self.closed();
         let table = self.with_book(|book| {
@@ -197,7 +194,9 @@
     }
 
     pub(crate) fn note_served(&self) {
-        self.shared.has_served.store(true, atomic::Ordering::Relaxed);
+        self.shared
+            .has_served
+            .store(true, atomic::Ordering::Relaxed);
     }
 
     pub(crate) fn has_served(&self) -> bool {
@@ -210,7 +209,9 @@
 
     /// Counts a request until the guard is dropped.
     pub(crate) fn begin_request(&self) -> ProgressGuard<P> {
-        self.shared.in_progress.fetch_add(1, atomic::Ordering::Relaxed);
+        self.shared
+            .in_progress
+            .fetch_add(1, atomic::Ordering::Relaxed);
         ProgressGuard {
             state: self.clone(),
         }
--- a/crates/pier_edge/src/state/retry_purse.rs
+++ b/crates/pier_edge/src/state/retry_purse.rs
@@ -36,7 +36,12 @@
     }
 
     /// Takes one repeat, if this node's part of the allowance has one left.
-    pub(crate) fn take(&self, service: &ids::ServiceName, nodes: u32, now: times::BootTime) -> bool {
+    pub(crate) fn take(
+        &self,
+        service: &ids::ServiceName,
+        nodes: u32,
+        now: times::BootTime,
+    ) -> bool {
         let bounds = self.bounds;
         self.with(service, |window| {
             let ratio = f64::from(window.fresh.total(now)) * bounds.retry_ratio;
--- a/crates/pier_edge/src/state/table_builder.rs
+++ b/crates/pier_edge/src/state/table_builder.rs
@@ -107,7 +107,9 @@
         slots: &mut collections::BTreeMap<state::SlotKey, sync::Arc<state::TargetSlot>>,
     ) -> sync::Arc<state::TargetSlot> {
         let entry = &record.entry;
-        let generation = place.map(|(_model, generation)| *generation).unwrap_or_default();
+        let generation = place
+            .map(|(_model, generation)| *generation)
+            .unwrap_or_default();
         let key = (entry.vm.clone(), entry.standing.born, generation);
         let nodes = usize::try_from(self.nodes.max(1)).unwrap_or(1);
         let part = usize::try_from(service.connections).unwrap_or(usize::MAX) / nodes;
--- a/crates/pier_edge/src/state/target_gauge.rs
+++ b/crates/pier_edge/src/state/target_gauge.rs
@@ -57,11 +57,7 @@
 
 impl TargetGauge {
     /// Counts a request that is about to be sent, until the guard is dropped.
-    pub(crate) fn begin(
-        self: &sync::Arc<Self>,
-        prompt: u64,
-        now: times::BootTime,
-    ) -> GaugeGuard {
+    pub(crate) fn begin(self: &sync::Arc<Self>, prompt: u64, now: times::BootTime) -> GaugeGuard {
         if self.own_in_flight() == 0 {
             self.note_progress(now);
         }
--- a/crates/pier_edge/src/state/target_slot.rs
+++ b/crates/pier_edge/src/state/target_slot.rs
@@ -35,7 +35,10 @@
 }
 
 impl TargetSlot {
-    #[expect(clippy::too_many_arguments, reason = "each field is one fact of the entry")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "each field is one fact of the entry"
+    )]
     pub(crate) fn new(
         key: SlotKey,
         address: net::SocketAddr,
@@ -70,7 +73,8 @@
 
     /// Lets a target that was broken off be used again.
     pub(crate) fn restore(&self) {
-        self.broken.send_if_modified(|broken| std::mem::replace(broken, false));
+        self.broken
+            .send_if_modified(|broken| std::mem::replace(broken, false));
     }
 
     /// Returns what tells a request that the target was broken off from now on.
@@ -89,7 +93,8 @@
         let running = self.gauge.running();
         let waiting_prompt = self.gauge.waiting_prompt();
         let slowness = engine.map_or(1.0, |(engine, pace)| {
-            let expected = dispatch::PassModel::new(engine, pace).pass_time(running, waiting_prompt);
+            let expected =
+                dispatch::PassModel::new(engine, pace).pass_time(running, waiting_prompt);
             let gap = self.gauge.gap(now).unwrap_or(expected);
             (gap.as_secs_f64() / expected.as_secs_f64().max(0.001)).clamp(1.0, 20.0)
         });
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -56,18 +56,66 @@
             document_version: Gauge::default(),
         };
         let mut registry = state::lock(&metrics.registry);
-        registry.register("answers", "Answers by cause and status", metrics.answers.clone());
-        registry.register("answer_seconds", "Time to the answer's head", metrics.answer_time.clone());
-        registry.register("first_event_seconds", "Time to a stream's first event", metrics.first_event.clone());
-        registry.register("streams", "Streams by how they ended", metrics.streams.clone());
-        registry.register("resumes", "Streams that lost their target", metrics.resumes.clone());
-        registry.register("stuck_targets", "Targets found stuck by silence", metrics.stuck.clone());
-        registry.register("store_calls", "Calls to the store", metrics.store_calls.clone());
-        registry.register("store_failures", "Calls to the store that failed", metrics.store_failures.clone());
-        registry.register("group_orders", "Orders to members of groups", metrics.orders.clone());
-        registry.register("member_questions", "Questions to members of groups", metrics.questions.clone());
-        registry.register("bad_beats", "Datagrams that were not understood", metrics.bad_beats.clone());
-        registry.register("document_version", "Version of the document in force", metrics.document_version.clone());
+        registry.register(
+            "answers",
+            "Answers by cause and status",
+            metrics.answers.clone(),
+        );
+        registry.register(
+            "answer_seconds",
+            "Time to the answer's head",
+            metrics.answer_time.clone(),
+        );
+        registry.register(
+            "first_event_seconds",
+            "Time to a stream's first event",
+            metrics.first_event.clone(),
+        );
+        registry.register(
+            "streams",
+            "Streams by how they ended",
+            metrics.streams.clone(),
+        );
+        registry.register(
+            "resumes",
+            "Streams that lost their target",
+            metrics.resumes.clone(),
+        );
+        registry.register(
+            "stuck_targets",
+            "Targets found stuck by silence",
+            metrics.stuck.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the store",
+            metrics.store_calls.clone(),
+        );
+        registry.register(
+            "store_failures",
+            "Calls to the store that failed",
+            metrics.store_failures.clone(),
+        );
+        registry.register(
+            "group_orders",
+            "Orders to members of groups",
+            metrics.orders.clone(),
+        );
+        registry.register(
+            "member_questions",
+            "Questions to members of groups",
+            metrics.questions.clone(),
+        );
+        registry.register(
+            "bad_beats",
+            "Datagrams that were not understood",
+            metrics.bad_beats.clone(),
+        );
+        registry.register(
+            "document_version",
+            "Version of the document in force",
+            metrics.document_version.clone(),
+        );
         drop(registry);
         metrics
     }
@@ -122,7 +170,8 @@
     }
 
     pub(crate) fn set_document_version(&self, version: u64) {
-        self.document_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.document_version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
     }
 
     /// Returns the page of all metrics.
--- a/crates/pier_edge/src/telemetry/metrics_server.rs
+++ b/crates/pier_edge/src/telemetry/metrics_server.rs
@@ -55,9 +55,17 @@
 ) -> http::Response<Full<bytes::Bytes>> {
     let (status, text) = match path {
         "/readyz" if state.is_ready() => (http::StatusCode::OK, "ready\n".to_owned()),
-        "/readyz" => (http::StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+        "/readyz" => (
+            http::StatusCode::SERVICE_UNAVAILABLE,
+            "not ready\n".to_owned(),
+        ),
         "/metrics" => state.metrics().page().map_or_else(
-            |error| (http::StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+            |error| {
+                (
+                    http::StatusCode::INTERNAL_SERVER_ERROR,
+                    format!("{error}\n"),
+                )
+            },
             |page| (http::StatusCode::OK, page),
         ),
         _ => (http::StatusCode::NOT_FOUND, "no such page\n".to_owned()),
--- a/crates/pier_fleet/src/dispatch/plain_choice.rs
+++ b/crates/pier_fleet/src/dispatch/plain_choice.rs
@@ -25,7 +25,11 @@
     let open = open.filter(|(_position, load)| !load.is_used_up);
     let scored = open.map(|(position, load)| {
         let expected = expected_answer(load);
-        (score(load, expected, request.draw, position), position, expected)
+        (
+            score(load, expected, request.draw, position),
+            position,
+            expected,
+        )
     });
     let Some((_score, position, expected)) = scored.min_by_key(|(score, ..)| *score) else {
         return if candidates.is_empty() {
@@ -66,7 +70,9 @@
     } else {
         REMOTE_COST
     };
-    let spread = u32::try_from(position).unwrap_or(0).wrapping_mul(0x9E37_79B1);
+    let spread = u32::try_from(position)
+        .unwrap_or(0)
+        .wrapping_mul(0x9E37_79B1);
     let jitter = time::Duration::from_micros(u64::from((draw ^ spread) % 1_000));
     let failures = FAILURE_COST.mul_f64(load.failure_rate.clamp(0.0, 1.0));
     expected + fullness + way + failures + jitter
--- a/crates/pier_fleet/src/dispatch/stream_choice.rs
+++ b/crates/pier_fleet/src/dispatch/stream_choice.rs
@@ -38,7 +38,11 @@
     let open = open.filter(|(_position, load)| !load.is_used_up);
     let scored = open.map(|(position, load)| {
         let expected = model.first_event(load, request.prompt);
-        (score(load, expected, request.draw, position), position, expected)
+        (
+            score(load, expected, request.draw, position),
+            position,
+            expected,
+        )
     });
     let Some((_score, position, expected)) = scored.min_by_key(|(score, ..)| *score) else {
         return if candidates.is_empty() {
@@ -79,7 +83,9 @@
     draw: u32,
     position: usize,
 ) -> time::Duration {
-    let spread = u32::try_from(position).unwrap_or(0).wrapping_mul(0x9E37_79B1);
+    let spread = u32::try_from(position)
+        .unwrap_or(0)
+        .wrapping_mul(0x9E37_79B1);
     let jitter = (draw ^ spread).wrapping_mul(0x85EB_CA6B) >> 8;
     let jitter = time::Duration::from_micros(u64::from(jitter % JITTER_MICROS));
     let way = if load.is_local {
--- a/crates/pier_fleet/src/formation/domain_plan.rs
+++ b/crates/pier_fleet/src/formation/domain_plan.rs
@@ -18,6 +18,10 @@
 /// How long a group may lack members before its VMs are given to other groups.
 const SHORT_TIME: time::Duration = time::Duration::from_secs(8);
 
+/// How long a domain must not have got another VM before new groups are formed in it: VMs that start
+/// together register one after the other, and the first of them must not all go to the smallest model.
+const SETTLE_TIME: time::Duration = time::Duration::from_millis(500);
+
 /// Pause before a first member that was told to serve is told again.
 const OPEN_PAUSE: time::Duration = time::Duration::from_secs(1);
 
@@ -63,8 +67,7 @@
 
     /// Forms new groups out of free VMs, the model that is furthest below its part first.
     pub fn form_groups(&mut self) {
-        let lacking = self.lacking();
-        if !lacking.is_empty() {
+        if !self.lacking().is_empty() || !self.is_settled() {
             return;
         }
         while let Some(model) = self.next_model() {
@@ -93,6 +96,9 @@
     /// Starts the models of this domain's groups on its free VMs.
     pub fn prepare_spares(&mut self) {
         let models = &self.input.engine.models;
+        if !self.is_settled() {
+            return;
+        }
         let (lacking, grouped) = (self.lacking(), self.grouped());
         let free = self.free_vms();
         let facts = free.iter().filter_map(|vm| self.input.facts.get(vm));
@@ -123,6 +129,11 @@
         }
     }
 
+    fn is_settled(&self) -> bool {
+        let grown_at = self.planner.grown_at.get(self.domain);
+        grown_at.is_none_or(|at| self.now.since(*at) >= SETTLE_TIME)
+    }
+
     fn group_names(&self) -> Vec<ids::GroupName> {
         let is_here = |group: &formation::PlannedGroup| {
             group.members.iter().any(|member| {
@@ -219,8 +230,18 @@
         };
         let size = usize::try_from(model.size.get()).unwrap_or(usize::MAX);
         let kept = group.members.iter().zip(states).filter(|(member, state)| {
-            let usable = self.input.facts.get(&member.vm).is_some_and(formation::MemberFacts::is_usable);
-            usable && !matches!(state, formation::MemberState::Gone | formation::MemberState::Strayed | formation::MemberState::Leaving)
+            let usable = self
+                .input
+                .facts
+                .get(&member.vm)
+                .is_some_and(formation::MemberFacts::is_usable);
+            usable
+                && !matches!(
+                    state,
+                    formation::MemberState::Gone
+                        | formation::MemberState::Strayed
+                        | formation::MemberState::Leaving
+                )
         });
         let mut kept: Vec<_> = kept.map(|(member, _state)| member.vm.clone()).collect();
         let since = *group.broken_since.get_or_insert(self.now);
@@ -332,7 +353,11 @@
     fn lacking(&self) -> collections::BTreeMap<ids::ModelName, u32> {
         let mut lacking = collections::BTreeMap::new();
         for name in self.group_names() {
-            let Some(group) = self.planner.groups.get(&name).filter(|group| !group.is_whole)
+            let Some(group) = self
+                .planner
+                .groups
+                .get(&name)
+                .filter(|group| !group.is_whole)
             else {
                 continue;
             };
@@ -435,7 +460,12 @@
         let Some(head) = group.members.first() else {
             return;
         };
-        let Some(facts) = self.input.facts.get(&head.vm).filter(|facts| !facts.is_held) else {
+        let Some(facts) = self
+            .input
+            .facts
+            .get(&head.vm)
+            .filter(|facts| !facts.is_held)
+        else {
             return;
         };
         group.opened_at = Some(self.now);
--- a/crates/pier_fleet/src/formation/formation_planner.rs
+++ b/crates/pier_fleet/src/formation/formation_planner.rs
@@ -21,6 +21,9 @@
     pub(super) loads: budgets::LoadBudget,
     pub(super) counts_loads: bool,
     pub(super) lost_since: collections::BTreeMap<ids::VmName, times::BootTime>,
+    /// When a VM of each domain was last seen for the first time.
+    pub(super) grown_at: collections::BTreeMap<ids::DomainName, times::BootTime>,
+    seen: collections::BTreeSet<(ids::VmName, epochs::VmIncarnation)>,
 }
 
 impl FormationPlanner {
@@ -32,6 +35,8 @@
             loads: budgets::LoadBudget::new(now),
             counts_loads: true,
             lost_since: collections::BTreeMap::new(),
+            grown_at: collections::BTreeMap::new(),
+            seen: collections::BTreeSet::new(),
         }
     }
 
@@ -75,6 +80,7 @@
         now: times::BootTime,
     ) -> Vec<formation::GroupOrder> {
         self.note_lost(input, now);
+        self.note_seen(input, now);
         self.adopt(input);
         let mut orders = Vec::new();
         let domains: collections::BTreeSet<_> = input
@@ -105,8 +111,7 @@
 
     /// Remembers since when each VM of a group has been lost.
     fn note_lost(&mut self, input: &formation::FormationInput<'_>, now: times::BootTime) {
-        let is_lost =
-            |vm: &ids::VmName| input.facts.get(vm).is_none_or(|facts| facts.is_lost);
+        let is_lost = |vm: &ids::VmName| input.facts.get(vm).is_none_or(|facts| facts.is_lost);
         self.lost_since.retain(|vm, _since| is_lost(vm));
         let members = self.groups.values().flat_map(|group| &group.members);
         for member in members.filter(|member| is_lost(&member.vm)) {
@@ -114,6 +119,17 @@
         }
     }
 
+    /// Remembers when each domain last got a VM.
+    fn note_seen(&mut self, input: &formation::FormationInput<'_>, now: times::BootTime) {
+        for facts in input.facts.values() {
+            if self.seen.insert((facts.vm.clone(), facts.standing.born)) {
+                self.grown_at.insert(facts.domain.clone(), now);
+            }
+        }
+        let facts = input.facts;
+        self.seen.retain(|(vm, _born)| facts.contains_key(vm));
+    }
+
     /// Takes in groups that the VMs report and this planner does not know.
     fn adopt(&mut self, input: &formation::FormationInput<'_>) {
         for facts in input.facts.values() {
@@ -150,11 +166,13 @@
             .iter()
             .any(|(_rank, _facts, phase)| *phase == targets::GroupPhase::Open);
         let is_whole = ranks.len() == size;
-        let members = ranks.iter().map(|(_rank, facts, _phase)| formation::PlannedMember {
-            vm: facts.vm.clone(),
-            born: facts.standing.born,
-            was_in: true,
-        });
+        let members = ranks
+            .iter()
+            .map(|(_rank, facts, _phase)| formation::PlannedMember {
+                vm: facts.vm.clone(),
+                born: facts.standing.born,
+                was_in: true,
+            });
         let group = formation::PlannedGroup {
             model: model.name.clone(),
             generation,
--- a/crates/pier_fleet/src/formation/planned_group.rs
+++ b/crates/pier_fleet/src/formation/planned_group.rs
@@ -52,7 +52,10 @@
 
     /// Returns the members' names by rank.
     pub fn names(&self) -> Vec<ids::VmName> {
-        self.members.iter().map(|member| member.vm.clone()).collect()
+        self.members
+            .iter()
+            .map(|member| member.vm.clone())
+            .collect()
     }
 }
 
--- a/crates/pier_fleet/src/formation/spare_choice.rs
+++ b/crates/pier_fleet/src/formation/spare_choice.rs
@@ -27,10 +27,11 @@
     let runs = |model: &&documents::ModelSpec| {
         grouped.contains_key(&model.name) || lacking.contains_key(&model.name)
     };
-    models
-        .iter()
-        .filter(runs)
-        .max_by(|left, right| need(left).partial_cmp(&need(right)).unwrap_or(std::cmp::Ordering::Equal))
+    models.iter().filter(runs).max_by(|left, right| {
+        need(left)
+            .partial_cmp(&need(right))
+            .unwrap_or(std::cmp::Ordering::Equal)
+    })
 }
 
 /// Counts the standby VMs of each model.
@@ -41,9 +42,8 @@
     let mut counts = collections::BTreeMap::new();
     for facts in free {
         let membership = facts.standing.membership.as_ref();
-        let model = membership.and_then(|membership| {
-            formation::group_naming::model_of(&membership.group, models)
-        });
+        let model = membership
+            .and_then(|membership| formation::group_naming::model_of(&membership.group, models));
         if let Some(model) = model {
             *counts.entry(model.name.clone()).or_insert(0) += 1;
         }
--- a/crates/pier_fleet/src/stewards/steward_election.rs
+++ b/crates/pier_fleet/src/stewards/steward_election.rs
@@ -42,7 +42,9 @@
 
     /// Tells whether the record names this node.
     pub fn holds(&self, view: &stewards::StewardView) -> bool {
-        view.word.as_ref().is_some_and(|word| word.holder == self.node)
+        view.word
+            .as_ref()
+            .is_some_and(|word| word.holder == self.node)
     }
 
     /// Tells whether to write this node into the record now.
--- a/crates/pier_fleet/src/targets/group_phase.rs
+++ b/crates/pier_fleet/src/targets/group_phase.rs
@@ -1,7 +1,7 @@
 //! How far a member is.
 
 /// A member's own word on its place in a group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum GroupPhase {
     /// Loads weights or connects to the others.
     Joining,
--- a/crates/pier_fleet/src/targets/target_book.rs
+++ b/crates/pier_fleet/src/targets/target_book.rs
@@ -34,15 +34,11 @@
     }
 
     /// Takes in one registration as it is now.
-    ///
-    /// A registration may be older than what the target said when asked; the newer word stays.
     pub fn put(&mut self, mut entry: targets::TargetEntry, now: times::BootTime) {
         let cold_until = now.after(entry.cold_left);
         let known = self.records.get(&entry.vm);
-        if let Some(record) = known.filter(|known| {
-            entry.standing.is_older_than(&known.entry.standing)
-        }) {
-            entry.standing = record.entry.standing.clone();
+        if let Some(known) = known {
+            entry.standing = entry.standing.after(&known.entry.standing);
         }
         let unchanged = known.filter(|record| record.entry == entry);
         let record = targets::TargetRecord {
@@ -77,7 +73,7 @@
         }
     }
 
-    /// Takes in what a target said when asked.
+    /// Takes in what a target said when asked; a word of an earlier start is dropped.
     pub fn hear(
         &mut self,
         vm: &ids::VmName,
@@ -88,7 +84,7 @@
             return;
         };
         let known = &mut record.entry.standing;
-        if known.is_older_than(standing) || known.is_as_old_as(standing) {
+        if known.born <= standing.born {
             *known = standing.clone();
             record.seen_at = now;
         }
--- a/crates/pier_fleet/src/targets/target_standing.rs
+++ b/crates/pier_fleet/src/targets/target_standing.rs
@@ -9,7 +9,7 @@
 pub struct TargetStanding {
     /// Tells starts under one name apart; rises with each start.
     pub born: epochs::VmIncarnation,
-    /// Orders that began something since that start.
+    /// Orders that began something since that start; told only in answers to questions.
     pub orders: u64,
     /// Whether an order is in progress.
     pub is_busy: bool,
@@ -24,13 +24,30 @@
 }
 
 impl TargetStanding {
-    /// Tells whether another word of the same VM is newer than this one.
-    pub fn is_older_than(&self, other: &Self) -> bool {
-        (self.born, self.orders) < (other.born, other.orders)
+    /// Returns this word of a registration together with what was known before.
+    ///
+    /// Registrations do not tell the count of orders, and may be older than what the VM said when
+    /// it was asked or took an order. Within one start the generation of a VM's group only rises,
+    /// and so does its phase within one generation.
+    #[must_use]
+    pub fn after(mut self, known: &Self) -> Self {
+        if self.born < known.born {
+            return known.clone();
+        }
+        if self.born > known.born {
+            return self;
+        }
+        self.orders = known.orders;
+        if self.progress() < known.progress() {
+            self.membership.clone_from(&known.membership);
+            self.running.clone_from(&known.running);
+        }
+        self
     }
 
-    /// Tells whether both words are of the same start and order.
-    pub fn is_as_old_as(&self, other: &Self) -> bool {
-        (self.born, self.orders) == (other.born, other.orders)
+    /// Orders words of one start by what the VM has gone through.
+    fn progress(&self) -> Option<(epochs::GroupGeneration, targets::GroupPhase)> {
+        let membership = self.membership.as_ref()?;
+        Some((membership.generation, membership.phase))
     }
 }
--- a/crates/pier_types/src/ids/mod.rs
+++ b/crates/pier_types/src/ids/mod.rs
@@ -11,8 +11,8 @@
 pub use name_error::NameError;
 pub(crate) use name_error::check_name;
 pub use names::{
-    AdapterName, CustomerName, DataCentreName, DomainName, GroupName, ModelName, NodeName, RegionName,
-    ServiceName, VmName,
+    AdapterName, CustomerName, DataCentreName, DomainName, GroupName, ModelName, NodeName,
+    RegionName, ServiceName, VmName,
 };
 pub use request_fingerprint::RequestFingerprint;
 pub use target_id::TargetId;
