Never list a survivor twice when a group is formed anew

Cause: while a group is mended it is out of the planner's map, so its own survivors counted as free VMs and filled the places of the lost ones. Ruled out: late orders (each was void by its count) and a crossing report (also fixed: an answer that counts fewer orders is older).

--- a/crates/pier_edge/src/control/centre_steward.rs
+++ b/crates/pier_edge/src/control/centre_steward.rs
@@ -116,7 +116,10 @@
                     }
                 });
             }
-            links::OrderOutcome::Unfit | links::OrderOutcome::WrongVm => self.ask(&order.vm, now),
+            links::OrderOutcome::Unfit | links::OrderOutcome::WrongVm => {
+                self.state.with_book(|book| book.forget_orders(&order.vm));
+                self.ask(&order.vm, now);
+            }
             links::OrderOutcome::Outdated => {
                 if let Some(planner) = &mut self.planner {
                     planner.raise_generation(order.generation);
--- a/crates/pier_edge/src/records/record_keeper.rs
+++ b/crates/pier_edge/src/records/record_keeper.rs
@@ -95,6 +95,14 @@
                 if entry.is_draining {
                     log::info!(event = "target-leaving", target_vm:% = entry.vm; "");
                 }
+                log::debug!(
+                    event = "target-registered",
+                    target_vm:% = entry.vm,
+                    born:% = entry.standing.born,
+                    membership:? = entry.standing.membership,
+                    cold_ms = u64::try_from(entry.cold_left.as_millis()).unwrap_or(u64::MAX);
+                    ""
+                );
                 self.state.with_book(|book| book.put(*entry, now));
             }
             links::RecordContent::Document(document) => {
--- a/crates/pier_fleet/src/formation/domain_plan.rs
+++ b/crates/pier_fleet/src/formation/domain_plan.rs
@@ -180,7 +180,9 @@
             facts.is_none_or(|facts| facts.draining_since.is_some())
         });
         let leaving = leaving.count();
-        if self.ready_pool(model).len() < leaving {
+        let mut pool = self.ready_pool(model);
+        pool.retain(|vm| !group.has(vm));
+        if pool.len() < leaving {
             return false;
         }
         let since = *group.retiring_since.get_or_insert(self.now);
@@ -247,7 +249,8 @@
         let since = *group.broken_since.get_or_insert(self.now);
         group.is_whole = false;
         let need = size.saturating_sub(kept.len());
-        let pool = self.ready_pool(model);
+        let mut pool = self.ready_pool(model);
+        pool.retain(|vm| !group.has(vm));
         if pool.len() < need {
             let is_given_up = kept.is_empty() || self.now.since(since) >= SHORT_TIME;
             if is_given_up && self.head_is_closed(name, group) {
@@ -325,7 +328,10 @@
         };
         let facts = self.input.facts.values();
         let free = facts.filter(|facts| {
-            facts.domain == *self.domain && facts.is_usable() && !is_planned(&facts.vm)
+            facts.domain == *self.domain
+                && facts.is_usable()
+                && !is_planned(&facts.vm)
+                && !self.planner.is_unadopted(facts)
         });
         free.map(|facts| facts.vm.clone()).collect()
     }
@@ -444,6 +450,9 @@
         let Some(facts) = self.input.facts.get(vm).filter(|facts| !facts.is_held) else {
             return;
         };
+        if self.order_leave_first(facts, name) {
+            return;
+        }
         let needs_load = facts.distance(model) == 2;
         if needs_load && !self.planner.take_load(self.now) {
             return;
@@ -456,6 +465,20 @@
         self.push_order(facts, name.clone(), group.generation, kind);
     }
 
+    /// Lets a VM leave the group that it is still in by its own word, before it joins another one;
+    /// returns whether that is needed.
+    fn order_leave_first(&mut self, facts: &formation::MemberFacts, next: &ids::GroupName) -> bool {
+        let Some(place) = &facts.standing.membership else {
+            return false;
+        };
+        if place.group == *next || formation::group_naming::is_standby(&place.group) {
+            return false;
+        }
+        let kind = formation::OrderKind::Leave;
+        self.push_order(facts, place.group.clone(), place.generation, kind);
+        true
+    }
+
     fn order_open(&mut self, name: &ids::GroupName, group: &mut formation::PlannedGroup) {
         let Some(head) = group.members.first() else {
             return;
@@ -482,6 +505,9 @@
         let Some(name) = formation::group_naming::standby_name(&model.name, &facts.vm) else {
             return false;
         };
+        if self.order_leave_first(facts, &name) {
+            return false;
+        }
         let needs_load = facts.distance(model) == 2;
         if needs_load && !self.planner.take_load(self.now) {
             return false;
--- a/crates/pier_fleet/src/formation/formation_planner.rs
+++ b/crates/pier_fleet/src/formation/formation_planner.rs
@@ -1,11 +1,15 @@
 //! The planner of one data centre's groups.
 
-use std::collections;
+use std::{collections, time};
 
 use pier_types::{epochs, ids, times};
 
 use crate::{budgets, formation, targets};
 
+/// How long a group that is reported in part is given to be reported whole: VMs register again one
+/// after the other when the store, or the way to it, is back.
+const ADOPT_TIME: time::Duration = time::Duration::from_millis(2_000);
+
 /// Generations that each term of a planner has of its own.
 const TERM_GENERATIONS: u64 = 1_000_000;
 
@@ -24,6 +28,8 @@
     /// When a VM of each domain was last seen for the first time.
     pub(super) grown_at: collections::BTreeMap<ids::DomainName, times::BootTime>,
     seen: collections::BTreeSet<(ids::VmName, epochs::VmIncarnation)>,
+    /// Since when groups that this planner does not know are reported in part.
+    partial_since: collections::BTreeMap<ids::GroupName, times::BootTime>,
 }
 
 impl FormationPlanner {
@@ -37,6 +43,7 @@
             lost_since: collections::BTreeMap::new(),
             grown_at: collections::BTreeMap::new(),
             seen: collections::BTreeSet::new(),
+            partial_since: collections::BTreeMap::new(),
         }
     }
 
@@ -81,7 +88,7 @@
     ) -> Vec<formation::GroupOrder> {
         self.note_lost(input, now);
         self.note_seen(input, now);
-        self.adopt(input);
+        self.adopt(input, now);
         let mut orders = Vec::new();
         let domains: collections::BTreeSet<_> = input
             .facts
@@ -130,8 +137,15 @@
         self.seen.retain(|(vm, _born)| facts.contains_key(vm));
     }
 
+    /// Tells whether a VM reports a group that this planner does not know yet.
+    pub(super) fn is_unadopted(&self, facts: &formation::MemberFacts) -> bool {
+        let place = facts.standing.membership.as_ref();
+        place.is_some_and(|place| self.partial_since.contains_key(&place.group))
+    }
+
     /// Takes in groups that the VMs report and this planner does not know.
-    fn adopt(&mut self, input: &formation::FormationInput<'_>) {
+    fn adopt(&mut self, input: &formation::FormationInput<'_>, now: times::BootTime) {
+        let mut unknown = collections::BTreeSet::new();
         for facts in input.facts.values() {
             let Some(place) = &facts.standing.membership else {
                 continue;
@@ -139,12 +153,22 @@
             self.last_generation = self.last_generation.max(place.generation.get());
             let is_known = self.groups.contains_key(&place.group);
             if !is_known && !formation::group_naming::is_standby(&place.group) {
-                self.adopt_group(&place.group.clone(), input);
+                unknown.insert(place.group.clone());
             }
         }
+        self.partial_since
+            .retain(|name, _since| unknown.contains(name));
+        for name in unknown {
+            self.adopt_group(&name, input, now);
+        }
     }
 
-    fn adopt_group(&mut self, name: &ids::GroupName, input: &formation::FormationInput<'_>) {
+    fn adopt_group(
+        &mut self,
+        name: &ids::GroupName,
+        input: &formation::FormationInput<'_>,
+        now: times::BootTime,
+    ) {
         let Some(model) = formation::group_naming::model_of(name, &input.engine.models) else {
             return;
         };
@@ -166,6 +190,11 @@
             .iter()
             .any(|(_rank, _facts, phase)| *phase == targets::GroupPhase::Open);
         let is_whole = ranks.len() == size;
+        let since = *self.partial_since.entry(name.clone()).or_insert(now);
+        if !is_whole && now.since(since) < ADOPT_TIME {
+            return;
+        }
+        self.partial_since.remove(name);
         let members = ranks
             .iter()
             .map(|(_rank, facts, _phase)| formation::PlannedMember {
--- a/crates/pier_fleet/src/stewards/steward_election.rs
+++ b/crates/pier_fleet/src/stewards/steward_election.rs
@@ -9,8 +9,9 @@
 /// Silence of a steward after which a node of its data centre takes over.
 const LOCAL_PATIENCE: time::Duration = time::Duration::from_millis(300);
 
-/// The same for a node of another data centre, which lets local nodes go first.
-const REMOTE_PATIENCE: time::Duration = time::Duration::from_millis(2_500);
+/// The same for a node of another data centre. Local nodes that are silent are mostly cut off and
+/// plan on, or are about to start again.
+const REMOTE_PATIENCE: time::Duration = time::Duration::from_secs(8);
 
 /// Pause between two tries to write the record.
 const TRY_PAUSE: time::Duration = time::Duration::from_millis(700);
--- a/crates/pier_fleet/src/targets/target_book.rs
+++ b/crates/pier_fleet/src/targets/target_book.rs
@@ -73,7 +73,9 @@
         }
     }
 
-    /// Takes in what a target said when asked; a word of an earlier start is dropped.
+    /// Takes in what a target said when asked.
+    ///
+    /// Answers may cross orders on their way; one that counts fewer orders than are known is older.
     pub fn hear(
         &mut self,
         vm: &ids::VmName,
@@ -84,12 +86,19 @@
             return;
         };
         let known = &mut record.entry.standing;
-        if known.born <= standing.born {
+        if (known.born, known.orders) <= (standing.born, standing.orders) {
             *known = standing.clone();
             record.seen_at = now;
         }
     }
 
+    /// Forgets how many orders a target has taken, after it refused an order for that count.
+    pub fn forget_orders(&mut self, vm: &ids::VmName) {
+        if let Some(record) = self.records.get_mut(vm) {
+            record.entry.standing.orders = 0;
+        }
+    }
+
     /// Drops registrations that ended; returns whether any did.
     pub fn expire(&mut self, now: times::BootTime) -> bool {
         let before = self.records.len();
--- /dev/null
+++ b/crates/pier_fleet/tests/groups_are_mended.rs
@@ -0,0 +1,183 @@
+//! Groups are formed from nothing, mended in place, and never hold a VM twice.
+
+mod support;
+
+use std::collections;
+
+use pier_fleet::formation;
+use support::{LARGE, SMALL, TestDomain};
+
+/// Fails when any order to join lists a VM twice, or another number of members than its model has.
+fn check_lists(domain: &TestDomain) {
+    for order in &domain.orders {
+        if let formation::OrderKind::Join { model, members, .. } = &order.kind {
+            let distinct: collections::BTreeSet<_> = members.iter().collect();
+            assert_eq!(distinct.len(), members.len(), "{order:?}");
+            let spec = domain.engine.model(model).unwrap();
+            let size = usize::try_from(spec.size.get()).unwrap();
+            assert!(members.len() == size || members.len() == 1, "{order:?}");
+        }
+    }
+}
+
+#[test]
+fn eleven_vms_form_one_group_of_each_model_and_two_standby_vms() {
+    let mut domain = TestDomain::new(11);
+    domain.run(20);
+    assert_eq!(domain.heads(LARGE).len(), 1);
+    assert_eq!(domain.heads(SMALL).len(), 1);
+    let standby = domain.facts.values().filter(|facts| {
+        let place = facts.standing.membership.as_ref().unwrap();
+        place.group.as_str().contains("standby")
+    });
+    assert_eq!(standby.count(), 2);
+    check_lists(&domain);
+}
+
+#[test]
+fn vms_that_register_one_after_the_other_are_not_all_given_to_the_smallest_model() {
+    let mut domain = TestDomain::new(0);
+    for number in 0..11 {
+        domain.add_vm(&format!("vm-{number:02}"));
+        domain.run(1);
+    }
+    domain.run(20);
+    assert_eq!(domain.heads(LARGE).len(), 1);
+    assert_eq!(domain.heads(SMALL).len(), 1);
+}
+
+#[test]
+fn a_lost_member_is_replaced_by_a_standby_vm_under_the_same_name() {
+    let mut domain = TestDomain::new(11);
+    domain.run(20);
+    let head = domain.heads(LARGE).remove(0);
+    let before = domain.facts[&head].standing.membership.clone().unwrap();
+    let lost = domain.members_of(&head)[3].clone();
+    domain.lose(&lost);
+    domain.run(3);
+    let head = domain.heads(LARGE).remove(0);
+    let after = domain.facts[&head].standing.membership.clone().unwrap();
+    assert_eq!(before.group, after.group);
+    assert!(after.generation > before.generation);
+    assert_eq!(domain.members_of(&head).len(), 6);
+    check_lists(&domain);
+}
+
+#[test]
+fn a_lost_head_is_replaced_too() {
+    let mut domain = TestDomain::new(11);
+    domain.run(20);
+    let head = domain.heads(SMALL).remove(0);
+    domain.lose(&head);
+    domain.run(3);
+    let heads = domain.heads(SMALL);
+    assert_eq!(heads.len(), 1);
+    assert_eq!(domain.members_of(&heads[0]).len(), 3);
+    check_lists(&domain);
+}
+
+#[test]
+fn members_are_lost_until_none_are_left_without_a_vm_in_two_lists() {
+    let mut domain = TestDomain::new(11);
+    domain.run(20);
+    for number in [4, 0, 7, 2, 9, 1] {
+        let vm = format!("vm-{number:02}").parse().unwrap();
+        domain.lose(&vm);
+        domain.run(30);
+        check_lists(&domain);
+    }
+}
+
+#[test]
+fn a_group_opens_only_when_every_member_was_seen_ready() {
+    let mut domain = TestDomain::new(11);
+    domain.pass(1_000);
+    domain.run(1);
+    domain.pass(1_000);
+    let orders = domain.plan();
+    let (last, others) = orders.split_last().unwrap();
+    for order in others {
+        domain.carry_out(order);
+    }
+    let opened = domain.plan();
+    let names: collections::BTreeSet<_> = opened
+        .iter()
+        .filter(|order| order.kind == formation::OrderKind::Open)
+        .map(|order| order.group.clone())
+        .collect();
+    assert!(!names.contains(&last.group), "{opened:?}");
+}
+
+#[test]
+fn a_vm_of_another_group_leaves_it_before_it_joins() {
+    let mut domain = TestDomain::new(11);
+    domain.run(20);
+    let head = domain.heads(SMALL).remove(0);
+    let members = domain.members_of(&head);
+    // Without standby VMs the group stays short, and its survivor is used for the other model.
+    let standby: Vec<_> = domain
+        .facts
+        .values()
+        .filter(|facts| {
+            !facts
+                .standing
+                .membership
+                .as_ref()
+                .unwrap()
+                .group
+                .as_str()
+                .contains("d0")
+        })
+        .map(|facts| facts.vm.clone())
+        .collect();
+    for vm in standby.iter().chain(&members[..2]) {
+        domain.lose(vm);
+    }
+    domain.run(150);
+    let left = domain
+        .orders
+        .iter()
+        .filter(|order| order.kind == formation::OrderKind::Leave);
+    assert!(left.count() > 0);
+    check_lists(&domain);
+}
+
+#[test]
+fn a_planner_that_takes_over_goes_on_with_the_groups_that_are_reported() {
+    let mut domain = TestDomain::new(11);
+    domain.run(20);
+    let (large, small) = (domain.heads(LARGE), domain.heads(SMALL));
+    let term = pier_types::epochs::LeaseTerm::new(2);
+    domain.planner = formation::FormationPlanner::new(term, domain.now);
+    domain.planner.set_load_rate(None);
+    let before = domain.orders.len();
+    domain.run(30);
+    assert_eq!(
+        domain.orders.len(),
+        before,
+        "{:?}",
+        &domain.orders[before..]
+    );
+    assert_eq!((domain.heads(LARGE), domain.heads(SMALL)), (large, small));
+}
+
+#[test]
+fn a_group_that_is_reported_in_part_is_left_alone_while_the_rest_comes_back() {
+    let mut domain = TestDomain::new(11);
+    domain.run(20);
+    let all = domain.facts.clone();
+    let head = domain.heads(LARGE).remove(0);
+    let term = pier_types::epochs::LeaseTerm::new(2);
+    domain.planner = formation::FormationPlanner::new(term, domain.now);
+    domain.facts.remove(&head);
+    let before = domain.orders.len();
+    domain.run(10);
+    domain.facts = all;
+    domain.run(20);
+    assert_eq!(
+        domain.orders.len(),
+        before,
+        "{:?}",
+        &domain.orders[before..]
+    );
+}
--- /dev/null
+++ b/crates/pier_fleet/tests/support/mod.rs
@@ -0,0 +1,191 @@
+//! A domain of VMs that carry out orders, for tests of the planner.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{collections, time};
+
+use pier_fleet::{documents, formation, targets};
+use pier_types::{epochs, ids, sizes, times};
+
+pub const LARGE: &str = "large";
+pub const SMALL: &str = "small";
+
+pub fn model(name: &str, size: u32, share: f64) -> documents::ModelSpec {
+    documents::ModelSpec {
+        name: name.parse().unwrap(),
+        size: sizes::VmCount::new(size),
+        share,
+        pace: 1.0,
+        load_time: time::Duration::from_secs(16),
+        warm_time: time::Duration::from_millis(1_600),
+    }
+}
+
+pub fn engine() -> documents::EngineSpec {
+    documents::EngineSpec {
+        batch: sizes::RequestCount::new(26),
+        memory: sizes::TokenCount::new(2_470_000),
+        steps_per_pass: 6,
+        step_ms: 6.45,
+        request_ms: 0.0967,
+        context_ms: 0.00293,
+        read_per_ms: 56.1,
+        chunk: sizes::TokenCount::new(2_048),
+        usual_prompt: sizes::TokenCount::new(1_115),
+        usual_answer: sizes::TokenCount::new(152),
+        loads_per_second: 5.5,
+        loads_at_once: 8,
+        open_time: time::Duration::from_millis(300),
+        models: vec![model(LARGE, 6, 0.67), model(SMALL, 3, 0.33)],
+    }
+}
+
+/// VMs of one domain, the planner, and a clock.
+pub struct TestDomain {
+    pub facts: collections::BTreeMap<ids::VmName, formation::MemberFacts>,
+    pub planner: formation::FormationPlanner,
+    pub engine: documents::EngineSpec,
+    pub in_flight: collections::BTreeMap<ids::VmName, u32>,
+    pub now: times::BootTime,
+    /// Every order that was sent.
+    pub orders: Vec<formation::GroupOrder>,
+    pub born: u64,
+}
+
+impl TestDomain {
+    pub fn new(count: u32) -> Self {
+        let now = times::BootTime::from_millis(1_000);
+        let mut domain = Self {
+            facts: collections::BTreeMap::new(),
+            planner: formation::FormationPlanner::new(epochs::LeaseTerm::new(1), now),
+            engine: engine(),
+            in_flight: collections::BTreeMap::new(),
+            now,
+            orders: Vec::new(),
+            born: 1,
+        };
+        domain.planner.set_load_rate(None);
+        for number in 0..count {
+            domain.add_vm(&format!("vm-{number:02}"));
+        }
+        domain
+    }
+
+    pub fn add_vm(&mut self, name: &str) {
+        let vm: ids::VmName = name.parse().unwrap();
+        self.born += 1;
+        let facts = formation::MemberFacts {
+            vm: vm.clone(),
+            domain: "d0".parse().unwrap(),
+            standing: targets::TargetStanding {
+                born: epochs::VmIncarnation::new(self.born),
+                ..targets::TargetStanding::default()
+            },
+            draining_since: None,
+            is_lost: false,
+            is_held: false,
+        };
+        self.facts.insert(vm, facts);
+    }
+
+    pub fn pass(&mut self, millis: u64) {
+        self.now = self.now.after(time::Duration::from_millis(millis));
+    }
+
+    /// Plans, and returns the orders without carrying them out.
+    pub fn plan(&mut self) -> Vec<formation::GroupOrder> {
+        let input = formation::FormationInput {
+            facts: &self.facts,
+            engine: &self.engine,
+            in_flight: &self.in_flight,
+        };
+        let orders = self.planner.plan(&input, self.now);
+        self.orders.extend(orders.iter().cloned());
+        orders
+    }
+
+    /// Carries an order out as a VM does, at once.
+    pub fn carry_out(&mut self, order: &formation::GroupOrder) {
+        let Some(facts) = self.facts.get_mut(&order.vm) else {
+            return;
+        };
+        let standing = &mut facts.standing;
+        if facts.is_lost || standing.born != order.born || standing.orders != order.expected_orders
+        {
+            return;
+        }
+        standing.orders += 1;
+        match &order.kind {
+            formation::OrderKind::Join { model, members, .. } => {
+                let before = standing.membership.as_ref();
+                let strays = before.is_some_and(|before| {
+                    before.group != order.group && !before.group.as_str().contains("standby")
+                });
+                assert!(
+                    !strays,
+                    "joins another group without leaving its own: {order:?}"
+                );
+                let rank = members.iter().position(|vm| *vm == order.vm).unwrap();
+                standing.membership = Some(targets::GroupMembership {
+                    group: order.group.clone(),
+                    generation: order.generation,
+                    rank: u32::try_from(rank).unwrap(),
+                    phase: targets::GroupPhase::Ready,
+                });
+                standing.running = Some(model.clone());
+                standing.staged = vec![model.clone()];
+            }
+            formation::OrderKind::Open => {
+                if let Some(place) = &mut standing.membership {
+                    place.phase = targets::GroupPhase::Open;
+                }
+            }
+            formation::OrderKind::Leave => standing.membership = None,
+        }
+    }
+
+    /// Plans and carries out, several times.
+    pub fn run(&mut self, steps: u32) {
+        for _step in 0..steps {
+            for order in self.plan() {
+                self.carry_out(&order);
+            }
+            self.pass(100);
+        }
+    }
+
+    pub fn lose(&mut self, vm: &ids::VmName) {
+        self.facts.get_mut(vm).unwrap().is_lost = true;
+    }
+
+    /// Returns the first members of open groups of a model.
+    pub fn heads(&self, model: &str) -> Vec<ids::VmName> {
+        let open = self.facts.values().filter(|facts| {
+            let place = facts.standing.membership.as_ref();
+            let is_open = place.is_some_and(|place| place.phase == targets::GroupPhase::Open);
+            let runs = facts
+                .standing
+                .running
+                .as_ref()
+                .is_some_and(|name| name.as_str() == model);
+            is_open && runs && !facts.is_lost
+        });
+        open.map(|facts| facts.vm.clone()).collect()
+    }
+
+    /// Returns the living members of the group that a VM is in, by rank.
+    pub fn members_of(&self, vm: &ids::VmName) -> Vec<ids::VmName> {
+        let place = self.facts[vm].standing.membership.clone().unwrap();
+        let mut members: Vec<_> = self
+            .facts
+            .values()
+            .filter(|facts| !facts.is_lost)
+            .filter_map(|facts| {
+                let other = facts.standing.membership.as_ref()?;
+                let same = other.group == place.group && other.generation == place.generation;
+                same.then(|| (other.rank, facts.vm.clone()))
+            })
+            .collect();
+        members.sort();
+        members.into_iter().map(|(_rank, vm)| vm).collect()
+    }
+}
