--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -18,6 +18,13 @@
 /// Failures that lasted this long count as an outage of the store.
 const OUTAGE_TIME: time::Duration = time::Duration::from_millis(1_000);
 
+/// Failures in a row after which only the document's loop goes on asking, so that an outage costs
+/// few calls; the others wait for its success.
+const OWN_TRIES: u32 = 2;
+
+/// How long they wait at most, since the store may fail for one connection alone.
+const GATE_WAIT: time::Duration = time::Duration::from_millis(1_200);
+
 /// Starts to follow a kind.
 pub(crate) fn spawn<P: links::FleetPlatform>(state: state::EdgeState<P>, kind: links::RecordKind) {
     let keeper = records::RecordKeeper::new(state.clone());
@@ -91,7 +98,9 @@
             }
             Err(error) => {
                 self.note_failure(&error).await;
-                Some(version)
+                // A list answers at once, so that the return of the store is noticed.
+                let is_short = self.pause.failures() < OWN_TRIES;
+                is_short.then_some(version)
             }
         }
     }
@@ -110,6 +119,7 @@
         if !self.pause.reset() {
             return;
         }
+        self.state.notify_store();
         let Some(since) = self.failing_since.take() else {
             return;
         };
@@ -132,6 +142,15 @@
             self.failing_since = Some(now);
             log::warn!(event = "store-away", kind = self.kind.label(), cause:% = error; "");
         }
-        tokio::time::sleep(self.pause.next(rand::random())).await;
+        let pause = self.pause.next(rand::random());
+        let is_asker = self.kind == links::RecordKind::Document;
+        if is_asker || self.pause.failures() <= OWN_TRIES {
+            tokio::time::sleep(pause).await;
+            return;
+        }
+        tokio::select! {
+            () = self.state.store_back() => {}
+            () = tokio::time::sleep(GATE_WAIT) => {}
+        }
     }
 }
--- a/crates/pier_edge/src/records/watch_pause.rs
+++ b/crates/pier_edge/src/records/watch_pause.rs
@@ -3,10 +3,10 @@
 use std::time;
 
 /// First pause after a call that failed.
-const FIRST_PAUSE: time::Duration = time::Duration::from_millis(100);
+const FIRST_PAUSE: time::Duration = time::Duration::from_millis(60);
 
 /// Longest pause after calls that failed.
-const LAST_PAUSE: time::Duration = time::Duration::from_millis(800);
+const LAST_PAUSE: time::Duration = time::Duration::from_millis(400);
 
 /// Doubles the pause with each failure, and cuts it by chance.
 #[derive(Debug, Clone, Copy, Default)]
@@ -22,6 +22,11 @@
         failed
     }
 
+    /// Returns how many calls in a row have failed.
+    pub(crate) const fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// Returns the next pause; `draw` is between 0 and 1.
     pub(crate) fn next(&mut self, draw: f64) -> time::Duration {
         let pause = FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(6));
--- a/crates/pier_edge/src/serving/stream_relay.rs
+++ b/crates/pier_edge/src/serving/stream_relay.rs
@@ -15,9 +15,6 @@
 /// Pause between two looks for a target with room.
 const RESUME_PAUSE: time::Duration = time::Duration::from_millis(60);
 
-/// Targets to which one stream goes at most beyond what its route allows, as lost ones do not count.
-const EXTRA_SENDS: u32 = 2;
-
 /// One stream on its way from targets to a caller.
 #[derive(Debug)]
 pub(super) struct StreamRelay<P> {
@@ -189,7 +186,7 @@
         if !self.job.route.repeat.may_repeat() {
             return false;
         }
-        let most = self.job.route.max_sends + EXTRA_SENDS;
+        let most = self.job.route.max_sends;
         self.splitter.take_rest();
         let mut has_budget = false;
         loop {
@@ -249,6 +246,7 @@
                 true
             }
             Ok(call) => {
+                self.sends += 1;
                 log::info!(
                     event = "resume-refused",
                     attempt = self.job.head.attempt.as_str(),
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -15,8 +15,8 @@
 /// Time before the end that is left for this node's own answer.
 const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(30);
 
-/// Targets of which none is counted as a send: they could not be reached, or broke down.
-const EXTRA_SENDS: u32 = 2;
+/// Targets at most that could not be reached; none of them counts as a send.
+const UNREACHED_TARGETS: u32 = 3;
 
 /// An answer to a request for a stream.
 #[derive(Debug)]
@@ -37,7 +37,7 @@
 ) -> Result<StreamStart, serving::Refusal> {
     let mut tried: Vec<ids::VmName> = Vec::new();
     let mut sends = 0;
-    let mut lost = 0;
+    let mut unreached = 0;
     let mut may_have_run = false;
     let mut is_repeat = false;
     loop {
@@ -52,7 +52,7 @@
         if is_repeat {
             let nodes = job.state.with_peers(|peers| peers.nodes(now));
             let has_budget = job.state.retries().take(&job.service, nodes, now);
-            if sends >= job.route.max_sends || lost > EXTRA_SENDS || !has_budget {
+            if sends >= job.route.max_sends || !has_budget {
                 return Err(settle(may_have_run, &job, serving::Refusal::Broken));
             }
         }
@@ -115,7 +115,6 @@
             fault:? = fault;
             ""
         );
-        lost += 1;
         if let serving::SendFault::Unreached(_) = fault {
             slot.gauge
                 .set_stuck(times::clocks::boot_now().after(time::Duration::from_millis(500)));
@@ -123,9 +122,15 @@
         if fault.may_have_run() {
             may_have_run = true;
             is_repeat = true;
+            sends += 1;
             if !job.route.repeat.may_repeat() {
                 return Err(serving::Refusal::Broken);
             }
+        } else {
+            unreached += 1;
+            if unreached >= UNREACHED_TARGETS {
+                return Err(settle(may_have_run, &job, serving::Refusal::Broken));
+            }
         }
     }
 }
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -44,6 +44,7 @@
     has_served: atomic::AtomicBool,
     own_retiring: sync::Mutex<collections::BTreeSet<ids::VmName>>,
     book_changed: Notify,
+    store_returned: Notify,
 }
 
 impl<P: links::FleetPlatform> EdgeState<P> {
@@ -66,6 +67,7 @@
             has_served: atomic::AtomicBool::new(false),
             own_retiring: sync::Mutex::default(),
             book_changed: Notify::new(),
+            store_returned: Notify::new(),
         };
         Self {
             shared: sync::Arc::new(shared),
@@ -150,6 +152,15 @@
         self.shared.book_changed.notified().await;
     }
 
+    /// Wakes whoever waits for the store's return.
+    pub(crate) fn notify_store(&self) {
+        self.shared.store_returned.notify_waiters();
+    }
+
+    pub(crate) async fn store_back(&self) {
+        self.shared.store_returned.notified().await;
+    }
+
     /// Builds the table of targets anew.
     pub(crate) fn rebuild(&self, now: times::BootTime) {
         let Some(document) = self.document() else {
--- a/crates/pier_fleet/src/stalls/stall_judge.rs
+++ b/crates/pier_fleet/src/stalls/stall_judge.rs
@@ -16,6 +16,9 @@
     pub floor: time::Duration,
     /// Passes without progress that count.
     pub passes: u32,
+    /// Silence of running streams that counts at a slow target too: callers leave after two
+    /// seconds, and another target needs the rest.
+    pub ceiling: time::Duration,
 }
 
 impl Default for StallJudge {
@@ -23,6 +26,7 @@
         Self {
             floor: time::Duration::from_millis(450),
             passes: 5,
+            ceiling: time::Duration::from_millis(900),
         }
     }
 }
@@ -33,7 +37,7 @@
         if facts.in_flight == 0 {
             return None;
         }
-        let moving = self.floor.max(facts.pass_time * self.passes);
+        let moving = (facts.pass_time * self.passes).clamp(self.floor, self.ceiling);
         if facts.running > 0 {
             return Some(moving);
         }
