--- a/crates/pier_edge/src/daemon/edge_daemon.rs
+++ b/crates/pier_edge/src/daemon/edge_daemon.rs
@@ -9,8 +9,8 @@
 use crate::{control, daemon, links, peers, records, serving, settings, state, telemetry};
 
 /// How long a stopping node takes new requests as before: the balancer asks each second and takes
-/// a node out after two misses.
-const NOTICE_TIME: time::Duration = time::Duration::from_millis(3_000);
+/// a node out after two misses. What is taken later could be cut off at the end.
+const NOTICE_TIME: time::Duration = time::Duration::from_millis(2_800);
 
 /// Time before the process would be killed at which a stopping node ends by itself.
 const END_MARGIN: time::Duration = time::Duration::from_millis(400);
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -98,9 +98,9 @@
             }
             Err(error) => {
                 self.note_failure(&error).await;
-                // A list answers at once, so that the return of the store is noticed.
-                let is_short = self.pause.failures() < OWN_TRIES;
-                is_short.then_some(version)
+                // What changed meanwhile may lie before what the next watch can see, and a list
+                // answers at once.
+                None
             }
         }
     }
--- a/crates/pier_edge/src/serving/caller_server.rs
+++ b/crates/pier_edge/src/serving/caller_server.rs
@@ -50,13 +50,19 @@
         self.closing.clone()
     }
 
-    /// Accepts connections until the process ends.
+    /// Accepts connections until those that are open are to be closed; the port is closed then, so
+    /// that no request is taken that can not be finished any more.
     pub(crate) async fn run(self) {
+        let mut closing = self.closing.subscribe();
         loop {
-            match self.listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                () = wait_for_close(&mut closing) => return,
+            };
+            match accepted {
                 Ok((stream, _from)) => {
-                    let serving =
-                        serve_connection(self.state.clone(), stream, self.closing.subscribe());
+                    let subscription = self.closing.subscribe();
+                    let serving = serve_connection(self.state.clone(), stream, subscription);
                     tokio::spawn(serving);
                 }
                 Err(error) => {
