Let streams of a group with a leaving member end before it is formed anew

Now 4 s are given, or until one request is left; a leaving member stays for its group's work. Log events are documented.

--- a/crates/buckthornpier/src/logs/bounded_output.rs
+++ b/crates/buckthornpier/src/logs/bounded_output.rs
@@ -72,12 +72,12 @@
 }
 
 impl io::Write for BoundedOutput {
-    fn write(&mut self, piece: &[u8]) -> io::Result<usize> {
-        self.line.extend_from_slice(piece);
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.line.extend_from_slice(buf);
         if self.line.ends_with(b"\n") {
             self.end_line();
         }
-        Ok(piece.len())
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/crates/buckthornpier/tests/log_events.rs
+++ b/crates/buckthornpier/tests/log_events.rs
@@ -2,8 +2,8 @@
 
 use std::{collections, fs, path};
 
-/// The target under which lines of libraries are logged.
-const LIBRARY_EVENT: &str = "library";
+/// Events whose lines the log writes by itself: lines of libraries, and the count of lost lines.
+const OWN_EVENTS: [&str; 2] = ["library", "log-lines-lost"];
 
 fn root() -> path::PathBuf {
     path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
@@ -33,9 +33,10 @@
 
 #[test]
 fn page_names_every_event_and_no_other() {
-    let mut events = collections::BTreeSet::from([LIBRARY_EVENT.to_owned()]);
+    let mut events: collections::BTreeSet<_> = OWN_EVENTS.map(str::to_owned).into();
     for entry in fs::read_dir(root().join("crates")).unwrap() {
         add_events(&entry.unwrap().path().join("src"), &mut events);
     }
+    add_events(&root().join("platform/src"), &mut events);
     assert_eq!(documented(), events);
 }
--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -21,7 +21,7 @@
 const DATAGRAM_SIZE: usize = 16_384;
 
 /// How long a stuck target gets nothing new.
-const STUCK_TIME: time::Duration = time::Duration::from_millis(2_000);
+const STUCK_TIME: time::Duration = time::Duration::from_secs(2);
 
 /// Starts to exchange beats.
 ///
--- a/crates/pier_edge/src/peers/peer_table.rs
+++ b/crates/pier_edge/src/peers/peer_table.rs
@@ -8,7 +8,7 @@
 use crate::peers;
 
 /// Silence after which a node does not count as living: ten beats.
-const LIFE: time::Duration = time::Duration::from_millis(1_000);
+const LIFE: time::Duration = time::Duration::from_secs(1);
 
 /// Silence after which a node has no part in shared limits any more.
 const SHARE_LIFE: time::Duration = time::Duration::from_secs(30);
--- a/crates/pier_edge/src/records/record_keeper.rs
+++ b/crates/pier_edge/src/records/record_keeper.rs
@@ -119,7 +119,7 @@
                 self.set_closed(closed, now);
             }
             links::RecordContent::Node(text) => {
-                self.apply_node(&record.name, record.version, &text, now)
+                self.apply_node(&record.name, record.version, &text, now);
             }
             other @ links::RecordContent::Unreadable(_) => {
                 note_unreadable(kind, &record.name, &other);
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -16,7 +16,7 @@
 const STEWARD_PAUSE: time::Duration = time::Duration::from_millis(30);
 
 /// Failures that lasted this long count as an outage of the store.
-const OUTAGE_TIME: time::Duration = time::Duration::from_millis(1_000);
+const OUTAGE_TIME: time::Duration = time::Duration::from_secs(1);
 
 /// Failures in a row after which only the document's loop goes on asking, so that an outage costs
 /// few calls; the others wait for its success.
--- a/crates/pier_edge/src/records/watch_pause.rs
+++ b/crates/pier_edge/src/records/watch_pause.rs
@@ -23,7 +23,7 @@
     }
 
     /// Returns how many calls in a row have failed.
-    pub(crate) const fn failures(&self) -> u32 {
+    pub(crate) const fn failures(self) -> u32 {
         self.failures
     }
 
--- a/crates/pier_edge/src/serving/caller_server.rs
+++ b/crates/pier_edge/src/serving/caller_server.rs
@@ -100,12 +100,11 @@
         ended = &mut connection => Some(ended),
         () = wait_for_close(&mut closing) => None,
     };
-    let ended = match ended {
-        Some(ended) => ended,
-        None => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
+    let ended = if let Some(ended) = ended {
+        ended
+    } else {
+        connection.as_mut().graceful_shutdown();
+        connection.await
     };
     if let Err(error) = ended {
         log::debug!(event = "caller-connection-ended", cause:% = error; "");
--- a/crates/pier_edge/src/serving/edge_body.rs
+++ b/crates/pier_edge/src/serving/edge_body.rs
@@ -37,14 +37,14 @@
 
     fn poll_frame(
         self: pin::Pin<&mut Self>,
-        context: &mut task::Context<'_>,
+        cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
         match self.get_mut() {
             Self::Whole(body) => pin::Pin::new(body)
-                .poll_frame(context)
+                .poll_frame(cx)
                 .map_err(|never| match never {}),
             Self::Stream(parts) => parts
-                .poll_recv(context)
+                .poll_recv(cx)
                 .map(|part| part.map(|part| part.map(Frame::data))),
         }
     }
--- a/crates/pier_edge/src/serving/event_splitter.rs
+++ b/crates/pier_edge/src/serving/event_splitter.rs
@@ -69,8 +69,8 @@
 
 fn last_id(events: &[u8]) -> Option<String> {
     let lines = events.split(|byte| *byte == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let id = ids.last()?;
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    let id = ids.next_back()?;
     let text = std::str::from_utf8(id).ok()?;
     Some(text.trim().to_owned())
 }
--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -8,7 +8,7 @@
 use crate::{links, serving, state};
 
 /// How soon a service without any target is expected to have one again: about a repair of a group.
-const NO_TARGET_WAIT: time::Duration = time::Duration::from_millis(1_000);
+const NO_TARGET_WAIT: time::Duration = time::Duration::from_secs(1);
 
 /// Ranks of the products' own are mapped on the engines' by this step.
 const RANK_STEP: u8 = 2;
--- a/crates/pier_edge/src/state/target_slot.rs
+++ b/crates/pier_edge/src/state/target_slot.rs
@@ -35,10 +35,6 @@
 }
 
 impl TargetSlot {
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "each field is one fact of the entry"
-    )]
     pub(crate) fn new(
         key: SlotKey,
         address: net::SocketAddr,
--- a/crates/pier_fleet/src/dispatch/pass_model.rs
+++ b/crates/pier_fleet/src/dispatch/pass_model.rs
@@ -58,7 +58,7 @@
         if ahead <= 0.0 {
             return 0.0;
         }
-        let answer_ms = self.engine.usual_answer.get() as f64 * self.engine.step_time_ms(batch);
+        let answer_ms = self.engine.usual_answer * self.engine.step_time_ms(batch);
         ahead * answer_ms / batch
     }
 
--- a/crates/pier_fleet/src/documents/engine_spec.rs
+++ b/crates/pier_fleet/src/documents/engine_spec.rs
@@ -25,10 +25,10 @@
     pub read_per_ms: f64,
     /// Most prompt tokens read in one step.
     pub chunk: sizes::TokenCount,
-    /// Mean number of a prompt's tokens.
-    pub usual_prompt: sizes::TokenCount,
-    /// Mean number of an answer's tokens.
-    pub usual_answer: sizes::TokenCount,
+    /// Mean tokens of a prompt.
+    pub usual_prompt: f64,
+    /// Mean tokens of an answer.
+    pub usual_answer: f64,
     /// Weight loads that may begin in a second, over all VMs.
     pub loads_per_second: f64,
     /// Weight loads that run at full speed at once, over all VMs.
@@ -47,7 +47,7 @@
 
     /// Returns the milliseconds of one token step with so many requests of usual context.
     pub fn step_time_ms(&self, running: f64) -> f64 {
-        let context = self.usual_prompt.get() as f64 + self.usual_answer.get() as f64 / 2.0;
+        let context = self.usual_prompt + self.usual_answer / 2.0;
         let each = self.request_ms + self.context_ms * context / 1_000.0;
         self.step_ms + each * running
     }
--- a/crates/pier_fleet/src/formation/domain_plan.rs
+++ b/crates/pier_fleet/src/formation/domain_plan.rs
@@ -6,10 +6,14 @@
 
 use crate::{documents, formation, targets};
 
-/// How long streams of a group that loses a leaving member may still run.
+/// How long streams of a group that loses a leaving member may still run before they are moved.
 ///
-/// A leaving VM goes on for two seconds at least after its word; the rest is for the orders.
-const RETIRE_TIME: time::Duration = time::Duration::from_millis(1_500);
+/// A leaving member stays while its group has work, for ten seconds at most; most streams are done
+/// in half of this time.
+const RETIRE_TIME: time::Duration = time::Duration::from_secs(4);
+
+/// Requests in flight at which a group with a leaving member is formed anew before that time.
+const RETIRE_FLOOR: u32 = 1;
 
 /// How long a first member that does not answer may still think that its group is open; its
 /// members are free for other groups only after it.
@@ -188,7 +192,7 @@
         let since = *group.retiring_since.get_or_insert(self.now);
         let head = group.members.first().map(|member| &member.vm);
         let in_flight = head.and_then(|vm| self.input.in_flight.get(vm)).copied();
-        let is_idle = in_flight.unwrap_or(0) == 0 && self.now > since;
+        let is_idle = in_flight.unwrap_or(0) <= RETIRE_FLOOR && self.now > since;
         is_idle || self.now.since(since) >= RETIRE_TIME
     }
 
--- a/crates/pier_fleet/src/formation/formation_planner.rs
+++ b/crates/pier_fleet/src/formation/formation_planner.rs
@@ -8,7 +8,7 @@
 
 /// How long a group that is reported in part is given to be reported whole: VMs register again one
 /// after the other when the store, or the way to it, is back.
-const ADOPT_TIME: time::Duration = time::Duration::from_millis(2_000);
+const ADOPT_TIME: time::Duration = time::Duration::from_secs(2);
 
 /// Generations that each term of a planner has of its own.
 const TERM_GENERATIONS: u64 = 1_000_000;
