Let a data centre's steward read the store for its nodes

The steward now passes changes of registrations on by datagrams within its data centre, and the others read the store only at the start, for a newer document, after a gap, and when the steward is silent for 0.6 s or has not heard from the store for 1.3 s.

--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -7,7 +7,7 @@
 use pier_types::times;
 use tokio::net::UdpSocket;
 
-use crate::{links, peers, state};
+use crate::{links, peers, records, state};
 
 /// Time between two beats with few nodes: a load is at most this old elsewhere, which is less than
 /// two passes of an engine.
@@ -17,8 +17,11 @@
 /// does not grow with the square of the nodes.
 const FULL_RATE_PEERS: usize = 12;
 
+/// Time between two words of a steward on the store.
+const RELAY_TIME: time::Duration = time::Duration::from_millis(150);
+
 /// Greatest datagram.
-const DATAGRAM_SIZE: usize = 16_384;
+const DATAGRAM_SIZE: usize = 65_536;
 
 /// How long a stuck target gets nothing new.
 const STUCK_TIME: time::Duration = time::Duration::from_secs(2);
@@ -35,6 +38,7 @@
     let socket = UdpSocket::bind(address).await;
     let socket = sync::Arc::new(socket.with_context(|| format!("binding {address}"))?);
     tokio::spawn(receive(state.clone(), sync::Arc::clone(&socket)));
+    tokio::spawn(relay(state.clone(), sync::Arc::clone(&socket)));
     tokio::spawn(send(state, socket));
     Ok(())
 }
@@ -43,6 +47,7 @@
     state: state::EdgeState<P>,
     socket: sync::Arc<UdpSocket>,
 ) {
+    let keeper = records::RecordKeeper::new(state.clone());
     let mut buffer = vec![0; DATAGRAM_SIZE];
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
@@ -54,8 +59,11 @@
             }
         };
         let now = times::clocks::boot_now();
-        match postcard::from_bytes::<peers::NodeBeat>(&buffer[..length]) {
-            Ok(beat) => state.with_peers(|peers| peers.hear(beat, from, now)),
+        match postcard::from_bytes::<peers::PeerMessage>(&buffer[..length]) {
+            Ok(peers::PeerMessage::Beat(beat)) => {
+                state.with_peers(|peers| peers.hear(beat, from, now));
+            }
+            Ok(peers::PeerMessage::Relay(relay)) => keeper.apply_relay(relay, now),
             Err(error) => {
                 state.metrics().count_bad_beat();
                 log::debug!(event = "beat-unreadable", from:% = from, cause:% = error; "");
@@ -92,7 +100,7 @@
             retiring_before = retiring;
             state.rebuild(now);
         }
-        let beat = peers::NodeBeat {
+        let beat = peers::PeerMessage::Beat(peers::NodeBeat {
             node: state.node().clone(),
             data_centre: state.settings().data_centre.clone(),
             number,
@@ -101,23 +109,51 @@
             loads: own_loads,
             stuck,
             retiring: state.own_retiring().into_iter().collect(),
-        };
-        match postcard::to_stdvec(&beat) {
-            Ok(bytes) => {
-                for address in &addresses {
-                    if let Err(error) = socket.send_to(&bytes, address).await {
-                        log::debug!(event = "beat-not-sent", to:% = address, cause:% = error; "");
-                    }
-                }
-            }
-            Err(error) => log::error!(event = "beat-not-written", cause:% = error; ""),
-        }
+        });
+        send_all(&socket, &beat, &addresses).await;
         let rarer = addresses.len().div_ceil(FULL_RATE_PEERS).max(1);
         let rarer = u32::try_from(rarer).unwrap_or(u32::MAX);
         tokio::time::sleep(BEAT_TIME * rarer).await;
     }
 }
 
+/// Tells the nodes of this data centre what this node knows of the store, while it is the steward.
+async fn relay<P: links::FleetPlatform>(state: state::EdgeState<P>, socket: sync::Arc<UdpSocket>) {
+    loop {
+        let now = times::clocks::boot_now();
+        let place = &state.settings().data_centre;
+        let is_steward = state.with_peers(|peers| peers.steward(place) == Some(state.node()));
+        if is_steward && !state.is_draining() {
+            let addresses = state.with_peers(|peers| peers.local_addresses(place, now));
+            let beat = peers::PeerMessage::Relay(state.relay_beat(now));
+            send_all(&socket, &beat, &addresses).await;
+        }
+        tokio::select! {
+            () = state.relay_change() => {}
+            () = tokio::time::sleep(RELAY_TIME) => {}
+        }
+    }
+}
+
+async fn send_all(
+    socket: &UdpSocket,
+    message: &peers::PeerMessage,
+    addresses: &[std::net::SocketAddr],
+) {
+    let bytes = match postcard::to_stdvec(message) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::error!(event = "beat-not-written", cause:% = error; "");
+            return;
+        }
+    };
+    for address in addresses {
+        if let Err(error) = socket.send_to(&bytes, address).await {
+            log::debug!(event = "beat-not-sent", to:% = address, cause:% = error; "");
+        }
+    }
+}
+
 /// Finds the targets that move nothing, and moves this node's requests away from them.
 fn judge_stalls<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
--- a/crates/pier_edge/src/peers/mod.rs
+++ b/crates/pier_edge/src/peers/mod.rs
@@ -3,7 +3,13 @@
 mod beat_loop;
 mod node_beat;
 mod peer_table;
+mod relay_beat;
+mod relay_follower;
+mod relay_log;
 
 pub(crate) use beat_loop::spawn;
-pub(crate) use node_beat::{LoadWord, NodeBeat, NodeRecord, StewardRecord};
+pub(crate) use node_beat::{LoadWord, NodeBeat, NodeRecord, PeerMessage, StewardRecord};
 pub(crate) use peer_table::PeerTable;
+pub(crate) use relay_beat::{RelayBeat, TargetChange};
+pub(crate) use relay_follower::RelayFollower;
+pub(crate) use relay_log::RelayLog;
--- a/crates/pier_edge/src/peers/node_beat.rs
+++ b/crates/pier_edge/src/peers/node_beat.rs
@@ -5,6 +5,15 @@
 use pier_types::{epochs, ids};
 use serde::{Deserialize, Serialize};
 
+use crate::peers;
+
+/// What nodes send one another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum PeerMessage {
+    Beat(NodeBeat),
+    Relay(peers::RelayBeat),
+}
+
 /// What a node tells all others several times a second.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct NodeBeat {
--- a/crates/pier_edge/src/peers/peer_table.rs
+++ b/crates/pier_edge/src/peers/peer_table.rs
@@ -95,6 +95,45 @@
         self.peers.keys().copied().collect()
     }
 
+    /// Returns where the living nodes of a data centre are reached.
+    pub(crate) fn local_addresses(
+        &self,
+        data_centre: &ids::DataCentreName,
+        now: times::BootTime,
+    ) -> Vec<net::SocketAddr> {
+        let local = self.peers.iter().filter(|(_address, peer)| {
+            let heard = peer.heard_at.is_some_and(|at| now.since(at) < SHARE_LIFE);
+            let place = peer.beat.as_ref().map(|beat| &beat.data_centre);
+            heard && place == Some(data_centre)
+        });
+        local.map(|(address, _peer)| *address).collect()
+    }
+
+    /// Returns the recorded steward of a data centre.
+    pub(crate) fn steward(&self, data_centre: &ids::DataCentreName) -> Option<&ids::NodeName> {
+        self.stewards.get(data_centre).map(|word| &word.holder)
+    }
+
+    /// Returns every recorded steward.
+    pub(crate) fn stewards(
+        &self,
+    ) -> Vec<(
+        ids::DataCentreName,
+        peers::StewardRecord,
+        epochs::ObjectVersion,
+    )> {
+        let words = self.stewards.iter();
+        words
+            .map(|(place, word)| {
+                let record = peers::StewardRecord {
+                    holder: word.holder.clone(),
+                    term: word.term,
+                };
+                (place.clone(), record, word.version)
+            })
+            .collect()
+    }
+
     /// Returns how many nodes share a limit, this one included.
     pub(crate) fn nodes(&self, now: times::BootTime) -> u32 {
         let sharing = self.peers.values().filter(|peer| {
@@ -142,15 +181,16 @@
         self.beats(now, SHARE_LIFE).any(|beat| beat.has_served)
     }
 
+    /// Takes in a steward's record; returns whether it is news.
     pub(crate) fn set_steward(
         &mut self,
         data_centre: ids::DataCentreName,
         record: peers::StewardRecord,
         version: epochs::ObjectVersion,
-    ) {
+    ) -> bool {
         let known = self.stewards.get(&data_centre);
         if known.is_some_and(|known| known.version >= version) {
-            return;
+            return false;
         }
         let word = stewards::StewardWord {
             holder: record.holder,
@@ -158,6 +198,7 @@
             version,
         };
         self.stewards.insert(data_centre, word);
+        true
     }
 
     /// Tells whether this node plans any data centre.
--- a/crates/pier_edge/src/records/record_keeper.rs
+++ b/crates/pier_edge/src/records/record_keeper.rs
@@ -2,6 +2,7 @@
 
 use std::collections;
 
+use pier_fleet::targets;
 use pier_types::{epochs, ids, times};
 
 use crate::{links, peers, records, state};
@@ -72,6 +73,46 @@
         }
     }
 
+    /// Applies a steward's word; one of another data centre, or of a former steward, is dropped.
+    pub(crate) fn apply_relay(&self, beat: peers::RelayBeat, now: times::BootTime) {
+        let place = &self.state.settings().data_centre;
+        for (data_centre, record, version) in &beat.stewards {
+            self.set_steward(data_centre.clone(), record.clone(), *version);
+        }
+        let steward = self.state.with_peers(|peers| peers.steward(place).cloned());
+        if beat.data_centre != *place || steward.as_ref() != Some(&beat.node) {
+            return;
+        }
+        let document = self.state.document();
+        let own = document
+            .map(|document| document.version())
+            .unwrap_or_default();
+        let closed = beat.closed.iter().cloned().collect();
+        let was_following = self.state.is_following(now);
+        let news = self
+            .state
+            .with_follower(|follower| follower.hear(beat, own, now));
+        if was_following {
+            self.set_closed(closed, now);
+        }
+        let has_changes = !news.changes.is_empty();
+        for change in news.changes {
+            match change {
+                peers::TargetChange::Put(entry) => self.put_target(*entry, now),
+                peers::TargetChange::Gone(vm) => {
+                    self.apply_gone(links::RecordKind::Targets, vm.as_str(), now);
+                }
+            }
+        }
+        if has_changes {
+            self.targets_changed(now);
+        }
+        let is_behind = self.state.with_follower(|follower| follower.is_behind());
+        if news.newer_document || is_behind {
+            self.state.notify_relay();
+        }
+    }
+
     /// Notes that the store answers again.
     pub(crate) fn note_return(&self, kind: links::RecordKind, now: times::BootTime) {
         if kind == links::RecordKind::Targets {
@@ -92,18 +133,7 @@
     ) {
         match record.content {
             links::RecordContent::Target(entry) => {
-                if entry.is_draining {
-                    log::info!(event = "target-leaving", target_vm:% = entry.vm; "");
-                }
-                log::debug!(
-                    event = "target-registered",
-                    target_vm:% = entry.vm,
-                    born:% = entry.standing.born,
-                    membership:? = entry.standing.membership,
-                    cold_ms = u64::try_from(entry.cold_left.as_millis()).unwrap_or(u64::MAX);
-                    ""
-                );
-                self.state.with_book(|book| book.put(*entry, now));
+                self.put_target(*entry, now);
             }
             links::RecordContent::Document(document) => {
                 let version = document.version();
@@ -130,6 +160,21 @@
         }
     }
 
+    fn put_target(&self, entry: targets::TargetEntry, now: times::BootTime) {
+        if entry.is_draining {
+            log::info!(event = "target-leaving", target_vm:% = entry.vm; "");
+        }
+        log::debug!(
+            event = "target-registered",
+            target_vm:% = entry.vm,
+            born:% = entry.standing.born,
+            membership:? = entry.standing.membership,
+            cold_ms = u64::try_from(entry.cold_left.as_millis()).unwrap_or(u64::MAX);
+            ""
+        );
+        self.state.with_book(|book| book.put(entry, now));
+    }
+
     fn apply_gone(&self, kind: links::RecordKind, name: &str, now: times::BootTime) {
         match kind {
             links::RecordKind::Targets => {
@@ -185,18 +230,31 @@
     ) -> anyhow::Result<()> {
         let data_centre: ids::DataCentreName = place.parse()?;
         let record: peers::StewardRecord = serde_json::from_str(text)?;
-        log::info!(
-            event = "steward-known",
-            data_centre:% = data_centre,
-            holder:% = record.holder,
-            term:% = record.term;
-            ""
-        );
-        self.state
-            .with_peers(|peers| peers.set_steward(data_centre, record, version));
-        self.state.notify_book();
+        self.set_steward(data_centre, record, version);
         Ok(())
     }
+
+    fn set_steward(
+        &self,
+        data_centre: ids::DataCentreName,
+        record: peers::StewardRecord,
+        version: epochs::ObjectVersion,
+    ) {
+        let (place, holder, term) = (data_centre.clone(), record.holder.clone(), record.term);
+        let is_news = self
+            .state
+            .with_peers(|peers| peers.set_steward(data_centre, record, version));
+        if is_news {
+            log::info!(
+                event = "steward-known",
+                data_centre:% = place,
+                holder:% = holder,
+                term:% = term;
+                ""
+            );
+            self.state.notify_book();
+        }
+    }
 }
 
 fn closed_centre(record: links::StoreRecord) -> Option<ids::DataCentreName> {
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -4,7 +4,7 @@
 
 use pier_types::{epochs, times};
 
-use crate::{links, records, state};
+use crate::{links, peers, records, state};
 
 /// How long a watch waits; a connection that went silent is found by the time-outs of its socket.
 const WATCH_WAIT: time::Duration = time::Duration::from_secs(10);
@@ -15,6 +15,16 @@
 /// The same for the registrations at a steward, which waits for its orders' effects there.
 const STEWARD_PAUSE: time::Duration = time::Duration::from_millis(30);
 
+/// How long a steward's watch of the registrations waits: the age of its last answer tells the
+/// nodes of its data centre whether it still reaches the store.
+const RELAY_WAIT: time::Duration = time::Duration::from_millis(900);
+
+/// Time between two looks at a steward's word.
+const FOLLOW_TIME: time::Duration = time::Duration::from_millis(200);
+
+/// Least time between two readings that a steward's word asked for.
+const DOCUMENT_PAUSE: time::Duration = time::Duration::from_millis(250);
+
 /// Failures that lasted this long count as an outage of the store.
 const OUTAGE_TIME: time::Duration = time::Duration::from_secs(1);
 
@@ -50,13 +60,50 @@
     async fn run(mut self) {
         let mut at: Option<epochs::ObjectVersion> = None;
         loop {
+            let now = times::clocks::boot_now();
+            if at.is_some() && self.state.is_following(now) {
+                at = self.follow(at).await;
+                continue;
+            }
             at = match at {
                 None => self.list().await,
-                Some(version) => self.watch(version).await,
+                Some(version) => self.watch(self.read_version(version)).await,
             };
         }
     }
 
+    /// Relies on the steward's word, and reads only what it tells to read.
+    async fn follow(&mut self, at: Option<epochs::ObjectVersion>) -> Option<epochs::ObjectVersion> {
+        let is_due = match self.kind {
+            links::RecordKind::Targets => self.state.with_follower(|follower| follower.is_behind()),
+            links::RecordKind::Document => {
+                let document = self.state.document().map(|document| document.version());
+                let known = self.state.with_follower(|follower| follower.document());
+                known > document
+            }
+            links::RecordKind::OutOfService | links::RecordKind::Nodes => false,
+        };
+        if is_due {
+            let read = self.list().await;
+            tokio::time::sleep(DOCUMENT_PAUSE).await;
+            return read;
+        }
+        tokio::select! {
+            () = self.state.relay_word() => {}
+            () = tokio::time::sleep(FOLLOW_TIME) => {}
+        }
+        at
+    }
+
+    /// Returns the version to watch from; a steward's word may have led further than this loop.
+    fn read_version(&self, version: epochs::ObjectVersion) -> epochs::ObjectVersion {
+        if self.kind != links::RecordKind::Targets {
+            return version;
+        }
+        let read = self.state.with_follower(|follower| follower.read());
+        read.map_or(version, |read| read.max(version))
+    }
+
     async fn list(&mut self) -> Option<epochs::ObjectVersion> {
         self.state
             .metrics()
@@ -67,6 +114,10 @@
                 self.note_success(now);
                 let at = list.at;
                 self.keeper.apply_list(self.kind, list, now);
+                if self.kind == links::RecordKind::Targets {
+                    self.state.with_follower(|follower| follower.set_read(at));
+                    self.state.with_relay_log(|log| log.restart(at));
+                }
                 Some(at)
             }
             Err(error) => {
@@ -82,11 +133,17 @@
             .metrics()
             .count_store_call(self.kind.label(), "watch");
         let platform = self.state.platform();
-        match platform.watch(self.kind, version, WATCH_WAIT).await {
+        match platform.watch(self.kind, version, self.watch_wait()).await {
             Ok(changes) => {
                 let now = times::clocks::boot_now();
                 self.note_success(now);
                 let at = changes.at;
+                if self.kind == links::RecordKind::Targets {
+                    let relayed = relayed_changes(&changes.changes);
+                    self.state.with_follower(|follower| follower.set_read(at));
+                    self.state
+                        .with_relay_log(|log| log.note(version, at, relayed, now));
+                }
                 self.keeper.apply_changes(self.kind, changes, now);
                 let taken = times::clocks::boot_now().since(started);
                 tokio::time::sleep(self.least_pause().saturating_sub(taken)).await;
@@ -106,16 +163,28 @@
     }
 
     fn least_pause(&self) -> time::Duration {
-        let is_steward = self.kind == links::RecordKind::Targets
-            && self.state.with_peers(|peers| peers.is_steward());
-        if is_steward {
+        if self.is_relay() {
             STEWARD_PAUSE
         } else {
             CHANGE_PAUSE
         }
     }
 
+    fn watch_wait(&self) -> time::Duration {
+        if self.is_relay() {
+            RELAY_WAIT
+        } else {
+            WATCH_WAIT
+        }
+    }
+
+    /// Tells whether others rely on this loop's reading.
+    fn is_relay(&self) -> bool {
+        self.kind == links::RecordKind::Targets && self.state.with_peers(|peers| peers.is_steward())
+    }
+
     fn note_success(&mut self, now: times::BootTime) {
+        self.state.note_store(now);
         if !self.pause.reset() {
             return;
         }
@@ -154,3 +223,15 @@
         }
     }
 }
+
+/// Returns the changes of registrations that are passed on; what is not understood is gone.
+fn relayed_changes(changes: &[links::RecordChange]) -> Vec<peers::TargetChange> {
+    let relayed = changes.iter().filter_map(|change| match change {
+        links::RecordChange::Put(record) => match &record.content {
+            links::RecordContent::Target(entry) => Some(peers::TargetChange::Put(entry.clone())),
+            _ => record.name.parse().ok().map(peers::TargetChange::Gone),
+        },
+        links::RecordChange::Gone(name) => name.parse().ok().map(peers::TargetChange::Gone),
+    });
+    relayed.collect()
+}
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -45,6 +45,11 @@
     own_retiring: sync::Mutex<collections::BTreeSet<ids::VmName>>,
     book_changed: Notify,
     store_returned: Notify,
+    relay_log: sync::Mutex<peers::RelayLog>,
+    follower: sync::Mutex<peers::RelayFollower>,
+    store_heard_at: atomic::AtomicU64,
+    relay_changed: Notify,
+    relay_heard: Notify,
 }
 
 impl<P: links::FleetPlatform> EdgeState<P> {
@@ -68,6 +73,11 @@
             own_retiring: sync::Mutex::default(),
             book_changed: Notify::new(),
             store_returned: Notify::new(),
+            relay_log: sync::Mutex::default(),
+            follower: sync::Mutex::default(),
+            store_heard_at: atomic::AtomicU64::new(0),
+            relay_changed: Notify::new(),
+            relay_heard: Notify::new(),
         };
         Self {
             shared: sync::Arc::new(shared),
@@ -161,6 +171,68 @@
         self.shared.store_returned.notified().await;
     }
 
+    /// Notes that the store has answered.
+    pub(crate) fn note_store(&self, now: times::BootTime) {
+        let cell = &self.shared.store_heard_at;
+        cell.fetch_max(now.as_micros(), atomic::Ordering::Relaxed);
+    }
+
+    pub(crate) fn with_relay_log<T>(&self, change: impl FnOnce(&mut peers::RelayLog) -> T) -> T {
+        let value = change(&mut state::target_slot::lock(&self.shared.relay_log));
+        self.shared.relay_changed.notify_waiters();
+        value
+    }
+
+    pub(crate) async fn relay_change(&self) {
+        self.shared.relay_changed.notified().await;
+    }
+
+    pub(crate) fn with_follower<T>(
+        &self,
+        change: impl FnOnce(&mut peers::RelayFollower) -> T,
+    ) -> T {
+        change(&mut state::target_slot::lock(&self.shared.follower))
+    }
+
+    /// Tells whether this node relies on its steward's word about the store.
+    pub(crate) fn is_following(&self, now: times::BootTime) -> bool {
+        let place = &self.settings().data_centre;
+        let steward = self.with_peers(|peers| peers.steward(place).cloned());
+        self.with_follower(|follower| follower.is_following(steward.as_ref(), now))
+    }
+
+    pub(crate) fn notify_relay(&self) {
+        self.shared.relay_heard.notify_waiters();
+    }
+
+    /// Waits for a steward's word that asks for reading.
+    pub(crate) async fn relay_word(&self) {
+        self.shared.relay_heard.notified().await;
+    }
+
+    /// Returns what a steward tells the nodes of its data centre.
+    pub(crate) fn relay_beat(&self, now: times::BootTime) -> peers::RelayBeat {
+        let heard_at = self.shared.store_heard_at.load(atomic::Ordering::Relaxed);
+        let age = now.since(times::BootTime::from_micros(heard_at));
+        let mut log = state::target_slot::lock(&self.shared.relay_log);
+        let (from, to, changes) = log.latest(now);
+        drop(log);
+        peers::RelayBeat {
+            node: self.node().clone(),
+            data_centre: self.settings().data_centre.clone(),
+            store_age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            document: self
+                .document()
+                .map(|document| document.version())
+                .unwrap_or_default(),
+            closed: self.closed().iter().cloned().collect(),
+            stewards: self.with_peers(|peers| peers.stewards()),
+            from,
+            to,
+            changes,
+        }
+    }
+
     /// Builds the table of targets anew.
     pub(crate) fn rebuild(&self, now: times::BootTime) {
         let Some(document) = self.document() else {
--- a/crates/pier_fleet/src/targets/group_membership.rs
+++ b/crates/pier_fleet/src/targets/group_membership.rs
@@ -1,11 +1,12 @@
 //! A VM's place in a group.
 
 use pier_types::{epochs, ids};
+use serde::{Deserialize, Serialize};
 
 use crate::targets;
 
 /// The group that a VM says it belongs to.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupMembership {
     /// Name of the group.
     pub group: ids::GroupName,
--- a/crates/pier_fleet/src/targets/group_phase.rs
+++ b/crates/pier_fleet/src/targets/group_phase.rs
@@ -1,7 +1,9 @@
 //! How far a member is.
 
+use serde::{Deserialize, Serialize};
+
 /// A member's own word on its place in a group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum GroupPhase {
     /// Loads weights or connects to the others.
     Joining,
--- a/crates/pier_fleet/src/targets/target_entry.rs
+++ b/crates/pier_fleet/src/targets/target_entry.rs
@@ -3,11 +3,12 @@
 use std::{net, time};
 
 use pier_types::{ids, sizes};
+use serde::{Deserialize, Serialize};
 
 use crate::targets;
 
 /// What a target wrote about itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetEntry {
     /// Id of the VM.
     pub vm: ids::VmName,
--- a/crates/pier_fleet/src/targets/target_standing.rs
+++ b/crates/pier_fleet/src/targets/target_standing.rs
@@ -1,11 +1,12 @@
 //! What a VM says of itself.
 
 use pier_types::{epochs, ids};
+use serde::{Deserialize, Serialize};
 
 use crate::targets;
 
 /// A VM's own word on its start, its weights and its group.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct TargetStanding {
     /// Tells starts under one name apart; rises with each start.
     pub born: epochs::VmIncarnation,
