Watch the document on each node, and read it when others have a newer one

Each node watches the document itself again, and beats carry its version: a version that others have had for two looks, 0.35 s apart, is read at once.

--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -104,6 +104,10 @@
             node: state.node().clone(),
             data_centre: state.settings().data_centre.clone(),
             number,
+            document: state
+                .document()
+                .map(|document| document.version())
+                .unwrap_or_default(),
             is_leaving: state.is_draining(),
             has_served: state.has_served(),
             loads: own_loads,
--- a/crates/pier_edge/src/peers/node_beat.rs
+++ b/crates/pier_edge/src/peers/node_beat.rs
@@ -21,6 +21,8 @@
     pub data_centre: ids::DataCentreName,
     /// Rises with each beat of one start.
     pub number: u64,
+    /// Version of the document that the node has in force.
+    pub document: epochs::ConfigVersion,
     /// Whether the node stops and plans nothing more.
     pub is_leaving: bool,
     /// Whether the node has served a request, so that loads count.
--- a/crates/pier_edge/src/peers/peer_table.rs
+++ b/crates/pier_edge/src/peers/peer_table.rs
@@ -176,6 +176,12 @@
             .collect()
     }
 
+    /// Returns the newest version of the document that another node has in force.
+    pub(crate) fn newest_document(&self, now: times::BootTime) -> epochs::ConfigVersion {
+        let versions = self.beats(now, LIFE).map(|beat| beat.document);
+        versions.max().unwrap_or_default()
+    }
+
     /// Tells whether any other node has served a request.
     pub(crate) fn has_served(&self, now: times::BootTime) -> bool {
         self.beats(now, SHARE_LIFE).any(|beat| beat.has_served)
--- a/crates/pier_edge/src/peers/relay_beat.rs
+++ b/crates/pier_edge/src/peers/relay_beat.rs
@@ -13,8 +13,6 @@
     pub data_centre: ids::DataCentreName,
     /// Milliseconds since the store last answered the steward.
     pub store_age_ms: u32,
-    /// Version of the document that the steward has in force.
-    pub document: epochs::ConfigVersion,
     /// Data centres that are out of service.
     pub closed: Vec<ids::DataCentreName>,
     /// The steward of each data centre, with the version of its record.
--- a/crates/pier_edge/src/peers/relay_follower.rs
+++ b/crates/pier_edge/src/peers/relay_follower.rs
@@ -28,15 +28,6 @@
     node: ids::NodeName,
     heard_at: times::BootTime,
     store_age: time::Duration,
-    document: epochs::ConfigVersion,
-}
-
-/// What a node applies of a steward's word.
-#[derive(Debug, Default, PartialEq, Eq)]
-pub(crate) struct FollowerNews {
-    pub changes: Vec<peers::TargetChange>,
-    /// Whether the steward has a newer document.
-    pub newer_document: bool,
 }
 
 impl RelayFollower {
@@ -51,38 +42,26 @@
         self.at
     }
 
-    /// Takes in the steward's word and returns what is new in it.
+    /// Takes in the steward's word and returns the changes that are new in it.
     pub(crate) fn hear(
         &mut self,
         beat: peers::RelayBeat,
-        own_document: epochs::ConfigVersion,
         now: times::BootTime,
-    ) -> FollowerNews {
+    ) -> Vec<peers::TargetChange> {
         self.heard = Some(HeardRelay {
             node: beat.node,
             heard_at: now,
             store_age: time::Duration::from_millis(u64::from(beat.store_age_ms)),
-            document: beat.document,
         });
-        let newer_document = beat.document > own_document;
         let Some(at) = self.at.filter(|at| *at < beat.to) else {
-            return FollowerNews {
-                newer_document,
-                ..FollowerNews::default()
-            };
+            return Vec::new();
         };
         if at < beat.from {
             self.is_behind = true;
-            return FollowerNews {
-                newer_document,
-                ..FollowerNews::default()
-            };
+            return Vec::new();
         }
         self.at = Some(beat.to);
-        FollowerNews {
-            changes: beat.changes,
-            newer_document,
-        }
+        beat.changes
     }
 
     /// Tells whether this node relies on a steward's word now.
@@ -104,9 +83,4 @@
     pub(crate) const fn is_behind(&self) -> bool {
         self.is_behind || self.at.is_none()
     }
-
-    /// Returns the version of the steward's document.
-    pub(crate) fn document(&self) -> Option<epochs::ConfigVersion> {
-        self.heard.as_ref().map(|heard| heard.document)
-    }
 }
--- a/crates/pier_edge/src/records/record_keeper.rs
+++ b/crates/pier_edge/src/records/record_keeper.rs
@@ -83,20 +83,16 @@
         if beat.data_centre != *place || steward.as_ref() != Some(&beat.node) {
             return;
         }
-        let document = self.state.document();
-        let own = document
-            .map(|document| document.version())
-            .unwrap_or_default();
         let closed = beat.closed.iter().cloned().collect();
         let was_following = self.state.is_following(now);
-        let news = self
+        let changes = self
             .state
-            .with_follower(|follower| follower.hear(beat, own, now));
+            .with_follower(|follower| follower.hear(beat, now));
         if was_following {
             self.set_closed(closed, now);
         }
-        let has_changes = !news.changes.is_empty();
-        for change in news.changes {
+        let has_changes = !changes.is_empty();
+        for change in changes {
             match change {
                 peers::TargetChange::Put(entry) => self.put_target(*entry, now),
                 peers::TargetChange::Gone(vm) => {
@@ -108,7 +104,7 @@
             self.targets_changed(now);
         }
         let is_behind = self.state.with_follower(|follower| follower.is_behind());
-        if news.newer_document || is_behind {
+        if is_behind {
             self.state.notify_relay();
         }
     }
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -23,7 +23,11 @@
 const FOLLOW_TIME: time::Duration = time::Duration::from_millis(200);
 
 /// Least time between two readings that a steward's word asked for.
-const DOCUMENT_PAUSE: time::Duration = time::Duration::from_millis(250);
+const READ_PAUSE: time::Duration = time::Duration::from_millis(250);
+
+/// Time between two looks at the versions of the document that other nodes have; a version that is
+/// newer at two looks was missed by this node's own watch.
+const DOCUMENT_LOOK: time::Duration = time::Duration::from_millis(350);
 
 /// Failures that lasted this long count as an outage of the store.
 const OUTAGE_TIME: time::Duration = time::Duration::from_secs(1);
@@ -61,7 +65,8 @@
         let mut at: Option<epochs::ObjectVersion> = None;
         loop {
             let now = times::clocks::boot_now();
-            if at.is_some() && self.state.is_following(now) {
+            let follows = self.kind != links::RecordKind::Document;
+            if follows && at.is_some() && self.state.is_following(now) {
                 at = self.follow(at).await;
                 continue;
             }
@@ -74,18 +79,11 @@
 
     /// Relies on the steward's word, and reads only what it tells to read.
     async fn follow(&mut self, at: Option<epochs::ObjectVersion>) -> Option<epochs::ObjectVersion> {
-        let is_due = match self.kind {
-            links::RecordKind::Targets => self.state.with_follower(|follower| follower.is_behind()),
-            links::RecordKind::Document => {
-                let document = self.state.document().map(|document| document.version());
-                let known = self.state.with_follower(|follower| follower.document());
-                known > document
-            }
-            links::RecordKind::OutOfService | links::RecordKind::Nodes => false,
-        };
+        let is_due = self.kind == links::RecordKind::Targets
+            && self.state.with_follower(|follower| follower.is_behind());
         if is_due {
             let read = self.list().await;
-            tokio::time::sleep(DOCUMENT_PAUSE).await;
+            tokio::time::sleep(READ_PAUSE).await;
             return read;
         }
         tokio::select! {
@@ -133,7 +131,12 @@
             .metrics()
             .count_store_call(self.kind.label(), "watch");
         let platform = self.state.platform();
-        match platform.watch(self.kind, version, self.watch_wait()).await {
+        let watching = platform.watch(self.kind, version, self.watch_wait());
+        let watched = tokio::select! {
+            watched = watching => watched,
+            () = self.missed_document() => return None,
+        };
+        match watched {
             Ok(changes) => {
                 let now = times::clocks::boot_now();
                 self.note_success(now);
@@ -162,6 +165,26 @@
         }
     }
 
+    /// Waits until other nodes have had a newer document for a while; for ever with other kinds.
+    async fn missed_document(&self) {
+        if self.kind != links::RecordKind::Document {
+            std::future::pending::<()>().await;
+        }
+        let mut was_newer = false;
+        loop {
+            tokio::time::sleep(DOCUMENT_LOOK).await;
+            let now = times::clocks::boot_now();
+            let own = self.state.document().map(|document| document.version());
+            let newest = self.state.with_peers(|peers| peers.newest_document(now));
+            let is_newer = Some(newest) > own;
+            if is_newer && was_newer {
+                log::info!(event = "document-missed", newest:% = newest; "");
+                return;
+            }
+            was_newer = is_newer;
+        }
+    }
+
     fn least_pause(&self) -> time::Duration {
         if self.is_relay() {
             STEWARD_PAUSE
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -221,10 +221,6 @@
             node: self.node().clone(),
             data_centre: self.settings().data_centre.clone(),
             store_age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-            document: self
-                .document()
-                .map(|document| document.version())
-                .unwrap_or_default(),
             closed: self.closed().iter().cloned().collect(),
             stewards: self.with_peers(|peers| peers.stewards()),
             from,
