Let members whose registration ended work on for their group while they answer

(2) A steward that the store did not answer waited for registrations to open a group (7.5 s); it asks the VMs now. (3) A short group held its survivors for 8 s beside a group of the same model that lacked one; it is dissolved at once now. (4) An order to leave and one to join went to a VM together and were both refused; each VM gets one order at a time.

--- a/crates/pier_edge/src/control/centre_steward.rs
+++ b/crates/pier_edge/src/control/centre_steward.rs
@@ -11,6 +11,12 @@
 /// Pause before a VM that refused an order gets the next one.
 const REFUSAL_PAUSE: time::Duration = time::Duration::from_millis(200);
 
+/// Pause between two questions to a member whose registration ended.
+const UNLISTED_PAUSE: time::Duration = time::Duration::from_secs(1);
+
+/// Silence of the store after which VMs are asked for what they would register.
+const STORE_SILENCE: time::Duration = time::Duration::from_millis(1_300);
+
 /// Pause between two rounds of questions to a group that stands still.
 const GROUP_PAUSE: time::Duration = time::Duration::from_millis(600);
 
@@ -248,6 +254,8 @@
         let records = self.own_records(service, now);
         self.watch.retain(|vm| records.contains_key(vm));
         self.ask_stuck(&records, now);
+        self.ask_forming(&records, now);
+        self.ask_unlisted(&records, now);
         for vm in self.watch.due(now) {
             if let Some(record) = records.get(&vm) {
                 self.desk
@@ -284,7 +292,7 @@
             let own = records.filter(|(_vm, record)| {
                 record.entry.service == *service
                     && record.entry.data_centre == self.data_centre
-                    && record.stands(now)
+                    && (record.stands(now) || is_grouped_unlisted(record, now))
             });
             own.map(|(vm, record)| (vm.clone(), record.clone()))
                 .collect()
@@ -304,15 +312,19 @@
             let Some(domain) = &record.entry.standing.domain else {
                 continue;
             };
-            let draining_since = record
-                .entry
-                .is_draining
-                .then(|| *self.draining_since.entry(vm.clone()).or_insert(now));
+            let is_unlisted = !record.stands(now);
+            let is_leaving = record.entry.is_draining || is_unlisted;
+            let draining_since =
+                is_leaving.then(|| *self.draining_since.entry(vm.clone()).or_insert(now));
+            if !is_leaving {
+                self.draining_since.remove(vm);
+            }
             let member = formation::MemberFacts {
                 vm: vm.clone(),
                 domain: domain.clone(),
                 standing: record.entry.standing.clone(),
                 draining_since,
+                is_unlisted,
                 is_lost: self.watch.is_lost(vm, record.entry.standing.born),
                 is_held: self.held_until.contains_key(vm),
             };
@@ -351,6 +363,42 @@
         }
     }
 
+    /// Asks the members whose registration ended whether they still work.
+    fn ask_unlisted(
+        &mut self,
+        records: &collections::BTreeMap<ids::VmName, targets::TargetRecord>,
+        now: times::BootTime,
+    ) {
+        for (vm, record) in records {
+            if !record.stands(now) && self.watch.should_ask(vm, UNLISTED_PAUSE, now) {
+                let born = record.entry.standing.born;
+                self.desk.ask(vm.clone(), born, record.entry.address);
+            }
+        }
+    }
+
+    /// Asks the members of groups that are being formed, while the store brings no news of them.
+    fn ask_forming(
+        &mut self,
+        records: &collections::BTreeMap<ids::VmName, targets::TargetRecord>,
+        now: times::BootTime,
+    ) {
+        if self.state.store_age(now) < STORE_SILENCE {
+            return;
+        }
+        for (vm, record) in records {
+            let standing = &record.entry.standing;
+            let is_forming = standing.membership.as_ref().is_some_and(|place| {
+                let is_head = place.rank == 0 && place.phase == targets::GroupPhase::Ready;
+                place.phase == targets::GroupPhase::Joining || is_head
+            });
+            if is_forming && self.watch.should_ask(vm, GROUP_PAUSE, now) {
+                self.desk
+                    .ask(vm.clone(), standing.born, record.entry.address);
+            }
+        }
+    }
+
     fn in_flight(&self) -> collections::BTreeMap<ids::VmName, u32> {
         let slots = self.state.slots();
         let counts = slots.iter().map(|slot| {
@@ -376,3 +424,15 @@
         Some((per_second, per_second.max(1.0)))
     }
 }
+
+/// Tells whether a VM may still work for its group though its registration ended.
+fn is_grouped_unlisted(record: &targets::TargetRecord, now: times::BootTime) -> bool {
+    let place = record.entry.standing.membership.as_ref();
+    let is_ready = place.is_some_and(|place| {
+        matches!(
+            place.phase,
+            targets::GroupPhase::Ready | targets::GroupPhase::Open
+        )
+    });
+    is_ready && record.may_work(now)
+}
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -3,6 +3,7 @@
 use std::{
     collections,
     sync::{self, atomic},
+    time,
 };
 
 use pier_fleet::{documents, targets};
@@ -177,6 +178,12 @@
         cell.fetch_max(now.as_micros(), atomic::Ordering::Relaxed);
     }
 
+    /// Returns how long ago the store last answered this node.
+    pub(crate) fn store_age(&self, now: times::BootTime) -> time::Duration {
+        let heard_at = self.shared.store_heard_at.load(atomic::Ordering::Relaxed);
+        now.since(times::BootTime::from_micros(heard_at))
+    }
+
     pub(crate) fn with_relay_log<T>(&self, change: impl FnOnce(&mut peers::RelayLog) -> T) -> T {
         let value = change(&mut state::target_slot::lock(&self.shared.relay_log));
         self.shared.relay_changed.notify_waiters();
@@ -212,8 +219,7 @@
 
     /// Returns what a steward tells the nodes of its data centre.
     pub(crate) fn relay_beat(&self, now: times::BootTime) -> peers::RelayBeat {
-        let heard_at = self.shared.store_heard_at.load(atomic::Ordering::Relaxed);
-        let age = now.since(times::BootTime::from_micros(heard_at));
+        let age = self.store_age(now);
         let mut log = state::target_slot::lock(&self.shared.relay_log);
         let (from, to, changes) = log.latest(now);
         drop(log);
--- a/crates/pier_edge/src/state/table_builder.rs
+++ b/crates/pier_edge/src/state/table_builder.rs
@@ -93,7 +93,7 @@
                         targets::GroupPhase::Ready | targets::GroupPhase::Open
                     )
             });
-            same && other.stands(self.now)
+            same && other.may_work(self.now)
         });
         let size = usize::try_from(spec.size.get()).unwrap_or(usize::MAX);
         (members.count() == size).then(|| (model.clone(), place.generation))
--- a/crates/pier_fleet/src/formation/domain_plan.rs
+++ b/crates/pier_fleet/src/formation/domain_plan.rs
@@ -4,7 +4,7 @@
 
 use pier_types::{ids, times};
 
-use crate::{documents, formation, targets};
+use crate::{documents, formation};
 
 /// How long streams of a group that loses a leaving member may still run before they are moved.
 ///
@@ -15,12 +15,9 @@
 /// Requests in flight at which a group with a leaving member is formed anew before that time.
 const RETIRE_FLOOR: u32 = 1;
 
-/// How long a first member that does not answer may still think that its group is open; its
-/// members are free for other groups only after it.
-const SILENT_TIME: time::Duration = time::Duration::from_secs(5);
-
-/// How long a group may lack members before its VMs are given to other groups.
-const SHORT_TIME: time::Duration = time::Duration::from_secs(8);
+/// How long a group may lack members before its VMs are given to groups of other models: longer than
+/// a load of weights takes, so that a VM which is being prepared for it comes in time.
+const SHORT_TIME: time::Duration = time::Duration::from_secs(20);
 
 /// How long a domain must not have got another VM before new groups are formed in it: VMs that start
 /// together register one after the other, and the first of them must not all go to the smallest model.
@@ -37,6 +34,8 @@
     domain: &'a ids::DomainName,
     now: times::BootTime,
     pub orders: Vec<formation::GroupOrder>,
+    /// VMs that this run has an order for; each gets one at a time.
+    ordered: collections::BTreeSet<ids::VmName>,
 }
 
 impl<'a> DomainPlan<'a> {
@@ -52,6 +51,7 @@
             domain,
             now,
             orders: Vec::new(),
+            ordered: collections::BTreeSet::new(),
         }
     }
 
@@ -107,6 +107,7 @@
         let free = self.free_vms();
         let facts = free.iter().filter_map(|vm| self.input.facts.get(vm));
         let mut standby = formation::spare_choice::count_standby(facts, models);
+        let siblings = self.sibling_models();
         for vm in free {
             let Some(facts) = self.input.facts.get(&vm).cloned() else {
                 continue;
@@ -121,10 +122,11 @@
                     continue;
                 }
             }
-            let choice =
-                formation::spare_choice::choose_model(models, &lacking, &grouped, &standby);
+            let choice = formation::spare_choice::choose_model(
+                models, &lacking, &grouped, &standby, &siblings,
+            );
             let Some(model) = choice else { return };
-            if present.as_ref() == Some(&model.name) || facts.is_held {
+            if present.as_ref() == Some(&model.name) || !self.may_order(&facts) {
                 continue;
             }
             if self.order_standby(&facts, model) {
@@ -168,6 +170,10 @@
             self.repair(name, group, states);
             return;
         }
+        if self.is_headless(group, states) && self.is_due(group) {
+            self.rotate(name, group);
+            return;
+        }
         if !is_leaving {
             group.retiring_since = None;
         }
@@ -189,6 +195,11 @@
         if pool.len() < leaving {
             return false;
         }
+        self.is_due(group)
+    }
+
+    /// Tells whether the streams of a group that takes no new requests have had their time.
+    fn is_due(&self, group: &mut formation::PlannedGroup) -> bool {
         let since = *group.retiring_since.get_or_insert(self.now);
         let head = group.members.first().map(|member| &member.vm);
         let in_flight = head.and_then(|vm| self.input.in_flight.get(vm)).copied();
@@ -196,6 +207,52 @@
         is_idle || self.now.since(since) >= RETIRE_TIME
     }
 
+    /// Tells whether a group's first member is no longer registered, so that it gets no requests.
+    fn is_headless(
+        &self,
+        group: &formation::PlannedGroup,
+        states: &[formation::MemberState],
+    ) -> bool {
+        let head = group.members.first();
+        let facts = head.and_then(|head| self.input.facts.get(&head.vm));
+        states.first() == Some(&formation::MemberState::Leaving)
+            && facts.is_some_and(|facts| facts.is_unlisted)
+    }
+
+    /// Forms a group anew out of the same VMs, with another first member.
+    fn rotate(&mut self, name: &ids::GroupName, group: &mut formation::PlannedGroup) {
+        let is_listed = |vm: &ids::VmName| {
+            let facts = self.input.facts.get(vm);
+            facts.is_some_and(|facts| facts.is_usable())
+        };
+        let mut members = group.names();
+        members.sort_by_key(|vm| !is_listed(vm));
+        if !members.first().is_some_and(is_listed) {
+            return;
+        }
+        self.form_anew(name, group, &members);
+    }
+
+    /// Gives a group a new list of members, and sends what brings them together.
+    fn form_anew(
+        &mut self,
+        name: &ids::GroupName,
+        group: &mut formation::PlannedGroup,
+        members: &[ids::VmName],
+    ) {
+        *group = formation::PlannedGroup {
+            model: group.model.clone(),
+            generation: self.planner.next_generation(),
+            members: members.iter().map(|vm| self.planned_member(vm)).collect(),
+            is_whole: true,
+            opened_at: None,
+            retiring_since: None,
+            broken_since: None,
+        };
+        let states = group.states(name, self.input.facts);
+        self.step_group(name, group, &states);
+    }
+
     /// Sends what brings a whole group a step further.
     fn step_group(
         &mut self,
@@ -211,7 +268,9 @@
         let is_ready = |state: &formation::MemberState| {
             matches!(
                 state,
-                formation::MemberState::Ready | formation::MemberState::Open
+                formation::MemberState::Ready
+                    | formation::MemberState::Open
+                    | formation::MemberState::Leaving
             )
         };
         let head_waits = states.first() == Some(&formation::MemberState::Ready);
@@ -256,25 +315,17 @@
         let mut pool = self.ready_pool(model);
         pool.retain(|vm| !group.has(vm));
         if pool.len() < need {
-            let is_given_up = kept.is_empty() || self.now.since(since) >= SHORT_TIME;
-            if is_given_up && self.head_is_closed(name, group) {
+            let is_given_up = kept.is_empty()
+                || self.has_sibling(name, &group.model)
+                || self.now.since(since) >= SHORT_TIME;
+            if is_given_up {
                 self.dissolve(name, group, &kept);
             }
             return;
         }
         kept.extend(pool.into_iter().take(need));
         kept.truncate(size);
-        *group = formation::PlannedGroup {
-            model: group.model.clone(),
-            generation: self.planner.next_generation(),
-            members: kept.iter().map(|vm| self.planned_member(vm)).collect(),
-            is_whole: true,
-            opened_at: None,
-            retiring_since: None,
-            broken_since: None,
-        };
-        let states = group.states(name, self.input.facts);
-        self.step_group(name, group, &states);
+        self.form_anew(name, group, &kept);
     }
 
     /// Gives a group up; its survivors leave it, so that they can be used elsewhere.
@@ -285,7 +336,12 @@
         survivors: &[ids::VmName],
     ) {
         for vm in survivors {
-            let Some(facts) = self.input.facts.get(vm).filter(|facts| !facts.is_held) else {
+            let Some(facts) = self
+                .input
+                .facts
+                .get(vm)
+                .filter(|facts| self.may_order(facts))
+            else {
                 continue;
             };
             let kind = formation::OrderKind::Leave;
@@ -294,27 +350,21 @@
         group.members.clear();
     }
 
-    /// Tells whether nothing can be open any more under a group's name.
-    fn head_is_closed(&self, name: &ids::GroupName, group: &formation::PlannedGroup) -> bool {
-        let Some(head) = group.members.first() else {
-            return true;
-        };
-        if let Some(since) = self.planner.lost_since.get(&head.vm) {
-            return self.now.since(*since) >= SILENT_TIME;
-        }
-        let Some(facts) = self.input.facts.get(&head.vm) else {
-            return false;
-        };
-        let place = facts.standing.membership.as_ref();
-        place.is_none_or(|place| {
-            place.group != *name
-                || !matches!(
-                    place.phase,
-                    targets::GroupPhase::Open | targets::GroupPhase::Closing
-                )
+    /// Tells whether another group of the domain runs the same model, which the survivors of a
+    /// group that can not be whole are the best standby VMs for.
+    fn has_sibling(&self, name: &ids::GroupName, model: &ids::ModelName) -> bool {
+        let names = self.group_names();
+        names.iter().any(|other| {
+            let group = self.planner.groups.get(other);
+            other != name && group.is_some_and(|group| group.model == *model)
         })
     }
 
+    /// Tells whether a VM takes an order now.
+    fn may_order(&self, facts: &formation::MemberFacts) -> bool {
+        !facts.is_held && !self.ordered.contains(&facts.vm)
+    }
+
     fn planned_member(&self, vm: &ids::VmName) -> formation::PlannedMember {
         let facts = self.input.facts.get(vm);
         formation::PlannedMember {
@@ -385,6 +435,17 @@
         lacking
     }
 
+    /// Returns the models that several groups of the domain run.
+    fn sibling_models(&self) -> collections::BTreeSet<ids::ModelName> {
+        let names = self.group_names();
+        let groups = names
+            .iter()
+            .filter_map(|name| self.planner.groups.get(name));
+        let mut seen = collections::BTreeSet::new();
+        let repeated = groups.filter(|group| !seen.insert(group.model.clone()));
+        repeated.map(|group| group.model.clone()).collect()
+    }
+
     /// Returns how many members the groups of each model have.
     fn grouped(&self) -> collections::BTreeMap<ids::ModelName, u32> {
         let mut grouped = collections::BTreeMap::new();
@@ -451,7 +512,12 @@
         let Some(model) = self.input.engine.model(&group.model) else {
             return;
         };
-        let Some(facts) = self.input.facts.get(vm).filter(|facts| !facts.is_held) else {
+        let Some(facts) = self
+            .input
+            .facts
+            .get(vm)
+            .filter(|facts| self.may_order(facts))
+        else {
             return;
         };
         if self.order_leave_first(facts, name) {
@@ -491,7 +557,7 @@
             .input
             .facts
             .get(&head.vm)
-            .filter(|facts| !facts.is_held)
+            .filter(|facts| self.may_order(facts))
         else {
             return;
         };
@@ -533,6 +599,7 @@
         generation: pier_types::epochs::GroupGeneration,
         kind: formation::OrderKind,
     ) {
+        self.ordered.insert(facts.vm.clone());
         self.orders.push(formation::GroupOrder {
             vm: facts.vm.clone(),
             born: facts.standing.born,
--- a/crates/pier_fleet/src/formation/formation_planner.rs
+++ b/crates/pier_fleet/src/formation/formation_planner.rs
@@ -24,7 +24,6 @@
     pub(super) last_generation: u64,
     pub(super) loads: budgets::LoadBudget,
     pub(super) counts_loads: bool,
-    pub(super) lost_since: collections::BTreeMap<ids::VmName, times::BootTime>,
     /// When a VM of each domain was last seen for the first time.
     pub(super) grown_at: collections::BTreeMap<ids::DomainName, times::BootTime>,
     seen: collections::BTreeSet<(ids::VmName, epochs::VmIncarnation)>,
@@ -40,7 +39,6 @@
             last_generation: term.get().saturating_mul(TERM_GENERATIONS),
             loads: budgets::LoadBudget::new(now),
             counts_loads: true,
-            lost_since: collections::BTreeMap::new(),
             grown_at: collections::BTreeMap::new(),
             seen: collections::BTreeSet::new(),
             partial_since: collections::BTreeMap::new(),
@@ -86,7 +84,6 @@
         input: &formation::FormationInput<'_>,
         now: times::BootTime,
     ) -> Vec<formation::GroupOrder> {
-        self.note_lost(input, now);
         self.note_seen(input, now);
         self.adopt(input, now);
         let mut orders = Vec::new();
@@ -116,16 +113,6 @@
         !self.counts_loads || self.loads.take(now)
     }
 
-    /// Remembers since when each VM of a group has been lost.
-    fn note_lost(&mut self, input: &formation::FormationInput<'_>, now: times::BootTime) {
-        let is_lost = |vm: &ids::VmName| input.facts.get(vm).is_none_or(|facts| facts.is_lost);
-        self.lost_since.retain(|vm, _since| is_lost(vm));
-        let members = self.groups.values().flat_map(|group| &group.members);
-        for member in members.filter(|member| is_lost(&member.vm)) {
-            self.lost_since.entry(member.vm.clone()).or_insert(now);
-        }
-    }
-
     /// Remembers when each domain last got a VM.
     fn note_seen(&mut self, input: &formation::FormationInput<'_>, now: times::BootTime) {
         for facts in input.facts.values() {
--- a/crates/pier_fleet/src/formation/member_facts.rs
+++ b/crates/pier_fleet/src/formation/member_facts.rs
@@ -15,6 +15,8 @@
     pub standing: targets::TargetStanding,
     /// Since when it is about to leave.
     pub draining_since: Option<times::BootTime>,
+    /// Whether its registration ended while it was in a group; it may still work for the group.
+    pub is_unlisted: bool,
     /// Whether it was asked and did not answer.
     pub is_lost: bool,
     /// Whether an order to it has no answer yet, or a pause after a refusal lasts.
--- a/crates/pier_fleet/src/formation/planned_group.rs
+++ b/crates/pier_fleet/src/formation/planned_group.rs
@@ -74,7 +74,7 @@
     let Some(place) = facts.place_in(group, generation) else {
         return if member.was_in {
             formation::MemberState::Strayed
-        } else if facts.draining_since.is_some() {
+        } else if facts.draining_since.is_some() && !facts.is_unlisted {
             formation::MemberState::Gone
         } else {
             formation::MemberState::Unjoined
@@ -84,11 +84,9 @@
     if place.phase == targets::GroupPhase::Broken {
         return formation::MemberState::Broken;
     }
-    if facts.draining_since.is_some() {
-        return formation::MemberState::Leaving;
-    }
     match place.phase {
         targets::GroupPhase::Joining => formation::MemberState::Joining,
+        _ if facts.draining_since.is_some() => formation::MemberState::Leaving,
         targets::GroupPhase::Open => formation::MemberState::Open,
         _ => formation::MemberState::Ready,
     }
--- a/crates/pier_fleet/src/formation/spare_choice.rs
+++ b/crates/pier_fleet/src/formation/spare_choice.rs
@@ -9,12 +9,14 @@
 /// Chooses the model that one more standby VM of a domain should run.
 ///
 /// Models of groups that lack members go first; then the model whose members are covered by the
-/// fewest standby VMs, since each member is as likely to be lost as any other.
+/// fewest standby VMs, since each member is as likely to be lost as any other. A model that several
+/// groups of the domain run counts half: the survivors of one of them stand by for the others.
 pub(super) fn choose_model<'a>(
     models: &'a [documents::ModelSpec],
     lacking: &collections::BTreeMap<ids::ModelName, u32>,
     grouped: &collections::BTreeMap<ids::ModelName, u32>,
     standby: &collections::BTreeMap<ids::ModelName, u32>,
+    siblings: &collections::BTreeSet<ids::ModelName>,
 ) -> Option<&'a documents::ModelSpec> {
     let count = |map: &collections::BTreeMap<ids::ModelName, u32>, model: &ids::ModelName| {
         f64::from(map.get(model).copied().unwrap_or(0))
@@ -22,7 +24,16 @@
     let need = |model: &documents::ModelSpec| {
         let missing = count(lacking, &model.name) - count(standby, &model.name);
         let covered = count(grouped, &model.name) / (count(standby, &model.name) + 1.0);
-        (missing.max(0.0), covered)
+        let weight = if siblings.contains(&model.name) {
+            0.5
+        } else {
+            1.0
+        };
+        (
+            missing.max(0.0),
+            covered * weight,
+            f64::from(model.size.get()),
+        )
     };
     let runs = |model: &&documents::ModelSpec| {
         grouped.contains_key(&model.name) || lacking.contains_key(&model.name)
--- a/crates/pier_fleet/src/targets/target_book.rs
+++ b/crates/pier_fleet/src/targets/target_book.rs
@@ -99,10 +99,10 @@
         }
     }
 
-    /// Drops registrations that ended; returns whether any did.
+    /// Drops VMs that are gone for good; returns whether there were any.
     pub fn expire(&mut self, now: times::BootTime) -> bool {
         let before = self.records.len();
-        self.records.retain(|_vm, record| record.stands(now));
+        self.records.retain(|_vm, record| record.may_work(now));
         before != self.records.len()
     }
 
--- a/crates/pier_fleet/src/targets/target_record.rs
+++ b/crates/pier_fleet/src/targets/target_record.rs
@@ -1,9 +1,15 @@
 //! What this node holds about a target.
 
+use std::time;
+
 use pier_types::times;
 
 use crate::targets;
 
+/// How long a VM whose registration ended may still work for its group: it may be cut off from the
+/// store alone, or leave after its streams, which takes ten seconds at most.
+const UNLISTED_TIME: time::Duration = time::Duration::from_secs(12);
+
 /// A registration with the times that this node knows of.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetRecord {
@@ -23,6 +29,12 @@
         self.ends_at.is_none_or(|end| now < end)
     }
 
+    /// Tells whether the VM may work for its group, though its registration may have ended.
+    pub fn may_work(&self, now: times::BootTime) -> bool {
+        self.ends_at
+            .is_none_or(|end| now < end.after(UNLISTED_TIME))
+    }
+
     /// Tells whether the target takes new requests.
     pub fn takes_work(&self, now: times::BootTime) -> bool {
         self.stands(now) && !self.entry.is_draining
--- a/crates/pier_fleet/tests/support/mod.rs
+++ b/crates/pier_fleet/tests/support/mod.rs
@@ -81,6 +81,7 @@
                 ..targets::TargetStanding::default()
             },
             draining_since: None,
+            is_unlisted: false,
             is_lost: false,
             is_held: false,
         };
