--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -60,6 +60,22 @@
         Some((engine, model.pace))
     }
 
+    /// Returns what first events of the request's model take beyond the published times.
+    pub(super) fn learned(&self) -> time::Duration {
+        let model = self.head.model.as_ref();
+        model.map_or(time::Duration::ZERO, |model| {
+            self.state.first_events().learned(model)
+        })
+    }
+
+    /// Learns from a first event; `expected` is the time that the choice had expected.
+    pub(super) fn note_first_event(&self, expected: time::Duration, taken: time::Duration) {
+        if let Some(model) = &self.head.model {
+            let predicted = expected.saturating_sub(self.learned());
+            self.state.first_events().note(model, predicted, taken);
+        }
+    }
+
     /// Chooses among the targets that were not tried.
     pub(super) fn choose(
         &self,
@@ -87,8 +103,11 @@
             is_resumed,
             draw: rand::random(),
         };
+        let learned = self.learned();
         let outcome = match engine {
-            Some((engine, pace)) => dispatch::choose_stream(engine, pace, &request, &facts),
+            Some((engine, pace)) => {
+                dispatch::choose_stream(engine, pace, learned, &request, &facts)
+            }
             None => dispatch::choose_plain(&request, &facts),
         };
         match outcome {
--- a/crates/pier_edge/src/serving/stream_relay.rs
+++ b/crates/pier_edge/src/serving/stream_relay.rs
@@ -29,6 +29,7 @@
     events: u32,
     last_at: times::BootTime,
     longest_gap: time::Duration,
+    expected: Option<time::Duration>,
     resumed: u32,
     _progress: state::ProgressGuard<P>,
 }
@@ -63,11 +64,18 @@
             splitter: serving::EventSplitter::default(),
             events: 0,
             longest_gap: time::Duration::ZERO,
+            expected: None,
             resumed: 0,
             _progress: progress,
         }
     }
 
+    /// Sets when the first event was expected, counted from the send.
+    pub(super) fn with_expected(mut self, expected: time::Duration) -> Self {
+        self.expected = Some(expected);
+        self
+    }
+
     /// Passes events on until the stream ends.
     pub(super) async fn run(mut self) {
         let outcome = loop {
@@ -147,6 +155,10 @@
         let gap = now.since(self.last_at);
         if self.events == 0 {
             self.call.guard.note_begun();
+            if let Some(expected) = self.expected.take() {
+                self.job
+                    .note_first_event(expected, now.since(self.call.sent_at));
+            }
             self.job
                 .state
                 .metrics()
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -45,7 +45,8 @@
         if job.time_left(now) <= ANSWER_MARGIN {
             return Err(settle(may_have_run, &job, serving::Refusal::TimedOut));
         }
-        let (slot, expected) = match job.choose(&tried, false, now) {
+        // The objective of a request whose target was lost is over; an answer is better than none.
+        let (slot, expected) = match job.choose(&tried, may_have_run, now) {
             serving::JobChoice::Send { slot, expected } => (slot, expected),
             serving::JobChoice::Refuse(refusal) => return Err(settle(may_have_run, &job, refusal)),
         };
@@ -89,7 +90,8 @@
                 let (sender, receiver) = mpsc::channel(STREAM_DEPTH);
                 let head = call.head.clone();
                 let relay =
-                    serving::StreamRelay::new(job, call, sender, tried, sends + 1, progress);
+                    serving::StreamRelay::new(job, call, sender, tried, sends + 1, progress)
+                        .with_expected(expected);
                 tokio::spawn(relay.run());
                 return Ok(StreamStart::Stream(head, receiver));
             }
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -38,6 +38,7 @@
     slots: sync::Mutex<collections::BTreeMap<state::SlotKey, sync::Arc<state::TargetSlot>>>,
     peers: sync::Mutex<peers::PeerTable>,
     retries: state::RetryPurse,
+    first_events: state::FirstEventMemory,
     metrics: telemetry::EdgeMetrics,
     listed: atomic::AtomicBool,
     draining: atomic::AtomicBool,
@@ -57,6 +58,7 @@
     pub(crate) fn new(settings: settings::EdgeSettings, node: ids::NodeName, platform: P) -> Self {
         let shared = SharedState {
             retries: state::RetryPurse::new(settings.bounds),
+            first_events: state::FirstEventMemory::default(),
             peers: sync::Mutex::new(peers::PeerTable::new(node.clone())),
             settings,
             node,
@@ -106,6 +108,10 @@
         &self.shared.retries
     }
 
+    pub(crate) fn first_events(&self) -> &state::FirstEventMemory {
+        &self.shared.first_events
+    }
+
     pub(crate) fn document(&self) -> Option<sync::Arc<documents::FleetDocument>> {
         self.shared.document.load_full()
     }
--- a/crates/pier_edge/src/state/mod.rs
+++ b/crates/pier_edge/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! What the parts of a node share.
 
 mod edge_state;
+mod first_event_memory;
 mod retry_purse;
 mod serving_table;
 mod table_builder;
@@ -8,6 +9,7 @@
 mod target_slot;
 
 pub(crate) use edge_state::{EdgeState, ProgressGuard};
+pub(crate) use first_event_memory::FirstEventMemory;
 pub(crate) use retry_purse::RetryPurse;
 pub(crate) use serving_table::ServingTable;
 pub(crate) use target_gauge::{GaugeGuard, TargetGauge};
--- a/crates/pier_fleet/src/dispatch/stream_choice.rs
+++ b/crates/pier_fleet/src/dispatch/stream_choice.rs
@@ -23,21 +23,29 @@
 /// Requests in flight over a group's batch, as a multiple of it, up to which streams are resumed.
 const RESUME_DEPTH: u32 = 2;
 
+/// Part of the objective up to which the learned time counts, so that a time learned from a bad
+/// moment never refuses all requests, from which alone a better one can be learned.
+const LEARNED_DIVISOR: u32 = 2;
+
 /// Chooses the group with the earliest expected first event, or refuses.
 ///
+/// `learned` is what first events took of late beyond what the engine's published times predict.
+///
 /// Answers the pattern of sustained overload: each group stays at the load at which it still keeps
 /// the objective, and what is over is refused before it waits anywhere.
 pub fn choose_stream(
     engine: &documents::EngineSpec,
     pace: f64,
+    learned: time::Duration,
     request: &dispatch::RequestFacts,
     candidates: &[dispatch::LoadFacts],
 ) -> dispatch::ChoiceOutcome {
     let model = dispatch::PassModel::new(engine, pace);
+    let learned = learned.min(request.objective_left / LEARNED_DIVISOR);
     let open = candidates.iter().enumerate();
     let open = open.filter(|(_position, load)| !load.is_used_up);
     let scored = open.map(|(position, load)| {
-        let expected = model.first_event(load, request.prompt);
+        let expected = model.first_event(load, request.prompt) + learned;
         (
             score(load, expected, request.draw, position),
             position,
--- a/crates/pier_fleet/src/formation/spare_choice.rs
+++ b/crates/pier_fleet/src/formation/spare_choice.rs
@@ -32,7 +32,8 @@
         (
             missing.max(0.0),
             covered * weight,
-            f64::from(model.size.get()),
+            // Of two models that need it alike, the one with the smaller groups has fewer survivors.
+            -f64::from(model.size.get()),
         )
     };
     let runs = |model: &&documents::ModelSpec| {
