--- a/crates/pier_edge/src/control/centre_steward.rs
+++ b/crates/pier_edge/src/control/centre_steward.rs
@@ -78,6 +78,13 @@
         self.plan(term, now)
     }
 
+    /// Tells whether a group is being formed.
+    pub(super) fn is_forming(&self) -> bool {
+        self.planner
+            .as_ref()
+            .is_some_and(formation::FormationPlanner::is_forming)
+    }
+
     /// Takes in news of one of this data centre's VMs.
     pub(super) fn take_news(&mut self, news: &order_desk::DeskNews, now: times::BootTime) {
         match news {
--- a/crates/pier_edge/src/control/steward_loop.rs
+++ b/crates/pier_edge/src/control/steward_loop.rs
@@ -31,6 +31,8 @@
         for steward in stewards.values_mut() {
             retiring.extend(steward.step(now).await);
         }
+        let is_forming = stewards.values().any(control::CentreSteward::is_forming);
+        state.set_forming(is_forming);
         if state.own_retiring() != retiring {
             state.set_own_retiring(retiring);
             state.rebuild(now);
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -9,10 +9,14 @@
 /// How long a watch waits; a connection that went silent is found by the time-outs of its socket.
 const WATCH_WAIT: time::Duration = time::Duration::from_secs(10);
 
+/// The same for the document, of which the other nodes' beats tell too.
+const DOCUMENT_WAIT: time::Duration = time::Duration::from_secs(25);
+
 /// Least time between two watches, so that changes in quick succession cost few calls.
 const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(150);
 
-/// The same for the registrations at a steward, which waits for its orders' effects there.
+/// The same for the registrations at a steward that forms a group, which waits for its orders'
+/// effects there.
 const STEWARD_PAUSE: time::Duration = time::Duration::from_millis(30);
 
 /// How long a steward's watch of the registrations waits: the age of its last answer tells the
@@ -186,7 +190,7 @@
     }
 
     fn least_pause(&self) -> time::Duration {
-        if self.is_relay() {
+        if self.is_relay() && self.state.is_forming() {
             STEWARD_PAUSE
         } else {
             CHANGE_PAUSE
@@ -196,6 +200,8 @@
     fn watch_wait(&self) -> time::Duration {
         if self.is_relay() {
             RELAY_WAIT
+        } else if self.kind == links::RecordKind::Document {
+            DOCUMENT_WAIT
         } else {
             WATCH_WAIT
         }
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -52,6 +52,7 @@
     store_heard_at: atomic::AtomicU64,
     relay_changed: Notify,
     relay_heard: Notify,
+    forming: atomic::AtomicBool,
 }
 
 impl<P: links::FleetPlatform> EdgeState<P> {
@@ -81,6 +82,7 @@
             store_heard_at: atomic::AtomicU64::new(0),
             relay_changed: Notify::new(),
             relay_heard: Notify::new(),
+            forming: atomic::AtomicBool::new(false),
         };
         Self {
             shared: sync::Arc::new(shared),
@@ -160,6 +162,17 @@
         state::target_slot::lock(&self.shared.own_retiring).clone()
     }
 
+    /// Tells whether this node forms a group at present.
+    pub(crate) fn is_forming(&self) -> bool {
+        self.shared.forming.load(atomic::Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_forming(&self, is_forming: bool) {
+        self.shared
+            .forming
+            .store(is_forming, atomic::Ordering::Relaxed);
+    }
+
     /// Wakes whoever waits for changes of the registrations.
     pub(crate) fn notify_book(&self) {
         self.shared.book_changed.notify_waiters();
--- a/crates/pier_fleet/src/formation/formation_planner.rs
+++ b/crates/pier_fleet/src/formation/formation_planner.rs
@@ -61,6 +61,12 @@
         heads.map(|member| member.vm.clone()).collect()
     }
 
+    /// Tells whether a whole group was not told to serve yet.
+    pub fn is_forming(&self) -> bool {
+        let mut groups = self.groups.values();
+        groups.any(|group| group.is_whole && group.opened_at.is_none())
+    }
+
     /// Raises the generations above one that a VM refused to go below.
     pub fn raise_generation(&mut self, seen: epochs::GroupGeneration) {
         self.last_generation = self.last_generation.max(seen.get());
