--- /dev/null
+++ b/crates/pier_edge/tests/streams.rs
@@ -0,0 +1,131 @@
+//! Streams: passed on event by event, continued elsewhere inside one answer, never joined wrongly.
+
+mod support;
+
+use std::time;
+
+use support::{GROUP_MODEL, KEY, RawCaller, Script, ScriptedTarget, TestNode, group_member};
+
+const EVENTS: u32 = 12;
+
+fn events(cut_in: Option<u32>, silent_from: Option<u32>) -> Script {
+    Script::Events {
+        last: EVENTS,
+        pause_ms: 20,
+        cut_in,
+        silent_from,
+    }
+}
+
+fn request(path: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: a.example\r\nx-attempt: a1\r\nx-key: {KEY}\r\n\
+         x-model: {GROUP_MODEL}\r\nx-patience: 5000\r\ncontent-length: 6\r\n\r\nprompt"
+    )
+}
+
+/// Returns all events in their order, as they should come.
+fn all_events() -> String {
+    (1..=EVENTS)
+        .map(|id| format!("id: {id}\ndata: part {id}\n\n"))
+        .collect()
+}
+
+/// Starts a node before two groups; each request goes to the first one that answers sooner.
+async fn node_with(scripts: [Script; 2]) -> (TestNode, Vec<ScriptedTarget>) {
+    let mut entries = Vec::new();
+    let mut targets = Vec::new();
+    for (group, script) in ["g0", "g1"].into_iter().zip(scripts) {
+        let target = ScriptedTarget::start(script).await;
+        entries.push(group_member(group, 0, target.address));
+        entries.push(group_member(group, 1, target.address));
+        targets.push(target);
+    }
+    (TestNode::start(entries).await, targets)
+}
+
+async fn ask(node: &TestNode, path: &str) -> support::RawAnswer {
+    let mut caller = RawCaller::connect(node.callers).await;
+    caller.send(&request(path)).await;
+    caller.answer().await
+}
+
+#[tokio::test]
+async fn a_stream_is_passed_on_whole() {
+    let (node, _targets) = node_with([events(None, None), events(None, None)]).await;
+    let answer = ask(&node, "/talk/x").await;
+    assert_eq!((answer.status(), answer.body), (200, all_events()));
+    assert!(answer.is_whole);
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_inside_an_event_goes_on_elsewhere_without_a_seam() {
+    let (node, targets) = node_with([events(Some(5), None), events(None, None)]).await;
+    for _ in 0..4 {
+        let answer = ask(&node, "/talk/x").await;
+        assert!(answer.is_whole);
+        assert_eq!(answer.body, all_events());
+    }
+    assert!(
+        !targets[0].requests().is_empty(),
+        "the broken group was never chosen"
+    );
+    let resumed = targets[1].requests();
+    assert!(
+        resumed.iter().any(|request| request.contains("x-after: 4")),
+        "{resumed:?}"
+    );
+}
+
+#[tokio::test]
+async fn a_group_that_falls_silent_loses_its_streams_before_the_caller_gives_up() {
+    let (node, targets) = node_with([events(None, Some(6)), events(None, None)]).await;
+    let mut moved = 0;
+    for _ in 0..4 {
+        let started = time::Instant::now();
+        let before = targets[0].requests().len();
+        let answer = ask(&node, "/talk/x").await;
+        assert!(answer.is_whole);
+        assert_eq!(answer.body, all_events());
+        assert!(started.elapsed() < time::Duration::from_millis(2_500));
+        moved += targets[0].requests().len() - before;
+    }
+    assert!(moved > 0, "the silent group was never chosen");
+}
+
+#[tokio::test]
+async fn a_stream_that_may_run_once_is_cut_visibly() {
+    let broken = events(Some(5), None);
+    let (node, targets) = node_with([broken.clone(), broken]).await;
+    let answer = ask(&node, "/once/x").await;
+    assert_eq!(answer.status(), 200);
+    assert!(!answer.is_whole);
+    assert_eq!(targets[0].requests().len() + targets[1].requests().len(), 1);
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_ends_its_stream_at_the_target() {
+    let slow = Script::Events {
+        last: 200,
+        pause_ms: 20,
+        cut_in: None,
+        silent_from: None,
+    };
+    let (node, targets) = node_with([slow.clone(), slow]).await;
+    let mut caller = RawCaller::connect(node.callers).await;
+    caller.send(&request("/talk/x")).await;
+    tokio::time::sleep(time::Duration::from_millis(200)).await;
+    drop(caller);
+    tokio::time::sleep(time::Duration::from_millis(400)).await;
+    assert_eq!(targets[0].closed() + targets[1].closed(), 1);
+}
+
+#[tokio::test]
+async fn a_group_that_lacks_a_member_gets_nothing() {
+    let target = ScriptedTarget::start(events(None, None)).await;
+    let node = TestNode::start(vec![group_member("g0", 0, target.address)]).await;
+    let answer = ask(&node, "/talk/x").await;
+    assert_eq!(answer.status(), 503);
+    assert!(answer.header("retry-after").is_some());
+    assert!(target.requests().is_empty());
+}
--- /dev/null
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -0,0 +1,285 @@
+//! A platform in memory, with header names of its own.
+
+use std::{
+    collections, net,
+    sync::{Arc, Mutex},
+    time,
+};
+
+use pier_edge::links;
+use pier_fleet::{documents, formation, targets};
+use pier_types::{epochs, ids};
+use tokio::sync::Notify;
+
+/// Records, orders and questions; a clone shares them.
+#[derive(Clone, Debug, Default)]
+pub struct FakePlatform {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    version: u64,
+    targets: collections::BTreeMap<String, (u64, targets::TargetEntry)>,
+    document: Option<(u64, Arc<documents::FleetDocument>)>,
+    nodes: collections::BTreeMap<String, (u64, String)>,
+    closed: collections::BTreeMap<String, u64>,
+    gone: Vec<(u64, links::RecordKind, String)>,
+    is_away: bool,
+}
+
+impl FakePlatform {
+    fn change(&self, change: impl FnOnce(&mut State, u64)) {
+        let mut state = self.shared.state.lock().unwrap();
+        state.version += 1;
+        let version = state.version;
+        change(&mut state, version);
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
+    pub fn put_target(&self, entry: targets::TargetEntry) {
+        self.change(|state, version| {
+            state.targets.insert(entry.vm.to_string(), (version, entry));
+        });
+    }
+
+    pub fn remove_target(&self, vm: &str) {
+        self.change(|state, version| {
+            state.targets.remove(vm);
+            state
+                .gone
+                .push((version, links::RecordKind::Targets, vm.to_owned()));
+        });
+    }
+
+    pub fn put_document(&self, document: documents::FleetDocument) {
+        self.change(|state, version| state.document = Some((version, Arc::new(document))));
+    }
+
+    pub fn close_centre(&self, name: &str) {
+        self.change(|state, version| {
+            state.closed.insert(name.to_owned(), version);
+        });
+    }
+
+    /// Lets every call fail, or answer again.
+    pub fn set_away(&self, is_away: bool) {
+        self.change(|state, _version| state.is_away = is_away);
+    }
+
+    fn records(&self, kind: links::RecordKind) -> Result<links::RecordList, links::StoreError> {
+        let state = self.shared.state.lock().unwrap();
+        if state.is_away {
+            return Err(links::StoreError::Refused(503));
+        }
+        let record = |name: &str, version: u64, content| links::StoreRecord {
+            name: name.to_owned(),
+            version: epochs::ObjectVersion::new(version),
+            content,
+        };
+        let records = match kind {
+            links::RecordKind::Targets => state
+                .targets
+                .iter()
+                .map(|(name, (version, entry))| {
+                    let content = links::RecordContent::Target(Box::new(entry.clone()));
+                    record(name, *version, content)
+                })
+                .collect(),
+            links::RecordKind::Document => state
+                .document
+                .iter()
+                .map(|(version, document)| {
+                    record(
+                        "document",
+                        *version,
+                        links::RecordContent::Document(document.clone()),
+                    )
+                })
+                .collect(),
+            links::RecordKind::OutOfService => state
+                .closed
+                .iter()
+                .map(|(name, version)| {
+                    let centre = name.parse().unwrap();
+                    record(name, *version, links::RecordContent::OutOfService(centre))
+                })
+                .collect(),
+            links::RecordKind::Nodes => state
+                .nodes
+                .iter()
+                .map(|(name, (version, text))| {
+                    record(name, *version, links::RecordContent::Node(text.clone()))
+                })
+                .collect(),
+        };
+        Ok(links::RecordList {
+            records,
+            at: epochs::ObjectVersion::new(state.version),
+        })
+    }
+
+    fn changes(
+        &self,
+        kind: links::RecordKind,
+        after: epochs::ObjectVersion,
+    ) -> Result<links::RecordChanges, links::StoreError> {
+        let list = self.records(kind)?;
+        let state = self.shared.state.lock().unwrap();
+        let new = list
+            .records
+            .into_iter()
+            .filter(|record| record.version > after);
+        let mut changes: Vec<_> = new.map(links::RecordChange::Put).collect();
+        let gone = state.gone.iter().filter(|(version, gone, _name)| {
+            *gone == kind && epochs::ObjectVersion::new(*version) > after
+        });
+        changes.extend(gone.map(|(_version, _kind, name)| links::RecordChange::Gone(name.clone())));
+        Ok(links::RecordChanges {
+            changes,
+            at: list.at,
+        })
+    }
+}
+
+impl links::RecordStore for FakePlatform {
+    async fn list(&self, kind: links::RecordKind) -> Result<links::RecordList, links::StoreError> {
+        self.records(kind)
+    }
+
+    async fn watch(
+        &self,
+        kind: links::RecordKind,
+        after: epochs::ObjectVersion,
+        wait: time::Duration,
+    ) -> Result<links::RecordChanges, links::StoreError> {
+        let end = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = self.shared.changed.notified();
+            let changes = self.changes(kind, after)?;
+            if !changes.changes.is_empty() {
+                return Ok(changes);
+            }
+            if tokio::time::timeout_at(end, changed).await.is_err() {
+                return self.changes(kind, after);
+            }
+        }
+    }
+
+    async fn write(
+        &self,
+        name: &str,
+        if_version: Option<epochs::ObjectVersion>,
+        text: String,
+    ) -> links::StoreWrite {
+        let known = {
+            let state = self.shared.state.lock().unwrap();
+            if state.is_away {
+                return links::StoreWrite::Failed(links::StoreError::Refused(503));
+            }
+            state.nodes.get(name).map_or(0, |(version, _text)| *version)
+        };
+        if if_version.is_some_and(|wanted| wanted.get() != known) {
+            return links::StoreWrite::Conflict(None);
+        }
+        let mut written = 0;
+        self.change(|state, version| {
+            state.nodes.insert(name.to_owned(), (version, text));
+            written = version;
+        });
+        links::StoreWrite::Written(epochs::ObjectVersion::new(written))
+    }
+}
+
+impl links::MemberLink for FakePlatform {
+    async fn ask(
+        &self,
+        vm: &ids::VmName,
+        _address: net::SocketAddr,
+        _limit: time::Duration,
+    ) -> Result<links::MemberReport, String> {
+        let state = self.shared.state.lock().unwrap();
+        let (_version, entry) = state.targets.get(vm.as_str()).ok_or("no such VM")?;
+        Ok(links::MemberReport {
+            standing: entry.standing.clone(),
+            pace: 1.0,
+        })
+    }
+
+    async fn order(
+        &self,
+        _order: &formation::GroupOrder,
+        _address: net::SocketAddr,
+        _limit: time::Duration,
+    ) -> links::OrderOutcome {
+        links::OrderOutcome::Unknown(400)
+    }
+}
+
+impl links::CallerDialect for FakePlatform {
+    fn read_request(&self, head: &http::request::Parts) -> links::CallerHead {
+        let text = |name: &str| Some(head.headers.get(name)?.to_str().ok()?.to_owned());
+        links::CallerHead {
+            host: text("host").unwrap_or_default(),
+            attempt: text("x-attempt").unwrap_or_default(),
+            patience: text("x-patience")
+                .and_then(|millis| millis.parse().ok())
+                .map(time::Duration::from_millis),
+            key: text("x-key"),
+            model: text("x-model").and_then(|model| model.parse().ok()),
+            prompt_tokens: 100,
+            answer_tokens: 100,
+            last_event: text("x-after"),
+        }
+    }
+
+    fn target_headers(
+        &self,
+        head: &http::request::Parts,
+        terms: &links::SendTerms<'_>,
+    ) -> http::HeaderMap {
+        let mut headers = head.headers.clone();
+        headers.remove("x-key");
+        headers.remove("content-length");
+        headers.remove("transfer-encoding");
+        let mut set = |name: &'static str, value: &str| {
+            headers.insert(name, value.parse().unwrap());
+        };
+        set("x-vm", terms.vm.as_str());
+        set("x-patience", &terms.time_left.as_millis().to_string());
+        if let Some(customer) = terms.customer {
+            set("x-customer", customer.as_str());
+        }
+        if let Some(event) = terms.after_event {
+            set("x-after", event);
+        }
+        headers
+    }
+
+    fn read_answer(&self, attempt: &str, head: &http::response::Parts) -> links::AnswerHead {
+        let echoed = head
+            .headers
+            .get("x-attempt")
+            .and_then(|value| value.to_str().ok());
+        links::AnswerHead {
+            is_not_run: head.headers.contains_key("x-not-run"),
+            is_genuine: echoed == Some(attempt),
+            closes: false,
+            idle_time: None,
+        }
+    }
+
+    fn caller_headers(&self, head: &http::response::Parts) -> http::HeaderMap {
+        let mut headers = head.headers.clone();
+        headers.remove("content-length");
+        headers.remove("transfer-encoding");
+        headers
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/tests/support/mod.rs
@@ -0,0 +1,12 @@
+//! A node over stand-ins: a store in memory, and targets that answer by a script.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+mod fake_platform;
+mod raw_caller;
+mod scripted_target;
+mod test_node;
+
+pub use fake_platform::FakePlatform;
+pub use raw_caller::{RawAnswer, RawCaller};
+pub use scripted_target::{Script, ScriptedTarget};
+pub use test_node::{GROUP_MODEL, KEY, TestNode, group_member, plain_entry};
--- /dev/null
+++ b/crates/pier_edge/tests/support/raw_caller.rs
@@ -0,0 +1,112 @@
+//! A caller that writes and reads bytes.
+
+use std::{net, time};
+
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
+
+/// An answer as it came.
+#[derive(Debug)]
+pub struct RawAnswer {
+    pub head: String,
+    pub body: String,
+    /// Whether the body had its proper end.
+    pub is_whole: bool,
+}
+
+impl RawAnswer {
+    pub fn status(&self) -> u16 {
+        self.head.split(' ').nth(1).unwrap().parse().unwrap()
+    }
+
+    pub fn header(&self, name: &str) -> Option<String> {
+        let lines = self.head.lines().filter_map(|line| line.split_once(": "));
+        let mut found = lines.filter(|(key, _value)| key.eq_ignore_ascii_case(name));
+        found.next().map(|(_key, value)| value.to_owned())
+    }
+}
+
+/// One connection of a caller.
+pub struct RawCaller {
+    stream: TcpStream,
+    read: Vec<u8>,
+}
+
+impl RawCaller {
+    pub async fn connect(address: net::SocketAddr) -> Self {
+        Self {
+            stream: TcpStream::connect(address).await.unwrap(),
+            read: Vec::new(),
+        }
+    }
+
+    pub async fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).await.unwrap();
+    }
+
+    /// Reads one answer; a body that breaks off is returned as far as it came.
+    pub async fn answer(&mut self) -> RawAnswer {
+        let limit = time::Duration::from_secs(15);
+        tokio::time::timeout(limit, self.read_answer())
+            .await
+            .expect("no answer in 15 s")
+    }
+
+    async fn read_answer(&mut self) -> RawAnswer {
+        let head = loop {
+            let text = String::from_utf8_lossy(&self.read).into_owned();
+            if let Some((head, _rest)) = text.split_once("\r\n\r\n") {
+                self.read.drain(..head.len() + 4);
+                break head.to_owned();
+            }
+            if !self.more().await {
+                panic!("the connection ended before an answer");
+            }
+        };
+        let mut answer = RawAnswer {
+            head,
+            body: String::new(),
+            is_whole: false,
+        };
+        if let Some(length) = answer.header("content-length") {
+            let length: usize = length.parse().unwrap();
+            while self.read.len() < length && self.more().await {}
+            answer.is_whole = self.read.len() >= length;
+            let taken: Vec<_> = self.read.drain(..length.min(self.read.len())).collect();
+            answer.body = String::from_utf8(taken).unwrap();
+            return answer;
+        }
+        loop {
+            let text = String::from_utf8_lossy(&self.read).into_owned();
+            if let Some((size, rest)) = text.split_once("\r\n") {
+                let size = usize::from_str_radix(size, 16).unwrap();
+                if rest.len() >= size + 2 {
+                    let start = text.len() - rest.len();
+                    answer.body.push_str(&rest[..size]);
+                    self.read.drain(..start + size + 2);
+                    if size == 0 {
+                        answer.is_whole = true;
+                        return answer;
+                    }
+                    continue;
+                }
+            }
+            if !self.more().await {
+                return answer;
+            }
+        }
+    }
+
+    async fn more(&mut self) -> bool {
+        let mut piece = [0; 4096];
+        match self.stream.read(&mut piece).await {
+            Ok(length) if length > 0 => {
+                self.read.extend_from_slice(&piece[..length]);
+                true
+            }
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/tests/support/scripted_target.rs
@@ -0,0 +1,184 @@
+//! A target that answers by a script and remembers what reached it.
+
+use std::{
+    net,
+    sync::{Arc, Mutex},
+    time,
+};
+
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+};
+
+/// How a target answers each request.
+#[derive(Clone, Debug)]
+pub enum Script {
+    /// A whole answer with this body.
+    Whole(&'static str),
+    /// A whole answer, and bytes of another one behind it.
+    WholeAndExtra(&'static str),
+    /// An answer that ends before its stated length.
+    Truncated,
+    /// Reads the request and closes the connection.
+    Close,
+    /// Reads the request and stays silent.
+    Silent,
+    /// Says that it has not run the request.
+    NotRun,
+    /// Events up to the last one, with a pause between them; continues behind the caller's event.
+    Events {
+        last: u32,
+        pause_ms: u64,
+        /// Closes the connection in the middle of this event.
+        cut_in: Option<u32>,
+        /// Stays silent from this event on.
+        silent_from: Option<u32>,
+    },
+}
+
+/// A target on a port of its own.
+#[derive(Clone, Debug)]
+pub struct ScriptedTarget {
+    pub address: net::SocketAddr,
+    requests: Arc<Mutex<Vec<String>>>,
+    closed: Arc<Mutex<u32>>,
+}
+
+impl ScriptedTarget {
+    pub async fn start(script: Script) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let target = Self {
+            address: listener.local_addr().unwrap(),
+            requests: Arc::default(),
+            closed: Arc::default(),
+        };
+        let serving = target.clone();
+        tokio::spawn(async move {
+            loop {
+                let (stream, _from) = listener.accept().await.unwrap();
+                let (target, script) = (serving.clone(), script.clone());
+                tokio::spawn(async move {
+                    target.serve(stream, script).await;
+                    *target.closed.lock().unwrap() += 1;
+                });
+            }
+        });
+        target
+    }
+
+    /// Returns every request, head and body, as text.
+    pub fn requests(&self) -> Vec<String> {
+        self.requests.lock().unwrap().clone()
+    }
+
+    /// Returns how many connections have ended.
+    pub fn closed(&self) -> u32 {
+        *self.closed.lock().unwrap()
+    }
+
+    async fn serve(&self, mut stream: TcpStream, script: Script) {
+        while let Some(request) = read_request(&mut stream).await {
+            self.requests.lock().unwrap().push(request.clone());
+            let attempt = header(&request, "x-attempt").unwrap_or_default();
+            let after = header(&request, "x-after")
+                .and_then(|id| id.parse().ok())
+                .unwrap_or(0);
+            if answer(&mut stream, &script, &attempt, after)
+                .await
+                .is_none()
+            {
+                return;
+            }
+        }
+    }
+}
+
+async fn answer(stream: &mut TcpStream, script: &Script, attempt: &str, after: u32) -> Option<()> {
+    let head = format!("HTTP/1.1 200 OK\r\nx-attempt: {attempt}\r\n");
+    match script {
+        Script::Whole(body) => {
+            let text = format!("{head}content-length: {}\r\n\r\n{body}", body.len());
+            stream.write_all(text.as_bytes()).await.ok()
+        }
+        Script::WholeAndExtra(body) => {
+            let extra = "HTTP/1.1 200 OK\r\nx-attempt: other\r\ncontent-length: 5\r\n\r\nextra";
+            let text = format!("{head}content-length: {}\r\n\r\n{body}{extra}", body.len());
+            stream.write_all(text.as_bytes()).await.ok()
+        }
+        Script::Truncated => {
+            let text = format!("{head}content-length: 100\r\n\r\nonly this");
+            stream.write_all(text.as_bytes()).await.ok()?;
+            None
+        }
+        Script::Close => None,
+        Script::Silent => {
+            let mut rest = [0; 64];
+            // Ends when the node closes the connection.
+            while stream.read(&mut rest).await.ok()? > 0 {}
+            None
+        }
+        Script::NotRun => {
+            let text = format!(
+                "HTTP/1.1 503 Busy\r\nx-attempt: {attempt}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+            );
+            stream.write_all(text.as_bytes()).await.ok()
+        }
+        Script::Events {
+            last,
+            pause_ms,
+            cut_in,
+            silent_from,
+        } => {
+            let text = format!(
+                "{head}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+            );
+            stream.write_all(text.as_bytes()).await.ok()?;
+            for id in after + 1..=*last {
+                if *silent_from == Some(id) {
+                    let mut rest = [0; 64];
+                    while stream.read(&mut rest).await.ok()? > 0 {}
+                    return None;
+                }
+                let event = format!("id: {id}\ndata: part {id}\n\n");
+                if *cut_in == Some(id) {
+                    let half = &event[..event.len() / 2];
+                    let chunk = format!("{:x}\r\n{half}\r\n", half.len());
+                    stream.write_all(chunk.as_bytes()).await.ok()?;
+                    return None;
+                }
+                let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+                stream.write_all(chunk.as_bytes()).await.ok()?;
+                tokio::time::sleep(time::Duration::from_millis(*pause_ms)).await;
+            }
+            stream.write_all(b"0\r\n\r\n").await.ok()
+        }
+    }
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    let mut piece = [0; 4096];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let length = header(head, "content-length").and_then(|length| length.parse().ok());
+            if body.len() >= length.unwrap_or(0) {
+                return Some(text);
+            }
+        }
+        let length = stream.read(&mut piece).await.ok()?;
+        if length == 0 {
+            return None;
+        }
+        bytes.extend_from_slice(&piece[..length]);
+    }
+}
+
+/// Returns the value of a header.
+pub fn header(request: &str, name: &str) -> Option<String> {
+    let lines = request.lines();
+    let mut values = lines.filter_map(|line| line.split_once(": "));
+    let found = values.find(|(key, _value)| key.eq_ignore_ascii_case(name));
+    found.map(|(_key, value)| value.trim().to_owned())
+}
--- /dev/null
+++ b/crates/pier_edge/tests/support/test_node.rs
@@ -0,0 +1,195 @@
+//! A node in this process.
+
+use std::{collections, net, path, sync::Arc, time};
+
+use pier_edge::settings;
+use pier_fleet::{documents, targets};
+use pier_types::{epochs, ids, sizes};
+
+use super::FakePlatform;
+
+/// A key that the document knows.
+pub const KEY: &str = "key-1";
+
+/// The model of the groups.
+pub const GROUP_MODEL: &str = "m0";
+
+/// A running node; it ends with the test's runtime.
+pub struct TestNode {
+    pub callers: net::SocketAddr,
+    pub readiness: net::SocketAddr,
+    pub platform: FakePlatform,
+}
+
+fn free_address() -> net::SocketAddr {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+impl TestNode {
+    /// Starts a node without any record.
+    pub async fn start_bare() -> Self {
+        let platform = FakePlatform::default();
+        let (callers, readiness) = (free_address(), free_address());
+        let text = format!(
+            "[node]\nname = n1\ndata_centre = dc-a\ndata_centres = dc-a,dc-b\n\
+             [listen]\ncallers = {callers}\nreadiness = {readiness}\npeers = {}\nmetrics = {}\n\
+             [platform]\nstore = 127.0.0.1:9\n[limits]\nmemory_mib = 200\n\
+             [bounds]\ngrace_seconds = 8\nretry_ratio = 0.2\nretry_burst = 100\n\
+             retry_window_seconds = 10\n[log]\nlevel = info\n",
+            free_address(),
+            free_address()
+        );
+        let settings = settings::EdgeSettings::parse(&text).unwrap();
+        let running = pier_edge::run(path::Path::new("/nowhere"), settings, platform.clone());
+        tokio::spawn(async move { running.await.unwrap() });
+        let node = Self {
+            callers,
+            readiness,
+            platform,
+        };
+        while tokio::net::TcpStream::connect(callers).await.is_err() {
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+        node
+    }
+
+    /// Starts a node with a document and targets.
+    pub async fn start(entries: Vec<targets::TargetEntry>) -> Self {
+        let node = Self::start_bare().await;
+        for entry in entries {
+            node.platform.put_target(entry);
+        }
+        node.platform.put_document(document());
+        node.settle().await;
+        node
+    }
+
+    /// Waits until changes of records are in force.
+    pub async fn settle(&self) {
+        tokio::time::sleep(time::Duration::from_millis(500)).await;
+    }
+}
+
+/// Returns a registration of the plain service.
+pub fn plain_entry(vm: &str, address: net::SocketAddr) -> targets::TargetEntry {
+    targets::TargetEntry {
+        vm: vm.parse().unwrap(),
+        service: "plain".parse().unwrap(),
+        address,
+        data_centre: "dc-a".parse().unwrap(),
+        slots: sizes::RequestCount::new(4),
+        is_draining: false,
+        cold_left: time::Duration::ZERO,
+        standing: targets::TargetStanding {
+            born: epochs::VmIncarnation::new(1),
+            ..targets::TargetStanding::default()
+        },
+    }
+}
+
+/// Returns a registration of a member of a group of two; rank 0 is open.
+pub fn group_member(group: &str, rank: u32, address: net::SocketAddr) -> targets::TargetEntry {
+    let mut entry = plain_entry(&format!("{group}-{rank}"), address);
+    entry.service = "engines".parse().unwrap();
+    entry.standing.domain = Some("d0".parse().unwrap());
+    entry.standing.running = Some(GROUP_MODEL.parse().unwrap());
+    entry.standing.membership = Some(targets::GroupMembership {
+        group: format!("{GROUP_MODEL}-{group}").parse().unwrap(),
+        generation: epochs::GroupGeneration::new(7),
+        rank,
+        phase: if rank == 0 {
+            targets::GroupPhase::Open
+        } else {
+            targets::GroupPhase::Ready
+        },
+    });
+    entry
+}
+
+fn route(
+    prefix: &str,
+    repeat: documents::RepeatRule,
+    service: &str,
+    max_sends: u32,
+) -> documents::RouteRule {
+    documents::RouteRule {
+        name: prefix.to_owned(),
+        prefix: prefix.to_owned(),
+        repeat,
+        timeout: time::Duration::from_secs(6),
+        objective: time::Duration::from_millis(400),
+        gap_objective: time::Duration::from_millis(250),
+        rank: 1,
+        split: vec![documents::SplitShare {
+            service: service.parse().unwrap(),
+            weight: 1,
+        }],
+        max_sends,
+        is_public: false,
+    }
+}
+
+fn document() -> documents::FleetDocument {
+    let engine = documents::EngineSpec {
+        batch: sizes::RequestCount::new(8),
+        memory: sizes::TokenCount::new(1_000_000),
+        steps_per_pass: 4,
+        step_ms: 5.0,
+        request_ms: 0.1,
+        context_ms: 0.0,
+        read_per_ms: 50.0,
+        chunk: sizes::TokenCount::new(2_048),
+        usual_prompt: 100.0,
+        usual_answer: 100.0,
+        loads_per_second: 1.0,
+        loads_at_once: 1,
+        open_time: time::Duration::from_millis(100),
+        models: vec![documents::ModelSpec {
+            name: GROUP_MODEL.parse().unwrap(),
+            size: sizes::VmCount::new(2),
+            share: 1.0,
+            pace: 1.0,
+            load_time: time::Duration::from_secs(5),
+            warm_time: time::Duration::from_secs(1),
+        }],
+    };
+    let service = |name: &str, engine: Option<documents::EngineSpec>| documents::ServiceSpec {
+        name: name.parse().unwrap(),
+        connections: 64,
+        cold_time: time::Duration::ZERO,
+        cold_per_second: 0.0,
+        engine: engine.map(Arc::new),
+        slots: None,
+    };
+    let grant = documents::CustomerGrant {
+        customer: "college".parse::<ids::CustomerName>().unwrap(),
+        rank: Some(0),
+    };
+    let keys = collections::BTreeMap::from([(KEY.to_owned(), grant)]);
+    documents::FleetDocument::new(epochs::ConfigVersion::new(3))
+        .with_service(service("plain", None))
+        .with_service(service("engines", Some(engine)))
+        .with_route(
+            "a.example",
+            route("/read/", documents::RepeatRule::Idempotent, "plain", 2),
+        )
+        .with_route(
+            "a.example",
+            route("/post/", documents::RepeatRule::OneTime, "plain", 1),
+        )
+        .with_route(
+            "a.example",
+            route(
+                "/talk/",
+                documents::RepeatRule::ResumableStream,
+                "engines",
+                2,
+            ),
+        )
+        .with_route(
+            "a.example",
+            route("/once/", documents::RepeatRule::OneTimeStream, "engines", 2),
+        )
+        .with_keys(keys)
+}
