--- /dev/null
+++ b/crates/pier_fleet/tests/overload_is_refused_early.rs
@@ -0,0 +1,190 @@
+//! The patterns of the heaviest days: sustained overload, a group that is lost under load, slow groups.
+
+mod support;
+
+use std::time;
+
+use pier_fleet::{dispatch, documents};
+use support::engine;
+
+const OBJECTIVE: time::Duration = time::Duration::from_millis(250);
+
+fn load(running: u32, waiting: u32) -> dispatch::LoadFacts {
+    dispatch::LoadFacts {
+        running,
+        waiting,
+        waiting_prompt: u64::from(waiting) * 1_000,
+        slots: 26,
+        slowness: 1.0,
+        failure_rate: 0.0,
+        is_local: true,
+        is_used_up: false,
+        answer_time: time::Duration::from_millis(60),
+    }
+}
+
+fn facts(rank: u8) -> dispatch::RequestFacts {
+    dispatch::RequestFacts {
+        prompt: 700,
+        objective_left: OBJECTIVE,
+        time_left: time::Duration::from_secs(6),
+        rank,
+        is_resumed: false,
+        draw: 7,
+    }
+}
+
+fn choose(
+    request: &dispatch::RequestFacts,
+    loads: &[dispatch::LoadFacts],
+) -> dispatch::ChoiceOutcome {
+    let none = time::Duration::ZERO;
+    dispatch::choose_stream(&engine(), 1.0, none, request, loads)
+}
+
+fn is_sent_to(outcome: dispatch::ChoiceOutcome, wanted: usize) -> bool {
+    matches!(outcome, dispatch::ChoiceOutcome::Send { position, .. } if position == wanted)
+}
+
+/// A group that serves requests one after the other as its times tell, in steps of 10 ms.
+struct ModelGroup {
+    /// When each request in it ends, in steps.
+    ends: Vec<u64>,
+}
+
+/// Plays sustained overload and returns how many were sent, how many of them would be late, and how
+/// many were refused.
+fn play(per_second: u64, groups: usize) -> (u32, u32, u32) {
+    let engine: documents::EngineSpec = engine();
+    let mut fleet: Vec<_> = (0..groups)
+        .map(|_| ModelGroup { ends: Vec::new() })
+        .collect();
+    let (mut sent, mut late, mut refused) = (0, 0, 0);
+    for step in 0..2_000_u64 {
+        for group in &mut fleet {
+            group.ends.retain(|end| *end > step);
+        }
+        let arrivals = (step + 1) * per_second / 100 - step * per_second / 100;
+        for arrival in 0..arrivals {
+            let loads: Vec<_> = fleet
+                .iter()
+                .map(|group| load(u32::try_from(group.ends.len()).unwrap(), 0))
+                .collect();
+            let mut request = facts(1);
+            request.draw = u32::try_from(step * 31 + arrival * 7).unwrap();
+            match choose(&request, &loads) {
+                dispatch::ChoiceOutcome::Send { position, expected } => {
+                    sent += 1;
+                    late += u32::from(expected > OBJECTIVE);
+                    let running = fleet[position].ends.len() as f64;
+                    let token_ms = engine.step_time_ms(running);
+                    let steps = (token_ms * engine.usual_answer / 10.0).ceil();
+                    let steps = time::Duration::from_secs_f64(steps).as_secs();
+                    fleet[position].ends.push(step + steps);
+                }
+                _ => refused += 1,
+            }
+        }
+    }
+    (sent, late, refused)
+}
+
+#[test]
+fn under_sustained_overload_what_is_sent_is_in_time_and_the_rest_is_refused() {
+    let (sent, late, refused) = play(100, 4);
+    assert_eq!(late, 0);
+    assert!(refused > 0, "four groups can not take 100 a second");
+    // Four batches of 26 with answers of 152 tokens at 9 ms end 76 requests a second.
+    assert!(sent > 20 * 60, "{sent} of 2,000 were sent");
+}
+
+#[test]
+fn below_its_capacity_nothing_is_refused() {
+    let (_sent, late, refused) = play(50, 4);
+    assert_eq!((late, refused), (0, 0));
+}
+
+#[test]
+fn load_is_spread_over_groups_and_goes_to_the_least_loaded() {
+    assert!(is_sent_to(
+        choose(&facts(1), &[load(20, 2), load(4, 0), load(25, 9)]),
+        1
+    ));
+}
+
+#[test]
+fn a_group_of_this_data_centre_is_preferred_while_it_is_hardly_slower() {
+    let mut remote = load(4, 0);
+    remote.is_local = false;
+    assert!(is_sent_to(choose(&facts(1), &[remote, load(6, 0)]), 1));
+    assert!(is_sent_to(choose(&facts(1), &[remote, load(24, 5)]), 0));
+}
+
+#[test]
+fn a_slow_group_is_left_for_others() {
+    let mut slow = load(2, 0);
+    slow.slowness = 6.0;
+    assert!(is_sent_to(choose(&facts(1), &[slow, load(12, 1)]), 1));
+}
+
+#[test]
+fn a_refusal_tells_the_time_by_which_the_best_group_is_over() {
+    let outcome = choose(&facts(1), &[load(26, 8)]);
+    let dispatch::ChoiceOutcome::Full {
+        retry_after,
+        expected,
+    } = outcome
+    else {
+        panic!("{outcome:?}");
+    };
+    assert!(expected > OBJECTIVE);
+    assert!(retry_after >= time::Duration::from_millis(100));
+    assert!(retry_after <= time::Duration::from_secs(2));
+}
+
+#[test]
+fn urgent_requests_are_still_taken_when_others_are_refused() {
+    let loads = [load(24, 4)];
+    let urgent = choose(&facts(0), &loads);
+    let other = choose(&facts(3), &loads);
+    let is_sent = |outcome| matches!(outcome, dispatch::ChoiceOutcome::Send { .. });
+    assert!(is_sent(urgent) || !is_sent(other));
+}
+
+#[test]
+fn a_stream_that_lost_its_group_is_continued_though_its_objective_is_over() {
+    let mut request = facts(1);
+    request.objective_left = time::Duration::ZERO;
+    assert!(!is_sent_to(choose(&request, &[load(10, 1)]), 0));
+    request.is_resumed = true;
+    assert!(is_sent_to(choose(&request, &[load(10, 1)]), 0));
+}
+
+#[test]
+fn what_is_learned_of_first_events_never_closes_an_idle_group() {
+    let learned = time::Duration::from_secs(3);
+    let outcome = dispatch::choose_stream(&engine(), 1.0, learned, &facts(1), &[load(0, 0)]);
+    assert!(is_sent_to(outcome, 0), "{outcome:?}");
+}
+
+#[test]
+fn targets_without_room_are_left_out_and_no_target_is_said_so() {
+    let mut full = load(0, 0);
+    full.is_used_up = true;
+    assert!(is_sent_to(choose(&facts(1), &[full, load(9, 0)]), 1));
+    assert!(matches!(
+        choose(&facts(1), &[full]),
+        dispatch::ChoiceOutcome::Full { .. }
+    ));
+    assert_eq!(choose(&facts(1), &[]), dispatch::ChoiceOutcome::NoTarget);
+}
+
+#[test]
+fn plain_targets_are_chosen_by_their_queue_and_refused_when_it_outlasts_the_request() {
+    let mut short = facts(1);
+    short.time_left = time::Duration::from_millis(300);
+    let outcome = dispatch::choose_plain(&short, &[load(60, 0), load(3, 0)]);
+    assert!(is_sent_to(outcome, 1));
+    let outcome = dispatch::choose_plain(&short, &[load(400, 0)]);
+    assert!(matches!(outcome, dispatch::ChoiceOutcome::Full { .. }));
+}
--- /dev/null
+++ b/crates/pier_fleet/tests/silence_and_shares.rs
@@ -0,0 +1,151 @@
+//! Stuck groups are found by silence, cold targets get their share, planners take over in turn.
+
+use std::{collections, time};
+
+use pier_fleet::{budgets, stalls, stewards};
+use pier_types::{epochs, ids, times};
+
+fn at(millis: u64) -> times::BootTime {
+    times::BootTime::from_millis(millis)
+}
+
+fn progress(in_flight: u32, running: u32, pass_ms: u64) -> stalls::ProgressFacts {
+    stalls::ProgressFacts {
+        in_flight,
+        running,
+        last_progress: at(10_000),
+        pass_time: time::Duration::from_millis(pass_ms),
+        first_event: time::Duration::from_millis(150),
+    }
+}
+
+#[test]
+fn a_group_whose_streams_fall_silent_together_is_stuck_within_a_second() {
+    let judge = stalls::StallJudge::default();
+    let facts = progress(8, 6, 60);
+    assert!(!judge.is_stuck(&facts, at(10_300)));
+    assert!(judge.is_stuck(&facts, at(10_500)));
+}
+
+#[test]
+fn a_slow_group_is_given_more_time_but_not_until_its_callers_leave() {
+    let judge = stalls::StallJudge::default();
+    let facts = progress(8, 6, 500);
+    assert!(!judge.is_stuck(&facts, at(10_800)));
+    assert!(judge.is_stuck(&facts, at(10_950)));
+}
+
+#[test]
+fn an_idle_group_is_never_stuck() {
+    let judge = stalls::StallJudge::default();
+    assert!(!judge.is_stuck(&progress(0, 0, 60), at(90_000)));
+}
+
+#[test]
+fn a_request_that_has_not_begun_is_given_its_expected_time() {
+    let judge = stalls::StallJudge::default();
+    assert!(!judge.is_stuck(&progress(1, 0, 60), at(10_700)));
+    assert!(judge.is_stuck(&progress(1, 0, 60), at(10_800)));
+}
+
+#[test]
+fn nodes_shares_of_a_cold_target_add_up_to_no_more_than_it_bears() {
+    let (per_second, nodes) = (36.0, 6_u32);
+    let mut gates = vec![budgets::ColdGate::default(); 6];
+    let mut sent = Vec::new();
+    for millis in 0..5_000_u64 {
+        for gate in &mut gates {
+            let part = per_second / f64::from(nodes);
+            if gate.allows(part, at(millis)) {
+                gate.take(part, at(millis));
+                sent.push(millis);
+            }
+        }
+    }
+    for start in 0..4_000 {
+        let window = sent
+            .iter()
+            .filter(|millis| (start..start + 1_000).contains(*millis));
+        // The published rate, and what each node may have saved up.
+        assert!(window.count() <= 36 + 6);
+    }
+}
+
+#[test]
+fn loads_begin_at_the_planners_part_of_the_rate() {
+    let mut budget = budgets::LoadBudget::new(at(0));
+    budget.set_rate(2.0, 2.0);
+    let begun = (0..10_000).filter(|millis| budget.take(at(*millis)));
+    let begun = begun.count();
+    assert!((19..=21).contains(&begun), "{begun}");
+}
+
+#[test]
+fn counts_of_a_window_slide() {
+    let mut count = budgets::WindowCount::new(time::Duration::from_secs(10));
+    for millis in [0, 500, 9_000] {
+        count.add(at(millis));
+    }
+    assert_eq!(count.total(at(9_500)), 3);
+    assert_eq!(count.total(at(12_000)), 1);
+    assert_eq!(count.total(at(60_000)), 0);
+}
+
+fn node(name: &str) -> ids::NodeName {
+    name.parse().unwrap()
+}
+
+fn view(holder: Option<&str>, local: &[&str], remote: &[&str]) -> stewards::StewardView {
+    let names = |list: &[&str]| -> collections::BTreeSet<ids::NodeName> {
+        list.iter().map(|name| node(name)).collect()
+    };
+    stewards::StewardView {
+        word: holder.map(|holder| stewards::StewardWord {
+            holder: node(holder),
+            term: epochs::LeaseTerm::new(1),
+            version: epochs::ObjectVersion::new(5),
+        }),
+        local: names(local),
+        remote: names(remote),
+    }
+}
+
+#[test]
+fn the_first_local_node_takes_a_vacant_data_centre_at_once() {
+    let mut first = stewards::StewardElection::new(node("a1"), true);
+    let mut second = stewards::StewardElection::new(node("a2"), true);
+    let vacant = view(None, &["a1", "a2"], &["b1"]);
+    assert!(first.should_claim(&vacant, at(0)));
+    assert!(!second.should_claim(&vacant, at(0)));
+}
+
+#[test]
+fn a_steward_that_lives_keeps_its_data_centre() {
+    let mut second = stewards::StewardElection::new(node("a2"), true);
+    let served = view(Some("a1"), &["a1", "a2"], &[]);
+    for millis in 0..20_000 {
+        assert!(!second.should_claim(&served, at(millis)));
+    }
+}
+
+#[test]
+fn a_silent_steward_is_followed_by_a_local_node_and_late_by_a_remote_one() {
+    let silent = view(Some("a1"), &["a2"], &["b1"]);
+    let mut local = stewards::StewardElection::new(node("a2"), true);
+    assert!(!local.should_claim(&silent, at(1_000)));
+    assert!(local.should_claim(&silent, at(1_400)));
+    let alone = view(Some("a1"), &[], &["b1"]);
+    let mut remote = stewards::StewardElection::new(node("b1"), false);
+    assert!(!remote.should_claim(&alone, at(1_000)));
+    assert!(!remote.should_claim(&alone, at(8_000)));
+    assert!(remote.should_claim(&alone, at(9_100)));
+}
+
+#[test]
+fn a_claim_is_not_repeated_at_once() {
+    let mut first = stewards::StewardElection::new(node("a1"), true);
+    let vacant = view(None, &["a1"], &[]);
+    assert!(first.should_claim(&vacant, at(0)));
+    assert!(!first.should_claim(&vacant, at(300)));
+    assert!(first.should_claim(&vacant, at(800)));
+}
