--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -94,10 +94,7 @@
         let facts: Vec<_> = open.iter().map(|slot| slot.facts(engine, now)).collect();
         let request = dispatch::RequestFacts {
             prompt: self.head.prompt_tokens,
-            objective_left: self
-                .route
-                .objective
-                .saturating_sub(now.since(self.arrived_at)),
+            objective: self.route.objective,
             time_left: self.time_left(now),
             rank: self.rank(),
             is_resumed,
@@ -124,7 +121,7 @@
                     attempt = self.head.attempt.as_str(),
                     candidates = open.len(),
                     expected_ms = millis(expected),
-                    objective_ms = millis(request.objective_left),
+                    objective_ms = millis(request.objective),
                     rank = request.rank;
                     ""
                 );
--- a/crates/pier_fleet/src/dispatch/request_facts.rs
+++ b/crates/pier_fleet/src/dispatch/request_facts.rs
@@ -7,8 +7,9 @@
 pub struct RequestFacts {
     /// Prompt tokens, 0 when unknown.
     pub prompt: u64,
-    /// Promised time to the first part, less what has passed of it.
-    pub objective_left: time::Duration,
+    /// Promised time to the first part. What passed before this send does not shorten it: a group
+    /// that keeps the objective for fresh requests has room for one that lost time elsewhere.
+    pub objective: time::Duration,
     /// Time that is left in all.
     pub time_left: time::Duration,
     /// Rank among requests, 0 first.
--- a/crates/pier_fleet/src/dispatch/stream_choice.rs
+++ b/crates/pier_fleet/src/dispatch/stream_choice.rs
@@ -41,7 +41,7 @@
     candidates: &[dispatch::LoadFacts],
 ) -> dispatch::ChoiceOutcome {
     let model = dispatch::PassModel::new(engine, pace);
-    let learned = learned.min(request.objective_left / LEARNED_DIVISOR);
+    let learned = learned.min(request.objective / LEARNED_DIVISOR);
     let open = candidates.iter().enumerate();
     let open = open.filter(|(_position, load)| !load.is_used_up);
     let scored = open.map(|(position, load)| {
@@ -74,7 +74,7 @@
 fn allowance(request: &dispatch::RequestFacts) -> time::Duration {
     let last = OBJECTIVE_PERCENT.len() - 1;
     let percent = OBJECTIVE_PERCENT[usize::from(request.rank).min(last)];
-    (request.objective_left * percent / 100).min(request.time_left)
+    (request.objective * percent / 100).min(request.time_left)
 }
 
 fn refuse(wait: time::Duration, expected: time::Duration) -> dispatch::ChoiceOutcome {
--- a/crates/pier_fleet/tests/overload_is_refused_early.rs
+++ b/crates/pier_fleet/tests/overload_is_refused_early.rs
@@ -26,7 +26,7 @@
 fn facts(rank: u8) -> dispatch::RequestFacts {
     dispatch::RequestFacts {
         prompt: 700,
-        objective_left: OBJECTIVE,
+        objective: OBJECTIVE,
         time_left: time::Duration::from_secs(6),
         rank,
         is_resumed: false,
@@ -154,7 +154,7 @@
 #[test]
 fn a_stream_that_lost_its_group_is_continued_though_its_objective_is_over() {
     let mut request = facts(1);
-    request.objective_left = time::Duration::ZERO;
+    request.objective = time::Duration::ZERO;
     assert!(!is_sent_to(choose(&request, &[load(10, 1)]), 0));
     request.is_resumed = true;
     assert!(is_sent_to(choose(&request, &[load(10, 1)]), 0));
