Take an answer for a VM's only if it is of the registered start

Ruled out: late orders, two planners. An answer of another start is dropped now, and the VM that was meant counts as lost. Test: the_answer_of_another_vm_at_the_address_is_not_the_registered_ones (did not compile before, as the answer was not judged at all).

--- a/crates/pier_edge/src/control/centre_steward.rs
+++ b/crates/pier_edge/src/control/centre_steward.rs
@@ -93,19 +93,25 @@
             }
             order_desk::DeskNews::Asked { vm, born, report } => match report {
                 Ok(report) => {
-                    self.watch.note_answer(vm);
                     let standing = &report.standing;
-                    self.state.with_book(|book| book.hear(vm, standing, now));
-                }
-                Err(cause) => {
-                    if self.watch.note_silence(vm, *born) {
-                        log::warn!(event = "member-lost", target_vm:% = vm, cause = cause.as_str(); "");
+                    if self.state.with_book(|book| book.hear(vm, standing, now)) {
+                        self.watch.note_answer(vm);
+                    } else {
+                        self.lose(vm, *born, "another start answers at its address");
                     }
                 }
+                Err(cause) => self.lose(vm, *born, cause),
             },
         }
     }
 
+    /// Notes that the registered start of a VM does not answer.
+    fn lose(&mut self, vm: &ids::VmName, born: epochs::VmIncarnation, cause: &str) {
+        if self.watch.note_silence(vm, born) {
+            log::warn!(event = "member-lost", target_vm:% = vm, cause = cause; "");
+        }
+    }
+
     fn take_outcome(
         &mut self,
         order: &formation::GroupOrder,
@@ -125,14 +131,17 @@
                     });
                     if let Some(before) = before {
                         let after = order_desk::standing_after(order, &before, has_begun);
-                        book.hear(&order.vm, &after, now);
+                        let _same_start = book.hear(&order.vm, &after, now);
                     }
                 });
             }
-            links::OrderOutcome::Unfit | links::OrderOutcome::WrongVm => {
+            links::OrderOutcome::Unfit => {
                 self.state.with_book(|book| book.forget_orders(&order.vm));
                 self.ask(&order.vm, now);
             }
+            links::OrderOutcome::WrongVm => {
+                self.lose(&order.vm, order.born, "another VM has its address");
+            }
             links::OrderOutcome::Outdated => {
                 if let Some(planner) = &mut self.planner {
                     planner.raise_generation(order.generation);
--- a/crates/pier_fleet/src/targets/target_book.rs
+++ b/crates/pier_fleet/src/targets/target_book.rs
@@ -76,20 +76,26 @@
     /// Takes in what a target said when asked.
     ///
     /// Answers may cross orders on their way; one that counts fewer orders than are known is older.
+    /// Addresses are used again: an answer of another start is another VM's, or one that will
+    /// register itself. Returns whether the answer is of the registered start.
     pub fn hear(
         &mut self,
         vm: &ids::VmName,
         standing: &targets::TargetStanding,
         now: times::BootTime,
-    ) {
+    ) -> bool {
         let Some(record) = self.records.get_mut(vm) else {
-            return;
+            return false;
         };
         let known = &mut record.entry.standing;
-        if (known.born, known.orders) <= (standing.born, standing.orders) {
+        if known.born != standing.born {
+            return false;
+        }
+        if known.orders <= standing.orders {
             *known = standing.clone();
             record.seen_at = now;
         }
+        true
     }
 
     /// Forgets how many orders a target has taken, after it refused an order for that count.
--- a/crates/pier_fleet/tests/registrations_outlast_outages.rs
+++ b/crates/pier_fleet/tests/registrations_outlast_outages.rs
@@ -119,3 +119,17 @@
     assert!(book.records()[&vm()].is_cold(at(2_900)));
     assert!(!book.records()[&vm()].is_cold(at(3_100)));
 }
+
+#[test]
+fn the_answer_of_another_vm_at_the_address_is_not_the_registered_ones() {
+    let mut book = targets::TargetBook::default();
+    book.put(entry(5, 3, targets::GroupPhase::Joining), at(0));
+    for born in [4, 6] {
+        let other = entry(born, 3, targets::GroupPhase::Ready).standing;
+        assert!(!book.hear(&vm(), &other, at(10)));
+        let place = book.records()[&vm()].entry.standing.membership.as_ref();
+        assert_eq!(place.unwrap().phase, targets::GroupPhase::Joining);
+    }
+    let own = entry(5, 3, targets::GroupPhase::Ready).standing;
+    assert!(book.hear(&vm(), &own, at(20)));
+}
