--- /dev/null
+++ b/crates/pier_edge/src/control/member_questions.rs
@@ -0,0 +1,106 @@
+//! Questions to VMs, and what their silence means.
+
+use std::{collections, time};
+
+use pier_fleet::targets;
+use pier_types::{epochs, ids, times};
+
+use super::centre_steward;
+use crate::{control, links};
+
+/// Pause between two questions to a member whose registration ended.
+const UNLISTED_PAUSE: time::Duration = time::Duration::from_secs(1);
+
+/// Silence of the store after which VMs are asked for what they would register.
+const STORE_SILENCE: time::Duration = time::Duration::from_millis(1_300);
+
+/// Pause between two rounds of questions to a group that stands still.
+const GROUP_PAUSE: time::Duration = time::Duration::from_millis(600);
+
+impl<P: links::FleetPlatform> control::CentreSteward<P> {
+    /// Notes that the registered start of a VM does not answer.
+    pub(super) fn lose(&mut self, vm: &ids::VmName, born: epochs::VmIncarnation, cause: &str) {
+        if self.watch.note_silence(vm, born) {
+            log::warn!(event = "member-lost", target_vm:% = vm, cause = cause; "");
+        }
+    }
+
+    /// Asks a VM, and holds its orders until it has answered.
+    pub(super) fn ask(&mut self, vm: &ids::VmName, now: times::BootTime) {
+        self.held_until
+            .insert(vm.clone(), now.after(centre_steward::REFUSAL_PAUSE));
+        let known = self.state.with_book(|book| {
+            let record = book.records().get(vm)?;
+            Some((record.entry.standing.born, record.entry.address))
+        });
+        if let Some((born, address)) = known {
+            self.desk.ask(vm.clone(), born, address);
+        }
+    }
+
+    /// Asks every member of a group whose first member moves nothing.
+    pub(super) fn ask_stuck(
+        &mut self,
+        records: &collections::BTreeMap<ids::VmName, targets::TargetRecord>,
+        now: times::BootTime,
+    ) {
+        let mut stuck = self.state.with_peers(|peers| peers.stuck(now));
+        let slots = self.state.slots();
+        let own = slots.iter().filter(|slot| slot.gauge.is_stuck(now));
+        stuck.extend(own.map(|slot| slot.vm.clone()));
+        for head in stuck {
+            let Some(record) = records.get(&head) else {
+                continue;
+            };
+            let Some(place) = &record.entry.standing.membership else {
+                continue;
+            };
+            if !self.watch.should_ask(&head, GROUP_PAUSE, now) {
+                continue;
+            }
+            for (vm, member) in records {
+                let membership = member.entry.standing.membership.as_ref();
+                if membership.is_some_and(|membership| membership.group == place.group) {
+                    let born = member.entry.standing.born;
+                    self.desk.ask(vm.clone(), born, member.entry.address);
+                }
+            }
+        }
+    }
+
+    /// Asks the members whose registration ended whether they still work.
+    pub(super) fn ask_unlisted(
+        &mut self,
+        records: &collections::BTreeMap<ids::VmName, targets::TargetRecord>,
+        now: times::BootTime,
+    ) {
+        for (vm, record) in records {
+            if !record.stands(now) && self.watch.should_ask(vm, UNLISTED_PAUSE, now) {
+                let born = record.entry.standing.born;
+                self.desk.ask(vm.clone(), born, record.entry.address);
+            }
+        }
+    }
+
+    /// Asks the members of groups that are being formed, while the store brings no news of them.
+    pub(super) fn ask_forming(
+        &mut self,
+        records: &collections::BTreeMap<ids::VmName, targets::TargetRecord>,
+        now: times::BootTime,
+    ) {
+        if self.state.store_age(now) < STORE_SILENCE {
+            return;
+        }
+        for (vm, record) in records {
+            let standing = &record.entry.standing;
+            let is_forming = standing.membership.as_ref().is_some_and(|place| {
+                let is_head = place.rank == 0 && place.phase == targets::GroupPhase::Ready;
+                place.phase == targets::GroupPhase::Joining || is_head
+            });
+            if is_forming && self.watch.should_ask(vm, GROUP_PAUSE, now) {
+                self.desk
+                    .ask(vm.clone(), standing.born, record.entry.address);
+            }
+        }
+    }
+}
--- a/crates/pier_edge/src/control/mod.rs
+++ b/crates/pier_edge/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Plans the groups of the data centres that this node is the steward of.
 
 mod centre_steward;
+mod member_questions;
 mod member_watch;
 mod order_desk;
 mod steward_loop;
--- a/crates/pier_fleet/src/dispatch/mod.rs
+++ b/crates/pier_fleet/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 //! time to come back that follows from the load.
 
 mod choice_outcome;
+mod choice_score;
 mod load_facts;
 mod pass_model;
 mod plain_choice;
@@ -11,6 +12,7 @@
 mod stream_choice;
 
 pub use choice_outcome::ChoiceOutcome;
+use choice_score::{ScoreTerms, refuse};
 pub use load_facts::LoadFacts;
 pub use pass_model::PassModel;
 pub use plain_choice::choose_plain;
--- a/crates/pier_fleet/src/dispatch/stream_choice.rs
+++ b/crates/pier_fleet/src/dispatch/stream_choice.rs
@@ -4,11 +4,12 @@
 
 use crate::{dispatch, documents};
 
-/// What a group of another data centre must be faster by: the price of its bytes, and the way.
-const REMOTE_COST: time::Duration = time::Duration::from_millis(40);
-
-/// Spread of the random part that keeps nodes with the same view from choosing the same group.
-const JITTER_MICROS: u32 = 8_000;
+/// How groups are ordered: bytes between data centres are dear, and take their way.
+const TERMS: dispatch::ScoreTerms = dispatch::ScoreTerms {
+    remote: time::Duration::from_millis(40),
+    failing: time::Duration::from_secs(1),
+    spread: time::Duration::from_millis(8),
+};
 
 /// Part of the objective that a new request may be expected to take, in percent, by its rank;
 /// less urgent requests leave room for more urgent ones.
@@ -47,7 +48,7 @@
     let scored = open.map(|(position, load)| {
         let expected = model.first_event(load, request.prompt) + learned;
         (
-            score(load, expected, request.draw, position),
+            TERMS.score(load, expected, request.draw, position),
             position,
             expected,
         )
@@ -56,7 +57,7 @@
         return if candidates.is_empty() {
             dispatch::ChoiceOutcome::NoTarget
         } else {
-            refuse(RETRY_BOUNDS.0, RETRY_BOUNDS.0)
+            dispatch::refuse(RETRY_BOUNDS.0, RETRY_BOUNDS.0, RETRY_BOUNDS)
         };
     };
     let fits = if request.is_resumed {
@@ -68,7 +69,8 @@
     if fits {
         return dispatch::ChoiceOutcome::Send { position, expected };
     }
-    refuse(expected.saturating_sub(allowance(request)), expected)
+    let wait = expected.saturating_sub(allowance(request));
+    dispatch::refuse(wait, expected, RETRY_BOUNDS)
 }
 
 fn allowance(request: &dispatch::RequestFacts) -> time::Duration {
@@ -76,31 +78,3 @@
     let percent = OBJECTIVE_PERCENT[usize::from(request.rank).min(last)];
     (request.objective * percent / 100).min(request.time_left)
 }
-
-fn refuse(wait: time::Duration, expected: time::Duration) -> dispatch::ChoiceOutcome {
-    dispatch::ChoiceOutcome::Full {
-        retry_after: wait.clamp(RETRY_BOUNDS.0, RETRY_BOUNDS.1),
-        expected,
-    }
-}
-
-/// Orders candidates by the expected time, with the cost of the way and of failures on top.
-fn score(
-    load: &dispatch::LoadFacts,
-    expected: time::Duration,
-    draw: u32,
-    position: usize,
-) -> time::Duration {
-    let spread = u32::try_from(position)
-        .unwrap_or(0)
-        .wrapping_mul(0x9E37_79B1);
-    let jitter = (draw ^ spread).wrapping_mul(0x85EB_CA6B) >> 8;
-    let jitter = time::Duration::from_micros(u64::from(jitter % JITTER_MICROS));
-    let way = if load.is_local {
-        time::Duration::ZERO
-    } else {
-        REMOTE_COST
-    };
-    let failures = time::Duration::from_secs_f64(load.failure_rate.clamp(0.0, 1.0));
-    expected + way + jitter + failures
-}
--- /dev/null
+++ b/crates/pier_fleet/src/formation/domain_counts.rs
@@ -0,0 +1,135 @@
+//! What a run over a domain counts: free VMs, and what its groups have and lack.
+
+use std::{collections, time};
+
+use pier_types::ids;
+
+use crate::{documents, formation};
+
+/// How long a domain must not have got another VM before new groups are formed in it: VMs that start
+/// together register one after the other, and the first of them must not all go to the smallest model.
+const SETTLE_TIME: time::Duration = time::Duration::from_millis(500);
+
+impl formation::DomainPlan<'_> {
+    pub(super) fn is_settled(&self) -> bool {
+        let grown_at = self.planner.grown_at.get(self.domain);
+        grown_at.is_none_or(|at| self.now.since(*at) >= SETTLE_TIME)
+    }
+
+    pub(super) fn group_names(&self) -> Vec<ids::GroupName> {
+        let is_here = |group: &formation::PlannedGroup| {
+            group.members.iter().any(|member| {
+                let facts = self.input.facts.get(&member.vm);
+                facts.is_some_and(|facts| facts.domain == *self.domain)
+            })
+        };
+        let groups = self.planner.groups.iter();
+        groups
+            .filter(|(_name, group)| is_here(group))
+            .map(|(name, _group)| name.clone())
+            .collect()
+    }
+
+    pub(super) fn planned_member(&self, vm: &ids::VmName) -> formation::PlannedMember {
+        let facts = self.input.facts.get(vm);
+        formation::PlannedMember {
+            vm: vm.clone(),
+            born: facts.map(|facts| facts.standing.born).unwrap_or_default(),
+            was_in: false,
+        }
+    }
+
+    /// Returns the usable VMs of the domain that no group has.
+    pub(super) fn free_vms(&self) -> Vec<ids::VmName> {
+        let is_planned = |vm: &ids::VmName| {
+            let mut groups = self.planner.groups.values();
+            groups.any(|group| group.has(vm))
+        };
+        let facts = self.input.facts.values();
+        let free = facts.filter(|facts| {
+            facts.domain == *self.domain
+                && facts.is_usable()
+                && !is_planned(&facts.vm)
+                && !self.planner.is_unadopted(facts)
+        });
+        free.map(|facts| facts.vm.clone()).collect()
+    }
+
+    /// Returns the free VMs, those that can run the model soonest first.
+    pub(super) fn free_pool(&self, model: &documents::ModelSpec) -> Vec<ids::VmName> {
+        let mut pool = self.free_vms();
+        pool.sort_by_key(|vm| self.distance(vm, model));
+        pool
+    }
+
+    /// Returns the free VMs that need no load for the model.
+    pub(super) fn ready_pool(&self, model: &documents::ModelSpec) -> Vec<ids::VmName> {
+        let mut pool = self.free_pool(model);
+        pool.retain(|vm| self.distance(vm, model) < 2);
+        pool
+    }
+
+    pub(super) fn distance(&self, vm: &ids::VmName, model: &documents::ModelSpec) -> u8 {
+        let facts = self.input.facts.get(vm);
+        facts.map_or(u8::MAX, |facts| facts.distance(model))
+    }
+
+    /// Returns how many members the groups of each model lack.
+    pub(super) fn lacking(&self) -> collections::BTreeMap<ids::ModelName, u32> {
+        let mut lacking = collections::BTreeMap::new();
+        for name in self.group_names() {
+            let Some(group) = self
+                .planner
+                .groups
+                .get(&name)
+                .filter(|group| !group.is_whole)
+            else {
+                continue;
+            };
+            let Some(model) = self.input.engine.model(&group.model) else {
+                continue;
+            };
+            let usable = group.members.iter().filter(|member| {
+                let facts = self.input.facts.get(&member.vm);
+                facts.is_some_and(formation::MemberFacts::is_usable)
+            });
+            let usable = u32::try_from(usable.count()).unwrap_or(u32::MAX);
+            let missing = model.size.get().saturating_sub(usable);
+            *lacking.entry(model.name.clone()).or_insert(0) += missing;
+        }
+        lacking
+    }
+
+    /// Returns the models that several groups of the domain run.
+    pub(super) fn sibling_models(&self) -> collections::BTreeSet<ids::ModelName> {
+        let names = self.group_names();
+        let groups = names
+            .iter()
+            .filter_map(|name| self.planner.groups.get(name));
+        let mut seen = collections::BTreeSet::new();
+        let repeated = groups.filter(|group| !seen.insert(group.model.clone()));
+        repeated.map(|group| group.model.clone()).collect()
+    }
+
+    /// Returns how many members the groups of each model have.
+    pub(super) fn grouped(&self) -> collections::BTreeMap<ids::ModelName, u32> {
+        let mut grouped = collections::BTreeMap::new();
+        for name in self.group_names() {
+            if let Some(group) = self.planner.groups.get(&name) {
+                let count = u32::try_from(group.members.len()).unwrap_or(u32::MAX);
+                *grouped.entry(group.model.clone()).or_insert(0) += count;
+            }
+        }
+        grouped
+    }
+
+    /// Returns the model of a VM's standby group.
+    pub(super) fn standby_model(&self, facts: &formation::MemberFacts) -> Option<ids::ModelName> {
+        let place = facts.standing.membership.as_ref()?;
+        if !formation::group_naming::is_standby(&place.group) {
+            return None;
+        }
+        let model = formation::group_naming::model_of(&place.group, &self.input.engine.models)?;
+        Some(model.name.clone())
+    }
+}
--- /dev/null
+++ b/crates/pier_fleet/src/formation/mend_steps.rs
@@ -0,0 +1,245 @@
+//! Brings the groups of a domain a step further, or forms them anew without lost members.
+
+use std::time;
+
+use pier_types::ids;
+
+use crate::formation;
+
+/// How long streams of a group that loses a leaving member may still run before they are moved.
+///
+/// A leaving member stays while its group has work, for ten seconds at most; most streams are done
+/// in half of this time.
+const RETIRE_TIME: time::Duration = time::Duration::from_secs(4);
+
+/// Requests in flight at which a group with a leaving member is formed anew before that time.
+const RETIRE_FLOOR: u32 = 1;
+
+/// How long a group may lack members before its VMs are given to groups of other models: longer than
+/// a load of weights takes, so that a VM which is being prepared for it comes in time.
+const SHORT_TIME: time::Duration = time::Duration::from_secs(20);
+
+/// Pause before a first member that was told to serve is told again.
+const OPEN_PAUSE: time::Duration = time::Duration::from_secs(1);
+
+impl formation::DomainPlan<'_> {
+    /// Brings each group of the domain a step further, or forms it anew without lost members.
+    pub(super) fn mend_groups(&mut self) {
+        for name in self.group_names() {
+            let Some(mut group) = self.planner.groups.remove(&name) else {
+                continue;
+            };
+            let states = group.states(&name, self.input.facts);
+            self.mend_group(&name, &mut group, &states);
+            if !group.members.is_empty() {
+                self.planner.groups.insert(name, group);
+            }
+        }
+    }
+
+    pub(super) fn mend_group(
+        &mut self,
+        name: &ids::GroupName,
+        group: &mut formation::PlannedGroup,
+        states: &[formation::MemberState],
+    ) {
+        let has_fault = states.iter().any(|state| state.is_fault());
+        if has_fault || !group.is_whole {
+            self.repair(name, group, states);
+            return;
+        }
+        let is_leaving = states.contains(&formation::MemberState::Leaving);
+        if is_leaving && self.may_retire(group) {
+            self.repair(name, group, states);
+            return;
+        }
+        if self.is_headless(group, states) && self.is_due(group) {
+            self.rotate(name, group);
+            return;
+        }
+        if !is_leaving {
+            group.retiring_since = None;
+        }
+        self.step_group(name, group, states);
+    }
+
+    /// Tells whether a group with a leaving member is to be formed anew now.
+    pub(super) fn may_retire(&self, group: &mut formation::PlannedGroup) -> bool {
+        let Some(model) = self.input.engine.model(&group.model) else {
+            return false;
+        };
+        let leaving = group.members.iter().filter(|member| {
+            let facts = self.input.facts.get(&member.vm);
+            facts.is_none_or(|facts| facts.draining_since.is_some())
+        });
+        let leaving = leaving.count();
+        let mut pool = self.ready_pool(model);
+        pool.retain(|vm| !group.has(vm));
+        if pool.len() < leaving {
+            return false;
+        }
+        self.is_due(group)
+    }
+
+    /// Tells whether the streams of a group that takes no new requests have had their time.
+    pub(super) fn is_due(&self, group: &mut formation::PlannedGroup) -> bool {
+        let since = *group.retiring_since.get_or_insert(self.now);
+        let head = group.members.first().map(|member| &member.vm);
+        let in_flight = head.and_then(|vm| self.input.in_flight.get(vm)).copied();
+        let is_idle = in_flight.unwrap_or(0) <= RETIRE_FLOOR && self.now > since;
+        is_idle || self.now.since(since) >= RETIRE_TIME
+    }
+
+    /// Tells whether a group's first member is no longer registered, so that it gets no requests.
+    pub(super) fn is_headless(
+        &self,
+        group: &formation::PlannedGroup,
+        states: &[formation::MemberState],
+    ) -> bool {
+        let head = group.members.first();
+        let facts = head.and_then(|head| self.input.facts.get(&head.vm));
+        states.first() == Some(&formation::MemberState::Leaving)
+            && facts.is_some_and(|facts| facts.is_unlisted)
+    }
+
+    /// Forms a group anew out of the same VMs, with another first member.
+    pub(super) fn rotate(&mut self, name: &ids::GroupName, group: &mut formation::PlannedGroup) {
+        let is_listed = |vm: &ids::VmName| {
+            let facts = self.input.facts.get(vm);
+            facts.is_some_and(formation::MemberFacts::is_usable)
+        };
+        let mut members = group.names();
+        members.sort_by_key(|vm| !is_listed(vm));
+        if !members.first().is_some_and(is_listed) {
+            return;
+        }
+        self.form_anew(name, group, &members);
+    }
+
+    /// Gives a group a new list of members, and sends what brings them together.
+    pub(super) fn form_anew(
+        &mut self,
+        name: &ids::GroupName,
+        group: &mut formation::PlannedGroup,
+        members: &[ids::VmName],
+    ) {
+        *group = formation::PlannedGroup {
+            model: group.model.clone(),
+            generation: self.planner.next_generation(),
+            members: members.iter().map(|vm| self.planned_member(vm)).collect(),
+            is_whole: true,
+            opened_at: None,
+            retiring_since: None,
+            broken_since: None,
+        };
+        let states = group.states(name, self.input.facts);
+        self.step_group(name, group, &states);
+    }
+
+    /// Sends what brings a whole group a step further.
+    pub(super) fn step_group(
+        &mut self,
+        name: &ids::GroupName,
+        group: &mut formation::PlannedGroup,
+        states: &[formation::MemberState],
+    ) {
+        for (member, state) in group.members.iter().zip(states) {
+            if *state == formation::MemberState::Unjoined {
+                self.order_join(name, group, &member.vm);
+            }
+        }
+        let is_ready = |state: &formation::MemberState| {
+            matches!(
+                state,
+                formation::MemberState::Ready
+                    | formation::MemberState::Open
+                    | formation::MemberState::Leaving
+            )
+        };
+        let head_waits = states.first() == Some(&formation::MemberState::Ready);
+        let is_due = group
+            .opened_at
+            .is_none_or(|at| self.now.since(at) >= OPEN_PAUSE);
+        if head_waits && is_due && states.iter().all(is_ready) {
+            self.order_open(name, group);
+        }
+    }
+
+    /// Forms a group anew out of its survivors and standby VMs.
+    pub(super) fn repair(
+        &mut self,
+        name: &ids::GroupName,
+        group: &mut formation::PlannedGroup,
+        states: &[formation::MemberState],
+    ) {
+        let Some(model) = self.input.engine.model(&group.model) else {
+            group.members.clear();
+            return;
+        };
+        let size = usize::try_from(model.size.get()).unwrap_or(usize::MAX);
+        let kept = group.members.iter().zip(states).filter(|(member, state)| {
+            let usable = self
+                .input
+                .facts
+                .get(&member.vm)
+                .is_some_and(formation::MemberFacts::is_usable);
+            usable
+                && !matches!(
+                    state,
+                    formation::MemberState::Gone
+                        | formation::MemberState::Strayed
+                        | formation::MemberState::Leaving
+                )
+        });
+        let mut kept: Vec<_> = kept.map(|(member, _state)| member.vm.clone()).collect();
+        let since = *group.broken_since.get_or_insert(self.now);
+        group.is_whole = false;
+        let need = size.saturating_sub(kept.len());
+        let mut pool = self.ready_pool(model);
+        pool.retain(|vm| !group.has(vm));
+        if pool.len() < need {
+            let is_given_up = kept.is_empty()
+                || self.has_sibling(name, &group.model)
+                || self.now.since(since) >= SHORT_TIME;
+            if is_given_up {
+                self.dissolve(name, group, &kept);
+            }
+            return;
+        }
+        kept.extend(pool.into_iter().take(need));
+        kept.truncate(size);
+        self.form_anew(name, group, &kept);
+    }
+
+    /// Gives a group up; its survivors leave it, so that they can be used elsewhere.
+    pub(super) fn dissolve(
+        &mut self,
+        name: &ids::GroupName,
+        group: &mut formation::PlannedGroup,
+        survivors: &[ids::VmName],
+    ) {
+        for vm in survivors {
+            let Some(facts) = self
+                .input
+                .facts
+                .get(vm)
+                .filter(|facts| self.may_order(facts))
+            else {
+                continue;
+            };
+            let kind = formation::OrderKind::Leave;
+            self.push_order(facts, name.clone(), group.generation, kind);
+        }
+        group.members.clear();
+    }
+
+    /// Tells whether another group of the domain runs the same model, which the survivors of a
+    /// group that can not be whole are the best standby VMs for.
+    pub(super) fn has_sibling(&self, name: &ids::GroupName, model: &ids::ModelName) -> bool {
+        let names = self.group_names();
+        names.iter().any(|other| {
+            let group = self.planner.groups.get(other);
+            other != name && group.is_some_and(|group| group.model == *model)
+        })
+    }
+}
--- a/crates/pier_fleet/src/formation/mod.rs
+++ b/crates/pier_fleet/src/formation/mod.rs
@@ -5,6 +5,8 @@
 //! survivors keep the group's name and weights, and a standby VM of the same fabric domain that
 //! runs the same model takes the lost member's rank.
 
+mod domain_counts;
+mod domain_orders;
 mod domain_plan;
 mod formation_input;
 mod formation_planner;
@@ -12,6 +14,7 @@
 mod group_order;
 mod member_facts;
 mod member_state;
+mod mend_steps;
 mod planned_group;
 mod spare_choice;
 
