Take a target's own word that it leaves

A node that hears neither the platform nor other nodes has no list to tell it that a target leaves, and reports had no word for it. Change: a report may say that its VM is about to leave; the table leaves such a target out, and a group with such a member. Ruled out: stopping a lone node sooner (it may be the last one left), and reading 'Connection: close' as leaving (targets send it for other reasons). Two tests of route_table fail without the change.

--- a/crates/buckthornpier/examples/node_memory/vm_reporters.rs
+++ b/crates/buckthornpier/examples/node_memory/vm_reporters.rs
@@ -47,6 +47,7 @@
         state: reports::EngineState::Empty,
         running: sizes::RequestCount::new(0),
         queued: sizes::RequestCount::new(0),
+        is_leaving: false,
     };
     let report = serde_json::to_string(&report)?;
     Ok(format!(
--- a/crates/pier_control/examples/placement_study/planner_cost.rs
+++ b/crates/pier_control/examples/placement_study/planner_cost.rs
@@ -98,6 +98,7 @@
                 state: reports::EngineState::Warm,
                 running: sizes::RequestCount::default(),
                 queued: sizes::RequestCount::default(),
+                is_leaving: false,
             };
             evidence.insert(
                 slot.vm.clone(),
--- a/crates/pier_control/examples/placement_study/sim_vm.rs
+++ b/crates/pier_control/examples/placement_study/sim_vm.rs
@@ -40,6 +40,7 @@
             state: reports::EngineState::Empty,
             running: sizes::RequestCount::default(),
             queued: sizes::RequestCount::default(),
+            is_leaving: false,
         };
         let probed_at = times::BootTime::default();
         let evidence = health::VmEvidence { report, probed_at };
--- a/crates/pier_control/tests/common/mod.rs
+++ b/crates/pier_control/tests/common/mod.rs
@@ -75,6 +75,7 @@
             },
             running: sizes::RequestCount::default(),
             queued: sizes::RequestCount::default(),
+            is_leaving: false,
         },
         probed_at: millis(probed_ms),
     }
--- a/crates/pier_edge/src/serving/stream_relay.rs
+++ b/crates/pier_edge/src/serving/stream_relay.rs
@@ -29,6 +29,7 @@
     events: u32,
     last_at: times::BootTime,
     longest_gap: time::Duration,
+    first_wait: time::Duration,
     expected: Option<time::Duration>,
     resumed: u32,
     _progress: state::ProgressGuard<P>,
@@ -64,6 +65,7 @@
             splitter: serving::EventSplitter::default(),
             events: 0,
             longest_gap: time::Duration::ZERO,
+            first_wait: time::Duration::ZERO,
             expected: None,
             resumed: 0,
             _progress: progress,
@@ -116,6 +118,8 @@
             outcome = outcome,
             events = self.events,
             resumed = self.resumed,
+            first_event_ms = millis(self.first_wait),
+            objective_ms = millis(self.job.route.objective),
             longest_gap_ms = millis(self.longest_gap),
             taken_ms = millis(now.since(self.job.arrived_at));
             ""
@@ -159,10 +163,9 @@
                 self.job
                     .note_first_event(expected, now.since(self.call.sent_at));
             }
-            self.job
-                .state
-                .metrics()
-                .observe_first_event(now.since(self.job.arrived_at));
+            self.first_wait = now.since(self.job.arrived_at);
+            let metrics = self.job.state.metrics();
+            metrics.observe_first_event(self.first_wait);
         } else {
             self.longest_gap = self.longest_gap.max(gap);
             gauge.note_gap(gap / events.count.max(1), now);
--- a/crates/pier_fakes/src/engine/engine_app.rs
+++ b/crates/pier_fakes/src/engine/engine_app.rs
@@ -29,7 +29,8 @@
     }
 
     fn report(&self) -> serve::FakeReply {
-        let report = serve::lock(&self.model).report(clocks::boot_now());
+        let mut report = serve::lock(&self.model).report(clocks::boot_now());
+        report.is_leaving = self.core.is_leaving();
         serve::FakeReply::json(200, &json!(report))
     }
 }
--- a/crates/pier_fakes/src/engine/engine_model.rs
+++ b/crates/pier_fakes/src/engine/engine_model.rs
@@ -64,6 +64,7 @@
             state: self.state,
             running: load.running,
             queued: load.queued,
+            is_leaving: false,
         }
     }
 
--- a/crates/pier_fakes/src/fault/fault_kind.rs
+++ b/crates/pier_fakes/src/fault/fault_kind.rs
@@ -69,6 +69,8 @@
     },
     /// Makes an engine cold again.
     Cold,
+    /// Lets a target say in its reports that it is about to leave.
+    Leaving,
     /// Answers an order as obeyed without obeying it.
     LoseOrder,
     /// Changes an engine's time for each token.
--- a/crates/pier_fakes/src/serve/fake_core.rs
+++ b/crates/pier_fakes/src/serve/fake_core.rs
@@ -1,6 +1,9 @@
 //! What all stand-ins share: the record, the faults and the gate.
 
-use std::time;
+use std::{
+    sync::{self, atomic},
+    time,
+};
 
 use serde_json::json;
 
@@ -15,6 +18,8 @@
     pub faults: fault::FaultSet,
     /// The connections.
     pub gate: serve::FaultGate,
+    /// Whether the stand-in says that it leaves.
+    leaving: sync::Arc<atomic::AtomicBool>,
 }
 
 impl FakeCore {
@@ -24,9 +29,15 @@
             record: record::RunRecord::default(),
             faults: fault::FaultSet::default(),
             gate,
+            leaving: sync::Arc::default(),
         }
     }
 
+    /// Tells whether reports are to say that the stand-in leaves.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(atomic::Ordering::SeqCst)
+    }
+
     /// Applies the faults that strike before a call has any effect; a reply ends the call.
     pub(crate) async fn before(&self, request: &serve::FakeRequest) -> Option<serve::FakeReply> {
         self.gate.wait_unpaused().await;
@@ -78,6 +89,7 @@
     /// Ends every fault on calls and connections.
     pub(crate) fn clear(&self) {
         self.faults.clear();
+        self.leaving.store(false, atomic::Ordering::SeqCst);
         self.gate.set_mode(serve::GateMode::Open, None);
     }
 
@@ -98,6 +110,7 @@
             fault::FaultKind::Up | fault::FaultKind::Resume => {
                 gate.set_mode(serve::GateMode::Open, None);
             }
+            fault::FaultKind::Leaving => self.leaving.store(true, atomic::Ordering::SeqCst),
             _ => {}
         }
     }
--- a/crates/pier_fakes/src/service/service_app.rs
+++ b/crates/pier_fakes/src/service/service_app.rs
@@ -37,6 +37,7 @@
             state: reports::EngineState::Warm,
             running: sizes::RequestCount::new(running),
             queued: sizes::RequestCount::default(),
+            is_leaving: self.core.is_leaving(),
         };
         serve::FakeReply::json(200, &json!(report))
     }
--- a/crates/pier_limits/examples/membership_cost/cost_inputs.rs
+++ b/crates/pier_limits/examples/membership_cost/cost_inputs.rs
@@ -41,6 +41,7 @@
         state: reports::EngineState::Warm,
         running: sizes::RequestCount::new(30 + load),
         queued: sizes::RequestCount::new(load / 4),
+        is_leaving: false,
     })
 }
 
--- a/crates/pier_limits/tests/failure_detection.rs
+++ b/crates/pier_limits/tests/failure_detection.rs
@@ -27,6 +27,7 @@
         state: reports::EngineState::Warm,
         running: sizes::RequestCount::new(1),
         queued: sizes::RequestCount::new(0),
+        is_leaving: false,
     };
     messages::ProbeResult {
         vm: vm(number),
--- a/crates/pier_limits/tests/old_evidence.rs
+++ b/crates/pier_limits/tests/old_evidence.rs
@@ -31,6 +31,7 @@
             state: reports::EngineState::Warm,
             running: sizes::RequestCount::new(0),
             queued: sizes::RequestCount::new(0),
+            is_leaving: false,
         }),
     }
 }
--- a/crates/pier_limits/tests/probe_duties.rs
+++ b/crates/pier_limits/tests/probe_duties.rs
@@ -116,6 +116,7 @@
         state,
         running: sizes::RequestCount::new(running),
         queued: sizes::RequestCount::new(0),
+        is_leaving: false,
     };
     let result = messages::ProbeResult {
         vm: vm(1),
--- a/crates/pier_node/src/tables/table_builder.rs
+++ b/crates/pier_node/src/tables/table_builder.rs
@@ -31,7 +31,7 @@
     /// Builds the table of the targets that may receive new work now.
     ///
     /// A target is left out when its data centre gets no new work, when it or a member of its
-    /// group is leaving or drained, when its evidence is not fresh, or when this node has no share
+    /// group is leaving, by the VM list or by its own report, or drained, when its evidence is not fresh, or when this node has no share
     /// of it. Pools of the configuration stay present, so that an empty pool is told from an
     /// unknown one.
     pub fn build(&self, now: times::BootTime) -> routes::RouteTable {
@@ -125,7 +125,9 @@
     fn is_leaving(&self, vm: &ids::VmName) -> bool {
         let entry = self.vms.get(vm);
         let listed = entry.is_some_and(|entry| entry.state == vms::VmState::Leaving);
-        listed || self.document.drained.contains_key(vm)
+        let evidence = self.evidence.get(vm);
+        let said = evidence.is_some_and(|evidence| evidence.report.is_leaving);
+        listed || said || self.document.drained.contains_key(vm)
     }
 
     fn share(&self, target: &ids::TargetId) -> sizes::RequestCount {
--- a/crates/pier_node/tests/peers_and_probes/peer_bench.rs
+++ b/crates/pier_node/tests/peers_and_probes/peer_bench.rs
@@ -97,6 +97,7 @@
         state: reports::EngineState::Warm,
         running: sizes::RequestCount::new(number),
         queued: sizes::RequestCount::new(0),
+        is_leaving: false,
     })
     .unwrap();
     let answer = format!(
--- a/crates/pier_node/tests/requests/test_node.rs
+++ b/crates/pier_node/tests/requests/test_node.rs
@@ -206,6 +206,7 @@
         state: reports::EngineState::Warm,
         running: sizes::RequestCount::default(),
         queued: sizes::RequestCount::default(),
+        is_leaving: false,
     };
     let probed_at = clocks::boot_now();
     (vm.clone(), health::VmEvidence { report, probed_at })
--- a/crates/pier_node/tests/route_table.rs
+++ b/crates/pier_node/tests/route_table.rs
@@ -95,6 +95,7 @@
         state: reports::EngineState::Warm,
         running: sizes::RequestCount::default(),
         queued: sizes::RequestCount::default(),
+        is_leaving: false,
     }
 }
 
@@ -145,6 +146,27 @@
     assert_eq!(scene.counts(NOW), (1, 0));
 }
 
+#[test]
+fn a_vm_that_says_it_leaves_gets_no_new_work_though_the_list_has_it_live() {
+    let mut scene = TableScene::new();
+    let evidence = scene.evidence.get_mut(&vm("app-1")).unwrap();
+    evidence.report.is_leaving = true;
+    assert_eq!(scene.counts(NOW), (0, 1));
+}
+
+#[test]
+fn a_group_whose_member_says_it_leaves_gets_no_new_work() {
+    let mut scene = TableScene::new();
+    let mut report = report();
+    (report.vm, report.is_leaving) = (vm("gpu-1"), true);
+    let evidence = health::VmEvidence {
+        report,
+        probed_at: NOW,
+    };
+    scene.evidence.insert(vm("gpu-1"), evidence);
+    assert_eq!(scene.counts(NOW), (1, 0));
+}
+
 #[test]
 fn a_drained_target_gets_no_new_work() {
     for (name, left) in [("app-1", (0, 1)), ("gpu-1", (1, 0))] {
--- a/crates/pier_types/src/reports/engine_report.rs
+++ b/crates/pier_types/src/reports/engine_report.rs
@@ -23,4 +23,8 @@
     pub running: sizes::RequestCount,
     /// Requests that wait in it.
     pub queued: sizes::RequestCount,
+    /// Whether it is about to leave and wants no new work; the VM list may tell so later, or never
+    /// reach a node that is cut off.
+    #[serde(default)]
+    pub is_leaving: bool,
 }
--- a/crates/pier_wire/examples/entry_sizes.rs
+++ b/crates/pier_wire/examples/entry_sizes.rs
@@ -80,6 +80,7 @@
         state: reports::EngineState::Warm,
         running: sizes::RequestCount::new(40),
         queued: sizes::RequestCount::new(2),
+        is_leaving: false,
     };
     Ok(messages::ProbeResult {
         vm,
--- a/crates/pier_wire/src/messages/probe_batch.rs
+++ b/crates/pier_wire/src/messages/probe_batch.rs
@@ -131,6 +131,7 @@
             state: report.state,
             running: report.running,
             queued: report.queued,
+            is_leaving: report.is_leaving,
         })
     }
 
@@ -176,6 +177,7 @@
             state: report.state,
             running: report.running,
             queued: report.queued,
+            is_leaving: report.is_leaving,
         })
     }
 }
--- a/crates/pier_wire/src/messages/probe_entry.rs
+++ b/crates/pier_wire/src/messages/probe_entry.rs
@@ -40,6 +40,8 @@
     pub running: sizes::RequestCount,
     /// Requests that wait in it.
     pub queued: sizes::RequestCount,
+    /// Whether the VM says that it leaves.
+    pub is_leaving: bool,
 }
 
 const EMPTY_REPORT: PackedReport = PackedReport {
@@ -50,16 +52,27 @@
     state: reports::EngineState::Empty,
     running: sizes::RequestCount::new(0),
     queued: sizes::RequestCount::new(0),
+    is_leaving: false,
 };
 
+/// Bit of the kind that a leaving VM's report has set.
+const LEAVING_BIT: u8 = 0x10;
+
 const fn kind_of(outcome: Result<PackedReport, messages::ProbeFailure>) -> u8 {
     match outcome {
-        Ok(report) => match report.state {
-            reports::EngineState::Empty => 0,
-            reports::EngineState::Loading => 1,
-            reports::EngineState::Cold => 2,
-            reports::EngineState::Warm => 3,
-        },
+        Ok(report) => {
+            let state = match report.state {
+                reports::EngineState::Empty => 0,
+                reports::EngineState::Loading => 1,
+                reports::EngineState::Cold => 2,
+                reports::EngineState::Warm => 3,
+            };
+            if report.is_leaving {
+                state | LEAVING_BIT
+            } else {
+                state
+            }
+        }
         Err(messages::ProbeFailure::Refused) => 4,
         Err(messages::ProbeFailure::Silent) => 5,
         Err(messages::ProbeFailure::Garbled) => 6,
@@ -70,11 +83,13 @@
     kind: u8,
     mut report: PackedReport,
 ) -> Option<Result<PackedReport, messages::ProbeFailure>> {
-    report.state = match kind {
+    report.is_leaving = kind & LEAVING_BIT != 0;
+    report.state = match kind & !LEAVING_BIT {
         0 => reports::EngineState::Empty,
         1 => reports::EngineState::Loading,
         2 => reports::EngineState::Cold,
         3 => reports::EngineState::Warm,
+        _ if report.is_leaving => return None,
         4 => return Some(Err(messages::ProbeFailure::Refused)),
         5 => return Some(Err(messages::ProbeFailure::Silent)),
         6 => return Some(Err(messages::ProbeFailure::Garbled)),
@@ -140,6 +155,7 @@
             state: reports::EngineState::Empty,
             running: self.next(&mut seq, 8)?,
             queued: self.next(&mut seq, 9)?,
+            is_leaving: false,
         };
         let unexpected = || de::Error::invalid_value(de::Unexpected::Unsigned(kind.into()), &self);
         let outcome = outcome_of(kind, report).ok_or_else(unexpected)?;
--- a/crates/pier_wire/tests/round_trips.rs
+++ b/crates/pier_wire/tests/round_trips.rs
@@ -38,6 +38,7 @@
         state: states[index % 4],
         running: sizes::RequestCount::new(number),
         queued: sizes::RequestCount::new(number % 7),
+        is_leaving: number.is_multiple_of(3),
     };
     messages::ProbeResult {
         vm,
