Let loads travel by a hub in each data centre, and look for stuck targets each 50 ms

With 76 nodes a beat goes out each 0.7 s, so a choice missed what the others had sent for up to 0.7 s, and stuck targets were looked for in the same loop. Change: each node reports its load to its data centre's steward when it changes; the steward sends the sums to its nodes each 50 ms, and to the other stewards. Each node takes its own part out again. Targets that most of their users find stuck get nothing new anywhere. Ruled out: lost members (their streams are 2 to 4 %), times of the engine (predictions were right where the load was known). Tests: loads_travel_by_hubs (pattern: a large fleet whose nodes each send few of a group's requests).

--- a/crates/pier_edge/src/control/member_questions.rs
+++ b/crates/pier_edge/src/control/member_questions.rs
@@ -45,6 +45,7 @@
         now: times::BootTime,
     ) {
         let mut stuck = self.state.with_peers(|peers| peers.stuck(now));
+        stuck.extend(self.state.with_loads(|loads| loads.hub.suspected()));
         let slots = self.state.slots();
         let own = slots.iter().filter(|slot| slot.gauge.is_stuck(now));
         stuck.extend(own.map(|slot| slot.vm.clone()));
--- /dev/null
+++ b/crates/pier_edge/src/peers/load_exchange.rs
@@ -0,0 +1,21 @@
+//! Both ends of the exchange of loads.
+
+use std::collections;
+
+use pier_fleet::loads;
+use pier_types::{ids, times};
+
+/// The hub that this node may be, and the follower that it always is.
+#[derive(Debug, Default)]
+pub(crate) struct LoadExchange {
+    pub hub: loads::LoadHub,
+    pub follower: loads::LoadFollower,
+}
+
+impl LoadExchange {
+    /// Returns the first members that take no new requests, by the newest digest.
+    pub(crate) fn retiring(&self, now: times::BootTime) -> collections::BTreeSet<ids::VmName> {
+        let digest = self.follower.digest(now);
+        digest.map_or_else(collections::BTreeSet::new, |digest| digest.retiring.clone())
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/src/peers/load_loop.rs
@@ -0,0 +1,185 @@
+//! Exchanges loads, and looks for targets that move nothing.
+
+use std::{collections, sync, time};
+
+use pier_fleet::loads;
+use pier_types::{ids, times};
+use tokio::net::UdpSocket;
+
+use super::{beat_loop, stall_watch};
+use crate::{links, peers, state};
+
+/// Time between two looks at the own load: a group begins about two requests of a busy day in it.
+const LOAD_TIME: time::Duration = time::Duration::from_millis(50);
+
+/// Time after which an unchanged load is reported again, so that a lost datagram does no harm.
+const REPEAT_TIME: time::Duration = time::Duration::from_millis(300);
+
+/// Digests for the own data centre between two for the other hubs, whose way is dear.
+const HUB_STRIDE: u64 = 2;
+
+/// How long a digest's word on a stuck target counts: a few digests.
+const TOLD_TIME: time::Duration = time::Duration::from_millis(300);
+
+/// Reports this node's load to its hub, and sends digests while it is the hub itself.
+///
+/// The steward of a data centre is its hub. Fleets of a few nodes need none: their beats tell
+/// everything as often.
+#[derive(Debug)]
+pub(crate) struct LoadLoop<P> {
+    state: state::EdgeState<P>,
+    socket: sync::Arc<UdpSocket>,
+    report_number: u64,
+    digest_number: u64,
+    last_report: Option<(loads::LoadReport, times::BootTime)>,
+    retiring: collections::BTreeSet<ids::VmName>,
+}
+
+impl<P: links::FleetPlatform> LoadLoop<P> {
+    pub(crate) fn new(state: state::EdgeState<P>, socket: sync::Arc<UdpSocket>) -> Self {
+        Self {
+            state,
+            socket,
+            report_number: 0,
+            digest_number: 0,
+            last_report: None,
+            retiring: collections::BTreeSet::new(),
+        }
+    }
+
+    pub(crate) async fn run(mut self) {
+        loop {
+            let now = times::clocks::boot_now();
+            let stuck = stall_watch::judge(&self.state, now);
+            if self.needs_hub() {
+                self.report(stuck, now).await;
+                self.digest(now).await;
+            }
+            self.note_others(now);
+            let retiring = self.state.retiring(now);
+            if retiring != self.retiring {
+                self.retiring = retiring;
+                self.state.rebuild(now);
+            }
+            tokio::time::sleep(LOAD_TIME).await;
+        }
+    }
+
+    fn needs_hub(&self) -> bool {
+        let count = self.state.with_peers(|peers| peers.count());
+        count > beat_loop::FULL_RATE_PEERS
+    }
+
+    /// Reports the own load, if it has changed or the last report is old.
+    async fn report(&mut self, stuck: Vec<ids::VmName>, now: times::BootTime) {
+        let slots = self.state.slots();
+        let loaded = slots.iter().filter(|slot| slot.gauge.own_in_flight() > 0);
+        let mut report = loads::LoadReport {
+            node: self.state.node().clone(),
+            number: self.report_number,
+            loads: loaded
+                .map(|slot| (slot.vm.clone(), slot.gauge.own_load()))
+                .collect(),
+            stuck: stuck.into_iter().collect(),
+        };
+        let is_news = self
+            .last_report
+            .as_ref()
+            .is_none_or(|(last, at)| *last != report || now.since(*at) >= REPEAT_TIME);
+        if !is_news {
+            return;
+        }
+        self.report_number += 1;
+        report.number = self.report_number;
+        self.last_report = Some((report.clone(), now));
+        self.state
+            .with_loads(|loads| loads.follower.note_sent(&report));
+        let place = &self.state.settings().data_centre;
+        let (hub, address) = self.state.with_peers(|peers| {
+            let hub = peers.steward(place).cloned();
+            let address = hub.as_ref().and_then(|hub| peers.address_of(hub));
+            (hub, address)
+        });
+        if hub.as_ref() == Some(self.state.node()) {
+            self.state
+                .with_loads(|loads| loads.hub.hear_report(report, now));
+        } else if let Some(address) = address {
+            let message = peers::PeerMessage::Report(report);
+            beat_loop::send_all(&self.socket, &message, &[address]).await;
+        }
+    }
+
+    /// Sends the sums, while this node is its data centre's hub.
+    async fn digest(&mut self, now: times::BootTime) {
+        let place = &self.state.settings().data_centre;
+        let own = self.state.node();
+        let (is_hub, local, hubs) = self.state.with_peers(|peers| {
+            let is_hub = peers.steward(place) == Some(own);
+            let others = peers.stewards().into_iter();
+            let others = others.filter(|(other, ..)| other != place);
+            let hubs = others.filter_map(|(_other, record, _version)| {
+                (record.holder != *own).then(|| peers.address_of(&record.holder))?
+            });
+            (is_hub, peers.local_addresses(place, now), hubs.collect())
+        });
+        let hubs: Vec<std::net::SocketAddr> = hubs;
+        if !is_hub {
+            return;
+        }
+        self.digest_number += 1;
+        let number = self.digest_number;
+        let retiring = self.state.own_retiring();
+        let (own_part, whole) = self.state.with_loads(|loads| {
+            loads.hub.expire(now);
+            let own_part = loads.hub.local_digest(own, place, number, retiring);
+            let whole = loads.hub.whole_digest(own_part.clone());
+            (own_part, whole)
+        });
+        if number.is_multiple_of(HUB_STRIDE) {
+            let message = peers::PeerMessage::Digest(loads::LoadDigest {
+                counted: collections::BTreeMap::new(),
+                ..own_part
+            });
+            beat_loop::send_all(&self.socket, &message, &hubs).await;
+        }
+        let message = peers::PeerMessage::Digest(whole.clone());
+        beat_loop::send_all(&self.socket, &message, &local).await;
+        take_digest(&self.state, whole, now);
+    }
+
+    /// Takes over the other nodes' load at each target: the hub's sums, or else the beats' words.
+    fn note_others(&self, now: times::BootTime) {
+        let own = self.state.node();
+        let summed = self
+            .state
+            .with_loads(|loads| loads.follower.others(own, now));
+        let others = summed.unwrap_or_else(|| self.state.with_peers(|peers| peers.loads(now)));
+        for slot in self.state.slots() {
+            let load = others.get(&slot.vm).copied().unwrap_or_default();
+            slot.gauge.set_heard(load);
+        }
+    }
+}
+
+/// Takes in a digest of the own data centre's hub, or of another one.
+pub(super) fn take_digest<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    digest: loads::LoadDigest,
+    now: times::BootTime,
+) {
+    let place = &state.settings().data_centre;
+    if digest.data_centre != *place {
+        state.with_loads(|loads| loads.hub.hear_digest(digest, now));
+        return;
+    }
+    let is_steward = state.with_peers(|peers| peers.steward(place) == Some(&digest.hub));
+    if !is_steward {
+        return;
+    }
+    for slot in state.slots() {
+        if digest.stuck.contains(&slot.vm) {
+            slot.gauge.set_told_stuck(now.after(TOLD_TIME));
+        }
+    }
+    state.with_loads(|loads| loads.follower.hear(digest, now));
+}
--- a/crates/pier_edge/src/peers/mod.rs
+++ b/crates/pier_edge/src/peers/mod.rs
@@ -1,14 +1,19 @@
 //! What nodes tell one another: that they live, and their load at each target.
 
 mod beat_loop;
+mod load_exchange;
+mod load_loop;
 mod node_beat;
 mod peer_table;
 mod relay_beat;
 mod relay_follower;
 mod relay_log;
+mod stall_watch;
 
 pub(crate) use beat_loop::spawn;
-pub(crate) use node_beat::{LoadWord, NodeBeat, NodeRecord, PeerMessage, StewardRecord};
+pub(crate) use load_exchange::LoadExchange;
+use load_loop::LoadLoop;
+pub(crate) use node_beat::{NodeBeat, NodeRecord, PeerMessage, StewardRecord};
 pub(crate) use peer_table::PeerTable;
 pub(crate) use relay_beat::{RelayBeat, TargetChange};
 pub(crate) use relay_follower::RelayFollower;
--- a/crates/pier_edge/src/peers/node_beat.rs
+++ b/crates/pier_edge/src/peers/node_beat.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 
+use pier_fleet::loads;
 use pier_types::{epochs, ids};
 use serde::{Deserialize, Serialize};
 
@@ -12,6 +13,10 @@
 pub(crate) enum PeerMessage {
     Beat(NodeBeat),
     Relay(peers::RelayBeat),
+    /// A node's load, for the hub of its data centre.
+    Report(loads::LoadReport),
+    /// A hub's sums, for the nodes of its data centre and the other hubs.
+    Digest(loads::LoadDigest),
 }
 
 /// What a node tells all others several times a second.
@@ -27,22 +32,13 @@
     pub is_leaving: bool,
     /// Whether the node has served a request, so that loads count.
     pub has_served: bool,
-    pub loads: Vec<LoadWord>,
+    pub loads: Vec<(ids::VmName, loads::TargetLoad)>,
     /// Targets that move nothing, by this node's own evidence.
     pub stuck: Vec<ids::VmName>,
     /// First members that take no new requests, told by the steward.
     pub retiring: Vec<ids::VmName>,
 }
 
-/// A node's load at one target.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct LoadWord {
-    pub vm: ids::VmName,
-    pub running: u32,
-    pub waiting: u32,
-    pub prompt: u64,
-}
-
 /// A node's record in the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct NodeRecord {
--- a/crates/pier_edge/src/peers/peer_table.rs
+++ b/crates/pier_edge/src/peers/peer_table.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, time};
 
-use pier_fleet::stewards;
+use pier_fleet::{loads, stewards};
 use pier_types::{epochs, ids, times};
 
 use crate::peers;
@@ -149,17 +149,26 @@
     pub(crate) fn loads(
         &self,
         now: times::BootTime,
-    ) -> collections::BTreeMap<ids::VmName, (u32, u32, u64)> {
-        let mut loads = collections::BTreeMap::new();
+    ) -> collections::BTreeMap<ids::VmName, loads::TargetLoad> {
+        let mut sums: collections::BTreeMap<_, loads::TargetLoad> = collections::BTreeMap::new();
         for beat in self.beats(now, LOAD_LIFE) {
-            for word in &beat.loads {
-                let load = loads.entry(word.vm.clone()).or_insert((0, 0, 0));
-                load.0 += word.running;
-                load.1 += word.waiting;
-                load.2 += word.prompt;
+            for (vm, load) in &beat.loads {
+                *sums.entry(vm.clone()).or_default() += *load;
             }
         }
-        loads
+        sums
+    }
+
+    /// Returns where a node is reached.
+    pub(crate) fn address_of(&self, node: &ids::NodeName) -> Option<net::SocketAddr> {
+        let mut peers = self.peers.iter();
+        let found = peers.find(|(_address, peer)| peer.node == *node);
+        found.map(|(address, _peer)| *address)
+    }
+
+    /// Returns how many other nodes are known.
+    pub(crate) fn count(&self) -> usize {
+        self.peers.len()
     }
 
     /// Returns the targets that other nodes find stuck.
--- /dev/null
+++ b/crates/pier_edge/src/peers/stall_watch.rs
@@ -0,0 +1,72 @@
+//! Finds the targets that move nothing.
+
+use std::time;
+
+use pier_fleet::{dispatch, stalls};
+use pier_types::{ids, times};
+
+use crate::{links, state};
+
+/// How long a stuck target gets nothing new.
+const STUCK_TIME: time::Duration = time::Duration::from_secs(2);
+
+/// Finds the targets that move nothing, and moves this node's requests away from them.
+pub(super) fn judge<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    now: times::BootTime,
+) -> Vec<ids::VmName> {
+    let Some(document) = state.document() else {
+        return Vec::new();
+    };
+    let judge = stalls::StallJudge::default();
+    let mut stuck = Vec::new();
+    for slot in state.slots() {
+        let Some(model) = &slot.model else { continue };
+        let engines = document
+            .services()
+            .values()
+            .filter_map(|service| service.engine.as_ref());
+        let mut specs = engines.filter_map(|engine| Some((engine, engine.model(model)?.pace)));
+        let Some((engine, pace)) = specs.next() else {
+            continue;
+        };
+        if slot.gauge.is_stuck(now) {
+            stuck.push(slot.vm.clone());
+            continue;
+        }
+        slot.restore();
+        let load = slot.facts(Some((engine.as_ref(), pace)), now);
+        let passes = dispatch::PassModel::new(engine, pace);
+        let pass_time = passes
+            .pass_time(load.running, load.waiting_prompt)
+            .mul_f64(load.slowness);
+        let facts = stalls::ProgressFacts {
+            in_flight: slot.gauge.own_in_flight(),
+            running: slot.gauge.own_running(),
+            last_progress: slot.gauge.last_progress(),
+            pass_time,
+            first_event: passes.first_event(&load, 0),
+        };
+        if judge.is_stuck(&facts, now) {
+            log::warn!(
+                event = "target-stuck",
+                target_vm:% = slot.vm,
+                generation:% = slot.generation,
+                silent_ms = millis(now.since(facts.last_progress)),
+                pass_ms = millis(pass_time),
+                running = facts.running,
+                in_flight = facts.in_flight;
+                ""
+            );
+            state.metrics().count_stuck();
+            slot.gauge.set_stuck(now.after(STUCK_TIME));
+            slot.break_off();
+            stuck.push(slot.vm.clone());
+        }
+    }
+    stuck
+}
+
+fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -49,6 +49,7 @@
     store_returned: Notify,
     relay_log: sync::Mutex<peers::RelayLog>,
     follower: sync::Mutex<peers::RelayFollower>,
+    loads: sync::Mutex<peers::LoadExchange>,
     store_heard_at: atomic::AtomicU64,
     relay_changed: Notify,
     relay_heard: Notify,
@@ -79,6 +80,7 @@
             store_returned: Notify::new(),
             relay_log: sync::Mutex::default(),
             follower: sync::Mutex::default(),
+            loads: sync::Mutex::default(),
             store_heard_at: atomic::AtomicU64::new(0),
             relay_changed: Notify::new(),
             relay_heard: Notify::new(),
@@ -220,6 +222,18 @@
         change(&mut state::target_slot::lock(&self.shared.follower))
     }
 
+    pub(crate) fn with_loads<T>(&self, change: impl FnOnce(&mut peers::LoadExchange) -> T) -> T {
+        change(&mut state::target_slot::lock(&self.shared.loads))
+    }
+
+    /// Returns the first members that take no new requests, by any steward's word.
+    pub(crate) fn retiring(&self, now: times::BootTime) -> collections::BTreeSet<ids::VmName> {
+        let mut retiring = self.with_peers(|peers| peers.retiring(now));
+        retiring.extend(self.own_retiring());
+        retiring.extend(self.with_loads(|loads| loads.retiring(now)));
+        retiring
+    }
+
     /// Tells whether this node relies on its steward's word about the store.
     pub(crate) fn is_following(&self, now: times::BootTime) -> bool {
         let place = &self.settings().data_centre;
@@ -259,9 +273,8 @@
         let Some(document) = self.document() else {
             return;
         };
-        let (nodes, mut retiring) =
-            self.with_peers(|peers| (peers.nodes(now), peers.retiring(now)));
-        retiring.extend(self.own_retiring());
+        let nodes = self.with_peers(|peers| peers.nodes(now));
+        let retiring = self.retiring(now);
         let closed = self.closed();
         let table = self.with_book(|book| {
             book.expire(now);
--- a/crates/pier_edge/src/state/target_gauge.rs
+++ b/crates/pier_edge/src/state/target_gauge.rs
@@ -5,6 +5,7 @@
     time,
 };
 
+use pier_fleet::loads;
 use pier_types::times;
 
 /// Weight of the newest reading in a running mean, as a divisor.
@@ -33,6 +34,7 @@
     answer_micros: atomic::AtomicU64,
     failure_permille: atomic::AtomicU64,
     stuck_until: atomic::AtomicU64,
+    told_stuck_until: atomic::AtomicU64,
 }
 
 impl Default for TargetGauge {
@@ -51,6 +53,7 @@
             answer_micros: atomic::AtomicU64::new(first),
             failure_permille: atomic::AtomicU64::new(0),
             stuck_until: atomic::AtomicU64::new(0),
+            told_stuck_until: atomic::AtomicU64::new(0),
         }
     }
 }
@@ -74,12 +77,17 @@
         self.running.load(ORDER)
     }
 
-    pub(crate) fn own_waiting(&self) -> u32 {
+    fn own_waiting(&self) -> u32 {
         self.waiting.load(ORDER)
     }
 
-    pub(crate) fn own_waiting_prompt(&self) -> u64 {
-        self.waiting_prompt.load(ORDER)
+    /// Returns this node's own load.
+    pub(crate) fn own_load(&self) -> loads::TargetLoad {
+        loads::TargetLoad {
+            running: self.own_running(),
+            waiting: self.own_waiting(),
+            waiting_prompt: self.waiting_prompt.load(ORDER),
+        }
     }
 
     pub(crate) fn own_in_flight(&self) -> u32 {
@@ -95,14 +103,14 @@
     }
 
     pub(crate) fn waiting_prompt(&self) -> u64 {
-        self.own_waiting_prompt() + self.heard_prompt.load(ORDER)
+        self.waiting_prompt.load(ORDER) + self.heard_prompt.load(ORDER)
     }
 
     /// Takes in what the other nodes have at the target.
-    pub(crate) fn set_heard(&self, running: u32, waiting: u32, prompt: u64) {
-        self.heard_running.store(running, ORDER);
-        self.heard_waiting.store(waiting, ORDER);
-        self.heard_prompt.store(prompt, ORDER);
+    pub(crate) fn set_heard(&self, load: loads::TargetLoad) {
+        self.heard_running.store(load.running, ORDER);
+        self.heard_waiting.store(load.waiting, ORDER);
+        self.heard_prompt.store(load.waiting_prompt, ORDER);
     }
 
     pub(crate) fn note_progress(&self, now: times::BootTime) {
@@ -146,9 +154,20 @@
         self.stuck_until.fetch_max(until.as_micros(), ORDER);
     }
 
+    /// Tells whether the target is stuck by this node's own evidence.
     pub(crate) fn is_stuck(&self, now: times::BootTime) -> bool {
         now.as_micros() < self.stuck_until.load(ORDER)
     }
+
+    /// Notes that most nodes which use the target find it stuck.
+    pub(crate) fn set_told_stuck(&self, until: times::BootTime) {
+        self.told_stuck_until.fetch_max(until.as_micros(), ORDER);
+    }
+
+    /// Tells whether the target is stuck by the other nodes' evidence.
+    pub(crate) fn is_told_stuck(&self, now: times::BootTime) -> bool {
+        now.as_micros() < self.told_stuck_until.load(ORDER)
+    }
 }
 
 fn fold_mean(cell: &atomic::AtomicU64, reading: time::Duration) {
--- a/crates/pier_edge/src/state/target_slot.rs
+++ b/crates/pier_edge/src/state/target_slot.rs
@@ -94,8 +94,8 @@
             let gap = self.gauge.gap(now).unwrap_or(expected);
             (gap.as_secs_f64() / expected.as_secs_f64().max(0.001)).clamp(1.0, 20.0)
         });
-        let is_closed =
-            self.connections.is_full() || self.gauge.is_stuck(now) || !self.allows_cold(now);
+        let is_stuck = self.gauge.is_stuck(now) || self.gauge.is_told_stuck(now);
+        let is_closed = self.connections.is_full() || is_stuck || !self.allows_cold(now);
         dispatch::LoadFacts {
             running,
             waiting: self.gauge.waiting(),
--- a/crates/pier_fleet/src/lib.rs
+++ b/crates/pier_fleet/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod dispatch;
 pub mod documents;
 pub mod formation;
+pub mod loads;
 pub mod stalls;
 pub mod stewards;
 pub mod targets;
--- /dev/null
+++ b/crates/pier_fleet/src/loads/load_hub.rs
@@ -0,0 +1,121 @@
+//! Adds up the reports of a data centre's nodes.
+
+use std::{collections, time};
+
+use pier_types::{ids, times};
+
+use crate::loads;
+
+/// Silence after which a node's load is taken as gone: its requests ended with it, or it is cut off.
+const REPORT_LIFE: time::Duration = time::Duration::from_millis(1_500);
+
+/// Silence after which another data centre's load is taken as gone.
+const DIGEST_LIFE: time::Duration = time::Duration::from_millis(1_500);
+
+/// Keeps the newest report of each node and the newest digest of each other hub.
+#[derive(Debug, Default)]
+pub struct LoadHub {
+    reports: collections::BTreeMap<ids::NodeName, (loads::LoadReport, times::BootTime)>,
+    digests: collections::BTreeMap<ids::DataCentreName, (loads::LoadDigest, times::BootTime)>,
+}
+
+impl LoadHub {
+    /// Takes in a node's report; an older one is dropped.
+    pub fn hear_report(&mut self, report: loads::LoadReport, now: times::BootTime) {
+        let known = self.reports.get(&report.node);
+        if known.is_some_and(|(known, _at)| known.number >= report.number) {
+            return;
+        }
+        self.reports.insert(report.node.clone(), (report, now));
+    }
+
+    /// Takes in another hub's digest; an older one of the same hub is dropped.
+    pub fn hear_digest(&mut self, digest: loads::LoadDigest, now: times::BootTime) {
+        let known = self.digests.get(&digest.data_centre);
+        let is_old = known
+            .is_some_and(|(known, _at)| known.hub == digest.hub && known.number >= digest.number);
+        if !is_old {
+            self.digests
+                .insert(digest.data_centre.clone(), (digest, now));
+        }
+    }
+
+    /// Drops what has been silent for long.
+    pub fn expire(&mut self, now: times::BootTime) {
+        self.reports
+            .retain(|_node, (_report, at)| now.since(*at) < REPORT_LIFE);
+        self.digests
+            .retain(|_place, (_digest, at)| now.since(*at) < DIGEST_LIFE);
+    }
+
+    /// Returns the targets that any node of the data centre finds stuck.
+    pub fn suspected(&self) -> collections::BTreeSet<ids::VmName> {
+        let reports = self.reports.values();
+        reports
+            .flat_map(|(report, _at)| report.stuck.iter().cloned())
+            .collect()
+    }
+
+    /// Returns the digest of this data centre's reports, which other hubs get without `counted`.
+    pub fn local_digest(
+        &self,
+        hub: &ids::NodeName,
+        data_centre: &ids::DataCentreName,
+        number: u64,
+        retiring: collections::BTreeSet<ids::VmName>,
+    ) -> loads::LoadDigest {
+        let mut digest = loads::LoadDigest {
+            hub: hub.clone(),
+            data_centre: data_centre.clone(),
+            number,
+            counted: collections::BTreeMap::new(),
+            local: collections::BTreeMap::new(),
+            remote: collections::BTreeMap::new(),
+            stuck: self.agreed_stuck(),
+            retiring,
+        };
+        for (report, _at) in self.reports.values() {
+            digest.counted.insert(report.node.clone(), report.number);
+            for (vm, load) in &report.loads {
+                *digest.local.entry(vm.clone()).or_default() += *load;
+            }
+        }
+        digest
+    }
+
+    /// Returns a local digest with what the other hubs told, for the nodes of this data centre.
+    ///
+    /// Other hubs never get it: what they told would come back to them.
+    #[must_use]
+    pub fn whole_digest(&self, mut digest: loads::LoadDigest) -> loads::LoadDigest {
+        for (other, _at) in self.digests.values() {
+            for (vm, load) in &other.local {
+                *digest.remote.entry(vm.clone()).or_default() += *load;
+            }
+            digest.stuck.extend(other.stuck.iter().cloned());
+            digest.retiring.extend(other.retiring.iter().cloned());
+        }
+        digest
+    }
+
+    /// Returns the targets that most of the nodes with requests there find stuck.
+    ///
+    /// A single node whose own way to the targets is cut finds all of them stuck; the others' word
+    /// outweighs it.
+    fn agreed_stuck(&self) -> collections::BTreeSet<ids::VmName> {
+        let mut agreed = self.suspected();
+        agreed.retain(|vm| {
+            let reports = self.reports.values();
+            let (mut stuck, mut moving) = (0_usize, 0_usize);
+            for (report, _at) in reports {
+                if report.stuck.contains(vm) {
+                    stuck += 1;
+                } else if report.loads.get(vm).is_some_and(|load| load.running > 0) {
+                    moving += 1;
+                }
+            }
+            stuck > moving
+        });
+        agreed
+    }
+}
--- /dev/null
+++ b/crates/pier_fleet/src/loads/target_load.rs
@@ -0,0 +1,36 @@
+//! Load at one target.
+
+use std::ops;
+
+use serde::{Deserialize, Serialize};
+
+/// Requests in flight at one target, from one node or from several.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetLoad {
+    /// Requests whose answer has begun.
+    pub running: u32,
+    /// Requests whose answer has not begun.
+    pub waiting: u32,
+    /// Prompt tokens of those that have not begun.
+    pub waiting_prompt: u64,
+}
+
+impl TargetLoad {
+    /// Returns what is left without a part of the load.
+    #[must_use]
+    pub const fn without(self, part: Self) -> Self {
+        Self {
+            running: self.running.saturating_sub(part.running),
+            waiting: self.waiting.saturating_sub(part.waiting),
+            waiting_prompt: self.waiting_prompt.saturating_sub(part.waiting_prompt),
+        }
+    }
+}
+
+impl ops::AddAssign for TargetLoad {
+    fn add_assign(&mut self, rhs: Self) {
+        self.running = self.running.saturating_add(rhs.running);
+        self.waiting = self.waiting.saturating_add(rhs.waiting);
+        self.waiting_prompt = self.waiting_prompt.saturating_add(rhs.waiting_prompt);
+    }
+}
--- /dev/null
+++ b/crates/pier_fleet/tests/loads_travel_by_hubs.rs
@@ -0,0 +1,145 @@
+//! The load of all nodes, as hubs add it up: the pattern of a large fleet on a busy day, where each
+//! node sends few of the requests that a group gets within one of its passes.
+
+use std::{collections, time};
+
+use pier_fleet::loads;
+use pier_types::{ids, times};
+
+const NOW: times::BootTime = times::BootTime::from_millis(10_000);
+
+fn node(number: u32) -> ids::NodeName {
+    format!("edge-{number}").parse().unwrap()
+}
+
+fn vm(number: u32) -> ids::VmName {
+    format!("vm-{number}").parse().unwrap()
+}
+
+fn place(name: &str) -> ids::DataCentreName {
+    name.parse().unwrap()
+}
+
+fn report(sender: u32, number: u64, target: u32, running: u32) -> loads::LoadReport {
+    let load = loads::TargetLoad {
+        running,
+        waiting: 1,
+        waiting_prompt: 1_000,
+    };
+    loads::LoadReport {
+        node: node(sender),
+        number,
+        loads: collections::BTreeMap::from([(vm(target), load)]),
+        stuck: collections::BTreeSet::new(),
+    }
+}
+
+fn digest(hub: &loads::LoadHub, number: u64) -> loads::LoadDigest {
+    let retiring = collections::BTreeSet::new();
+    let local = hub.local_digest(&node(0), &place("a"), number, retiring);
+    hub.whole_digest(local)
+}
+
+#[test]
+fn a_node_learns_the_load_of_all_others_and_not_its_own() {
+    let mut hub = loads::LoadHub::default();
+    let mut follower = loads::LoadFollower::default();
+    for sender in 1..=25 {
+        let report = report(sender, 1, 7, 2);
+        if sender == 3 {
+            follower.note_sent(&report);
+        }
+        hub.hear_report(report, NOW);
+    }
+    follower.hear(digest(&hub, 1), NOW);
+    let others = follower.others(&node(3), NOW).unwrap();
+    assert_eq!(others[&vm(7)].running, 48);
+    assert_eq!(others[&vm(7)].waiting, 24);
+    assert_eq!(others[&vm(7)].waiting_prompt, 24_000);
+}
+
+#[test]
+fn the_own_part_is_the_one_that_the_hub_had_counted() {
+    let mut hub = loads::LoadHub::default();
+    let mut follower = loads::LoadFollower::default();
+    let (early, late) = (report(1, 1, 7, 2), report(1, 2, 7, 9));
+    hub.hear_report(early.clone(), NOW);
+    hub.hear_report(report(2, 1, 7, 5), NOW);
+    follower.note_sent(&early);
+    follower.note_sent(&late);
+    follower.hear(digest(&hub, 1), NOW);
+    assert_eq!(follower.others(&node(1), NOW).unwrap()[&vm(7)].running, 5);
+}
+
+#[test]
+fn loads_of_other_data_centres_are_added_once_and_never_come_back() {
+    let mut here = loads::LoadHub::default();
+    let mut there = loads::LoadHub::default();
+    here.hear_report(report(1, 1, 7, 2), NOW);
+    there.hear_report(report(9, 1, 7, 4), NOW);
+    for number in 1..=5 {
+        let none = collections::BTreeSet::new();
+        let ours = here.local_digest(&node(0), &place("a"), number, none.clone());
+        let retiring = collections::BTreeSet::from([vm(8)]);
+        let theirs = there.local_digest(&node(8), &place("b"), number, retiring);
+        there.hear_digest(ours, NOW);
+        here.hear_digest(theirs, NOW);
+    }
+    let whole = digest(&here, 9);
+    assert_eq!(whole.local[&vm(7)].running, 2);
+    assert_eq!(whole.remote[&vm(7)].running, 4);
+    assert!(whole.retiring.contains(&vm(8)));
+    let none = collections::BTreeSet::new();
+    let local = here.local_digest(&node(0), &place("a"), 10, none);
+    assert!(
+        local.retiring.is_empty(),
+        "another hub's word is not passed on to hubs"
+    );
+}
+
+#[test]
+fn a_silent_hub_or_node_speaks_for_the_present_no_more() {
+    let mut hub = loads::LoadHub::default();
+    let mut follower = loads::LoadFollower::default();
+    hub.hear_report(report(1, 1, 7, 2), NOW);
+    follower.hear(digest(&hub, 1), NOW);
+    let later = NOW.after(time::Duration::from_secs(1));
+    assert!(follower.others(&node(2), NOW).is_some());
+    assert!(follower.others(&node(2), later).is_none());
+    hub.expire(NOW.after(time::Duration::from_secs(3)));
+    assert!(digest(&hub, 2).local.is_empty());
+}
+
+#[test]
+fn old_words_are_dropped_and_those_of_a_hub_that_started_anew_are_not() {
+    let mut hub = loads::LoadHub::default();
+    let mut follower = loads::LoadFollower::default();
+    hub.hear_report(report(1, 5, 7, 9), NOW);
+    hub.hear_report(report(1, 4, 7, 2), NOW);
+    assert_eq!(digest(&hub, 1).local[&vm(7)].running, 9);
+    follower.hear(digest(&hub, 40), NOW);
+    let mut other = loads::LoadHub::default();
+    other.hear_report(report(1, 6, 7, 1), NOW);
+    let none = collections::BTreeSet::new();
+    let anew = other.local_digest(&node(77), &place("a"), 1, none);
+    follower.hear(anew, NOW);
+    assert_eq!(follower.others(&node(2), NOW).unwrap()[&vm(7)].running, 1);
+}
+
+#[test]
+fn a_target_is_stuck_for_all_once_most_that_use_it_say_so() {
+    let mut hub = loads::LoadHub::default();
+    let mut says = |sender: u32, is_stuck: bool, number: u64| {
+        let mut report = report(sender, number, 7, 1);
+        if is_stuck {
+            report.stuck.insert(vm(7));
+        }
+        hub.hear_report(report, NOW);
+        (digest(&hub, number).stuck.len(), hub.suspected().len())
+    };
+    assert_eq!(says(1, false, 1), (0, 0));
+    assert_eq!(says(2, false, 1), (0, 0));
+    // One node whose own way is cut does not take the target from the others.
+    assert_eq!(says(3, true, 1), (0, 1));
+    assert_eq!(says(1, true, 2), (1, 1));
+}
