Spread requests that choose on the same view by a fill, and find a hub without a steward

Where a group had room that the others lacked, all nodes sent there until its load was known: 30 requests in 0.1 s, of which the last began after 0.9 s; streams that lost one group all went to the same next one. And no hub was left while the store was away and a steward had stopped. Change: a choice estimates the requests that come before the next view (running requests over the time of an answer, times the view's age), fills them onto the groups, and takes the place that its draw names; what finds no room there is refused. The hub is the steward while it lives and speaks, else the first living node. Beats to the own data centre are rarer only by that data centre's nodes. Tests: overload_is_refused_early (an empty group seen by many nodes; streams displaced together; one last room in sustained overload, which fails when what has no room is sent on), loads_travel_by_hubs (a silent hub, no steward).

--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -13,7 +13,7 @@
 const BEAT_TIME: time::Duration = time::Duration::from_millis(100);
 
 /// Nodes that are told each beat; with more, beats are rarer by as much, so that a node's cost
-/// does not grow with the square of the nodes.
+/// does not grow with the nodes. Those of the own data centre and all others count apart.
 pub(super) const FULL_RATE_PEERS: usize = 12;
 
 /// Time between two words of a steward on the store.
@@ -86,23 +86,29 @@
             peers.expire(now);
             (peers.addresses(), peers.local_addresses(place, now))
         });
+        let stride = stride_of(local.len());
+        let remote_stride = stride_of(addresses.len()).div_ceil(stride);
         let mut beat = own_beat(&state, number, now);
-        if addresses.len() > FULL_RATE_PEERS {
-            // Other data centres learn the loads from this one's hub.
-            let is_remote = |address: &net::SocketAddr| !local.contains(address);
-            let remote: Vec<_> = addresses.iter().copied().filter(is_remote).collect();
-            send_all(&socket, &peers::PeerMessage::Beat(beat.clone()), &local).await;
-            beat.loads.clear();
+        let is_remote = |address: &net::SocketAddr| !local.contains(address);
+        let remote: Vec<_> = addresses.iter().copied().filter(is_remote).collect();
+        send_all(&socket, &peers::PeerMessage::Beat(beat.clone()), &local).await;
+        if number.is_multiple_of(u64::from(remote_stride)) {
+            if addresses.len() > FULL_RATE_PEERS {
+                // Other data centres learn the loads from this one's hub.
+                beat.loads.clear();
+            }
             send_all(&socket, &peers::PeerMessage::Beat(beat), &remote).await;
-        } else {
-            send_all(&socket, &peers::PeerMessage::Beat(beat), &addresses).await;
         }
-        let rarer = addresses.len().div_ceil(FULL_RATE_PEERS).max(1);
-        let rarer = u32::try_from(rarer).unwrap_or(u32::MAX);
-        tokio::time::sleep(BEAT_TIME * rarer).await;
+        tokio::time::sleep(BEAT_TIME * stride).await;
     }
 }
 
+/// Returns by how much beats to so many nodes are rarer than those to a few.
+fn stride_of(nodes: usize) -> u32 {
+    let stride = nodes.div_ceil(FULL_RATE_PEERS).max(1);
+    u32::try_from(stride).unwrap_or(u32::MAX)
+}
+
 fn own_beat<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
     number: u64,
--- a/crates/pier_edge/src/peers/load_exchange.rs
+++ b/crates/pier_edge/src/peers/load_exchange.rs
@@ -5,11 +5,12 @@
 use pier_fleet::loads;
 use pier_types::{ids, times};
 
-/// The hub that this node may be, and the follower that it always is.
+/// The hub that this node may be, the follower that it always is, and its choice of a hub.
 #[derive(Debug, Default)]
 pub(crate) struct LoadExchange {
     pub hub: loads::LoadHub,
     pub follower: loads::LoadFollower,
+    pub choice: loads::HubChoice,
 }
 
 impl LoadExchange {
--- a/crates/pier_edge/src/peers/load_loop.rs
+++ b/crates/pier_edge/src/peers/load_loop.rs
@@ -12,6 +12,10 @@
 /// Time between two looks at the own load: a group begins about two requests of a busy day in it.
 const LOAD_TIME: time::Duration = time::Duration::from_millis(50);
 
+/// Mean age of the other nodes' loads: half of the pause before a report, and half of the one
+/// before a digest or a look at the beats.
+pub(crate) const VIEW_AGE: time::Duration = time::Duration::from_millis(60);
+
 /// Time after which an unchanged load is reported again, so that a lost datagram does no harm.
 const REPEAT_TIME: time::Duration = time::Duration::from_millis(300);
 
@@ -23,8 +27,7 @@
 
 /// Reports this node's load to its hub, and sends digests while it is the hub itself.
 ///
-/// The steward of a data centre is its hub. Fleets of a few nodes need none: their beats tell
-/// everything as often.
+/// Fleets of a few nodes need no hub: their beats tell everything as often.
 #[derive(Debug)]
 pub(crate) struct LoadLoop<P> {
     state: state::EdgeState<P>,
@@ -33,6 +36,8 @@
     digest_number: u64,
     last_report: Option<(loads::LoadReport, times::BootTime)>,
     retiring: collections::BTreeSet<ids::VmName>,
+    /// The hub that the last report went to.
+    hub: Option<ids::NodeName>,
 }
 
 impl<P: links::FleetPlatform> LoadLoop<P> {
@@ -44,6 +49,7 @@
             digest_number: 0,
             last_report: None,
             retiring: collections::BTreeSet::new(),
+            hub: None,
         }
     }
 
@@ -52,10 +58,13 @@
             let now = times::clocks::boot_now();
             let stuck = stall_watch::judge(&self.state, now);
             if self.needs_hub() {
-                self.report(stuck, now).await;
-                self.digest(now).await;
+                let hub = self.choose_hub(now);
+                self.report(hub.as_ref(), stuck, now).await;
+                if hub.as_ref() == Some(self.state.node()) {
+                    self.digest(now).await;
+                }
             }
-            self.note_others(now);
+            note_others(&self.state, now);
             let retiring = self.state.retiring(now);
             if retiring != self.retiring {
                 self.retiring = retiring;
@@ -70,8 +79,31 @@
         count > beat_loop::FULL_RATE_PEERS
     }
 
+    fn choose_hub(&self, now: times::BootTime) -> Option<ids::NodeName> {
+        let place = &self.state.settings().data_centre;
+        let (steward, living) = self.state.with_peers(|peers| {
+            (
+                peers.steward(place).cloned(),
+                peers.living(place, place, now),
+            )
+        });
+        let own = self.state.node();
+        let chosen = self
+            .state
+            .with_loads(|loads| loads.choice.choose(own, steward.as_ref(), &living, now));
+        if chosen != self.hub {
+            log::debug!(event = "load-hub-chosen", hub:? = chosen; "");
+        }
+        chosen
+    }
+
     /// Reports the own load, if it has changed or the last report is old.
-    async fn report(&mut self, stuck: Vec<ids::VmName>, now: times::BootTime) {
+    async fn report(
+        &mut self,
+        hub: Option<&ids::NodeName>,
+        stuck: Vec<ids::VmName>,
+        now: times::BootTime,
+    ) {
         let slots = self.state.slots();
         let loaded = slots.iter().filter(|slot| slot.gauge.own_in_flight() > 0);
         let mut report = loads::LoadReport {
@@ -85,7 +117,8 @@
         let is_news = self
             .last_report
             .as_ref()
-            .is_none_or(|(last, at)| *last != report || now.since(*at) >= REPEAT_TIME);
+            .is_none_or(|(last, at)| *last != report || now.since(*at) >= REPEAT_TIME)
+            || hub != self.hub.as_ref();
         if !is_news {
             return;
         }
@@ -94,38 +127,35 @@
         self.last_report = Some((report.clone(), now));
         self.state
             .with_loads(|loads| loads.follower.note_sent(&report));
-        let place = &self.state.settings().data_centre;
-        let (hub, address) = self.state.with_peers(|peers| {
-            let hub = peers.steward(place).cloned();
-            let address = hub.as_ref().and_then(|hub| peers.address_of(hub));
-            (hub, address)
-        });
-        if hub.as_ref() == Some(self.state.node()) {
+        self.hub = hub.cloned();
+        let Some(hub) = hub else { return };
+        if hub == self.state.node() {
             self.state
                 .with_loads(|loads| loads.hub.hear_report(report, now));
-        } else if let Some(address) = address {
+            return;
+        }
+        let address = self.state.with_peers(|peers| peers.address_of(hub));
+        if let Some(address) = address {
             let message = peers::PeerMessage::Report(report);
             beat_loop::send_all(&self.socket, &message, &[address]).await;
         }
     }
 
-    /// Sends the sums, while this node is its data centre's hub.
+    /// Sends the sums to the nodes of this data centre and the hubs of the others.
     async fn digest(&mut self, now: times::BootTime) {
         let place = &self.state.settings().data_centre;
         let own = self.state.node();
-        let (is_hub, local, hubs) = self.state.with_peers(|peers| {
-            let is_hub = peers.steward(place) == Some(own);
-            let others = peers.stewards().into_iter();
-            let others = others.filter(|(other, ..)| other != place);
-            let hubs = others.filter_map(|(_other, record, _version)| {
-                (record.holder != *own).then(|| peers.address_of(&record.holder))?
+        let centres = self.state.settings().data_centres.iter();
+        let others: Vec<_> = centres.filter(|other| *other != place).collect();
+        let (local, hubs) = self.state.with_peers(|peers| {
+            let hubs = others.iter().filter_map(|other| {
+                let living = peers.living(other, place, now);
+                let steward = peers.steward(other);
+                let steward = steward.filter(|steward| living.contains(*steward));
+                peers.address_of(steward.or_else(|| living.first())?)
             });
-            (is_hub, peers.local_addresses(place, now), hubs.collect())
+            (peers.local_addresses(place, now), hubs.collect::<Vec<_>>())
         });
-        let hubs: Vec<std::net::SocketAddr> = hubs;
-        if !is_hub {
-            return;
-        }
         self.digest_number += 1;
         let number = self.digest_number;
         let retiring = self.state.own_retiring();
@@ -146,18 +176,15 @@
         beat_loop::send_all(&self.socket, &message, &local).await;
         take_digest(&self.state, whole, now);
     }
+}
 
-    /// Takes over the other nodes' load at each target: the hub's sums, or else the beats' words.
-    fn note_others(&self, now: times::BootTime) {
-        let own = self.state.node();
-        let summed = self
-            .state
-            .with_loads(|loads| loads.follower.others(own, now));
-        let others = summed.unwrap_or_else(|| self.state.with_peers(|peers| peers.loads(now)));
-        for slot in self.state.slots() {
-            let load = others.get(&slot.vm).copied().unwrap_or_default();
-            slot.gauge.set_heard(load);
-        }
+/// Takes over the other nodes' load at each target: the hub's sums, or else the beats' words.
+fn note_others<P: links::FleetPlatform>(state: &state::EdgeState<P>, now: times::BootTime) {
+    let summed = state.with_loads(|loads| loads.follower.others(state.node(), now));
+    let others = summed.unwrap_or_else(|| state.with_peers(|peers| peers.loads(now)));
+    for slot in state.slots() {
+        let load = others.get(&slot.vm).copied().unwrap_or_default();
+        slot.gauge.set_heard(load);
     }
 }
 
@@ -172,8 +199,11 @@
         state.with_loads(|loads| loads.hub.hear_digest(digest, now));
         return;
     }
-    let is_steward = state.with_peers(|peers| peers.steward(place) == Some(&digest.hub));
-    if !is_steward {
+    let is_chosen = state.with_loads(|loads| {
+        loads.choice.note_digest(&digest.hub, now);
+        loads.choice.is_chosen(&digest.hub)
+    });
+    if !is_chosen {
         return;
     }
     for slot in state.slots() {
@@ -182,4 +212,5 @@
         }
     }
     state.with_loads(|loads| loads.follower.hear(digest, now));
+    note_others(state, now);
 }
--- a/crates/pier_edge/src/peers/mod.rs
+++ b/crates/pier_edge/src/peers/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) use beat_loop::spawn;
 pub(crate) use load_exchange::LoadExchange;
 use load_loop::LoadLoop;
+pub(crate) use load_loop::VIEW_AGE;
 pub(crate) use node_beat::{NodeBeat, NodeRecord, PeerMessage, StewardRecord};
 pub(crate) use peer_table::PeerTable;
 pub(crate) use relay_beat::{RelayBeat, TargetChange};
--- a/crates/pier_edge/src/peers/peer_table.rs
+++ b/crates/pier_edge/src/peers/peer_table.rs
@@ -166,6 +166,16 @@
         found.map(|(address, _peer)| *address)
     }
 
+    /// Returns the nodes of a data centre that are heard of and stay; `own` is this node's.
+    pub(crate) fn living(
+        &self,
+        data_centre: &ids::DataCentreName,
+        own: &ids::DataCentreName,
+        now: times::BootTime,
+    ) -> collections::BTreeSet<ids::NodeName> {
+        self.steward_view(data_centre, own, now).local
+    }
+
     /// Returns how many other nodes are known.
     pub(crate) fn count(&self) -> usize {
         self.peers.len()
--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -91,6 +91,10 @@
             .filter(|slot| !tried.contains(&slot.vm))
             .collect();
         let engine = self.engine();
+        let lost = all.iter().filter(|slot| tried.contains(&slot.vm));
+        let displaced = lost
+            .map(|slot| slot.gauge.running() + slot.gauge.waiting())
+            .max();
         let facts: Vec<_> = open.iter().map(|slot| slot.facts(engine, now)).collect();
         let request = dispatch::RequestFacts {
             prompt: self.head.prompt_tokens,
@@ -98,6 +102,8 @@
             time_left: self.time_left(now),
             rank: self.rank(),
             is_resumed,
+            view_age: self.state.view_age(),
+            displaced: displaced.unwrap_or(0),
             draw: rand::random(),
         };
         let learned = self.learned();
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -226,6 +226,16 @@
         change(&mut state::target_slot::lock(&self.shared.loads))
     }
 
+    /// Returns how old the other nodes' loads are on average.
+    pub(crate) fn view_age(&self) -> time::Duration {
+        let is_alone = self.with_peers(|peers| peers.count()) == 0;
+        if is_alone {
+            time::Duration::ZERO
+        } else {
+            peers::VIEW_AGE
+        }
+    }
+
     /// Returns the first members that take no new requests, by any steward's word.
     pub(crate) fn retiring(&self, now: times::BootTime) -> collections::BTreeSet<ids::VmName> {
         let mut retiring = self.with_peers(|peers| peers.retiring(now));
--- a/crates/pier_fleet/src/dispatch/mod.rs
+++ b/crates/pier_fleet/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod pass_model;
 mod plain_choice;
 mod request_facts;
+mod rival_fill;
 mod stream_choice;
 
 pub use choice_outcome::ChoiceOutcome;
--- a/crates/pier_fleet/src/dispatch/pass_model.rs
+++ b/crates/pier_fleet/src/dispatch/pass_model.rs
@@ -51,6 +51,18 @@
         self.scaled(total)
     }
 
+    /// Returns how much later a first event comes for each request of usual size that is ahead.
+    pub fn added_wait(&self, load: &dispatch::LoadFacts) -> time::Duration {
+        let read_ms = self.engine.usual_prompt / self.engine.read_per_ms;
+        let slot_ms = if load.in_flight() >= self.engine.batch.get() {
+            let batch = f64::from(self.engine.batch.get().max(1));
+            self.engine.usual_answer * self.engine.step_time_ms(batch) / batch
+        } else {
+            0.0
+        };
+        self.scaled((read_ms + slot_ms) * load.slowness)
+    }
+
     /// Returns the milliseconds until a place in the batch is free.
     fn slot_wait_ms(&self, load: &dispatch::LoadFacts) -> f64 {
         let batch = f64::from(self.engine.batch.get().max(1));
--- a/crates/pier_fleet/src/dispatch/request_facts.rs
+++ b/crates/pier_fleet/src/dispatch/request_facts.rs
@@ -16,6 +16,10 @@
     pub rank: u8,
     /// Whether the caller already has a part of the answer.
     pub is_resumed: bool,
+    /// How old the other nodes' loads are on average, zero where there is no other node.
+    pub view_age: time::Duration,
+    /// Requests that lost the same target as this one and look for another one now.
+    pub displaced: u32,
     /// An evenly spread number that parts nodes which see the same loads.
     pub draw: u32,
 }
--- a/crates/pier_fleet/src/dispatch/stream_choice.rs
+++ b/crates/pier_fleet/src/dispatch/stream_choice.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{dispatch, documents};
+use crate::{dispatch, dispatch::rival_fill, documents};
 
 /// How groups are ordered: bytes between data centres are dear, and take their way.
 const TERMS: dispatch::ScoreTerms = dispatch::ScoreTerms {
@@ -33,7 +33,9 @@
 /// `learned` is what first events took of late beyond what the engine's published times predict.
 ///
 /// Answers the pattern of sustained overload: each group stays at the load at which it still keeps
-/// the objective, and what is over is refused before it waits anywhere.
+/// the objective, and what is over is refused before it waits anywhere. Answers the pattern of many
+/// nodes that see the same group empty, and of streams that lose their group together: each takes
+/// one place of the spread that all of them should have.
 pub fn choose_stream(
     engine: &documents::EngineSpec,
     pace: f64,
@@ -45,31 +47,37 @@
     let learned = learned.min(request.objective / LEARNED_DIVISOR);
     let open = candidates.iter().enumerate();
     let open = open.filter(|(_position, load)| !load.is_used_up);
+    let expected = |position: usize| {
+        let load = &candidates[position];
+        model.first_event(load, request.prompt) + learned
+    };
     let scored = open.map(|(position, load)| {
-        let expected = model.first_event(load, request.prompt) + learned;
-        (
-            TERMS.score(load, expected, request.draw, position),
-            position,
-            expected,
-        )
+        let score = TERMS.score(load, expected(position), request.draw, position);
+        (score, position)
     });
-    let Some((_score, position, expected)) = scored.min_by_key(|(score, ..)| *score) else {
+    let scored: Vec<_> = scored.collect();
+    let rivals = rival_fill::count_rivals(engine, pace, request, candidates);
+    let cost = |position: usize| model.added_wait(&candidates[position]);
+    let drawn = rival_fill::draw_place(&scored, cost, rivals, request.draw);
+    let Some(drawn) = drawn else {
         return if candidates.is_empty() {
             dispatch::ChoiceOutcome::NoTarget
         } else {
             dispatch::refuse(RETRY_BOUNDS.0, RETRY_BOUNDS.0, RETRY_BOUNDS)
         };
     };
+    let position = drawn.position;
+    let expected = expected(position);
     let fits = if request.is_resumed {
         let most = engine.batch.get().saturating_mul(RESUME_DEPTH);
         candidates[position].in_flight() < most && expected < request.time_left
     } else {
-        expected <= allowance(request)
+        expected + drawn.ahead <= allowance(request)
     };
     if fits {
         return dispatch::ChoiceOutcome::Send { position, expected };
     }
-    let wait = expected.saturating_sub(allowance(request));
+    let wait = (expected + drawn.ahead).saturating_sub(allowance(request));
     dispatch::refuse(wait, expected, RETRY_BOUNDS)
 }
 
--- /dev/null
+++ b/crates/pier_fleet/src/loads/hub_choice.rs
@@ -0,0 +1,73 @@
+//! Which node is the hub.
+
+use std::{collections, time};
+
+use pier_types::{ids, times};
+
+/// Silence of a hub after which the next node in line takes its place: several digests.
+const HUB_PATIENCE: time::Duration = time::Duration::from_millis(400);
+
+/// How long a hub that fell silent is passed over.
+const SUSPECT_TIME: time::Duration = time::Duration::from_secs(2);
+
+/// Chooses the hub of one node's data centre from what that node hears.
+///
+/// Nothing has to be agreed on: two hubs for a moment cost a few datagrams, and each node takes the
+/// sums of the one that it has chosen. So a hub is there also while the platform is away and no
+/// steward can be recorded.
+#[derive(Debug, Default)]
+pub struct HubChoice {
+    chosen: Option<(ids::NodeName, times::BootTime)>,
+    heard_at: Option<times::BootTime>,
+    suspects: collections::BTreeMap<ids::NodeName, times::BootTime>,
+}
+
+impl HubChoice {
+    /// Notes a digest; only one of the chosen hub counts.
+    pub fn note_digest(&mut self, hub: &ids::NodeName, now: times::BootTime) {
+        if self.is_chosen(hub) {
+            self.heard_at = Some(now);
+        }
+    }
+
+    /// Tells whether a node is the chosen hub.
+    pub fn is_chosen(&self, node: &ids::NodeName) -> bool {
+        self.chosen
+            .as_ref()
+            .is_some_and(|(chosen, _since)| chosen == node)
+    }
+
+    /// Chooses the hub: the steward while it lives, else the first living node by name. `living`
+    /// holds the nodes of the data centre that are heard of and stay, `own` included.
+    pub fn choose(
+        &mut self,
+        own: &ids::NodeName,
+        steward: Option<&ids::NodeName>,
+        living: &collections::BTreeSet<ids::NodeName>,
+        now: times::BootTime,
+    ) -> Option<ids::NodeName> {
+        self.suspect_silent(own, now);
+        self.suspects.retain(|_node, until| *until > now);
+        let steward = steward.filter(|steward| living.contains(*steward));
+        let mut order = steward.into_iter().chain(living);
+        let chosen = order.find(|node| !self.suspects.contains_key(*node));
+        if let Some(chosen) = chosen
+            && !self.is_chosen(chosen)
+        {
+            self.chosen = Some((chosen.clone(), now));
+            self.heard_at = None;
+        }
+        chosen.cloned()
+    }
+
+    fn suspect_silent(&mut self, own: &ids::NodeName, now: times::BootTime) {
+        let Some((chosen, since)) = &self.chosen else {
+            return;
+        };
+        let heard_at = self.heard_at.map_or(*since, |at| at.max(*since));
+        if chosen != own && now.since(heard_at) >= HUB_PATIENCE {
+            self.suspects
+                .insert(chosen.clone(), now.after(SUSPECT_TIME));
+        }
+    }
+}
--- a/crates/pier_fleet/tests/loads_travel_by_hubs.rs
+++ b/crates/pier_fleet/tests/loads_travel_by_hubs.rs
@@ -143,3 +143,38 @@
     assert_eq!(says(3, true, 1), (0, 1));
     assert_eq!(says(1, true, 2), (1, 1));
 }
+
+fn names(numbers: &[u32]) -> collections::BTreeSet<ids::NodeName> {
+    numbers.iter().map(|number| node(*number)).collect()
+}
+
+#[test]
+fn the_steward_is_the_hub_and_the_next_node_takes_over_when_it_falls_silent() {
+    let mut choice = loads::HubChoice::default();
+    let living = names(&[1, 2, 3]);
+    let (own, steward) = (node(1), node(2));
+    let mut choose = |millis: u64, digest: bool| {
+        let now = NOW.after(time::Duration::from_millis(millis));
+        if digest {
+            choice.note_digest(&steward, now);
+        }
+        choice.choose(&own, Some(&steward), &living, now).unwrap()
+    };
+    assert_eq!(choose(0, false), node(2));
+    assert_eq!(choose(300, true), node(2));
+    assert_eq!(choose(650, false), node(2));
+    assert_eq!(choose(750, false), node(1));
+    assert_eq!(choose(1_500, false), node(1));
+    // It is tried again later.
+    assert_eq!(choose(2_800, false), node(2));
+}
+
+#[test]
+fn a_hub_is_there_while_no_steward_can_be_recorded() {
+    let mut choice = loads::HubChoice::default();
+    let gone = node(9);
+    let chosen = choice.choose(&node(3), Some(&gone), &names(&[2, 3]), NOW);
+    assert_eq!(chosen, Some(node(2)));
+    let chosen = choice.choose(&node(3), None, &names(&[3]), NOW);
+    assert_eq!(chosen, Some(node(3)));
+}
--- a/crates/pier_fleet/tests/overload_is_refused_early.rs
+++ b/crates/pier_fleet/tests/overload_is_refused_early.rs
@@ -30,6 +30,8 @@
         time_left: time::Duration::from_secs(6),
         rank,
         is_resumed: false,
+        view_age: time::Duration::ZERO,
+        displaced: 0,
         draw: 7,
     }
 }
@@ -188,3 +190,56 @@
     let outcome = dispatch::choose_plain(&short, &[load(400, 0)]);
     assert!(matches!(outcome, dispatch::ChoiceOutcome::Full { .. }));
 }
+
+/// Returns how many of `count` requests with the same view and other draws go to each candidate.
+fn spread(count: u32, request: &dispatch::RequestFacts, loads: &[dispatch::LoadFacts]) -> Vec<u32> {
+    let mut counts = vec![0; loads.len()];
+    for draw in 0..count {
+        let mut request = *request;
+        request.draw = draw.wrapping_mul(2_654_435_761);
+        if let dispatch::ChoiceOutcome::Send { position, .. } = choose(&request, loads) {
+            counts[position] += 1;
+        }
+    }
+    counts
+}
+
+#[test]
+fn nodes_that_see_the_same_empty_group_do_not_all_send_there() {
+    let mut request = facts(1);
+    request.objective = time::Duration::from_millis(400);
+    request.view_age = time::Duration::from_millis(100);
+    let loads = [load(0, 0), load(22, 0), load(22, 0), load(22, 0)];
+    let counts = spread(400, &request, &loads);
+    assert!(counts[0] < 320, "{counts:?}");
+    assert!(counts[0] > counts[1], "{counts:?}");
+}
+
+#[test]
+fn streams_that_lose_their_group_together_are_spread_over_the_others() {
+    let mut request = facts(1);
+    request.objective = time::Duration::from_millis(400);
+    (request.is_resumed, request.displaced) = (true, 24);
+    let loads = [load(10, 0), load(11, 0), load(12, 0), load(13, 0)];
+    let counts = spread(400, &request, &loads);
+    assert!(counts.iter().all(|count| *count > 60), "{counts:?}");
+}
+
+#[test]
+fn a_node_that_sees_every_request_sends_to_the_best_group() {
+    let loads = [load(4, 0), load(24, 9), load(24, 9)];
+    assert_eq!(spread(50, &facts(1), &loads), [50, 0, 0]);
+}
+
+#[test]
+fn in_sustained_overload_one_group_with_room_is_not_overrun() {
+    // Every other group is over the objective, and about 14 requests come before the next view: the
+    // room of 42 ms in the one group is enough for three of them.
+    let mut request = facts(0);
+    request.objective = time::Duration::from_millis(150);
+    request.view_age = time::Duration::from_millis(100);
+    let full = load(26, 12);
+    let loads = [load(20, 1), full, full, full, full, full, full, full];
+    let sent: u32 = spread(400, &request, &loads).iter().sum();
+    assert!((20..130).contains(&sent), "{sent} of 400 were sent");
+}
