Answer 502 and not 503 where a repeatable request may have run

Cause: a request for an idempotent route, or a stream that may be resumed, was refused with 503 ('has not run') after a send that may have run. Found by reading; the callers send such a request again either way, but the word was not true. Tests: two, of which the one of streams was seen to fail first (503); the one of whole requests covers the same mend.

--- a/crates/pier_edge/src/serving/refusal.rs
+++ b/crates/pier_edge/src/serving/refusal.rs
@@ -25,6 +25,8 @@
     NotRun { retry_after: time::Duration },
     /// It was sent, and no answer came that can be passed on.
     Broken,
+    /// The same of a request that the caller may send again.
+    Lost { retry_after: time::Duration },
     /// It was sent, and its time is over.
     TimedOut,
 }
@@ -41,6 +43,7 @@
             Self::NoTarget { .. } => "no-target",
             Self::NotRun { .. } => "not-run",
             Self::Broken => "broken",
+            Self::Lost { .. } => "lost",
             Self::TimedOut => "timed-out",
         }
     }
@@ -55,7 +58,7 @@
             Self::BadKey => http::StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => http::StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => http::StatusCode::REQUEST_TIMEOUT,
-            Self::Broken => http::StatusCode::BAD_GATEWAY,
+            Self::Broken | Self::Lost { .. } => http::StatusCode::BAD_GATEWAY,
             Self::TimedOut => http::StatusCode::GATEWAY_TIMEOUT,
         }
     }
@@ -65,7 +68,8 @@
             Self::NoDocument => Some(time::Duration::from_millis(500)),
             Self::Overloaded { retry_after }
             | Self::NoTarget { retry_after }
-            | Self::NotRun { retry_after } => Some(*retry_after),
+            | Self::NotRun { retry_after }
+            | Self::Lost { retry_after } => Some(*retry_after),
             _ => None,
         }
     }
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -21,7 +21,7 @@
 /// How long a target to which no connection came about gets nothing new.
 const UNREACHED_TIME: time::Duration = time::Duration::from_millis(500);
 
-/// When a caller may come back whose request no target has run: about a group's repair.
+/// When a caller may come back whose request was not answered: about a group's repair.
 const COME_BACK_TIME: time::Duration = time::Duration::from_millis(200);
 
 /// An answer to a request for a stream.
@@ -200,9 +200,12 @@
         job: &serving::RequestJob<P>,
         refusal: serving::Refusal,
     ) -> serving::Refusal {
-        if self.may_have_run && !job.route.repeat.may_repeat() {
+        if self.may_have_run {
             return match refusal {
                 serving::Refusal::TimedOut => serving::Refusal::TimedOut,
+                _ if job.route.repeat.may_repeat() => serving::Refusal::Lost {
+                    retry_after: COME_BACK_TIME,
+                },
                 _ => serving::Refusal::Broken,
             };
         }
--- a/crates/pier_edge/src/serving/whole_run.rs
+++ b/crates/pier_edge/src/serving/whole_run.rs
@@ -23,6 +23,9 @@
 /// Most targets to which no connection came about.
 const CONNECT_TRIES: usize = 3;
 
+/// When a caller may send a request again whose answer was lost: the next target is another one.
+const LOST_WAIT: time::Duration = time::Duration::from_millis(100);
+
 /// An answer that was read whole.
 pub(super) type WholeAnswer = (http::response::Parts, bytes::Bytes);
 
@@ -121,8 +124,8 @@
         if self.may_have_run {
             return Err(match refusal {
                 serving::Refusal::TimedOut => serving::Refusal::TimedOut,
-                _ if job.route.repeat.may_repeat() => serving::Refusal::NotRun {
-                    retry_after: time::Duration::from_millis(100),
+                _ if job.route.repeat.may_repeat() => serving::Refusal::Lost {
+                    retry_after: LOST_WAIT,
                 },
                 _ => serving::Refusal::Broken,
             });
--- a/crates/pier_edge/tests/streams.rs
+++ b/crates/pier_edge/tests/streams.rs
@@ -138,3 +138,12 @@
     assert!(answer.header("retry-after").is_some());
     assert!(target.requests().is_empty());
 }
+
+#[tokio::test]
+async fn a_stream_that_may_have_run_and_never_began_is_never_said_not_to_have_run() {
+    let (node, targets) = node_with([Script::Close, Script::Close]).await;
+    let answer = ask(&node, "/talk/x").await;
+    assert_eq!(answer.status(), 502);
+    assert!(answer.header("retry-after").is_some());
+    assert!(targets[0].requests().len() + targets[1].requests().len() >= 1);
+}
--- a/crates/pier_edge/tests/whole_requests.rs
+++ b/crates/pier_edge/tests/whole_requests.rs
@@ -187,3 +187,14 @@
         assert_eq!(caller.answer().await.status(), 200);
     }
 }
+
+#[tokio::test]
+async fn an_idempotent_request_that_may_have_run_is_never_said_not_to_have_run() {
+    for script in [Script::Close, Script::Truncated] {
+        let (node, target) = node_with(script).await;
+        let answer = ask(&node, &request("GET", "/read/x", "")).await;
+        assert_eq!(answer.status(), 502);
+        assert!(answer.header("retry-after").is_some());
+        assert!(!target.requests().is_empty());
+    }
+}
