Judge silence by the longest pass that the engine's times allow

Change: running streams that are silent for 1.25 of the longest possible pass and 80 ms (330 ms at least) are stuck; half of that is enough where most nodes that use the target say so. Members of a group that stands still have 0.2 s to answer. A node that itself stood still looks twice more before it finds anything stuck. The tests' bounds are as they were; three were added.

--- a/crates/pier_edge/src/control/member_questions.rs
+++ b/crates/pier_edge/src/control/member_questions.rs
@@ -63,7 +63,8 @@
                 let membership = member.entry.standing.membership.as_ref();
                 if membership.is_some_and(|membership| membership.group == place.group) {
                     let born = member.entry.standing.born;
-                    self.desk.ask(vm.clone(), born, member.entry.address);
+                    let address = member.entry.address;
+                    self.desk.ask_stuck(vm.clone(), born, address);
                 }
             }
         }
--- a/crates/pier_edge/src/control/order_desk.rs
+++ b/crates/pier_edge/src/control/order_desk.rs
@@ -12,6 +12,9 @@
 /// against the time that a group stands still.
 const CALL_TIME: time::Duration = time::Duration::from_millis(300);
 
+/// The same for a member of a group that stands still: what answers at all answers in a tenth of it.
+const STUCK_CALL_TIME: time::Duration = time::Duration::from_millis(200);
+
 /// News of a VM.
 #[derive(Debug)]
 pub(super) enum DeskNews {
@@ -71,11 +74,31 @@
         vm: ids::VmName,
         born: epochs::VmIncarnation,
         address: net::SocketAddr,
+    ) {
+        self.ask_within(vm, born, address, CALL_TIME);
+    }
+
+    /// Asks a member of a group that stands still.
+    pub(super) fn ask_stuck(
+        &self,
+        vm: ids::VmName,
+        born: epochs::VmIncarnation,
+        address: net::SocketAddr,
+    ) {
+        self.ask_within(vm, born, address, STUCK_CALL_TIME);
+    }
+
+    fn ask_within(
+        &self,
+        vm: ids::VmName,
+        born: epochs::VmIncarnation,
+        address: net::SocketAddr,
+        limit: time::Duration,
     ) {
         let desk = self.clone();
         self.state.metrics().count_question();
         tokio::spawn(async move {
-            let report = desk.state.platform().ask(&vm, address, CALL_TIME).await;
+            let report = desk.state.platform().ask(&vm, address, limit).await;
             log::debug!(event = "member-asked", target_vm:% = vm, outcome:? = report; "");
             // The receiver ends only with the process.
             let _ended = desk.news.send(DeskNews::Asked { vm, born, report });
--- a/crates/pier_edge/src/peers/load_loop.rs
+++ b/crates/pier_edge/src/peers/load_loop.rs
@@ -12,6 +12,10 @@
 /// Time between two looks at the own load: a group begins about two requests of a busy day in it.
 const LOAD_TIME: time::Duration = time::Duration::from_millis(50);
 
+/// Time between two looks from which on the node itself stood still; the two looks behind are needed
+/// to read what came meanwhile.
+const LATE_TIME: time::Duration = time::Duration::from_millis(200);
+
 /// Mean age of the other nodes' loads: half of the pause before a report, and half of the one
 /// before a digest or a look at the beats.
 pub(crate) const VIEW_AGE: time::Duration = time::Duration::from_millis(60);
@@ -54,9 +58,18 @@
     }
 
     pub(crate) async fn run(mut self) {
+        let mut looked_at = times::clocks::boot_now();
+        let mut late_looks = 0_u32;
         loop {
             let now = times::clocks::boot_now();
-            let stuck = stall_watch::judge(&self.state, now);
+            let is_timely = now.since(looked_at) < LATE_TIME;
+            late_looks = if is_timely {
+                late_looks.saturating_sub(1)
+            } else {
+                2
+            };
+            looked_at = now;
+            let stuck = stall_watch::judge(&self.state, late_looks == 0, now);
             if self.needs_hub() {
                 let hub = self.choose_hub(now);
                 self.report(hub.as_ref(), stuck, now).await;
--- a/crates/pier_edge/src/peers/stall_watch.rs
+++ b/crates/pier_edge/src/peers/stall_watch.rs
@@ -11,8 +11,12 @@
 const STUCK_TIME: time::Duration = time::Duration::from_secs(2);
 
 /// Finds the targets that move nothing, and moves this node's requests away from them.
+///
+/// A look that is not timely finds no new ones: the node itself stood still, and what the targets sent
+/// meanwhile is still to be read.
 pub(super) fn judge<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
+    is_timely: bool,
     now: times::BootTime,
 ) -> Vec<ids::VmName> {
     let Some(document) = state.document() else {
@@ -40,14 +44,16 @@
         let pass_time = passes
             .pass_time(load.running, load.waiting_prompt)
             .mul_f64(load.slowness);
+        let longest = passes.longest_pass(load.running);
         let facts = stalls::ProgressFacts {
             in_flight: slot.gauge.own_in_flight(),
             running: slot.gauge.own_running(),
             last_progress: slot.gauge.last_progress(),
             pass_time,
+            longest_pass: longest.mul_f64(load.slowness),
             first_event: passes.first_event(&load, 0),
         };
-        if judge.is_stuck(&facts, now) {
+        if is_timely && judge.is_stuck(&facts, slot.gauge.is_told_stuck(now), now) {
             log::warn!(
                 event = "target-stuck",
                 target_vm:% = slot.vm,
--- a/crates/pier_fleet/src/dispatch/pass_model.rs
+++ b/crates/pier_fleet/src/dispatch/pass_model.rs
@@ -33,6 +33,11 @@
         self.scaled(token_ms + read_ms)
     }
 
+    /// Returns the longest time between two events of a stream at a group with this load.
+    pub fn longest_pass(&self, running: u32) -> time::Duration {
+        self.pass_time(running, u64::MAX)
+    }
+
     /// Returns the expected time to the first event of a request with so many prompt tokens.
     pub fn first_event(&self, load: &dispatch::LoadFacts, prompt: u64) -> time::Duration {
         let steps = f64::from(self.engine.steps_per_pass);
--- a/crates/pier_fleet/src/stalls/progress_facts.rs
+++ b/crates/pier_fleet/src/stalls/progress_facts.rs
@@ -15,6 +15,8 @@
     pub last_progress: times::BootTime,
     /// Expected time of one pass with the present load.
     pub pass_time: time::Duration,
+    /// Longest time that a pass can take with the present load: one that reads as many prompts as fit.
+    pub longest_pass: time::Duration,
     /// Expected time to a first event with the present load.
     pub first_event: time::Duration,
 }
--- a/crates/pier_fleet/tests/silence_and_shares.rs
+++ b/crates/pier_fleet/tests/silence_and_shares.rs
@@ -15,6 +15,7 @@
         running,
         last_progress: at(10_000),
         pass_time: time::Duration::from_millis(pass_ms),
+        longest_pass: time::Duration::from_millis(pass_ms + 200),
         first_event: time::Duration::from_millis(150),
     }
 }
@@ -23,29 +24,46 @@
 fn a_group_whose_streams_fall_silent_together_is_stuck_within_a_second() {
     let judge = stalls::StallJudge::default();
     let facts = progress(8, 6, 60);
-    assert!(!judge.is_stuck(&facts, at(10_300)));
-    assert!(judge.is_stuck(&facts, at(10_500)));
+    assert!(!judge.is_stuck(&facts, false, at(10_300)));
+    assert!(judge.is_stuck(&facts, false, at(10_500)));
 }
 
 #[test]
 fn a_slow_group_is_given_more_time_but_not_until_its_callers_leave() {
     let judge = stalls::StallJudge::default();
     let facts = progress(8, 6, 500);
-    assert!(!judge.is_stuck(&facts, at(10_800)));
-    assert!(judge.is_stuck(&facts, at(10_950)));
+    assert!(!judge.is_stuck(&facts, false, at(10_800)));
+    assert!(judge.is_stuck(&facts, false, at(10_950)));
+}
+
+#[test]
+fn a_group_that_may_be_reading_long_prompts_is_not_stuck() {
+    let judge = stalls::StallJudge::default();
+    // The longest pass takes 260 ms by the engine's published times.
+    assert!(!judge.is_stuck(&progress(8, 6, 60), false, at(10_260)));
+    assert!(!judge.is_stuck(&progress(8, 6, 60), false, at(10_390)));
+    assert!(judge.is_stuck(&progress(8, 6, 60), false, at(10_410)));
+}
+
+#[test]
+fn the_other_nodes_word_halves_the_silence_and_does_not_replace_it() {
+    let judge = stalls::StallJudge::default();
+    assert!(!judge.is_stuck(&progress(8, 6, 60), true, at(10_190)));
+    assert!(judge.is_stuck(&progress(8, 6, 60), true, at(10_210)));
+    assert!(!judge.is_stuck(&progress(0, 0, 60), true, at(90_000)));
 }
 
 #[test]
 fn an_idle_group_is_never_stuck() {
     let judge = stalls::StallJudge::default();
-    assert!(!judge.is_stuck(&progress(0, 0, 60), at(90_000)));
+    assert!(!judge.is_stuck(&progress(0, 0, 60), false, at(90_000)));
 }
 
 #[test]
 fn a_request_that_has_not_begun_is_given_its_expected_time() {
     let judge = stalls::StallJudge::default();
-    assert!(!judge.is_stuck(&progress(1, 0, 60), at(10_700)));
-    assert!(judge.is_stuck(&progress(1, 0, 60), at(10_800)));
+    assert!(!judge.is_stuck(&progress(1, 0, 60), false, at(10_700)));
+    assert!(judge.is_stuck(&progress(1, 0, 60), false, at(10_800)));
 }
 
 #[test]
@@ -149,3 +167,14 @@
     assert!(!first.should_claim(&vacant, at(300)));
     assert!(first.should_claim(&vacant, at(800)));
 }
+
+#[test]
+fn a_steward_that_does_not_reach_the_store_is_followed_by_the_first_node_that_does() {
+    let served = view(Some("a1"), &["a1", "a2", "a3"], &[]);
+    let reaching = collections::BTreeSet::from([node("a3"), node("a4")]);
+    let cut = served.clone().among_reaching(&reaching);
+    let mut third = stewards::StewardElection::new(node("a3"), true);
+    assert!(!third.should_claim(&served, at(1_000)));
+    assert!(!third.should_claim(&cut, at(2_000)));
+    assert!(third.should_claim(&cut, at(2_400)));
+}
