Spend fewer calls on the store, and follow a steward that does not reach it

Ruled out: one steward reading for all data centres (a cut between them would stop the rest). Tests: silence_and_shares (a steward that does not reach the store).

--- a/crates/pier_edge/src/control/centre_steward.rs
+++ b/crates/pier_edge/src/control/centre_steward.rs
@@ -11,6 +11,10 @@
 /// Pause before a VM that refused an order gets the next one.
 pub(super) const REFUSAL_PAUSE: time::Duration = time::Duration::from_millis(200);
 
+/// How long a node that has started listens before it takes a data centre that has no steward, so
+/// that not all nodes that start together write the record.
+const HEARING_TIME: time::Duration = time::Duration::from_millis(250);
+
 /// Plans one data centre while this node is its steward.
 #[derive(Debug)]
 pub(super) struct CentreSteward<P> {
@@ -19,6 +23,8 @@
     data_centre: ids::DataCentreName,
     election: stewards::StewardElection,
     planner: Option<formation::FormationPlanner>,
+    /// When this node first looked for a steward.
+    started_at: Option<times::BootTime>,
     pub(super) watch: control::MemberWatch,
     pub(super) held_until: collections::BTreeMap<ids::VmName, times::BootTime>,
     draining_since: collections::BTreeMap<ids::VmName, times::BootTime>,
@@ -37,6 +43,7 @@
             desk,
             data_centre,
             planner: None,
+            started_at: None,
             watch: control::MemberWatch::default(),
             held_until: collections::BTreeMap::new(),
             draining_since: collections::BTreeMap::new(),
@@ -54,9 +61,21 @@
             return collections::BTreeSet::new();
         }
         let own = &self.state.settings().data_centre;
-        let view = self
+        let started_at = *self.started_at.get_or_insert(now);
+        if now.since(started_at) < HEARING_TIME {
+            return collections::BTreeSet::new();
+        }
+        let mut view = self
             .state
             .with_peers(|peers| peers.steward_view(&self.data_centre, own, now));
+        if *own == self.data_centre && self.state.is_steward_parted(now) {
+            let mut reaching = self.state.with_peers(|peers| peers.reaching(now));
+            reaching.insert(self.state.node().clone());
+            if let Some(word) = &view.word {
+                reaching.remove(&word.holder);
+            }
+            view = view.among_reaching(&reaching);
+        }
         if self.election.should_claim(&view, now) {
             self.claim(&view).await;
             return collections::BTreeSet::new();
@@ -70,10 +89,9 @@
     }
 
     /// Tells whether a group is being formed.
-    pub(super) fn is_forming(&self) -> bool {
-        self.planner
-            .as_ref()
-            .is_some_and(formation::FormationPlanner::is_forming)
+    pub(super) fn is_forming(&self, now: times::BootTime) -> bool {
+        let planner = self.planner.as_ref();
+        planner.is_some_and(|planner| planner.is_forming(now))
     }
 
     /// Takes in news of one of this data centre's VMs.
--- a/crates/pier_edge/src/control/steward_loop.rs
+++ b/crates/pier_edge/src/control/steward_loop.rs
@@ -31,7 +31,7 @@
         for steward in stewards.values_mut() {
             retiring.extend(steward.step(now).await);
         }
-        let is_forming = stewards.values().any(control::CentreSteward::is_forming);
+        let is_forming = stewards.values().any(|steward| steward.is_forming(now));
         state.set_forming(is_forming);
         if state.own_retiring() != retiring {
             state.set_own_retiring(retiring);
--- a/crates/pier_edge/src/links/fleet_platform.rs
+++ b/crates/pier_edge/src/links/fleet_platform.rs
@@ -9,7 +9,7 @@
 
 /// Calls to the platform's store.
 pub trait RecordStore: Clone + Send + Sync + 'static {
-    /// Reads all records of a kind.
+    /// Reads all records of a kind; an old answer does where the kind allows it.
     fn list(
         &self,
         kind: links::RecordKind,
--- a/crates/pier_edge/src/links/record_kind.rs
+++ b/crates/pier_edge/src/links/record_kind.rs
@@ -14,6 +14,12 @@
 }
 
 impl RecordKind {
+    /// Tells whether an answer that is seconds old does: the nodes' own records only bring nodes
+    /// together that then hear one another, and a steward's record is written on its version.
+    pub const fn may_be_old(self) -> bool {
+        matches!(self, Self::Nodes)
+    }
+
     /// Returns the word for logs and metrics.
     pub const fn label(self) -> &'static str {
         match self {
--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -125,6 +125,7 @@
         number,
         document: document.unwrap_or_default(),
         is_leaving: state.is_draining(),
+        reaches_store: state.reaches_store(now),
         has_served: state.has_served(),
         loads: loads.collect(),
         stuck: stuck.map(|slot| slot.vm.clone()).collect(),
--- a/crates/pier_edge/src/peers/node_beat.rs
+++ b/crates/pier_edge/src/peers/node_beat.rs
@@ -30,6 +30,8 @@
     pub document: epochs::ConfigVersion,
     /// Whether the node stops and plans nothing more.
     pub is_leaving: bool,
+    /// Whether the store answered the node of late.
+    pub reaches_store: bool,
     /// Whether the node has served a request, so that loads count.
     pub has_served: bool,
     pub loads: Vec<(ids::VmName, loads::TargetLoad)>,
--- a/crates/pier_edge/src/peers/peer_table.rs
+++ b/crates/pier_edge/src/peers/peer_table.rs
@@ -176,6 +176,12 @@
         self.steward_view(data_centre, own, now).local
     }
 
+    /// Returns the nodes that reached the store of late.
+    pub(crate) fn reaching(&self, now: times::BootTime) -> collections::BTreeSet<ids::NodeName> {
+        let beats = self.beats(now, LIFE).filter(|beat| beat.reaches_store);
+        beats.map(|beat| beat.node.clone()).collect()
+    }
+
     /// Returns how many other nodes are known.
     pub(crate) fn count(&self) -> usize {
         self.peers.len()
--- a/crates/pier_edge/src/peers/relay_follower.rs
+++ b/crates/pier_edge/src/peers/relay_follower.rs
@@ -79,6 +79,17 @@
             && heard.store_age + silence < STORE_LIFE
     }
 
+    /// Tells whether the steward is heard of and has not reached the store for a while.
+    pub(crate) fn is_parted(&self, steward: Option<&ids::NodeName>, now: times::BootTime) -> bool {
+        let Some(heard) = &self.heard else {
+            return false;
+        };
+        let silence = now.since(heard.heard_at);
+        steward == Some(&heard.node)
+            && silence < RELAY_LIFE
+            && heard.store_age + silence >= STORE_LIFE
+    }
+
     /// Tells whether changes were missed, so that the whole list has to be read.
     pub(crate) const fn is_behind(&self) -> bool {
         self.is_behind || self.at.is_none()
--- a/crates/pier_edge/src/records/node_record.rs
+++ b/crates/pier_edge/src/records/node_record.rs
@@ -28,7 +28,7 @@
                 }
                 other => {
                     log::warn!(event = "node-record-not-written", outcome:? = other; "");
-                    tokio::time::sleep(pause.next(rand::random())).await;
+                    tokio::time::sleep(pause.next(false, rand::random())).await;
                 }
             }
         }
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -15,9 +15,13 @@
 /// Least time between two watches, so that changes in quick succession cost few calls.
 const CHANGE_PAUSE: time::Duration = time::Duration::from_millis(150);
 
+/// The same for the document, which has to be in force within two seconds: a third of that time is
+/// left to the call and to the pages of a long document.
+const DOCUMENT_PAUSE: time::Duration = time::Duration::from_millis(600);
+
 /// The same for the registrations at a steward that forms a group, which waits for its orders'
 /// effects there.
-const STEWARD_PAUSE: time::Duration = time::Duration::from_millis(30);
+const STEWARD_PAUSE: time::Duration = time::Duration::from_millis(40);
 
 /// How long a steward's watch of the registrations waits: the age of its last answer tells the
 /// nodes of its data centre whether it still reaches the store.
@@ -41,7 +45,7 @@
 const OWN_TRIES: u32 = 2;
 
 /// How long they wait at most, since the store may fail for one connection alone.
-const GATE_WAIT: time::Duration = time::Duration::from_millis(1_200);
+const GATE_WAIT: time::Duration = time::Duration::from_millis(2_500);
 
 /// Starts to follow a kind.
 pub(crate) fn spawn<P: links::FleetPlatform>(state: state::EdgeState<P>, kind: links::RecordKind) {
@@ -192,6 +196,8 @@
     fn least_pause(&self) -> time::Duration {
         if self.is_relay() && self.state.is_forming() {
             STEWARD_PAUSE
+        } else if self.kind == links::RecordKind::Document {
+            DOCUMENT_PAUSE
         } else {
             CHANGE_PAUSE
         }
@@ -240,7 +246,8 @@
             self.failing_since = Some(now);
             log::warn!(event = "store-away", kind = self.kind.label(), cause:% = error; "");
         }
-        let pause = self.pause.next(rand::random());
+        let is_steward = self.state.with_peers(|peers| peers.is_steward());
+        let pause = self.pause.next(is_steward, rand::random());
         let is_asker = self.kind == links::RecordKind::Document;
         if is_asker || self.pause.failures() <= OWN_TRIES {
             tokio::time::sleep(pause).await;
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -12,6 +12,9 @@
 
 use crate::{links, peers, settings, state, telemetry};
 
+/// Age of the store's last answer up to which a node that reads the store by itself reaches it.
+const REACH_TIME: time::Duration = time::Duration::from_secs(1);
+
 /// A cheap handle on everything that the parts of a node share.
 #[derive(Debug)]
 pub(crate) struct EdgeState<P> {
@@ -205,6 +208,20 @@
         now.since(times::BootTime::from_micros(heard_at))
     }
 
+    /// Tells whether the store answered this node of late.
+    pub(crate) fn reaches_store(&self, now: times::BootTime) -> bool {
+        self.store_age(now) < REACH_TIME
+    }
+
+    /// Tells whether this data centre's steward lives and does not reach the store, which this node
+    /// does.
+    pub(crate) fn is_steward_parted(&self, now: times::BootTime) -> bool {
+        let place = &self.settings().data_centre;
+        let steward = self.with_peers(|peers| peers.steward(place).cloned());
+        let is_parted = self.with_follower(|follower| follower.is_parted(steward.as_ref(), now));
+        is_parted && self.reaches_store(now)
+    }
+
     pub(crate) fn with_relay_log<T>(&self, change: impl FnOnce(&mut peers::RelayLog) -> T) -> T {
         let value = change(&mut state::target_slot::lock(&self.shared.relay_log));
         self.shared.relay_changed.notify_waiters();
--- a/crates/pier_fleet/src/formation/domain_plan.rs
+++ b/crates/pier_fleet/src/formation/domain_plan.rs
@@ -57,6 +57,7 @@
                 retiring_since: None,
                 broken_since: None,
             };
+            self.planner.formed_at = Some(self.now);
             let states = group.states(&name, self.input.facts);
             self.step_group(&name, &mut group, &states);
             self.planner.groups.insert(name, group);
--- a/crates/pier_fleet/src/formation/formation_planner.rs
+++ b/crates/pier_fleet/src/formation/formation_planner.rs
@@ -10,6 +10,9 @@
 /// after the other when the store, or the way to it, is back.
 const ADOPT_TIME: time::Duration = time::Duration::from_secs(2);
 
+/// How long after a group was formed its members may take to be ready without a load of weights.
+const FORMING_TIME: time::Duration = time::Duration::from_millis(2_500);
+
 /// Generations that each term of a planner has of its own.
 const TERM_GENERATIONS: u64 = 1_000_000;
 
@@ -26,6 +29,8 @@
     pub(super) counts_loads: bool,
     /// When a VM of each domain was last seen for the first time.
     pub(super) grown_at: collections::BTreeMap<ids::DomainName, times::BootTime>,
+    /// When a group was last formed.
+    pub(super) formed_at: Option<times::BootTime>,
     seen: collections::BTreeSet<(ids::VmName, epochs::VmIncarnation)>,
     /// Since when groups that this planner does not know are reported in part.
     partial_since: collections::BTreeMap<ids::GroupName, times::BootTime>,
@@ -40,6 +45,7 @@
             loads: budgets::LoadBudget::new(now),
             counts_loads: true,
             grown_at: collections::BTreeMap::new(),
+            formed_at: None,
             seen: collections::BTreeSet::new(),
             partial_since: collections::BTreeMap::new(),
         }
@@ -61,10 +67,14 @@
         heads.map(|member| member.vm.clone()).collect()
     }
 
-    /// Tells whether a whole group was not told to serve yet.
-    pub fn is_forming(&self) -> bool {
+    /// Tells whether a group was formed a moment ago and was not told to serve yet; one whose members
+    /// load weights first is not waited for.
+    pub fn is_forming(&self, now: times::BootTime) -> bool {
+        let is_fresh = self
+            .formed_at
+            .is_some_and(|at| now.since(at) < FORMING_TIME);
         let mut groups = self.groups.values();
-        groups.any(|group| group.is_whole && group.opened_at.is_none())
+        is_fresh && groups.any(|group| group.is_whole && group.opened_at.is_none())
     }
 
     /// Raises the generations above one that a VM refused to go below.
--- a/crates/pier_fleet/src/formation/mend_steps.rs
+++ b/crates/pier_fleet/src/formation/mend_steps.rs
@@ -132,6 +132,7 @@
             retiring_since: None,
             broken_since: None,
         };
+        self.planner.formed_at = Some(self.now);
         let states = group.states(name, self.input.facts);
         self.step_group(name, group, &states);
     }
--- a/crates/pier_fleet/src/stewards/steward_view.rs
+++ b/crates/pier_fleet/src/stewards/steward_view.rs
@@ -25,3 +25,15 @@
     /// Nodes of other data centres that are heard of and not leaving.
     pub remote: collections::BTreeSet<ids::NodeName>,
 }
+
+impl StewardView {
+    /// Returns the view with only those local nodes that reach the store.
+    ///
+    /// For a steward that lives and does not reach it: its nodes would each read the store by
+    /// themselves for as long as that lasts, so one that does reach it takes over.
+    #[must_use]
+    pub fn among_reaching(mut self, reaching: &collections::BTreeSet<ids::NodeName>) -> Self {
+        self.local.retain(|node| reaching.contains(node));
+        self
+    }
+}
