Give each large domain one model, so that any of its VMs stands by for all of its groups

Change: where a data centre has as many domains as models and each domain holds two groups of one model, domains run one model alone, unless that costs more than 5 % of the worst model's groups. VMs that run a model already are formed into a group though none is left to stand by.

--- a/crates/pier_fleet/src/formation/domain_counts.rs
+++ b/crates/pier_fleet/src/formation/domain_counts.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use pier_types::ids;
+use pier_types::{ids, times};
 
 use crate::{documents, formation};
 
@@ -11,9 +11,15 @@
 const SETTLE_TIME: time::Duration = time::Duration::from_millis(500);
 
 impl formation::DomainPlan<'_> {
+    /// Tells whether groups may be formed: the first ones once all domains are settled, since the
+    /// models are assigned to domains then.
     pub(super) fn is_settled(&self) -> bool {
+        let is_old = |at: &times::BootTime| self.now.since(*at) >= SETTLE_TIME;
+        if self.planner.groups.is_empty() {
+            return self.planner.grown_at.values().all(is_old);
+        }
         let grown_at = self.planner.grown_at.get(self.domain);
-        grown_at.is_none_or(|at| self.now.since(*at) >= SETTLE_TIME)
+        grown_at.is_none_or(is_old)
     }
 
     pub(super) fn group_names(&self) -> Vec<ids::GroupName> {
--- /dev/null
+++ b/crates/pier_fleet/src/formation/domain_layout.rs
@@ -0,0 +1,147 @@
+//! Which domains run one model alone.
+
+use std::collections;
+
+use pier_types::ids;
+
+use crate::{documents, formation};
+
+/// Least groups of a model that make a domain of it worth while: the survivors of a broken one
+/// stand by for the others.
+const LEAST_GROUPS: u32 = 2;
+
+/// Part of the mixed layout's capacity of its worst model that a layout by domains must reach, in
+/// percent.
+const KEPT_PERCENT: f64 = 95.0;
+
+/// Assigns a model to each domain, or nothing where domains have to be shared.
+///
+/// Groups of one model need standby VMs of one model alone, and each survivor of a broken group
+/// stands by for the others; in a shared domain the standby VM at hand is often of the other model
+/// and has to load first. `domains` holds the usable VMs of each domain.
+pub(super) fn assign_models(
+    models: &[documents::ModelSpec],
+    domains: &collections::BTreeMap<ids::DomainName, u32>,
+) -> collections::BTreeMap<ids::DomainName, ids::ModelName> {
+    let none = collections::BTreeMap::new();
+    if models.len() < 2 || domains.len() < models.len() {
+        return none;
+    }
+    let mut assigned = collections::BTreeMap::new();
+    let mut counts = vec![0_u32; models.len()];
+    let mut largest: Vec<_> = domains.iter().collect();
+    largest.sort_by_key(|(_name, vms)| std::cmp::Reverse(**vms));
+    for (domain, vms) in largest {
+        let Some(index) = scarcest(models, &counts, |model| {
+            groups_of(model, *vms) >= LEAST_GROUPS
+        }) else {
+            return none;
+        };
+        counts[index] += groups_of(&models[index], *vms);
+        assigned.insert(domain.clone(), models[index].name.clone());
+    }
+    let mixed = mixed_counts(models, domains);
+    let kept = worst_part(models, &counts) * 100.0 >= worst_part(models, &mixed) * KEPT_PERCENT;
+    if kept { assigned } else { none }
+}
+
+/// Returns how many groups of a model a domain of its own holds, with a VM left to stand by.
+fn groups_of(model: &documents::ModelSpec, vms: u32) -> u32 {
+    vms.saturating_sub(1) / model.size.get().max(1)
+}
+
+/// Returns the model that is furthest below its part among those that fit; of two alike the larger.
+fn scarcest(
+    models: &[documents::ModelSpec],
+    counts: &[u32],
+    fits: impl Fn(&documents::ModelSpec) -> bool,
+) -> Option<usize> {
+    let fitting = (0..models.len()).filter(|index| fits(&models[*index]));
+    fitting.min_by(|left, right| {
+        let parts = (
+            part(&models[*left], counts[*left]),
+            part(&models[*right], counts[*right]),
+        );
+        let by_size = models[*right].size.cmp(&models[*left].size);
+        parts.0.total_cmp(&parts.1).then(by_size)
+    })
+}
+
+/// Returns the groups of each model where every domain is shared.
+fn mixed_counts(
+    models: &[documents::ModelSpec],
+    domains: &collections::BTreeMap<ids::DomainName, u32>,
+) -> Vec<u32> {
+    let mut counts = vec![0; models.len()];
+    for vms in domains.values() {
+        let mut free = *vms;
+        let mut reserve = 0;
+        while let Some(index) =
+            scarcest(models, &counts, |model| free >= model.size.get() + reserve)
+        {
+            free -= models[index].size.get().max(1);
+            counts[index] += 1;
+            reserve = 1;
+        }
+    }
+    counts
+}
+
+/// Returns a number of groups as a part of what the model's share of the work asks for.
+fn part(model: &documents::ModelSpec, count: u32) -> f64 {
+    let wanted = (model.share / f64::from(model.size.get().max(1))).max(1e-6);
+    f64::from(count) / wanted
+}
+
+fn worst_part(models: &[documents::ModelSpec], counts: &[u32]) -> f64 {
+    let parts = models.iter().zip(counts);
+    let parts = parts.map(|(model, count)| part(model, *count));
+    parts.fold(f64::INFINITY, f64::min)
+}
+
+impl formation::FormationPlanner {
+    /// Assigns models to domains before the first group is formed; a planner that takes over goes on
+    /// with what the groups show. A domain that can not hold a group of its model any more is shared.
+    pub(super) fn assign_domains(&mut self, input: &formation::FormationInput<'_>) {
+        let models = &input.engine.models;
+        let domains = usable_by_domain(input);
+        if self.groups.is_empty() {
+            self.assigned = assign_models(models, &domains);
+        } else if self.assigned.is_empty() && !assign_models(models, &domains).is_empty() {
+            self.assigned = self.models_alone(input);
+        }
+        self.assigned.retain(|domain, model| {
+            let size = input.engine.model(model).map(|model| model.size.get());
+            let usable = domains.get(domain).copied().unwrap_or(0);
+            size.is_some_and(|size| usable >= size)
+        });
+    }
+
+    /// Returns the domains whose groups all run one model, if that is so in all domains.
+    fn models_alone(
+        &self,
+        input: &formation::FormationInput<'_>,
+    ) -> collections::BTreeMap<ids::DomainName, ids::ModelName> {
+        let mut alone: collections::BTreeMap<_, ids::ModelName> = collections::BTreeMap::new();
+        for group in self.groups.values() {
+            let members = group.members.iter();
+            for facts in members.filter_map(|member| input.facts.get(&member.vm)) {
+                let known = alone.entry(facts.domain.clone());
+                if *known.or_insert_with(|| group.model.clone()) != group.model {
+                    return collections::BTreeMap::new();
+                }
+            }
+        }
+        alone
+    }
+}
+
+fn usable_by_domain(
+    input: &formation::FormationInput<'_>,
+) -> collections::BTreeMap<ids::DomainName, u32> {
+    let mut domains = collections::BTreeMap::new();
+    for facts in input.facts.values().filter(|facts| facts.is_usable()) {
+        *domains.entry(facts.domain.clone()).or_insert(0) += 1;
+    }
+    domains
+}
--- a/crates/pier_fleet/src/formation/domain_plan.rs
+++ b/crates/pier_fleet/src/formation/domain_plan.rs
@@ -106,7 +106,7 @@
     pub(super) fn next_model(&self) -> Option<&'a documents::ModelSpec> {
         let free = self.free_vms().len();
         let has_groups = !self.group_names().is_empty();
-        let reserve = usize::from(has_groups);
+        let assigned = self.planner.assigned.get(self.domain);
         let counts = |model: &documents::ModelSpec| {
             let groups = self.planner.groups.values();
             groups.filter(|group| group.model == model.name).count() as f64
@@ -117,7 +117,11 @@
         };
         let fits = |model: &&documents::ModelSpec| {
             let size = usize::try_from(model.size.get()).unwrap_or(usize::MAX);
-            size > 0 && free >= size + reserve
+            let is_allowed = assigned.is_none_or(|assigned| *assigned == model.name);
+            // VMs that run the model already serve more as a group than by standing by.
+            let is_ready = self.ready_pool(model).len() >= size;
+            let reserve = usize::from(has_groups && !is_ready);
+            is_allowed && size > 0 && free >= size + reserve
         };
         let models = self.input.engine.models.iter().filter(fits);
         models.min_by(|left, right| {
--- a/crates/pier_fleet/src/formation/formation_planner.rs
+++ b/crates/pier_fleet/src/formation/formation_planner.rs
@@ -29,6 +29,8 @@
     pub(super) counts_loads: bool,
     /// When a VM of each domain was last seen for the first time.
     pub(super) grown_at: collections::BTreeMap<ids::DomainName, times::BootTime>,
+    /// The model that a domain runs alone, for domains that are not shared.
+    pub(super) assigned: collections::BTreeMap<ids::DomainName, ids::ModelName>,
     /// When a group was last formed.
     pub(super) formed_at: Option<times::BootTime>,
     seen: collections::BTreeSet<(ids::VmName, epochs::VmIncarnation)>,
@@ -45,6 +47,7 @@
             loads: budgets::LoadBudget::new(now),
             counts_loads: true,
             grown_at: collections::BTreeMap::new(),
+            assigned: collections::BTreeMap::new(),
             formed_at: None,
             seen: collections::BTreeSet::new(),
             partial_since: collections::BTreeMap::new(),
@@ -102,6 +105,7 @@
     ) -> Vec<formation::GroupOrder> {
         self.note_seen(input, now);
         self.adopt(input, now);
+        self.assign_domains(input);
         let mut orders = Vec::new();
         let domains: collections::BTreeSet<_> = input
             .facts
--- a/crates/pier_fleet/src/formation/mod.rs
+++ b/crates/pier_fleet/src/formation/mod.rs
@@ -6,6 +6,7 @@
 //! runs the same model takes the lost member's rank.
 
 mod domain_counts;
+mod domain_layout;
 mod domain_orders;
 mod domain_plan;
 mod formation_input;
--- a/crates/pier_fleet/tests/support/mod.rs
+++ b/crates/pier_fleet/tests/support/mod.rs
@@ -71,11 +71,15 @@
     }
 
     pub fn add_vm(&mut self, name: &str) {
+        self.add_vm_in(name, "d0");
+    }
+
+    pub fn add_vm_in(&mut self, name: &str, domain: &str) {
         let vm: ids::VmName = name.parse().unwrap();
         self.born += 1;
         let facts = formation::MemberFacts {
             vm: vm.clone(),
-            domain: "d0".parse().unwrap(),
+            domain: domain.parse().unwrap(),
             standing: targets::TargetStanding {
                 born: epochs::VmIncarnation::new(self.born),
                 ..targets::TargetStanding::default()
