Bring loads a little younger to a choice, and count rivals by their model's own prompts

Change: looks each 40 ms, digests to the other hubs at each one, the view's age set to 0.1 s, rivals counted at the mean of the prompts that wait.

--- a/crates/pier_edge/src/peers/load_loop.rs
+++ b/crates/pier_edge/src/peers/load_loop.rs
@@ -10,21 +10,24 @@
 use crate::{links, peers, state};
 
 /// Time between two looks at the own load: a group begins about two requests of a busy day in it.
-const LOAD_TIME: time::Duration = time::Duration::from_millis(50);
+const LOAD_TIME: time::Duration = time::Duration::from_millis(40);
 
 /// Time between two looks from which on the node itself stood still; the two looks behind are needed
 /// to read what came meanwhile.
 const LATE_TIME: time::Duration = time::Duration::from_millis(200);
 
-/// Mean age of the other nodes' loads: half of the pause before a report, and half of the one
-/// before a digest or a look at the beats.
-pub(crate) const VIEW_AGE: time::Duration = time::Duration::from_millis(60);
+/// Mean age of the other nodes' loads: half of the pause before a report, the one before a digest and
+/// the one before another hub's digest, and the time until a request is counted.
+pub(crate) const VIEW_AGE: time::Duration = time::Duration::from_millis(100);
 
 /// Time after which an unchanged load is reported again, so that a lost datagram does no harm.
 const REPEAT_TIME: time::Duration = time::Duration::from_millis(300);
 
-/// Digests for the own data centre between two for the other hubs, whose way is dear.
-const HUB_STRIDE: u64 = 2;
+/// Nodes of a data centre up to which a digest goes out at each look.
+const FULL_RATE_NODES: usize = 30;
+
+/// Most looks between two digests: a hub that says nothing for several times as long is taken as lost.
+const LAST_STRIDE: usize = 4;
 
 /// How long a digest's word on a stuck target counts: a few digests.
 const TOLD_TIME: time::Duration = time::Duration::from_millis(300);
@@ -40,6 +43,8 @@
     digest_number: u64,
     last_report: Option<(loads::LoadReport, times::BootTime)>,
     retiring: collections::BTreeSet<ids::VmName>,
+    /// Looks since the start.
+    ticks: u64,
     /// The hub that the last report went to.
     hub: Option<ids::NodeName>,
 }
@@ -53,6 +58,7 @@
             digest_number: 0,
             last_report: None,
             retiring: collections::BTreeSet::new(),
+            ticks: 0,
             hub: None,
         }
     }
@@ -73,7 +79,7 @@
             if self.needs_hub() {
                 let hub = self.choose_hub(now);
                 self.report(hub.as_ref(), stuck, now).await;
-                if hub.as_ref() == Some(self.state.node()) {
+                if hub.as_ref() == Some(self.state.node()) && self.is_digest_due() {
                     self.digest(now).await;
                 }
             }
@@ -92,6 +98,20 @@
         count > beat_loop::FULL_RATE_PEERS
     }
 
+    /// Tells whether a digest goes out now; with many nodes in the data centre they are rarer, so that
+    /// a hub's bytes grow with the nodes up to a bound and slower behind it.
+    fn is_digest_due(&mut self) -> bool {
+        let place = &self.state.settings().data_centre;
+        let now = times::clocks::boot_now();
+        let nodes = self
+            .state
+            .with_peers(|peers| peers.local_addresses(place, now).len());
+        let stride = nodes.div_ceil(FULL_RATE_NODES).clamp(1, LAST_STRIDE);
+        self.ticks += 1;
+        self.ticks
+            .is_multiple_of(u64::try_from(stride).unwrap_or(1))
+    }
+
     fn choose_hub(&self, now: times::BootTime) -> Option<ids::NodeName> {
         let place = &self.state.settings().data_centre;
         let (steward, living) = self.state.with_peers(|peers| {
@@ -121,6 +141,7 @@
         let loaded = slots.iter().filter(|slot| slot.gauge.own_in_flight() > 0);
         let mut report = loads::LoadReport {
             node: self.state.node().clone(),
+            tag: self.state.load_tag(),
             number: self.report_number,
             loads: loaded
                 .map(|slot| (slot.vm.clone(), slot.gauge.own_load()))
@@ -178,13 +199,11 @@
             let whole = loads.hub.whole_digest(own_part.clone());
             (own_part, whole)
         });
-        if number.is_multiple_of(HUB_STRIDE) {
-            let message = peers::PeerMessage::Digest(loads::LoadDigest {
-                counted: collections::BTreeMap::new(),
-                ..own_part
-            });
-            beat_loop::send_all(&self.socket, &message, &hubs).await;
-        }
+        let message = peers::PeerMessage::Digest(loads::LoadDigest {
+            counted: collections::BTreeMap::new(),
+            ..own_part
+        });
+        beat_loop::send_all(&self.socket, &message, &hubs).await;
         let message = peers::PeerMessage::Digest(whole.clone());
         beat_loop::send_all(&self.socket, &message, &local).await;
         take_digest(&self.state, whole, now);
@@ -193,7 +212,7 @@
 
 /// Takes over the other nodes' load at each target: the hub's sums, or else the beats' words.
 fn note_others<P: links::FleetPlatform>(state: &state::EdgeState<P>, now: times::BootTime) {
-    let summed = state.with_loads(|loads| loads.follower.others(state.node(), now));
+    let summed = state.with_loads(|loads| loads.follower.others(state.load_tag(), now));
     let others = summed.unwrap_or_else(|| state.with_peers(|peers| peers.loads(now)));
     for slot in state.slots() {
         let load = others.get(&slot.vm).copied().unwrap_or_default();
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -53,6 +53,7 @@
     relay_log: sync::Mutex<peers::RelayLog>,
     follower: sync::Mutex<peers::RelayFollower>,
     loads: sync::Mutex<peers::LoadExchange>,
+    load_tag: u32,
     store_heard_at: atomic::AtomicU64,
     relay_changed: Notify,
     relay_heard: Notify,
@@ -84,6 +85,7 @@
             relay_log: sync::Mutex::default(),
             follower: sync::Mutex::default(),
             loads: sync::Mutex::default(),
+            load_tag: rand::random(),
             store_heard_at: atomic::AtomicU64::new(0),
             relay_changed: Notify::new(),
             relay_heard: Notify::new(),
@@ -243,6 +245,11 @@
         change(&mut state::target_slot::lock(&self.shared.loads))
     }
 
+    /// Returns the tag that this start's load reports bear.
+    pub(crate) fn load_tag(&self) -> u32 {
+        self.shared.load_tag
+    }
+
     /// Returns how old the other nodes' loads are on average.
     pub(crate) fn view_age(&self) -> time::Duration {
         let is_alone = self.with_peers(|peers| peers.count()) == 0;
--- a/crates/pier_fleet/src/dispatch/pass_model.rs
+++ b/crates/pier_fleet/src/dispatch/pass_model.rs
@@ -56,9 +56,10 @@
         self.scaled(total)
     }
 
-    /// Returns how much later a first event comes for each request of usual size that is ahead.
-    pub fn added_wait(&self, load: &dispatch::LoadFacts) -> time::Duration {
-        let read_ms = self.engine.usual_prompt / self.engine.read_per_ms;
+    /// Returns how much later a first event comes for each request with so many prompt tokens that
+    /// is ahead.
+    pub fn added_wait(&self, load: &dispatch::LoadFacts, prompt: f64) -> time::Duration {
+        let read_ms = prompt / self.engine.read_per_ms;
         let slot_ms = if load.in_flight() >= self.engine.batch.get() {
             let batch = f64::from(self.engine.batch.get().max(1));
             self.engine.usual_answer * self.engine.step_time_ms(batch) / batch
--- a/crates/pier_fleet/src/dispatch/rival_fill.rs
+++ b/crates/pier_fleet/src/dispatch/rival_fill.rs
@@ -7,6 +7,9 @@
 /// Most requests that are taken to choose at the same moment, which bounds the work of a choice.
 const RIVAL_LIMIT: u32 = 48;
 
+/// Waiting requests from which on their prompts tell the model's mean.
+const TELLING_REQUESTS: u32 = 4;
+
 /// Factor of the hash of a draw, which parts draws that differ little or by a pattern.
 const DRAW_FACTOR: u32 = 0x045D_9F3B;
 
@@ -31,6 +34,20 @@
     unseen.max(request.displaced).clamp(1, RIVAL_LIMIT)
 }
 
+/// Returns the mean prompt of the requests that wait at the candidates, which are all of one model;
+/// the published mean over all models while too few wait to tell.
+pub(super) fn mean_prompt(
+    engine: &documents::EngineSpec,
+    candidates: &[dispatch::LoadFacts],
+) -> f64 {
+    let waiting: u32 = candidates.iter().map(|load| load.waiting).sum();
+    let prompts: u64 = candidates.iter().map(|load| load.waiting_prompt).sum();
+    if waiting < TELLING_REQUESTS {
+        return engine.usual_prompt;
+    }
+    prompts as f64 / f64::from(waiting)
+}
+
 /// One place of a fill.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct FillPlace {
--- a/crates/pier_fleet/src/dispatch/stream_choice.rs
+++ b/crates/pier_fleet/src/dispatch/stream_choice.rs
@@ -57,7 +57,8 @@
     });
     let scored: Vec<_> = scored.collect();
     let rivals = rival_fill::count_rivals(engine, pace, request, candidates);
-    let cost = |position: usize| model.added_wait(&candidates[position]);
+    let prompt = rival_fill::mean_prompt(engine, candidates);
+    let cost = |position: usize| model.added_wait(&candidates[position], prompt);
     let drawn = rival_fill::draw_place(&scored, cost, rivals, request.draw);
     let Some(drawn) = drawn else {
         return if candidates.is_empty() {
--- a/crates/pier_fleet/src/loads/load_digest.rs
+++ b/crates/pier_fleet/src/loads/load_digest.rs
@@ -16,8 +16,9 @@
     pub data_centre: ids::DataCentreName,
     /// Rises with each digest of one start of the hub.
     pub number: u64,
-    /// Number of the newest report of each node that is counted in `local`; left out for other hubs.
-    pub counted: collections::BTreeMap<ids::NodeName, u64>,
+    /// Number of the newest report that is counted in `local`, by the node's tag; left out for other
+    /// hubs.
+    pub counted: collections::BTreeMap<u32, u64>,
     /// Load of the nodes of the hub's data centre.
     pub local: collections::BTreeMap<ids::VmName, loads::TargetLoad>,
     /// Load of the other data centres' nodes; left out for other hubs.
--- a/crates/pier_fleet/src/loads/load_follower.rs
+++ b/crates/pier_fleet/src/loads/load_follower.rs
@@ -46,10 +46,11 @@
         (now.since(*at) < DIGEST_LIFE).then_some(digest)
     }
 
-    /// Returns the load of all other nodes by target; none without a fresh digest.
-    pub fn others(&self, own: &ids::NodeName, now: times::BootTime) -> Option<OwnLoads> {
+    /// Returns the load of all other nodes than the one of a tag, by target; none without a fresh
+    /// digest.
+    pub fn others(&self, own: u32, now: times::BootTime) -> Option<OwnLoads> {
         let digest = self.digest(now)?;
-        let counted = digest.counted.get(own);
+        let counted = digest.counted.get(&own);
         let own_loads = counted.and_then(|number| {
             let mut sent = self.sent.iter();
             sent.find(|(sent, _loads)| sent == number)
--- a/crates/pier_fleet/src/loads/load_hub.rs
+++ b/crates/pier_fleet/src/loads/load_hub.rs
@@ -75,7 +75,7 @@
             retiring,
         };
         for (report, _at) in self.reports.values() {
-            digest.counted.insert(report.node.clone(), report.number);
+            digest.counted.insert(report.tag, report.number);
             for (vm, load) in &report.loads {
                 *digest.local.entry(vm.clone()).or_default() += *load;
             }
--- a/crates/pier_fleet/src/loads/load_report.rs
+++ b/crates/pier_fleet/src/loads/load_report.rs
@@ -12,6 +12,9 @@
 pub struct LoadReport {
     /// The node.
     pub node: ids::NodeName,
+    /// Names the node's start in digests, where its whole name would be most of the bytes; drawn at
+    /// random.
+    pub tag: u32,
     /// Rises with each report of one start of the node.
     pub number: u64,
     /// The load by target.
--- a/crates/pier_fleet/tests/loads_travel_by_hubs.rs
+++ b/crates/pier_fleet/tests/loads_travel_by_hubs.rs
@@ -28,6 +28,7 @@
     };
     loads::LoadReport {
         node: node(sender),
+        tag: sender,
         number,
         loads: collections::BTreeMap::from([(vm(target), load)]),
         stuck: collections::BTreeSet::new(),
@@ -52,7 +53,7 @@
         hub.hear_report(report, NOW);
     }
     follower.hear(digest(&hub, 1), NOW);
-    let others = follower.others(&node(3), NOW).unwrap();
+    let others = follower.others(3, NOW).unwrap();
     assert_eq!(others[&vm(7)].running, 48);
     assert_eq!(others[&vm(7)].waiting, 24);
     assert_eq!(others[&vm(7)].waiting_prompt, 24_000);
@@ -68,7 +69,7 @@
     follower.note_sent(&early);
     follower.note_sent(&late);
     follower.hear(digest(&hub, 1), NOW);
-    assert_eq!(follower.others(&node(1), NOW).unwrap()[&vm(7)].running, 5);
+    assert_eq!(follower.others(1, NOW).unwrap()[&vm(7)].running, 5);
 }
 
 #[test]
@@ -104,8 +105,8 @@
     hub.hear_report(report(1, 1, 7, 2), NOW);
     follower.hear(digest(&hub, 1), NOW);
     let later = NOW.after(time::Duration::from_secs(1));
-    assert!(follower.others(&node(2), NOW).is_some());
-    assert!(follower.others(&node(2), later).is_none());
+    assert!(follower.others(2, NOW).is_some());
+    assert!(follower.others(2, later).is_none());
     hub.expire(NOW.after(time::Duration::from_secs(3)));
     assert!(digest(&hub, 2).local.is_empty());
 }
@@ -123,7 +124,7 @@
     let none = collections::BTreeSet::new();
     let anew = other.local_digest(&node(77), &place("a"), 1, none);
     follower.hear(anew, NOW);
-    assert_eq!(follower.others(&node(2), NOW).unwrap()[&vm(7)].running, 1);
+    assert_eq!(follower.others(2, NOW).unwrap()[&vm(7)].running, 1);
 }
 
 #[test]
