--- a/crates/pier_edge/src/control/centre_steward.rs
+++ b/crates/pier_edge/src/control/centre_steward.rs
@@ -6,7 +6,7 @@
 use pier_types::{epochs, ids, times};
 
 use super::order_desk;
-use crate::{control, links, peers, records, state};
+use crate::{control, links, state};
 
 /// Pause before a VM that refused an order gets the next one.
 pub(super) const REFUSAL_PAUSE: time::Duration = time::Duration::from_millis(200);
@@ -20,7 +20,7 @@
 pub(super) struct CentreSteward<P> {
     pub(super) state: state::EdgeState<P>,
     pub(super) desk: control::OrderDesk<P>,
-    data_centre: ids::DataCentreName,
+    pub(super) data_centre: ids::DataCentreName,
     election: stewards::StewardElection,
     planner: Option<formation::FormationPlanner>,
     /// When this node first looked for a steward.
@@ -163,64 +163,6 @@
         }
     }
 
-    async fn claim(&self, view: &stewards::StewardView) {
-        let term = view
-            .word
-            .as_ref()
-            .map(|word| word.term)
-            .unwrap_or_default()
-            .next();
-        let version = view
-            .word
-            .as_ref()
-            .map(|word| word.version)
-            .unwrap_or_default();
-        let record = peers::StewardRecord {
-            holder: self.state.node().clone(),
-            term,
-        };
-        let Ok(text) = serde_json::to_string(&record) else {
-            log::error!(event = "steward-not-written", data_centre:% = self.data_centre; "");
-            return;
-        };
-        let name = format!("{}{}", records::STEWARD_PREFIX, self.data_centre);
-        self.state.metrics().count_store_call("nodes", "write");
-        let written = self
-            .state
-            .platform()
-            .write(&name, Some(version), text)
-            .await;
-        match written {
-            links::StoreWrite::Written(version) => {
-                log::info!(
-                    event = "steward-taken",
-                    data_centre:% = self.data_centre,
-                    term:% = term,
-                    former:? = view.word.as_ref().map(|word| word.holder.to_string());
-                    ""
-                );
-                let place = self.data_centre.clone();
-                self.state
-                    .with_peers(|peers| peers.set_steward(place, record, version));
-            }
-            links::StoreWrite::Conflict(Some(found)) => {
-                let keeper = records::RecordKeeper::new(self.state.clone());
-                let at = found.version;
-                let changes = vec![links::RecordChange::Put(found)];
-                let changes = links::RecordChanges { changes, at };
-                keeper.apply_changes(links::RecordKind::Nodes, changes, order_desk::now());
-            }
-            other => {
-                log::warn!(
-                    event = "steward-not-written",
-                    data_centre:% = self.data_centre,
-                    outcome:? = other;
-                    ""
-                );
-            }
-        }
-    }
-
     /// Plans and sends the orders that are due.
     fn plan(
         &mut self,
--- a/crates/pier_edge/src/control/mod.rs
+++ b/crates/pier_edge/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod member_questions;
 mod member_watch;
 mod order_desk;
+mod steward_claim;
 mod steward_loop;
 
 use centre_steward::CentreSteward;
--- /dev/null
+++ b/crates/pier_edge/src/control/steward_claim.rs
@@ -0,0 +1,68 @@
+//! Writes the record that names a data centre's steward.
+
+use pier_fleet::stewards;
+
+use super::order_desk;
+use crate::{control, links, peers, records};
+
+impl<P: links::FleetPlatform> control::CentreSteward<P> {
+    /// Writes this node into the record, on the version that was seen; a conflict brings the one that
+    /// was faster.
+    pub(super) async fn claim(&self, view: &stewards::StewardView) {
+        let term = view
+            .word
+            .as_ref()
+            .map(|word| word.term)
+            .unwrap_or_default()
+            .next();
+        let version = view
+            .word
+            .as_ref()
+            .map(|word| word.version)
+            .unwrap_or_default();
+        let record = peers::StewardRecord {
+            holder: self.state.node().clone(),
+            term,
+        };
+        let Ok(text) = serde_json::to_string(&record) else {
+            log::error!(event = "steward-not-written", data_centre:% = self.data_centre; "");
+            return;
+        };
+        let name = format!("{}{}", records::STEWARD_PREFIX, self.data_centre);
+        self.state.metrics().count_store_call("nodes", "write");
+        let written = self
+            .state
+            .platform()
+            .write(&name, Some(version), text)
+            .await;
+        match written {
+            links::StoreWrite::Written(version) => {
+                log::info!(
+                    event = "steward-taken",
+                    data_centre:% = self.data_centre,
+                    term:% = term,
+                    former:? = view.word.as_ref().map(|word| word.holder.to_string());
+                    ""
+                );
+                let place = self.data_centre.clone();
+                self.state
+                    .with_peers(|peers| peers.set_steward(place, record, version));
+            }
+            links::StoreWrite::Conflict(Some(found)) => {
+                let keeper = records::RecordKeeper::new(self.state.clone());
+                let at = found.version;
+                let changes = vec![links::RecordChange::Put(found)];
+                let changes = links::RecordChanges { changes, at };
+                keeper.apply_changes(links::RecordKind::Nodes, changes, order_desk::now());
+            }
+            other => {
+                log::warn!(
+                    event = "steward-not-written",
+                    data_centre:% = self.data_centre,
+                    outcome:? = other;
+                    ""
+                );
+            }
+        }
+    }
+}
--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -66,7 +66,7 @@
                 state.with_loads(|loads| loads.hub.hear_report(report, now));
             }
             Ok(peers::PeerMessage::Digest(digest)) => {
-                peers::load_loop::take_digest(&state, digest, now);
+                peers::load_intake::take_digest(&state, digest, now);
             }
             Err(error) => {
                 state.metrics().count_bad_beat();
--- /dev/null
+++ b/crates/pier_edge/src/peers/load_intake.rs
@@ -0,0 +1,51 @@
+//! Takes in the other nodes' loads.
+
+use std::time;
+
+use pier_fleet::loads;
+use pier_types::times;
+
+use crate::{links, state};
+
+/// How long a digest's word on a stuck target counts: a few digests.
+const TOLD_TIME: time::Duration = time::Duration::from_millis(300);
+
+/// Takes over the other nodes' load at each target: the hub's sums, or else the beats' words.
+pub(super) fn note_others<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    now: times::BootTime,
+) {
+    let summed = state.with_loads(|loads| loads.follower.others(state.load_tag(), now));
+    let others = summed.unwrap_or_else(|| state.with_peers(|peers| peers.loads(now)));
+    for slot in state.slots() {
+        let load = others.get(&slot.vm).copied().unwrap_or_default();
+        slot.gauge.set_heard(load);
+    }
+}
+
+/// Takes in a digest of the own data centre's hub, or of another one.
+pub(super) fn take_digest<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    digest: loads::LoadDigest,
+    now: times::BootTime,
+) {
+    let place = &state.settings().data_centre;
+    if digest.data_centre != *place {
+        state.with_loads(|loads| loads.hub.hear_digest(digest, now));
+        return;
+    }
+    let is_chosen = state.with_loads(|loads| {
+        loads.choice.note_digest(&digest.hub, now);
+        loads.choice.is_chosen(&digest.hub)
+    });
+    if !is_chosen {
+        return;
+    }
+    for slot in state.slots() {
+        if digest.stuck.contains(&slot.vm) {
+            slot.gauge.set_told_stuck(now.after(TOLD_TIME));
+        }
+    }
+    state.with_loads(|loads| loads.follower.hear(digest, now));
+    note_others(state, now);
+}
--- a/crates/pier_edge/src/peers/load_loop.rs
+++ b/crates/pier_edge/src/peers/load_loop.rs
@@ -6,7 +6,7 @@
 use pier_types::{ids, times};
 use tokio::net::UdpSocket;
 
-use super::{beat_loop, stall_watch};
+use super::{beat_loop, load_intake, stall_watch};
 use crate::{links, peers, state};
 
 /// Time between two looks at the own load: a group begins about two requests of a busy day in it.
@@ -29,9 +29,6 @@
 /// Most looks between two digests: a hub that says nothing for several times as long is taken as lost.
 const LAST_STRIDE: usize = 4;
 
-/// How long a digest's word on a stuck target counts: a few digests.
-const TOLD_TIME: time::Duration = time::Duration::from_millis(300);
-
 /// Reports this node's load to its hub, and sends digests while it is the hub itself.
 ///
 /// Fleets of a few nodes need no hub: their beats tell everything as often.
@@ -83,7 +80,7 @@
                     self.digest(now).await;
                 }
             }
-            note_others(&self.state, now);
+            load_intake::note_others(&self.state, now);
             let retiring = self.state.retiring(now);
             if retiring != self.retiring {
                 self.retiring = retiring;
@@ -206,43 +203,6 @@
         beat_loop::send_all(&self.socket, &message, &hubs).await;
         let message = peers::PeerMessage::Digest(whole.clone());
         beat_loop::send_all(&self.socket, &message, &local).await;
-        take_digest(&self.state, whole, now);
-    }
-}
-
-/// Takes over the other nodes' load at each target: the hub's sums, or else the beats' words.
-fn note_others<P: links::FleetPlatform>(state: &state::EdgeState<P>, now: times::BootTime) {
-    let summed = state.with_loads(|loads| loads.follower.others(state.load_tag(), now));
-    let others = summed.unwrap_or_else(|| state.with_peers(|peers| peers.loads(now)));
-    for slot in state.slots() {
-        let load = others.get(&slot.vm).copied().unwrap_or_default();
-        slot.gauge.set_heard(load);
-    }
-}
-
-/// Takes in a digest of the own data centre's hub, or of another one.
-pub(super) fn take_digest<P: links::FleetPlatform>(
-    state: &state::EdgeState<P>,
-    digest: loads::LoadDigest,
-    now: times::BootTime,
-) {
-    let place = &state.settings().data_centre;
-    if digest.data_centre != *place {
-        state.with_loads(|loads| loads.hub.hear_digest(digest, now));
-        return;
-    }
-    let is_chosen = state.with_loads(|loads| {
-        loads.choice.note_digest(&digest.hub, now);
-        loads.choice.is_chosen(&digest.hub)
-    });
-    if !is_chosen {
-        return;
-    }
-    for slot in state.slots() {
-        if digest.stuck.contains(&slot.vm) {
-            slot.gauge.set_told_stuck(now.after(TOLD_TIME));
-        }
+        load_intake::take_digest(&self.state, whole, now);
     }
-    state.with_loads(|loads| loads.follower.hear(digest, now));
-    note_others(state, now);
 }
--- a/crates/pier_edge/src/peers/mod.rs
+++ b/crates/pier_edge/src/peers/mod.rs
@@ -2,6 +2,7 @@
 
 mod beat_loop;
 mod load_exchange;
+mod load_intake;
 mod load_loop;
 mod node_beat;
 mod peer_table;
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -12,13 +12,10 @@
 
 use crate::{links, peers, settings, state, telemetry};
 
-/// Age of the store's last answer up to which a node that reads the store by itself reaches it.
-const REACH_TIME: time::Duration = time::Duration::from_secs(1);
-
 /// A cheap handle on everything that the parts of a node share.
 #[derive(Debug)]
 pub(crate) struct EdgeState<P> {
-    shared: sync::Arc<SharedState<P>>,
+    pub(super) shared: sync::Arc<SharedState<P>>,
 }
 
 impl<P> Clone for EdgeState<P> {
@@ -30,7 +27,7 @@
 }
 
 #[derive(Debug)]
-struct SharedState<P> {
+pub(super) struct SharedState<P> {
     settings: settings::EdgeSettings,
     node: ids::NodeName,
     platform: P,
@@ -50,13 +47,13 @@
     own_retiring: sync::Mutex<collections::BTreeSet<ids::VmName>>,
     book_changed: Notify,
     store_returned: Notify,
-    relay_log: sync::Mutex<peers::RelayLog>,
-    follower: sync::Mutex<peers::RelayFollower>,
+    pub(super) relay_log: sync::Mutex<peers::RelayLog>,
+    pub(super) follower: sync::Mutex<peers::RelayFollower>,
     loads: sync::Mutex<peers::LoadExchange>,
     load_tag: u32,
-    store_heard_at: atomic::AtomicU64,
-    relay_changed: Notify,
-    relay_heard: Notify,
+    pub(super) store_heard_at: atomic::AtomicU64,
+    pub(super) relay_changed: Notify,
+    pub(super) relay_heard: Notify,
     forming: atomic::AtomicBool,
 }
 
@@ -198,49 +195,6 @@
         self.shared.store_returned.notified().await;
     }
 
-    /// Notes that the store has answered.
-    pub(crate) fn note_store(&self, now: times::BootTime) {
-        let cell = &self.shared.store_heard_at;
-        cell.fetch_max(now.as_micros(), atomic::Ordering::Relaxed);
-    }
-
-    /// Returns how long ago the store last answered this node.
-    pub(crate) fn store_age(&self, now: times::BootTime) -> time::Duration {
-        let heard_at = self.shared.store_heard_at.load(atomic::Ordering::Relaxed);
-        now.since(times::BootTime::from_micros(heard_at))
-    }
-
-    /// Tells whether the store answered this node of late.
-    pub(crate) fn reaches_store(&self, now: times::BootTime) -> bool {
-        self.store_age(now) < REACH_TIME
-    }
-
-    /// Tells whether this data centre's steward lives and does not reach the store, which this node
-    /// does.
-    pub(crate) fn is_steward_parted(&self, now: times::BootTime) -> bool {
-        let place = &self.settings().data_centre;
-        let steward = self.with_peers(|peers| peers.steward(place).cloned());
-        let is_parted = self.with_follower(|follower| follower.is_parted(steward.as_ref(), now));
-        is_parted && self.reaches_store(now)
-    }
-
-    pub(crate) fn with_relay_log<T>(&self, change: impl FnOnce(&mut peers::RelayLog) -> T) -> T {
-        let value = change(&mut state::target_slot::lock(&self.shared.relay_log));
-        self.shared.relay_changed.notify_waiters();
-        value
-    }
-
-    pub(crate) async fn relay_change(&self) {
-        self.shared.relay_changed.notified().await;
-    }
-
-    pub(crate) fn with_follower<T>(
-        &self,
-        change: impl FnOnce(&mut peers::RelayFollower) -> T,
-    ) -> T {
-        change(&mut state::target_slot::lock(&self.shared.follower))
-    }
-
     pub(crate) fn with_loads<T>(&self, change: impl FnOnce(&mut peers::LoadExchange) -> T) -> T {
         change(&mut state::target_slot::lock(&self.shared.loads))
     }
@@ -268,40 +222,6 @@
         retiring
     }
 
-    /// Tells whether this node relies on its steward's word about the store.
-    pub(crate) fn is_following(&self, now: times::BootTime) -> bool {
-        let place = &self.settings().data_centre;
-        let steward = self.with_peers(|peers| peers.steward(place).cloned());
-        self.with_follower(|follower| follower.is_following(steward.as_ref(), now))
-    }
-
-    pub(crate) fn notify_relay(&self) {
-        self.shared.relay_heard.notify_waiters();
-    }
-
-    /// Waits for a steward's word that asks for reading.
-    pub(crate) async fn relay_word(&self) {
-        self.shared.relay_heard.notified().await;
-    }
-
-    /// Returns what a steward tells the nodes of its data centre.
-    pub(crate) fn relay_beat(&self, now: times::BootTime) -> peers::RelayBeat {
-        let age = self.store_age(now);
-        let mut log = state::target_slot::lock(&self.shared.relay_log);
-        let (from, to, changes) = log.latest(now);
-        drop(log);
-        peers::RelayBeat {
-            node: self.node().clone(),
-            data_centre: self.settings().data_centre.clone(),
-            store_age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
-            closed: self.closed().iter().cloned().collect(),
-            stewards: self.with_peers(|peers| peers.stewards()),
-            from,
-            to,
-            changes,
-        }
-    }
-
     /// Builds the table of targets anew.
     pub(crate) fn rebuild(&self, now: times::BootTime) {
         let Some(document) = self.document() else {
--- a/crates/pier_edge/src/state/mod.rs
+++ b/crates/pier_edge/src/state/mod.rs
@@ -4,6 +4,7 @@
 mod first_event_memory;
 mod retry_purse;
 mod serving_table;
+mod store_view;
 mod table_builder;
 mod target_gauge;
 mod target_slot;
--- /dev/null
+++ b/crates/pier_edge/src/state/store_view.rs
@@ -0,0 +1,89 @@
+//! What a node knows of the store, by itself and from its steward.
+
+use std::{sync::atomic, time};
+
+use pier_types::times;
+
+use crate::{links, peers, state};
+
+/// Age of the store's last answer up to which a node that reads the store by itself reaches it.
+const REACH_TIME: time::Duration = time::Duration::from_secs(1);
+
+impl<P: links::FleetPlatform> state::EdgeState<P> {
+    /// Notes that the store has answered.
+    pub(crate) fn note_store(&self, now: times::BootTime) {
+        let cell = &self.shared.store_heard_at;
+        cell.fetch_max(now.as_micros(), atomic::Ordering::Relaxed);
+    }
+
+    /// Returns how long ago the store last answered this node.
+    pub(crate) fn store_age(&self, now: times::BootTime) -> time::Duration {
+        let heard_at = self.shared.store_heard_at.load(atomic::Ordering::Relaxed);
+        now.since(times::BootTime::from_micros(heard_at))
+    }
+
+    /// Tells whether the store answered this node of late.
+    pub(crate) fn reaches_store(&self, now: times::BootTime) -> bool {
+        self.store_age(now) < REACH_TIME
+    }
+
+    /// Tells whether this data centre's steward lives and does not reach the store, which this node
+    /// does.
+    pub(crate) fn is_steward_parted(&self, now: times::BootTime) -> bool {
+        let place = &self.settings().data_centre;
+        let steward = self.with_peers(|peers| peers.steward(place).cloned());
+        let is_parted = self.with_follower(|follower| follower.is_parted(steward.as_ref(), now));
+        is_parted && self.reaches_store(now)
+    }
+
+    pub(crate) fn with_relay_log<T>(&self, change: impl FnOnce(&mut peers::RelayLog) -> T) -> T {
+        let value = change(&mut state::target_slot::lock(&self.shared.relay_log));
+        self.shared.relay_changed.notify_waiters();
+        value
+    }
+
+    pub(crate) async fn relay_change(&self) {
+        self.shared.relay_changed.notified().await;
+    }
+
+    pub(crate) fn with_follower<T>(
+        &self,
+        change: impl FnOnce(&mut peers::RelayFollower) -> T,
+    ) -> T {
+        change(&mut state::target_slot::lock(&self.shared.follower))
+    }
+
+    /// Tells whether this node relies on its steward's word about the store.
+    pub(crate) fn is_following(&self, now: times::BootTime) -> bool {
+        let place = &self.settings().data_centre;
+        let steward = self.with_peers(|peers| peers.steward(place).cloned());
+        self.with_follower(|follower| follower.is_following(steward.as_ref(), now))
+    }
+
+    pub(crate) fn notify_relay(&self) {
+        self.shared.relay_heard.notify_waiters();
+    }
+
+    /// Waits for a steward's word that asks for reading.
+    pub(crate) async fn relay_word(&self) {
+        self.shared.relay_heard.notified().await;
+    }
+
+    /// Returns what a steward tells the nodes of its data centre.
+    pub(crate) fn relay_beat(&self, now: times::BootTime) -> peers::RelayBeat {
+        let age = self.store_age(now);
+        let mut log = state::target_slot::lock(&self.shared.relay_log);
+        let (from, to, changes) = log.latest(now);
+        drop(log);
+        peers::RelayBeat {
+            node: self.node().clone(),
+            data_centre: self.settings().data_centre.clone(),
+            store_age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            closed: self.closed().iter().cloned().collect(),
+            stewards: self.with_peers(|peers| peers.stewards()),
+            from,
+            to,
+            changes,
+        }
+    }
+}
