Show one request's way out of several nodes' logs with 'explain'

'buckthornpier explain ID FILE...' prints the request's lines in order with their nodes, how it ended, and what its targets went through; lines that are not understood are counted.

--- a/crates/buckthornpier/src/commands/mod.rs
+++ b/crates/buckthornpier/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod demo_command;
 mod drain_command;
 mod edge_command;
+mod explain_command;
 mod groups_command;
 mod node_command;
 mod node_reader;
@@ -46,6 +47,7 @@
         Some((drain_command::UNDRAIN, matches)) => drain_command::run_undrain(matches),
         Some((status_command::NAME, matches)) => status_command::run(matches),
         Some((groups_command::NAME, matches)) => groups_command::run(matches),
+        Some((explain_command::NAME, matches)) => explain_command::run(matches),
         Some((demo_command::NAME, _matches)) => demo_command::run(),
         _ => Err(exits::CommandFailure::bad_input("no such command")),
     }
--- a/crates/buckthornpier/src/commands/root_command.rs
+++ b/crates/buckthornpier/src/commands/root_command.rs
@@ -4,7 +4,7 @@
 
 use crate::commands::{
     config_apply, config_check, config_diff, config_show, demo_command, drain_command,
-    edge_command, groups_command, node_command, status_command,
+    edge_command, explain_command, groups_command, node_command, status_command,
 };
 
 /// Name of the command that holds those on the configuration document.
@@ -33,6 +33,7 @@
         .subcommands(drain_command::build())
         .subcommand(status_command::build())
         .subcommand(groups_command::build())
+        .subcommand(explain_command::build())
         .subcommand(demo_command::build())
 }
 
--- a/crates/buckthornpier/src/main.rs
+++ b/crates/buckthornpier/src/main.rs
@@ -3,6 +3,7 @@
 mod commands;
 mod demo;
 mod exits;
+mod explain;
 mod logs;
 mod output;
 
--- a/crates/buckthornpier/tests/config_commands.rs
+++ b/crates/buckthornpier/tests/config_commands.rs
@@ -27,7 +27,7 @@
 
 #[test]
 fn help_is_given_for_every_command() {
-    let commands: [&[&str]; 12] = [
+    let commands: [&[&str]; 13] = [
         &[],
         &["node"],
         &["config"],
@@ -39,6 +39,7 @@
         &["undrain", "target"],
         &["status"],
         &["groups"],
+        &["explain"],
         &["demo"],
     ];
     for command in commands {
