Reproduce requests that crash target after target on the platform

The tests start nodes over stand-ins whose processes end when they run the request, and send it to the nodes in turn for 4 s. An innocent request that was on three lost targets is served, which has to stay so.

--- /dev/null
+++ b/crates/pier_edge/tests/crashing_requests.rs
@@ -0,0 +1,206 @@
+//! A request that crashes its targets is kept from the others, at every node; innocent requests are
+//! not.
+
+mod support;
+
+use std::time;
+
+use support::{
+    CRASH_MARKER, CrashingTarget, FakePlatform, GROUP_MODEL, KEY, RawAnswer, RawCaller, Script,
+    TestNode, group_member, plain_entry,
+};
+
+/// Sends that a crashing request may reach in all: three that crash their targets, and three more.
+const MAX_SENDS: usize = 6;
+
+/// How long the caller of a crashing request sends it again and again.
+const RESEND_TIME: time::Duration = time::Duration::from_secs(4);
+
+/// Time between two of its sends.
+const RESEND_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+const EVENTS: u32 = 12;
+
+fn request(path: &str, body: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: a.example\r\nx-attempt: a1\r\nx-key: {KEY}\r\n\
+         x-model: {GROUP_MODEL}\r\nx-timeout-ms: 3000\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+async fn ask(node: &TestNode, path: &str, body: &str) -> RawAnswer {
+    let mut caller = RawCaller::connect(node.callers).await;
+    caller.send(&request(path, body)).await;
+    caller.answer().await
+}
+
+async fn plain_targets(platform: &FakePlatform, count: usize) -> Vec<CrashingTarget> {
+    let mut targets = Vec::new();
+    for number in 0..count {
+        let entry = plain_entry(&format!("t{number}"), "127.0.0.1:9".parse().unwrap());
+        let script = Script::Whole("done");
+        targets.push(CrashingTarget::start(entry, platform.clone(), script).await);
+    }
+    targets
+}
+
+/// Starts the first members of groups of two; the second members are only registered.
+async fn group_targets(platform: &FakePlatform, count: usize) -> Vec<CrashingTarget> {
+    let mut targets = Vec::new();
+    for number in 0..count {
+        let group = format!("g{number}");
+        let address = "127.0.0.1:9".parse().unwrap();
+        platform.put_target(group_member(&group, 1, address));
+        let script = Script::Events {
+            last: EVENTS,
+            pause_ms: 20,
+            cut_in: None,
+            silent_from: None,
+        };
+        let entry = group_member(&group, 0, address);
+        targets.push(CrashingTarget::start(entry, platform.clone(), script).await);
+    }
+    targets
+}
+
+fn sends_of(targets: &[CrashingTarget], marker: &str) -> usize {
+    let requests = targets.iter().flat_map(CrashingTarget::requests);
+    requests.filter(|request| request.contains(marker)).count()
+}
+
+/// Sends a crashing request to the nodes in turn for a while; returns the last answer.
+async fn resend_crashing(nodes: &[TestNode], path: &str) -> RawAnswer {
+    let end = time::Instant::now() + RESEND_TIME;
+    for node in nodes.iter().cycle() {
+        let answer = ask(node, path, CRASH_MARKER).await;
+        if time::Instant::now() >= end {
+            return answer;
+        }
+        tokio::time::sleep(RESEND_INTERVAL).await;
+    }
+    unreachable!("there is at least one node");
+}
+
+fn assert_refused(answer: &RawAnswer) {
+    assert_eq!(answer.status(), 503);
+    let wait: f64 = answer.header("retry-after").unwrap().parse().unwrap();
+    assert!(wait > 60.0, "{wait}");
+}
+
+/// Guards against a request that goes on crashing targets because nodes do not tell each other.
+#[tokio::test]
+async fn a_crashing_request_reaches_few_targets_however_often_it_is_sent() {
+    let platform = FakePlatform::default();
+    let targets = plain_targets(&platform, 8).await;
+    let nodes = TestNode::start_fleet(3, platform, Vec::new()).await;
+    let last = resend_crashing(&nodes, "/read/x").await;
+    let sends = sends_of(&targets, CRASH_MARKER);
+    assert!((3..=MAX_SENDS).contains(&sends), "{sends} targets crashed");
+    assert_refused(&last);
+    assert_eq!(ask(&nodes[1], "/read/x", "innocent").await.status(), 200);
+}
+
+/// Guards against a one-time request that crashes targets each time its caller sends it anew.
+#[tokio::test]
+async fn a_crashing_one_time_request_reaches_few_targets() {
+    let platform = FakePlatform::default();
+    let targets = plain_targets(&platform, 8).await;
+    let nodes = TestNode::start_fleet(3, platform, Vec::new()).await;
+    let last = resend_crashing(&nodes, "/post/x").await;
+    let sends = sends_of(&targets, CRASH_MARKER);
+    assert!((3..=MAX_SENDS).contains(&sends), "{sends} targets crashed");
+    assert_refused(&last);
+}
+
+/// Guards against a stream that crashes group after group, and against quarantine of the streams
+/// that ran beside it.
+#[tokio::test]
+async fn a_crashing_stream_reaches_few_groups_and_others_are_served() {
+    let platform = FakePlatform::default();
+    let targets = group_targets(&platform, 8).await;
+    let nodes = TestNode::start_fleet(3, platform, Vec::new()).await;
+    let others = (0..12).map(|number| {
+        let address = nodes[number % nodes.len()].callers;
+        tokio::spawn(async move {
+            let body = format!("innocent {number}");
+            let mut statuses = Vec::new();
+            for _ in 0..6 {
+                let mut caller = RawCaller::connect(address).await;
+                caller.send(&request("/talk/x", &body)).await;
+                let answer = caller.answer().await;
+                statuses.push((answer.status(), answer.is_complete));
+                tokio::time::sleep(RESEND_INTERVAL).await;
+            }
+            statuses
+        })
+    });
+    let others: Vec<_> = others.collect();
+    let last = resend_crashing(&nodes, "/talk/x").await;
+    let sends = sends_of(&targets, CRASH_MARKER);
+    assert!((3..=MAX_SENDS).contains(&sends), "{sends} groups crashed");
+    assert_refused(&last);
+    for other in others {
+        let statuses = other.await.unwrap();
+        assert_eq!(statuses.last(), Some(&(200, true)), "{statuses:?}");
+    }
+}
+
+/// Guards against quarantine of an innocent request that was on three targets which were lost for
+/// other reasons.
+#[tokio::test]
+async fn an_innocent_request_that_ran_on_three_lost_targets_is_served() {
+    let platform = FakePlatform::default();
+    let targets = plain_targets(&platform, 6).await;
+    let nodes = TestNode::start_fleet(2, platform, Vec::new()).await;
+    let address = nodes[0].callers;
+    for lost in 1..=3 {
+        let sent = tokio::spawn(async move {
+            let mut caller = RawCaller::connect(address).await;
+            caller.send(&request("/post/x", "innocent")).await;
+            caller.answer().await
+        });
+        while sends_of(&targets, "innocent") < lost {
+            tokio::time::sleep(time::Duration::from_millis(2)).await;
+        }
+        let ran = |target: &&CrashingTarget| {
+            let count = target.requests().len();
+            count > usize::try_from(target.crashes()).unwrap()
+        };
+        targets.iter().find(ran).unwrap().crash();
+        assert_eq!(sent.await.unwrap().status(), 502);
+        tokio::time::sleep(time::Duration::from_millis(200)).await;
+    }
+    for node in &nodes {
+        assert_eq!(ask(node, "/post/x", "innocent").await.status(), 200);
+    }
+}
+
+/// Guards against nodes that know of crashes only through datagrams: a node that reaches no other
+/// node, but the store, would go on sending the request.
+#[tokio::test]
+async fn nodes_that_only_reach_the_store_keep_a_crashing_request_away() {
+    let platform = FakePlatform::default();
+    platform.hide_nodes();
+    let targets = plain_targets(&platform, 10).await;
+    let nodes = TestNode::start_fleet(3, platform, Vec::new()).await;
+    let last = resend_crashing(&nodes, "/post/x").await;
+    let sends = sends_of(&targets, CRASH_MARKER);
+    assert!((3..=MAX_SENDS).contains(&sends), "{sends} targets crashed");
+    assert_refused(&last);
+}
+
+/// Guards against a restart that forgets which requests are in quarantine.
+#[tokio::test]
+async fn a_node_that_starts_later_keeps_a_crashing_request_away() {
+    let platform = FakePlatform::default();
+    platform.hide_nodes();
+    let targets = plain_targets(&platform, 8).await;
+    let nodes = TestNode::start_fleet(1, platform.clone(), Vec::new()).await;
+    resend_crashing(&nodes, "/post/x").await;
+    let before = sends_of(&targets, CRASH_MARKER);
+    let started = TestNode::start_on(platform, "n9").await;
+    started.settle().await;
+    assert_refused(&ask(&started, "/post/x", CRASH_MARKER).await);
+    assert_eq!(sends_of(&targets, CRASH_MARKER), before);
+}
--- /dev/null
+++ b/crates/pier_edge/tests/support/crashing_target.rs
@@ -0,0 +1,140 @@
+//! A target whose process ends while it runs a certain request, and starts again after a while.
+
+use std::{
+    net,
+    sync::{Arc, Mutex},
+    time,
+};
+
+use pier_fleet::targets;
+use pier_types::epochs;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task,
+};
+
+use super::{FakePlatform, Script, scripted_target};
+
+/// A request whose text contains this ends each target that begins to run it.
+pub const CRASH_MARKER: &str = "crash-marker";
+
+/// Time between the end of a target and its next start.
+const DOWN_TIME: time::Duration = time::Duration::from_millis(300);
+
+/// Time that a target runs a request before it answers.
+const RUN_TIME: time::Duration = time::Duration::from_millis(60);
+
+/// A target on its own port that registers itself at every start.
+#[derive(Clone, Debug)]
+pub struct CrashingTarget {
+    entry: targets::TargetEntry,
+    platform: FakePlatform,
+    script: Script,
+    crashes: Arc<watch::Sender<u32>>,
+    requests: Arc<Mutex<Vec<String>>>,
+}
+
+impl CrashingTarget {
+    /// Starts a target that answers by a script; its registration gets a free address.
+    pub async fn start(
+        mut entry: targets::TargetEntry,
+        platform: FakePlatform,
+        script: Script,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        entry.address = listener.local_addr().unwrap();
+        let target = Self {
+            entry,
+            platform,
+            script,
+            crashes: Arc::new(watch::Sender::new(0)),
+            requests: Arc::default(),
+        };
+        target.register();
+        tokio::spawn(target.clone().run(listener));
+        target
+    }
+
+    pub fn vm(&self) -> &str {
+        self.entry.vm.as_str()
+    }
+
+    /// Ends the process as a crash does.
+    pub fn crash(&self) {
+        self.crashes.send_modify(|count| *count += 1);
+    }
+
+    /// Returns how often the process has ended.
+    pub fn crashes(&self) -> u32 {
+        *self.crashes.borrow()
+    }
+
+    /// Returns the head and body of every request as text.
+    pub fn requests(&self) -> Vec<String> {
+        self.requests.lock().unwrap().clone()
+    }
+
+    fn register(&self) {
+        let mut entry = self.entry.clone();
+        entry.standing.born = epochs::VmIncarnation::new(u64::from(self.crashes()) + 1);
+        self.platform.put_target(entry);
+    }
+
+    async fn run(self, mut listener: TcpListener) {
+        loop {
+            self.serve_until_crash(listener).await;
+            tokio::time::sleep(DOWN_TIME).await;
+            listener = self.rebind().await;
+            self.register();
+        }
+    }
+
+    /// Serves until the next crash, which closes the port and all connections.
+    async fn serve_until_crash(&self, listener: TcpListener) {
+        let mut crashed = self.crashes.subscribe();
+        crashed.mark_unchanged();
+        let mut connections = task::JoinSet::new();
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    let (stream, _from) = accepted.unwrap();
+                    connections.spawn(self.clone().serve(stream));
+                }
+                _changed = crashed.changed() => {
+                    drop(listener);
+                    connections.shutdown().await;
+                    return;
+                }
+            }
+        }
+    }
+
+    async fn rebind(&self) -> TcpListener {
+        let address: net::SocketAddr = self.entry.address;
+        loop {
+            match TcpListener::bind(address).await {
+                Ok(listener) => return listener,
+                Err(_in_use) => tokio::time::sleep(time::Duration::from_millis(20)).await,
+            }
+        }
+    }
+
+    async fn serve(self, mut stream: TcpStream) {
+        while let Some(request) = scripted_target::read_request(&mut stream).await {
+            self.requests.lock().unwrap().push(request.clone());
+            if request.contains(CRASH_MARKER) {
+                self.crash();
+                // The crash ends this task.
+                std::future::pending::<()>().await;
+            }
+            tokio::time::sleep(RUN_TIME).await;
+            if scripted_target::answer_request(&mut stream, &self.script, &request)
+                .await
+                .is_none()
+            {
+                return;
+            }
+        }
+    }
+}
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -32,6 +32,7 @@
     out_of_service: collections::BTreeMap<String, u64>,
     removed: Vec<(u64, links::RecordKind, String)>,
     is_away: bool,
+    hides_nodes: bool,
 }
 
 impl FakePlatform {
@@ -74,6 +75,11 @@
         self.change(|state, _version| state.is_away = is_away);
     }
 
+    /// Leaves the records of nodes out of all answers, so that nodes find no peers.
+    pub fn hide_nodes(&self) {
+        self.change(|state, _version| state.hides_nodes = true);
+    }
+
     fn records(&self, kind: links::RecordKind) -> Result<links::RecordList, links::StoreError> {
         let state = self.shared.state.lock().unwrap();
         if state.is_away {
@@ -115,6 +121,7 @@
             links::RecordKind::Nodes => state
                 .nodes
                 .iter()
+                .filter(|(name, _node)| !(state.hides_nodes && name.starts_with("node.")))
                 .map(|(name, (version, text))| {
                     record(name, *version, links::RecordContent::Node(text.clone()))
                 })
--- a/crates/pier_edge/tests/support/mod.rs
+++ b/crates/pier_edge/tests/support/mod.rs
@@ -5,11 +5,13 @@
     reason = "each test file uses only some of the items"
 )]
 
+mod crashing_target;
 mod fake_platform;
 mod raw_caller;
 mod scripted_target;
 mod test_node;
 
+pub use crashing_target::{CRASH_MARKER, CrashingTarget};
 pub use fake_platform::FakePlatform;
 pub use raw_caller::{RawAnswer, RawCaller};
 pub use scripted_target::{Script, ScriptedTarget};
--- a/crates/pier_edge/tests/support/scripted_target.rs
+++ b/crates/pier_edge/tests/support/scripted_target.rs
@@ -81,11 +81,7 @@
     async fn serve(&self, mut stream: TcpStream, script: Script) {
         while let Some(request) = read_request(&mut stream).await {
             self.requests.lock().unwrap().push(request.clone());
-            let attempt = header(&request, "x-attempt").unwrap_or_default();
-            let after = header(&request, "x-after")
-                .and_then(|id| id.parse().ok())
-                .unwrap_or(0);
-            if answer(&mut stream, &script, &attempt, after)
+            if answer_request(&mut stream, &script, &request)
                 .await
                 .is_none()
             {
@@ -95,7 +91,16 @@
     }
 }
 
-async fn answer(stream: &mut TcpStream, script: &Script, attempt: &str, after: u32) -> Option<()> {
+/// Answers one request by a script; returns `None` when the connection has to be closed.
+pub(super) async fn answer_request(
+    stream: &mut TcpStream,
+    script: &Script,
+    request: &str,
+) -> Option<()> {
+    let attempt = header(request, "x-attempt").unwrap_or_default();
+    let after = header(request, "x-after")
+        .and_then(|id| id.parse().ok())
+        .unwrap_or(0);
     let head = format!("HTTP/1.1 200 OK\r\nx-attempt: {attempt}\r\n");
     match script {
         Script::Whole(body) => {
@@ -157,7 +162,7 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub(super) async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut piece = [0; 4096];
     loop {
--- a/crates/pier_edge/tests/support/test_node.rs
+++ b/crates/pier_edge/tests/support/test_node.rs
@@ -29,10 +29,14 @@
 impl TestNode {
     /// Starts a node with an empty store.
     pub async fn start_bare() -> Self {
-        let platform = FakePlatform::default();
+        Self::start_on(FakePlatform::default(), "n1").await
+    }
+
+    /// Starts a node of this name on a platform that other nodes may share.
+    pub async fn start_on(platform: FakePlatform, name: &str) -> Self {
         let (callers, readiness) = (free_address(), free_address());
         let text = format!(
-            "[node]\nname = n1\ndata_centre = dc-a\ndata_centres = dc-a,dc-b\n\
+            "[node]\nname = {name}\ndata_centre = dc-a\ndata_centres = dc-a,dc-b\n\
              [listen]\ncallers = {callers}\nreadiness = {readiness}\npeers = {}\nmetrics = {}\n\
              [platform]\nstore = 127.0.0.1:9\n[limits]\nmemory_mib = 200\n\
              [bounds]\ngrace_seconds = 8\nretry_ratio = 0.2\nretry_burst = 100\n\
@@ -54,6 +58,24 @@
         node
     }
 
+    /// Starts some nodes on one platform with a document and targets.
+    pub async fn start_fleet(
+        count: usize,
+        platform: FakePlatform,
+        entries: Vec<targets::TargetEntry>,
+    ) -> Vec<Self> {
+        for entry in entries {
+            platform.put_target(entry);
+        }
+        platform.put_document(document());
+        let mut nodes = Vec::new();
+        for number in 1..=count {
+            nodes.push(Self::start_on(platform.clone(), &format!("n{number}")).await);
+        }
+        nodes[0].settle().await;
+        nodes
+    }
+
     /// Starts a node with a document and targets.
     pub async fn start(entries: Vec<targets::TargetEntry>) -> Self {
         let node = Self::start_bare().await;
