Log the fingerprint of failed sends and why a target closed its connection

send-failed, stream-lost and resume-failed name the request's fingerprint and the start of the target. Once a target closes a connection, one connection attempt shows whether a process still listens there (it is pooled if so), and target-closed-connection and target_losses tell the cause.

--- a/crates/pier_edge/src/lib.rs
+++ b/crates/pier_edge/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`links::FleetPlatform`].
 
 mod control;
+mod crashes;
 mod daemon;
 pub mod links;
 mod peers;
--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -80,12 +80,17 @@
                 log::info!(
                     event = "send-failed",
                     attempt = job.head.attempt.as_str(),
+                    fingerprint:% = job.fingerprint,
                     target_vm:% = slot.vm,
+                    born:% = slot.born,
                     fault:? = fault,
                     taken_ms = millis(taken);
                     ""
                 );
                 slot.gauge.record_answer(taken, true);
+                if fault.is_closed() {
+                    job.report_loss(&slot).await;
+                }
                 if fault.may_have_run() {
                     progress.sends += 1;
                     progress.may_have_run = true;
--- a/crates/pier_edge/src/serving/connection_pool.rs
+++ b/crates/pier_edge/src/serving/connection_pool.rs
@@ -1,7 +1,7 @@
 //! A pool of connections to one target.
 
 use std::{
-    net,
+    fmt, io, net,
     sync::{self, atomic},
     time,
 };
@@ -30,6 +30,24 @@
 /// sent just as the target closes the connection.
 const IDLE_PERCENT: u32 = 60;
 
+/// Why no connection to a target could be opened.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum ConnectFault {
+    /// The VM answered that no process listens at the address.
+    NoListener,
+    /// The VM did not answer, or the connection failed otherwise.
+    Failed(String),
+}
+
+impl fmt::Display for ConnectFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoListener => f.write_str("no process listens at the target's address"),
+            Self::Failed(reason) => f.write_str(reason),
+        }
+    }
+}
+
 /// Keeps connections to one target open between requests and limits how many are in use.
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
@@ -72,6 +90,10 @@
         }
     }
 
+    pub(crate) const fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
     /// Returns whether as many connections are in use as this node may use at once.
     pub(crate) fn is_full(&self) -> bool {
         let idle = state::lock(&self.idle).len();
@@ -121,16 +143,23 @@
     /// # Errors
     ///
     /// Fails when the target refuses it or does not answer in time.
-    pub(crate) async fn connect(&self) -> Result<PooledConnection, String> {
+    pub(crate) async fn connect(&self) -> Result<PooledConnection, ConnectFault> {
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(error.to_string()),
-            Err(_elapsed) => return Err("connecting to the target timed out".to_owned()),
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(ConnectFault::NoListener);
+            }
+            Ok(Err(error)) => return Err(ConnectFault::Failed(error.to_string())),
+            Err(_elapsed) => {
+                let reason = "connecting to the target timed out".to_owned();
+                return Err(ConnectFault::Failed(reason));
+            }
         };
         set_socket_timeouts(&stream);
         let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|error| error.to_string())?;
+        let (sender, connection) =
+            handshake.map_err(|error| ConnectFault::Failed(error.to_string()))?;
         // The request that uses the connection gets the error too.
         let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
--- a/crates/pier_edge/src/serving/mod.rs
+++ b/crates/pier_edge/src/serving/mod.rs
@@ -5,6 +5,7 @@
 mod connection_pool;
 mod edge_body;
 mod event_splitter;
+mod loss_report;
 mod refusal;
 mod request_entry;
 mod request_job;
@@ -14,7 +15,7 @@
 mod target_call;
 
 pub(crate) use caller_server::CallerServer;
-pub(crate) use connection_pool::{ConnectionPool, PooledConnection};
+pub(crate) use connection_pool::{ConnectFault, ConnectionPool, PooledConnection};
 pub(crate) use edge_body::{EdgeBody, StreamCut};
 use event_splitter::EventSplitter;
 use refusal::Refusal;
--- a/crates/pier_edge/src/serving/request_entry.rs
+++ b/crates/pier_edge/src/serving/request_entry.rs
@@ -5,7 +5,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
 use pier_fleet::documents;
-use pier_types::times;
+use pier_types::{ids, times};
 
 use super::{buffered_run, request_job::millis, stream_run};
 use crate::{links, serving, state};
@@ -83,6 +83,7 @@
     state.mark_served();
     state.retries().add_fresh(&service, arrived_at);
     let is_stream = route.repeat.is_stream();
+    let fingerprint = fingerprint(grant.as_ref(), &parts.uri, &body);
     let job = serving::RequestJob {
         state: state.clone(),
         deadline: arrived_at.after(timeout),
@@ -93,6 +94,7 @@
         route,
         service,
         grant,
+        fingerprint,
         arrived_at,
     };
     if is_stream {
@@ -131,6 +133,17 @@
     Ok(known.cloned())
 }
 
+/// Returns the fingerprint of a request, which is the same whenever the same customer sends it.
+fn fingerprint(
+    grant: Option<&documents::CustomerGrant>,
+    uri: &http::Uri,
+    body: &[u8],
+) -> ids::RequestFingerprint {
+    let customer = grant.map_or("", |grant| grant.customer.as_str());
+    let path = uri.path_and_query().map_or("", |path| path.as_str());
+    ids::RequestFingerprint::of(customer, path, body)
+}
+
 async fn read_body(
     mut body: Incoming,
     limits: documents::CallerLimits,
--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -28,6 +28,8 @@
     pub route: sync::Arc<documents::RouteRule>,
     pub service: ids::ServiceName,
     pub grant: Option<documents::CustomerGrant>,
+    /// Identifies the request across its caller's attempts.
+    pub fingerprint: ids::RequestFingerprint,
     pub arrived_at: times::BootTime,
     /// Time at which the shorter of the caller's and the route's time-out ends.
     pub deadline: times::BootTime,
--- a/crates/pier_edge/src/serving/stream_relay.rs
+++ b/crates/pier_edge/src/serving/stream_relay.rs
@@ -39,7 +39,10 @@
 enum RelayStep {
     Data(bytes::Bytes),
     Ended,
-    Lost(String),
+    /// The target closed the connection, with this error.
+    Closed(String),
+    /// The target is silent, or its group no longer serves.
+    Stuck,
     CallerLeft,
     TimeOver,
 }
@@ -100,8 +103,17 @@
                     self.cut().await;
                     break "time-over";
                 }
-                RelayStep::Lost(reason) => {
-                    if !self.resume(&reason).await {
+                RelayStep::Closed(reason) => {
+                    self.log_loss(&reason);
+                    self.job.report_loss(&self.call.slot).await;
+                    if !self.resume().await {
+                        self.cut().await;
+                        break "cut";
+                    }
+                }
+                RelayStep::Stuck => {
+                    self.log_loss("the target is stuck");
+                    if !self.resume().await {
                         self.cut().await;
                         break "cut";
                     }
@@ -140,10 +152,10 @@
                         RelayStep::Data,
                     )
                 }
-                Some(Err(error)) => RelayStep::Lost(error.to_string()),
+                Some(Err(error)) => RelayStep::Closed(error.to_string()),
             },
             () = self.parts.closed() => RelayStep::CallerLeft,
-            _changed = self.broken.changed() => RelayStep::Lost("the target is stuck".to_owned()),
+            _changed = self.broken.changed() => RelayStep::Stuck,
             () = tokio::time::sleep(left) => RelayStep::TimeOver,
         }
     }
@@ -184,20 +196,26 @@
         let _caller_left = self.parts.send(Err(serving::StreamCut)).await;
     }
 
-    /// Resumes the stream at another target after the last forwarded event; returns whether that
-    /// succeeded.
-    async fn resume(&mut self, reason: &str) -> bool {
-        let state = self.job.state.clone();
-        let started = times::clocks::boot_now();
+    fn log_loss(&self, reason: &str) {
+        let now = times::clocks::boot_now();
         log::info!(
             event = "stream-lost",
             attempt = self.job.head.attempt.as_str(),
+            fingerprint:% = self.job.fingerprint,
             target_vm:% = self.call.slot.vm,
+            born:% = self.call.slot.born,
             cause = reason,
             events = self.events,
-            silent_ms = millis(started.since(self.last_at));
+            silent_ms = millis(now.since(self.last_at));
             ""
         );
+    }
+
+    /// Resumes the stream at another target after the last forwarded event; returns whether that
+    /// succeeded.
+    async fn resume(&mut self) -> bool {
+        let state = self.job.state.clone();
+        let started = times::clocks::boot_now();
         state.metrics().count_resume("tried");
         if !self.job.route.repeat.may_repeat() {
             return false;
@@ -277,10 +295,15 @@
                 false
             }
             Err(fault) => {
+                if fault.is_closed() {
+                    self.job.report_loss(slot).await;
+                }
                 log::info!(
                     event = "resume-failed",
                     attempt = self.job.head.attempt.as_str(),
+                    fingerprint:% = self.job.fingerprint,
                     target_vm:% = slot.vm,
+                    born:% = slot.born,
                     fault:? = fault;
                     ""
                 );
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -85,6 +85,9 @@
             },
             Err(fault) => fault,
         };
+        if fault.is_closed() {
+            job.report_loss(&slot).await;
+        }
         sends.record_fault(&job, &slot, &fault)?;
     }
 }
@@ -175,7 +178,9 @@
         log::info!(
             event = "send-failed",
             attempt = job.head.attempt.as_str(),
+            fingerprint:% = job.fingerprint,
             target_vm:% = slot.vm,
+            born:% = slot.born,
             fault:? = fault;
             ""
         );
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -46,7 +46,7 @@
                 .connections
                 .connect()
                 .await
-                .map_err(serving::SendFault::Unreached)?,
+                .map_err(|fault| serving::SendFault::Unreached(fault.to_string()))?,
         };
         let now = times::clocks::boot_now();
         let guard = slot.gauge.begin(job.head.prompt_tokens, now);
--- a/crates/pier_edge/src/state/target_slot.rs
+++ b/crates/pier_edge/src/state/target_slot.rs
@@ -6,7 +6,7 @@
 use pier_types::{epochs, ids, times};
 use tokio::sync::watch;
 
-use crate::{serving, state};
+use crate::{crashes, serving, state};
 
 /// Identifies a target: its VM, the start of that VM and the generation of its group.
 pub(crate) type SlotKey = (ids::VmName, epochs::VmIncarnation, epochs::GroupGeneration);
@@ -26,6 +26,7 @@
     pub connections: serving::ConnectionPool,
     pub cold_limiter: sync::Mutex<budgets::ColdLimiter>,
     pub cold: sync::Mutex<ColdLimit>,
+    pub loss_check: crashes::LossCheck,
     broken: watch::Sender<bool>,
 }
 
@@ -56,6 +57,7 @@
             connections: serving::ConnectionPool::new(address, connections),
             cold_limiter: sync::Mutex::default(),
             cold: sync::Mutex::default(),
+            loss_check: crashes::LossCheck::default(),
             broken: watch::Sender::new(false),
         }
     }
@@ -64,6 +66,15 @@
         (self.vm.clone(), self.born, self.generation)
     }
 
+    /// Returns what identifies this start of the VM after it is lost.
+    pub(crate) fn as_lost(&self) -> crashes::LostTarget {
+        crashes::LostTarget {
+            vm: self.vm.clone(),
+            born: self.born,
+            address: self.connections.address(),
+        }
+    }
+
     /// Ends this node's requests at the target; those that may be repeated go on at another one.
     pub(crate) fn mark_broken(&self) {
         self.broken.send_replace(true);
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -24,6 +24,7 @@
     streams: Family<Labels, Counter>,
     resumes: Family<Labels, Counter>,
     stuck: Counter,
+    losses: Family<Labels, Counter>,
     store_calls: Family<Labels, Counter>,
     store_failures: Family<Labels, Counter>,
     orders: Family<Labels, Counter>,
@@ -48,6 +49,7 @@
             streams: Family::default(),
             resumes: Family::default(),
             stuck: Counter::default(),
+            losses: Family::default(),
             store_calls: Family::default(),
             store_failures: Family::default(),
             orders: Family::default(),
@@ -86,6 +88,11 @@
             "Targets found stuck by silence",
             metrics.stuck.clone(),
         );
+        registry.register(
+            "target_losses",
+            "Checks of targets that closed connections, by the cause found",
+            metrics.losses.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the store",
@@ -146,6 +153,11 @@
         self.stuck.inc();
     }
 
+    pub(crate) fn count_loss(&self, cause: &str) {
+        let labels = vec![("cause", cause.to_owned())];
+        self.losses.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn count_store_call(&self, kind: &str, call: &str) {
         let labels = vec![("kind", kind.to_owned()), ("call", call.to_owned())];
         self.store_calls.get_or_create(&labels).inc();
