Let a request run again after three crashes that may be a coincidence

What callers saw: an innocent request that ran on three lost targets, beside the one that crashed them or by coincidence, was kept away for ten minutes.

Cause: three crashes were taken as proof. They are none: requests that lose their target together are often sent to the same next one, and targets are lost for other reasons too.

Evidence: both new tests fail without the change (three crashes, and five crashes of which an innocent request was on four).

Now the same points only make a request suspected: it is held back for one second after each crash and may then run once more. One that completes is cleared; a fourth crash quarantines it. Crashes of a quarantined request do not count against requests that were on fewer. The time until a quarantined request may run is now the time at which the evidence really expires.

The test of expiry uses four crashes in place of two, since two no longer quarantine for the lifetime of the marks; what it checks is unchanged.

--- a/crates/pier_request/src/quarantine/crash_evidence.rs
+++ b/crates/pier_request/src/quarantine/crash_evidence.rs
@@ -1,11 +1,15 @@
-//! The score that decides whether crashes put a request into quarantine.
+//! The score that decides whether crashes hold a request back.
 
 use std::collections;
 
 use pier_types::ids;
 
-/// Fewest points at which a request is quarantined.
-const QUARANTINE_THRESHOLD: u32 = 6;
+/// Fewest points at which a request is suspected.
+const SUSPICION_THRESHOLD: u32 = 6;
+
+/// Fewest crashes that cannot be a coincidence; an innocent request may well run on three targets
+/// that are lost for other reasons.
+pub(super) const CONVICTION_CRASHES: usize = 4;
 
 /// Points for a crash of a target on which no other request ran.
 const SOLE_SUSPECT_POINTS: u32 = 4;
@@ -26,6 +30,17 @@
 /// one target.
 const SINGLE_TARGET_MIN_CRASHES: u32 = 3;
 
+/// What the crashes of a request show.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum CrashVerdict {
+    /// Too little to hold the request back.
+    Implicated,
+    /// The request may have caused the crashes, or ran there by coincidence.
+    Suspected,
+    /// The request crashes its targets.
+    Convicted,
+}
+
 /// Points of one request, summed over the crashes that implicate it.
 ///
 /// Each target counts once, with the most points of any of its crashes, plus
@@ -49,13 +64,19 @@
         self.crashes += 1;
     }
 
-    /// Returns whether the request has to be quarantined.
-    pub(super) fn is_enough(&self) -> bool {
+    /// Returns what the crashes show.
+    pub(super) fn verdict(&self) -> CrashVerdict {
         let targets = u32::try_from(self.best_points.len()).unwrap_or(u32::MAX);
         let repeat_crashes = self.crashes.saturating_sub(targets);
         let points: u32 =
             self.best_points.values().sum::<u32>() + repeat_crashes * REPEAT_CRASH_POINTS;
         let enough_crashes = targets >= 2 || self.crashes >= SINGLE_TARGET_MIN_CRASHES;
-        enough_crashes && points >= QUARANTINE_THRESHOLD
+        if !enough_crashes || points < SUSPICION_THRESHOLD {
+            CrashVerdict::Implicated
+        } else if usize::try_from(self.crashes).is_ok_and(|crashes| crashes < CONVICTION_CRASHES) {
+            CrashVerdict::Suspected
+        } else {
+            CrashVerdict::Convicted
+        }
     }
 }
--- a/crates/pier_request/src/quarantine/mod.rs
+++ b/crates/pier_request/src/quarantine/mod.rs
@@ -1,7 +1,9 @@
 //! Quarantine: stops sending a request to targets after it crashed a few of them.
 //!
 //! The crash of a target implicates every request that was running on it. The crashes of several
-//! targets together separate the request that caused them from those that only ran alongside. See
+//! targets together separate the request that caused them from those that only ran alongside. A
+//! suspected request is held back briefly and may then run once more: one that completes is
+//! cleared, one that crashes a further target is quarantined. See
 //! `docs/design/retries-and-quarantine.md`.
 
 mod crash_delta;
@@ -12,7 +14,7 @@
 mod quarantine_set;
 
 pub use crash_delta::CrashDelta;
-use crash_evidence::CrashEvidence;
+use crash_evidence::{CONVICTION_CRASHES, CrashEvidence, CrashVerdict};
 pub use crash_history::CrashHistory;
 pub use crash_mark::CrashMark;
 pub use loss_cause::LossCause;
--- a/crates/pier_request/src/quarantine/quarantine_set.rs
+++ b/crates/pier_request/src/quarantine/quarantine_set.rs
@@ -12,7 +12,8 @@
 }
 
 impl QuarantineSet {
-    /// Returns how long a request stays in quarantine; `None` when it may run.
+    /// Returns how long a request is held back, either in quarantine or while it is suspected;
+    /// `None` when it may run.
     pub fn remaining(
         &self,
         fingerprint: ids::RequestFingerprint,
@@ -28,12 +29,12 @@
         self.implicated.contains(&fingerprint)
     }
 
-    /// Returns how many requests are in quarantine.
+    /// Returns how many requests are held back.
     pub fn len(&self) -> usize {
         self.quarantined.len()
     }
 
-    /// Returns whether no request is in quarantine.
+    /// Returns whether no request is held back.
     pub fn is_empty(&self) -> bool {
         self.quarantined.is_empty()
     }
