Gossip crash marks at once, not at the next round

Cause: marks were sent once a second. Each node counted its own crashes alone meanwhile.

The peer loop now wakes when this node records a mark and sends it at once, then twice more at its ticks, in case a datagram is lost.

--- a/crates/buckthornpier/tests/processes_engines_fail.rs
+++ b/crates/buckthornpier/tests/processes_engines_fail.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use std::sync::atomic;
+use std::{sync::atomic, time};
 
 use pier_types::codes;
 use serde_json::json;
@@ -97,6 +97,31 @@
     assert!(outcome.answer().is_some(), "{outcome:?}");
 }
 
+/// Guards against crash marks that wait for the next round of gossip, while the caller sends the
+/// request to one node after another.
+#[tokio::test]
+async fn the_other_nodes_hold_a_crashing_request_back_soon_after_the_first() {
+    let plan = support::ClusterPlan {
+        engines: 6,
+        members: 1,
+        ..support::ClusterPlan::default()
+    };
+    let cluster = support::TestCluster::start(plan).await;
+    let crash = json!({"kind": "crash-on-prompt", "marker": "poisonous", "for_ms": 100});
+    for engine in &cluster.engines {
+        engine.set_fault(crash.clone()).await;
+    }
+    let prompt = "a poisonous prompt";
+    let first = cluster.nodes[0].complete(prompt).tokens(4).send().await;
+    assert!(first.answer().is_none(), "{first:?}");
+    tokio::time::sleep(time::Duration::from_millis(300)).await;
+    for node in &cluster.nodes[1..] {
+        let outcome = node.complete(prompt).tokens(4).send().await;
+        let code = outcome.failure().map(|failure| failure.code);
+        assert_eq!(code, Some(codes::ResultCode::RequestQuarantined));
+    }
+}
+
 #[tokio::test]
 async fn a_frozen_engine_never_adds_to_an_answer_that_was_resumed_elsewhere() {
     let cluster = support::TestCluster::start(support::ClusterPlan::default()).await;
--- a/crates/pier_node/src/peers/peer_loop.rs
+++ b/crates/pier_node/src/peers/peer_loop.rs
@@ -93,6 +93,7 @@
     ) {
         let mut ticks = tokio::time::interval(TICK_PERIOD);
         ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let crashes = self.handle.clone();
         loop {
             tokio::select! {
                 _tick = ticks.tick() => self.tick(clocks::boot_now()),
@@ -101,6 +102,7 @@
                 Some(reading) = readings.recv() => {
                     self.lists.record_outcome(reading, clocks::boot_now());
                 }
+                () = crashes.requests().wait_for_crash() => self.send_crashes(clocks::boot_now()),
                 Some(evidence) = warmth.recv() => {
                     self.shares.record_warmth(&evidence, clocks::boot_now());
                 }
@@ -121,6 +123,8 @@
             self.round_at = now;
             self.round(&nodes, now);
             self.send_crashes(now);
+        } else if self.handle.requests().has_new_crashes() {
+            self.send_crashes(now);
         }
         self.search_list(&nodes, now);
         nodes.insert(self.handle.name().clone());
--- a/crates/pier_node/src/requests/request_state.rs
+++ b/crates/pier_node/src/requests/request_state.rs
@@ -6,7 +6,7 @@
 use pier_config::documents;
 use pier_request::{quarantine, retries, routing};
 use pier_types::{epochs, ids, routes, sizes, times, times::clocks};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 use crate::requests;
 
@@ -38,6 +38,7 @@
     warmth_sender: mpsc::Sender<requests::WarmthEvidence>,
     warmth_receiver: sync::Mutex<Option<mpsc::Receiver<requests::WarmthEvidence>>>,
     crashes: sync::Mutex<quarantine::CrashHistory>,
+    crash_recorded: Notify,
     counters: sync::Mutex<routing::CounterRegistry>,
 }
 
@@ -63,6 +64,7 @@
             warmth_sender,
             warmth_receiver: sync::Mutex::new(Some(warmth_receiver)),
             crashes: sync::Mutex::default(),
+            crash_recorded: Notify::new(),
             counters: sync::Mutex::default(),
         })
     }
@@ -156,14 +158,31 @@
         lock(&self.crashes).delta(clocks::boot_now(), limit)
     }
 
+    /// Returns whether crash marks of this node are still to be gossiped.
+    pub fn has_new_crashes(&self) -> bool {
+        lock(&self.crashes).has_new_marks()
+    }
+
+    /// Waits until this node records or clears a crash.
+    pub async fn wait_for_crash(&self) {
+        self.crash_recorded.notified().await;
+    }
+
     /// Merges crashes reported by another node.
     pub fn merge_crashes(&self, delta: &quarantine::CrashDelta) {
         let now = clocks::boot_now();
-        self.update_crashes(|history| history.merge(delta, now));
+        self.change_crashes(|history| history.merge(delta, now));
     }
 
-    /// Updates the crash history and publishes the quarantined requests.
+    /// Updates the crash history by what this node saw, and publishes the quarantined requests.
     pub(super) fn update_crashes(&self, change: impl FnOnce(&mut quarantine::CrashHistory)) {
+        self.change_crashes(change);
+        if self.has_new_crashes() {
+            self.crash_recorded.notify_one();
+        }
+    }
+
+    fn change_crashes(&self, change: impl FnOnce(&mut quarantine::CrashHistory)) {
         let mut history = lock(&self.crashes);
         change(&mut history);
         let set = history.snapshot(clocks::boot_now());
--- a/crates/pier_request/src/quarantine/crash_history.rs
+++ b/crates/pier_request/src/quarantine/crash_history.rs
@@ -156,6 +156,13 @@
         quarantine::CrashDelta { marks }
     }
 
+    /// Returns whether a mark that was recorded here is still to be sent in the next deltas.
+    pub fn has_new_marks(&self) -> bool {
+        self.marks
+            .values()
+            .any(|state| state.priority_sends_left > 0)
+    }
+
     /// Removes marks that have reached the end of their lifetime.
     pub fn expire(&mut self, now: times::BootTime) {
         self.marks
