Hold back requests that crash their targets on the platform

Cause: pier_edge kept no account of requests whose targets crash. Each send of the caller, and each repeat of a node, crashed another target.

Now a node that finds a target's process ended (no listener, or a new incarnation registers within 5 s) marks the requests that it had there in the crash history of pier_request. A held-back request is refused at once, 503 with the time until it may run, and is not repeated. New marks go to all nodes at once, three times, at most 16 in a datagram; old ones to one node a second. Marks of requests with two crashes are also written to the store by the node that saw the last one, at most 256, so that nodes which reach no other node, and nodes that start, know them. A request that completes is cleared. A leaving target, a lost answer and a partition mark nothing.

--- /dev/null
+++ b/crates/pier_edge/src/crashes/record_writer.rs
@@ -0,0 +1,89 @@
+//! Keeps the crashes in the store, for nodes that reach no other node and for those that start.
+
+use pier_types::times;
+
+use crate::{crashes, links, records, state};
+
+/// Writes marks to the store after this node recorded them, until the record has them.
+#[derive(Debug)]
+pub(crate) struct RecordWriter<P> {
+    state: state::EdgeState<P>,
+    backoff: records::StoreBackoff,
+}
+
+impl<P: links::FleetPlatform> RecordWriter<P> {
+    /// Starts the task; it ends with the runtime.
+    pub(crate) fn spawn(state: state::EdgeState<P>) {
+        let writer = Self {
+            state,
+            backoff: records::StoreBackoff::default(),
+        };
+        tokio::spawn(writer.run());
+    }
+
+    async fn run(mut self) {
+        loop {
+            self.state.crashes().wait_for_unstored().await;
+            while !self.store(times::clocks::boot_now()).await {
+                let delay = self.backoff.next_delay(false, rand::random());
+                tokio::time::sleep(delay).await;
+            }
+            self.backoff.reset();
+        }
+    }
+
+    /// Writes the marks that the store lacks; returns whether none are left.
+    async fn store(&self, now: times::BootTime) -> bool {
+        let ledger = self.state.crashes();
+        let unstored = ledger.unstored();
+        let mut own_marks = ledger.marks(now);
+        own_marks.retain(|mark| unstored.contains(&mark.fingerprint));
+        let wall_now = times::clocks::wall_now();
+        let wanted = crashes::CrashRecord::new(own_marks, wall_now);
+        let (version, known) = ledger.record();
+        if wanted.is_empty() || known.covers(&wanted) {
+            ledger.set_stored(&unstored);
+            return true;
+        }
+        let record = crashes::CrashRecord::new(ledger.marks(now), wall_now);
+        let text = match serde_json::to_string(&record) {
+            Ok(text) => text,
+            Err(error) => {
+                log::error!(event = "crash-record-not-written", cause:% = error; "");
+                return true;
+            }
+        };
+        self.state.metrics().count_store_call("nodes", "write");
+        let writing = self
+            .state
+            .platform()
+            .write(records::CRASH_RECORD, Some(version), text);
+        match writing.await {
+            links::StoreWrite::Written(version) => {
+                ledger.set_record(version, record);
+                ledger.set_stored(&unstored);
+                true
+            }
+            links::StoreWrite::Conflict(Some(found)) => {
+                self.adopt(&found, now, wall_now);
+                false
+            }
+            other => {
+                log::warn!(event = "crash-record-not-written", outcome:? = other; "");
+                false
+            }
+        }
+    }
+
+    /// Applies the record that another node wrote first.
+    fn adopt(&self, found: &links::StoreRecord, now: times::BootTime, wall_now: times::WallTime) {
+        let links::RecordContent::Node(text) = &found.content else {
+            log::warn!(event = "crash-record-unreadable", cause = "not a record of nodes"; "");
+            return;
+        };
+        let record = crashes::CrashRecord::parse(text);
+        self.state
+            .crashes()
+            .adopt_record(found.version, record, now, wall_now);
+    }
+}
--- a/crates/pier_edge/src/daemon/edge_daemon.rs
+++ b/crates/pier_edge/src/daemon/edge_daemon.rs
@@ -5,7 +5,7 @@
 use anyhow::Context as _;
 use pier_types::{ids, times};
 
-use crate::{control, links, peers, records, serving, settings, state, telemetry};
+use crate::{control, crashes, links, peers, records, serving, settings, state, telemetry};
 
 /// How long a stopping node still accepts new requests. The load balancer checks readiness every
 /// second and removes a node after two failed checks; requests accepted later than that might not
@@ -44,6 +44,7 @@
         records::spawn(state.clone(), kind);
     }
     records::spawn_node_record(state.clone());
+    crashes::RecordWriter::spawn(state.clone());
     control::spawn(state.clone());
     telemetry::spawn(state.clone(), state.settings().readiness).await?;
     telemetry::spawn(state.clone(), state.settings().metrics).await?;
@@ -112,6 +113,10 @@
         for slot in state.slots() {
             slot.connections.expire(now);
         }
+        state.crashes().expire(now);
+        state
+            .metrics()
+            .set_held_requests(state.crashes().held_count());
         if state.with_registry(|registry| registry.expire(now)) {
             state.rebuild(now);
         }
--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -6,6 +6,7 @@
 use pier_types::times;
 use tokio::net::UdpSocket;
 
+use super::crash_loop;
 use crate::{links, peers, records, state};
 
 /// Interval between heartbeats in a small fleet. A load known to another node is at most this old,
@@ -39,6 +40,7 @@
     tokio::spawn(relay(state.clone(), sync::Arc::clone(&socket)));
     let exchange = peers::LoadLoop::new(state.clone(), sync::Arc::clone(&socket));
     tokio::spawn(exchange.run());
+    tokio::spawn(crash_loop::run(state.clone(), sync::Arc::clone(&socket)));
     tokio::spawn(send(state, socket));
     Ok(())
 }
@@ -70,6 +72,7 @@
             Ok(peers::PeerMessage::Digest(digest)) => {
                 peers::load_intake::apply_digest(&state, digest, now);
             }
+            Ok(peers::PeerMessage::Crashes(delta)) => state.crashes().merge(&delta, now),
             Err(error) => {
                 state.metrics().count_bad_beat();
                 log::debug!(event = "beat-unreadable", from:% = from, cause:% = error; "");
--- a/crates/pier_edge/src/peers/mod.rs
+++ b/crates/pier_edge/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! Datagrams between nodes: heartbeats, loads at targets and the steward's view of the store.
 
 mod beat_loop;
+mod crash_loop;
 mod load_exchange;
 mod load_intake;
 mod load_loop;
--- a/crates/pier_edge/src/peers/node_beat.rs
+++ b/crates/pier_edge/src/peers/node_beat.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use pier_fleet::loads;
+use pier_request::quarantine;
 use pier_types::{epochs, ids};
 use serde::{Deserialize, Serialize};
 
@@ -18,6 +19,8 @@
     Report(loads::LoadReport),
     /// A hub's sums, for the nodes of its data centre and the other hubs.
     Digest(loads::LoadDigest),
+    /// Marks of requests whose targets crashed.
+    Crashes(quarantine::CrashDelta),
 }
 
 /// A heartbeat, which a node sends to all others several times per second.
--- a/crates/pier_edge/src/records/mod.rs
+++ b/crates/pier_edge/src/records/mod.rs
@@ -10,6 +10,8 @@
 pub(crate) use record_loop::spawn;
 pub(crate) use store_backoff::StoreBackoff;
 
+/// Name of the record of crashes.
+pub(crate) const CRASH_RECORD: &str = "crashes";
 /// Prefix of the names of nodes' records.
 pub(crate) const NODE_PREFIX: &str = "node.";
 /// Prefix of the names of stewards' records.
--- a/crates/pier_edge/src/records/record_applier.rs
+++ b/crates/pier_edge/src/records/record_applier.rs
@@ -5,7 +5,7 @@
 use pier_fleet::targets;
 use pier_types::{epochs, ids, times};
 
-use crate::{links, peers, records, state};
+use crate::{crashes, links, peers, records, state};
 
 /// Applies records of all kinds to the state of the node.
 #[derive(Debug, Clone)]
@@ -126,6 +126,9 @@
     }
 
     fn targets_changed(&self, now: times::BootTime) {
+        self.state.with_registry(|registry| {
+            self.state.crashes().confirm_losses(registry, now);
+        });
         self.state.rebuild(now);
         self.state.notify_registry_change();
     }
@@ -218,7 +221,13 @@
         text: &str,
         now: times::BootTime,
     ) {
-        let failure = if let Some(centre) = name.strip_prefix(records::STEWARD_PREFIX) {
+        let failure = if name == records::CRASH_RECORD {
+            let record = crashes::CrashRecord::parse(text);
+            let wall_now = times::clocks::wall_now();
+            let ledger = self.state.crashes();
+            ledger.apply_record(version, record, now, wall_now);
+            None
+        } else if let Some(centre) = name.strip_prefix(records::STEWARD_PREFIX) {
             self.apply_steward(centre, version, text).err()
         } else {
             let record = serde_json::from_str::<peers::NodeRecord>(text);
--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -73,6 +73,9 @@
                     progress.sends += 1;
                     progress.answer = Some((head, body));
                 } else {
+                    if head.status.is_success() {
+                        job.report_completion();
+                    }
                     return Ok((head, body));
                 }
             }
@@ -88,12 +91,13 @@
                     ""
                 );
                 slot.gauge.record_answer(taken, true);
-                if fault.is_closed() {
-                    job.report_loss(&slot).await;
-                }
+                let reported = job.report_fault(&slot, &fault).await;
                 if fault.may_have_run() {
                     progress.sends += 1;
                     progress.may_have_run = true;
+                    if let Err(held) = reported {
+                        return progress.give_up(held, job);
+                    }
                     if !job.route.repeat.may_repeat() {
                         return progress.give_up(serving::Refusal::Broken, job);
                     }
@@ -136,6 +140,9 @@
         if self.may_have_run {
             return Err(match refusal {
                 serving::Refusal::TimedOut => serving::Refusal::TimedOut,
+                serving::Refusal::HeldBack { retry_after } if job.route.repeat.may_repeat() => {
+                    serving::Refusal::Lost { retry_after }
+                }
                 _ if job.route.repeat.may_repeat() => serving::Refusal::Lost {
                     retry_after: LOST_RETRY_AFTER,
                 },
--- a/crates/pier_edge/src/serving/refusal.rs
+++ b/crates/pier_edge/src/serving/refusal.rs
@@ -24,6 +24,8 @@
     /// The request has not run: targets refused it or could not be reached, and no further
     /// attempt is allowed.
     NotRun { retry_after: time::Duration },
+    /// The targets that ran the request crashed, so that it is held back; it was not sent.
+    HeldBack { retry_after: time::Duration },
     /// The request was sent and may have run, but no usable answer came.
     Broken,
     /// Like [`Self::Broken`], for a request that the caller may safely repeat.
@@ -43,6 +45,7 @@
             Self::Overloaded { .. } => "overloaded",
             Self::NoTarget { .. } => "no-target",
             Self::NotRun { .. } => "not-run",
+            Self::HeldBack { .. } => "held-back",
             Self::Broken => "broken",
             Self::Lost { .. } => "lost",
             Self::TimedOut => "timed-out",
@@ -54,7 +57,8 @@
             Self::NoDocument
             | Self::Overloaded { .. }
             | Self::NoTarget { .. }
-            | Self::NotRun { .. } => http::StatusCode::SERVICE_UNAVAILABLE,
+            | Self::NotRun { .. }
+            | Self::HeldBack { .. } => http::StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => http::StatusCode::NOT_FOUND,
             Self::BadKey => http::StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => http::StatusCode::PAYLOAD_TOO_LARGE,
@@ -70,6 +74,7 @@
             Self::Overloaded { retry_after }
             | Self::NoTarget { retry_after }
             | Self::NotRun { retry_after }
+            | Self::HeldBack { retry_after }
             | Self::Lost { retry_after } => Some(*retry_after),
             _ => None,
         }
--- a/crates/pier_edge/src/serving/request_entry.rs
+++ b/crates/pier_edge/src/serving/request_entry.rs
@@ -77,13 +77,16 @@
     let route = std::sync::Arc::clone(route.ok_or(serving::Refusal::NoRoute)?);
     let grant = grant(&document, &route, &head)?;
     let body = read_body(body, document.limits(), &head).await?;
+    let fingerprint = fingerprint(grant.as_ref(), &parts.uri, &body);
+    if let Some(retry_after) = state.crashes().held_for(fingerprint, arrived_at) {
+        return Err(serving::Refusal::HeldBack { retry_after });
+    }
     let service = route.service_for(rand::random());
     let service = service.cloned().ok_or(serving::Refusal::NoRoute)?;
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     state.mark_served();
     state.retries().add_fresh(&service, arrived_at);
     let is_stream = route.repeat.is_stream();
-    let fingerprint = fingerprint(grant.as_ref(), &parts.uri, &body);
     let job = serving::RequestJob {
         state: state.clone(),
         deadline: arrived_at.after(timeout),
--- a/crates/pier_edge/src/serving/send_fault.rs
+++ b/crates/pier_edge/src/serving/send_fault.rs
@@ -16,11 +16,6 @@
 }
 
 impl SendFault {
-    /// Returns whether the target closed the connection, or its answer broke off.
-    pub(super) const fn is_closed(&self) -> bool {
-        matches!(self, Self::MayHaveRun(_))
-    }
-
     /// Returns whether a byte of the request may have reached the target.
     pub(super) const fn may_have_run(&self) -> bool {
         matches!(self, Self::MayHaveRun(_) | Self::Stuck | Self::TimedOut)
--- a/crates/pier_edge/src/serving/stream_relay.rs
+++ b/crates/pier_edge/src/serving/stream_relay.rs
@@ -32,6 +32,8 @@
     first_wait: time::Duration,
     expected: Option<time::Duration>,
     resumed: u32,
+    /// Whether the request must not be sent again, as its targets crashed.
+    is_held: bool,
     _progress: state::ProgressGuard<P>,
 }
 
@@ -71,6 +73,7 @@
             first_wait: time::Duration::ZERO,
             expected: None,
             resumed: 0,
+            is_held: false,
             _progress: progress,
         }
     }
@@ -105,15 +108,16 @@
                 }
                 RelayStep::Closed(reason) => {
                     self.log_loss(&reason);
-                    self.job.report_loss(&self.call.slot).await;
-                    if !self.resume().await {
+                    let reported = self.job.report_closed(&self.call.slot).await;
+                    if reported.is_err() || !self.resume().await {
                         self.cut().await;
                         break "cut";
                     }
                 }
                 RelayStep::Stuck => {
                     self.log_loss("the target is stuck");
-                    if !self.resume().await {
+                    let reported = self.job.report_silent(&self.call.slot);
+                    if reported.is_err() || !self.resume().await {
                         self.cut().await;
                         break "cut";
                     }
@@ -137,6 +141,7 @@
             ""
         );
         if outcome == "complete" {
+            self.job.report_completion();
             self.call.finish();
         }
     }
@@ -226,7 +231,7 @@
         loop {
             let now = times::clocks::boot_now();
             let is_over = now.since(started) >= RESUME_TIMEOUT || self.job.time_left(now).is_zero();
-            if is_over || self.sends >= max_sends || self.parts.is_closed() {
+            if self.is_held || is_over || self.sends >= max_sends || self.parts.is_closed() {
                 return false;
             }
             let chosen = match self.job.choose(&self.tried, true, now) {
@@ -295,9 +300,7 @@
                 false
             }
             Err(fault) => {
-                if fault.is_closed() {
-                    self.job.report_loss(slot).await;
-                }
+                let reported = self.job.report_fault(slot, &fault).await;
                 log::info!(
                     event = "resume-failed",
                     attempt = self.job.head.attempt.as_str(),
@@ -310,6 +313,7 @@
                 if fault.may_have_run() {
                     self.sends += 1;
                 }
+                self.is_held |= reported.is_err();
                 false
             }
         }
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -85,10 +85,11 @@
             },
             Err(fault) => fault,
         };
-        if fault.is_closed() {
-            job.report_loss(&slot).await;
-        }
+        let reported = job.report_fault(&slot, &fault).await;
         sends.record_fault(&job, &slot, &fault)?;
+        if let Err(held) = reported {
+            return Err(sends.final_refusal(&job, held));
+        }
     }
 }
 
@@ -213,6 +214,9 @@
         if self.may_have_run {
             return match refusal {
                 serving::Refusal::TimedOut => serving::Refusal::TimedOut,
+                serving::Refusal::HeldBack { retry_after } if job.route.repeat.may_repeat() => {
+                    serving::Refusal::Lost { retry_after }
+                }
                 _ if job.route.repeat.may_repeat() => serving::Refusal::Lost {
                     retry_after: RETRY_AFTER,
                 },
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -10,7 +10,7 @@
 use pier_types::{ids, times};
 use tokio::sync::Notify;
 
-use crate::{links, peers, settings, state, telemetry};
+use crate::{crashes, links, peers, settings, state, telemetry};
 
 /// A handle to the state that the parts of a node share; cloning it is cheap.
 #[derive(Debug)]
@@ -38,6 +38,7 @@
     slots: sync::Mutex<collections::BTreeMap<state::SlotKey, sync::Arc<state::TargetSlot>>>,
     peers: sync::Mutex<peers::PeerTable>,
     retries: state::RetryBudget,
+    crashes: crashes::CrashLedger,
     first_events: state::FirstEventDelays,
     metrics: telemetry::EdgeMetrics,
     listed: atomic::AtomicBool,
@@ -61,6 +62,7 @@
     pub(crate) fn new(settings: settings::EdgeSettings, node: ids::NodeName, platform: P) -> Self {
         let shared = SharedState {
             retries: state::RetryBudget::new(settings.bounds),
+            crashes: crashes::CrashLedger::default(),
             first_events: state::FirstEventDelays::default(),
             peers: sync::Mutex::new(peers::PeerTable::new(node.clone())),
             settings,
@@ -114,6 +116,10 @@
         &self.shared.retries
     }
 
+    pub(crate) fn crashes(&self) -> &crashes::CrashLedger {
+        &self.shared.crashes
+    }
+
     pub(crate) fn first_events(&self) -> &state::FirstEventDelays {
         &self.shared.first_events
     }
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -25,6 +25,7 @@
     resumes: Family<Labels, Counter>,
     stuck: Counter,
     losses: Family<Labels, Counter>,
+    held_requests: Gauge,
     store_calls: Family<Labels, Counter>,
     store_failures: Family<Labels, Counter>,
     orders: Family<Labels, Counter>,
@@ -50,6 +51,7 @@
             resumes: Family::default(),
             stuck: Counter::default(),
             losses: Family::default(),
+            held_requests: Gauge::default(),
             store_calls: Family::default(),
             store_failures: Family::default(),
             orders: Family::default(),
@@ -93,6 +95,11 @@
             "Checks of targets that closed connections, by the cause found",
             metrics.losses.clone(),
         );
+        registry.register(
+            "held_requests",
+            "Requests held back because their targets crashed",
+            metrics.held_requests.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the store",
@@ -158,6 +165,11 @@
         self.losses.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn set_held_requests(&self, count: usize) {
+        self.held_requests
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn count_store_call(&self, kind: &str, call: &str) {
         let labels = vec![("kind", kind.to_owned()), ("call", call.to_owned())];
         self.store_calls.get_or_create(&labels).inc();
--- a/crates/pier_request/src/quarantine/quarantine_set.rs
+++ b/crates/pier_request/src/quarantine/quarantine_set.rs
@@ -29,6 +29,13 @@
         self.implicated.contains(&fingerprint)
     }
 
+    /// Returns the requests that are held back, and until when.
+    pub fn held(&self) -> impl Iterator<Item = (ids::RequestFingerprint, times::BootTime)> {
+        self.quarantined
+            .iter()
+            .map(|(fingerprint, until)| (*fingerprint, *until))
+    }
+
     /// Returns how many requests are held back.
     pub fn len(&self) -> usize {
         self.quarantined.len()
