Ask a target again whether it crashed when it answers late

What callers saw: a request that crashes targets which are slow to answer after their start is never quarantined.

Cause: a target that closed a connection was asked once for its report, with 100 ms to answer. No answer in that time counted as a partition, which implicates no request, and nothing asked again.

Now it is asked up to three times, within 4.1 s, while it does not answer.

Evidence: a_crash_counts_although_the_restarted_target_answers_late (reports take 300 ms) fails without the change, the mark never comes, and passes with it. Requests on targets that live on are still not implicated (closed_connections_of_running_targets_quarantine_nothing).

--- a/crates/pier_node/src/requests/crash_monitor.rs
+++ b/crates/pier_node/src/requests/crash_monitor.rs
@@ -10,12 +10,19 @@
 /// Time between two removals of expired crashes.
 const EXPIRE_PERIOD: time::Duration = time::Duration::from_secs(1);
 
-/// Time between a closed connection and the request for the target's report; a process that is
-/// crashing may need a moment to end.
-const REPORT_DELAY: time::Duration = time::Duration::from_millis(20);
-
-/// Time-out for the report of a target that may have crashed.
-const REPORT_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+/// Delay and time-out of each request for the report of a target that closed a connection. A
+/// process that is crashing may need a moment to end, and one that starts may be slow to answer.
+const REPORT_TRIES: [(time::Duration, time::Duration); 3] = [
+    (
+        time::Duration::from_millis(20),
+        time::Duration::from_millis(100),
+    ),
+    (
+        time::Duration::from_millis(500),
+        time::Duration::from_millis(500),
+    ),
+    (time::Duration::from_secs(2), time::Duration::from_secs(1)),
+];
 
 /// Receives crash events and updates the crash history.
 #[derive(Debug)]
@@ -70,8 +77,14 @@
     else {
         return;
     };
-    tokio::time::sleep(REPORT_DELAY).await;
-    let cause = find_loss_cause(&handle, address, incarnation).await;
+    let mut cause = None;
+    for (delay, timeout) in REPORT_TRIES {
+        tokio::time::sleep(delay).await;
+        cause = find_loss_cause(&handle, address, incarnation, timeout).await;
+        if cause != Some(quarantine::LossCause::Unreachable) {
+            break;
+        }
+    }
     log::warn!(
         event = "target-closed-connection",
         target:% = target,
@@ -95,9 +108,10 @@
     handle: &handle::NodeHandle,
     address: net::SocketAddr,
     incarnation: Option<epochs::VmIncarnation>,
+    timeout: time::Duration,
 ) -> Option<quarantine::LossCause> {
     let url = format!("http://{address}/report");
-    let asking = handle.client().get(url).timeout(REPORT_TIMEOUT).send();
+    let asking = handle.client().get(url).timeout(timeout).send();
     let answer = match asking.await {
         Ok(answer) => answer,
         Err(error) if error.is_timeout() => return Some(quarantine::LossCause::Unreachable),
--- a/crates/pier_node/tests/requests/engine_targets.rs
+++ b/crates/pier_node/tests/requests/engine_targets.rs
@@ -82,6 +82,26 @@
     );
 }
 
+/// Guards against crashes that are not counted because the restarted target is slow to answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crash_counts_although_the_restarted_target_answers_late() {
+    let platform = test_node::launch_platform().await;
+    let node = test_node::TestNode::launch(platform.address());
+    let engines = launch_engines(&node, 2).await;
+    for engine in &engines {
+        engine.set_fault(fault::FaultSpec::new(fault::FaultKind::CrashOnPrompt {
+            marker: "poison".to_owned(),
+            for_ms: 0,
+            exit: false,
+        }));
+        let slow = fault::FaultKind::Slow { ms: 300 };
+        engine.set_fault(fault::FaultSpec::new(slow).path("report"));
+    }
+    let poison = test_node::completion(test_node::LARGE_KEY, "poison", false);
+    assert_eq!(node.send(poison).await.status, 502);
+    node.wait_for_crashes(1).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn closed_connections_of_running_targets_quarantine_nothing() {
     let platform = test_node::launch_platform().await;
