--- a/crates/pier_edge/src/crashes/crash_ledger.rs
+++ b/crates/pier_edge/src/crashes/crash_ledger.rs
@@ -240,13 +240,16 @@
         }
         let set = history.snapshot(now);
         let former = self.published.swap(Arc::new(set.clone()));
-        drop(history);
         for (fingerprint, until) in set.held() {
             if former.remaining(fingerprint, now).is_none() && now < until {
+                let targets = history.crashed_targets(fingerprint, now);
+                let names: Vec<_> = targets.iter().map(ToString::to_string).collect();
                 log::warn!(
                     event = "request-held-back",
                     fingerprint:% = fingerprint,
-                    held_ms = u64::try_from(until.since(now).as_millis()).unwrap_or(u64::MAX);
+                    held_ms = u64::try_from(until.since(now).as_millis()).unwrap_or(u64::MAX),
+                    crashes = names.len(),
+                    targets = names.join(",");
                     ""
                 );
             }
--- a/crates/pier_edge/src/serving/request_entry.rs
+++ b/crates/pier_edge/src/serving/request_entry.rs
@@ -79,6 +79,13 @@
     let body = read_body(body, document.limits(), &head).await?;
     let fingerprint = fingerprint(grant.as_ref(), &parts.uri, &body);
     if let Some(retry_after) = state.crashes().held_for(fingerprint, arrived_at) {
+        log::info!(
+            event = "held-request-refused",
+            attempt = head.attempt.as_str(),
+            fingerprint:% = fingerprint,
+            held_ms = millis(retry_after);
+            ""
+        );
         return Err(serving::Refusal::HeldBack { retry_after });
     }
     let service = route.service_for(rand::random());
--- a/crates/pier_request/src/quarantine/crash_evidence.rs
+++ b/crates/pier_request/src/quarantine/crash_evidence.rs
@@ -9,7 +9,7 @@
 
 /// Fewest crashes that cannot be a coincidence; an innocent request may well run on three targets
 /// that are lost for other reasons.
-pub(super) const CONVICTION_CRASHES: usize = 4;
+pub(super) const QUARANTINE_CRASHES: usize = 4;
 
 /// Points for a crash of a target on which no other request ran.
 const SOLE_SUSPECT_POINTS: u32 = 4;
@@ -38,7 +38,7 @@
     /// The request may have caused the crashes, or ran there by coincidence.
     Suspected,
     /// The request crashes its targets.
-    Convicted,
+    Quarantined,
 }
 
 /// Points of one request, summed over the crashes that implicate it.
@@ -73,10 +73,10 @@
         let enough_crashes = targets >= 2 || self.crashes >= SINGLE_TARGET_MIN_CRASHES;
         if !enough_crashes || points < SUSPICION_THRESHOLD {
             CrashVerdict::Implicated
-        } else if usize::try_from(self.crashes).is_ok_and(|crashes| crashes < CONVICTION_CRASHES) {
+        } else if usize::try_from(self.crashes).is_ok_and(|crashes| crashes < QUARANTINE_CRASHES) {
             CrashVerdict::Suspected
         } else {
-            CrashVerdict::Convicted
+            CrashVerdict::Quarantined
         }
     }
 }
--- a/crates/pier_request/src/quarantine/crash_history.rs
+++ b/crates/pier_request/src/quarantine/crash_history.rs
@@ -12,15 +12,9 @@
 /// Marks evicted at once, so that a full history is not sorted at each crash.
 const EVICTION_BATCH: usize = MAX_MARKS / 8;
 
-/// How long a mark counts.
-const MARK_LIFETIME: time::Duration = time::Duration::from_mins(10);
-
-/// How long a suspected request is held back after each crash.
-const SUSPICION_PAUSE: time::Duration = time::Duration::from_secs(1);
-
 /// Age below which a node accepts a mark from another node.
 ///
-/// The transmitted age lacks the time of the transfer. A limit below [`MARK_LIFETIME`] keeps a node
+/// The transmitted age lacks the time of the transfer. A limit below [`MARK_LIFETIME`](quarantine::MARK_LIFETIME) keeps a node
 /// from accepting a mark again that it has just expired and the sender is about to expire.
 const MAX_MERGE_AGE: time::Duration = time::Duration::from_mins(9);
 
@@ -34,31 +28,6 @@
     epochs::GroupGeneration,
 );
 
-/// Identifies a crash.
-type CrashKey<'a> = (&'a ids::TargetId, epochs::GroupGeneration);
-
-/// A request with its marks.
-#[derive(Debug)]
-struct MarkedRequest<'a> {
-    fingerprint: ids::RequestFingerprint,
-    marks: Vec<(CrashKey<'a>, &'a MarkState)>,
-}
-
-impl MarkedRequest<'_> {
-    fn caused(&self, crash: &CrashKey<'_>) -> bool {
-        self.marks.iter().any(|(caused, _state)| caused == crash)
-    }
-}
-
-/// The mutable part of a mark.
-#[derive(Debug, Clone, Copy)]
-struct MarkState {
-    suspects: u32,
-    cleared: bool,
-    seen_at: times::BootTime,
-    priority_sends_left: u8,
-}
-
 /// Collects marks of the requests that ran on crashed targets, from this node and from others.
 ///
 /// One task owns it; requests read the [`QuarantineSet`](quarantine::QuarantineSet) it publishes.
@@ -80,7 +49,7 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct CrashHistory {
-    marks: collections::BTreeMap<MarkKey, MarkState>,
+    marks: collections::BTreeMap<MarkKey, quarantine::MarkState>,
     cursor: Option<MarkKey>,
 }
 
@@ -102,7 +71,7 @@
             return;
         }
         let local_count = u32::try_from(in_flight.len()).unwrap_or(u32::MAX);
-        let state = MarkState {
+        let state = quarantine::MarkState {
             suspects: local_count.max(reported),
             cleared: false,
             seen_at: now,
@@ -154,7 +123,7 @@
                 continue;
             }
             let key = (mark.fingerprint, mark.target.clone(), mark.generation);
-            let state = MarkState {
+            let state = quarantine::MarkState {
                 suspects: mark.suspects,
                 cleared: mark.cleared,
                 seen_at: now.before(age),
@@ -195,42 +164,40 @@
     /// Removes marks that have reached the end of their lifetime.
     pub fn expire(&mut self, now: times::BootTime) {
         self.marks
-            .retain(|_key, state| now.since(state.seen_at) < MARK_LIFETIME);
+            .retain(|_key, state| now.since(state.seen_at) < quarantine::MARK_LIFETIME);
+    }
+
+    /// Returns the targets whose crashes count against a request.
+    pub fn crashed_targets(
+        &self,
+        fingerprint: ids::RequestFingerprint,
+        now: times::BootTime,
+    ) -> Vec<&ids::TargetId> {
+        let requests = self.live_requests(now).into_iter();
+        let mut found = requests.filter(|request| request.fingerprint == fingerprint);
+        let marks = found.next().map(|request| request.marks);
+        let crashes = marks.unwrap_or_default().into_iter();
+        crashes.map(|(crash, _state)| crash.0).collect()
     }
 
-    /// Returns the requests that are quarantined or implicated now.
+    /// Returns the requests that are held back or implicated now.
     ///
-    /// The crashes of a convicted request do not count against requests with fewer crashes.
+    /// The crashes of a quarantined request do not count against requests with fewer crashes.
     pub fn snapshot(&self, now: times::BootTime) -> quarantine::QuarantineSet {
         let mut set = quarantine::QuarantineSet::default();
         let implicated = self.implicated_counts();
         let mut requests = self.live_requests(now);
         requests.sort_by_key(|request| cmp::Reverse(request.marks.len()));
-        let mut convicted: Vec<&MarkedRequest<'_>> = Vec::new();
+        let mut quarantined = Vec::new();
         for request in &requests {
             set.implicated.insert(request.fingerprint);
-            let mut evidence = quarantine::CrashEvidence::default();
-            let mut crash_times = Vec::new();
-            for (crash, state) in &request.marks {
-                let mut causes = convicted.iter().filter(|other| other.caused(crash));
-                if causes.any(|other| other.marks.len() > request.marks.len()) {
-                    continue;
-                }
-                let marked_together = implicated.get(crash).copied().unwrap_or(0);
-                evidence.add(crash.0, state.suspects.max(marked_together));
-                crash_times.push(state.seen_at);
-            }
-            crash_times.sort_unstable_by_key(|at| cmp::Reverse(*at));
-            let until = match evidence.verdict() {
-                quarantine::CrashVerdict::Implicated => continue,
-                quarantine::CrashVerdict::Suspected => crash_times[0].after(SUSPICION_PAUSE),
-                quarantine::CrashVerdict::Convicted => {
-                    convicted.push(request);
-                    // Too few crashes are left once this one expires.
-                    crash_times[quarantine::CONVICTION_CRASHES - 1].after(MARK_LIFETIME)
-                }
+            let Some((verdict, until)) = request.judge(&quarantined, &implicated) else {
+                continue;
             };
-            set.quarantined.insert(request.fingerprint, until);
+            if verdict == quarantine::CrashVerdict::Quarantined {
+                quarantined.push(request);
+            }
+            set.held.insert(request.fingerprint, until);
         }
         set
     }
@@ -247,7 +214,7 @@
 
     /// Counts the marked requests of each crash: they may have been marked separately, each on its
     /// own node, with too few suspects.
-    fn implicated_counts(&self) -> collections::BTreeMap<CrashKey<'_>, u32> {
+    fn implicated_counts(&self) -> collections::BTreeMap<quarantine::CrashKey<'_>, u32> {
         let mut counts = collections::BTreeMap::new();
         for (_fingerprint, target, generation) in self.marks.keys() {
             *counts.entry((target, *generation)).or_default() += 1;
@@ -256,16 +223,16 @@
     }
 
     /// Returns the marks that count, by request.
-    fn live_requests(&self, now: times::BootTime) -> Vec<MarkedRequest<'_>> {
-        let mut requests: Vec<MarkedRequest<'_>> = Vec::new();
+    fn live_requests(&self, now: times::BootTime) -> Vec<quarantine::MarkedRequest<'_>> {
+        let mut requests: Vec<quarantine::MarkedRequest<'_>> = Vec::new();
         for (key, state) in &self.marks {
-            if state.cleared || now.since(state.seen_at) >= MARK_LIFETIME {
+            if !state.is_live(now) {
                 continue;
             }
             let mark = ((&key.1, key.2), state);
             match requests.last_mut() {
                 Some(request) if request.fingerprint == key.0 => request.marks.push(mark),
-                _ => requests.push(MarkedRequest {
+                _ => requests.push(quarantine::MarkedRequest {
                     fingerprint: key.0,
                     marks: vec![mark],
                 }),
@@ -275,7 +242,7 @@
     }
 
     /// Adds a mark or updates the known one; returns whether that may change a verdict.
-    fn insert(&mut self, key: MarkKey, state: MarkState) -> bool {
+    fn insert(&mut self, key: MarkKey, state: quarantine::MarkState) -> bool {
         let Some(known) = self.marks.get_mut(&key) else {
             self.marks.insert(key, state);
             return true;
@@ -320,7 +287,11 @@
     }
 }
 
-fn to_mark(key: &MarkKey, state: &MarkState, now: times::BootTime) -> quarantine::CrashMark {
+fn to_mark(
+    key: &MarkKey,
+    state: &quarantine::MarkState,
+    now: times::BootTime,
+) -> quarantine::CrashMark {
     let age = now.since(state.seen_at).as_millis();
     quarantine::CrashMark {
         fingerprint: key.0,
--- a/crates/pier_request/src/quarantine/mod.rs
+++ b/crates/pier_request/src/quarantine/mod.rs
@@ -11,11 +11,13 @@
 mod crash_history;
 mod crash_mark;
 mod loss_cause;
+mod marked_request;
 mod quarantine_set;
 
 pub use crash_delta::CrashDelta;
-use crash_evidence::{CONVICTION_CRASHES, CrashEvidence, CrashVerdict};
+use crash_evidence::{CrashEvidence, CrashVerdict, QUARANTINE_CRASHES};
 pub use crash_history::CrashHistory;
 pub use crash_mark::CrashMark;
 pub use loss_cause::LossCause;
+use marked_request::{CrashKey, MARK_LIFETIME, MarkState, MarkedRequest};
 pub use quarantine_set::QuarantineSet;
--- a/crates/pier_request/src/quarantine/quarantine_set.rs
+++ b/crates/pier_request/src/quarantine/quarantine_set.rs
@@ -1,13 +1,13 @@
-//! The requests that are in quarantine.
+//! The requests that are held back.
 
 use std::{collections, time};
 
 use pier_types::{ids, times};
 
-/// An immutable snapshot of the quarantine, read by each request.
+/// An immutable snapshot of the requests that are suspected or in quarantine, read by each request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct QuarantineSet {
-    pub(super) quarantined: collections::BTreeMap<ids::RequestFingerprint, times::BootTime>,
+    pub(super) held: collections::BTreeMap<ids::RequestFingerprint, times::BootTime>,
     pub(super) implicated: collections::BTreeSet<ids::RequestFingerprint>,
 }
 
@@ -19,7 +19,7 @@
         fingerprint: ids::RequestFingerprint,
         now: times::BootTime,
     ) -> Option<time::Duration> {
-        let until = self.quarantined.get(&fingerprint)?;
+        let until = self.held.get(&fingerprint)?;
         (now < *until).then(|| until.since(now))
     }
 
@@ -31,18 +31,18 @@
 
     /// Returns the requests that are held back, and until when.
     pub fn held(&self) -> impl Iterator<Item = (ids::RequestFingerprint, times::BootTime)> {
-        self.quarantined
+        self.held
             .iter()
             .map(|(fingerprint, until)| (*fingerprint, *until))
     }
 
     /// Returns how many requests are held back.
     pub fn len(&self) -> usize {
-        self.quarantined.len()
+        self.held.len()
     }
 
     /// Returns whether no request is held back.
     pub fn is_empty(&self) -> bool {
-        self.quarantined.is_empty()
+        self.held.is_empty()
     }
 }
