Give each node of a test an address that nothing else can take

Cause: tests chose a free port of 127.0.0.1, closed it and had the node bind it later; another test or an outgoing connection could take it meanwhile. The node then did not start, and the test waited for it without end. The process that stood still had the node's datagram socket and one of its three listeners.

Nodes and crashing targets now use loopback addresses of their own, and a node that does not start fails its test at once.

Also: the log line of a held-back request names its targets as text that builds without the other crates' features; cargo clippy -p pier_edge failed on it, while the workspace's build did not.

--- a/crates/pier_edge/src/crashes/crash_ledger.rs
+++ b/crates/pier_edge/src/crashes/crash_ledger.rs
@@ -249,7 +249,7 @@
                     fingerprint:% = fingerprint,
                     held_ms = u64::try_from(until.since(now).as_millis()).unwrap_or(u64::MAX),
                     crashes = names.len(),
-                    targets = names.join(",");
+                    targets:% = names.join(",");
                     ""
                 );
             }
--- a/crates/pier_edge/tests/support/crashing_target.rs
+++ b/crates/pier_edge/tests/support/crashing_target.rs
@@ -42,8 +42,8 @@
         platform: FakePlatform,
         script: Script,
     ) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        entry.address = listener.local_addr().unwrap();
+        entry.address = super::free_address();
+        let listener = TcpListener::bind(entry.address).await.unwrap();
         let target = Self {
             entry,
             platform,
--- a/crates/pier_edge/tests/support/test_node.rs
+++ b/crates/pier_edge/tests/support/test_node.rs
@@ -1,6 +1,10 @@
 //! A node that runs in the test's process.
 
-use std::{collections, net, path, sync::Arc, time};
+use std::{
+    collections, net, path, process,
+    sync::{Arc, atomic},
+    time,
+};
 
 use pier_edge::settings;
 use pier_fleet::{documents, targets};
@@ -21,8 +25,14 @@
     pub platform: FakePlatform,
 }
 
-fn free_address() -> net::SocketAddr {
-    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+/// Returns an unused address on a loopback IP address of its own, so that no other test or
+/// outgoing connection can take the port before it is bound.
+pub fn free_address() -> net::SocketAddr {
+    static COUNT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+    let count = COUNT.fetch_add(1, atomic::Ordering::Relaxed) & 0x3ff;
+    let number = (process::id() & 0x1fff) << 10 | count;
+    let ip = net::Ipv4Addr::from(0x7f80_0000 | number);
+    let listener = net::TcpListener::bind((ip, 0)).unwrap();
     listener.local_addr().unwrap()
 }
 
@@ -46,13 +56,14 @@
         );
         let settings = settings::EdgeSettings::parse(&text).unwrap();
         let running = pier_edge::run(path::Path::new("/nowhere"), settings, platform.clone());
-        tokio::spawn(async move { running.await.unwrap() });
+        let running = tokio::spawn(async move { running.await.unwrap() });
         let node = Self {
             callers,
             readiness,
             platform,
         };
         while tokio::net::TcpStream::connect(callers).await.is_err() {
+            assert!(!running.is_finished(), "the node did not start");
             tokio::time::sleep(time::Duration::from_millis(5)).await;
         }
         node
