--- a/crates/pier_edge/tests/crashing_requests.rs
+++ b/crates/pier_edge/tests/crashing_requests.rs
@@ -88,7 +88,7 @@
     assert!(wait > 60.0, "{wait}");
 }
 
-/// Guards against a request that goes on crashing targets because nodes do not tell each other.
+/// Guards against a request that goes on crashing targets because each node counts crashes alone.
 #[tokio::test]
 async fn a_crashing_request_reaches_few_targets_however_often_it_is_sent() {
     let platform = FakePlatform::default();
