Log how a target's answer is framed and what follows its last event

The log shows outcome=complete for them, which an answer without framing, a framed short answer and a break between two events give alike. stream-ended now names the framing and the bytes after the last whole event, and the metric target_answers counts answers by framing. Nothing is handled differently.

--- a/crates/pier_edge/src/serving/mod.rs
+++ b/crates/pier_edge/src/serving/mod.rs
@@ -1,5 +1,6 @@
 //! Accepts callers' requests and forwards them to targets.
 
+mod body_framing;
 mod buffered_run;
 mod caller_server;
 mod connection_pool;
@@ -14,6 +15,7 @@
 mod stream_run;
 mod target_call;
 
+use body_framing::BodyFraming;
 pub(crate) use caller_server::CallerServer;
 pub(crate) use connection_pool::{ConnectFault, ConnectionPool, PooledConnection};
 pub(crate) use edge_body::{EdgeBody, StreamCut};
--- a/crates/pier_edge/src/serving/stream_relay.rs
+++ b/crates/pier_edge/src/serving/stream_relay.rs
@@ -32,6 +32,8 @@
     first_wait: time::Duration,
     expected: Option<time::Duration>,
     resumed: u32,
+    /// Bytes after the last whole event, when the target ended the body.
+    unfinished: usize,
     /// Whether the request must not be sent again, as its targets crashed.
     is_held: bool,
     _progress: state::ProgressGuard<P>,
@@ -73,6 +75,7 @@
             first_wait: time::Duration::ZERO,
             expected: None,
             resumed: 0,
+            unfinished: 0,
             is_held: false,
             _progress: progress,
         }
@@ -95,6 +98,7 @@
                 }
                 RelayStep::Ended => {
                     let rest = self.splitter.take_rest();
+                    self.unfinished = rest.len();
                     if !rest.is_empty() {
                         // The stream ends here whether or not the caller is still connected.
                         let _caller_left = self.parts.send(Ok(rest)).await;
@@ -134,6 +138,8 @@
             outcome = outcome,
             events = self.events,
             resumed = self.resumed,
+            framing = self.call.framing.label(),
+            unfinished_bytes = self.unfinished,
             first_event_ms = millis(self.first_wait),
             objective_ms = millis(self.job.route.objective),
             longest_gap_ms = millis(self.longest_gap),
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -20,6 +20,7 @@
     pub guard: state::GaugeGuard,
     pub head: http::response::Parts,
     pub answer: links::AnswerHead,
+    pub framing: serving::BodyFraming,
     pub body: Incoming,
     pub sent_at: times::BootTime,
 }
@@ -67,12 +68,15 @@
         })?;
         let (head, body) = response.into_parts();
         let answer = job.state.platform().read_answer(&job.head.attempt, &head);
+        let framing = serving::BodyFraming::of(&head, &body);
+        job.state.metrics().count_framing(framing.label());
         Ok(Self {
             slot: sync::Arc::clone(slot),
             connection,
             guard,
             head,
             answer,
+            framing,
             body,
             sent_at: now,
         })
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -19,6 +19,7 @@
 pub(crate) struct EdgeMetrics {
     registry: Mutex<Registry>,
     answers: Family<Labels, Counter>,
+    framings: Family<Labels, Counter>,
     answer_time: Histogram,
     first_event: Histogram,
     streams: Family<Labels, Counter>,
@@ -45,6 +46,7 @@
         let metrics = Self {
             registry: Mutex::new(Registry::with_prefix("buckthornpier")),
             answers: Family::default(),
+            framings: Family::default(),
             answer_time: Histogram::new(LATENCY_BUCKETS),
             first_event: Histogram::new(LATENCY_BUCKETS),
             streams: Family::default(),
@@ -65,6 +67,11 @@
             "Answers by cause and status",
             metrics.answers.clone(),
         );
+        registry.register(
+            "target_answers",
+            "Answers of targets by what marks the end of the body",
+            metrics.framings.clone(),
+        );
         registry.register(
             "answer_seconds",
             "Time to the answer's head",
@@ -142,6 +149,11 @@
         self.answer_time.observe(taken.as_secs_f64());
     }
 
+    pub(crate) fn count_framing(&self, framing: &str) {
+        let labels = vec![("framing", framing.to_owned())];
+        self.framings.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn observe_first_event(&self, taken: time::Duration) {
         self.first_event.observe(taken.as_secs_f64());
     }
