Reproduce answers that are broken off and look complete

The tests start a node over stand-ins whose answers end inside an event (without framing, chunked, before the first event), or at the moment at which the target's process ends.

--- a/crates/pier_edge/tests/support/crashing_target.rs
+++ b/crates/pier_edge/tests/support/crashing_target.rs
@@ -19,6 +19,9 @@
 /// A request whose text contains this ends each target that begins to run it.
 pub const CRASH_MARKER: &str = "crash-marker";
 
+/// A request whose text contains this ends its target right after the last byte of the answer.
+pub const CRASH_AFTER_MARKER: &str = "crash-after-answer";
+
 /// Time between the end of a target and its next start.
 const DOWN_TIME: time::Duration = time::Duration::from_millis(300);
 
@@ -145,6 +148,11 @@
                 .await
                 .is_none()
             {
+                if request.contains(CRASH_AFTER_MARKER) {
+                    self.crash();
+                    // The crash ends this task.
+                    std::future::pending::<()>().await;
+                }
                 return;
             }
         }
--- a/crates/pier_edge/tests/support/scripted_target.rs
+++ b/crates/pier_edge/tests/support/scripted_target.rs
@@ -11,6 +11,9 @@
     net::{TcpListener, TcpStream},
 };
 
+/// Least number of bytes that are written at once of an answer without end.
+const ENDLESS_WRITE_BYTES: usize = 8_192;
+
 /// How a target answers each request.
 #[derive(Clone, Debug)]
 pub enum Script {
@@ -20,6 +23,16 @@
     WholeAndExtra(&'static str),
     /// An answer that ends before its stated length.
     Truncated,
+    /// An answer with these header lines and this body, after which the connection ends.
+    UntilClose { headers: &'static str, body: String },
+    /// The beginning of an answer with these header lines, without its end.
+    Stalled { headers: &'static str, body: String },
+    /// An answer that begins with this text and goes on with this piece, again and again, until
+    /// the connection is closed.
+    Endless {
+        start: &'static str,
+        piece: &'static str,
+    },
     /// Reads the request and closes the connection.
     Close,
     /// Reads the request and never answers.
@@ -117,13 +130,25 @@
             stream.write_all(text.as_bytes()).await.ok()?;
             None
         }
-        Script::Close => None,
-        Script::Silent => {
-            let mut rest = [0; 64];
-            // Ends when the node closes the connection.
-            while stream.read(&mut rest).await.ok()? > 0 {}
+        Script::UntilClose { headers, body } => {
+            let text = format!("{head}{headers}\r\n{body}");
+            stream.write_all(text.as_bytes()).await.ok()?;
+            None
+        }
+        Script::Endless { start, piece } => {
+            let text = start.replace("{attempt}", &attempt);
+            stream.write_all(text.as_bytes()).await.ok()?;
+            let pieces = piece.repeat(ENDLESS_WRITE_BYTES / piece.len() + 1);
+            while stream.write_all(pieces.as_bytes()).await.is_ok() {}
             None
         }
+        Script::Close => None,
+        Script::Silent => stay_silent(stream).await,
+        Script::Stalled { headers, body } => {
+            let text = format!("{head}{headers}\r\n{body}");
+            stream.write_all(text.as_bytes()).await.ok()?;
+            stay_silent(stream).await
+        }
         Script::NotRun => {
             let text = format!(
                 "HTTP/1.1 503 Busy\r\nx-attempt: {attempt}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
@@ -142,9 +167,7 @@
             stream.write_all(text.as_bytes()).await.ok()?;
             for id in after + 1..=*last {
                 if *silent_from == Some(id) {
-                    let mut rest = [0; 64];
-                    while stream.read(&mut rest).await.ok()? > 0 {}
-                    return None;
+                    return stay_silent(stream).await;
                 }
                 let event = format!("id: {id}\ndata: part {id}\n\n");
                 if *cut_in == Some(id) {
@@ -162,6 +185,13 @@
     }
 }
 
+/// Waits until the node closes the connection.
+async fn stay_silent(stream: &mut TcpStream) -> Option<()> {
+    let mut rest = [0; 64];
+    while stream.read(&mut rest).await.ok()? > 0 {}
+    None
+}
+
 pub(super) async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut piece = [0; 4096];
