Pass on events with CR line ends as they arrive

What callers saw: the events of a stream whose lines end with CR came only with the end of the stream, and one that broke off could not be resumed at the right event.

Cause: the splitter knew LF and CRLF only. Now a blank line after LF, CRLF or CR ends an event, found in one pass; comments are no events. Before a rest after the last event can count as a break, every sound line end has to be known.

--- a/crates/pier_edge/src/serving/event_splitter.rs
+++ b/crates/pier_edge/src/serving/event_splitter.rs
@@ -2,7 +2,12 @@
 
 use bytes::BytesMut;
 
+/// Bytes that are scanned again when more arrive, since an event's end may be split.
+const MAX_SPLIT_END: usize = 2;
+
 /// Buffers bytes until an event is complete, since a target may stop in the middle of one.
+///
+/// Lines end with LF, CRLF or CR.
 #[derive(Debug, Default)]
 pub(super) struct EventSplitter {
     buffer: BytesMut,
@@ -10,14 +15,14 @@
     searched: usize,
 }
 
-/// One or more complete events.
+/// One or more complete events, with the comments between them.
 #[derive(Debug, PartialEq, Eq)]
 pub(super) struct WholeEvents {
     /// The bytes of the events, unchanged.
     pub bytes: bytes::Bytes,
     /// Id of the last event that has one.
     pub last_id: Option<String>,
-    /// Number of events.
+    /// Number of events; zero if there are only comments.
     pub count: u32,
 }
 
@@ -30,10 +35,10 @@
         let mut at = self.searched;
         while let Some(found) = event_end(&self.buffer[at..]) {
             at += found;
+            count += u32::from(has_field(&self.buffer[end..at]));
             end = at;
-            count += 1;
         }
-        self.searched = self.buffer.len().saturating_sub(3).max(end) - end;
+        self.searched = self.buffer.len().saturating_sub(MAX_SPLIT_END).max(end) - end;
         if end == 0 {
             return None;
         }
@@ -55,22 +60,25 @@
 
 /// Returns the length of the first event with its blank line, if it is complete.
 fn event_end(bytes: &[u8]) -> Option<usize> {
-    let lf = find(bytes, b"\n\n").map(|at| at + 2);
-    let crlf = find(bytes, b"\r\n\r\n").map(|at| at + 4);
-    match (lf, crlf) {
-        (Some(lf), Some(crlf)) => Some(lf.min(crlf)),
-        (lf, crlf) => lf.or(crlf),
-    }
+    (1..bytes.len()).find_map(|at| match (bytes[at - 1], bytes[at]) {
+        (b'\n', b'\n') | (b'\r', b'\r') => Some(at + 1),
+        (b'\n', b'\r') if bytes.get(at + 1) == Some(&b'\n') => Some(at + 2),
+        _ => None,
+    })
+}
+
+/// Returns whether one of the lines is neither blank nor a comment.
+fn has_field(bytes: &[u8]) -> bool {
+    let mut lines = bytes.split(|byte| is_line_end(*byte));
+    lines.any(|line| line.first().is_some_and(|first| *first != b':'))
 }
 
-fn find(bytes: &[u8], separator: &[u8]) -> Option<usize> {
-    bytes
-        .windows(separator.len())
-        .position(|window| window == separator)
+const fn is_line_end(byte: u8) -> bool {
+    byte == b'\n' || byte == b'\r'
 }
 
 fn last_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|byte| *byte == b'\n');
+    let lines = events.split(|byte| is_line_end(*byte));
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
     let id = ids.next_back()?;
     let text = std::str::from_utf8(id).ok()?;
--- a/crates/pier_edge/src/serving/stream_relay.rs
+++ b/crates/pier_edge/src/serving/stream_relay.rs
@@ -179,6 +179,9 @@
         let now = times::clocks::boot_now();
         let gauge = &self.call.slot.gauge;
         gauge.record_progress(now);
+        if events.count == 0 {
+            return self.parts.send(Ok(events.bytes)).await.is_ok();
+        }
         let gap = now.since(self.last_at);
         if self.events == 0 {
             self.call.guard.mark_started();
@@ -191,7 +194,7 @@
             metrics.observe_first_event(self.first_wait);
         } else {
             self.longest_gap = self.longest_gap.max(gap);
-            gauge.record_gap(gap / events.count.max(1), now);
+            gauge.record_gap(gap / events.count, now);
         }
         self.last_at = now;
         self.events += events.count;
