Cut or resume a stream that ends inside an event

Cause: the end of the target's body was taken for the end of the stream. An answer with neither a length nor chunks ends with its connection, which hyper reports like any proper end; the relay then passed on the bytes after the last whole event and ended the caller's chunked body properly. The request was also recorded as completed, which clears its crash marks.

Now a body that ends inside an event, or without framing before the first event, is handled like a connection that broke: the target is checked, a resumable stream goes on at another one, and the bytes of the partial event are dropped. Towards the caller a stream ends only with an explicit end mark; a sender that is gone without one aborts the body, so no other way out of the relay can look complete.

--- a/crates/pier_edge/src/serving/edge_body.rs
+++ b/crates/pier_edge/src/serving/edge_body.rs
@@ -10,7 +10,17 @@
 #[derive(Debug)]
 pub(crate) enum EdgeBody {
     Whole(Full<bytes::Bytes>),
-    Stream(mpsc::Receiver<Result<bytes::Bytes, StreamCut>>),
+    Stream(mpsc::Receiver<StreamPart>),
+    /// A stream that has ended properly.
+    Ended,
+}
+
+/// A part of a stream. A channel that closes without [`Self::End`] aborts the stream.
+#[derive(Debug)]
+pub(crate) enum StreamPart {
+    Data(bytes::Bytes),
+    /// The stream is complete.
+    End,
 }
 
 /// The error that aborts a stream: the connection is closed without a proper end of the body, so
@@ -40,13 +50,20 @@
         self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
-        match self.get_mut() {
+        let this = self.get_mut();
+        match this {
             Self::Whole(body) => pin::Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
-            Self::Stream(parts) => parts
-                .poll_recv(cx)
-                .map(|part| part.map(|part| part.map(Frame::data))),
+            Self::Stream(parts) => match task::ready!(parts.poll_recv(cx)) {
+                Some(StreamPart::Data(data)) => task::Poll::Ready(Some(Ok(Frame::data(data)))),
+                Some(StreamPart::End) => {
+                    *this = Self::Ended;
+                    task::Poll::Ready(None)
+                }
+                None => task::Poll::Ready(Some(Err(StreamCut))),
+            },
+            Self::Ended => task::Poll::Ready(None),
         }
     }
 
@@ -54,6 +71,7 @@
         match self {
             Self::Whole(body) => body.is_end_stream(),
             Self::Stream(_) => false,
+            Self::Ended => true,
         }
     }
 
@@ -61,6 +79,7 @@
         match self {
             Self::Whole(body) => body.size_hint(),
             Self::Stream(_) => SizeHint::default(),
+            Self::Ended => SizeHint::with_exact(0),
         }
     }
 }
--- a/crates/pier_edge/src/serving/event_splitter.rs
+++ b/crates/pier_edge/src/serving/event_splitter.rs
@@ -51,6 +51,16 @@
         })
     }
 
+    /// Returns the number of bytes after the last complete event.
+    pub(super) fn len(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Returns whether the bytes so far end inside an event.
+    pub(super) fn is_inside_event(&self) -> bool {
+        has_field(&self.buffer)
+    }
+
     /// Takes the bytes after the last complete event.
     pub(super) fn take_rest(&mut self) -> bytes::Bytes {
         self.searched = 0;
--- a/crates/pier_edge/src/serving/mod.rs
+++ b/crates/pier_edge/src/serving/mod.rs
@@ -18,7 +18,7 @@
 use body_framing::BodyFraming;
 pub(crate) use caller_server::CallerServer;
 pub(crate) use connection_pool::{ConnectFault, ConnectionPool, PooledConnection};
-pub(crate) use edge_body::{EdgeBody, StreamCut};
+pub(crate) use edge_body::{EdgeBody, StreamPart};
 use event_splitter::EventSplitter;
 use refusal::Refusal;
 use request_job::{RequestJob, TargetChoice};
--- a/crates/pier_edge/src/serving/stream_relay.rs
+++ b/crates/pier_edge/src/serving/stream_relay.rs
@@ -15,13 +15,16 @@
 /// Delay before looking again for a target with free capacity.
 const RESUME_RETRY_DELAY: time::Duration = time::Duration::from_millis(60);
 
+/// The content type of a stream of events, without parameters.
+const EVENT_STREAM_TYPE: &[u8] = b"text/event-stream";
+
 /// Forwards one stream from its target to the caller.
 #[derive(Debug)]
 pub(super) struct StreamRelay<P> {
     job: serving::RequestJob<P>,
     call: serving::TargetCall,
     broken: watch::Receiver<bool>,
-    parts: mpsc::Sender<Result<bytes::Bytes, serving::StreamCut>>,
+    parts: mpsc::Sender<serving::StreamPart>,
     tried: Vec<ids::VmName>,
     sends: u32,
     splitter: serving::EventSplitter,
@@ -42,8 +45,9 @@
 /// What happened next to a relayed stream.
 enum RelayStep {
     Data(bytes::Bytes),
+    /// The body ended, and nothing shows that it is incomplete.
     Ended,
-    /// The target closed the connection, with this error.
+    /// The target broke the stream off, which showed in this way.
     Closed(String),
     /// The target is silent, or its group no longer serves.
     Stuck,
@@ -55,7 +59,7 @@
     pub(super) fn new(
         job: serving::RequestJob<P>,
         call: serving::TargetCall,
-        parts: mpsc::Sender<Result<bytes::Bytes, serving::StreamCut>>,
+        parts: mpsc::Sender<serving::StreamPart>,
         tried: Vec<ids::VmName>,
         sends: u32,
         progress: state::ProgressGuard<P>,
@@ -98,23 +102,17 @@
                 }
                 RelayStep::Ended => {
                     let rest = self.splitter.take_rest();
-                    self.unfinished = rest.len();
-                    if !rest.is_empty() {
-                        // The stream ends here whether or not the caller is still connected.
-                        let _caller_left = self.parts.send(Ok(rest)).await;
+                    if (rest.is_empty() || self.send(rest).await) && self.end().await {
+                        break "complete";
                     }
-                    break "complete";
+                    break "caller-left";
                 }
                 RelayStep::CallerLeft => break "caller-left",
-                RelayStep::TimeOver => {
-                    self.cut().await;
-                    break "time-over";
-                }
+                RelayStep::TimeOver => break "time-over",
                 RelayStep::Closed(reason) => {
                     self.log_loss(&reason);
                     let reported = self.job.report_closed(&self.call.slot).await;
                     if reported.is_err() || !self.resume().await {
-                        self.cut().await;
                         break "cut";
                     }
                 }
@@ -122,7 +120,6 @@
                     self.log_loss("the target is stuck");
                     let reported = self.job.report_silent(&self.call.slot);
                     if reported.is_err() || !self.resume().await {
-                        self.cut().await;
                         break "cut";
                     }
                 }
@@ -156,7 +153,7 @@
         let left = self.job.time_left(times::clocks::boot_now());
         tokio::select! {
             frame = self.call.body.frame() => match frame {
-                None => RelayStep::Ended,
+                None => self.body_end(),
                 Some(Ok(frame)) => {
                     frame.into_data().map_or_else(
                         |_trailers| RelayStep::Data(bytes::Bytes::new()),
@@ -171,6 +168,22 @@
         }
     }
 
+    /// Returns what the end of the target's body means.
+    fn body_end(&mut self) -> RelayStep {
+        self.unfinished = self.splitter.len();
+        if !is_event_stream(&self.call.head) {
+            return RelayStep::Ended;
+        }
+        if self.splitter.is_inside_event() {
+            return RelayStep::Closed("the body ended inside an event".to_owned());
+        }
+        let is_unframed = self.call.framing == serving::BodyFraming::UntilClose;
+        if is_unframed && self.events == 0 && self.last_event.is_none() {
+            return RelayStep::Closed("the connection ended before the first event".to_owned());
+        }
+        RelayStep::Ended
+    }
+
     /// Forwards the events that are complete; returns whether the caller is still connected.
     async fn forward(&mut self, data: &[u8]) -> bool {
         let Some(events) = self.splitter.push(data) else {
@@ -180,7 +193,7 @@
         let gauge = &self.call.slot.gauge;
         gauge.record_progress(now);
         if events.count == 0 {
-            return self.parts.send(Ok(events.bytes)).await.is_ok();
+            return self.send(events.bytes).await;
         }
         let gap = now.since(self.last_at);
         if self.events == 0 {
@@ -201,13 +214,18 @@
         if events.last_id.is_some() {
             self.last_event = events.last_id;
         }
-        self.parts.send(Ok(events.bytes)).await.is_ok()
+        self.send(events.bytes).await
+    }
+
+    /// Sends bytes to the caller; returns whether it is still connected.
+    async fn send(&self, bytes: bytes::Bytes) -> bool {
+        let part = serving::StreamPart::Data(bytes);
+        self.parts.send(part).await.is_ok()
     }
 
-    /// Aborts the caller's connection without a proper end of the body.
-    async fn cut(&self) {
-        // The caller may have left already.
-        let _caller_left = self.parts.send(Err(serving::StreamCut)).await;
+    /// Ends the caller's body properly; returns whether it is still connected.
+    async fn end(&self) -> bool {
+        self.parts.send(serving::StreamPart::End).await.is_ok()
     }
 
     fn log_loss(&self, reason: &str) {
@@ -219,6 +237,7 @@
             target_vm:% = self.call.slot.vm,
             born:% = self.call.slot.born,
             cause = reason,
+            framing = self.call.framing.label(),
             events = self.events,
             silent_ms = millis(now.since(self.last_at));
             ""
@@ -328,3 +347,10 @@
         }
     }
 }
+
+/// Returns whether an answer's body consists of events: unless the head names another type, as it
+/// should for the answer to a request for a stream.
+fn is_event_stream(head: &http::response::Parts) -> bool {
+    let content_type = head.headers.get(http::header::CONTENT_TYPE);
+    content_type.is_none_or(|value| value.as_bytes().starts_with(EVENT_STREAM_TYPE))
+}
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -28,10 +28,7 @@
 #[derive(Debug)]
 pub(super) enum StreamStart {
     /// The stream has begun.
-    Stream(
-        http::response::Parts,
-        mpsc::Receiver<Result<bytes::Bytes, serving::StreamCut>>,
-    ),
+    Stream(http::response::Parts, mpsc::Receiver<serving::StreamPart>),
     /// The target answered with something other than a stream.
     Whole(http::response::Parts, bytes::Bytes),
 }
--- a/crates/pier_edge/tests/broken_off_answers.rs
+++ b/crates/pier_edge/tests/broken_off_answers.rs
@@ -228,6 +228,19 @@
     }
 }
 
+/// Guards against cutting a sound answer of another type to a request for a stream.
+#[tokio::test]
+async fn an_answer_that_is_no_stream_of_events_is_passed_on_whole() {
+    let script = Script::UntilClose {
+        headers: "content-type: application/json\r\n",
+        body: "{\"done\": true}".to_owned(),
+    };
+    let (node, _targets) = node_with([script.clone(), script]).await;
+    let answer = ask(&node, "/once/x", "prompt").await;
+    assert!(answer.is_complete);
+    assert_eq!(answer.body, "{\"done\": true}");
+}
+
 /// Guards against events that wait for the next one because their line ends are not recognised.
 #[tokio::test]
 async fn events_are_passed_on_as_they_arrive_whatever_their_line_ends() {
