Send the crashing stream of a test for four seconds, like its siblings

The test of streams that crashes end sent its request twelve times in 1.6 s and expected three crashes. After two crashes a request is held back for about a second, as they may be a coincidence, so the third could not come: 2 targets crashed. It now sends as long as the tests of crashing_requests do, with the same bounds (three to six crashes).

--- a/crates/pier_edge/tests/broken_off_answers.rs
+++ b/crates/pier_edge/tests/broken_off_answers.rs
@@ -20,6 +20,9 @@
 /// How much later than its last byte a sound answer may reach its caller.
 const DELIVERY_TIME: time::Duration = time::Duration::from_millis(150);
 
+/// How long the caller of a crashing request sends it again and again.
+const RESEND_TIME: time::Duration = time::Duration::from_secs(4);
+
 const STREAM_HEADERS: &str = "content-type: text/event-stream\r\n";
 
 fn request_in(version: &str, path: &str, body: &str) -> String {
@@ -341,7 +344,8 @@
         targets.push(CrashingTarget::start(entry, platform.clone(), script).await);
     }
     let nodes = TestNode::start_fleet(1, platform, Vec::new()).await;
-    for _ in 0..12 {
+    let end = time::Instant::now() + RESEND_TIME;
+    while time::Instant::now() < end {
         let answer = ask(&nodes[0], "/once/x", CRASH_AFTER_MARKER).await;
         assert!(answer.status() == 503 || !answer.is_complete);
         tokio::time::sleep(time::Duration::from_millis(50)).await;
