Take no answer for whole whose target crashed at its end

What callers saw, in tests: an answer without framing that was ended by a crash of its target, between two events or anywhere in a whole answer, reached them as complete.

Cause: a process that ends closes its connections like one that has answered completely, and the node asked nothing else.

Now the end of such an answer is checked by one connection attempt to the target, begun after the end. If no process listens, or the registrations show another start, the answer counts as broken off: it may have run, the crash is recorded, and what may be repeated or resumed goes to another target. A leaving target, one that accepts, and one that says nothing within 100 ms are believed. Events are passed on before the check; only the end of the stream, or a whole answer, waits for it.

The connection goes to the pool and serves the next request, so there is none in addition (a test counts them). Resuming each sound stream after its last event, the other way to be sure, would take a budgeted send for each.

The one of the idempotent request had a second target that answered faster and was always chosen; both now take the same time.

--- a/crates/pier_edge/src/crashes/loss_check.rs
+++ b/crates/pier_edge/src/crashes/loss_check.rs
@@ -8,9 +8,6 @@
 
 use crate::serving;
 
-/// How long the result of a check counts for further requests that lost the same target.
-const RESULT_LIFETIME: time::Duration = time::Duration::from_millis(100);
-
 /// The last check of one target; requests that lose it together share one check.
 #[derive(Debug, Default)]
 pub(crate) struct LossCheck {
@@ -26,13 +23,16 @@
 impl LossCheck {
     /// Opens a connection to the target, which is refused if its process has ended, and pools it
     /// otherwise. Returns `None` when the target accepted the connection.
+    ///
+    /// The result of another check counts if that began at most `max_age` before `now`.
     pub(crate) async fn run(
         &self,
         connections: &serving::ConnectionPool,
+        max_age: time::Duration,
         now: times::BootTime,
     ) -> Option<quarantine::LossCause> {
         let mut last = self.last.lock().await;
-        let recent = last.filter(|result| now.since(result.checked_at) < RESULT_LIFETIME);
+        let recent = last.filter(|result| now.since(result.checked_at) <= max_age);
         if let Some(result) = recent {
             return result.cause;
         }
--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -197,6 +197,10 @@
         let reason = "the answer lacks the target's mark for this attempt".to_owned();
         return Err(serving::SendFault::MayHaveRun(reason));
     }
+    if !answer.is_not_run && call.has_lost_process(job).await {
+        let reason = serving::PROCESS_LOST.to_owned();
+        return Err(serving::SendFault::MayHaveRun(reason));
+    }
     slot.gauge.record_progress(times::clocks::boot_now());
     call.finish();
     Ok((head, body, answer))
--- a/crates/pier_edge/src/serving/loss_report.rs
+++ b/crates/pier_edge/src/serving/loss_report.rs
@@ -1,12 +1,18 @@
 //! Reports targets that were lost while they ran a request.
 
-use std::sync;
+use std::{sync, time};
 
 use pier_request::quarantine;
 use pier_types::times;
 
 use crate::{crashes, links, serving, state};
 
+/// Greatest age of a check whose result counts for further requests that lost the same target.
+const CHECK_LIFETIME: time::Duration = time::Duration::from_millis(100);
+
+/// How long an answer whose only end is that of the connection waits for the check of its target.
+const END_CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+
 impl<P: links::FleetPlatform> serving::RequestJob<P> {
     /// Reports a target that was lost while it ran this request.
     ///
@@ -35,14 +41,7 @@
         slot: &sync::Arc<state::TargetSlot>,
     ) -> Result<(), serving::Refusal> {
         let now = times::clocks::boot_now();
-        let target = slot.as_lost();
-        let registered = self
-            .state
-            .with_registry(|registry| crashes::registered_cause(registry, &target, now));
-        let cause = match registered {
-            Some(cause) => Some(cause),
-            None => slot.loss_check.run(&slot.connections, now).await,
-        };
+        let cause = self.find_cause(slot, CHECK_LIFETIME, now).await;
         let label = label(cause);
         self.state.metrics().count_loss(label);
         log::info!(
@@ -60,6 +59,35 @@
         self.check_held()
     }
 
+    /// Returns whether the target's process is known to have ended by the end of an answer whose
+    /// only end is that of the connection.
+    ///
+    /// A process that ends closes its connections like one that has answered completely. An answer
+    /// of a target that is leaving, or that does not reply to the check in time, counts as sound.
+    pub(super) async fn is_process_lost(&self, slot: &state::TargetSlot) -> bool {
+        let now = times::clocks::boot_now();
+        let check = self.find_cause(slot, time::Duration::ZERO, now);
+        let cause = tokio::time::timeout(END_CHECK_TIMEOUT, check).await;
+        cause == Ok(Some(quarantine::LossCause::ProcessLost))
+    }
+
+    /// Returns why a target closed a connection, or `None` while it accepts others.
+    async fn find_cause(
+        &self,
+        slot: &state::TargetSlot,
+        max_age: time::Duration,
+        now: times::BootTime,
+    ) -> Option<quarantine::LossCause> {
+        let target = slot.as_lost();
+        let registered = self
+            .state
+            .with_registry(|registry| crashes::registered_cause(registry, &target, now));
+        match registered {
+            Some(cause) => Some(cause),
+            None => slot.loss_check.run(&slot.connections, max_age, now).await,
+        }
+    }
+
     /// Reports a target that no longer answers; whether it crashed shows when it registers again.
     ///
     /// # Errors
--- a/crates/pier_edge/src/serving/mod.rs
+++ b/crates/pier_edge/src/serving/mod.rs
@@ -24,4 +24,4 @@
 use request_job::{RequestJob, TargetChoice};
 use send_fault::SendFault;
 use stream_relay::StreamRelay;
-use target_call::TargetCall;
+use target_call::{PROCESS_LOST, TargetCall};
--- a/crates/pier_edge/src/serving/stream_relay.rs
+++ b/crates/pier_edge/src/serving/stream_relay.rs
@@ -153,7 +153,7 @@
         let left = self.job.time_left(times::clocks::boot_now());
         tokio::select! {
             frame = self.call.body.frame() => match frame {
-                None => self.body_end(),
+                None => self.body_end().await,
                 Some(Ok(frame)) => {
                     frame.into_data().map_or_else(
                         |_trailers| RelayStep::Data(bytes::Bytes::new()),
@@ -169,7 +169,7 @@
     }
 
     /// Returns what the end of the target's body means.
-    fn body_end(&mut self) -> RelayStep {
+    async fn body_end(&mut self) -> RelayStep {
         self.unfinished = self.splitter.len();
         if !is_event_stream(&self.call.head) {
             return RelayStep::Ended;
@@ -181,6 +181,9 @@
         if is_unframed && self.events == 0 && self.last_event.is_none() {
             return RelayStep::Closed("the connection ended before the first event".to_owned());
         }
+        if self.call.has_lost_process(&self.job).await {
+            return RelayStep::Closed(serving::PROCESS_LOST.to_owned());
+        }
         RelayStep::Ended
     }
 
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -98,6 +98,9 @@
     let left = job.time_left(times::clocks::boot_now());
     let reading = buffered_run::read_whole(&mut call.body);
     match tokio::time::timeout(left, reading).await {
+        Ok(Ok(_incomplete)) if call.has_lost_process(job).await => Err(
+            serving::SendFault::MayHaveRun(serving::PROCESS_LOST.to_owned()),
+        ),
         Ok(Ok(body)) => {
             let head = call.head.clone();
             call.finish();
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -12,6 +12,9 @@
 /// target is unlikely to have closed it in that time, which would leave unknown whether it ran.
 const ONE_TIME_MAX_AGE: time::Duration = time::Duration::from_secs(1);
 
+/// The reason why an answer without framing counts as incomplete.
+pub(super) const PROCESS_LOST: &str = "the target's process ended with the answer";
+
 /// A request that a target has begun to answer.
 #[derive(Debug)]
 pub(super) struct TargetCall {
@@ -82,6 +85,15 @@
         })
     }
 
+    /// Returns whether the end of the body may be that of a crashed process: nothing else marks it,
+    /// and the target's process is known to have ended.
+    pub(super) async fn has_lost_process<P: links::FleetPlatform>(
+        &self,
+        job: &serving::RequestJob<P>,
+    ) -> bool {
+        self.framing == serving::BodyFraming::UntilClose && job.is_process_lost(&self.slot).await
+    }
+
     /// Returns the connection to the pool once the answer was read completely.
     pub(super) fn finish(self) {
         let now = times::clocks::boot_now();
--- a/crates/pier_edge/tests/broken_off_answers.rs
+++ b/crates/pier_edge/tests/broken_off_answers.rs
@@ -20,6 +20,9 @@
 /// How much later than its last byte a sound answer may reach its caller.
 const DELIVERY_TIME: time::Duration = time::Duration::from_millis(150);
 
+/// Requests that are sent one after another to count connections.
+const REQUESTS: u32 = 100;
+
 /// How long the caller of a crashing request sends it again and again.
 const RESEND_TIME: time::Duration = time::Duration::from_secs(4);
 
@@ -299,9 +302,10 @@
     };
     let entry = plain_entry("vm-1", support::free_address());
     let crashing = CrashingTarget::start(entry, platform.clone(), script).await;
-    let sound = ScriptedTarget::start(Script::Whole("all of it")).await;
-    let entries = vec![plain_entry("vm-2", sound.address)];
-    let nodes = TestNode::start_fleet(1, platform, entries).await;
+    let entry = plain_entry("vm-2", support::free_address());
+    let script = Script::Whole("all of it");
+    let _sound = CrashingTarget::start(entry, platform.clone(), script).await;
+    let nodes = TestNode::start_fleet(1, platform, Vec::new()).await;
     for _ in 0..TRIES {
         let answer = ask(&nodes[0], "/read/x", CRASH_AFTER_MARKER).await;
         assert_eq!((answer.status(), answer.body.as_str()), (200, "all of it"));
@@ -330,6 +334,22 @@
     assert_eq!(target.requests().len(), 3);
 }
 
+/// Guards against a check of each answer without framing that opens connections for nothing.
+#[tokio::test]
+async fn answers_without_framing_take_one_connection_each() {
+    let script = Script::UntilClose {
+        headers: "",
+        body: "all of it".to_owned(),
+    };
+    let target = ScriptedTarget::start(script).await;
+    let node = TestNode::start(vec![plain_entry("vm-1", target.address)]).await;
+    for _ in 0..REQUESTS {
+        assert_eq!(ask(&node, "/read/x", "prompt").await.status(), 200);
+    }
+    assert_eq!(target.requests().len(), REQUESTS as usize);
+    assert!(target.accepted() <= REQUESTS + 1, "{}", target.accepted());
+}
+
 /// Guards against a request that crashes its targets in the middle of their streams and is taken
 /// for one that completed.
 #[tokio::test]
--- a/crates/pier_edge/tests/support/scripted_target.rs
+++ b/crates/pier_edge/tests/support/scripted_target.rs
@@ -56,6 +56,7 @@
 pub struct ScriptedTarget {
     pub address: net::SocketAddr,
     requests: Arc<Mutex<Vec<String>>>,
+    accepted: Arc<Mutex<u32>>,
     closed: Arc<Mutex<u32>>,
 }
 
@@ -65,12 +66,14 @@
         let target = Self {
             address: listener.local_addr().unwrap(),
             requests: Arc::default(),
+            accepted: Arc::default(),
             closed: Arc::default(),
         };
         let serving = target.clone();
         tokio::spawn(async move {
             loop {
                 let (stream, _from) = listener.accept().await.unwrap();
+                *serving.accepted.lock().unwrap() += 1;
                 let (target, script) = (serving.clone(), script.clone());
                 tokio::spawn(async move {
                     target.serve(stream, script).await;
@@ -86,6 +89,11 @@
         self.requests.lock().unwrap().clone()
     }
 
+    /// Returns how many connections were accepted.
+    pub fn accepted(&self) -> u32 {
+        *self.accepted.lock().unwrap()
+    }
+
     /// Returns how many connections have ended.
     pub fn closed(&self) -> u32 {
         *self.closed.lock().unwrap()
