Reset the connection of an HTTP/1.0 caller whose stream is cut

What callers saw, in a test: a caller of HTTP/1.0 gets no chunks, so a stream that the node cut ended like a complete one.

Cause: the end of the connection is all that such a caller sees, and the node closed it in order. Now a cut stream ends with a reset. The caller may lose bytes that it has not read yet, which an incomplete answer can bear; callers with chunks see the missing last chunk and keep every event.

--- a/crates/pier_edge/src/serving/caller_server.rs
+++ b/crates/pier_edge/src/serving/caller_server.rs
@@ -11,7 +11,7 @@
 };
 
 use super::{connection_pool, request_entry};
-use crate::{links, state};
+use crate::{links, serving, state};
 
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
@@ -86,9 +86,11 @@
         .map(|document| document.limits())
         .unwrap_or_default();
     let head_size = usize::try_from(limits.head_size.get()).unwrap_or(usize::MAX);
+    let reset = serving::ResetSwitch::default();
+    let stream = serving::CallerStream::new(stream, reset.clone());
     let service = service_fn(move |request: http::Request<Incoming>| {
-        let state = state.clone();
-        async move { Ok::<_, convert::Infallible>(request_entry::serve(state, request).await) }
+        let (state, reset) = (state.clone(), reset.clone());
+        async move { Ok::<_, convert::Infallible>(request_entry::serve(state, request, reset).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/pier_edge/src/serving/edge_body.rs
+++ b/crates/pier_edge/src/serving/edge_body.rs
@@ -6,11 +6,17 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
+use crate::serving;
+
 /// An answer's body: complete, or a stream that may be aborted.
 #[derive(Debug)]
 pub(crate) enum EdgeBody {
     Whole(Full<bytes::Bytes>),
-    Stream(mpsc::Receiver<StreamPart>),
+    Stream {
+        parts: mpsc::Receiver<StreamPart>,
+        /// Set when the stream is cut, for a caller that would not see it otherwise.
+        reset: Option<serving::ResetSwitch>,
+    },
     /// A stream that has ended properly.
     Ended,
 }
@@ -40,6 +46,17 @@
     pub(crate) fn whole(bytes: bytes::Bytes) -> Self {
         Self::Whole(Full::new(bytes))
     }
+
+    pub(crate) const fn stream(parts: mpsc::Receiver<StreamPart>) -> Self {
+        Self::Stream { parts, reset: None }
+    }
+
+    /// Makes the caller's connection end with a reset if the stream is cut.
+    pub(crate) fn reset_when_cut(&mut self, switch: serving::ResetSwitch) {
+        if let Self::Stream { reset, .. } = self {
+            *reset = Some(switch);
+        }
+    }
 }
 
 impl Body for EdgeBody {
@@ -55,13 +72,18 @@
             Self::Whole(body) => pin::Pin::new(body)
                 .poll_frame(cx)
                 .map_err(|never| match never {}),
-            Self::Stream(parts) => match task::ready!(parts.poll_recv(cx)) {
+            Self::Stream { parts, reset } => match task::ready!(parts.poll_recv(cx)) {
                 Some(StreamPart::Data(data)) => task::Poll::Ready(Some(Ok(Frame::data(data)))),
                 Some(StreamPart::End) => {
                     *this = Self::Ended;
                     task::Poll::Ready(None)
                 }
-                None => task::Poll::Ready(Some(Err(StreamCut))),
+                None => {
+                    if let Some(reset) = reset {
+                        reset.set();
+                    }
+                    task::Poll::Ready(Some(Err(StreamCut)))
+                }
             },
             Self::Ended => task::Poll::Ready(None),
         }
@@ -70,7 +92,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(body) => body.is_end_stream(),
-            Self::Stream(_) => false,
+            Self::Stream { .. } => false,
             Self::Ended => true,
         }
     }
@@ -78,7 +100,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(body) => body.size_hint(),
-            Self::Stream(_) => SizeHint::default(),
+            Self::Stream { .. } => SizeHint::default(),
             Self::Ended => SizeHint::with_exact(0),
         }
     }
--- a/crates/pier_edge/src/serving/mod.rs
+++ b/crates/pier_edge/src/serving/mod.rs
@@ -3,6 +3,7 @@
 mod body_framing;
 mod buffered_run;
 mod caller_server;
+mod caller_stream;
 mod connection_pool;
 mod edge_body;
 mod event_splitter;
@@ -17,6 +18,8 @@
 
 use body_framing::BodyFraming;
 pub(crate) use caller_server::CallerServer;
+use caller_stream::CallerStream;
+pub(crate) use caller_stream::ResetSwitch;
 pub(crate) use connection_pool::{ConnectFault, ConnectionPool, PooledConnection};
 pub(crate) use edge_body::{EdgeBody, StreamPart};
 use event_splitter::EventSplitter;
--- a/crates/pier_edge/src/serving/request_entry.rs
+++ b/crates/pier_edge/src/serving/request_entry.rs
@@ -17,10 +17,12 @@
 pub(super) async fn serve<P: links::FleetPlatform>(
     state: state::EdgeState<P>,
     request: http::Request<Incoming>,
+    reset: serving::ResetSwitch,
 ) -> http::Response<serving::EdgeBody> {
     let arrived_at = times::clocks::boot_now();
     let progress = state.begin_request();
     let (parts, body) = request.into_parts();
+    let has_chunks = parts.version >= http::Version::HTTP_11;
     let head = state.platform().read_request(&parts);
     let attempt = head.attempt.clone();
     let outcome = answer(&state, parts, head, body, arrived_at, progress).await;
@@ -55,6 +57,9 @@
             response
         }
     };
+    if !has_chunks {
+        response.body_mut().reset_when_cut(reset);
+    }
     if state.is_draining() {
         let close = http::HeaderValue::from_static("close");
         response
@@ -111,7 +116,7 @@
         let platform = state.platform().clone();
         return match stream_run::run(job, progress).await? {
             stream_run::StreamStart::Stream(head, receiver) => {
-                let body = serving::EdgeBody::Stream(receiver);
+                let body = serving::EdgeBody::stream(receiver);
                 Ok(response_of(&platform, &head, body, true))
             }
             stream_run::StreamStart::Whole(head, body) => Ok(response_of(
