Cut off answers that have no end

What callers and operators saw, in tests: an event without end took all memory that its target could send (28 MB until the deadline of one request), a body without end 16 MiB for each request (955 MB peak with 60 of them), interim heads without end kept the node busy until the deadline of 6 s.

Cause: only a whole answer had a limit, and that for itself, not for the node.

Now each kind of read has its limit: everything before a body, one event, a whole answer, and all unfinished answers of a node together, a quarter of its memory, beyond 64 KiB each. The HTTP library limits a head but not the number of interim ones, so the connection counts what comes before the body.

--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -8,8 +8,8 @@
 use super::request_job::millis;
 use crate::{links, serving};
 
-/// Greatest size of an answer.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Greatest size of an answer that is buffered.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
 
 /// Multiple of a target's mean answer time after which a repeatable request is sent to another
 /// one.
@@ -187,11 +187,9 @@
     let mut call = serving::TargetCall::send(job, slot, None, limit).await?;
     call.guard.mark_started();
     let left = limit.saturating_sub(times::clocks::boot_now().since(started));
-    let body = tokio::time::timeout(left, read_whole(&mut call.body)).await;
-    let body = match body {
-        Ok(body) => body.map_err(serving::SendFault::MayHaveRun)?,
-        Err(_elapsed) => return Err(serving::SendFault::TimedOut),
-    };
+    let share = job.state.answer_budget().share();
+    let body = tokio::time::timeout(left, read_whole(&mut call.body, share)).await;
+    let body = body.unwrap_or(Err(serving::SendFault::TimedOut))?;
     let (head, answer) = (call.head.clone(), call.answer.clone());
     if !answer.is_not_run && !answer.is_genuine && head.status.is_success() {
         let reason = "the answer lacks the target's mark for this attempt".to_owned();
@@ -206,17 +204,31 @@
     Ok((head, body, answer))
 }
 
-/// Reads a body to its end; fails when it is truncated or larger than [`MAX_ANSWER_BYTES`].
-pub(super) async fn read_whole(body: &mut hyper::body::Incoming) -> Result<bytes::Bytes, String> {
+/// Reads a body to its end.
+///
+/// # Errors
+///
+/// Fails when the body is truncated, larger than [`MAX_ANSWER_BYTES`], or larger than what is left
+/// of the node's budget.
+pub(super) async fn read_whole(
+    body: &mut hyper::body::Incoming,
+    mut share: serving::BudgetShare,
+) -> Result<bytes::Bytes, serving::SendFault> {
     let mut whole = bytes::BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| error.to_string())?;
-        if let Some(data) = frame.data_ref() {
-            if whole.len() + data.len() > MAX_ANSWER_BYTES {
-                return Err("the answer is larger than 16 MiB".to_owned());
-            }
-            whole.extend_from_slice(data);
+        let frame = frame.map_err(|error| serving::SendFault::MayHaveRun(error.to_string()))?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        let length = whole.len() + data.len();
+        if length > MAX_ANSWER_BYTES {
+            return Err(serving::SendFault::TooLarge("body"));
+        }
+        if !share.grow_to(length) {
+            let reason = "the long answers of this node take too much memory".to_owned();
+            return Err(serving::SendFault::MayHaveRun(reason));
         }
+        whole.extend_from_slice(data);
     }
-    Ok(whole.freeze())
+    Ok(share.attach(whole.freeze()))
 }
--- a/crates/pier_edge/src/serving/connection_pool.rs
+++ b/crates/pier_edge/src/serving/connection_pool.rs
@@ -12,7 +12,7 @@
 use pier_types::times;
 use tokio::{net::TcpStream, task};
 
-use crate::state;
+use crate::{serving, state};
 
 /// Time-out for opening a connection to a target: several network delays between data centres.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(350);
@@ -69,13 +69,22 @@
 #[derive(Debug)]
 pub(crate) struct PooledConnection {
     pub sender: http1::SendRequest<Full<bytes::Bytes>>,
+    /// Limits the bytes before an answer.
+    pub(super) preface: serving::PrefaceLimit,
     driver: task::AbortHandle,
     open: sync::Arc<atomic::AtomicUsize>,
 }
 
+impl PooledConnection {
+    /// Closes the connection, so that the target stops sending.
+    pub(super) fn close(&self) {
+        self.driver.abort();
+    }
+}
+
 impl Drop for PooledConnection {
     fn drop(&mut self) {
-        self.driver.abort();
+        self.close();
         self.open.fetch_sub(1, atomic::Ordering::Relaxed);
     }
 }
@@ -157,7 +166,12 @@
             }
         };
         set_socket_timeouts(&stream);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let preface = serving::PrefaceLimit::default();
+        let stream = serving::TargetStream::new(stream, preface.clone());
+        let handshake = http1::Builder::new()
+            .max_buf_size(serving::MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await;
         let (sender, connection) =
             handshake.map_err(|error| ConnectFault::Failed(error.to_string()))?;
         // The request that uses the connection gets the error too.
@@ -169,6 +183,7 @@
         self.open.fetch_add(1, atomic::Ordering::Relaxed);
         Ok(PooledConnection {
             sender,
+            preface,
             driver: driver.abort_handle(),
             open: sync::Arc::clone(&self.open),
         })
--- a/crates/pier_edge/src/serving/loss_report.rs
+++ b/crates/pier_edge/src/serving/loss_report.rs
@@ -10,6 +10,9 @@
 /// Greatest age of a check whose result counts for further requests that lost the same target.
 const CHECK_LIFETIME: time::Duration = time::Duration::from_millis(100);
 
+/// How long a target gets no requests after an answer that exceeded a limit.
+const TOO_LARGE_REST: time::Duration = time::Duration::from_millis(500);
+
 /// How long an answer whose only end is that of the connection waits for the check of its target.
 const END_CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
@@ -26,6 +29,7 @@
     ) -> Result<(), serving::Refusal> {
         match fault {
             serving::SendFault::MayHaveRun(_) => self.report_closed(slot).await,
+            serving::SendFault::TooLarge(part) => self.report_too_large(slot, part),
             serving::SendFault::Stuck | serving::SendFault::TimedOut => self.report_silent(slot),
             serving::SendFault::Unreached(_) | serving::SendFault::NotSent(_) => Ok(()),
         }
@@ -59,6 +63,30 @@
         self.check_held()
     }
 
+    /// Reports a target whose answer exceeded a limit; it gets no requests for a while.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the request is held back and must not be sent again.
+    pub(super) fn report_too_large(
+        &self,
+        slot: &state::TargetSlot,
+        part: &'static str,
+    ) -> Result<(), serving::Refusal> {
+        let now = times::clocks::boot_now();
+        self.state.metrics().count_loss("answer-too-large");
+        log::warn!(
+            event = "answer-too-large",
+            attempt = self.head.attempt.as_str(),
+            target_vm:% = slot.vm,
+            born:% = slot.born,
+            part = part;
+            ""
+        );
+        slot.gauge.set_stuck(now.after(TOO_LARGE_REST));
+        self.check_held()
+    }
+
     /// Returns whether the target's process is known to have ended by the end of an answer whose
     /// only end is that of the connection.
     ///
--- a/crates/pier_edge/src/serving/mod.rs
+++ b/crates/pier_edge/src/serving/mod.rs
@@ -1,5 +1,6 @@
 //! Accepts callers' requests and forwards them to targets.
 
+mod answer_budget;
 mod body_framing;
 mod buffered_run;
 mod caller_server;
@@ -15,7 +16,10 @@
 mod stream_relay;
 mod stream_run;
 mod target_call;
+mod target_stream;
 
+pub(crate) use answer_budget::AnswerBudget;
+use answer_budget::BudgetShare;
 use body_framing::BodyFraming;
 pub(crate) use caller_server::CallerServer;
 use caller_stream::CallerStream;
@@ -28,3 +32,4 @@
 use send_fault::SendFault;
 use stream_relay::StreamRelay;
 use target_call::{PROCESS_LOST, TargetCall};
+use target_stream::{MAX_HEAD_BYTES, PrefaceLimit, TargetStream};
--- a/crates/pier_edge/src/serving/send_fault.rs
+++ b/crates/pier_edge/src/serving/send_fault.rs
@@ -9,6 +9,8 @@
     NotSent(String),
     /// The connection failed after the request may have been written, so it may have run.
     MayHaveRun(String),
+    /// This part of the answer exceeded its limit, and the connection was closed.
+    TooLarge(&'static str),
     /// The target was found stuck, or its group no longer serves.
     Stuck,
     /// No answer came within the time for this send.
@@ -18,6 +20,9 @@
 impl SendFault {
     /// Returns whether a byte of the request may have reached the target.
     pub(super) const fn may_have_run(&self) -> bool {
-        matches!(self, Self::MayHaveRun(_) | Self::Stuck | Self::TimedOut)
+        matches!(
+            self,
+            Self::MayHaveRun(_) | Self::TooLarge(_) | Self::Stuck | Self::TimedOut
+        )
     }
 }
--- a/crates/pier_edge/src/serving/stream_relay.rs
+++ b/crates/pier_edge/src/serving/stream_relay.rs
@@ -15,6 +15,9 @@
 /// Delay before looking again for a target with free capacity.
 const RESUME_RETRY_DELAY: time::Duration = time::Duration::from_millis(60);
 
+/// Greatest size of an event in bytes.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// The content type of a stream of events, without parameters.
 const EVENT_STREAM_TYPE: &[u8] = b"text/event-stream";
 
@@ -28,6 +31,8 @@
     tried: Vec<ids::VmName>,
     sends: u32,
     splitter: serving::EventSplitter,
+    /// The memory of the splitter's buffer.
+    share: serving::BudgetShare,
     last_event: Option<String>,
     events: u32,
     last_at: times::BootTime,
@@ -49,6 +54,8 @@
     Ended,
     /// The target broke the stream off, which showed in this way.
     Closed(String),
+    /// An event exceeds its limit.
+    TooLarge,
     /// The target is silent, or its group no longer serves.
     Stuck,
     CallerLeft,
@@ -68,6 +75,7 @@
             broken: call.slot.watch_broken(),
             last_event: job.head.last_event.clone(),
             last_at: call.sent_at,
+            share: job.state.answer_budget().share(),
             job,
             call,
             parts,
@@ -116,6 +124,14 @@
                         break "cut";
                     }
                 }
+                RelayStep::TooLarge => {
+                    self.log_loss("an event is too large");
+                    self.call.connection.close();
+                    let reported = self.job.report_too_large(&self.call.slot, "event");
+                    if reported.is_err() || !self.resume().await {
+                        break "cut";
+                    }
+                }
                 RelayStep::Stuck => {
                     self.log_loss("the target is stuck");
                     let reported = self.job.report_silent(&self.call.slot);
@@ -155,10 +171,8 @@
             frame = self.call.body.frame() => match frame {
                 None => self.body_end().await,
                 Some(Ok(frame)) => {
-                    frame.into_data().map_or_else(
-                        |_trailers| RelayStep::Data(bytes::Bytes::new()),
-                        RelayStep::Data,
-                    )
+                    let data = frame.into_data().unwrap_or_else(|_trailers| bytes::Bytes::new());
+                    self.check_size(data)
                 }
                 Some(Err(error)) => RelayStep::Closed(error.to_string()),
             },
@@ -168,6 +182,20 @@
         }
     }
 
+    /// Returns whether there is room for bytes that may belong to an incomplete event.
+    fn check_size(&mut self, data: bytes::Bytes) -> RelayStep {
+        let length = self.splitter.len() + data.len();
+        if self.splitter.len() > MAX_EVENT_BYTES {
+            return RelayStep::TooLarge;
+        }
+        if !self.share.grow_to(length) {
+            self.call.connection.close();
+            let reason = "the long answers of this node take too much memory";
+            return RelayStep::Closed(reason.to_owned());
+        }
+        RelayStep::Data(data)
+    }
+
     /// Returns what the end of the target's body means.
     async fn body_end(&mut self) -> RelayStep {
         self.unfinished = self.splitter.len();
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -10,7 +10,7 @@
 use crate::{links, serving, state};
 
 /// Chunks of a stream that are buffered for a slow caller.
-const STREAM_BUFFER_CHUNKS: usize = 8;
+const STREAM_BUFFER_CHUNKS: usize = 2;
 
 /// Time before the deadline that is reserved for this node's own answer.
 const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(30);
@@ -19,7 +19,7 @@
 const MAX_UNREACHED_TARGETS: u32 = 3;
 
 /// How long a target gets no new requests after a connection to it failed.
-const UNREACHED_QUARANTINE: time::Duration = time::Duration::from_millis(500);
+const UNREACHED_REST: time::Duration = time::Duration::from_millis(500);
 
 /// When a caller whose request failed may retry: about the time that repairing a group takes.
 const RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
@@ -96,7 +96,8 @@
     mut call: serving::TargetCall,
 ) -> Result<StreamStart, serving::SendFault> {
     let left = job.time_left(times::clocks::boot_now());
-    let reading = buffered_run::read_whole(&mut call.body);
+    let share = job.state.answer_budget().share();
+    let reading = buffered_run::read_whole(&mut call.body, share);
     match tokio::time::timeout(left, reading).await {
         Ok(Ok(_incomplete)) if call.has_lost_process(job).await => Err(
             serving::SendFault::MayHaveRun(serving::PROCESS_LOST.to_owned()),
@@ -106,7 +107,7 @@
             call.finish();
             Ok(StreamStart::Whole(head, body))
         }
-        Ok(Err(reason)) => Err(serving::SendFault::MayHaveRun(reason)),
+        Ok(Err(fault)) => Err(fault),
         Err(_elapsed) => Err(serving::SendFault::TimedOut),
     }
 }
@@ -187,7 +188,7 @@
         );
         if let serving::SendFault::Unreached(_) = fault {
             slot.gauge
-                .set_stuck(times::clocks::boot_now().after(UNREACHED_QUARANTINE));
+                .set_stuck(times::clocks::boot_now().after(UNREACHED_REST));
         }
         if fault.may_have_run() {
             self.may_have_run = true;
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -55,6 +55,7 @@
         let now = times::clocks::boot_now();
         let guard = slot.gauge.begin(job.head.prompt_tokens, now);
         slot.count_send(now);
+        connection.preface.begin();
         let request: http::Request<Full<bytes::Bytes>> = job.target_request(slot, after_event, now);
         let response = tokio::select! {
             response = connection.sender.try_send_request(request) => response,
@@ -65,10 +66,13 @@
             let reason = fault.error().to_string();
             if fault.take_message().is_some() {
                 serving::SendFault::NotSent(reason)
+            } else if connection.preface.is_exceeded() || fault.error().is_parse_too_large() {
+                serving::SendFault::TooLarge("head")
             } else {
                 serving::SendFault::MayHaveRun(reason)
             }
         })?;
+        connection.preface.end();
         let (head, body) = response.into_parts();
         let answer = job.state.platform().read_answer(&job.head.attempt, &head);
         let framing = serving::BodyFraming::of(&head, &body);
--- /dev/null
+++ b/crates/pier_edge/src/serving/target_stream.rs
@@ -0,0 +1,131 @@
+//! A connection to a target that limits the bytes before an answer.
+
+use std::{
+    io, pin,
+    sync::{self, atomic},
+    task,
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// Greatest size of one answer's head in bytes; also of the read buffer.
+pub(super) const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Greatest size of everything before an answer's body in bytes: its head, the interim heads before
+/// it, and the beginning of the body that is read along with them.
+const MAX_PREFACE_BYTES: usize = 4 * MAX_HEAD_BYTES;
+
+/// The number of bytes that stands for no limit.
+const UNLIMITED: usize = usize::MAX;
+
+/// Limits the bytes that a target sends until the head of its answer is complete.
+///
+/// The HTTP library limits each head, but not how many interim heads come before the answer.
+#[derive(Debug, Clone)]
+pub(super) struct PrefaceLimit {
+    left: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl Default for PrefaceLimit {
+    fn default() -> Self {
+        Self {
+            left: sync::Arc::new(atomic::AtomicUsize::new(UNLIMITED)),
+        }
+    }
+}
+
+impl PrefaceLimit {
+    /// Limits the bytes from now on, as a request is about to be sent.
+    pub(super) fn begin(&self) {
+        self.left
+            .store(MAX_PREFACE_BYTES, atomic::Ordering::Relaxed);
+    }
+
+    /// Ends the limit, as the answer's head was read.
+    pub(super) fn end(&self) {
+        self.left.store(UNLIMITED, atomic::Ordering::Relaxed);
+    }
+
+    pub(super) fn is_exceeded(&self) -> bool {
+        self.left.load(atomic::Ordering::Relaxed) == 0
+    }
+
+    /// Counts bytes that were read.
+    ///
+    /// # Errors
+    ///
+    /// Fails when they exceed the limit.
+    fn count(&self, bytes: usize) -> io::Result<()> {
+        let rest = |left: usize| (left != UNLIMITED).then(|| left.saturating_sub(bytes));
+        let (set, get) = (atomic::Ordering::Relaxed, atomic::Ordering::Relaxed);
+        if self.left.fetch_update(set, get, rest).is_ok() && self.is_exceeded() {
+            return Err(io::Error::other("too many bytes before the answer's body"));
+        }
+        Ok(())
+    }
+}
+
+/// A connection to a target under a [`PrefaceLimit`].
+#[derive(Debug)]
+pub(super) struct TargetStream {
+    stream: TcpStream,
+    limit: PrefaceLimit,
+}
+
+impl TargetStream {
+    pub(super) const fn new(stream: TcpStream, limit: PrefaceLimit) -> Self {
+        Self { stream, limit }
+    }
+}
+
+impl AsyncRead for TargetStream {
+    fn poll_read(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let before = buf.filled().len();
+        task::ready!(pin::Pin::new(&mut this.stream).poll_read(cx, buf))?;
+        task::Poll::Ready(this.limit.count(buf.filled().len() - before))
+    }
+}
+
+impl AsyncWrite for TargetStream {
+    fn poll_write(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(
+        self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -10,7 +10,7 @@
 use pier_types::{ids, times};
 use tokio::sync::Notify;
 
-use crate::{crashes, links, peers, settings, state, telemetry};
+use crate::{crashes, links, peers, serving, settings, state, telemetry};
 
 /// A handle to the state that the parts of a node share; cloning it is cheap.
 #[derive(Debug)]
@@ -40,6 +40,7 @@
     retries: state::RetryBudget,
     crashes: crashes::CrashLedger,
     first_events: state::FirstEventDelays,
+    answer_budget: serving::AnswerBudget,
     metrics: telemetry::EdgeMetrics,
     listed: atomic::AtomicBool,
     draining: atomic::AtomicBool,
@@ -61,6 +62,7 @@
 impl<P: links::FleetPlatform> EdgeState<P> {
     pub(crate) fn new(settings: settings::EdgeSettings, node: ids::NodeName, platform: P) -> Self {
         let shared = SharedState {
+            answer_budget: serving::AnswerBudget::new(settings.memory),
             retries: state::RetryBudget::new(settings.bounds),
             crashes: crashes::CrashLedger::default(),
             first_events: state::FirstEventDelays::default(),
@@ -116,6 +118,10 @@
         &self.shared.retries
     }
 
+    pub(crate) fn answer_budget(&self) -> &serving::AnswerBudget {
+        &self.shared.answer_budget
+    }
+
     pub(crate) fn crashes(&self) -> &crashes::CrashLedger {
         &self.shared.crashes
     }
--- a/crates/pier_edge/tests/support/crashing_target.rs
+++ b/crates/pier_edge/tests/support/crashing_target.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic},
     time,
 };
 
@@ -144,7 +144,8 @@
                 std::future::pending::<()>().await;
             }
             tokio::time::sleep(RUN_TIME).await;
-            if scripted_target::answer_request(&mut stream, &self.script, &request)
+            let sent = atomic::AtomicUsize::default();
+            if scripted_target::answer_request(&mut stream, &self.script, &request, &sent)
                 .await
                 .is_none()
             {
--- a/crates/pier_edge/tests/support/scripted_target.rs
+++ b/crates/pier_edge/tests/support/scripted_target.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic},
     time,
 };
 
@@ -12,7 +12,7 @@
 };
 
 /// Least number of bytes that are written at once of an answer without end.
-const ENDLESS_WRITE_BYTES: usize = 8_192;
+const ENDLESS_WRITE_BYTES: usize = 65_536;
 
 /// How a target answers each request.
 #[derive(Clone, Debug)]
@@ -56,6 +56,8 @@
 pub struct ScriptedTarget {
     pub address: net::SocketAddr,
     requests: Arc<Mutex<Vec<String>>>,
+    /// Bytes written of answers without end.
+    sent: Arc<atomic::AtomicUsize>,
     accepted: Arc<Mutex<u32>>,
     closed: Arc<Mutex<u32>>,
 }
@@ -66,6 +68,7 @@
         let target = Self {
             address: listener.local_addr().unwrap(),
             requests: Arc::default(),
+            sent: Arc::default(),
             accepted: Arc::default(),
             closed: Arc::default(),
         };
@@ -89,6 +92,11 @@
         self.requests.lock().unwrap().clone()
     }
 
+    /// Returns how many bytes of answers without end were written.
+    pub fn sent(&self) -> usize {
+        self.sent.load(atomic::Ordering::Relaxed)
+    }
+
     /// Returns how many connections were accepted.
     pub fn accepted(&self) -> u32 {
         *self.accepted.lock().unwrap()
@@ -102,7 +110,7 @@
     async fn serve(&self, mut stream: TcpStream, script: Script) {
         while let Some(request) = read_request(&mut stream).await {
             self.requests.lock().unwrap().push(request.clone());
-            if answer_request(&mut stream, &script, &request)
+            if answer_request(&mut stream, &script, &request, &self.sent)
                 .await
                 .is_none()
             {
@@ -112,11 +120,13 @@
     }
 }
 
-/// Answers one request by a script; returns `None` when the connection has to be closed.
+/// Answers one request by a script, and counts the bytes of an answer without end; returns `None`
+/// when the connection has to be closed.
 pub(super) async fn answer_request(
     stream: &mut TcpStream,
     script: &Script,
     request: &str,
+    sent: &atomic::AtomicUsize,
 ) -> Option<()> {
     let attempt = header(request, "x-attempt").unwrap_or_default();
     let after = header(request, "x-after")
@@ -147,7 +157,9 @@
             let text = start.replace("{attempt}", &attempt);
             stream.write_all(text.as_bytes()).await.ok()?;
             let pieces = piece.repeat(ENDLESS_WRITE_BYTES / piece.len() + 1);
-            while stream.write_all(pieces.as_bytes()).await.is_ok() {}
+            while stream.write_all(pieces.as_bytes()).await.is_ok() {
+                sent.fetch_add(pieces.len(), atomic::Ordering::Relaxed);
+            }
             None
         }
         Script::Close => None,
