Fail answers of pier_node's targets that a crash ends or that have no end

What callers saw, in tests: an answer without framing that its target's crash ended was passed on as complete (200, half of it), and a body without end was read until the deadline of 120 s.

Cause: as in pier_edge, the end of the connection was taken for the end of the answer, and the body was read whole without a limit. Streams of this path have an end mark of their own and events a limit, so they were not concerned.

Now an answer without framing is followed by one connection attempt; if no process listens, the answer broke off: unknown, or sent to another target where it may be repeated.

Evidence: three of the four new tests failed before and pass now, five times in a row; the fourth keeps sound answers.

Open: heads before an answer are limited by the HTTP library one by one only, and reports of engines are read without a limit.

--- a/crates/pier_node/src/requests/buffered_run.rs
+++ b/crates/pier_node/src/requests/buffered_run.rs
@@ -87,7 +87,8 @@
     let kind = kind.and_then(|value| value.to_str().ok());
     let content_type = kind.unwrap_or("application/octet-stream").to_owned();
     let remaining = call.plan.deadline.since(clocks::boot_now());
-    let reading = tokio::time::timeout(remaining, answer.bytes());
+    let body = requests::AnswerBody::new(answer, call.target.address);
+    let reading = tokio::time::timeout(remaining, body.read());
     let read = tokio::select! {
         read = reading => read,
         fault = call.wait_for_broken_group() => return Err(fault),
@@ -100,7 +101,7 @@
     };
     let body = body.map_err(|error| {
         let end = attempts::AttemptEnd::Broken;
-        requests::AttemptFault::with_possible_crash(end, format!("the answer broke off: {error}"))
+        requests::AttemptFault::with_possible_crash(end, format!("the answer broke off: {error:#}"))
     })?;
     Ok(requests::BufferedAnswer {
         status,
--- a/crates/pier_node/src/requests/mod.rs
+++ b/crates/pier_node/src/requests/mod.rs
@@ -11,6 +11,7 @@
 use crate::{callers, handle};
 
 mod abort_guard;
+mod answer_body;
 mod answer_buffer;
 mod attempt_call;
 mod attempt_fault;
@@ -42,6 +43,7 @@
 mod warmth_evidence;
 
 use abort_guard::AbortGuard;
+use answer_body::AnswerBody;
 use answer_buffer::AnswerBuffer;
 use attempt_call::AttemptCall;
 use attempt_fault::AttemptFault;
--- a/crates/pier_node/tests/requests/main.rs
+++ b/crates/pier_node/tests/requests/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the request path of a node against fake targets and a fake platform that record what
 //! really ran.
 
+mod broken_off;
 mod dropping_target;
+mod ending_target;
 mod engine_targets;
 mod forwards;
 mod local_forwards;
