Be ready only when the record of crashes was read

Cause: readiness waited for the document and the registrations, not for the list that holds the record of crashes.

Evidence: a_node_that_has_not_read_the_record_of_crashes_is_not_ready failed before (200 while the store refuses that list) and passes now.

--- a/crates/pier_edge/src/records/record_applier.rs
+++ b/crates/pier_edge/src/records/record_applier.rs
@@ -55,6 +55,9 @@
                 for record in list.records {
                     self.apply_record(kind, record, now);
                 }
+                if kind == links::RecordKind::Nodes {
+                    self.state.set_crashes_read();
+                }
             }
         }
     }
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -43,6 +43,7 @@
     answer_budget: serving::AnswerBudget,
     metrics: telemetry::EdgeMetrics,
     listed: atomic::AtomicBool,
+    crashes_read: atomic::AtomicBool,
     draining: atomic::AtomicBool,
     in_progress: atomic::AtomicU32,
     has_served: atomic::AtomicBool,
@@ -77,6 +78,7 @@
             slots: sync::Mutex::default(),
             metrics: telemetry::EdgeMetrics::default(),
             listed: atomic::AtomicBool::new(false),
+            crashes_read: atomic::AtomicBool::new(false),
             draining: atomic::AtomicBool::new(false),
             in_progress: atomic::AtomicU32::new(0),
             has_served: atomic::AtomicBool::new(false),
@@ -272,6 +274,13 @@
         self.shared.listed.store(true, atomic::Ordering::Relaxed);
     }
 
+    /// Records that the record of crashes has been read, or does not exist.
+    pub(crate) fn set_crashes_read(&self) {
+        self.shared
+            .crashes_read
+            .store(true, atomic::Ordering::Relaxed);
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.shared.draining.load(atomic::Ordering::Relaxed)
     }
@@ -282,7 +291,8 @@
 
     pub(crate) fn is_ready(&self) -> bool {
         let listed = self.shared.listed.load(atomic::Ordering::Relaxed);
-        listed && self.shared.document.load().is_some() && !self.is_draining()
+        let crashes_read = self.shared.crashes_read.load(atomic::Ordering::Relaxed);
+        listed && crashes_read && self.shared.document.load().is_some() && !self.is_draining()
     }
 
     pub(crate) fn mark_served(&self) {
--- a/crates/pier_edge/tests/crashing_requests.rs
+++ b/crates/pier_edge/tests/crashing_requests.rs
@@ -19,6 +19,9 @@
 /// Time between two of its sends.
 const RESEND_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
+/// Time in which a node is ready after the store serves it again.
+const READY_TIME: time::Duration = time::Duration::from_secs(5);
+
 const EVENTS: u32 = 12;
 
 fn request(path: &str, body: &str) -> String {
@@ -257,3 +260,29 @@
     assert_refused(&ask(&started, "/post/x", CRASH_MARKER).await);
     assert_eq!(sends_of(&targets, CRASH_MARKER), before);
 }
+
+/// Guards against a node that is ready before it knows which requests are held back.
+#[tokio::test]
+async fn a_node_that_has_not_read_the_record_of_crashes_is_not_ready() {
+    let platform = FakePlatform::default();
+    let nodes = TestNode::start_fleet(1, platform.clone(), Vec::new()).await;
+    assert_eq!(readiness(&nodes[0]).await, 200);
+    platform.refuse_nodes(true);
+    let started = TestNode::start_on(platform.clone(), "n9").await;
+    started.settle().await;
+    assert_eq!(readiness(&started).await, 503);
+    platform.refuse_nodes(false);
+    let end = time::Instant::now() + READY_TIME;
+    while readiness(&started).await != 200 {
+        assert!(time::Instant::now() < end, "the node is not ready");
+        tokio::time::sleep(RESEND_INTERVAL).await;
+    }
+}
+
+async fn readiness(node: &TestNode) -> u16 {
+    let mut caller = RawCaller::connect(node.readiness).await;
+    caller
+        .send("GET /readyz HTTP/1.1\r\nhost: a.example\r\n\r\n")
+        .await;
+    caller.answer().await.status()
+}
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -33,6 +33,7 @@
     removed: Vec<(u64, links::RecordKind, String)>,
     is_away: bool,
     hides_nodes: bool,
+    refuses_nodes: bool,
 }
 
 impl FakePlatform {
@@ -75,6 +76,11 @@
         self.change(|state, _version| state.is_away = is_away);
     }
 
+    /// Refuses to list the records of nodes, or lists them again.
+    pub fn refuse_nodes(&self, refuses: bool) {
+        self.change(|state, _version| state.refuses_nodes = refuses);
+    }
+
     /// Leaves the records of nodes out of all answers, so that nodes find no peers.
     pub fn hide_nodes(&self) {
         self.change(|state, _version| state.hides_nodes = true);
@@ -82,7 +88,7 @@
 
     fn records(&self, kind: links::RecordKind) -> Result<links::RecordList, links::StoreError> {
         let state = self.shared.state.lock().unwrap();
-        if state.is_away {
+        if state.is_away || (state.refuses_nodes && kind == links::RecordKind::Nodes) {
             return Err(links::StoreError::Refused(503));
         }
         let record = |name: &str, version: u64, content| links::StoreRecord {
