Take no object without framing for whole

What operators saw, in tests: a configuration document whose reply was broken off was read as a shorter document, and a value of any size was read whole.

Cause: the same as in the answers of targets, the end of the connection was taken for the end of the value. INI text that is cut between two sections parses. Lists and reports are JSON, which does not parse when it is cut.

--- a/crates/pier_platform/src/objects/object_client.rs
+++ b/crates/pier_platform/src/objects/object_client.rs
@@ -148,9 +148,9 @@
         let Some(version) = version_of(&reply) else {
             return FetchResult::unavailable(format!("no {VERSION_HEADER} in the reply"));
         };
-        match reply.bytes().await {
+        match http::read_value(reply).await {
             Ok(bytes) => FetchResult::Found { version, bytes },
-            Err(failure) => FetchResult::unavailable(http::explain(&failure)),
+            Err(reason) => FetchResult::unavailable(reason),
         }
     }
 
--- a/crates/pier_platform/tests/read_results.rs
+++ b/crates/pier_platform/tests/read_results.rs
@@ -100,3 +100,40 @@
     let other = client.fetch_changed(Some("\"other\"")).await.unwrap();
     assert_eq!(other, Some(listing));
 }
+
+/// Guards against an object whose body was broken off and that is taken for the whole value.
+#[tokio::test]
+async fn an_object_without_framing_is_not_taken_for_whole() {
+    let address = serve_bytes("HTTP/1.1 200 OK\r\nX-Object-Version: 3\r\n\r\n[customer a]\n").await;
+    let client = objects::ObjectClient::new(&format!("http://{address}")).unwrap();
+    let result = client.read("config/document").await;
+    assert!(
+        matches!(result, objects::ReadResult::Unavailable { .. }),
+        "{result:?}"
+    );
+}
+
+/// Guards against an object without end that takes memory until the time-out.
+#[tokio::test]
+async fn an_object_over_the_limit_is_given_up() {
+    let head = "HTTP/1.1 200 OK\r\nX-Object-Version: 3\r\ncontent-length: 8000000\r\n\r\n";
+    let value = "a".repeat(8_000_000);
+    let address = serve_bytes(format!("{head}{value}").leak()).await;
+    let client = objects::ObjectClient::new(&format!("http://{address}")).unwrap();
+    let result = client.read("config/document").await;
+    assert!(matches!(result, objects::ReadResult::Unavailable { .. }));
+}
+
+/// Answers one request with these bytes, then closes the connection.
+async fn serve_bytes(bytes: &'static str) -> std::net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (mut stream, _peer) = listener.accept().await.unwrap();
+        let mut request = [0; 4_096];
+        let _length = stream.read(&mut request).await.unwrap();
+        // The client may close the connection before it has read everything.
+        let _unread = stream.write_all(bytes.as_bytes()).await;
+    });
+    address
+}
