Name the limits of answers, and split resuming from the relay of a stream

From reading the change as a newcomer: - a stream whose target has ended it completely is recorded as complete even if its caller has just left, as before this work; - an answer of another type to a request for a stream is checked for a crash at its end too (a test failed before); - an answer that the memory of all answers has no room for is logged as that, and its target does not rest for it; - the limits have a type; resuming has a file of its own (moved only).

--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -222,11 +222,10 @@
         };
         let length = whole.len() + data.len();
         if length > MAX_ANSWER_BYTES {
-            return Err(serving::SendFault::TooLarge("body"));
+            return Err(serving::SendFault::TooLarge(serving::AnswerLimit::Body));
         }
         if !share.grow_to(length) {
-            let reason = "the long answers of this node take too much memory".to_owned();
-            return Err(serving::SendFault::MayHaveRun(reason));
+            return Err(serving::SendFault::TooLarge(serving::AnswerLimit::Budget));
         }
         whole.extend_from_slice(data);
     }
--- a/crates/pier_edge/src/serving/loss_report.rs
+++ b/crates/pier_edge/src/serving/loss_report.rs
@@ -29,7 +29,7 @@
     ) -> Result<(), serving::Refusal> {
         match fault {
             serving::SendFault::MayHaveRun(_) => self.report_closed(slot).await,
-            serving::SendFault::TooLarge(part) => self.report_too_large(slot, part),
+            serving::SendFault::TooLarge(limit) => self.report_too_large(slot, *limit),
             serving::SendFault::Stuck | serving::SendFault::TimedOut => self.report_silent(slot),
             serving::SendFault::Unreached(_) | serving::SendFault::NotSent(_) => Ok(()),
         }
@@ -63,7 +63,7 @@
         self.check_held()
     }
 
-    /// Reports a target whose answer exceeded a limit; it gets no requests for a while.
+    /// Reports an answer that exceeded a limit; a target at fault gets no requests for a while.
     ///
     /// # Errors
     ///
@@ -71,7 +71,7 @@
     pub(super) fn report_too_large(
         &self,
         slot: &state::TargetSlot,
-        part: &'static str,
+        limit: serving::AnswerLimit,
     ) -> Result<(), serving::Refusal> {
         let now = times::clocks::boot_now();
         self.state.metrics().count_loss("answer-too-large");
@@ -80,10 +80,12 @@
             attempt = self.head.attempt.as_str(),
             target_vm:% = slot.vm,
             born:% = slot.born,
-            part = part;
+            limit = limit.label();
             ""
         );
-        slot.gauge.set_stuck(now.after(TOO_LARGE_REST));
+        if limit.is_targets_own() {
+            slot.gauge.set_stuck(now.after(TOO_LARGE_REST));
+        }
         self.check_held()
     }
 
--- a/crates/pier_edge/src/serving/mod.rs
+++ b/crates/pier_edge/src/serving/mod.rs
@@ -1,6 +1,7 @@
 //! Accepts callers' requests and forwards them to targets.
 
 mod answer_budget;
+mod answer_limit;
 mod body_framing;
 mod buffered_run;
 mod caller_server;
@@ -20,6 +21,7 @@
 
 pub(crate) use answer_budget::AnswerBudget;
 use answer_budget::BudgetShare;
+use answer_limit::AnswerLimit;
 use body_framing::BodyFraming;
 pub(crate) use caller_server::CallerServer;
 use caller_stream::CallerStream;
--- a/crates/pier_edge/src/serving/send_fault.rs
+++ b/crates/pier_edge/src/serving/send_fault.rs
@@ -1,5 +1,7 @@
 //! Why sending a request to a target brought no answer.
 
+use crate::serving;
+
 /// How far sending a request got before it failed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum SendFault {
@@ -9,8 +11,8 @@
     NotSent(String),
     /// The connection failed after the request may have been written, so it may have run.
     MayHaveRun(String),
-    /// This part of the answer exceeded its limit, and the connection was closed.
-    TooLarge(&'static str),
+    /// The answer exceeded a limit, and the connection was closed.
+    TooLarge(serving::AnswerLimit),
     /// The target was found stuck, or its group no longer serves.
     Stuck,
     /// No answer came within the time for this send.
--- a/crates/pier_edge/src/serving/stream_relay.rs
+++ b/crates/pier_edge/src/serving/stream_relay/mod.rs
@@ -1,6 +1,8 @@
 //! Forwards a stream to the caller and resumes it at another target when its target is lost.
 
-use std::{sync, time};
+mod stream_resume;
+
+use std::time;
 
 use http_body_util::BodyExt as _;
 use pier_types::{ids, times};
@@ -9,12 +11,6 @@
 use super::request_job::millis;
 use crate::{links, serving, state};
 
-/// How long resuming a stream may take: callers give up after two seconds without an event.
-const RESUME_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
-
-/// Delay before looking again for a target with free capacity.
-const RESUME_RETRY_DELAY: time::Duration = time::Duration::from_millis(60);
-
 /// Greatest size of an event in bytes.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
@@ -54,8 +50,8 @@
     Ended,
     /// The target broke the stream off, which showed in this way.
     Closed(String),
-    /// An event exceeds its limit.
-    TooLarge,
+    /// The stream exceeds a limit.
+    TooLarge(serving::AnswerLimit),
     /// The target is silent, or its group no longer serves.
     Stuck,
     CallerLeft,
@@ -110,10 +106,10 @@
                 }
                 RelayStep::Ended => {
                     let rest = self.splitter.take_rest();
-                    if (rest.is_empty() || self.send(rest).await) && self.end().await {
-                        break "complete";
-                    }
-                    break "caller-left";
+                    // The request is complete whether or not the caller is still connected.
+                    let _caller_left =
+                        (rest.is_empty() || self.send(rest).await) && self.end().await;
+                    break "complete";
                 }
                 RelayStep::CallerLeft => break "caller-left",
                 RelayStep::TimeOver => break "time-over",
@@ -124,10 +120,10 @@
                         break "cut";
                     }
                 }
-                RelayStep::TooLarge => {
-                    self.log_loss("an event is too large");
+                RelayStep::TooLarge(limit) => {
+                    self.log_loss("the stream exceeds a limit");
                     self.call.connection.close();
-                    let reported = self.job.report_too_large(&self.call.slot, "event");
+                    let reported = self.job.report_too_large(&self.call.slot, limit);
                     if reported.is_err() || !self.resume().await {
                         break "cut";
                     }
@@ -172,7 +168,7 @@
                 None => self.body_end().await,
                 Some(Ok(frame)) => {
                     let data = frame.into_data().unwrap_or_else(|_trailers| bytes::Bytes::new());
-                    self.check_size(data)
+                    self.accept(data)
                 }
                 Some(Err(error)) => RelayStep::Closed(error.to_string()),
             },
@@ -182,16 +178,14 @@
         }
     }
 
-    /// Returns whether there is room for bytes that may belong to an incomplete event.
-    fn check_size(&mut self, data: bytes::Bytes) -> RelayStep {
-        let length = self.splitter.len() + data.len();
-        if self.splitter.len() > MAX_EVENT_BYTES {
-            return RelayStep::TooLarge;
+    /// Returns bytes of the target's body as data if they keep the limits.
+    fn accept(&mut self, data: bytes::Bytes) -> RelayStep {
+        let buffered = self.splitter.len();
+        if buffered > MAX_EVENT_BYTES {
+            return RelayStep::TooLarge(serving::AnswerLimit::Event);
         }
-        if !self.share.grow_to(length) {
-            self.call.connection.close();
-            let reason = "the long answers of this node take too much memory";
-            return RelayStep::Closed(reason.to_owned());
+        if !self.share.grow_to(buffered + data.len()) {
+            return RelayStep::TooLarge(serving::AnswerLimit::Budget);
         }
         RelayStep::Data(data)
     }
@@ -199,14 +193,13 @@
     /// Returns what the end of the target's body means.
     async fn body_end(&mut self) -> RelayStep {
         self.unfinished = self.splitter.len();
-        if !is_event_stream(&self.call.head) {
-            return RelayStep::Ended;
-        }
-        if self.splitter.is_inside_event() {
+        let has_events = is_event_stream(&self.call.head);
+        if has_events && self.splitter.is_inside_event() {
             return RelayStep::Closed("the body ended inside an event".to_owned());
         }
         let is_unframed = self.call.framing == serving::BodyFraming::UntilClose;
-        if is_unframed && self.events == 0 && self.last_event.is_none() {
+        let is_empty = self.events == 0 && self.last_event.is_none();
+        if has_events && is_unframed && is_empty {
             return RelayStep::Closed("the connection ended before the first event".to_owned());
         }
         if self.call.has_lost_process(&self.job).await {
@@ -274,109 +267,6 @@
             ""
         );
     }
-
-    /// Resumes the stream at another target after the last forwarded event; returns whether that
-    /// succeeded.
-    async fn resume(&mut self) -> bool {
-        let state = self.job.state.clone();
-        let started = times::clocks::boot_now();
-        state.metrics().count_resume("tried");
-        if !self.job.route.repeat.may_repeat() {
-            return false;
-        }
-        let max_sends = self.job.route.max_sends;
-        self.splitter.take_rest();
-        let mut budget_taken = false;
-        loop {
-            let now = times::clocks::boot_now();
-            let is_over = now.since(started) >= RESUME_TIMEOUT || self.job.time_left(now).is_zero();
-            if self.is_held || is_over || self.sends >= max_sends || self.parts.is_closed() {
-                return false;
-            }
-            let chosen = match self.job.choose(&self.tried, true, now) {
-                serving::TargetChoice::Send { slot, .. } => slot,
-                serving::TargetChoice::Refuse(_) => {
-                    // A group that was formed again may be served by the same VM.
-                    self.tried.clear();
-                    tokio::time::sleep(RESUME_RETRY_DELAY).await;
-                    continue;
-                }
-            };
-            let nodes = state.with_peers(|peers| peers.sharing_nodes(now));
-            if !budget_taken && !state.retries().take(&self.job.service, nodes, now) {
-                log::info!(
-                    event = "retry-budget-empty",
-                    attempt = self.job.head.attempt.as_str();
-                    ""
-                );
-                return false;
-            }
-            budget_taken = true;
-            self.tried.push(chosen.vm.clone());
-            if self.resume_at(&chosen).await {
-                state.metrics().count_resume("done");
-                return true;
-            }
-        }
-    }
-
-    /// Requests the rest of the stream from a target; returns whether the target took it on.
-    async fn resume_at(&mut self, slot: &sync::Arc<state::TargetSlot>) -> bool {
-        let left = self.job.time_left(times::clocks::boot_now());
-        let after = self.last_event.clone();
-        let sending = serving::TargetCall::send(&self.job, slot, after.as_deref(), left);
-        let sent = tokio::select! {
-            sent = sending => sent,
-            () = self.parts.closed() => return false,
-        };
-        match sent {
-            Ok(call) if call.head.status.is_success() && call.answer.is_genuine => {
-                log::info!(
-                    event = "stream-resumed",
-                    attempt = self.job.head.attempt.as_str(),
-                    target_vm:% = slot.vm,
-                    after = after.as_deref().unwrap_or("");
-                    ""
-                );
-                self.sends += 1;
-                self.resumed += 1;
-                self.broken = slot.watch_broken();
-                self.call = call;
-                if self.events > 0 {
-                    self.call.guard.mark_started();
-                }
-                true
-            }
-            Ok(call) => {
-                self.sends += 1;
-                log::info!(
-                    event = "resume-refused",
-                    attempt = self.job.head.attempt.as_str(),
-                    target_vm:% = slot.vm,
-                    status = call.head.status.as_u16();
-                    ""
-                );
-                false
-            }
-            Err(fault) => {
-                let reported = self.job.report_fault(slot, &fault).await;
-                log::info!(
-                    event = "resume-failed",
-                    attempt = self.job.head.attempt.as_str(),
-                    fingerprint:% = self.job.fingerprint,
-                    target_vm:% = slot.vm,
-                    born:% = slot.born,
-                    fault:? = fault;
-                    ""
-                );
-                if fault.may_have_run() {
-                    self.sends += 1;
-                }
-                self.is_held |= reported.is_err();
-                false
-            }
-        }
-    }
 }
 
 /// Returns whether an answer's body consists of events: unless the head names another type, as it
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -98,18 +98,15 @@
     let left = job.time_left(times::clocks::boot_now());
     let share = job.state.answer_budget().share();
     let reading = buffered_run::read_whole(&mut call.body, share);
-    match tokio::time::timeout(left, reading).await {
-        Ok(Ok(_incomplete)) if call.has_lost_process(job).await => Err(
-            serving::SendFault::MayHaveRun(serving::PROCESS_LOST.to_owned()),
-        ),
-        Ok(Ok(body)) => {
-            let head = call.head.clone();
-            call.finish();
-            Ok(StreamStart::Whole(head, body))
-        }
-        Ok(Err(fault)) => Err(fault),
-        Err(_elapsed) => Err(serving::SendFault::TimedOut),
+    let body = tokio::time::timeout(left, reading).await;
+    let body = body.unwrap_or(Err(serving::SendFault::TimedOut))?;
+    if call.has_lost_process(job).await {
+        let reason = serving::PROCESS_LOST.to_owned();
+        return Err(serving::SendFault::MayHaveRun(reason));
     }
+    let head = call.head.clone();
+    call.finish();
+    Ok(StreamStart::Whole(head, body))
 }
 
 fn log_send<P: links::FleetPlatform>(
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -67,7 +67,7 @@
             if fault.take_message().is_some() {
                 serving::SendFault::NotSent(reason)
             } else if connection.preface.is_exceeded() || fault.error().is_parse_too_large() {
-                serving::SendFault::TooLarge("head")
+                serving::SendFault::TooLarge(serving::AnswerLimit::Head)
             } else {
                 serving::SendFault::MayHaveRun(reason)
             }
--- a/crates/pier_edge/tests/broken_off_answers.rs
+++ b/crates/pier_edge/tests/broken_off_answers.rs
@@ -247,6 +247,24 @@
     assert_eq!(answer.body, "{\"done\": true}");
 }
 
+/// Guards against an answer of another type that a crash ends and that looks complete.
+#[tokio::test]
+async fn an_answer_that_is_no_stream_of_events_and_that_a_crash_ends_is_cut() {
+    let script = Script::UntilClose {
+        headers: "content-type: application/json\r\n",
+        body: "{\"done\": ".to_owned(),
+    };
+    let (node, crashing, _sound) = node_with_crashing_group(script).await;
+    for _ in 0..TRIES {
+        let answer = ask(&node, "/once/x", CRASH_AFTER_MARKER).await;
+        if crashing.crashes() > 0 {
+            assert!(!answer.is_complete);
+            return;
+        }
+    }
+    panic!("the group was never chosen");
+}
+
 /// Guards against events that wait for the next one because their line ends are not recognised.
 #[tokio::test]
 async fn events_are_passed_on_as_they_arrive_whatever_their_line_ends() {
