Read targets through a limited half of the connection, and share the groups of two test files

From a list of duplicates: the limit of what comes before an answer needs only the reading half, so that the writing half passes through the library's join instead of a second copy of the same calls. The start of a node with two groups moves from two test files to their support.

--- a/crates/pier_edge/src/serving/connection_pool.rs
+++ b/crates/pier_edge/src/serving/connection_pool.rs
@@ -12,6 +12,7 @@
 use pier_types::times;
 use tokio::{net::TcpStream, task};
 
+use super::target_stream;
 use crate::{serving, state};
 
 /// Time-out for opening a connection to a target: several network delays between data centres.
@@ -167,7 +168,7 @@
         };
         set_socket_timeouts(&stream);
         let preface = serving::PrefaceLimit::default();
-        let stream = serving::TargetStream::new(stream, preface.clone());
+        let stream = target_stream::limit_reads(stream, preface.clone());
         let handshake = http1::Builder::new()
             .max_buf_size(serving::MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
--- a/crates/pier_edge/src/serving/mod.rs
+++ b/crates/pier_edge/src/serving/mod.rs
@@ -34,4 +34,4 @@
 use send_fault::SendFault;
 use stream_relay::StreamRelay;
 use target_call::{PROCESS_LOST, TargetCall};
-use target_stream::{MAX_HEAD_BYTES, PrefaceLimit, TargetStream};
+use target_stream::{MAX_HEAD_BYTES, PrefaceLimit};
--- a/crates/pier_edge/src/serving/target_stream.rs
+++ b/crates/pier_edge/src/serving/target_stream.rs
@@ -1,14 +1,14 @@
 //! A connection to a target that limits the bytes before an answer.
 
 use std::{
-    io, pin,
+    pin,
     sync::{self, atomic},
     task,
 };
 
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
+    io::{self, AsyncRead, ReadBuf},
+    net::{TcpStream, tcp},
 };
 
 /// Greatest size of one answer's head in bytes; also of the read buffer.
@@ -58,74 +58,43 @@
     /// # Errors
     ///
     /// Fails when they exceed the limit.
-    fn count(&self, bytes: usize) -> io::Result<()> {
+    fn count(&self, bytes: usize) -> std::io::Result<()> {
         let rest = |left: usize| (left != UNLIMITED).then(|| left.saturating_sub(bytes));
         let (set, get) = (atomic::Ordering::Relaxed, atomic::Ordering::Relaxed);
         if self.left.fetch_update(set, get, rest).is_ok() && self.is_exceeded() {
-            return Err(io::Error::other("too many bytes before the answer's body"));
+            return Err(std::io::Error::other(
+                "too many bytes before the answer's body",
+            ));
         }
         Ok(())
     }
 }
 
 /// A connection to a target under a [`PrefaceLimit`].
-#[derive(Debug)]
-pub(super) struct TargetStream {
-    stream: TcpStream,
-    limit: PrefaceLimit,
+pub(super) type TargetStream = io::Join<LimitedReader, tcp::OwnedWriteHalf>;
+
+/// Splits a connection, and limits what is read of it.
+pub(super) fn limit_reads(stream: TcpStream, limit: PrefaceLimit) -> TargetStream {
+    let (reader, writer) = stream.into_split();
+    io::join(LimitedReader { reader, limit }, writer)
 }
 
-impl TargetStream {
-    pub(super) const fn new(stream: TcpStream, limit: PrefaceLimit) -> Self {
-        Self { stream, limit }
-    }
+/// Reads from a target and counts the bytes.
+#[derive(Debug)]
+pub(super) struct LimitedReader {
+    reader: tcp::OwnedReadHalf,
+    limit: PrefaceLimit,
 }
 
-impl AsyncRead for TargetStream {
+impl AsyncRead for LimitedReader {
     fn poll_read(
         self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
         buf: &mut ReadBuf<'_>,
-    ) -> task::Poll<io::Result<()>> {
+    ) -> task::Poll<std::io::Result<()>> {
         let this = self.get_mut();
         let before = buf.filled().len();
-        task::ready!(pin::Pin::new(&mut this.stream).poll_read(cx, buf))?;
+        task::ready!(pin::Pin::new(&mut this.reader).poll_read(cx, buf))?;
         task::Poll::Ready(this.limit.count(buf.filled().len() - before))
     }
 }
-
-impl AsyncWrite for TargetStream {
-    fn poll_write(
-        self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        buf: &[u8],
-    ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> task::Poll<io::Result<usize>> {
-        pin::Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(
-        self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.get_mut().stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(
-        self: pin::Pin<&mut Self>,
-        cx: &mut task::Context<'_>,
-    ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
-    }
-}
--- a/crates/pier_edge/tests/broken_off_answers.rs
+++ b/crates/pier_edge/tests/broken_off_answers.rs
@@ -7,7 +7,7 @@
 
 use support::{
     CRASH_AFTER_MARKER, CrashingTarget, FakePlatform, GROUP_MODEL, KEY, RawAnswer, RawCaller,
-    Script, ScriptedTarget, TestNode, group_member, plain_entry,
+    Script, ScriptedTarget, TestNode, group_member, node_with, plain_entry,
 };
 use tokio::{io::AsyncReadExt as _, net::TcpStream};
 
@@ -72,19 +72,6 @@
     }
 }
 
-/// Starts a node with two groups, whose first members answer by the given scripts.
-async fn node_with(scripts: [Script; 2]) -> (TestNode, Vec<ScriptedTarget>) {
-    let mut entries = Vec::new();
-    let mut targets = Vec::new();
-    for (group, script) in ["g0", "g1"].into_iter().zip(scripts) {
-        let target = ScriptedTarget::start(script).await;
-        entries.push(group_member(group, 0, target.address));
-        entries.push(group_member(group, 1, target.address));
-        targets.push(target);
-    }
-    (TestNode::start(entries).await, targets)
-}
-
 /// Starts a node with a group whose first member can crash, and a second group that streams every
 /// event.
 async fn node_with_crashing_group(script: Script) -> (TestNode, CrashingTarget, ScriptedTarget) {
--- a/crates/pier_edge/tests/streams.rs
+++ b/crates/pier_edge/tests/streams.rs
@@ -5,7 +5,9 @@
 
 use std::time;
 
-use support::{GROUP_MODEL, KEY, RawCaller, Script, ScriptedTarget, TestNode, group_member};
+use support::{
+    GROUP_MODEL, KEY, RawCaller, Script, ScriptedTarget, TestNode, group_member, node_with,
+};
 
 const EVENTS: u32 = 12;
 
@@ -35,19 +37,6 @@
     events.collect::<Vec<_>>().concat()
 }
 
-/// Starts a node with two groups, whose first members answer by the given scripts.
-async fn node_with(scripts: [Script; 2]) -> (TestNode, Vec<ScriptedTarget>) {
-    let mut entries = Vec::new();
-    let mut targets = Vec::new();
-    for (group, script) in ["g0", "g1"].into_iter().zip(scripts) {
-        let target = ScriptedTarget::start(script).await;
-        entries.push(group_member(group, 0, target.address));
-        entries.push(group_member(group, 1, target.address));
-        targets.push(target);
-    }
-    (TestNode::start(entries).await, targets)
-}
-
 async fn ask(node: &TestNode, path: &str) -> support::RawAnswer {
     let mut caller = RawCaller::connect(node.callers).await;
     caller.send(&request(path)).await;
--- a/crates/pier_edge/tests/support/mod.rs
+++ b/crates/pier_edge/tests/support/mod.rs
@@ -15,4 +15,6 @@
 pub use fake_platform::FakePlatform;
 pub use raw_caller::{RawAnswer, RawCaller};
 pub use scripted_target::{Script, ScriptedTarget};
-pub use test_node::{GROUP_MODEL, KEY, TestNode, free_address, group_member, plain_entry};
+pub use test_node::{
+    GROUP_MODEL, KEY, TestNode, free_address, group_member, node_with, plain_entry,
+};
--- a/crates/pier_edge/tests/support/test_node.rs
+++ b/crates/pier_edge/tests/support/test_node.rs
@@ -10,7 +10,7 @@
 use pier_fleet::{documents, targets};
 use pier_types::{epochs, ids, sizes};
 
-use super::FakePlatform;
+use super::{FakePlatform, Script, ScriptedTarget};
 
 /// A key that the document knows.
 pub const KEY: &str = "key-1";
@@ -104,6 +104,19 @@
     }
 }
 
+/// Starts a node with two groups, whose first members answer by the given scripts.
+pub async fn node_with(scripts: [Script; 2]) -> (TestNode, Vec<ScriptedTarget>) {
+    let mut entries = Vec::new();
+    let mut targets = Vec::new();
+    for (group, script) in ["g0", "g1"].into_iter().zip(scripts) {
+        let target = ScriptedTarget::start(script).await;
+        entries.push(group_member(group, 0, target.address));
+        entries.push(group_member(group, 1, target.address));
+        targets.push(target);
+    }
+    (TestNode::start(entries).await, targets)
+}
+
 /// Returns a registration of the plain service.
 pub fn plain_entry(vm: &str, address: net::SocketAddr) -> targets::TargetEntry {
     targets::TargetEntry {
