Count the crash of a VM that comes back under another name

Cause: a loss that the check could not explain waits for the next registration. By then the registration of the crashed start has lapsed, and registered_cause took a registration that is gone for an ordered end before it looked whether another VM had registered at the address.

Why the fix works: what counts is the registration at the time of the loss. A VM that leaves is unregistered, or registered as leaving, before it stops; the registration of one that crashed lapses afterwards.

crashes_that_only_a_new_name_shows_hold_a_request_back failed before (502, the request was sent again) and passes.

--- a/crates/pier_edge/src/crashes/crash_ledger.rs
+++ b/crates/pier_edge/src/crashes/crash_ledger.rs
@@ -93,7 +93,7 @@
             if now.since(open.lost_at) >= OPEN_LOSS_LIFETIME {
                 return false;
             }
-            let cause = crashes::registered_cause(registry, &open.loss.lost, now);
+            let cause = crashes::registered_cause(registry, &open.loss.lost, open.lost_at, now);
             if cause == Some(quarantine::LossCause::ProcessLost) {
                 crashed.push(open.loss.clone());
             }
--- a/crates/pier_edge/src/crashes/registered_cause.rs
+++ b/crates/pier_edge/src/crashes/registered_cause.rs
@@ -14,13 +14,16 @@
     pub address: net::SocketAddr,
 }
 
-/// Returns why a target was lost as far as the registrations show it; `None` while it is registered
-/// as before.
+/// Returns why a target was lost at `lost_at` as far as the registrations show it; `None` while
+/// they do not.
 ///
 /// A VM that crashed registers again as a new incarnation, or another VM registers at its address.
+/// Its own registration lapses after the loss, while a VM that leaves is unregistered, or registered
+/// as leaving, before it stops.
 pub(crate) fn registered_cause(
     registry: &targets::TargetRegistry,
     lost: &LostTarget,
+    lost_at: times::BootTime,
     now: times::BootTime,
 ) -> Option<quarantine::LossCause> {
     let records = registry.records();
@@ -28,7 +31,7 @@
     if known.is_some_and(|record| record.entry.standing.born > lost.born) {
         return Some(quarantine::LossCause::ProcessLost);
     }
-    if known.is_none_or(|record| !record.accepts_requests(now)) {
+    if known.is_none_or(|record| !record.accepts_requests(lost_at)) {
         return Some(quarantine::LossCause::Ordered);
     }
     let is_reused = records.values().any(|record| {
--- a/crates/pier_edge/src/serving/loss_report.rs
+++ b/crates/pier_edge/src/serving/loss_report.rs
@@ -111,7 +111,7 @@
         let target = slot.as_lost();
         let registered = self
             .state
-            .with_registry(|registry| crashes::registered_cause(registry, &target, now));
+            .with_registry(|registry| crashes::registered_cause(registry, &target, now, now));
         match registered {
             Some(cause) => Some(cause),
             None => slot.loss_check.run(&slot.connections, max_age, now).await,
--- a/crates/pier_edge/tests/crashing_requests.rs
+++ b/crates/pier_edge/tests/crashing_requests.rs
@@ -6,8 +6,8 @@
 use std::time;
 
 use support::{
-    CRASH_MARKER, CrashingTarget, FakePlatform, GROUP_MODEL, KEY, RawAnswer, RawCaller, Script,
-    ScriptedTarget, TestNode, group_member, plain_entry,
+    CRASH_MARKER, CrashStyle, CrashingTarget, FakePlatform, GROUP_MODEL, KEY, RawAnswer, RawCaller,
+    Script, ScriptedTarget, TestNode, group_member, plain_entry,
 };
 
 /// Sends that a crashing request may reach in all: three that crash their targets, and three more.
@@ -19,6 +19,9 @@
 /// Time between two of its sends.
 const RESEND_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
+/// Time for which a port stays open, so that every check of a crashed target succeeds.
+const OPEN_PORT_TIME: time::Duration = time::Duration::from_secs(1);
+
 /// Time in which a node is ready after the store serves it again.
 const READY_TIME: time::Duration = time::Duration::from_secs(5);
 
@@ -39,11 +42,20 @@
 }
 
 async fn plain_targets(platform: &FakePlatform, count: usize) -> Vec<CrashingTarget> {
+    styled_targets(platform, count, CrashStyle::default()).await
+}
+
+async fn styled_targets(
+    platform: &FakePlatform,
+    count: usize,
+    style: CrashStyle,
+) -> Vec<CrashingTarget> {
     let mut targets = Vec::new();
     for number in 0..count {
         let entry = plain_entry(&format!("t{number}"), "127.0.0.1:9".parse().unwrap());
         let script = Script::Whole("done");
-        targets.push(CrashingTarget::start(entry, platform.clone(), script).await);
+        let starting = CrashingTarget::start_styled(entry, platform.clone(), script, style);
+        targets.push(starting.await);
     }
     targets
 }
@@ -104,6 +116,25 @@
     assert_eq!(ask(&nodes[1], "/read/x", "innocent").await.status(), 200);
 }
 
+/// Guards against crashes that only the next registration shows, since every check of the target
+/// still finds its port open.
+#[tokio::test]
+async fn crashes_that_only_a_new_name_shows_hold_a_request_back() {
+    let platform = FakePlatform::default();
+    let style = CrashStyle {
+        is_renamed: true,
+        listener_delay: OPEN_PORT_TIME,
+    };
+    let targets = styled_targets(&platform, 8, style).await;
+    let nodes = TestNode::start_fleet(1, platform, Vec::new()).await;
+    resend_crashing(&nodes, "/post/x").await;
+    // Longer than the port stays open and the target is down.
+    tokio::time::sleep(time::Duration::from_secs(2)).await;
+    let before = sends_of(&targets, CRASH_MARKER);
+    assert_refused(&ask(&nodes[0], "/post/x", CRASH_MARKER).await);
+    assert_eq!(sends_of(&targets, CRASH_MARKER), before);
+}
+
 /// Guards against a one-time request that crashes targets each time its caller sends it anew.
 #[tokio::test]
 async fn a_crashing_one_time_request_reaches_few_targets() {
--- a/crates/pier_edge/tests/support/crashing_target.rs
+++ b/crates/pier_edge/tests/support/crashing_target.rs
@@ -28,10 +28,20 @@
 /// Time that a target runs a request before it answers.
 const RUN_TIME: time::Duration = time::Duration::from_millis(80);
 
+/// How a crash of a target looks to others.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CrashStyle {
+    /// Whether the old registration is removed, and the next start has a VM name of its own.
+    pub is_renamed: bool,
+    /// How long the port stays open after the connections were closed.
+    pub listener_delay: time::Duration,
+}
+
 /// A target on its own port that registers itself at every start.
 #[derive(Clone, Debug)]
 pub struct CrashingTarget {
     entry: targets::TargetEntry,
+    style: CrashStyle,
     platform: FakePlatform,
     script: Script,
     crashes: Arc<watch::Sender<u32>>,
@@ -41,14 +51,25 @@
 impl CrashingTarget {
     /// Starts a target that answers by a script; its registration gets a free address.
     pub async fn start(
+        entry: targets::TargetEntry,
+        platform: FakePlatform,
+        script: Script,
+    ) -> Self {
+        Self::start_styled(entry, platform, script, CrashStyle::default()).await
+    }
+
+    /// Starts a target whose crashes have this style.
+    pub async fn start_styled(
         mut entry: targets::TargetEntry,
         platform: FakePlatform,
         script: Script,
+        style: CrashStyle,
     ) -> Self {
         entry.address = super::free_address();
         let listener = TcpListener::bind(entry.address).await.unwrap();
         let target = Self {
             entry,
+            style,
             platform,
             script,
             crashes: Arc::new(watch::Sender::new(0)),
@@ -92,13 +113,21 @@
 
     fn current_entry(&self) -> targets::TargetEntry {
         let mut entry = self.entry.clone();
-        entry.standing.born = epochs::VmIncarnation::new(u64::from(self.crashes()) + 1);
+        let crashes = self.crashes();
+        entry.standing.born = epochs::VmIncarnation::new(u64::from(crashes) + 1);
+        if self.style.is_renamed {
+            entry.vm = format!("{}-start{crashes}", self.vm()).parse().unwrap();
+        }
         entry
     }
 
     async fn run(self, mut listener: TcpListener) {
         loop {
+            let former = self.current_entry().vm;
             self.serve_until_crash(listener).await;
+            if self.style.is_renamed {
+                self.platform.remove_target(former.as_str());
+            }
             tokio::time::sleep(DOWN_TIME).await;
             listener = self.rebind().await;
             self.register();
@@ -117,8 +146,13 @@
                     connections.spawn(self.clone().serve(stream));
                 }
                 _changed = crashed.changed() => {
-                    drop(listener);
-                    connections.shutdown().await;
+                    if self.style.listener_delay.is_zero() {
+                        drop(listener);
+                        connections.shutdown().await;
+                    } else {
+                        connections.shutdown().await;
+                        tokio::time::sleep(self.style.listener_delay).await;
+                    }
                     return;
                 }
             }
