Check a target again that was still listening when it closed a connection

Found by a trial of the first look: with targets that close their connections a moment before their port, a request that crashes them reached one after another.

Cause: the check of a target ran once. One that found the port open could only be corrected by the next registration, seconds later.

Why the fix works: the target is checked again after 40 and 200 ms. One whose port is closed by then has crashed, unless its registration says that it left. Requests that lose the target together share the checks.

--- a/crates/pier_edge/src/serving/loss_report.rs
+++ b/crates/pier_edge/src/serving/loss_report.rs
@@ -10,6 +10,16 @@
 /// Greatest age of a check whose result counts for further requests that lost the same target.
 const CHECK_LIFETIME: time::Duration = time::Duration::from_millis(100);
 
+/// Pauses before each further check of a target that was still listening: a process that ends may
+/// close its connections before its port.
+const RECHECK_PAUSES: [time::Duration; 2] = [
+    time::Duration::from_millis(40),
+    time::Duration::from_millis(160),
+];
+
+/// Greatest age of a further check whose result counts for other requests.
+const RECHECK_LIFETIME: time::Duration = time::Duration::from_millis(20);
+
 /// How long a target gets no requests after an answer that exceeded a limit.
 const TOO_LARGE_REST: time::Duration = time::Duration::from_millis(500);
 
@@ -45,7 +55,7 @@
         slot: &sync::Arc<state::TargetSlot>,
     ) -> Result<(), serving::Refusal> {
         let now = times::clocks::boot_now();
-        let cause = self.find_cause(slot, CHECK_LIFETIME, now).await;
+        let cause = find_cause(&self.state, slot, CHECK_LIFETIME, now).await;
         let label = label(cause);
         self.state.metrics().count_loss(label);
         log::info!(
@@ -59,6 +69,10 @@
         );
         let checked_at = times::clocks::boot_now();
         let loss = self.loss(slot);
+        if cause.is_none() {
+            let (state, slot) = (self.state.clone(), sync::Arc::clone(slot));
+            tokio::spawn(recheck(state, slot, loss.clone()));
+        }
         self.state.crashes().record_loss(loss, cause, checked_at);
         self.check_held()
     }
@@ -96,28 +110,11 @@
     /// of a target that is leaving, or that does not reply to the check in time, counts as sound.
     pub(super) async fn is_process_lost(&self, slot: &state::TargetSlot) -> bool {
         let now = times::clocks::boot_now();
-        let check = self.find_cause(slot, time::Duration::ZERO, now);
+        let check = find_cause(&self.state, slot, time::Duration::ZERO, now);
         let cause = tokio::time::timeout(END_CHECK_TIMEOUT, check).await;
         cause == Ok(Some(quarantine::LossCause::ProcessLost))
     }
 
-    /// Returns why a target closed a connection, or `None` while it accepts others.
-    async fn find_cause(
-        &self,
-        slot: &state::TargetSlot,
-        max_age: time::Duration,
-        now: times::BootTime,
-    ) -> Option<quarantine::LossCause> {
-        let target = slot.as_lost();
-        let registered = self
-            .state
-            .with_registry(|registry| crashes::registered_cause(registry, &target, now, now));
-        match registered {
-            Some(cause) => Some(cause),
-            None => slot.loss_check.run(&slot.connections, max_age, now).await,
-        }
-    }
-
     /// Reports a target that no longer answers; whether it crashed shows when it registers again.
     ///
     /// # Errors
@@ -160,6 +157,50 @@
     }
 }
 
+/// Returns why a target closed a connection, or `None` while it accepts others.
+async fn find_cause<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    slot: &state::TargetSlot,
+    max_age: time::Duration,
+    now: times::BootTime,
+) -> Option<quarantine::LossCause> {
+    let target = slot.as_lost();
+    let registered =
+        state.with_registry(|registry| crashes::registered_cause(registry, &target, now, now));
+    match registered {
+        Some(cause) => Some(cause),
+        None => slot.loss_check.run(&slot.connections, max_age, now).await,
+    }
+}
+
+/// Checks a target again that closed a connection and was still listening.
+async fn recheck<P: links::FleetPlatform>(
+    state: state::EdgeState<P>,
+    slot: sync::Arc<state::TargetSlot>,
+    loss: crashes::RequestLoss,
+) {
+    for pause in RECHECK_PAUSES {
+        tokio::time::sleep(pause).await;
+        let now = times::clocks::boot_now();
+        match find_cause(&state, &slot, RECHECK_LIFETIME, now).await {
+            None | Some(quarantine::LossCause::Unreachable) => {}
+            Some(quarantine::LossCause::Ordered) => return,
+            Some(cause @ quarantine::LossCause::ProcessLost) => {
+                log::info!(
+                    event = "crash-found-late",
+                    fingerprint:% = loss.fingerprint,
+                    target_vm:% = slot.vm,
+                    born:% = slot.born;
+                    ""
+                );
+                let found_at = times::clocks::boot_now();
+                state.crashes().record_loss(loss, Some(cause), found_at);
+                return;
+            }
+        }
+    }
+}
+
 const fn label(cause: Option<quarantine::LossCause>) -> &'static str {
     match cause {
         None => "still-listening",
--- a/crates/pier_edge/tests/crashing_requests.rs
+++ b/crates/pier_edge/tests/crashing_requests.rs
@@ -19,6 +19,9 @@
 /// Time between two of its sends.
 const RESEND_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
+/// How long the port of a crashed target outlives its connections.
+const LATE_LISTENER_DELAY: time::Duration = time::Duration::from_millis(20);
+
 /// Time for which a port stays open, so that every check of a crashed target succeeds.
 const OPEN_PORT_TIME: time::Duration = time::Duration::from_secs(1);
 
@@ -116,6 +119,23 @@
     assert_eq!(ask(&nodes[1], "/read/x", "innocent").await.status(), 200);
 }
 
+/// Guards against crashes that go unnoticed because the VM starts again under another name, and
+/// its port closes a moment after its connections.
+#[tokio::test]
+async fn crashes_of_targets_that_come_back_under_another_name_count() {
+    let platform = FakePlatform::default();
+    let style = CrashStyle {
+        is_renamed: true,
+        listener_delay: LATE_LISTENER_DELAY,
+    };
+    let targets = styled_targets(&platform, 8, style).await;
+    let nodes = TestNode::start_fleet(3, platform, Vec::new()).await;
+    resend_crashing(&nodes, "/post/x").await;
+    let sends = sends_of(&targets, CRASH_MARKER);
+    assert!((3..=MAX_SENDS).contains(&sends), "{sends} targets crashed");
+    assert_eq!(ask(&nodes[1], "/read/x", "innocent").await.status(), 200);
+}
+
 /// Guards against crashes that only the next registration shows, since every check of the target
 /// still finds its port open.
 #[tokio::test]
