Send nothing more to a target whose answer says that it leaves

Cause: the header Server-Leaving of answers was read nowhere. A node learned of the leaving from the registration alone, which may come late, or never while the store is away.

Why the fix works: the first such answer, of any status, marks this start of the VM. Its slots get no request from that moment on, also one that was chosen before and waits for a connection; the registry keeps the notice whatever the registration says later, so that no table, resumed stream, repeat or group uses it, and a new start is clean.

--- a/crates/pier_edge/src/links/mod.rs
+++ b/crates/pier_edge/src/links/mod.rs
@@ -12,7 +12,7 @@
 mod store_record;
 mod store_write;
 
-pub use answer_head::AnswerHead;
+pub use answer_head::{AnswerHead, TargetNotice};
 pub use caller_head::CallerHead;
 pub use fleet_platform::{FleetPlatform, HeaderCodec, MemberLink, RecordStore};
 pub use member_report::MemberReport;
--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -6,7 +6,7 @@
 use pier_types::times;
 use tokio::net::UdpSocket;
 
-use super::crash_loop;
+use super::{crash_loop, notice_outbox};
 use crate::{links, peers, records, state};
 
 /// Interval between heartbeats in a small fleet. A load known to another node is at most this old,
@@ -41,6 +41,7 @@
     let exchange = peers::LoadLoop::new(state.clone(), sync::Arc::clone(&socket));
     tokio::spawn(exchange.run());
     tokio::spawn(crash_loop::run(state.clone(), sync::Arc::clone(&socket)));
+    tokio::spawn(notice_outbox::run(state.clone(), sync::Arc::clone(&socket)));
     tokio::spawn(send(state, socket));
     Ok(())
 }
@@ -73,6 +74,11 @@
                 peers::load_intake::apply_digest(&state, digest, now);
             }
             Ok(peers::PeerMessage::Crashes(delta)) => state.crashes().merge(&delta, now),
+            Ok(peers::PeerMessage::Leaving(notices)) => {
+                for target in notices {
+                    state.merge_leaving(&target.vm, target.born, now);
+                }
+            }
             Err(error) => {
                 state.metrics().count_bad_beat();
                 log::debug!(event = "beat-unreadable", from:% = from, cause:% = error; "");
--- a/crates/pier_edge/src/peers/node_beat.rs
+++ b/crates/pier_edge/src/peers/node_beat.rs
@@ -21,6 +21,15 @@
     Digest(loads::LoadDigest),
     /// Marks of requests whose targets crashed.
     Crashes(quarantine::CrashDelta),
+    /// Targets that stated in answers to the sender that they leave.
+    Leaving(Vec<LeavingTarget>),
+}
+
+/// A start of a VM that leaves.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LeavingTarget {
+    pub vm: ids::VmName,
+    pub born: epochs::VmIncarnation,
 }
 
 /// A heartbeat, which a node sends to all others several times per second.
--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -93,7 +93,7 @@
         let all = pool.map_or(&[][..], |pool| pool.candidates(self.head.model.as_ref()));
         let untried: Vec<_> = all
             .iter()
-            .filter(|slot| !tried.contains(&slot.vm))
+            .filter(|slot| !tried.contains(&slot.vm) && !slot.is_leaving())
             .collect();
         let engine = self.engine();
         let lost = all.iter().filter(|slot| tried.contains(&slot.vm));
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -52,6 +52,11 @@
                 .await
                 .map_err(|fault| serving::SendFault::Unreached(fault.to_string()))?,
         };
+        // It may have said so while this request waited for its connection.
+        if slot.is_leaving() {
+            let reason = "the target is leaving".to_owned();
+            return Err(serving::SendFault::NotSent(reason));
+        }
         let now = times::clocks::boot_now();
         let guard = slot.gauge.begin(job.head.prompt_tokens, now);
         slot.count_send(now);
@@ -75,6 +80,10 @@
         connection.preface.end();
         let (head, body) = response.into_parts();
         let answer = job.state.platform().read_answer(&job.head.attempt, &head);
+        if answer.notice == links::TargetNotice::Leaving {
+            let answered_at = times::clocks::boot_now();
+            job.state.record_leaving(&slot.vm, slot.born, answered_at);
+        }
         let framing = serving::BodyFraming::of(&head, &body);
         job.state.metrics().count_framing(framing.label());
         Ok(Self {
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -7,7 +7,7 @@
 };
 
 use pier_fleet::{documents, targets};
-use pier_types::{ids, times};
+use pier_types::{epochs, ids, times};
 use tokio::sync::Notify;
 
 use crate::{crashes, links, peers, serving, settings, state, telemetry};
@@ -37,6 +37,7 @@
     registry: sync::Mutex<targets::TargetRegistry>,
     slots: sync::Mutex<collections::BTreeMap<state::SlotKey, sync::Arc<state::TargetSlot>>>,
     peers: sync::Mutex<peers::PeerTable>,
+    notices: peers::NoticeOutbox,
     retries: state::RetryBudget,
     crashes: crashes::CrashLedger,
     first_events: state::FirstEventDelays,
@@ -65,6 +66,7 @@
         let shared = SharedState {
             answer_budget: serving::AnswerBudget::new(settings.memory),
             retries: state::RetryBudget::new(settings.bounds),
+            notices: peers::NoticeOutbox::default(),
             crashes: crashes::CrashLedger::default(),
             first_events: state::FirstEventDelays::default(),
             peers: sync::Mutex::new(peers::PeerTable::new(node.clone())),
@@ -180,6 +182,49 @@
         slots.values().cloned().collect()
     }
 
+    /// Records that a start of a VM stated in an answer that it leaves, and tells the other nodes.
+    pub(crate) fn record_leaving(
+        &self,
+        vm: &ids::VmName,
+        born: epochs::VmIncarnation,
+        now: times::BootTime,
+    ) {
+        if self.merge_leaving(vm, born, now) {
+            self.metrics().count_leaving();
+            log::info!(event = "target-states-leaving", target_vm:% = vm, born:% = born; "");
+            self.shared.notices.add(peers::LeavingTarget {
+                vm: vm.clone(),
+                born,
+            });
+        }
+    }
+
+    /// Applies a notice that another node passed on; returns whether it is new here.
+    pub(crate) fn merge_leaving(
+        &self,
+        vm: &ids::VmName,
+        born: epochs::VmIncarnation,
+        now: times::BootTime,
+    ) -> bool {
+        let is_new = self.with_registry(|registry| registry.record_notice(vm, born, now));
+        if is_new {
+            let slots = state::target_slot::lock(&self.shared.slots);
+            let found = slots
+                .values()
+                .filter(|slot| slot.vm == *vm && slot.born == born);
+            found.for_each(|slot| slot.set_leaving());
+            drop(slots);
+            self.rebuild(now);
+            self.notify_registry_change();
+        }
+        is_new
+    }
+
+    /// Returns the notices that are to be sent to other nodes.
+    pub(crate) fn notices(&self) -> &peers::NoticeOutbox {
+        &self.shared.notices
+    }
+
     pub(crate) fn set_local_retiring(&self, retiring: collections::BTreeSet<ids::VmName>) {
         *state::target_slot::lock(&self.shared.local_retiring) = retiring;
     }
--- a/crates/pier_edge/src/state/target_slot.rs
+++ b/crates/pier_edge/src/state/target_slot.rs
@@ -1,6 +1,9 @@
 //! A target as this node uses it.
 
-use std::{net, sync};
+use std::{
+    net,
+    sync::{self, atomic},
+};
 
 use pier_fleet::{budgets, dispatch, documents};
 use pier_types::{epochs, ids, times};
@@ -28,6 +31,7 @@
     pub cold: sync::Mutex<ColdLimit>,
     pub loss_check: crashes::LossCheck,
     broken: watch::Sender<bool>,
+    is_leaving: atomic::AtomicBool,
 }
 
 /// Until when a target is cold, and this node's share of the request rate it takes until then.
@@ -59,6 +63,7 @@
             cold: sync::Mutex::default(),
             loss_check: crashes::LossCheck::default(),
             broken: watch::Sender::new(false),
+            is_leaving: atomic::AtomicBool::new(false),
         }
     }
 
@@ -75,6 +80,16 @@
         }
     }
 
+    /// Lets the target get no further request; those that it runs go on.
+    pub(crate) fn set_leaving(&self) {
+        self.is_leaving.store(true, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns whether the target is to get no further request.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(atomic::Ordering::Relaxed)
+    }
+
     /// Ends this node's requests at the target; those that may be repeated go on at another one.
     pub(crate) fn mark_broken(&self) {
         self.broken.send_replace(true);
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -27,6 +27,7 @@
     stuck: Counter,
     losses: Family<Labels, Counter>,
     held_requests: Gauge,
+    leaving_targets: Counter,
     store_calls: Family<Labels, Counter>,
     store_failures: Family<Labels, Counter>,
     orders: Family<Labels, Counter>,
@@ -54,6 +55,7 @@
             stuck: Counter::default(),
             losses: Family::default(),
             held_requests: Gauge::default(),
+            leaving_targets: Counter::default(),
             store_calls: Family::default(),
             store_failures: Family::default(),
             orders: Family::default(),
@@ -92,16 +94,7 @@
             "Streams that lost their target",
             metrics.resumes.clone(),
         );
-        registry.register(
-            "stuck_targets",
-            "Targets found stuck by silence",
-            metrics.stuck.clone(),
-        );
-        registry.register(
-            "target_losses",
-            "Checks of targets that closed connections, by the cause found",
-            metrics.losses.clone(),
-        );
+        metrics.register_targets(&mut registry);
         registry.register(
             "held_requests",
             "Requests held back because their targets crashed",
@@ -143,6 +136,24 @@
 }
 
 impl EdgeMetrics {
+    fn register_targets(&self, registry: &mut Registry) {
+        registry.register(
+            "stuck_targets",
+            "Targets found stuck by silence",
+            self.stuck.clone(),
+        );
+        registry.register(
+            "target_losses",
+            "Checks of targets that closed connections, by the cause found",
+            self.losses.clone(),
+        );
+        registry.register(
+            "leaving_targets",
+            "Targets that stated in an answer that they leave",
+            self.leaving_targets.clone(),
+        );
+    }
+
     pub(crate) fn count_answer(&self, cause: &str, status: u16, taken: time::Duration) {
         let labels = vec![("cause", cause.to_owned()), ("status", status.to_string())];
         self.answers.get_or_create(&labels).inc();
@@ -172,6 +183,11 @@
         self.stuck.inc();
     }
 
+    /// Counts a target that stated in an answer that it leaves.
+    pub(crate) fn count_leaving(&self) {
+        self.leaving_targets.inc();
+    }
+
     pub(crate) fn count_loss(&self, cause: &str) {
         let labels = vec![("cause", cause.to_owned())];
         self.losses.get_or_create(&labels).inc();
--- a/crates/pier_edge/tests/support/crashing_target.rs
+++ b/crates/pier_edge/tests/support/crashing_target.rs
@@ -179,7 +179,7 @@
             }
             tokio::time::sleep(RUN_TIME).await;
             let sent = atomic::AtomicUsize::default();
-            if scripted_target::answer_request(&mut stream, &self.script, &request, &sent)
+            if scripted_target::answer_request(&mut stream, &self.script, &request, "", &sent)
                 .await
                 .is_none()
             {
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -288,6 +288,11 @@
         links::AnswerHead {
             is_not_run: head.headers.contains_key("x-not-run"),
             is_genuine: echoed == Some(attempt),
+            notice: if head.headers.contains_key("x-leaving") {
+                links::TargetNotice::Leaving
+            } else {
+                links::TargetNotice::Staying
+            },
             closes: false,
             idle_time: None,
         }
--- a/crates/pier_edge/tests/support/scripted_target.rs
+++ b/crates/pier_edge/tests/support/scripted_target.rs
@@ -60,6 +60,7 @@
     sent: Arc<atomic::AtomicUsize>,
     accepted: Arc<Mutex<u32>>,
     closed: Arc<Mutex<u32>>,
+    is_leaving: Arc<atomic::AtomicBool>,
 }
 
 impl ScriptedTarget {
@@ -71,6 +72,7 @@
             sent: Arc::default(),
             accepted: Arc::default(),
             closed: Arc::default(),
+            is_leaving: Arc::default(),
         };
         let serving = target.clone();
         tokio::spawn(async move {
@@ -107,10 +109,17 @@
         *self.closed.lock().unwrap()
     }
 
+    /// States in the head of each answer from now on that the target leaves, and nowhere else.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, atomic::Ordering::Relaxed);
+    }
+
     async fn serve(&self, mut stream: TcpStream, script: Script) {
         while let Some(request) = read_request(&mut stream).await {
             self.requests.lock().unwrap().push(request.clone());
-            if answer_request(&mut stream, &script, &request, &self.sent)
+            let is_leaving = self.is_leaving.load(atomic::Ordering::Relaxed);
+            let headers = if is_leaving { "x-leaving: 1\r\n" } else { "" };
+            if answer_request(&mut stream, &script, &request, headers, &self.sent)
                 .await
                 .is_none()
             {
@@ -120,19 +129,20 @@
     }
 }
 
-/// Answers one request by a script, and counts the bytes of an answer without end; returns `None`
+/// Answers one request by a script with these header lines, and counts the bytes of an answer without end; returns `None`
 /// when the connection has to be closed.
 pub(super) async fn answer_request(
     stream: &mut TcpStream,
     script: &Script,
     request: &str,
+    headers: &str,
     sent: &atomic::AtomicUsize,
 ) -> Option<()> {
     let attempt = header(request, "x-attempt").unwrap_or_default();
     let after = header(request, "x-after")
         .and_then(|id| id.parse().ok())
         .unwrap_or(0);
-    let head = format!("HTTP/1.1 200 OK\r\nx-attempt: {attempt}\r\n");
+    let head = format!("HTTP/1.1 200 OK\r\nx-attempt: {attempt}\r\n{headers}");
     match script {
         Script::Whole(body) => {
             let text = format!("{head}content-length: {}\r\n\r\n{body}", body.len());
@@ -171,7 +181,8 @@
         }
         Script::NotRun => {
             let text = format!(
-                "HTTP/1.1 503 Busy\r\nx-attempt: {attempt}\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n"
+                "HTTP/1.1 503 Busy\r\nx-attempt: {attempt}\r\n{headers}x-not-run: 1\r\n\
+                 content-length: 0\r\n\r\n"
             );
             stream.write_all(text.as_bytes()).await.ok()
         }
--- a/crates/pier_fleet/src/targets/target_registry.rs
+++ b/crates/pier_fleet/src/targets/target_registry.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use pier_types::{ids, times};
+use pier_types::{epochs, ids, times};
 
 use crate::targets;
 
@@ -12,6 +12,10 @@
 /// allows for delivery.
 const RESTORE_TIME: time::Duration = time::Duration::from_millis(2_200);
 
+/// How long the leaving of a VM is remembered when it has no registration: longer than a VM goes on
+/// after its notice.
+const NOTICE_LIFETIME: time::Duration = time::Duration::from_mins(15);
+
 /// Keeps registrations, also during outages of the store that holds them.
 ///
 /// A target that is leaving gets no new work, and an outage of the store alone removes no target.
@@ -19,6 +23,15 @@
 pub struct TargetRegistry {
     records: collections::BTreeMap<ids::VmName, targets::TargetRecord>,
     store_returned_at: Option<times::BootTime>,
+    notices: collections::BTreeMap<ids::VmName, LeavingNotice>,
+}
+
+/// A VM's own word that it leaves.
+#[derive(Debug, Clone, Copy)]
+struct LeavingNotice {
+    /// The start of the VM that gave it.
+    born: epochs::VmIncarnation,
+    noted_at: times::BootTime,
 }
 
 impl TargetRegistry {
@@ -40,6 +53,7 @@
         if let Some(known) = known {
             entry.standing = entry.standing.merge_known(&known.entry.standing);
         }
+        entry.is_draining |= self.has_notice(&entry.vm, entry.standing.born);
         let unchanged = known.filter(|record| record.entry == entry);
         let record = targets::TargetRecord {
             // An unchanged entry is a repeated read; its remaining cold time counts from the first
@@ -52,6 +66,37 @@
         self.records.insert(record.entry.vm.clone(), record);
     }
 
+    /// Records that a start of a VM said itself that it leaves, whatever its registration says from
+    /// now on; returns whether that is new.
+    pub fn record_notice(
+        &mut self,
+        vm: &ids::VmName,
+        born: epochs::VmIncarnation,
+        now: times::BootTime,
+    ) -> bool {
+        if self
+            .notices
+            .get(vm)
+            .is_some_and(|notice| notice.born >= born)
+        {
+            return false;
+        }
+        let notice = LeavingNotice {
+            born,
+            noted_at: now,
+        };
+        self.notices.insert(vm.clone(), notice);
+        if let Some(record) = self.records.get_mut(vm) {
+            record.entry.is_draining |= record.entry.standing.born == born;
+        }
+        true
+    }
+
+    fn has_notice(&self, vm: &ids::VmName, born: epochs::VmIncarnation) -> bool {
+        let notice = self.notices.get(vm);
+        notice.is_some_and(|notice| notice.born == born)
+    }
+
     /// Marks a registration as removed from the store. It ends immediately, or, after an outage of
     /// the store, once the time for restoring it has passed.
     pub fn remove(&mut self, vm: &ids::VmName, now: times::BootTime) {
@@ -115,6 +160,10 @@
         let before = self.records.len();
         self.records
             .retain(|_vm, record| record.may_serve_group(now));
+        let records = &self.records;
+        self.notices.retain(|vm, notice| {
+            records.contains_key(vm) || now.since(notice.noted_at) < NOTICE_LIFETIME
+        });
         before != self.records.len()
     }
 
