Send nothing more from pier_node to a target whose answer says that it leaves

What callers saw: the same fault as on the platform's path: a node knew of a leaving target from the VM list and the target's reports only.

Cause and fix: answers had no such word. Header X-Leaving of a target's answer now keeps that group generation or VM incarnation out of the node's route table, from the next build (100 ms) on.

--- a/crates/pier_fakes/src/fault/fault_kind.rs
+++ b/crates/pier_fakes/src/fault/fault_kind.rs
@@ -73,6 +73,8 @@
     Cold,
     /// Makes a target's reports say that it is about to leave.
     Leaving,
+    /// Makes a target's answers to calls say that it is about to leave, but not its reports.
+    LeavingAnswers,
     /// Answers an order as applied without applying it.
     LoseOrder,
     /// Changes an engine's time per token.
--- a/crates/pier_fakes/src/serve/fake_core.rs
+++ b/crates/pier_fakes/src/serve/fake_core.rs
@@ -20,6 +20,8 @@
     pub proxy: serve::FaultProxy,
     /// Whether reports say that the VM is leaving.
     leaving: sync::Arc<atomic::AtomicBool>,
+    /// Whether answers to calls say so.
+    leaving_answers: sync::Arc<atomic::AtomicBool>,
 }
 
 impl FakeCore {
@@ -30,6 +32,7 @@
             faults: fault::FaultSet::default(),
             proxy,
             leaving: sync::Arc::default(),
+            leaving_answers: sync::Arc::default(),
         }
     }
 
@@ -38,6 +41,11 @@
         self.leaving.load(atomic::Ordering::SeqCst)
     }
 
+    /// Returns whether answers to calls say that the VM is leaving.
+    pub(crate) fn has_leaving_answers(&self) -> bool {
+        self.leaving_answers.load(atomic::Ordering::SeqCst)
+    }
+
     /// Applies the faults that act before a call takes effect; a returned reply ends the call.
     pub(crate) async fn inject_before(
         &self,
@@ -89,10 +97,11 @@
         }
     }
 
-    /// Clears call faults, the leaving flag and connection faults.
+    /// Clears call faults, the leaving flags and connection faults.
     pub(crate) fn clear(&self) {
         self.faults.clear();
         self.leaving.store(false, atomic::Ordering::SeqCst);
+        self.leaving_answers.store(false, atomic::Ordering::SeqCst);
         self.proxy.set_mode(serve::ProxyMode::Open, None);
     }
 
@@ -114,6 +123,9 @@
                 proxy.set_mode(serve::ProxyMode::Open, None);
             }
             fault::FaultKind::Leaving => self.leaving.store(true, atomic::Ordering::SeqCst),
+            fault::FaultKind::LeavingAnswers => {
+                self.leaving_answers.store(true, atomic::Ordering::SeqCst);
+            }
             _ => {}
         }
     }
--- a/crates/pier_fakes/src/serve/rocket_handler.rs
+++ b/crates/pier_fakes/src/serve/rocket_handler.rs
@@ -69,7 +69,11 @@
         }
         let reply = app.answer(request.clone()).await;
         app.core().inject_after(&request);
-        reply
+        if app.is_recorded(&request) && app.core().has_leaving_answers() {
+            reply.header("X-Leaving", 1)
+        } else {
+            reply
+        }
     }
 }
 
--- a/crates/pier_node/src/requests/attempt_call.rs
+++ b/crates/pier_node/src/requests/attempt_call.rs
@@ -11,6 +11,9 @@
 /// Header with which a target states that it did not start a request.
 const NOT_STARTED_HEADER: &str = "x-not-started";
 
+/// Header with which a target states that it leaves and is to get no further request.
+const LEAVING_HEADER: &str = "x-leaving";
+
 /// Time between two checks of the health of an attempt's group.
 const HEALTH_CHECK_PERIOD: time::Duration = time::Duration::from_millis(200);
 
@@ -56,6 +59,12 @@
             return Err(requests::AttemptFault::new(end, cause));
         };
         let answer = sent.map_err(|error| classify_error(&error))?;
+        if answer.headers().contains_key(LEAVING_HEADER) {
+            let target = (self.target.target.clone(), self.target.generation);
+            self.handle
+                .requests()
+                .record_leaving(&target, clocks::boot_now());
+        }
         self.check_status(answer)
     }
 
--- a/crates/pier_node/src/requests/request_state.rs
+++ b/crates/pier_node/src/requests/request_state.rs
@@ -30,6 +30,7 @@
     customers: ArcSwap<requests::CustomerTable>,
     prefixes: ArcSwap<routing::PrefixSnapshot>,
     quarantine: ArcSwap<quarantine::QuarantineSet>,
+    leaving: requests::LeavingTargets,
     node_budget: retries::RetryBudget,
     one_time_client: reqwest::Client,
     crash_sender: mpsc::Sender<requests::CrashEvent>,
@@ -57,6 +58,7 @@
             customers: ArcSwap::default(),
             prefixes: ArcSwap::default(),
             quarantine: ArcSwap::default(),
+            leaving: requests::LeavingTargets::default(),
             node_budget: retries::RetryBudget::new(NODE_RETRIES_PER_THOUSAND, NODE_BURST_RETRIES),
             one_time_client: requests::target_client::one_time()?,
             crash_sender,
@@ -93,6 +95,25 @@
         self.prefixes.store(sync::Arc::new(prefixes));
     }
 
+    /// Records that a target stated in an answer that it leaves.
+    pub(super) fn record_leaving(&self, target: &requests::TargetKey, now: times::BootTime) {
+        if self.leaving.record(target, now) {
+            log::info!(
+                event = "target-states-leaving",
+                target_id:% = target.0,
+                generation:% = target.1;
+                ""
+            );
+        }
+    }
+
+    /// Returns the targets that stated in an answer that they leave, and when.
+    pub fn leaving(
+        &self,
+    ) -> sync::Arc<collections::BTreeMap<requests::TargetKey, times::BootTime>> {
+        self.leaving.targets()
+    }
+
     /// Returns how many requests this node has in flight at each target of the current view.
     pub fn in_flight(
         &self,
--- a/crates/pier_node/src/tables/table_builder.rs
+++ b/crates/pier_node/src/tables/table_builder.rs
@@ -6,7 +6,7 @@
 use pier_control::health;
 use pier_types::{epochs, ids, routes, sizes, times, vms};
 
-use crate::handle;
+use crate::{handle, requests};
 
 /// The inputs of one routing table, as published by the control loops.
 #[derive(Debug, Clone)]
@@ -25,14 +25,16 @@
     pub evidence: &'a collections::BTreeMap<ids::VmName, health::VmEvidence>,
     /// How many requests this node may have in flight at each target.
     pub shares: &'a collections::BTreeMap<ids::TargetId, sizes::RequestCount>,
+    /// Targets that stated in an answer that they leave, and when.
+    pub leaving: &'a collections::BTreeMap<requests::TargetKey, times::BootTime>,
 }
 
 impl TableBuilder<'_> {
     /// Builds the table of the targets that may currently receive new requests.
     ///
     /// A target is left out when its data centre gets no new requests, when its evidence is stale,
-    /// or when it or a member of its group is drained, or is leaving by the VM list or its own
-    /// report. A target of which this node has no share is listed with a share of 0. Every
+    /// or when it or a member of its group is drained, or is leaving by the VM list, its own report
+    /// or its answers. A target of which this node has no share is listed with a share of 0. Every
     /// configured pool is present, so that an empty pool can be distinguished from an unknown one.
     pub fn build(&self, now: times::BootTime) -> routes::RouteTable {
         let mut pools = self.empty_pools();
@@ -68,7 +70,7 @@
                 generation: serving.generation,
                 load: serving.load,
             };
-            add(pools, &routes::PoolKey::Model(serving.model.clone()), route);
+            self.add(pools, &routes::PoolKey::Model(serving.model.clone()), route);
         }
     }
 
@@ -93,7 +95,7 @@
                     probed_at: evidence.probed_at,
                 },
             };
-            add(pools, &routes::PoolKey::Service(service.clone()), route);
+            self.add(pools, &routes::PoolKey::Service(service.clone()), route);
         }
     }
 
@@ -130,6 +132,17 @@
         listed || reported || self.document.drained.contains_key(vm)
     }
 
+    /// Adds a target to its pool, unless it states that it leaves or the pool is not configured.
+    fn add(&self, pools: &mut PoolMap, pool: &routes::PoolKey, route: routes::RouteTarget) {
+        let key = (route.target.clone(), route.generation);
+        if self.leaving.contains_key(&key) {
+            return;
+        }
+        if let Some(targets) = pools.get_mut(pool) {
+            targets.push(sync::Arc::new(route));
+        }
+    }
+
     fn share(&self, target: &ids::TargetId) -> sizes::RequestCount {
         self.shares.get(target).copied().unwrap_or_default()
     }
@@ -137,10 +150,3 @@
 
 /// The targets of each pool, while the table is built.
 type PoolMap = collections::BTreeMap<routes::PoolKey, Vec<sync::Arc<routes::RouteTarget>>>;
-
-/// Adds a target to its pool, if the pool is configured.
-fn add(pools: &mut PoolMap, pool: &routes::PoolKey, route: routes::RouteTarget) {
-    if let Some(targets) = pools.get_mut(pool) {
-        targets.push(sync::Arc::new(route));
-    }
-}
--- a/crates/pier_node/src/tables/table_loop.rs
+++ b/crates/pier_node/src/tables/table_loop.rs
@@ -29,6 +29,7 @@
     };
     let (groups, vms) = (handle.groups(), handle.vms());
     let (evidence, shares) = (handle.evidence(), handle.shares());
+    let leaving = handle.requests().leaving();
     let data_centre = &handle.settings().data_centre;
     let shift = shift.update(&config.document, data_centre, &groups, now);
     let builder = tables::TableBuilder {
@@ -39,6 +40,7 @@
         vms: &vms,
         evidence: &evidence,
         shares: &shares,
+        leaving: &leaving,
     };
     // An unchanged table is published too, since requests use a table only while it is fresh.
     handle.publish_shift(shift);
--- a/crates/pier_node/tests/route_table.rs
+++ b/crates/pier_node/tests/route_table.rs
@@ -5,7 +5,7 @@
 use pier_config::documents;
 use pier_control::{health, placements};
 use pier_limits::shifts;
-use pier_node::{handle, tables};
+use pier_node::{handle, requests, tables};
 use pier_types::{epochs, ids, reports, routes, sizes, times, vms};
 
 const DOCUMENT: &str = include_str!("../../../examples/laurel-north.ini");
@@ -20,6 +20,7 @@
     vms: collections::BTreeMap<ids::VmName, vms::VmEntry>,
     evidence: collections::BTreeMap<ids::VmName, health::VmEvidence>,
     shares: collections::BTreeMap<ids::TargetId, sizes::RequestCount>,
+    leaving: collections::BTreeMap<requests::TargetKey, times::BootTime>,
 }
 
 impl TableScene {
@@ -40,6 +41,7 @@
             vms: collections::BTreeMap::from([(vm("app-1"), service_entry())]),
             evidence: collections::BTreeMap::from([(vm("app-1"), evidence)]),
             shares: targets.into_iter().map(|target| (target, share)).collect(),
+            leaving: collections::BTreeMap::new(),
         }
     }
 
@@ -53,6 +55,7 @@
             vms: &self.vms,
             evidence: &self.evidence,
             shares: &self.shares,
+            leaving: &self.leaving,
         };
         let table = builder.build(now);
         let usable = |pool| {
@@ -167,6 +170,23 @@
     assert_eq!(scene.counts(NOW), (1, 0));
 }
 
+/// Guards against requests to a target that states in its answers alone that it leaves, and against
+/// a notice that outlives its start.
+#[test]
+fn a_target_whose_answers_say_it_leaves_gets_no_new_work() {
+    let app = ids::TargetId::Vm(vm("app-1"));
+    let group = ids::TargetId::Group(group_id());
+    for (target, left) in [(app, (0, 1)), (group, (1, 0))] {
+        let mut scene = TableScene::new();
+        let former = epochs::GroupGeneration::new(0);
+        scene.leaving.insert((target.clone(), former), NOW);
+        assert_eq!(scene.counts(NOW), (1, 1));
+        let current = epochs::GroupGeneration::new(1);
+        scene.leaving.insert((target, current), NOW);
+        assert_eq!(scene.counts(NOW), left);
+    }
+}
+
 #[test]
 fn a_drained_target_gets_no_new_work() {
     for (name, left) in [("app-1", (0, 1)), ("gpu-1", (1, 0))] {
