--- a/crates/pier_edge/src/links/caller_head.rs
+++ b/crates/pier_edge/src/links/caller_head.rs
@@ -21,6 +21,9 @@
     pub prompt_tokens: u64,
     /// Greatest number of tokens of the answer, 0 if not stated.
     pub answer_tokens: u64,
+    /// Parts of the prompt that other requests may share: all but the last one, which is the
+    /// request's own. Empty if none are stated or they cannot be read.
+    pub shared_parts: Vec<ids::PromptPart>,
     /// Id of the last event that the caller received of a stream which it resumes.
     pub last_event: Option<String>,
 }
--- a/crates/pier_edge/src/serving/loss_report.rs
+++ b/crates/pier_edge/src/serving/loss_report.rs
@@ -62,6 +62,7 @@
             event = "target-closed-connection",
             attempt = self.head.attempt.as_str(),
             fingerprint:% = self.fingerprint,
+            prompt_parts = self.parts_text().as_str(),
             target_vm:% = slot.vm,
             born:% = slot.born,
             cause = label;
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -253,6 +253,10 @@
             model: text("x-model").and_then(|model| model.parse().ok()),
             prompt_tokens: 100,
             answer_tokens: 100,
+            shared_parts: text("x-parts").map_or_else(Vec::new, |parts| {
+                let parts = parts.split(',').map(|part| part.parse().unwrap());
+                parts.collect()
+            }),
             last_event: text("x-after"),
         }
     }
