--- a/crates/pier_edge/tests/crashing_requests.rs
+++ b/crates/pier_edge/tests/crashing_requests.rs
@@ -127,6 +127,7 @@
     let style = CrashStyle {
         is_renamed: true,
         listener_delay: LATE_LISTENER_DELAY,
+        ..CrashStyle::default()
     };
     let targets = styled_targets(&platform, 8, style).await;
     let nodes = TestNode::start_fleet(3, platform, Vec::new()).await;
@@ -144,6 +145,7 @@
     let style = CrashStyle {
         is_renamed: true,
         listener_delay: OPEN_PORT_TIME,
+        ..CrashStyle::default()
     };
     let targets = styled_targets(&platform, 8, style).await;
     let nodes = TestNode::start_fleet(1, platform, Vec::new()).await;
--- a/crates/pier_edge/tests/support/crashing_target.rs
+++ b/crates/pier_edge/tests/support/crashing_target.rs
@@ -9,6 +9,7 @@
 use pier_fleet::targets;
 use pier_types::epochs;
 use tokio::{
+    io::AsyncWriteExt as _,
     net::{TcpListener, TcpStream},
     sync::watch,
     task,
@@ -19,6 +20,9 @@
 /// A request whose text contains this ends each target that begins to run it.
 pub const CRASH_MARKER: &str = "crash-marker";
 
+/// A request whose prompt has this part ends each target that begins to run it.
+pub const CRASH_PART: &str = "bad0bad0";
+
 /// A request whose text contains this ends its target right after the last byte of the answer.
 pub const CRASH_AFTER_MARKER: &str = "crash-after-answer";
 
@@ -35,6 +39,8 @@
     pub is_renamed: bool,
     /// How long the port stays open after the connections were closed.
     pub listener_delay: time::Duration,
+    /// Whether the target sends the first event of an answer without framing before it crashes.
+    pub sends_event: bool,
 }
 
 /// A target on its own port that registers itself at every start.
@@ -45,7 +51,7 @@
     platform: FakePlatform,
     script: Script,
     crashes: Arc<watch::Sender<u32>>,
-    requests: Arc<Mutex<Vec<String>>>,
+    requests: Arc<Mutex<Vec<(time::Instant, String)>>>,
 }
 
 impl CrashingTarget {
@@ -96,6 +102,12 @@
 
     /// Returns the head and body of every request as text.
     pub fn requests(&self) -> Vec<String> {
+        let requests = self.arrivals().into_iter();
+        requests.map(|(_arrived_at, request)| request).collect()
+    }
+
+    /// Returns when each request arrived, with its head and body as text.
+    pub fn arrivals(&self) -> Vec<(time::Instant, String)> {
         self.requests.lock().unwrap().clone()
     }
 
@@ -171,8 +183,18 @@
 
     async fn serve(self, mut stream: TcpStream) {
         while let Some(request) = scripted_target::read_request(&mut stream).await {
-            self.requests.lock().unwrap().push(request.clone());
-            if request.contains(CRASH_MARKER) {
+            let arrival = (time::Instant::now(), request.clone());
+            self.requests.lock().unwrap().push(arrival);
+            if request.contains(CRASH_MARKER) || request.contains(CRASH_PART) {
+                if self.style.sends_event {
+                    let attempt = scripted_target::header(&request, "x-attempt");
+                    let head = format!(
+                        "HTTP/1.1 200 OK\r\nx-attempt: {}\r\ncontent-type: text/event-stream\r\n\r\n\
+                         id: 1\ndata: part 1\n\n",
+                        attempt.unwrap_or_default()
+                    );
+                    stream.write_all(head.as_bytes()).await.unwrap();
+                }
                 self.crash();
                 // The crash ends this task.
                 std::future::pending::<()>().await;
--- a/crates/pier_edge/tests/support/mod.rs
+++ b/crates/pier_edge/tests/support/mod.rs
@@ -11,7 +11,9 @@
 mod scripted_target;
 mod test_node;
 
-pub use crashing_target::{CRASH_AFTER_MARKER, CRASH_MARKER, CrashStyle, CrashingTarget};
+pub use crashing_target::{
+    CRASH_AFTER_MARKER, CRASH_MARKER, CRASH_PART, CrashStyle, CrashingTarget,
+};
 pub use fake_platform::FakePlatform;
 pub use raw_caller::{RawAnswer, RawCaller};
 pub use scripted_target::{Script, ScriptedTarget};
