Hold back requests with a part of a prompt that crashes targets

Cause: the quarantine counts crashes by request (customer, path, body). No two requests with such a part are alike, so none of them is on more crashes than its own one or two. All 367 losses of the first 19 s were recognised as crashes and told to all nodes; nothing added them up.

Why the fix works: a crash marks the shared parts of every request lost with the target, over all nodes; a completed answer shows its parts to be sound. What is left on four crashes under three different requests is held, at the entry and before each repeat or resumed stream. While several parts are equally suspect, only requests with all of them are held, so that sound requests with some of them go on and clear theirs. The marks are gossiped at once and kept in the store's record of crashes, for nodes that start or hear no other node. Crashes that a held part explains count against no request any more.

Older nodes do not read the new datagrams and keep their own verdict; they read and write the record without the parts.

--- a/crates/pier_edge/src/crashes/crash_ledger.rs
+++ b/crates/pier_edge/src/crashes/crash_ledger.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::ArcSwap;
 use pier_fleet::targets;
-use pier_request::quarantine;
+use pier_request::{prompt_parts, quarantine};
 use pier_types::{epochs, ids, times};
 use tokio::sync::Notify;
 
@@ -25,6 +25,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct RequestLoss {
     pub fingerprint: ids::RequestFingerprint,
+    /// Parts of the prompt that other requests may share.
+    pub parts: Vec<ids::PromptPart>,
     pub lost: crashes::LostTarget,
     /// Number of requests that ran on the target.
     pub suspects: u32,
@@ -42,6 +44,8 @@
     history: sync::Mutex<quarantine::CrashHistory>,
     open_losses: sync::Mutex<collections::VecDeque<OpenLoss>>,
     published: ArcSwap<quarantine::QuarantineSet>,
+    parts: sync::Mutex<prompt_parts::PartHistory>,
+    published_parts: ArcSwap<prompt_parts::PartQuarantine>,
     unstored: sync::Mutex<collections::BTreeSet<ids::RequestFingerprint>>,
     record: sync::Mutex<(epochs::ObjectVersion, crashes::CrashRecord)>,
     recorded: Notify,
@@ -49,13 +53,17 @@
 }
 
 impl CrashLedger {
-    /// Returns how long a request is held back; `None` when it may run.
+    /// Returns how long a request with these shared parts of its prompt is held back; `None` when it
+    /// may run.
     pub(crate) fn held_for(
         &self,
         fingerprint: ids::RequestFingerprint,
+        parts: &[ids::PromptPart],
         now: times::BootTime,
     ) -> Option<time::Duration> {
-        self.published.load().remaining(fingerprint, now)
+        let by_request = self.published.load().remaining(fingerprint, now);
+        let by_part = self.published_parts.load().remaining(parts, now);
+        by_request.max(by_part)
     }
 
     /// Returns how many requests are held back.
@@ -121,6 +129,29 @@
         self.notify(fingerprint);
     }
 
+    /// Records that a request with these shared parts of its prompt completed, so that they crash no
+    /// target.
+    pub(crate) fn record_sound_parts(&self, parts: &[ids::PromptPart], now: times::BootTime) {
+        if self.update_parts(now, |history| history.record_completion(parts, now)) {
+            self.recorded.notify_one();
+        }
+    }
+
+    /// Merges the marks of parts that another node recorded.
+    pub(crate) fn merge_parts(&self, delta: &prompt_parts::PartDelta, now: times::BootTime) {
+        self.update_parts(now, |history| history.merge(delta, now));
+    }
+
+    /// Returns at most `limit` marks of parts for a datagram; new ones first.
+    pub(crate) fn part_delta(&self, now: times::BootTime, limit: usize) -> prompt_parts::PartDelta {
+        state::lock(&self.parts).delta(now, limit)
+    }
+
+    /// Returns all marks of parts.
+    pub(crate) fn part_marks(&self, now: times::BootTime) -> Vec<prompt_parts::PartMark> {
+        state::lock(&self.parts).marks(now)
+    }
+
     /// Merges crashes that another node recorded.
     pub(crate) fn merge(&self, delta: &quarantine::CrashDelta, now: times::BootTime) {
         self.update(now, |history| history.merge(delta, now));
@@ -160,7 +191,9 @@
         wall_now: times::WallTime,
     ) {
         let delta = record.to_delta(wall_now);
+        let part_delta = record.to_part_delta(wall_now);
         self.set_record(version, record);
+        self.update_parts(now, |history| history.merge_and_forward(&part_delta, now));
         self.update(now, |history| history.merge_and_forward(&delta, now));
         self.recorded.notify_one();
     }
@@ -172,7 +205,7 @@
 
     /// Returns whether marks are still to be sent to all nodes.
     pub(crate) fn has_new_marks(&self) -> bool {
-        state::lock(&self.history).has_new_marks()
+        state::lock(&self.history).has_new_marks() || state::lock(&self.parts).has_new_marks()
     }
 
     /// Waits until there are marks to send to all nodes.
@@ -202,6 +235,10 @@
 
     /// Removes expired marks and publishes what is left.
     pub(crate) fn expire(&self, now: times::BootTime) {
+        self.update_parts(now, |history| {
+            history.expire(now);
+            !history.is_empty()
+        });
         if !state::lock(&self.history).is_empty() {
             self.update(now, |history| {
                 history.expire(now);
@@ -213,6 +250,9 @@
     fn record_crash(&self, loss: &RequestLoss, cause: quarantine::LossCause, now: times::BootTime) {
         let target = ids::TargetId::Vm(loss.lost.vm.clone());
         let generation = start_generation(loss.lost.born);
+        self.update_parts(now, |history| {
+            history.record_crash(&target, generation, loss.fingerprint, &loss.parts, now)
+        });
         self.update(now, |history| {
             let in_flight = [loss.fingerprint];
             history.record_loss(&target, generation, cause, &in_flight, loss.suspects, now);
@@ -227,6 +267,40 @@
         self.to_store.notify_one();
     }
 
+    /// Changes the history of parts, and publishes the parts that it holds if `change` returns that
+    /// they may differ; returns what `change` did.
+    fn update_parts(
+        &self,
+        now: times::BootTime,
+        change: impl FnOnce(&mut prompt_parts::PartHistory) -> bool,
+    ) -> bool {
+        let mut history = state::lock(&self.parts);
+        if !change(&mut history) {
+            return false;
+        }
+        let set = history.snapshot(now);
+        let former = self.published_parts.swap(Arc::new(set.clone()));
+        drop(history);
+        for (parts, until) in set.held() {
+            let was_held = former.held().any(|(held, _until)| held == parts);
+            if !was_held && now < until {
+                let names: Vec<_> = parts.iter().map(ToString::to_string).collect();
+                log::warn!(
+                    event = "prompt-part-held-back",
+                    prompt_parts:% = names.join(","),
+                    held_ms = u64::try_from(until.since(now).as_millis()).unwrap_or(u64::MAX),
+                    crashes = set.crashes().len();
+                    ""
+                );
+            }
+        }
+        if former.crashes() != set.crashes() {
+            // Requests that ran beside the part are not to blame for these crashes.
+            self.update(now, |_history| true);
+        }
+        true
+    }
+
     /// Changes the history, and publishes the requests that it holds back if `change` returns that
     /// they may differ.
     fn update(
@@ -238,7 +312,8 @@
         if !change(&mut history) {
             return;
         }
-        let set = history.snapshot(now);
+        let parts = self.published_parts.load();
+        let set = history.snapshot_without(parts.crashes(), now);
         let former = self.published.swap(Arc::new(set.clone()));
         for (fingerprint, until) in set.held() {
             if former.remaining(fingerprint, now).is_none() && now < until {
--- a/crates/pier_edge/src/crashes/record_writer.rs
+++ b/crates/pier_edge/src/crashes/record_writer.rs
@@ -43,12 +43,13 @@
         let marked: collections::BTreeSet<_> =
             own_marks.iter().map(|mark| mark.fingerprint).collect();
         let wall_now = times::clocks::wall_now();
-        let wanted = crashes::CrashRecord::new(own_marks, wall_now);
+        let part_marks = ledger.part_marks(now);
+        let wanted = crashes::CrashRecord::new(own_marks, part_marks.clone(), wall_now);
         let (version, known) = ledger.record();
         if wanted.is_empty() || known.covers(&wanted) {
             return true;
         }
-        let record = crashes::CrashRecord::new(ledger.marks(now), wall_now);
+        let record = crashes::CrashRecord::new(ledger.marks(now), part_marks, wall_now);
         let text = match serde_json::to_string(&record) {
             Ok(text) => text,
             Err(error) => {
--- a/crates/pier_edge/src/links/caller_head.rs
+++ b/crates/pier_edge/src/links/caller_head.rs
@@ -27,3 +27,9 @@
     /// Id of the last event that the caller received of a stream which it resumes.
     pub last_event: Option<String>,
 }
+
+/// Returns parts of a prompt as text for a log line.
+pub(crate) fn parts_text(parts: &[ids::PromptPart]) -> String {
+    let parts = parts.iter().map(ToString::to_string);
+    parts.collect::<Vec<_>>().join(",")
+}
--- a/crates/pier_edge/src/links/mod.rs
+++ b/crates/pier_edge/src/links/mod.rs
@@ -14,6 +14,7 @@
 
 pub use answer_head::{AnswerHead, TargetNotice};
 pub use caller_head::CallerHead;
+pub(crate) use caller_head::parts_text;
 pub use fleet_platform::{FleetPlatform, HeaderCodec, MemberLink, RecordStore};
 pub use member_report::MemberReport;
 pub use order_outcome::OrderOutcome;
--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -74,6 +74,9 @@
                 peers::load_intake::apply_digest(&state, digest, now);
             }
             Ok(peers::PeerMessage::Crashes(delta)) => state.crashes().merge(&delta, now),
+            Ok(peers::PeerMessage::PartCrashes(delta)) => {
+                state.crashes().merge_parts(&delta, now);
+            }
             Ok(peers::PeerMessage::Leaving(notices)) => {
                 for target in notices {
                     state.merge_leaving(&target.vm, target.born, now);
--- a/crates/pier_edge/src/peers/crash_loop.rs
+++ b/crates/pier_edge/src/peers/crash_loop.rs
@@ -12,6 +12,9 @@
 /// Most marks in one datagram.
 const MAX_MARKS: usize = 16;
 
+/// Most marks of parts in one datagram; a crash marks several parts of each request.
+const MAX_PART_MARKS: usize = 32;
+
 /// Interval between two datagrams with the same new marks.
 const REPEAT_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
@@ -38,7 +41,13 @@
             let receiver = receivers.choose(&mut rand::rng()).copied();
             receivers = receiver.into_iter().collect();
         }
-        let delta = state.crashes().delta(times::clocks::boot_now(), MAX_MARKS);
+        let now = times::clocks::boot_now();
+        let part_delta = state.crashes().part_delta(now, MAX_PART_MARKS);
+        if !part_delta.marks.is_empty() {
+            let message = peers::PeerMessage::PartCrashes(part_delta);
+            beat_loop::send_all(&socket, &message, &receivers).await;
+        }
+        let delta = state.crashes().delta(now, MAX_MARKS);
         if !delta.marks.is_empty() {
             let message = peers::PeerMessage::Crashes(delta);
             beat_loop::send_all(&socket, &message, &receivers).await;
--- a/crates/pier_edge/src/peers/node_beat.rs
+++ b/crates/pier_edge/src/peers/node_beat.rs
@@ -3,7 +3,7 @@
 use std::net;
 
 use pier_fleet::loads;
-use pier_request::quarantine;
+use pier_request::{prompt_parts, quarantine};
 use pier_types::{epochs, ids};
 use serde::{Deserialize, Serialize};
 
@@ -23,6 +23,8 @@
     Crashes(quarantine::CrashDelta),
     /// Targets that stated in answers to the sender that they leave.
     Leaving(Vec<LeavingTarget>),
+    /// Marks of parts of prompts that were on crashed targets.
+    PartCrashes(prompt_parts::PartDelta),
 }
 
 /// A start of a VM that leaves.
--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -62,7 +62,12 @@
         progress.tried.push(slot.vm.clone());
         let taken = times::clocks::boot_now().since(now);
         match sent {
-            Ok((head, body, answer)) => {
+            Ok(TargetAnswer {
+                head,
+                body,
+                answer,
+                framing,
+            }) => {
                 let is_failure = head.status.is_server_error();
                 slot.gauge
                     .record_answer(taken, is_failure || answer.is_not_run);
@@ -74,7 +79,7 @@
                     progress.answer = Some((head, body));
                 } else {
                     if head.status.is_success() {
-                        job.report_completion();
+                        job.report_completion(&slot, framing);
                     }
                     return Ok((head, body));
                 }
@@ -178,11 +183,19 @@
     left.min(timeout)
 }
 
+/// A target's whole answer.
+struct TargetAnswer {
+    head: http::response::Parts,
+    body: bytes::Bytes,
+    answer: links::AnswerHead,
+    framing: serving::BodyFraming,
+}
+
 async fn send_once<P: links::FleetPlatform>(
     job: &serving::RequestJob<P>,
     slot: &std::sync::Arc<crate::state::TargetSlot>,
     limit: time::Duration,
-) -> Result<(http::response::Parts, bytes::Bytes, links::AnswerHead), serving::SendFault> {
+) -> Result<TargetAnswer, serving::SendFault> {
     let started = times::clocks::boot_now();
     let mut call = serving::TargetCall::send(job, slot, None, limit).await?;
     call.guard.mark_started();
@@ -200,8 +213,14 @@
         return Err(serving::SendFault::MayHaveRun(reason));
     }
     slot.gauge.record_progress(times::clocks::boot_now());
+    let framing = call.framing;
     call.finish();
-    Ok((head, body, answer))
+    Ok(TargetAnswer {
+        head,
+        body,
+        answer,
+        framing,
+    })
 }
 
 /// Reads a body to its end.
--- a/crates/pier_edge/src/serving/loss_report.rs
+++ b/crates/pier_edge/src/serving/loss_report.rs
@@ -3,7 +3,7 @@
 use std::{sync, time};
 
 use pier_request::quarantine;
-use pier_types::times;
+use pier_types::{ids, times};
 
 use crate::{crashes, links, serving, state};
 
@@ -62,7 +62,7 @@
             event = "target-closed-connection",
             attempt = self.head.attempt.as_str(),
             fingerprint:% = self.fingerprint,
-            prompt_parts = self.parts_text().as_str(),
+            prompt_parts = links::parts_text(&self.head.shared_parts).as_str(),
             target_vm:% = slot.vm,
             born:% = slot.born,
             cause = label;
@@ -136,6 +136,7 @@
     fn loss(&self, slot: &state::TargetSlot) -> crashes::RequestLoss {
         crashes::RequestLoss {
             fingerprint: self.fingerprint,
+            parts: self.head.shared_parts.clone(),
             lost: slot.as_lost(),
             suspects: slot.gauge.running() + slot.gauge.waiting(),
         }
@@ -143,18 +144,34 @@
 
     fn check_held(&self) -> Result<(), serving::Refusal> {
         let now = times::clocks::boot_now();
-        let held = self.state.crashes().held_for(self.fingerprint, now);
+        let ledger = self.state.crashes();
+        let held = ledger.held_for(self.fingerprint, &self.head.shared_parts, now);
         held.map_or(Ok(()), |retry_after| {
             Err(serving::Refusal::HeldBack { retry_after })
         })
     }
 
     /// Records that the request was answered completely, so that it crashed no target.
-    pub(super) fn report_completion(&self) {
+    ///
+    /// The end of an answer without framing does not show that its target lives on, so the parts of
+    /// the prompt count as sound only once the target was checked again.
+    pub(super) fn report_completion(
+        &self,
+        slot: &sync::Arc<state::TargetSlot>,
+        framing: serving::BodyFraming,
+    ) {
         let now = times::clocks::boot_now();
-        self.state
-            .crashes()
-            .record_completion(self.fingerprint, now);
+        let ledger = self.state.crashes();
+        ledger.record_completion(self.fingerprint, now);
+        if self.head.shared_parts.is_empty() {
+            return;
+        }
+        if framing == serving::BodyFraming::UntilClose {
+            let (state, slot) = (self.state.clone(), sync::Arc::clone(slot));
+            tokio::spawn(check_sound(state, slot, self.head.shared_parts.clone()));
+        } else {
+            ledger.record_sound_parts(&self.head.shared_parts, now);
+        }
     }
 }
 
@@ -202,6 +219,24 @@
     }
 }
 
+/// Records parts of a prompt as sound if the target that answered is still listening after a while.
+async fn check_sound<P: links::FleetPlatform>(
+    state: state::EdgeState<P>,
+    slot: sync::Arc<state::TargetSlot>,
+    parts: Vec<ids::PromptPart>,
+) {
+    for pause in RECHECK_PAUSES {
+        tokio::time::sleep(pause).await;
+    }
+    let now = times::clocks::boot_now();
+    if find_cause(&state, &slot, RECHECK_LIFETIME, now)
+        .await
+        .is_none()
+    {
+        state.crashes().record_sound_parts(&parts, now);
+    }
+}
+
 const fn label(cause: Option<quarantine::LossCause>) -> &'static str {
     match cause {
         None => "still-listening",
--- a/crates/pier_edge/src/serving/request_entry.rs
+++ b/crates/pier_edge/src/serving/request_entry.rs
@@ -83,11 +83,15 @@
     let grant = grant(&document, &route, &head)?;
     let body = read_body(body, document.limits(), &head).await?;
     let fingerprint = fingerprint(grant.as_ref(), &parts.uri, &body);
-    if let Some(retry_after) = state.crashes().held_for(fingerprint, arrived_at) {
+    let held_for = state
+        .crashes()
+        .held_for(fingerprint, &head.shared_parts, arrived_at);
+    if let Some(retry_after) = held_for {
         log::info!(
             event = "held-request-refused",
             attempt = head.attempt.as_str(),
             fingerprint:% = fingerprint,
+            prompt_parts = links::parts_text(&head.shared_parts).as_str(),
             held_ms = millis(retry_after);
             ""
         );
--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -81,12 +81,6 @@
         }
     }
 
-    /// Returns the shared parts of the prompt as text for a log line.
-    pub(super) fn parts_text(&self) -> String {
-        let parts = self.head.shared_parts.iter().map(ToString::to_string);
-        parts.collect::<Vec<_>>().join(",")
-    }
-
     /// Chooses a target among those that were not tried.
     pub(super) fn choose(
         &self,
--- a/crates/pier_edge/src/serving/stream_relay/mod.rs
+++ b/crates/pier_edge/src/serving/stream_relay/mod.rs
@@ -156,7 +156,8 @@
             ""
         );
         if outcome == "complete" {
-            self.job.report_completion();
+            self.job
+                .report_completion(&self.call.slot, self.call.framing);
             self.call.finish();
         }
     }
--- a/crates/pier_request/src/quarantine/crash_history.rs
+++ b/crates/pier_request/src/quarantine/crash_history.rs
@@ -184,9 +184,23 @@
     ///
     /// The crashes of a quarantined request do not count against requests with fewer crashes.
     pub fn snapshot(&self, now: times::BootTime) -> quarantine::QuarantineSet {
+        self.snapshot_without(&collections::BTreeSet::new(), now)
+    }
+
+    /// Returns the requests that are held back or implicated now when some crashes are explained
+    /// by something else, so that they count against no request.
+    pub fn snapshot_without(
+        &self,
+        explained: &collections::BTreeSet<(ids::TargetId, epochs::GroupGeneration)>,
+        now: times::BootTime,
+    ) -> quarantine::QuarantineSet {
         let mut set = quarantine::QuarantineSet::default();
         let implicated = self.implicated_counts();
         let mut requests = self.live_requests(now);
+        for request in &mut requests {
+            let marks = &mut request.marks;
+            marks.retain(|(crash, _state)| !explained.contains(&(crash.0.clone(), crash.1)));
+        }
         requests.sort_by_key(|request| cmp::Reverse(request.marks.len()));
         let mut quarantined = Vec::new();
         for request in &requests {
