Believe the last answer without framing of a pier_node target that leaves

Cause: the check after such an answer takes a closed port for a crash, whatever the node knows of the target.

Why the fix works: a target that is out of the route table, or stated that it leaves, may stop after its last answer, so its end shows nothing. A crashed target is still in the table at that moment, as its evidence is fresh.

the_last_answer_of_a_leaving_target_is_passed_on failed before (502) and passes; the tests of crashed targets pass as before.

--- a/crates/pier_node/src/requests/answer_body.rs
+++ b/crates/pier_node/src/requests/answer_body.rs
@@ -32,13 +32,18 @@
         }
     }
 
-    /// Reads the body to its end.
+    /// Reads the body to its end; `is_in_use` returns whether the target is still to get requests.
+    ///
+    /// A target that is out of use may stop after its last answer, so that its end shows nothing.
     ///
     /// # Errors
     ///
     /// Fails when the body is truncated, over [`MAX_ANSWER_BYTES`], or ended by the end of the
-    /// target's process.
-    pub(super) async fn read(mut self) -> anyhow::Result<bytes::Bytes> {
+    /// process of a target in use.
+    pub(super) async fn read(
+        mut self,
+        is_in_use: impl Fn() -> bool,
+    ) -> anyhow::Result<bytes::Bytes> {
         let mut body = bytes::BytesMut::new();
         while let Some(chunk) = self.answer.chunk().await? {
             anyhow::ensure!(
@@ -48,7 +53,7 @@
             body.extend_from_slice(&chunk);
         }
         anyhow::ensure!(
-            !self.ends_with_connection || !has_ended(self.target).await,
+            !self.ends_with_connection || !is_in_use() || !has_ended(self.target).await,
             "the target's process ended with the answer"
         );
         Ok(body.freeze())
--- a/crates/pier_node/src/requests/attempt_call.rs
+++ b/crates/pier_node/src/requests/attempt_call.rs
@@ -92,6 +92,18 @@
         }
     }
 
+    /// Returns whether the target is in the route table and has not stated that it leaves.
+    pub(super) fn is_target_in_use(&self) -> bool {
+        let leaving = self.handle.requests().leaving();
+        let key = (self.target.target.clone(), self.target.generation);
+        let table = self.handle.routes();
+        let mut listed = table.targets(&self.plan.pool).iter();
+        let is_listed = listed.any(|other| {
+            other.target == self.target.target && other.generation == self.target.generation
+        });
+        is_listed && !leaving.contains_key(&key)
+    }
+
     fn is_group_healthy(&self) -> bool {
         let ids::TargetId::Group(group) = &self.target.target else {
             return true;
--- a/crates/pier_node/src/requests/buffered_run.rs
+++ b/crates/pier_node/src/requests/buffered_run.rs
@@ -88,7 +88,7 @@
     let content_type = kind.unwrap_or("application/octet-stream").to_owned();
     let remaining = call.plan.deadline.since(clocks::boot_now());
     let body = requests::AnswerBody::new(answer, call.target.address);
-    let reading = tokio::time::timeout(remaining, body.read());
+    let reading = tokio::time::timeout(remaining, body.read(|| call.is_target_in_use()));
     let read = tokio::select! {
         read = reading => read,
         fault = call.wait_for_broken_group() => return Err(fault),
--- a/crates/pier_node/tests/requests/broken_off.rs
+++ b/crates/pier_node/tests/requests/broken_off.rs
@@ -52,6 +52,21 @@
     assert_eq!(crashing.received(), 1);
 }
 
+/// Guards against a last answer without framing that is taken for broken off, although its target
+/// left the route table before it stopped.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_last_answer_of_a_leaving_target_is_passed_on() {
+    let leaving = EndingTarget::launch("all of it", BodyEnd::Stop).await;
+    let node = node_with(&[("ledger-1", &leaving)]).await;
+    let (answer, ()) = tokio::join!(node.send(post()), async {
+        while leaving.received() == 0 {
+            tokio::time::sleep(time::Duration::from_millis(5)).await;
+        }
+        node.publish(Vec::new());
+    });
+    assert_eq!((answer.status, answer.text.as_str()), (200, "all of it"));
+}
+
 /// Guards against a repeatable request that is not sent to another target after such an answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_repeatable_request_whose_answer_a_crash_ends_goes_to_another_target() {
