Send nothing to a target during the pause that it asked for

Change: the pause is kept by start of the VM, so that it lasts when the VM serves another group and ends with its start; it is extended by up to a tenth, by a draw, so that nodes do not return in one instant. A target in a pause is no candidate, gets no request that was chosen before, and is not asked by the steward with its stuck group. When all targets of a request pause, its caller is told at once, with the earliest end (503, cause paused). A pause stays the node's own.

Not covered: orders to a member in a pause, and pier_node, whose targets have no such header.

Four tests in pausing_targets, one in formats. With the header unread two of the four failed; the other two guard against too much.

--- a/crates/pier_edge/src/control/member_queries.rs
+++ b/crates/pier_edge/src/control/member_queries.rs
@@ -65,8 +65,11 @@
             }
             for (vm, member) in records {
                 let membership = member.entry.standing.membership.as_ref();
+                let born = member.entry.standing.born;
+                if now < self.state.pause_end(vm, born) {
+                    continue;
+                }
                 if membership.is_some_and(|membership| membership.group == stuck_membership.group) {
-                    let born = member.entry.standing.born;
                     let address = member.entry.address;
                     self.client.query_stuck(vm.clone(), born, address);
                 }
--- a/crates/pier_edge/src/links/answer_head.rs
+++ b/crates/pier_edge/src/links/answer_head.rs
@@ -11,6 +11,9 @@
     pub is_genuine: bool,
     /// What the target states of its own future.
     pub notice: TargetNotice,
+    /// How long the target wants no request from this node, which it stated when it turned this one
+    /// away.
+    pub pause: Option<time::Duration>,
     /// Whether the target closes the connection after the answer.
     pub closes: bool,
     /// How long the target keeps an idle connection open, if it states that.
--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -154,6 +154,9 @@
                 _ => serving::Refusal::Broken,
             });
         }
+        if let serving::Refusal::Paused { .. } = refusal {
+            return Err(refusal);
+        }
         if self.refused || refusal == serving::Refusal::Broken {
             return Err(serving::Refusal::NotRun {
                 retry_after: time::Duration::from_millis(100),
--- a/crates/pier_edge/src/serving/refusal.rs
+++ b/crates/pier_edge/src/serving/refusal.rs
@@ -21,6 +21,9 @@
     Overloaded { retry_after: time::Duration },
     /// No target serves the request now; it was not sent, or no connection could be opened.
     NoTarget { retry_after: time::Duration },
+    /// Every target that could serve the request wants no request until then; it was not sent, or
+    /// the targets to which it was sent turned it away.
+    Paused { retry_after: time::Duration },
     /// The request has not run: targets refused it or could not be reached, and no further
     /// attempt is allowed.
     NotRun { retry_after: time::Duration },
@@ -44,6 +47,7 @@
             Self::BodyTooSlow => "body-too-slow",
             Self::Overloaded { .. } => "overloaded",
             Self::NoTarget { .. } => "no-target",
+            Self::Paused { .. } => "paused",
             Self::NotRun { .. } => "not-run",
             Self::HeldBack { .. } => "held-back",
             Self::Broken => "broken",
@@ -57,6 +61,7 @@
             Self::NoDocument
             | Self::Overloaded { .. }
             | Self::NoTarget { .. }
+            | Self::Paused { .. }
             | Self::NotRun { .. }
             | Self::HeldBack { .. } => http::StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => http::StatusCode::NOT_FOUND,
@@ -73,6 +78,7 @@
             Self::NoDocument => Some(time::Duration::from_millis(500)),
             Self::Overloaded { retry_after }
             | Self::NoTarget { retry_after }
+            | Self::Paused { retry_after }
             | Self::NotRun { retry_after }
             | Self::HeldBack { retry_after }
             | Self::Lost { retry_after } => Some(*retry_after),
--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -93,7 +93,9 @@
         let all = pool.map_or(&[][..], |pool| pool.candidates(self.head.model.as_ref()));
         let untried: Vec<_> = all
             .iter()
-            .filter(|slot| !tried.contains(&slot.vm) && !slot.is_leaving())
+            .filter(|slot| {
+                !tried.contains(&slot.vm) && !slot.is_leaving() && slot.pause_left(now).is_none()
+            })
             .collect();
         let engine = self.engine();
         let lost = all.iter().filter(|slot| tried.contains(&slot.vm));
@@ -138,9 +140,15 @@
                 );
                 TargetChoice::Refuse(serving::Refusal::Overloaded { retry_after })
             }
-            dispatch::ChoiceOutcome::NoTarget => TargetChoice::Refuse(serving::Refusal::NoTarget {
-                retry_after: NO_TARGET_RETRY_AFTER,
-            }),
+            dispatch::ChoiceOutcome::NoTarget => {
+                let pause = shortest_pause(all, now);
+                TargetChoice::Refuse(pause.map_or(
+                    serving::Refusal::NoTarget {
+                        retry_after: NO_TARGET_RETRY_AFTER,
+                    },
+                    |retry_after| serving::Refusal::Paused { retry_after },
+                ))
+            }
         }
     }
 
@@ -174,6 +182,17 @@
     }
 }
 
+/// Returns for how long all targets want no request; `None` if one of them takes requests, or all
+/// leave.
+fn shortest_pause(
+    slots: &[sync::Arc<state::TargetSlot>],
+    now: times::BootTime,
+) -> Option<time::Duration> {
+    let staying = slots.iter().filter(|slot| !slot.is_leaving());
+    let pauses: Option<Vec<_>> = staying.map(|slot| slot.pause_left(now)).collect();
+    pauses?.into_iter().min()
+}
+
 pub(super) fn millis(duration: time::Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -52,12 +52,12 @@
                 .await
                 .map_err(|fault| serving::SendFault::Unreached(fault.to_string()))?,
         };
+        let now = times::clocks::boot_now();
         // It may have said so while this request waited for its connection.
-        if slot.is_leaving() {
-            let reason = "the target is leaving".to_owned();
+        if slot.is_leaving() || slot.pause_left(now).is_some() {
+            let reason = "the target leaves or pauses".to_owned();
             return Err(serving::SendFault::NotSent(reason));
         }
-        let now = times::clocks::boot_now();
         let guard = slot.gauge.begin(job.head.prompt_tokens, now);
         slot.count_send(now);
         connection.preface.begin();
@@ -84,6 +84,11 @@
             let answered_at = times::clocks::boot_now();
             job.state.record_leaving(&slot.vm, slot.born, answered_at);
         }
+        if let Some(pause) = answer.pause {
+            let answered_at = times::clocks::boot_now();
+            job.state
+                .record_pause(&slot.vm, slot.born, pause, answered_at);
+        }
         let framing = serving::BodyFraming::of(&head, &body);
         job.state.metrics().count_framing(framing.label());
         Ok(Self {
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -38,6 +38,7 @@
     slots: sync::Mutex<collections::BTreeMap<state::SlotKey, sync::Arc<state::TargetSlot>>>,
     peers: sync::Mutex<peers::PeerTable>,
     notices: peers::NoticeOutbox,
+    pauses: state::PauseTable,
     retries: state::RetryBudget,
     crashes: crashes::CrashLedger,
     first_events: state::FirstEventDelays,
@@ -67,6 +68,7 @@
             answer_budget: serving::AnswerBudget::new(settings.memory),
             retries: state::RetryBudget::new(settings.bounds),
             notices: peers::NoticeOutbox::default(),
+            pauses: state::PauseTable::default(),
             crashes: crashes::CrashLedger::default(),
             first_events: state::FirstEventDelays::default(),
             peers: sync::Mutex::new(peers::PeerTable::new(node.clone())),
@@ -220,6 +222,42 @@
         is_new
     }
 
+    /// Records that a start of a VM wants no request from this node for a while.
+    pub(crate) fn record_pause(
+        &self,
+        vm: &ids::VmName,
+        born: epochs::VmIncarnation,
+        pause: time::Duration,
+        now: times::BootTime,
+    ) {
+        let end = self
+            .shared
+            .pauses
+            .record(vm, born, pause, rand::random(), now);
+        self.metrics().count_pause();
+        log::info!(
+            event = "target-pauses",
+            target_vm:% = vm,
+            born:% = born,
+            pause_ms = u64::try_from(end.since(now).as_millis()).unwrap_or(u64::MAX);
+            ""
+        );
+        for slot in self.slots() {
+            if slot.vm == *vm && slot.born == born {
+                slot.set_pause(end);
+            }
+        }
+    }
+
+    /// Returns when the pause of a start of a VM ends, or ended.
+    pub(crate) fn pause_end(
+        &self,
+        vm: &ids::VmName,
+        born: epochs::VmIncarnation,
+    ) -> times::BootTime {
+        self.shared.pauses.end(vm, born)
+    }
+
     /// Returns the notices that are to be sent to other nodes.
     pub(crate) fn notices(&self) -> &peers::NoticeOutbox {
         &self.shared.notices
@@ -306,6 +344,7 @@
                 registry,
                 out_of_service: &out_of_service,
                 retiring: &retiring,
+                pauses: &self.shared.pauses,
                 nodes,
                 now,
             };
--- a/crates/pier_edge/src/state/mod.rs
+++ b/crates/pier_edge/src/state/mod.rs
@@ -2,6 +2,7 @@
 
 mod edge_state;
 mod first_event_delays;
+mod pause_table;
 mod retry_budget;
 mod serving_table;
 mod store_view;
@@ -11,6 +12,7 @@
 
 pub(crate) use edge_state::{EdgeState, ProgressGuard};
 pub(crate) use first_event_delays::FirstEventDelays;
+pub(crate) use pause_table::PauseTable;
 pub(crate) use retry_budget::RetryBudget;
 pub(crate) use serving_table::ServingTable;
 pub(crate) use target_gauge::{GaugeGuard, TargetGauge};
--- a/crates/pier_edge/src/state/table_builder.rs
+++ b/crates/pier_edge/src/state/table_builder.rs
@@ -20,6 +20,7 @@
     pub out_of_service: &'a collections::BTreeSet<ids::DataCentreName>,
     /// First members whose groups are about to be formed again.
     pub retiring: &'a collections::BTreeSet<ids::VmName>,
+    pub pauses: &'a state::PauseTable,
     pub nodes: u32,
     pub now: times::BootTime,
 }
@@ -117,14 +118,16 @@
         let share = usize::try_from(service.connections).unwrap_or(usize::MAX) / nodes;
         let batch = service.engine.as_ref().map(|engine| engine.batch.get());
         let slot = slots.entry(key.clone()).or_insert_with(|| {
-            sync::Arc::new(state::TargetSlot::new(
+            let slot = state::TargetSlot::new(
                 key,
                 entry.address,
                 membership.map(|(model, _generation)| model.clone()),
                 batch.unwrap_or_else(|| entry.slots.get()).max(1),
                 entry.data_centre == self.settings.data_centre,
                 share.max(MIN_CONNECTIONS),
-            ))
+            );
+            slot.set_pause(self.pauses.end(&entry.vm, entry.standing.born));
+            sync::Arc::new(slot)
         });
         let mut cold = state::target_slot::lock(&slot.cold);
         cold.until = record.cold_until;
--- a/crates/pier_edge/src/state/target_slot.rs
+++ b/crates/pier_edge/src/state/target_slot.rs
@@ -3,6 +3,7 @@
 use std::{
     net,
     sync::{self, atomic},
+    time,
 };
 
 use pier_fleet::{budgets, dispatch, documents};
@@ -32,6 +33,7 @@
     pub loss_check: crashes::LossCheck,
     broken: watch::Sender<bool>,
     is_leaving: atomic::AtomicBool,
+    paused_until: sync::Mutex<times::BootTime>,
 }
 
 /// Until when a target is cold, and this node's share of the request rate it takes until then.
@@ -64,6 +66,7 @@
             loss_check: crashes::LossCheck::default(),
             broken: watch::Sender::new(false),
             is_leaving: atomic::AtomicBool::new(false),
+            paused_until: sync::Mutex::default(),
         }
     }
 
@@ -90,6 +93,17 @@
         self.is_leaving.load(atomic::Ordering::Relaxed)
     }
 
+    /// Lets the target get no request until then.
+    pub(crate) fn set_pause(&self, end: times::BootTime) {
+        *lock(&self.paused_until) = end;
+    }
+
+    /// Returns for how long the target is to get no request, or `None` if it may.
+    pub(crate) fn pause_left(&self, now: times::BootTime) -> Option<time::Duration> {
+        let end = *lock(&self.paused_until);
+        (now < end).then(|| end.since(now))
+    }
+
     /// Ends this node's requests at the target; those that may be repeated go on at another one.
     pub(crate) fn mark_broken(&self) {
         self.broken.send_replace(true);
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -28,6 +28,7 @@
     losses: Family<Labels, Counter>,
     held_requests: Gauge,
     leaving_targets: Counter,
+    target_pauses: Counter,
     store_calls: Family<Labels, Counter>,
     store_failures: Family<Labels, Counter>,
     orders: Family<Labels, Counter>,
@@ -56,6 +57,7 @@
             losses: Family::default(),
             held_requests: Gauge::default(),
             leaving_targets: Counter::default(),
+            target_pauses: Counter::default(),
             store_calls: Family::default(),
             store_failures: Family::default(),
             orders: Family::default(),
@@ -152,6 +154,11 @@
             "Targets that stated in an answer that they leave",
             self.leaving_targets.clone(),
         );
+        registry.register(
+            "target_pauses",
+            "Answers by which targets asked for a pause",
+            self.target_pauses.clone(),
+        );
     }
 
     pub(crate) fn count_answer(&self, cause: &str, status: u16, taken: time::Duration) {
@@ -183,6 +190,11 @@
         self.stuck.inc();
     }
 
+    /// Counts an answer by which a target asked for a pause.
+    pub(crate) fn count_pause(&self) {
+        self.target_pauses.inc();
+    }
+
     /// Counts a target that stated in an answer that it leaves.
     pub(crate) fn count_leaving(&self) {
         self.leaving_targets.inc();
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -297,6 +297,10 @@
             } else {
                 links::TargetNotice::Staying
             },
+            pause: head.headers.get("x-pause").map(|value| {
+                let seconds = value.to_str().unwrap().parse().unwrap();
+                time::Duration::from_secs_f64(seconds)
+            }),
             closes: false,
             idle_time: None,
         }
--- a/crates/pier_edge/tests/support/scripted_target.rs
+++ b/crates/pier_edge/tests/support/scripted_target.rs
@@ -60,7 +60,7 @@
     sent: Arc<atomic::AtomicUsize>,
     accepted: Arc<Mutex<u32>>,
     closed: Arc<Mutex<u32>>,
-    is_leaving: Arc<atomic::AtomicBool>,
+    headers: Arc<Mutex<String>>,
 }
 
 impl ScriptedTarget {
@@ -72,7 +72,7 @@
             sent: Arc::default(),
             accepted: Arc::default(),
             closed: Arc::default(),
-            is_leaving: Arc::default(),
+            headers: Arc::default(),
         };
         let serving = target.clone();
         tokio::spawn(async move {
@@ -111,15 +111,19 @@
 
     /// States in the head of each answer from now on that the target leaves, and nowhere else.
     pub fn leave(&self) {
-        self.is_leaving.store(true, atomic::Ordering::Relaxed);
+        self.set_headers("x-leaving: 1\r\n");
+    }
+
+    /// Sets header lines that each answer has from now on.
+    pub fn set_headers(&self, lines: &str) {
+        lines.clone_into(&mut self.headers.lock().unwrap());
     }
 
     async fn serve(&self, mut stream: TcpStream, script: Script) {
         while let Some(request) = read_request(&mut stream).await {
             self.requests.lock().unwrap().push(request.clone());
-            let is_leaving = self.is_leaving.load(atomic::Ordering::Relaxed);
-            let headers = if is_leaving { "x-leaving: 1\r\n" } else { "" };
-            if answer_request(&mut stream, &script, &request, headers, &self.sent)
+            let headers = self.headers.lock().unwrap().clone();
+            if answer_request(&mut stream, &script, &request, &headers, &self.sent)
                 .await
                 .is_none()
             {
