Take a part for sound only when its target outlives the answer

Cause: any complete answer cleared the parts of its prompt for a minute. A short answer may be complete a moment before its target crashes (in the users' record 46 to 115 ms lie between the begin of an answer and the crash), so a part with some short answers was never held.

Why the fix works: an answer counts 200 ms later, and only if its target lives on then: an idle connection to it is open, a request runs there, or it accepts a connection, and no registration or check says that it ended. This covers answers without framing too. What a completion before a crash shows now lasts ten seconds, which is enough for parts in use, and bounds the harm when a part turns bad.

--- a/crates/pier_edge/src/crashes/loss_check.rs
+++ b/crates/pier_edge/src/crashes/loss_check.rs
@@ -21,6 +21,12 @@
 }
 
 impl LossCheck {
+    /// Returns whether the last check found that the target's process has ended.
+    pub(crate) async fn has_found_end(&self) -> bool {
+        let last = *self.last.lock().await;
+        last.is_some_and(|result| result.cause == Some(quarantine::LossCause::ProcessLost))
+    }
+
     /// Opens a connection to the target, which is refused if its process has ended, and pools it
     /// otherwise. Returns `None` when the target accepted the connection.
     ///
--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -62,12 +62,7 @@
         progress.tried.push(slot.vm.clone());
         let taken = times::clocks::boot_now().since(now);
         match sent {
-            Ok(TargetAnswer {
-                head,
-                body,
-                answer,
-                framing,
-            }) => {
+            Ok((head, body, answer)) => {
                 let is_failure = head.status.is_server_error();
                 slot.gauge
                     .record_answer(taken, is_failure || answer.is_not_run);
@@ -79,7 +74,7 @@
                     progress.answer = Some((head, body));
                 } else {
                     if head.status.is_success() {
-                        job.report_completion(&slot, framing);
+                        job.report_completion(&slot);
                     }
                     return Ok((head, body));
                 }
@@ -186,19 +181,11 @@
     left.min(timeout)
 }
 
-/// A target's whole answer.
-struct TargetAnswer {
-    head: http::response::Parts,
-    body: bytes::Bytes,
-    answer: links::AnswerHead,
-    framing: serving::BodyFraming,
-}
-
 async fn send_once<P: links::FleetPlatform>(
     job: &serving::RequestJob<P>,
     slot: &std::sync::Arc<crate::state::TargetSlot>,
     limit: time::Duration,
-) -> Result<TargetAnswer, serving::SendFault> {
+) -> Result<(http::response::Parts, bytes::Bytes, links::AnswerHead), serving::SendFault> {
     let started = times::clocks::boot_now();
     let mut call = serving::TargetCall::send(job, slot, None, limit).await?;
     call.guard.mark_started();
@@ -216,14 +203,8 @@
         return Err(serving::SendFault::MayHaveRun(reason));
     }
     slot.gauge.record_progress(times::clocks::boot_now());
-    let framing = call.framing;
     call.finish();
-    Ok(TargetAnswer {
-        head,
-        body,
-        answer,
-        framing,
-    })
+    Ok((head, body, answer))
 }
 
 /// Reads a body to its end.
--- a/crates/pier_edge/src/serving/connection_pool.rs
+++ b/crates/pier_edge/src/serving/connection_pool.rs
@@ -125,6 +125,13 @@
         Some(idle.swap_remove(at).connection)
     }
 
+    /// Returns whether an idle connection is still open.
+    pub(crate) fn has_open_idle(&self) -> bool {
+        let idle = state::lock(&self.idle);
+        idle.iter()
+            .any(|entry| !entry.connection.sender.is_closed())
+    }
+
     /// Closes idle connections whose idle time has ended.
     pub(crate) fn expire(&self, now: times::BootTime) {
         let mut idle = state::lock(&self.idle);
--- a/crates/pier_edge/src/serving/loss_report.rs
+++ b/crates/pier_edge/src/serving/loss_report.rs
@@ -20,6 +20,9 @@
 /// Greatest age of a further check whose result counts for other requests.
 const RECHECK_LIFETIME: time::Duration = time::Duration::from_millis(20);
 
+/// How long a target must live on after an answer that shows the parts of its prompt to be sound.
+const SOUND_DELAY: time::Duration = time::Duration::from_millis(200);
+
 /// How long a target gets no requests after an answer that exceeded a limit.
 const TOO_LARGE_REST: time::Duration = time::Duration::from_millis(500);
 
@@ -152,25 +155,14 @@
     }
 
     /// Records that the request was answered completely, so that it crashed no target.
-    ///
-    /// The end of an answer without framing does not show that its target lives on, so the parts of
-    /// the prompt count as sound only once the target was checked again.
-    pub(super) fn report_completion(
-        &self,
-        slot: &sync::Arc<state::TargetSlot>,
-        framing: serving::BodyFraming,
-    ) {
+    pub(super) fn report_completion(&self, slot: &sync::Arc<state::TargetSlot>) {
         let now = times::clocks::boot_now();
-        let ledger = self.state.crashes();
-        ledger.record_completion(self.fingerprint, now);
-        if self.head.shared_parts.is_empty() {
-            return;
-        }
-        if framing == serving::BodyFraming::UntilClose {
+        self.state
+            .crashes()
+            .record_completion(self.fingerprint, now);
+        if !self.head.shared_parts.is_empty() {
             let (state, slot) = (self.state.clone(), sync::Arc::clone(slot));
             tokio::spawn(check_sound(state, slot, self.head.shared_parts.clone()));
-        } else {
-            ledger.record_sound_parts(&self.head.shared_parts, now);
         }
     }
 }
@@ -219,20 +211,28 @@
     }
 }
 
-/// Records parts of a prompt as sound if the target that answered is still listening after a while.
+/// Records the parts of a prompt whose answer was complete as sound if the target lives on after it.
+///
+/// A short answer may be complete before its target crashes, and the end of one without framing is
+/// like that of a crash.
 async fn check_sound<P: links::FleetPlatform>(
     state: state::EdgeState<P>,
     slot: sync::Arc<state::TargetSlot>,
     parts: Vec<ids::PromptPart>,
 ) {
-    for pause in RECHECK_PAUSES {
-        tokio::time::sleep(pause).await;
+    tokio::time::sleep(SOUND_DELAY).await;
+    if slot.loss_check.has_found_end().await {
+        return;
     }
     let now = times::clocks::boot_now();
-    if find_cause(&state, &slot, RECHECK_LIFETIME, now)
-        .await
-        .is_none()
-    {
+    let is_connected = slot.connections.has_open_idle() || slot.gauge.local_in_flight() > 0;
+    let cause = if is_connected {
+        let target = slot.as_lost();
+        state.with_registry(|registry| crashes::registered_cause(registry, &target, now, now))
+    } else {
+        find_cause(&state, &slot, CHECK_LIFETIME, now).await
+    };
+    if cause.is_none() {
         state.crashes().record_sound_parts(&parts, now);
     }
 }
--- a/crates/pier_edge/src/serving/stream_relay/mod.rs
+++ b/crates/pier_edge/src/serving/stream_relay/mod.rs
@@ -156,8 +156,7 @@
             ""
         );
         if outcome == "complete" {
-            self.job
-                .report_completion(&self.call.slot, self.call.framing);
+            self.job.report_completion(&self.call.slot);
             self.call.finish();
         }
     }
--- a/crates/pier_edge/tests/crashing_prompt_parts.rs
+++ b/crates/pier_edge/tests/crashing_prompt_parts.rs
@@ -98,7 +98,7 @@
 async fn send_in_turn(nodes: &[TestNode], crashing_parts: &str) -> Vec<u16> {
     let started = time::Instant::now();
     let mut sound = Vec::new();
-    for (number, node) in (0x10_0000..).step_by(2).zip(nodes.iter().cycle()) {
+    for (number, node) in (0x10_0001..).step_by(3).zip(nodes.iter().cycle()) {
         let elapsed = started.elapsed();
         if elapsed > SEND_TIME {
             break;
@@ -162,6 +162,17 @@
     play(&parts, style, false).await;
 }
 
+/// Guards against a short answer, complete before its target crashes, that clears the part.
+#[tokio::test]
+async fn a_part_whose_short_answers_are_complete_reaches_few_groups() {
+    let parts = format!("1001,{CRASH_PART},2002");
+    let style = CrashStyle {
+        answers_odd: true,
+        ..CrashStyle::default()
+    };
+    play(&parts, style, false).await;
+}
+
 /// Guards against nodes that learn of crashes by part from datagrams alone.
 #[tokio::test]
 async fn nodes_that_only_reach_the_store_keep_a_crashing_part_away() {
--- a/crates/pier_edge/tests/support/crashing_target.rs
+++ b/crates/pier_edge/tests/support/crashing_target.rs
@@ -29,6 +29,9 @@
 /// Time between the end of a target and its next start.
 const DOWN_TIME: time::Duration = time::Duration::from_millis(300);
 
+/// Time between a short answer and the crash that follows it.
+const LATE_CRASH_DELAY: time::Duration = time::Duration::from_millis(60);
+
 /// Time that a target runs a request before it answers.
 const RUN_TIME: time::Duration = time::Duration::from_millis(80);
 
@@ -41,6 +44,9 @@
     pub listener_delay: time::Duration,
     /// Whether the target sends the first event of an answer without framing before it crashes.
     pub sends_event: bool,
+    /// Whether the target answers a request with an odd attempt number completely, and crashes a
+    /// moment later.
+    pub answers_odd: bool,
 }
 
 /// A target on its own port that registers itself at every start.
@@ -186,12 +192,19 @@
             let arrival = (time::Instant::now(), request.clone());
             self.requests.lock().unwrap().push(arrival);
             if request.contains(CRASH_MARKER) || request.contains(CRASH_PART) {
+                let attempt = scripted_target::header(&request, "x-attempt").unwrap_or_default();
+                if self.style.answers_odd && is_odd(&attempt) {
+                    let text = format!(
+                        "HTTP/1.1 200 OK\r\nx-attempt: {attempt}\r\ncontent-length: 2\r\n\
+                         content-type: text/event-stream\r\n\r\n\n\n"
+                    );
+                    stream.write_all(text.as_bytes()).await.unwrap();
+                    tokio::time::sleep(LATE_CRASH_DELAY).await;
+                }
                 if self.style.sends_event {
-                    let attempt = scripted_target::header(&request, "x-attempt");
                     let head = format!(
-                        "HTTP/1.1 200 OK\r\nx-attempt: {}\r\ncontent-type: text/event-stream\r\n\r\n\
-                         id: 1\ndata: part 1\n\n",
-                        attempt.unwrap_or_default()
+                        "HTTP/1.1 200 OK\r\nx-attempt: {attempt}\r\n\
+                         content-type: text/event-stream\r\n\r\nid: 1\ndata: part 1\n\n"
                     );
                     stream.write_all(head.as_bytes()).await.unwrap();
                 }
@@ -215,3 +228,12 @@
         }
     }
 }
+
+/// Returns whether the attempt's id ends with an odd digit.
+fn is_odd(attempt: &str) -> bool {
+    let last = attempt
+        .chars()
+        .next_back()
+        .and_then(|last| last.to_digit(10));
+    last.is_some_and(|digit| digit % 2 == 1)
+}
--- a/crates/pier_request/src/prompt_parts/part_history.rs
+++ b/crates/pier_request/src/prompt_parts/part_history.rs
@@ -14,7 +14,7 @@
 const MAX_MERGE_AGE: time::Duration = time::Duration::from_mins(9);
 
 /// How long before a crash an answer may have been completed that shows a part to be sound.
-const SOUND_LIFETIME: time::Duration = time::Duration::from_mins(1);
+const SOUND_LIFETIME: time::Duration = time::Duration::from_secs(10);
 
 /// Most marks that are kept; bounds the memory.
 const MAX_MARKS: usize = 4_096;
