Judge only parts with enough marks to be held

Each change of the marks builds the evidence anew; parts with one or two marks, the most by far after a crash under a full batch, are left out before it is built.

--- a/crates/pier_request/src/prompt_parts/part_evidence.rs
+++ b/crates/pier_request/src/prompt_parts/part_evidence.rs
@@ -16,6 +16,9 @@
 /// Crashes that a part may have missed and still be as suspect as one with more.
 const MAX_MISSED_CRASHES: usize = 1;
 
+/// Fewest crashes of a part that can be held, alone or with others.
+pub(super) const MIN_SUSPECT_CRASHES: usize = MIN_CRASHES - MAX_MISSED_CRASHES;
+
 /// The marks that count against one part.
 #[derive(Debug)]
 pub(super) struct PartEvidence<'a> {
@@ -58,7 +61,7 @@
         mut evidence: Vec<Self>,
         lifetime: time::Duration,
     ) -> prompt_parts::PartQuarantine {
-        evidence.retain(|part| part.crashes.len() + MAX_MISSED_CRASHES >= MIN_CRASHES);
+        evidence.retain(|part| part.crashes.len() >= MIN_SUSPECT_CRASHES);
         evidence.sort_by_key(|part| cmp::Reverse(part.crashes.len()));
         let mut leaders: Vec<&Self> = Vec::new();
         let mut quarantine = prompt_parts::PartQuarantine::default();
--- a/crates/pier_request/src/prompt_parts/part_history.rs
+++ b/crates/pier_request/src/prompt_parts/part_history.rs
@@ -220,7 +220,11 @@
 
     /// Returns the parts that are held now.
     pub fn snapshot(&self, now: times::BootTime) -> prompt_parts::PartQuarantine {
-        let evidence = self.marks.iter().map(|(part, marks)| {
+        let suspects = self
+            .marks
+            .iter()
+            .filter(|(_part, marks)| marks.len() >= prompt_parts::MIN_SUSPECT_CRASHES);
+        let evidence = suspects.map(|(part, marks)| {
             let live = marks.iter().filter(|(_crash, state)| {
                 !state.cleared && now.since(state.seen_at) < MARK_LIFETIME
             });
