--- a/crates/pier_edge/tests/crashing_prompt_parts.rs
+++ b/crates/pier_edge/tests/crashing_prompt_parts.rs
@@ -7,7 +7,7 @@
 
 use support::{
     CRASH_PART, CrashStyle, CrashingTarget, FakePlatform, GROUP_MODEL, KEY, RawAnswer, RawCaller,
-    Script, TestNode, group_member,
+    Script, TestNode,
 };
 
 /// Crashes after which nodes must begin to keep a part from targets.
@@ -49,22 +49,13 @@
     count: usize,
     style: CrashStyle,
 ) -> Vec<CrashingTarget> {
-    let mut targets = Vec::new();
-    for number in 0..count {
-        let group = format!("g{number}");
-        let address = "127.0.0.1:9".parse().unwrap();
-        platform.put_target(group_member(&group, 1, address));
-        let script = Script::Events {
-            last: 4,
-            pause_ms: 5,
-            cut_in: None,
-            silent_from: None,
-        };
-        let entry = group_member(&group, 0, address);
-        let starting = CrashingTarget::start_styled(entry, platform.clone(), script, style);
-        targets.push(starting.await);
-    }
-    targets
+    let script = Script::Events {
+        last: 4,
+        pause_ms: 5,
+        cut_in: None,
+        silent_from: None,
+    };
+    CrashingTarget::start_groups(platform, count, script, style).await
 }
 
 /// Returns when each request with the crashing part reached a target, in order.
--- a/crates/pier_edge/tests/crashing_requests.rs
+++ b/crates/pier_edge/tests/crashing_requests.rs
@@ -7,7 +7,7 @@
 
 use support::{
     CRASH_MARKER, CrashStyle, CrashingTarget, FakePlatform, GROUP_MODEL, KEY, RawAnswer, RawCaller,
-    Script, ScriptedTarget, TestNode, group_member, plain_entry,
+    Script, ScriptedTarget, TestNode, plain_entry,
 };
 
 /// Sends that a crashing request may reach in all: three that crash their targets, and three more.
@@ -63,23 +63,14 @@
     targets
 }
 
-/// Starts the first members of groups of two; the second members are only registered.
 async fn group_targets(platform: &FakePlatform, count: usize) -> Vec<CrashingTarget> {
-    let mut targets = Vec::new();
-    for number in 0..count {
-        let group = format!("g{number}");
-        let address = "127.0.0.1:9".parse().unwrap();
-        platform.put_target(group_member(&group, 1, address));
-        let script = Script::Events {
-            last: EVENTS,
-            pause_ms: 20,
-            cut_in: None,
-            silent_from: None,
-        };
-        let entry = group_member(&group, 0, address);
-        targets.push(CrashingTarget::start(entry, platform.clone(), script).await);
-    }
-    targets
+    let script = Script::Events {
+        last: EVENTS,
+        pause_ms: 20,
+        cut_in: None,
+        silent_from: None,
+    };
+    CrashingTarget::start_groups(platform, count, script, CrashStyle::default()).await
 }
 
 fn sends_of(targets: &[CrashingTarget], marker: &str) -> usize {
--- a/crates/pier_edge/tests/support/crashing_target.rs
+++ b/crates/pier_edge/tests/support/crashing_target.rs
@@ -92,6 +92,25 @@
         target
     }
 
+    /// Starts the first members of groups of two; the second members are only registered.
+    pub async fn start_groups(
+        platform: &FakePlatform,
+        count: usize,
+        script: Script,
+        style: CrashStyle,
+    ) -> Vec<Self> {
+        let mut targets = Vec::new();
+        for number in 0..count {
+            let group = format!("g{number}");
+            let address = "127.0.0.1:9".parse().unwrap();
+            platform.put_target(super::group_member(&group, 1, address));
+            let entry = super::group_member(&group, 0, address);
+            let starting = Self::start_styled(entry, platform.clone(), script.clone(), style);
+            targets.push(starting.await);
+        }
+        targets
+    }
+
     pub fn vm(&self) -> &str {
         self.entry.vm.as_str()
     }
