--- a/crates/pier_request/tests/crashing_parts_are_quarantined.rs
+++ b/crates/pier_request/tests/crashing_parts_are_quarantined.rs
@@ -375,9 +375,9 @@
         for step in 0..STEPS {
             let now = step * STEP_MS;
             self.end_requests(now);
-            // Targets crash for other reasons too, two at once at times.
+            // Targets crash for other reasons too, several at once at times.
             if self.rng.random_bool(0.02) {
-                for _ in 0..self.rng.random_range(1..3) {
+                for _ in 0..self.rng.random_range(1..7) {
                     let target = self.rng.random_range(0..TARGETS);
                     self.crash(target, now);
                 }
