Rebuild the table when the time of a missing registration ends

Cause: after an outage of the store a missing registration has 2.2 s to come back. Its end is a time in the registry, and the table of targets is rebuilt at changes only, so the target stayed in use until anything else changed.

the_end_of_the_time_to_reappear_is_a_change failed before (expire reported nothing) and passes.

--- a/crates/pier_fleet/src/targets/target_registry.rs
+++ b/crates/pier_fleet/src/targets/target_registry.rs
@@ -24,6 +24,7 @@
     records: collections::BTreeMap<ids::VmName, targets::TargetRecord>,
     store_returned_at: Option<times::BootTime>,
     notices: collections::BTreeMap<ids::VmName, LeavingNotice>,
+    expired_at: times::BootTime,
 }
 
 /// A VM's own word that it leaves.
@@ -155,16 +156,21 @@
     }
 
     /// Drops VMs whose registration ended too long ago for them to work; returns whether any were
-    /// dropped.
+    /// dropped, or a registration has ended since the last call.
     pub fn expire(&mut self, now: times::BootTime) -> bool {
         let before = self.records.len();
+        let last = std::mem::replace(&mut self.expired_at, now);
+        let has_ended = self
+            .records
+            .values()
+            .any(|record| record.ends_at.is_some_and(|end| last < end && end <= now));
         self.records
             .retain(|_vm, record| record.may_serve_group(now));
         let records = &self.records;
         self.notices.retain(|vm, notice| {
             records.contains_key(vm) || now.since(notice.noted_at) < NOTICE_LIFETIME
         });
-        before != self.records.len()
+        has_ended || before != self.records.len()
     }
 
     fn removal_time(&self, now: times::BootTime) -> times::BootTime {
--- a/crates/pier_fleet/tests/registrations_survive_outages.rs
+++ b/crates/pier_fleet/tests/registrations_survive_outages.rs
@@ -134,3 +134,15 @@
     let registered = entry(5, 3, targets::GroupPhase::Ready).standing;
     assert!(registry.apply_answer(&vm(), &registered, at(20)));
 }
+
+/// Guards against a table that keeps a missing registration until something else changes.
+#[test]
+fn the_end_of_the_time_to_reappear_is_a_change() {
+    let mut registry = targets::TargetRegistry::default();
+    registry.put(entry(1, 0, targets::GroupPhase::Ready), at(0));
+    registry.note_store_return(at(5_000));
+    registry.replace(Vec::new(), at(5_010));
+    assert!(!registry.expire(at(7_000)));
+    assert!(registry.expire(at(7_500)));
+    assert!(!registry.expire(at(8_000)));
+}
