Follow a store that comes back from an older copy of itself

Cause: a revision was compared across such a return as if the numbers only rose. Nodes waited for revisions that had been given out again, took a target back that was leaving, gave up data centres out of service, and lost their own records.

Change: a version is an era with a revision, in one number, so that each comparison has an answer and the datagrams keep their form. The adapter reads the era of each answer, refuses one of an earlier era, ends a watch with its era, and lets a condition of an earlier era only create. When the era rises, a missing registration has its time to come back, known marks of data centres last five seconds, a notice of leaving lasts until the next start of the VM in any case, and nodes write their records again, paced.

Not built: eras told by other nodes, matrix cases, the product's own interface.

--- a/crates/pier_edge/src/crashes/crash_ledger.rs
+++ b/crates/pier_edge/src/crashes/crash_ledger.rs
@@ -228,6 +228,17 @@
         state::lock(&self.unstored).extend(unstored);
     }
 
+    /// Has all marks written again, after the store came back from a copy that may lack them.
+    pub(crate) fn restore(&self) {
+        self.set_record(
+            epochs::ObjectVersion::default(),
+            crashes::CrashRecord::default(),
+        );
+        let implicated = self.published.load().implicated();
+        state::lock(&self.unstored).extend(implicated);
+        self.to_store.notify_one();
+    }
+
     /// Returns all marks.
     pub(crate) fn marks(&self, now: times::BootTime) -> Vec<quarantine::CrashMark> {
         state::lock(&self.history).marks(now)
--- a/crates/pier_edge/src/records/node_record.rs
+++ b/crates/pier_edge/src/records/node_record.rs
@@ -1,8 +1,15 @@
 //! Writes this node's own record.
 
+use std::time;
+
 use crate::{links, peers, records, state};
 
-/// Starts a task that retries until the record is written; the node never changes it afterwards.
+/// Greatest delay before the record is written again after the store came back from a copy, so that
+/// not all nodes write at once.
+const MAX_REWRITE_DELAY: time::Duration = time::Duration::from_secs(1);
+
+/// Starts a task that retries until the record is written, and writes it again when the store has
+/// come back from a copy that may lack it.
 pub(crate) fn spawn<P: links::FleetPlatform>(state: state::EdgeState<P>) {
     tokio::spawn(async move {
         let record = peers::NodeRecord {
@@ -24,7 +31,10 @@
             match state.platform().write(&name, None, text.clone()).await {
                 links::StoreWrite::Written(version) => {
                     log::info!(event = "node-record-written", version:% = version; "");
-                    return;
+                    backoff.reset();
+                    state.wait_for_era().await;
+                    let delay = MAX_REWRITE_DELAY.mul_f64(rand::random());
+                    tokio::time::sleep(delay).await;
                 }
                 other => {
                     log::warn!(event = "node-record-not-written", outcome:? = other; "");
--- a/crates/pier_edge/src/records/record_applier.rs
+++ b/crates/pier_edge/src/records/record_applier.rs
@@ -44,11 +44,11 @@
                 self.targets_changed(now);
             }
             links::RecordKind::OutOfService => {
-                let out_of_service = list
-                    .records
-                    .into_iter()
-                    .filter_map(out_of_service_centre)
-                    .collect();
+                let listed = list.records.into_iter().filter_map(out_of_service_centre);
+                let mut out_of_service: collections::BTreeSet<_> = listed.collect();
+                if self.state.is_catching_up(now) {
+                    out_of_service.extend(self.state.out_of_service().iter().cloned());
+                }
                 self.set_out_of_service(out_of_service, now);
             }
             links::RecordKind::Document | links::RecordKind::Nodes => {
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -38,6 +38,10 @@
 /// two checks in a row, this node's own watch has missed it.
 const DOCUMENT_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(350);
 
+/// Interval between two lists of the data centres out of service while the operator may not have
+/// written the marks again that a copy of the store lacks.
+const COPY_LIST_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
 /// Failures that last at least this long count as an outage of the store.
 const MIN_OUTAGE_TIME: time::Duration = time::Duration::from_secs(1);
 
@@ -122,12 +126,17 @@
                 let now = times::clocks::boot_now();
                 self.record_success(now);
                 let at = list.at;
+                self.state.observe_era(at, now);
                 self.applier.apply_list(self.kind, list, now);
                 if self.kind == links::RecordKind::Targets {
                     self.state
                         .with_follower(|follower| follower.set_version(at));
                     self.state.with_relay_log(|log| log.restart(at));
                 }
+                if self.kind == links::RecordKind::OutOfService && self.state.is_catching_up(now) {
+                    tokio::time::sleep(COPY_LIST_INTERVAL).await;
+                    return None;
+                }
                 Some(at)
             }
             Err(error) => {
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -59,6 +59,8 @@
     pub(super) store_answered_at: atomic::AtomicU64,
     pub(super) relay_changed: Notify,
     pub(super) relay_gap: Notify,
+    pub(super) era: state::store_era::EraClock,
+    pub(super) era_risen: Notify,
     forming: atomic::AtomicBool,
 }
 
@@ -96,6 +98,8 @@
             store_answered_at: atomic::AtomicU64::new(0),
             relay_changed: Notify::new(),
             relay_gap: Notify::new(),
+            era: state::store_era::EraClock::default(),
+            era_risen: Notify::new(),
             forming: atomic::AtomicBool::new(false),
         };
         Self {
--- a/crates/pier_edge/src/state/mod.rs
+++ b/crates/pier_edge/src/state/mod.rs
@@ -5,6 +5,7 @@
 mod pause_table;
 mod retry_budget;
 mod serving_table;
+mod store_era;
 mod store_view;
 mod table_builder;
 mod target_gauge;
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -23,8 +23,9 @@
     changed: Notify,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct State {
+    era: u64,
     version: u64,
     targets: collections::BTreeMap<String, (u64, targets::TargetEntry)>,
     document: Option<(u64, Arc<documents::FleetDocument>)>,
@@ -36,7 +37,36 @@
     refuses_nodes: bool,
 }
 
+/// The content of a store at some moment.
+pub struct StoreCopy(State);
+
+impl State {
+    fn at(&self, revision: u64) -> epochs::ObjectVersion {
+        epochs::ObjectVersion::in_era(epochs::StoreEra::new(self.era), revision)
+    }
+}
+
 impl FakePlatform {
+    /// Returns a copy of the store.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.shared.state.lock().unwrap().clone())
+    }
+
+    /// Replaces the store's content by a copy, which begins another era.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.shared.state.lock().unwrap();
+        let era = state.era + 1;
+        *state = State { era, ..copy.0 };
+        drop(state);
+        self.shared.changed.notify_waiters();
+    }
+
+    /// Returns the names of the nodes' records.
+    pub fn node_records(&self) -> Vec<String> {
+        let state = self.shared.state.lock().unwrap();
+        state.nodes.keys().cloned().collect()
+    }
+
     fn change(&self, change: impl FnOnce(&mut State, u64)) {
         let mut state = self.shared.state.lock().unwrap();
         state.version += 1;
@@ -93,7 +123,7 @@
         }
         let record = |name: &str, version: u64, content| links::StoreRecord {
             name: name.to_owned(),
-            version: epochs::ObjectVersion::new(version),
+            version: state.at(version),
             content,
         };
         let records = match kind {
@@ -135,7 +165,7 @@
         };
         Ok(links::RecordList {
             records,
-            at: epochs::ObjectVersion::new(state.version),
+            at: state.at(state.version),
         })
     }
 
@@ -146,6 +176,9 @@
     ) -> Result<links::RecordChanges, links::StoreError> {
         let list = self.records(kind)?;
         let state = self.shared.state.lock().unwrap();
+        if after.era() != list.at.era() {
+            return Err(links::StoreError::HistoryGone);
+        }
         let new = list
             .records
             .into_iter()
@@ -155,7 +188,7 @@
             .removed
             .iter()
             .filter(|(version, removed_kind, _name)| {
-                *removed_kind == kind && epochs::ObjectVersion::new(*version) > after
+                *removed_kind == kind && state.at(*version) > after
             });
         changes
             .extend(removed.map(|(_version, _kind, name)| links::RecordChange::Gone(name.clone())));
@@ -196,22 +229,35 @@
         if_version: Option<epochs::ObjectVersion>,
         text: String,
     ) -> links::StoreWrite {
-        let known = {
+        let found = {
             let state = self.shared.state.lock().unwrap();
             if state.is_away {
                 return links::StoreWrite::Failed(links::StoreError::Refused(503));
             }
-            state.nodes.get(name).map_or(0, |(version, _text)| *version)
+            let known = state.nodes.get(name);
+            known.map(|(version, text)| links::StoreRecord {
+                name: name.to_owned(),
+                version: state.at(*version),
+                content: links::RecordContent::Node(text.clone()),
+            })
         };
-        if if_version.is_some_and(|wanted| wanted.get() != known) {
-            return links::StoreWrite::Conflict(None);
+        let known = found
+            .as_ref()
+            .map(|record| record.version)
+            .unwrap_or_default();
+        // A condition of an earlier era only holds for an object that does not exist.
+        let is_stale = |wanted: epochs::ObjectVersion| wanted.era() != known.era();
+        let holds = if_version
+            .is_none_or(|wanted| wanted == known || (found.is_none() && is_stale(wanted)));
+        if !holds {
+            return links::StoreWrite::Conflict(found);
         }
-        let mut written = 0;
+        let mut written = epochs::ObjectVersion::default();
         self.change(|state, version| {
             state.nodes.insert(name.to_owned(), (version, text));
-            written = version;
+            written = state.at(version);
         });
-        links::StoreWrite::Written(epochs::ObjectVersion::new(written))
+        links::StoreWrite::Written(written)
     }
 }
 
--- a/crates/pier_edge/tests/support/mod.rs
+++ b/crates/pier_edge/tests/support/mod.rs
@@ -14,9 +14,9 @@
 pub use crashing_target::{
     CRASH_AFTER_MARKER, CRASH_MARKER, CRASH_PART, CrashStyle, CrashingTarget,
 };
-pub use fake_platform::FakePlatform;
+pub use fake_platform::{FakePlatform, StoreCopy};
 pub use raw_caller::{RawAnswer, RawCaller};
 pub use scripted_target::{Script, ScriptedTarget};
 pub use test_node::{
-    GROUP_MODEL, KEY, TestNode, free_address, group_member, node_with, plain_entry,
+    GROUP_MODEL, KEY, TestNode, document, free_address, group_member, node_with, plain_entry,
 };
--- a/crates/pier_edge/tests/support/test_node.rs
+++ b/crates/pier_edge/tests/support/test_node.rs
@@ -176,7 +176,7 @@
     }
 }
 
-fn document() -> documents::FleetDocument {
+pub fn document() -> documents::FleetDocument {
     let engine = documents::EngineSpec {
         batch: sizes::RequestCount::new(8),
         kv_cache_size: sizes::TokenCount::new(1_000_000),
--- a/crates/pier_fleet/src/targets/target_registry.rs
+++ b/crates/pier_fleet/src/targets/target_registry.rs
@@ -53,6 +53,9 @@
         let known = self.records.get(&entry.vm);
         if let Some(known) = known {
             entry.standing = entry.standing.merge_known(&known.entry.standing);
+            // A copy of the store may not have the notice yet; no VM takes it back.
+            let is_same_start = known.entry.standing.born == entry.standing.born;
+            entry.is_draining |= is_same_start && known.entry.is_draining;
         }
         entry.is_draining |= self.has_notice(&entry.vm, entry.standing.born);
         let unchanged = known.filter(|record| record.entry == entry);
--- a/crates/pier_request/src/quarantine/quarantine_set.rs
+++ b/crates/pier_request/src/quarantine/quarantine_set.rs
@@ -29,6 +29,11 @@
         self.implicated.contains(&fingerprint)
     }
 
+    /// Returns the requests that are implicated in a crash.
+    pub fn implicated(&self) -> collections::BTreeSet<ids::RequestFingerprint> {
+        self.implicated.clone()
+    }
+
     /// Returns the requests that are held back, and until when.
     pub fn held(&self) -> impl Iterator<Item = (ids::RequestFingerprint, times::BootTime)> {
         self.held
--- a/crates/pier_types/src/epochs/mod.rs
+++ b/crates/pier_types/src/epochs/mod.rs
@@ -1,5 +1,7 @@
 //! Monotonically increasing numbers: versions, generations, incarnations and terms.
 
+mod object_version;
+
 use crate::macros;
 
 macros::number_newtype!(
@@ -12,6 +14,12 @@
     ObjectVersion,
     u64
 );
+macros::number_newtype!(
+    /// Era of a store: rises each time it comes back from an older copy of itself; 0 for a store that
+    /// has none.
+    StoreEra,
+    u64
+);
 macros::number_newtype!(
     /// Generation of a replica group: increases with each change of its members; the fencing number.
     GroupGeneration,
