Hold the part that goes on crashing targets when two are on as many crashes

What callers saw: nothing yet; found by reading. A sound part that was on one crash for another reason can be on as many crashes as the part that crashes targets. If it came first by its number, it explained the other's crashes: it was held alone, and the part that crashes targets was not, until its next crash.

Why the fix works: of two parts with as many crashes the one with the latest leads, since a sound part has no new crash of its own.

--- a/crates/pier_request/src/prompt_parts/part_evidence.rs
+++ b/crates/pier_request/src/prompt_parts/part_evidence.rs
@@ -28,6 +28,10 @@
 }
 
 impl PartEvidence<'_> {
+    fn last_crash(&self) -> times::BootTime {
+        self.crashes.values().copied().max().unwrap_or_default()
+    }
+
     /// Returns whether this part was on the same crashes as one that was on at least as many.
     fn is_like(&self, other: &Self) -> bool {
         let missed = other.crashes.len().saturating_sub(self.crashes.len());
@@ -62,7 +66,8 @@
         lifetime: time::Duration,
     ) -> prompt_parts::PartQuarantine {
         evidence.retain(|part| part.crashes.len() >= MIN_SUSPECT_CRASHES);
-        evidence.sort_by_key(|part| cmp::Reverse(part.crashes.len()));
+        // Of two parts with as many crashes, the one with the latest goes on crashing targets.
+        evidence.sort_by_key(|part| cmp::Reverse((part.crashes.len(), part.last_crash())));
         let mut leaders: Vec<&Self> = Vec::new();
         let mut quarantine = prompt_parts::PartQuarantine::default();
         for part in &evidence {
--- a/crates/pier_request/tests/crashing_parts_are_quarantined.rs
+++ b/crates/pier_request/tests/crashing_parts_are_quarantined.rs
@@ -93,6 +93,21 @@
     assert!(!is_held(&history, &[part(1)], 40));
 }
 
+/// Guards against a sound part that explains the crashes of another one, as it was on as many.
+#[test]
+fn of_two_parts_with_as_many_crashes_the_one_that_goes_on_is_held() {
+    for sound in [1, 0xfff] {
+        let mut history = prompt_parts::PartHistory::default();
+        crash(&mut history, 9, 9, &[part(sound)], 5);
+        for number in 0..4 {
+            crash(&mut history, number, number, &[part(sound), BAD], 10);
+        }
+        crash(&mut history, 8, 8, &[part(7), BAD], 20);
+        assert!(is_held(&history, &[part(7), BAD], 40));
+        assert!(!is_held(&history, &[part(sound)], 40));
+    }
+}
+
 #[test]
 fn a_part_of_a_completed_answer_is_not_accused() {
     let mut history = prompt_parts::PartHistory::default();
