Keep the bits of a version that hold an era apart from any revision

An era above 65,535 was cut off in versions but not in what the adapter knew, so each watch would have counted as one of an earlier era, and nodes would have listed without a pause. A revision over 48 bits would have been asked for by another number.

--- a/crates/pier_types/src/epochs/object_version.rs
+++ b/crates/pier_types/src/epochs/object_version.rs
@@ -2,31 +2,35 @@
 
 use crate::epochs;
 
-/// Bits of a version that hold the revision; the store's numbers fit in them.
-const REVISION_BITS: u32 = 48;
+/// Bits of a version that hold the revision: those of a whole number in JSON.
+const REVISION_BITS: u32 = 53;
 
 const REVISION_MASK: u64 = (1 << REVISION_BITS) - 1;
 
-const MAX_ERA: u64 = u64::MAX >> REVISION_BITS;
+const ERA_MASK: u64 = u64::MAX >> REVISION_BITS;
+
+impl epochs::StoreEra {
+    /// Returns the part of the era that a version holds.
+    #[must_use]
+    pub const fn truncated(self) -> Self {
+        Self::new(self.get() & ERA_MASK)
+    }
+}
 
 impl epochs::ObjectVersion {
     /// Creates the version of a revision in an era of the store; a revision of 0, for an object that
     /// does not exist, is the same in all eras.
     ///
-    /// Each version of a later era is above all versions of the earlier ones.
+    /// Each version of a later era is above all versions of the earlier ones, until the era exceeds
+    /// the bits that are left for it.
     pub const fn in_era(era: epochs::StoreEra, revision: u64) -> Self {
         if revision == 0 {
             return Self::new(0);
         }
-        let era = if era.get() > MAX_ERA {
-            MAX_ERA
-        } else {
-            era.get()
-        };
-        Self::new(era << REVISION_BITS | revision & REVISION_MASK)
+        Self::new(era.truncated().get() << REVISION_BITS | revision & REVISION_MASK)
     }
 
-    /// Returns the era; 0 for a store without eras, and for an object that does not exist.
+    /// Returns the era, truncated; 0 for a store without eras, and for an object that does not exist.
     pub const fn era(self) -> epochs::StoreEra {
         epochs::StoreEra::new(self.get() >> REVISION_BITS)
     }
