Let a VM take its notice of leaving back, except from a copy of the store

Why the fix works: only a registration that is read within five seconds after the store came back from a copy cannot take a notice back; VMs register anew in less. A notice in an answer stays until the next start, as the rule says.

--- a/crates/pier_edge/src/state/store_era.rs
+++ b/crates/pier_edge/src/state/store_era.rs
@@ -44,7 +44,7 @@
             return;
         }
         log::warn!(event = "store-copy", era:% = version.era(); "");
-        self.with_registry(|registry| registry.note_store_return(now));
+        self.with_registry(|registry| registry.note_store_copy(now));
         self.crashes().restore();
         self.shared.era_risen.notify_waiters();
     }
--- a/crates/pier_fleet/src/targets/target_registry.rs
+++ b/crates/pier_fleet/src/targets/target_registry.rs
@@ -12,6 +12,10 @@
 /// allows for delivery.
 const RESTORE_TIME: time::Duration = time::Duration::from_millis(2_200);
 
+/// How long after the store came back from a copy a registration may be older than a known one, so
+/// that it takes no notice of leaving back: a few times as long as VMs take to register anew.
+const COPY_LIFETIME: time::Duration = time::Duration::from_secs(5);
+
 /// How long the leaving of a VM is remembered when it has no registration: longer than a VM goes on
 /// after its notice.
 const NOTICE_LIFETIME: time::Duration = time::Duration::from_mins(15);
@@ -25,6 +29,7 @@
     store_returned_at: Option<times::BootTime>,
     notices: collections::BTreeMap<ids::VmName, LeavingNotice>,
     expired_at: times::BootTime,
+    copied_at: Option<times::BootTime>,
 }
 
 /// A VM's own word that it leaves.
@@ -47,15 +52,23 @@
         self.store_returned_at = Some(now);
     }
 
+    /// Records that the store has come back from an older copy of itself.
+    pub fn note_store_copy(&mut self, now: times::BootTime) {
+        self.note_store_return(now);
+        self.copied_at = Some(now);
+    }
+
     /// Adds or updates one registration.
     pub fn put(&mut self, mut entry: targets::TargetEntry, now: times::BootTime) {
         let cold_until = now.after(entry.cold_left);
         let known = self.records.get(&entry.vm);
         if let Some(known) = known {
             entry.standing = entry.standing.merge_known(&known.entry.standing);
-            // A copy of the store may not have the notice yet; no VM takes it back.
             let is_same_start = known.entry.standing.born == entry.standing.born;
-            entry.is_draining |= is_same_start && known.entry.is_draining;
+            let is_from_copy = self
+                .copied_at
+                .is_some_and(|at| now.since(at) < COPY_LIFETIME);
+            entry.is_draining |= is_same_start && is_from_copy && known.entry.is_draining;
         }
         entry.is_draining |= self.has_notice(&entry.vm, entry.standing.born);
         let unchanged = known.filter(|record| record.entry == entry);
