Keep and exchange the marks of requests and of parts in one table

One difference: a mark that is newly cleared by the store's record is sent on like other news from there.

--- a/crates/pier_request/src/lib.rs
+++ b/crates/pier_request/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod attempts;
 pub mod claims;
+mod marks;
 pub mod prompt_parts;
 pub mod quarantine;
 pub mod retries;
--- a/crates/pier_request/src/prompt_parts/mod.rs
+++ b/crates/pier_request/src/prompt_parts/mod.rs
@@ -11,7 +11,7 @@
 mod part_mark;
 mod part_quarantine;
 
-use part_evidence::{MIN_SUSPECT_CRASHES, PartEvidence};
+use part_evidence::PartEvidence;
 pub use part_history::PartHistory;
 pub use part_mark::{PartDelta, PartMark};
 pub use part_quarantine::PartQuarantine;
--- a/crates/pier_request/src/prompt_parts/part_evidence.rs
+++ b/crates/pier_request/src/prompt_parts/part_evidence.rs
@@ -17,17 +17,37 @@
 const MAX_MISSED_CRASHES: usize = 1;
 
 /// Fewest crashes of a part that can be held, alone or with others.
-pub(super) const MIN_SUSPECT_CRASHES: usize = MIN_CRASHES - MAX_MISSED_CRASHES;
+const MIN_SUSPECT_CRASHES: usize = MIN_CRASHES - MAX_MISSED_CRASHES;
 
 /// The marks that count against one part.
 #[derive(Debug)]
 pub(super) struct PartEvidence<'a> {
     pub part: ids::PromptPart,
-    pub crashes: collections::BTreeMap<&'a prompt_parts::CrashId, times::BootTime>,
-    pub requests: collections::BTreeSet<ids::RequestFingerprint>,
+    crashes: collections::BTreeMap<&'a prompt_parts::CrashId, times::BootTime>,
+    requests: collections::BTreeSet<ids::RequestFingerprint>,
 }
 
-impl PartEvidence<'_> {
+impl<'a> PartEvidence<'a> {
+    /// Creates the evidence of a part without marks.
+    pub(super) const fn new(part: ids::PromptPart) -> Self {
+        Self {
+            part,
+            crashes: collections::BTreeMap::new(),
+            requests: collections::BTreeSet::new(),
+        }
+    }
+
+    /// Adds a mark that counts.
+    pub(super) fn add(
+        &mut self,
+        crash: &'a prompt_parts::CrashId,
+        request: ids::RequestFingerprint,
+        seen_at: times::BootTime,
+    ) {
+        self.crashes.insert(crash, seen_at);
+        self.requests.insert(request);
+    }
+
     fn last_crash(&self) -> times::BootTime {
         self.crashes.values().copied().max().unwrap_or_default()
     }
--- a/crates/pier_request/src/prompt_parts/part_history.rs
+++ b/crates/pier_request/src/prompt_parts/part_history.rs
@@ -1,42 +1,33 @@
 //! The marks of parts that this node knows, and the parts that it knows to be sound.
 
-use std::{collections, ops, time};
+use std::{collections, time};
 
 use pier_types::{epochs, ids, times};
 
-use crate::prompt_parts;
-
-/// How long a mark counts.
-const MARK_LIFETIME: time::Duration = time::Duration::from_mins(10);
-
-/// Age below which a node accepts a mark from another node, so that no node accepts a mark again
-/// that it has just expired.
-const MAX_MERGE_AGE: time::Duration = time::Duration::from_mins(9);
+use crate::{marks, prompt_parts};
 
 /// How long before a crash an answer may have been completed that shows a part to be sound.
 const SOUND_LIFETIME: time::Duration = time::Duration::from_secs(10);
 
-/// Most marks that are kept; bounds the memory.
-const MAX_MARKS: usize = 4_096;
-
 /// Most sound parts that are kept; bounds the memory.
 const MAX_SOUND_PARTS: usize = 8_192;
 
-/// Marks, or sound parts, evicted at once, so that not each new one causes a sort.
+/// Sound parts evicted at once, so that not each new one causes a sort.
 const EVICTION_BATCH: usize = 512;
 
-/// How many deltas include a new mark before it takes its turn with the others.
-const NEW_MARK_SENDS: u8 = 3;
+/// Identifies a mark.
+type MarkKey = (ids::PromptPart, prompt_parts::CrashId);
 
-/// The marks of one part.
-type PartMarks = collections::BTreeMap<prompt_parts::CrashId, MarkState>;
+/// A request that was lost in a crash; the least of those that are known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct LostRequest(ids::RequestFingerprint);
 
-#[derive(Debug, Clone, Copy)]
-struct MarkState {
-    request: ids::RequestFingerprint,
-    cleared: bool,
-    seen_at: times::BootTime,
-    priority_sends_left: u8,
+impl marks::MarkDetail for LostRequest {
+    fn merge(&mut self, other: Self) -> bool {
+        let is_changed = other < *self;
+        *self = other.min(*self);
+        is_changed
+    }
 }
 
 /// Collects marks of the parts that were on crashed targets, from this node and from others.
@@ -61,11 +52,11 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct PartHistory {
-    marks: collections::BTreeMap<ids::PromptPart, PartMarks>,
+    marks: marks::MarkTable<MarkKey, LostRequest>,
+    /// Parts that may have marks which count; others need no search for marks to clear.
+    accused: collections::BTreeSet<ids::PromptPart>,
     /// When an answer to a request with the part was last completed.
     sound: collections::BTreeMap<ids::PromptPart, times::BootTime>,
-    /// The mark that was sent last in turn.
-    cursor: Option<(ids::PromptPart, prompt_parts::CrashId)>,
 }
 
 impl PartHistory {
@@ -84,15 +75,10 @@
             if self.is_sound(*part, now) {
                 continue;
             }
-            let state = MarkState {
-                request,
-                cleared: false,
-                seen_at: now,
-                priority_sends_left: NEW_MARK_SENDS,
-            };
-            is_changed |= self.insert(*part, (target.clone(), generation), state);
+            let key = (*part, (target.clone(), generation));
+            is_changed |= self.marks.record(key, LostRequest(request), now);
+            self.accused.insert(*part);
         }
-        self.evict_oldest();
         is_changed
     }
 
@@ -102,11 +88,8 @@
         let mut is_changed = false;
         for part in parts {
             self.sound.insert(*part, now);
-            let marks = self.marks.get_mut(part).into_iter().flatten();
-            for (_crash, state) in marks.filter(|(_crash, state)| !state.cleared) {
-                state.cleared = true;
-                state.priority_sends_left = NEW_MARK_SENDS;
-                is_changed = true;
+            if self.accused.remove(part) {
+                is_changed |= self.marks.clear(|key| key.0 == *part);
             }
         }
         if self.sound.len() > MAX_SOUND_PARTS {
@@ -118,7 +101,7 @@
 
     /// Merges the marks of another node; returns whether they changed anything.
     pub fn merge(&mut self, delta: &prompt_parts::PartDelta, now: times::BootTime) -> bool {
-        self.merge_marks(delta, 0, now)
+        self.merge_marks(delta, false, now)
     }
 
     /// Merges marks that reach only some nodes; those that are new here are sent like this node's
@@ -128,122 +111,85 @@
         delta: &prompt_parts::PartDelta,
         now: times::BootTime,
     ) -> bool {
-        self.merge_marks(delta, NEW_MARK_SENDS, now)
+        self.merge_marks(delta, true, now)
     }
 
     fn merge_marks(
         &mut self,
         delta: &prompt_parts::PartDelta,
-        sends: u8,
+        forwards: bool,
         now: times::BootTime,
     ) -> bool {
         let mut is_changed = false;
         for mark in &delta.marks {
-            let age = time::Duration::from_millis(mark.age_ms);
-            if age >= MAX_MERGE_AGE {
-                continue;
-            }
-            let seen_at = now.before(age);
+            let seen_at = now.before(time::Duration::from_millis(mark.age_ms));
             // The sender does not know that the part is sound.
             let is_news = !mark.cleared && self.is_sound(mark.part, seen_at);
-            let crash = (mark.target.clone(), mark.generation);
-            let state = MarkState {
-                request: mark.request,
-                cleared: mark.cleared || is_news,
-                seen_at,
-                priority_sends_left: if is_news { NEW_MARK_SENDS } else { sends },
-            };
-            is_changed |= self.insert(mark.part, crash, state);
+            let key = (mark.part, (mark.target.clone(), mark.generation));
+            let request = LostRequest(mark.request);
+            let cleared = mark.cleared || is_news;
+            let forwards = forwards || is_news;
+            is_changed |= self
+                .marks
+                .merge(key, request, cleared, seen_at, forwards, now);
+            if !cleared {
+                self.accused.insert(mark.part);
+            }
         }
-        self.evict_oldest();
         is_changed
     }
 
     /// Returns all marks.
     pub fn marks(&self, now: times::BootTime) -> Vec<prompt_parts::PartMark> {
-        let marks = self.marks.iter().flat_map(|(part, marks)| {
-            let marks = marks.iter();
-            marks.map(|(crash, state)| to_mark(*part, crash, state, now))
-        });
-        marks.collect()
+        let marks = self.marks.iter();
+        marks.map(|(key, state)| to_mark(key, state, now)).collect()
     }
 
     /// Returns at most `limit` marks for a datagram: new ones first, then the others in turn.
     pub fn delta(&mut self, now: times::BootTime, limit: usize) -> prompt_parts::PartDelta {
-        let mut marks = Vec::new();
-        for (part, part_marks) in &mut self.marks {
-            for (crash, state) in part_marks {
-                if marks.len() < limit && state.priority_sends_left > 0 {
-                    state.priority_sends_left -= 1;
-                    marks.push(to_mark(*part, crash, state, now));
-                }
-            }
-        }
-        self.add_round_robin(&mut marks, now, limit);
-        prompt_parts::PartDelta { marks }
-    }
-
-    fn add_round_robin(
-        &mut self,
-        marks: &mut Vec<prompt_parts::PartMark>,
-        now: times::BootTime,
-        limit: usize,
-    ) {
-        let room = limit.saturating_sub(marks.len());
-        let cursor = self.cursor.take();
-        let from = cursor.as_ref().map(|(part, _crash)| *part);
-        let lower = from.map_or(ops::Bound::Unbounded, ops::Bound::Included);
-        let rest = self.marks.range((lower, ops::Bound::Unbounded));
-        let rest = rest.flat_map(|(part, marks)| marks.iter().map(|mark| (*part, mark)));
-        let rest = rest.filter(|(part, (crash, _state))| {
-            let sent = cursor.as_ref();
-            sent.is_none_or(|(last_part, last)| (part, *crash) > (last_part, last))
-        });
-        for (part, (crash, state)) in rest.take(room) {
-            marks.push(to_mark(part, crash, state, now));
-            self.cursor = Some((part, crash.clone()));
+        let batch = self.marks.next_batch(limit);
+        let marks = batch.iter().map(|(key, state)| to_mark(key, state, now));
+        prompt_parts::PartDelta {
+            marks: marks.collect(),
         }
     }
 
     /// Returns whether a mark is still to be sent in the next deltas.
     pub fn has_new_marks(&self) -> bool {
-        let mut states = self.marks.values().flat_map(PartMarks::values);
-        states.any(|state| state.priority_sends_left > 0)
+        self.marks.has_new()
     }
 
     /// Removes marks and sound parts that have reached the end of their lifetime.
     pub fn expire(&mut self, now: times::BootTime) {
-        self.retain_marks(|state| now.since(state.seen_at) < MARK_LIFETIME);
+        self.marks.expire(now);
         self.sound
-            .retain(|_part, at| now.since(*at) < MARK_LIFETIME);
+            .retain(|_part, at| now.since(*at) < marks::MARK_LIFETIME);
+        let live = self.marks.iter().filter(|(_key, state)| state.is_live(now));
+        self.accused = live.map(|((part, _crash), _state)| *part).collect();
     }
 
     /// Returns the parts that are held now.
     pub fn snapshot(&self, now: times::BootTime) -> prompt_parts::PartQuarantine {
-        let suspects = self
-            .marks
-            .iter()
-            .filter(|(_part, marks)| marks.len() >= prompt_parts::MIN_SUSPECT_CRASHES);
-        let evidence = suspects.map(|(part, marks)| {
-            let live = marks.iter().filter(|(_crash, state)| {
-                !state.cleared && now.since(state.seen_at) < MARK_LIFETIME
-            });
-            prompt_parts::PartEvidence {
-                part: *part,
-                crashes: live
-                    .clone()
-                    .map(|(crash, state)| (crash, state.seen_at))
-                    .collect(),
-                requests: live.map(|(_crash, state)| state.request).collect(),
+        let mut evidence: Vec<prompt_parts::PartEvidence<'_>> = Vec::new();
+        for ((part, crash), state) in self.marks.iter() {
+            if !state.is_live(now) {
+                continue;
+            }
+            match evidence.last_mut() {
+                Some(last) if last.part == *part => last.add(crash, state.detail.0, state.seen_at),
+                _ => {
+                    let mut first = prompt_parts::PartEvidence::new(*part);
+                    first.add(crash, state.detail.0, state.seen_at);
+                    evidence.push(first);
+                }
             }
-        });
-        let evidence = evidence.collect();
-        prompt_parts::PartEvidence::judge(evidence, MARK_LIFETIME)
+        }
+        prompt_parts::PartEvidence::judge(evidence, marks::MARK_LIFETIME)
     }
 
     /// Returns how many marks are kept.
     pub fn len(&self) -> usize {
-        self.marks.values().map(PartMarks::len).sum()
+        self.marks.len()
     }
 
     /// Returns whether no mark is kept.
@@ -257,45 +203,6 @@
         let completed_at = self.sound.get(&part);
         completed_at.is_some_and(|at| crashed_at.since(*at) < SOUND_LIFETIME)
     }
-
-    /// Adds a mark or updates the known one; returns whether that may change a verdict.
-    fn insert(
-        &mut self,
-        part: ids::PromptPart,
-        crash: prompt_parts::CrashId,
-        state: MarkState,
-    ) -> bool {
-        let marks = self.marks.entry(part).or_default();
-        let Some(known) = marks.get_mut(&crash) else {
-            marks.insert(crash, state);
-            return true;
-        };
-        let is_cleared_now = state.cleared && !known.cleared;
-        let is_changed = is_cleared_now || state.request < known.request;
-        known.request = known.request.min(state.request);
-        known.cleared |= state.cleared;
-        // The earliest time counts, or nodes would keep a mark alive by exchanging it.
-        known.seen_at = known.seen_at.min(state.seen_at);
-        if is_cleared_now {
-            known.priority_sends_left = known.priority_sends_left.max(state.priority_sends_left);
-        }
-        is_changed
-    }
-
-    fn evict_oldest(&mut self) {
-        if self.len() > MAX_MARKS {
-            let states = self.marks.values().flat_map(PartMarks::values);
-            let oldest_kept = nth_oldest(states.map(|state| state.seen_at), EVICTION_BATCH);
-            self.retain_marks(|state| state.seen_at > oldest_kept);
-        }
-    }
-
-    fn retain_marks(&mut self, keep: impl Fn(&MarkState) -> bool) {
-        self.marks.retain(|_part, marks| {
-            marks.retain(|_crash, state| keep(state));
-            !marks.is_empty()
-        });
-    }
 }
 
 fn nth_oldest(times: impl Iterator<Item = times::BootTime>, position: usize) -> times::BootTime {
@@ -305,18 +212,17 @@
 }
 
 fn to_mark(
-    part: ids::PromptPart,
-    crash: &prompt_parts::CrashId,
-    state: &MarkState,
+    key: &MarkKey,
+    state: &marks::Mark<LostRequest>,
     now: times::BootTime,
 ) -> prompt_parts::PartMark {
-    let age = now.since(state.seen_at).as_millis();
+    let (part, (target, generation)) = key;
     prompt_parts::PartMark {
-        part,
-        request: state.request,
-        target: crash.0.clone(),
-        generation: crash.1,
+        part: *part,
+        request: state.detail.0,
+        target: target.clone(),
+        generation: *generation,
         cleared: state.cleared,
-        age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+        age_ms: state.age_ms(now),
     }
 }
--- a/crates/pier_request/src/quarantine/crash_history.rs
+++ b/crates/pier_request/src/quarantine/crash_history.rs
@@ -1,25 +1,10 @@
 //! The crash marks that this node knows.
 
-use std::{cmp, collections, ops, time};
+use std::{cmp, collections, time};
 
 use pier_types::{epochs, ids, times};
 
-use crate::quarantine;
-
-/// Most marks that are kept; bounds the memory.
-const MAX_MARKS: usize = 4_096;
-
-/// Marks evicted at once, so that a full history is not sorted at each crash.
-const EVICTION_BATCH: usize = MAX_MARKS / 8;
-
-/// Age below which a node accepts a mark from another node.
-///
-/// The transmitted age lacks the time of the transfer. A limit below [`MARK_LIFETIME`](quarantine::MARK_LIFETIME) keeps a node
-/// from accepting a mark again that it has just expired and the sender is about to expire.
-const MAX_MERGE_AGE: time::Duration = time::Duration::from_mins(9);
-
-/// How many deltas include a new mark before it takes its turn with the others.
-const NEW_MARK_SENDS: u8 = 3;
+use crate::{marks, quarantine};
 
 /// Identifies a mark.
 type MarkKey = (
@@ -49,8 +34,7 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct CrashHistory {
-    marks: collections::BTreeMap<MarkKey, quarantine::MarkState>,
-    cursor: Option<MarkKey>,
+    marks: marks::MarkTable<MarkKey, quarantine::SuspectCount>,
 }
 
 impl CrashHistory {
@@ -71,31 +55,21 @@
             return;
         }
         let local_count = u32::try_from(in_flight.len()).unwrap_or(u32::MAX);
-        let state = quarantine::MarkState {
-            suspects: local_count.max(reported),
-            cleared: false,
-            seen_at: now,
-            priority_sends_left: NEW_MARK_SENDS,
-        };
+        let suspects = quarantine::SuspectCount(local_count.max(reported));
         for fingerprint in in_flight {
-            self.insert((*fingerprint, target.clone(), generation), state);
+            let key = (*fingerprint, target.clone(), generation);
+            self.marks.record(key, suspects, now);
         }
-        self.evict_oldest();
     }
 
     /// Clears the marks of a request that completed, since it does not crash every target.
     pub fn record_completion(&mut self, fingerprint: ids::RequestFingerprint) {
-        for (key, state) in &mut self.marks {
-            if key.0 == fingerprint && !state.cleared {
-                state.cleared = true;
-                state.priority_sends_left = NEW_MARK_SENDS;
-            }
-        }
+        self.marks.clear(|key| key.0 == fingerprint);
     }
 
     /// Merges the marks of another node; returns whether they changed anything.
     pub fn merge(&mut self, delta: &quarantine::CrashDelta, now: times::BootTime) -> bool {
-        self.merge_marks(delta, 0, now)
+        self.merge_marks(delta, false, now)
     }
 
     /// Merges marks that reach only some nodes; those that are new here are sent like this node's
@@ -107,31 +81,24 @@
         delta: &quarantine::CrashDelta,
         now: times::BootTime,
     ) -> bool {
-        self.merge_marks(delta, NEW_MARK_SENDS, now)
+        self.merge_marks(delta, true, now)
     }
 
     fn merge_marks(
         &mut self,
         delta: &quarantine::CrashDelta,
-        sends: u8,
+        forwards: bool,
         now: times::BootTime,
     ) -> bool {
         let mut is_changed = false;
         for mark in &delta.marks {
-            let age = time::Duration::from_millis(mark.age_ms);
-            if age >= MAX_MERGE_AGE {
-                continue;
-            }
             let key = (mark.fingerprint, mark.target.clone(), mark.generation);
-            let state = quarantine::MarkState {
-                suspects: mark.suspects,
-                cleared: mark.cleared,
-                seen_at: now.before(age),
-                priority_sends_left: sends,
-            };
-            is_changed |= self.insert(key, state);
+            let suspects = quarantine::SuspectCount(mark.suspects);
+            let seen_at = now.before(time::Duration::from_millis(mark.age_ms));
+            is_changed |= self
+                .marks
+                .merge(key, suspects, mark.cleared, seen_at, forwards, now);
         }
-        self.evict_oldest();
         is_changed
     }
 
@@ -143,28 +110,21 @@
 
     /// Returns at most `limit` marks for a datagram: new ones first, then the others in turn.
     pub fn delta(&mut self, now: times::BootTime, limit: usize) -> quarantine::CrashDelta {
-        let mut marks = Vec::new();
-        for (key, state) in &mut self.marks {
-            if marks.len() < limit && state.priority_sends_left > 0 {
-                state.priority_sends_left -= 1;
-                marks.push(to_mark(key, state, now));
-            }
+        let batch = self.marks.next_batch(limit);
+        let marks = batch.iter().map(|(key, state)| to_mark(key, state, now));
+        quarantine::CrashDelta {
+            marks: marks.collect(),
         }
-        self.add_round_robin(&mut marks, now, limit);
-        quarantine::CrashDelta { marks }
     }
 
     /// Returns whether a mark that was recorded here is still to be sent in the next deltas.
     pub fn has_new_marks(&self) -> bool {
-        self.marks
-            .values()
-            .any(|state| state.priority_sends_left > 0)
+        self.marks.has_new()
     }
 
     /// Removes marks that have reached the end of their lifetime.
     pub fn expire(&mut self, now: times::BootTime) {
-        self.marks
-            .retain(|_key, state| now.since(state.seen_at) < quarantine::MARK_LIFETIME);
+        self.marks.expire(now);
     }
 
     /// Returns the targets whose crashes count against a request.
@@ -230,7 +190,7 @@
     /// own node, with too few suspects.
     fn implicated_counts(&self) -> collections::BTreeMap<quarantine::CrashKey<'_>, u32> {
         let mut counts = collections::BTreeMap::new();
-        for (_fingerprint, target, generation) in self.marks.keys() {
+        for ((_fingerprint, target, generation), _state) in self.marks.iter() {
             *counts.entry((target, *generation)).or_default() += 1;
         }
         counts
@@ -239,7 +199,7 @@
     /// Returns the marks that count, by request.
     fn live_requests(&self, now: times::BootTime) -> Vec<quarantine::MarkedRequest<'_>> {
         let mut requests: Vec<quarantine::MarkedRequest<'_>> = Vec::new();
-        for (key, state) in &self.marks {
+        for (key, state) in self.marks.iter() {
             if !state.is_live(now) {
                 continue;
             }
@@ -254,65 +214,19 @@
         }
         requests
     }
-
-    /// Adds a mark or updates the known one; returns whether that may change a verdict.
-    fn insert(&mut self, key: MarkKey, state: quarantine::MarkState) -> bool {
-        let Some(known) = self.marks.get_mut(&key) else {
-            self.marks.insert(key, state);
-            return true;
-        };
-        let is_changed = state.suspects > known.suspects || (state.cleared && !known.cleared);
-        known.suspects = known.suspects.max(state.suspects);
-        known.cleared |= state.cleared;
-        // The earliest time counts, or nodes would keep a mark alive by exchanging it.
-        known.seen_at = known.seen_at.min(state.seen_at);
-        is_changed
-    }
-
-    fn evict_oldest(&mut self) {
-        if self.marks.len() <= MAX_MARKS {
-            return;
-        }
-        let mut to_evict = self.marks.len() - MAX_MARKS + EVICTION_BATCH;
-        let mut seen_times: Vec<_> = self.marks.values().map(|state| state.seen_at).collect();
-        seen_times.sort_unstable();
-        let oldest_kept = seen_times[to_evict];
-        self.marks.retain(|_key, state| {
-            let is_evicted = to_evict > 0 && state.seen_at <= oldest_kept;
-            to_evict -= usize::from(is_evicted);
-            !is_evicted
-        });
-    }
-
-    fn add_round_robin(
-        &mut self,
-        marks: &mut Vec<quarantine::CrashMark>,
-        now: times::BootTime,
-        limit: usize,
-    ) {
-        let room = limit.saturating_sub(marks.len());
-        let start = self.cursor.take();
-        let lower = start.map_or(ops::Bound::Unbounded, ops::Bound::Excluded);
-        let rest = self.marks.range((lower, ops::Bound::Unbounded));
-        for (key, state) in rest.take(room) {
-            marks.push(to_mark(key, state, now));
-            self.cursor = Some(key.clone());
-        }
-    }
 }
 
 fn to_mark(
     key: &MarkKey,
-    state: &quarantine::MarkState,
+    state: &marks::Mark<quarantine::SuspectCount>,
     now: times::BootTime,
 ) -> quarantine::CrashMark {
-    let age = now.since(state.seen_at).as_millis();
     quarantine::CrashMark {
         fingerprint: key.0,
         target: key.1.clone(),
         generation: key.2,
-        suspects: state.suspects,
+        suspects: state.detail.0,
         cleared: state.cleared,
-        age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+        age_ms: state.age_ms(now),
     }
 }
--- a/crates/pier_request/src/quarantine/marked_request.rs
+++ b/crates/pier_request/src/quarantine/marked_request.rs
@@ -4,10 +4,7 @@
 
 use pier_types::{epochs, ids, times};
 
-use crate::quarantine;
-
-/// How long a mark counts.
-pub(super) const MARK_LIFETIME: time::Duration = time::Duration::from_mins(10);
+use crate::{marks, quarantine};
 
 /// How long a suspected request is held back after each crash.
 const SUSPICION_PAUSE: time::Duration = time::Duration::from_secs(1);
@@ -15,19 +12,15 @@
 /// Identifies a crash.
 pub(super) type CrashKey<'a> = (&'a ids::TargetId, epochs::GroupGeneration);
 
-/// The mutable part of a mark.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct MarkState {
-    pub suspects: u32,
-    pub cleared: bool,
-    pub seen_at: times::BootTime,
-    pub priority_sends_left: u8,
-}
+/// How many requests ran on a crashed target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct SuspectCount(pub u32);
 
-impl MarkState {
-    /// Returns whether the mark counts against its request.
-    pub(super) fn is_live(&self, now: times::BootTime) -> bool {
-        !self.cleared && now.since(self.seen_at) < MARK_LIFETIME
+impl marks::MarkDetail for SuspectCount {
+    fn merge(&mut self, other: Self) -> bool {
+        let is_changed = other > *self;
+        *self = other.max(*self);
+        is_changed
     }
 }
 
@@ -35,7 +28,7 @@
 #[derive(Debug)]
 pub(super) struct MarkedRequest<'a> {
     pub fingerprint: ids::RequestFingerprint,
-    pub marks: Vec<(CrashKey<'a>, &'a MarkState)>,
+    pub marks: Vec<(CrashKey<'a>, &'a marks::Mark<SuspectCount>)>,
 }
 
 impl MarkedRequest<'_> {
@@ -58,7 +51,7 @@
                 continue;
             }
             let marked_together = implicated.get(crash).copied().unwrap_or(0);
-            evidence.add(crash.0, state.suspects.max(marked_together));
+            evidence.add(crash.0, state.detail.0.max(marked_together));
             crash_times.push(state.seen_at);
         }
         crash_times.sort_unstable_by_key(|at| cmp::Reverse(*at));
@@ -68,7 +61,7 @@
             quarantine::CrashVerdict::Suspected => crash_times[0].after(SUSPICION_PAUSE),
             quarantine::CrashVerdict::Quarantined => {
                 // Too few crashes are left once this one expires.
-                crash_times[quarantine::QUARANTINE_CRASHES - 1].after(MARK_LIFETIME)
+                crash_times[quarantine::QUARANTINE_CRASHES - 1].after(marks::MARK_LIFETIME)
             }
         };
         Some((verdict, until))
--- a/crates/pier_request/src/quarantine/mod.rs
+++ b/crates/pier_request/src/quarantine/mod.rs
@@ -19,5 +19,5 @@
 pub use crash_history::CrashHistory;
 pub use crash_mark::CrashMark;
 pub use loss_cause::LossCause;
-use marked_request::{CrashKey, MARK_LIFETIME, MarkState, MarkedRequest};
+use marked_request::{CrashKey, MarkedRequest, SuspectCount};
 pub use quarantine_set::QuarantineSet;
