--- a/crates/pier_edge/src/crashes/crash_ledger.rs
+++ b/crates/pier_edge/src/crashes/crash_ledger.rs
@@ -71,6 +71,11 @@
         self.published.load().len()
     }
 
+    /// Returns how many sets of prompt parts are held back.
+    pub(crate) fn held_part_count(&self) -> usize {
+        self.published_parts.load().held().count()
+    }
+
     /// Records that a request lost its target; without a cause, the target may still turn out to
     /// have crashed.
     pub(crate) fn record_loss(
@@ -230,7 +235,7 @@
     }
 
     /// Has all marks written again, after the store came back from a copy that may lack them.
-    pub(crate) fn restore(&self) {
+    pub(crate) fn write_again(&self) {
         self.set_record(
             epochs::ObjectVersion::default(),
             crashes::CrashRecord::default(),
@@ -306,6 +311,12 @@
                 );
             }
         }
+        for (parts, until) in former.held() {
+            if now < until && !set.held().any(|(held, _until)| held == parts) {
+                let names: Vec<_> = parts.iter().map(ToString::to_string).collect();
+                log::info!(event = "prompt-part-released", prompt_parts:% = names.join(","); "");
+            }
+        }
         if former.crashes() != set.crashes() {
             // Requests that ran beside the part are not to blame for these crashes.
             self.update(now, |_history| true);
--- a/crates/pier_edge/src/daemon/edge_daemon.rs
+++ b/crates/pier_edge/src/daemon/edge_daemon.rs
@@ -117,6 +117,9 @@
         state
             .metrics()
             .set_held_requests(state.crashes().held_count());
+        state
+            .metrics()
+            .set_held_parts(state.crashes().held_part_count());
         if state.with_registry(|registry| registry.expire(now)) {
             state.rebuild(now);
         }
--- a/crates/pier_edge/src/links/answer_head.rs
+++ b/crates/pier_edge/src/links/answer_head.rs
@@ -9,10 +9,9 @@
     pub is_not_run: bool,
     /// Whether the answer carries the target's mark and belongs to the attempt that was sent.
     pub is_genuine: bool,
-    /// What the target states of its own future.
+    /// Whether the target announces that it leaves.
     pub notice: TargetNotice,
-    /// How long the target wants no request from this node, which it stated when it turned this one
-    /// away.
+    /// How long the target asks this node to send it nothing, after it rejected this request.
     pub pause: Option<time::Duration>,
     /// Whether the target closes the connection after the answer.
     pub closes: bool,
@@ -20,10 +19,10 @@
     pub idle_time: Option<time::Duration>,
 }
 
-/// What a target's answer says of its own future.
+/// Whether a target's answer announces that it leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum TargetNotice {
-    /// Nothing, as in most answers.
+    /// No announcement.
     #[default]
     Staying,
     /// It leaves, and is to get no further request.
--- a/crates/pier_edge/src/records/node_record.rs
+++ b/crates/pier_edge/src/records/node_record.rs
@@ -26,13 +26,16 @@
         };
         let name = format!("{}{}", records::NODE_PREFIX, state.settings().name);
         let mut backoff = records::StoreBackoff::default();
+        let mut era = state.watch_era();
         loop {
             state.metrics().count_store_call("nodes", "write");
             match state.platform().write(&name, None, text.clone()).await {
                 links::StoreWrite::Written(version) => {
                     log::info!(event = "node-record-written", version:% = version; "");
                     backoff.reset();
-                    state.wait_for_era().await;
+                    if era.changed().await.is_err() {
+                        return;
+                    }
                     let delay = MAX_REWRITE_DELAY.mul_f64(rand::random());
                     tokio::time::sleep(delay).await;
                 }
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -53,7 +53,7 @@
                 .map_err(|fault| serving::SendFault::Unreached(fault.to_string()))?,
         };
         let now = times::clocks::boot_now();
-        // It may have said so while this request waited for its connection.
+        // The state may have changed while this request waited for its connection.
         if slot.is_leaving() || slot.pause_left(now).is_some() {
             let reason = "the target leaves or pauses".to_owned();
             return Err(serving::SendFault::NotSent(reason));
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -59,8 +59,7 @@
     pub(super) store_answered_at: atomic::AtomicU64,
     pub(super) relay_changed: Notify,
     pub(super) relay_gap: Notify,
-    pub(super) era: state::store_era::EraClock,
-    pub(super) era_risen: Notify,
+    pub(super) era: state::era_clock::EraClock,
     forming: atomic::AtomicBool,
 }
 
@@ -98,8 +97,7 @@
             store_answered_at: atomic::AtomicU64::new(0),
             relay_changed: Notify::new(),
             relay_gap: Notify::new(),
-            era: state::store_era::EraClock::default(),
-            era_risen: Notify::new(),
+            era: state::era_clock::EraClock::default(),
             forming: atomic::AtomicBool::new(false),
         };
         Self {
@@ -188,7 +186,8 @@
         slots.values().cloned().collect()
     }
 
-    /// Records that a start of a VM stated in an answer that it leaves, and tells the other nodes.
+    /// Marks a VM incarnation as leaving after one of its answers said so, and notifies the other
+    /// nodes.
     pub(crate) fn record_leaving(
         &self,
         vm: &ids::VmName,
@@ -205,7 +204,7 @@
         }
     }
 
-    /// Applies a notice that another node passed on; returns whether it is new here.
+    /// Marks a VM incarnation as leaving; returns whether that is new.
     pub(crate) fn merge_leaving(
         &self,
         vm: &ids::VmName,
@@ -226,7 +225,7 @@
         is_new
     }
 
-    /// Records that a start of a VM wants no request from this node for a while.
+    /// Records that a VM incarnation asked this node for a pause.
     pub(crate) fn record_pause(
         &self,
         vm: &ids::VmName,
@@ -253,7 +252,7 @@
         }
     }
 
-    /// Returns when the pause of a start of a VM ends, or ended.
+    /// Returns the end of the last pause of a VM incarnation; the boot time if it had none.
     pub(crate) fn pause_end(
         &self,
         vm: &ids::VmName,
--- a/crates/pier_edge/src/state/store_era.rs
+++ b/crates/pier_edge/src/state/era_clock.rs
@@ -3,18 +3,18 @@
 use std::{sync, time};
 
 use pier_types::{epochs, times};
+use tokio::sync::watch;
 
 use crate::{links, state};
 
-/// Time after a rise in which the operator and the VMs may not have written again what the copy
-/// lacks.
+/// Time that the operator and the VMs may need to write again what the copy lacks.
 const CATCH_UP_TIME: time::Duration = time::Duration::from_secs(5);
 
 /// The known era, and when it rose last.
 #[derive(Debug, Default)]
 pub(super) struct EraClock {
     known: sync::Mutex<Option<epochs::StoreEra>>,
-    risen_at: sync::Mutex<Option<times::BootTime>>,
+    risen_at: watch::Sender<Option<times::BootTime>>,
 }
 
 impl EraClock {
@@ -25,13 +25,13 @@
         *known = former.max(Some(era));
         let has_risen = former.is_some_and(|former| former < era);
         if has_risen {
-            *state::lock(&self.risen_at) = Some(now);
+            self.risen_at.send_replace(Some(now));
         }
         has_risen
     }
 
     fn is_catching_up(&self, now: times::BootTime) -> bool {
-        let risen_at = *state::lock(&self.risen_at);
+        let risen_at = *self.risen_at.borrow();
         risen_at.is_some_and(|at| now.since(at) < CATCH_UP_TIME)
     }
 }
@@ -44,9 +44,8 @@
             return;
         }
         log::warn!(event = "store-copy", era:% = version.era(); "");
-        self.with_registry(|registry| registry.note_store_copy(now));
-        self.crashes().restore();
-        self.shared.era_risen.notify_waiters();
+        self.with_registry(|registry| registry.note_store_copy(now.after(CATCH_UP_TIME), now));
+        self.crashes().write_again();
     }
 
     /// Returns whether the store has come back from a copy so recently that marks may be missing
@@ -55,7 +54,8 @@
         self.shared.era.is_catching_up(now)
     }
 
-    pub(crate) async fn wait_for_era(&self) {
-        self.shared.era_risen.notified().await;
+    /// Returns a receiver that changes when the store comes back from a copy from now on.
+    pub(crate) fn watch_era(&self) -> watch::Receiver<Option<times::BootTime>> {
+        self.shared.era.risen_at.subscribe()
     }
 }
--- a/crates/pier_edge/src/state/mod.rs
+++ b/crates/pier_edge/src/state/mod.rs
@@ -1,11 +1,11 @@
 //! The state that the parts of a node share.
 
 mod edge_state;
+mod era_clock;
 mod first_event_delays;
 mod pause_table;
 mod retry_budget;
 mod serving_table;
-mod store_era;
 mod store_view;
 mod table_builder;
 mod target_gauge;
--- a/crates/pier_edge/src/state/pause_table.rs
+++ b/crates/pier_edge/src/state/pause_table.rs
@@ -9,7 +9,10 @@
 /// Greatest part of a pause by which it is extended, so that nodes do not return in one instant.
 const SPREAD: f64 = 0.1;
 
-/// Keeps pauses by start of a VM, whatever group it serves.
+/// Most pauses that are kept; the one that ends first gives way to a further one.
+const MAX_PAUSES: usize = 4_096;
+
+/// Keeps pauses by VM incarnation, whatever group it serves.
 #[derive(Debug, Default)]
 pub(crate) struct PauseTable {
     ends: sync::Mutex<collections::BTreeMap<(ids::VmName, epochs::VmIncarnation), times::BootTime>>,
@@ -30,10 +33,17 @@
         ends.retain(|_target, end| now < *end);
         let known = ends.entry((vm.clone(), born)).or_insert(end);
         *known = end.max(*known);
-        *known
+        let end = *known;
+        if ends.len() > MAX_PAUSES {
+            let first = ends.iter().min_by_key(|(_target, end)| **end);
+            if let Some(target) = first.map(|(target, _end)| target.clone()) {
+                ends.remove(&target);
+            }
+        }
+        end
     }
 
-    /// Returns when the pause of this start of a VM ends, or ended.
+    /// Returns the end of the last pause of a VM incarnation; the boot time if it had none.
     pub(crate) fn end(&self, vm: &ids::VmName, born: epochs::VmIncarnation) -> times::BootTime {
         let ends = state::lock(&self.ends);
         ends.get(&(vm.clone(), born)).copied().unwrap_or_default()
--- a/crates/pier_edge/src/state/target_slot.rs
+++ b/crates/pier_edge/src/state/target_slot.rs
@@ -83,7 +83,7 @@
         }
     }
 
-    /// Lets the target get no further request; those that it runs go on.
+    /// Excludes the target from new requests; running ones continue.
     pub(crate) fn set_leaving(&self) {
         self.is_leaving.store(true, atomic::Ordering::Relaxed);
     }
@@ -93,12 +93,12 @@
         self.is_leaving.load(atomic::Ordering::Relaxed)
     }
 
-    /// Lets the target get no request until then.
+    /// Excludes the target from new requests until `end`.
     pub(crate) fn set_pause(&self, end: times::BootTime) {
         *lock(&self.paused_until) = end;
     }
 
-    /// Returns for how long the target is to get no request, or `None` if it may.
+    /// Returns how long the target is still excluded, or `None` if it takes requests.
     pub(crate) fn pause_left(&self, now: times::BootTime) -> Option<time::Duration> {
         let end = *lock(&self.paused_until);
         (now < end).then(|| end.since(now))
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -27,6 +27,7 @@
     stuck: Counter,
     losses: Family<Labels, Counter>,
     held_requests: Gauge,
+    held_parts: Gauge,
     leaving_targets: Counter,
     target_pauses: Counter,
     store_calls: Family<Labels, Counter>,
@@ -56,6 +57,7 @@
             stuck: Counter::default(),
             losses: Family::default(),
             held_requests: Gauge::default(),
+            held_parts: Gauge::default(),
             leaving_targets: Counter::default(),
             target_pauses: Counter::default(),
             store_calls: Family::default(),
@@ -149,6 +151,11 @@
             "Checks of targets that closed connections, by the cause found",
             self.losses.clone(),
         );
+        registry.register(
+            "held_prompt_parts",
+            "Sets of prompt parts held back because targets crashed under them",
+            self.held_parts.clone(),
+        );
         registry.register(
             "leaving_targets",
             "Targets that stated in an answer that they leave",
@@ -195,6 +202,12 @@
         self.target_pauses.inc();
     }
 
+    /// Sets how many sets of prompt parts are held back.
+    pub(crate) fn set_held_parts(&self, count: usize) {
+        self.held_parts
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts a target that stated in an answer that it leaves.
     pub(crate) fn count_leaving(&self) {
         self.leaving_targets.inc();
--- a/crates/pier_edge/tests/leaving_targets.rs
+++ b/crates/pier_edge/tests/leaving_targets.rs
@@ -53,8 +53,8 @@
     assert_eq!(target.requests().len(), before);
 }
 
-/// Guards against requests to a target whose leaving only its own answers tell, also while the
-/// store is away.
+/// Guards against requests to a target that announced only in its answers that it leaves, including
+/// while the store is unavailable.
 #[tokio::test]
 async fn a_target_gets_nothing_after_an_answer_that_says_it_leaves() {
     let (nodes, leaving) = fleet_that_learned(1).await;
@@ -65,8 +65,8 @@
     assert_unused(&nodes[0], &leaving, "/read/x").await;
 }
 
-/// Guards against a registration, written again without a word of the leaving, that brings the
-/// target back into use.
+/// Guards against a repeated registration without the leaving state that puts the target back into
+/// use.
 #[tokio::test]
 async fn a_renewed_registration_does_not_take_the_notice_back() {
     let (nodes, leaving) = fleet_that_learned(1).await;
@@ -82,7 +82,7 @@
     assert_unused(&nodes[0], &leaving, "/read/x").await;
 }
 
-/// Guards against a notice that outlives the start of the VM which gave it.
+/// Guards against an announcement that also applies to the VM's next incarnation.
 #[tokio::test]
 async fn the_next_start_of_the_vm_is_used_again() {
     let (nodes, leaving) = fleet_that_learned(1).await;
@@ -157,7 +157,7 @@
     }
 }
 
-/// Guards against a stream that is resumed at a target whose answer to another one says it leaves.
+/// Guards against resuming a stream at a target that announced in another answer that it leaves.
 #[tokio::test]
 async fn a_stream_is_not_resumed_at_a_leaving_group() {
     let events = |cut_in| Script::Events {
--- a/crates/pier_edge/tests/store_copies.rs
+++ b/crates/pier_edge/tests/store_copies.rs
@@ -101,41 +101,41 @@
     assert_served_meanwhile(&nodes[0]).await;
 }
 
-/// Guards against requests to a data centre whose mark the copy lacks.
-#[tokio::test]
-async fn a_data_centre_out_of_service_stays_so() {
+/// Starts a node whose data centre was taken out of service, on a store that then came back from a
+/// copy without that mark.
+async fn node_out_of_service() -> (TestNode, ScriptedTarget) {
     let target = ScriptedTarget::start(Script::Whole("done")).await;
     let platform = FakePlatform::default();
     let entries = vec![plain_entry("t0", target.address)];
-    let nodes = TestNode::start_fleet(1, platform.clone(), entries).await;
+    let mut nodes = TestNode::start_fleet(1, platform.clone(), entries).await;
     let copy = platform.copy();
     platform.take_out_of_service("dc-a");
     nodes[0].settle().await;
     platform.restore(copy);
+    (nodes.remove(0), target)
+}
+
+/// Guards against requests to a data centre whose mark the copy lacks.
+#[tokio::test]
+async fn a_data_centre_out_of_service_stays_so() {
+    let (node, target) = node_out_of_service().await;
     let started = time::Instant::now();
     while started.elapsed() < REWRITE_TIME {
-        assert_eq!(ask(&nodes[0], "/read/x", "").await.status(), 503);
+        assert_eq!(ask(&node, "/read/x", "").await.status(), 503);
         tokio::time::sleep(time::Duration::from_millis(50)).await;
     }
-    platform.take_out_of_service("dc-a");
+    node.platform.take_out_of_service("dc-a");
     tokio::time::sleep(time::Duration::from_secs(6)).await;
-    assert_eq!(ask(&nodes[0], "/read/x", "").await.status(), 503);
+    assert_eq!(ask(&node, "/read/x", "").await.status(), 503);
     assert!(target.requests().is_empty());
 }
 
-/// Guards against a mark that stays in force although the operator took it back before the copy.
+/// Guards against a mark that stays in force although the operator does not write it again.
 #[tokio::test]
 async fn a_mark_that_is_not_written_again_ends() {
-    let target = ScriptedTarget::start(Script::Whole("done")).await;
-    let platform = FakePlatform::default();
-    let entries = vec![plain_entry("t0", target.address)];
-    let nodes = TestNode::start_fleet(1, platform.clone(), entries).await;
-    let copy = platform.copy();
-    platform.take_out_of_service("dc-a");
-    nodes[0].settle().await;
-    platform.restore(copy);
+    let (node, _target) = node_out_of_service().await;
     tokio::time::sleep(time::Duration::from_secs(7)).await;
-    assert_eq!(ask(&nodes[0], "/read/x", "").await.status(), 200);
+    assert_eq!(ask(&node, "/read/x", "").await.status(), 200);
 }
 
 /// Guards against records of nodes, and a record of crashes, that are lost with the copy.
--- a/crates/pier_fleet/src/targets/target_registry.rs
+++ b/crates/pier_fleet/src/targets/target_registry.rs
@@ -12,10 +12,6 @@
 /// allows for delivery.
 const RESTORE_TIME: time::Duration = time::Duration::from_millis(2_200);
 
-/// How long after the store came back from a copy a registration may be older than a known one, so
-/// that it takes no notice of leaving back: a few times as long as VMs take to register anew.
-const COPY_LIFETIME: time::Duration = time::Duration::from_secs(5);
-
 /// How long the leaving of a VM is remembered when it has no registration: longer than a VM goes on
 /// after its notice.
 const NOTICE_LIFETIME: time::Duration = time::Duration::from_mins(15);
@@ -29,13 +25,14 @@
     store_returned_at: Option<times::BootTime>,
     notices: collections::BTreeMap<ids::VmName, LeavingNotice>,
     expired_at: times::BootTime,
-    copied_at: Option<times::BootTime>,
+    /// Until when a registration may be older than the known one.
+    copy_until: times::BootTime,
 }
 
-/// A VM's own word that it leaves.
+/// The announcement of a VM, in one of its answers, that it leaves.
 #[derive(Debug, Clone, Copy)]
 struct LeavingNotice {
-    /// The start of the VM that gave it.
+    /// The incarnation of the VM.
     born: epochs::VmIncarnation,
     noted_at: times::BootTime,
 }
@@ -52,10 +49,11 @@
         self.store_returned_at = Some(now);
     }
 
-    /// Records that the store has come back from an older copy of itself.
-    pub fn note_store_copy(&mut self, now: times::BootTime) {
+    /// Records that the store has come back from an older copy of itself, whose registrations may be
+    /// older than the known ones until `copy_until`.
+    pub fn note_store_copy(&mut self, copy_until: times::BootTime, now: times::BootTime) {
         self.note_store_return(now);
-        self.copied_at = Some(now);
+        self.copy_until = copy_until;
     }
 
     /// Adds or updates one registration.
@@ -65,10 +63,8 @@
         if let Some(known) = known {
             entry.standing = entry.standing.merge_known(&known.entry.standing);
             let is_same_start = known.entry.standing.born == entry.standing.born;
-            let is_from_copy = self
-                .copied_at
-                .is_some_and(|at| now.since(at) < COPY_LIFETIME);
-            entry.is_draining |= is_same_start && is_from_copy && known.entry.is_draining;
+            let may_be_older = now < self.copy_until;
+            entry.is_draining |= is_same_start && may_be_older && known.entry.is_draining;
         }
         entry.is_draining |= self.has_notice(&entry.vm, entry.standing.born);
         let unchanged = known.filter(|record| record.entry == entry);
@@ -83,8 +79,8 @@
         self.records.insert(record.entry.vm.clone(), record);
     }
 
-    /// Records that a start of a VM said itself that it leaves, whatever its registration says from
-    /// now on; returns whether that is new.
+    /// Records that a VM incarnation announced that it leaves, whatever its registration says from now
+    /// on; returns whether that is new.
     pub fn record_notice(
         &mut self,
         vm: &ids::VmName,
--- a/crates/pier_fleet/tests/registrations_survive_outages.rs
+++ b/crates/pier_fleet/tests/registrations_survive_outages.rs
@@ -154,7 +154,7 @@
     let mut leaving = entry(1, 0, targets::GroupPhase::Ready);
     leaving.is_draining = true;
     registry.put(leaving, at(0));
-    registry.note_store_copy(at(50));
+    registry.note_store_copy(at(5_050), at(50));
     registry.put(entry(1, 0, targets::GroupPhase::Ready), at(100));
     assert!(!registry.records()[&vm()].accepts_requests(at(100)));
     registry.put(entry(2, 0, targets::GroupPhase::Ready), at(200));
