Reproduce requests that are lost since a target is silent for a while

What callers see: a stream cut in its middle, or a 502, although the target is sound and goes on after 1.3 s; a stream cut because a new configuration no longer lists its service; an answer cut because its caller does not read for 3 s.

Own stand-ins: the scripted target can now fall silent and go on. Nothing of the product is changed here.

--- a/crates/pier_edge/tests/support/crashing_target.rs
+++ b/crates/pier_edge/tests/support/crashing_target.rs
@@ -233,9 +233,16 @@
             }
             tokio::time::sleep(RUN_TIME).await;
             let sent = atomic::AtomicUsize::default();
-            if scripted_target::answer_request(&mut stream, &self.script, &request, "", &sent)
-                .await
-                .is_none()
+            if scripted_target::answer_request(
+                &mut stream,
+                &self.script,
+                &request,
+                "",
+                &sent,
+                &scripted_target::Silence::default(),
+            )
+            .await
+            .is_none()
             {
                 if request.contains(CRASH_AFTER_MARKER) {
                     self.crash();
--- a/crates/pier_edge/tests/support/scripted_target.rs
+++ b/crates/pier_edge/tests/support/scripted_target.rs
@@ -61,6 +61,7 @@
     accepted: Arc<Mutex<u32>>,
     closed: Arc<Mutex<u32>>,
     headers: Arc<Mutex<String>>,
+    silent_until: Arc<Mutex<Option<time::Instant>>>,
 }
 
 impl ScriptedTarget {
@@ -73,6 +74,7 @@
             accepted: Arc::default(),
             closed: Arc::default(),
             headers: Arc::default(),
+            silent_until: Arc::default(),
         };
         let serving = target.clone();
         tokio::spawn(async move {
@@ -114,6 +116,12 @@
         self.set_headers("x-leaving: 1\r\n");
     }
 
+    /// Sends nothing for a while and then goes on, as a process does that was not scheduled.
+    pub fn fall_silent(&self, duration: time::Duration) {
+        let end = time::Instant::now() + duration;
+        *self.silent_until.lock().unwrap() = Some(end);
+    }
+
     /// Sets header lines that each answer has from now on.
     pub fn set_headers(&self, lines: &str) {
         lines.clone_into(&mut self.headers.lock().unwrap());
@@ -123,9 +131,17 @@
         while let Some(request) = read_request(&mut stream).await {
             self.requests.lock().unwrap().push(request.clone());
             let headers = self.headers.lock().unwrap().clone();
-            if answer_request(&mut stream, &script, &request, &headers, &self.sent)
-                .await
-                .is_none()
+            let silence = Silence(Arc::clone(&self.silent_until));
+            if answer_request(
+                &mut stream,
+                &script,
+                &request,
+                &headers,
+                &self.sent,
+                &silence,
+            )
+            .await
+            .is_none()
             {
                 return;
             }
@@ -133,6 +149,25 @@
     }
 }
 
+/// Until when a target sends nothing.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Silence(Arc<Mutex<Option<time::Instant>>>);
+
+impl Silence {
+    /// Waits until the silence is over, also one that began meanwhile.
+    async fn wait(&self) {
+        loop {
+            let end = *self.0.lock().unwrap();
+            match end {
+                Some(end) if end > time::Instant::now() => {
+                    tokio::time::sleep_until(end.into()).await;
+                }
+                _ => return,
+            }
+        }
+    }
+}
+
 /// Answers one request by a script with these header lines, and counts the bytes of an answer without end; returns `None`
 /// when the connection has to be closed.
 pub(super) async fn answer_request(
@@ -141,7 +176,9 @@
     request: &str,
     headers: &str,
     sent: &atomic::AtomicUsize,
+    silence: &Silence,
 ) -> Option<()> {
+    silence.wait().await;
     let attempt = header(request, "x-attempt").unwrap_or_default();
     let after = header(request, "x-after")
         .and_then(|id| id.parse().ok())
@@ -201,6 +238,7 @@
             );
             stream.write_all(text.as_bytes()).await.ok()?;
             for id in after + 1..=*last {
+                silence.wait().await;
                 if *silent_from == Some(id) {
                     return stay_silent(stream).await;
                 }
@@ -215,6 +253,7 @@
                 stream.write_all(chunk.as_bytes()).await.ok()?;
                 tokio::time::sleep(time::Duration::from_millis(*pause_ms)).await;
             }
+            silence.wait().await;
             stream.write_all(b"0\r\n\r\n").await.ok()
         }
     }
