Do not take the end of a target's quarantine for a new stall

What callers saw: a request sent to a target that has just gone on after a silence was answered 502, or its stream was cut, although the target answered it.

Cause: one watched flag said that a target is stuck. Taking the mark back changed the flag as well, and every request that had been sent to the target since the end of its quarantine woke up and took it for stuck. That window is up to one tick of the load loop, 40 ms.

Fix: the slot counts how often the target was found stuck. The count never goes back, so only a new stall wakes requests, and there is nothing to take back.

--- a/crates/pier_edge/src/peers/stall_watch.rs
+++ b/crates/pier_edge/src/peers/stall_watch.rs
@@ -39,7 +39,6 @@
             stuck.push(slot.vm.clone());
             continue;
         }
-        slot.restore();
         let load = slot.facts(Some((engine.as_ref(), pace)), now);
         let passes = dispatch::PassModel::new(engine, pace);
         let pass_time = passes
@@ -67,7 +66,7 @@
             );
             state.metrics().count_stuck();
             slot.gauge.set_stuck(now.after(STUCK_QUARANTINE));
-            slot.mark_broken();
+            slot.report_stuck();
             stuck.push(slot.vm.clone());
         }
     }
--- a/crates/pier_edge/src/serving/stream_relay/mod.rs
+++ b/crates/pier_edge/src/serving/stream_relay/mod.rs
@@ -22,7 +22,8 @@
 pub(super) struct StreamRelay<P> {
     job: serving::RequestJob<P>,
     call: serving::TargetCall,
-    broken: watch::Receiver<bool>,
+    /// Changes when the target is found stuck.
+    stuck: watch::Receiver<u64>,
     parts: mpsc::Sender<serving::StreamPart>,
     tried: Vec<ids::VmName>,
     sends: u32,
@@ -68,7 +69,7 @@
         progress: state::ProgressGuard<P>,
     ) -> Self {
         Self {
-            broken: call.slot.watch_broken(),
+            stuck: call.slot.watch_stuck(),
             last_event: job.head.last_event.clone(),
             last_at: call.sent_at,
             share: job.state.answer_budget().share(),
@@ -173,7 +174,7 @@
                 Some(Err(error)) => RelayStep::Closed(error.to_string()),
             },
             () = self.parts.closed() => RelayStep::CallerLeft,
-            _changed = self.broken.changed() => RelayStep::Stuck,
+            Ok(()) = self.stuck.changed() => RelayStep::Stuck,
             () = tokio::time::sleep(left) => RelayStep::TimeOver,
         }
     }
--- a/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
+++ b/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
@@ -78,7 +78,7 @@
                 );
                 self.sends += 1;
                 self.resumed += 1;
-                self.broken = slot.watch_broken();
+                self.stuck = slot.watch_stuck();
                 self.call = call;
                 if self.events > 0 {
                     self.call.guard.mark_started();
--- a/crates/pier_edge/src/state/table_builder.rs
+++ b/crates/pier_edge/src/state/table_builder.rs
@@ -62,7 +62,7 @@
             // A plain target that is no longer registered still finishes its requests; a group
             // that was formed again or lost a member cannot.
             if !is_current && slot.model.is_some() {
-                slot.mark_broken();
+                slot.report_stuck();
             }
             is_current
         });
--- a/crates/pier_edge/src/state/target_slot.rs
+++ b/crates/pier_edge/src/state/target_slot.rs
@@ -31,7 +31,8 @@
     pub cold_limiter: sync::Mutex<budgets::ColdLimiter>,
     pub cold: sync::Mutex<ColdLimit>,
     pub loss_check: crashes::LossCheck,
-    broken: watch::Sender<bool>,
+    /// How often this node found the target stuck.
+    stuck_count: watch::Sender<u64>,
     is_leaving: atomic::AtomicBool,
     paused_until: sync::Mutex<times::BootTime>,
 }
@@ -64,7 +65,7 @@
             cold_limiter: sync::Mutex::default(),
             cold: sync::Mutex::default(),
             loss_check: crashes::LossCheck::default(),
-            broken: watch::Sender::new(false),
+            stuck_count: watch::Sender::new(0),
             is_leaving: atomic::AtomicBool::new(false),
             paused_until: sync::Mutex::default(),
         }
@@ -105,21 +106,13 @@
     }
 
     /// Ends this node's requests at the target; those that may be repeated go on at another one.
-    pub(crate) fn mark_broken(&self) {
-        self.broken.send_replace(true);
+    pub(crate) fn report_stuck(&self) {
+        self.stuck_count.send_modify(|count| *count += 1);
     }
 
-    /// Clears the mark of [`Self::mark_broken`].
-    pub(crate) fn restore(&self) {
-        self.broken
-            .send_if_modified(|broken| std::mem::replace(broken, false));
-    }
-
-    /// Returns a receiver that changes when the target is marked as broken from now on.
-    pub(crate) fn watch_broken(&self) -> watch::Receiver<bool> {
-        let mut receiver = self.broken.subscribe();
-        receiver.mark_unchanged();
-        receiver
+    /// Returns a receiver that changes when the target is found stuck from now on.
+    pub(crate) fn watch_stuck(&self) -> watch::Receiver<u64> {
+        self.stuck_count.subscribe()
     }
 
     /// Returns the load as the choice of a target needs it.
