Keep the answer of a silent target while another one is tried

What callers saw: a stream cut in its middle, or a 502, because the target was silent for 0.4 to 0.9 s, although it was sound and went on. One-time streams were cut always; others when no other target was free for 1.5 s, the retry budget was empty or the route's sends were used up. A new document without a stream's service, or a group that was formed again, cut its streams the same way.

Cause: silence ended an answer. The stall detector ended every request at the target, and so did the patience with a whole answer; the request went on elsewhere only if somebody took it, and nobody listened to the target that had it.

Fix: silence is a reason to ask another target, never to end. OpenSends keeps the sends of a request that have no answer yet: when the newest target is silent another one is asked, the first answer counts, and the others' connections are closed. A stream does the same while it relays: the target that speaks first goes on, and a half-read event of the other one is dropped. A request that may run only once stays with its target. A request ends early only when no target has it any more. Each further send still takes from the route's sends and the retry budget.

--- a/crates/pier_edge/src/peers/stall_watch.rs
+++ b/crates/pier_edge/src/peers/stall_watch.rs
@@ -10,8 +10,8 @@
 /// How long a stuck target gets no new requests.
 const STUCK_QUARANTINE: time::Duration = time::Duration::from_secs(2);
 
-/// Returns the targets that make no progress, and ends this node's requests at newly found ones
-/// so that they move to other targets.
+/// Returns the targets that make no progress, and notifies this node's requests at newly found
+/// ones, so that they look for other targets.
 ///
 /// If `is_timely` is false, no new ones are found: the node itself stalled, and what the targets
 /// sent meanwhile has yet to be read.
--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -1,22 +1,22 @@
 //! Runs requests whose answers are read completely before they are forwarded.
 
-use std::time;
+use std::{sync, time};
 
 use http_body_util::BodyExt as _;
 use pier_types::{ids, times};
 
 use super::request_job::millis;
-use crate::{links, serving};
+use crate::{links, serving, state};
 
 /// Greatest size of an answer that is buffered.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
 /// Multiple of a target's mean answer time after which a repeatable request is sent to another
-/// one.
+/// one too.
 const SLOW_ANSWER_FACTOR: u32 = 6;
 
-/// Lower bound of that time-out.
-const MIN_SEND_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+/// Lower bound of that time.
+const MIN_PATIENCE: time::Duration = time::Duration::from_millis(300);
 
 /// Time before the deadline that is reserved for this node's own answer.
 const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(30);
@@ -24,48 +24,63 @@
 /// Unreachable targets after which a request is given up.
 const MAX_UNREACHED_TARGETS: usize = 3;
 
+/// When a caller may repeat a request that reached no target.
+const UNREACHED_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
+
 /// When a caller may repeat a request whose answer was lost: soon, as another target will get it.
 const LOST_RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
 
 /// The head and the complete body of an answer.
 pub(super) type BufferedAnswer = (http::response::Parts, bytes::Bytes);
 
+/// A send that has ended.
+#[derive(Debug)]
+struct EndedSend {
+    slot: sync::Arc<state::TargetSlot>,
+    taken: time::Duration,
+    result: Result<(http::response::Parts, bytes::Bytes, links::AnswerHead), serving::SendFault>,
+}
+
 /// Sends a request to one target after another until there is an answer to forward.
 pub(super) async fn run<P: links::FleetPlatform>(
     job: &serving::RequestJob<P>,
 ) -> Result<BufferedAnswer, serving::Refusal> {
     let mut progress = SendProgress::default();
+    let mut open = serving::OpenSends::default();
     loop {
         let now = times::clocks::boot_now();
-        if job.time_left(now) <= ANSWER_MARGIN {
-            return progress.give_up(serving::Refusal::TimedOut, job);
-        }
-        let slot = match job.choose(&progress.tried, false, now) {
-            serving::TargetChoice::Send { slot, .. } => slot,
-            serving::TargetChoice::Refuse(refusal) => return progress.give_up(refusal, job),
-        };
-        if progress.sends > 0 {
-            let nodes = job.state.with_peers(|peers| peers.sharing_nodes(now));
-            let has_budget = job.state.retries().take(&job.service, nodes, now);
-            if progress.sends >= job.route.max_sends || !has_budget {
-                return progress.give_up(serving::Refusal::Broken, job);
+        if open.needs_target() {
+            match progress.next_target(job, open.vms(), open.count(), now) {
+                Ok(slot) => {
+                    log_send(job, &slot);
+                    let left = job.time_left(now).saturating_sub(ANSWER_MARGIN);
+                    let patience = patience(job, &slot, left);
+                    open.push(&slot, patience, send(job, sync::Arc::clone(&slot), left));
+                }
+                Err(refusal) if open.is_empty() => return progress.give_up(refusal, job),
+                Err(serving::Refusal::Broken) => open.end_search(),
+                Err(_) => open.start_search(),
             }
         }
-        let limit = send_limit(job, &slot, progress.sends, now);
-        log::debug!(
-            event = "request-sent",
-            attempt = job.head.attempt.as_str(),
-            target_vm:% = slot.vm;
-            ""
-        );
-        let sent = send_once(job, &slot, limit).await;
-        progress.tried.push(slot.vm.clone());
-        let taken = times::clocks::boot_now().since(now);
-        match sent {
+        let ended = match open.next().await {
+            serving::SendEvent::Ended(ended) => ended,
+            serving::SendEvent::Search => continue,
+            serving::SendEvent::Silent(slot) => {
+                if job.may_leave_silent(&slot) {
+                    slot.gauge.record_answer(slot.gauge.answer_time(), true);
+                    open.start_search();
+                } else {
+                    open.end_search();
+                }
+                continue;
+            }
+        };
+        open.start_search();
+        match ended.result {
             Ok((head, body, answer)) => {
                 let is_failure = head.status.is_server_error();
-                slot.gauge
-                    .record_answer(taken, is_failure || answer.is_not_run);
+                let gauge = &ended.slot.gauge;
+                gauge.record_answer(ended.taken, is_failure || answer.is_not_run);
                 if answer.is_not_run {
                     progress.refused = true;
                     progress.sends += 1;
@@ -74,59 +89,114 @@
                     progress.answer = Some((head, body));
                 } else {
                     if head.status.is_success() {
-                        job.report_completion(&slot);
+                        job.report_completion(&ended.slot);
                     }
                     return Ok((head, body));
                 }
             }
             Err(fault) => {
-                log::info!(
-                    event = "send-failed",
-                    attempt = job.head.attempt.as_str(),
-                    fingerprint:% = job.fingerprint,
-                    target_vm:% = slot.vm,
-                    born:% = slot.born,
-                    fault:? = fault,
-                    taken_ms = millis(taken);
-                    ""
-                );
-                slot.gauge.record_answer(taken, true);
-                let reported = job.report_fault(&slot, &fault).await;
-                if fault.may_have_run() {
-                    progress.sends += 1;
-                    progress.may_have_run = true;
-                    if let Err(held) = reported {
-                        return progress.give_up(held, job);
-                    }
-                    if !job.route.repeat.may_repeat() {
-                        return progress.give_up(serving::Refusal::Broken, job);
-                    }
-                } else {
-                    progress.unreached += 1;
-                    if progress.unreached >= MAX_UNREACHED_TARGETS {
-                        let wait = time::Duration::from_millis(200);
-                        let refusal = serving::Refusal::NoTarget { retry_after: wait };
-                        return progress.give_up(refusal, job);
-                    }
+                progress
+                    .record_fault(job, &ended.slot, &fault, ended.taken)
+                    .await;
+                if fault.may_have_run() && !job.route.repeat.may_repeat() {
+                    return progress.give_up(serving::Refusal::Broken, job);
                 }
             }
         }
     }
 }
 
+fn log_send<P>(job: &serving::RequestJob<P>, slot: &state::TargetSlot) {
+    log::debug!(
+        event = "request-sent",
+        attempt = job.head.attempt.as_str(),
+        target_vm:% = slot.vm;
+        ""
+    );
+}
+
 /// The outcome of the sends so far.
 #[derive(Debug, Default)]
 struct SendProgress {
-    tried: Vec<ids::VmName>,
+    /// Ended sends that a target read or may have read.
     sends: u32,
     unreached: usize,
     may_have_run: bool,
     refused: bool,
+    /// Why the request must not be sent again.
+    held: Option<serving::Refusal>,
     /// A target's error answer, forwarded when no better answer comes.
     answer: Option<BufferedAnswer>,
 }
 
 impl SendProgress {
+    /// Chooses the target of the next send beside `open` sends without an answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason when no further send is possible now, or allowed at all.
+    fn next_target<P: links::FleetPlatform>(
+        &self,
+        job: &serving::RequestJob<P>,
+        tried: &[ids::VmName],
+        open: u32,
+        now: times::BootTime,
+    ) -> Result<sync::Arc<state::TargetSlot>, serving::Refusal> {
+        if job.time_left(now) <= ANSWER_MARGIN {
+            return Err(serving::Refusal::TimedOut);
+        }
+        if let Some(held) = &self.held {
+            return Err(held.clone());
+        }
+        if self.unreached >= MAX_UNREACHED_TARGETS {
+            return Err(serving::Refusal::NoTarget {
+                retry_after: UNREACHED_RETRY_AFTER,
+            });
+        }
+        let slot = match job.choose(tried, false, now) {
+            serving::TargetChoice::Send { slot, .. } => slot,
+            serving::TargetChoice::Refuse(refusal) => return Err(refusal),
+        };
+        let sends = self.sends + open;
+        if sends > 0 {
+            let nodes = job.state.with_peers(|peers| peers.sharing_nodes(now));
+            let has_budget = || job.state.retries().take(&job.service, nodes, now);
+            if sends >= job.route.max_sends || !has_budget() {
+                return Err(serving::Refusal::Broken);
+            }
+        }
+        Ok(slot)
+    }
+
+    /// Records a send that brought no answer.
+    async fn record_fault<P: links::FleetPlatform>(
+        &mut self,
+        job: &serving::RequestJob<P>,
+        slot: &sync::Arc<state::TargetSlot>,
+        fault: &serving::SendFault,
+        taken: time::Duration,
+    ) {
+        log::info!(
+            event = "send-failed",
+            attempt = job.head.attempt.as_str(),
+            fingerprint:% = job.fingerprint,
+            target_vm:% = slot.vm,
+            born:% = slot.born,
+            fault:? = fault,
+            taken_ms = millis(taken);
+            ""
+        );
+        slot.gauge.record_answer(taken, true);
+        let reported = job.report_fault(slot, fault).await;
+        if fault.may_have_run() {
+            self.sends += 1;
+            self.may_have_run = true;
+            self.held = reported.err();
+        } else {
+            self.unreached += 1;
+        }
+    }
+
     /// Ends the request with a target's error answer, or else with the refusal that says whether
     /// it may have run.
     fn give_up<P>(
@@ -166,24 +236,37 @@
     }
 }
 
-/// Returns the time-out for one send: the remaining time if no other send may follow it.
-fn send_limit<P: links::FleetPlatform>(
+/// Returns after which time a target counts as silent, so that another one is asked too.
+fn patience<P: links::FleetPlatform>(
     job: &serving::RequestJob<P>,
-    slot: &crate::state::TargetSlot,
-    sends: u32,
-    now: times::BootTime,
+    slot: &state::TargetSlot,
+    left: time::Duration,
 ) -> time::Duration {
-    let left = job.time_left(now).saturating_sub(ANSWER_MARGIN);
-    if !job.route.repeat.may_repeat() || sends + 1 >= job.route.max_sends {
+    if !job.route.repeat.may_repeat() {
         return left;
     }
-    let timeout = (slot.gauge.answer_time() * SLOW_ANSWER_FACTOR).max(MIN_SEND_TIMEOUT);
-    left.min(timeout)
+    let patience = (slot.gauge.answer_time() * SLOW_ANSWER_FACTOR).max(MIN_PATIENCE);
+    left.min(patience)
+}
+
+async fn send<P: links::FleetPlatform>(
+    job: &serving::RequestJob<P>,
+    slot: sync::Arc<state::TargetSlot>,
+    limit: time::Duration,
+) -> EndedSend {
+    let started = times::clocks::boot_now();
+    let result = send_once(job, &slot, limit).await;
+    let taken = times::clocks::boot_now().since(started);
+    EndedSend {
+        slot,
+        taken,
+        result,
+    }
 }
 
 async fn send_once<P: links::FleetPlatform>(
     job: &serving::RequestJob<P>,
-    slot: &std::sync::Arc<crate::state::TargetSlot>,
+    slot: &sync::Arc<state::TargetSlot>,
     limit: time::Duration,
 ) -> Result<(http::response::Parts, bytes::Bytes, links::AnswerHead), serving::SendFault> {
     let started = times::clocks::boot_now();
--- a/crates/pier_edge/src/serving/loss_report.rs
+++ b/crates/pier_edge/src/serving/loss_report.rs
@@ -43,7 +43,7 @@
         match fault {
             serving::SendFault::MayHaveRun(_) => self.report_closed(slot).await,
             serving::SendFault::TooLarge(limit) => self.report_too_large(slot, *limit),
-            serving::SendFault::Stuck | serving::SendFault::TimedOut => self.report_silent(slot),
+            serving::SendFault::TimedOut => self.report_silent(slot),
             serving::SendFault::Unreached(_) | serving::SendFault::NotSent(_) => Ok(()),
         }
     }
@@ -119,7 +119,7 @@
         cause == Ok(Some(quarantine::LossCause::ProcessLost))
     }
 
-    /// Reports a target that no longer answers; whether it crashed shows when it registers again.
+    /// Reports a target that is silent; whether it crashed shows when it registers again.
     ///
     /// # Errors
     ///
@@ -136,6 +136,23 @@
         self.check_held()
     }
 
+    /// Reports a target that is silent, and returns whether the request may be sent to another one
+    /// meanwhile.
+    pub(super) fn may_leave_silent(&self, slot: &sync::Arc<state::TargetSlot>) -> bool {
+        let is_held = self.report_silent(slot).is_err();
+        let may_leave = self.route.repeat.may_repeat() && !is_held;
+        log::info!(
+            event = "target-silent",
+            attempt = self.head.attempt.as_str(),
+            fingerprint:% = self.fingerprint,
+            target_vm:% = slot.vm,
+            born:% = slot.born,
+            looks_elsewhere = may_leave;
+            ""
+        );
+        may_leave
+    }
+
     fn loss(&self, slot: &state::TargetSlot) -> crashes::RequestLoss {
         crashes::RequestLoss {
             fingerprint: self.fingerprint,
--- a/crates/pier_edge/src/serving/send_fault.rs
+++ b/crates/pier_edge/src/serving/send_fault.rs
@@ -13,8 +13,6 @@
     MayHaveRun(String),
     /// The answer exceeded a limit, and the connection was closed.
     TooLarge(serving::AnswerLimit),
-    /// The target was found stuck, or its group no longer serves.
-    Stuck,
     /// No answer came within the time for this send.
     TimedOut,
 }
@@ -24,7 +22,7 @@
     pub(super) const fn may_have_run(&self) -> bool {
         matches!(
             self,
-            Self::MayHaveRun(_) | Self::TooLarge(_) | Self::Stuck | Self::TimedOut
+            Self::MayHaveRun(_) | Self::TooLarge(_) | Self::TimedOut
         )
     }
 }
--- a/crates/pier_edge/src/serving/stream_relay/mod.rs
+++ b/crates/pier_edge/src/serving/stream_relay/mod.rs
@@ -2,9 +2,10 @@
 
 mod stream_resume;
 
-use std::time;
+use std::{sync, time};
 
 use http_body_util::BodyExt as _;
+use hyper::body::{Bytes, Frame};
 use pier_types::{ids, times};
 use tokio::sync::{mpsc, watch};
 
@@ -20,7 +21,7 @@
 /// Forwards one stream from its target to the caller.
 #[derive(Debug)]
 pub(super) struct StreamRelay<P> {
-    job: serving::RequestJob<P>,
+    job: sync::Arc<serving::RequestJob<P>>,
     call: serving::TargetCall,
     /// Changes when the target is found stuck.
     stuck: watch::Receiver<u64>,
@@ -53,8 +54,8 @@
     Closed(String),
     /// The stream exceeds a limit.
     TooLarge(serving::AnswerLimit),
-    /// The target is silent, or its group no longer serves.
-    Stuck,
+    /// The target is silent, or its group no longer serves; it may be sound and go on.
+    Silent,
     CallerLeft,
     TimeOver,
 }
@@ -73,7 +74,7 @@
             last_event: job.head.last_event.clone(),
             last_at: call.sent_at,
             share: job.state.answer_budget().share(),
-            job,
+            job: sync::Arc::new(job),
             call,
             parts,
             tried,
@@ -98,8 +99,13 @@
 
     /// Forwards events until the stream ends.
     pub(super) async fn run(mut self) {
+        let mut next = None;
         let outcome = loop {
-            match self.step().await {
+            let step = match next.take() {
+                Some(step) => step,
+                None => self.step().await,
+            };
+            match step {
                 RelayStep::Data(data) => {
                     if !self.forward(&data).await {
                         break "caller-left";
@@ -129,11 +135,9 @@
                         break "cut";
                     }
                 }
-                RelayStep::Stuck => {
-                    self.log_loss("the target is stuck");
-                    let reported = self.job.report_silent(&self.call.slot);
-                    if reported.is_err() || !self.resume().await {
-                        break "cut";
+                RelayStep::Silent => {
+                    if self.job.may_leave_silent(&self.call.slot) {
+                        next = self.race().await;
                     }
                 }
             }
@@ -165,20 +169,25 @@
     async fn step(&mut self) -> RelayStep {
         let left = self.job.time_left(times::clocks::boot_now());
         tokio::select! {
-            frame = self.call.body.frame() => match frame {
-                None => self.body_end().await,
-                Some(Ok(frame)) => {
-                    let data = frame.into_data().unwrap_or_else(|_trailers| bytes::Bytes::new());
-                    self.accept(data)
-                }
-                Some(Err(error)) => RelayStep::Closed(error.to_string()),
-            },
+            frame = self.call.body.frame() => self.frame_step(frame).await,
             () = self.parts.closed() => RelayStep::CallerLeft,
-            Ok(()) = self.stuck.changed() => RelayStep::Stuck,
+            Ok(()) = self.stuck.changed() => RelayStep::Silent,
             () = tokio::time::sleep(left) => RelayStep::TimeOver,
         }
     }
 
+    /// Returns what a part of the target's body, or its end, means.
+    async fn frame_step(&mut self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> RelayStep {
+        match frame {
+            None => self.body_end().await,
+            Some(Ok(frame)) => {
+                let data = frame.into_data().unwrap_or_else(|_trailers| Bytes::new());
+                self.accept(data)
+            }
+            Some(Err(error)) => RelayStep::Closed(error.to_string()),
+        }
+    }
+
     /// Returns bytes of the target's body as data if they keep the limits.
     fn accept(&mut self, data: bytes::Bytes) -> RelayStep {
         let buffered = self.splitter.len();
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -1,6 +1,6 @@
 //! Runs requests that are answered with a stream of events.
 
-use std::time;
+use std::{sync, time};
 
 use pier_types::{ids, times};
 use tokio::sync::mpsc;
@@ -33,60 +33,104 @@
     Whole(http::response::Parts, bytes::Bytes),
 }
 
+/// A send that has ended or begun to be answered.
+#[derive(Debug)]
+struct EndedSend {
+    slot: sync::Arc<state::TargetSlot>,
+    expected: time::Duration,
+    result: Result<AnswerStart, serving::SendFault>,
+}
+
+/// The beginning of a target's answer.
+#[derive(Debug)]
+enum AnswerStart {
+    Stream(Box<serving::TargetCall>),
+    Whole(http::response::Parts, bytes::Bytes),
+    /// The target states that it has not run the request.
+    NotRun(Box<serving::TargetCall>),
+}
+
 /// Sends a request to one target after another until a stream begins.
 pub(super) async fn run<P: links::FleetPlatform>(
     job: serving::RequestJob<P>,
     progress: state::ProgressGuard<P>,
 ) -> Result<StreamStart, serving::Refusal> {
     let mut sends = StreamSends::default();
+    let mut open = serving::OpenSends::default();
     loop {
         let now = times::clocks::boot_now();
-        if job.time_left(now) <= ANSWER_MARGIN {
-            return Err(sends.final_refusal(&job, serving::Refusal::TimedOut));
-        }
-        // A request whose target was lost has missed its objective; a late answer is still better
-        // than none, so it is chosen like a resumed stream.
-        let (slot, expected) = match job.choose(&sends.tried, sends.may_have_run, now) {
-            serving::TargetChoice::Send { slot, expected } => (slot, expected),
-            serving::TargetChoice::Refuse(refusal) => {
-                return Err(sends.final_refusal(&job, refusal));
+        if open.needs_target() {
+            match sends.next_target(&job, open.vms(), open.count(), now) {
+                Ok((slot, expected)) => {
+                    log_send(&job, &slot, expected);
+                    let limit = job.time_left(now).saturating_sub(ANSWER_MARGIN);
+                    let sending = send(&job, sync::Arc::clone(&slot), expected, limit);
+                    open.push(&slot, limit, sending);
+                }
+                Err(refusal) if open.is_empty() => {
+                    return Err(sends.final_refusal(&job, refusal));
+                }
+                Err(serving::Refusal::Broken) => open.end_search(),
+                Err(_) => open.start_search(),
             }
-        };
-        if !sends.may_send_again(&job, now) {
-            return Err(sends.final_refusal(&job, serving::Refusal::Broken));
         }
-        log_send(&job, &slot, expected);
-        sends.tried.push(slot.vm.clone());
-        let limit = job.time_left(now).saturating_sub(ANSWER_MARGIN);
-        let fault = match serving::TargetCall::send(&job, &slot, None, limit).await {
-            Ok(call) if call.answer.is_not_run => {
-                sends.record_refusal(&job, &call);
+        let ended = match open.next().await {
+            serving::SendEvent::Ended(ended) => ended,
+            serving::SendEvent::Search => continue,
+            serving::SendEvent::Silent(slot) => {
+                if job.may_leave_silent(&slot) {
+                    open.start_search();
+                } else {
+                    open.end_search();
+                }
                 continue;
             }
-            Ok(call) if !call.answer.is_genuine => {
-                let reason = "the answer lacks the target's mark for this attempt".to_owned();
-                serving::SendFault::MayHaveRun(reason)
-            }
-            Ok(call) if call.head.status.is_success() => {
+        };
+        open.start_search();
+        match ended.result {
+            Ok(AnswerStart::Stream(call)) => {
+                let tried = open.vms().to_vec();
+                let count = sends.count + open.count() + 1;
+                // Closes the connections to the other targets.
+                drop(open);
                 let (sender, receiver) = mpsc::channel(STREAM_BUFFER_CHUNKS);
                 let head = call.head.clone();
-                let (tried, count) = (sends.tried, sends.count + 1);
-                let relay = serving::StreamRelay::new(job, call, sender, tried, count, progress)
-                    .with_expected(expected);
+                let relay = serving::StreamRelay::new(job, *call, sender, tried, count, progress)
+                    .with_expected(ended.expected);
                 tokio::spawn(relay.run());
                 return Ok(StreamStart::Stream(head, receiver));
             }
-            Ok(call) => match read_whole_answer(&job, call).await {
-                Ok(start) => return Ok(start),
-                Err(fault) => fault,
-            },
-            Err(fault) => fault,
-        };
-        let reported = job.report_fault(&slot, &fault).await;
-        sends.record_fault(&job, &slot, &fault)?;
-        if let Err(held) = reported {
-            return Err(sends.final_refusal(&job, held));
+            Ok(AnswerStart::Whole(head, body)) => return Ok(StreamStart::Whole(head, body)),
+            Ok(AnswerStart::NotRun(call)) => sends.record_refusal(&job, &call),
+            Err(fault) => {
+                let reported = job.report_fault(&ended.slot, &fault).await;
+                sends.record_fault(&job, &ended.slot, &fault)?;
+                sends.held = reported.err();
+            }
+        }
+    }
+}
+
+async fn send<P: links::FleetPlatform>(
+    job: &serving::RequestJob<P>,
+    slot: sync::Arc<state::TargetSlot>,
+    expected: time::Duration,
+    limit: time::Duration,
+) -> EndedSend {
+    let result = match serving::TargetCall::send(job, &slot, None, limit).await {
+        Ok(call) if call.answer.is_not_run => Ok(AnswerStart::NotRun(Box::new(call))),
+        Ok(call) if !call.answer.is_genuine => {
+            let reason = "the answer lacks the target's mark for this attempt".to_owned();
+            Err(serving::SendFault::MayHaveRun(reason))
         }
+        Ok(call) if call.head.status.is_success() => Ok(AnswerStart::Stream(Box::new(call))),
+        Ok(call) => read_whole_answer(job, call).await,
+        Err(fault) => Err(fault),
+    };
+    EndedSend {
+        slot,
+        expected,
+        result,
     }
 }
 
@@ -94,7 +138,7 @@
 async fn read_whole_answer<P: links::FleetPlatform>(
     job: &serving::RequestJob<P>,
     mut call: serving::TargetCall,
-) -> Result<StreamStart, serving::SendFault> {
+) -> Result<AnswerStart, serving::SendFault> {
     let left = job.time_left(times::clocks::boot_now());
     let share = job.state.answer_budget().share();
     let reading = buffered_run::read_whole(&mut call.body, share);
@@ -106,7 +150,7 @@
     }
     let head = call.head.clone();
     call.finish();
-    Ok(StreamStart::Whole(head, body))
+    Ok(AnswerStart::Whole(head, body))
 }
 
 fn log_send<P: links::FleetPlatform>(
@@ -129,25 +173,52 @@
 /// The outcome of the sends so far.
 #[derive(Debug, Default)]
 struct StreamSends {
-    tried: Vec<ids::VmName>,
-    /// Sends that a target read or may have read.
+    /// Ended sends that a target read or may have read.
     count: u32,
     unreached: u32,
     may_have_run: bool,
+    /// Why the request must not be sent again.
+    held: Option<serving::Refusal>,
 }
 
 impl StreamSends {
-    /// Returns whether the route and the retry budget allow the next send.
-    fn may_send_again<P: links::FleetPlatform>(
+    /// Chooses the target of the next send beside `open` sends without an answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason when no further send is possible now, or allowed at all.
+    fn next_target<P: links::FleetPlatform>(
         &self,
         job: &serving::RequestJob<P>,
+        tried: &[ids::VmName],
+        open: u32,
         now: times::BootTime,
-    ) -> bool {
-        if self.count == 0 {
-            return true;
+    ) -> Result<(sync::Arc<state::TargetSlot>, time::Duration), serving::Refusal> {
+        if job.time_left(now) <= ANSWER_MARGIN {
+            return Err(serving::Refusal::TimedOut);
+        }
+        if let Some(held) = &self.held {
+            return Err(held.clone());
+        }
+        if self.unreached >= MAX_UNREACHED_TARGETS {
+            return Err(serving::Refusal::Broken);
+        }
+        // A request whose target was lost has missed its objective; a late answer is still better
+        // than none, so it is chosen like a resumed stream.
+        let is_late = self.may_have_run || open > 0;
+        let chosen = match job.choose(tried, is_late, now) {
+            serving::TargetChoice::Send { slot, expected } => (slot, expected),
+            serving::TargetChoice::Refuse(refusal) => return Err(refusal),
+        };
+        let sends = self.count + open;
+        if sends > 0 {
+            let nodes = job.state.with_peers(|peers| peers.sharing_nodes(now));
+            let has_budget = || job.state.retries().take(&job.service, nodes, now);
+            if sends >= job.route.max_sends || !has_budget() {
+                return Err(serving::Refusal::Broken);
+            }
         }
-        let nodes = job.state.with_peers(|peers| peers.sharing_nodes(now));
-        self.count < job.route.max_sends && job.state.retries().take(&job.service, nodes, now)
+        Ok(chosen)
     }
 
     fn record_refusal<P: links::FleetPlatform>(
@@ -196,9 +267,6 @@
             return Ok(());
         }
         self.unreached += 1;
-        if self.unreached >= MAX_UNREACHED_TARGETS {
-            return Err(self.final_refusal(job, serving::Refusal::Broken));
-        }
         Ok(())
     }
 
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -36,7 +36,6 @@
         after_event: Option<&str>,
         limit: time::Duration,
     ) -> Result<Self, serving::SendFault> {
-        let mut stuck = slot.watch_stuck();
         let age = if job.route.repeat.may_repeat() {
             time::Duration::MAX
         } else {
@@ -64,7 +63,6 @@
         let request: http::Request<Full<bytes::Bytes>> = job.target_request(slot, after_event, now);
         let response = tokio::select! {
             response = connection.sender.try_send_request(request) => response,
-            Ok(()) = stuck.changed() => return Err(serving::SendFault::Stuck),
             () = tokio::time::sleep(limit) => return Err(serving::SendFault::TimedOut),
         };
         let response = response.map_err(|mut fault| {
--- a/crates/pier_edge/src/state/table_builder.rs
+++ b/crates/pier_edge/src/state/table_builder.rs
@@ -60,7 +60,7 @@
         slots.retain(|key, slot| {
             let is_current = current.contains(key);
             // A plain target that is no longer registered still finishes its requests; a group
-            // that was formed again or lost a member cannot.
+            // that was formed again or lost a member may not.
             if !is_current && slot.model.is_some() {
                 slot.report_stuck();
             }
--- a/crates/pier_edge/src/state/target_slot.rs
+++ b/crates/pier_edge/src/state/target_slot.rs
@@ -105,7 +105,8 @@
         (now < end).then(|| end.since(now))
     }
 
-    /// Ends this node's requests at the target; those that may be repeated go on at another one.
+    /// Notifies this node's requests at the target that it is stuck, or that its group no longer
+    /// serves, so that they look for another one.
     pub(crate) fn report_stuck(&self) {
         self.stuck_count.send_modify(|count| *count += 1);
     }
