Keep connections through a silence of a few seconds

What callers see: an answer is cut when its caller does not read for 2 s, and a request that waits for its answer is lost when one keep-alive probe goes unanswered.

Cause: TCP_USER_TIMEOUT was 2 s on the connections of callers and targets. It bounds how long a window may stay closed, and it decides over keep-alive too: with probes after 1 s, one unanswered probe ended a connection at 2 s, whatever the count of probes.

Fix: 5 s, so that four probes have to go unanswered, and a silence of up to 4 s anywhere between two of them is survived. A target that is silent for good is found by the stall detector and the patience with answers; this time-out only frees what waits for it, and the requests that may run once, whose callers wait 4 s.

an_answer_waits_for_a_caller_that_does_not_read failed before and passes now. That a probe is lost has no test here, as the loopback device loses none; the closed window is the same time-out.

--- a/crates/pier_edge/src/serving/connection_pool.rs
+++ b/crates/pier_edge/src/serving/connection_pool.rs
@@ -18,8 +18,9 @@
 /// Time-out for opening a connection to a target: several network delays between data centres.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(350);
 
-/// A connection ends when sent bytes stay unacknowledged for this long.
-const UNACKED_TIMEOUT: time::Duration = time::Duration::from_secs(2);
+/// A connection ends when sent bytes stay unacknowledged, or the peer's window stays closed, for
+/// this long. It also decides after how many unanswered keep-alive probes a connection ends.
+const UNACKED_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
 /// Interval between TCP keep-alive probes; the kernel takes whole seconds.
 const KEEPALIVE_INTERVAL: time::Duration = time::Duration::from_secs(1);
