--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -35,6 +35,8 @@
     is_away: bool,
     hides_nodes: bool,
     refuses_nodes: bool,
+    silent_until: collections::BTreeMap<String, time::Instant>,
+    orders: Vec<formation::GroupOrder>,
 }
 
 /// The content of a store at some moment.
@@ -106,6 +108,30 @@
         self.change(|state, _version| state.is_away = is_away);
     }
 
+    /// Leaves a VM's queries and orders unanswered for a while.
+    pub fn silence_vm(&self, vm: &str, duration: time::Duration) {
+        let end = time::Instant::now() + duration;
+        let mut state = self.shared.state.lock().unwrap();
+        state.silent_until.insert(vm.to_owned(), end);
+    }
+
+    /// Returns the orders that VMs were sent.
+    pub fn orders(&self) -> Vec<formation::GroupOrder> {
+        self.shared.state.lock().unwrap().orders.clone()
+    }
+
+    /// Waits while a VM is silent; returns whether it answers within the limit.
+    async fn wait_for_vm(&self, vm: &ids::VmName, limit: time::Duration) -> bool {
+        let end = {
+            let state = self.shared.state.lock().unwrap();
+            state.silent_until.get(vm.as_str()).copied()
+        };
+        let now = time::Instant::now();
+        let left = end.map_or(time::Duration::ZERO, |end| end.duration_since(now));
+        tokio::time::sleep(left.min(limit)).await;
+        left < limit
+    }
+
     /// Refuses to list the records of nodes, or lists them again.
     pub fn refuse_nodes(&self, refuses: bool) {
         self.change(|state, _version| state.refuses_nodes = refuses);
@@ -266,8 +292,11 @@
         &self,
         vm: &ids::VmName,
         _address: net::SocketAddr,
-        _limit: time::Duration,
+        limit: time::Duration,
     ) -> Result<links::MemberReport, String> {
+        if !self.wait_for_vm(vm, limit).await {
+            return Err("no answer in time".to_owned());
+        }
         let state = self.shared.state.lock().unwrap();
         let (_version, entry) = state.targets.get(vm.as_str()).ok_or("no such VM")?;
         Ok(links::MemberReport {
@@ -278,10 +307,14 @@
 
     async fn order(
         &self,
-        _order: &formation::GroupOrder,
+        order: &formation::GroupOrder,
         _address: net::SocketAddr,
-        _limit: time::Duration,
+        limit: time::Duration,
     ) -> links::OrderOutcome {
+        self.shared.state.lock().unwrap().orders.push(order.clone());
+        if !self.wait_for_vm(&order.vm, limit).await {
+            return links::OrderOutcome::Lost("no answer in time".to_owned());
+        }
         links::OrderOutcome::Unknown(400)
     }
 }
--- a/crates/pier_edge/tests/support/mod.rs
+++ b/crates/pier_edge/tests/support/mod.rs
@@ -18,5 +18,5 @@
 pub use raw_caller::{RawAnswer, RawCaller};
 pub use scripted_target::{Script, ScriptedTarget};
 pub use test_node::{
-    GROUP_MODEL, KEY, TestNode, document, free_address, group_member, node_with, plain_entry,
+    GROUP_MODEL, KEY, TestNode, document, free_address, group_member, node_with, plain_entry, route,
 };
--- a/crates/pier_edge/tests/support/raw_caller.rs
+++ b/crates/pier_edge/tests/support/raw_caller.rs
@@ -54,15 +54,21 @@
             .expect("no answer in 15 s")
     }
 
-    async fn read_answer(&mut self) -> RawAnswer {
-        let head = loop {
+    /// Reads the head of one answer.
+    pub async fn head(&mut self) -> String {
+        loop {
             let text = String::from_utf8_lossy(&self.read).into_owned();
             if let Some((head, _rest)) = text.split_once("\r\n\r\n") {
+                let head = head.to_owned();
                 self.read.drain(..head.len() + 4);
-                break head.to_owned();
+                return head;
             }
             assert!(self.more().await, "the connection ended before an answer");
-        };
+        }
+    }
+
+    async fn read_answer(&mut self) -> RawAnswer {
+        let head = self.head().await;
         let mut answer = RawAnswer {
             head,
             body: String::new(),
--- a/crates/pier_edge/tests/support/scripted_target.rs
+++ b/crates/pier_edge/tests/support/scripted_target.rs
@@ -39,6 +39,11 @@
     Silent,
     /// States that it has not run the request.
     NotRun,
+    /// A complete answer of its own that states a failure.
+    Failure,
+    /// The head of a stream and this many events, after which it is silent and then closes the
+    /// connection.
+    Breaks { events: u32, silent_ms: u64 },
     /// Numbered events up to the last one, with a pause between them. Starts after the event that
     /// the request names.
     Events {
@@ -227,6 +232,25 @@
             );
             stream.write_all(text.as_bytes()).await.ok()
         }
+        Script::Failure => {
+            let text = format!(
+                "HTTP/1.1 500 Failed\r\nx-attempt: {attempt}\r\n{headers}content-length: 0\r\n\r\n"
+            );
+            stream.write_all(text.as_bytes()).await.ok()
+        }
+        Script::Breaks { events, silent_ms } => {
+            let text = format!(
+                "{head}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
+            );
+            stream.write_all(text.as_bytes()).await.ok()?;
+            for id in after + 1..=*events {
+                let event = format!("id: {id}\ndata: part {id}\n\n");
+                let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+                stream.write_all(chunk.as_bytes()).await.ok()?;
+            }
+            tokio::time::sleep(time::Duration::from_millis(*silent_ms)).await;
+            None
+        }
         Script::Events {
             last,
             pause_ms,
--- a/crates/pier_edge/tests/support/test_node.rs
+++ b/crates/pier_edge/tests/support/test_node.rs
@@ -44,12 +44,17 @@
 
     /// Starts a node of this name on a platform that other nodes may share.
     pub async fn start_on(platform: FakePlatform, name: &str) -> Self {
+        Self::start_with_burst(platform, name, 100).await
+    }
+
+    /// Starts a node whose retry budget has this burst.
+    pub async fn start_with_burst(platform: FakePlatform, name: &str, burst: u32) -> Self {
         let (callers, readiness) = (free_address(), free_address());
         let text = format!(
             "[node]\nname = {name}\ndata_centre = dc-a\ndata_centres = dc-a,dc-b\n\
              [listen]\ncallers = {callers}\nreadiness = {readiness}\npeers = {}\nmetrics = {}\n\
              [platform]\nstore = 127.0.0.1:9\n[limits]\nmemory_mib = 200\n\
-             [bounds]\ngrace_seconds = 8\nretry_ratio = 0.2\nretry_burst = 100\n\
+             [bounds]\ngrace_seconds = 8\nretry_ratio = 0.2\nretry_burst = {burst}\n\
              retry_window_seconds = 10\n[log]\nlevel = info\n",
             free_address(),
             free_address()
@@ -153,7 +158,7 @@
     entry
 }
 
-fn route(
+pub fn route(
     prefix: &str,
     repeat: documents::RepeatRule,
     service: &str,
