Take each further send of a stream from the retry budget

What services saw: a stream whose target was silent was sent to several others although the retry budget allowed one repeat.

Cause: the search for another target keeps its permit after a target has taken the stream on. When that one failed before its first event, the next send used the same permit.

Fix: a permit is used up by the send that it was taken for, and given back only if nothing was sent.

--- a/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
+++ b/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
@@ -237,13 +237,13 @@
         let left = self.job.time_left(times::clocks::boot_now());
         // Counted in advance, as the caller may drop this future once the request was written.
         self.sends += 1;
+        self.has_permit = false;
         let mut stuck = slot.watch_stuck();
         let may_send = self.may_send();
         let sending = serving::TargetCall::send(&self.job, slot, self.after.as_deref(), left);
         let sent = tokio::select! {
             sent = sending => sent,
             Ok(()) = stuck.changed(), if may_send => {
-                self.has_permit = false;
                 self.is_held |= !self.job.may_leave_silent(slot);
                 return None;
             }
@@ -258,17 +258,15 @@
                     status = call.head.status.as_u16();
                     ""
                 );
-                self.has_permit = false;
                 None
             }
             Err(fault) => {
                 let reported = self.job.report_fault(slot, &fault).await;
                 log_failed(&self.job, slot, &format!("{fault:?}"));
                 self.is_held |= reported.is_err();
-                if fault.may_have_run() {
-                    self.has_permit = false;
-                } else {
+                if !fault.may_have_run() {
                     self.sends -= 1;
+                    self.has_permit = true;
                 }
                 None
             }
