Send no request to a third target while the second one works

What services saw: when a silent target failed at last, a request that another target was working on was sent to a third one at once, out of the route's sends and the retry budget.

Cause: the end of any send began a search, whichever it was.

Fix: the end of an older send begins no search while the newest target still has its time; the timer of that time is kept instead of made anew with each event.

--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -75,7 +75,7 @@
                 continue;
             }
         };
-        open.start_search();
+        open.replace(&ended.slot);
         match ended.result {
             Ok((head, body, answer)) => {
                 let is_failure = head.status.is_server_error();
--- a/crates/pier_edge/src/serving/open_sends.rs
+++ b/crates/pier_edge/src/serving/open_sends.rs
@@ -1,6 +1,6 @@
 //! The sends of one request that have brought no answer yet.
 
-use std::{future, sync, time};
+use std::{future, pin, sync, time};
 
 use futures_util::{StreamExt as _, stream};
 use pier_types::ids;
@@ -40,7 +40,7 @@
     Waiting {
         slot: sync::Arc<state::TargetSlot>,
         stuck: watch::Receiver<u64>,
-        patience: time::Duration,
+        patience: pin::Pin<Box<tokio::time::Sleep>>,
     },
     Searching,
     /// No other target may be asked.
@@ -88,10 +88,22 @@
         self.search = TargetSearch::Waiting {
             slot: sync::Arc::clone(slot),
             stuck: slot.watch_stuck(),
-            patience,
+            patience: Box::pin(tokio::time::sleep(patience)),
         };
     }
 
+    /// Looks for another target after a send ended without an answer, unless it was not the newest
+    /// one: the newest target may still answer.
+    pub(super) fn replace(&mut self, ended: &sync::Arc<state::TargetSlot>) {
+        let is_older = matches!(
+            &self.search,
+            TargetSearch::Waiting { slot, .. } if !sync::Arc::ptr_eq(slot, ended)
+        );
+        if !is_older {
+            self.start_search();
+        }
+    }
+
     /// Looks for another target from now on.
     pub(super) fn start_search(&mut self) {
         self.search = TargetSearch::Searching;
@@ -115,7 +127,7 @@
                 } => {
                     tokio::select! {
                         Ok(()) = stuck.changed() => {}
-                        () = tokio::time::sleep(*patience) => {}
+                        () = patience.as_mut() => {}
                     }
                     SendEvent::Silent(sync::Arc::clone(slot))
                 }
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -86,7 +86,7 @@
                 continue;
             }
         };
-        open.start_search();
+        open.replace(&ended.slot);
         match ended.result {
             Ok(AnswerStart::Stream(call)) => {
                 let tried = open.vms().to_vec();
