--- a/crates/pier_edge/tests/silent_targets_review.rs
+++ b/crates/pier_edge/tests/silent_targets_review.rs
@@ -7,7 +7,7 @@
 use pier_fleet::{documents, formation, targets};
 use support::{
     FakePlatform, GROUP_MODEL, KEY, RawAnswer, RawCaller, Script, ScriptedTarget, TestNode,
-    document, group_member, node_with, plain_entry, route,
+    document, group_member, plain_entry, route,
 };
 use tokio::task;
 
@@ -117,13 +117,18 @@
 /// Guards against a group that is dissolved since its first member is silent for a while.
 #[tokio::test]
 async fn a_group_outlasts_the_silence_of_its_first_member() {
-    let (node, targets) = node_with([events(), events()]).await;
+    let (node, targets) = start_groups(100, [events()]).await;
     let answers: Vec<_> = (0..6)
         .map(|_| ask(node.callers, "/once/x", 6_000))
         .collect();
     tokio::time::sleep(START_TIME).await;
     targets[0].fall_silent(SILENCE);
     node.platform.silence_vm("g0-0", SILENCE);
+    // A group that can take the place of the first one.
+    let (_other, members) = group("g1", "dc-a", events()).await;
+    for member in members {
+        node.platform.put_target(member);
+    }
     for answer in answers {
         assert_complete(&answer.await.unwrap());
     }
