Look for another target again when the retry budget has room

What callers saw: 504 at the deadline for a request whose target is silent for good, although another target was free: the retry budget was empty for a moment when the request looked for one.

Cause: an empty budget ended the search for good.

Sends stay within the budget.

--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -58,8 +58,11 @@
                     open.push(&slot, patience, send(job, sync::Arc::clone(&slot), left));
                 }
                 Err(refusal) if open.is_empty() => return progress.give_up(refusal, job),
-                Err(serving::Refusal::Broken) => open.end_search(),
-                Err(_) => open.start_search(),
+                // The retry budget or a target may have room a moment later.
+                Err(_) if progress.sends + open.count() < job.route.max_sends => {
+                    open.start_search();
+                }
+                Err(_) => open.end_search(),
             }
         }
         let ended = match open.next().await {
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -70,8 +70,9 @@
                 Err(refusal) if open.is_empty() => {
                     return Err(sends.final_refusal(&job, refusal));
                 }
-                Err(serving::Refusal::Broken) => open.end_search(),
-                Err(_) => open.start_search(),
+                // The retry budget or a target may have room a moment later.
+                Err(_) if sends.count + open.count() < job.route.max_sends => open.start_search(),
+                Err(_) => open.end_search(),
             }
         }
         let ended = match open.next().await {
