Wait for a silent target when another one answers a stream with a failure

What callers saw: 500 from the second target, although the silent first one would have answered the stream a moment later.

Cause: the first answer to a stream counted, a failure as well; whole answers already preferred a success.

Fix: while other sends are open, a 5xx is kept and forwarded only when nothing better comes, as for whole answers. With no other send open it is forwarded at once, as before.

--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -67,9 +67,7 @@
                     let sending = send(&job, sync::Arc::clone(&slot), expected, limit);
                     open.push(&slot, limit, sending);
                 }
-                Err(refusal) if open.is_empty() => {
-                    return Err(sends.final_refusal(&job, refusal));
-                }
+                Err(refusal) if open.is_empty() => return sends.give_up(&job, refusal),
                 // The retry budget or a target may have room a moment later.
                 Err(_) if sends.count + open.count() < job.route.max_sends => open.start_search(),
                 Err(_) => open.end_search(),
@@ -101,7 +99,13 @@
                 tokio::spawn(relay.run());
                 return Ok(StreamStart::Stream(head, receiver));
             }
-            Ok(AnswerStart::Whole(head, body)) => return Ok(StreamStart::Whole(head, body)),
+            Ok(AnswerStart::Whole(head, body)) => {
+                if open.is_empty() || !head.status.is_server_error() {
+                    return Ok(StreamStart::Whole(head, body));
+                }
+                sends.count += 1;
+                sends.answer = Some((head, body));
+            }
             Ok(AnswerStart::NotRun(call)) => sends.record_refusal(&job, &call),
             Err(fault) => {
                 let reported = job.report_fault(&ended.slot, &fault).await;
@@ -180,6 +184,8 @@
     may_have_run: bool,
     /// Why the request must not be sent again.
     held: Option<serving::Refusal>,
+    /// A target's error answer, forwarded when no better answer comes.
+    answer: Option<buffered_run::BufferedAnswer>,
 }
 
 impl StreamSends {
@@ -271,6 +277,18 @@
         Ok(())
     }
 
+    /// Ends the request with a target's error answer, or else with a refusal.
+    fn give_up<P>(
+        &mut self,
+        job: &serving::RequestJob<P>,
+        refusal: serving::Refusal,
+    ) -> Result<StreamStart, serving::Refusal> {
+        match self.answer.take() {
+            Some((head, body)) => Ok(StreamStart::Whole(head, body)),
+            None => Err(self.final_refusal(job, refusal)),
+        }
+    }
+
     /// Returns the refusal for a request that is given up: one that may have run is never reported
     /// as not run, and the other way round.
     fn final_refusal<P>(
