Take a VM for lost only after it left queries unanswered for a while

What callers saw: the streams of a group ended because one of its members was silent for a second: the steward ordered the group to leave, or formed it again, and the target cut the requests that it had.

Cause: one query to a member of a stuck group that was not answered within 200 ms made the member count as lost. A stuck group is queried at once, so 0.6 s of silence were enough.

Fix: a query ends as silent or as failed. A VM that refuses or breaks off the connection is lost at once, as before.

--- a/crates/pier_edge/src/control/data_centre_steward.rs
+++ b/crates/pier_edge/src/control/data_centre_steward.rs
@@ -123,7 +123,12 @@
                         self.mark_lost(vm, *born, "another start answers at its address");
                     }
                 }
-                Err(cause) => self.mark_lost(vm, *born, cause),
+                Err(links::QueryFault::Silent) => {
+                    if self.liveness.record_silence(vm, *born, now) {
+                        self.mark_lost(vm, *born, "no answer for a while");
+                    }
+                }
+                Err(links::QueryFault::Failed(cause)) => self.mark_lost(vm, *born, cause),
             },
         }
     }
--- a/crates/pier_edge/src/control/member_client.rs
+++ b/crates/pier_edge/src/control/member_client.rs
@@ -27,7 +27,7 @@
     QueryEnded {
         vm: ids::VmName,
         born: epochs::VmIncarnation,
-        report: Result<links::MemberReport, String>,
+        report: Result<links::MemberReport, links::QueryFault>,
     },
 }
 
--- a/crates/pier_edge/src/control/member_queries.rs
+++ b/crates/pier_edge/src/control/member_queries.rs
@@ -21,7 +21,7 @@
 impl<P: links::FleetPlatform> control::DataCentreSteward<P> {
     /// Records that a VM in the incarnation `born` does not answer.
     pub(super) fn mark_lost(&mut self, vm: &ids::VmName, born: epochs::VmIncarnation, cause: &str) {
-        if self.liveness.record_silence(vm, born) {
+        if self.liveness.record_loss(vm, born) {
             log::warn!(event = "member-lost", target_vm:% = vm, cause = cause; "");
         }
     }
--- a/crates/pier_edge/src/links/fleet_platform.rs
+++ b/crates/pier_edge/src/links/fleet_platform.rs
@@ -47,13 +47,13 @@
     ///
     /// # Errors
     ///
-    /// Fails with the reason when no usable answer comes within `limit`.
+    /// Fails when no usable answer comes within `limit`.
     fn query(
         &self,
         vm: &ids::VmName,
         address: net::SocketAddr,
         limit: time::Duration,
-    ) -> impl future::Future<Output = Result<links::MemberReport, String>> + Send;
+    ) -> impl future::Future<Output = Result<links::MemberReport, links::QueryFault>> + Send;
 
     /// Sends an order without repeating it.
     fn order(
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -293,12 +293,14 @@
         vm: &ids::VmName,
         _address: net::SocketAddr,
         limit: time::Duration,
-    ) -> Result<links::MemberReport, String> {
+    ) -> Result<links::MemberReport, links::QueryFault> {
         if !self.wait_for_vm(vm, limit).await {
-            return Err("no answer in time".to_owned());
+            return Err(links::QueryFault::Silent);
         }
         let state = self.shared.state.lock().unwrap();
-        let (_version, entry) = state.targets.get(vm.as_str()).ok_or("no such VM")?;
+        let Some((_version, entry)) = state.targets.get(vm.as_str()) else {
+            return Err(links::QueryFault::Failed("no such VM".to_owned()));
+        };
         Ok(links::MemberReport {
             standing: entry.standing.clone(),
             pace: 1.0,
