Leave no target that was asked to continue a stream before another one speaks

What callers saw: a stream was cut although a sound second target had taken it on: that target was left when it was silent for a moment too, or when the first one broke off before the second one's answer had begun.

Cause: the search for another target had one target at a time, and each new step of the search dropped the one before. A search that began with a silent target ended with it, and a new one began from nothing.

Fix: one search for both cases, which keeps all its sends open as the sends of a new request are: the first one that speaks continues the stream, also when the current target is lost meanwhile. A stream is cut only when no target has it and none may be asked.

--- a/crates/pier_edge/src/serving/open_sends.rs
+++ b/crates/pier_edge/src/serving/open_sends.rs
@@ -73,7 +73,12 @@
 
     /// Returns whether another target is to be found now.
     pub(super) fn needs_target(&self) -> bool {
-        self.sends.is_empty() || matches!(self.search, TargetSearch::Searching)
+        self.sends.is_empty() || self.is_searching()
+    }
+
+    /// Returns whether another target is being looked for.
+    pub(super) const fn is_searching(&self) -> bool {
+        matches!(self.search, TargetSearch::Searching)
     }
 
     /// Adds a send; its target counts as silent after `patience`.
--- a/crates/pier_edge/src/serving/stream_relay/mod.rs
+++ b/crates/pier_edge/src/serving/stream_relay/mod.rs
@@ -56,6 +56,8 @@
     TooLarge(serving::AnswerLimit),
     /// The target is silent, or its group no longer serves; it may be sound and go on.
     Silent,
+    /// The target is lost, and no other one has taken the stream on.
+    Lost,
     CallerLeft,
     TimeOver,
 }
@@ -121,25 +123,22 @@
                 RelayStep::CallerLeft => break "caller-left",
                 RelayStep::TimeOver => break "time-over",
                 RelayStep::Closed(reason) => {
-                    self.log_loss(&reason);
-                    let reported = self.job.report_closed(&self.call.slot).await;
-                    if reported.is_err() || !self.resume().await {
-                        break "cut";
-                    }
+                    self.record_loss(&reason).await;
+                    next = Some(self.continue_elsewhere(true).await);
                 }
                 RelayStep::TooLarge(limit) => {
                     self.log_loss("the stream exceeds a limit");
                     self.call.connection.close();
                     let reported = self.job.report_too_large(&self.call.slot, limit);
-                    if reported.is_err() || !self.resume().await {
-                        break "cut";
-                    }
+                    self.is_held |= reported.is_err();
+                    next = Some(self.continue_elsewhere(true).await);
                 }
                 RelayStep::Silent => {
                     if self.job.may_leave_silent(&self.call.slot) {
-                        next = self.race().await;
+                        next = Some(self.continue_elsewhere(false).await);
                     }
                 }
+                RelayStep::Lost => break "cut",
             }
         };
         let now = times::clocks::boot_now();
@@ -262,6 +261,13 @@
         self.parts.send(serving::StreamPart::End).await.is_ok()
     }
 
+    /// Records that the target broke the stream off.
+    async fn record_loss(&mut self, reason: &str) {
+        self.log_loss(reason);
+        let reported = self.job.report_closed(&self.call.slot).await;
+        self.is_held |= reported.is_err();
+    }
+
     fn log_loss(&self, reason: &str) {
         let now = times::clocks::boot_now();
         log::info!(
--- a/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
+++ b/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
@@ -9,124 +9,181 @@
 use super::RelayStep;
 use crate::{links, serving, state};
 
-/// How long resuming a stream may take: callers give up after two seconds without an event.
+/// How long resuming a stream may take once its target is lost: callers give up after two seconds
+/// without an event.
 const RESUME_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
 
-/// Delay before looking again for a target with free capacity.
-const RESUME_RETRY_DELAY: time::Duration = time::Duration::from_millis(60);
-
 /// A part of a target's body, or its end.
 type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
 
-/// What happened next while another target is asked to continue the stream of a silent one.
+/// A send of the rest of a stream that has brought a part of the answer, or failed.
+struct EndedSend {
+    slot: sync::Arc<state::TargetSlot>,
+    result: Result<(Box<serving::TargetCall>, BodyFrame), ResumeFault>,
+}
+
+/// Why a target did not take a stream on.
+enum ResumeFault {
+    /// The target answered with something other than the stream.
+    Refused(http::StatusCode),
+    /// The send brought no answer.
+    NoAnswer(serving::SendFault),
+    /// The target broke the body off before its first part.
+    Closed(String),
+}
+
+/// What happened next while other targets are asked to continue a stream.
 enum RaceEvent {
-    /// The silent target spoke, or ended its body.
+    /// The current target spoke, or ended its body.
     Current(BodyFrame),
-    /// Another target took the stream on, or none may be asked.
-    Found(Option<Box<serving::TargetCall>>),
-    /// The other target spoke, or ended its body.
-    Rival(BodyFrame),
-    RivalSilent,
+    Other(serving::SendEvent<EndedSend>),
     CallerLeft,
     TimeOver,
 }
 
 impl<P: links::FleetPlatform> serving::StreamRelay<P> {
-    /// Resumes the stream at another target after the last forwarded event; returns whether that
-    /// succeeded.
-    pub(super) async fn resume(&mut self) -> bool {
-        self.job.state.metrics().count_resume("tried");
-        if !self.job.route.repeat.may_repeat() {
-            return false;
-        }
-        let until = times::clocks::boot_now().after(RESUME_TIMEOUT);
-        let mut search = TargetSearch::of(self, until, None);
-        let found = tokio::select! {
-            found = search.find() => found,
-            () = self.parts.closed() => None,
-        };
-        self.record_search(&search);
-        let Some(call) = found else {
-            return false;
-        };
-        self.adopt(*call);
-        true
-    }
-
-    /// Looks for another target while the current one is silent, and continues with the one that
-    /// speaks first. Returns the next step, or `None` to wait for the current target.
-    pub(super) async fn race(&mut self) -> Option<RelayStep> {
+    /// Asks other targets for the rest of the stream, and continues with the one that speaks first;
+    /// that may be the current one, unless `is_lost`. Returns the next step.
+    pub(super) async fn continue_elsewhere(&mut self, mut is_lost: bool) -> RelayStep {
         self.job.state.metrics().count_resume("tried");
-        let until = self.job.deadline;
-        let silent_vm = self.call.slot.vm.clone();
-        let mut search = TargetSearch::of(self, until, Some(silent_vm));
-        let step = self.race_with(&mut search).await;
-        self.record_search(&search);
-        step
-    }
-
-    async fn race_with(&mut self, search: &mut TargetSearch<P>) -> Option<RelayStep> {
+        let job = sync::Arc::clone(&self.job);
+        let after = self.last_event.clone();
+        let mut open = serving::OpenSends::default();
+        let mut permit = SendPermit::None;
+        let mut lost_at = times::clocks::boot_now();
         loop {
-            let left = self.job.time_left(times::clocks::boot_now());
-            let event = tokio::select! {
-                frame = self.call.body.frame() => RaceEvent::Current(frame),
-                found = search.find() => RaceEvent::Found(found),
-                () = self.parts.closed() => RaceEvent::CallerLeft,
-                () = tokio::time::sleep(left) => RaceEvent::TimeOver,
-            };
-            let mut rival = match event {
-                RaceEvent::Found(found) => found?,
-                event => return self.step_of(event).await,
-            };
-            let mut rival_stuck = rival.slot.watch_stuck();
-            let may_search = search.may_send();
-            let left = self.job.time_left(times::clocks::boot_now());
+            let now = times::clocks::boot_now();
+            let may_search = !is_lost || now.since(lost_at) < RESUME_TIMEOUT;
+            if open.is_searching() {
+                match self.next_target(&open, &mut permit, now) {
+                    Some(slot) if may_search => {
+                        permit = SendPermit::None;
+                        self.sends += 1;
+                        self.tried.push(slot.vm.clone());
+                        let left = job.time_left(now);
+                        let sending = send(&job, sync::Arc::clone(&slot), after.as_deref(), left);
+                        open.push(&slot, left, sending);
+                    }
+                    _ if !may_search || !self.may_send() => open.end_search(),
+                    _ => {}
+                }
+            }
+            if is_lost && open.is_empty() && !open.is_searching() {
+                return RelayStep::Lost;
+            }
             let event = tokio::select! {
-                frame = self.call.body.frame() => RaceEvent::Current(frame),
-                frame = rival.body.frame() => RaceEvent::Rival(frame),
-                Ok(()) = rival_stuck.changed(), if may_search => RaceEvent::RivalSilent,
+                frame = self.call.body.frame(), if !is_lost => RaceEvent::Current(frame),
+                event = open.next() => RaceEvent::Other(event),
                 () = self.parts.closed() => RaceEvent::CallerLeft,
-                () = tokio::time::sleep(left) => RaceEvent::TimeOver,
+                () = tokio::time::sleep(job.time_left(now)) => RaceEvent::TimeOver,
             };
             match event {
-                RaceEvent::Rival(Some(Err(error))) => {
-                    let reported = self.job.report_closed(&rival.slot).await;
-                    log_failed(&self.job, &rival.slot, &error.to_string());
-                    search.is_held |= reported.is_err();
-                }
-                RaceEvent::RivalSilent => search.is_held |= !self.job.may_leave_silent(&rival.slot),
-                RaceEvent::Rival(frame) => {
-                    self.adopt(*rival);
-                    return Some(self.frame_step(frame).await);
-                }
-                event => {
-                    let step = self.step_of(event).await?;
-                    if let RelayStep::Closed(reason) = step {
-                        self.log_loss(&reason);
-                        let reported = self.job.report_closed(&self.call.slot).await;
-                        search.is_held |= reported.is_err();
-                        self.adopt(*rival);
-                        return None;
+                RaceEvent::CallerLeft => return RelayStep::CallerLeft,
+                RaceEvent::TimeOver => return RelayStep::TimeOver,
+                RaceEvent::Current(frame) => match self.frame_step(frame).await {
+                    RelayStep::Closed(reason) => {
+                        self.record_loss(&reason).await;
+                        is_lost = true;
+                        lost_at = times::clocks::boot_now();
+                        if open.is_empty() {
+                            open.start_search();
+                        }
+                    }
+                    step => return step,
+                },
+                RaceEvent::Other(serving::SendEvent::Search) => {}
+                RaceEvent::Other(serving::SendEvent::Silent(slot)) => {
+                    if job.may_leave_silent(&slot) {
+                        open.start_search();
+                    } else {
+                        open.end_search();
                     }
-                    return Some(step);
                 }
+                RaceEvent::Other(serving::SendEvent::Ended(ended)) => match ended.result {
+                    Ok((call, frame)) => {
+                        self.adopt(*call);
+                        return self.frame_step(frame).await;
+                    }
+                    Err(fault) => {
+                        open.replace(&ended.slot);
+                        if self.record_failure(&ended.slot, &fault).await {
+                            permit = SendPermit::Unused;
+                        }
+                    }
+                },
             }
         }
     }
 
-    async fn step_of(&mut self, event: RaceEvent) -> Option<RelayStep> {
-        match event {
-            RaceEvent::Current(frame) => Some(self.frame_step(frame).await),
-            RaceEvent::CallerLeft => Some(RelayStep::CallerLeft),
-            RaceEvent::TimeOver => Some(RelayStep::TimeOver),
-            RaceEvent::Found(_) | RaceEvent::Rival(_) | RaceEvent::RivalSilent => None,
+    fn may_send(&self) -> bool {
+        let is_allowed = self.job.route.repeat.may_repeat() && !self.is_held;
+        is_allowed && self.sends < self.job.route.max_sends
+    }
+
+    /// Chooses the next target and takes the send from the retry budget; `None` if neither is
+    /// possible now.
+    fn next_target<F: Future>(
+        &mut self,
+        open: &serving::OpenSends<F>,
+        permit: &mut SendPermit,
+        now: times::BootTime,
+    ) -> Option<sync::Arc<state::TargetSlot>> {
+        if !self.may_send() || self.job.time_left(now).is_zero() {
+            return None;
         }
+        let slot = match self.job.choose(&self.tried, true, now) {
+            serving::TargetChoice::Send { slot, .. } => slot,
+            serving::TargetChoice::Refuse(_) => {
+                // A group that was formed again may be served by the same VM.
+                let current = self.call.slot.vm.clone();
+                let is_open = |vm: &ids::VmName| *vm == current || open.vms().contains(vm);
+                self.tried.retain(is_open);
+                return None;
+            }
+        };
+        let state = &self.job.state;
+        let nodes = state.with_peers(|peers| peers.sharing_nodes(now));
+        let is_allowed =
+            *permit == SendPermit::Unused || state.retries().take(&self.job.service, nodes, now);
+        if !is_allowed && *permit == SendPermit::None {
+            log::info!(
+                event = "retry-budget-empty",
+                attempt = self.job.head.attempt.as_str();
+                ""
+            );
+            *permit = SendPermit::Refused;
+        }
+        is_allowed.then_some(slot)
     }
 
-    fn record_search(&mut self, search: &TargetSearch<P>) {
-        self.tried.clone_from(&search.tried);
-        self.sends = search.sends;
-        self.is_held |= search.is_held;
+    /// Records a send that brought nothing; returns whether nothing was sent.
+    async fn record_failure(
+        &mut self,
+        slot: &sync::Arc<state::TargetSlot>,
+        fault: &ResumeFault,
+    ) -> bool {
+        let (reason, reported, is_unsent) = match fault {
+            ResumeFault::Refused(status) => (format!("status {status}"), Ok(()), false),
+            ResumeFault::NoAnswer(fault) => {
+                let reported = self.job.report_fault(slot, fault).await;
+                (format!("{fault:?}"), reported, !fault.may_have_run())
+            }
+            ResumeFault::Closed(reason) => {
+                (reason.clone(), self.job.report_closed(slot).await, false)
+            }
+        };
+        log::info!(
+            event = "resume-failed",
+            attempt = self.job.head.attempt.as_str(),
+            fingerprint:% = self.job.fingerprint,
+            target_vm:% = slot.vm,
+            born:% = slot.born,
+            fault = reason.as_str();
+            ""
+        );
+        self.is_held |= reported.is_err();
+        self.sends -= u32::from(is_unsent);
+        is_unsent
     }
 
     /// Continues the stream with another target's answer.
@@ -149,139 +206,32 @@
     }
 }
 
-/// The search for a target that takes a stream on.
-#[derive(Debug)]
-struct TargetSearch<P> {
-    job: sync::Arc<serving::RequestJob<P>>,
-    /// Id of the event after which the stream is to be resumed.
-    after: Option<String>,
-    until: times::BootTime,
-    /// The target that is silent and may go on.
-    silent_vm: Option<ids::VmName>,
-    tried: Vec<ids::VmName>,
-    /// Sends that a target read or may have read.
-    sends: u32,
-    /// Whether the retry budget allows the next send.
-    has_permit: bool,
-    /// Whether the request must not be sent again, as its targets crashed.
-    is_held: bool,
+/// Whether the next send has been taken from the retry budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SendPermit {
+    None,
+    /// The budget was empty, which was logged.
+    Refused,
+    /// The send was taken, but nothing was sent.
+    Unused,
 }
 
-impl<P: links::FleetPlatform> TargetSearch<P> {
-    fn of(
-        relay: &serving::StreamRelay<P>,
-        until: times::BootTime,
-        silent_vm: Option<ids::VmName>,
-    ) -> Self {
-        Self {
-            job: sync::Arc::clone(&relay.job),
-            after: relay.last_event.clone(),
-            until,
-            silent_vm,
-            tried: relay.tried.clone(),
-            sends: relay.sends,
-            has_permit: false,
-            is_held: relay.is_held,
-        }
-    }
-
-    fn may_send(&self) -> bool {
-        !self.is_held && self.sends < self.job.route.max_sends
-    }
-
-    /// Asks one target after another until one takes the stream on; returns `None` when no further
-    /// send is allowed.
-    async fn find(&mut self) -> Option<Box<serving::TargetCall>> {
-        loop {
-            let now = times::clocks::boot_now();
-            if !self.may_send() || now >= self.until || self.job.time_left(now).is_zero() {
-                return None;
-            }
-            let slot = match self.job.choose(&self.tried, true, now) {
-                serving::TargetChoice::Send { slot, .. } => slot,
-                serving::TargetChoice::Refuse(_) => {
-                    // A group that was formed again may be served by the same VM.
-                    let silent_vm = &self.silent_vm;
-                    self.tried.retain(|vm| Some(vm) == silent_vm.as_ref());
-                    tokio::time::sleep(RESUME_RETRY_DELAY).await;
-                    continue;
-                }
-            };
-            if !self.take_permit(now) {
-                return None;
-            }
-            self.tried.push(slot.vm.clone());
-            if let Some(call) = self.send(&slot).await {
-                return Some(Box::new(call));
-            }
-        }
-    }
-
-    fn take_permit(&mut self, now: times::BootTime) -> bool {
-        let state = &self.job.state;
-        let nodes = state.with_peers(|peers| peers.sharing_nodes(now));
-        if !self.has_permit && !state.retries().take(&self.job.service, nodes, now) {
-            log::info!(
-                event = "retry-budget-empty",
-                attempt = self.job.head.attempt.as_str();
-                ""
-            );
-            return false;
-        }
-        self.has_permit = true;
-        true
-    }
-
-    /// Requests the rest of the stream from a target, which takes it on or not.
-    async fn send(&mut self, slot: &sync::Arc<state::TargetSlot>) -> Option<serving::TargetCall> {
-        let left = self.job.time_left(times::clocks::boot_now());
-        // Counted in advance, as the caller may drop this future once the request was written.
-        self.sends += 1;
-        self.has_permit = false;
-        let mut stuck = slot.watch_stuck();
-        let may_send = self.may_send();
-        let sending = serving::TargetCall::send(&self.job, slot, self.after.as_deref(), left);
-        let sent = tokio::select! {
-            sent = sending => sent,
-            Ok(()) = stuck.changed(), if may_send => {
-                self.is_held |= !self.job.may_leave_silent(slot);
-                return None;
-            }
-        };
-        match sent {
-            Ok(call) if call.head.status.is_success() && call.answer.is_genuine => Some(call),
-            Ok(call) => {
-                log::info!(
-                    event = "resume-refused",
-                    attempt = self.job.head.attempt.as_str(),
-                    target_vm:% = slot.vm,
-                    status = call.head.status.as_u16();
-                    ""
-                );
-                None
-            }
-            Err(fault) => {
-                let reported = self.job.report_fault(slot, &fault).await;
-                log_failed(&self.job, slot, &format!("{fault:?}"));
-                self.is_held |= reported.is_err();
-                if !fault.may_have_run() {
-                    self.sends -= 1;
-                    self.has_permit = true;
-                }
-                None
+/// Sends the request for the rest of a stream, and waits for the first part of the body.
+async fn send<P: links::FleetPlatform>(
+    job: &serving::RequestJob<P>,
+    slot: sync::Arc<state::TargetSlot>,
+    after: Option<&str>,
+    limit: time::Duration,
+) -> EndedSend {
+    let result = match serving::TargetCall::send(job, &slot, after, limit).await {
+        Ok(mut call) if call.head.status.is_success() && call.answer.is_genuine => {
+            match call.body.frame().await {
+                Some(Err(error)) => Err(ResumeFault::Closed(error.to_string())),
+                frame => Ok((Box::new(call), frame)),
             }
         }
-    }
-}
-
-fn log_failed<P>(job: &serving::RequestJob<P>, slot: &state::TargetSlot, fault: &str) {
-    log::info!(
-        event = "resume-failed",
-        attempt = job.head.attempt.as_str(),
-        fingerprint:% = job.fingerprint,
-        target_vm:% = slot.vm,
-        born:% = slot.born,
-        fault = fault;
-        ""
-    );
+        Ok(call) => Err(ResumeFault::Refused(call.head.status)),
+        Err(fault) => Err(ResumeFault::NoAnswer(fault)),
+    };
+    EndedSend { slot, result }
 }
