Do not take a target for stuck while only its callers do not read

What callers saw: 503 for requests at a target one of whose callers did not read for 1.5 s.

Cause: a stream that waits for its caller reads nothing from its target, so that the target makes no progress by the node's own doing. The stall detector counted such a stream as one that waits for the target.

Fix: streams that are held up by their callers are counted, and left out of what the detector looks at; the end of the hold-up counts as progress.

--- a/crates/pier_edge/src/peers/stall_watch.rs
+++ b/crates/pier_edge/src/peers/stall_watch.rs
@@ -46,8 +46,8 @@
             .mul_f64(load.slowness);
         let longest = passes.longest_pass(load.running);
         let facts = stalls::ProgressFacts {
-            in_flight: slot.gauge.local_in_flight(),
-            running: slot.gauge.local_running(),
+            in_flight: slot.gauge.awaited(),
+            running: slot.gauge.local_running().min(slot.gauge.awaited()),
             last_progress: slot.gauge.last_progress(),
             pass_time,
             longest_pass: longest.mul_f64(load.slowness),
--- a/crates/pier_edge/src/serving/stream_relay/mod.rs
+++ b/crates/pier_edge/src/serving/stream_relay/mod.rs
@@ -253,7 +253,14 @@
     /// Sends bytes to the caller; returns whether it is still connected.
     async fn send(&self, bytes: bytes::Bytes) -> bool {
         let part = serving::StreamPart::Data(bytes);
-        self.parts.send(part).await.is_ok()
+        match self.parts.try_send(part) {
+            Ok(()) => true,
+            Err(mpsc::error::TrySendError::Closed(_part)) => false,
+            Err(mpsc::error::TrySendError::Full(part)) => {
+                let _held_up = self.call.slot.gauge.hold_up();
+                self.parts.send(part).await.is_ok()
+            }
+        }
     }
 
     /// Ends the caller's body properly; returns whether it is still connected.
--- a/crates/pier_edge/src/state/target_gauge.rs
+++ b/crates/pier_edge/src/state/target_gauge.rs
@@ -29,6 +29,8 @@
     remote_running: atomic::AtomicU32,
     remote_waiting: atomic::AtomicU32,
     remote_prompt: atomic::AtomicU64,
+    /// Requests whose callers do not read; they make no progress, whatever the target does.
+    held_up: atomic::AtomicU32,
     last_progress: atomic::AtomicU64,
     gap_micros: atomic::AtomicU64,
     gap_at: atomic::AtomicU64,
@@ -48,6 +50,7 @@
             remote_running: atomic::AtomicU32::new(0),
             remote_waiting: atomic::AtomicU32::new(0),
             remote_prompt: atomic::AtomicU64::new(0),
+            held_up: atomic::AtomicU32::new(0),
             last_progress: atomic::AtomicU64::new(0),
             gap_micros: atomic::AtomicU64::new(0),
             gap_at: atomic::AtomicU64::new(0),
@@ -95,6 +98,20 @@
         self.local_running() + self.local_waiting()
     }
 
+    /// Returns the number of this node's requests that wait for the target, as their callers read.
+    pub(crate) fn awaited(&self) -> u32 {
+        let held_up = self.held_up.load(RELAXED);
+        self.local_in_flight().saturating_sub(held_up)
+    }
+
+    /// Counts a request as held up by its caller until the guard is dropped.
+    pub(crate) fn hold_up(self: &sync::Arc<Self>) -> HoldGuard {
+        self.held_up.fetch_add(1, RELAXED);
+        HoldGuard {
+            gauge: sync::Arc::clone(self),
+        }
+    }
+
     pub(crate) fn running(&self) -> u32 {
         self.local_running() + self.remote_running.load(RELAXED)
     }
@@ -214,3 +231,17 @@
         }
     }
 }
+
+/// Keeps a request counted as held up by its caller until dropped.
+#[derive(Debug)]
+pub(crate) struct HoldGuard {
+    gauge: sync::Arc<TargetGauge>,
+}
+
+impl Drop for HoldGuard {
+    fn drop(&mut self) {
+        // The target could send nothing meanwhile.
+        self.gauge.record_progress(times::clocks::boot_now());
+        self.gauge.held_up.fetch_sub(1, RELAXED);
+    }
+}
