Reproduce a node that takes its cut links for crashes of its targets

What callers see: when a node's links to all targets are reset and refused for a moment, its streams are cut and their requests are held back, also on other nodes.

The scripted target can now be cut off and come back.

--- a/crates/pier_edge/tests/support/scripted_target.rs
+++ b/crates/pier_edge/tests/support/scripted_target.rs
@@ -9,6 +9,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
+    sync::watch,
 };
 
 /// Least number of bytes that are written at once of an answer without end.
@@ -67,6 +68,7 @@
     closed: Arc<Mutex<u32>>,
     headers: Arc<Mutex<String>>,
     silent_until: Arc<Mutex<Option<time::Instant>>>,
+    is_cut: Arc<watch::Sender<bool>>,
 }
 
 impl ScriptedTarget {
@@ -80,15 +82,30 @@
             closed: Arc::default(),
             headers: Arc::default(),
             silent_until: Arc::default(),
+            is_cut: Arc::default(),
         };
         let serving = target.clone();
         tokio::spawn(async move {
+            let mut cut = serving.is_cut.subscribe();
+            let mut listener = listener;
             loop {
-                let (stream, _from) = listener.accept().await.unwrap();
+                let (stream, _from) = tokio::select! {
+                    accepted = listener.accept() => accepted.unwrap(),
+                    () = wait_for_link(&mut cut, true) => {
+                        drop(listener);
+                        wait_for_link(&mut cut, false).await;
+                        listener = TcpListener::bind(serving.address).await.unwrap();
+                        continue;
+                    }
+                };
                 *serving.accepted.lock().unwrap() += 1;
                 let (target, script) = (serving.clone(), script.clone());
+                let mut cut = serving.is_cut.subscribe();
                 tokio::spawn(async move {
-                    target.serve(stream, script).await;
+                    tokio::select! {
+                        () = target.serve(stream, script) => {}
+                        () = wait_for_link(&mut cut, true) => {}
+                    }
                     *target.closed.lock().unwrap() += 1;
                 });
             }
@@ -121,6 +138,11 @@
         self.set_headers("x-leaving: 1\r\n");
     }
 
+    /// Closes all connections and refuses others, as a link does that is cut, or restores the link.
+    pub fn set_cut(&self, is_cut: bool) {
+        self.is_cut.send_replace(is_cut);
+    }
+
     /// Sends nothing for a while and then goes on, as a process does that was not scheduled.
     pub fn fall_silent(&self, duration: time::Duration) {
         let end = time::Instant::now() + duration;
@@ -283,6 +305,11 @@
     }
 }
 
+/// Waits until the link is cut, or restored.
+async fn wait_for_link(cut: &mut watch::Receiver<bool>, is_cut: bool) {
+    drop(cut.wait_for(|now_cut| *now_cut == is_cut).await);
+}
+
 /// Waits until the node closes the connection.
 async fn stay_silent(stream: &mut TcpStream) -> Option<()> {
     let mut rest = [0; 64];
