Do not count a broken-off stream at its target while it is resumed

What callers saw: after a node's connections were broken off, all targets counted as stuck for 2 s although they answered again, and requests were refused as over capacity.

Cause: a stream that its target broke off kept its place in the target's load while it looked for another target. The target held requests, by that count, and made no progress, so the stall detector found it stuck.

Fix: the place is given up as soon as the stream is known to be lost there.

--- a/crates/pier_edge/src/serving/stream_relay/mod.rs
+++ b/crates/pier_edge/src/serving/stream_relay/mod.rs
@@ -129,6 +129,7 @@
                 RelayStep::TooLarge(limit) => {
                     self.log_loss("the stream exceeds a limit");
                     self.call.connection.close();
+                    self.call.guard.release();
                     let reported = self.job.report_too_large(&self.call.slot, limit);
                     self.is_held |= reported.is_err();
                     next = Some(self.continue_elsewhere(true).await);
@@ -271,6 +272,7 @@
     /// Records that the target broke the stream off.
     async fn record_loss(&mut self, reason: &str) {
         self.log_loss(reason);
+        self.call.guard.release();
         let reported = self.job.report_closed(&self.call.slot).await;
         self.is_held |= reported.is_err();
     }
--- a/crates/pier_edge/src/state/target_gauge.rs
+++ b/crates/pier_edge/src/state/target_gauge.rs
@@ -73,7 +73,7 @@
         GaugeGuard {
             gauge: sync::Arc::clone(self),
             prompt,
-            has_started: false,
+            phase: GuardPhase::Waiting,
         }
     }
 
@@ -205,30 +205,47 @@
 pub(crate) struct GaugeGuard {
     gauge: sync::Arc<TargetGauge>,
     prompt: u64,
-    has_started: bool,
+    phase: GuardPhase,
+}
+
+/// As what a request is counted at its target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum GuardPhase {
+    Waiting,
+    Running,
+    Ended,
 }
 
 impl GaugeGuard {
     /// Moves the request from waiting to running, once the first part of the answer has come.
     pub(crate) fn mark_started(&mut self) {
-        if self.has_started {
+        if self.phase != GuardPhase::Waiting {
             return;
         }
-        self.has_started = true;
-        self.gauge.waiting.fetch_sub(1, RELAXED);
-        self.gauge.waiting_prompt.fetch_sub(self.prompt, RELAXED);
+        self.release();
+        self.phase = GuardPhase::Running;
         self.gauge.running.fetch_add(1, RELAXED);
     }
+
+    /// Counts the request no longer, once the target has lost it.
+    pub(crate) fn release(&mut self) {
+        match self.phase {
+            GuardPhase::Waiting => {
+                self.gauge.waiting.fetch_sub(1, RELAXED);
+                self.gauge.waiting_prompt.fetch_sub(self.prompt, RELAXED);
+            }
+            GuardPhase::Running => {
+                self.gauge.running.fetch_sub(1, RELAXED);
+            }
+            GuardPhase::Ended => {}
+        }
+        self.phase = GuardPhase::Ended;
+    }
 }
 
 impl Drop for GaugeGuard {
     fn drop(&mut self) {
-        if self.has_started {
-            self.gauge.running.fetch_sub(1, RELAXED);
-        } else {
-            self.gauge.waiting.fetch_sub(1, RELAXED);
-            self.gauge.waiting_prompt.fetch_sub(self.prompt, RELAXED);
-        }
+        self.release();
     }
 }
 
