Find out which services a node does not reach

A node whose links to all targets are cut finds each of them unreachable, one after another, and has no word for what follows from that. Its logs show single failed sends.

ReachTracker counts the targets of a service that could not be reached, or fell silent, since the last answer: three of them, or all if there are fewer, show that the service is cut off; one is enough while another service is cut off. Nothing acts on it yet.

--- a/crates/pier_edge/src/contacts/contact_probe.rs
+++ b/crates/pier_edge/src/contacts/contact_probe.rs
@@ -37,19 +37,6 @@
     }
 }
 
-/// Returns whether this node reaches a target beside the one that refused a connection, so that the
-/// refusal shows the end of that target's process; also if there is no other one.
-pub(crate) async fn reaches_another<P: links::FleetPlatform>(
-    state: &state::EdgeState<P>,
-    refused: &state::TargetSlot,
-) -> bool {
-    let table = state.table();
-    let slots = table.services.values().flat_map(state::ServicePool::slots);
-    let others = slots.filter(|slot| slot.vm != refused.vm).cloned();
-    let probed = others.choose_multiple(&mut rand::rng(), PROBED_TARGETS);
-    probed.is_empty() || connects_to_any(probed).await
-}
-
 /// Returns whether any of these targets accepts a connection, which is kept for requests.
 async fn connects_to_any(slots: Vec<sync::Arc<state::TargetSlot>>) -> bool {
     let connecting = slots.into_iter().map(async |slot| {
--- a/crates/pier_edge/src/daemon/edge_daemon.rs
+++ b/crates/pier_edge/src/daemon/edge_daemon.rs
@@ -5,7 +5,9 @@
 use anyhow::Context as _;
 use pier_types::{ids, times};
 
-use crate::{control, crashes, links, peers, records, serving, settings, state, telemetry};
+use crate::{
+    contacts, control, crashes, links, peers, records, serving, settings, state, telemetry,
+};
 
 /// How long a stopping node still accepts new requests. The load balancer checks readiness every
 /// second and removes a node after two failed checks; requests accepted later than that might not
@@ -46,6 +48,7 @@
     records::spawn_node_record(state.clone());
     crashes::RecordWriter::spawn(state.clone());
     control::spawn(state.clone());
+    contacts::spawn(state.clone());
     telemetry::spawn(state.clone(), state.settings().readiness).await?;
     telemetry::spawn(state.clone(), state.settings().metrics).await?;
     let server = serving::CallerServer::bind(state.clone(), state.settings().callers).await?;
--- a/crates/pier_edge/src/lib.rs
+++ b/crates/pier_edge/src/lib.rs
@@ -4,6 +4,7 @@
 //! store. The platform's own names and formats are known only to the implementation of
 //! [`links::FleetPlatform`].
 
+mod contacts;
 mod control;
 mod crashes;
 mod daemon;
--- a/crates/pier_edge/src/serving/loss_report.rs
+++ b/crates/pier_edge/src/serving/loss_report.rs
@@ -77,6 +77,10 @@
             let (state, slot) = (self.state.clone(), sync::Arc::clone(slot));
             tokio::spawn(recheck(state, slot, loss.clone()));
         }
+        if cause == Some(quarantine::LossCause::Unreachable) {
+            self.state
+                .record_unreached(&self.service, &slot.vm, checked_at);
+        }
         self.state.crashes().record_loss(loss, cause, checked_at);
         self.check_held()
     }
@@ -130,6 +134,7 @@
     ) -> Result<(), serving::Refusal> {
         let now = times::clocks::boot_now();
         let cause = Some(quarantine::LossCause::Unreachable);
+        self.state.record_unreached(&self.service, &slot.vm, now);
         self.state
             .crashes()
             .record_loss(self.loss(slot), cause, now);
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -45,11 +45,12 @@
         let idle = slot.connections.take_idle(age, now);
         let mut connection = match idle {
             Some(connection) => connection,
-            None => slot
-                .connections
-                .connect()
-                .await
-                .map_err(|fault| serving::SendFault::Unreached(fault.to_string()))?,
+            None => slot.connections.connect().await.map_err(|fault| {
+                let failed_at = times::clocks::boot_now();
+                job.state
+                    .record_unreached(&job.service, &slot.vm, failed_at);
+                serving::SendFault::Unreached(fault.to_string())
+            })?,
         };
         let now = times::clocks::boot_now();
         // The state may have changed while this request waited for its connection.
@@ -76,6 +77,8 @@
             }
         })?;
         connection.preface.end();
+        job.state
+            .record_reached(&job.service, times::clocks::boot_now());
         let (head, body) = response.into_parts();
         let answer = job.state.platform().read_answer(&job.head.attempt, &head);
         if answer.notice == links::TargetNotice::Leaving {
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -6,12 +6,15 @@
     time,
 };
 
-use pier_fleet::{documents, targets};
+use pier_fleet::{documents, reach, targets};
 use pier_types::{epochs, ids, times};
 use tokio::sync::Notify;
 
 use crate::{crashes, links, peers, serving, settings, state, telemetry};
 
+/// How long a node reaches no target before it gives up its duties as a steward.
+const ISOLATION_DELAY: time::Duration = time::Duration::from_millis(500);
+
 /// A handle to the state that the parts of a node share; cloning it is cheap.
 #[derive(Debug)]
 pub(crate) struct EdgeState<P> {
@@ -40,6 +43,7 @@
     notices: peers::NoticeOutbox,
     pauses: state::PauseTable,
     retries: state::RetryBudget,
+    reach: sync::Mutex<reach::ReachTracker>,
     crashes: crashes::CrashLedger,
     first_events: state::FirstEventDelays,
     answer_budget: serving::AnswerBudget,
@@ -70,6 +74,7 @@
             retries: state::RetryBudget::new(settings.bounds),
             notices: peers::NoticeOutbox::default(),
             pauses: state::PauseTable::default(),
+            reach: sync::Mutex::default(),
             crashes: crashes::CrashLedger::default(),
             first_events: state::FirstEventDelays::default(),
             peers: sync::Mutex::new(peers::PeerTable::new(node.clone())),
@@ -261,6 +266,57 @@
         self.shared.pauses.end(vm, born)
     }
 
+    /// Records that a target of a service answered or accepted a connection.
+    pub(crate) fn record_reached(&self, service: &ids::ServiceName, now: times::BootTime) {
+        let mut tracker = state::target_slot::lock(&self.shared.reach);
+        if tracker.record_success(service, now) {
+            log::info!(event = "service-reached-again", service:% = service; "");
+        }
+    }
+
+    /// Records that a target of a service could not be reached or fell silent.
+    pub(crate) fn record_unreached(
+        &self,
+        service: &ids::ServiceName,
+        vm: &ids::VmName,
+        now: times::BootTime,
+    ) {
+        let table = self.table();
+        let targets = table
+            .services
+            .get(service)
+            .map_or(0, state::ServicePool::count);
+        let mut tracker = state::target_slot::lock(&self.shared.reach);
+        if tracker.record_failure(service, vm, targets, now) {
+            self.metrics().count_cut_off();
+            log::warn!(
+                event = "service-cut-off",
+                service:% = service,
+                target_vm:% = vm,
+                targets = targets;
+                ""
+            );
+        }
+    }
+
+    /// Returns whether this node reaches no target of a service.
+    pub(crate) fn is_cut_off(&self, service: &ids::ServiceName) -> bool {
+        state::target_slot::lock(&self.shared.reach).is_cut_off(service)
+    }
+
+    /// Returns the services of which this node reaches no target.
+    pub(crate) fn cut_off_services(&self) -> Vec<ids::ServiceName> {
+        state::target_slot::lock(&self.shared.reach).cut_off_services()
+    }
+
+    /// Returns whether this node has reached no target of any service for a while, so that it
+    /// cannot act as a steward.
+    pub(crate) fn is_isolated(&self, now: times::BootTime) -> bool {
+        let table = self.table();
+        let tracker = state::target_slot::lock(&self.shared.reach);
+        tracker.is_isolated(table.services.keys(), ISOLATION_DELAY, now)
+    }
+
     /// Returns the notices that are to be sent to other nodes.
     pub(crate) fn notices(&self) -> &peers::NoticeOutbox {
         &self.shared.notices
--- a/crates/pier_edge/src/state/mod.rs
+++ b/crates/pier_edge/src/state/mod.rs
@@ -15,6 +15,6 @@
 pub(crate) use first_event_delays::FirstEventDelays;
 pub(crate) use pause_table::PauseTable;
 pub(crate) use retry_budget::RetryBudget;
-pub(crate) use serving_table::ServingTable;
+pub(crate) use serving_table::{ServicePool, ServingTable};
 pub(crate) use target_gauge::{GaugeGuard, TargetGauge};
 pub(crate) use target_slot::{SlotKey, TargetSlot, lock};
--- a/crates/pier_edge/src/state/serving_table.rs
+++ b/crates/pier_edge/src/state/serving_table.rs
@@ -22,6 +22,16 @@
 }
 
 impl ServicePool {
+    /// Returns the number of targets.
+    pub(crate) fn count(&self) -> usize {
+        self.slots().count()
+    }
+
+    /// Returns all targets.
+    pub(crate) fn slots(&self) -> impl Iterator<Item = &sync::Arc<state::TargetSlot>> {
+        self.plain.iter().chain(self.groups.values().flatten())
+    }
+
     /// Returns the targets for a request; the model matters only for services with groups.
     pub(crate) fn candidates(
         &self,
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -30,6 +30,7 @@
     held_parts: Gauge,
     leaving_targets: Counter,
     target_pauses: Counter,
+    cut_off_services: Counter,
     store_calls: Family<Labels, Counter>,
     store_failures: Family<Labels, Counter>,
     orders: Family<Labels, Counter>,
@@ -60,6 +61,7 @@
             held_parts: Gauge::default(),
             leaving_targets: Counter::default(),
             target_pauses: Counter::default(),
+            cut_off_services: Counter::default(),
             store_calls: Family::default(),
             store_failures: Family::default(),
             orders: Family::default(),
@@ -166,6 +168,11 @@
             "Answers by which targets asked for a pause",
             self.target_pauses.clone(),
         );
+        registry.register(
+            "cut_off_services",
+            "Times at which this node found that it reaches no target of a service",
+            self.cut_off_services.clone(),
+        );
     }
 
     pub(crate) fn count_answer(&self, cause: &str, status: u16, taken: time::Duration) {
@@ -198,6 +205,10 @@
     }
 
     /// Counts an answer by which a target asked for a pause.
+    pub(crate) fn count_cut_off(&self) {
+        self.cut_off_services.inc();
+    }
+
     pub(crate) fn count_pause(&self) {
         self.target_pauses.inc();
     }
