Count a refused connection as a crash only while other targets are reached

What callers saw: requests held back, on every node, since a node whose links were cut had counted its targets as crashed.

Cause: a target that closes a connection and refuses the next one was taken for crashed. A cut that resets connections and refuses new ones looks the same, for all targets at once.

Fix: after a refused connection the node opens one to other targets, three at a time and twelve at most, within 350 ms. If none accepts, its own links may be cut: the loss counts as that of an unreachable target, which the next registration decides, as before for targets that do not answer.

targets_behind_a_cut_link_do_not_count_as_crashed failed before and passes now.

--- a/crates/pier_edge/src/contacts/contact_probe.rs
+++ b/crates/pier_edge/src/contacts/contact_probe.rs
@@ -4,7 +4,7 @@
 
 use futures_util::{StreamExt as _, stream};
 use pier_types::times;
-use rand::seq::IteratorRandom as _;
+use rand::seq::{IteratorRandom as _, SliceRandom as _};
 
 use crate::{links, state};
 
@@ -14,6 +14,12 @@
 /// Number of targets that are probed at the same time.
 const PROBED_TARGETS: usize = 3;
 
+/// Greatest number of targets to which connections are opened to check a refused one.
+const MAX_CHECKED_TARGETS: usize = 12;
+
+/// Time-out for that check.
+const CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(350);
+
 /// Starts the probes, which find the end of a time in which this node reaches no target.
 pub(crate) fn spawn<P: links::FleetPlatform>(state: state::EdgeState<P>) {
     tokio::spawn(run(state));
@@ -37,6 +43,33 @@
     }
 }
 
+/// Returns whether this node reaches a target beside the one that refused a connection, so that the
+/// refusal shows the end of that target's process; also if there is no other one.
+pub(crate) async fn reaches_another<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    refused: &state::TargetSlot,
+) -> bool {
+    let table = state.table();
+    let slots = table.services.values().flat_map(state::ServicePool::slots);
+    let mut others: Vec<_> = slots
+        .filter(|slot| slot.vm != refused.vm)
+        .cloned()
+        .collect();
+    others.shuffle(&mut rand::rng());
+    others.truncate(MAX_CHECKED_TARGETS);
+    let checking = async {
+        for probed in others.chunks(PROBED_TARGETS) {
+            if connects_to_any(probed.to_vec()).await {
+                return true;
+            }
+        }
+        others.is_empty()
+    };
+    tokio::time::timeout(CHECK_TIMEOUT, checking)
+        .await
+        .unwrap_or(false)
+}
+
 /// Returns whether any of these targets accepts a connection, which is kept for requests.
 async fn connects_to_any(slots: Vec<sync::Arc<state::TargetSlot>>) -> bool {
     let connecting = slots.into_iter().map(async |slot| {
--- a/crates/pier_edge/src/contacts/mod.rs
+++ b/crates/pier_edge/src/contacts/mod.rs
@@ -2,4 +2,4 @@
 
 mod contact_probe;
 
-pub(crate) use contact_probe::spawn;
+pub(crate) use contact_probe::{reaches_another, spawn};
--- a/crates/pier_edge/src/serving/loss_report.rs
+++ b/crates/pier_edge/src/serving/loss_report.rs
@@ -5,7 +5,7 @@
 use pier_request::quarantine;
 use pier_types::{ids, times};
 
-use crate::{crashes, links, serving, state};
+use crate::{contacts, crashes, links, serving, state};
 
 /// Greatest age of a check whose result counts for further requests that lost the same target.
 const CHECK_LIFETIME: time::Duration = time::Duration::from_millis(100);
@@ -199,10 +199,17 @@
     let target = slot.as_lost();
     let registered =
         state.with_registry(|registry| crashes::registered_cause(registry, &target, now, now));
-    match registered {
-        Some(cause) => Some(cause),
-        None => slot.loss_check.run(&slot.connections, max_age, now).await,
+    if registered.is_some() {
+        return registered;
     }
+    let found = slot.loss_check.run(&slot.connections, max_age, now).await;
+    if found == Some(quarantine::LossCause::ProcessLost)
+        && !contacts::reaches_another(state, slot).await
+    {
+        // This node's own links may be cut, and only a registration can tell.
+        return Some(quarantine::LossCause::Unreachable);
+    }
+    found
 }
 
 /// Checks a target again that closed a connection and was still listening.
