Leave a steward's duties while no target is reached

What callers of other nodes may see: a steward whose links to all targets are cut judges members by answers that only it misses, and sends orders that reach nobody, while it keeps the role.

Cause: a steward gives its role up only when its process stops or other nodes no longer hear it; here they do.

The heartbeat's flag for a stopping node became a phase with three values.

--- a/crates/pier_edge/src/control/data_centre_steward.rs
+++ b/crates/pier_edge/src/control/data_centre_steward.rs
@@ -58,7 +58,7 @@
         &mut self,
         now: times::BootTime,
     ) -> collections::BTreeSet<ids::VmName> {
-        if self.state.is_draining() {
+        if self.state.is_draining() || self.state.is_isolated(now) {
             self.planner = None;
             return collections::BTreeSet::new();
         }
--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -138,7 +138,7 @@
         data_centre: state.settings().data_centre.clone(),
         number,
         document: document.unwrap_or_default(),
-        is_leaving: state.is_draining(),
+        phase: local_phase(state, now),
         reaches_store: state.reaches_store(now),
         has_served: state.has_served(),
         loads: loads.collect(),
@@ -147,6 +147,19 @@
     }
 }
 
+fn local_phase<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    now: times::BootTime,
+) -> peers::NodePhase {
+    if state.is_draining() {
+        peers::NodePhase::Leaving
+    } else if state.is_isolated(now) {
+        peers::NodePhase::Isolated
+    } else {
+        peers::NodePhase::Serving
+    }
+}
+
 /// Relays this node's view of the store to the nodes of its data centre while it is the steward.
 async fn relay<P: links::FleetPlatform>(state: state::EdgeState<P>, socket: sync::Arc<UdpSocket>) {
     loop {
--- a/crates/pier_edge/src/peers/mod.rs
+++ b/crates/pier_edge/src/peers/mod.rs
@@ -17,7 +17,9 @@
 pub(crate) use load_exchange::LoadExchange;
 use load_loop::LoadLoop;
 pub(crate) use load_loop::VIEW_AGE;
-pub(crate) use node_beat::{LeavingTarget, NodeBeat, NodeRecord, PeerMessage, StewardRecord};
+pub(crate) use node_beat::{
+    LeavingTarget, NodeBeat, NodePhase, NodeRecord, PeerMessage, StewardRecord,
+};
 pub(crate) use notice_outbox::NoticeOutbox;
 pub(crate) use peer_table::PeerTable;
 pub(crate) use relay_beat::{RelayBeat, TargetChange};
--- a/crates/pier_edge/src/peers/node_beat.rs
+++ b/crates/pier_edge/src/peers/node_beat.rs
@@ -34,6 +34,17 @@
     pub born: epochs::VmIncarnation,
 }
 
+/// Whether a node can be a steward or a hub.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum NodePhase {
+    /// The node can be both.
+    Serving,
+    /// The node has reached no target for a while, so it can be neither.
+    Isolated,
+    /// The node is stopping, so it can be neither.
+    Leaving,
+}
+
 /// A heartbeat, which a node sends to all others several times per second.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct NodeBeat {
@@ -43,8 +54,7 @@
     pub number: u64,
     /// Version of the document that the node has in force.
     pub document: epochs::ConfigVersion,
-    /// Whether the node is stopping, so that it cannot be a steward or a hub.
-    pub is_leaving: bool,
+    pub phase: NodePhase,
     /// Whether the store answered the node recently.
     pub reaches_store: bool,
     /// Whether the node has served a request; the rate of weight loads is limited only from then
--- a/crates/pier_edge/src/peers/peer_table.rs
+++ b/crates/pier_edge/src/peers/peer_table.rs
@@ -264,7 +264,7 @@
         };
         let live_nodes = self
             .beats(now, PEER_LIFETIME)
-            .filter(|beat| !beat.is_leaving);
+            .filter(|beat| beat.phase == peers::NodePhase::Serving);
         let nodes = live_nodes.map(|beat| (beat.node.clone(), beat.data_centre.clone()));
         for (node, node_data_centre) in
             nodes.chain([(self.local_node.clone(), local_data_centre.clone())])
