Ask a target again for the rest of a stream once its send has ended

What callers saw: a stream whose targets all refused connections for 0.7 s was cut after 1.5 s, although they were back in time.

Cause: the search forgets which targets it has tried when none is left, since one may have come back; but it kept all to which it had ever sent.

Fix: only targets whose sends are open are kept, and the current one while it may go on.

--- a/crates/pier_edge/src/serving/open_sends.rs
+++ b/crates/pier_edge/src/serving/open_sends.rs
@@ -19,6 +19,8 @@
 pub(super) struct OpenSends<F> {
     sends: stream::FuturesUnordered<F>,
     vms: Vec<ids::VmName>,
+    /// The VMs among these whose sends have ended.
+    ended_vms: Vec<ids::VmName>,
     search: TargetSearch,
 }
 
@@ -52,6 +54,7 @@
         Self {
             sends: stream::FuturesUnordered::new(),
             vms: Vec::new(),
+            ended_vms: Vec::new(),
             search: TargetSearch::Searching,
         }
     }
@@ -71,6 +74,11 @@
         &self.vms
     }
 
+    /// Returns whether a send to this VM is open.
+    pub(super) fn is_open_at(&self, vm: &ids::VmName) -> bool {
+        self.vms.contains(vm) && !self.ended_vms.contains(vm)
+    }
+
     /// Returns whether another target is to be found now.
     pub(super) fn needs_target(&self) -> bool {
         self.sends.is_empty() || self.is_searching()
@@ -88,6 +96,7 @@
         patience: time::Duration,
         send: F,
     ) {
+        self.ended_vms.retain(|vm| *vm != slot.vm);
         self.vms.push(slot.vm.clone());
         self.sends.push(send);
         self.search = TargetSearch::Waiting {
@@ -100,6 +109,7 @@
     /// Looks for another target after a send ended without an answer, unless it was not the newest
     /// one: the newest target may still answer.
     pub(super) fn replace(&mut self, ended: &sync::Arc<state::TargetSlot>) {
+        self.ended_vms.push(ended.vm.clone());
         let is_older = matches!(
             &self.search,
             TargetSearch::Waiting { slot, .. } if !sync::Arc::ptr_eq(slot, ended)
--- a/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
+++ b/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
@@ -4,7 +4,7 @@
 
 use http_body_util::BodyExt as _;
 use hyper::body::{Bytes, Frame};
-use pier_types::{ids, times};
+use pier_types::times;
 
 use super::RelayStep;
 use crate::{links, serving, state};
@@ -55,7 +55,7 @@
             let now = times::clocks::boot_now();
             let may_search = !is_lost || now.since(lost_at) < RESUME_TIMEOUT;
             if open.is_searching() {
-                match self.next_target(&open, &mut permit, now) {
+                match self.next_target(&open, is_lost, &mut permit, now) {
                     Some(slot) if may_search => {
                         permit = SendPermit::None;
                         self.sends += 1;
@@ -125,6 +125,7 @@
     fn next_target<F: Future>(
         &mut self,
         open: &serving::OpenSends<F>,
+        is_lost: bool,
         permit: &mut SendPermit,
         now: times::BootTime,
     ) -> Option<sync::Arc<state::TargetSlot>> {
@@ -135,9 +136,9 @@
             serving::TargetChoice::Send { slot, .. } => slot,
             serving::TargetChoice::Refuse(_) => {
                 // A group that was formed again may be served by the same VM.
-                let current = self.call.slot.vm.clone();
-                let is_open = |vm: &ids::VmName| *vm == current || open.vms().contains(vm);
-                self.tried.retain(is_open);
+                let current = (!is_lost).then_some(&self.call.slot.vm);
+                self.tried
+                    .retain(|vm| Some(vm) == current || open.is_open_at(vm));
                 return None;
             }
         };
