Probe one target at a time for the end of a cut

Three connections were opened at once and two given up when the first was accepted, four times a second. One is enough, as the next probe asks another target. a_caller_that_leaves_ends_all_open_sends saw the given-up connection as one more closed one.

--- a/crates/pier_edge/src/contacts/contact_probe.rs
+++ b/crates/pier_edge/src/contacts/contact_probe.rs
@@ -11,13 +11,13 @@
 /// Interval between two probes of a service that this node does not reach.
 const PROBE_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
-/// Number of targets that are probed at the same time.
-const PROBED_TARGETS: usize = 3;
+/// Number of targets to which connections are opened at the same time to check a refused one.
+const CHECKED_TARGETS: usize = 3;
 
-/// Greatest number of targets to which connections are opened to check a refused one.
+/// Greatest number of targets to which connections are opened for such a check.
 const MAX_CHECKED_TARGETS: usize = 12;
 
-/// Time-out for that check.
+/// Time-out for such a check.
 const CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(350);
 
 /// Starts the probes, which find the end of a time in which this node reaches no target.
@@ -34,9 +34,8 @@
                 // Nothing is sent to a service without targets.
                 continue;
             };
-            let slots = pool.slots().cloned();
-            let probed = slots.choose_multiple(&mut rand::rng(), PROBED_TARGETS);
-            if connects_to_any(probed).await {
+            let probed = pool.slots().choose(&mut rand::rng()).cloned();
+            if connects_to_any(probed.into_iter().collect()).await {
                 state.record_reached(&service, times::clocks::boot_now());
             }
         }
@@ -58,7 +57,7 @@
     others.shuffle(&mut rand::rng());
     others.truncate(MAX_CHECKED_TARGETS);
     let checking = async {
-        for probed in others.chunks(PROBED_TARGETS) {
+        for probed in others.chunks(CHECKED_TARGETS) {
             if connects_to_any(probed.to_vec()).await {
                 return true;
             }
