Use a target again as soon as its silence ends

What callers saw: after a silence of 0.6 s the only group of a model refused requests for 2.4 s more.

Cause: a target found stuck gets nothing new for 2 s, whatever it does meanwhile. While everything left it, nothing could show its end; now the requests stay with it, and their progress does.

Fix: progress after the target was found stuck ends that mark. Marks for connections that failed or answers that were too large keep their time.

a_target_takes_requests_again_as_soon_as_it_goes_on failed before (503) and passes now.

--- a/crates/pier_edge/src/peers/stall_watch.rs
+++ b/crates/pier_edge/src/peers/stall_watch.rs
@@ -7,7 +7,7 @@
 
 use crate::{links, state};
 
-/// How long a stuck target gets no new requests.
+/// How long a stuck target gets no new requests, unless it makes progress before.
 const STUCK_QUARANTINE: time::Duration = time::Duration::from_secs(2);
 
 /// Returns the targets that make no progress, and notifies this node's requests at newly found
@@ -35,6 +35,7 @@
         let Some((engine, pace)) = specs.next() else {
             continue;
         };
+        slot.gauge.clear_stall();
         if slot.gauge.is_stuck(now) {
             stuck.push(slot.vm.clone());
             continue;
@@ -65,7 +66,7 @@
                 ""
             );
             state.metrics().count_stuck();
-            slot.gauge.set_stuck(now.after(STUCK_QUARANTINE));
+            slot.gauge.set_stalled(now.after(STUCK_QUARANTINE), now);
             slot.report_stuck();
             stuck.push(slot.vm.clone());
         }
--- a/crates/pier_edge/src/state/target_gauge.rs
+++ b/crates/pier_edge/src/state/target_gauge.rs
@@ -37,6 +37,8 @@
     answer_micros: atomic::AtomicU64,
     failure_permille: atomic::AtomicU64,
     stuck_until: atomic::AtomicU64,
+    /// When the target was last found stuck by its silence.
+    stalled_at: atomic::AtomicU64,
     reported_stuck_until: atomic::AtomicU64,
 }
 
@@ -57,6 +59,7 @@
             answer_micros: atomic::AtomicU64::new(first),
             failure_permille: atomic::AtomicU64::new(0),
             stuck_until: atomic::AtomicU64::new(0),
+            stalled_at: atomic::AtomicU64::new(0),
             reported_stuck_until: atomic::AtomicU64::new(0),
         }
     }
@@ -172,6 +175,21 @@
         self.stuck_until.fetch_max(until.as_micros(), RELAXED);
     }
 
+    /// Marks the target as stuck by its silence; unlike another mark it ends with the silence.
+    pub(crate) fn set_stalled(&self, until: times::BootTime, now: times::BootTime) {
+        self.stalled_at.store(now.as_micros(), RELAXED);
+        self.set_stuck(until);
+    }
+
+    /// Clears the mark of [`Self::set_stalled`] if the target has made progress since.
+    pub(crate) fn clear_stall(&self) {
+        let stalled_at = self.stalled_at.load(RELAXED);
+        if stalled_at > 0 && self.last_progress.load(RELAXED) > stalled_at {
+            self.stalled_at.store(0, RELAXED);
+            self.stuck_until.store(0, RELAXED);
+        }
+    }
+
     /// Returns whether this node found the target stuck.
     pub(crate) fn is_stuck(&self, now: times::BootTime) -> bool {
         now.as_micros() < self.stuck_until.load(RELAXED)
--- a/crates/pier_edge/tests/silent_targets.rs
+++ b/crates/pier_edge/tests/silent_targets.rs
@@ -192,6 +192,19 @@
     assert!(served > 0, "the target was not taken back into use");
 }
 
+/// Guards against requests that are refused since their only target was silent before.
+#[tokio::test]
+async fn a_target_takes_requests_again_as_soon_as_it_goes_on() {
+    let target = ScriptedTarget::start(events()).await;
+    let entries = (0..2).map(|rank| group_member("g0", rank, target.address));
+    let node = TestNode::start(entries.collect()).await;
+    let first = tokio::spawn(ask(node.callers, "/once/x"));
+    tokio::time::sleep(START_TIME).await;
+    target.fall_silent(SILENCE);
+    tokio::time::sleep(SILENCE + START_TIME).await;
+    assert_complete(vec![tokio::spawn(ask(node.callers, "/once/x")), first]).await;
+}
+
 /// Guards against a stream that ends since a new document no longer has its service.
 #[tokio::test]
 async fn a_stream_outlives_the_removal_of_its_service_from_the_document() {
