--- a/crates/pier_edge/src/daemon/edge_daemon.rs
+++ b/crates/pier_edge/src/daemon/edge_daemon.rs
@@ -48,16 +48,23 @@
     control::spawn(state.clone());
     telemetry::spawn(state.clone(), state.settings().readiness).await?;
     telemetry::spawn(state.clone(), state.settings().metrics).await?;
-    let server = serving::CallerServer::bind(state.clone(), state.settings().callers).await?;
-    let closing = server.closing();
+    let callers = state.settings().callers;
+    let audience = serving::ServerAudience::Callers;
+    let server = serving::CallerServer::bind(state.clone(), callers, audience).await?;
+    let forwards = state.settings().forwards;
+    let audience = serving::ServerAudience::Nodes;
+    let node_server = serving::CallerServer::bind(state.clone(), forwards, audience).await?;
+    let closing = [server.closing(), node_server.closing()];
     tokio::spawn(server.run());
+    tokio::spawn(node_server.run());
     tokio::spawn(clean_up(state.clone()));
     log::info!(
         event = "node-started",
         node:% = state.node(),
         callers:% = state.settings().callers,
         readiness:% = state.settings().readiness,
-        peers:% = state.settings().peers;
+        peers:% = state.settings().peers,
+        forwards:% = state.settings().forwards;
         ""
     );
     while signals.next().await == pier_signals::SignalAction::Reload {
@@ -84,14 +91,16 @@
 
 async fn drain<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
-    closing: &tokio::sync::watch::Sender<bool>,
+    closing: &[tokio::sync::watch::Sender<bool>],
 ) {
     let started = times::clocks::boot_now();
     state.start_drain();
     log::info!(event = "drain-started", in_progress = state.in_progress(); "");
     let limit = state.settings().bounds.grace.saturating_sub(END_MARGIN);
     tokio::time::sleep(DRAIN_NOTICE.min(limit)).await;
-    closing.send_replace(true);
+    for closing in closing {
+        closing.send_replace(true);
+    }
     // A request that is just being read needs this time to count as in progress.
     tokio::time::sleep(DRAIN_POLL_INTERVAL * 4).await;
     while state.in_progress() > 0 {
@@ -110,7 +119,7 @@
     loop {
         tokio::time::sleep(CLEANUP_INTERVAL).await;
         let now = times::clocks::boot_now();
-        for slot in state.slots() {
+        for slot in state.slots().into_iter().chain(state.forwards().slots()) {
             slot.connections.expire(now);
         }
         state.crashes().expire(now);
--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -100,6 +100,7 @@
             peers.expire(now);
             (peers.addresses(), peers.local_addresses(data_centre, now))
         });
+        state.update_forwards(now);
         let stride = beat_stride(local.len());
         let remote_stride = beat_stride(addresses.len()).div_ceil(stride);
         let mut beat = local_beat(&state, number, now);
@@ -144,6 +145,8 @@
         loads: loads.collect(),
         stuck: stuck.map(|slot| slot.vm.clone()).collect(),
         retiring: state.local_retiring().into_iter().collect(),
+        forwards: state.settings().forwards,
+        reached: state.reached_services(),
     }
 }
 
--- a/crates/pier_edge/src/peers/mod.rs
+++ b/crates/pier_edge/src/peers/mod.rs
@@ -2,6 +2,7 @@
 
 mod beat_loop;
 mod crash_loop;
+mod forwarder;
 mod load_exchange;
 mod load_intake;
 mod load_loop;
@@ -14,6 +15,7 @@
 mod stall_watch;
 
 pub(crate) use beat_loop::spawn;
+pub(crate) use forwarder::Forwarder;
 pub(crate) use load_exchange::LoadExchange;
 use load_loop::LoadLoop;
 pub(crate) use load_loop::VIEW_AGE;
--- a/crates/pier_edge/src/peers/node_beat.rs
+++ b/crates/pier_edge/src/peers/node_beat.rs
@@ -55,6 +55,10 @@
     pub stuck: Vec<ids::VmName>,
     /// First members that take no new requests, according to the node's plans as a steward.
     pub retiring: Vec<ids::VmName>,
+    /// Address of the node's port for other nodes' requests.
+    pub forwards: net::SocketAddr,
+    /// Services of which a target answered the node recently.
+    pub reached: Vec<ids::ServiceName>,
 }
 
 /// A node's record in the store.
--- a/crates/pier_edge/src/peers/peer_table.rs
+++ b/crates/pier_edge/src/peers/peer_table.rs
@@ -193,6 +193,44 @@
         beats.map(|beat| beat.node.clone()).collect()
     }
 
+    /// Returns the nodes to which requests for a service can be passed on: those that are alive, do
+    /// not leave and reach targets of it, the nodes of this data centre first.
+    pub(crate) fn forwarders(
+        &self,
+        service: &ids::ServiceName,
+        local_data_centre: &ids::DataCentreName,
+        now: times::BootTime,
+    ) -> Vec<peers::Forwarder> {
+        let able = self
+            .beats(now, PEER_LIFETIME)
+            .filter(|beat| !beat.is_leaving && beat.reached.contains(service));
+        let forwarders = able.map(|beat| peers::Forwarder {
+            node: beat.node.clone(),
+            address: beat.forwards,
+            is_local: beat.data_centre == *local_data_centre,
+        });
+        let (mut local, remote): (Vec<_>, Vec<_>) =
+            forwarders.partition(|forwarder| forwarder.is_local);
+        local.extend(remote);
+        local
+    }
+
+    /// Returns whether an IP address is that of a known node.
+    pub(crate) fn knows_ip(&self, ip: net::IpAddr) -> bool {
+        self.peers.keys().any(|address| address.ip() == ip)
+    }
+
+    /// Returns the names of all known nodes.
+    pub(crate) fn names(&self) -> collections::BTreeSet<ids::NodeName> {
+        self.peers.values().map(|peer| peer.node.clone()).collect()
+    }
+
+    /// Returns the names of the nodes that are alive.
+    pub(crate) fn live_names(&self, now: times::BootTime) -> collections::BTreeSet<ids::NodeName> {
+        let beats = self.beats(now, PEER_LIFETIME);
+        beats.map(|beat| beat.node.clone()).collect()
+    }
+
     /// Returns how many other nodes are known.
     pub(crate) fn count(&self) -> usize {
         self.peers.len()
--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -107,6 +107,9 @@
 }
 
 fn log_send<P>(job: &serving::RequestJob<P>, slot: &state::TargetSlot) {
+    if slot.is_node() {
+        return;
+    }
     log::debug!(
         event = "request-sent",
         attempt = job.head.attempt.as_str(),
@@ -161,7 +164,7 @@
         if sends > 0 {
             let nodes = job.state.with_peers(|peers| peers.sharing_nodes(now));
             let has_budget = || job.state.retries().take(&job.service, nodes, now);
-            if sends >= job.route.max_sends || !has_budget() {
+            if sends >= job.max_sends() || !has_budget() {
                 return Err(serving::Refusal::Broken);
             }
         }
@@ -194,6 +197,7 @@
             self.held = reported.err();
         } else {
             self.unreached += 1;
+            self.held = reported.err().or(self.held.take());
         }
     }
 
--- a/crates/pier_edge/src/serving/caller_server.rs
+++ b/crates/pier_edge/src/serving/caller_server.rs
@@ -1,4 +1,4 @@
-//! The HTTP server for callers.
+//! The HTTP servers for callers and for other nodes.
 
 use std::{convert, net, pin::pin, time};
 
@@ -19,11 +19,27 @@
 /// Delay before accepting again after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
 
-/// Serves callers on one port.
+/// Bytes by which the head of a request that a node passes on may exceed the limit for callers: the
+/// node's note.
+const NOTE_BYTES: usize = 1_024;
+
+/// Most headers of one request on the port for other nodes, which add one to the caller's.
+const MAX_NODE_HEADERS: usize = 128;
+
+/// Who may use a port.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ServerAudience {
+    Callers,
+    /// Other nodes, which pass their callers' requests on.
+    Nodes,
+}
+
+/// Serves callers, or other nodes, on one port.
 #[derive(Debug)]
 pub(crate) struct CallerServer<P> {
     state: state::EdgeState<P>,
     listener: TcpListener,
+    audience: ServerAudience,
     closing: watch::Sender<bool>,
 }
 
@@ -36,11 +52,13 @@
     pub(crate) async fn bind(
         state: state::EdgeState<P>,
         address: net::SocketAddr,
+        audience: ServerAudience,
     ) -> anyhow::Result<Self> {
         let listener = TcpListener::bind(address).await;
         Ok(Self {
             state,
             listener: listener.with_context(|| format!("binding {address}"))?,
+            audience,
             closing: watch::Sender::new(false),
         })
     }
@@ -61,9 +79,13 @@
                 () = wait_for_close(&mut closing) => return,
             };
             match accepted {
-                Ok((stream, _from)) => {
+                Ok((stream, from)) => {
+                    let Some(origin) = self.origin(from) else {
+                        continue;
+                    };
                     let subscription = self.closing.subscribe();
-                    let serving = serve_connection(self.state.clone(), stream, subscription);
+                    let serving =
+                        serve_connection(self.state.clone(), stream, origin, subscription);
                     tokio::spawn(serving);
                 }
                 Err(error) => {
@@ -73,11 +95,26 @@
             }
         }
     }
+
+    /// Returns who has opened a connection; `None` if it is nobody for whom the port is.
+    fn origin(&self, from: net::SocketAddr) -> Option<serving::RequestOrigin> {
+        if self.audience == ServerAudience::Callers {
+            return Some(serving::RequestOrigin::Caller);
+        }
+        let ip = from.ip();
+        if self.state.with_peers(|peers| peers.knows_ip(ip)) {
+            return Some(serving::RequestOrigin::Node(ip));
+        }
+        self.state.metrics().count_forward_received("stranger");
+        log::warn!(event = "forward-from-stranger", from:% = from; "");
+        None
+    }
 }
 
 async fn serve_connection<P: links::FleetPlatform>(
     state: state::EdgeState<P>,
     stream: TcpStream,
+    origin: serving::RequestOrigin,
     mut closing: watch::Receiver<bool>,
 ) {
     connection_pool::set_socket_timeouts(&stream);
@@ -85,14 +122,21 @@
         .document()
         .map(|document| document.limits())
         .unwrap_or_default();
-    let head_size = usize::try_from(limits.head_size.get()).unwrap_or(usize::MAX);
+    let mut builder = http1::Builder::new();
+    let mut head_size = usize::try_from(limits.head_size.get()).unwrap_or(usize::MAX);
+    if origin != serving::RequestOrigin::Caller {
+        head_size = head_size.saturating_add(NOTE_BYTES);
+        builder.max_headers(MAX_NODE_HEADERS);
+    }
     let reset = serving::ResetSwitch::default();
     let stream = serving::CallerStream::new(stream, reset.clone());
     let service = service_fn(move |request: http::Request<Incoming>| {
         let (state, reset) = (state.clone(), reset.clone());
-        async move { Ok::<_, convert::Infallible>(request_entry::serve(state, request, reset).await) }
+        async move {
+            Ok::<_, convert::Infallible>(request_entry::serve(state, request, reset, origin).await)
+        }
     });
-    let connection = http1::Builder::new()
+    let connection = builder
         .timer(TokioTimer::new())
         // Hyper's time-out for a request's head also covers the idle time before the request.
         .header_read_timeout(limits.idle_time + limits.head_time)
--- a/crates/pier_edge/src/serving/connection_pool.rs
+++ b/crates/pier_edge/src/serving/connection_pool.rs
@@ -10,7 +10,10 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use pier_types::times;
-use tokio::{net::TcpStream, task};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task,
+};
 
 use super::target_stream;
 use crate::{serving, state};
@@ -54,6 +57,8 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
     address: net::SocketAddr,
+    /// IP address from which connections are opened; `None` leaves the choice to the system.
+    source: Option<net::IpAddr>,
     max_in_use: usize,
     /// Number of open connections, idle ones included.
     open: sync::Arc<atomic::AtomicUsize>,
@@ -95,12 +100,31 @@
     pub(crate) fn new(address: net::SocketAddr, max_in_use: usize) -> Self {
         Self {
             address,
+            source: None,
             max_in_use,
             open: sync::Arc::default(),
             idle: sync::Mutex::default(),
         }
     }
 
+    /// Opens connections from this IP address, unless it is unspecified.
+    pub(crate) fn connect_from(&mut self, source: net::IpAddr) {
+        self.source = (!source.is_unspecified()).then_some(source);
+    }
+
+    async fn open_stream(&self) -> io::Result<TcpStream> {
+        let Some(source) = self.source else {
+            return TcpStream::connect(self.address).await;
+        };
+        let socket = if source.is_ipv4() {
+            TcpSocket::new_v4()?
+        } else {
+            TcpSocket::new_v6()?
+        };
+        socket.bind(net::SocketAddr::new(source, 0))?;
+        socket.connect(self.address).await
+    }
+
     pub(crate) const fn address(&self) -> net::SocketAddr {
         self.address
     }
@@ -162,7 +186,7 @@
     ///
     /// Fails when the target refuses it or does not answer in time.
     pub(crate) async fn connect(&self) -> Result<PooledConnection, ConnectFault> {
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address));
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, self.open_stream());
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
--- a/crates/pier_edge/src/serving/loss_report.rs
+++ b/crates/pier_edge/src/serving/loss_report.rs
@@ -1,6 +1,9 @@
 //! Reports targets that were lost while they ran a request.
 
-use std::{sync, time};
+use std::{
+    sync::{self, atomic},
+    time,
+};
 
 use pier_request::quarantine;
 use pier_types::{ids, times};
@@ -44,6 +47,7 @@
             serving::SendFault::MayHaveRun(_) => self.report_closed(slot).await,
             serving::SendFault::TooLarge(limit) => self.report_too_large(slot, *limit),
             serving::SendFault::TimedOut => self.report_silent(slot),
+            serving::SendFault::Refused(refusal) => Err(serving::Refusal::ByNode(refusal.clone())),
             serving::SendFault::Unreached(_) | serving::SendFault::NotSent(_) => Ok(()),
         }
     }
@@ -57,6 +61,10 @@
         &self,
         slot: &sync::Arc<state::TargetSlot>,
     ) -> Result<(), serving::Refusal> {
+        self.mark_sent();
+        if slot.is_node() {
+            return self.check_held();
+        }
         let now = times::clocks::boot_now();
         let cause = find_cause(&self.state, slot, CHECK_LIFETIME, now).await;
         let label = label(cause);
@@ -91,6 +99,7 @@
         slot: &state::TargetSlot,
         limit: serving::AnswerLimit,
     ) -> Result<(), serving::Refusal> {
+        self.mark_sent();
         let now = times::clocks::boot_now();
         self.state.metrics().count_loss("answer-too-large");
         log::warn!(
@@ -101,7 +110,7 @@
             limit = limit.label();
             ""
         );
-        if limit.is_targets_own() {
+        if limit.is_targets_own() && !slot.is_node() {
             slot.gauge.set_stuck(now.after(TOO_LARGE_REST));
         }
         self.check_held()
@@ -113,6 +122,9 @@
     /// A process that ends closes its connections like one that has answered completely. An answer
     /// of a target that is leaving, or that does not reply to the check in time, counts as sound.
     pub(super) async fn is_process_lost(&self, slot: &state::TargetSlot) -> bool {
+        if slot.is_node() {
+            return false;
+        }
         let now = times::clocks::boot_now();
         let check = find_cause(&self.state, slot, time::Duration::ZERO, now);
         let cause = tokio::time::timeout(END_CHECK_TIMEOUT, check).await;
@@ -128,6 +140,10 @@
         &self,
         slot: &sync::Arc<state::TargetSlot>,
     ) -> Result<(), serving::Refusal> {
+        self.mark_sent();
+        if slot.is_node() {
+            return self.check_held();
+        }
         let now = times::clocks::boot_now();
         let cause = Some(quarantine::LossCause::Unreachable);
         self.state
@@ -153,6 +169,11 @@
         may_leave
     }
 
+    /// Records that a target may have received the request.
+    fn mark_sent(&self) {
+        self.may_have_run.store(true, atomic::Ordering::Relaxed);
+    }
+
     fn loss(&self, slot: &state::TargetSlot) -> crashes::RequestLoss {
         crashes::RequestLoss {
             fingerprint: self.fingerprint,
@@ -177,7 +198,7 @@
         self.state
             .crashes()
             .record_completion(self.fingerprint, now);
-        if !self.head.shared_parts.is_empty() {
+        if !self.head.shared_parts.is_empty() && !slot.is_node() {
             let (state, slot) = (self.state.clone(), sync::Arc::clone(slot));
             tokio::spawn(check_sound(state, slot, self.head.shared_parts.clone()));
         }
--- a/crates/pier_edge/src/serving/refusal.rs
+++ b/crates/pier_edge/src/serving/refusal.rs
@@ -4,6 +4,9 @@
 
 use crate::serving;
 
+/// When a caller may repeat a request that another node did not take over.
+const FORWARD_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
+
 /// Why this node answers a request itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Refusal {
@@ -35,6 +38,12 @@
     Lost { retry_after: time::Duration },
     /// The request was sent and was not answered before its deadline.
     TimedOut,
+    /// Another node passed on more requests than this one takes from it; it was not sent.
+    TooManyForwards,
+    /// Another node's request lacks its note, or the note is not understood; it was not sent.
+    UnreadableForward,
+    /// The node to which the request was passed on refused it; it has not run.
+    ByNode(serving::NodeRefusal),
 }
 
 impl Refusal {
@@ -53,6 +62,9 @@
             Self::Broken => "broken",
             Self::Lost { .. } => "lost",
             Self::TimedOut => "timed-out",
+            Self::TooManyForwards => "too-many-forwards",
+            Self::UnreadableForward => "unreadable-forward",
+            Self::ByNode(_) => "refused-by-node",
         }
     }
 
@@ -63,13 +75,16 @@
             | Self::NoTarget { .. }
             | Self::Paused { .. }
             | Self::NotRun { .. }
-            | Self::HeldBack { .. } => http::StatusCode::SERVICE_UNAVAILABLE,
+            | Self::HeldBack { .. }
+            | Self::TooManyForwards
+            | Self::UnreadableForward => http::StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => http::StatusCode::NOT_FOUND,
             Self::BadKey => http::StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => http::StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => http::StatusCode::REQUEST_TIMEOUT,
             Self::Broken | Self::Lost { .. } => http::StatusCode::BAD_GATEWAY,
             Self::TimedOut => http::StatusCode::GATEWAY_TIMEOUT,
+            Self::ByNode(refusal) => refusal.status,
         }
     }
 
@@ -82,6 +97,8 @@
             | Self::NotRun { retry_after }
             | Self::HeldBack { retry_after }
             | Self::Lost { retry_after } => Some(*retry_after),
+            Self::TooManyForwards | Self::UnreadableForward => Some(FORWARD_RETRY_AFTER),
+            Self::ByNode(refusal) => refusal.retry_after,
             _ => None,
         }
     }
--- a/crates/pier_edge/src/serving/request_entry.rs
+++ b/crates/pier_edge/src/serving/request_entry.rs
@@ -1,6 +1,6 @@
 //! The entry point of requests: reads one, finds its route and runs it.
 
-use std::time;
+use std::{net, sync, time};
 
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
@@ -13,25 +13,43 @@
 /// Time-out for reading a request's body when the caller states none.
 const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
+/// Who sent a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RequestOrigin {
+    Caller,
+    /// Another node passes a caller's request on.
+    Node(net::IpAddr),
+}
+
 /// Answers one request and records the answer in log and metrics.
 pub(super) async fn serve<P: links::FleetPlatform>(
     state: state::EdgeState<P>,
     request: http::Request<Incoming>,
     reset: serving::ResetSwitch,
+    origin: RequestOrigin,
 ) -> http::Response<serving::EdgeBody> {
     let arrived_at = times::clocks::boot_now();
-    let progress = state.begin_request();
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
     let has_chunks = parts.version >= http::Version::HTTP_11;
-    let head = state.platform().read_request(&parts);
+    let note = parts.headers.remove(serving::FORWARD_HEADER);
+    let mut head = state.platform().read_request(&parts);
     let attempt = head.attempt.clone();
-    let outcome = answer(&state, parts, head, body, arrived_at, progress).await;
+    let outcome = match begin(&state, origin, note.as_ref(), &mut head) {
+        Ok((progress, forward)) => {
+            let request = ReadHead {
+                parts,
+                head,
+                forward,
+                arrived_at,
+            };
+            answer(&state, request, body, progress).await
+        }
+        Err(refusal) => Err(refusal),
+    };
     let taken = times::clocks::boot_now().since(arrived_at);
     let mut response = match outcome {
         Ok(response) => {
-            state
-                .metrics()
-                .count_answer("passed", response.status().as_u16(), taken);
+            count(&state, origin, "passed", response.status(), taken);
             log::info!(
                 event = "request-answered",
                 attempt = attempt.as_str(),
@@ -42,10 +60,13 @@
             response
         }
         Err(refusal) => {
-            let response = refusal.response();
-            state
-                .metrics()
-                .count_answer(refusal.label(), response.status().as_u16(), taken);
+            let mut response = refusal.response();
+            if origin != RequestOrigin::Caller {
+                let label = http::HeaderValue::from_static(refusal.label());
+                let headers = response.headers_mut();
+                headers.insert(serving::REFUSAL_HEADER, label);
+            }
+            count(&state, origin, refusal.label(), response.status(), taken);
             log::info!(
                 event = "request-refused",
                 attempt = attempt.as_str(),
@@ -69,17 +90,70 @@
     response
 }
 
-async fn answer<P: links::FleetPlatform>(
+fn count<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
+    origin: RequestOrigin,
+    cause: &str,
+    status: http::StatusCode,
+    taken: time::Duration,
+) {
+    match origin {
+        RequestOrigin::Caller => state.metrics().count_answer(cause, status.as_u16(), taken),
+        RequestOrigin::Node(_) => state.metrics().count_forward_received(cause),
+    }
+}
+
+/// A request of which the body has not been read yet.
+struct ReadHead {
     parts: http::request::Parts,
     head: links::CallerHead,
-    body: Incoming,
+    /// The note of the node that passed the request on.
+    forward: Option<serving::ForwardNote>,
     arrived_at: times::BootTime,
+}
+
+/// Counts a request as in progress, and applies the note of the node that passed it on.
+///
+/// # Errors
+///
+/// Fails when another node's request is not taken.
+fn begin<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    origin: RequestOrigin,
+    note: Option<&http::HeaderValue>,
+    head: &mut links::CallerHead,
+) -> Result<(state::ProgressGuard<P>, Option<serving::ForwardNote>), serving::Refusal> {
+    let RequestOrigin::Node(from) = origin else {
+        return Ok((state.begin_request(), None));
+    };
+    let note = note
+        .and_then(|note| str::from_utf8(note.as_bytes()).ok())
+        .and_then(serving::ForwardNote::parse)
+        .ok_or(serving::Refusal::UnreadableForward)?;
+    let progress = state.begin_forwarded(from);
+    let progress = progress.ok_or(serving::Refusal::TooManyForwards)?;
+    head.timeout = Some(note.time_left);
+    if note.after_event.is_some() {
+        head.last_event.clone_from(&note.after_event);
+    }
+    Ok((progress, Some(note)))
+}
+
+async fn answer<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    request: ReadHead,
+    body: Incoming,
     progress: state::ProgressGuard<P>,
 ) -> Result<http::Response<serving::EdgeBody>, serving::Refusal> {
+    let ReadHead {
+        parts,
+        head,
+        forward,
+        arrived_at,
+    } = request;
     let document = state.document().ok_or(serving::Refusal::NoDocument)?;
     let route = document.route(&head.host, parts.uri.path());
-    let route = std::sync::Arc::clone(route.ok_or(serving::Refusal::NoRoute)?);
+    let route = sync::Arc::clone(route.ok_or(serving::Refusal::NoRoute)?);
     let grant = grant(&document, &route, &head)?;
     let body = read_body(body, document.limits(), &head).await?;
     let fingerprint = fingerprint(grant.as_ref(), &parts.uri, &body);
@@ -101,7 +175,11 @@
     let service = service.cloned().ok_or(serving::Refusal::NoRoute)?;
     let timeout = head.timeout.unwrap_or(route.timeout).min(route.timeout);
     state.mark_served();
-    state.retries().add_fresh(&service, arrived_at);
+    let is_forwarded = forward.is_some();
+    if !is_forwarded {
+        // The node that passed a request on has counted it.
+        state.retries().add_fresh(&service, arrived_at);
+    }
     let is_stream = route.repeat.is_stream();
     let job = serving::RequestJob {
         state: state.clone(),
@@ -109,35 +187,34 @@
         parts,
         body,
         head,
+        forward,
         document,
         route,
         service,
         grant,
         fingerprint,
         arrived_at,
+        may_have_run: sync::atomic::AtomicBool::new(false),
     };
     if is_stream {
         let platform = state.platform().clone();
         return match stream_run::run(job, progress).await? {
             stream_run::StreamStart::Stream(head, receiver) => {
                 let body = serving::EdgeBody::stream(receiver);
-                Ok(response_of(&platform, &head, body, true))
+                let headers = passed_headers(&platform, &head, is_forwarded);
+                Ok(response_of(&head, headers, body, true))
+            }
+            stream_run::StreamStart::Whole(head, body) => {
+                let headers = passed_headers(&platform, &head, is_forwarded);
+                let body = serving::EdgeBody::whole(body);
+                Ok(response_of(&head, headers, body, false))
             }
-            stream_run::StreamStart::Whole(head, body) => Ok(response_of(
-                &platform,
-                &head,
-                serving::EdgeBody::whole(body),
-                false,
-            )),
         };
     }
     let (head, body) = buffered_run::run(&job).await?;
-    Ok(response_of(
-        state.platform(),
-        &head,
-        serving::EdgeBody::whole(body),
-        false,
-    ))
+    let headers = passed_headers(state.platform(), &head, is_forwarded);
+    let body = serving::EdgeBody::whole(body);
+    Ok(response_of(&head, headers, body, false))
 }
 
 fn grant(
@@ -192,15 +269,31 @@
     read.unwrap_or(Err(serving::Refusal::BodyTooSlow))
 }
 
-fn response_of<P: links::FleetPlatform>(
+/// Returns the headers of an answer to the caller, or to the node that passed the request on; it
+/// gets the target's own, except for those that concern one connection.
+fn passed_headers<P: links::FleetPlatform>(
     platform: &P,
     head: &http::response::Parts,
+    is_forwarded: bool,
+) -> http::HeaderMap {
+    let mut headers = if is_forwarded {
+        serving::without_connection_headers(&head.headers)
+    } else {
+        platform.caller_headers(head)
+    };
+    headers.remove(serving::REFUSAL_HEADER);
+    headers
+}
+
+fn response_of(
+    head: &http::response::Parts,
+    headers: http::HeaderMap,
     body: serving::EdgeBody,
     is_stream: bool,
 ) -> http::Response<serving::EdgeBody> {
     let mut response = http::Response::new(body);
     *response.status_mut() = head.status;
-    *response.headers_mut() = platform.caller_headers(head);
+    *response.headers_mut() = headers;
     if is_stream {
         // Another target may continue the stream, so its length is not known.
         response.headers_mut().remove(http::header::CONTENT_LENGTH);
--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -1,6 +1,9 @@
 //! A caller's request while it is being served.
 
-use std::{sync, time};
+use std::{
+    sync::{self, atomic},
+    time,
+};
 
 use pier_fleet::{dispatch, documents};
 use pier_types::{ids, times};
@@ -11,6 +14,10 @@
 /// takes.
 const NO_TARGET_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 
+/// Targets to which another node may send a request that is passed on. Further sends are this
+/// node's, so that no count is lost with the other node.
+const FORWARDED_SENDS: u32 = 1;
+
 /// Factor from ranks in the document to ranks at targets.
 const RANK_STEP: u8 = 2;
 
@@ -24,6 +31,8 @@
     pub parts: http::request::Parts,
     pub body: bytes::Bytes,
     pub head: links::CallerHead,
+    /// The note of the node that passed the request on, if one did.
+    pub forward: Option<serving::ForwardNote>,
     pub document: sync::Arc<documents::FleetDocument>,
     pub route: sync::Arc<documents::RouteRule>,
     pub service: ids::ServiceName,
@@ -31,6 +40,8 @@
     /// Identifies the request across its caller's attempts.
     pub fingerprint: ids::RequestFingerprint,
     pub arrived_at: times::BootTime,
+    /// Whether a target may have received the request from this node.
+    pub may_have_run: atomic::AtomicBool,
     /// Time at which the shorter of the caller's and the route's time-out ends.
     pub deadline: times::BootTime,
 }
@@ -52,6 +63,14 @@
         customer_rank.unwrap_or(self.route.rank)
     }
 
+    /// Returns to how many targets this node may send the request.
+    pub(super) fn max_sends(&self) -> u32 {
+        let max = self.route.max_sends;
+        self.forward
+            .as_ref()
+            .map_or(max, |note| max.min(note.sends_left))
+    }
+
     pub(super) fn time_left(&self, now: times::BootTime) -> time::Duration {
         self.deadline.since(now)
     }
@@ -88,6 +107,16 @@
         is_resumed: bool,
         now: times::BootTime,
     ) -> TargetChoice {
+        if self.state.is_cut_off(&self.service, now)
+            && let Some(choice) = self.choose_node(tried, now)
+        {
+            return choice;
+        }
+        let is_resumed = is_resumed
+            || self
+                .forward
+                .as_ref()
+                .is_some_and(serving::ForwardNote::is_late);
         let table = self.state.table();
         let pool = table.services.get(&self.service);
         let all = pool.map_or(&[][..], |pool| pool.candidates(self.head.model.as_ref()));
@@ -152,7 +181,39 @@
         }
     }
 
-    /// Builds the HTTP request for one target; `after_event` names the event after which the
+    /// Chooses a node to which the request is passed on; `None` if no node reaches the service.
+    ///
+    /// A request that another node passed on stays here.
+    fn choose_node(&self, tried: &[ids::VmName], now: times::BootTime) -> Option<TargetChoice> {
+        if self.forward.is_some() {
+            return Some(TargetChoice::Refuse(serving::Refusal::NoTarget {
+                retry_after: NO_TARGET_RETRY_AFTER,
+            }));
+        }
+        let nodes = self.state.forward_slots(&self.service, now);
+        if nodes.is_empty() {
+            return None;
+        }
+        let untried = nodes.iter().filter(|slot| {
+            !tried.contains(&slot.vm) && !slot.connections.is_full() && !slot.gauge.is_stuck(now)
+        });
+        let load = |slot: &state::TargetSlot| {
+            let draw: u32 = rand::random();
+            (!slot.is_local, slot.gauge.local_in_flight(), draw)
+        };
+        let chosen = untried.min_by_key(|slot| load(slot));
+        Some(chosen.map_or(
+            TargetChoice::Refuse(serving::Refusal::NoTarget {
+                retry_after: NO_TARGET_RETRY_AFTER,
+            }),
+            |slot| TargetChoice::Send {
+                slot: sync::Arc::clone(slot),
+                expected: time::Duration::ZERO,
+            },
+        ))
+    }
+
+    /// Builds the HTTP request for one target or node; `after_event` names the event after which the
     /// target is to resume a stream.
     pub(super) fn target_request(
         &self,
@@ -160,6 +221,26 @@
         after_event: Option<&str>,
         now: times::BootTime,
     ) -> http::Request<http_body_util::Full<bytes::Bytes>> {
+        let headers = if slot.is_node() {
+            self.node_headers(after_event, now)
+        } else {
+            self.target_headers(slot, after_event, now)
+        };
+        let mut request = http::Request::new(http_body_util::Full::new(self.body.clone()));
+        *request.method_mut() = self.parts.method.clone();
+        *request.uri_mut() = self.parts.uri.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+
+    fn target_headers(
+        &self,
+        slot: &state::TargetSlot,
+        after_event: Option<&str>,
+        now: times::BootTime,
+    ) -> http::HeaderMap {
+        let note = self.forward.as_ref();
+        let after_event = after_event.or_else(|| note?.after_event.as_deref());
         let is_resumed = after_event.is_some();
         let rank = if is_resumed {
             0
@@ -173,12 +254,28 @@
             rank,
             after_event,
         };
-        let headers = self.state.platform().target_headers(&self.parts, &terms);
-        let mut request = http::Request::new(http_body_util::Full::new(self.body.clone()));
-        *request.method_mut() = self.parts.method.clone();
-        *request.uri_mut() = self.parts.uri.clone();
-        *request.headers_mut() = headers;
-        request
+        self.state.platform().target_headers(&self.parts, &terms)
+    }
+
+    /// Returns the caller's own headers with the note for another node.
+    fn node_headers(&self, after_event: Option<&str>, now: times::BootTime) -> http::HeaderMap {
+        let note = serving::ForwardNote {
+            time_left: self.time_left(now),
+            sends_left: FORWARDED_SENDS,
+            may_have_run: self.may_have_run.load(atomic::Ordering::Relaxed),
+            after_event: after_event.map(str::to_owned),
+        };
+        let mut headers = serving::without_connection_headers(&self.parts.headers);
+        match http::HeaderValue::from_str(&note.text()) {
+            Ok(value) => {
+                headers.insert(serving::FORWARD_HEADER, value);
+            }
+            // The other node refuses a request without a note.
+            Err(_invalid) => {
+                log::warn!(event = "header-left-out", name = serving::FORWARD_HEADER; "");
+            }
+        }
+        headers
     }
 }
 
--- a/crates/pier_edge/src/serving/send_fault.rs
+++ b/crates/pier_edge/src/serving/send_fault.rs
@@ -13,6 +13,8 @@
     MayHaveRun(String),
     /// The answer exceeded a limit, and the connection was closed.
     TooLarge(serving::AnswerLimit),
+    /// The node to which the request was passed on refused it, and it has not run.
+    Refused(serving::NodeRefusal),
     /// No answer came within the time for this send.
     TimedOut,
 }
--- a/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
+++ b/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
@@ -186,7 +186,7 @@
     }
 
     fn may_send(&self) -> bool {
-        !self.is_held && self.sends < self.job.route.max_sends
+        !self.is_held && self.sends < self.job.max_sends()
     }
 
     /// Asks one target after another until one takes the stream on; returns `None` when no further
@@ -264,7 +264,9 @@
             Err(fault) => {
                 let reported = self.job.report_fault(slot, &fault).await;
                 log_failed(&self.job, slot, &format!("{fault:?}"));
-                self.is_held |= reported.is_err();
+                // Another node may take the stream on after one refused it.
+                let is_refused = matches!(fault, serving::SendFault::Refused(_));
+                self.is_held |= reported.is_err() && !is_refused;
                 if fault.may_have_run() {
                     self.has_permit = false;
                 } else {
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -95,8 +95,11 @@
                 drop(open);
                 let (sender, receiver) = mpsc::channel(STREAM_BUFFER_CHUNKS);
                 let head = call.head.clone();
-                let relay = serving::StreamRelay::new(job, *call, sender, tried, count, progress)
-                    .with_expected(ended.expected);
+                let mut relay =
+                    serving::StreamRelay::new(job, *call, sender, tried, count, progress);
+                if !ended.slot.is_node() {
+                    relay = relay.with_expected(ended.expected);
+                }
                 tokio::spawn(relay.run());
                 return Ok(StreamStart::Stream(head, receiver));
             }
@@ -158,6 +161,9 @@
     slot: &state::TargetSlot,
     expected: time::Duration,
 ) {
+    if slot.is_node() {
+        return;
+    }
     log::info!(
         event = "request-sent",
         attempt = job.head.attempt.as_str(),
@@ -214,7 +220,7 @@
         if sends > 0 {
             let nodes = job.state.with_peers(|peers| peers.sharing_nodes(now));
             let has_budget = || job.state.retries().take(&job.service, nodes, now);
-            if sends >= job.route.max_sends || !has_budget() {
+            if sends >= job.max_sends() || !has_budget() {
                 return Err(serving::Refusal::Broken);
             }
         }
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -29,12 +29,26 @@
 }
 
 impl TargetCall {
-    /// Sends a request and waits up to `limit` for the answer's head.
+    /// Sends a request to a target or node, and waits up to `limit` for the answer's head.
     pub(super) async fn send<P: links::FleetPlatform>(
         job: &serving::RequestJob<P>,
         slot: &sync::Arc<state::TargetSlot>,
         after_event: Option<&str>,
         limit: time::Duration,
+    ) -> Result<Self, serving::SendFault> {
+        let result = Self::exchange(job, slot, after_event, limit).await;
+        if slot.is_node() {
+            let outcome = forward_outcome(&result);
+            job.state.metrics().count_forward_sent(outcome);
+        }
+        result
+    }
+
+    async fn exchange<P: links::FleetPlatform>(
+        job: &serving::RequestJob<P>,
+        slot: &sync::Arc<state::TargetSlot>,
+        after_event: Option<&str>,
+        limit: time::Duration,
     ) -> Result<Self, serving::SendFault> {
         let age = if job.route.repeat.may_repeat() {
             time::Duration::MAX
@@ -45,11 +59,7 @@
         let idle = slot.connections.take_idle(age, now);
         let mut connection = match idle {
             Some(connection) => connection,
-            None => slot
-                .connections
-                .connect()
-                .await
-                .map_err(|fault| serving::SendFault::Unreached(fault.to_string()))?,
+            None => connect(job, slot).await?,
         };
         let now = times::clocks::boot_now();
         // The state may have changed while this request waited for its connection.
@@ -59,6 +69,9 @@
         }
         let guard = slot.gauge.begin(job.head.prompt_tokens, now);
         slot.count_send(now);
+        if slot.is_node() {
+            log_forward(job, slot, after_event);
+        }
         connection.preface.begin();
         let request: http::Request<Full<bytes::Bytes>> = job.target_request(slot, after_event, now);
         let response = tokio::select! {
@@ -77,12 +90,14 @@
         })?;
         connection.preface.end();
         let (head, body) = response.into_parts();
-        let answer = job.state.platform().read_answer(&job.head.attempt, &head);
-        if answer.notice == links::TargetNotice::Leaving {
+        let mut answer = job.state.platform().read_answer(&job.head.attempt, &head);
+        if slot.is_node() {
+            apply_refusal(&head, &mut answer)?;
+        } else if answer.notice == links::TargetNotice::Leaving {
             let answered_at = times::clocks::boot_now();
             job.state.record_leaving(&slot.vm, slot.born, answered_at);
         }
-        if let Some(pause) = answer.pause {
+        if let Some(pause) = answer.pause.filter(|_pause| !slot.is_node()) {
             let answered_at = times::clocks::boot_now();
             job.state
                 .record_pause(&slot.vm, slot.born, pause, answered_at);
@@ -121,3 +136,67 @@
         }
     }
 }
+
+async fn connect<P: links::FleetPlatform>(
+    job: &serving::RequestJob<P>,
+    slot: &state::TargetSlot,
+) -> Result<serving::PooledConnection, serving::SendFault> {
+    let connected = slot.connections.connect().await;
+    if !slot.is_node() {
+        let reach = job.state.reach();
+        reach.record(&job.service, connected.is_ok());
+    }
+    connected.map_err(|fault| serving::SendFault::Unreached(fault.to_string()))
+}
+
+/// Applies a node's own refusal to the answer that carries it.
+///
+/// # Errors
+///
+/// Fails with what a refusal means, unless it is like that of a target which has not run the
+/// request.
+fn apply_refusal(
+    head: &http::response::Parts,
+    answer: &mut links::AnswerHead,
+) -> Result<(), serving::SendFault> {
+    let Some(refusal) = serving::NodeRefusal::read(head) else {
+        return Ok(());
+    };
+    match refusal.meaning() {
+        serving::RefusalMeaning::NotRun => {
+            answer.is_not_run = true;
+            Ok(())
+        }
+        serving::RefusalMeaning::NotSent => Err(serving::SendFault::NotSent(refusal.label)),
+        serving::RefusalMeaning::Final => Err(serving::SendFault::Refused(refusal)),
+        serving::RefusalMeaning::MayHaveRun => Err(serving::SendFault::MayHaveRun(refusal.label)),
+        serving::RefusalMeaning::TimedOut => Err(serving::SendFault::TimedOut),
+    }
+}
+
+const fn forward_outcome(result: &Result<serving::TargetCall, serving::SendFault>) -> &'static str {
+    match result {
+        Ok(call) if call.answer.is_not_run => "refused",
+        Ok(_) => "answered",
+        Err(serving::SendFault::Unreached(_)) => "unreached",
+        Err(serving::SendFault::NotSent(_) | serving::SendFault::Refused(_)) => "refused",
+        Err(serving::SendFault::MayHaveRun(_) | serving::SendFault::TooLarge(_)) => "lost",
+        Err(serving::SendFault::TimedOut) => "timed-out",
+    }
+}
+
+fn log_forward<P>(
+    job: &serving::RequestJob<P>,
+    slot: &state::TargetSlot,
+    after_event: Option<&str>,
+) {
+    log::info!(
+        event = "request-forwarded",
+        attempt = job.head.attempt.as_str(),
+        node:% = slot.vm,
+        is_local = slot.is_local,
+        in_flight = slot.gauge.local_in_flight(),
+        after = after_event.unwrap_or("");
+        ""
+    );
+}
--- a/crates/pier_edge/src/settings/edge_settings.rs
+++ b/crates/pier_edge/src/settings/edge_settings.rs
@@ -22,6 +22,8 @@
     pub readiness: net::SocketAddr,
     /// Address for datagrams of other nodes.
     pub peers: net::SocketAddr,
+    /// Address for requests that other nodes pass on.
+    pub forwards: net::SocketAddr,
     /// Address for metrics.
     pub metrics: net::SocketAddr,
     /// Address of the platform's store.
@@ -70,6 +72,7 @@
             callers: reader.value("listen", "callers")?,
             readiness: reader.value("listen", "readiness")?,
             peers: reader.value("listen", "peers")?,
+            forwards: reader.value("listen", "forwards")?,
             metrics: reader.value("listen", "metrics")?,
             store: reader.value("platform", "store")?,
             memory: sizes::ByteSize::new(mebibytes << 20),
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -1,7 +1,7 @@
 //! The shared state of a node.
 
 use std::{
-    collections,
+    collections, net,
     sync::{self, atomic},
     time,
 };
@@ -39,6 +39,8 @@
     peers: sync::Mutex<peers::PeerTable>,
     notices: peers::NoticeOutbox,
     pauses: state::PauseTable,
+    forwards: state::ForwardTable,
+    reach: state::ServiceReach,
     retries: state::RetryBudget,
     crashes: crashes::CrashLedger,
     first_events: state::FirstEventDelays,
@@ -70,6 +72,8 @@
             retries: state::RetryBudget::new(settings.bounds),
             notices: peers::NoticeOutbox::default(),
             pauses: state::PauseTable::default(),
+            forwards: state::ForwardTable::default(),
+            reach: state::ServiceReach::default(),
             crashes: crashes::CrashLedger::default(),
             first_events: state::FirstEventDelays::default(),
             peers: sync::Mutex::new(peers::PeerTable::new(node.clone())),
@@ -261,6 +265,49 @@
         self.shared.pauses.end(vm, born)
     }
 
+    pub(crate) fn forwards(&self) -> &state::ForwardTable {
+        &self.shared.forwards
+    }
+
+    pub(crate) fn reach(&self) -> &state::ServiceReach {
+        &self.shared.reach
+    }
+
+    /// Returns whether this node reaches no target of a service, while others may.
+    pub(crate) fn is_cut_off(&self, service: &ids::ServiceName, _now: times::BootTime) -> bool {
+        self.reach().is_cut_off(service)
+    }
+
+    /// Returns the services of which this node reaches targets.
+    pub(crate) fn reached_services(&self) -> Vec<ids::ServiceName> {
+        let document = self.document();
+        document.map_or_else(Vec::new, |document| {
+            document.services().keys().cloned().collect()
+        })
+    }
+
+    /// Returns the nodes to which requests for a service can be passed on, those of this data centre
+    /// first.
+    pub(crate) fn forward_slots(
+        &self,
+        service: &ids::ServiceName,
+        now: times::BootTime,
+    ) -> Vec<sync::Arc<state::TargetSlot>> {
+        let settings = self.settings();
+        let forwarders =
+            self.with_peers(|peers| peers.forwarders(service, &settings.data_centre, now));
+        let slots = forwarders
+            .iter()
+            .filter_map(|forwarder| self.forwards().slot(forwarder, settings.peers.ip()));
+        slots.collect()
+    }
+
+    /// Updates which nodes are alive for the requests that were passed on to them.
+    pub(crate) fn update_forwards(&self, now: times::BootTime) {
+        let (live, known) = self.with_peers(|peers| (peers.live_names(now), peers.names()));
+        self.forwards().update(&live, &known);
+    }
+
     /// Returns the notices that are to be sent to other nodes.
     pub(crate) fn notices(&self) -> &peers::NoticeOutbox {
         &self.shared.notices
@@ -403,19 +450,36 @@
             .fetch_add(1, atomic::Ordering::Relaxed);
         ProgressGuard {
             state: self.clone(),
+            from: None,
         }
     }
+
+    /// Counts a request that another node passed on until the guard is dropped; `None` if too many
+    /// of its requests are in progress.
+    pub(crate) fn begin_forwarded(&self, from: net::IpAddr) -> Option<ProgressGuard<P>> {
+        let is_counted = self.forwards().begin_received(from);
+        is_counted.then(|| {
+            let mut guard = self.begin_request();
+            guard.from = Some(from);
+            guard
+        })
+    }
 }
 
 /// Keeps a request counted as in progress.
 #[derive(Debug)]
 pub(crate) struct ProgressGuard<P> {
     state: EdgeState<P>,
+    /// IP address of the node that passed the request on.
+    from: Option<net::IpAddr>,
 }
 
 impl<P> Drop for ProgressGuard<P> {
     fn drop(&mut self) {
         let count = &self.state.shared.in_progress;
         count.fetch_sub(1, atomic::Ordering::Relaxed);
+        if let Some(from) = self.from {
+            self.state.shared.forwards.end_received(from);
+        }
     }
 }
--- a/crates/pier_edge/src/state/mod.rs
+++ b/crates/pier_edge/src/state/mod.rs
@@ -3,8 +3,10 @@
 mod edge_state;
 mod era_clock;
 mod first_event_delays;
+mod forward_table;
 mod pause_table;
 mod retry_budget;
+mod service_reach;
 mod serving_table;
 mod store_view;
 mod table_builder;
@@ -13,8 +15,10 @@
 
 pub(crate) use edge_state::{EdgeState, ProgressGuard};
 pub(crate) use first_event_delays::FirstEventDelays;
+pub(crate) use forward_table::{ForwardTable, MAX_FORWARDS_PER_NODE};
 pub(crate) use pause_table::PauseTable;
 pub(crate) use retry_budget::RetryBudget;
+pub(crate) use service_reach::ServiceReach;
 pub(crate) use serving_table::ServingTable;
 pub(crate) use target_gauge::{GaugeGuard, TargetGauge};
 pub(crate) use target_slot::{SlotKey, TargetSlot, lock};
--- a/crates/pier_edge/src/state/target_slot.rs
+++ b/crates/pier_edge/src/state/target_slot.rs
@@ -15,9 +15,18 @@
 /// Identifies a target: its VM, the start of that VM and the generation of its group.
 pub(crate) type SlotKey = (ids::VmName, epochs::VmIncarnation, epochs::GroupGeneration);
 
+/// What is behind a slot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum SlotKind {
+    Target,
+    /// Another node, to which requests are passed on; the slot's VM is the node's name.
+    Node,
+}
+
 /// A target with this node's connections to it and its load.
 #[derive(Debug)]
 pub(crate) struct TargetSlot {
+    kind: SlotKind,
     pub vm: ids::VmName,
     pub born: epochs::VmIncarnation,
     pub generation: epochs::GroupGeneration,
@@ -54,6 +63,7 @@
         connections: usize,
     ) -> Self {
         Self {
+            kind: SlotKind::Target,
             vm: key.0,
             born: key.1,
             generation: key.2,
@@ -71,6 +81,32 @@
         }
     }
 
+    /// Returns the slot of another node, to which connections are opened from the IP address
+    /// `source`.
+    pub(crate) fn of_node(
+        name: ids::VmName,
+        address: net::SocketAddr,
+        source: net::IpAddr,
+        is_local: bool,
+    ) -> Self {
+        let key = (
+            name,
+            epochs::VmIncarnation::default(),
+            epochs::GroupGeneration::default(),
+        );
+        let max = state::MAX_FORWARDS_PER_NODE;
+        let connections = usize::try_from(max).unwrap_or(usize::MAX);
+        let mut slot = Self::new(key, address, None, max, is_local, connections);
+        slot.kind = SlotKind::Node;
+        slot.connections.connect_from(source);
+        slot
+    }
+
+    /// Returns whether another node is behind the slot.
+    pub(crate) fn is_node(&self) -> bool {
+        self.kind == SlotKind::Node
+    }
+
     pub(crate) fn key(&self) -> SlotKey {
         (self.vm.clone(), self.born, self.generation)
     }
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -24,6 +24,8 @@
     first_event: Histogram,
     streams: Family<Labels, Counter>,
     resumes: Family<Labels, Counter>,
+    forwards_sent: Family<Labels, Counter>,
+    forwards_received: Family<Labels, Counter>,
     stuck: Counter,
     losses: Family<Labels, Counter>,
     held_requests: Gauge,
@@ -54,6 +56,8 @@
             first_event: Histogram::new(LATENCY_BUCKETS),
             streams: Family::default(),
             resumes: Family::default(),
+            forwards_sent: Family::default(),
+            forwards_received: Family::default(),
             stuck: Counter::default(),
             losses: Family::default(),
             held_requests: Gauge::default(),
@@ -98,6 +102,7 @@
             "Streams that lost their target",
             metrics.resumes.clone(),
         );
+        metrics.register_forwards(&mut registry);
         metrics.register_targets(&mut registry);
         registry.register(
             "held_requests",
@@ -140,6 +145,19 @@
 }
 
 impl EdgeMetrics {
+    fn register_forwards(&self, registry: &mut Registry) {
+        registry.register(
+            "forwards_sent",
+            "Requests passed on to other nodes, by outcome",
+            self.forwards_sent.clone(),
+        );
+        registry.register(
+            "forwards_received",
+            "Requests that other nodes passed on to this one, by outcome",
+            self.forwards_received.clone(),
+        );
+    }
+
     fn register_targets(&self, registry: &mut Registry) {
         registry.register(
             "stuck_targets",
@@ -193,6 +211,18 @@
         self.resumes.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that was passed on to another node.
+    pub(crate) fn count_forward_sent(&self, outcome: &str) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.forwards_sent.get_or_create(&labels).inc();
+    }
+
+    /// Counts a request that another node passed on, or a connection that was no node's.
+    pub(crate) fn count_forward_received(&self, outcome: &str) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.forwards_received.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn count_stuck(&self) {
         self.stuck.inc();
     }
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -15,6 +15,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct FakePlatform {
     shared: Arc<Shared>,
+    /// Addresses at which this clone's node sees VMs, instead of the registered ones.
+    links: collections::BTreeMap<String, net::SocketAddr>,
 }
 
 #[derive(Debug, Default)]
@@ -47,6 +49,20 @@
 }
 
 impl FakePlatform {
+    /// Makes the node that gets this clone reach a VM at another address, such as that of a link.
+    #[must_use]
+    pub fn with_link(mut self, vm: &str, address: net::SocketAddr) -> Self {
+        self.links.insert(vm.to_owned(), address);
+        self
+    }
+
+    fn linked(&self, mut entry: targets::TargetEntry) -> targets::TargetEntry {
+        if let Some(address) = self.links.get(entry.vm.as_str()) {
+            entry.address = *address;
+        }
+        entry
+    }
+
     /// Returns a copy of the store.
     pub fn copy(&self) -> StoreCopy {
         StoreCopy(self.shared.state.lock().unwrap().clone())
@@ -131,7 +147,8 @@
                 .targets
                 .iter()
                 .map(|(name, (version, entry))| {
-                    let content = links::RecordContent::Target(Box::new(entry.clone()));
+                    let content =
+                        links::RecordContent::Target(Box::new(self.linked(entry.clone())));
                     record(name, *version, content)
                 })
                 .collect(),
--- a/crates/pier_edge/tests/support/mod.rs
+++ b/crates/pier_edge/tests/support/mod.rs
@@ -5,15 +5,19 @@
     reason = "each test file uses only some of the items"
 )]
 
+mod apart_node;
 mod crashing_target;
+mod cut_link;
 mod fake_platform;
 mod raw_caller;
 mod scripted_target;
 mod test_node;
 
+pub use apart_node::ApartNode;
 pub use crashing_target::{
     CRASH_AFTER_MARKER, CRASH_MARKER, CRASH_PART, CrashStyle, CrashingTarget,
 };
+pub use cut_link::{CutLink, LinkMode};
 pub use fake_platform::{FakePlatform, StoreCopy};
 pub use raw_caller::{RawAnswer, RawCaller};
 pub use scripted_target::{Script, ScriptedTarget};
--- a/crates/pier_edge/tests/support/raw_caller.rs
+++ b/crates/pier_edge/tests/support/raw_caller.rs
@@ -34,6 +34,15 @@
     read: Vec<u8>,
 }
 
+impl From<TcpStream> for RawCaller {
+    fn from(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            read: Vec::new(),
+        }
+    }
+}
+
 impl RawCaller {
     pub async fn connect(address: net::SocketAddr) -> Self {
         Self {
--- a/crates/pier_edge/tests/support/test_node.rs
+++ b/crates/pier_edge/tests/support/test_node.rs
@@ -22,6 +22,11 @@
 pub struct TestNode {
     pub callers: net::SocketAddr,
     pub readiness: net::SocketAddr,
+    /// Port for requests that other nodes pass on.
+    pub forwards: net::SocketAddr,
+    /// Port for other nodes' datagrams.
+    pub peers: net::SocketAddr,
+    pub metrics: net::SocketAddr,
     pub platform: FakePlatform,
 }
 
@@ -45,14 +50,14 @@
     /// Starts a node of this name on a platform that other nodes may share.
     pub async fn start_on(platform: FakePlatform, name: &str) -> Self {
         let (callers, readiness) = (free_address(), free_address());
+        let (forwards, peers, metrics) = (free_address(), free_address(), free_address());
         let text = format!(
             "[node]\nname = {name}\ndata_centre = dc-a\ndata_centres = dc-a,dc-b\n\
-             [listen]\ncallers = {callers}\nreadiness = {readiness}\npeers = {}\nmetrics = {}\n\
+             [listen]\ncallers = {callers}\nreadiness = {readiness}\npeers = {peers}\n\
+             forwards = {forwards}\nmetrics = {metrics}\n\
              [platform]\nstore = 127.0.0.1:9\n[limits]\nmemory_mib = 200\n\
              [bounds]\ngrace_seconds = 8\nretry_ratio = 0.2\nretry_burst = 100\n\
              retry_window_seconds = 10\n[log]\nlevel = info\n",
-            free_address(),
-            free_address()
         );
         let settings = settings::EdgeSettings::parse(&text).unwrap();
         let running = pier_edge::run(path::Path::new("/nowhere"), settings, platform.clone());
@@ -60,6 +65,9 @@
         let node = Self {
             callers,
             readiness,
+            forwards,
+            peers,
+            metrics,
             platform,
         };
         while tokio::net::TcpStream::connect(callers).await.is_err() {
