Keep connections between nodes open longer than they are reused

The port for other nodes closed idle connections after the document's limit for callers. With a limit below the 4 s for which a node keeps an idle connection, a request could be written as the connection was being closed, which leaves unknown whether it ran. The port now has a limit of its own. `proxy-connection` is taken out between nodes like the other headers that concern one connection. Found by reading; no test shows the closing race.

--- a/crates/pier_edge/src/serving/caller_server.rs
+++ b/crates/pier_edge/src/serving/caller_server.rs
@@ -16,6 +16,10 @@
 /// Smallest read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
+/// How long another node's connection may be idle: longer than any node keeps an idle connection, so
+/// that none is closed as a request is sent on it.
+const NODE_IDLE_TIME: time::Duration = time::Duration::from_secs(15);
+
 /// Delay before accepting again after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
 
@@ -122,11 +126,13 @@
         .document()
         .map(|document| document.limits())
         .unwrap_or_default();
+    let mut idle_time = limits.idle_time;
     let mut builder = http1::Builder::new();
     let mut head_size = usize::try_from(limits.head_size.get()).unwrap_or(usize::MAX);
     if origin != serving::RequestOrigin::Caller {
         head_size = head_size.saturating_add(NOTE_BYTES);
         builder.max_headers(MAX_NODE_HEADERS);
+        idle_time = NODE_IDLE_TIME;
     }
     let reset = serving::ResetSwitch::default();
     let stream = serving::CallerStream::new(stream, reset.clone());
@@ -139,7 +145,7 @@
     let connection = builder
         .timer(TokioTimer::new())
         // Hyper's time-out for a request's head also covers the idle time before the request.
-        .header_read_timeout(limits.idle_time + limits.head_time)
+        .header_read_timeout(idle_time + limits.head_time)
         .max_buf_size(head_size.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
--- a/crates/pier_edge/src/serving/forward_note.rs
+++ b/crates/pier_edge/src/serving/forward_note.rs
@@ -9,13 +9,14 @@
 const VERSION: &str = "1";
 
 /// Headers that concern one connection, or the framing of a body on it.
-const CONNECTION_HEADERS: [&str; 10] = [
+const CONNECTION_HEADERS: [&str; 11] = [
     "connection",
     "content-length",
     "expect",
     "keep-alive",
     "proxy-authenticate",
     "proxy-authorization",
+    "proxy-connection",
     "te",
     "trailer",
     "transfer-encoding",
