Pass on the request that finds its node cut off

What callers saw: the first requests after a node had lost its links to the targets were refused with 503, though another node could have served them.

Cause: a request is given up after three targets that could not be reached. When the third of them shows that the node is cut off, the same request was over that limit and was not passed on.

The limit now counts targets only while the node is not cut off or knows no other node; nodes that do not take the request over have the same limit.

Evidence: the_request_that_finds_the_cut_is_passed_on failed before ("Refuse: no-target", 503 instead of 200) and passes, as do all tests of pier_edge. A second test lets a node lose its links in mid-stream, by resets and by silence; it passed before too.

--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -124,6 +124,8 @@
     /// Ended sends that a target read or may have read.
     sends: u32,
     unreached: usize,
+    /// Nodes that did not take the request over.
+    unreached_nodes: usize,
     may_have_run: bool,
     refused: bool,
     /// Why the request must not be sent again.
@@ -151,7 +153,11 @@
         if let Some(held) = &self.held {
             return Err(held.clone());
         }
-        if self.unreached >= MAX_UNREACHED_TARGETS {
+        // Targets that were not reached before the node knew that it is cut off do not count.
+        let counts_targets = !job.may_pass_on(now);
+        if self.unreached_nodes >= MAX_UNREACHED_TARGETS
+            || (counts_targets && self.unreached >= MAX_UNREACHED_TARGETS)
+        {
             return Err(serving::Refusal::NoTarget {
                 retry_after: UNREACHED_RETRY_AFTER,
             });
@@ -196,7 +202,11 @@
             self.may_have_run = true;
             self.held = reported.err();
         } else {
-            self.unreached += 1;
+            if slot.is_node() {
+                self.unreached_nodes += 1;
+            } else {
+                self.unreached += 1;
+            }
             self.held = reported.err().or(self.held.take());
         }
     }
--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -63,6 +63,13 @@
         customer_rank.unwrap_or(self.route.rank)
     }
 
+    /// Returns whether this node reaches no target of the request's service, but other nodes do.
+    pub(super) fn may_pass_on(&self, now: times::BootTime) -> bool {
+        self.forward.is_none()
+            && self.state.is_cut_off(&self.service, now)
+            && !self.state.forward_slots(&self.service, now).is_empty()
+    }
+
     /// Returns to how many targets this node may send the request.
     pub(super) fn max_sends(&self) -> u32 {
         let max = self.route.max_sends;
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -182,6 +182,8 @@
     /// Ended sends that a target read or may have read.
     count: u32,
     unreached: u32,
+    /// Nodes that did not take the request over.
+    unreached_nodes: u32,
     may_have_run: bool,
     /// Why the request must not be sent again.
     held: Option<serving::Refusal>,
@@ -206,7 +208,11 @@
         if let Some(held) = &self.held {
             return Err(held.clone());
         }
-        if self.unreached >= MAX_UNREACHED_TARGETS {
+        // Targets that were not reached before the node knew that it is cut off do not count.
+        let counts_targets = !job.may_pass_on(now);
+        if self.unreached_nodes >= MAX_UNREACHED_TARGETS
+            || (counts_targets && self.unreached >= MAX_UNREACHED_TARGETS)
+        {
             return Err(serving::Refusal::Broken);
         }
         // A request whose target was lost has missed its objective; a late answer is still better
@@ -272,7 +278,11 @@
             }
             return Ok(());
         }
-        self.unreached += 1;
+        if slot.is_node() {
+            self.unreached_nodes += 1;
+        } else {
+            self.unreached += 1;
+        }
         Ok(())
     }
 
--- a/crates/pier_edge/tests/forwarded_requests.rs
+++ b/crates/pier_edge/tests/forwarded_requests.rs
@@ -184,6 +184,52 @@
     }
 }
 
+/// Guards against a request that is refused since it is the one that finds the node cut off.
+#[tokio::test]
+async fn the_request_that_finds_the_cut_is_passed_on() {
+    let whole = || Script::Whole("done");
+    for mode in [LinkMode::Refuse, LinkMode::Hang, LinkMode::RefuseNew] {
+        let fleet = Fleet::start(&[whole(), whole(), whole(), whole()], &[]).await;
+        let (platform, links) = fleet.linked();
+        let cut = TestNode::start_on(platform, "n1").await;
+        let _other = TestNode::start_on(fleet.platform.clone(), "n2").await;
+        tokio::time::sleep(ACQUAINTANCE).await;
+        for link in &links {
+            link.set_mode(mode).await;
+        }
+        for path in ["/post/x", "/read/x"] {
+            let answer = ask(cut.callers, path).await;
+            assert_eq!(answer.status(), 200, "{mode:?}: {}", answer.body);
+        }
+        assert_eq!(fleet.requests().len(), 2);
+    }
+}
+
+/// Guards against a stream that ends, or waits for ever, since its node loses its links to all
+/// targets in mid-stream.
+#[tokio::test]
+async fn a_stream_goes_on_through_another_node_when_its_own_is_cut_off() {
+    for mode in [LinkMode::Refuse, LinkMode::Hang] {
+        let fleet = Fleet::start(&[], &[events(), events()]).await;
+        let (platform, links) = fleet.linked();
+        let cut = TestNode::start_on(platform, "n1").await;
+        let _other = TestNode::start_on(fleet.platform.clone(), "n2").await;
+        tokio::time::sleep(ACQUAINTANCE).await;
+        let callers = cut.callers;
+        let asking = tokio::spawn(async move { ask(callers, "/talk/x").await });
+        tokio::time::sleep(PROBE_PAUSE * 6).await;
+        assert_eq!(fleet.requests().len(), 1);
+        for link in &links {
+            link.set_mode(mode).await;
+        }
+        let answer = asking.await.unwrap();
+        assert_eq!(answer.status(), 200, "{mode:?}");
+        assert_eq!(answer.body, all_events(), "{mode:?}");
+        assert!(answer.is_complete, "{mode:?}");
+        assert_eq!(fleet.requests().len(), 2, "{mode:?}");
+    }
+}
+
 /// Guards against a one-time request that runs twice since it was passed on.
 #[tokio::test]
 async fn a_one_time_request_runs_once_behind_another_node() {
