Test overload, data centres and slow callers behind another node

Three more tests of passed-on requests: a refusal for overload is final, so that neither another node nor another target is asked; nodes of the same data centre come first; a caller that does not read holds the target back. `request-answered` and `request-refused` state whether another node had passed the request on.

--- a/crates/pier_edge/src/serving/request_entry.rs
+++ b/crates/pier_edge/src/serving/request_entry.rs
@@ -53,6 +53,7 @@
             log::info!(
                 event = "request-answered",
                 attempt = attempt.as_str(),
+                is_forwarded = origin != RequestOrigin::Caller,
                 status = response.status().as_u16(),
                 taken_ms = millis(taken);
                 ""
@@ -70,6 +71,7 @@
             log::info!(
                 event = "request-refused",
                 attempt = attempt.as_str(),
+                is_forwarded = origin != RequestOrigin::Caller,
                 cause = refusal.label(),
                 status = response.status().as_u16(),
                 taken_ms = millis(taken);
--- a/crates/pier_edge/tests/forwarded_requests.rs
+++ b/crates/pier_edge/tests/forwarded_requests.rs
@@ -15,6 +15,9 @@
 /// Requests that one node takes from another one at the same time.
 const MAX_FORWARDS_PER_NODE: usize = 256;
 
+/// Streams that are more than the targets take.
+const MANY_REQUESTS: usize = 60;
+
 /// Time for a node to notice the others, and to be noticed.
 const ACQUAINTANCE: time::Duration = time::Duration::from_millis(1_200);
 
@@ -250,6 +253,102 @@
     assert_eq!(fleet.requests().len(), before + 1);
 }
 
+/// Guards against a refusal for overload that is answered with further sends, here or elsewhere.
+#[tokio::test]
+async fn an_overloaded_node_is_the_only_one_asked() {
+    let fleet = Fleet::start(&[], &[events(), events()]).await;
+    let cut = fleet.start_cut("n1").await;
+    let others = [
+        TestNode::start_on(fleet.platform.clone(), "n2").await,
+        TestNode::start_on(fleet.platform.clone(), "n3").await,
+    ];
+    tokio::time::sleep(ACQUAINTANCE).await;
+    notice_cut(&cut, "/once/x").await;
+    let (sent, received) = (
+        "buckthornpier_forwards_sent_total",
+        "buckthornpier_forwards_received_total",
+    );
+    let before = (fleet.requests().len(), metric(&cut, sent).await);
+    let mut asking = Vec::new();
+    for _ in 0..MANY_REQUESTS {
+        let callers = cut.callers;
+        asking.push(tokio::spawn(async move { ask(callers, "/once/x").await }));
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+    let (mut served, mut refused) = (0, 0);
+    for answer in asking {
+        let answer = answer.await.unwrap();
+        if answer.status() == 503 {
+            assert!(answer.header("retry-after").is_some());
+            refused += 1;
+        } else {
+            assert_eq!(answer.body, all_events());
+            served += 1;
+        }
+    }
+    assert!(
+        served > 0 && refused > 0,
+        "{served} served, {refused} refused"
+    );
+    assert_eq!(fleet.requests().len(), before.0 + served);
+    let many = u64::try_from(MANY_REQUESTS).unwrap();
+    assert_eq!(metric(&cut, sent).await, before.1 + many);
+    let counts = (
+        metric(&others[0], received).await,
+        metric(&others[1], received).await,
+    );
+    assert_eq!(counts.0 + counts.1, before.1 + many);
+}
+
+/// Guards against requests that leave the data centre although a node in it takes them.
+#[tokio::test]
+async fn nodes_of_the_data_centre_come_first() {
+    let fleet = Fleet::start(&[Script::Whole("done")], &[]).await;
+    let cut = fleet.start_cut("n1").await;
+    let platform = &fleet.platform;
+    let remote = TestNode::start_in(platform.clone(), "n2", "dc-b").await;
+    tokio::time::sleep(ACQUAINTANCE).await;
+    notice_cut(&cut, "/read/x").await;
+    let received = "buckthornpier_forwards_received_total";
+    assert_eq!(metric(&remote, received).await, 1);
+    let local = TestNode::start_in(platform.clone(), "n3", "dc-a").await;
+    tokio::time::sleep(ACQUAINTANCE).await;
+    for _ in 0..10 {
+        assert_eq!(ask(cut.callers, "/read/x").await.status(), 200);
+    }
+    assert_eq!(metric(&local, received).await, 10);
+    assert_eq!(metric(&remote, received).await, 1);
+}
+
+/// Guards against a stream that piles up in nodes since its caller reads slowly.
+#[tokio::test]
+async fn a_caller_that_does_not_read_holds_back_the_target() {
+    let endless = Script::Endless {
+        start: "HTTP/1.1 200 OK\r\nx-attempt: {attempt}\r\n\
+                content-type: text/event-stream\r\n\r\n",
+        piece: "id: 1\ndata: part\n\n",
+    };
+    let fleet = Fleet::start(&[], &[endless]).await;
+    let cut = fleet.start_cut("n1").await;
+    let _other = TestNode::start_on(fleet.platform.clone(), "n2").await;
+    tokio::time::sleep(ACQUAINTANCE).await;
+    let target = &fleet.engines[0];
+    let mut callers = Vec::new();
+    while target.requests().is_empty() {
+        let mut caller = RawCaller::connect(cut.callers).await;
+        caller.send(&request_with("/once/x", "")).await;
+        tokio::time::sleep(PROBE_PAUSE * 4).await;
+        callers.push(caller);
+        assert!(callers.len() < MAX_PROBES);
+    }
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    let sent = target.sent();
+    tokio::time::sleep(time::Duration::from_secs(1)).await;
+    assert_eq!(target.sent(), sent);
+    drop(callers);
+    wait_until(|| target.closed() == target.accepted()).await;
+}
+
 /// Guards against a request that is sent to more targets than its route allows, or given up too
 /// early, when the target behind another node is lost.
 #[tokio::test]
--- a/crates/pier_edge/tests/support/test_node.rs
+++ b/crates/pier_edge/tests/support/test_node.rs
@@ -49,10 +49,15 @@
 
     /// Starts a node of this name on a platform that other nodes may share.
     pub async fn start_on(platform: FakePlatform, name: &str) -> Self {
+        Self::start_in(platform, name, "dc-a").await
+    }
+
+    /// Starts a node of this name in a data centre.
+    pub async fn start_in(platform: FakePlatform, name: &str, data_centre: &str) -> Self {
         let (callers, readiness) = (free_address(), free_address());
         let (forwards, peers, metrics) = (free_address(), free_address(), free_address());
         let text = format!(
-            "[node]\nname = {name}\ndata_centre = dc-a\ndata_centres = dc-a,dc-b\n\
+            "[node]\nname = {name}\ndata_centre = {data_centre}\ndata_centres = dc-a,dc-b\n\
              [listen]\ncallers = {callers}\nreadiness = {readiness}\npeers = {peers}\n\
              forwards = {forwards}\nmetrics = {metrics}\n\
              [platform]\nstore = 127.0.0.1:9\n[limits]\nmemory_mib = 200\n\
