--- a/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
+++ b/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
@@ -117,7 +117,7 @@
 
     fn may_send(&self) -> bool {
         let is_allowed = self.job.route.repeat.may_repeat() && !self.is_held;
-        is_allowed && self.sends < self.job.route.max_sends
+        is_allowed && self.sends < self.job.max_sends()
     }
 
     /// Chooses the next target and takes the send from the retry budget; `None` if neither is
@@ -167,6 +167,9 @@
             ResumeFault::Refused(status) => (format!("status {status}"), Ok(()), false),
             ResumeFault::NoAnswer(fault) => {
                 let reported = self.job.report_fault(slot, fault).await;
+                // Another node may take the stream on after one refused it.
+                let is_refused = matches!(fault, serving::SendFault::Refused(_));
+                let reported = if is_refused { Ok(()) } else { reported };
                 (format!("{fault:?}"), reported, !fault.may_have_run())
             }
             ResumeFault::Closed(reason) => {
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -1,7 +1,7 @@
 //! The shared state of a node.
 
 use std::{
-    collections,
+    collections, net,
     sync::{self, atomic},
     time,
 };
@@ -42,6 +42,7 @@
     peers: sync::Mutex<peers::PeerTable>,
     notices: peers::NoticeOutbox,
     pauses: state::PauseTable,
+    forwards: state::ForwardTable,
     retries: state::RetryBudget,
     reach: sync::Mutex<reach::ReachTracker>,
     crashes: crashes::CrashLedger,
@@ -75,6 +76,7 @@
             notices: peers::NoticeOutbox::default(),
             pauses: state::PauseTable::default(),
             reach: sync::Mutex::default(),
+            forwards: state::ForwardTable::default(),
             crashes: crashes::CrashLedger::default(),
             first_events: state::FirstEventDelays::default(),
             peers: sync::Mutex::new(peers::PeerTable::new(node.clone())),
@@ -317,6 +319,43 @@
         tracker.is_isolated(table.services.keys(), ISOLATION_DELAY, now)
     }
 
+    pub(crate) fn forwards(&self) -> &state::ForwardTable {
+        &self.shared.forwards
+    }
+
+    /// Returns the services of which this node reaches targets.
+    pub(crate) fn reached_services(&self) -> Vec<ids::ServiceName> {
+        let Some(document) = self.document() else {
+            return Vec::new();
+        };
+        let tracker = state::target_slot::lock(&self.shared.reach);
+        let services = document.services().keys();
+        let reached = services.filter(|service| !tracker.is_cut_off(service));
+        reached.cloned().collect()
+    }
+
+    /// Returns the nodes to which requests for a service can be passed on, those of this data centre
+    /// first.
+    pub(crate) fn forward_slots(
+        &self,
+        service: &ids::ServiceName,
+        now: times::BootTime,
+    ) -> Vec<sync::Arc<state::TargetSlot>> {
+        let settings = self.settings();
+        let forwarders =
+            self.with_peers(|peers| peers.forwarders(service, &settings.data_centre, now));
+        let slots = forwarders
+            .iter()
+            .filter_map(|forwarder| self.forwards().slot(forwarder, settings.peers.ip()));
+        slots.collect()
+    }
+
+    /// Updates which nodes are alive for the requests that were passed on to them.
+    pub(crate) fn update_forwards(&self, now: times::BootTime) {
+        let (live, known) = self.with_peers(|peers| (peers.live_names(now), peers.names()));
+        self.forwards().update(&live, &known);
+    }
+
     /// Returns the notices that are to be sent to other nodes.
     pub(crate) fn notices(&self) -> &peers::NoticeOutbox {
         &self.shared.notices
@@ -459,19 +498,36 @@
             .fetch_add(1, atomic::Ordering::Relaxed);
         ProgressGuard {
             state: self.clone(),
+            from: None,
         }
     }
+
+    /// Counts a request that another node passed on until the guard is dropped; `None` if too many
+    /// of its requests are in progress.
+    pub(crate) fn begin_forwarded(&self, from: net::IpAddr) -> Option<ProgressGuard<P>> {
+        let is_counted = self.forwards().begin_received(from);
+        is_counted.then(|| {
+            let mut guard = self.begin_request();
+            guard.from = Some(from);
+            guard
+        })
+    }
 }
 
 /// Keeps a request counted as in progress.
 #[derive(Debug)]
 pub(crate) struct ProgressGuard<P> {
     state: EdgeState<P>,
+    /// IP address of the node that passed the request on.
+    from: Option<net::IpAddr>,
 }
 
 impl<P> Drop for ProgressGuard<P> {
     fn drop(&mut self) {
         let count = &self.state.shared.in_progress;
         count.fetch_sub(1, atomic::Ordering::Relaxed);
+        if let Some(from) = self.from {
+            self.state.shared.forwards.end_received(from);
+        }
     }
 }
