--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -100,6 +100,7 @@
             peers.expire(now);
             (peers.addresses(), peers.local_addresses(data_centre, now))
         });
+        state.update_forwards(now);
         let stride = beat_stride(local.len());
         let remote_stride = beat_stride(addresses.len()).div_ceil(stride);
         let mut beat = local_beat(&state, number, now);
@@ -138,12 +139,27 @@
         data_centre: state.settings().data_centre.clone(),
         number,
         document: document.unwrap_or_default(),
-        is_leaving: state.is_draining(),
+        phase: local_phase(state, now),
         reaches_store: state.reaches_store(now),
         has_served: state.has_served(),
         loads: loads.collect(),
         stuck: stuck.map(|slot| slot.vm.clone()).collect(),
         retiring: state.local_retiring().into_iter().collect(),
+        forwards: state.settings().forwards,
+        reached: state.reached_services(),
+    }
+}
+
+fn local_phase<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    now: times::BootTime,
+) -> peers::NodePhase {
+    if state.is_draining() {
+        peers::NodePhase::Leaving
+    } else if state.is_isolated(now) {
+        peers::NodePhase::Isolated
+    } else {
+        peers::NodePhase::Serving
     }
 }
 
--- a/crates/pier_edge/src/peers/mod.rs
+++ b/crates/pier_edge/src/peers/mod.rs
@@ -2,6 +2,7 @@
 
 mod beat_loop;
 mod crash_loop;
+mod forwarder;
 mod load_exchange;
 mod load_intake;
 mod load_loop;
@@ -14,10 +15,13 @@
 mod stall_watch;
 
 pub(crate) use beat_loop::spawn;
+pub(crate) use forwarder::Forwarder;
 pub(crate) use load_exchange::LoadExchange;
 use load_loop::LoadLoop;
 pub(crate) use load_loop::VIEW_AGE;
-pub(crate) use node_beat::{LeavingTarget, NodeBeat, NodeRecord, PeerMessage, StewardRecord};
+pub(crate) use node_beat::{
+    LeavingTarget, NodeBeat, NodePhase, NodeRecord, PeerMessage, StewardRecord,
+};
 pub(crate) use notice_outbox::NoticeOutbox;
 pub(crate) use peer_table::PeerTable;
 pub(crate) use relay_beat::{RelayBeat, TargetChange};
--- a/crates/pier_edge/src/serving/loss_report.rs
+++ b/crates/pier_edge/src/serving/loss_report.rs
@@ -1,11 +1,14 @@
 //! Reports targets that were lost while they ran a request.
 
-use std::{sync, time};
+use std::{
+    sync::{self, atomic},
+    time,
+};
 
 use pier_request::quarantine;
 use pier_types::{ids, times};
 
-use crate::{crashes, links, serving, state};
+use crate::{contacts, crashes, links, serving, state};
 
 /// Greatest age of a check whose result counts for further requests that lost the same target.
 const CHECK_LIFETIME: time::Duration = time::Duration::from_millis(100);
@@ -44,6 +47,7 @@
             serving::SendFault::MayHaveRun(_) => self.report_closed(slot).await,
             serving::SendFault::TooLarge(limit) => self.report_too_large(slot, *limit),
             serving::SendFault::TimedOut => self.report_silent(slot),
+            serving::SendFault::Refused(refusal) => Err(serving::Refusal::ByNode(refusal.clone())),
             serving::SendFault::Unreached(_) | serving::SendFault::NotSent(_) => Ok(()),
         }
     }
@@ -57,6 +61,10 @@
         &self,
         slot: &sync::Arc<state::TargetSlot>,
     ) -> Result<(), serving::Refusal> {
+        self.mark_sent();
+        if slot.is_node() {
+            return self.check_held();
+        }
         let now = times::clocks::boot_now();
         let cause = find_cause(&self.state, slot, CHECK_LIFETIME, now).await;
         let label = label(cause);
@@ -77,6 +85,10 @@
             let (state, slot) = (self.state.clone(), sync::Arc::clone(slot));
             tokio::spawn(recheck(state, slot, loss.clone()));
         }
+        if cause == Some(quarantine::LossCause::Unreachable) {
+            self.state
+                .record_unreached(&self.service, &slot.vm, checked_at);
+        }
         self.state.crashes().record_loss(loss, cause, checked_at);
         self.check_held()
     }
@@ -91,6 +103,7 @@
         slot: &state::TargetSlot,
         limit: serving::AnswerLimit,
     ) -> Result<(), serving::Refusal> {
+        self.mark_sent();
         let now = times::clocks::boot_now();
         self.state.metrics().count_loss("answer-too-large");
         log::warn!(
@@ -101,7 +114,7 @@
             limit = limit.label();
             ""
         );
-        if limit.is_targets_own() {
+        if limit.is_targets_own() && !slot.is_node() {
             slot.gauge.set_stuck(now.after(TOO_LARGE_REST));
         }
         self.check_held()
@@ -113,6 +126,9 @@
     /// A process that ends closes its connections like one that has answered completely. An answer
     /// of a target that is leaving, or that does not reply to the check in time, counts as sound.
     pub(super) async fn is_process_lost(&self, slot: &state::TargetSlot) -> bool {
+        if slot.is_node() {
+            return false;
+        }
         let now = times::clocks::boot_now();
         let check = find_cause(&self.state, slot, time::Duration::ZERO, now);
         let cause = tokio::time::timeout(END_CHECK_TIMEOUT, check).await;
@@ -128,8 +144,13 @@
         &self,
         slot: &sync::Arc<state::TargetSlot>,
     ) -> Result<(), serving::Refusal> {
+        self.mark_sent();
+        if slot.is_node() {
+            return self.check_held();
+        }
         let now = times::clocks::boot_now();
         let cause = Some(quarantine::LossCause::Unreachable);
+        self.state.record_unreached(&self.service, &slot.vm, now);
         self.state
             .crashes()
             .record_loss(self.loss(slot), cause, now);
@@ -153,6 +174,11 @@
         may_leave
     }
 
+    /// Records that a target may have received the request.
+    fn mark_sent(&self) {
+        self.may_have_run.store(true, atomic::Ordering::Relaxed);
+    }
+
     fn loss(&self, slot: &state::TargetSlot) -> crashes::RequestLoss {
         crashes::RequestLoss {
             fingerprint: self.fingerprint,
@@ -177,7 +203,7 @@
         self.state
             .crashes()
             .record_completion(self.fingerprint, now);
-        if !self.head.shared_parts.is_empty() {
+        if !self.head.shared_parts.is_empty() && !slot.is_node() {
             let (state, slot) = (self.state.clone(), sync::Arc::clone(slot));
             tokio::spawn(check_sound(state, slot, self.head.shared_parts.clone()));
         }
@@ -194,10 +220,17 @@
     let target = slot.as_lost();
     let registered =
         state.with_registry(|registry| crashes::registered_cause(registry, &target, now, now));
-    match registered {
-        Some(cause) => Some(cause),
-        None => slot.loss_check.run(&slot.connections, max_age, now).await,
+    if registered.is_some() {
+        return registered;
+    }
+    let found = slot.loss_check.run(&slot.connections, max_age, now).await;
+    if found == Some(quarantine::LossCause::ProcessLost)
+        && !contacts::reaches_another(state, slot).await
+    {
+        // This node's own links may be cut, and only a registration can tell.
+        return Some(quarantine::LossCause::Unreachable);
     }
+    found
 }
 
 /// Checks a target again that closed a connection and was still listening.
--- a/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
+++ b/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
@@ -4,7 +4,7 @@
 
 use http_body_util::BodyExt as _;
 use hyper::body::{Bytes, Frame};
-use pier_types::{ids, times};
+use pier_types::times;
 
 use super::RelayStep;
 use crate::{links, serving, state};
@@ -55,7 +55,7 @@
             let now = times::clocks::boot_now();
             let may_search = !is_lost || now.since(lost_at) < RESUME_TIMEOUT;
             if open.is_searching() {
-                match self.next_target(&open, &mut permit, now) {
+                match self.next_target(&open, is_lost, &mut permit, now) {
                     Some(slot) if may_search => {
                         permit = SendPermit::None;
                         self.sends += 1;
@@ -117,7 +117,7 @@
 
     fn may_send(&self) -> bool {
         let is_allowed = self.job.route.repeat.may_repeat() && !self.is_held;
-        is_allowed && self.sends < self.job.route.max_sends
+        is_allowed && self.sends < self.job.max_sends()
     }
 
     /// Chooses the next target and takes the send from the retry budget; `None` if neither is
@@ -125,6 +125,7 @@
     fn next_target<F: Future>(
         &mut self,
         open: &serving::OpenSends<F>,
+        is_lost: bool,
         permit: &mut SendPermit,
         now: times::BootTime,
     ) -> Option<sync::Arc<state::TargetSlot>> {
@@ -135,9 +136,9 @@
             serving::TargetChoice::Send { slot, .. } => slot,
             serving::TargetChoice::Refuse(_) => {
                 // A group that was formed again may be served by the same VM.
-                let current = self.call.slot.vm.clone();
-                let is_open = |vm: &ids::VmName| *vm == current || open.vms().contains(vm);
-                self.tried.retain(is_open);
+                let current = (!is_lost).then_some(&self.call.slot.vm);
+                self.tried
+                    .retain(|vm| Some(vm) == current || open.is_open_at(vm));
                 return None;
             }
         };
@@ -166,6 +167,9 @@
             ResumeFault::Refused(status) => (format!("status {status}"), Ok(()), false),
             ResumeFault::NoAnswer(fault) => {
                 let reported = self.job.report_fault(slot, fault).await;
+                // Another node may take the stream on after one refused it.
+                let is_refused = matches!(fault, serving::SendFault::Refused(_));
+                let reported = if is_refused { Ok(()) } else { reported };
                 (format!("{fault:?}"), reported, !fault.may_have_run())
             }
             ResumeFault::Closed(reason) => {
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -94,8 +94,11 @@
                 drop(open);
                 let (sender, receiver) = mpsc::channel(STREAM_BUFFER_CHUNKS);
                 let head = call.head.clone();
-                let relay = serving::StreamRelay::new(job, *call, sender, tried, count, progress)
-                    .with_expected(ended.expected);
+                let mut relay =
+                    serving::StreamRelay::new(job, *call, sender, tried, count, progress);
+                if !ended.slot.is_node() {
+                    relay = relay.with_expected(ended.expected);
+                }
                 tokio::spawn(relay.run());
                 return Ok(StreamStart::Stream(head, receiver));
             }
@@ -163,6 +166,9 @@
     slot: &state::TargetSlot,
     expected: time::Duration,
 ) {
+    if slot.is_node() {
+        return;
+    }
     log::info!(
         event = "request-sent",
         attempt = job.head.attempt.as_str(),
@@ -181,6 +187,8 @@
     /// Ended sends that a target read or may have read.
     count: u32,
     unreached: u32,
+    /// Nodes that did not take the request over.
+    unreached_nodes: u32,
     may_have_run: bool,
     /// Why the request must not be sent again.
     held: Option<serving::Refusal>,
@@ -207,7 +215,11 @@
         if let Some(held) = &self.held {
             return Err(held.clone());
         }
-        if self.unreached >= MAX_UNREACHED_TARGETS {
+        // Targets that were not reached before the node knew that it is cut off do not count.
+        let counts_targets = !job.may_pass_on(now);
+        if self.unreached_nodes >= MAX_UNREACHED_TARGETS
+            || (counts_targets && self.unreached >= MAX_UNREACHED_TARGETS)
+        {
             return Err(serving::Refusal::Broken);
         }
         // A request whose target was lost has missed its objective; a late answer is still better
@@ -221,7 +233,7 @@
         if sends > 0 {
             let nodes = job.state.with_peers(|peers| peers.sharing_nodes(now));
             let has_budget = || job.state.retries().take(&job.service, nodes, now);
-            if sends >= job.route.max_sends || !has_budget() {
+            if sends >= job.max_sends() || !has_budget() {
                 return Err(serving::Refusal::Broken);
             }
         }
@@ -273,7 +285,11 @@
             }
             return Ok(());
         }
-        self.unreached += 1;
+        if slot.is_node() {
+            self.unreached_nodes += 1;
+        } else {
+            self.unreached += 1;
+        }
         Ok(())
     }
 
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -1,17 +1,20 @@
 //! The shared state of a node.
 
 use std::{
-    collections,
+    collections, net,
     sync::{self, atomic},
     time,
 };
 
-use pier_fleet::{documents, targets};
+use pier_fleet::{documents, reach, targets};
 use pier_types::{epochs, ids, times};
 use tokio::sync::Notify;
 
 use crate::{crashes, links, peers, serving, settings, state, telemetry};
 
+/// How long a node reaches no target before it gives up its duties as a steward.
+const ISOLATION_DELAY: time::Duration = time::Duration::from_millis(500);
+
 /// A handle to the state that the parts of a node share; cloning it is cheap.
 #[derive(Debug)]
 pub(crate) struct EdgeState<P> {
@@ -39,7 +42,9 @@
     peers: sync::Mutex<peers::PeerTable>,
     notices: peers::NoticeOutbox,
     pauses: state::PauseTable,
+    forwards: state::ForwardTable,
     retries: state::RetryBudget,
+    reach: sync::Mutex<reach::ReachTracker>,
     crashes: crashes::CrashLedger,
     first_events: state::FirstEventDelays,
     answer_budget: serving::AnswerBudget,
@@ -70,6 +75,8 @@
             retries: state::RetryBudget::new(settings.bounds),
             notices: peers::NoticeOutbox::default(),
             pauses: state::PauseTable::default(),
+            reach: sync::Mutex::default(),
+            forwards: state::ForwardTable::default(),
             crashes: crashes::CrashLedger::default(),
             first_events: state::FirstEventDelays::default(),
             peers: sync::Mutex::new(peers::PeerTable::new(node.clone())),
@@ -261,6 +268,94 @@
         self.shared.pauses.end(vm, born)
     }
 
+    /// Records that a target of a service answered or accepted a connection.
+    pub(crate) fn record_reached(&self, service: &ids::ServiceName, now: times::BootTime) {
+        let mut tracker = state::target_slot::lock(&self.shared.reach);
+        if tracker.record_success(service, now) {
+            log::info!(event = "service-reached-again", service:% = service; "");
+        }
+    }
+
+    /// Records that a target of a service could not be reached or fell silent.
+    pub(crate) fn record_unreached(
+        &self,
+        service: &ids::ServiceName,
+        vm: &ids::VmName,
+        now: times::BootTime,
+    ) {
+        let table = self.table();
+        let targets = table
+            .services
+            .get(service)
+            .map_or(0, state::ServicePool::count);
+        let mut tracker = state::target_slot::lock(&self.shared.reach);
+        if tracker.record_failure(service, vm, targets, now) {
+            self.metrics().count_cut_off();
+            log::warn!(
+                event = "service-cut-off",
+                service:% = service,
+                target_vm:% = vm,
+                targets = targets;
+                ""
+            );
+        }
+    }
+
+    /// Returns whether this node reaches no target of a service.
+    pub(crate) fn is_cut_off(&self, service: &ids::ServiceName) -> bool {
+        state::target_slot::lock(&self.shared.reach).is_cut_off(service)
+    }
+
+    /// Returns the services of which this node reaches no target.
+    pub(crate) fn cut_off_services(&self) -> Vec<ids::ServiceName> {
+        state::target_slot::lock(&self.shared.reach).cut_off_services()
+    }
+
+    /// Returns whether this node has reached no target of any service for a while, so that it
+    /// cannot act as a steward.
+    pub(crate) fn is_isolated(&self, now: times::BootTime) -> bool {
+        let table = self.table();
+        let tracker = state::target_slot::lock(&self.shared.reach);
+        tracker.is_isolated(table.services.keys(), ISOLATION_DELAY, now)
+    }
+
+    pub(crate) fn forwards(&self) -> &state::ForwardTable {
+        &self.shared.forwards
+    }
+
+    /// Returns the services of which this node reaches targets.
+    pub(crate) fn reached_services(&self) -> Vec<ids::ServiceName> {
+        let Some(document) = self.document() else {
+            return Vec::new();
+        };
+        let tracker = state::target_slot::lock(&self.shared.reach);
+        let services = document.services().keys();
+        let reached = services.filter(|service| !tracker.is_cut_off(service));
+        reached.cloned().collect()
+    }
+
+    /// Returns the nodes to which requests for a service can be passed on, those of this data centre
+    /// first.
+    pub(crate) fn forward_slots(
+        &self,
+        service: &ids::ServiceName,
+        now: times::BootTime,
+    ) -> Vec<sync::Arc<state::TargetSlot>> {
+        let settings = self.settings();
+        let forwarders =
+            self.with_peers(|peers| peers.forwarders(service, &settings.data_centre, now));
+        let slots = forwarders
+            .iter()
+            .filter_map(|forwarder| self.forwards().slot(forwarder, settings.peers.ip()));
+        slots.collect()
+    }
+
+    /// Updates which nodes are alive for the requests that were passed on to them.
+    pub(crate) fn update_forwards(&self, now: times::BootTime) {
+        let (live, known) = self.with_peers(|peers| (peers.live_names(now), peers.names()));
+        self.forwards().update(&live, &known);
+    }
+
     /// Returns the notices that are to be sent to other nodes.
     pub(crate) fn notices(&self) -> &peers::NoticeOutbox {
         &self.shared.notices
@@ -403,19 +498,36 @@
             .fetch_add(1, atomic::Ordering::Relaxed);
         ProgressGuard {
             state: self.clone(),
+            from: None,
         }
     }
+
+    /// Counts a request that another node passed on until the guard is dropped; `None` if too many
+    /// of its requests are in progress.
+    pub(crate) fn begin_forwarded(&self, from: net::IpAddr) -> Option<ProgressGuard<P>> {
+        let is_counted = self.forwards().begin_received(from);
+        is_counted.then(|| {
+            let mut guard = self.begin_request();
+            guard.from = Some(from);
+            guard
+        })
+    }
 }
 
 /// Keeps a request counted as in progress.
 #[derive(Debug)]
 pub(crate) struct ProgressGuard<P> {
     state: EdgeState<P>,
+    /// IP address of the node that passed the request on.
+    from: Option<net::IpAddr>,
 }
 
 impl<P> Drop for ProgressGuard<P> {
     fn drop(&mut self) {
         let count = &self.state.shared.in_progress;
         count.fetch_sub(1, atomic::Ordering::Relaxed);
+        if let Some(from) = self.from {
+            self.state.shared.forwards.end_received(from);
+        }
     }
 }
--- a/crates/pier_edge/src/state/mod.rs
+++ b/crates/pier_edge/src/state/mod.rs
@@ -3,6 +3,7 @@
 mod edge_state;
 mod era_clock;
 mod first_event_delays;
+mod forward_table;
 mod pause_table;
 mod retry_budget;
 mod serving_table;
@@ -13,8 +14,9 @@
 
 pub(crate) use edge_state::{EdgeState, ProgressGuard};
 pub(crate) use first_event_delays::FirstEventDelays;
+pub(crate) use forward_table::{ForwardTable, MAX_FORWARDS_PER_NODE};
 pub(crate) use pause_table::PauseTable;
 pub(crate) use retry_budget::RetryBudget;
-pub(crate) use serving_table::ServingTable;
+pub(crate) use serving_table::{ServicePool, ServingTable};
 pub(crate) use target_gauge::{GaugeGuard, TargetGauge};
 pub(crate) use target_slot::{SlotKey, TargetSlot, lock};
--- a/crates/pier_edge/src/state/target_gauge.rs
+++ b/crates/pier_edge/src/state/target_gauge.rs
@@ -37,6 +37,8 @@
     answer_micros: atomic::AtomicU64,
     failure_permille: atomic::AtomicU64,
     stuck_until: atomic::AtomicU64,
+    /// When the target was last found stuck by its silence.
+    stalled_at: atomic::AtomicU64,
     reported_stuck_until: atomic::AtomicU64,
 }
 
@@ -57,6 +59,7 @@
             answer_micros: atomic::AtomicU64::new(first),
             failure_permille: atomic::AtomicU64::new(0),
             stuck_until: atomic::AtomicU64::new(0),
+            stalled_at: atomic::AtomicU64::new(0),
             reported_stuck_until: atomic::AtomicU64::new(0),
         }
     }
@@ -73,7 +76,7 @@
         GaugeGuard {
             gauge: sync::Arc::clone(self),
             prompt,
-            has_started: false,
+            phase: GuardPhase::Waiting,
         }
     }
 
@@ -172,6 +175,21 @@
         self.stuck_until.fetch_max(until.as_micros(), RELAXED);
     }
 
+    /// Marks the target as stuck by its silence; unlike another mark it ends with the silence.
+    pub(crate) fn set_stalled(&self, until: times::BootTime, now: times::BootTime) {
+        self.stalled_at.store(now.as_micros(), RELAXED);
+        self.set_stuck(until);
+    }
+
+    /// Clears the mark of [`Self::set_stalled`] if the target has made progress since.
+    pub(crate) fn clear_stall(&self) {
+        let stalled_at = self.stalled_at.load(RELAXED);
+        if stalled_at > 0 && self.last_progress.load(RELAXED) > stalled_at {
+            self.stalled_at.store(0, RELAXED);
+            self.stuck_until.store(0, RELAXED);
+        }
+    }
+
     /// Returns whether this node found the target stuck.
     pub(crate) fn is_stuck(&self, now: times::BootTime) -> bool {
         now.as_micros() < self.stuck_until.load(RELAXED)
@@ -205,30 +223,47 @@
 pub(crate) struct GaugeGuard {
     gauge: sync::Arc<TargetGauge>,
     prompt: u64,
-    has_started: bool,
+    phase: GuardPhase,
+}
+
+/// As what a request is counted at its target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum GuardPhase {
+    Waiting,
+    Running,
+    Ended,
 }
 
 impl GaugeGuard {
     /// Moves the request from waiting to running, once the first part of the answer has come.
     pub(crate) fn mark_started(&mut self) {
-        if self.has_started {
+        if self.phase != GuardPhase::Waiting {
             return;
         }
-        self.has_started = true;
-        self.gauge.waiting.fetch_sub(1, RELAXED);
-        self.gauge.waiting_prompt.fetch_sub(self.prompt, RELAXED);
+        self.release();
+        self.phase = GuardPhase::Running;
         self.gauge.running.fetch_add(1, RELAXED);
     }
+
+    /// Counts the request no longer, once the target has lost it.
+    pub(crate) fn release(&mut self) {
+        match self.phase {
+            GuardPhase::Waiting => {
+                self.gauge.waiting.fetch_sub(1, RELAXED);
+                self.gauge.waiting_prompt.fetch_sub(self.prompt, RELAXED);
+            }
+            GuardPhase::Running => {
+                self.gauge.running.fetch_sub(1, RELAXED);
+            }
+            GuardPhase::Ended => {}
+        }
+        self.phase = GuardPhase::Ended;
+    }
 }
 
 impl Drop for GaugeGuard {
     fn drop(&mut self) {
-        if self.has_started {
-            self.gauge.running.fetch_sub(1, RELAXED);
-        } else {
-            self.gauge.waiting.fetch_sub(1, RELAXED);
-            self.gauge.waiting_prompt.fetch_sub(self.prompt, RELAXED);
-        }
+        self.release();
     }
 }
 
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -24,12 +24,15 @@
     first_event: Histogram,
     streams: Family<Labels, Counter>,
     resumes: Family<Labels, Counter>,
+    forwards_sent: Family<Labels, Counter>,
+    forwards_received: Family<Labels, Counter>,
     stuck: Counter,
     losses: Family<Labels, Counter>,
     held_requests: Gauge,
     held_parts: Gauge,
     leaving_targets: Counter,
     target_pauses: Counter,
+    cut_off_services: Counter,
     store_calls: Family<Labels, Counter>,
     store_failures: Family<Labels, Counter>,
     orders: Family<Labels, Counter>,
@@ -54,12 +57,15 @@
             first_event: Histogram::new(LATENCY_BUCKETS),
             streams: Family::default(),
             resumes: Family::default(),
+            forwards_sent: Family::default(),
+            forwards_received: Family::default(),
             stuck: Counter::default(),
             losses: Family::default(),
             held_requests: Gauge::default(),
             held_parts: Gauge::default(),
             leaving_targets: Counter::default(),
             target_pauses: Counter::default(),
+            cut_off_services: Counter::default(),
             store_calls: Family::default(),
             store_failures: Family::default(),
             orders: Family::default(),
@@ -98,6 +104,7 @@
             "Streams that lost their target",
             metrics.resumes.clone(),
         );
+        metrics.register_forwards(&mut registry);
         metrics.register_targets(&mut registry);
         registry.register(
             "held_requests",
@@ -140,6 +147,19 @@
 }
 
 impl EdgeMetrics {
+    fn register_forwards(&self, registry: &mut Registry) {
+        registry.register(
+            "forwards_sent",
+            "Requests passed on to other nodes, by outcome",
+            self.forwards_sent.clone(),
+        );
+        registry.register(
+            "forwards_received",
+            "Requests that other nodes passed on to this one, by outcome",
+            self.forwards_received.clone(),
+        );
+    }
+
     fn register_targets(&self, registry: &mut Registry) {
         registry.register(
             "stuck_targets",
@@ -166,6 +186,11 @@
             "Answers by which targets asked for a pause",
             self.target_pauses.clone(),
         );
+        registry.register(
+            "cut_off_services",
+            "Times at which this node found that it reaches no target of a service",
+            self.cut_off_services.clone(),
+        );
     }
 
     pub(crate) fn count_answer(&self, cause: &str, status: u16, taken: time::Duration) {
@@ -193,11 +218,27 @@
         self.resumes.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that was passed on to another node.
+    pub(crate) fn count_forward_sent(&self, outcome: &str) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.forwards_sent.get_or_create(&labels).inc();
+    }
+
+    /// Counts a request that another node passed on, or a connection that was no node's.
+    pub(crate) fn count_forward_received(&self, outcome: &str) {
+        let labels = vec![("outcome", outcome.to_owned())];
+        self.forwards_received.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn count_stuck(&self) {
         self.stuck.inc();
     }
 
     /// Counts an answer by which a target asked for a pause.
+    pub(crate) fn count_cut_off(&self) {
+        self.cut_off_services.inc();
+    }
+
     pub(crate) fn count_pause(&self) {
         self.target_pauses.inc();
     }
