Keep attempts at a silent group while another target is asked

What callers saw: a stream cut in its middle, or a 502 (StreamBroken, "a member of the group is missing"), although their group was sound and went on a moment later. It was so when no other group could be reached or had room, when the retry budget was empty, or when the attempts were used up. A group with a newer generation, as after a new document, cut the streams of its earlier generation the same way, even while they were answered.

Cause: an attempt was cancelled when its group had not counted as serving for 1 s, and only then was another target looked for. By the code, two failed probes (800 ms each, of one prober or of two) make a group count as not serving, so a silence of about 1.8 to 2 s, or the spread of results between nodes on top of a shorter one, can make that second full. This part was read, not played: the tests publish the health themselves.

Fix: AttemptRace. When the group has been broken and silent for 1 s another target is chosen, with a permit and a retry from the budgets, and the request is sent there too. The target that answers first goes on, the attempt at the other one is cancelled. Without a target, a budget or an attempt left, the request stays where it is. An attempt whose target still answers is left alone. One-time requests and those that may not be repeated stay with their target, as before.

Failed before, pass now: a_stream_waits_for_its_silent_group_* (2), a_whole_answer_waits_for_its_silent_group_* (2), a_stream_outlives_the_generation_of_its_group, the_slower_of_two_targets_is_cancelled. The other three of the file pass before and after; they guard what the fix must keep. All tests of pier_node and pier_request pass.

--- a/crates/pier_node/src/requests/attempt_call.rs
+++ b/crates/pier_node/src/requests/attempt_call.rs
@@ -1,8 +1,8 @@
 //! One attempt: a request dispatched to one target.
 
-use std::time;
+use std::sync;
 
-use pier_request::{attempts, retries};
+use pier_request::attempts;
 use pier_types::{ids, routes, sizes, times::clocks};
 use tokio::runtime;
 
@@ -14,29 +14,22 @@
 /// Header with which a target states that it leaves and is to get no further request.
 const LEAVING_HEADER: &str = "x-leaving";
 
-/// Time between two checks of the health of an attempt's group.
-const HEALTH_CHECK_PERIOD: time::Duration = time::Duration::from_millis(200);
-
-/// Time for which a group must be unhealthy before its attempts are cancelled; health evidence may
-/// arrive late.
-const BROKEN_GROUP_DELAY: time::Duration = time::Duration::from_secs(1);
-
 /// An attempt and everything needed to send it.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct AttemptCall<'a> {
+#[derive(Debug, Clone)]
+pub(super) struct AttemptCall {
     /// The node.
-    pub(super) handle: &'a handle::NodeHandle,
+    pub(super) handle: handle::NodeHandle,
     /// The request.
-    pub(super) plan: &'a requests::RequestPlan,
+    pub(super) plan: sync::Arc<requests::RequestPlan>,
     /// The target.
-    pub(super) target: &'a routes::RouteTarget,
+    pub(super) target: sync::Arc<routes::RouteTarget>,
     /// The identifier of the attempt.
     pub(super) attempt: ids::AttemptId,
     /// Number of tokens that the caller has already received.
     pub(super) resume_from: sizes::TokenCount,
 }
 
-impl AttemptCall<'_> {
+impl AttemptCall {
     /// Sends the request and returns the head of the answer.
     ///
     /// # Errors
@@ -47,11 +40,7 @@
         parent: &telemetry::TraceParent,
     ) -> Result<reqwest::Response, requests::AttemptFault> {
         let remaining = self.plan.deadline.since(clocks::boot_now());
-        let sending = tokio::time::timeout(remaining, self.request(parent).send());
-        let sent = tokio::select! {
-            sent = sending => sent,
-            fault = self.wait_for_broken_group() => return Err(fault),
-        };
+        let sent = tokio::time::timeout(remaining, self.request(parent).send()).await;
         let Ok(sent) = sent else {
             self.cancel();
             let end = attempts::AttemptEnd::TimedOut;
@@ -68,30 +57,6 @@
         self.check_status(answer)
     }
 
-    /// Waits until the group has been unhealthy for [`BROKEN_GROUP_DELAY`] while another target can
-    /// take the request over; the attempt is then cancelled.
-    ///
-    /// Never returns for requests that may not be repeated, nor while this node sees no other
-    /// target: a node that is cut off must not cancel an attempt that may still finish.
-    pub(super) async fn wait_for_broken_group(&self) -> requests::AttemptFault {
-        let mut broken_since = None;
-        loop {
-            tokio::time::sleep(HEALTH_CHECK_PERIOD).await;
-            let now = clocks::boot_now();
-            if self.is_group_healthy() || !self.has_alternative() {
-                broken_since = None;
-                continue;
-            }
-            let since = *broken_since.get_or_insert(now);
-            if now.since(since) >= BROKEN_GROUP_DELAY {
-                self.cancel();
-                let end = attempts::AttemptEnd::Broken;
-                let cause = "a member of the group is missing";
-                return requests::AttemptFault::new(end, cause);
-            }
-        }
-    }
-
     /// Returns whether the target is in the route table and has not stated that it leaves.
     pub(super) fn is_target_in_use(&self) -> bool {
         let leaving = self.handle.requests().leaving();
@@ -104,7 +69,8 @@
         is_listed && !leaving.contains_key(&key)
     }
 
-    fn is_group_healthy(&self) -> bool {
+    /// Returns whether the target's group serves in the generation to which the request was sent.
+    pub(super) fn is_group_healthy(&self) -> bool {
         let ids::TargetId::Group(group) = &self.target.target else {
             return true;
         };
@@ -113,14 +79,6 @@
         serving.is_some_and(|serving| serving.generation == self.target.generation)
     }
 
-    fn has_alternative(&self) -> bool {
-        let table = self.handle.routes();
-        let mut others = table.targets(&self.plan.pool).iter();
-        let usable =
-            others.any(|other| other.target != self.target.target && other.share.get() > 0);
-        usable && self.plan.rule == retries::RepeatRule::Repeatable
-    }
-
     /// Asks the target to cancel the attempt, without waiting for its answer.
     pub(super) fn cancel(&self) {
         if !self.plan.can_resume() {
@@ -143,7 +101,7 @@
     }
 
     fn request(&self, parent: &telemetry::TraceParent) -> reqwest::RequestBuilder {
-        let plan = self.plan;
+        let plan = &self.plan;
         let method = reqwest::Method::from_bytes(plan.method.as_bytes());
         let method = method.unwrap_or(reqwest::Method::GET);
         let url = format!("http://{}{}", self.target.address, plan.path);
--- a/crates/pier_node/src/requests/attempt_fault.rs
+++ b/crates/pier_node/src/requests/attempt_fault.rs
@@ -24,6 +24,11 @@
         }
     }
 
+    /// Creates the fault of an answer that started and was cut off.
+    pub(super) fn broken(cause: impl Into<String>) -> Self {
+        Self::with_possible_crash(attempts::AttemptEnd::Broken, cause)
+    }
+
     /// Returns whether it counts as a failure of the target in the warm-up evidence.
     ///
     /// A rejection is due to the request, and a missed deadline may be due to the caller's choice.
--- a/crates/pier_node/src/requests/buffered_run.rs
+++ b/crates/pier_node/src/requests/buffered_run.rs
@@ -1,7 +1,8 @@
 //! The run of a request whose answer is buffered, not streamed.
 
-use pier_request::{attempts, retries, routing};
-use pier_types::{ids, sizes, times::clocks};
+use futures_util::{Stream, stream};
+use pier_request::{attempts, retries};
+use pier_types::{sizes, times::clocks};
 
 use crate::{callers, requests, telemetry};
 
@@ -38,48 +39,39 @@
     pub(super) async fn run(
         run: &mut requests::RequestRun,
     ) -> Result<requests::BufferedAnswer, callers::ErrorBody> {
+        let none = sizes::TokenCount::default();
         loop {
             let permit = run.choose()?;
-            let started_at = clocks::boot_now();
-            let fault = match Self::attempt(run, &permit).await {
+            let mut race = requests::AttemptRace::start(run, permit, none, Self::answer);
+            let fault = match race.next(run, none).await {
                 Ok(answer) => {
-                    run.succeed(started_at);
+                    run.succeed(race.current().started_at());
+                    race.into_current().finish();
                     return Ok(answer);
                 }
                 Err(fault) => fault,
             };
-            let backoff = run.next_backoff(&fault, &permit, sizes::TokenCount::default())?;
+            let permit = race.into_current().fail(&fault);
+            let backoff = run.next_backoff(&fault, &permit, none)?;
             drop(permit);
             tokio::time::sleep(backoff).await;
         }
     }
 
-    async fn attempt(
-        run: &requests::RequestRun,
-        permit: &routing::RoutePermit,
-    ) -> Result<requests::BufferedAnswer, requests::AttemptFault> {
-        let mut span = telemetry::HopSpan::start(run.handle.traces(), "attempt", Some(&run.parent));
-        span.set_attribute("target", permit.target().target.to_string());
-        let call = requests::AttemptCall {
-            handle: &run.handle,
-            plan: &run.plan,
-            target: permit.target(),
-            attempt: ids::AttemptId::new(rand::random()),
-            resume_from: sizes::TokenCount::default(),
-        };
-        let guard = requests::AttemptGuard::new(call);
-        let answer = call.send(&span.parent()).await;
-        let read = match answer {
-            Ok(answer) => read_body(&call, answer).await,
-            Err(fault) => Err(fault),
-        };
-        guard.disarm();
-        read.inspect_err(|fault| span.fail(fault.end.code()))
+    /// Sends a request; the whole answer is the only part.
+    fn answer(
+        call: requests::AttemptCall,
+        parent: telemetry::TraceParent,
+    ) -> impl Stream<Item = Result<requests::BufferedAnswer, requests::AttemptFault>> {
+        stream::once(async move {
+            let answer = call.send(&parent).await?;
+            read_body(&call, answer).await
+        })
     }
 }
 
 async fn read_body(
-    call: &requests::AttemptCall<'_>,
+    call: &requests::AttemptCall,
     answer: reqwest::Response,
 ) -> Result<requests::BufferedAnswer, requests::AttemptFault> {
     let status = answer.status().as_u16();
@@ -88,12 +80,8 @@
     let content_type = kind.unwrap_or("application/octet-stream").to_owned();
     let remaining = call.plan.deadline.since(clocks::boot_now());
     let body = requests::AnswerBody::new(answer, call.target.address);
-    let reading = tokio::time::timeout(remaining, body.read(|| call.is_target_in_use()));
-    let read = tokio::select! {
-        read = reading => read,
-        fault = call.wait_for_broken_group() => return Err(fault),
-    };
-    let Ok(body) = read else {
+    let reading = body.read(|| call.is_target_in_use());
+    let Ok(body) = tokio::time::timeout(remaining, reading).await else {
         call.cancel();
         let end = attempts::AttemptEnd::TimedOut;
         let cause = "the answer was not whole before the deadline";
--- a/crates/pier_node/src/requests/request_run.rs
+++ b/crates/pier_node/src/requests/request_run.rs
@@ -1,6 +1,6 @@
 //! An admitted request and its attempts.
 
-use std::{sync, time};
+use std::{future, sync, time};
 
 use pier_request::{admission, attempts, claims, quarantine, retries, routing};
 use pier_types::{codes, epochs, ids, routes, sizes, times, times::clocks};
@@ -78,6 +78,77 @@
         chosen.map_err(|refusal| self.final_error(refusal.code(), refusal.code().meaning()))
     }
 
+    /// Creates the call of an attempt at a chosen target.
+    pub(super) fn call(
+        &self,
+        permit: &routing::RoutePermit,
+        attempt: ids::AttemptId,
+        resume_from: sizes::TokenCount,
+    ) -> requests::AttemptCall {
+        requests::AttemptCall {
+            handle: self.handle.clone(),
+            plan: sync::Arc::clone(&self.plan),
+            target: sync::Arc::clone(permit.target()),
+            attempt,
+            resume_from,
+        }
+    }
+
+    /// Waits until the watched group is broken and another target has room for the request, and
+    /// chooses that target; the attempts in progress go on, as their targets may be sound.
+    ///
+    /// Never returns for requests that may not be repeated.
+    pub(super) async fn choose_other(
+        &mut self,
+        watch: &mut requests::GroupWatch,
+        delivered: sizes::TokenCount,
+    ) -> routing::RoutePermit {
+        if self.plan.rule != retries::RepeatRule::Repeatable {
+            return future::pending().await;
+        }
+        loop {
+            watch.wait_until_broken().await;
+            if let Some(permit) = self.find_other(watch, delivered, clocks::boot_now()) {
+                return permit;
+            }
+        }
+    }
+
+    fn find_other(
+        &mut self,
+        watch: &requests::GroupWatch,
+        delivered: sizes::TokenCount,
+        now: times::BootTime,
+    ) -> Option<routing::RoutePermit> {
+        let mut excluded = self.tried.clone();
+        excluded.push(watch.call().target.target.clone());
+        // Without another target, budget or quarantine in its way, the request goes on where it is.
+        let permit = self.choose_except(&excluded, now).ok()?;
+        if self.is_quarantined() {
+            return None;
+        }
+        let decision = self.decide(attempts::AttemptEnd::Broken, delivered);
+        if !matches!(decision, retries::RetryDecision::Retry { .. }) {
+            return None;
+        }
+        self.count_decision(decision);
+        self.attempts += 1;
+        self.tried = excluded;
+        log::info!(
+            event = "silent-group-another-asked",
+            target:% = watch.call().target.target,
+            other:% = permit.target().target;
+            ""
+        );
+        Some(permit)
+    }
+
+    /// Records that an attempt was given up because another target answered first; the request may
+    /// have run there.
+    pub(super) fn record_outrun(&mut self) {
+        self.worst_outcome.record(attempts::AttemptEnd::Broken);
+    }
+
     /// Records a failed attempt and returns the back-off before the next one.
     ///
     /// # Errors
@@ -141,7 +212,11 @@
     }
 
     /// Records how an attempt ended, and reports crash and warm-up evidence about its target.
-    fn record_end(&mut self, fault: &requests::AttemptFault, permit: &routing::RoutePermit) {
+    pub(super) fn record_end(
+        &mut self,
+        fault: &requests::AttemptFault,
+        permit: &routing::RoutePermit,
+    ) {
         self.worst_outcome.record(fault.end);
         self.tried.push(permit.target().target.clone());
         let metrics = self.handle.metrics().requests();
@@ -189,6 +264,19 @@
     fn choose_target(
         &self,
         now: times::BootTime,
+    ) -> Result<routing::RoutePermit, routing::RouteRefusal> {
+        let chosen = self.choose_except(&self.tried, now);
+        if chosen.is_err() && !self.tried.is_empty() {
+            // Trying the same target again is better than failing.
+            return self.choose_except(&[], now);
+        }
+        chosen
+    }
+
+    fn choose_except(
+        &self,
+        tried: &[ids::TargetId],
+        now: times::BootTime,
     ) -> Result<routing::RoutePermit, routing::RouteRefusal> {
         let state = self.handle.requests();
         let targets = state.targets();
@@ -196,18 +284,12 @@
         let pool = pool.ok_or(routing::RouteRefusal::NoTarget)?;
         let prefixes = state.prefixes();
         let request = routing::RouteRequest {
-            tried: &self.tried,
+            tried,
             holders: self.plan.prefix.and_then(|prefix| prefixes.holders(prefix)),
             random: rand::random(),
             now,
         };
-        let chosen = pool.choose(&request);
-        if chosen.is_err() && !self.tried.is_empty() {
-            // Trying the same target again is better than failing.
-            let tried = &[];
-            return pool.choose(&routing::RouteRequest { tried, ..request });
-        }
-        chosen
+        pool.choose(&request)
     }
 
     fn send_crash(&self, permit: &routing::RoutePermit) {
--- a/crates/pier_node/src/requests/stream_run.rs
+++ b/crates/pier_node/src/requests/stream_run.rs
@@ -1,10 +1,11 @@
 //! The run of a request whose answer is streamed.
 
-use std::{pin, time};
+use std::time;
 
 use bytes::Bytes;
-use pier_request::{attempts, routing};
-use pier_types::{ids, times::clocks};
+use futures_util::{Stream, TryStreamExt as _, stream};
+use pier_request::attempts;
+use pier_types::times::clocks;
 use tokio::sync::oneshot;
 
 use crate::{callers, requests, telemetry};
@@ -15,6 +16,9 @@
 /// Time-out for a caller to accept the last event of a failed stream.
 const LAST_EVENT_TIMEOUT: time::Duration = time::Duration::from_secs(5);
 
+/// Cause of a fault of a stream that ended before it was whole.
+const NO_END_CAUSE: &str = "the stream ended without its end mark";
+
 /// Runs requests whose answer is streamed.
 #[derive(Debug)]
 pub(super) struct StreamRun;
@@ -61,145 +65,168 @@
         let mut buffer = attempts::ReorderBuffer::default();
         loop {
             let permit = run.choose()?;
-            let started_at = clocks::boot_now();
-            let fault = match Self::attempt(run, &permit, &mut buffer, sink).await {
+            let delivered = buffer.delivered();
+            let mut race = requests::AttemptRace::start(run, permit, delivered, parts);
+            let fault = match relay(run, &mut race, &mut buffer, sink).await {
                 Ok(()) => {
-                    run.succeed(started_at);
+                    run.succeed(race.current().started_at());
+                    race.into_current().finish();
                     return Ok(());
                 }
+                // Dropping the attempts cancels them.
                 Err(StreamStop::CallerLeft) => return Ok(()),
                 Err(StreamStop::Fault(fault)) => fault,
             };
             buffer.abandon();
+            let permit = race.into_current().fail(&fault);
             let backoff = run.next_backoff(&fault, &permit, buffer.delivered())?;
             drop(permit);
             tokio::time::sleep(backoff).await;
         }
     }
+}
 
-    async fn attempt(
-        run: &requests::RequestRun,
-        permit: &routing::RoutePermit,
-        buffer: &mut attempts::ReorderBuffer<Bytes>,
-        sink: &mut requests::RelaySink,
-    ) -> Result<(), StreamStop> {
-        let mut span = telemetry::HopSpan::start(run.handle.traces(), "attempt", Some(&run.parent));
-        span.set_attribute("target", permit.target().target.to_string());
-        let attempt = ids::AttemptId::new(rand::random());
-        let call = requests::AttemptCall {
-            handle: &run.handle,
-            plan: &run.plan,
-            target: permit.target(),
-            attempt,
-            resume_from: buffer.begin(attempt),
-        };
-        let timing = requests::TokenTiming::new(clocks::boot_now());
-        let guard = requests::AttemptGuard::new(call);
-        let answer = call.send(&span.parent()).await;
-        let relayed = match answer {
-            Ok(answer) => relay(&call, answer, timing, buffer, sink).await,
-            Err(fault) => Err(StreamStop::Fault(fault)),
+/// A part of a streamed answer.
+#[derive(Debug)]
+enum StreamPart {
+    /// A token.
+    Token {
+        event: Bytes,
+        index: u64,
+        last: bool,
+    },
+    /// The end of an answer whose last token has arrived.
+    End,
+}
+
+/// Sends a request and returns the parts of its answer.
+fn parts(
+    call: requests::AttemptCall,
+    parent: telemetry::TraceParent,
+) -> impl Stream<Item = Result<StreamPart, requests::AttemptFault>> {
+    let sending = async move {
+        let answer = call.send(&parent).await?;
+        Ok(following_parts(call, requests::EventReader::new(answer)))
+    };
+    stream::once(sending).try_flatten()
+}
+
+fn following_parts(
+    call: requests::AttemptCall,
+    reader: requests::EventReader,
+) -> impl Stream<Item = Result<StreamPart, requests::AttemptFault>> {
+    let state = (call, reader, false);
+    stream::try_unfold(state, |(call, mut reader, has_last)| async move {
+        let part = match next_event(&call, &mut reader).await? {
+            AnswerEvent::Token { event, index, last } => StreamPart::Token { event, index, last },
+            AnswerEvent::End(_cause) if has_last => StreamPart::End,
+            AnswerEvent::End(cause) => return Err(requests::AttemptFault::broken(cause)),
         };
-        guard.disarm();
-        match &relayed {
-            Ok(()) => {}
-            Err(StreamStop::CallerLeft) => {
-                let metrics = run.handle.metrics().requests();
-                metrics.count_attempt(telemetry::AttemptOutcome::CallerLeft);
-                call.cancel();
-            }
-            Err(StreamStop::Fault(fault)) => span.fail(fault.end.code()),
-        }
-        relayed
-    }
+        let has_last = has_last || matches!(part, StreamPart::Token { last: true, .. });
+        Ok(Some((part, (call, reader, has_last))))
+    })
 }
 
-/// Relays the events of one attempt in order; the end mark is sent after all tokens.
-async fn relay(
-    call: &requests::AttemptCall<'_>,
-    answer: reqwest::Response,
-    mut timing: requests::TokenTiming,
-    buffer: &mut attempts::ReorderBuffer<Bytes>,
-    sink: &mut requests::RelaySink,
-) -> Result<(), StreamStop> {
-    let mut reader = requests::EventReader::new(answer);
-    let mut wait_for_broken_group = pin::pin!(call.wait_for_broken_group());
-    let mut cause = "the stream ended without its end mark".to_owned();
+/// An event of a target's answer.
+enum AnswerEvent {
+    Token {
+        event: Bytes,
+        index: u64,
+        last: bool,
+    },
+    /// The end mark, or the end of the connection with its cause.
+    End(String),
+}
+
+async fn next_event(
+    call: &requests::AttemptCall,
+    reader: &mut requests::EventReader,
+) -> Result<AnswerEvent, requests::AttemptFault> {
     loop {
         let remaining = call.plan.deadline.since(clocks::boot_now());
-        let next = tokio::select! {
-            next = tokio::time::timeout(remaining, reader.next()) => next,
-            () = sink.caller_left() => return Err(StreamStop::CallerLeft),
-            fault = &mut wait_for_broken_group => return Err(StreamStop::Fault(fault)),
-        };
-        let Ok(next) = next else {
+        let Ok(next) = tokio::time::timeout(remaining, reader.next()).await else {
             call.cancel();
             let end = attempts::AttemptEnd::TimedOut;
             let cause = "the answer was not whole before the deadline";
-            return Err(StreamStop::Fault(requests::AttemptFault::new(end, cause)));
+            return Err(requests::AttemptFault::new(end, cause));
         };
         let event = match next {
             Ok(Some(event)) => event,
-            Ok(None) => break,
+            Ok(None) => return Ok(AnswerEvent::End(NO_END_CAUSE.to_owned())),
             Err(error) => {
-                cause = format!("the stream broke off: {error:#}");
-                break;
+                return Ok(AnswerEvent::End(format!("the stream broke off: {error:#}")));
             }
         };
-        match accept_event(call, buffer, event)? {
-            EventStatus::Tokens => {
-                timing.record_token(call, clocks::boot_now());
-                push_ready(call, buffer, sink).await?;
+        match requests::TokenEvent::read(&event) {
+            requests::TokenEvent::Token { index, last } => {
+                return Ok(AnswerEvent::Token { event, index, last });
+            }
+            requests::TokenEvent::Done => return Ok(AnswerEvent::End(NO_END_CAUSE.to_owned())),
+            requests::TokenEvent::Empty => {}
+            requests::TokenEvent::Unreadable => {
+                call.cancel();
+                let end = attempts::AttemptEnd::Broken;
+                let cause = "the stream holds an event that is no token";
+                return Err(requests::AttemptFault::new(end, cause));
             }
-            EventStatus::Nothing => {}
-            EventStatus::Done => break,
         }
     }
-    if buffer.close(call.attempt) != attempts::StreamEnd::Complete {
-        return Err(StreamStop::Fault(broken(&cause)));
-    }
-    push(call, Bytes::from_static(DONE_EVENT), sink).await
 }
 
-/// What an event added to the answer.
-enum EventStatus {
-    Tokens,
-    Nothing,
-    Done,
-}
-
-fn accept_event(
-    call: &requests::AttemptCall<'_>,
+/// Relays the events of the attempts in order; the end mark is sent after all tokens.
+async fn relay<F, S>(
+    run: &mut requests::RequestRun,
+    race: &mut requests::AttemptRace<F, S>,
     buffer: &mut attempts::ReorderBuffer<Bytes>,
-    event: Bytes,
-) -> Result<EventStatus, StreamStop> {
-    let (index, last) = match requests::TokenEvent::read(&event) {
-        requests::TokenEvent::Token { index, last } => (index, last),
-        requests::TokenEvent::Done => return Ok(EventStatus::Done),
-        requests::TokenEvent::Empty => return Ok(EventStatus::Nothing),
-        requests::TokenEvent::Unreadable => {
-            call.cancel();
-            let end = attempts::AttemptEnd::Broken;
-            let cause = "the stream holds an event that is no token";
-            return Err(StreamStop::Fault(requests::AttemptFault::new(end, cause)));
+    sink: &mut requests::RelaySink,
+) -> Result<(), StreamStop>
+where
+    F: Fn(requests::AttemptCall, telemetry::TraceParent) -> S,
+    S: Stream<Item = Result<StreamPart, requests::AttemptFault>>,
+{
+    let mut attempt = race.current().call().attempt;
+    buffer.begin(attempt);
+    let mut timing = requests::TokenTiming::new(race.current().started_at());
+    loop {
+        let part = tokio::select! {
+            part = race.next(run, buffer.delivered()) => part.map_err(StreamStop::Fault)?,
+            () = sink.caller_left() => return Err(StreamStop::CallerLeft),
+        };
+        let current = race.current();
+        let call = current.call();
+        if attempt != call.attempt {
+            attempt = call.attempt;
+            buffer.begin(attempt);
+            timing = requests::TokenTiming::new(current.started_at());
         }
-    };
-    match buffer.accept(call.attempt, index, event, last) {
-        attempts::PartStatus::Ready => Ok(EventStatus::Tokens),
-        attempts::PartStatus::Refused => {
-            call.cancel();
-            let end = attempts::AttemptEnd::Broken;
-            let cause = format!("token {index} is out of place");
-            Err(StreamStop::Fault(requests::AttemptFault::new(end, cause)))
+        let StreamPart::Token { event, index, last } = part else {
+            if buffer.close(attempt) == attempts::StreamEnd::Complete {
+                return push(call, Bytes::from_static(DONE_EVENT), sink).await;
+            }
+            return Err(StreamStop::Fault(requests::AttemptFault::broken(
+                NO_END_CAUSE,
+            )));
+        };
+        match buffer.accept(attempt, index, event, last) {
+            attempts::PartStatus::Ready => {
+                timing.record_token(call, clocks::boot_now());
+                push_ready(call, buffer, sink).await?;
+            }
+            attempts::PartStatus::Refused => {
+                call.cancel();
+                let end = attempts::AttemptEnd::Broken;
+                let cause = format!("token {index} is out of place");
+                return Err(StreamStop::Fault(requests::AttemptFault::new(end, cause)));
+            }
+            attempts::PartStatus::Held
+            | attempts::PartStatus::Duplicate
+            | attempts::PartStatus::Stale => {}
         }
-        attempts::PartStatus::Held
-        | attempts::PartStatus::Duplicate
-        | attempts::PartStatus::Stale => Ok(EventStatus::Nothing),
     }
 }
 
 async fn push_ready(
-    call: &requests::AttemptCall<'_>,
+    call: &requests::AttemptCall,
     buffer: &mut attempts::ReorderBuffer<Bytes>,
     sink: &mut requests::RelaySink,
 ) -> Result<(), StreamStop> {
@@ -211,7 +238,7 @@
 }
 
 async fn push(
-    call: &requests::AttemptCall<'_>,
+    call: &requests::AttemptCall,
     part: Bytes,
     sink: &mut requests::RelaySink,
 ) -> Result<(), StreamStop> {
@@ -227,7 +254,3 @@
         }
     }
 }
-
-fn broken(cause: &str) -> requests::AttemptFault {
-    requests::AttemptFault::with_possible_crash(attempts::AttemptEnd::Broken, cause)
-}
--- a/crates/pier_node/src/requests/token_timing.rs
+++ b/crates/pier_node/src/requests/token_timing.rs
@@ -21,14 +21,14 @@
     }
 
     /// Records a token; the time to first token is also evidence of the target's warm-up.
-    pub(super) fn record_token(&mut self, call: &requests::AttemptCall<'_>, now: times::BootTime) {
+    pub(super) fn record_token(&mut self, call: &requests::AttemptCall, now: times::BootTime) {
         let metrics = call.handle.metrics().requests();
         if let Some(last_at) = self.last_at.replace(now) {
             metrics.record_token_gap(now.since(last_at));
         } else {
             metrics.record_first_token(now.since(self.sent_at));
             let signal = requests::WarmthSignal::FirstToken(now.since(self.sent_at));
-            let evidence = requests::WarmthEvidence::of(call.target, signal, now);
+            let evidence = requests::WarmthEvidence::of(&call.target, signal, now);
             call.handle.requests().send_warmth(evidence);
         }
     }
--- a/crates/pier_node/src/telemetry/attempt_outcome.rs
+++ b/crates/pier_node/src/telemetry/attempt_outcome.rs
@@ -10,6 +10,8 @@
     Whole,
     /// The caller disconnected.
     CallerLeft,
+    /// Another target that was asked too answered first.
+    Outrun,
     /// No connection was made.
     NotConnected,
     /// The target reported that it did not start the request.
@@ -28,9 +30,10 @@
 
 impl AttemptOutcome {
     /// Every value.
-    pub(super) const ALL: [Self; 9] = [
+    pub(super) const ALL: [Self; 10] = [
         Self::Whole,
         Self::CallerLeft,
+        Self::Outrun,
         Self::NotConnected,
         Self::NotStarted,
         Self::Lost,
--- a/crates/pier_node/tests/requests/main.rs
+++ b/crates/pier_node/tests/requests/main.rs
@@ -10,5 +10,6 @@
 mod one_time;
 mod one_time_streams;
 mod refusals;
+mod silent_targets;
 mod streams;
 mod test_node;
--- a/crates/pier_node/tests/requests/test_node.rs
+++ b/crates/pier_node/tests/requests/test_node.rs
@@ -16,7 +16,8 @@
 /// Bearer key of the customer that may not repeat them.
 pub const SMALL_KEY: &str = "sample-key-inquilinos";
 
-const SAMPLE: &str = include_str!("../../../../examples/tarifas.ini");
+/// The sample configuration.
+pub const SAMPLE: &str = include_str!("../../../../examples/tarifas.ini");
 
 /// Requests that the node may have in flight at each target.
 const SHARE: u32 = 8;
--- a/crates/pier_request/src/routing/route_permit.rs
+++ b/crates/pier_request/src/routing/route_permit.rs
@@ -23,7 +23,7 @@
     }
 
     /// Returns the target as it was when the permit was acquired.
-    pub fn target(&self) -> &routes::RouteTarget {
+    pub const fn target(&self) -> &sync::Arc<routes::RouteTarget> {
         &self.target
     }
 
