Probe connections to targets several times before they end

What callers would see, by the code: a request that waits over 30 s for its answer, as a long completion whose answer is not streamed, is lost, or run again if it may be repeated, although its target is sound, when one keep-alive probe met a short silence of the target's network.

Cause: reqwest sets keep-alive and TCP_USER_TIMEOUT by itself, 15 s and 30 s with an interval of 15 s. The time-out decides over probes too, whatever their count, so the first probe, sent after 15 s, was the only one: unanswered, it ended the connection at 30 s. Deadlines are 120 s by default and an hour at most.

Fix: the clients for targets set the values themselves: probes after 10 s, each 5 s, and the time-out of 30 s. Four probes have to go unanswered, over 20 s. Both clients are now built in one place, and the tests of the request path use the product's own.

one_lost_probe_ends_no_connection reads the options of the clients' own sockets. It failed before ("probes after 15s, each 15s, end the connection after 30s") and passes now. That a probe is lost is not played: the loopback device loses none.

--- a/crates/pier_node/src/daemon/node_daemon.rs
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -14,15 +14,9 @@
 /// Time between two checks for requests in progress during a drain.
 const DRAIN_POLL: time::Duration = time::Duration::from_millis(20);
 
-/// Time-out for connecting to a target.
-const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
-
 /// Number of system-chosen ports to try until one is free for both TCP and UDP.
 const PORT_ATTEMPTS: u32 = 10;
 
-/// Time after which idle connections to targets are closed, before the target would close them.
-const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-
 /// A running node; keeps its ports open until [`NodeDaemon::drain`].
 #[derive(Debug)]
 pub struct NodeDaemon {
@@ -47,7 +41,7 @@
         settings: settings::NodeSettings,
         shift: shifts::ShiftPolicy,
     ) -> anyhow::Result<Self> {
-        let client = target_client()?;
+        let client = requests::target_client::pooled()?;
         let traces = open_traces(settings.collector_url.clone()).await?;
         let handle = handle::NodeHandle::new(unique_name(&settings)?, settings, client, traces)?;
         tables::spawn(handle.clone(), shift);
@@ -224,16 +218,3 @@
         tokio::task::spawn_blocking(move || telemetry::TraceSink::open(collector_url.as_deref()));
     opening.await.context("opening the trace sink")?
 }
-
-/// Creates a client that follows no redirects, uses no proxy and never retries.
-fn target_client() -> anyhow::Result<reqwest::Client> {
-    reqwest::Client::builder()
-        .redirect(reqwest::redirect::Policy::none())
-        .no_proxy()
-        .retry(reqwest::retry::never())
-        .connect_timeout(CONNECT_TIMEOUT)
-        .pool_idle_timeout(IDLE_TIMEOUT)
-        .tcp_nodelay(true)
-        .build()
-        .context("creating the HTTP client")
-}
--- a/crates/pier_node/src/requests/mod.rs
+++ b/crates/pier_node/src/requests/mod.rs
@@ -40,7 +40,7 @@
 mod request_run;
 mod request_state;
 mod stream_run;
-mod target_client;
+pub mod target_client;
 mod target_view;
 mod token_event;
 mod token_timing;
--- a/crates/pier_node/tests/requests/main.rs
+++ b/crates/pier_node/tests/requests/main.rs
@@ -2,6 +2,7 @@
 //! really ran.
 
 mod broken_off;
+mod connection_probes;
 mod dropping_target;
 mod ending_target;
 mod engine_targets;
--- a/crates/pier_node/tests/requests/test_node.rs
+++ b/crates/pier_node/tests/requests/test_node.rs
@@ -87,11 +87,7 @@
         );
         let settings = settings::NodeSettings::parse(&text).unwrap();
         let traces = telemetry::TraceSink::open(None).unwrap();
-        let client = reqwest::Client::builder()
-            .no_proxy()
-            .retry(reqwest::retry::never())
-            .build()
-            .unwrap();
+        let client = requests::target_client::pooled().unwrap();
         let name = "node-1".parse().unwrap();
         let handle = handle::NodeHandle::new(name, settings, client, traces).unwrap();
         requests::spawn(&handle);
