--- a/crates/pier_node/tests/requests/silent_targets.rs
+++ b/crates/pier_node/tests/requests/silent_targets.rs
@@ -3,13 +3,14 @@
 
 use std::{sync, time};
 
+use pier_config::documents;
 use pier_control::health;
-use pier_fakes::{engine, fault, platform, record};
+use pier_fakes::{engine, fault, platform, record, service};
 use pier_node::{callers, handle};
 use pier_types::{epochs, ids, reports, routes, times::clocks};
 use tokio::task;
 
-use crate::{streams, test_node};
+use crate::{forwards, streams, test_node};
 
 /// Longer than the time after which another target is looked for.
 const SILENCE: time::Duration = time::Duration::from_millis(1_600);
@@ -72,8 +73,14 @@
                 handle.publish_routes(test_node::table_of(&targets));
             }
         });
-        if let Some(previous) = self.publisher.lock().unwrap().replace(publisher) {
-            previous.abort();
+        self.stop_publishing();
+        *self.publisher.lock().unwrap() = Some(publisher);
+    }
+
+    /// Leaves the targets as they are, until the table is stale.
+    fn stop_publishing(&self) {
+        if let Some(publisher) = self.publisher.lock().unwrap().take() {
+            publisher.abort();
         }
     }
 
@@ -155,9 +162,7 @@
 
 impl Drop for GroupBench {
     fn drop(&mut self) {
-        if let Some(publisher) = self.publisher.lock().unwrap().take() {
-            publisher.abort();
-        }
+        self.stop_publishing();
     }
 }
 
@@ -311,3 +316,86 @@
     let run = entries.iter().find(|entry| entry.started).unwrap();
     assert_eq!(run.end, record::RunEnd::Broken, "{run:?}");
 }
+
+/// Returns a configuration that no longer has the model and the service.
+fn without_pools() -> documents::ConfigDocument {
+    let sections = test_node::SAMPLE.split("\n[");
+    let kept = sections.filter(|section| {
+        !section.starts_with("model redactor]") && !section.starts_with("service libro]")
+    });
+    let text = kept.collect::<Vec<_>>().join("\n[");
+    let lines = text.lines().filter(|line| {
+        let names = ["replicas.redactor", "models =", "services ="];
+        !names.iter().any(|name| line.starts_with(name))
+    });
+    let text = lines.collect::<Vec<_>>().join("\n");
+    text.parse().unwrap()
+}
+
+/// Guards against answers that are cut because a new document no longer has their model or service
+/// while their targets are silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_outlive_the_removal_of_their_pools_from_the_document() {
+    let bench = GroupBench::launch(test_node::SAMPLE).await;
+    let ledger = service::FakeService::builder("ledger-1".parse().unwrap());
+    let ledger = ledger.call_time(START_TIME * 2).launch().await.unwrap();
+    bench.stop_publishing();
+    let targets = [
+        bench.target(0),
+        test_node::target("ledger-1", ledger.address()),
+    ];
+    let table = test_node::table_of(&targets);
+    bench.node.handle.publish_routes(table);
+    let change = async {
+        tokio::time::sleep(START_TIME).await;
+        let for_ms = Some(u64::try_from(SILENCE.as_millis()).unwrap());
+        let pause = fault::FaultKind::Pause { for_ms };
+        ledger.set_fault(fault::FaultSpec::new(pause.clone()));
+        bench.engine(0).set_fault(fault::FaultSpec::new(pause));
+        bench.publish(&[], &[]);
+        let document = without_pools();
+        bench.node.handle.publish_config(handle::ConfigSnapshot {
+            version: epochs::ConfigVersion::new(2),
+            document,
+            text: String::new(),
+        });
+    };
+    let stream = test_node::completion(test_node::LARGE_KEY, "draft", true);
+    let whole = test_node::completion(test_node::SMALL_KEY, "draft", false);
+    let post = test_node::request(test_node::LARGE_KEY, "POST", "/services/libro/charges", "1");
+    let sends = futures_util::future::join3(
+        bench.node.send(stream),
+        bench.node.send(whole),
+        bench.node.send(post),
+    );
+    let ((stream, whole, post), ()) = tokio::join!(sends, change);
+    assert_whole_stream(&stream);
+    assert_eq!(whole.status, 200, "{}", whole.text);
+    assert_eq!(post.status, 200, "{}", post.text);
+}
+
+/// Guards against a forwarded request that is lost because its target is silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forwarded_request_waits_for_its_silent_target() {
+    let bench = GroupBench::launch(test_node::SAMPLE).await;
+    bench.refuse_connections();
+    let platform = test_node::launch_platform().await;
+    let entry = test_node::TestNode::launch(platform.address());
+    entry.publish(Vec::new());
+    let peers = vec![forwards::listen(&bench.node, "mvd-b").await];
+    entry.handle.publish_peers(peers);
+    for stream in [false, true] {
+        bench.publish(&[(0, 1)], &[0]);
+        let silence = async {
+            tokio::time::sleep(START_TIME).await;
+            bench.fall_silent(Some(u64::try_from(SILENCE.as_millis()).unwrap()));
+        };
+        let request = test_node::completion(test_node::LARGE_KEY, "draft", stream);
+        let (answer, ()) = tokio::join!(entry.send(request), silence);
+        assert_eq!(answer.status, 200, "{}", answer.text);
+        if stream {
+            assert_whole_stream(&answer);
+        }
+    }
+    bench.assert_runs([2, 0]);
+}
