--- a/crates/pier_node/tests/requests/main.rs
+++ b/crates/pier_node/tests/requests/main.rs
@@ -2,6 +2,7 @@
 //! really ran.
 
 mod broken_off;
+mod connection_probes;
 mod dropping_target;
 mod ending_target;
 mod engine_targets;
@@ -10,5 +11,6 @@
 mod one_time;
 mod one_time_streams;
 mod refusals;
+mod silent_targets;
 mod streams;
 mod test_node;
--- a/crates/pier_node/tests/requests/test_node.rs
+++ b/crates/pier_node/tests/requests/test_node.rs
@@ -16,7 +16,8 @@
 /// Bearer key of the customer that may not repeat them.
 pub const SMALL_KEY: &str = "sample-key-inquilinos";
 
-const SAMPLE: &str = include_str!("../../../../examples/tarifas.ini");
+/// The sample configuration.
+pub const SAMPLE: &str = include_str!("../../../../examples/tarifas.ini");
 
 /// Requests that the node may have in flight at each target.
 const SHARE: u32 = 8;
@@ -86,11 +87,7 @@
         );
         let settings = settings::NodeSettings::parse(&text).unwrap();
         let traces = telemetry::TraceSink::open(None).unwrap();
-        let client = reqwest::Client::builder()
-            .no_proxy()
-            .retry(reqwest::retry::never())
-            .build()
-            .unwrap();
+        let client = requests::target_client::pooled().unwrap();
         let name = "node-1".parse().unwrap();
         let handle = handle::NodeHandle::new(name, settings, client, traces).unwrap();
         requests::spawn(&handle);
