Serve callers of a node that reaches no target by way of others

What callers saw: a node that had lost its links to all targets, while callers, the platform and the other nodes reached it, refused nearly everything. First tries from 3 s after the cut began, 59 sent to each node in 3 s, served at the cut nodes (others: all):

one of three, connections hang 32 of 59 one of three, refused 0 of 59 one of three, reset 0 of 59 one of three, only new ones refused 45 of 59 all three of a data centre, hang 96 of 177 all three of a data centre, refused 0 of 177

Cause: the peers' probes keep the targets in the node's table, so that admission passes, and a request whose attempts then fail was answered with 503 and never forwarded: only a refusal by admission was. What was served at hanging nodes was served since requests in flight used up the shares. Requests that used a kept connection waited until their deadline.

Fix: `TargetLinks` holds the links that are in doubt. A connection that fails marks its link as down at once; a link is put in doubt by a lost connection and by half a second without an answer, and `LinkMonitor` checks it with a connection of its own until it is sound. Targets behind such links are left out, and a request that finds no other one is passed on to another node. A repeatable request whose answer has not begun leaves a target to which no connection can be made. That the target is silent is not enough for this: the kernel of a silent target accepts connections. One that may run once stays until it is known what became of it, and is passed on only if nothing was sent. Attempts that reach no target no longer end with an empty retry budget as the cause, since they cost the targets nothing and another node may still serve the request.

Evidence: tests in cut_off_nodes.

--- a/crates/pier_node/src/requests/attempt_call.rs
+++ b/crates/pier_node/src/requests/attempt_call.rs
@@ -51,6 +51,7 @@
         let sent = tokio::select! {
             sent = sending => sent,
             fault = self.wait_for_broken_group() => return Err(fault),
+            fault = requests::LinkMonitor::wait_for_silent_link(self) => return Err(fault),
         };
         let Ok(sent) = sent else {
             self.cancel();
--- a/crates/pier_node/src/requests/forward_run.rs
+++ b/crates/pier_node/src/requests/forward_run.rs
@@ -45,7 +45,7 @@
         parent: &telemetry::TraceParent,
         refusal: callers::ErrorBody,
     ) -> Result<callers::CallerReply, callers::ErrorBody> {
-        if plan.hops > 0 || !may_help(refusal.code) {
+        if plan.hops > 0 || !may_help(refusal.code) && !may_repeat_lost(plan, refusal.code) {
             return Err(refusal);
         }
         let key = handle.settings().peer_key.clone();
@@ -58,6 +58,12 @@
         // Once the request may have run somewhere, a later refusal must not claim that it did not.
         let mut lost = None;
         let mut refusal = refusal;
+        if refusal.outcome != codes::RunOutcome::NotRun {
+            if !run.may_repeat() {
+                return Err(refusal);
+            }
+            lost = Some(refusal.clone());
+        }
         for peer in run.candidates() {
             match run.send(&peer, parent).await {
                 Ok(reply) => return Ok(reply),
@@ -195,6 +201,12 @@
     )
 }
 
+/// Returns whether a request that a target may have run can be repeated by another node.
+fn may_repeat_lost(plan: &requests::RequestPlan, code: codes::ResultCode) -> bool {
+    let is_repeatable = plan.rule == retries::RepeatRule::Repeatable && plan.key.is_none();
+    is_repeatable && code == codes::ResultCode::TargetLost
+}
+
 const fn code_of(error: &forwards::ForwardError) -> codes::ResultCode {
     match error {
         forwards::ForwardError::NotSent { .. } => codes::ResultCode::NoServingTarget,
--- a/crates/pier_node/src/requests/request_path.rs
+++ b/crates/pier_node/src/requests/request_path.rs
@@ -1,6 +1,6 @@
 //! Serves requests from arrival to answer.
 
-use std::time;
+use std::{sync, time};
 
 use pier_request::{admission, routing};
 use pier_types::{codes, times::clocks};
@@ -51,7 +51,7 @@
         request: callers::CallerRequest,
         parent: &telemetry::TraceParent,
     ) -> Result<callers::CallerReply, callers::ErrorBody> {
-        let plan = self.plan(request)?;
+        let plan = sync::Arc::new(self.plan(request)?);
         self.check_quarantine(&plan)?;
         if let Some(answer) = self.forward_if_shifted(&plan, parent).await {
             return answer;
@@ -62,15 +62,32 @@
                 return requests::ForwardRun::serve(&self.handle, &plan, parent, refusal).await;
             }
         };
-        let (key, stream) = (plan.key.clone(), plan.stream);
-        let run = requests::RequestRun::new(self.handle.clone(), plan, parent.clone(), permit);
-        match key {
-            Some(key) => requests::OneTimeRun::serve(run, &key).await,
-            None if stream => requests::StreamRun::serve(run).await,
+        let run = sync::Arc::clone(&plan);
+        let run = requests::RequestRun::new(self.handle.clone(), run, parent.clone(), permit);
+        let answer = match &plan.key {
+            Some(key) => requests::OneTimeRun::serve(run, key).await,
+            None if plan.stream => requests::StreamRun::serve(run).await,
             None => requests::BufferedRun::serve(run).await,
+        };
+        match answer {
+            Err(error) if self.is_unreachable(&plan) => {
+                requests::ForwardRun::serve(&self.handle, &plan, parent, error).await
+            }
+            answer => answer,
         }
     }
 
+    /// Returns whether this node reaches no target that can serve a request.
+    fn is_unreachable(&self, plan: &requests::RequestPlan) -> bool {
+        let state = self.handle.requests();
+        let targets = state.targets();
+        let pool = targets.pool(&plan.pool, plan.freshness, clocks::boot_now());
+        pool.is_some_and(|pool| {
+            let mut entries = pool.entries();
+            entries.all(|entry| state.links().is_down(entry.target.address))
+        })
+    }
+
     /// Forwards a request while the traffic of this data centre is shifted away, because it leaves
     /// service or returns to it.
     ///
--- a/crates/pier_node/src/requests/request_run.rs
+++ b/crates/pier_node/src/requests/request_run.rs
@@ -36,12 +36,12 @@
     /// Creates the run of an admitted request and counts it in the retry budgets.
     pub(super) fn new(
         handle: handle::NodeHandle,
-        plan: requests::RequestPlan,
+        plan: sync::Arc<requests::RequestPlan>,
         parent: telemetry::TraceParent,
         admission_permit: admission::AdmissionPermit,
     ) -> Self {
         let run = Self {
-            plan: sync::Arc::new(plan),
+            plan,
             parent,
             grant: None,
             admission_permit,
@@ -93,6 +93,13 @@
         let decision = self.decide(fault.end, delivered);
         self.count_decision(decision);
         match decision {
+            // Nothing reached a target, so another node may still serve the request.
+            retries::RetryDecision::BudgetSpent(_code)
+                if fault.end == attempts::AttemptEnd::NotConnected =>
+            {
+                let code = codes::ResultCode::NoServingTarget;
+                Err(self.final_error(code, &fault.cause))
+            }
             retries::RetryDecision::Stop(code) | retries::RetryDecision::BudgetSpent(code) => {
                 Err(self.final_error(code, &fault.cause))
             }
@@ -144,6 +151,7 @@
     fn record_end(&mut self, fault: &requests::AttemptFault, permit: &routing::RoutePermit) {
         self.worst_outcome.record(fault.end);
         self.tried.push(permit.target().target.clone());
+        self.record_link(fault, permit);
         let metrics = self.handle.metrics().requests();
         metrics.count_attempt(fault.end.into());
         if fault.may_have_crashed {
@@ -157,6 +165,17 @@
         }
     }
 
+    /// Doubts the link to a target that this node could not reach, or that closed its connection.
+    fn record_link(&self, fault: &requests::AttemptFault, permit: &routing::RoutePermit) {
+        let address = permit.target().address;
+        if fault.end == attempts::AttemptEnd::NotConnected {
+            let state = requests::LinkState::Refusing;
+            requests::LinkMonitor::record_failed_connect(&self.handle, address, state);
+        } else if fault.may_have_crashed {
+            requests::LinkMonitor::doubt(&self.handle, address);
+        }
+    }
+
     fn decide(
         &self,
         end: attempts::AttemptEnd,
@@ -195,8 +214,12 @@
         let pool = targets.pool(&self.plan.pool, self.plan.freshness, now);
         let pool = pool.ok_or(routing::RouteRefusal::NoTarget)?;
         let prefixes = state.prefixes();
+        let entries = pool.entries().map(|entry| &entry.target);
+        let unreachable = entries.filter(|target| state.links().is_down(target.address));
+        let unreachable: Vec<_> = unreachable.map(|target| target.target.clone()).collect();
+        let excluded = [&*self.tried, &unreachable].concat();
         let request = routing::RouteRequest {
-            tried: &self.tried,
+            tried: &excluded,
             holders: self.plan.prefix.and_then(|prefix| prefixes.holders(prefix)),
             random: rand::random(),
             now,
@@ -204,7 +227,7 @@
         let chosen = pool.choose(&request);
         if chosen.is_err() && !self.tried.is_empty() {
             // Trying the same target again is better than failing.
-            let tried = &[];
+            let tried = &unreachable;
             return pool.choose(&routing::RouteRequest { tried, ..request });
         }
         chosen
--- a/crates/pier_node/src/requests/request_state.rs
+++ b/crates/pier_node/src/requests/request_state.rs
@@ -31,6 +31,7 @@
     prefixes: ArcSwap<routing::PrefixSnapshot>,
     quarantine: ArcSwap<quarantine::QuarantineSet>,
     leaving: requests::LeavingTargets,
+    links: requests::TargetLinks,
     node_budget: retries::RetryBudget,
     one_time_client: reqwest::Client,
     crash_sender: mpsc::Sender<requests::CrashEvent>,
@@ -59,6 +60,7 @@
             prefixes: ArcSwap::default(),
             quarantine: ArcSwap::default(),
             leaving: requests::LeavingTargets::default(),
+            links: requests::TargetLinks::default(),
             node_budget: retries::RetryBudget::new(NODE_RETRIES_PER_THOUSAND, NODE_BURST_RETRIES),
             one_time_client: requests::target_client::one_time()?,
             crash_sender,
@@ -114,6 +116,11 @@
         self.leaving.targets()
     }
 
+    /// Returns the links to targets that are in doubt.
+    pub(super) const fn links(&self) -> &requests::TargetLinks {
+        &self.links
+    }
+
     /// Returns how many requests this node has in flight at each target of the current view.
     pub fn in_flight(
         &self,
--- a/crates/pier_node/tests/requests/main.rs
+++ b/crates/pier_node/tests/requests/main.rs
@@ -2,6 +2,8 @@
 //! really ran.
 
 mod broken_off;
+mod cut_link;
+mod cut_off_nodes;
 mod dropping_target;
 mod ending_target;
 mod engine_targets;
