Check the link to a target without a request

What was seen: a check that asked the target for its report and left after the first byte resets the connection while the answer is being written.

Fix: the check only makes a connection and waits 50 ms for a reset.

--- a/crates/pier_node/src/requests/link_monitor.rs
+++ b/crates/pier_node/src/requests/link_monitor.rs
@@ -3,10 +3,7 @@
 use std::{io, net, time};
 
 use pier_request::{attempts, retries};
-use tokio::{
-    io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net as sockets,
-};
+use tokio::{io::AsyncReadExt as _, net as sockets};
 
 use crate::{handle, requests};
 
@@ -17,7 +14,7 @@
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1_200);
 
 /// Time for which a connection that was made is watched for being reset at once.
-const RESET_TIMEOUT: time::Duration = time::Duration::from_millis(300);
+const RESET_TIMEOUT: time::Duration = time::Duration::from_millis(50);
 
 /// Time between two checks of a link that is down.
 const DOWN_PERIOD: time::Duration = time::Duration::from_millis(250);
@@ -25,9 +22,6 @@
 /// Time for which a sound link is not checked again.
 const SOUND_PAUSE: time::Duration = time::Duration::from_secs(2);
 
-/// Any request; its answer does not matter.
-const CHECK_REQUEST: &[u8] = b"GET /report HTTP/1.1\r\nhost: target\r\nconnection: close\r\n\r\n";
-
 /// Checks links in the background while they are in doubt.
 #[derive(Debug)]
 pub(super) struct LinkMonitor;
@@ -100,16 +94,11 @@
     let Ok(connected) = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await else {
         return requests::LinkState::Silent;
     };
-    let exchange = async {
-        let mut stream = connected?;
-        stream.write_all(CHECK_REQUEST).await?;
-        stream.read(&mut [0]).await
-    };
-    let exchanged: Result<io::Result<usize>, _> =
-        tokio::time::timeout(RESET_TIMEOUT, exchange).await;
-    match exchanged {
-        Ok(Err(_reset)) => requests::LinkState::Refusing,
-        // The link of a target that closes the connection, or is silent for a while, is sound.
+    let reading = async { connected?.read(&mut [0]).await };
+    let read: Result<io::Result<usize>, _> = tokio::time::timeout(RESET_TIMEOUT, reading).await;
+    match read {
+        Ok(Err(_refused)) => requests::LinkState::Refusing,
+        // The link of a target that closes the connection, or waits for a request, is sound.
         Ok(Ok(_)) | Err(_) => requests::LinkState::Checked,
     }
 }
