Do not count connections that a cut link refuses as crashes

What callers saw: of a node that had lost its links to all targets, with connections refused or reset, innocent requests were refused with 422 (2006, "crashed several targets"), and their marks go to all nodes.

Cause: after a lost connection `CrashMonitor` asks the target for its report, and took a refused or closed connection for proof that the process ended. A cut link refuses too.

Evidence: `refused_connections_of_a_cut_off_node_are_no_crashes` and `reset_connections_of_a_cut_off_node_are_no_crashes`, with streams in flight as the cut begins.

Fix: a refused connection shows a crash only while this node reaches another target, which is checked at once, so that a crash beside sound targets is found as early as before. That a link to only some of the targets is cut is told from a crash only by probes that are newer than the lost connection; this is not tested.

--- a/crates/pier_node/src/requests/link_monitor.rs
+++ b/crates/pier_node/src/requests/link_monitor.rs
@@ -1,9 +1,9 @@
 //! Checks the links to targets that do not answer this node.
 
-use std::{io, net, time};
+use std::{collections, io, net, time};
 
 use pier_request::{attempts, retries};
-use tokio::{io::AsyncReadExt as _, net as sockets};
+use tokio::{io::AsyncReadExt as _, net as sockets, task};
 
 use crate::{handle, requests};
 
@@ -22,6 +22,9 @@
 /// Time for which a sound link is not checked again.
 const SOUND_PAUSE: time::Duration = time::Duration::from_secs(2);
 
+/// Maximum number of other targets that are checked to tell a cut link from a lost target.
+const MAX_OTHERS: usize = 4;
+
 /// Checks links in the background while they are in doubt.
 #[derive(Debug)]
 pub(super) struct LinkMonitor;
@@ -66,6 +69,36 @@
             }
         }
     }
+
+    /// Returns whether this node reaches a target other than the one at an address.
+    pub(super) async fn reaches_other(
+        handle: &handle::NodeHandle,
+        address: net::SocketAddr,
+    ) -> bool {
+        let mut others: Vec<_> = other_addresses(handle, address).into_iter().collect();
+        let start = rand::random_range(0..others.len().max(1));
+        others.rotate_left(start);
+        let mut checks: task::JoinSet<_> = others.into_iter().take(MAX_OTHERS).map(check).collect();
+        while let Some(checked) = checks.join_next().await {
+            if checked.is_ok_and(|state| !state.is_down()) {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+/// Returns the addresses of listed targets except one, and except those whose link is known as down.
+fn other_addresses(
+    handle: &handle::NodeHandle,
+    address: net::SocketAddr,
+) -> collections::BTreeSet<net::SocketAddr> {
+    let table = handle.routes();
+    let targets = table.pools.values().flatten();
+    let addresses = targets.map(|target| target.address);
+    let links = handle.requests().links();
+    let others = addresses.filter(|other| *other != address && !links.is_down(*other));
+    others.collect()
 }
 
 /// Checks a link until nothing casts doubt on it or its target is no longer listed.
--- a/crates/pier_node/tests/requests/cut_off_nodes.rs
+++ b/crates/pier_node/tests/requests/cut_off_nodes.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use pier_fakes::{engine, platform, service};
+use pier_fakes::{engine, fault, platform, service};
 use pier_node::callers;
 use tokio::task;
 
@@ -18,6 +18,12 @@
 /// Time after the end of a cut by which a node uses its own links again.
 const RETURN_TIME: time::Duration = time::Duration::from_secs(2);
 
+/// Time after which it is decided whether a target that closed a connection crashed.
+const MARK_TIME: time::Duration = time::Duration::from_secs(2);
+
+/// Makes a stream of a dozen tokens last for half a second.
+const SLOW_TOKENS: fault::FaultKind = fault::FaultKind::TokenTime { ms: 40 };
+
 /// Time between two requests to one node.
 const SEND_PERIOD: time::Duration = time::Duration::from_millis(50);
 
@@ -35,6 +41,9 @@
 const FREE_FAILURES: usize = 10;
 const SENT_PER_FAILURE: usize = 50;
 
+/// Result code of a request that is held back as crashing.
+const QUARANTINED: u64 = 2006;
+
 /// The nodes that are cut off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CutNodes {
@@ -114,6 +123,7 @@
             let is_served = answer.status == 200 && answer.code() == 0;
             count.sent += 1;
             count.served += usize::from(is_served);
+            count.held_back += usize::from(answer.code() == QUARANTINED);
             if !is_served && count.sent - count.served <= 3 {
                 eprintln!("{} {}", answer.status, answer.text.trim_end());
             }
@@ -133,6 +143,8 @@
 struct SentCount {
     sent: usize,
     served: usize,
+    /// Those that were held back as crashing.
+    held_back: usize,
 }
 
 impl SentCount {
@@ -140,6 +152,7 @@
         Self {
             sent: counts.iter().map(|count| count.sent).sum(),
             served: counts.iter().map(|count| count.served).sum(),
+            held_back: counts.iter().map(|count| count.held_back).sum(),
         }
     }
 }
@@ -178,7 +191,7 @@
     local: Vec<LinkedNode>,
     remote: Vec<LinkedNode>,
     _platform: platform::FakePlatform,
-    _targets: [TargetCentre; 2],
+    targets: [TargetCentre; 2],
 }
 
 impl CutBench {
@@ -215,7 +228,7 @@
             local,
             remote,
             _platform: platform,
-            _targets: targets,
+            targets,
         }
     }
 
@@ -234,6 +247,13 @@
             linked.set_links(mode);
         }
     }
+
+    /// Returns how many requests the nodes hold for crashes of targets.
+    fn crash_marks(&self) -> usize {
+        let nodes = self.local.iter().chain(&self.remote);
+        let marks = nodes.map(|linked| linked.node.handle.requests().crash_delta(1_000));
+        marks.map(|delta| delta.marks.len()).sum()
+    }
 }
 
 /// Returns a repeatable stream, a repeatable call, one that may run once, and one with a key.
@@ -316,3 +336,37 @@
 async fn callers_of_a_data_centre_whose_connections_are_refused_are_served() {
     check(CutNodes::AllOfOneDataCentre, LinkMode::Refuse).await;
 }
+
+/// Cuts a node off and looks for requests that are taken for crashing by then.
+async fn check_marks(mode: LinkMode) {
+    let cut = CutNodes::First;
+    let bench = CutBench::launch(cut).await;
+    for engine in &bench.targets[0].engines {
+        engine.set_fault(fault::FaultSpec::new(SLOW_TOKENS));
+    }
+    let (at_cut, ()) = tokio::join!(
+        bench.send_for(cut, time::Duration::from_secs(1) + CONTACT_TIME + MARK_TIME),
+        async {
+            // Streams are in flight by then.
+            tokio::time::sleep(time::Duration::from_secs(1)).await;
+            bench.cut(cut, mode);
+        }
+    );
+    let (at_cut, _others) = at_cut;
+    bench.cut(cut, LinkMode::Open);
+    let (healed, _) = bench.send_for(cut, time::Duration::from_secs(1)).await;
+    let held_back = (at_cut.held_back, healed.held_back);
+    assert_eq!((bench.crash_marks(), held_back), (0, (0, 0)), "{mode:?}");
+}
+
+/// Guards against connections that a cut link refuses and that are counted as crashes.
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_connections_of_a_cut_off_node_are_no_crashes() {
+    check_marks(LinkMode::Refuse).await;
+}
+
+/// Guards against connections that a cut link resets and that are counted as crashes.
+#[tokio::test(flavor = "multi_thread")]
+async fn reset_connections_of_a_cut_off_node_are_no_crashes() {
+    check_marks(LinkMode::Reset).await;
+}
--- a/crates/pier_node/tests/requests/engine_targets.rs
+++ b/crates/pier_node/tests/requests/engine_targets.rs
@@ -102,6 +102,24 @@
     node.wait_for_crashes(1).await;
 }
 
+/// Guards against crashes that are taken for a cut link because no other target is left.
+#[tokio::test(flavor = "multi_thread")]
+async fn crashes_of_all_targets_count() {
+    let platform = test_node::launch_platform().await;
+    let node = test_node::TestNode::launch(platform.address());
+    let engines = launch_engines(&node, 2).await;
+    for engine in &engines {
+        engine.set_fault(fault::FaultSpec::new(fault::FaultKind::CrashOnPrompt {
+            marker: "poison".to_owned(),
+            for_ms: 5_000,
+            exit: false,
+        }));
+    }
+    let poison = test_node::completion(test_node::LARGE_KEY, "poison", false);
+    assert_eq!(node.send(poison).await.outcome(), "unknown");
+    node.wait_for_crashes(2).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn closed_connections_of_running_targets_quarantine_nothing() {
     let platform = test_node::launch_platform().await;
