Pass requests on past nodes that are cut off as well

What callers saw: with two of three nodes of a data centre cut off from all targets, the two served 51 (connections hang) and 53 (refused) of 118 first tries from 3 s after the cut began; the third node served all.

Cause: one node of the data centre is tried, at random. A cut-off node refuses with "no serving target", and this refusal was taken for the whole data centre, which was skipped for a second.

Fix: such a refusal skips only the node that gave it, since it may be cut off alone; a refusal for lack of capacity still skips its data centre, also for the rest of the same request. A second node of the data centre is tried after the first one.

--- a/crates/pier_node/src/forwards/forward_choice.rs
+++ b/crates/pier_node/src/forwards/forward_choice.rs
@@ -7,6 +7,9 @@
 
 use crate::handle;
 
+/// Maximum number of nodes of this data centre that are tried for one request.
+const MAX_LOCAL_CANDIDATES: usize = 2;
+
 /// Maximum number of nodes of other data centres that are tried for one request.
 const MAX_REMOTE_CANDIDATES: usize = 3;
 
@@ -27,14 +30,17 @@
 impl ForwardChoice<'_> {
     /// Returns the nodes to try, in order.
     ///
-    /// One node of this data centre comes first, as it has its own share of the same targets. Then
-    /// come nodes of other data centres, at first one of each data centre, so that the loss of a
-    /// data centre costs one try; nodes of this region precede those of others. `random` spreads
-    /// requests over equivalent nodes.
+    /// Nodes of this data centre come first, as they have their own shares of the same targets; the
+    /// second is for the case that the first reaches no target. Then come nodes of other data
+    /// centres, at first one of each data centre, so that the loss of a data centre costs one try;
+    /// nodes of this region precede those of others. `random` spreads requests over equivalent
+    /// nodes.
     pub fn candidates(&self, random: u64) -> Vec<handle::PeerEntry> {
         let (local, remote) = self.usable().partition(|peer| self.is_local(peer));
-        let local_candidate = rotated(local, random).into_iter().take(1);
-        local_candidate
+        let local_candidates = rotated(local, random)
+            .into_iter()
+            .take(MAX_LOCAL_CANDIDATES);
+        local_candidates
             .chain(self.remote_candidates(remote, random))
             .cloned()
             .collect()
--- a/crates/pier_node/src/requests/forward_run.rs
+++ b/crates/pier_node/src/requests/forward_run.rs
@@ -8,10 +8,10 @@
 
 use crate::{callers, forwards, handle, requests, telemetry};
 
-/// Shortest time for which a data centre without capacity is skipped.
+/// Shortest time for which a node or data centre that refused is skipped.
 const MIN_SKIP_TIME: time::Duration = time::Duration::from_millis(100);
 
-/// Longest time for which a data centre without capacity is skipped.
+/// Longest time for which a node or data centre that refused is skipped.
 const MAX_SKIP_TIME: time::Duration = time::Duration::from_secs(2);
 
 /// Forwards one request to other nodes, to each at most once.
@@ -64,7 +64,11 @@
             }
             lost = Some(refusal.clone());
         }
-        for peer in run.candidates() {
+        for (number, peer) in run.candidates().into_iter().enumerate() {
+            // An earlier one may have refused for its whole data centre.
+            if number > 0 && run.is_skipped(&peer) {
+                continue;
+            }
             match run.send(&peer, parent).await {
                 Ok(reply) => return Ok(reply),
                 Err(ForwardDecision::TryNext(specific)) => refusal = specific.unwrap_or(refusal),
@@ -80,28 +84,32 @@
             return Vec::new();
         };
         let peers = self.handle.peers();
-        let choice = forwards::ForwardChoice {
+        let (skipped, open): (Vec<_>, Vec<_>) = peers
+            .iter()
+            .cloned()
+            .partition(|peer| self.is_skipped(peer));
+        let local_serves = self.handle.shift().weight;
+        let mut choice = forwards::ForwardChoice {
             data_centre: &self.handle.settings().data_centre,
             document: &config.document,
-            peers: &peers,
-            local_serves: self
-                .handle
-                .shift()
-                .weight
-                .includes(self.plan.fingerprint.get()),
+            peers: &open,
+            local_serves: local_serves.includes(self.plan.fingerprint.get()),
         };
-        let full = self.handle.requests().full_centres();
-        let now = clocks::boot_now();
-        let candidates = choice.candidates(rand::random()).into_iter();
-        let (mut skipped, open): (Vec<_>, Vec<_>) =
-            candidates.partition(|peer| full.contains(&self.plan.pool, &peer.data_centre, now));
-        if open.is_empty() {
-            // One of them may have capacity again. A single try finds out, and if it is refused,
-            // its refusal is newer than the ones that were recorded.
-            skipped.truncate(1);
-            return skipped;
+        let candidates = choice.candidates(rand::random());
+        if !candidates.is_empty() {
+            return candidates;
         }
-        open
+        // One of them may serve again. A single try finds out, and if it is refused, its refusal is
+        // newer than the ones that were recorded.
+        choice.peers = &skipped;
+        let mut candidates = choice.candidates(rand::random());
+        candidates.truncate(1);
+        candidates
+    }
+
+    fn is_skipped(&self, peer: &handle::PeerEntry) -> bool {
+        let skipped = self.handle.requests().skipped_peers();
+        skipped.contains(&self.plan.pool, peer, clocks::boot_now())
     }
 
     async fn send(
@@ -152,7 +160,7 @@
             forwards::ForwardError::Refused(failure)
                 if may_help(failure.code) && failure.outcome == codes::RunOutcome::NotRun =>
             {
-                self.skip_centre(peer, &failure);
+                self.skip(peer, &failure);
                 ForwardDecision::TryNext(Some(error_of(&failure)))
             }
             forwards::ForwardError::Refused(failure) => ForwardDecision::Stop(error_of(&failure)),
@@ -172,12 +180,17 @@
             && self.handle.requests().node_budget().take()
     }
 
-    fn skip_centre(&self, peer: &handle::PeerEntry, failure: &frames::AnswerFailure) {
+    fn skip(&self, peer: &handle::PeerEntry, failure: &frames::AnswerFailure) {
         let wait = failure.retry_after_ms.unwrap_or_default();
         let wait = time::Duration::from_millis(wait.into()).clamp(MIN_SKIP_TIME, MAX_SKIP_TIME);
         let until = clocks::boot_now().after(wait);
+        // A node that reaches no target says nothing about the others of its data centre.
+        let place = match failure.code {
+            codes::ResultCode::NoServingTarget => requests::SkippedPlace::Node(peer.node.clone()),
+            _ => requests::SkippedPlace::DataCentre(peer.data_centre.clone()),
+        };
         let state = self.handle.requests();
-        state.record_full_centre(&self.plan.pool, &peer.data_centre, until);
+        state.skip_place(&self.plan.pool, &place, until);
     }
 }
 
--- a/crates/pier_node/src/requests/request_state.rs
+++ b/crates/pier_node/src/requests/request_state.rs
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub struct RequestState {
     targets: ArcSwap<requests::TargetView>,
-    full_centres: ArcSwap<requests::FullCentres>,
+    skipped_peers: ArcSwap<requests::SkippedPeers>,
     customers: ArcSwap<requests::CustomerTable>,
     prefixes: ArcSwap<routing::PrefixSnapshot>,
     quarantine: ArcSwap<quarantine::QuarantineSet>,
@@ -55,7 +55,7 @@
         let (warmth_sender, warmth_receiver) = mpsc::channel(MAX_QUEUED_WARMTH);
         Ok(Self {
             targets: ArcSwap::default(),
-            full_centres: ArcSwap::default(),
+            skipped_peers: ArcSwap::default(),
             customers: ArcSwap::default(),
             prefixes: ArcSwap::default(),
             quarantine: ArcSwap::default(),
@@ -236,21 +236,21 @@
         self.targets.load()
     }
 
-    /// Returns the data centres that recently had no capacity.
-    pub(super) fn full_centres(&self) -> arc_swap::Guard<sync::Arc<requests::FullCentres>> {
-        self.full_centres.load()
+    /// Returns the nodes and data centres that recently refused forwarded requests.
+    pub(super) fn skipped_peers(&self) -> arc_swap::Guard<sync::Arc<requests::SkippedPeers>> {
+        self.skipped_peers.load()
     }
 
-    /// Records that a data centre has no capacity in a pool until a given time.
-    pub(super) fn record_full_centre(
+    /// Records that a node or a data centre cannot serve a pool until a given time.
+    pub(super) fn skip_place(
         &self,
         pool: &routes::PoolKey,
-        data_centre: &ids::DataCentreName,
+        place: &requests::SkippedPlace,
         until: times::BootTime,
     ) {
         let now = clocks::boot_now();
-        self.full_centres
-            .rcu(|full| full.with(pool, data_centre, until, now));
+        self.skipped_peers
+            .rcu(|skipped| skipped.with(pool, place, until, now));
     }
 
     /// Returns the admission controllers and retry budgets.
--- a/crates/pier_node/tests/requests/cut_off_nodes.rs
+++ b/crates/pier_node/tests/requests/cut_off_nodes.rs
@@ -48,6 +48,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CutNodes {
     First,
+    FirstTwo,
     AllOfOneDataCentre,
 }
 
@@ -55,6 +56,7 @@
     const fn count(self) -> usize {
         match self {
             Self::First => 1,
+            Self::FirstTwo => 2,
             Self::AllOfOneDataCentre => NODES,
         }
     }
@@ -62,7 +64,7 @@
     /// Returns the number of nodes that are not cut off.
     const fn other_count(self) -> usize {
         match self {
-            Self::First => NODES - self.count(),
+            Self::First | Self::FirstTwo => NODES - self.count(),
             Self::AllOfOneDataCentre => NODES,
         }
     }
@@ -325,6 +327,18 @@
     check(CutNodes::First, LinkMode::RefuseNew).await;
 }
 
+/// Guards against requests that are passed on only to a node that is cut off as well.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_two_nodes_of_three_whose_connections_hang_are_served() {
+    check(CutNodes::FirstTwo, LinkMode::Hang).await;
+}
+
+/// Guards against requests that are passed on only to a node that is cut off as well.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_two_nodes_of_three_whose_connections_are_refused_are_served() {
+    check(CutNodes::FirstTwo, LinkMode::Refuse).await;
+}
+
 /// Guards against requests that do not reach another data centre while all of their own is cut off.
 #[tokio::test(flavor = "multi_thread")]
 async fn callers_of_a_data_centre_whose_connections_hang_are_served() {
