Count failed probes only while other VMs answer the node

What was seen: a node that lost its links to all VMs told the others that these refused it, and they took sound VMs out of their tables until a backup prober answered. A group needs evidence of every member, so that each such VM stops its group for that time.

Cause: one refused connection ends the evidence of a VM at every node that hears of it, whatever the links of the prober are like.

Fix: `FailureFilter` holds a failed probe back until probes of other VMs that were sent shortly before and shortly after it were answered, which takes at most until the next probe of another VM. Failures that this does not show are dropped; the evidence ages then, and the backup probers are asked, as when the prober itself is gone.

--- a/crates/pier_limits/src/probes/mod.rs
+++ b/crates/pier_limits/src/probes/mod.rs
@@ -6,6 +6,7 @@
 
 mod evidence_change;
 mod evidence_table;
+mod failure_filter;
 mod probe_plan;
 mod probe_schedule;
 mod pull_plan;
@@ -17,6 +18,7 @@
 
 pub use evidence_change::EvidenceChange;
 pub use evidence_table::EvidenceTable;
+pub use failure_filter::FailureFilter;
 pub use probe_plan::{PROBERS_PER_VM, ProbePlan};
 pub use probe_schedule::{BACKUP_INTERVAL, FIRST_INTERVAL, ProbeSchedule};
 pub use pull_plan::PullPlan;
--- a/crates/pier_node/src/probes/probe_driver.rs
+++ b/crates/pier_node/src/probes/probe_driver.rs
@@ -23,6 +23,7 @@
     evidence: decisions::EvidenceTable,
     plan: decisions::ProbePlan,
     schedule: decisions::ProbeSchedule,
+    failures: decisions::FailureFilter,
     assignments: collections::BTreeMap<ids::VmName, usize>,
     nodes: collections::BTreeSet<ids::NodeName>,
     list: sync::Arc<VmList>,
@@ -45,6 +46,7 @@
             evidence: decisions::EvidenceTable::new(max_age),
             plan: decisions::ProbePlan::default(),
             schedule: decisions::ProbeSchedule::default(),
+            failures: decisions::FailureFilter::default(),
             assignments: collections::BTreeMap::new(),
             nodes: collections::BTreeSet::new(),
             list: sync::Arc::default(),
@@ -84,8 +86,16 @@
     }
 
     /// Records the outcome of a probe by this node.
+    ///
+    /// A node that probes a single VM cannot tell whether its own links are cut.
     pub(crate) fn record_outcome(&mut self, outcome: probes::ProbeOutcome) {
-        self.observe(outcome.result, outcome.asked_at);
+        if self.assignments.len() < 2 {
+            self.observe(outcome.result, outcome.asked_at);
+            return;
+        }
+        for (result, asked_at) in self.failures.pass(outcome.result, outcome.asked_at) {
+            self.observe(result, asked_at);
+        }
     }
 
     /// Records results that another node sent for a pull sent at `asked_at`.
