--- a/crates/pier_node/src/requests/attempt_call.rs
+++ b/crates/pier_node/src/requests/attempt_call.rs
@@ -40,7 +40,11 @@
         parent: &telemetry::TraceParent,
     ) -> Result<reqwest::Response, requests::AttemptFault> {
         let remaining = self.plan.deadline.since(clocks::boot_now());
-        let sent = tokio::time::timeout(remaining, self.request(parent).send()).await;
+        let sending = tokio::time::timeout(remaining, self.request(parent).send());
+        let sent = tokio::select! {
+            sent = sending => sent,
+            fault = requests::LinkMonitor::wait_for_silent_link(self) => return Err(fault),
+        };
         let Ok(sent) = sent else {
             self.cancel();
             let end = attempts::AttemptEnd::TimedOut;
--- a/crates/pier_node/tests/requests/main.rs
+++ b/crates/pier_node/tests/requests/main.rs
@@ -3,6 +3,8 @@
 
 mod broken_off;
 mod connection_probes;
+mod cut_link;
+mod cut_off_nodes;
 mod dropping_target;
 mod ending_target;
 mod engine_targets;
