--- a/crates/pier_edge/tests/cut_off_fleets.rs
+++ b/crates/pier_edge/tests/cut_off_fleets.rs
@@ -106,6 +106,21 @@
     counts
 }
 
+/// Returns a platform for a node that reaches all targets by links of its own.
+fn linked(
+    platform: &FakePlatform,
+    targets: &[(String, ScriptedTarget)],
+) -> (FakePlatform, Vec<CutLink>) {
+    let mut linked = platform.clone();
+    let mut links = Vec::new();
+    for (vm, target) in targets {
+        let link = CutLink::start(target.address);
+        linked = linked.with_link(vm, link.address);
+        links.push(link);
+    }
+    (linked, links)
+}
+
 /// Cuts the links of some nodes to all targets, and checks how their callers are served.
 async fn play(cut: usize, mode: LinkMode, burst: usize) {
     let platform = FakePlatform::default();
@@ -113,16 +128,14 @@
     let mut nodes = Vec::new();
     let mut links = Vec::new();
     for number in 0..NODES {
-        let mut linked = platform.clone();
+        let mut own = platform.clone();
         if number < cut {
-            for (vm, target) in &targets {
-                let link = CutLink::start(target.address);
-                linked = linked.with_link(vm, link.address);
-                links.push(link);
-            }
+            let (to_links, cut_links) = linked(&platform, &targets);
+            own = to_links;
+            links.extend(cut_links);
         }
         let data_centre = if number < NODES / 2 { "dc-a" } else { "dc-b" };
-        nodes.push(TestNode::start_in(linked, &format!("n{number}"), data_centre).await);
+        nodes.push(TestNode::start_in(own, &format!("n{number}"), data_centre).await);
     }
     // The nodes find each other, and open connections that the cut meets.
     let _warm_up = send_rounds(&nodes, cut, 1).await;
@@ -171,3 +184,23 @@
 async fn the_last_node_with_links_serves_the_callers_of_all() {
     play(NODES - 1, LinkMode::Hang, 1).await;
 }
+
+/// Guards against a steward that keeps its role although it reaches none of its members.
+#[tokio::test]
+async fn a_steward_that_reaches_no_target_is_replaced() {
+    let platform = FakePlatform::default();
+    let targets = start_targets(&platform).await;
+    let (own, links) = linked(&platform, &targets);
+    let first = TestNode::start_on(own, "n1").await;
+    first.settle().await;
+    let second = TestNode::start_on(platform.clone(), "n2").await;
+    tokio::time::sleep(SETTLE_TIME / 2).await;
+    let holder = || platform.node_record("steward.dc-a").unwrap();
+    assert!(holder().contains("\"n1-"), "{}", holder());
+    for link in &links {
+        link.set_mode(LinkMode::Hang).await;
+    }
+    let nodes = [first, second];
+    let _counts = send_rounds(&nodes, 1, 1).await;
+    assert!(holder().contains("\"n2-"), "{}", holder());
+}
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -79,6 +79,12 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Returns the text of a record of the nodes.
+    pub fn node_record(&self, name: &str) -> Option<String> {
+        let state = self.shared.state.lock().unwrap();
+        state.nodes.get(name).map(|(_version, text)| text.clone())
+    }
+
     /// Returns the names of the nodes' records.
     pub fn node_records(&self) -> Vec<String> {
         let state = self.shared.state.lock().unwrap();
