Bound the search of a passed-on request by the sends that it was given

A request that another node passed on may be sent once. The search beside a silent target looked at the route's sends instead, so it asked the chooser each 60 ms for a send that is not allowed. Nothing was sent; found by reading.

--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -59,7 +59,7 @@
                 }
                 Err(refusal) if open.is_empty() => return progress.give_up(refusal, job),
                 // The retry budget or a target may have room a moment later.
-                Err(_) if progress.sends + open.count() < job.route.max_sends => {
+                Err(_) if progress.sends + open.count() < job.max_sends() => {
                     open.start_search();
                 }
                 Err(_) => open.end_search(),
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -69,7 +69,7 @@
                 }
                 Err(refusal) if open.is_empty() => return sends.give_up(&job, refusal),
                 // The retry budget or a target may have room a moment later.
-                Err(_) if sends.count + open.count() < job.route.max_sends => open.start_search(),
+                Err(_) if sends.count + open.count() < job.max_sends() => open.start_search(),
                 Err(_) => open.end_search(),
             }
         }
