--- a/crates/pier_fleet/src/reach/reach_tracker.rs
+++ b/crates/pier_fleet/src/reach/reach_tracker.rs
@@ -9,7 +9,7 @@
 /// Decides from a node's own contacts with targets which services it does not reach.
 ///
 /// A node whose links to the targets are cut finds each of them unreachable, one after another. So
-/// does a node whose targets have all ended; other nodes tell the two cases apart.
+/// does a node whose targets have all ended; only then do the other nodes not reach them either.
 #[derive(Debug, Clone, Default)]
 pub struct ReachTracker {
     services: collections::BTreeMap<ids::ServiceName, reach::ServiceReach>,
--- a/crates/pier_limits/src/probes/failure_filter.rs
+++ b/crates/pier_limits/src/probes/failure_filter.rs
@@ -14,8 +14,8 @@
 
 /// Lets failed probes of this node count only while other VMs answer it.
 ///
-/// A node that lost its links to all VMs must not take sound VMs from the nodes that it tells of its
-/// probes. Their evidence of these VMs ages then, so that they ask the backup probers.
+/// A node that lost its links to all VMs must not report sound VMs as failed to the nodes that use
+/// its probes. Their evidence of these VMs ages instead, so that they ask the backup probers.
 ///
 /// ```
 /// use std::time;
