Take nothing from the retry budget once the search for a target is over

A stream that was lost for 1.5 s took one more send from the budget, which was then not made. Found by reading; the tests of silent and cut-off targets pass.

--- a/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
+++ b/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
@@ -55,8 +55,13 @@
             let now = times::clocks::boot_now();
             let may_search = !is_lost || now.since(lost_at) < RESUME_TIMEOUT;
             if open.is_searching() {
-                match self.next_target(&open, is_lost, &mut permit, now) {
-                    Some(slot) if may_search => {
+                let chosen = if may_search {
+                    self.next_target(&open, is_lost, &mut permit, now)
+                } else {
+                    None
+                };
+                match chosen {
+                    Some(slot) => {
                         permit = SendPermit::None;
                         self.sends += 1;
                         self.tried.push(slot.vm.clone());
@@ -64,8 +69,8 @@
                         let sending = send(&job, sync::Arc::clone(&slot), after.as_deref(), left);
                         open.push(&slot, left, sending);
                     }
-                    _ if !may_search || !self.may_send() => open.end_search(),
-                    _ => {}
+                    None if !may_search || !self.may_send() => open.end_search(),
+                    None => {}
                 }
             }
             if is_lost && open.is_empty() && !open.is_searching() {
