Take a silent target for no evidence that the node is cut off

Cause: targets that were found stuck counted as not reached. Under a burst several groups make no progress at the same time, and three within two seconds without an answer between were enough.

Fix: only connections that fail count. A node whose links hang opens new ones, as the targets that it knows are stuck.

--- a/crates/pier_edge/src/serving/loss_report.rs
+++ b/crates/pier_edge/src/serving/loss_report.rs
@@ -150,7 +150,6 @@
         }
         let now = times::clocks::boot_now();
         let cause = Some(quarantine::LossCause::Unreachable);
-        self.state.record_unreached(&self.service, &slot.vm, now);
         self.state
             .crashes()
             .record_loss(self.loss(slot), cause, now);
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -276,7 +276,7 @@
         }
     }
 
-    /// Records that a target of a service could not be reached or fell silent.
+    /// Records that a target of a service could not be reached.
     pub(crate) fn record_unreached(
         &self,
         service: &ids::ServiceName,
--- a/crates/pier_fleet/src/reach/reach_tracker.rs
+++ b/crates/pier_fleet/src/reach/reach_tracker.rs
@@ -23,7 +23,7 @@
         known.is_some_and(|known| known.record_success(now))
     }
 
-    /// Records that a target of a service could not be reached or fell silent; `targets` is the
+    /// Records that a target of a service could not be reached; `targets` is the
     /// number of targets that the service has. Returns whether the service counts as cut off from
     /// now on.
     ///
