--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -6,19 +6,13 @@
 use pier_types::times;
 use tokio::net::UdpSocket;
 
-use super::{crash_loop, notice_outbox};
+use super::{crash_loop, notice_outbox, peer_table, summary_loop};
 use crate::{links, peers, records, state};
 
 /// Interval between heartbeats in a small fleet. A load known to another node is at most this old,
 /// which is less than two passes of an engine.
 const BEAT_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
-/// Greatest number of peers with which heartbeats are sent at every interval. With more of them
-/// heartbeats are sent less often in proportion, so that a node's cost does not grow with the
-/// fleet. The rate within the data centre depends on the peers there, the rate to other data
-/// centres on all peers.
-pub(super) const FULL_RATE_PEERS: usize = 12;
-
 /// Interval between two relay messages of a steward about the store.
 const RELAY_INTERVAL: time::Duration = time::Duration::from_millis(150);
 
@@ -42,6 +36,8 @@
     tokio::spawn(exchange.run());
     tokio::spawn(crash_loop::run(state.clone(), sync::Arc::clone(&socket)));
     tokio::spawn(notice_outbox::run(state.clone(), sync::Arc::clone(&socket)));
+    tokio::spawn(summary_loop::run(state.clone(), sync::Arc::clone(&socket)));
+    peers::snapshots::spawn_server(state.clone()).await?;
     tokio::spawn(send(state, socket));
     Ok(())
 }
@@ -62,31 +58,62 @@
             }
         };
         let now = times::clocks::boot_now();
-        match postcard::from_bytes::<peers::PeerMessage>(&buffer[..length]) {
-            Ok(peers::PeerMessage::Beat(beat)) => {
-                state.with_peers(|peers| peers.record_beat(beat, from, now));
-            }
-            Ok(peers::PeerMessage::Relay(relay)) => applier.apply_relay(relay, now),
-            Ok(peers::PeerMessage::Report(report)) => {
-                state.with_loads(|loads| loads.hub.record_report(report, now));
-            }
-            Ok(peers::PeerMessage::Digest(digest)) => {
-                peers::load_intake::apply_digest(&state, digest, now);
-            }
-            Ok(peers::PeerMessage::Crashes(delta)) => state.crashes().merge(&delta, now),
-            Ok(peers::PeerMessage::PartCrashes(delta)) => {
-                state.crashes().merge_parts(&delta, now);
-            }
-            Ok(peers::PeerMessage::Leaving(notices)) => {
-                for target in notices {
-                    state.merge_leaving(&target.vm, target.born, now);
+        match peers::PeerEnvelope::decode(&buffer[..length]) {
+            Ok(envelope) => apply(&state, &socket, &applier, envelope, from, now).await,
+            Err(fault) => {
+                if let peers::MessageFault::UnknownKind(_) = fault {
+                    state.metrics().count_unknown_message();
+                } else {
+                    state.metrics().count_bad_beat();
                 }
+                log::debug!(event = "beat-unreadable", from:% = from, cause:% = fault; "");
             }
-            Err(error) => {
-                state.metrics().count_bad_beat();
-                log::debug!(event = "beat-unreadable", from:% = from, cause:% = error; "");
+        }
+    }
+}
+
+async fn apply<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    socket: &UdpSocket,
+    applier: &records::RecordApplier<P>,
+    envelope: peers::PeerEnvelope,
+    from: net::SocketAddr,
+    now: times::BootTime,
+) {
+    let extension = envelope.extension;
+    match envelope.message {
+        peers::PeerMessage::Beat(beat) => {
+            let heard = peers::HeardBeat {
+                address: from,
+                format: envelope.format,
+                age: time::Duration::ZERO,
+                beat,
+            };
+            state.with_peers(|peers| peers.record_beat(heard, extension.cores, now));
+        }
+        peers::PeerMessage::Relay(relay) => {
+            let document = envelope
+                .format
+                .has_summaries()
+                .then_some(extension.document);
+            applier.apply_relay(relay, document, now);
+        }
+        peers::PeerMessage::Report(report) => {
+            state.with_loads(|loads| loads.hub.record_report(report, now));
+        }
+        peers::PeerMessage::Digest(digest) => {
+            peers::load_intake::apply_digest(state, digest, now);
+        }
+        peers::PeerMessage::Crashes(delta) => state.crashes().merge(&delta, now),
+        peers::PeerMessage::PartCrashes(delta) => state.crashes().merge_parts(&delta, now),
+        peers::PeerMessage::Leaving(notices) => {
+            for target in notices {
+                state.merge_leaving(&target.vm, target.born, now);
             }
         }
+        peers::PeerMessage::Summary(summary) => {
+            summary_loop::receive(state, socket, summary, now).await;
+        }
     }
 }
 
@@ -96,31 +123,42 @@
         let now = times::clocks::boot_now();
         number += 1;
         let data_centre = &state.settings().data_centre;
-        let (addresses, local) = state.with_peers(|peers| {
+        let (count, local, distant) = state.with_peers(|peers| {
             peers.expire(now);
-            (peers.addresses(), peers.local_addresses(data_centre, now))
+            (
+                peers.count(),
+                peers.local_addresses(data_centre, now),
+                peers.distant_addresses(data_centre, now),
+            )
         });
         state.update_forwards(now);
         let stride = beat_stride(local.len());
-        let remote_stride = beat_stride(addresses.len()).div_ceil(stride);
+        let distant_stride = beat_stride(count).div_ceil(stride);
         let mut beat = local_beat(&state, number, now);
-        let is_remote = |address: &net::SocketAddr| !local.contains(address);
-        let remote: Vec<_> = addresses.iter().copied().filter(is_remote).collect();
-        send_all(&socket, &peers::PeerMessage::Beat(beat.clone()), &local).await;
-        if number.is_multiple_of(u64::from(remote_stride)) {
-            if addresses.len() > FULL_RATE_PEERS {
+        let extension = peers::MessageExtension {
+            cores: state.settings().cores,
+            ..peers::MessageExtension::default()
+        };
+        let message = peers::PeerMessage::Beat(beat.clone());
+        let envelope = peers::PeerEnvelope::with_extension(message, extension);
+        send_envelope(&state, &socket, &envelope, &local).await;
+        if number.is_multiple_of(u64::from(distant_stride)) && !distant.is_empty() {
+            if count > peer_table::FULL_RATE_PEERS {
                 // Other data centres get the loads in the digests of this one's hub.
                 beat.loads.clear();
             }
-            send_all(&socket, &peers::PeerMessage::Beat(beat), &remote).await;
+            let message = peers::PeerMessage::Beat(beat);
+            let envelope = peers::PeerEnvelope::with_extension(message, extension);
+            send_envelope(&state, &socket, &envelope, &distant).await;
         }
+        state.set_beat_number(number);
         tokio::time::sleep(BEAT_INTERVAL * stride).await;
     }
 }
 
 /// Returns how many heartbeat intervals lie between two heartbeats to this many nodes.
 fn beat_stride(nodes: usize) -> u32 {
-    let stride = nodes.div_ceil(FULL_RATE_PEERS).max(1);
+    let stride = nodes.div_ceil(peer_table::FULL_RATE_PEERS).max(1);
     u32::try_from(stride).unwrap_or(u32::MAX)
 }
 
@@ -150,6 +188,16 @@
     }
 }
 
+/// Returns this node's heartbeat for a summary, with the number of the last one sent.
+pub(super) fn summary_beat<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    now: times::BootTime,
+) -> peers::NodeBeat {
+    let mut beat = local_beat(state, state.beat_number(), now);
+    beat.loads.clear();
+    beat
+}
+
 fn local_phase<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
     now: times::BootTime,
@@ -171,8 +219,15 @@
         let is_steward = state.with_peers(|peers| peers.steward(data_centre) == Some(state.node()));
         if is_steward && !state.is_draining() {
             let addresses = state.with_peers(|peers| peers.local_addresses(data_centre, now));
-            let beat = peers::PeerMessage::Relay(state.relay_beat(now));
-            send_all(&socket, &beat, &addresses).await;
+            let extension = peers::MessageExtension {
+                document: state
+                    .document()
+                    .map_or_else(Default::default, |document| document.version()),
+                ..peers::MessageExtension::default()
+            };
+            let message = peers::PeerMessage::Relay(state.relay_beat(now));
+            let envelope = peers::PeerEnvelope::with_extension(message, extension);
+            send_envelope(&state, &socket, &envelope, &addresses).await;
         }
         tokio::select! {
             () = state.wait_for_relay_change() => {}
@@ -181,12 +236,28 @@
     }
 }
 
-pub(super) async fn send_all(
+/// Sends a message without an extension.
+pub(super) async fn send_all<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
     socket: &UdpSocket,
-    message: &peers::PeerMessage,
+    message: peers::PeerMessage,
     addresses: &[net::SocketAddr],
 ) {
-    let bytes = match postcard::to_stdvec(message) {
+    let envelope = peers::PeerEnvelope::new(message);
+    send_envelope(state, socket, &envelope, addresses).await;
+}
+
+async fn send_envelope<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    socket: &UdpSocket,
+    envelope: &peers::PeerEnvelope,
+    addresses: &[net::SocketAddr],
+) {
+    if addresses.is_empty() {
+        return;
+    }
+    let label = envelope.message.label();
+    let bytes = match envelope.encode() {
         Ok(bytes) => bytes,
         Err(error) => {
             log::error!(event = "beat-not-written", cause:% = error; "");
@@ -194,8 +265,12 @@
         }
     };
     for address in addresses {
-        if let Err(error) = socket.send_to(&bytes, address).await {
-            log::debug!(event = "beat-not-sent", to:% = address, cause:% = error; "");
+        match socket.send_to(&bytes, address).await {
+            Ok(_length) => state.metrics().count_message(label, bytes.len()),
+            Err(error) => {
+                state.metrics().count_message_failure(label);
+                log::debug!(event = "beat-not-sent", to:% = address, cause:% = error; "");
+            }
         }
     }
 }
--- a/crates/pier_edge/src/peers/crash_loop.rs
+++ b/crates/pier_edge/src/peers/crash_loop.rs
@@ -45,12 +45,12 @@
         let part_delta = state.crashes().part_delta(now, MAX_PART_MARKS);
         if !part_delta.marks.is_empty() {
             let message = peers::PeerMessage::PartCrashes(part_delta);
-            beat_loop::send_all(&socket, &message, &receivers).await;
+            beat_loop::send_all(&state, &socket, message, &receivers).await;
         }
         let delta = state.crashes().delta(now, MAX_MARKS);
         if !delta.marks.is_empty() {
             let message = peers::PeerMessage::Crashes(delta);
-            beat_loop::send_all(&socket, &message, &receivers).await;
+            beat_loop::send_all(&state, &socket, message, &receivers).await;
         }
     }
 }
--- a/crates/pier_edge/src/peers/load_loop.rs
+++ b/crates/pier_edge/src/peers/load_loop.rs
@@ -6,7 +6,7 @@
 use pier_types::{ids, times};
 use tokio::net::UdpSocket;
 
-use super::{beat_loop, load_intake, stall_watch};
+use super::{beat_loop, load_intake, peer_table, stall_watch};
 use crate::{links, peers, state};
 
 /// Interval between two ticks of the loop. A busy group starts about two requests in it.
@@ -93,7 +93,7 @@
 
     fn needs_hub(&self) -> bool {
         let count = self.state.with_peers(|peers| peers.count());
-        count > beat_loop::FULL_RATE_PEERS
+        count > peer_table::FULL_RATE_PEERS
     }
 
     /// Returns whether a digest is due. With many nodes in the data centre digests are sent less
@@ -171,7 +171,7 @@
         let address = self.state.with_peers(|peers| peers.address_of(hub));
         if let Some(address) = address {
             let message = peers::PeerMessage::Report(report);
-            beat_loop::send_all(&self.socket, &message, &[address]).await;
+            beat_loop::send_all(&self.state, &self.socket, message, &[address]).await;
         }
     }
 
@@ -209,9 +209,9 @@
             counted: collections::BTreeMap::new(),
             ..local_part
         });
-        beat_loop::send_all(&self.socket, &message, &hubs).await;
+        beat_loop::send_all(&self.state, &self.socket, message, &hubs).await;
         let message = peers::PeerMessage::Digest(merged.clone());
-        beat_loop::send_all(&self.socket, &message, &local).await;
+        beat_loop::send_all(&self.state, &self.socket, message, &local).await;
         load_intake::apply_digest(&self.state, merged, now);
     }
 }
--- a/crates/pier_edge/src/peers/mod.rs
+++ b/crates/pier_edge/src/peers/mod.rs
@@ -1,8 +1,11 @@
 //! Datagrams between nodes: heartbeats, loads at targets and the steward's view of the store.
 
 mod beat_loop;
+mod centre_summary;
 mod crash_loop;
+mod formats;
 mod forwarder;
+mod heard_beat;
 mod load_exchange;
 mod load_intake;
 mod load_loop;
@@ -12,10 +15,15 @@
 mod relay_beat;
 mod relay_follower;
 mod relay_log;
+mod snapshots;
 mod stall_watch;
+mod summary_loop;
 
 pub(crate) use beat_loop::spawn;
+pub(crate) use centre_summary::CentreSummary;
+pub(crate) use formats::{MessageExtension, MessageFault, PeerEnvelope, PeerFormat};
 pub(crate) use forwarder::Forwarder;
+pub(crate) use heard_beat::HeardBeat;
 pub(crate) use load_exchange::LoadExchange;
 use load_loop::LoadLoop;
 pub(crate) use load_loop::VIEW_AGE;
@@ -27,3 +35,4 @@
 pub(crate) use relay_beat::{RelayBeat, TargetChange};
 pub(crate) use relay_follower::RelayFollower;
 pub(crate) use relay_log::RelayLog;
+pub(crate) use snapshots::{SnapshotClient, StoreSnapshot};
--- a/crates/pier_edge/src/peers/node_beat.rs
+++ b/crates/pier_edge/src/peers/node_beat.rs
@@ -9,8 +9,8 @@
 
 use crate::peers;
 
-/// A datagram between nodes. It is encoded by position, so the order of variants and fields
-/// matters.
+/// A message between nodes. It is encoded by position: variants are only added at the end, and the
+/// fields of those that exist never change. Later fields go into [`peers::MessageExtension`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
     Beat(NodeBeat),
@@ -25,6 +25,24 @@
     Leaving(Vec<LeavingTarget>),
     /// Marks of parts of prompts that were on crashed targets.
     PartCrashes(prompt_parts::PartDelta),
+    /// The heartbeats of another data centre's nodes.
+    Summary(peers::CentreSummary),
+}
+
+impl PeerMessage {
+    /// Returns the kind's name in metrics.
+    pub(crate) const fn label(&self) -> &'static str {
+        match self {
+            Self::Beat(_) => "beat",
+            Self::Relay(_) => "relay",
+            Self::Report(_) => "report",
+            Self::Digest(_) => "digest",
+            Self::Crashes(_) => "crashes",
+            Self::Leaving(_) => "leaving",
+            Self::PartCrashes(_) => "part-crashes",
+            Self::Summary(_) => "summary",
+        }
+    }
 }
 
 /// A start of a VM that leaves.
@@ -77,6 +95,14 @@
     pub node: ids::NodeName,
     pub data_centre: ids::DataCentreName,
     pub peers: net::SocketAddr,
+    /// Format of the messages that the node sends; builds before [`peers::PeerFormat::SUMMARIES`]
+    /// write none.
+    #[serde(default = "unnumbered")]
+    pub format: peers::PeerFormat,
+}
+
+const fn unnumbered() -> peers::PeerFormat {
+    peers::PeerFormat::UNNUMBERED
 }
 
 /// The record that names a data centre's steward: the elected node that plans its groups and
--- a/crates/pier_edge/src/peers/peer_table.rs
+++ b/crates/pier_edge/src/peers/peer_table.rs
@@ -3,16 +3,25 @@
 use std::{collections, net, time};
 
 use pier_fleet::{loads, stewards};
-use pier_types::{epochs, ids, times};
+use pier_types::{epochs, ids, sizes, times};
 
 use crate::peers;
 
+/// Greatest number of peers with which heartbeats are sent at every interval, and of which each
+/// hears every other directly. With more of them heartbeats are sent less often in proportion, so
+/// that a node's cost does not grow with the fleet.
+pub(crate) const FULL_RATE_PEERS: usize = 12;
+
 /// Silence after which a node no longer counts as alive: ten heartbeats.
 const PEER_LIFETIME: time::Duration = time::Duration::from_secs(1);
 
 /// Silence after which a node is forgotten and no longer counts among those that share limits.
 const SHARE_LIFETIME: time::Duration = time::Duration::from_secs(30);
 
+/// Time by which a node counts as alive for longer if its heartbeats come in summaries: some
+/// intervals of them.
+const SUMMARY_SLACK: time::Duration = time::Duration::from_millis(2_500);
+
 /// Silence after which another node's load is no longer counted.
 const LOAD_LIFETIME: time::Duration = time::Duration::from_millis(1_500);
 
@@ -20,6 +29,7 @@
 #[derive(Debug)]
 pub(crate) struct PeerTable {
     local_node: ids::NodeName,
+    local_cores: sizes::CoreShare,
     /// Keyed by address, which a node keeps when it restarts.
     peers: collections::BTreeMap<net::SocketAddr, KnownPeer>,
     stewards: collections::BTreeMap<ids::DataCentreName, stewards::RecordedSteward>,
@@ -28,15 +38,32 @@
 #[derive(Debug)]
 struct KnownPeer {
     node: ids::NodeName,
+    data_centre: ids::DataCentreName,
+    format: peers::PeerFormat,
+    cores: sizes::CoreShare,
     discovered_at: times::BootTime,
     last_beat_at: Option<times::BootTime>,
     beat: Option<peers::NodeBeat>,
+    /// Whether the last heartbeat came in a summary.
+    is_summarised: bool,
+}
+
+impl KnownPeer {
+    fn is_heard(&self, lifetime: time::Duration, now: times::BootTime) -> bool {
+        let lifetime = if self.is_summarised {
+            lifetime + SUMMARY_SLACK
+        } else {
+            lifetime
+        };
+        self.last_beat_at.is_some_and(|at| now.since(at) < lifetime)
+    }
 }
 
 impl PeerTable {
-    pub(crate) fn new(local_node: ids::NodeName) -> Self {
+    pub(crate) fn new(local_node: ids::NodeName, local_cores: sizes::CoreShare) -> Self {
         Self {
             local_node,
+            local_cores,
             peers: collections::BTreeMap::new(),
             stewards: collections::BTreeMap::new(),
         }
@@ -53,34 +80,65 @@
         }
         let peer = KnownPeer {
             node: record.node,
+            data_centre: record.data_centre,
+            format: record.format,
+            cores: sizes::CoreShare::default(),
             discovered_at: now,
             last_beat_at: None,
             beat: None,
+            is_summarised: false,
         };
         self.peers.insert(record.peers, peer);
     }
 
-    /// Records a heartbeat; one of the same start that is not newer than the last is dropped.
+    /// Records a heartbeat that came from its node; one of the same start that is not newer than
+    /// the last is dropped.
     pub(crate) fn record_beat(
         &mut self,
-        beat: peers::NodeBeat,
-        from: net::SocketAddr,
+        heard: peers::HeardBeat,
+        cores: sizes::CoreShare,
         now: times::BootTime,
     ) {
+        self.record(heard, cores, false, now);
+    }
+
+    /// Records a heartbeat that came in a summary.
+    pub(crate) fn record_summarised(&mut self, heard: peers::HeardBeat, now: times::BootTime) {
+        self.record(heard, sizes::CoreShare::default(), true, now);
+    }
+
+    fn record(
+        &mut self,
+        heard: peers::HeardBeat,
+        cores: sizes::CoreShare,
+        is_summarised: bool,
+        now: times::BootTime,
+    ) {
+        let beat = heard.beat;
         if beat.node == self.local_node {
             return;
         }
-        let known = self.peers.get(&from).and_then(|known| known.beat.as_ref());
-        if known.is_some_and(|known| known.node == beat.node && known.number >= beat.number) {
+        let known = self.peers.get(&heard.address);
+        let heard_at = now.before(heard.age);
+        let is_older = known.is_some_and(|known| match &known.beat {
+            Some(last) if last.node == beat.node => last.number >= beat.number,
+            // Another start of the node; a summary may still tell of the one before.
+            _ => is_summarised && known.last_beat_at.is_some_and(|at| at > heard_at),
+        });
+        if is_older {
             return;
         }
         let peer = KnownPeer {
             node: beat.node.clone(),
+            data_centre: beat.data_centre.clone(),
+            format: heard.format,
+            cores,
             discovered_at: now,
-            last_beat_at: Some(now),
+            last_beat_at: Some(heard_at),
             beat: Some(beat),
+            is_summarised,
         };
-        self.peers.insert(from, peer);
+        self.peers.insert(heard.address, peer);
     }
 
     /// Removes nodes that have been silent for [`SHARE_LIFETIME`].
@@ -95,6 +153,12 @@
         self.peers.keys().copied().collect()
     }
 
+    /// Returns whether the fleet is so large that other data centres are told of this one's nodes
+    /// in summaries.
+    pub(crate) fn is_large(&self) -> bool {
+        self.peers.len() > FULL_RATE_PEERS
+    }
+
     /// Returns the addresses of the nodes of a data centre that were heard of within
     /// [`SHARE_LIFETIME`].
     pub(crate) fn local_addresses(
@@ -103,15 +167,119 @@
         now: times::BootTime,
     ) -> Vec<net::SocketAddr> {
         let local = self.peers.iter().filter(|(_address, peer)| {
-            let active = peer
-                .last_beat_at
-                .is_some_and(|at| now.since(at) < SHARE_LIFETIME);
-            let peer_data_centre = peer.beat.as_ref().map(|beat| &beat.data_centre);
-            active && peer_data_centre == Some(data_centre)
+            peer.data_centre == *data_centre && peer.is_heard(SHARE_LIFETIME, now)
+        });
+        local.map(|(address, _peer)| *address).collect()
+    }
+
+    /// Returns the addresses to which heartbeats are sent less often: those of unheard nodes of this
+    /// data centre, and those in other data centres that get no summaries.
+    pub(crate) fn distant_addresses(
+        &self,
+        data_centre: &ids::DataCentreName,
+        now: times::BootTime,
+    ) -> Vec<net::SocketAddr> {
+        let is_large = self.is_large();
+        let distant = self.peers.iter().filter(|(_address, peer)| {
+            if peer.data_centre == *data_centre {
+                !peer.is_heard(SHARE_LIFETIME, now)
+            } else {
+                !is_large || !peer.format.has_summaries()
+            }
+        });
+        distant.map(|(address, _peer)| *address).collect()
+    }
+
+    /// Returns the addresses of the nodes of a data centre to which it can be told about another
+    /// one: those that are alive, or else all that are known there.
+    pub(crate) fn summary_receivers(
+        &self,
+        data_centre: &ids::DataCentreName,
+        now: times::BootTime,
+    ) -> Vec<net::SocketAddr> {
+        let able = self.peers.iter().filter(|(_address, peer)| {
+            peer.data_centre == *data_centre && peer.format.has_summaries()
+        });
+        let able: Vec<_> = able.collect();
+        let live = able
+            .iter()
+            .filter(|(_address, peer)| peer.is_heard(PEER_LIFETIME, now));
+        let live: Vec<_> = live.map(|(address, _peer)| **address).collect();
+        if live.is_empty() {
+            able.into_iter().map(|(address, _peer)| *address).collect()
+        } else {
+            live
+        }
+    }
+
+    /// Returns the addresses of this data centre's nodes to which summaries are passed on.
+    pub(crate) fn followers_of_summaries(
+        &self,
+        data_centre: &ids::DataCentreName,
+        now: times::BootTime,
+    ) -> Vec<net::SocketAddr> {
+        let local = self.peers.iter().filter(|(_address, peer)| {
+            peer.data_centre == *data_centre
+                && peer.format.has_summaries()
+                && peer.is_heard(SHARE_LIFETIME, now)
         });
         local.map(|(address, _peer)| *address).collect()
     }
 
+    /// Returns whether this node tells other data centres about its own: the steward does while it
+    /// is alive and able to, otherwise the first able node by name.
+    pub(crate) fn is_delegate(
+        &self,
+        data_centre: &ids::DataCentreName,
+        now: times::BootTime,
+    ) -> bool {
+        let able = self.peers.values().filter(|peer| {
+            peer.data_centre == *data_centre
+                && peer.format.has_summaries()
+                && peer.is_heard(PEER_LIFETIME, now)
+                && peer
+                    .beat
+                    .as_ref()
+                    .is_some_and(|beat| beat.phase != peers::NodePhase::Leaving)
+        });
+        let mut able: collections::BTreeSet<_> = able.map(|peer| &peer.node).collect();
+        able.insert(&self.local_node);
+        let steward = self.steward(data_centre);
+        let steward = steward.filter(|steward| able.contains(steward));
+        steward.or_else(|| able.first().copied()) == Some(&self.local_node)
+    }
+
+    /// Returns the heartbeats of a data centre's nodes that came from them within
+    /// [`SHARE_LIFETIME`].
+    pub(crate) fn heard_beats(
+        &self,
+        data_centre: &ids::DataCentreName,
+        now: times::BootTime,
+    ) -> Vec<peers::HeardBeat> {
+        let heard = self.peers.iter().filter(|(_address, peer)| {
+            peer.data_centre == *data_centre
+                && !peer.is_summarised
+                && peer.is_heard(SHARE_LIFETIME, now)
+        });
+        let beats = heard.filter_map(|(address, peer)| {
+            Some(peers::HeardBeat {
+                address: *address,
+                format: peer.format,
+                age: now.since(peer.last_beat_at?),
+                beat: peer.beat.clone()?,
+            })
+        });
+        beats.collect()
+    }
+
+    /// Returns the address of a node that serves what it knows of the store to others.
+    pub(crate) fn snapshot_address(&self, node: &ids::NodeName) -> Option<net::SocketAddr> {
+        let mut peers = self.peers.iter();
+        let found = peers.find(|(_address, peer)| peer.node == *node)?;
+        let (address, peer) = found;
+        peer.format.has_summaries().then_some(*address)
+    }
+
     /// Returns the recorded steward of a data centre.
     pub(crate) fn steward(&self, data_centre: &ids::DataCentreName) -> Option<&ids::NodeName> {
         self.stewards
@@ -303,6 +471,9 @@
         let live_nodes = self
             .beats(now, PEER_LIFETIME)
             .filter(|beat| beat.phase == peers::NodePhase::Serving);
+        if data_centre == local_data_centre {
+            view.preferred = self.ablest_nodes(data_centre, now);
+        }
         let nodes = live_nodes.map(|beat| (beat.node.clone(), beat.data_centre.clone()));
         for (node, node_data_centre) in
             nodes.chain([(self.local_node.clone(), local_data_centre.clone())])
@@ -316,6 +487,24 @@
         view
     }
 
+    /// Returns the nodes of this node's data centre with the greatest processor share; none if no
+    /// share is known.
+    fn ablest_nodes(
+        &self,
+        data_centre: &ids::DataCentreName,
+        now: times::BootTime,
+    ) -> collections::BTreeSet<ids::NodeName> {
+        let peers = self.peers.values();
+        let local = peers
+            .filter(|peer| peer.data_centre == *data_centre && peer.is_heard(PEER_LIFETIME, now))
+            .map(|peer| (peer.cores, &peer.node));
+        let nodes: Vec<_> = local.chain([(self.local_cores, &self.local_node)]).collect();
+        let greatest = nodes.iter().map(|(cores, _node)| *cores).max();
+        let greatest = greatest.filter(|cores| *cores > sizes::CoreShare::default());
+        let ablest = nodes.into_iter().filter(|(cores, _node)| Some(*cores) == greatest);
+        ablest.map(|(_cores, node)| node.clone()).collect()
+    }
+
     fn beats(
         &self,
         now: times::BootTime,
@@ -324,7 +513,7 @@
         let active = self
             .peers
             .values()
-            .filter(move |peer| peer.last_beat_at.is_some_and(|at| now.since(at) < lifetime));
+            .filter(move |peer| peer.is_heard(lifetime, now));
         active.filter_map(|peer| peer.beat.as_ref())
     }
 }
--- a/crates/pier_edge/src/peers/relay_follower.rs
+++ b/crates/pier_edge/src/peers/relay_follower.rs
@@ -26,6 +26,8 @@
 #[derive(Debug)]
 struct ReceivedRelay {
     node: ids::NodeName,
+    /// Version of the document that the steward has in force; `None` for a build that serves none.
+    document: Option<epochs::ConfigVersion>,
     received_at: times::BootTime,
     store_age: time::Duration,
 }
@@ -47,10 +49,12 @@
     pub(crate) fn apply_beat(
         &mut self,
         beat: peers::RelayBeat,
+        document: Option<epochs::ConfigVersion>,
         now: times::BootTime,
     ) -> Vec<peers::TargetChange> {
         self.last_relay = Some(ReceivedRelay {
             node: beat.node,
+            document,
             received_at: now,
             store_age: time::Duration::from_millis(u64::from(beat.store_age_ms)),
         });
@@ -65,6 +69,19 @@
         beat.changes
     }
 
+    /// Returns the version of the document that this steward has in force, while its relay messages
+    /// are recent enough to rely on and its build serves what it has read.
+    pub(crate) fn document(
+        &self,
+        steward: Option<&ids::NodeName>,
+        now: times::BootTime,
+    ) -> Option<epochs::ConfigVersion> {
+        let last_relay = self.last_relay.as_ref()?;
+        last_relay
+            .document
+            .filter(|_version| self.is_following(steward, now))
+    }
+
     /// Returns whether the relay messages of this steward are recent enough to rely on.
     pub(crate) fn is_following(
         &self,
--- /dev/null
+++ b/crates/pier_edge/src/peers/snapshots/snapshot_server.rs
@@ -0,0 +1,98 @@
+//! Serves what this node has read of the store to the other nodes of its data centre.
+
+use std::{convert, time};
+
+use anyhow::Context as _;
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use pier_types::times;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{DOCUMENT_PATH, StoreSnapshot, TARGETS_PATH, encode};
+use crate::{links, serving, state};
+
+/// Delay before accepting again after a connection could not be accepted.
+const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
+
+/// Longest time for one connection, which carries one answer.
+const CONNECTION_LIMIT: time::Duration = time::Duration::from_secs(5);
+
+/// Serves the other nodes on the TCP port with the number of the one for datagrams.
+///
+/// # Errors
+///
+/// Fails when the port cannot be bound.
+pub(crate) async fn spawn<P: links::FleetPlatform>(
+    state: state::EdgeState<P>,
+) -> anyhow::Result<()> {
+    let address = state.settings().peers;
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.with_context(|| format!("binding {address}"))?;
+    tokio::spawn(accept(state, listener));
+    Ok(())
+}
+
+async fn accept<P: links::FleetPlatform>(state: state::EdgeState<P>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                if state.with_peers(|peers| peers.knows_ip(from.ip())) {
+                    tokio::spawn(serve(state.clone(), stream));
+                } else {
+                    log::warn!(event = "snapshot-for-stranger", from:% = from; "");
+                }
+            }
+            Err(error) => {
+                log::warn!(event = "accept-failed", cause:% = error; "");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn serve<P: links::FleetPlatform>(state: state::EdgeState<P>, stream: TcpStream) {
+    serving::set_socket_timeouts(&stream);
+    let service = service_fn(move |request: http::Request<Incoming>| {
+        let response = respond(&state, request.uri().path());
+        async move { Ok::<_, convert::Infallible>(response) }
+    });
+    let mut server = http1::Builder::new();
+    server.timer(TokioTimer::new()).keep_alive(false);
+    let connection = server.serve_connection(TokioIo::new(stream), service);
+    match tokio::time::timeout(CONNECTION_LIMIT, connection).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::debug!(event = "snapshot-not-sent", cause:% = error; ""),
+        Err(_elapsed) => log::debug!(event = "snapshot-not-sent", cause = "time is up"; ""),
+    }
+}
+
+fn respond<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    path: &str,
+) -> http::Response<Full<bytes::Bytes>> {
+    let now = times::clocks::boot_now();
+    let own = &state.settings().data_centre;
+    let is_steward = state.with_peers(|peers| peers.steward(own) == Some(state.node()));
+    let encoded = match path {
+        _ if !is_steward => None,
+        TARGETS_PATH => StoreSnapshot::take(state, now).map(|snapshot| encode(&snapshot)),
+        DOCUMENT_PATH => state.document().map(|document| encode(&*document)),
+        _ => None,
+    };
+    let mut response = http::Response::new(Full::default());
+    match encoded {
+        Some(Ok(bytes)) => {
+            state
+                .metrics()
+                .count_snapshot(path.trim_start_matches('/'), bytes.len());
+            *response.body_mut() = Full::new(bytes);
+        }
+        Some(Err(error)) => {
+            log::error!(event = "snapshot-not-written", path = path, cause:% = error; "");
+            *response.status_mut() = http::StatusCode::INTERNAL_SERVER_ERROR;
+        }
+        None => *response.status_mut() = http::StatusCode::NOT_FOUND,
+    }
+    response
+}
--- /dev/null
+++ b/crates/pier_edge/src/peers/summary_loop.rs
@@ -0,0 +1,80 @@
+//! Tells other data centres about the nodes of this one.
+
+use std::{sync, time};
+
+use pier_types::times;
+use rand::seq::IndexedRandom as _;
+use tokio::net::UdpSocket;
+
+use super::beat_loop;
+use crate::{links, peers, state};
+
+/// Interval between two summaries to another data centre.
+const SUMMARY_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Most nodes in one summary, which keeps its datagram below the size at which networks split it.
+const MAX_SUMMARY_NODES: usize = 12;
+
+/// Sends summaries while this node is its data centre's delegate.
+///
+/// Each goes to one node of the other data centre, another one each time, which passes it on there.
+pub(super) async fn run<P: links::FleetPlatform>(
+    state: state::EdgeState<P>,
+    socket: sync::Arc<UdpSocket>,
+) {
+    let own = &state.settings().data_centre;
+    loop {
+        tokio::time::sleep(SUMMARY_INTERVAL).await;
+        let now = times::clocks::boot_now();
+        let is_due = state.with_peers(|peers| peers.is_large() && peers.is_delegate(own, now));
+        if !is_due || state.is_draining() {
+            continue;
+        }
+        let mut heard = state.with_peers(|peers| peers.heard_beats(own, now));
+        heard.push(peers::HeardBeat {
+            address: state.settings().peers,
+            format: peers::PeerFormat::CURRENT,
+            age: time::Duration::ZERO,
+            beat: beat_loop::summary_beat(&state, now),
+        });
+        let summaries = peers::CentreSummary::split(own, &heard, MAX_SUMMARY_NODES);
+        let others = state.settings().data_centres.iter();
+        for other in others.filter(|other| *other != own) {
+            let receivers = state.with_peers(|peers| peers.summary_receivers(other, now));
+            let Some(receiver) = receivers.choose(&mut rand::rng()).copied() else {
+                continue;
+            };
+            for summary in &summaries {
+                let message = peers::PeerMessage::Summary(summary.clone());
+                beat_loop::send_all(&state, &socket, message, &[receiver]).await;
+            }
+        }
+    }
+}
+
+/// Applies a summary, and passes it on to the nodes of this data centre if the sender asks for it.
+pub(super) async fn receive<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    socket: &UdpSocket,
+    summary: peers::CentreSummary,
+    now: times::BootTime,
+) {
+    let own = &state.settings().data_centre;
+    if summary.data_centre == *own {
+        return;
+    }
+    if summary.to_spread {
+        let receivers = state.with_peers(|peers| peers.followers_of_summaries(own, now));
+        let spread = peers::CentreSummary {
+            to_spread: false,
+            ..summary.clone()
+        };
+        let message = peers::PeerMessage::Summary(spread);
+        beat_loop::send_all(state, socket, message, &receivers).await;
+    }
+    state.with_peers(|peers| {
+        for heard in summary.into_beats() {
+            peers.record_summarised(heard, now);
+        }
+    });
+}
--- a/crates/pier_edge/src/records/node_record.rs
+++ b/crates/pier_edge/src/records/node_record.rs
@@ -16,6 +16,7 @@
             node: state.node().clone(),
             data_centre: state.settings().data_centre.clone(),
             peers: state.settings().peers,
+            format: peers::PeerFormat::CURRENT,
         };
         let text = match serde_json::to_string(&record) {
             Ok(text) => text,
--- a/crates/pier_edge/src/records/record_applier.rs
+++ b/crates/pier_edge/src/records/record_applier.rs
@@ -1,8 +1,8 @@
 //! Applies the records of the store.
 
-use std::collections;
+use std::{collections, sync};
 
-use pier_fleet::targets;
+use pier_fleet::{documents, targets};
 use pier_types::{epochs, ids, times};
 
 use crate::{crashes, links, peers, records, state};
@@ -62,6 +62,31 @@
         }
     }
 
+    /// Applies what the steward has read of the store.
+    pub(crate) fn apply_snapshot(&self, snapshot: peers::StoreSnapshot, now: times::BootTime) {
+        self.set_out_of_service(snapshot.out_of_service, now);
+        self.state
+            .with_registry(|registry| registry.replace(snapshot.targets, now));
+        self.state
+            .with_follower(|follower| follower.set_version(snapshot.at));
+        self.state.set_listed();
+        self.targets_changed(now);
+    }
+
+    /// Puts a document into force unless the current one is as new or newer.
+    pub(crate) fn apply_document(
+        &self,
+        document: sync::Arc<documents::FleetDocument>,
+        now: times::BootTime,
+    ) {
+        let version = document.version();
+        if self.state.set_document(document) {
+            log::info!(event = "document-in-force", version:% = version; "");
+            self.state.metrics().set_document_version(version.get());
+            self.state.rebuild(now);
+        }
+    }
+
     /// Applies changes in order.
     pub(crate) fn apply_changes(
         &self,
@@ -83,7 +108,14 @@
 
     /// Applies a relay message. Its records of stewards always count; the rest is dropped unless
     /// the sender is the current steward of this data centre.
-    pub(crate) fn apply_relay(&self, beat: peers::RelayBeat, now: times::BootTime) {
+    ///
+    /// `document` is the version that the steward has in force, if its build serves it.
+    pub(crate) fn apply_relay(
+        &self,
+        beat: peers::RelayBeat,
+        document: Option<epochs::ConfigVersion>,
+        now: times::BootTime,
+    ) {
         let local_data_centre = &self.state.settings().data_centre;
         for (data_centre, record, version) in &beat.stewards {
             self.set_steward(data_centre.clone(), record.clone(), *version);
@@ -98,7 +130,7 @@
         let was_following = self.state.is_following(now);
         let changes = self
             .state
-            .with_follower(|follower| follower.apply_beat(beat, now));
+            .with_follower(|follower| follower.apply_beat(beat, document, now));
         if was_following {
             self.set_out_of_service(out_of_service, now);
         }
@@ -115,7 +147,9 @@
             self.targets_changed(now);
         }
         let is_behind = self.state.with_follower(|follower| follower.is_behind());
-        if is_behind {
+        let local = self.state.document().map(|document| document.version());
+        let is_newer = document.is_some_and(|version| Some(version) > local);
+        if is_behind || is_newer {
             self.state.notify_relay_gap();
         }
     }
@@ -147,12 +181,7 @@
                 self.put_target(*entry, now);
             }
             links::RecordContent::Document(document) => {
-                let version = document.version();
-                if self.state.set_document(document) {
-                    log::info!(event = "document-in-force", version:% = version; "");
-                    self.state.metrics().set_document_version(version.get());
-                    self.state.rebuild(now);
-                }
+                self.apply_document(document, now);
             }
             links::RecordContent::OutOfService(data_centre) => {
                 let mut out_of_service = (*self.state.out_of_service()).clone();
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -9,6 +9,27 @@
 /// How long a watch waits for changes; socket time-outs detect a silent connection.
 const WATCH_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
+/// How long a steward's watch of the document waits in a large fleet, where the nodes of its data
+/// centre rely on it.
+const RELAYED_DOCUMENT_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
+/// Smallest interval between two such watches.
+const RELAYED_DOCUMENT_INTERVAL: time::Duration = time::Duration::from_millis(300);
+
+/// How long a node that has started waits for a steward, before it reads the store itself.
+const STEWARD_WAIT: time::Duration = time::Duration::from_millis(1_500);
+
+/// Interval between two looks for a steward.
+const STEWARD_POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
+
+/// Delay after a failed read from a steward.
+const SNAPSHOT_RETRY_DELAY: time::Duration = time::Duration::from_millis(120);
+
+/// How long a node that is behind its steward, or whose steward is behind other nodes, tries to read
+/// from it before it reads the store itself. Together with a read of the store it is well under the
+/// time in which a document has to be in force.
+const MAX_BEHIND_TIME: time::Duration = time::Duration::from_secs(1);
+
 /// How long a watch of the document waits: longer, as the heartbeats of other nodes carry its
 /// version too.
 const DOCUMENT_WATCH_TIMEOUT: time::Duration = time::Duration::from_secs(25);
@@ -62,6 +83,8 @@
         applier,
         backoff: records::StoreBackoff::default(),
         failing_since: None,
+        started_at: times::clocks::boot_now(),
+        behind_since: None,
     };
     tokio::spawn(record_loop.run());
 }
@@ -72,6 +95,9 @@
     applier: records::RecordApplier<P>,
     backoff: records::StoreBackoff,
     failing_since: Option<times::BootTime>,
+    started_at: times::BootTime,
+    /// Since when this node has known less than its steward or than other nodes.
+    behind_since: Option<times::BootTime>,
 }
 
 impl<P: links::FleetPlatform> RecordLoop<P> {
@@ -79,11 +105,19 @@
         let mut at: Option<epochs::ObjectVersion> = None;
         loop {
             let now = times::clocks::boot_now();
+            if let Some(source) = self.snapshot_source(now) {
+                at = self.follow_snapshots(source, at).await;
+                continue;
+            }
             let follows = self.kind != links::RecordKind::Document;
             if follows && at.is_some() && self.state.is_following(now) {
                 at = self.follow(at).await;
                 continue;
             }
+            if at.is_none() && self.waits_for_steward(now) {
+                tokio::time::sleep(STEWARD_POLL_INTERVAL).await;
+                continue;
+            }
             at = match at {
                 None => self.list().await,
                 Some(version) => self.watch(self.watch_start(version)).await,
@@ -91,6 +125,112 @@
         }
     }
 
+    /// Returns the steward that this loop reads from instead of the store, if there is one.
+    fn snapshot_source(&self, now: times::BootTime) -> Option<state::SnapshotSource> {
+        if self.kind == links::RecordKind::Nodes || self.is_own_steward() {
+            return None;
+        }
+        self.state.snapshot_source(now)
+    }
+
+    fn is_own_steward(&self) -> bool {
+        let own = &self.state.settings().data_centre;
+        self.state
+            .with_peers(|peers| peers.steward(own) == Some(self.state.node()))
+    }
+
+    /// Returns whether this node, which has just started, waits for a steward to read from. The
+    /// nodes' records are read at once, as they tell how large the fleet is.
+    fn waits_for_steward(&self, now: times::BootTime) -> bool {
+        if self.kind == links::RecordKind::Nodes
+            || now.since(self.started_at) >= STEWARD_WAIT
+            || self.is_own_steward()
+        {
+            return false;
+        }
+        !self.state.has_read_nodes() || self.state.with_peers(|peers| peers.is_large())
+    }
+
+    /// Follows the steward, and reads from it what its relay messages do not bring.
+    ///
+    /// Returns the version to watch from once the steward can no longer be followed; without one the
+    /// list is read.
+    async fn follow_snapshots(
+        &mut self,
+        source: state::SnapshotSource,
+        at: Option<epochs::ObjectVersion>,
+    ) -> Option<epochs::ObjectVersion> {
+        let now = times::clocks::boot_now();
+        let local = self.state.document().map(|document| document.version());
+        let newest = self.state.with_peers(|peers| peers.newest_document(now));
+        let (is_offered, is_behind) = match self.kind {
+            links::RecordKind::Targets => {
+                let is_behind = self.state.with_follower(|follower| follower.is_behind());
+                (is_behind, is_behind)
+            }
+            links::RecordKind::Document => {
+                let is_offered = Some(source.document) > local;
+                (is_offered, is_offered || Some(newest) > local)
+            }
+            links::RecordKind::OutOfService | links::RecordKind::Nodes => (false, false),
+        };
+        if !is_behind {
+            self.behind_since = None;
+        } else if now.since(*self.behind_since.get_or_insert(now)) >= MAX_BEHIND_TIME {
+            log::info!(event = "steward-too-slow", kind = self.kind.label(); "");
+            self.behind_since = None;
+            return self.list().await;
+        }
+        if !is_offered {
+            tokio::select! {
+                () = self.state.wait_for_relay_gap() => {}
+                () = tokio::time::sleep(FOLLOW_INTERVAL) => {}
+            }
+            return at;
+        }
+        match self.read_snapshot(source).await {
+            Ok(()) if self.kind == links::RecordKind::Targets => {
+                self.state.with_follower(|follower| follower.version())
+            }
+            Ok(()) => at,
+            Err(error) => {
+                log::debug!(
+                    event = "snapshot-not-read",
+                    kind = self.kind.label(),
+                    cause:% = error;
+                    ""
+                );
+                tokio::time::sleep(SNAPSHOT_RETRY_DELAY).await;
+                at
+            }
+        }
+    }
+
+    /// Reads the registrations or the document from the steward.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the steward does not answer, or knows less than this node.
+    async fn read_snapshot(&self, source: state::SnapshotSource) -> anyhow::Result<()> {
+        if self.kind == links::RecordKind::Document {
+            let document = source.client.read_document().await?;
+            let now = times::clocks::boot_now();
+            self.applier.apply_document(document.into(), now);
+            return Ok(());
+        }
+        let snapshot = source.client.read_targets().await?;
+        let now = times::clocks::boot_now();
+        let known = self.state.with_follower(|follower| follower.version());
+        anyhow::ensure!(
+            known <= Some(snapshot.at),
+            "the steward's list is of version {}, before this node's",
+            snapshot.at
+        );
+        self.state.observe_era(snapshot.at, now);
+        self.applier.apply_snapshot(snapshot, now);
+        Ok(())
+    }
+
     /// Follows the steward's relay messages, and reads the list only if changes were missed.
     async fn follow(&mut self, at: Option<epochs::ObjectVersion>) -> Option<epochs::ObjectVersion> {
         let is_due = self.kind == links::RecordKind::Targets
@@ -162,14 +302,18 @@
                 let now = times::clocks::boot_now();
                 self.record_success(now);
                 let at = changes.at;
+                let relayed = relayed_changes(&changes.changes);
+                self.applier.apply_changes(self.kind, changes, now);
+                // Only after the changes are applied, as a snapshot states this version.
                 if self.kind == links::RecordKind::Targets {
-                    let relayed = relayed_changes(&changes.changes);
                     self.state
                         .with_follower(|follower| follower.set_version(at));
                     self.state
                         .with_relay_log(|log| log.record(version, at, relayed, now));
                 }
-                self.applier.apply_changes(self.kind, changes, now);
+                if self.kind == links::RecordKind::Document {
+                    self.state.notify_relay_change();
+                }
                 let taken = times::clocks::boot_now().since(started);
                 tokio::time::sleep(self.min_watch_interval().saturating_sub(taken)).await;
                 Some(at)
@@ -211,6 +355,8 @@
     fn min_watch_interval(&self) -> time::Duration {
         if self.is_relayed() && self.state.is_forming() {
             FORMING_WATCH_INTERVAL
+        } else if self.serves_document() {
+            RELAYED_DOCUMENT_INTERVAL
         } else if self.kind == links::RecordKind::Document {
             DOCUMENT_WATCH_INTERVAL
         } else {
@@ -221,6 +367,8 @@
     fn watch_timeout(&self) -> time::Duration {
         if self.is_relayed() {
             RELAY_WATCH_TIMEOUT
+        } else if self.serves_document() {
+            RELAYED_DOCUMENT_TIMEOUT
         } else if self.kind == links::RecordKind::Document {
             DOCUMENT_WATCH_TIMEOUT
         } else {
@@ -228,6 +376,13 @@
         }
     }
 
+    /// Returns whether this loop's document is served to the nodes of this data centre.
+    fn serves_document(&self) -> bool {
+        self.kind == links::RecordKind::Document
+            && self.is_own_steward()
+            && self.state.with_peers(|peers| peers.is_large())
+    }
+
     /// Returns whether this loop's changes are relayed to the nodes of this data centre.
     fn is_relayed(&self) -> bool {
         self.kind == links::RecordKind::Targets && self.state.with_peers(|peers| peers.is_steward())
--- a/crates/pier_edge/src/serving/connection_pool.rs
+++ b/crates/pier_edge/src/serving/connection_pool.rs
@@ -112,19 +112,6 @@
         self.source = (!source.is_unspecified()).then_some(source);
     }
 
-    async fn open_stream(&self) -> io::Result<TcpStream> {
-        let Some(source) = self.source else {
-            return TcpStream::connect(self.address).await;
-        };
-        let socket = if source.is_ipv4() {
-            TcpSocket::new_v4()?
-        } else {
-            TcpSocket::new_v6()?
-        };
-        socket.bind(net::SocketAddr::new(source, 0))?;
-        socket.connect(self.address).await
-    }
-
     pub(crate) const fn address(&self) -> net::SocketAddr {
         self.address
     }
@@ -186,7 +173,7 @@
     ///
     /// Fails when the target refuses it or does not answer in time.
     pub(crate) async fn connect(&self) -> Result<PooledConnection, ConnectFault> {
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, self.open_stream());
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, open_stream(self.address, self.source));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
@@ -223,6 +210,27 @@
     }
 }
 
+/// Opens a connection, from this IP address if there is one.
+///
+/// # Errors
+///
+/// Fails when the address cannot be connected to.
+pub(crate) async fn open_stream(
+    address: net::SocketAddr,
+    source: Option<net::IpAddr>,
+) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = if source.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.bind(net::SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Sets socket options so that the kernel detects a silent peer; also disables Nagle's algorithm.
 pub(crate) fn set_socket_timeouts(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
--- a/crates/pier_edge/src/serving/mod.rs
+++ b/crates/pier_edge/src/serving/mod.rs
@@ -29,7 +29,9 @@
 pub(crate) use caller_server::{CallerServer, ServerAudience};
 use caller_stream::CallerStream;
 pub(crate) use caller_stream::ResetSwitch;
-pub(crate) use connection_pool::{ConnectFault, ConnectionPool, PooledConnection};
+pub(crate) use connection_pool::{
+    ConnectFault, ConnectionPool, PooledConnection, open_stream, set_socket_timeouts,
+};
 pub(crate) use edge_body::{EdgeBody, StreamPart};
 use event_splitter::EventSplitter;
 use forward_note::{FORWARD_HEADER, ForwardNote, without_connection_headers};
--- a/crates/pier_edge/src/settings/edge_settings.rs
+++ b/crates/pier_edge/src/settings/edge_settings.rs
@@ -30,6 +30,8 @@
     pub store: net::SocketAddr,
     /// Memory that the process may use.
     pub memory: sizes::ByteSize,
+    /// Processor share of the VM; 0 if the settings do not state it.
+    pub cores: sizes::CoreShare,
     /// Lowest severity that is logged.
     pub log_level: log::LevelFilter,
     /// Limits on draining and retries.
@@ -76,6 +78,7 @@
             metrics: reader.value("listen", "metrics")?,
             store: reader.value("platform", "store")?,
             memory: sizes::ByteSize::new(mebibytes << 20),
+            cores: core_share(reader.optional("limits", "cores")?),
             log_level: reader.value("log", "level")?,
             bounds: settings::EdgeBounds {
                 grace: seconds(reader.value("bounds", "grace_seconds")?),
@@ -91,11 +94,39 @@
     time::Duration::from_secs_f64(number.clamp(0.0, 86_400.0))
 }
 
+/// Returns the share that a number of cores is.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped before")]
+fn core_share(cores: f64) -> sizes::CoreShare {
+    let millicores = (cores * 1_000.0).round().clamp(0.0, f64::from(u32::MAX));
+    sizes::CoreShare::new(millicores as u32)
+}
+
 struct SectionReader<'a> {
     ini: &'a Ini,
 }
 
 impl SectionReader<'_> {
+    /// Returns 0 if the key is missing or empty.
+    fn optional(
+        &self,
+        section: &'static str,
+        key: &'static str,
+    ) -> Result<f64, settings::SettingsError> {
+        let text = self.ini.get_from(Some(section), key).unwrap_or_default();
+        if text.trim().is_empty() {
+            return Ok(0.0);
+        }
+        let number: f64 = self.value(section, key)?;
+        if number.is_finite() && number >= 0.0 {
+            return Ok(number);
+        }
+        Err(settings::SettingsError::Malformed {
+            section,
+            key,
+            value: text.to_owned(),
+        })
+    }
+
     fn value<T: str::FromStr>(
         &self,
         section: &'static str,
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -66,6 +66,7 @@
     pub(super) relay_gap: Notify,
     pub(super) era: state::era_clock::EraClock,
     forming: atomic::AtomicBool,
+    beat_number: atomic::AtomicU64,
 }
 
 impl<P: links::FleetPlatform> EdgeState<P> {
@@ -79,7 +80,10 @@
             forwards: state::ForwardTable::default(),
             crashes: crashes::CrashLedger::default(),
             first_events: state::FirstEventDelays::default(),
-            peers: sync::Mutex::new(peers::PeerTable::new(node.clone())),
+            peers: sync::Mutex::new(peers::PeerTable::new(
+                node.clone(),
+                settings.cores,
+            )),
             settings,
             node,
             platform,
@@ -106,6 +110,7 @@
             relay_gap: Notify::new(),
             era: state::era_clock::EraClock::default(),
             forming: atomic::AtomicBool::new(false),
+            beat_number: atomic::AtomicU64::new(0),
         };
         Self {
             shared: sync::Arc::new(shared),
@@ -374,6 +379,17 @@
         self.shared.forming.load(atomic::Ordering::Relaxed)
     }
 
+    /// Returns the number of the last heartbeat sent.
+    pub(crate) fn beat_number(&self) -> u64 {
+        self.shared.beat_number.load(atomic::Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_beat_number(&self, number: u64) {
+        self.shared
+            .beat_number
+            .store(number, atomic::Ordering::Relaxed);
+    }
+
     pub(crate) fn set_forming(&self, is_forming: bool) {
         self.shared
             .forming
@@ -451,6 +467,11 @@
         self.shared.table.store(sync::Arc::new(table));
     }
 
+    /// Returns whether the nodes' records have been read, and so the record of crashes.
+    pub(crate) fn has_read_nodes(&self) -> bool {
+        self.shared.crashes_read.load(atomic::Ordering::Relaxed)
+    }
+
     /// Records that the list of registrations has been read.
     pub(crate) fn set_listed(&self) {
         self.shared.listed.store(true, atomic::Ordering::Relaxed);
--- a/crates/pier_edge/src/state/mod.rs
+++ b/crates/pier_edge/src/state/mod.rs
@@ -18,5 +18,6 @@
 pub(crate) use pause_table::PauseTable;
 pub(crate) use retry_budget::RetryBudget;
 pub(crate) use serving_table::{ServicePool, ServingTable};
+pub(crate) use store_view::SnapshotSource;
 pub(crate) use target_gauge::{GaugeGuard, TargetGauge};
 pub(crate) use target_slot::{SlotKey, TargetSlot, lock};
--- a/crates/pier_edge/src/state/store_view.rs
+++ b/crates/pier_edge/src/state/store_view.rs
@@ -2,13 +2,21 @@
 
 use std::{sync::atomic, time};
 
-use pier_types::times;
+use pier_types::{epochs, times};
 
 use crate::{links, peers, state};
 
 /// Age of the store's last answer below which the node counts as reaching the store.
 const STORE_REACHED_AGE: time::Duration = time::Duration::from_secs(1);
 
+/// A steward that serves what it has read of the store.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SnapshotSource {
+    pub client: peers::SnapshotClient,
+    /// Version of the document that the steward has in force.
+    pub document: epochs::ConfigVersion,
+}
+
 impl<P: links::FleetPlatform> state::EdgeState<P> {
     /// Records that the store has answered.
     pub(crate) fn record_store_answer(&self, now: times::BootTime) {
@@ -45,6 +53,11 @@
         value
     }
 
+    /// Wakes the steward's relay, after something has changed that it tells.
+    pub(crate) fn notify_relay_change(&self) {
+        self.shared.relay_changed.notify_waiters();
+    }
+
     pub(crate) async fn wait_for_relay_change(&self) {
         self.shared.relay_changed.notified().await;
     }
@@ -63,6 +76,25 @@
         self.with_follower(|follower| follower.is_following(steward.as_ref(), now))
     }
 
+    /// Returns the steward from which this node can read what it needs of the store, with the version
+    /// of the document there; `None` in fleets of a few nodes, of which each reads the store.
+    pub(crate) fn snapshot_source(&self, now: times::BootTime) -> Option<state::SnapshotSource> {
+        let data_centre = &self.settings().data_centre;
+        let (steward, address) = self.with_peers(|peers| {
+            let steward = peers.steward(data_centre).filter(|_holder| peers.is_large());
+            let steward = steward.cloned();
+            let address = steward
+                .as_ref()
+                .and_then(|steward| peers.snapshot_address(steward));
+            (steward, address)
+        });
+        let document = self.with_follower(|follower| follower.document(steward.as_ref(), now))?;
+        Some(state::SnapshotSource {
+            client: peers::SnapshotClient::new(address?, self.settings().peers.ip()),
+            document,
+        })
+    }
+
     pub(crate) fn notify_relay_gap(&self) {
         self.shared.relay_gap.notify_waiters();
     }
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -38,6 +38,12 @@
     orders: Family<Labels, Counter>,
     member_queries: Counter,
     bad_beats: Counter,
+    unknown_messages: Counter,
+    messages: Family<Labels, Counter>,
+    message_bytes: Family<Labels, Counter>,
+    message_failures: Family<Labels, Counter>,
+    snapshots: Family<Labels, Counter>,
+    snapshot_bytes: Family<Labels, Counter>,
     document_version: Gauge,
 }
 
@@ -71,6 +77,12 @@
             orders: Family::default(),
             member_queries: Counter::default(),
             bad_beats: Counter::default(),
+            unknown_messages: Counter::default(),
+            messages: Family::default(),
+            message_bytes: Family::default(),
+            message_failures: Family::default(),
+            snapshots: Family::default(),
+            snapshot_bytes: Family::default(),
             document_version: Gauge::default(),
         };
         let mut registry = state::lock(&metrics.registry);
@@ -136,6 +148,7 @@
             "Datagrams that were not understood",
             metrics.bad_beats.clone(),
         );
+        metrics.register_messages(&mut registry);
         registry.register(
             "document_version",
             "Version of the document in force",
@@ -160,6 +173,39 @@
         );
     }
 
+    fn register_messages(&self, registry: &mut Registry) {
+        registry.register(
+            "unknown_messages",
+            "Datagrams of kinds that only later builds know",
+            self.unknown_messages.clone(),
+        );
+        registry.register(
+            "messages_sent",
+            "Datagrams sent to other nodes, by kind",
+            self.messages.clone(),
+        );
+        registry.register(
+            "message_bytes_sent",
+            "Bytes of the datagrams sent to other nodes, by kind",
+            self.message_bytes.clone(),
+        );
+        registry.register(
+            "messages_not_sent",
+            "Datagrams that could not be sent, by kind",
+            self.message_failures.clone(),
+        );
+        registry.register(
+            "snapshots_served",
+            "Lists and documents served to other nodes",
+            self.snapshots.clone(),
+        );
+        registry.register(
+            "snapshot_bytes_served",
+            "Bytes of the lists and documents served to other nodes",
+            self.snapshot_bytes.clone(),
+        );
+    }
+
     fn register_targets(&self, registry: &mut Registry) {
         registry.register(
             "stuck_targets",
@@ -287,6 +333,32 @@
         self.bad_beats.inc();
     }
 
+    /// Counts a datagram of a kind that this build does not know.
+    pub(crate) fn count_unknown_message(&self) {
+        self.unknown_messages.inc();
+    }
+
+    /// Counts a datagram of this many bytes that was sent.
+    pub(crate) fn count_message(&self, kind: &str, bytes: usize) {
+        let labels = vec![("kind", kind.to_owned())];
+        self.messages.get_or_create(&labels).inc();
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.message_bytes.get_or_create(&labels).inc_by(bytes);
+    }
+
+    pub(crate) fn count_message_failure(&self, kind: &str) {
+        let labels = vec![("kind", kind.to_owned())];
+        self.message_failures.get_or_create(&labels).inc();
+    }
+
+    /// Counts a list or document of this many bytes that was served to another node.
+    pub(crate) fn count_snapshot(&self, content: &str, bytes: usize) {
+        let labels = vec![("content", content.to_owned())];
+        self.snapshots.get_or_create(&labels).inc();
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.snapshot_bytes.get_or_create(&labels).inc_by(bytes);
+    }
+
     pub(crate) fn set_document_version(&self, version: u64) {
         self.document_version
             .set(i64::try_from(version).unwrap_or(i64::MAX));
--- a/crates/pier_fleet/src/documents/caller_limits.rs
+++ b/crates/pier_fleet/src/documents/caller_limits.rs
@@ -3,9 +3,10 @@
 use std::time;
 
 use pier_types::sizes;
+use serde::{Deserialize, Serialize};
 
 /// Limits on the size and duration of what callers send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Largest request head, in bytes.
     pub head_size: sizes::ByteSize,
--- a/crates/pier_fleet/src/documents/customer_grant.rs
+++ b/crates/pier_fleet/src/documents/customer_grant.rs
@@ -1,9 +1,10 @@
 //! The holder of an API key.
 
 use pier_types::ids;
+use serde::{Deserialize, Serialize};
 
 /// The customer that an API key belongs to.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CustomerGrant {
     /// Customer name that is passed to targets.
     pub customer: ids::CustomerName,
--- a/crates/pier_fleet/src/documents/engine_spec.rs
+++ b/crates/pier_fleet/src/documents/engine_spec.rs
@@ -3,11 +3,12 @@
 use std::time;
 
 use pier_types::{ids, sizes};
+use serde::{Deserialize, Serialize};
 
 use crate::documents;
 
 /// Published pass times, memory and models of an engine, as its operators state them.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EngineSpec {
     /// Requests that a group runs in one batch.
     pub batch: sizes::RequestCount,
--- a/crates/pier_fleet/src/documents/fleet_document.rs
+++ b/crates/pier_fleet/src/documents/fleet_document.rs
@@ -3,11 +3,12 @@
 use std::{collections, sync};
 
 use pier_types::{epochs, ids};
+use serde::{Deserialize, Serialize};
 
 use crate::documents;
 
 /// Routes, services, keys and limits of one version; they take effect together.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct FleetDocument {
     version: epochs::ConfigVersion,
     routes: collections::BTreeMap<String, Vec<sync::Arc<documents::RouteRule>>>,
--- a/crates/pier_fleet/src/documents/model_spec.rs
+++ b/crates/pier_fleet/src/documents/model_spec.rs
@@ -3,9 +3,10 @@
 use std::time;
 
 use pier_types::{ids, sizes};
+use serde::{Deserialize, Serialize};
 
 /// Size of a model's replica groups and its timing.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ModelSpec {
     /// Name of the model.
     pub name: ids::ModelName,
--- a/crates/pier_fleet/src/documents/repeat_rule.rs
+++ b/crates/pier_fleet/src/documents/repeat_rule.rs
@@ -1,7 +1,9 @@
 //! Rules on repeating requests.
 
+use serde::{Deserialize, Serialize};
+
 /// Whether a route's requests may run more than once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RepeatRule {
     /// Any number of times.
     Idempotent,
--- a/crates/pier_fleet/src/documents/route_rule.rs
+++ b/crates/pier_fleet/src/documents/route_rule.rs
@@ -3,11 +3,12 @@
 use std::time;
 
 use pier_types::ids;
+use serde::{Deserialize, Serialize};
 
 use crate::documents;
 
 /// How requests under one path prefix of a host are handled.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RouteRule {
     /// Name of the route in the document.
     pub name: String,
--- a/crates/pier_fleet/src/documents/service_spec.rs
+++ b/crates/pier_fleet/src/documents/service_spec.rs
@@ -3,11 +3,12 @@
 use std::{sync, time};
 
 use pier_types::{ids, sizes};
+use serde::{Deserialize, Serialize};
 
 use crate::documents;
 
 /// What is published about one service's targets.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServiceSpec {
     /// Name of the service.
     pub name: ids::ServiceName,
--- a/crates/pier_fleet/src/stewards/steward_election.rs
+++ b/crates/pier_fleet/src/stewards/steward_election.rs
@@ -84,7 +84,8 @@
             || (view.local.is_empty() && view.remote.contains(&recorded.holder))
     }
 
-    /// Returns whether this node is the first by name among the live nodes that may take over.
+    /// Returns whether this node is the first by name among the live nodes that may take over, or
+    /// among those of them that are preferred.
     fn is_next(&self, view: &stewards::StewardView) -> bool {
         let nodes = if self.is_local {
             &view.local
@@ -93,6 +94,8 @@
         } else {
             return false;
         };
-        nodes.iter().all(|node| *node >= self.node)
+        let mut preferred = nodes.intersection(&view.preferred);
+        let first = preferred.next().or_else(|| nodes.first());
+        first == Some(&self.node)
     }
 }
--- a/crates/pier_fleet/src/stewards/steward_view.rs
+++ b/crates/pier_fleet/src/stewards/steward_view.rs
@@ -24,6 +24,8 @@
     pub local: collections::BTreeSet<ids::NodeName>,
     /// Nodes of other data centres that send heartbeats and are not leaving.
     pub remote: collections::BTreeSet<ids::NodeName>,
+    /// Local nodes with more means than the others, which go first.
+    pub preferred: collections::BTreeSet<ids::NodeName>,
 }
 
 impl StewardView {
--- a/crates/pier_fleet/tests/stalls_limits_and_elections.rs
+++ b/crates/pier_fleet/tests/stalls_limits_and_elections.rs
@@ -125,6 +125,7 @@
         }),
         local: names(local),
         remote: names(remote),
+        ..stewards::StewardView::default()
     }
 }
 
--- a/crates/pier_types/src/sizes/mod.rs
+++ b/crates/pier_types/src/sizes/mod.rs
@@ -22,6 +22,11 @@
     VmCount,
     u32
 );
+macros::number_newtype!(
+    /// A processor share, in thousandths of a core.
+    CoreShare,
+    u32
+);
 macros::number_newtype!(
     /// A customer's weight when capacity is shared out under overload.
     CustomerWeight,
