--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -19,6 +19,9 @@
 /// How long a node that has started waits for a steward, before it reads the store itself.
 const STEWARD_WAIT: time::Duration = time::Duration::from_millis(1_500);
 
+/// How long a node waits at the first start of the fleet, in which all nodes write their records.
+const FIRST_START_WAIT: time::Duration = time::Duration::from_millis(600);
+
 /// Interval between two looks for a steward.
 const STEWARD_POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
@@ -142,12 +145,16 @@
     /// Returns whether this node, which has just started, waits for a steward to read from. The
     /// nodes' records are read at once, as they tell how large the fleet is.
     fn waits_for_steward(&self, now: times::BootTime) -> bool {
+        let waited = now.since(self.started_at);
         if self.kind == links::RecordKind::Nodes
-            || now.since(self.started_at) >= STEWARD_WAIT
+            || waited >= STEWARD_WAIT
             || self.is_own_steward()
         {
             return false;
         }
+        if self.state.settings().is_first_start && waited < FIRST_START_WAIT {
+            return true;
+        }
         !self.state.has_read_nodes() || self.state.with_peers(|peers| peers.is_large())
     }
 
--- a/crates/pier_edge/src/settings/edge_settings.rs
+++ b/crates/pier_edge/src/settings/edge_settings.rs
@@ -30,6 +30,9 @@
     pub store: net::SocketAddr,
     /// Memory that the process may use.
     pub memory: sizes::ByteSize,
+    /// Whether the whole fleet starts for the first time, so that the nodes' records are yet to
+    /// come.
+    pub is_first_start: bool,
     /// Processor share of the VM; 0 if the settings do not state it.
     pub cores: sizes::CoreShare,
     /// Lowest severity that is logged.
@@ -78,6 +81,7 @@
             metrics: reader.value("listen", "metrics")?,
             store: reader.value("platform", "store")?,
             memory: sizes::ByteSize::new(mebibytes << 20),
+            is_first_start: reader.flag("node", "first_start")?,
             cores: core_share(reader.optional("limits", "cores")?),
             log_level: reader.value("log", "level")?,
             bounds: settings::EdgeBounds {
@@ -106,6 +110,19 @@
 }
 
 impl SectionReader<'_> {
+    /// Returns false if the key is missing or empty.
+    fn flag(
+        &self,
+        section: &'static str,
+        key: &'static str,
+    ) -> Result<bool, settings::SettingsError> {
+        let text = self.ini.get_from(Some(section), key).unwrap_or_default();
+        if text.trim().is_empty() {
+            return Ok(false);
+        }
+        self.value(section, key)
+    }
+
     /// Returns 0 if the key is missing or empty.
     fn optional(
         &self,
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -358,6 +358,7 @@
     /// Updates which nodes are alive for the requests that were passed on to them.
     pub(crate) fn update_forwards(&self, now: times::BootTime) {
         let (live, known) = self.with_peers(|peers| (peers.live_names(now), peers.names()));
+        self.metrics().set_live_nodes(live.len());
         self.forwards().update(&live, &known);
     }
 
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -39,6 +39,7 @@
     member_queries: Counter,
     bad_beats: Counter,
     unknown_messages: Counter,
+    live_nodes: Gauge,
     messages: Family<Labels, Counter>,
     message_bytes: Family<Labels, Counter>,
     message_failures: Family<Labels, Counter>,
@@ -78,6 +79,7 @@
             member_queries: Counter::default(),
             bad_beats: Counter::default(),
             unknown_messages: Counter::default(),
+            live_nodes: Gauge::default(),
             messages: Family::default(),
             message_bytes: Family::default(),
             message_failures: Family::default(),
@@ -143,17 +145,7 @@
             "Questions to members of groups",
             metrics.member_queries.clone(),
         );
-        registry.register(
-            "bad_beats",
-            "Datagrams that were not understood",
-            metrics.bad_beats.clone(),
-        );
         metrics.register_messages(&mut registry);
-        registry.register(
-            "document_version",
-            "Version of the document in force",
-            metrics.document_version.clone(),
-        );
         drop(registry);
         metrics
     }
@@ -174,6 +166,21 @@
     }
 
     fn register_messages(&self, registry: &mut Registry) {
+        registry.register(
+            "document_version",
+            "Version of the document in force",
+            self.document_version.clone(),
+        );
+        registry.register(
+            "live_nodes",
+            "Other nodes that are alive",
+            self.live_nodes.clone(),
+        );
+        registry.register(
+            "bad_beats",
+            "Datagrams that were not understood",
+            self.bad_beats.clone(),
+        );
         registry.register(
             "unknown_messages",
             "Datagrams of kinds that only later builds know",
@@ -333,6 +340,12 @@
         self.bad_beats.inc();
     }
 
+    /// Sets how many other nodes are alive.
+    pub(crate) fn set_live_nodes(&self, count: usize) {
+        self.live_nodes
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Counts a datagram of a kind that this build does not know.
     pub(crate) fn count_unknown_message(&self) {
         self.unknown_messages.inc();
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -39,6 +39,7 @@
     refuses_nodes: bool,
     silent_until: collections::BTreeMap<String, time::Instant>,
     orders: Vec<formation::GroupOrder>,
+    calls: collections::BTreeMap<(links::RecordKind, &'static str), usize>,
 }
 
 /// The content of a store at some moment.
@@ -79,6 +80,26 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Returns how many calls of this name there were for records of a kind.
+    pub fn calls(&self, kind: links::RecordKind, call: &'static str) -> usize {
+        let state = self.shared.state.lock().unwrap();
+        state.calls.get(&(kind, call)).copied().unwrap_or_default()
+    }
+
+    fn count_call(&self, kind: links::RecordKind, call: &'static str) {
+        let mut state = self.shared.state.lock().unwrap();
+        *state.calls.entry((kind, call)).or_default() += 1;
+    }
+
+    /// Writes a record of the nodes.
+    pub fn put_node(&self, name: &str, text: &str) {
+        self.change(|state, version| {
+            state
+                .nodes
+                .insert(name.to_owned(), (version, text.to_owned()));
+        });
+    }
+
     /// Returns the text of a record of the nodes.
     pub fn node_record(&self, name: &str) -> Option<String> {
         let state = self.shared.state.lock().unwrap();
@@ -250,6 +271,7 @@
 
 impl links::RecordStore for FakePlatform {
     async fn list(&self, kind: links::RecordKind) -> Result<links::RecordList, links::StoreError> {
+        self.count_call(kind, "list");
         self.records(kind)
     }
 
@@ -259,6 +281,7 @@
         after: epochs::ObjectVersion,
         wait: time::Duration,
     ) -> Result<links::RecordChanges, links::StoreError> {
+        self.count_call(kind, "watch");
         let end = tokio::time::Instant::now() + wait;
         loop {
             let notice = self.shared.changed.notified();
--- a/crates/pier_edge/tests/support/test_node.rs
+++ b/crates/pier_edge/tests/support/test_node.rs
@@ -10,7 +10,7 @@
 use pier_fleet::{documents, targets};
 use pier_types::{epochs, ids, sizes};
 
-use super::{FakePlatform, Script, ScriptedTarget};
+use super::{FakePlatform, RawCaller, Script, ScriptedTarget};
 
 /// A key that the document knows.
 pub const KEY: &str = "key-1";
@@ -49,24 +49,36 @@
 
     /// Starts a node of this name on a platform that other nodes may share.
     pub async fn start_on(platform: FakePlatform, name: &str) -> Self {
-        Self::start_with(platform, name, "dc-a", 100).await
+        Self::start_with(platform, name, "dc-a", 100, false).await
     }
 
     /// Starts a node of this name in a data centre.
     pub async fn start_in(platform: FakePlatform, name: &str, data_centre: &str) -> Self {
-        Self::start_with(platform, name, data_centre, 100).await
+        Self::start_with(platform, name, data_centre, 100, false).await
+    }
+
+    /// Starts a node of a fleet that starts for the first time.
+    pub async fn start_first(platform: FakePlatform, name: &str, data_centre: &str) -> Self {
+        Self::start_with(platform, name, data_centre, 100, true).await
     }
 
     /// Starts a node whose retry budget has this burst.
     pub async fn start_with_burst(platform: FakePlatform, name: &str, burst: u32) -> Self {
-        Self::start_with(platform, name, "dc-a", burst).await
+        Self::start_with(platform, name, "dc-a", burst, false).await
     }
 
-    async fn start_with(platform: FakePlatform, name: &str, data_centre: &str, burst: u32) -> Self {
+    async fn start_with(
+        platform: FakePlatform,
+        name: &str,
+        data_centre: &str,
+        burst: u32,
+        is_first: bool,
+    ) -> Self {
         let (callers, readiness) = (free_address(), free_address());
         let (forwards, peers, metrics) = (free_address(), free_address(), free_address());
         let text = format!(
             "[node]\nname = {name}\ndata_centre = {data_centre}\ndata_centres = dc-a,dc-b\n\
+             first_start = {is_first}\n\
              [listen]\ncallers = {callers}\nreadiness = {readiness}\npeers = {peers}\n\
              forwards = {forwards}\nmetrics = {metrics}\n\
              [platform]\nstore = 127.0.0.1:9\n[limits]\nmemory_mib = 200\n\
@@ -120,6 +132,20 @@
         node
     }
 
+    /// Returns the sum of a metric over its labels, of which the first may be given.
+    pub async fn metric(&self, name: &str) -> u64 {
+        let mut caller = RawCaller::connect(self.metrics).await;
+        caller.send("GET /metrics HTTP/1.1\r\nhost: m\r\n\r\n").await;
+        let answer = caller.answer().await;
+        let name = format!("buckthornpier_{name}");
+        let lines = answer.body.lines().filter(|line| {
+            let rest = line.strip_prefix(&name);
+            rest.is_some_and(|rest| rest.starts_with([' ', '{', ',', '}']))
+        });
+        let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+        values.sum()
+    }
+
     /// Waits long enough for the node to apply changes of records.
     pub async fn settle(&self) {
         tokio::time::sleep(time::Duration::from_millis(500)).await;
@@ -199,6 +225,11 @@
 }
 
 pub fn document() -> documents::FleetDocument {
+    document_at(3)
+}
+
+/// Returns the document in this version.
+pub fn document_at(version: u64) -> documents::FleetDocument {
     let engine = documents::EngineSpec {
         batch: sizes::RequestCount::new(8),
         kv_cache_size: sizes::TokenCount::new(1_000_000),
@@ -235,7 +266,7 @@
         rank: Some(0),
     };
     let keys = collections::BTreeMap::from([(KEY.to_owned(), grant)]);
-    documents::FleetDocument::new(epochs::ConfigVersion::new(3))
+    documents::FleetDocument::new(epochs::ConfigVersion::new(version))
         .with_service(service("plain", None))
         .with_service(service("engines", Some(engine)))
         .with_route(
