Keep a new steward until its heartbeats come, and let two nodes look for its successor

Cause: nodes of the own data centre that had not been heard of got a heartbeat each 1.7 s only, so that a steward just elected was silent to the others for longer than the 300 ms after which it is replaced. When a steward ended, all nodes of its data centre read the store 0.6 s later, before the next one could be elected. Change: all known nodes of the own data centre get heartbeats at its rate; a record that has just been written counts as a sign of life for 1 s; only the first two in line read the store at once when the steward fails, the others rely on it for as long as the time for leaving targets (setting leaving_ms) allows. A steward whose store answers again says so to its followers, as missing registrations may come back then. A steward that was paused serves no list.

--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -127,8 +127,8 @@
             peers.expire(now);
             (
                 peers.count(),
-                peers.local_addresses(data_centre, now),
-                peers.distant_addresses(data_centre, now),
+                peers.centre_addresses(data_centre),
+                peers.distant_addresses(data_centre),
             )
         });
         state.update_forwards(now);
--- a/crates/pier_edge/src/peers/formats/peer_format.rs
+++ b/crates/pier_edge/src/peers/formats/peer_format.rs
@@ -6,9 +6,7 @@
 
 /// Which fields and kinds of messages a node understands. Each format has those of the earlier
 /// ones.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
-)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) struct PeerFormat(u8);
 
 impl PeerFormat {
--- a/crates/pier_edge/src/peers/mod.rs
+++ b/crates/pier_edge/src/peers/mod.rs
@@ -3,6 +3,7 @@
 mod beat_loop;
 mod centre_summary;
 mod crash_loop;
+mod follow_limits;
 mod formats;
 mod forwarder;
 mod heard_beat;
@@ -21,6 +22,7 @@
 
 pub(crate) use beat_loop::spawn;
 pub(crate) use centre_summary::CentreSummary;
+pub(crate) use follow_limits::{FollowLimits, MAX_STORE_AGE};
 pub(crate) use formats::{MessageExtension, MessageFault, PeerEnvelope, PeerFormat};
 pub(crate) use forwarder::Forwarder;
 pub(crate) use heard_beat::HeardBeat;
--- a/crates/pier_edge/src/peers/notice_outbox.rs
+++ b/crates/pier_edge/src/peers/notice_outbox.rs
@@ -57,7 +57,13 @@
             continue;
         }
         let receivers = state.with_peers(|peers| peers.addresses());
-        beat_loop::send_all(&state, &socket, peers::PeerMessage::Leaving(batch), &receivers).await;
+        beat_loop::send_all(
+            &state,
+            &socket,
+            peers::PeerMessage::Leaving(batch),
+            &receivers,
+        )
+        .await;
         tokio::time::sleep(NOTICE_INTERVAL).await;
     }
 }
--- a/crates/pier_edge/src/peers/peer_table.rs
+++ b/crates/pier_edge/src/peers/peer_table.rs
@@ -22,6 +22,14 @@
 /// intervals of them.
 const SUMMARY_SLACK: time::Duration = time::Duration::from_millis(2_500);
 
+/// How long a newly written record of a steward counts as a sign of life, until the steward's
+/// heartbeats come.
+const CLAIM_LIFETIME: time::Duration = time::Duration::from_secs(1);
+
+/// Nodes of a data centre that read the store as soon as its steward fails, so that one of them can
+/// replace it. The others leave them the time to do so.
+const SUCCESSORS: usize = 2;
+
 /// Silence after which another node's load is no longer counted.
 const LOAD_LIFETIME: time::Duration = time::Duration::from_millis(1_500);
 
@@ -33,6 +41,8 @@
     /// Keyed by address, which a node keeps when it restarts.
     peers: collections::BTreeMap<net::SocketAddr, KnownPeer>,
     stewards: collections::BTreeMap<ids::DataCentreName, stewards::RecordedSteward>,
+    /// When news of a newly written record of a steward came.
+    claimed_at: collections::BTreeMap<ids::DataCentreName, times::BootTime>,
 }
 
 #[derive(Debug)]
@@ -66,6 +76,7 @@
             local_cores,
             peers: collections::BTreeMap::new(),
             stewards: collections::BTreeMap::new(),
+            claimed_at: collections::BTreeMap::new(),
         }
     }
 
@@ -172,20 +183,26 @@
         local.map(|(address, _peer)| *address).collect()
     }
 
-    /// Returns the addresses to which heartbeats are sent less often: those of unheard nodes of this
-    /// data centre, and those in other data centres that get no summaries.
+    /// Returns the addresses of all known nodes of a data centre.
+    pub(crate) fn centre_addresses(
+        &self,
+        data_centre: &ids::DataCentreName,
+    ) -> Vec<net::SocketAddr> {
+        let local = self
+            .peers
+            .iter()
+            .filter(|(_address, peer)| peer.data_centre == *data_centre);
+        local.map(|(address, _peer)| *address).collect()
+    }
+
+    /// Returns the addresses in other data centres that get heartbeats instead of summaries.
     pub(crate) fn distant_addresses(
         &self,
         data_centre: &ids::DataCentreName,
-        now: times::BootTime,
     ) -> Vec<net::SocketAddr> {
         let is_large = self.is_large();
         let distant = self.peers.iter().filter(|(_address, peer)| {
-            if peer.data_centre == *data_centre {
-                !peer.is_heard(SHARE_LIFETIME, now)
-            } else {
-                !is_large || !peer.format.has_summaries()
-            }
+            peer.data_centre != *data_centre && !(is_large && peer.format.has_summaries())
         });
         distant.map(|(address, _peer)| *address).collect()
     }
@@ -249,6 +266,27 @@
         steward.or_else(|| able.first().copied()) == Some(&self.local_node)
     }
 
+    /// Returns whether this node is among the first [`SUCCESSORS`] that may replace the steward of
+    /// its data centre.
+    pub(crate) fn is_successor(
+        &self,
+        data_centre: &ids::DataCentreName,
+        now: times::BootTime,
+    ) -> bool {
+        let view = self.steward_view(data_centre, data_centre, now);
+        let holder = view.recorded.as_ref().map(|recorded| &recorded.holder);
+        let (first, rest): (Vec<_>, Vec<_>) = view
+            .local
+            .iter()
+            .filter(|node| Some(*node) != holder)
+            .partition(|node| view.preferred.contains(*node));
+        let mut order = first.into_iter().chain(rest);
+        order
+            .by_ref()
+            .take(SUCCESSORS)
+            .any(|node| *node == self.local_node)
+    }
+
     /// Returns the heartbeats of a data centre's nodes that came from them within
     /// [`SHARE_LIFETIME`].
     pub(crate) fn heard_beats(
@@ -429,6 +467,11 @@
         self.beats(now, SHARE_LIFETIME).any(|beat| beat.has_served)
     }
 
+    /// Records that the known record of a steward has just been written.
+    pub(crate) fn note_claim(&mut self, data_centre: ids::DataCentreName, now: times::BootTime) {
+        self.claimed_at.insert(data_centre, now);
+    }
+
     /// Applies a steward's record; returns whether it is newer than the known one.
     pub(crate) fn set_steward(
         &mut self,
@@ -484,6 +527,8 @@
                 view.remote.insert(node);
             }
         }
+        let claimed_at = self.claimed_at.get(data_centre);
+        view.is_claimed = claimed_at.is_some_and(|at| now.since(*at) < CLAIM_LIFETIME);
         view
     }
 
@@ -498,10 +543,14 @@
         let local = peers
             .filter(|peer| peer.data_centre == *data_centre && peer.is_heard(PEER_LIFETIME, now))
             .map(|peer| (peer.cores, &peer.node));
-        let nodes: Vec<_> = local.chain([(self.local_cores, &self.local_node)]).collect();
+        let nodes: Vec<_> = local
+            .chain([(self.local_cores, &self.local_node)])
+            .collect();
         let greatest = nodes.iter().map(|(cores, _node)| *cores).max();
         let greatest = greatest.filter(|cores| *cores > sizes::CoreShare::default());
-        let ablest = nodes.into_iter().filter(|(cores, _node)| Some(*cores) == greatest);
+        let ablest = nodes
+            .into_iter()
+            .filter(|(cores, _node)| Some(*cores) == greatest);
         ablest.map(|(_cores, node)| node.clone()).collect()
     }
 
--- a/crates/pier_edge/src/peers/relay_follower.rs
+++ b/crates/pier_edge/src/peers/relay_follower.rs
@@ -6,14 +6,9 @@
 
 use crate::peers;
 
-/// Time without a relay message after which a node reads the store itself.
+/// Time without a relay message after which it is unknown whether a steward still reaches the store.
 const RELAY_LIFETIME: time::Duration = time::Duration::from_millis(600);
 
-/// Age of the store's last answer to the steward after which a node reads the store itself. It is
-/// more than a watch of a steward takes, and well under the two seconds within which all nodes
-/// have to know that a target is leaving.
-const MAX_STORE_AGE: time::Duration = time::Duration::from_millis(1_300);
-
 /// Follows the steward's view of the store.
 #[derive(Debug, Default)]
 pub(crate) struct RelayFollower {
@@ -74,18 +69,20 @@
     pub(crate) fn document(
         &self,
         steward: Option<&ids::NodeName>,
+        limits: peers::FollowLimits,
         now: times::BootTime,
     ) -> Option<epochs::ConfigVersion> {
         let last_relay = self.last_relay.as_ref()?;
         last_relay
             .document
-            .filter(|_version| self.is_following(steward, now))
+            .filter(|_version| self.is_following(steward, limits, now))
     }
 
     /// Returns whether the relay messages of this steward are recent enough to rely on.
     pub(crate) fn is_following(
         &self,
         steward: Option<&ids::NodeName>,
+        limits: peers::FollowLimits,
         now: times::BootTime,
     ) -> bool {
         let Some(last_relay) = &self.last_relay else {
@@ -93,11 +90,11 @@
         };
         let silence = now.since(last_relay.received_at);
         steward == Some(&last_relay.node)
-            && silence < RELAY_LIFETIME
-            && last_relay.store_age + silence < MAX_STORE_AGE
+            && silence < limits.silence
+            && last_relay.store_age + silence < limits.store_age
     }
 
-    /// Returns whether the steward is alive but has not reached the store for [`MAX_STORE_AGE`].
+    /// Returns whether the steward is alive but has not reached the store for [`peers::MAX_STORE_AGE`].
     pub(crate) fn is_cut_off(&self, steward: Option<&ids::NodeName>, now: times::BootTime) -> bool {
         let Some(last_relay) = &self.last_relay else {
             return false;
@@ -105,7 +102,17 @@
         let silence = now.since(last_relay.received_at);
         steward == Some(&last_relay.node)
             && silence < RELAY_LIFETIME
-            && last_relay.store_age + silence >= MAX_STORE_AGE
+            && last_relay.store_age + silence >= peers::MAX_STORE_AGE
+    }
+
+    /// Returns whether a relay message tells that the store answers its steward again after an
+    /// outage.
+    pub(crate) fn shows_return(&self, beat: &peers::RelayBeat) -> bool {
+        let age = time::Duration::from_millis(u64::from(beat.store_age_ms));
+        let last_relay = self.last_relay.as_ref();
+        let last_relay = last_relay.filter(|last_relay| last_relay.node == beat.node);
+        age < peers::MAX_STORE_AGE
+            && last_relay.is_some_and(|last_relay| last_relay.store_age >= peers::MAX_STORE_AGE)
     }
 
     /// Returns whether changes were missed, so that the whole list has to be read.
--- a/crates/pier_edge/src/peers/snapshots/snapshot_client.rs
+++ b/crates/pier_edge/src/peers/snapshots/snapshot_client.rs
@@ -67,7 +67,10 @@
                 .body(Empty::<bytes::Bytes>::new())?;
             let response = sender.send_request(request).await?;
             let status = response.status();
-            anyhow::ensure!(status == http::StatusCode::OK, "the answer's status is {status}");
+            anyhow::ensure!(
+                status == http::StatusCode::OK,
+                "the answer's status is {status}"
+            );
             let limit = usize::try_from(MAX_SNAPSHOT_SIZE.get()).unwrap_or(usize::MAX);
             let body = Limited::new(response.into_body(), limit).collect().await;
             let body = body.map_err(|error| anyhow::anyhow!("reading the answer: {error}"))?;
--- a/crates/pier_edge/src/peers/snapshots/snapshot_server.rs
+++ b/crates/pier_edge/src/peers/snapshots/snapshot_server.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{DOCUMENT_PATH, StoreSnapshot, TARGETS_PATH, encode};
-use crate::{links, serving, state};
+use crate::{links, peers, serving, state};
 
 /// Delay before accepting again after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
@@ -73,7 +73,9 @@
 ) -> http::Response<Full<bytes::Bytes>> {
     let now = times::clocks::boot_now();
     let own = &state.settings().data_centre;
-    let is_steward = state.with_peers(|peers| peers.steward(own) == Some(state.node()));
+    // A node that was paused may have been replaced, or know less than the store.
+    let is_steward = state.with_peers(|peers| peers.steward(own) == Some(state.node()))
+        && state.store_age(now) < peers::MAX_STORE_AGE;
     let encoded = match path {
         _ if !is_steward => None,
         TARGETS_PATH => StoreSnapshot::take(state, now).map(|snapshot| encode(&snapshot)),
--- a/crates/pier_edge/src/records/record_applier.rs
+++ b/crates/pier_edge/src/records/record_applier.rs
@@ -118,7 +118,7 @@
     ) {
         let local_data_centre = &self.state.settings().data_centre;
         for (data_centre, record, version) in &beat.stewards {
-            self.set_steward(data_centre.clone(), record.clone(), *version);
+            self.set_steward(data_centre.clone(), record.clone(), *version, now);
         }
         let steward = self
             .state
@@ -128,6 +128,12 @@
         }
         let out_of_service = beat.out_of_service.iter().cloned().collect();
         let was_following = self.state.is_following(now);
+        if self
+            .state
+            .with_follower(|follower| follower.shows_return(&beat))
+        {
+            self.record_store_return(links::RecordKind::Targets, now);
+        }
         let changes = self
             .state
             .with_follower(|follower| follower.apply_beat(beat, document, now));
@@ -260,7 +266,7 @@
             ledger.apply_record(version, record, now, wall_now);
             None
         } else if let Some(centre) = name.strip_prefix(records::STEWARD_PREFIX) {
-            self.apply_steward(centre, version, text).err()
+            self.apply_steward(centre, version, text, now).err()
         } else {
             let record = serde_json::from_str::<peers::NodeRecord>(text);
             let applied = record.map(|record| {
@@ -279,10 +285,11 @@
         centre: &str,
         version: epochs::ObjectVersion,
         text: &str,
+        now: times::BootTime,
     ) -> anyhow::Result<()> {
         let data_centre: ids::DataCentreName = centre.parse()?;
         let record: peers::StewardRecord = serde_json::from_str(text)?;
-        self.set_steward(data_centre, record, version);
+        self.set_steward(data_centre, record, version, now);
         Ok(())
     }
 
@@ -291,12 +298,18 @@
         data_centre: ids::DataCentreName,
         record: peers::StewardRecord,
         version: epochs::ObjectVersion,
+        now: times::BootTime,
     ) {
         let (centre, holder, term) = (data_centre.clone(), record.holder.clone(), record.term);
         let is_newer = self
             .state
-            .with_peers(|peers| peers.set_steward(data_centre, record, version));
+            .with_peers(|peers| peers.set_steward(data_centre.clone(), record, version));
         if is_newer {
+            // The first list may hold the record of a steward that has ended since.
+            if self.state.has_read_nodes() {
+                self.state
+                    .with_peers(|peers| peers.note_claim(data_centre, now));
+            }
             log::info!(
                 event = "steward-known",
                 data_centre:% = centre,
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -40,6 +40,10 @@
 /// Smallest interval between two watches, so that changes in quick succession cost few calls.
 const WATCH_INTERVAL: time::Duration = time::Duration::from_millis(150);
 
+/// Smallest interval between two watches of the nodes' records. Heartbeats and relay messages bring
+/// what they tell, so that they matter only to nodes that hear nothing.
+const NODES_WATCH_INTERVAL: time::Duration = time::Duration::from_millis(500);
+
 /// Smallest interval between two watches of the document, which has to be in force within two
 /// seconds. A third of that time is left for the call and the pages of a long document.
 const DOCUMENT_WATCH_INTERVAL: time::Duration = time::Duration::from_millis(600);
@@ -146,9 +150,7 @@
     /// nodes' records are read at once, as they tell how large the fleet is.
     fn waits_for_steward(&self, now: times::BootTime) -> bool {
         let waited = now.since(self.started_at);
-        if self.kind == links::RecordKind::Nodes
-            || waited >= STEWARD_WAIT
-            || self.is_own_steward()
+        if self.kind == links::RecordKind::Nodes || waited >= STEWARD_WAIT || self.is_own_steward()
         {
             return false;
         }
@@ -366,6 +368,8 @@
             RELAYED_DOCUMENT_INTERVAL
         } else if self.kind == links::RecordKind::Document {
             DOCUMENT_WATCH_INTERVAL
+        } else if self.kind == links::RecordKind::Nodes {
+            NODES_WATCH_INTERVAL
         } else {
             WATCH_INTERVAL
         }
@@ -425,8 +429,15 @@
         }
         let is_steward = self.state.with_peers(|peers| peers.is_steward());
         let backoff = self.backoff.next_delay(is_steward, rand::random());
+        let is_first_reader = self.state.is_first_reader(now);
         let probes_store = self.kind == links::RecordKind::Document;
-        if probes_store || self.backoff.failures() <= MAX_OWN_RETRIES {
+        let may_retry = is_first_reader && self.backoff.failures() <= MAX_OWN_RETRIES;
+        if probes_store || may_retry {
+            let backoff = if is_first_reader {
+                backoff
+            } else {
+                backoff * 2
+            };
             tokio::time::sleep(backoff).await;
             return;
         }
--- a/crates/pier_edge/src/serving/connection_pool.rs
+++ b/crates/pier_edge/src/serving/connection_pool.rs
@@ -173,7 +173,8 @@
     ///
     /// Fails when the target refuses it or does not answer in time.
     pub(crate) async fn connect(&self) -> Result<PooledConnection, ConnectFault> {
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, open_stream(self.address, self.source));
+        let connecting =
+            tokio::time::timeout(CONNECT_TIMEOUT, open_stream(self.address, self.source));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
--- a/crates/pier_edge/src/settings/edge_bounds.rs
+++ b/crates/pier_edge/src/settings/edge_bounds.rs
@@ -7,6 +7,8 @@
 pub struct EdgeBounds {
     /// Time from SIGTERM until the process is killed.
     pub grace: time::Duration,
+    /// Time within which no request may reach a target any more that has registered as leaving.
+    pub leaving: time::Duration,
     /// Retries allowed per fresh request of a service.
     pub retry_ratio: f64,
     /// Additional retries allowed in one window, over all nodes.
--- a/crates/pier_edge/src/settings/edge_settings.rs
+++ b/crates/pier_edge/src/settings/edge_settings.rs
@@ -7,6 +7,9 @@
 
 use crate::settings;
 
+/// Time for [`settings::EdgeBounds::leaving`] if the settings state none.
+const DEFAULT_LEAVING_TIME: time::Duration = time::Duration::from_secs(2);
+
 /// Addresses, data centre and limits of a node.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EdgeSettings {
@@ -86,6 +89,10 @@
             log_level: reader.value("log", "level")?,
             bounds: settings::EdgeBounds {
                 grace: seconds(reader.value("bounds", "grace_seconds")?),
+                leaving: match reader.optional("bounds", "leaving_ms")? {
+                    0.0 => DEFAULT_LEAVING_TIME,
+                    millis => seconds(millis / 1_000.0),
+                },
                 retry_ratio: reader.value("bounds", "retry_ratio")?,
                 retry_burst: reader.value("bounds", "retry_burst")?,
                 retry_window: seconds(reader.value("bounds", "retry_window_seconds")?),
@@ -99,7 +106,11 @@
 }
 
 /// Returns the share that a number of cores is.
-#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss, reason = "clamped before")]
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "clamped before"
+)]
 fn core_share(cores: f64) -> sizes::CoreShare {
     let millicores = (cores * 1_000.0).round().clamp(0.0, f64::from(u32::MAX));
     sizes::CoreShare::new(millicores as u32)
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -80,10 +80,7 @@
             forwards: state::ForwardTable::default(),
             crashes: crashes::CrashLedger::default(),
             first_events: state::FirstEventDelays::default(),
-            peers: sync::Mutex::new(peers::PeerTable::new(
-                node.clone(),
-                settings.cores,
-            )),
+            peers: sync::Mutex::new(peers::PeerTable::new(node.clone(), settings.cores)),
             settings,
             node,
             platform,
--- a/crates/pier_edge/src/state/store_view.rs
+++ b/crates/pier_edge/src/state/store_view.rs
@@ -73,7 +73,24 @@
     pub(crate) fn is_following(&self, now: times::BootTime) -> bool {
         let data_centre = &self.settings().data_centre;
         let steward = self.with_peers(|peers| peers.steward(data_centre).cloned());
-        self.with_follower(|follower| follower.is_following(steward.as_ref(), now))
+        let limits = self.follow_limits(now);
+        self.with_follower(|follower| follower.is_following(steward.as_ref(), limits, now))
+    }
+
+    /// Returns how long this node relies on its steward now.
+    fn follow_limits(&self, now: times::BootTime) -> peers::FollowLimits {
+        if self.is_first_reader(now) {
+            return peers::FollowLimits::SHORT;
+        }
+        let draw = f64::from(self.load_tag()) / f64::from(u32::MAX);
+        peers::FollowLimits::patient(self.settings().bounds.leaving, draw)
+    }
+
+    /// Returns whether this node is among the first to read the store when its steward fails, as all
+    /// nodes of small fleets are.
+    pub(crate) fn is_first_reader(&self, now: times::BootTime) -> bool {
+        let own = &self.settings().data_centre;
+        self.with_peers(|peers| !peers.is_large() || peers.is_successor(own, now))
     }
 
     /// Returns the steward from which this node can read what it needs of the store, with the version
@@ -81,14 +98,18 @@
     pub(crate) fn snapshot_source(&self, now: times::BootTime) -> Option<state::SnapshotSource> {
         let data_centre = &self.settings().data_centre;
         let (steward, address) = self.with_peers(|peers| {
-            let steward = peers.steward(data_centre).filter(|_holder| peers.is_large());
+            let steward = peers
+                .steward(data_centre)
+                .filter(|_holder| peers.is_large());
             let steward = steward.cloned();
             let address = steward
                 .as_ref()
                 .and_then(|steward| peers.snapshot_address(steward));
             (steward, address)
         });
-        let document = self.with_follower(|follower| follower.document(steward.as_ref(), now))?;
+        let limits = self.follow_limits(now);
+        let document =
+            self.with_follower(|follower| follower.document(steward.as_ref(), limits, now))?;
         Some(state::SnapshotSource {
             client: peers::SnapshotClient::new(address?, self.settings().peers.ip()),
             document,
--- a/crates/pier_edge/tests/large_fleets.rs
+++ b/crates/pier_edge/tests/large_fleets.rs
@@ -39,7 +39,11 @@
         platform.put_document(document());
         let mut starting = Vec::new();
         for number in 0..2 * NODES_PER_CENTRE {
-            let centre = if number < NODES_PER_CENTRE { "dc-a" } else { "dc-b" };
+            let centre = if number < NODES_PER_CENTRE {
+                "dc-a"
+            } else {
+                "dc-b"
+            };
             let (platform, name) = (platform.clone(), format!("n{number:02}"));
             starting.push(tokio::spawn(async move {
                 TestNode::start_first(platform, &name, centre).await
@@ -90,7 +94,12 @@
         links::RecordKind::Document,
     ] {
         // One a steward, and one more for a node that claims the role in vain.
-        assert!(lists(kind) <= 4, "{} lists of {}", lists(kind), kind.label());
+        assert!(
+            lists(kind) <= 4,
+            "{} lists of {}",
+            lists(kind),
+            kind.label()
+        );
     }
     let before = fleet.calls(links::RecordKind::Document);
     for version in 4..14 {
@@ -102,7 +111,10 @@
         assert_eq!(node.metric("document_version").await, 13);
     }
     let calls = fleet.calls(links::RecordKind::Document) - before;
-    assert!(calls <= 2 * 10, "{calls} calls for 10 changes of the document");
+    assert!(
+        calls <= 2 * 10,
+        "{calls} calls for 10 changes of the document"
+    );
 }
 
 // Guards against a key, or a target, that goes on being used because a node relies on a steward.
@@ -146,6 +158,9 @@
         let sent = node.metric(BEATS_SENT).await - before;
         // Ten a second to each node of the own data centre, and none to the others.
         let per_neighbour = sent as f64 / seconds / (NODES_PER_CENTRE - 1) as f64;
-        assert!(per_neighbour < 11.0, "{per_neighbour} heartbeats a neighbour and second");
+        assert!(
+            per_neighbour < 11.0,
+            "{per_neighbour} heartbeats a neighbour and second"
+        );
     }
 }
--- a/crates/pier_edge/tests/mixed_builds.rs
+++ b/crates/pier_edge/tests/mixed_builds.rs
@@ -7,8 +7,9 @@
 use pier_edge::links;
 use pier_types::epochs;
 use support::{
-    EarlierMessage, EarlierNode, EarlierPhase, EarlierRelay, EarlierSteward, FakePlatform, FirstBeat,
-    KEY, RawCaller, Script, ScriptedTarget, TestNode, document, document_at, plain_entry,
+    EarlierMessage, EarlierNode, EarlierPhase, EarlierRelay, EarlierSteward, FakePlatform,
+    FirstBeat, KEY, RawCaller, Script, ScriptedTarget, TestNode, document, document_at,
+    plain_entry,
 };
 
 /// A heartbeat that commit 7a64715 encoded.
@@ -74,8 +75,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn nodes_of_landed_builds_are_heard() {
     let node = TestNode::start_bare().await;
-    let socket = tokio::net::UdpSocket::bind(support::free_address()).await.unwrap();
-    for hex in [FIRST_BEAT, UNNUMBERED_BEAT].into_iter().chain(UNNUMBERED_MESSAGES) {
+    let socket = tokio::net::UdpSocket::bind(support::free_address())
+        .await
+        .unwrap();
+    for hex in [FIRST_BEAT, UNNUMBERED_BEAT]
+        .into_iter()
+        .chain(UNNUMBERED_MESSAGES)
+    {
         socket.send_to(&bytes(hex), node.peers).await.unwrap();
     }
     tokio::time::sleep(time::Duration::from_millis(200)).await;
@@ -109,7 +115,9 @@
 async fn truncated_extended_and_unknown_datagrams_are_counted_and_dropped() {
     let node = TestNode::start_bare().await;
     let _target = start_plain(&node.platform).await;
-    let socket = tokio::net::UdpSocket::bind(support::free_address()).await.unwrap();
+    let socket = tokio::net::UdpSocket::bind(support::free_address())
+        .await
+        .unwrap();
     let beat = bytes(UNNUMBERED_BEAT);
     for length in 0..beat.len() {
         socket.send_to(&beat[..length], node.peers).await.unwrap();
--- a/crates/pier_edge/tests/support/earlier_node.rs
+++ b/crates/pier_edge/tests/support/earlier_node.rs
@@ -70,11 +70,7 @@
     pub data_centre: ids::DataCentreName,
     pub store_age_ms: u32,
     pub out_of_service: Vec<ids::DataCentreName>,
-    pub stewards: Vec<(
-        ids::DataCentreName,
-        EarlierSteward,
-        epochs::ObjectVersion,
-    )>,
+    pub stewards: Vec<(ids::DataCentreName, EarlierSteward, epochs::ObjectVersion)>,
     pub from: epochs::ObjectVersion,
     pub to: epochs::ObjectVersion,
     pub changes: Vec<()>,
--- a/crates/pier_edge/tests/support/mod.rs
+++ b/crates/pier_edge/tests/support/mod.rs
@@ -26,5 +26,6 @@
 pub use raw_caller::{RawAnswer, RawCaller};
 pub use scripted_target::{Script, ScriptedTarget};
 pub use test_node::{
-    GROUP_MODEL, KEY, TestNode, document, document_at, free_address, group_member, node_with, plain_entry, route,
+    GROUP_MODEL, KEY, TestNode, document, document_at, free_address, group_member, node_with,
+    plain_entry, route,
 };
--- a/crates/pier_edge/tests/support/test_node.rs
+++ b/crates/pier_edge/tests/support/test_node.rs
@@ -135,7 +135,9 @@
     /// Returns the sum of a metric over its labels, of which the first may be given.
     pub async fn metric(&self, name: &str) -> u64 {
         let mut caller = RawCaller::connect(self.metrics).await;
-        caller.send("GET /metrics HTTP/1.1\r\nhost: m\r\n\r\n").await;
+        caller
+            .send("GET /metrics HTTP/1.1\r\nhost: m\r\n\r\n")
+            .await;
         let answer = caller.answer().await;
         let name = format!("buckthornpier_{name}");
         let lines = answer.body.lines().filter(|line| {
--- a/crates/pier_fleet/src/stewards/steward_election.rs
+++ b/crates/pier_fleet/src/stewards/steward_election.rs
@@ -80,6 +80,7 @@
             return false;
         };
         recorded.holder == self.node
+            || view.is_claimed
             || view.local.contains(&recorded.holder)
             || (view.local.is_empty() && view.remote.contains(&recorded.holder))
     }
--- a/crates/pier_fleet/src/stewards/steward_view.rs
+++ b/crates/pier_fleet/src/stewards/steward_view.rs
@@ -24,6 +24,9 @@
     pub local: collections::BTreeSet<ids::NodeName>,
     /// Nodes of other data centres that send heartbeats and are not leaving.
     pub remote: collections::BTreeSet<ids::NodeName>,
+    /// Whether the record was written just now, so that its holder is alive even if no heartbeat of
+    /// it has come yet.
+    pub is_claimed: bool,
     /// Local nodes with more means than the others, which go first.
     pub preferred: collections::BTreeSet<ids::NodeName>,
 }
@@ -37,6 +40,7 @@
     #[must_use]
     pub fn with_store_access(mut self, reaching: &collections::BTreeSet<ids::NodeName>) -> Self {
         self.local.retain(|node| reaching.contains(node));
+        self.is_claimed = false;
         self
     }
 }
