Follow the last steward's messages until its successor's come

Cause: a follower dropped what the former steward had said as soon as it knew the new record, and had nothing to follow until the new steward's first message. Change: whether messages are recent enough decides, whoever sent them; the steward itself never follows. Until the successor's address is known a read from it counts as failed.

--- a/crates/pier_edge/src/peers/relay_follower.rs
+++ b/crates/pier_edge/src/peers/relay_follower.rs
@@ -64,34 +64,27 @@
         beat.changes
     }
 
-    /// Returns the version of the document that this steward has in force, while its relay messages
+    /// Returns the version of the document that the steward has in force, while its relay messages
     /// are recent enough to rely on and its build serves what it has read.
     pub(crate) fn document(
         &self,
-        steward: Option<&ids::NodeName>,
         limits: peers::FollowLimits,
         now: times::BootTime,
     ) -> Option<epochs::ConfigVersion> {
         let last_relay = self.last_relay.as_ref()?;
         last_relay
             .document
-            .filter(|_version| self.is_following(steward, limits, now))
+            .filter(|_version| self.is_following(limits, now))
     }
 
-    /// Returns whether the relay messages of this steward are recent enough to rely on.
-    pub(crate) fn is_following(
-        &self,
-        steward: Option<&ids::NodeName>,
-        limits: peers::FollowLimits,
-        now: times::BootTime,
-    ) -> bool {
+    /// Returns whether the relay messages are recent enough to rely on. Those of a steward that has
+    /// just been replaced count, until its successor's come.
+    pub(crate) fn is_following(&self, limits: peers::FollowLimits, now: times::BootTime) -> bool {
         let Some(last_relay) = &self.last_relay else {
             return false;
         };
         let silence = now.since(last_relay.received_at);
-        steward == Some(&last_relay.node)
-            && silence < limits.silence
-            && last_relay.store_age + silence < limits.store_age
+        silence < limits.silence && last_relay.store_age + silence < limits.store_age
     }
 
     /// Returns whether the steward is alive but has not reached the store for [`peers::MAX_STORE_AGE`].
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use anyhow::Context as _;
 use pier_types::{epochs, times};
 
 use crate::{links, peers, records, state};
@@ -221,13 +222,14 @@
     ///
     /// Fails when the steward does not answer, or knows less than this node.
     async fn read_snapshot(&self, source: state::SnapshotSource) -> anyhow::Result<()> {
+        let client = source.client.context("the steward's address is unknown")?;
         if self.kind == links::RecordKind::Document {
-            let document = source.client.read_document().await?;
+            let document = client.read_document().await?;
             let now = times::clocks::boot_now();
             self.applier.apply_document(document.into(), now);
             return Ok(());
         }
-        let snapshot = source.client.read_targets().await?;
+        let snapshot = client.read_targets().await?;
         let now = times::clocks::boot_now();
         let known = self.state.with_follower(|follower| follower.version());
         anyhow::ensure!(
--- a/crates/pier_edge/src/state/store_view.rs
+++ b/crates/pier_edge/src/state/store_view.rs
@@ -12,7 +12,8 @@
 /// A steward that serves what it has read of the store.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct SnapshotSource {
-    pub client: peers::SnapshotClient,
+    /// `None` while the address of a steward that has just been elected is unknown.
+    pub client: Option<peers::SnapshotClient>,
     /// Version of the document that the steward has in force.
     pub document: epochs::ConfigVersion,
 }
@@ -72,9 +73,9 @@
     /// Returns whether this node follows the store through its steward instead of reading it.
     pub(crate) fn is_following(&self, now: times::BootTime) -> bool {
         let data_centre = &self.settings().data_centre;
-        let steward = self.with_peers(|peers| peers.steward(data_centre).cloned());
+        let is_steward = self.with_peers(|peers| peers.steward(data_centre) == Some(self.node()));
         let limits = self.follow_limits(now);
-        self.with_follower(|follower| follower.is_following(steward.as_ref(), limits, now))
+        !is_steward && self.with_follower(|follower| follower.is_following(limits, now))
     }
 
     /// Returns how long this node relies on its steward now.
@@ -97,21 +98,19 @@
     /// of the document there; `None` in fleets of a few nodes, of which each reads the store.
     pub(crate) fn snapshot_source(&self, now: times::BootTime) -> Option<state::SnapshotSource> {
         let data_centre = &self.settings().data_centre;
-        let (steward, address) = self.with_peers(|peers| {
-            let steward = peers
-                .steward(data_centre)
-                .filter(|_holder| peers.is_large());
-            let steward = steward.cloned();
-            let address = steward
-                .as_ref()
-                .and_then(|steward| peers.snapshot_address(steward));
-            (steward, address)
+        let (is_large, address) = self.with_peers(|peers| {
+            let steward = peers.steward(data_centre);
+            let address = steward.and_then(|steward| peers.snapshot_address(steward));
+            (peers.is_large(), address)
         });
+        if !is_large {
+            return None;
+        }
         let limits = self.follow_limits(now);
-        let document =
-            self.with_follower(|follower| follower.document(steward.as_ref(), limits, now))?;
+        let document = self.with_follower(|follower| follower.document(limits, now))?;
+        let source = self.settings().peers.ip();
         Some(state::SnapshotSource {
-            client: peers::SnapshotClient::new(address?, self.settings().peers.ip()),
+            client: address.map(|address| peers::SnapshotClient::new(address, source)),
             document,
         })
     }
