Start a node's loops again after a panic

Here a panic in a loop ended this loop alone, and the node went on without it: deaf, or with an old document, and still ready. Cause: the loops were spawned and their ends were never looked at. Change: each loop is started again after a panic, which is logged (task-failed) and counted. Numbers of heartbeats, reports and digests go on, as receivers drop lower ones. Not covered: the accept loops of the servers, and tasks of one request or one query.

--- a/crates/pier_edge/src/contacts/contact_probe.rs
+++ b/crates/pier_edge/src/contacts/contact_probe.rs
@@ -6,7 +6,7 @@
 use pier_types::times;
 use rand::seq::{IteratorRandom as _, SliceRandom as _};
 
-use crate::{links, state};
+use crate::{daemon, links, state};
 
 /// Interval between two probes of a service that this node does not reach.
 const PROBE_INTERVAL: time::Duration = time::Duration::from_millis(250);
@@ -21,8 +21,9 @@
 const CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(350);
 
 /// Starts the probes, which find the end of a time in which this node reaches no target.
-pub(crate) fn spawn<P: links::FleetPlatform>(state: state::EdgeState<P>) {
-    tokio::spawn(run(state));
+pub(crate) fn spawn<P: links::FleetPlatform>(state: &state::EdgeState<P>) {
+    let parts = state.clone();
+    daemon::spawn_loop(state, "contacts", move || run(parts.clone()));
 }
 
 async fn run<P: links::FleetPlatform>(state: state::EdgeState<P>) {
--- a/crates/pier_edge/src/control/steward_loop.rs
+++ b/crates/pier_edge/src/control/steward_loop.rs
@@ -5,14 +5,15 @@
 use tokio::sync::mpsc;
 
 use super::member_client;
-use crate::{control, links, state};
+use crate::{control, daemon, links, state};
 
 /// Interval between two steps while nothing changes.
 const STEP_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
 /// Starts the loop; a node plans only the data centres whose steward it is.
-pub(crate) fn spawn<P: links::FleetPlatform>(state: state::EdgeState<P>) {
-    tokio::spawn(run(state));
+pub(crate) fn spawn<P: links::FleetPlatform>(state: &state::EdgeState<P>) {
+    let parts = state.clone();
+    daemon::spawn_loop(state, "stewards", move || run(parts.clone()));
 }
 
 async fn run<P: links::FleetPlatform>(state: state::EdgeState<P>) {
--- a/crates/pier_edge/src/crashes/record_writer.rs
+++ b/crates/pier_edge/src/crashes/record_writer.rs
@@ -4,7 +4,7 @@
 
 use pier_types::times;
 
-use crate::{crashes, links, records, state};
+use crate::{crashes, daemon, links, records, state};
 
 /// Writes marks to the store after this node recorded them, until the record has them.
 #[derive(Debug)]
@@ -15,12 +15,15 @@
 
 impl<P: links::FleetPlatform> RecordWriter<P> {
     /// Starts the task; it ends with the runtime.
-    pub(crate) fn spawn(state: state::EdgeState<P>) {
-        let writer = Self {
-            state,
-            backoff: records::StoreBackoff::default(),
-        };
-        tokio::spawn(writer.run());
+    pub(crate) fn spawn(state: &state::EdgeState<P>) {
+        let parts = state.clone();
+        daemon::spawn_loop(state, "crash-record", move || {
+            let writer = Self {
+                state: parts.clone(),
+                backoff: records::StoreBackoff::default(),
+            };
+            writer.run()
+        });
     }
 
     async fn run(mut self) {
--- a/crates/pier_edge/src/daemon/edge_daemon.rs
+++ b/crates/pier_edge/src/daemon/edge_daemon.rs
@@ -43,12 +43,12 @@
         links::RecordKind::OutOfService,
         links::RecordKind::Nodes,
     ] {
-        records::spawn(state.clone(), kind);
+        records::spawn(&state, kind);
     }
     records::spawn_node_record(state.clone());
-    crashes::RecordWriter::spawn(state.clone());
-    control::spawn(state.clone());
-    contacts::spawn(state.clone());
+    crashes::RecordWriter::spawn(&state);
+    control::spawn(&state);
+    contacts::spawn(&state);
     telemetry::spawn(state.clone(), state.settings().readiness).await?;
     telemetry::spawn(state.clone(), state.settings().metrics).await?;
     let callers = state.settings().callers;
@@ -60,7 +60,8 @@
     let closing = [server.closing(), node_server.closing()];
     tokio::spawn(server.run());
     tokio::spawn(node_server.run());
-    tokio::spawn(clean_up(state.clone()));
+    let cleaned = state.clone();
+    super::spawn_loop(&state, "clean-up", move || clean_up(cleaned.clone()));
     log::info!(
         event = "node-started",
         node:% = state.node(),
--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -1,13 +1,13 @@
 //! Sends and receives the datagrams between nodes.
 
-use std::{net, sync, time};
+use std::{future, net, pin, sync, time};
 
 use anyhow::Context as _;
 use pier_types::times;
 use tokio::net::UdpSocket;
 
 use super::{crash_loop, notice_outbox, peer_table, summary_loop};
-use crate::{links, peers, records, state};
+use crate::{daemon, links, peers, records, state};
 
 /// Interval between heartbeats in a small fleet. A load known to another node is at most this old,
 /// which is less than two passes of an engine.
@@ -19,6 +19,12 @@
 /// Greatest size of a datagram.
 const MAX_DATAGRAM_BYTES: usize = 65_536;
 
+/// What each loop needs.
+type LoopParts<P> = (state::EdgeState<P>, sync::Arc<UdpSocket>);
+
+/// One run of a loop; none is on the path of a request.
+type LoopFuture = pin::Pin<Box<dyn future::Future<Output = ()> + Send>>;
+
 /// Starts the exchange of datagrams with the other nodes.
 ///
 /// # Errors
@@ -30,15 +36,28 @@
     let address = state.settings().peers;
     let socket = UdpSocket::bind(address).await;
     let socket = sync::Arc::new(socket.with_context(|| format!("binding {address}"))?);
-    tokio::spawn(receive(state.clone(), sync::Arc::clone(&socket)));
-    tokio::spawn(relay(state.clone(), sync::Arc::clone(&socket)));
-    let exchange = peers::LoadLoop::new(state.clone(), sync::Arc::clone(&socket));
-    tokio::spawn(exchange.run());
-    tokio::spawn(crash_loop::run(state.clone(), sync::Arc::clone(&socket)));
-    tokio::spawn(notice_outbox::run(state.clone(), sync::Arc::clone(&socket)));
-    tokio::spawn(summary_loop::run(state.clone(), sync::Arc::clone(&socket)));
     peers::snapshots::spawn_server(state.clone()).await?;
-    tokio::spawn(send(state, socket));
+    let run_with = |name, run: fn(LoopParts<P>) -> LoopFuture| {
+        let parts = (state.clone(), sync::Arc::clone(&socket));
+        daemon::spawn_loop(&state, name, move || run(parts.clone()));
+    };
+    run_with("receive", |(state, socket)| {
+        Box::pin(receive(state, socket))
+    });
+    run_with("relay", |(state, socket)| Box::pin(relay(state, socket)));
+    run_with("loads", |(state, socket)| {
+        Box::pin(peers::LoadLoop::new(state, socket).run())
+    });
+    run_with("crashes", |(state, socket)| {
+        Box::pin(crash_loop::run(state, socket))
+    });
+    run_with("notices", |(state, socket)| {
+        Box::pin(notice_outbox::run(state, socket))
+    });
+    run_with("summaries", |(state, socket)| {
+        Box::pin(summary_loop::run(state, socket))
+    });
+    run_with("beats", |(state, socket)| Box::pin(send(state, socket)));
     Ok(())
 }
 
@@ -118,7 +137,7 @@
 }
 
 async fn send<P: links::FleetPlatform>(state: state::EdgeState<P>, socket: sync::Arc<UdpSocket>) {
-    let mut number = 0;
+    let mut number = state.beat_number();
     loop {
         let now = times::clocks::boot_now();
         number += 1;
--- a/crates/pier_edge/src/peers/load_exchange.rs
+++ b/crates/pier_edge/src/peers/load_exchange.rs
@@ -12,6 +12,10 @@
     pub hub: loads::LoadHub,
     pub follower: loads::LoadFollower,
     pub choice: loads::HubChoice,
+    /// Number of the last report of this node.
+    pub report_number: u64,
+    /// Number of the last digest of this node as a hub.
+    pub digest_number: u64,
 }
 
 impl LoadExchange {
--- a/crates/pier_edge/src/peers/load_loop.rs
+++ b/crates/pier_edge/src/peers/load_loop.rs
@@ -37,8 +37,6 @@
 pub(crate) struct LoadLoop<P> {
     state: state::EdgeState<P>,
     socket: sync::Arc<UdpSocket>,
-    report_number: u64,
-    digest_number: u64,
     last_report: Option<(loads::LoadReport, times::BootTime)>,
     retiring: collections::BTreeSet<ids::VmName>,
     /// Ticks at which this node was the hub.
@@ -52,8 +50,6 @@
         Self {
             state,
             socket,
-            report_number: 0,
-            digest_number: 0,
             last_report: None,
             retiring: collections::BTreeSet::new(),
             ticks: 0,
@@ -142,7 +138,7 @@
         let mut report = loads::LoadReport {
             node: self.state.node().clone(),
             tag: self.state.load_tag(),
-            number: self.report_number,
+            number: self.state.with_loads(|loads| loads.report_number),
             loads: loaded
                 .map(|slot| (slot.vm.clone(), slot.gauge.local_load()))
                 .collect(),
@@ -156,8 +152,10 @@
         if !is_due {
             return;
         }
-        self.report_number += 1;
-        report.number = self.report_number;
+        report.number = self.state.with_loads(|loads| {
+            loads.report_number += 1;
+            loads.report_number
+        });
         self.last_report = Some((report.clone(), now));
         self.state
             .with_loads(|loads| loads.follower.note_sent(&report));
@@ -194,8 +192,10 @@
                 hubs.collect::<Vec<_>>(),
             )
         });
-        self.digest_number += 1;
-        let number = self.digest_number;
+        let number = self.state.with_loads(|loads| {
+            loads.digest_number += 1;
+            loads.digest_number
+        });
         let retiring = self.state.local_retiring();
         let (local_part, merged) = self.state.with_loads(|loads| {
             loads.hub.expire(now);
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -5,7 +5,7 @@
 use anyhow::Context as _;
 use pier_types::{epochs, times};
 
-use crate::{links, peers, records, state};
+use crate::{daemon, links, peers, records, state};
 
 /// How long a watch waits for changes; socket time-outs detect a silent connection.
 const WATCH_TIMEOUT: time::Duration = time::Duration::from_secs(10);
@@ -83,18 +83,20 @@
 const MAX_RECOVERY_WAIT: time::Duration = time::Duration::from_millis(2_500);
 
 /// Starts to follow a kind of records.
-pub(crate) fn spawn<P: links::FleetPlatform>(state: state::EdgeState<P>, kind: links::RecordKind) {
-    let applier = records::RecordApplier::new(state.clone());
-    let record_loop = RecordLoop {
-        state,
-        kind,
-        applier,
-        backoff: records::StoreBackoff::default(),
-        failing_since: None,
-        started_at: times::clocks::boot_now(),
-        behind_since: None,
-    };
-    tokio::spawn(record_loop.run());
+pub(crate) fn spawn<P: links::FleetPlatform>(state: &state::EdgeState<P>, kind: links::RecordKind) {
+    let parts = state.clone();
+    daemon::spawn_loop(state, kind.label(), move || {
+        let record_loop = RecordLoop {
+            state: parts.clone(),
+            kind,
+            applier: records::RecordApplier::new(parts.clone()),
+            backoff: records::StoreBackoff::default(),
+            failing_since: None,
+            started_at: times::clocks::boot_now(),
+            behind_since: None,
+        };
+        record_loop.run()
+    });
 }
 
 struct RecordLoop<P> {
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -39,6 +39,7 @@
     member_queries: Counter,
     bad_beats: Counter,
     unknown_messages: Counter,
+    task_failures: Family<Labels, Counter>,
     live_nodes: Gauge,
     messages: Family<Labels, Counter>,
     message_bytes: Family<Labels, Counter>,
@@ -79,6 +80,7 @@
             member_queries: Counter::default(),
             bad_beats: Counter::default(),
             unknown_messages: Counter::default(),
+            task_failures: Family::default(),
             live_nodes: Gauge::default(),
             messages: Family::default(),
             message_bytes: Family::default(),
@@ -171,6 +173,11 @@
             "Version of the document in force",
             self.document_version.clone(),
         );
+        registry.register(
+            "task_failures",
+            "Loops of the node that panicked and were started again",
+            self.task_failures.clone(),
+        );
         registry.register(
             "live_nodes",
             "Other nodes that are alive",
@@ -340,6 +347,12 @@
         self.bad_beats.inc();
     }
 
+    /// Counts a loop that panicked.
+    pub(crate) fn count_task_failure(&self, task: &str) {
+        let labels = vec![("task", task.to_owned())];
+        self.task_failures.get_or_create(&labels).inc();
+    }
+
     /// Sets how many other nodes are alive.
     pub(crate) fn set_live_nodes(&self, count: usize) {
         self.live_nodes
--- a/crates/pier_edge/tests/mixed_builds.rs
+++ b/crates/pier_edge/tests/mixed_builds.rs
@@ -104,7 +104,7 @@
         EarlierMessage::Beat(beat) => Some(beat),
         EarlierMessage::Relay(_) => None,
     });
-    let beat = beats.last().expect("no heartbeat came");
+    let beat = beats.into_iter().next_back().expect("no heartbeat came");
     assert!(beat.node.as_str().starts_with("n1-"));
     assert_eq!(beat.phase, EarlierPhase::Serving);
     assert_eq!(beat.forwards, node.forwards);
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -40,6 +40,7 @@
     silent_until: collections::BTreeMap<String, time::Instant>,
     orders: Vec<formation::GroupOrder>,
     calls: collections::BTreeMap<(links::RecordKind, &'static str), usize>,
+    panics: collections::BTreeSet<links::RecordKind>,
 }
 
 /// The content of a store at some moment.
@@ -86,6 +87,13 @@
         state.calls.get(&(kind, call)).copied().unwrap_or_default()
     }
 
+    /// Makes the next answer for records of a kind panic in the node that reads it.
+    pub fn panic_at(&self, kind: links::RecordKind) {
+        self.change(|state, _version| {
+            state.panics.insert(kind);
+        });
+    }
+
     fn count_call(&self, kind: links::RecordKind, call: &'static str) {
         let mut state = self.shared.state.lock().unwrap();
         *state.calls.entry((kind, call)).or_default() += 1;
@@ -245,6 +253,8 @@
         after: epochs::ObjectVersion,
     ) -> Result<links::RecordChanges, links::StoreError> {
         let list = self.records(kind)?;
+        let panics = self.shared.state.lock().unwrap().panics.remove(&kind);
+        assert!(!panics, "the answer makes its reader panic");
         let state = self.shared.state.lock().unwrap();
         if after.era() != list.at.era() {
             return Err(links::StoreError::HistoryGone);
