Do not take a copy of an earlier answer for the answer to the next request

It can happen here: a target that refuses a request, and sends its refusal again when the connection is in use by the next one, made a one-time request look as if it had not run. Its caller got 503, or it was sent to another target and could run twice. A copied failure reached the next caller. Cause: only the head of a success was compared with the attempt's id. Change: an answer that names another attempt closes the connection, and the request counts as one that may have run (foreign-answer). Bytes of bodies to and from targets are counted by data centre. Open: a copy that names the same attempt, after that attempt was sent to the target again.

--- a/crates/pier_edge/src/links/answer_head.rs
+++ b/crates/pier_edge/src/links/answer_head.rs
@@ -7,8 +7,8 @@
 pub struct AnswerHead {
     /// Whether the target states that it has not run the request and never will.
     pub is_not_run: bool,
-    /// Whether the answer carries the target's mark and belongs to the attempt that was sent.
-    pub is_genuine: bool,
+    /// Whose answer it is.
+    pub origin: AnswerOrigin,
     /// Whether the target announces that it leaves.
     pub notice: TargetNotice,
     /// How long the target asks this node to send it nothing, after it rejected this request.
@@ -19,6 +19,26 @@
     pub idle_time: Option<time::Duration>,
 }
 
+impl AnswerHead {
+    /// Returns whether the answer carries the target's mark and belongs to the attempt that was sent.
+    pub fn is_genuine(&self) -> bool {
+        self.origin == AnswerOrigin::Target
+    }
+}
+
+/// Whose answer an answer is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum AnswerOrigin {
+    /// It does not prove that it is the target's answer to the attempt.
+    #[default]
+    Unproved,
+    /// It carries the target's mark and belongs to the attempt that was sent.
+    Target,
+    /// It states that it belongs to another attempt: a second copy of an earlier answer on the
+    /// connection, which says nothing about the request.
+    OtherAttempt,
+}
+
 /// Whether a target's answer announces that it leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum TargetNotice {
--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -87,7 +87,7 @@
                 if answer.is_not_run {
                     progress.refused = true;
                     progress.sends += 1;
-                } else if is_failure && job.route.repeat.may_repeat() && answer.is_genuine {
+                } else if is_failure && job.route.repeat.may_repeat() && answer.is_genuine() {
                     progress.sends += 1;
                     progress.answer = Some((head, body));
                 } else {
@@ -294,7 +294,9 @@
     let body = tokio::time::timeout(left, read_whole(&mut call.body, share)).await;
     let body = body.unwrap_or(Err(serving::SendFault::TimedOut))?;
     let (head, answer) = (call.head.clone(), call.answer.clone());
-    if !answer.is_not_run && !answer.is_genuine && head.status.is_success() {
+    let metrics = job.state.metrics();
+    metrics.count_received_bytes(slot.is_local, body.len());
+    if !answer.is_not_run && !answer.is_genuine() && head.status.is_success() {
         let reason = "the answer lacks the target's mark for this attempt".to_owned();
         return Err(serving::SendFault::MayHaveRun(reason));
     }
--- a/crates/pier_edge/src/serving/stream_relay/mod.rs
+++ b/crates/pier_edge/src/serving/stream_relay/mod.rs
@@ -197,6 +197,8 @@
         if !self.share.grow_to(buffered + data.len()) {
             return RelayStep::TooLarge(serving::AnswerLimit::Budget);
         }
+        let metrics = self.job.state.metrics();
+        metrics.count_received_bytes(self.call.slot.is_local, data.len());
         RelayStep::Data(data)
     }
 
--- a/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
+++ b/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
@@ -233,7 +233,7 @@
     limit: time::Duration,
 ) -> EndedSend {
     let result = match serving::TargetCall::send(job, &slot, after, limit).await {
-        Ok(mut call) if call.head.status.is_success() && call.answer.is_genuine => {
+        Ok(mut call) if call.head.status.is_success() && call.answer.is_genuine() => {
             match call.body.frame().await {
                 Some(Err(error)) => Err(ResumeFault::Closed(error.to_string())),
                 frame => Ok((Box::new(call), frame)),
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -127,7 +127,7 @@
 ) -> EndedSend {
     let result = match serving::TargetCall::send(job, &slot, None, limit).await {
         Ok(call) if call.answer.is_not_run => Ok(AnswerStart::NotRun(Box::new(call))),
-        Ok(call) if !call.answer.is_genuine => {
+        Ok(call) if !call.answer.is_genuine() => {
             let reason = "the answer lacks the target's mark for this attempt".to_owned();
             Err(serving::SendFault::MayHaveRun(reason))
         }
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -69,6 +69,8 @@
         }
         let guard = slot.gauge.begin(job.head.prompt_tokens, now);
         slot.count_send(now);
+        let metrics = job.state.metrics();
+        metrics.count_sent_bytes(slot.is_local, job.body.len());
         if slot.is_node() {
             log_forward(job, slot, after_event);
         }
@@ -95,6 +97,13 @@
         }
         let (head, body) = response.into_parts();
         let mut answer = job.state.platform().read_answer(&job.head.attempt, &head);
+        if answer.origin == links::AnswerOrigin::OtherAttempt {
+            // Dropping the connection closes it, as the answer to this request may follow.
+            job.state.metrics().count_foreign_answer();
+            log::warn!(event = "foreign-answer", attempt = job.head.attempt.as_str(), target_vm:% = slot.vm; "");
+            let reason = "the answer belongs to another attempt".to_owned();
+            return Err(serving::SendFault::MayHaveRun(reason));
+        }
         if slot.is_node() {
             apply_refusal(&head, &mut answer)?;
         } else if answer.notice == links::TargetNotice::Leaving {
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -39,6 +39,11 @@
     member_queries: Counter,
     bad_beats: Counter,
     unknown_messages: Counter,
+    foreign_answers: Counter,
+    target_bytes: Family<Labels, Counter>,
+    /// Of other data centres and of the own one, so that a part of a stream needs no look-up.
+    sent_bytes: [Counter; 2],
+    received_bytes: [Counter; 2],
     task_failures: Family<Labels, Counter>,
     live_nodes: Gauge,
     messages: Family<Labels, Counter>,
@@ -57,6 +62,7 @@
 
 impl Default for EdgeMetrics {
     fn default() -> Self {
+        let target_bytes = Family::default();
         let metrics = Self {
             registry: Mutex::new(Registry::with_prefix("buckthornpier")),
             answers: Family::default(),
@@ -80,6 +86,10 @@
             member_queries: Counter::default(),
             bad_beats: Counter::default(),
             unknown_messages: Counter::default(),
+            foreign_answers: Counter::default(),
+            sent_bytes: centre_counters(&target_bytes, "sent"),
+            received_bytes: centre_counters(&target_bytes, "received"),
+            target_bytes,
             task_failures: Family::default(),
             live_nodes: Gauge::default(),
             messages: Family::default(),
@@ -153,6 +163,17 @@
     }
 }
 
+/// Returns the counters of other data centres and of the own one.
+fn centre_counters(family: &Family<Labels, Counter>, direction: &str) -> [Counter; 2] {
+    ["other", "own"].map(|centre| {
+        let labels = vec![
+            ("direction", direction.to_owned()),
+            ("centre", centre.to_owned()),
+        ];
+        family.get_or_create(&labels).clone()
+    })
+}
+
 impl EdgeMetrics {
     fn register_forwards(&self, registry: &mut Registry) {
         registry.register(
@@ -236,6 +257,16 @@
             "Sets of prompt parts held back because targets crashed under them",
             self.held_parts.clone(),
         );
+        registry.register(
+            "foreign_answers",
+            "Answers of targets that belonged to an earlier request on the connection",
+            self.foreign_answers.clone(),
+        );
+        registry.register(
+            "target_body_bytes",
+            "Bytes of bodies sent to and received from targets and nodes, by data centre",
+            self.target_bytes.clone(),
+        );
         registry.register(
             "leaving_targets",
             "Targets that stated in an answer that they leave",
@@ -353,6 +384,23 @@
         self.task_failures.get_or_create(&labels).inc();
     }
 
+    /// Counts an answer that belonged to another request.
+    pub(crate) fn count_foreign_answer(&self) {
+        self.foreign_answers.inc();
+    }
+
+    /// Counts the bytes of a body that was sent to a target or node.
+    pub(crate) fn count_sent_bytes(&self, is_local: bool, bytes: usize) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.sent_bytes[usize::from(is_local)].inc_by(bytes);
+    }
+
+    /// Counts bytes of a body that came from a target or node.
+    pub(crate) fn count_received_bytes(&self, is_local: bool, bytes: usize) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.received_bytes[usize::from(is_local)].inc_by(bytes);
+    }
+
     /// Sets how many other nodes are alive.
     pub(crate) fn set_live_nodes(&self, count: usize) {
         self.live_nodes
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -428,7 +428,11 @@
             .and_then(|value| value.to_str().ok());
         links::AnswerHead {
             is_not_run: head.headers.contains_key("x-not-run"),
-            is_genuine: echoed == Some(attempt),
+            origin: match echoed {
+                None => links::AnswerOrigin::Unproved,
+                Some(echoed) if echoed == attempt => links::AnswerOrigin::Target,
+                Some(_other) => links::AnswerOrigin::OtherAttempt,
+            },
             notice: if head.headers.contains_key("x-leaving") {
                 links::TargetNotice::Leaving
             } else {
