Send news of crashes and leaving targets to other data centres once, not to each node

Cause: a node sends new marks to all 194 others several times. Each node also read the store's record of crashes and sent what was new to it to all others again. Change: in a large fleet news goes to the nodes of the data centre and to one node of each other one, another one each time, which passes it on. Only the first two in line for the steward's role pass on what they read in the store, and only a data centre's delegate repeats old marks to other ones. A follower pauses after it has read the steward's list.

--- a/crates/pier_edge/src/crashes/crash_ledger.rs
+++ b/crates/pier_edge/src/crashes/crash_ledger.rs
@@ -173,35 +173,43 @@
         *state::lock(&self.record) = (version, record);
     }
 
-    /// Merges a record of the store unless a newer one is known; `wall_now` is the time of day.
+    /// Merges a record of the store unless a newer one is known; `wall_now` is the time of day. See
+    /// [`CrashLedger::adopt_record`] for `passes_on`.
     pub(crate) fn apply_record(
         &self,
         version: epochs::ObjectVersion,
         record: crashes::CrashRecord,
         now: times::BootTime,
         wall_now: times::WallTime,
+        passes_on: bool,
     ) {
         let (known, _record) = self.record();
         if known < version {
-            self.adopt_record(version, record, now, wall_now);
+            self.adopt_record(version, record, now, wall_now, passes_on);
         }
     }
 
-    /// Merges the record that the store holds, whatever version is known, and passes on to other
-    /// nodes the marks that are new here.
+    /// Merges the record that the store holds, whatever version is known. If `passes_on`, the marks
+    /// that are new here are sent to other nodes.
     pub(crate) fn adopt_record(
         &self,
         version: epochs::ObjectVersion,
         record: crashes::CrashRecord,
         now: times::BootTime,
         wall_now: times::WallTime,
+        passes_on: bool,
     ) {
         let delta = record.to_delta(wall_now);
         let part_delta = record.to_part_delta(wall_now);
         self.set_record(version, record);
-        self.update_parts(now, |history| history.merge_and_forward(&part_delta, now));
-        self.update(now, |history| history.merge_and_forward(&delta, now));
-        self.recorded.notify_one();
+        if passes_on {
+            self.update_parts(now, |history| history.merge_and_forward(&part_delta, now));
+            self.update(now, |history| history.merge_and_forward(&delta, now));
+            self.recorded.notify_one();
+        } else {
+            self.merge_parts(&part_delta, now);
+            self.merge(&delta, now);
+        }
     }
 
     /// Returns at most `limit` marks for a datagram; new ones first.
--- a/crates/pier_edge/src/crashes/record_writer.rs
+++ b/crates/pier_edge/src/crashes/record_writer.rs
@@ -93,6 +93,6 @@
         let record = crashes::CrashRecord::parse(text);
         self.state
             .crashes()
-            .adopt_record(found.version, record, now, wall_now);
+            .adopt_record(found.version, record, now, wall_now, true);
     }
 }
--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -6,7 +6,7 @@
 use pier_types::times;
 use tokio::net::UdpSocket;
 
-use super::{crash_loop, notice_outbox, peer_table, summary_loop};
+use super::{crash_loop, notice_outbox, peer_table, spread, summary_loop};
 use crate::{daemon, links, peers, records, state};
 
 /// Interval between heartbeats in a small fleet. A load known to another node is at most this old,
@@ -100,7 +100,14 @@
     now: times::BootTime,
 ) {
     let extension = envelope.extension;
-    match envelope.message {
+    let message = match envelope.message {
+        peers::PeerMessage::Spread(news) => {
+            spread::pass_on(state, socket, news.clone()).await;
+            peers::PeerMessage::from(news)
+        }
+        other => other,
+    };
+    match message {
         peers::PeerMessage::Beat(beat) => {
             let heard = peers::HeardBeat {
                 address: from,
@@ -133,6 +140,8 @@
         peers::PeerMessage::Summary(summary) => {
             summary_loop::receive(state, socket, summary, now).await;
         }
+        // Unwrapped above.
+        peers::PeerMessage::Spread(_) => {}
     }
 }
 
--- a/crates/pier_edge/src/peers/crash_loop.rs
+++ b/crates/pier_edge/src/peers/crash_loop.rs
@@ -1,12 +1,12 @@
 //! Sends the marks of requests whose targets crashed.
 
-use std::{sync, time};
+use std::{net, sync, time};
 
 use pier_types::times;
 use rand::seq::IndexedRandom as _;
 use tokio::net::UdpSocket;
 
-use super::beat_loop;
+use super::{beat_loop, spread};
 use crate::{links, peers, state};
 
 /// Most marks in one datagram.
@@ -36,21 +36,36 @@
             () = state.crashes().wait_for_marks() => {}
             () = tokio::time::sleep(pause) => {}
         }
-        let mut receivers = state.with_peers(|peers| peers.addresses());
-        if !state.crashes().has_new_marks() {
-            let receiver = receivers.choose(&mut rand::rng()).copied();
-            receivers = receiver.into_iter().collect();
-        }
         let now = times::clocks::boot_now();
+        let is_new = state.crashes().has_new_marks();
         let part_delta = state.crashes().part_delta(now, MAX_PART_MARKS);
-        if !part_delta.marks.is_empty() {
-            let message = peers::PeerMessage::PartCrashes(part_delta);
-            beat_loop::send_all(&state, &socket, message, &receivers).await;
-        }
         let delta = state.crashes().delta(now, MAX_MARKS);
-        if !delta.marks.is_empty() {
-            let message = peers::PeerMessage::Crashes(delta);
-            beat_loop::send_all(&state, &socket, message, &receivers).await;
+        let parts =
+            (!part_delta.marks.is_empty()).then_some(peers::SpreadNews::PartCrashes(part_delta));
+        let marks = (!delta.marks.is_empty()).then_some(peers::SpreadNews::Crashes(delta));
+        for news in parts.into_iter().chain(marks) {
+            if is_new {
+                spread::send(&state, &socket, news, now).await;
+            } else if let Some(receiver) = round_receiver(&state, now) {
+                beat_loop::send_all(&state, &socket, news.into(), &[receiver]).await;
+            }
         }
     }
 }
+
+/// Returns the node that gets some of all marks next. In a large fleet each data centre's delegate
+/// alone sends them to other ones.
+fn round_receiver<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    now: times::BootTime,
+) -> Option<net::SocketAddr> {
+    let own = &state.settings().data_centre;
+    let receivers = state.with_peers(|peers| {
+        if peers.is_large() && !peers.is_delegate(own, now) {
+            peers.centre_addresses(own)
+        } else {
+            peers.addresses()
+        }
+    });
+    receivers.choose(&mut rand::rng()).copied()
+}
--- a/crates/pier_edge/src/peers/formats/peer_envelope.rs
+++ b/crates/pier_edge/src/peers/formats/peer_envelope.rs
@@ -6,7 +6,7 @@
 use crate::peers;
 
 /// Number of the kinds of messages that this build knows.
-const KNOWN_KINDS: u8 = 8;
+const KNOWN_KINDS: u8 = 9;
 
 /// Position of the heartbeat among the kinds.
 const BEAT_KIND: u8 = 0;
--- a/crates/pier_edge/src/peers/mod.rs
+++ b/crates/pier_edge/src/peers/mod.rs
@@ -17,6 +17,7 @@
 mod relay_follower;
 mod relay_log;
 mod snapshots;
+mod spread;
 mod stall_watch;
 mod summary_loop;
 
@@ -30,7 +31,7 @@
 use load_loop::LoadLoop;
 pub(crate) use load_loop::VIEW_AGE;
 pub(crate) use node_beat::{
-    LeavingTarget, NodeBeat, NodePhase, NodeRecord, PeerMessage, StewardRecord,
+    LeavingTarget, NodeBeat, NodePhase, NodeRecord, PeerMessage, SpreadNews, StewardRecord,
 };
 pub(crate) use notice_outbox::NoticeOutbox;
 pub(crate) use peer_table::PeerTable;
--- a/crates/pier_edge/src/peers/node_beat.rs
+++ b/crates/pier_edge/src/peers/node_beat.rs
@@ -27,6 +27,26 @@
     PartCrashes(prompt_parts::PartDelta),
     /// The heartbeats of another data centre's nodes.
     Summary(peers::CentreSummary),
+    /// News for all nodes of the receiver's data centre, which it passes on to them.
+    Spread(SpreadNews),
+}
+
+/// News that every node of the fleet is to get.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum SpreadNews {
+    Crashes(quarantine::CrashDelta),
+    PartCrashes(prompt_parts::PartDelta),
+    Leaving(Vec<LeavingTarget>),
+}
+
+impl From<SpreadNews> for PeerMessage {
+    fn from(news: SpreadNews) -> Self {
+        match news {
+            SpreadNews::Crashes(delta) => Self::Crashes(delta),
+            SpreadNews::PartCrashes(delta) => Self::PartCrashes(delta),
+            SpreadNews::Leaving(notices) => Self::Leaving(notices),
+        }
+    }
 }
 
 impl PeerMessage {
@@ -41,6 +61,7 @@
             Self::Leaving(_) => "leaving",
             Self::PartCrashes(_) => "part-crashes",
             Self::Summary(_) => "summary",
+            Self::Spread(_) => "spread",
         }
     }
 }
--- a/crates/pier_edge/src/peers/notice_outbox.rs
+++ b/crates/pier_edge/src/peers/notice_outbox.rs
@@ -2,9 +2,10 @@
 
 use std::{collections, sync, time};
 
+use pier_types::times;
 use tokio::{net::UdpSocket, sync::Notify};
 
-use super::beat_loop;
+use super::spread;
 use crate::{links, peers, state};
 
 /// How often each notice is sent, since datagrams may be lost.
@@ -56,14 +57,8 @@
             state.notices().added.notified().await;
             continue;
         }
-        let receivers = state.with_peers(|peers| peers.addresses());
-        beat_loop::send_all(
-            &state,
-            &socket,
-            peers::PeerMessage::Leaving(batch),
-            &receivers,
-        )
-        .await;
+        let now = times::clocks::boot_now();
+        spread::send(&state, &socket, peers::SpreadNews::Leaving(batch), now).await;
         tokio::time::sleep(NOTICE_INTERVAL).await;
     }
 }
--- a/crates/pier_edge/src/records/record_applier.rs
+++ b/crates/pier_edge/src/records/record_applier.rs
@@ -263,7 +263,8 @@
             let record = crashes::CrashRecord::parse(text);
             let wall_now = times::clocks::wall_now();
             let ledger = self.state.crashes();
-            ledger.apply_record(version, record, now, wall_now);
+            let passes_on = self.state.is_first_reader(now);
+            ledger.apply_record(version, record, now, wall_now, passes_on);
             None
         } else if let Some(centre) = name.strip_prefix(records::STEWARD_PREFIX) {
             self.apply_steward(centre, version, text, now).err()
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -202,6 +202,7 @@
         }
         match self.read_snapshot(source).await {
             Ok(()) if self.kind == links::RecordKind::Targets => {
+                tokio::time::sleep(CATCH_UP_DELAY).await;
                 self.state.with_follower(|follower| follower.version())
             }
             Ok(()) => at,
--- a/crates/pier_edge/tests/large_fleets.rs
+++ b/crates/pier_edge/tests/large_fleets.rs
@@ -164,3 +164,43 @@
         );
     }
 }
+
+// Guards against news that each node sends to every other one, over all data centres, and against
+// news that then misses some of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_target_is_told_to_all_nodes_by_one_in_each_data_centre() {
+    let fleet = LargeFleet::start().await;
+    // All registrations have the address of one target.
+    fleet.target.leave();
+    let mut statuses = Vec::new();
+    for _request in 0..200 {
+        let mut caller = RawCaller::connect(fleet.nodes[0].callers).await;
+        let request = format!(
+            "GET /read/x HTTP/1.1\r\nhost: a.example\r\nx-attempt: a1\r\nx-key: {KEY}\r\n\
+             x-timeout-ms: 2000\r\n\r\n"
+        );
+        caller.send(&request).await;
+        statuses.push(caller.answer().await.status());
+        if statuses.last() == Some(&503) {
+            break;
+        }
+    }
+    assert_eq!(
+        statuses.last(),
+        Some(&503),
+        "the first node knows that all leave"
+    );
+    tokio::time::sleep(time::Duration::from_millis(600)).await;
+    let served = fleet.target.requests().len();
+    assert_eq!(fleet.statuses().await, [503; 2 * NODES_PER_CENTRE]);
+    assert_eq!(fleet.target.requests().len(), served);
+    let sent = |kind: &str| format!("messages_sent_total{{kind=\"{kind}\"");
+    let spread = fleet.nodes[0].metric(&sent("spread")).await;
+    let direct = fleet.nodes[0].metric(&sent("leaving")).await;
+    let neighbours = u64::try_from(NODES_PER_CENTRE - 1).unwrap();
+    assert_eq!(
+        direct,
+        spread * neighbours,
+        "one other data centre, and the neighbours here"
+    );
+}
