--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -6,7 +6,7 @@
 use pier_types::times;
 use tokio::net::UdpSocket;
 
-use super::{crash_loop, notice_outbox, peer_table, spread, summary_loop};
+use super::{crash_loop, notice_outbox, peer_groups, spread, summary_loop};
 use crate::{daemon, links, peers, records, state};
 
 /// Interval between heartbeats in a small fleet. A load known to another node is at most this old,
@@ -171,7 +171,7 @@
         let envelope = peers::PeerEnvelope::with_extension(message, extension);
         send_envelope(&state, &socket, &envelope, &local).await;
         if number.is_multiple_of(u64::from(distant_stride)) && !distant.is_empty() {
-            if count > peer_table::FULL_RATE_PEERS {
+            if count > peer_groups::FULL_RATE_PEERS {
                 // Other data centres get the loads in the digests of this one's hub.
                 beat.loads.clear();
             }
@@ -186,7 +186,7 @@
 
 /// Returns how many heartbeat intervals lie between two heartbeats to this many nodes.
 fn beat_stride(nodes: usize) -> u32 {
-    let stride = nodes.div_ceil(peer_table::FULL_RATE_PEERS).max(1);
+    let stride = nodes.div_ceil(peer_groups::FULL_RATE_PEERS).max(1);
     u32::try_from(stride).unwrap_or(u32::MAX)
 }
 
--- a/crates/pier_edge/src/peers/load_loop.rs
+++ b/crates/pier_edge/src/peers/load_loop.rs
@@ -6,7 +6,7 @@
 use pier_types::{ids, times};
 use tokio::net::UdpSocket;
 
-use super::{beat_loop, load_intake, peer_table, stall_watch};
+use super::{beat_loop, load_intake, peer_groups, stall_watch};
 use crate::{links, peers, state};
 
 /// Interval between two ticks of the loop. A busy group starts about two requests in it.
@@ -89,7 +89,7 @@
 
     fn needs_hub(&self) -> bool {
         let count = self.state.with_peers(|peers| peers.count());
-        count > peer_table::FULL_RATE_PEERS
+        count > peer_groups::FULL_RATE_PEERS
     }
 
     /// Returns whether a digest is due. With many nodes in the data centre digests are sent less
--- a/crates/pier_edge/src/peers/mod.rs
+++ b/crates/pier_edge/src/peers/mod.rs
@@ -12,6 +12,7 @@
 mod load_loop;
 mod node_beat;
 mod notice_outbox;
+mod peer_groups;
 mod peer_table;
 mod relay_beat;
 mod relay_follower;
--- a/crates/pier_edge/src/peers/peer_table.rs
+++ b/crates/pier_edge/src/peers/peer_table.rs
@@ -7,16 +7,11 @@
 
 use crate::peers;
 
-/// Greatest number of peers with which heartbeats are sent at every interval, and of which each
-/// hears every other directly. With more of them heartbeats are sent less often in proportion, so
-/// that a node's cost does not grow with the fleet.
-pub(crate) const FULL_RATE_PEERS: usize = 12;
-
 /// Silence after which a node no longer counts as alive: ten heartbeats.
-const PEER_LIFETIME: time::Duration = time::Duration::from_secs(1);
+pub(super) const PEER_LIFETIME: time::Duration = time::Duration::from_secs(1);
 
 /// Silence after which a node is forgotten and no longer counts among those that share limits.
-const SHARE_LIFETIME: time::Duration = time::Duration::from_secs(30);
+pub(super) const SHARE_LIFETIME: time::Duration = time::Duration::from_secs(30);
 
 /// Time by which a node counts as alive for longer if its heartbeats come in summaries: some
 /// intervals of them.
@@ -26,40 +21,36 @@
 /// heartbeats come.
 const CLAIM_LIFETIME: time::Duration = time::Duration::from_secs(1);
 
-/// Nodes of a data centre that read the store as soon as its steward fails, so that one of them can
-/// replace it. The others leave them the time to do so.
-const SUCCESSORS: usize = 2;
-
 /// Silence after which another node's load is no longer counted.
 const LOAD_LIFETIME: time::Duration = time::Duration::from_millis(1_500);
 
 /// What this node knows of the other nodes.
 #[derive(Debug)]
 pub(crate) struct PeerTable {
-    local_node: ids::NodeName,
-    local_cores: sizes::CoreShare,
+    pub(super) local_node: ids::NodeName,
+    pub(super) local_cores: sizes::CoreShare,
     /// Keyed by address, which a node keeps when it restarts.
-    peers: collections::BTreeMap<net::SocketAddr, KnownPeer>,
+    pub(super) peers: collections::BTreeMap<net::SocketAddr, KnownPeer>,
     stewards: collections::BTreeMap<ids::DataCentreName, stewards::RecordedSteward>,
     /// When news of a newly written record of a steward came.
     claimed_at: collections::BTreeMap<ids::DataCentreName, times::BootTime>,
 }
 
 #[derive(Debug)]
-struct KnownPeer {
-    node: ids::NodeName,
-    data_centre: ids::DataCentreName,
-    format: peers::PeerFormat,
-    cores: sizes::CoreShare,
-    discovered_at: times::BootTime,
-    last_beat_at: Option<times::BootTime>,
-    beat: Option<peers::NodeBeat>,
+pub(super) struct KnownPeer {
+    pub node: ids::NodeName,
+    pub data_centre: ids::DataCentreName,
+    pub format: peers::PeerFormat,
+    pub cores: sizes::CoreShare,
+    pub discovered_at: times::BootTime,
+    pub last_beat_at: Option<times::BootTime>,
+    pub beat: Option<peers::NodeBeat>,
     /// Whether the last heartbeat came in a summary.
-    is_summarised: bool,
+    pub is_summarised: bool,
 }
 
 impl KnownPeer {
-    fn is_heard(&self, lifetime: time::Duration, now: times::BootTime) -> bool {
+    pub fn is_heard(&self, lifetime: time::Duration, now: times::BootTime) -> bool {
         let lifetime = if self.is_summarised {
             lifetime + SUMMARY_SLACK
         } else {
@@ -164,12 +155,6 @@
         self.peers.keys().copied().collect()
     }
 
-    /// Returns whether the fleet is so large that other data centres are told of this one's nodes
-    /// in summaries.
-    pub(crate) fn is_large(&self) -> bool {
-        self.peers.len() > FULL_RATE_PEERS
-    }
-
     /// Returns the addresses of the nodes of a data centre that were heard of within
     /// [`SHARE_LIFETIME`].
     pub(crate) fn local_addresses(
@@ -183,141 +168,6 @@
         local.map(|(address, _peer)| *address).collect()
     }
 
-    /// Returns the addresses of all known nodes of a data centre.
-    pub(crate) fn centre_addresses(
-        &self,
-        data_centre: &ids::DataCentreName,
-    ) -> Vec<net::SocketAddr> {
-        let local = self
-            .peers
-            .iter()
-            .filter(|(_address, peer)| peer.data_centre == *data_centre);
-        local.map(|(address, _peer)| *address).collect()
-    }
-
-    /// Returns the addresses in other data centres that get heartbeats instead of summaries.
-    pub(crate) fn distant_addresses(
-        &self,
-        data_centre: &ids::DataCentreName,
-    ) -> Vec<net::SocketAddr> {
-        let is_large = self.is_large();
-        let distant = self.peers.iter().filter(|(_address, peer)| {
-            peer.data_centre != *data_centre && !(is_large && peer.format.has_summaries())
-        });
-        distant.map(|(address, _peer)| *address).collect()
-    }
-
-    /// Returns the addresses of the nodes of a data centre to which it can be told about another
-    /// one: those that are alive, or else all that are known there.
-    pub(crate) fn summary_receivers(
-        &self,
-        data_centre: &ids::DataCentreName,
-        now: times::BootTime,
-    ) -> Vec<net::SocketAddr> {
-        let able = self.peers.iter().filter(|(_address, peer)| {
-            peer.data_centre == *data_centre && peer.format.has_summaries()
-        });
-        let able: Vec<_> = able.collect();
-        let live = able
-            .iter()
-            .filter(|(_address, peer)| peer.is_heard(PEER_LIFETIME, now));
-        let live: Vec<_> = live.map(|(address, _peer)| **address).collect();
-        if live.is_empty() {
-            able.into_iter().map(|(address, _peer)| *address).collect()
-        } else {
-            live
-        }
-    }
-
-    /// Returns the addresses of this data centre's nodes to which summaries are passed on.
-    pub(crate) fn followers_of_summaries(
-        &self,
-        data_centre: &ids::DataCentreName,
-        now: times::BootTime,
-    ) -> Vec<net::SocketAddr> {
-        let local = self.peers.iter().filter(|(_address, peer)| {
-            peer.data_centre == *data_centre
-                && peer.format.has_summaries()
-                && peer.is_heard(SHARE_LIFETIME, now)
-        });
-        local.map(|(address, _peer)| *address).collect()
-    }
-
-    /// Returns whether this node tells other data centres about its own: the steward does while it
-    /// is alive and able to, otherwise the first able node by name.
-    pub(crate) fn is_delegate(
-        &self,
-        data_centre: &ids::DataCentreName,
-        now: times::BootTime,
-    ) -> bool {
-        let able = self.peers.values().filter(|peer| {
-            peer.data_centre == *data_centre
-                && peer.format.has_summaries()
-                && peer.is_heard(PEER_LIFETIME, now)
-                && peer
-                    .beat
-                    .as_ref()
-                    .is_some_and(|beat| beat.phase != peers::NodePhase::Leaving)
-        });
-        let mut able: collections::BTreeSet<_> = able.map(|peer| &peer.node).collect();
-        able.insert(&self.local_node);
-        let steward = self.steward(data_centre);
-        let steward = steward.filter(|steward| able.contains(steward));
-        steward.or_else(|| able.first().copied()) == Some(&self.local_node)
-    }
-
-    /// Returns whether this node is among the first [`SUCCESSORS`] that may replace the steward of
-    /// its data centre.
-    pub(crate) fn is_successor(
-        &self,
-        data_centre: &ids::DataCentreName,
-        now: times::BootTime,
-    ) -> bool {
-        let view = self.steward_view(data_centre, data_centre, now);
-        let holder = view.recorded.as_ref().map(|recorded| &recorded.holder);
-        let (first, rest): (Vec<_>, Vec<_>) = view
-            .local
-            .iter()
-            .filter(|node| Some(*node) != holder)
-            .partition(|node| view.preferred.contains(*node));
-        let mut order = first.into_iter().chain(rest);
-        order
-            .by_ref()
-            .take(SUCCESSORS)
-            .any(|node| *node == self.local_node)
-    }
-
-    /// Returns the heartbeats of a data centre's nodes that came from them within
-    /// [`SHARE_LIFETIME`].
-    pub(crate) fn heard_beats(
-        &self,
-        data_centre: &ids::DataCentreName,
-        now: times::BootTime,
-    ) -> Vec<peers::HeardBeat> {
-        let heard = self.peers.iter().filter(|(_address, peer)| {
-            peer.data_centre == *data_centre
-                && !peer.is_summarised
-                && peer.is_heard(SHARE_LIFETIME, now)
-        });
-        let beats = heard.filter_map(|(address, peer)| {
-            Some(peers::HeardBeat {
-                address: *address,
-                format: peer.format,
-                age: now.since(peer.last_beat_at?),
-                beat: peer.beat.clone()?,
-            })
-        });
-        beats.collect()
-    }
-
-    /// Returns the address of a node that serves what it knows of the store to others.
-    pub(crate) fn snapshot_address(&self, node: &ids::NodeName) -> Option<net::SocketAddr> {
-        let mut peers = self.peers.iter();
-        let found = peers.find(|(_address, peer)| peer.node == *node)?;
-        let (address, peer) = found;
-        peer.format.has_summaries().then_some(*address)
-    }
-
     /// Returns the recorded steward of a data centre.
     pub(crate) fn steward(&self, data_centre: &ids::DataCentreName) -> Option<&ids::NodeName> {
         self.stewards
@@ -532,28 +382,6 @@
         view
     }
 
-    /// Returns the nodes of this node's data centre with the greatest processor share; none if no
-    /// share is known.
-    fn ablest_nodes(
-        &self,
-        data_centre: &ids::DataCentreName,
-        now: times::BootTime,
-    ) -> collections::BTreeSet<ids::NodeName> {
-        let peers = self.peers.values();
-        let local = peers
-            .filter(|peer| peer.data_centre == *data_centre && peer.is_heard(PEER_LIFETIME, now))
-            .map(|peer| (peer.cores, &peer.node));
-        let nodes: Vec<_> = local
-            .chain([(self.local_cores, &self.local_node)])
-            .collect();
-        let greatest = nodes.iter().map(|(cores, _node)| *cores).max();
-        let greatest = greatest.filter(|cores| *cores > sizes::CoreShare::default());
-        let ablest = nodes
-            .into_iter()
-            .filter(|(cores, _node)| Some(*cores) == greatest);
-        ablest.map(|(_cores, node)| node.clone()).collect()
-    }
-
     fn beats(
         &self,
         now: times::BootTime,
