List marks and document when a steward can no longer be followed

Cause: a follower kept the version at which it had last read the marks of data centres out of service, and watched from it when its steward failed, perhaps much later. A watch from a version that the store has dropped may hang for seconds (docs/questions.md, 3), in which an evacuation would stay unknown. Change: followers forget the version and list, as they do for the document. Result: no test of its own; the stand-in of the store does not hang.

--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -198,14 +198,15 @@
                 () = self.state.wait_for_relay_gap() => {}
                 () = tokio::time::sleep(FOLLOW_INTERVAL) => {}
             }
-            return at;
+            // A watch from a version that is long past may hang; see docs/questions.md.
+            return at.filter(|_at| self.kind == links::RecordKind::Targets);
         }
         match self.read_snapshot(source).await {
             Ok(()) if self.kind == links::RecordKind::Targets => {
                 tokio::time::sleep(CATCH_UP_DELAY).await;
                 self.state.with_follower(|follower| follower.version())
             }
-            Ok(()) => at,
+            Ok(()) => None,
             Err(error) => {
                 log::debug!(
                     event = "snapshot-not-read",
