Do not let each node of a large fleet keep a request for a cold target

Cause: a node's share of a cold target's rate was a token bucket that fills to one request and keeps it. With 79 nodes a share is 0.2 a second; while nothing may be sent there all buckets fill, and all nodes send at once. All buckets also started at the same point.

--- a/crates/pier_edge/src/state/target_slot.rs
+++ b/crates/pier_edge/src/state/target_slot.rs
@@ -72,7 +72,7 @@
             is_local,
             gauge: sync::Arc::default(),
             connections: serving::ConnectionPool::new(address, connections),
-            cold_limiter: sync::Mutex::default(),
+            cold_limiter: sync::Mutex::new(budgets::ColdLimiter::new(rand::random())),
             cold: sync::Mutex::default(),
             loss_check: crashes::LossCheck::default(),
             stuck_count: watch::Sender::new(0),
--- a/crates/pier_fleet/tests/stalls_limits_and_elections.rs
+++ b/crates/pier_fleet/tests/stalls_limits_and_elections.rs
@@ -89,6 +89,76 @@
     }
 }
 
+/// Requests that a cold target of 17 a second may get in one second: half as many more, and five.
+const MOST_IN_A_SECOND: usize = 30;
+
+/// Nodes that share the rate of a cold target on a large site, each with its own draw.
+fn many_limiters() -> Vec<budgets::ColdLimiter> {
+    let draws = (0..79).map(|node| (f64::from(node) * 0.618_034).fract());
+    draws.map(budgets::ColdLimiter::new).collect()
+}
+
+/// Returns the most requests in a second when each node sends as soon as it may.
+fn busiest_second(limiters: &mut [budgets::ColdLimiter], per_second: f64, from: u64) -> usize {
+    let share = per_second / 79.0;
+    let mut sent = Vec::new();
+    for millis in from..from + 8_000 {
+        for limiter in &mut *limiters {
+            if limiter.allows(share, at(millis)) {
+                limiter.take(share, at(millis));
+                sent.push(millis);
+            }
+        }
+    }
+    let seconds = (from..from + 7_000).map(|start| {
+        let window = sent
+            .iter()
+            .filter(|millis| (start..start + 1_000).contains(*millis));
+        window.count()
+    });
+    seconds.max().unwrap_or_default()
+}
+
+// Guards against many nodes that each kept a request for a cold target while its data centre was out
+// of service, and send it in the same instant.
+#[test]
+fn nodes_that_could_not_use_a_cold_target_do_not_all_use_it_at_once() {
+    let per_second = 17.0;
+    let mut limiters = many_limiters();
+    let before = busiest_second(&mut limiters, per_second, 0);
+    // Eight seconds out of service.
+    let after = busiest_second(&mut limiters, per_second, 16_000);
+    assert!(before.max(after) <= MOST_IN_A_SECOND, "{before}, {after}");
+}
+
+// Guards against many nodes that see a cold target, choose others, and then all choose it at once.
+#[test]
+fn nodes_that_did_not_use_a_cold_target_do_not_all_use_it_at_once() {
+    let per_second = 17.0;
+    let mut limiters = many_limiters();
+    for millis in (0..20_000).step_by(50) {
+        for limiter in &mut limiters {
+            let _may_send = limiter.allows(per_second / 79.0, at(millis));
+        }
+    }
+    let most = busiest_second(&mut limiters, per_second, 20_000);
+    assert!(most <= MOST_IN_A_SECOND, "{most}");
+}
+
+// Guards against a cold target that nodes with a small share hardly use.
+#[test]
+fn a_small_share_of_a_cold_target_is_used() {
+    let mut limiter = budgets::ColdLimiter::new(0.5);
+    let mut sent = 0;
+    for millis in (0..60_000).step_by(100) {
+        if limiter.allows(0.2, at(millis)) {
+            limiter.take(0.2, at(millis));
+            sent += 1;
+        }
+    }
+    assert!((11..=13).contains(&sent), "{sent}");
+}
+
 #[test]
 fn loads_start_at_the_planners_share_of_the_rate() {
     let mut budget = budgets::LoadBudget::new(at(0));
