Start accept loops and the writer of the node's record again after a panic

The loops that accept connections, and the task that writes the node's record, were left out: a panic there would have left a node that is ready and takes no connection, or is unknown to others. Change: they run under the same guard. Three loops that accept connections handled a failed accept each in its own way; one function does it for all. Result: no test of its own, as nothing in these loops can be made to panic from outside; the tests of pier_edge pass.

--- a/crates/pier_edge/src/daemon/edge_daemon.rs
+++ b/crates/pier_edge/src/daemon/edge_daemon.rs
@@ -1,6 +1,6 @@
 //! Starts, reloads and drains a node.
 
-use std::{path, time};
+use std::{path, sync, time};
 
 use anyhow::Context as _;
 use pier_types::{ids, times};
@@ -45,7 +45,7 @@
     ] {
         records::spawn(&state, kind);
     }
-    records::spawn_node_record(state.clone());
+    records::spawn_node_record(&state);
     crashes::RecordWriter::spawn(&state);
     control::spawn(&state);
     contacts::spawn(&state);
@@ -58,8 +58,10 @@
     let audience = serving::ServerAudience::Nodes;
     let node_server = serving::CallerServer::bind(state.clone(), forwards, audience).await?;
     let closing = [server.closing(), node_server.closing()];
-    tokio::spawn(server.run());
-    tokio::spawn(node_server.run());
+    for (name, server) in [("callers", server), ("forwards", node_server)] {
+        let server = sync::Arc::new(server);
+        super::spawn_loop(&state, name, move || sync::Arc::clone(&server).run());
+    }
     let cleaned = state.clone();
     super::spawn_loop(&state, "clean-up", move || clean_up(cleaned.clone()));
     log::info!(
--- a/crates/pier_edge/src/peers/snapshots/snapshot_server.rs
+++ b/crates/pier_edge/src/peers/snapshots/snapshot_server.rs
@@ -1,6 +1,6 @@
 //! Serves what this node has read of the store to the other nodes of its data centre.
 
-use std::{convert, time};
+use std::{convert, sync, time};
 
 use anyhow::Context as _;
 use http_body_util::Full;
@@ -10,10 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{DOCUMENT_PATH, StoreSnapshot, TARGETS_PATH, encode};
-use crate::{links, peers, serving, state};
-
-/// Delay before accepting again after a connection could not be accepted.
-const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
+use crate::{daemon, links, peers, serving, state};
 
 /// Longest time for one connection, which carries one answer.
 const CONNECTION_LIMIT: time::Duration = time::Duration::from_secs(5);
@@ -29,24 +26,23 @@
     let address = state.settings().peers;
     let listener = TcpListener::bind(address).await;
     let listener = listener.with_context(|| format!("binding {address}"))?;
-    tokio::spawn(accept(state, listener));
+    let (parts, listener) = (state.clone(), sync::Arc::new(listener));
+    daemon::spawn_loop(&state, "snapshots", move || {
+        accept(parts.clone(), sync::Arc::clone(&listener))
+    });
     Ok(())
 }
 
-async fn accept<P: links::FleetPlatform>(state: state::EdgeState<P>, listener: TcpListener) {
+async fn accept<P: links::FleetPlatform>(
+    state: state::EdgeState<P>,
+    listener: sync::Arc<TcpListener>,
+) {
     loop {
-        match listener.accept().await {
-            Ok((stream, from)) => {
-                if state.with_peers(|peers| peers.knows_ip(from.ip())) {
-                    tokio::spawn(serve(state.clone(), stream));
-                } else {
-                    log::warn!(event = "snapshot-for-stranger", from:% = from; "");
-                }
-            }
-            Err(error) => {
-                log::warn!(event = "accept-failed", cause:% = error; "");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
+        let (stream, from) = serving::accept(&listener).await;
+        if state.with_peers(|peers| peers.knows_ip(from.ip())) {
+            tokio::spawn(serve(state.clone(), stream));
+        } else {
+            log::warn!(event = "snapshot-for-stranger", from:% = from; "");
         }
     }
 }
--- a/crates/pier_edge/src/serving/caller_server.rs
+++ b/crates/pier_edge/src/serving/caller_server.rs
@@ -1,6 +1,6 @@
 //! The HTTP servers for callers and for other nodes.
 
-use std::{convert, net, pin::pin, time};
+use std::{convert, net, pin::pin, sync, time};
 
 use anyhow::Context as _;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -20,9 +20,6 @@
 /// that none is closed as a request is sent on it.
 const NODE_IDLE_TIME: time::Duration = time::Duration::from_secs(15);
 
-/// Delay before accepting again after a connection could not be accepted.
-const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
-
 /// Bytes by which the head of a request that a node passes on may exceed the limit for callers: the
 /// node's note.
 const NOTE_BYTES: usize = 1_024;
@@ -73,30 +70,21 @@
         self.closing.clone()
     }
 
-    /// Accepts connections until `closing` is set, then closes the port, so that no request is
-    /// accepted that could not be finished before the process ends.
-    pub(crate) async fn run(self) {
+    /// Accepts connections until `closing` is set, then closes the port once the server is dropped, so
+    /// that no request is accepted that could not be finished before the process ends.
+    pub(crate) async fn run(self: sync::Arc<Self>) {
         let mut closing = self.closing.subscribe();
         loop {
-            let accepted = tokio::select! {
-                accepted = self.listener.accept() => accepted,
+            let (stream, from) = tokio::select! {
+                accepted = serving::accept(&self.listener) => accepted,
                 () = wait_for_close(&mut closing) => return,
             };
-            match accepted {
-                Ok((stream, from)) => {
-                    let Some(origin) = self.origin(from) else {
-                        continue;
-                    };
-                    let subscription = self.closing.subscribe();
-                    let serving =
-                        serve_connection(self.state.clone(), stream, origin, subscription);
-                    tokio::spawn(serving);
-                }
-                Err(error) => {
-                    log::warn!(event = "accept-failed", cause:% = error; "");
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                }
-            }
+            let Some(origin) = self.origin(from) else {
+                continue;
+            };
+            let subscription = self.closing.subscribe();
+            let serving = serve_connection(self.state.clone(), stream, origin, subscription);
+            tokio::spawn(serving);
         }
     }
 
--- a/crates/pier_edge/src/serving/mod.rs
+++ b/crates/pier_edge/src/serving/mod.rs
@@ -1,5 +1,6 @@
 //! Accepts callers' requests and forwards them to targets.
 
+mod accept;
 mod answer_budget;
 mod answer_limit;
 mod body_framing;
@@ -22,6 +23,7 @@
 mod target_call;
 mod target_stream;
 
+pub(crate) use accept::accept;
 pub(crate) use answer_budget::AnswerBudget;
 use answer_budget::BudgetShare;
 use answer_limit::AnswerLimit;
--- a/crates/pier_edge/src/telemetry/metrics_server.rs
+++ b/crates/pier_edge/src/telemetry/metrics_server.rs
@@ -1,6 +1,6 @@
 //! The server for readiness checks and metrics.
 
-use std::{convert, net};
+use std::{convert, net, sync};
 
 use anyhow::Context as _;
 use http_body_util::Full;
@@ -8,7 +8,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 
-use crate::{links, state};
+use crate::{daemon, links, serving, state};
 
 /// Serves `/readyz` and `/metrics` on an address.
 ///
@@ -21,34 +21,35 @@
 ) -> anyhow::Result<()> {
     let listener = TcpListener::bind(address).await;
     let listener = listener.with_context(|| format!("binding {address}"))?;
-    tokio::spawn(async move {
-        loop {
-            let stream = match listener.accept().await {
-                Ok((stream, _from)) => stream,
-                Err(error) => {
-                    log::warn!(event = "accept-failed", cause:% = error; "");
-                    tokio::time::sleep(std::time::Duration::from_millis(20)).await;
-                    continue;
-                }
-            };
-            let state = state.clone();
-            let service = service_fn(move |request: http::Request<Incoming>| {
-                let response = page(&state, request.uri().path());
-                async move { Ok::<_, convert::Infallible>(response) }
-            });
-            let mut server = http1::Builder::new();
-            server.timer(TokioTimer::new());
-            let connection = server.serve_connection(TokioIo::new(stream), service);
-            tokio::spawn(async move {
-                if let Err(error) = connection.await {
-                    log::debug!(event = "page-connection-ended", cause:% = error; "");
-                }
-            });
-        }
+    let (parts, listener) = (state.clone(), sync::Arc::new(listener));
+    daemon::spawn_loop(&state, "pages", move || {
+        serve(parts.clone(), sync::Arc::clone(&listener))
     });
     Ok(())
 }
 
+async fn serve<P: links::FleetPlatform>(
+    state: state::EdgeState<P>,
+    listener: sync::Arc<TcpListener>,
+) {
+    loop {
+        let (stream, _from) = serving::accept(&listener).await;
+        let state = state.clone();
+        let service = service_fn(move |request: http::Request<Incoming>| {
+            let response = page(&state, request.uri().path());
+            async move { Ok::<_, convert::Infallible>(response) }
+        });
+        let mut server = http1::Builder::new();
+        server.timer(TokioTimer::new());
+        let connection = server.serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!(event = "page-connection-ended", cause:% = error; "");
+            }
+        });
+    }
+}
+
 fn page<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
     path: &str,
