Bound the connections that read the steward's list

Seen: while reading the change. Each follower that gets no answer within 0.8 s tries again, while the steward kept the former connection, with a list of some 0.33 MB, for up to 5 s. With 38 followers of a slow steward that is up to 75 MB (worked out) of a node's 160. Change: at most 16 connections at a time, each for 1 s at most; further ones are closed at once, logged and counted. Their nodes try again or read the store. Result: connections_for_the_stewards_list_are_few_and_short, 40 connections that send nothing: 24 refused, all closed within 3 s. Before, they stayed open for 5 s each.

--- a/crates/pier_edge/src/peers/snapshots/snapshot_server.rs
+++ b/crates/pier_edge/src/peers/snapshots/snapshot_server.rs
@@ -7,13 +7,20 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use pier_types::times;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Semaphore,
+};
 
 use super::{DOCUMENT_PATH, StoreSnapshot, TARGETS_PATH, encode};
 use crate::{daemon, links, peers, serving, state};
 
-/// Longest time for one connection, which carries one answer.
-const CONNECTION_LIMIT: time::Duration = time::Duration::from_secs(5);
+/// Longest time for one connection, which carries one answer: more than a reader waits for it.
+const CONNECTION_LIMIT: time::Duration = time::Duration::from_secs(1);
+
+/// Most connections at a time, which bounds the memory of the answers; a list is some hundred
+/// kilobytes. Further nodes try again, or read the store.
+const MAX_CONNECTIONS: usize = 16;
 
 /// Serves the other nodes on the TCP port with the number of the one for datagrams.
 ///
@@ -37,13 +44,23 @@
     state: state::EdgeState<P>,
     listener: sync::Arc<TcpListener>,
 ) {
+    let places = sync::Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
         let (stream, from) = serving::accept(&listener).await;
-        if state.with_peers(|peers| peers.knows_ip(from.ip())) {
-            tokio::spawn(serve(state.clone(), stream));
-        } else {
+        if !state.with_peers(|peers| peers.knows_ip(from.ip())) {
             log::warn!(event = "snapshot-for-stranger", from:% = from; "");
+            continue;
         }
+        let Ok(place) = sync::Arc::clone(&places).try_acquire_owned() else {
+            state.metrics().count_snapshot_refusal();
+            log::debug!(event = "snapshot-refused", from:% = from, in_progress = MAX_CONNECTIONS; "");
+            continue;
+        };
+        let serving = serve(state.clone(), stream);
+        tokio::spawn(async move {
+            serving.await;
+            drop(place);
+        });
     }
 }
 
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -51,6 +51,7 @@
     message_failures: Family<Labels, Counter>,
     snapshots: Family<Labels, Counter>,
     snapshot_bytes: Family<Labels, Counter>,
+    snapshot_refusals: Counter,
     document_version: Gauge,
 }
 
@@ -97,6 +98,7 @@
             message_failures: Family::default(),
             snapshots: Family::default(),
             snapshot_bytes: Family::default(),
+            snapshot_refusals: Counter::default(),
             document_version: Gauge::default(),
         };
         let mut registry = state::lock(&metrics.registry);
@@ -239,6 +241,11 @@
             "Bytes of the lists and documents served to other nodes",
             self.snapshot_bytes.clone(),
         );
+        registry.register(
+            "snapshots_refused",
+            "Requests for lists and documents that found too many others in progress",
+            self.snapshot_refusals.clone(),
+        );
     }
 
     fn register_targets(&self, registry: &mut Registry) {
@@ -425,6 +432,10 @@
         self.message_failures.get_or_create(&labels).inc();
     }
 
+    pub(crate) fn count_snapshot_refusal(&self) {
+        self.snapshot_refusals.inc();
+    }
+
     /// Counts a list or document of this many bytes that was served to another node.
     pub(crate) fn count_snapshot(&self, content: &str, bytes: usize) {
         let labels = vec![("content", content.to_owned())];
--- a/crates/pier_edge/tests/mixed_builds.rs
+++ b/crates/pier_edge/tests/mixed_builds.rs
@@ -11,6 +11,7 @@
     FirstBeat, KEY, RawCaller, Script, ScriptedTarget, TestNode, document, document_at,
     plain_entry,
 };
+use tokio::io::AsyncReadExt as _;
 
 /// A heartbeat that commit 7a64715 encoded.
 const FIRST_BEAT: &str = "0002613104646331610903000101010276310201ac020102763201027633";
@@ -190,3 +191,28 @@
     assert!(platform.calls(links::RecordKind::Targets, "list") >= 1);
     sending.abort();
 }
+
+// Guards against a node that runs out of memory because other nodes open connections for its list and
+// do not read.
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_for_the_stewards_list_are_few_and_short() {
+    let node = TestNode::start_bare().await;
+    let earlier = EarlierNode::start(&node.platform, "a0", "dc-a").await;
+    node.settle().await;
+    let source = earlier.socket.local_addr().unwrap().ip();
+    let mut connections = Vec::new();
+    for _number in 0..40 {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.bind((source, 0).into()).unwrap();
+        connections.push(socket.connect(node.peers).await.unwrap());
+    }
+    let started = time::Instant::now();
+    for mut connection in connections {
+        let reading = connection.read_u8();
+        let read = tokio::time::timeout(time::Duration::from_secs(4), reading).await;
+        assert!(read.expect("the connection stays open").is_err());
+    }
+    // Well under the time limits of forty connections, one after the other.
+    assert!(started.elapsed() < time::Duration::from_secs(3));
+    assert_eq!(node.metric("snapshots_refused_total").await, 40 - 16);
+}
