Refuse malformed optional settings instead of taking them for missing ones

Seen: while reading the change. leaving_ms = 0 and cores = 0 counted as not stated, without a word; two readers of optional keys stood beside each other. Change: one reader of optional keys; numbers have to be above 0. Result: tests/node_settings.rs; with 0 the former code took the default.

--- a/crates/pier_edge/src/settings/edge_settings.rs
+++ b/crates/pier_edge/src/settings/edge_settings.rs
@@ -84,15 +84,17 @@
             metrics: reader.value("listen", "metrics")?,
             store: reader.value("platform", "store")?,
             memory: sizes::ByteSize::new(mebibytes << 20),
-            is_first_start: reader.flag("node", "first_start")?,
-            cores: core_share(reader.optional("limits", "cores")?),
+            is_first_start: reader.optional("node", "first_start")?.unwrap_or(false),
+            cores: reader
+                .positive("limits", "cores")?
+                .map(core_share)
+                .unwrap_or_default(),
             log_level: reader.value("log", "level")?,
             bounds: settings::EdgeBounds {
                 grace: seconds(reader.value("bounds", "grace_seconds")?),
-                leaving: match reader.optional("bounds", "leaving_ms")? {
-                    0.0 => DEFAULT_LEAVING_TIME,
-                    millis => seconds(millis / 1_000.0),
-                },
+                leaving: reader
+                    .positive("bounds", "leaving_ms")?
+                    .map_or(DEFAULT_LEAVING_TIME, |millis| seconds(millis / 1_000.0)),
                 retry_ratio: reader.value("bounds", "retry_ratio")?,
                 retry_burst: reader.value("bounds", "retry_burst")?,
                 retry_window: seconds(reader.value("bounds", "retry_window_seconds")?),
@@ -121,38 +123,35 @@
 }
 
 impl SectionReader<'_> {
-    /// Returns false if the key is missing or empty.
-    fn flag(
+    /// Returns `None` if the key is missing or empty.
+    fn optional<T: str::FromStr>(
         &self,
         section: &'static str,
         key: &'static str,
-    ) -> Result<bool, settings::SettingsError> {
+    ) -> Result<Option<T>, settings::SettingsError> {
         let text = self.ini.get_from(Some(section), key).unwrap_or_default();
         if text.trim().is_empty() {
-            return Ok(false);
+            return Ok(None);
         }
-        self.value(section, key)
+        self.value(section, key).map(Some)
     }
 
-    /// Returns 0 if the key is missing or empty.
-    fn optional(
+    /// Returns a number that is above 0, or `None` if the key is missing or empty.
+    fn positive(
         &self,
         section: &'static str,
         key: &'static str,
-    ) -> Result<f64, settings::SettingsError> {
-        let text = self.ini.get_from(Some(section), key).unwrap_or_default();
-        if text.trim().is_empty() {
-            return Ok(0.0);
+    ) -> Result<Option<f64>, settings::SettingsError> {
+        match self.optional::<f64>(section, key)? {
+            Some(number) if !number.is_finite() || number <= 0.0 => {
+                Err(settings::SettingsError::Malformed {
+                    section,
+                    key,
+                    value: number.to_string(),
+                })
+            }
+            number => Ok(number),
         }
-        let number: f64 = self.value(section, key)?;
-        if number.is_finite() && number >= 0.0 {
-            return Ok(number);
-        }
-        Err(settings::SettingsError::Malformed {
-            section,
-            key,
-            value: text.to_owned(),
-        })
     }
 
     fn value<T: str::FromStr>(
--- /dev/null
+++ b/crates/pier_edge/tests/node_settings.rs
@@ -0,0 +1,57 @@
+//! Settings that a file may leave out, and those that are refused.
+
+use std::time;
+
+use pier_edge::settings;
+use pier_types::sizes;
+
+/// Returns a complete settings file without its optional keys, with these lines added to sections.
+fn text(node: &str, limits: &str, bounds: &str) -> String {
+    format!(
+        "[node]\nname = n1\ndata_centre = dc-a\ndata_centres = dc-a,dc-b\n{node}\n\
+         [listen]\ncallers = 127.0.0.1:1\nreadiness = 127.0.0.1:2\npeers = 127.0.0.1:3\n\
+         forwards = 127.0.0.1:4\nmetrics = 127.0.0.1:5\n\
+         [platform]\nstore = 127.0.0.1:9\n[limits]\nmemory_mib = 200\n{limits}\n\
+         [bounds]\ngrace_seconds = 8\nretry_ratio = 0.2\nretry_burst = 100\n\
+         retry_window_seconds = 10\n{bounds}\n[log]\nlevel = info\n"
+    )
+}
+
+// Guards against a settings file of an earlier build that a newer one refuses.
+#[test]
+fn optional_settings_may_be_missing_or_empty() {
+    for text in [
+        text("", "", ""),
+        text("first_start =", "cores =", "leaving_ms ="),
+    ] {
+        let read = settings::EdgeSettings::parse(&text).unwrap();
+        assert!(!read.is_first_start);
+        assert_eq!(read.cores, sizes::CoreShare::default());
+        assert_eq!(read.bounds.leaving, time::Duration::from_secs(2));
+    }
+}
+
+#[test]
+fn optional_settings_are_read() {
+    let text = text("first_start = true", "cores = 0.12", "leaving_ms = 4000");
+    let read = settings::EdgeSettings::parse(&text).unwrap();
+    assert!(read.is_first_start);
+    assert_eq!(read.cores, sizes::CoreShare::new(120));
+    assert_eq!(read.bounds.leaving, time::Duration::from_secs(4));
+}
+
+// Guards against a malformed value that counts as a missing one.
+#[test]
+fn malformed_optional_settings_are_refused_by_name() {
+    for (key, text) in [
+        ("first_start", text("first_start = maybe", "", "")),
+        ("cores", text("", "cores = 0", "")),
+        ("cores", text("", "cores = nan", "")),
+        ("cores", text("", "cores = -1", "")),
+        ("leaving_ms", text("", "", "leaving_ms = 0")),
+        ("leaving_ms", text("", "", "leaving_ms = soon")),
+    ] {
+        let error = settings::EdgeSettings::parse(&text).unwrap_err();
+        assert!(error.to_string().contains(key), "{error}");
+    }
+}
