Keep marks of data centres out of service when a steward's list may lack them

Seen: while reading the change. For some seconds after the store comes back from a copy, a list of marks is merged with the known ones, as the operator may not have written them again. The steward's list, which followers apply, replaced them. Change: both lists are applied by one function. Result: no test of its own; the stand-in has no fleet large enough whose store comes back from a copy.

--- a/crates/pier_edge/src/records/record_applier.rs
+++ b/crates/pier_edge/src/records/record_applier.rs
@@ -45,11 +45,7 @@
             }
             links::RecordKind::OutOfService => {
                 let listed = list.records.into_iter().filter_map(out_of_service_centre);
-                let mut out_of_service: collections::BTreeSet<_> = listed.collect();
-                if self.state.is_catching_up(now) {
-                    out_of_service.extend(self.state.out_of_service().iter().cloned());
-                }
-                self.set_out_of_service(out_of_service, now);
+                self.replace_out_of_service(listed.collect(), now);
             }
             links::RecordKind::Document | links::RecordKind::Nodes => {
                 for record in list.records {
@@ -64,7 +60,7 @@
 
     /// Applies what the steward has read of the store.
     pub(crate) fn apply_snapshot(&self, snapshot: peers::StoreSnapshot, now: times::BootTime) {
-        self.set_out_of_service(snapshot.out_of_service, now);
+        self.replace_out_of_service(snapshot.out_of_service, now);
         self.state
             .with_registry(|registry| registry.replace(snapshot.targets, now));
         self.state
@@ -240,6 +236,19 @@
         }
     }
 
+    /// Applies a complete list of the data centres out of service. While marks may be missing from it,
+    /// the known ones stay.
+    fn replace_out_of_service(
+        &self,
+        mut out_of_service: collections::BTreeSet<ids::DataCentreName>,
+        now: times::BootTime,
+    ) {
+        if self.state.is_catching_up(now) {
+            out_of_service.extend(self.state.out_of_service().iter().cloned());
+        }
+        self.set_out_of_service(out_of_service, now);
+    }
+
     fn set_out_of_service(
         &self,
         out_of_service: collections::BTreeSet<ids::DataCentreName>,
@@ -263,8 +272,8 @@
             let record = crashes::CrashRecord::parse(text);
             let wall_now = times::clocks::wall_now();
             let ledger = self.state.crashes();
-            let passes_on = self.state.is_first_reader(now);
-            ledger.apply_record(version, record, now, wall_now, passes_on);
+            let should_forward = self.state.is_first_reader(now);
+            ledger.apply_record(version, record, now, wall_now, should_forward);
             None
         } else if let Some(centre) = name.strip_prefix(records::STEWARD_PREFIX) {
             self.apply_steward(centre, version, text, now).err()
