Name broadcasts as such, log where a node reads the store from, and say things once

Change: news, spread and pass on are a broadcast that is forwarded; ablest and preferred nodes have one name. Three limits stood twice, and the filter for a data centre's nodes six times; the number of kinds stands beside them. A node logs when it begins or ends to follow its steward, with the ages it judged by; that it reads the steward's list; that it becomes delegate; and what it knew when its steward was too slow. Followers that are not the first two in line have their limits from one constant.

--- a/crates/pier_edge/src/crashes/crash_ledger.rs
+++ b/crates/pier_edge/src/crashes/crash_ledger.rs
@@ -174,22 +174,22 @@
     }
 
     /// Merges a record of the store unless a newer one is known; `wall_now` is the time of day. See
-    /// [`CrashLedger::adopt_record`] for `passes_on`.
+    /// [`CrashLedger::adopt_record`] for `should_forward`.
     pub(crate) fn apply_record(
         &self,
         version: epochs::ObjectVersion,
         record: crashes::CrashRecord,
         now: times::BootTime,
         wall_now: times::WallTime,
-        passes_on: bool,
+        should_forward: bool,
     ) {
         let (known, _record) = self.record();
         if known < version {
-            self.adopt_record(version, record, now, wall_now, passes_on);
+            self.adopt_record(version, record, now, wall_now, should_forward);
         }
     }
 
-    /// Merges the record that the store holds, whatever version is known. If `passes_on`, the marks
+    /// Merges the record that the store holds, whatever version is known. If `should_forward`, the marks
     /// that are new here are sent to other nodes.
     pub(crate) fn adopt_record(
         &self,
@@ -197,12 +197,12 @@
         record: crashes::CrashRecord,
         now: times::BootTime,
         wall_now: times::WallTime,
-        passes_on: bool,
+        should_forward: bool,
     ) {
         let delta = record.to_delta(wall_now);
         let part_delta = record.to_part_delta(wall_now);
         self.set_record(version, record);
-        if passes_on {
+        if should_forward {
             self.update_parts(now, |history| history.merge_and_forward(&part_delta, now));
             self.update(now, |history| history.merge_and_forward(&delta, now));
             self.recorded.notify_one();
--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -6,7 +6,7 @@
 use pier_types::times;
 use tokio::net::UdpSocket;
 
-use super::{crash_loop, notice_outbox, peer_groups, spread, summary_loop};
+use super::{broadcast, crash_loop, notice_outbox, peer_groups, summary_loop};
 use crate::{daemon, links, peers, records, state};
 
 /// Interval between heartbeats in a small fleet. A load known to another node is at most this old,
@@ -100,14 +100,7 @@
     now: times::BootTime,
 ) {
     let extension = envelope.extension;
-    let message = match envelope.message {
-        peers::PeerMessage::Spread(news) => {
-            spread::pass_on(state, socket, news.clone()).await;
-            peers::PeerMessage::from(news)
-        }
-        other => other,
-    };
-    match message {
+    match envelope.message {
         peers::PeerMessage::Beat(beat) => {
             let heard = peers::HeardBeat {
                 address: from,
@@ -130,18 +123,22 @@
         peers::PeerMessage::Digest(digest) => {
             peers::load_intake::apply_digest(state, digest, now);
         }
-        peers::PeerMessage::Crashes(delta) => state.crashes().merge(&delta, now),
-        peers::PeerMessage::PartCrashes(delta) => state.crashes().merge_parts(&delta, now),
+        peers::PeerMessage::Crashes(delta) => {
+            broadcast::apply(state, peers::BroadcastContent::Crashes(delta), now);
+        }
+        peers::PeerMessage::PartCrashes(delta) => {
+            broadcast::apply(state, peers::BroadcastContent::PartCrashes(delta), now);
+        }
         peers::PeerMessage::Leaving(notices) => {
-            for target in notices {
-                state.merge_leaving(&target.vm, target.born, now);
-            }
+            broadcast::apply(state, peers::BroadcastContent::Leaving(notices), now);
+        }
+        peers::PeerMessage::Broadcast(content) => {
+            broadcast::forward(state, socket, content.clone()).await;
+            broadcast::apply(state, content, now);
         }
         peers::PeerMessage::Summary(summary) => {
             summary_loop::receive(state, socket, summary, now).await;
         }
-        // Unwrapped above.
-        peers::PeerMessage::Spread(_) => {}
     }
 }
 
@@ -151,17 +148,17 @@
         let now = times::clocks::boot_now();
         number += 1;
         let data_centre = &state.settings().data_centre;
-        let (count, local, distant) = state.with_peers(|peers| {
+        let (count, local, remote) = state.with_peers(|peers| {
             peers.expire(now);
             (
                 peers.count(),
                 peers.centre_addresses(data_centre),
-                peers.distant_addresses(data_centre),
+                peers.direct_remote_addresses(data_centre),
             )
         });
         state.update_forwards(now);
         let stride = beat_stride(local.len());
-        let distant_stride = beat_stride(count).div_ceil(stride);
+        let remote_stride = beat_stride(count).div_ceil(stride);
         let mut beat = local_beat(&state, number, now);
         let extension = peers::MessageExtension {
             cores: state.settings().cores,
@@ -170,14 +167,14 @@
         let message = peers::PeerMessage::Beat(beat.clone());
         let envelope = peers::PeerEnvelope::with_extension(message, extension);
         send_envelope(&state, &socket, &envelope, &local).await;
-        if number.is_multiple_of(u64::from(distant_stride)) && !distant.is_empty() {
+        if number.is_multiple_of(u64::from(remote_stride)) && !remote.is_empty() {
             if count > peer_groups::FULL_RATE_PEERS {
                 // Other data centres get the loads in the digests of this one's hub.
                 beat.loads.clear();
             }
             let message = peers::PeerMessage::Beat(beat);
             let envelope = peers::PeerEnvelope::with_extension(message, extension);
-            send_envelope(&state, &socket, &envelope, &distant).await;
+            send_envelope(&state, &socket, &envelope, &remote).await;
         }
         state.set_beat_number(number);
         tokio::time::sleep(BEAT_INTERVAL * stride).await;
--- a/crates/pier_edge/src/peers/centre_summary.rs
+++ b/crates/pier_edge/src/peers/centre_summary.rs
@@ -1,4 +1,4 @@
-//! What the nodes of one data centre tell those of another.
+//! Summary of a data centre's heartbeats for the other data centres.
 
 use std::net;
 
@@ -11,8 +11,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct CentreSummary {
     pub data_centre: ids::DataCentreName,
-    /// Whether the receiver passes it on to the nodes of its data centre.
-    pub to_spread: bool,
+    /// Whether the receiver forwards it to the nodes of its data centre.
+    pub is_to_forward: bool,
     /// The services that the nodes name by their position here.
     pub services: Vec<ids::ServiceName>,
     pub nodes: Vec<NodeSummary>,
@@ -52,7 +52,7 @@
         let summaries = chunks.map(|chunk| {
             let mut summary = Self {
                 data_centre: data_centre.clone(),
-                to_spread: true,
+                is_to_forward: true,
                 services: Vec::new(),
                 nodes: Vec::new(),
             };
--- a/crates/pier_edge/src/peers/crash_loop.rs
+++ b/crates/pier_edge/src/peers/crash_loop.rs
@@ -6,7 +6,7 @@
 use rand::seq::IndexedRandom as _;
 use tokio::net::UdpSocket;
 
-use super::{beat_loop, spread};
+use super::{beat_loop, broadcast};
 use crate::{links, peers, state};
 
 /// Most marks in one datagram.
@@ -40,21 +40,21 @@
         let is_new = state.crashes().has_new_marks();
         let part_delta = state.crashes().part_delta(now, MAX_PART_MARKS);
         let delta = state.crashes().delta(now, MAX_MARKS);
-        let parts =
-            (!part_delta.marks.is_empty()).then_some(peers::SpreadNews::PartCrashes(part_delta));
-        let marks = (!delta.marks.is_empty()).then_some(peers::SpreadNews::Crashes(delta));
-        for news in parts.into_iter().chain(marks) {
+        let parts = (!part_delta.marks.is_empty())
+            .then_some(peers::BroadcastContent::PartCrashes(part_delta));
+        let marks = (!delta.marks.is_empty()).then_some(peers::BroadcastContent::Crashes(delta));
+        for content in parts.into_iter().chain(marks) {
             if is_new {
-                spread::send(&state, &socket, news, now).await;
+                broadcast::send(&state, &socket, content, now).await;
             } else if let Some(receiver) = round_receiver(&state, now) {
-                beat_loop::send_all(&state, &socket, news.into(), &[receiver]).await;
+                beat_loop::send_all(&state, &socket, content.into(), &[receiver]).await;
             }
         }
     }
 }
 
-/// Returns the node that gets some of all marks next. In a large fleet each data centre's delegate
-/// alone sends them to other ones.
+/// Returns the node that receives some of all marks next. In a large fleet only the delegate of a data
+/// centre sends them to other ones.
 fn round_receiver<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
     now: times::BootTime,
--- a/crates/pier_edge/src/peers/follow_limits.rs
+++ b/crates/pier_edge/src/peers/follow_limits.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use crate::records;
+
 /// Time without a relay message after which a node reads the store itself.
 const RELAY_LIFETIME: time::Duration = time::Duration::from_millis(600);
 
@@ -13,9 +15,6 @@
 /// Time that a node needs to read the store itself after it has stopped following its steward.
 const READ_TIME: time::Duration = time::Duration::from_millis(1_200);
 
-/// Longest wait of a steward's watch, by which its last answer ages while nothing changes.
-const QUIET_AGE: time::Duration = time::Duration::from_millis(900);
-
 /// Time over which the nodes of a data centre stop following a steward that is cut off, so that they
 /// do not all read the store at once.
 const SPREAD_TIME: time::Duration = time::Duration::from_millis(500);
@@ -46,7 +45,10 @@
             .saturating_sub(spread)
             .max(MAX_STORE_AGE);
         Self {
-            silence: store_age.saturating_sub(QUIET_AGE).max(RELAY_LIFETIME),
+            // While nothing changes, the store's last answer is as old as a watch waits.
+            silence: store_age
+                .saturating_sub(records::RELAY_WATCH_TIMEOUT)
+                .max(RELAY_LIFETIME),
             store_age,
         }
     }
--- a/crates/pier_edge/src/peers/formats/peer_envelope.rs
+++ b/crates/pier_edge/src/peers/formats/peer_envelope.rs
@@ -5,9 +5,6 @@
 use super::{FirstBeat, MessageExtension, PeerFormat};
 use crate::peers;
 
-/// Number of the kinds of messages that this build knows.
-const KNOWN_KINDS: u8 = 9;
-
 /// Position of the heartbeat among the kinds.
 const BEAT_KIND: u8 = 0;
 
@@ -76,7 +73,7 @@
     /// Fails when the bytes are no message, or one of a kind that this build does not know.
     pub(crate) fn decode(bytes: &[u8]) -> Result<Self, MessageFault> {
         let kind = bytes.first().copied().unwrap_or_default();
-        if kind >= KNOWN_KINDS {
+        if kind >= peers::PeerMessage::KINDS {
             return Err(MessageFault::UnknownKind(kind));
         }
         let (message, rest) = match postcard::take_from_bytes::<peers::PeerMessage>(bytes) {
--- a/crates/pier_edge/src/peers/mod.rs
+++ b/crates/pier_edge/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! Datagrams between nodes: heartbeats, loads at targets and the steward's view of the store.
 
 mod beat_loop;
+mod broadcast;
 mod centre_summary;
 mod crash_loop;
 mod follow_limits;
@@ -18,7 +19,6 @@
 mod relay_follower;
 mod relay_log;
 mod snapshots;
-mod spread;
 mod stall_watch;
 mod summary_loop;
 
@@ -32,7 +32,7 @@
 use load_loop::LoadLoop;
 pub(crate) use load_loop::VIEW_AGE;
 pub(crate) use node_beat::{
-    LeavingTarget, NodeBeat, NodePhase, NodeRecord, PeerMessage, SpreadNews, StewardRecord,
+    BroadcastContent, LeavingTarget, NodeBeat, NodePhase, NodeRecord, PeerMessage, StewardRecord,
 };
 pub(crate) use notice_outbox::NoticeOutbox;
 pub(crate) use peer_table::PeerTable;
--- a/crates/pier_edge/src/peers/node_beat.rs
+++ b/crates/pier_edge/src/peers/node_beat.rs
@@ -27,29 +27,32 @@
     PartCrashes(prompt_parts::PartDelta),
     /// The heartbeats of another data centre's nodes.
     Summary(peers::CentreSummary),
-    /// News for all nodes of the receiver's data centre, which it passes on to them.
-    Spread(SpreadNews),
+    /// Content that the receiver forwards to the nodes of its data centre.
+    Broadcast(BroadcastContent),
 }
 
-/// News that every node of the fleet is to get.
+/// Content for every node of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) enum SpreadNews {
+pub(crate) enum BroadcastContent {
     Crashes(quarantine::CrashDelta),
     PartCrashes(prompt_parts::PartDelta),
     Leaving(Vec<LeavingTarget>),
 }
 
-impl From<SpreadNews> for PeerMessage {
-    fn from(news: SpreadNews) -> Self {
-        match news {
-            SpreadNews::Crashes(delta) => Self::Crashes(delta),
-            SpreadNews::PartCrashes(delta) => Self::PartCrashes(delta),
-            SpreadNews::Leaving(notices) => Self::Leaving(notices),
+impl From<BroadcastContent> for PeerMessage {
+    fn from(content: BroadcastContent) -> Self {
+        match content {
+            BroadcastContent::Crashes(delta) => Self::Crashes(delta),
+            BroadcastContent::PartCrashes(delta) => Self::PartCrashes(delta),
+            BroadcastContent::Leaving(notices) => Self::Leaving(notices),
         }
     }
 }
 
 impl PeerMessage {
+    /// Number of the kinds of messages that this build knows.
+    pub(crate) const KINDS: u8 = 9;
+
     /// Returns the kind's name in metrics.
     pub(crate) const fn label(&self) -> &'static str {
         match self {
@@ -61,7 +64,7 @@
             Self::Leaving(_) => "leaving",
             Self::PartCrashes(_) => "part-crashes",
             Self::Summary(_) => "summary",
-            Self::Spread(_) => "spread",
+            Self::Broadcast(_) => "broadcast",
         }
     }
 }
--- a/crates/pier_edge/src/peers/notice_outbox.rs
+++ b/crates/pier_edge/src/peers/notice_outbox.rs
@@ -5,7 +5,7 @@
 use pier_types::times;
 use tokio::{net::UdpSocket, sync::Notify};
 
-use super::spread;
+use super::broadcast;
 use crate::{links, peers, state};
 
 /// How often each notice is sent, since datagrams may be lost.
@@ -58,7 +58,13 @@
             continue;
         }
         let now = times::clocks::boot_now();
-        spread::send(&state, &socket, peers::SpreadNews::Leaving(batch), now).await;
+        broadcast::send(
+            &state,
+            &socket,
+            peers::BroadcastContent::Leaving(batch),
+            now,
+        )
+        .await;
         tokio::time::sleep(NOTICE_INTERVAL).await;
     }
 }
--- a/crates/pier_edge/src/peers/peer_groups.rs
+++ b/crates/pier_edge/src/peers/peer_groups.rs
@@ -4,7 +4,7 @@
 
 use pier_types::{ids, sizes, times};
 
-use super::peer_table::{PEER_LIFETIME, SHARE_LIFETIME};
+use super::peer_table::{KnownPeer, PEER_LIFETIME, SHARE_LIFETIME};
 use crate::peers;
 
 /// Greatest number of peers with which heartbeats are sent at every interval, and of which each
@@ -23,28 +23,34 @@
         self.peers.len() > FULL_RATE_PEERS
     }
 
+    /// Returns the known nodes of a data centre.
+    pub(super) fn in_centre(
+        &self,
+        data_centre: &ids::DataCentreName,
+    ) -> impl Iterator<Item = (net::SocketAddr, &KnownPeer)> {
+        let peers = self.peers.iter().map(|(address, peer)| (*address, peer));
+        peers.filter(move |(_address, peer)| peer.data_centre == *data_centre)
+    }
+
     /// Returns the addresses of all known nodes of a data centre.
     pub(crate) fn centre_addresses(
         &self,
         data_centre: &ids::DataCentreName,
     ) -> Vec<net::SocketAddr> {
-        let local = self
-            .peers
-            .iter()
-            .filter(|(_address, peer)| peer.data_centre == *data_centre);
-        local.map(|(address, _peer)| *address).collect()
+        let local = self.in_centre(data_centre);
+        local.map(|(address, _peer)| address).collect()
     }
 
     /// Returns the addresses in other data centres that get heartbeats instead of summaries.
-    pub(crate) fn distant_addresses(
+    pub(crate) fn direct_remote_addresses(
         &self,
         data_centre: &ids::DataCentreName,
     ) -> Vec<net::SocketAddr> {
         let is_large = self.is_large();
-        let distant = self.peers.iter().filter(|(_address, peer)| {
+        let direct = self.peers.iter().filter(|(_address, peer)| {
             peer.data_centre != *data_centre && !(is_large && peer.format.has_summaries())
         });
-        distant.map(|(address, _peer)| *address).collect()
+        direct.map(|(address, _peer)| *address).collect()
     }
 
     /// Returns the addresses of the nodes of a data centre to which it can be told about another
@@ -54,52 +60,49 @@
         data_centre: &ids::DataCentreName,
         now: times::BootTime,
     ) -> Vec<net::SocketAddr> {
-        let able = self.peers.iter().filter(|(_address, peer)| {
-            peer.data_centre == *data_centre && peer.format.has_summaries()
-        });
+        let able = self
+            .in_centre(data_centre)
+            .filter(|(_address, peer)| peer.format.has_summaries());
         let able: Vec<_> = able.collect();
         let live = able
             .iter()
             .filter(|(_address, peer)| peer.is_heard(PEER_LIFETIME, now));
-        let live: Vec<_> = live.map(|(address, _peer)| **address).collect();
+        let live: Vec<_> = live.map(|(address, _peer)| *address).collect();
         if live.is_empty() {
-            able.into_iter().map(|(address, _peer)| *address).collect()
+            able.into_iter().map(|(address, _peer)| address).collect()
         } else {
             live
         }
     }
 
-    /// Returns the addresses of this data centre's nodes to which summaries are passed on.
-    pub(crate) fn followers_of_summaries(
+    /// Returns the addresses of this data centre's nodes to which summaries are forwarded.
+    pub(crate) fn summary_followers(
         &self,
         data_centre: &ids::DataCentreName,
         now: times::BootTime,
     ) -> Vec<net::SocketAddr> {
-        let local = self.peers.iter().filter(|(_address, peer)| {
-            peer.data_centre == *data_centre
-                && peer.format.has_summaries()
-                && peer.is_heard(SHARE_LIFETIME, now)
+        let local = self.in_centre(data_centre).filter(|(_address, peer)| {
+            peer.format.has_summaries() && peer.is_heard(SHARE_LIFETIME, now)
         });
-        local.map(|(address, _peer)| *address).collect()
+        local.map(|(address, _peer)| address).collect()
     }
 
-    /// Returns whether this node tells other data centres about its own: the steward does while it
-    /// is alive and able to, otherwise the first able node by name.
+    /// Returns whether this node sends its data centre's summaries: the steward if it is alive and its
+    /// build knows them, otherwise the first such node by name.
     pub(crate) fn is_delegate(
         &self,
         data_centre: &ids::DataCentreName,
         now: times::BootTime,
     ) -> bool {
-        let able = self.peers.values().filter(|peer| {
-            peer.data_centre == *data_centre
-                && peer.format.has_summaries()
+        let able = self.in_centre(data_centre).filter(|(_address, peer)| {
+            peer.format.has_summaries()
                 && peer.is_heard(PEER_LIFETIME, now)
                 && peer
                     .beat
                     .as_ref()
                     .is_some_and(|beat| beat.phase != peers::NodePhase::Leaving)
         });
-        let mut able: collections::BTreeSet<_> = able.map(|peer| &peer.node).collect();
+        let mut able: collections::BTreeSet<_> = able.map(|(_address, peer)| &peer.node).collect();
         able.insert(&self.local_node);
         let steward = self.steward(data_centre);
         let steward = steward.filter(|steward| able.contains(steward));
@@ -120,11 +123,8 @@
             .iter()
             .filter(|node| Some(*node) != holder)
             .partition(|node| view.preferred.contains(*node));
-        let mut order = first.into_iter().chain(rest);
-        order
-            .by_ref()
-            .take(SUCCESSORS)
-            .any(|node| *node == self.local_node)
+        let mut successors = first.into_iter().chain(rest).take(SUCCESSORS);
+        successors.any(|node| *node == self.local_node)
     }
 
     /// Returns the heartbeats of a data centre's nodes that came from them within
@@ -134,14 +134,12 @@
         data_centre: &ids::DataCentreName,
         now: times::BootTime,
     ) -> Vec<peers::HeardBeat> {
-        let heard = self.peers.iter().filter(|(_address, peer)| {
-            peer.data_centre == *data_centre
-                && !peer.is_summarised
-                && peer.is_heard(SHARE_LIFETIME, now)
-        });
+        let heard = self
+            .in_centre(data_centre)
+            .filter(|(_address, peer)| !peer.is_summarised && peer.is_heard(SHARE_LIFETIME, now));
         let beats = heard.filter_map(|(address, peer)| {
             Some(peers::HeardBeat {
-                address: *address,
+                address,
                 format: peer.format,
                 age: now.since(peer.last_beat_at?),
                 beat: peer.beat.clone()?,
@@ -160,23 +158,23 @@
 
     /// Returns the nodes of this node's data centre with the greatest processor share; none if no
     /// share is known.
-    pub(super) fn ablest_nodes(
+    pub(super) fn preferred_nodes(
         &self,
         data_centre: &ids::DataCentreName,
         now: times::BootTime,
     ) -> collections::BTreeSet<ids::NodeName> {
-        let peers = self.peers.values();
-        let local = peers
-            .filter(|peer| peer.data_centre == *data_centre && peer.is_heard(PEER_LIFETIME, now))
-            .map(|peer| (peer.cores, &peer.node));
-        let nodes: Vec<_> = local
+        let live = self
+            .in_centre(data_centre)
+            .filter(|(_address, peer)| peer.is_heard(PEER_LIFETIME, now));
+        let nodes: Vec<_> = live
+            .map(|(_address, peer)| (peer.cores, &peer.node))
             .chain([(self.local_cores, &self.local_node)])
             .collect();
         let greatest = nodes.iter().map(|(cores, _node)| *cores).max();
         let greatest = greatest.filter(|cores| *cores > sizes::CoreShare::default());
-        let ablest = nodes
+        let preferred = nodes
             .into_iter()
             .filter(|(cores, _node)| Some(*cores) == greatest);
-        ablest.map(|(_cores, node)| node.clone()).collect()
+        preferred.map(|(_cores, node)| node.clone()).collect()
     }
 }
--- a/crates/pier_edge/src/peers/peer_table.rs
+++ b/crates/pier_edge/src/peers/peer_table.rs
@@ -32,7 +32,7 @@
     /// Keyed by address, which a node keeps when it restarts.
     pub(super) peers: collections::BTreeMap<net::SocketAddr, KnownPeer>,
     stewards: collections::BTreeMap<ids::DataCentreName, stewards::RecordedSteward>,
-    /// When news of a newly written record of a steward came.
+    /// When each data centre's record of a steward was read that had just been written.
     claimed_at: collections::BTreeMap<ids::DataCentreName, times::BootTime>,
 }
 
@@ -124,7 +124,7 @@
         let heard_at = now.before(heard.age);
         let is_older = known.is_some_and(|known| match &known.beat {
             Some(last) if last.node == beat.node => last.number >= beat.number,
-            // Another start of the node; a summary may still tell of the one before.
+            // A summary may be older than the restart that another heartbeat has shown.
             _ => is_summarised && known.last_beat_at.is_some_and(|at| at > heard_at),
         });
         if is_older {
@@ -162,10 +162,10 @@
         data_centre: &ids::DataCentreName,
         now: times::BootTime,
     ) -> Vec<net::SocketAddr> {
-        let local = self.peers.iter().filter(|(_address, peer)| {
-            peer.data_centre == *data_centre && peer.is_heard(SHARE_LIFETIME, now)
-        });
-        local.map(|(address, _peer)| *address).collect()
+        let local = self
+            .in_centre(data_centre)
+            .filter(|(_address, peer)| peer.is_heard(SHARE_LIFETIME, now));
+        local.map(|(address, _peer)| address).collect()
     }
 
     /// Returns the recorded steward of a data centre.
@@ -365,7 +365,7 @@
             .beats(now, PEER_LIFETIME)
             .filter(|beat| beat.phase == peers::NodePhase::Serving);
         if data_centre == local_data_centre {
-            view.preferred = self.ablest_nodes(data_centre, now);
+            view.preferred = self.preferred_nodes(data_centre, now);
         }
         let nodes = live_nodes.map(|beat| (beat.node.clone(), beat.data_centre.clone()));
         for (node, node_data_centre) in
--- a/crates/pier_edge/src/peers/relay_follower.rs
+++ b/crates/pier_edge/src/peers/relay_follower.rs
@@ -6,9 +6,6 @@
 
 use crate::peers;
 
-/// Time without a relay message after which it is unknown whether a steward still reaches the store.
-const RELAY_LIFETIME: time::Duration = time::Duration::from_millis(600);
-
 /// Follows the steward's view of the store.
 #[derive(Debug, Default)]
 pub(crate) struct RelayFollower {
@@ -94,12 +91,12 @@
         };
         let silence = now.since(last_relay.received_at);
         steward == Some(&last_relay.node)
-            && silence < RELAY_LIFETIME
+            && silence < peers::FollowLimits::SHORT.silence
             && last_relay.store_age + silence >= peers::MAX_STORE_AGE
     }
 
-    /// Returns whether a relay message tells that the store answers its steward again after an
-    /// outage.
+    /// Returns whether the store answers the steward again after an outage, according to a relay
+    /// message.
     pub(crate) fn shows_return(&self, beat: &peers::RelayBeat) -> bool {
         let age = time::Duration::from_millis(u64::from(beat.store_age_ms));
         let last_relay = self.last_relay.as_ref();
@@ -108,6 +105,19 @@
             && last_relay.is_some_and(|last_relay| last_relay.store_age >= peers::MAX_STORE_AGE)
     }
 
+    /// Returns how long ago the last relay message came, and how old the store's answer to the steward
+    /// is by now.
+    pub(crate) fn ages(
+        &self,
+        now: times::BootTime,
+    ) -> (Option<time::Duration>, Option<time::Duration>) {
+        let last_relay = self.last_relay.as_ref();
+        let silence = last_relay.map(|last_relay| now.since(last_relay.received_at));
+        let store_age = last_relay.zip(silence);
+        let store_age = store_age.map(|(last_relay, silence)| last_relay.store_age + silence);
+        (silence, store_age)
+    }
+
     /// Returns whether changes were missed, so that the whole list has to be read.
     pub(crate) const fn is_behind(&self) -> bool {
         self.is_behind || self.version.is_none()
--- a/crates/pier_edge/src/peers/summary_loop.rs
+++ b/crates/pier_edge/src/peers/summary_loop.rs
@@ -17,17 +17,23 @@
 
 /// Sends summaries while this node is its data centre's delegate.
 ///
-/// Each goes to one node of the other data centre, another one each time, which passes it on there.
+/// Each goes to one node of the other data centre, another one each time, which forwards it there.
 pub(super) async fn run<P: links::FleetPlatform>(
     state: state::EdgeState<P>,
     socket: sync::Arc<UdpSocket>,
 ) {
     let own = &state.settings().data_centre;
+    let mut was_delegate = false;
     loop {
         tokio::time::sleep(SUMMARY_INTERVAL).await;
         let now = times::clocks::boot_now();
         let is_due = state.with_peers(|peers| peers.is_large() && peers.is_delegate(own, now));
-        if !is_due || state.is_draining() {
+        let is_delegate = is_due && !state.is_draining();
+        if is_delegate != was_delegate {
+            log::info!(event = "delegate-changed", is_delegate = is_delegate; "");
+            was_delegate = is_delegate;
+        }
+        if !is_delegate {
             continue;
         }
         let mut heard = state.with_peers(|peers| peers.heard_beats(own, now));
@@ -52,7 +58,7 @@
     }
 }
 
-/// Applies a summary, and passes it on to the nodes of this data centre if the sender asks for it.
+/// Applies a summary, and forwards it to the nodes of this data centre if the sender asks for it.
 pub(super) async fn receive<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
     socket: &UdpSocket,
@@ -63,13 +69,13 @@
     if summary.data_centre == *own {
         return;
     }
-    if summary.to_spread {
-        let receivers = state.with_peers(|peers| peers.followers_of_summaries(own, now));
-        let spread = peers::CentreSummary {
-            to_spread: false,
+    if summary.is_to_forward {
+        let receivers = state.with_peers(|peers| peers.summary_followers(own, now));
+        let forwarded = peers::CentreSummary {
+            is_to_forward: false,
             ..summary.clone()
         };
-        let message = peers::PeerMessage::Summary(spread);
+        let message = peers::PeerMessage::Summary(forwarded);
         beat_loop::send_all(state, socket, message, &receivers).await;
     }
     state.with_peers(|peers| {
--- a/crates/pier_edge/src/records/mod.rs
+++ b/crates/pier_edge/src/records/mod.rs
@@ -7,7 +7,7 @@
 
 pub(crate) use node_record::spawn as spawn_node_record;
 pub(crate) use record_applier::RecordApplier;
-pub(crate) use record_loop::spawn;
+pub(crate) use record_loop::{RELAY_WATCH_TIMEOUT, spawn};
 pub(crate) use store_backoff::StoreBackoff;
 
 /// Name of the record of crashes.
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -55,7 +55,7 @@
 
 /// How long a steward's watch of the registrations waits. It is short because the age of the last
 /// answer shows the nodes of its data centre whether the steward still reaches the store.
-const RELAY_WATCH_TIMEOUT: time::Duration = time::Duration::from_millis(900);
+pub(crate) const RELAY_WATCH_TIMEOUT: time::Duration = time::Duration::from_millis(900);
 
 /// Interval between two checks of whether the steward's relay messages can still be followed.
 const FOLLOW_INTERVAL: time::Duration = time::Duration::from_millis(200);
@@ -93,6 +93,7 @@
             backoff: records::StoreBackoff::default(),
             failing_since: None,
             started_at: times::clocks::boot_now(),
+            is_follower: false,
             behind_since: None,
         };
         record_loop.run()
@@ -106,6 +107,8 @@
     backoff: records::StoreBackoff,
     failing_since: Option<times::BootTime>,
     started_at: times::BootTime,
+    /// Whether the last step relied on the steward.
+    is_follower: bool,
     /// Since when this node has known less than its steward or than other nodes.
     behind_since: Option<times::BootTime>,
 }
@@ -115,7 +118,9 @@
         let mut at: Option<epochs::ObjectVersion> = None;
         loop {
             let now = times::clocks::boot_now();
-            if let Some(source) = self.snapshot_source(now) {
+            let source = self.snapshot_source(now);
+            self.log_change(source.is_some(), now);
+            if let Some(source) = source {
                 at = self.follow_snapshots(source, at).await;
                 continue;
             }
@@ -143,6 +148,25 @@
         self.state.snapshot_source(now)
     }
 
+    /// Logs when this loop begins or ends to rely on the steward.
+    fn log_change(&mut self, is_follower: bool, now: times::BootTime) {
+        if is_follower == self.is_follower {
+            return;
+        }
+        self.is_follower = is_follower;
+        let (silence, store_age) = self.state.with_follower(|follower| follower.ages(now));
+        log::info!(
+            event = "store-source-changed",
+            kind = self.kind.label(),
+            follows_steward = is_follower,
+            is_steward = self.is_own_steward(),
+            is_first_reader = self.state.is_first_reader(now),
+            relay_silence_ms:? = silence.map(|silence| silence.as_millis()),
+            store_age_ms:? = store_age.map(|age| age.as_millis());
+            ""
+        );
+    }
+
     fn is_own_steward(&self) -> bool {
         let own = &self.state.settings().data_centre;
         self.state
@@ -189,7 +213,15 @@
         if !is_behind {
             self.behind_since = None;
         } else if now.since(*self.behind_since.get_or_insert(now)) >= MAX_BEHIND_TIME {
-            log::info!(event = "steward-too-slow", kind = self.kind.label(); "");
+            log::info!(
+                event = "steward-too-slow",
+                kind = self.kind.label(),
+                list_version:? = self.state.with_follower(|follower| follower.version()),
+                local_document:? = local,
+                steward_document:% = source.document,
+                newest_document:% = newest;
+                ""
+            );
             self.behind_since = None;
             return self.list().await;
         }
@@ -241,6 +273,13 @@
             "the steward's list is of version {}, before this node's",
             snapshot.at
         );
+        log::info!(
+            event = "snapshot-read",
+            version:% = snapshot.at,
+            known:? = known,
+            targets = snapshot.targets.len();
+            ""
+        );
         self.state.observe_era(snapshot.at, now);
         self.applier.apply_snapshot(snapshot, now);
         Ok(())
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -100,7 +100,13 @@
         if answer.origin == links::AnswerOrigin::OtherAttempt {
             // Dropping the connection closes it, as the answer to this request may follow.
             job.state.metrics().count_foreign_answer();
-            log::warn!(event = "foreign-answer", attempt = job.head.attempt.as_str(), target_vm:% = slot.vm; "");
+            log::warn!(
+                event = "foreign-answer",
+                attempt = job.head.attempt.as_str(),
+                target_vm:% = slot.vm,
+                status = head.status.as_u16();
+                ""
+            );
             let reason = "the answer belongs to another attempt".to_owned();
             return Err(serving::SendFault::MayHaveRun(reason));
         }
--- a/crates/pier_edge/tests/large_fleets.rs
+++ b/crates/pier_edge/tests/large_fleets.rs
@@ -186,8 +186,8 @@
     }
 }
 
-// Guards against news that each node sends to every other one, over all data centres, and against
-// news that then misses some of them.
+// Guards against broadcasts that each node sends to every other one, over all data centres, and
+// against broadcasts that miss some of them.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_target_is_told_to_all_nodes_by_one_in_each_data_centre() {
     let fleet = LargeFleet::start().await;
@@ -216,7 +216,7 @@
     assert_eq!(fleet.statuses().await, [503; 2 * NODES_PER_CENTRE]);
     assert_eq!(fleet.target.requests().len(), served);
     let sent = |kind: &str| format!("messages_sent_total{{kind=\"{kind}\"");
-    let spread = fleet.nodes[0].metric(&sent("spread")).await;
+    let spread = fleet.nodes[0].metric(&sent("broadcast")).await;
     let direct = fleet.nodes[0].metric(&sent("leaving")).await;
     let neighbours = u64::try_from(NODES_PER_CENTRE - 1).unwrap();
     assert_eq!(
--- a/crates/pier_edge/tests/second_copies.rs
+++ b/crates/pier_edge/tests/second_copies.rs
@@ -97,22 +97,23 @@
     assert_eq!(node.metric("foreign_answers_total").await, 1);
 }
 
-// Guards against a copy of an earlier failure that reaches the next caller as the answer.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_copied_failure_does_not_reach_the_next_caller() {
-    let (node, _target) = start("500 Failed").await;
-    assert_eq!(ask(&node, "/post/x", "a1").await.body, "first");
+/// Checks that the second request on a connection does not get a copy of the first one's answer.
+async fn assert_own_answer(first_head: &'static str, first_path: &str) {
+    let (node, _target) = start(first_head).await;
+    assert_eq!(ask(&node, first_path, "a1").await.body, "first");
     let answer = ask(&node, "/post/x", "a2").await;
     assert_eq!(answer.status(), 502, "{answer:?}");
     assert_ne!(answer.body, "first");
 }
 
+// Guards against a copy of an earlier failure that reaches the next caller as the answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_copied_failure_does_not_reach_the_next_caller() {
+    assert_own_answer("500 Failed", "/post/x").await;
+}
+
 // Guards against a copy of an earlier success that reaches the next caller as the answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_copied_success_does_not_reach_the_next_caller() {
-    let (node, _target) = start("200 OK").await;
-    assert_eq!(ask(&node, "/read/x", "a1").await.body, "first");
-    let answer = ask(&node, "/post/x", "a2").await;
-    assert_eq!(answer.status(), 502, "{answer:?}");
-    assert_ne!(answer.body, "first");
+    assert_own_answer("200 OK", "/read/x").await;
 }
