--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -119,13 +119,12 @@
         loop {
             let now = times::clocks::boot_now();
             let source = self.snapshot_source(now);
-            self.log_change(source.is_some(), now);
+            self.log_change(source.is_some() || self.follows_relay(now), now);
             if let Some(source) = source {
                 at = self.follow_snapshots(source, at).await;
                 continue;
             }
-            let follows = self.kind != links::RecordKind::Document;
-            if follows && at.is_some() && self.state.is_following(now) {
+            if at.is_some() && self.follows_relay(now) {
                 at = self.follow(at).await;
                 continue;
             }
@@ -148,6 +147,11 @@
         self.state.snapshot_source(now)
     }
 
+    /// Returns whether this loop relies on the steward's relay messages, which bring no document.
+    fn follows_relay(&self, now: times::BootTime) -> bool {
+        self.kind != links::RecordKind::Document && self.state.is_following(now)
+    }
+
     /// Logs when this loop begins or ends to rely on the steward.
     fn log_change(&mut self, is_follower: bool, now: times::BootTime) {
         if is_follower == self.is_follower {
@@ -161,8 +165,8 @@
             follows_steward = is_follower,
             is_steward = self.is_own_steward(),
             is_first_reader = self.state.is_first_reader(now),
-            relay_silence_ms:? = silence.map(|silence| silence.as_millis()),
-            store_age_ms:? = store_age.map(|age| age.as_millis());
+            relay_silence_ms:? = silence.map(millis),
+            store_age_ms:? = store_age.map(millis);
             ""
         );
     }
@@ -312,6 +316,7 @@
     }
 
     async fn list(&mut self) -> Option<epochs::ObjectVersion> {
+        let started = times::clocks::boot_now();
         self.state
             .metrics()
             .count_store_call(self.kind.label(), "list");
@@ -334,7 +339,7 @@
                 Some(at)
             }
             Err(error) => {
-                self.record_failure(&error).await;
+                self.record_failure(&error, started).await;
                 None
             }
         }
@@ -377,7 +382,7 @@
                 None
             }
             Err(error) => {
-                self.record_failure(&error).await;
+                self.record_failure(&error, started).await;
                 // The next watch may not cover all changes since the last one, while a list is
                 // answered at once and complete.
                 None
@@ -445,6 +450,7 @@
     }
 
     fn record_success(&mut self, now: times::BootTime) {
+        let store_age = self.state.store_age(now);
         self.state.record_store_answer(now);
         if !self.backoff.reset() {
             return;
@@ -457,7 +463,8 @@
         log::info!(
             event = "store-back",
             kind = self.kind.label(),
-            away_ms = u64::try_from(away.as_millis()).unwrap_or(u64::MAX);
+            away_ms = millis(away),
+            store_age_ms = millis(store_age);
             ""
         );
         if away >= MIN_OUTAGE_TIME {
@@ -465,12 +472,19 @@
         }
     }
 
-    async fn record_failure(&mut self, error: &links::StoreError) {
+    async fn record_failure(&mut self, error: &links::StoreError, started: times::BootTime) {
         let now = times::clocks::boot_now();
         self.state.metrics().count_store_failure(self.kind.label());
         if self.failing_since.is_none() {
             self.failing_since = Some(now);
-            log::warn!(event = "store-away", kind = self.kind.label(), cause:% = error; "");
+            log::warn!(
+                event = "store-away",
+                kind = self.kind.label(),
+                waited_ms = millis(now.since(started)),
+                store_age_ms = millis(self.state.store_age(now)),
+                cause:% = error;
+                ""
+            );
         }
         let is_steward = self.state.with_peers(|peers| peers.is_steward());
         let backoff = self.backoff.next_delay(is_steward, rand::random());
@@ -493,6 +507,10 @@
     }
 }
 
+fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns the changes of registrations to relay; an unreadable record counts as removed.
 fn relayed_changes(changes: &[links::RecordChange]) -> Vec<peers::TargetChange> {
     let relayed = changes.iter().filter_map(|change| match change {
--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -109,14 +109,15 @@
     }
 }
 
-fn log_send<P>(job: &serving::RequestJob<P>, slot: &state::TargetSlot) {
+fn log_send<P: links::FleetPlatform>(job: &serving::RequestJob<P>, slot: &state::TargetSlot) {
     if slot.is_node() {
         return;
     }
     log::debug!(
         event = "request-sent",
         attempt = job.head.attempt.as_str(),
-        target_vm:% = slot.vm;
+        target_vm:% = slot.vm,
+        store_age_ms = millis(job.state.knowledge_age(times::clocks::boot_now()));
         ""
     );
 }
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -175,6 +175,7 @@
         target_vm:% = slot.vm,
         generation:% = slot.generation,
         expected_ms = millis(expected),
+        store_age_ms = millis(job.state.knowledge_age(times::clocks::boot_now())),
         running = slot.gauge.running(),
         waiting = slot.gauge.waiting();
         ""
--- a/crates/pier_edge/src/state/store_view.rs
+++ b/crates/pier_edge/src/state/store_view.rs
@@ -34,6 +34,14 @@
         now.since(times::BootTime::from_micros(answered_at))
     }
 
+    /// Returns how long ago the store last answered this node, or the steward whose relay messages it
+    /// receives.
+    pub(crate) fn knowledge_age(&self, now: times::BootTime) -> time::Duration {
+        let own = self.store_age(now);
+        let (_silence, relayed) = self.with_follower(|follower| follower.ages(now));
+        relayed.map_or(own, |relayed| relayed.min(own))
+    }
+
     /// Returns whether the store answered this node recently.
     pub(crate) fn reaches_store(&self, now: times::BootTime) -> bool {
         self.store_age(now) < STORE_REACHED_AGE
