End a follower's own read of the store once its steward can be followed again

Cause: when the store's last answer to the steward is 1.3 s old, a follower opens a watch of its own, of ten seconds and two of slack. In a silent outage that watch never answers, and its loop waited for nothing else: neither for the steward, which relays again, nor for the gap that its relay messages show. A node that is elected while its watch waits kept the long watch likewise.

Change: each read of the store races with a check, every 200 ms, of whether its loop would read elsewhere or for a shorter time. Where a loop reads is moved into record_source.

--- a/crates/pier_edge/src/records/mod.rs
+++ b/crates/pier_edge/src/records/mod.rs
@@ -3,11 +3,13 @@
 mod node_record;
 mod record_applier;
 mod record_loop;
+mod record_source;
 mod store_backoff;
 
 pub(crate) use node_record::spawn as spawn_node_record;
 pub(crate) use record_applier::RecordApplier;
-pub(crate) use record_loop::{RELAY_WATCH_TIMEOUT, spawn};
+pub(crate) use record_loop::spawn;
+pub(crate) use record_source::RELAY_WATCH_TIMEOUT;
 pub(crate) use store_backoff::StoreBackoff;
 
 /// Name of the record of crashes.
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -5,15 +5,9 @@
 use anyhow::Context as _;
 use pier_types::{epochs, times};
 
+use super::record_source;
 use crate::{daemon, links, peers, records, state};
 
-/// How long a watch waits for changes; socket time-outs detect a silent connection.
-const WATCH_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-
-/// How long a steward's watch of the document waits in a large fleet, where the nodes of its data
-/// centre rely on it.
-const RELAYED_DOCUMENT_TIMEOUT: time::Duration = time::Duration::from_secs(3);
-
 /// Smallest interval between two such watches.
 const RELAYED_DOCUMENT_INTERVAL: time::Duration = time::Duration::from_millis(300);
 
@@ -34,10 +28,6 @@
 /// time in which a document has to be in force.
 const MAX_BEHIND_TIME: time::Duration = time::Duration::from_secs(1);
 
-/// How long a watch of the document waits: longer, as the heartbeats of other nodes carry its
-/// version too.
-const DOCUMENT_WATCH_TIMEOUT: time::Duration = time::Duration::from_secs(25);
-
 /// Smallest interval between two watches, so that changes in quick succession cost few calls.
 const WATCH_INTERVAL: time::Duration = time::Duration::from_millis(150);
 
@@ -53,13 +43,6 @@
 /// shorter, as the steward waits for the effects of its orders to show there.
 const FORMING_WATCH_INTERVAL: time::Duration = time::Duration::from_millis(40);
 
-/// How long a steward's watch of the registrations waits. It is short because the age of the last
-/// answer shows the nodes of its data centre whether the steward still reaches the store.
-pub(crate) const RELAY_WATCH_TIMEOUT: time::Duration = time::Duration::from_millis(900);
-
-/// Interval between two checks of whether the steward's relay messages can still be followed.
-const FOLLOW_INTERVAL: time::Duration = time::Duration::from_millis(200);
-
 /// Delay after a list that was read because relayed changes were missed.
 const CATCH_UP_DELAY: time::Duration = time::Duration::from_millis(250);
 
@@ -132,24 +115,33 @@
                 tokio::time::sleep(STEWARD_POLL_INTERVAL).await;
                 continue;
             }
-            at = match at {
-                None => self.list().await,
-                Some(version) => self.watch(self.watch_start(version)).await,
+            let (state, kind, timeout) = (self.state.clone(), self.kind, self.watch_timeout());
+            at = tokio::select! {
+                read = self.read_store(at) => read,
+                () = record_source::wait_for_source(&state, kind, at.is_some(), timeout) => at,
             };
         }
     }
 
+    /// Reads the list, or the changes after a version.
+    async fn read_store(
+        &mut self,
+        at: Option<epochs::ObjectVersion>,
+    ) -> Option<epochs::ObjectVersion> {
+        match at {
+            None => self.list().await,
+            Some(version) => self.watch(self.watch_start(version)).await,
+        }
+    }
+
     /// Returns the steward that this loop reads from instead of the store, if there is one.
     fn snapshot_source(&self, now: times::BootTime) -> Option<state::SnapshotSource> {
-        if self.kind == links::RecordKind::Nodes || self.is_own_steward() {
-            return None;
-        }
-        self.state.snapshot_source(now)
+        record_source::snapshot_source(&self.state, self.kind, now)
     }
 
     /// Returns whether this loop relies on the steward's relay messages, which bring no document.
     fn follows_relay(&self, now: times::BootTime) -> bool {
-        self.kind != links::RecordKind::Document && self.state.is_following(now)
+        record_source::follows_relay(&self.state, self.kind, now)
     }
 
     /// Logs when this loop begins or ends to rely on the steward.
@@ -172,9 +164,7 @@
     }
 
     fn is_own_steward(&self) -> bool {
-        let own = &self.state.settings().data_centre;
-        self.state
-            .with_peers(|peers| peers.steward(own) == Some(self.state.node()))
+        record_source::is_own_steward(&self.state)
     }
 
     /// Returns whether this node, which has just started, waits for a steward to read from. The
@@ -232,7 +222,7 @@
         if !is_offered {
             tokio::select! {
                 () = self.state.wait_for_relay_gap() => {}
-                () = tokio::time::sleep(FOLLOW_INTERVAL) => {}
+                () = tokio::time::sleep(record_source::FOLLOW_INTERVAL) => {}
             }
             // A watch from a version that is long past may hang; see docs/questions.md.
             return at.filter(|_at| self.kind == links::RecordKind::Targets);
@@ -300,7 +290,7 @@
         }
         tokio::select! {
             () = self.state.wait_for_relay_gap() => {}
-            () = tokio::time::sleep(FOLLOW_INTERVAL) => {}
+            () = tokio::time::sleep(record_source::FOLLOW_INTERVAL) => {}
         }
         at
     }
@@ -426,27 +416,17 @@
     }
 
     fn watch_timeout(&self) -> time::Duration {
-        if self.is_relayed() {
-            RELAY_WATCH_TIMEOUT
-        } else if self.serves_document() {
-            RELAYED_DOCUMENT_TIMEOUT
-        } else if self.kind == links::RecordKind::Document {
-            DOCUMENT_WATCH_TIMEOUT
-        } else {
-            WATCH_TIMEOUT
-        }
+        record_source::watch_timeout(&self.state, self.kind)
     }
 
     /// Returns whether this loop's document is served to the nodes of this data centre.
     fn serves_document(&self) -> bool {
-        self.kind == links::RecordKind::Document
-            && self.is_own_steward()
-            && self.state.with_peers(|peers| peers.is_large())
+        record_source::serves_document(&self.state, self.kind)
     }
 
     /// Returns whether this loop's changes are relayed to the nodes of this data centre.
     fn is_relayed(&self) -> bool {
-        self.kind == links::RecordKind::Targets && self.state.with_peers(|peers| peers.is_steward())
+        record_source::is_relayed(&self.state, self.kind)
     }
 
     fn record_success(&mut self, now: times::BootTime) {
--- /dev/null
+++ b/crates/pier_edge/src/records/record_source.rs
@@ -0,0 +1,102 @@
+//! Where a loop reads its records: from the store, or from the steward.
+
+use std::time;
+
+use pier_types::times;
+
+use crate::{links, state};
+
+/// How long a watch waits for changes; socket time-outs detect a silent connection.
+const WATCH_TIMEOUT: time::Duration = time::Duration::from_secs(10);
+
+/// How long a steward's watch of the document waits in a large fleet, where the nodes of its data
+/// centre rely on it.
+const RELAYED_DOCUMENT_TIMEOUT: time::Duration = time::Duration::from_secs(3);
+
+/// How long a watch of the document waits: longer, as the heartbeats of other nodes carry its
+/// version too.
+const DOCUMENT_WATCH_TIMEOUT: time::Duration = time::Duration::from_secs(25);
+
+/// How long a steward's watch of the registrations waits. It is short because the age of the last
+/// answer shows the nodes of its data centre whether the steward still reaches the store.
+pub(crate) const RELAY_WATCH_TIMEOUT: time::Duration = time::Duration::from_millis(900);
+
+/// Interval between two checks of whether the steward's relay messages can still be followed.
+pub(super) const FOLLOW_INTERVAL: time::Duration = time::Duration::from_millis(200);
+
+/// Waits until a read of the store is no longer what its loop needs: the steward can be followed
+/// again, or the node has become a steward whose watches are shorter. `is_listed` is whether the
+/// records have been read once, `timeout` how long a watch waits that has begun.
+pub(super) async fn wait_for_source<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    kind: links::RecordKind,
+    is_listed: bool,
+    timeout: time::Duration,
+) {
+    loop {
+        tokio::time::sleep(FOLLOW_INTERVAL).await;
+        let now = times::clocks::boot_now();
+        let can_follow = is_listed && follows_relay(state, kind, now);
+        if can_follow
+            || snapshot_source(state, kind, now).is_some()
+            || watch_timeout(state, kind) < timeout
+        {
+            return;
+        }
+    }
+}
+
+pub(super) fn snapshot_source<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    kind: links::RecordKind,
+    now: times::BootTime,
+) -> Option<state::SnapshotSource> {
+    if kind == links::RecordKind::Nodes || is_own_steward(state) {
+        return None;
+    }
+    state.snapshot_source(now)
+}
+
+pub(super) fn follows_relay<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    kind: links::RecordKind,
+    now: times::BootTime,
+) -> bool {
+    kind != links::RecordKind::Document && state.is_following(now)
+}
+
+pub(super) fn is_own_steward<P: links::FleetPlatform>(state: &state::EdgeState<P>) -> bool {
+    let own = &state.settings().data_centre;
+    state.with_peers(|peers| peers.steward(own) == Some(state.node()))
+}
+
+pub(super) fn serves_document<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    kind: links::RecordKind,
+) -> bool {
+    kind == links::RecordKind::Document
+        && is_own_steward(state)
+        && state.with_peers(|peers| peers.is_large())
+}
+
+pub(super) fn is_relayed<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    kind: links::RecordKind,
+) -> bool {
+    kind == links::RecordKind::Targets && state.with_peers(|peers| peers.is_steward())
+}
+
+pub(super) fn watch_timeout<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    kind: links::RecordKind,
+) -> time::Duration {
+    if is_relayed(state, kind) {
+        RELAY_WATCH_TIMEOUT
+    } else if serves_document(state, kind) {
+        RELAYED_DOCUMENT_TIMEOUT
+    } else if kind == links::RecordKind::Document {
+        DOCUMENT_WATCH_TIMEOUT
+    } else {
+        WATCH_TIMEOUT
+    }
+}
--- /dev/null
+++ b/crates/pier_edge/tests/store_outages.rs
@@ -0,0 +1,91 @@
+//! Nodes after an outage of the store: what they learn of it again, and how soon.
+
+mod support;
+
+use std::time;
+
+use support::{FakePlatform, KEY, RawCaller, Script, ScriptedTarget, TestNode, plain_entry};
+
+/// Time after which the store counts as stable again after an outage.
+const STABLE_TIME: time::Duration = time::Duration::from_secs(3);
+
+/// Time within which all nodes have to know that a target leaves, and which document is in force.
+const KNOWN_TIME: time::Duration = time::Duration::from_secs(2);
+
+/// Requests that would reach a target in use.
+const MANY_REQUESTS: usize = 24;
+
+/// A store with two plain targets.
+struct StoreBench {
+    platform: FakePlatform,
+    first: ScriptedTarget,
+    second: ScriptedTarget,
+    nodes: Vec<TestNode>,
+}
+
+impl StoreBench {
+    /// Starts this many nodes in one data centre, and one in the other, so that each has a steward
+    /// of its own.
+    async fn start(local_nodes: usize) -> Self {
+        let platform = FakePlatform::default();
+        let first = ScriptedTarget::start(Script::Whole("done")).await;
+        let second = ScriptedTarget::start(Script::Whole("done")).await;
+        let entries = vec![
+            plain_entry("t0", first.address),
+            plain_entry("t1", second.address),
+        ];
+        let mut nodes = TestNode::start_fleet(local_nodes, platform.clone(), entries).await;
+        nodes.push(TestNode::start_in(platform.clone(), "far", "dc-b").await);
+        tokio::time::sleep(time::Duration::from_secs(2)).await;
+        // Ends the watches that began before there were stewards.
+        platform.put_target(plain_entry("t1", second.address));
+        tokio::time::sleep(time::Duration::from_secs(1)).await;
+        Self {
+            platform,
+            first,
+            second,
+            nodes,
+        }
+    }
+
+    fn announce_leaving(&self) {
+        let mut entry = plain_entry("t0", self.first.address);
+        entry.is_draining = true;
+        self.platform.put_target(entry);
+    }
+
+    async fn assert_first_unused(&self) {
+        let before = self.first.requests().len();
+        for node in &self.nodes {
+            for _ in 0..MANY_REQUESTS {
+                assert_eq!(status(node).await, 200);
+            }
+        }
+        let reached = self.first.requests().len() - before;
+        assert_eq!(reached, 0, "requests to a target that leaves");
+    }
+}
+
+async fn status(node: &TestNode) -> u16 {
+    let mut caller = RawCaller::connect(node.callers).await;
+    let request = format!(
+        "GET /read/x HTTP/1.1\r\nhost: a.example\r\nx-attempt: a1\r\nx-key: {KEY}\r\n\
+         x-timeout-ms: 3000\r\n\r\n"
+    );
+    caller.send(&request).await;
+    caller.answer().await.status()
+}
+
+/// Guards against followers that wait in a silenced watch of their own while their steward relays
+/// changes again.
+#[tokio::test(flavor = "multi_thread")]
+async fn followers_learn_of_a_leaving_target_after_a_silent_outage() {
+    let bench = StoreBench::start(2).await;
+    bench.platform.set_silent(true);
+    tokio::time::sleep(time::Duration::from_secs(5)).await;
+    bench.platform.set_silent(false);
+    tokio::time::sleep(STABLE_TIME + time::Duration::from_secs(1)).await;
+    bench.announce_leaving();
+    tokio::time::sleep(KNOWN_TIME).await;
+    bench.assert_first_unused().await;
+}
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -11,6 +11,12 @@
 use pier_types::{epochs, ids};
 use tokio::sync::Notify;
 
+/// Time after which a caller gives up a call other than a watch.
+const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+
+/// Time after which a caller gives up a watch whose waiting time has passed.
+const WATCH_SLACK: time::Duration = time::Duration::from_secs(2);
+
 /// A store of records and an interface to VMs; clones share the same state.
 #[derive(Clone, Debug, Default)]
 pub struct FakePlatform {
@@ -34,7 +40,14 @@
     nodes: collections::BTreeMap<String, (u64, String)>,
     out_of_service: collections::BTreeMap<String, u64>,
     removed: Vec<(u64, links::RecordKind, String)>,
-    is_away: bool,
+    mode: StoreMode,
+    /// How often the store has fallen silent.
+    silences: u64,
+    answer_delay: time::Duration,
+    /// First version from which changes can still be watched.
+    kept_from: u64,
+    /// Version at which lists of nodes' records are answered, instead of the current one.
+    stale_nodes_at: Option<u64>,
     hides_nodes: bool,
     refuses_nodes: bool,
     silent_until: collections::BTreeMap<String, time::Instant>,
@@ -43,9 +56,27 @@
     panics: collections::BTreeSet<links::RecordKind>,
 }
 
+/// How the store answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum StoreMode {
+    #[default]
+    Serving,
+    /// It refuses every call.
+    Away,
+    /// It leaves every call unanswered.
+    Silent,
+}
+
 /// The content of a store at some moment.
 pub struct StoreCopy(State);
 
+/// A call to the store while it waits for its answer.
+struct OpenCall {
+    silences: u64,
+    /// Time at which the caller gives up.
+    end: tokio::time::Instant,
+}
+
 impl State {
     fn at(&self, revision: u64) -> epochs::ObjectVersion {
         epochs::ObjectVersion::in_era(epochs::StoreEra::new(self.era), revision)
@@ -156,7 +187,65 @@
 
     /// Makes every call to the store fail, or succeed again.
     pub fn set_away(&self, is_away: bool) {
-        self.change(|state, _version| state.is_away = is_away);
+        self.change(|state, _version| {
+            state.mode = if is_away {
+                StoreMode::Away
+            } else {
+                StoreMode::Serving
+            };
+        });
+    }
+
+    /// Leaves every call unanswered, also those that wait already, or answers new calls again.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.change(|state, _version| {
+            state.mode = if is_silent {
+                StoreMode::Silent
+            } else {
+                StoreMode::Serving
+            };
+            state.silences += u64::from(is_silent);
+        });
+    }
+
+    /// Delays every answer.
+    pub fn set_answer_delay(&self, delay: time::Duration) {
+        self.change(|state, _version| state.answer_delay = delay);
+    }
+
+    /// Forgets all changes up to now; lists of nodes' records are answered as of before.
+    pub fn forget_history(&self) {
+        self.change(|state, version| {
+            state.stale_nodes_at = Some(version - 1);
+            state.kept_from = version;
+        });
+    }
+
+    fn begin_call(&self, limit: time::Duration) -> OpenCall {
+        OpenCall {
+            silences: self.shared.state.lock().unwrap().silences,
+            end: tokio::time::Instant::now() + limit,
+        }
+    }
+
+    fn is_lost(&self, call: &OpenCall) -> bool {
+        let state = self.shared.state.lock().unwrap();
+        state.mode == StoreMode::Silent || state.silences != call.silences
+    }
+
+    /// Returns the answer to a call after the store's delay, or an error once the caller gives up.
+    async fn end_call<T>(
+        &self,
+        call: OpenCall,
+        answer: Result<T, links::StoreError>,
+    ) -> Result<T, links::StoreError> {
+        let delay = self.shared.state.lock().unwrap().answer_delay;
+        tokio::time::sleep(delay).await;
+        if self.is_lost(&call) {
+            tokio::time::sleep_until(call.end).await;
+            return Err(links::StoreError::Away("no answer in time".to_owned()));
+        }
+        answer
     }
 
     /// Leaves a VM's queries and orders unanswered for a while.
@@ -195,7 +284,9 @@
 
     fn records(&self, kind: links::RecordKind) -> Result<links::RecordList, links::StoreError> {
         let state = self.shared.state.lock().unwrap();
-        if state.is_away || (state.refuses_nodes && kind == links::RecordKind::Nodes) {
+        if state.mode == StoreMode::Away
+            || (state.refuses_nodes && kind == links::RecordKind::Nodes)
+        {
             return Err(links::StoreError::Refused(503));
         }
         let record = |name: &str, version: u64, content| links::StoreRecord {
@@ -241,9 +332,11 @@
                 })
                 .collect(),
         };
+        let stale_at = state.stale_nodes_at;
+        let stale_at = stale_at.filter(|_version| kind == links::RecordKind::Nodes);
         Ok(links::RecordList {
             records,
-            at: state.at(state.version),
+            at: state.at(stale_at.unwrap_or(state.version)),
         })
     }
 
@@ -256,7 +349,7 @@
         let panics = self.shared.state.lock().unwrap().panics.remove(&kind);
         assert!(!panics, "the answer makes its reader panic");
         let state = self.shared.state.lock().unwrap();
-        if after.era() != list.at.era() {
+        if after.era() != list.at.era() || after.revision() < state.kept_from {
             return Err(links::StoreError::HistoryGone);
         }
         let new = list
@@ -282,7 +375,9 @@
 impl links::RecordStore for FakePlatform {
     async fn list(&self, kind: links::RecordKind) -> Result<links::RecordList, links::StoreError> {
         self.count_call(kind, "list");
-        self.records(kind)
+        let call = self.begin_call(CALL_TIMEOUT);
+        let records = self.records(kind);
+        self.end_call(call, records).await
     }
 
     async fn watch(
@@ -292,17 +387,20 @@
         wait: time::Duration,
     ) -> Result<links::RecordChanges, links::StoreError> {
         self.count_call(kind, "watch");
+        let call = self.begin_call(wait + WATCH_SLACK);
         let end = tokio::time::Instant::now() + wait;
-        loop {
+        let answer = loop {
             let notice = self.shared.changed.notified();
-            let changes = self.changes(kind, after)?;
-            if !changes.changes.is_empty() {
-                return Ok(changes);
+            let answer = self.changes(kind, after);
+            let is_waiting = matches!(&answer, Ok(changes) if changes.changes.is_empty());
+            if !is_waiting || self.is_lost(&call) {
+                break answer;
             }
             if tokio::time::timeout_at(end, notice).await.is_err() {
-                return self.changes(kind, after);
+                break self.changes(kind, after);
             }
-        }
+        };
+        self.end_call(call, answer).await
     }
 
     async fn write(
@@ -311,9 +409,13 @@
         if_version: Option<epochs::ObjectVersion>,
         text: String,
     ) -> links::StoreWrite {
+        let call = self.begin_call(CALL_TIMEOUT);
+        if let Err(error) = self.end_call(call, Ok(())).await {
+            return links::StoreWrite::Failed(error);
+        }
         let found = {
             let state = self.shared.state.lock().unwrap();
-            if state.is_away {
+            if state.mode == StoreMode::Away {
                 return links::StoreWrite::Failed(links::StoreError::Refused(503));
             }
             let known = state.nodes.get(name);
