Notice within two seconds that the store answers again, in every loop

Cause: after two retries only the document's loop calls the store, and its watch of 25 s had begun before the outage and was never answered; nobody called for 2.5 s and the time-out of a call. Watches of the document and of the data centres out of service, silenced likewise, stayed deaf for up to 27 s after the store's return. The wake-up of the waiting loops was lost on those that were inside a call.

Change: at a steward the loop of the registrations, on whose relay others depend, goes on calling; a return after an outage of a second or more ends every read of this node that began before it, and the list is read; the return is a watched value, so that no loop misses it.

Evidence: both tests fail on the former code (24 requests to a target that leaves 2 s after the return; document 3 instead of 4 in force two seconds after version 4) and pass with the change.

--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -4,6 +4,7 @@
 
 use anyhow::Context as _;
 use pier_types::{epochs, times};
+use tokio::sync::watch;
 
 use super::record_source;
 use crate::{daemon, links, peers, records, state};
@@ -57,8 +58,9 @@
 /// Failures that last at least this long count as an outage of the store.
 const MIN_OUTAGE_TIME: time::Duration = time::Duration::from_secs(1);
 
-/// Failures in a row after which only the loop for the document keeps calling the store, so that
-/// an outage costs few calls. The other loops wait until it succeeds.
+/// Failures in a row after which only one loop keeps calling the store, so that an outage costs few
+/// calls: the one for the registrations at a steward, on whose relay messages others depend, and the
+/// one for the document elsewhere. The other loops wait until it succeeds.
 const MAX_OWN_RETRIES: u32 = 2;
 
 /// Longest time that the other loops wait for that success, since the store may fail for one
@@ -116,9 +118,11 @@
                 continue;
             }
             let (state, kind, timeout) = (self.state.clone(), self.kind, self.watch_timeout());
+            let returns = state.watch_store_returns();
             at = tokio::select! {
                 read = self.read_store(at) => read,
                 () = record_source::wait_for_source(&state, kind, at.is_some(), timeout) => at,
+                () = wait_for_outage_end(returns) => None,
             };
         }
     }
@@ -340,8 +344,9 @@
         self.state
             .metrics()
             .count_store_call(self.kind.label(), "watch");
+        let wait = self.watch_timeout();
         let platform = self.state.platform();
-        let watching = platform.watch(self.kind, version, self.watch_timeout());
+        let watching = platform.watch(self.kind, version, wait);
         let watched = tokio::select! {
             watched = watching => watched,
             () = self.wait_for_missed_document() => return None,
@@ -372,7 +377,7 @@
                 None
             }
             Err(error) => {
-                self.record_failure(&error, started).await;
+                self.record_failure(&error, started.after(wait)).await;
                 // The next watch may not cover all changes since the last one, while a list is
                 // answered at once and complete.
                 None
@@ -435,11 +440,11 @@
         if !self.backoff.reset() {
             return;
         }
-        self.state.notify_store_return();
         let Some(since) = self.failing_since.take() else {
             return;
         };
         let away = now.since(since);
+        self.state.notify_store_return(away);
         log::info!(
             event = "store-back",
             kind = self.kind.label(),
@@ -452,7 +457,10 @@
         }
     }
 
-    async fn record_failure(&mut self, error: &links::StoreError, started: times::BootTime) {
+    /// Records a failed call that was to be answered from `due_at` on, and waits until the next one is
+    /// due.
+    async fn record_failure(&mut self, error: &links::StoreError, due_at: times::BootTime) {
+        let mut returns = self.state.watch_store_returns();
         let now = times::clocks::boot_now();
         self.state.metrics().count_store_failure(self.kind.label());
         if self.failing_since.is_none() {
@@ -460,7 +468,7 @@
             log::warn!(
                 event = "store-away",
                 kind = self.kind.label(),
-                waited_ms = millis(now.since(started)),
+                overdue_ms = millis(now.since(due_at)),
                 store_age_ms = millis(self.state.store_age(now)),
                 cause:% = error;
                 ""
@@ -469,7 +477,11 @@
         let is_steward = self.state.with_peers(|peers| peers.is_steward());
         let backoff = self.backoff.next_delay(is_steward, rand::random());
         let is_first_reader = self.state.is_first_reader(now);
-        let probes_store = self.kind == links::RecordKind::Document;
+        let probes_store = if is_steward {
+            self.kind == links::RecordKind::Targets
+        } else {
+            self.kind == links::RecordKind::Document
+        };
         let may_retry = is_first_reader && self.backoff.failures() <= MAX_OWN_RETRIES;
         if probes_store || may_retry {
             let backoff = if is_first_reader {
@@ -481,12 +493,23 @@
             return;
         }
         tokio::select! {
-            () = self.state.wait_for_store() => {}
+            _returned = returns.changed() => {}
             () = tokio::time::sleep(MAX_RECOVERY_WAIT) => {}
         }
     }
 }
 
+/// Waits until another loop finds that the store answers again after an outage, which may have
+/// silenced a call that began before.
+async fn wait_for_outage_end(mut returns: watch::Receiver<time::Duration>) {
+    while returns.changed().await.is_ok() {
+        if *returns.borrow_and_update() >= MIN_OUTAGE_TIME {
+            return;
+        }
+    }
+    std::future::pending::<()>().await;
+}
+
 fn millis(duration: time::Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -8,7 +8,7 @@
 
 use pier_fleet::{documents, reach, targets};
 use pier_types::{epochs, ids, times};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::{crashes, links, peers, serving, settings, state, telemetry};
 
@@ -56,7 +56,7 @@
     has_served: atomic::AtomicBool,
     local_retiring: sync::Mutex<collections::BTreeSet<ids::VmName>>,
     registry_changed: Notify,
-    store_returned: Notify,
+    store_outage: watch::Sender<time::Duration>,
     pub(super) relay_log: sync::Mutex<peers::RelayLog>,
     pub(super) follower: sync::Mutex<peers::RelayFollower>,
     loads: sync::Mutex<peers::LoadExchange>,
@@ -97,7 +97,7 @@
             has_served: atomic::AtomicBool::new(false),
             local_retiring: sync::Mutex::default(),
             registry_changed: Notify::new(),
-            store_returned: Notify::new(),
+            store_outage: watch::Sender::default(),
             relay_log: sync::Mutex::default(),
             follower: sync::Mutex::default(),
             loads: sync::Mutex::default(),
@@ -403,13 +403,15 @@
         self.shared.registry_changed.notified().await;
     }
 
-    /// Wakes the tasks that wait for the store to answer again.
-    pub(crate) fn notify_store_return(&self) {
-        self.shared.store_returned.notify_waiters();
+    /// Tells the loops that wait for it that the store answers again; `outage` is how long it did not.
+    pub(crate) fn notify_store_return(&self, outage: time::Duration) {
+        self.shared.store_outage.send_replace(outage);
     }
 
-    pub(crate) async fn wait_for_store(&self) {
-        self.shared.store_returned.notified().await;
+    /// Returns a receiver that changes to the length of the outage when the store answers again from
+    /// now on.
+    pub(crate) fn watch_store_returns(&self) -> watch::Receiver<time::Duration> {
+        self.shared.store_outage.subscribe()
     }
 
     pub(crate) fn with_loads<T>(&self, change: impl FnOnce(&mut peers::LoadExchange) -> T) -> T {
--- a/crates/pier_edge/tests/store_outages.rs
+++ b/crates/pier_edge/tests/store_outages.rs
@@ -4,7 +4,10 @@
 
 use std::time;
 
-use support::{FakePlatform, KEY, RawCaller, Script, ScriptedTarget, TestNode, plain_entry};
+use pier_edge::links;
+use support::{
+    FakePlatform, KEY, RawCaller, Script, ScriptedTarget, TestNode, document_at, plain_entry,
+};
 
 /// Time after which the store counts as stable again after an outage.
 const STABLE_TIME: time::Duration = time::Duration::from_secs(3);
@@ -12,6 +15,9 @@
 /// Time within which all nodes have to know that a target leaves, and which document is in force.
 const KNOWN_TIME: time::Duration = time::Duration::from_secs(2);
 
+/// Time within which a data centre has to be out of service.
+const OUT_OF_SERVICE_TIME: time::Duration = time::Duration::from_secs(5);
+
 /// Requests that would reach a target in use.
 const MANY_REQUESTS: usize = 24;
 
@@ -89,3 +95,39 @@
     tokio::time::sleep(KNOWN_TIME).await;
     bench.assert_first_unused().await;
 }
+
+/// Guards against a steward that calls a silent store so rarely that it notices the store's return
+/// late.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_steward_notices_soon_that_the_store_answers_again() {
+    let bench = StoreBench::start(1).await;
+    let lists = || bench.platform.calls(links::RecordKind::Targets, "list");
+    let before = lists();
+    bench.platform.set_silent(true);
+    while lists() < before + 2 {
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    // The second list has ended.
+    tokio::time::sleep(time::Duration::from_millis(1_600)).await;
+    bench.announce_leaving();
+    bench.platform.set_silent(false);
+    tokio::time::sleep(KNOWN_TIME).await;
+    bench.assert_first_unused().await;
+}
+
+/// Guards against a watch of the document, or of the data centres out of service, that an outage
+/// has silenced and that nobody ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_kinds_of_records_are_read_again_after_a_silent_outage() {
+    let bench = StoreBench::start(1).await;
+    bench.platform.set_silent(true);
+    tokio::time::sleep(time::Duration::from_secs(4)).await;
+    bench.platform.set_silent(false);
+    tokio::time::sleep(STABLE_TIME).await;
+    bench.platform.put_document(document_at(4));
+    tokio::time::sleep(KNOWN_TIME).await;
+    assert_eq!(bench.nodes[0].metric("document_version").await, 4);
+    bench.platform.take_out_of_service("dc-a");
+    tokio::time::sleep(OUT_OF_SERVICE_TIME).await;
+    assert_eq!(status(&bench.nodes[0]).await, 503);
+}
