Count an outage of the store from when the silenced call was due

What callers would see: 503 for targets that run, because registrations that lapsed in an outage were dropped at once instead of having two seconds to reappear.

Cause: the outage was counted from the moment at which the call had failed, after its time-out; a single silenced call made an outage of 40 ms, which is below the second from which on the time to reappear is granted.

Change: it counts from when the call was to be answered: its start, or the end of a watch's waiting time.

The test fails on the former code (503 instead of 200) and passes.

--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -464,7 +464,7 @@
         let now = times::clocks::boot_now();
         self.state.metrics().count_store_failure(self.kind.label());
         if self.failing_since.is_none() {
-            self.failing_since = Some(now);
+            self.failing_since = Some(due_at.min(now));
             log::warn!(
                 event = "store-away",
                 kind = self.kind.label(),
--- a/crates/pier_edge/tests/store_outages.rs
+++ b/crates/pier_edge/tests/store_outages.rs
@@ -18,6 +18,10 @@
 /// Time within which a data centre has to be out of service.
 const OUT_OF_SERVICE_TIME: time::Duration = time::Duration::from_secs(5);
 
+/// Time that a registration which the store has lost may take to reappear, with what its delivery
+/// takes.
+const RESTORE_TIME: time::Duration = time::Duration::from_millis(2_200);
+
 /// Requests that would reach a target in use.
 const MANY_REQUESTS: usize = 24;
 
@@ -131,3 +135,28 @@
     tokio::time::sleep(OUT_OF_SERVICE_TIME).await;
     assert_eq!(status(&bench.nodes[0]).await, 503);
 }
+
+/// Guards against an outage that does not count because only the call which it silenced was long:
+/// registrations that lapsed in it were dropped at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_lasts_since_the_call_that_it_silenced() {
+    let bench = StoreBench::start(1).await;
+    bench.platform.set_silent(true);
+    tokio::time::sleep(time::Duration::from_millis(1_800)).await;
+    for vm in ["t0", "t1"] {
+        bench.platform.remove_target(vm);
+    }
+    bench.platform.set_silent(false);
+    let lists = || bench.platform.calls(links::RecordKind::Targets, "list");
+    let before = lists();
+    while lists() == before {
+        tokio::time::sleep(time::Duration::from_millis(2)).await;
+    }
+    tokio::time::sleep(time::Duration::from_millis(200)).await;
+    assert_eq!(status(&bench.nodes[0]).await, 200);
+    for (vm, target) in [("t0", &bench.first), ("t1", &bench.second)] {
+        bench.platform.put_target(plain_entry(vm, target.address));
+    }
+    tokio::time::sleep(RESTORE_TIME).await;
+    assert_eq!(status(&bench.nodes[0]).await, 200);
+}
