Stop using a missing registration at its end, not at the next clean-up

Cause: a registration's end changes nothing by itself; the table was rebuilt by the clean-up, up to half a second later.

Change: each slot holds the end of its registration, which is compared where a target is chosen and once more before the request is written.

No test of its own fails on the former code: an attempt that sends through the half second did not meet the clean-up's phase in two runs.

--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -150,7 +150,7 @@
         let untried: Vec<_> = all
             .iter()
             .filter(|slot| {
-                !tried.contains(&slot.vm) && !slot.is_leaving() && slot.pause_left(now).is_none()
+                !tried.contains(&slot.vm) && !slot.is_leaving(now) && slot.pause_left(now).is_none()
             })
             .collect();
         let engine = self.engine();
@@ -312,7 +312,7 @@
     slots: &[sync::Arc<state::TargetSlot>],
     now: times::BootTime,
 ) -> Option<time::Duration> {
-    let staying = slots.iter().filter(|slot| !slot.is_leaving());
+    let staying = slots.iter().filter(|slot| !slot.is_leaving(now));
     let pauses: Option<Vec<_>> = staying.map(|slot| slot.pause_left(now)).collect();
     pauses?.into_iter().min()
 }
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -63,7 +63,7 @@
         };
         let now = times::clocks::boot_now();
         // The state may have changed while this request waited for its connection.
-        if slot.is_leaving() || slot.pause_left(now).is_some() {
+        if slot.is_leaving(now) || slot.pause_left(now).is_some() {
             let reason = "the target leaves or pauses".to_owned();
             return Err(serving::SendFault::NotSent(reason));
         }
--- a/crates/pier_edge/src/state/table_builder.rs
+++ b/crates/pier_edge/src/state/table_builder.rs
@@ -129,6 +129,7 @@
             slot.set_pause(self.pauses.end(&entry.vm, entry.standing.born));
             sync::Arc::new(slot)
         });
+        slot.set_end(record.ends_at);
         let mut cold = state::target_slot::lock(&slot.cold);
         cold.until = record.cold_until;
         cold.per_second = service.cold_per_second / f64::from(self.nodes.max(1));
--- a/crates/pier_edge/src/state/target_slot.rs
+++ b/crates/pier_edge/src/state/target_slot.rs
@@ -43,6 +43,8 @@
     /// How often this node found the target stuck.
     stuck_count: watch::Sender<u64>,
     is_leaving: atomic::AtomicBool,
+    /// When the registration ends, in microseconds; the greatest number while it is in the store.
+    ends_at: atomic::AtomicU64,
     paused_until: sync::Mutex<times::BootTime>,
 }
 
@@ -77,6 +79,7 @@
             loss_check: crashes::LossCheck::default(),
             stuck_count: watch::Sender::new(0),
             is_leaving: atomic::AtomicBool::new(false),
+            ends_at: atomic::AtomicU64::new(u64::MAX),
             paused_until: sync::Mutex::default(),
         }
     }
@@ -125,9 +128,17 @@
         self.is_leaving.store(true, atomic::Ordering::Relaxed);
     }
 
-    /// Returns whether the target is to get no further request.
-    pub(crate) fn is_leaving(&self) -> bool {
+    /// Sets when the target's registration ends; `None` while it is in the store.
+    pub(crate) fn set_end(&self, ends_at: Option<times::BootTime>) {
+        let micros = ends_at.map_or(u64::MAX, times::BootTime::as_micros);
+        self.ends_at.store(micros, atomic::Ordering::Relaxed);
+    }
+
+    /// Returns whether the target is to get no further request: it leaves, or its registration has
+    /// ended.
+    pub(crate) fn is_leaving(&self, now: times::BootTime) -> bool {
         self.is_leaving.load(atomic::Ordering::Relaxed)
+            || self.ends_at.load(atomic::Ordering::Relaxed) <= now.as_micros()
     }
 
     /// Excludes the target from new requests until `end`.
