Store a rebuilt table of targets before its registry can change

Cause: the table was built under the registry's lock and stored after it, so that of two tasks the one with the older registry could store last; its table stayed until the next change.

Change: the table is stored within the lock.

--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -450,7 +450,7 @@
         let nodes = self.with_peers(|peers| peers.sharing_nodes(now));
         let retiring = self.retiring(now);
         let out_of_service = self.out_of_service();
-        let table = self.with_registry(|registry| {
+        self.with_registry(|registry| {
             registry.expire(now);
             let builder = state::table_builder::TableBuilder {
                 settings: self.settings(),
@@ -462,9 +462,10 @@
                 nodes,
                 now,
             };
-            builder.build(&mut state::target_slot::lock(&self.shared.slots))
+            let table = builder.build(&mut state::target_slot::lock(&self.shared.slots));
+            // Within the lock, so that no table replaces one of a newer registry.
+            self.shared.table.store(sync::Arc::new(table));
         });
-        self.shared.table.store(sync::Arc::new(table));
     }
 
     /// Returns whether the nodes' records have been read, and so the record of crashes.
