Take the time of the store's return from the steward, not from late answers

What callers would see: DRAIN for targets that never say that they leave: their registration is removed, and followers go on using it for 2.2 s.

Cause: a follower inferred an outage from the age of the steward's answers; an answer that was 1.3 s late counted as one although the store was never away, and each such return granted the time to reappear anew. After a real outage it counted from when the follower noticed instead of from when the steward did.

Change: relay messages tell how long ago the steward noted a return (format 3, in the extension; docs/design/compatibility.md). Under a steward of an earlier build followers infer it as before.

--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -108,14 +108,15 @@
                 age: time::Duration::ZERO,
                 beat,
             };
-            state.with_peers(|peers| peers.record_beat(heard, extension.cores, now));
+            state.with_peers(|peers| peers.record_beat(heard, extension.summaries.cores, now));
         }
         peers::PeerMessage::Relay(relay) => {
-            let document = envelope
-                .format
-                .has_summaries()
-                .then_some(extension.document);
-            applier.apply_relay(relay, document, now);
+            let (format, summaries) = (envelope.format, extension.summaries);
+            let notes = peers::RelayNotes {
+                document: format.has_summaries().then_some(summaries.document),
+                outages: format.has_outages().then_some(extension.outages),
+            };
+            applier.apply_relay(relay, notes, now);
         }
         peers::PeerMessage::Report(report) => {
             state.with_loads(|loads| loads.hub.record_report(report, now));
@@ -160,12 +161,9 @@
         let stride = beat_stride(local.len());
         let remote_stride = beat_stride(count).div_ceil(stride);
         let mut beat = local_beat(&state, number, now);
-        let extension = peers::MessageExtension {
-            cores: state.settings().cores,
-            ..peers::MessageExtension::default()
-        };
+        let extension = peers::MessageExtension::of_beat(state.settings().cores);
         let message = peers::PeerMessage::Beat(beat.clone());
-        let envelope = peers::PeerEnvelope::with_extension(message, extension);
+        let envelope = peers::PeerEnvelope::with_extension(message, extension.clone());
         send_envelope(&state, &socket, &envelope, &local).await;
         if number.is_multiple_of(u64::from(remote_stride)) && !remote.is_empty() {
             if count > peer_groups::FULL_RATE_PEERS {
@@ -244,12 +242,13 @@
         let is_steward = state.with_peers(|peers| peers.steward(data_centre) == Some(state.node()));
         if is_steward && !state.is_draining() {
             let addresses = state.with_peers(|peers| peers.local_addresses(data_centre, now));
-            let extension = peers::MessageExtension {
-                document: state
-                    .document()
-                    .map_or_else(Default::default, |document| document.version()),
-                ..peers::MessageExtension::default()
-            };
+            let document = state.document();
+            let document = document.map(|document| document.version());
+            let return_age = state.with_registry(|registry| registry.store_return_age(now));
+            let return_age_ms =
+                return_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+            let extension =
+                peers::MessageExtension::of_relay(document.unwrap_or_default(), return_age_ms);
             let message = peers::PeerMessage::Relay(state.relay_beat(now));
             let envelope = peers::PeerEnvelope::with_extension(message, extension);
             send_envelope(&state, &socket, &envelope, &addresses).await;
--- a/crates/pier_edge/src/peers/formats/mod.rs
+++ b/crates/pier_edge/src/peers/formats/mod.rs
@@ -7,6 +7,6 @@
 mod peer_format;
 
 use first_beat::FirstBeat;
-pub(crate) use message_extension::MessageExtension;
+pub(crate) use message_extension::{MessageExtension, OutageFields};
 pub(crate) use peer_envelope::{MessageFault, PeerEnvelope};
 pub(crate) use peer_format::PeerFormat;
--- a/crates/pier_edge/src/peers/formats/peer_envelope.rs
+++ b/crates/pier_edge/src/peers/formats/peer_envelope.rs
@@ -83,9 +83,9 @@
         let (format, extension) = match rest.split_first() {
             None => (PeerFormat::UNNUMBERED, MessageExtension::default()),
             Some((number, extension)) => {
-                let extension = postcard::take_from_bytes(extension);
-                let (extension, _later) = extension.map_err(MessageFault::Malformed)?;
-                (PeerFormat::new(*number), extension)
+                let format = PeerFormat::new(*number);
+                let extension = MessageExtension::decode(format, extension);
+                (format, extension.map_err(MessageFault::Malformed)?)
             }
         };
         Ok(Self {
--- a/crates/pier_edge/src/peers/formats/peer_format.rs
+++ b/crates/pier_edge/src/peers/formats/peer_format.rs
@@ -20,8 +20,11 @@
     /// document for its followers.
     pub(crate) const SUMMARIES: Self = Self(2);
 
+    /// When the steward found the store back after an outage, in its relay messages.
+    pub(crate) const OUTAGES: Self = Self(3);
+
     /// The format that this build sends.
-    pub(crate) const CURRENT: Self = Self::SUMMARIES;
+    pub(crate) const CURRENT: Self = Self::OUTAGES;
 
     pub(crate) const fn new(number: u8) -> Self {
         Self(number)
@@ -36,6 +39,11 @@
     pub(crate) fn has_summaries(self) -> bool {
         self >= Self::SUMMARIES
     }
+
+    /// Returns whether a steward of this format tells of outages of the store.
+    pub(crate) fn has_outages(self) -> bool {
+        self >= Self::OUTAGES
+    }
 }
 
 impl fmt::Display for PeerFormat {
--- a/crates/pier_edge/src/peers/mod.rs
+++ b/crates/pier_edge/src/peers/mod.rs
@@ -25,7 +25,7 @@
 pub(crate) use beat_loop::spawn;
 pub(crate) use centre_summary::CentreSummary;
 pub(crate) use follow_limits::{FollowLimits, MAX_STORE_AGE};
-pub(crate) use formats::{MessageExtension, MessageFault, PeerEnvelope, PeerFormat};
+pub(crate) use formats::{MessageExtension, MessageFault, OutageFields, PeerEnvelope, PeerFormat};
 pub(crate) use forwarder::Forwarder;
 pub(crate) use heard_beat::HeardBeat;
 pub(crate) use load_exchange::LoadExchange;
@@ -36,7 +36,7 @@
 };
 pub(crate) use notice_outbox::NoticeOutbox;
 pub(crate) use peer_table::PeerTable;
-pub(crate) use relay_beat::{RelayBeat, TargetChange};
+pub(crate) use relay_beat::{RelayBeat, RelayNotes, TargetChange};
 pub(crate) use relay_follower::RelayFollower;
 pub(crate) use relay_log::RelayLog;
 pub(crate) use snapshots::{SnapshotClient, StoreSnapshot};
--- a/crates/pier_edge/src/peers/relay_beat.rs
+++ b/crates/pier_edge/src/peers/relay_beat.rs
@@ -28,6 +28,15 @@
     pub changes: Vec<TargetChange>,
 }
 
+/// What a relay message says beside the store's content; each is `None` for a steward whose build does
+/// not tell it.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct RelayNotes {
+    /// Version of the document that the steward has in force.
+    pub document: Option<epochs::ConfigVersion>,
+    pub outages: Option<peers::OutageFields>,
+}
+
 /// A change of one registration.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum TargetChange {
--- a/crates/pier_edge/src/records/record_applier.rs
+++ b/crates/pier_edge/src/records/record_applier.rs
@@ -1,6 +1,6 @@
 //! Applies the records of the store.
 
-use std::{collections, sync};
+use std::{collections, sync, time};
 
 use pier_fleet::{documents, targets};
 use pier_types::{epochs, ids, times};
@@ -104,12 +104,10 @@
 
     /// Applies a relay message. Its records of stewards always count; the rest is dropped unless
     /// the sender is the current steward of this data centre.
-    ///
-    /// `document` is the version that the steward has in force, if its build serves it.
     pub(crate) fn apply_relay(
         &self,
         beat: peers::RelayBeat,
-        document: Option<epochs::ConfigVersion>,
+        notes: peers::RelayNotes,
         now: times::BootTime,
     ) {
         let local_data_centre = &self.state.settings().data_centre;
@@ -124,12 +122,10 @@
         }
         let out_of_service = beat.out_of_service.iter().cloned().collect();
         let was_following = self.state.is_following(now);
-        if self
-            .state
-            .with_follower(|follower| follower.shows_return(&beat))
-        {
-            self.record_store_return(links::RecordKind::Targets, now);
+        if let Some(returned_at) = self.relayed_return(&beat, notes.outages, now) {
+            self.record_store_return(links::RecordKind::Targets, returned_at);
         }
+        let document = notes.document;
         let changes = self
             .state
             .with_follower(|follower| follower.apply_beat(beat, document, now));
@@ -156,11 +152,33 @@
         }
     }
 
+    /// Returns when the store came back after an outage according to a steward, whose answers of the
+    /// store may also be late without one.
+    fn relayed_return(
+        &self,
+        beat: &peers::RelayBeat,
+        outages: Option<peers::OutageFields>,
+        now: times::BootTime,
+    ) -> Option<times::BootTime> {
+        let Some(outages) = outages else {
+            let is_shown = self
+                .state
+                .with_follower(|follower| follower.shows_return(beat));
+            return is_shown.then_some(now);
+        };
+        let age_ms = outages.store_return_age_ms?;
+        Some(now.before(time::Duration::from_millis(age_ms)))
+    }
+
     /// Records that the store answers again after an outage.
-    pub(crate) fn record_store_return(&self, kind: links::RecordKind, now: times::BootTime) {
+    pub(crate) fn record_store_return(
+        &self,
+        kind: links::RecordKind,
+        returned_at: times::BootTime,
+    ) {
         if kind == links::RecordKind::Targets {
             self.state
-                .with_registry(|registry| registry.note_store_return(now));
+                .with_registry(|registry| registry.note_store_return(returned_at));
         }
     }
 
--- a/crates/pier_fleet/src/targets/target_registry.rs
+++ b/crates/pier_fleet/src/targets/target_registry.rs
@@ -44,9 +44,15 @@
         &self.records
     }
 
-    /// Records that the store answers again after an outage.
-    pub fn note_store_return(&mut self, now: times::BootTime) {
-        self.store_returned_at = Some(now);
+    /// Records that the store answers again after an outage; a return before the last one counts for
+    /// nothing.
+    pub fn note_store_return(&mut self, returned_at: times::BootTime) {
+        self.store_returned_at = self.store_returned_at.max(Some(returned_at));
+    }
+
+    /// Returns how long ago the store's last return was noted; `None` if there was none.
+    pub fn store_return_age(&self, now: times::BootTime) -> Option<time::Duration> {
+        self.store_returned_at.map(|at| now.since(at))
     }
 
     /// Records that the store has come back from an older copy of itself, whose registrations may be
