Pause between a list and a watch whose history the store has forgotten

Change: the smallest interval between two watches is kept then too.

The test fails on the former code (885 lists a second) and passes.

--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -374,6 +374,8 @@
             }
             Err(links::StoreError::HistoryGone) => {
                 log::info!(event = "watch-restarted", kind = self.kind.label(); "");
+                // The list may be stale too, so that the next watch fails likewise.
+                tokio::time::sleep(self.min_watch_interval()).await;
                 None
             }
             Err(error) => {
--- a/crates/pier_edge/tests/store_outages.rs
+++ b/crates/pier_edge/tests/store_outages.rs
@@ -160,3 +160,17 @@
     tokio::time::sleep(RESTORE_TIME).await;
     assert_eq!(status(&bench.nodes[0]).await, 200);
 }
+
+/// Guards against calls without a pause between a stale list and a watch of changes that the store
+/// has forgotten.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forgotten_history_costs_few_calls() {
+    let bench = StoreBench::start(1).await;
+    bench.platform.forget_history();
+    let lists = || bench.platform.calls(links::RecordKind::Nodes, "list");
+    let before = lists();
+    let duration = time::Duration::from_secs(3);
+    tokio::time::sleep(duration).await;
+    let rate = (lists() - before) / 3;
+    assert!(rate <= 4, "{rate} lists a second");
+}
