Keep what was read of a registration later when an older list arrives

What callers would see: DRAIN, or requests to targets that are gone: a mark of leaving that came by relay while a list was on its way was replaced by the list's older content, and was lost until the registration changed again.

Cause: registrations carried no version; the follower's version kept the greater one, the registry the later arrival.

Change: each record holds the version of the store at which it was read, or its removal; puts, removals and lists of an earlier version pass it over.

--- a/crates/pier_edge/src/records/record_applier.rs
+++ b/crates/pier_edge/src/records/record_applier.rs
@@ -39,7 +39,7 @@
                     });
                 let entries = entries.collect();
                 self.state
-                    .with_registry(|registry| registry.replace(entries, now));
+                    .with_registry(|registry| registry.replace(entries, list.at, now));
                 self.state.set_listed();
                 self.targets_changed(now);
             }
@@ -49,7 +49,7 @@
             }
             links::RecordKind::Document | links::RecordKind::Nodes => {
                 for record in list.records {
-                    self.apply_record(kind, record, now);
+                    self.apply_record(kind, record, list.at, now);
                 }
                 if kind == links::RecordKind::Nodes {
                     self.state.set_crashes_read();
@@ -62,7 +62,7 @@
     pub(crate) fn apply_snapshot(&self, snapshot: peers::StoreSnapshot, now: times::BootTime) {
         self.replace_out_of_service(snapshot.out_of_service, now);
         self.state
-            .with_registry(|registry| registry.replace(snapshot.targets, now));
+            .with_registry(|registry| registry.replace(snapshot.targets, snapshot.at, now));
         self.state
             .with_follower(|follower| follower.set_version(snapshot.at));
         self.state.set_listed();
@@ -90,11 +90,11 @@
         changes: links::RecordChanges,
         now: times::BootTime,
     ) {
-        let count = changes.changes.len();
+        let (count, read_at) = (changes.changes.len(), changes.at);
         for change in changes.changes {
             match change {
-                links::RecordChange::Put(record) => self.apply_record(kind, record, now),
-                links::RecordChange::Gone(name) => self.apply_removal(kind, &name, now),
+                links::RecordChange::Put(record) => self.apply_record(kind, record, read_at, now),
+                links::RecordChange::Gone(name) => self.apply_removal(kind, &name, read_at, now),
             }
         }
         if kind == links::RecordKind::Targets && count > 0 {
@@ -125,7 +125,7 @@
         if let Some(returned_at) = self.relayed_return(&beat, notes.outages, now) {
             self.record_store_return(links::RecordKind::Targets, returned_at);
         }
-        let document = notes.document;
+        let (document, read_at) = (notes.document, beat.to);
         let changes = self
             .state
             .with_follower(|follower| follower.apply_beat(beat, document, now));
@@ -135,9 +135,9 @@
         let has_changes = !changes.is_empty();
         for change in changes {
             match change {
-                peers::TargetChange::Put(entry) => self.put_target(*entry, now),
+                peers::TargetChange::Put(entry) => self.put_target(*entry, read_at, now),
                 peers::TargetChange::Gone(vm) => {
-                    self.apply_removal(links::RecordKind::Targets, vm.as_str(), now);
+                    self.apply_removal(links::RecordKind::Targets, vm.as_str(), read_at, now);
                 }
             }
         }
@@ -194,11 +194,12 @@
         &self,
         kind: links::RecordKind,
         record: links::StoreRecord,
+        read_at: epochs::ObjectVersion,
         now: times::BootTime,
     ) {
         match record.content {
             links::RecordContent::Target(entry) => {
-                self.put_target(*entry, now);
+                self.put_target(*entry, read_at, now);
             }
             links::RecordContent::Document(document) => {
                 self.apply_document(document, now);
@@ -214,13 +215,18 @@
             other @ links::RecordContent::Unreadable(_) => {
                 log_unreadable(kind, &record.name, &other);
                 if kind == links::RecordKind::Targets {
-                    self.apply_removal(kind, &record.name, now);
+                    self.apply_removal(kind, &record.name, read_at, now);
                 }
             }
         }
     }
 
-    fn put_target(&self, entry: targets::TargetEntry, now: times::BootTime) {
+    fn put_target(
+        &self,
+        entry: targets::TargetEntry,
+        read_at: epochs::ObjectVersion,
+        now: times::BootTime,
+    ) {
         if entry.is_draining {
             log::info!(event = "target-leaving", target_vm:% = entry.vm; "");
         }
@@ -233,16 +239,22 @@
             ""
         );
         self.state
-            .with_registry(|registry| registry.put(entry, now));
+            .with_registry(|registry| registry.put(entry, read_at, now));
     }
 
-    fn apply_removal(&self, kind: links::RecordKind, name: &str, now: times::BootTime) {
+    fn apply_removal(
+        &self,
+        kind: links::RecordKind,
+        name: &str,
+        read_at: epochs::ObjectVersion,
+        now: times::BootTime,
+    ) {
         match kind {
             links::RecordKind::Targets => {
                 if let Ok(vm) = name.parse::<ids::VmName>() {
                     log::info!(event = "target-gone", target_vm:% = vm; "");
                     self.state
-                        .with_registry(|registry| registry.remove(&vm, now));
+                        .with_registry(|registry| registry.remove(&vm, read_at, now));
                 }
             }
             links::RecordKind::OutOfService => {
--- a/crates/pier_fleet/src/targets/target_record.rs
+++ b/crates/pier_fleet/src/targets/target_record.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use pier_types::times;
+use pier_types::{epochs, times};
 
 use crate::targets;
 
@@ -21,6 +21,8 @@
     pub cold_until: times::BootTime,
     /// When this node stops honouring the registration; `None` while it is in the store.
     pub ends_at: Option<times::BootTime>,
+    /// Version of the store at which the registration, or its removal, was read.
+    pub read_at: epochs::ObjectVersion,
 }
 
 impl TargetRecord {
--- a/crates/pier_fleet/src/targets/target_registry.rs
+++ b/crates/pier_fleet/src/targets/target_registry.rs
@@ -62,11 +62,20 @@
         self.copy_until = copy_until;
     }
 
-    /// Adds or updates one registration.
-    pub fn put(&mut self, mut entry: targets::TargetEntry, now: times::BootTime) {
+    /// Adds or updates one registration, as read at version `read_at` of the store; one that was read
+    /// before the known one is dropped.
+    pub fn put(
+        &mut self,
+        mut entry: targets::TargetEntry,
+        read_at: epochs::ObjectVersion,
+        now: times::BootTime,
+    ) {
         let cold_until = now.after(entry.cold_left);
         let known = self.records.get(&entry.vm);
         if let Some(known) = known {
+            if read_at < known.read_at {
+                return;
+            }
             entry.standing = entry.standing.merge_known(&known.entry.standing);
             let is_same_start = known.entry.standing.born == entry.standing.born;
             let may_be_older = now < self.copy_until;
@@ -80,6 +89,7 @@
             cold_until: unchanged.map_or(cold_until, |record| record.cold_until),
             seen_at: unchanged.map_or(now, |record| record.seen_at),
             ends_at: None,
+            read_at,
             entry,
         };
         self.records.insert(record.entry.vm.clone(), record);
@@ -117,25 +127,39 @@
     }
 
     /// Marks a registration as removed from the store. It ends immediately, or, after an outage of
-    /// the store, once the time for restoring it has passed.
-    pub fn remove(&mut self, vm: &ids::VmName, now: times::BootTime) {
+    /// the store, once the time for restoring it has passed. Nothing happens if the known registration
+    /// was read after version `read_at` of the store.
+    pub fn remove(
+        &mut self,
+        vm: &ids::VmName,
+        read_at: epochs::ObjectVersion,
+        now: times::BootTime,
+    ) {
         let ends_at = self.removal_time(now);
-        if let Some(record) = self.records.get_mut(vm) {
+        let record = self.records.get_mut(vm);
+        if let Some(record) = record.filter(|record| record.read_at <= read_at) {
             record.ends_at.get_or_insert(ends_at);
+            record.read_at = read_at;
         }
     }
 
-    /// Applies a complete list; registrations that are not in it are removed.
-    pub fn replace(&mut self, entries: Vec<targets::TargetEntry>, now: times::BootTime) {
+    /// Applies a complete list, read at version `read_at` of the store; registrations that are not in
+    /// it are removed. What was read later stays.
+    pub fn replace(
+        &mut self,
+        entries: Vec<targets::TargetEntry>,
+        read_at: epochs::ObjectVersion,
+        now: times::BootTime,
+    ) {
         let listed: collections::BTreeSet<_> =
             entries.iter().map(|entry| entry.vm.clone()).collect();
         let known = self.records.keys().cloned();
         let missing: Vec<_> = known.filter(|vm| !listed.contains(vm)).collect();
         for vm in missing {
-            self.remove(&vm, now);
+            self.remove(&vm, read_at, now);
         }
         for entry in entries {
-            self.put(entry, now);
+            self.put(entry, read_at, now);
         }
     }
 
