Keep the request rate that a target states, in all nodes together

Cause: no node read the statement, so no hypothesis about its division arose.

Change: each answer that names the attempt is read for it. A node that learns of another rate tells all others (format 4, in the extension behind notices of leaving targets, which earlier builds ignore), again once a second while answers repeat it; the latest answer counts, by its age. The rate is divided by a hash of target and node among as many nodes as it has requests a second, and two, those of the target's data centre with three times the part; each part is a token bucket of one request, taken when a target is chosen, so that retries, resumed streams and passed-on requests count. What is left without a target is refused at once with the time until the next request. A rate of nothing is asked about every five seconds by one node; one that nobody repeats ends after 15 s.

Why four seconds stay in bounds: the parts add up to the rate, and at most one saved request for each sharer comes to it: 4 L + L + 2 < 6 L + 5.

--- a/crates/pier_edge/src/daemon/edge_daemon.rs
+++ b/crates/pier_edge/src/daemon/edge_daemon.rs
@@ -128,6 +128,7 @@
         for slot in state.slots().into_iter().chain(state.forwards().slots()) {
             slot.connections.expire(now);
         }
+        state.limits().expire(now);
         state.crashes().expire(now);
         state
             .metrics()
--- a/crates/pier_edge/src/links/answer_head.rs
+++ b/crates/pier_edge/src/links/answer_head.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use pier_types::rates;
+
 /// The parts of an answer's head that decide how the answer is handled.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AnswerHead {
@@ -9,8 +11,12 @@
     pub is_not_run: bool,
     /// Whose answer it is.
     pub origin: AnswerOrigin,
+    /// Whether it names the attempt that was sent, with or without the target's mark.
+    pub names_attempt: bool,
     /// Whether the target announces that it leaves.
     pub notice: TargetNotice,
+    /// Whether the target states how many requests it takes from all nodes together.
+    pub limit: LimitStatement,
     /// How long the target asks this node to send it nothing, after it rejected this request.
     pub pause: Option<time::Duration>,
     /// Whether the target closes the connection after the answer.
@@ -39,6 +45,18 @@
     OtherAttempt,
 }
 
+/// What a target's answer states about the requests that it takes from all nodes together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum LimitStatement {
+    /// It states no limit.
+    #[default]
+    Unlimited,
+    /// It takes this many.
+    Rate(rates::RequestMilliRate),
+    /// It states something that is no rate.
+    Unreadable,
+}
+
 /// Whether a target's answer announces that it leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum TargetNotice {
--- a/crates/pier_edge/src/links/mod.rs
+++ b/crates/pier_edge/src/links/mod.rs
@@ -13,7 +13,7 @@
 mod store_record;
 mod store_write;
 
-pub use answer_head::{AnswerHead, AnswerOrigin, TargetNotice};
+pub use answer_head::{AnswerHead, AnswerOrigin, LimitStatement, TargetNotice};
 pub use caller_head::CallerHead;
 pub(crate) use caller_head::parts_text;
 pub use fleet_platform::{FleetPlatform, HeaderCodec, MemberLink, RecordStore};
--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -6,7 +6,7 @@
 use pier_types::times;
 use tokio::net::UdpSocket;
 
-use super::{broadcast, crash_loop, notice_outbox, peer_groups, summary_loop};
+use super::{broadcast, crash_loop, limit_loop, notice_outbox, peer_groups, summary_loop};
 use crate::{daemon, links, peers, records, state};
 
 /// Interval between heartbeats in a small fleet. A load known to another node is at most this old,
@@ -54,6 +54,9 @@
     run_with("notices", |(state, socket)| {
         Box::pin(notice_outbox::run(state, socket))
     });
+    run_with("limits", |(state, _socket)| {
+        Box::pin(limit_loop::run(state))
+    });
     run_with("summaries", |(state, socket)| {
         Box::pin(summary_loop::run(state, socket))
     });
@@ -100,6 +103,9 @@
     now: times::BootTime,
 ) {
     let extension = envelope.extension;
+    for notice in &extension.limits {
+        state.merge_limit(notice, now);
+    }
     match envelope.message {
         peers::PeerMessage::Beat(beat) => {
             let heard = peers::HeardBeat {
@@ -134,7 +140,7 @@
             broadcast::apply(state, peers::BroadcastContent::Leaving(notices), now);
         }
         peers::PeerMessage::Broadcast(content) => {
-            broadcast::forward(state, socket, content.clone()).await;
+            broadcast::forward(state, socket, content.clone(), extension.limits).await;
             broadcast::apply(state, content, now);
         }
         peers::PeerMessage::Summary(summary) => {
@@ -271,7 +277,7 @@
     send_envelope(state, socket, &envelope, addresses).await;
 }
 
-async fn send_envelope<P: links::FleetPlatform>(
+pub(super) async fn send_envelope<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
     socket: &UdpSocket,
     envelope: &peers::PeerEnvelope,
--- a/crates/pier_edge/src/peers/broadcast.rs
+++ b/crates/pier_edge/src/peers/broadcast.rs
@@ -9,20 +9,24 @@
 use super::beat_loop;
 use crate::{links, peers, state};
 
-/// Sends content to all nodes. In a large fleet one node of each other data centre receives it and
+/// Sends content and rates of targets to all nodes. In a large fleet one node of each other data centre receives it and
 /// forwards it there; each call chooses another one, as datagrams may be lost.
 pub(super) async fn send<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
     socket: &UdpSocket,
     content: peers::BroadcastContent,
+    limits: Vec<peers::LimitNotice>,
     now: times::BootTime,
 ) {
     let (direct, forwarders) = receivers(state, now);
+    let extension = peers::MessageExtension::of_limits(limits);
     if !forwarders.is_empty() {
         let message = peers::PeerMessage::Broadcast(content.clone());
-        beat_loop::send_all(state, socket, message, &forwarders).await;
+        let envelope = peers::PeerEnvelope::with_extension(message, extension.clone());
+        beat_loop::send_envelope(state, socket, &envelope, &forwarders).await;
     }
-    beat_loop::send_all(state, socket, content.into(), &direct).await;
+    let envelope = peers::PeerEnvelope::with_extension(content.into(), extension);
+    beat_loop::send_envelope(state, socket, &envelope, &direct).await;
 }
 
 /// Forwards content from another data centre to the nodes of this one.
@@ -30,10 +34,13 @@
     state: &state::EdgeState<P>,
     socket: &UdpSocket,
     content: peers::BroadcastContent,
+    limits: Vec<peers::LimitNotice>,
 ) {
     let own = &state.settings().data_centre;
     let neighbours = state.with_peers(|peers| peers.centre_addresses(own));
-    beat_loop::send_all(state, socket, content.into(), &neighbours).await;
+    let extension = peers::MessageExtension::of_limits(limits);
+    let envelope = peers::PeerEnvelope::with_extension(content.into(), extension);
+    beat_loop::send_envelope(state, socket, &envelope, &neighbours).await;
 }
 
 /// Applies content that another node sent.
--- a/crates/pier_edge/src/peers/crash_loop.rs
+++ b/crates/pier_edge/src/peers/crash_loop.rs
@@ -45,7 +45,7 @@
         let marks = (!delta.marks.is_empty()).then_some(peers::BroadcastContent::Crashes(delta));
         for content in parts.into_iter().chain(marks) {
             if is_new {
-                broadcast::send(&state, &socket, content, now).await;
+                broadcast::send(&state, &socket, content, Vec::new(), now).await;
             } else if let Some(receiver) = round_receiver(&state, now) {
                 beat_loop::send_all(&state, &socket, content.into(), &[receiver]).await;
             }
--- a/crates/pier_edge/src/peers/formats/message_extension.rs
+++ b/crates/pier_edge/src/peers/formats/message_extension.rs
@@ -3,11 +3,16 @@
 use pier_types::{epochs, sizes};
 use serde::{Deserialize, Serialize};
 
+use crate::peers;
+
 /// Fields that follow a message of the unnumbered format. New ones are added at the end.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct MessageExtension {
     pub summaries: SummaryFields,
     pub outages: OutageFields,
+    /// Since [`super::PeerFormat::LIMITS`], in notices of leaving targets and broadcasts, rates of
+    /// targets.
+    pub limits: Vec<peers::LimitNotice>,
 }
 
 /// Fields of [`super::PeerFormat::SUMMARIES`].
@@ -40,6 +45,7 @@
             outages: OutageFields {
                 store_return_age_ms,
             },
+            ..Self::default()
         }
     }
 
@@ -53,6 +59,13 @@
         }
     }
 
+    pub(crate) fn of_limits(limits: Vec<peers::LimitNotice>) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
     /// Decodes the fields that a format has; bytes after them are ignored.
     ///
     /// # Errors
@@ -64,8 +77,13 @@
             summaries,
             ..Self::default()
         };
-        if format.has_outages() {
-            (extension.outages, _) = postcard::take_from_bytes(rest)?;
+        if !format.has_outages() {
+            return Ok(extension);
+        }
+        let (outages, rest) = postcard::take_from_bytes(rest)?;
+        extension.outages = outages;
+        if format.has_limits() {
+            (extension.limits, _) = postcard::take_from_bytes(rest)?;
         }
         Ok(extension)
     }
--- a/crates/pier_edge/src/peers/formats/peer_format.rs
+++ b/crates/pier_edge/src/peers/formats/peer_format.rs
@@ -23,8 +23,11 @@
     /// When the steward found the store back after an outage, in its relay messages.
     pub(crate) const OUTAGES: Self = Self(3);
 
+    /// Rates of targets, with notices of leaving targets.
+    pub(crate) const LIMITS: Self = Self(4);
+
     /// The format that this build sends.
-    pub(crate) const CURRENT: Self = Self::OUTAGES;
+    pub(crate) const CURRENT: Self = Self::LIMITS;
 
     pub(crate) const fn new(number: u8) -> Self {
         Self(number)
@@ -40,6 +43,11 @@
         self >= Self::SUMMARIES
     }
 
+    /// Returns whether a node of this format tells of the rates of targets.
+    pub(crate) fn has_limits(self) -> bool {
+        self >= Self::LIMITS
+    }
+
     /// Returns whether a steward of this format tells of outages of the store.
     pub(crate) fn has_outages(self) -> bool {
         self >= Self::OUTAGES
--- a/crates/pier_edge/src/peers/mod.rs
+++ b/crates/pier_edge/src/peers/mod.rs
@@ -8,6 +8,7 @@
 mod formats;
 mod forwarder;
 mod heard_beat;
+mod limit_loop;
 mod load_exchange;
 mod load_intake;
 mod load_loop;
@@ -32,9 +33,10 @@
 use load_loop::LoadLoop;
 pub(crate) use load_loop::VIEW_AGE;
 pub(crate) use node_beat::{
-    BroadcastContent, LeavingTarget, NodeBeat, NodePhase, NodeRecord, PeerMessage, StewardRecord,
+    BroadcastContent, LeavingTarget, LimitNotice, NodeBeat, NodePhase, NodeRecord, PeerMessage,
+    StewardRecord,
 };
-pub(crate) use notice_outbox::NoticeOutbox;
+pub(crate) use notice_outbox::{NoticeOutbox, StatedLimit};
 pub(crate) use peer_table::PeerTable;
 pub(crate) use relay_beat::{RelayBeat, RelayNotes, TargetChange};
 pub(crate) use relay_follower::RelayFollower;
--- a/crates/pier_edge/src/peers/node_beat.rs
+++ b/crates/pier_edge/src/peers/node_beat.rs
@@ -4,7 +4,7 @@
 
 use pier_fleet::loads;
 use pier_request::{prompt_parts, quarantine};
-use pier_types::{epochs, ids};
+use pier_types::{epochs, ids, rates};
 use serde::{Deserialize, Serialize};
 
 use crate::peers;
@@ -76,6 +76,17 @@
     pub born: epochs::VmIncarnation,
 }
 
+/// A rate that a target stated, for the other nodes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LimitNotice {
+    pub vm: ids::VmName,
+    pub born: epochs::VmIncarnation,
+    /// Requests that the target takes from all nodes; `None` if it takes any number again.
+    pub rate: Option<rates::RequestMilliRate>,
+    /// Milliseconds since the target's answer.
+    pub age_ms: u32,
+}
+
 /// Whether a node can be a steward or a hub.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum NodePhase {
--- a/crates/pier_edge/src/peers/peer_table.rs
+++ b/crates/pier_edge/src/peers/peer_table.rs
@@ -238,6 +238,21 @@
         self.steward_view(data_centre, local_data_centre, now).local
     }
 
+    /// Returns the nodes that share the rates of targets, with their data centres: those that are alive
+    /// and reach targets, and this one. A node that leaves still sends requests.
+    pub(crate) fn rate_sharers(
+        &self,
+        local_data_centre: &ids::DataCentreName,
+        now: times::BootTime,
+    ) -> Vec<(ids::NodeName, ids::DataCentreName)> {
+        let sharing = self
+            .beats(now, PEER_LIFETIME)
+            .filter(|beat| beat.phase != peers::NodePhase::Isolated);
+        let sharing = sharing.map(|beat| (beat.node.clone(), beat.data_centre.clone()));
+        let own = (self.local_node.clone(), local_data_centre.clone());
+        sharing.chain([own]).collect()
+    }
+
     /// Returns the other nodes that reached the store recently.
     pub(crate) fn nodes_reaching_store(
         &self,
--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -177,21 +177,27 @@
             None => dispatch::choose_plain(&request, &facts),
         };
         match outcome {
-            dispatch::ChoiceOutcome::Send { position, expected } => TargetChoice::Send {
-                slot: sync::Arc::clone(untried[position]),
-                expected,
-            },
+            dispatch::ChoiceOutcome::Send { position, expected } => {
+                untried[position].take_limit(now);
+                TargetChoice::Send {
+                    slot: sync::Arc::clone(untried[position]),
+                    expected,
+                }
+            }
             dispatch::ChoiceOutcome::Full {
                 retry_after,
                 expected,
             } => {
+                let limit_wait = shortest_limit_wait(&untried, now);
+                let retry_after = limit_wait.unwrap_or(retry_after);
                 log::info!(
                     event = "request-over-capacity",
                     attempt = self.head.attempt.as_str(),
                     candidates = untried.len(),
                     expected_ms = millis(expected),
                     objective_ms = millis(request.objective),
-                    rank = request.rank;
+                    rank = request.rank,
+                    limit_wait_ms:? = limit_wait.map(millis);
                     ""
                 );
                 TargetChoice::Refuse(serving::Refusal::Overloaded { retry_after })
@@ -306,6 +312,16 @@
     }
 }
 
+/// Returns for how long this node's parts of the rates of all targets are used up; `None` if that is not
+/// what keeps the request from one of them.
+fn shortest_limit_wait(
+    slots: &[&sync::Arc<state::TargetSlot>],
+    now: times::BootTime,
+) -> Option<time::Duration> {
+    let waits: Option<Vec<_>> = slots.iter().map(|slot| slot.limit_wait(now)).collect();
+    waits?.into_iter().min()
+}
+
 /// Returns for how long all targets want no request; `None` if one of them takes requests, or all
 /// leave.
 fn shortest_pause(
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -110,6 +110,10 @@
             let reason = "the answer belongs to another attempt".to_owned();
             return Err(serving::SendFault::MayHaveRun(reason));
         }
+        if !slot.is_node() {
+            let answered_at = times::clocks::boot_now();
+            job.state.record_limit(slot, &answer, now, answered_at);
+        }
         if slot.is_node() {
             apply_refusal(&head, &mut answer)?;
         } else if answer.notice == links::TargetNotice::Leaving {
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -42,6 +42,7 @@
     peers: sync::Mutex<peers::PeerTable>,
     notices: peers::NoticeOutbox,
     pauses: state::PauseTable,
+    pub(super) limits: state::LimitTable,
     forwards: state::ForwardTable,
     retries: state::RetryBudget,
     reach: sync::Mutex<reach::ReachTracker>,
@@ -76,6 +77,7 @@
             retries: state::RetryBudget::new(settings.bounds),
             notices: peers::NoticeOutbox::default(),
             pauses: state::PauseTable::default(),
+            limits: state::LimitTable::default(),
             reach: sync::Mutex::default(),
             forwards: state::ForwardTable::default(),
             crashes: crashes::CrashLedger::default(),
@@ -459,6 +461,7 @@
                 out_of_service: &out_of_service,
                 retiring: &retiring,
                 pauses: &self.shared.pauses,
+                limits: &self.shared.limits,
                 nodes,
                 now,
             };
--- a/crates/pier_edge/src/state/table_builder.rs
+++ b/crates/pier_edge/src/state/table_builder.rs
@@ -21,6 +21,7 @@
     /// First members whose groups are about to be formed again.
     pub retiring: &'a collections::BTreeSet<ids::VmName>,
     pub pauses: &'a state::PauseTable,
+    pub limits: &'a state::LimitTable,
     pub nodes: u32,
     pub now: times::BootTime,
 }
@@ -125,6 +126,7 @@
                 batch.unwrap_or_else(|| entry.slots.get()).max(1),
                 entry.data_centre == self.settings.data_centre,
                 share.max(MIN_CONNECTIONS),
+                self.limits.limit(&entry.vm, entry.standing.born),
             );
             slot.set_pause(self.pauses.end(&entry.vm, entry.standing.born));
             sync::Arc::new(slot)
--- a/crates/pier_edge/src/state/target_slot.rs
+++ b/crates/pier_edge/src/state/target_slot.rs
@@ -39,6 +39,8 @@
     pub connections: serving::ConnectionPool,
     pub cold_limiter: sync::Mutex<budgets::ColdLimiter>,
     pub cold: sync::Mutex<ColdLimit>,
+    /// The rate that the target states for all nodes together.
+    pub limit: state::SharedLimit,
     pub loss_check: crashes::LossCheck,
     /// How often this node found the target stuck.
     stuck_count: watch::Sender<u64>,
@@ -63,6 +65,7 @@
         slots: u32,
         is_local: bool,
         connections: usize,
+        limit: state::SharedLimit,
     ) -> Self {
         Self {
             kind: SlotKind::Target,
@@ -76,6 +79,7 @@
             connections: serving::ConnectionPool::new(address, connections),
             cold_limiter: sync::Mutex::new(budgets::ColdLimiter::new(rand::random())),
             cold: sync::Mutex::default(),
+            limit,
             loss_check: crashes::LossCheck::default(),
             stuck_count: watch::Sender::new(0),
             is_leaving: atomic::AtomicBool::new(false),
@@ -99,7 +103,8 @@
         );
         let max = state::MAX_FORWARDS_PER_NODE;
         let connections = usize::try_from(max).unwrap_or(usize::MAX);
-        let mut slot = Self::new(key, address, None, max, is_local, connections);
+        let limit = sync::Arc::default();
+        let mut slot = Self::new(key, address, None, max, is_local, connections, limit);
         slot.kind = SlotKind::Node;
         slot.connections.connect_from(source);
         slot
@@ -178,7 +183,10 @@
             (gap.as_secs_f64() / expected.as_secs_f64().max(0.001)).clamp(1.0, 20.0)
         });
         let is_stuck = self.gauge.is_stuck(now) || self.gauge.is_reported_stuck(now);
-        let is_unavailable = self.connections.is_full() || is_stuck || !self.allows_cold(now);
+        let is_unavailable = self.connections.is_full()
+            || is_stuck
+            || !self.allows_cold(now)
+            || self.limit_wait(now).is_some();
         dispatch::LoadFacts {
             running,
             waiting: self.gauge.waiting(),
@@ -200,6 +208,17 @@
         }
     }
 
+    /// Counts a request against this node's part of the rate that the target states. It is counted when
+    /// the target is chosen, as others may be chosen before it is sent.
+    pub(crate) fn take_limit(&self, now: times::BootTime) {
+        lock(&self.limit).take(now);
+    }
+
+    /// Returns for how long this node's part of the target's rate is used up; `None` if it is not.
+    pub(crate) fn limit_wait(&self, now: times::BootTime) -> Option<time::Duration> {
+        lock(&self.limit).wait(now)
+    }
+
     fn allows_cold(&self, now: times::BootTime) -> bool {
         let limit = *lock(&self.cold);
         if limit.until <= now || limit.per_second <= 0.0 {
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -46,6 +46,7 @@
     received_bytes: [Counter; 2],
     task_failures: Family<Labels, Counter>,
     live_nodes: Gauge,
+    limited_targets: Gauge,
     messages: Family<Labels, Counter>,
     message_bytes: Family<Labels, Counter>,
     message_failures: Family<Labels, Counter>,
@@ -93,6 +94,7 @@
             target_bytes,
             task_failures: Family::default(),
             live_nodes: Gauge::default(),
+            limited_targets: Gauge::default(),
             messages: Family::default(),
             message_bytes: Family::default(),
             message_failures: Family::default(),
@@ -201,6 +203,11 @@
             "Loops of the node that panicked and were started again",
             self.task_failures.clone(),
         );
+        registry.register(
+            "limited_targets",
+            "Targets that state how many requests they take",
+            self.limited_targets.clone(),
+        );
         registry.register(
             "live_nodes",
             "Other nodes that are alive",
@@ -408,6 +415,12 @@
         self.received_bytes[usize::from(is_local)].inc_by(bytes);
     }
 
+    /// Sets how many targets state a rate.
+    pub(crate) fn set_limited_targets(&self, count: usize) {
+        self.limited_targets
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// Sets how many other nodes are alive.
     pub(crate) fn set_live_nodes(&self, count: usize) {
         self.live_nodes
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -8,7 +8,7 @@
 
 use pier_edge::links;
 use pier_fleet::{documents, formation, targets};
-use pier_types::{epochs, ids};
+use pier_types::{epochs, ids, rates};
 use tokio::sync::Notify;
 
 /// Time after which a caller gives up a call other than a watch.
@@ -535,11 +535,19 @@
                 Some(echoed) if echoed == attempt => links::AnswerOrigin::Target,
                 Some(_other) => links::AnswerOrigin::OtherAttempt,
             },
+            names_attempt: echoed == Some(attempt),
             notice: if head.headers.contains_key("x-leaving") {
                 links::TargetNotice::Leaving
             } else {
                 links::TargetNotice::Staying
             },
+            limit: head
+                .headers
+                .get("x-limit")
+                .map_or(links::LimitStatement::Unlimited, |value| {
+                    let milli = value.to_str().unwrap().parse().unwrap();
+                    links::LimitStatement::Rate(rates::RequestMilliRate::new(milli))
+                }),
             pause: head.headers.get("x-pause").map(|value| {
                 let seconds = value.to_str().unwrap().parse().unwrap();
                 time::Duration::from_secs_f64(seconds)
--- a/crates/pier_types/src/rates/mod.rs
+++ b/crates/pier_types/src/rates/mod.rs
@@ -17,3 +17,8 @@
     TokenRate,
     u64
 );
+macros::number_newtype!(
+    /// Thousandths of a request per second.
+    RequestMilliRate,
+    u64
+);
