Resume a stream only with an answer that is its rest

It could happen here with answers that are successes but no streams: a 200 of another type was spliced in, and a 204 ended the stream as complete. Answers of 4xx and 5xx were refused already; the test covers them too.

Change: the rest of a stream is a 200 with the target's mark, of the stream's type, that does not say it was not run.

The test of the successes fails on the former code.

--- a/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
+++ b/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
@@ -6,7 +6,7 @@
 use hyper::body::{Bytes, Frame};
 use pier_types::times;
 
-use super::RelayStep;
+use super::{RelayStep, is_event_stream};
 use crate::{links, serving, state};
 
 /// How long resuming a stream may take once its target is lost: callers give up after two seconds
@@ -48,6 +48,7 @@
         self.job.state.metrics().count_resume("tried");
         let job = sync::Arc::clone(&self.job);
         let after = self.last_event.clone();
+        let has_events = is_event_stream(&self.call.head);
         let mut open = serving::OpenSends::default();
         let mut permit = SendPermit::None;
         let mut lost_at = times::clocks::boot_now();
@@ -66,7 +67,8 @@
                         self.sends += 1;
                         self.tried.push(slot.vm.clone());
                         let left = job.time_left(now);
-                        let sending = send(&job, sync::Arc::clone(&slot), after.as_deref(), left);
+                        let after = after.as_deref();
+                        let sending = send(&job, sync::Arc::clone(&slot), after, has_events, left);
                         open.push(&slot, left, sending);
                     }
                     None if !may_search || !self.may_send() => open.end_search(),
@@ -225,20 +227,29 @@
     Unused,
 }
 
-/// Sends the request for the rest of a stream, and waits for the first part of the body.
+/// Returns whether an answer is the rest of a stream, instead of an error or of a success that says
+/// something else.
+fn is_rest(call: &serving::TargetCall, has_events: bool) -> bool {
+    call.head.status == http::StatusCode::OK
+        && call.answer.is_genuine()
+        && !call.answer.is_not_run
+        && (!has_events || is_event_stream(&call.head))
+}
+
+/// Sends the request for the rest of a stream, and waits for the first part of the body. `has_events`
+/// is whether the stream so far consists of events.
 async fn send<P: links::FleetPlatform>(
     job: &serving::RequestJob<P>,
     slot: sync::Arc<state::TargetSlot>,
     after: Option<&str>,
+    has_events: bool,
     limit: time::Duration,
 ) -> EndedSend {
     let result = match serving::TargetCall::send(job, &slot, after, limit).await {
-        Ok(mut call) if call.head.status.is_success() && call.answer.is_genuine() => {
-            match call.body.frame().await {
-                Some(Err(error)) => Err(ResumeFault::Closed(error.to_string())),
-                frame => Ok((Box::new(call), frame)),
-            }
-        }
+        Ok(mut call) if is_rest(&call, has_events) => match call.body.frame().await {
+            Some(Err(error)) => Err(ResumeFault::Closed(error.to_string())),
+            frame => Ok((Box::new(call), frame)),
+        },
         Ok(call) => Err(ResumeFault::Refused(call.head.status)),
         Err(fault) => Err(ResumeFault::NoAnswer(fault)),
     };
--- a/crates/pier_edge/tests/support/scripted_target.rs
+++ b/crates/pier_edge/tests/support/scripted_target.rs
@@ -42,6 +42,12 @@
     NotRun,
     /// A complete answer of its own that states a failure.
     Failure,
+    /// A complete answer with this status line, these header lines and this body.
+    Answer {
+        status: &'static str,
+        headers: &'static str,
+        body: &'static str,
+    },
     /// The head of a stream and this many events, after which it is silent and then closes the
     /// connection.
     Breaks { events: u32, silent_ms: u64 },
@@ -254,6 +260,18 @@
             );
             stream.write_all(text.as_bytes()).await.ok()
         }
+        Script::Answer {
+            status,
+            headers: own_headers,
+            body,
+        } => {
+            let text = format!(
+                "HTTP/1.1 {status}\r\nx-attempt: {attempt}\r\n{headers}{own_headers}\
+                 content-length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            stream.write_all(text.as_bytes()).await.ok()
+        }
         Script::Failure => {
             let text = format!(
                 "HTTP/1.1 500 Failed\r\nx-attempt: {attempt}\r\n{headers}content-length: 0\r\n\r\n"
