Pass requests on when most targets that are left were just not reached

Change: the mark of an unreached target is kept apart from that of a stuck one; when more than half of the targets that are left bear it, the request is passed on to a node that reaches the service, if there is one. Each refusal logs how many were unreached.

--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -197,10 +197,14 @@
                     expected_ms = millis(expected),
                     objective_ms = millis(request.objective),
                     rank = request.rank,
-                    limit_wait_ms:? = limit_wait.map(millis);
+                    limit_wait_ms:? = limit_wait.map(millis),
+                    unreached = untried.iter().filter(|slot| slot.gauge.is_unreached(now)).count();
                     ""
                 );
-                TargetChoice::Refuse(serving::Refusal::Overloaded { retry_after })
+                self.choose_instead(&untried, tried, now)
+                    .unwrap_or(TargetChoice::Refuse(serving::Refusal::Overloaded {
+                        retry_after,
+                    }))
             }
             dispatch::ChoiceOutcome::NoTarget => {
                 let pause = shortest_pause(all, now);
@@ -214,6 +218,24 @@
         }
     }
 
+    /// Chooses a node to which the request is passed on when this node has just failed to reach most of
+    /// the targets that are left, which other nodes may reach. Connections to some may still be open,
+    /// so that the service does not count as cut off.
+    fn choose_instead(
+        &self,
+        untried: &[&sync::Arc<state::TargetSlot>],
+        tried: &[ids::VmName],
+        now: times::BootTime,
+    ) -> Option<TargetChoice> {
+        let unreached = untried.iter();
+        let unreached = unreached.filter(|slot| slot.gauge.is_unreached(now));
+        if self.forward.is_some() || unreached.count() * 2 <= untried.len() {
+            return None;
+        }
+        let choice = self.choose_node(tried, now)?;
+        matches!(choice, TargetChoice::Send { .. }).then_some(choice)
+    }
+
     /// Chooses a node to which the request is passed on; `None` if no node reaches the service.
     ///
     /// A request that another node passed on stays here.
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -276,7 +276,7 @@
         );
         if let serving::SendFault::Unreached(_) = fault {
             slot.gauge
-                .set_stuck(times::clocks::boot_now().after(UNREACHED_REST));
+                .set_unreached(times::clocks::boot_now().after(UNREACHED_REST));
         }
         if fault.may_have_run() {
             self.may_have_run = true;
--- a/crates/pier_edge/src/state/target_gauge.rs
+++ b/crates/pier_edge/src/state/target_gauge.rs
@@ -37,6 +37,7 @@
     answer_micros: atomic::AtomicU64,
     failure_permille: atomic::AtomicU64,
     stuck_until: atomic::AtomicU64,
+    unreached_until: atomic::AtomicU64,
     /// When the target was last found stuck by its silence.
     stalled_at: atomic::AtomicU64,
     reported_stuck_until: atomic::AtomicU64,
@@ -59,6 +60,7 @@
             answer_micros: atomic::AtomicU64::new(first),
             failure_permille: atomic::AtomicU64::new(0),
             stuck_until: atomic::AtomicU64::new(0),
+            unreached_until: atomic::AtomicU64::new(0),
             stalled_at: atomic::AtomicU64::new(0),
             reported_stuck_until: atomic::AtomicU64::new(0),
         }
@@ -175,6 +177,18 @@
         self.stuck_until.fetch_max(until.as_micros(), RELAXED);
     }
 
+    /// Marks the target as not reached by this node, so that it gets no new requests until the given
+    /// time; other nodes may reach it.
+    pub(crate) fn set_unreached(&self, until: times::BootTime) {
+        self.unreached_until.fetch_max(until.as_micros(), RELAXED);
+        self.set_stuck(until);
+    }
+
+    /// Returns whether the target rests since this node did not reach it.
+    pub(crate) fn is_unreached(&self, now: times::BootTime) -> bool {
+        now.as_micros() < self.unreached_until.load(RELAXED) && self.is_stuck(now)
+    }
+
     /// Marks the target as stuck by its silence; unlike another mark it ends with the silence.
     pub(crate) fn set_stalled(&self, until: times::BootTime, now: times::BootTime) {
         self.stalled_at.store(now.as_micros(), RELAXED);
--- a/crates/pier_edge/tests/cut_off_nodes.rs
+++ b/crates/pier_edge/tests/cut_off_nodes.rs
@@ -5,7 +5,8 @@
 use std::time;
 
 use support::{
-    GROUP_MODEL, KEY, RawAnswer, RawCaller, Script, ScriptedTarget, TestNode, group_member,
+    CutLink, FakePlatform, GROUP_MODEL, KEY, LinkMode, RawAnswer, RawCaller, Script,
+    ScriptedTarget, TestNode, document, group_member,
 };
 
 /// Groups that all run the same request when the links are cut.
@@ -72,3 +73,51 @@
     assert_eq!(answer.status(), 200, "{}", answer.body);
     assert!(answer.is_complete);
 }
+
+/// Guards against refusals at a node that opens no new connection to any target, while streams on
+/// open ones go on and other nodes reach the targets.
+#[tokio::test]
+async fn requests_are_passed_on_when_no_target_that_is_left_was_reached() {
+    let platform = FakePlatform::default();
+    let mut cut = platform.clone();
+    let mut links = Vec::new();
+    for number in 0..2 {
+        let script = Script::Events {
+            last: 10,
+            pause_ms: 20,
+            cut_in: None,
+            silent_from: None,
+        };
+        let target = ScriptedTarget::start(script).await;
+        let link = CutLink::start(target.address);
+        for rank in 0..2 {
+            let group = format!("g{number}");
+            platform.put_target(group_member(&group, rank, target.address));
+            cut = cut.with_link(&format!("{group}-{rank}"), link.address);
+        }
+        links.push(link);
+    }
+    platform.put_document(document());
+    let first = TestNode::start_on(cut, "n1").await;
+    let second = TestNode::start_on(platform, "n2").await;
+    first.settle().await;
+    second.settle().await;
+    // Open connections, one of which succeeds while the others are refused.
+    let _opened = ask(first.callers, 0).await;
+    for link in &links {
+        link.set_mode(LinkMode::RefuseNew).await;
+    }
+    let mut running = Vec::new();
+    for attempt in 1..40 {
+        running.push(tokio::spawn(ask(first.callers, attempt)));
+        tokio::time::sleep(time::Duration::from_millis(25)).await;
+    }
+    let mut refused = 0;
+    for answer in running {
+        refused += usize::from(answer.await.unwrap().status() != 200);
+    }
+    assert_eq!(
+        refused, 0,
+        "all requests of 40 could be served by the other node"
+    );
+}
