Do not count a request against a target's rate that is not sent to it

Cause: a rate's request is taken when its target is chosen; a search for a second target that finds the retry budget empty dropped the choice and looked again, so that the rate was used up by requests that were never sent. A notice of a known target's rate is kept however many targets there are.

The unit test covers the count; the search beside an empty budget is not tested by itself.

--- a/crates/pier_edge/src/records/record_source.rs
+++ b/crates/pier_edge/src/records/record_source.rs
@@ -46,6 +46,7 @@
     }
 }
 
+/// Returns the steward from which the records of a kind can be read, if there is one.
 pub(super) fn snapshot_source<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
     kind: links::RecordKind,
@@ -57,6 +58,7 @@
     state.snapshot_source(now)
 }
 
+/// Returns whether the steward's relay messages can be relied on; they bring no document.
 pub(super) fn follows_relay<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
     kind: links::RecordKind,
@@ -65,11 +67,13 @@
     kind != links::RecordKind::Document && state.is_following(now)
 }
 
+/// Returns whether this node is the steward of its data centre.
 pub(super) fn is_own_steward<P: links::FleetPlatform>(state: &state::EdgeState<P>) -> bool {
     let own = &state.settings().data_centre;
     state.with_peers(|peers| peers.steward(own) == Some(state.node()))
 }
 
+/// Returns whether the document is served to the nodes of this data centre.
 pub(super) fn serves_document<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
     kind: links::RecordKind,
@@ -79,6 +83,7 @@
         && state.with_peers(|peers| peers.is_large())
 }
 
+/// Returns whether changes are relayed to the nodes of this data centre.
 pub(super) fn is_relayed<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
     kind: links::RecordKind,
@@ -86,6 +91,7 @@
     kind == links::RecordKind::Targets && state.with_peers(|peers| peers.is_steward())
 }
 
+/// Returns how long a watch waits.
 pub(super) fn watch_timeout<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
     kind: links::RecordKind,
--- a/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
+++ b/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
@@ -161,6 +161,9 @@
             );
             *permit = SendPermit::Refused;
         }
+        if !is_allowed {
+            slot.give_limit_back(now);
+        }
         is_allowed.then_some(slot)
     }
 
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -235,6 +235,7 @@
             let nodes = job.state.with_peers(|peers| peers.sharing_nodes(now));
             let has_budget = || job.state.retries().take(&job.service, nodes, now);
             if sends >= job.max_sends() || !has_budget() {
+                chosen.0.give_limit_back(now);
                 return Err(serving::Refusal::Broken);
             }
         }
--- a/crates/pier_edge/src/state/limit_table.rs
+++ b/crates/pier_edge/src/state/limit_table.rs
@@ -31,8 +31,12 @@
 
     /// Returns the rate of a VM incarnation that another node tells of; `None` if too many are kept.
     fn told_limit(&self, vm: &ids::VmName, born: epochs::VmIncarnation) -> Option<SharedLimit> {
-        let has_room = state::lock(&self.limits).len() < MAX_LIMITS;
-        has_room.then(|| self.limit(vm, born))
+        let mut limits = state::lock(&self.limits);
+        let key = (vm.clone(), born);
+        if !limits.contains_key(&key) && limits.len() >= MAX_LIMITS {
+            return None;
+        }
+        Some(sync::Arc::clone(limits.entry(key).or_default()))
     }
 
     /// Drops the rates that have ended, of targets which this node no longer knows.
--- a/crates/pier_edge/src/state/target_slot.rs
+++ b/crates/pier_edge/src/state/target_slot.rs
@@ -214,6 +214,11 @@
         lock(&self.limit).take(now);
     }
 
+    /// Takes back the count of a request that is not sent to the chosen target after all.
+    pub(crate) fn give_limit_back(&self, now: times::BootTime) {
+        lock(&self.limit).give_back(now);
+    }
+
     /// Returns for how long this node's part of the target's rate is used up; `None` if it is not.
     pub(crate) fn limit_wait(&self, now: times::BootTime) -> Option<time::Duration> {
         lock(&self.limit).wait(now)
--- a/crates/pier_fleet/src/budgets/target_limit.rs
+++ b/crates/pier_fleet/src/budgets/target_limit.rs
@@ -101,6 +101,12 @@
         }
     }
 
+    /// Takes back the count of a request that is not sent after all.
+    pub fn give_back(&mut self, now: times::BootTime) {
+        self.refill(now);
+        self.tokens = (self.tokens + 1.0).min(BURST);
+    }
+
     /// Returns for how long no request may be sent; `None` if one may be sent now.
     pub fn wait(&mut self, now: times::BootTime) -> Option<time::Duration> {
         if self.allows(now) {
--- a/crates/pier_fleet/tests/rates_are_shared.rs
+++ b/crates/pier_fleet/tests/rates_are_shared.rs
@@ -129,6 +129,19 @@
     assert_eq!(limit.rate(at(320)), None);
 }
 
+/// Guards against requests that are counted although they were not sent.
+#[test]
+fn a_request_that_is_not_sent_does_not_count() {
+    let mut limit = budgets::TargetLimit::default();
+    limit.record(stated(Some(1_000), 0), at(0));
+    limit.set_share(1.0, at(0));
+    assert!(limit.allows(at(1_000)));
+    limit.take(at(1_000));
+    assert!(!limit.allows(at(1_000)));
+    limit.give_back(at(1_000));
+    assert!(limit.allows(at(1_000)));
+}
+
 /// Guards against a target that is never used again because no node asks it, and against one that
 /// takes nothing and is asked often.
 #[test]
