--- a/crates/pier_edge/src/peers/formats/peer_format.rs
+++ b/crates/pier_edge/src/peers/formats/peer_format.rs
@@ -43,12 +43,12 @@
         self >= Self::SUMMARIES
     }
 
-    /// Returns whether a node of this format tells of the rates of targets.
+    /// Returns whether messages of this format carry the rates of targets.
     pub(crate) fn has_limits(self) -> bool {
         self >= Self::LIMITS
     }
 
-    /// Returns whether a steward of this format tells of outages of the store.
+    /// Returns whether relay messages of this format carry outages of the store.
     pub(crate) fn has_outages(self) -> bool {
         self >= Self::OUTAGES
     }
--- a/crates/pier_edge/src/peers/relay_beat.rs
+++ b/crates/pier_edge/src/peers/relay_beat.rs
@@ -28,8 +28,8 @@
     pub changes: Vec<TargetChange>,
 }
 
-/// What a relay message says beside the store's content; each is `None` for a steward whose build does
-/// not tell it.
+/// Fields of a relay message beside the store's content; each is `None` if the steward's build does not
+/// send it.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct RelayNotes {
     /// Version of the document that the steward has in force.
--- a/crates/pier_edge/src/state/limit_table.rs
+++ b/crates/pier_edge/src/state/limit_table.rs
@@ -29,8 +29,8 @@
         sync::Arc::clone(limit)
     }
 
-    /// Returns the rate of a VM incarnation that another node tells of; `None` if too many are kept.
-    fn told_limit(&self, vm: &ids::VmName, born: epochs::VmIncarnation) -> Option<SharedLimit> {
+    /// Returns the rate of a VM incarnation from another node's notice; `None` if too many are kept.
+    fn noticed_limit(&self, vm: &ids::VmName, born: epochs::VmIncarnation) -> Option<SharedLimit> {
         let mut limits = state::lock(&self.limits);
         let key = (vm.clone(), born);
         if !limits.contains_key(&key) && limits.len() >= MAX_LIMITS {
@@ -61,7 +61,7 @@
         &self.shared.limits
     }
 
-    /// Applies what a target's answer states about its rate, and tells the other nodes.
+    /// Applies the rate in a target's answer, and sends a notice of it to the other nodes.
     ///
     /// An answer without a rate ends a known one only if its request was sent after the rate was
     /// stated, as answers may overtake each other.
@@ -105,14 +105,14 @@
         }
     }
 
-    /// Applies a rate of which another node tells.
+    /// Applies a rate from another node's notice.
     pub(crate) fn merge_limit(&self, notice: &peers::LimitNotice, now: times::BootTime) {
         let age = time::Duration::from_millis(u64::from(notice.age_ms));
         let stated = budgets::StatedRate {
             rate: notice.rate,
             stated_at: now.before(age),
         };
-        let Some(limit) = self.limits().told_limit(&notice.vm, notice.born) else {
+        let Some(limit) = self.limits().noticed_limit(&notice.vm, notice.born) else {
             log::warn!(event = "limit-not-kept", target_vm:% = notice.vm; "");
             return;
         };
