Show that a model is lost when all nodes are killed

The name of a group begins with its model's, and a planner that takes over looks the model up by that beginning. A model whose name begins with another one's and a hyphen is taken for the other one, so that its whole groups are formed again for the wrong model.

The stand-ins learn to start a node again and to serve several models.

--- a/review/lib/engines.py
+++ b/review/lib/engines.py
@@ -124,11 +124,16 @@
 
 def engine_service(name, model, size):
     """Returns a service of the configuration whose workers serve one model in groups."""
+    return engine_service_of(name, [(model, size, 1.0)])
+
+
+def engine_service_of(name, models):
+    """The same for several models, each with its name, size and share of the work."""
     found = s.service(name, 464)
     found["runtime"] = {
         "slots": 26, "kvCapacity": 2470000, "kvTokenBytes": 35136, "linkMbps": 400000.0, "stride": 6,
-        "models": [{"name": model, "size": size, "workShare": 1.0, "pace": 1.0, "loadS": LOAD_S,
-                    "warmupS": WARM_S}],
+        "models": [{"name": model, "size": size, "workShare": share, "pace": 1.0, "loadS": LOAD_S,
+                    "warmupS": WARM_S} for model, size, share in models],
         "step_ms": 6.45, "per_seq_ms": 0.0967, "context_per_k": 0.00293, "read_per_s": 56100.0,
         "pairs_per_m": 0.309, "chunk": 2048, "report_lag_ms": 200.0, "loadsPerS": 5.5, "loads_at_once": 8,
         "delays": [], "usual": {"prompt": 1115, "answer": 30}, "cacheSlots": 1, "far_x": 2.5,
--- a/review/lib/processes.py
+++ b/review/lib/processes.py
@@ -20,7 +20,7 @@
     async def start(self):
         script = os.path.join(os.path.dirname(os.path.abspath(__file__)), "slow_worker.py")
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, script, self.name, "127.0.0.1", str(self.pieces), str(self.pause_s),
+            sys.executable, "-B", script, self.name, "127.0.0.1", str(self.pieces), str(self.pause_s),
             stdout=asyncio.subprocess.PIPE)
         line = await self.process.stdout.readline()
         self.address = f"127.0.0.1:{int(line)}"
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -309,16 +309,22 @@
                   "limits.memoryMb": memory_mib, "limits.cpuQuota": 0.25, "bounds.graceS": 8,
                   "bounds.drainMs": 2000, "bounds.retryRatio": 0.2, "bounds.retrySlack": 130,
                   "bounds.retryWindowS": 10}
+        self.fields, self.zones = fields, zones
+        self.write_settings()
+        self.process = None
+
+    def write_settings(self):
+        """Fills in the settings template of the deploy file, as the platform does at each start."""
+        fields = self.fields
         with open(TEMPLATE) as file:
             text = file.read()
-        text = re.sub(r"\{\{#zones\}\}.*?\{\{/zones\}\}", ",".join(zones), text)
+        text = re.sub(r"\{\{#zones\}\}.*?\{\{/zones\}\}", ",".join(self.zones), text)
         text = text.replace("{{ip}}:{{portRange.0}}", fields["{peers}"])
         text = text.replace("{{ip}}:{{portRange.1}}", fields["{forwards}"])
         text = text.replace("{{ip}}:9464", fields["{metrics}"])
         text = re.sub(r"\{\{([a-zA-Z.]+)\}\}", lambda match: str(fields[match.group(1)]), text)
         with open(self.settings, "w") as file:
             file.write(text)
-        self.process = None
 
     def start(self):
         if not os.path.exists(PROGRAM):
@@ -328,6 +334,13 @@
         self.process = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         self.record(f"node {self.name} starts, process {self.process.pid}")
 
+    def start_again(self):
+        """Starts the process again after its end; the whole system doesn't start for the first time."""
+        self.process.wait()
+        self.fields["bootstrap"] = "false"
+        self.write_settings()
+        self.start()
+
     def signal(self, number):
         self.record(f"node {self.name} gets {signal.Signals(number).name}")
         self.process.send_signal(number)
