Keep the cases of the review within their time

One run of case 1 reached its result and then hung while the loop of the script was shut down, in the condition variable of the store's stand-in. Watches now wait on a future each, a case is given up after 110 s, and the script ends at once when it has its result.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -27,6 +27,9 @@
 
 STARTED = time.monotonic()
 
+# A case may take 120 s.
+CASE_LIMIT_S = 110
+
 
 class CannotRun(Exception):
     """The case could not be set up; the script exits with 2."""
@@ -123,7 +126,7 @@
         self.revision = 100
         self.objects = {}
         self.history = []
-        self.changed = asyncio.Condition()
+        self.waiting = set()
         self.delay = 0.004
         self.log_calls = False
         self.writes = []
@@ -198,8 +201,9 @@
             item = {"metadata": metadata, "spec": spec, "status": None}
             self.objects[(kind, name)] = item
         self.history.append((self.revision, kind, {"deleted": spec is None, "object": item}))
-        async with self.changed:
-            self.changed.notify_all()
+        for future in self.waiting:
+            if not future.done():
+                future.set_result(None)
         return item
 
     async def watch(self, kind, after, wait_ms):
@@ -209,11 +213,10 @@
             left = end - time.monotonic()
             if events or left <= 0:
                 return 200, {"events": events, "at": self.revision}
-            async with self.changed:
-                try:
-                    await asyncio.wait_for(self.changed.wait(), left)
-                except asyncio.TimeoutError:
-                    pass
+            future = asyncio.get_running_loop().create_future()
+            self.waiting.add(future)
+            await asyncio.wait([future], timeout=left)
+            self.waiting.discard(future)
 
 
 # Workers
@@ -425,20 +428,27 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     nodes = []
     code = 2
+
+    def end(code):
+        for node in nodes:
+            node.stop()
+        record(f"exit {code}")
+        # Open connections need no orderly end.
+        os._exit(code)
+
     with tempfile.TemporaryDirectory() as scratch:
+
+        async def run():
+            return await asyncio.wait_for(case(record, trouble, scratch, nodes), CASE_LIMIT_S)
+
+        loop = asyncio.new_event_loop()
         try:
-            broken = asyncio.run(case(record, trouble, scratch, nodes))
+            broken = loop.run_until_complete(run())
             code = 1 if broken else 0
-        except CannotRun as error:
-            record(f"cannot run: {error}")
         except Exception as error:  # pylint: disable=broad-except
             record(f"cannot run: {error!r}")
-        finally:
+        keep = os.environ.get("KEEP_LOGS")
+        if keep:
             for node in nodes:
-                node.stop()
-            keep = os.environ.get("KEEP_LOGS")
-            if keep:
-                for node in nodes:
-                    subprocess.run(["cp", node.log_path, keep], check=False)
-    record(f"exit {code}")
-    raise SystemExit(code)
+                subprocess.run(["cp", node.log_path, keep], check=False)
+    end(code)
