Let nodes that return together serve before a steward is elected

Cause: after all nodes of a large fleet have ended, the records name stewards that are gone. Each node then waited for the next election and for a heartbeat round to read the document and the registrations from a steward, and refused all requests for want of a document, though one read of the store takes milliseconds.

Change: a node that knows the others and has had no sign of a steward for 100 ms reads the store once itself (pier_fleet::stewards::newcomer_step) and leaves watching to the next steward. Nodes send heartbeats as soon as they have read the nodes' records, and answer the first heartbeat of a node of their data centre at once, a steward with its relay message too. A steward whose VM has started another process is replaced after 100 ms instead of 300 ms.

Ruled out: reading at once at every start, which costs three calls a node on each rolling restart beside a living steward.

--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -114,7 +114,12 @@
                 age: time::Duration::ZERO,
                 beat,
             };
-            state.with_peers(|peers| peers.record_beat(heard, extension.summaries.cores, now));
+            let is_local = heard.beat.data_centre == state.settings().data_centre;
+            let cores = extension.summaries.cores;
+            let is_first = state.with_peers(|peers| peers.record_beat(heard, cores, now));
+            if is_first && is_local {
+                greet(state, socket, from, now).await;
+            }
         }
         peers::PeerMessage::Relay(relay) => {
             let (format, summaries) = (envelope.format, extension.summaries);
@@ -149,11 +154,27 @@
     }
 }
 
+/// Answers the first heartbeat of a node of this data centre, so that nodes that start know each
+/// other, and their steward if one is alive, within a round trip.
+async fn greet<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    socket: &UdpSocket,
+    to: net::SocketAddr,
+    now: times::BootTime,
+) {
+    let beat = beat_envelope(state, now);
+    send_envelope(state, socket, &beat, &[to]).await;
+    if is_relaying(state) {
+        let relay = relay_envelope(state, now);
+        send_envelope(state, socket, &relay, &[to]).await;
+    }
+}
+
 async fn send<P: links::FleetPlatform>(state: state::EdgeState<P>, socket: sync::Arc<UdpSocket>) {
-    let mut number = state.beat_number();
+    let mut ticks = 0_u64;
     loop {
         let now = times::clocks::boot_now();
-        number += 1;
+        ticks += 1;
         let data_centre = &state.settings().data_centre;
         let (count, local, remote) = state.with_peers(|peers| {
             peers.expire(now);
@@ -166,25 +187,34 @@
         state.update_forwards(now);
         let stride = beat_stride(local.len());
         let remote_stride = beat_stride(count).div_ceil(stride);
-        let mut beat = local_beat(&state, number, now);
-        let extension = peers::MessageExtension::of_beat(state.settings().cores);
-        let message = peers::PeerMessage::Beat(beat.clone());
-        let envelope = peers::PeerEnvelope::with_extension(message, extension.clone());
+        let mut envelope = beat_envelope(&state, now);
         send_envelope(&state, &socket, &envelope, &local).await;
-        if number.is_multiple_of(u64::from(remote_stride)) && !remote.is_empty() {
-            if count > peer_groups::FULL_RATE_PEERS {
+        if ticks.is_multiple_of(u64::from(remote_stride)) && !remote.is_empty() {
+            if count > peer_groups::FULL_RATE_PEERS
+                && let peers::PeerMessage::Beat(beat) = &mut envelope.message
+            {
                 // Other data centres get the loads in the digests of this one's hub.
                 beat.loads.clear();
             }
-            let message = peers::PeerMessage::Beat(beat);
-            let envelope = peers::PeerEnvelope::with_extension(message, extension);
             send_envelope(&state, &socket, &envelope, &remote).await;
         }
-        state.set_beat_number(number);
-        tokio::time::sleep(BEAT_INTERVAL * stride).await;
+        tokio::select! {
+            () = tokio::time::sleep(BEAT_INTERVAL * stride) => {}
+            () = state.start_up().wait_for_nodes() => {}
+        }
     }
 }
 
+fn beat_envelope<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    now: times::BootTime,
+) -> peers::PeerEnvelope {
+    let number = state.next_beat_number();
+    let extension = peers::MessageExtension::of_beat(state.settings().cores);
+    let message = peers::PeerMessage::Beat(local_beat(state, number, now));
+    peers::PeerEnvelope::with_extension(message, extension)
+}
+
 /// Returns how many heartbeat intervals lie between two heartbeats to this many nodes.
 fn beat_stride(nodes: usize) -> u32 {
     let stride = nodes.div_ceil(peer_groups::FULL_RATE_PEERS).max(1);
@@ -244,19 +274,10 @@
 async fn relay<P: links::FleetPlatform>(state: state::EdgeState<P>, socket: sync::Arc<UdpSocket>) {
     loop {
         let now = times::clocks::boot_now();
-        let data_centre = &state.settings().data_centre;
-        let is_steward = state.with_peers(|peers| peers.steward(data_centre) == Some(state.node()));
-        if is_steward && !state.is_draining() {
+        if is_relaying(&state) {
+            let data_centre = &state.settings().data_centre;
             let addresses = state.with_peers(|peers| peers.local_addresses(data_centre, now));
-            let document = state.document();
-            let document = document.map(|document| document.version());
-            let return_age = state.with_registry(|registry| registry.store_return_age(now));
-            let return_age_ms =
-                return_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
-            let extension =
-                peers::MessageExtension::of_relay(document.unwrap_or_default(), return_age_ms);
-            let message = peers::PeerMessage::Relay(state.relay_beat(now));
-            let envelope = peers::PeerEnvelope::with_extension(message, extension);
+            let envelope = relay_envelope(&state, now);
             send_envelope(&state, &socket, &envelope, &addresses).await;
         }
         tokio::select! {
@@ -266,6 +287,26 @@
     }
 }
 
+/// Returns whether this node relays the store to the nodes of its data centre.
+fn is_relaying<P: links::FleetPlatform>(state: &state::EdgeState<P>) -> bool {
+    let data_centre = &state.settings().data_centre;
+    let is_steward = state.with_peers(|peers| peers.steward(data_centre) == Some(state.node()));
+    is_steward && !state.is_draining()
+}
+
+fn relay_envelope<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    now: times::BootTime,
+) -> peers::PeerEnvelope {
+    let document = state.document();
+    let document = document.map(|document| document.version());
+    let return_age = state.with_registry(|registry| registry.store_return_age(now));
+    let return_age_ms = return_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX));
+    let extension = peers::MessageExtension::of_relay(document.unwrap_or_default(), return_age_ms);
+    let message = peers::PeerMessage::Relay(state.relay_beat(now));
+    peers::PeerEnvelope::with_extension(message, extension)
+}
+
 /// Sends a message without an extension.
 pub(super) async fn send_all<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
--- a/crates/pier_edge/src/peers/peer_table.rs
+++ b/crates/pier_edge/src/peers/peer_table.rs
@@ -28,10 +28,13 @@
 #[derive(Debug)]
 pub(crate) struct PeerTable {
     pub(super) local_node: ids::NodeName,
+    local_address: net::SocketAddr,
     pub(super) local_cores: sizes::CoreShare,
     /// Keyed by address, which a node keeps when it restarts.
     pub(super) peers: collections::BTreeMap<net::SocketAddr, KnownPeer>,
     stewards: collections::BTreeMap<ids::DataCentreName, stewards::RecordedSteward>,
+    /// Nodes whose VM has started another process since, with the time at which that was seen.
+    ended: collections::BTreeMap<ids::NodeName, times::BootTime>,
     /// When each data centre's record of a steward was read that had just been written.
     claimed_at: collections::BTreeMap<ids::DataCentreName, times::BootTime>,
 }
@@ -61,12 +64,18 @@
 }
 
 impl PeerTable {
-    pub(crate) fn new(local_node: ids::NodeName, local_cores: sizes::CoreShare) -> Self {
+    pub(crate) fn new(
+        local_node: ids::NodeName,
+        local_address: net::SocketAddr,
+        local_cores: sizes::CoreShare,
+    ) -> Self {
         Self {
             local_node,
+            local_address,
             local_cores,
             peers: collections::BTreeMap::new(),
             stewards: collections::BTreeMap::new(),
+            ended: collections::BTreeMap::new(),
             claimed_at: collections::BTreeMap::new(),
         }
     }
@@ -76,6 +85,10 @@
         if record.node == self.local_node {
             return;
         }
+        if record.peers == self.local_address {
+            self.ended.insert(record.node, now);
+            return;
+        }
         let known = self.peers.get(&record.peers);
         if known.is_some_and(|known| known.node == record.node || known.last_beat_at.is_some()) {
             return;
@@ -90,18 +103,18 @@
             beat: None,
             is_summarised: false,
         };
-        self.peers.insert(record.peers, peer);
+        self.insert(record.peers, peer, now);
     }
 
     /// Records a heartbeat that came from its node; one of the same start that is not newer than
-    /// the last is dropped.
+    /// the last is dropped. Returns whether it is the node's first.
     pub(crate) fn record_beat(
         &mut self,
         heard: peers::HeardBeat,
         cores: sizes::CoreShare,
         now: times::BootTime,
-    ) {
-        self.record(heard, cores, false, now);
+    ) -> bool {
+        self.record(heard, cores, false, now)
     }
 
     /// Records a heartbeat that came in a summary.
@@ -115,10 +128,10 @@
         cores: sizes::CoreShare,
         is_summarised: bool,
         now: times::BootTime,
-    ) {
+    ) -> bool {
         let beat = heard.beat;
         if beat.node == self.local_node {
-            return;
+            return false;
         }
         let known = self.peers.get(&heard.address);
         let heard_at = now.before(heard.age);
@@ -128,8 +141,12 @@
             _ => is_summarised && known.last_beat_at.is_some_and(|at| at > heard_at),
         });
         if is_older {
-            return;
+            return false;
         }
+        let is_first = known.is_none_or(|known| {
+            let last = known.beat.as_ref();
+            known.is_summarised || last.is_none_or(|last| last.node != beat.node)
+        });
         let peer = KnownPeer {
             node: beat.node.clone(),
             data_centre: beat.data_centre.clone(),
@@ -140,7 +157,16 @@
             beat: Some(beat),
             is_summarised,
         };
-        self.peers.insert(heard.address, peer);
+        self.insert(heard.address, peer, now);
+        is_first
+    }
+
+    fn insert(&mut self, address: net::SocketAddr, peer: KnownPeer, now: times::BootTime) {
+        let name = peer.node.clone();
+        let former = self.peers.insert(address, peer);
+        if let Some(former) = former.filter(|former| former.node != name) {
+            self.ended.insert(former.node, now);
+        }
     }
 
     /// Removes nodes that have been silent for [`SHARE_LIFETIME`].
@@ -149,6 +175,8 @@
             let last = peer.last_beat_at.unwrap_or(peer.discovered_at);
             now.since(last) < SHARE_LIFETIME
         });
+        self.ended
+            .retain(|_node, seen_at| now.since(*seen_at) < SHARE_LIFETIME);
     }
 
     pub(crate) fn addresses(&self) -> Vec<net::SocketAddr> {
@@ -392,6 +420,8 @@
                 view.remote.insert(node);
             }
         }
+        let holder = view.recorded.as_ref().map(|recorded| &recorded.holder);
+        view.has_ended = holder.is_some_and(|holder| self.ended.contains_key(holder));
         let claimed_at = self.claimed_at.get(data_centre);
         view.is_claimed = claimed_at.is_some_and(|at| now.since(*at) < CLAIM_LIFETIME);
         view
--- a/crates/pier_edge/src/records/record_applier.rs
+++ b/crates/pier_edge/src/records/record_applier.rs
@@ -40,7 +40,7 @@
                 let entries = entries.collect();
                 self.state
                     .with_registry(|registry| registry.replace(entries, list.at, now));
-                self.state.set_listed();
+                self.state.start_up().set_listed();
                 self.targets_changed(now);
             }
             links::RecordKind::OutOfService => {
@@ -52,7 +52,7 @@
                     self.apply_record(kind, record, list.at, now);
                 }
                 if kind == links::RecordKind::Nodes {
-                    self.state.set_crashes_read();
+                    self.state.start_up().set_nodes_read(now);
                 }
             }
         }
@@ -65,7 +65,7 @@
             .with_registry(|registry| registry.replace(snapshot.targets, snapshot.at, now));
         self.state
             .with_follower(|follower| follower.set_version(snapshot.at));
-        self.state.set_listed();
+        self.state.start_up().set_listed();
         self.targets_changed(now);
     }
 
@@ -346,7 +346,7 @@
             .with_peers(|peers| peers.set_steward(data_centre.clone(), record, version));
         if is_newer {
             // The first list may hold the record of a steward that has ended since.
-            if self.state.has_read_nodes() {
+            if self.state.start_up().has_read_nodes() {
                 self.state
                     .with_peers(|peers| peers.note_claim(data_centre, now));
             }
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -12,12 +12,6 @@
 /// Smallest interval between two such watches.
 const RELAYED_DOCUMENT_INTERVAL: time::Duration = time::Duration::from_millis(300);
 
-/// How long a node that has started waits for a steward, before it reads the store itself.
-const STEWARD_WAIT: time::Duration = time::Duration::from_millis(1_500);
-
-/// How long a node waits at the first start of the fleet, in which all nodes write their records.
-const FIRST_START_WAIT: time::Duration = time::Duration::from_millis(600);
-
 /// Interval between two looks for a steward.
 const STEWARD_POLL_INTERVAL: time::Duration = time::Duration::from_millis(50);
 
@@ -113,7 +107,7 @@
                 at = self.follow(at).await;
                 continue;
             }
-            if at.is_none() && self.waits_for_steward(now) {
+            if self.waits_for_steward(at.is_some(), now) {
                 tokio::time::sleep(STEWARD_POLL_INTERVAL).await;
                 continue;
             }
@@ -171,18 +165,10 @@
         record_source::is_own_steward(&self.state)
     }
 
-    /// Returns whether this node, which has just started, waits for a steward to read from. The
-    /// nodes' records are read at once, as they tell how large the fleet is.
-    fn waits_for_steward(&self, now: times::BootTime) -> bool {
-        let waited = now.since(self.started_at);
-        if self.kind == links::RecordKind::Nodes || waited >= STEWARD_WAIT || self.is_own_steward()
-        {
-            return false;
-        }
-        if self.state.settings().is_first_start && waited < FIRST_START_WAIT {
-            return true;
-        }
-        !self.state.has_read_nodes() || self.state.with_peers(|peers| peers.is_large())
+    /// Returns whether this node, which has just started, waits for a steward to read from.
+    fn waits_for_steward(&self, is_read: bool, now: times::BootTime) -> bool {
+        let running_for = now.since(self.started_at);
+        record_source::waits_for_steward(&self.state, self.kind, running_for, is_read, now)
     }
 
     /// Follows the steward, and reads from it what its relay messages do not bring.
--- a/crates/pier_edge/src/records/record_source.rs
+++ b/crates/pier_edge/src/records/record_source.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use pier_fleet::stewards;
 use pier_types::times;
 
 use crate::{links, state};
@@ -67,6 +68,29 @@
     kind != links::RecordKind::Document && state.is_following(now)
 }
 
+/// Returns whether this node waits for a steward to read a kind of records from. The nodes' records
+/// are read at once, as they tell how large the fleet is; `running_for` is the time since the node
+/// started, `is_read` whether it has read the records.
+pub(super) fn waits_for_steward<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    kind: links::RecordKind,
+    running_for: time::Duration,
+    is_read: bool,
+    now: times::BootTime,
+) -> bool {
+    if kind == links::RecordKind::Nodes || is_own_steward(state) {
+        return false;
+    }
+    let facts = stewards::NewcomerFacts {
+        running_for,
+        nodes_read_for: state.start_up().nodes_read_for(now),
+        is_large: state.with_peers(|peers| peers.is_large()),
+        is_first_start: state.settings().is_first_start,
+        is_read,
+    };
+    stewards::newcomer_step(&facts) == stewards::NewcomerStep::Wait
+}
+
 /// Returns whether this node is the steward of its data centre.
 pub(super) fn is_own_steward<P: links::FleetPlatform>(state: &state::EdgeState<P>) -> bool {
     let own = &state.settings().data_centre;
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -50,8 +50,7 @@
     first_events: state::FirstEventDelays,
     answer_budget: serving::AnswerBudget,
     metrics: telemetry::EdgeMetrics,
-    listed: atomic::AtomicBool,
-    crashes_read: atomic::AtomicBool,
+    start_up: state::StartUp,
     draining: atomic::AtomicBool,
     in_progress: atomic::AtomicU32,
     has_served: atomic::AtomicBool,
@@ -82,7 +81,11 @@
             forwards: state::ForwardTable::default(),
             crashes: crashes::CrashLedger::default(),
             first_events: state::FirstEventDelays::default(),
-            peers: sync::Mutex::new(peers::PeerTable::new(node.clone(), settings.cores)),
+            peers: sync::Mutex::new(peers::PeerTable::new(
+                node.clone(),
+                settings.peers,
+                settings.cores,
+            )),
             settings,
             node,
             platform,
@@ -92,8 +95,7 @@
             registry: sync::Mutex::default(),
             slots: sync::Mutex::default(),
             metrics: telemetry::EdgeMetrics::default(),
-            listed: atomic::AtomicBool::new(false),
-            crashes_read: atomic::AtomicBool::new(false),
+            start_up: state::StartUp::default(),
             draining: atomic::AtomicBool::new(false),
             in_progress: atomic::AtomicU32::new(0),
             has_served: atomic::AtomicBool::new(false),
@@ -384,10 +386,10 @@
         self.shared.beat_number.load(atomic::Ordering::Relaxed)
     }
 
-    pub(crate) fn set_beat_number(&self, number: u64) {
-        self.shared
-            .beat_number
-            .store(number, atomic::Ordering::Relaxed);
+    /// Returns the number of the next heartbeat to send.
+    pub(crate) fn next_beat_number(&self) -> u64 {
+        let last = &self.shared.beat_number;
+        last.fetch_add(1, atomic::Ordering::Relaxed) + 1
     }
 
     pub(crate) fn set_forming(&self, is_forming: bool) {
@@ -471,21 +473,9 @@
         });
     }
 
-    /// Returns whether the nodes' records have been read, and so the record of crashes.
-    pub(crate) fn has_read_nodes(&self) -> bool {
-        self.shared.crashes_read.load(atomic::Ordering::Relaxed)
-    }
-
-    /// Records that the list of registrations has been read.
-    pub(crate) fn set_listed(&self) {
-        self.shared.listed.store(true, atomic::Ordering::Relaxed);
-    }
-
-    /// Records that the record of crashes has been read, or does not exist.
-    pub(crate) fn set_crashes_read(&self) {
-        self.shared
-            .crashes_read
-            .store(true, atomic::Ordering::Relaxed);
+    /// Returns what this node has read since it started.
+    pub(crate) fn start_up(&self) -> &state::StartUp {
+        &self.shared.start_up
     }
 
     pub(crate) fn is_draining(&self) -> bool {
@@ -497,9 +487,11 @@
     }
 
     pub(crate) fn is_ready(&self) -> bool {
-        let listed = self.shared.listed.load(atomic::Ordering::Relaxed);
-        let crashes_read = self.shared.crashes_read.load(atomic::Ordering::Relaxed);
-        listed && crashes_read && self.shared.document.load().is_some() && !self.is_draining()
+        let start_up = self.start_up();
+        start_up.is_listed()
+            && start_up.has_read_nodes()
+            && self.shared.document.load().is_some()
+            && !self.is_draining()
     }
 
     pub(crate) fn mark_served(&self) {
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -50,6 +50,7 @@
     stale_nodes_at: Option<u64>,
     hides_nodes: bool,
     refuses_nodes: bool,
+    refuses_writes: bool,
     silent_until: collections::BTreeMap<String, time::Instant>,
     orders: Vec<formation::GroupOrder>,
     calls: collections::BTreeMap<(links::RecordKind, &'static str), usize>,
@@ -277,6 +278,11 @@
         self.change(|state, _version| state.refuses_nodes = refuses);
     }
 
+    /// Refuses all writes, so that no steward is elected.
+    pub fn refuse_writes(&self) {
+        self.change(|state, _version| state.refuses_writes = true);
+    }
+
     /// Leaves the records of nodes out of all answers, so that nodes find no peers.
     pub fn hide_nodes(&self) {
         self.change(|state, _version| state.hides_nodes = true);
@@ -415,7 +421,7 @@
         }
         let found = {
             let state = self.shared.state.lock().unwrap();
-            if state.mode == StoreMode::Away {
+            if state.mode == StoreMode::Away || state.refuses_writes {
                 return links::StoreWrite::Failed(links::StoreError::Refused(503));
             }
             let known = state.nodes.get(name);
--- a/crates/pier_fleet/src/stewards/mod.rs
+++ b/crates/pier_fleet/src/stewards/mod.rs
@@ -1,7 +1,9 @@
 //! Election of a data centre's steward, the node that plans its replica groups.
 
+mod newcomer_reading;
 mod steward_election;
 mod steward_view;
 
+pub use newcomer_reading::{NewcomerFacts, NewcomerStep, newcomer_step};
 pub use steward_election::StewardElection;
 pub use steward_view::{RecordedSteward, StewardView};
--- a/crates/pier_fleet/src/stewards/steward_election.rs
+++ b/crates/pier_fleet/src/stewards/steward_election.rs
@@ -9,6 +9,10 @@
 /// Silence of the recorded steward after which a node of its data centre claims the role.
 const LOCAL_CLAIM_DELAY: time::Duration = time::Duration::from_millis(300);
 
+/// Time after which the role of a steward is claimed whose process has ended for certain. Nodes that
+/// have started together hear of each other within it, so that only the first of them claims.
+const ENDED_CLAIM_DELAY: time::Duration = time::Duration::from_millis(100);
+
 /// Silence after which a node of another data centre claims the role. It is much longer because
 /// local nodes that are silent are usually partitioned and still planning, or about to restart.
 const REMOTE_CLAIM_DELAY: time::Duration = time::Duration::from_secs(8);
@@ -61,6 +65,7 @@
         }
         let delay = match (&view.recorded, self.is_local) {
             (None, true) => time::Duration::ZERO,
+            (Some(_ended), true) if view.has_ended => ENDED_CLAIM_DELAY,
             (Some(_silent), true) => LOCAL_CLAIM_DELAY,
             (_, false) => REMOTE_CLAIM_DELAY,
         };
--- a/crates/pier_fleet/src/stewards/steward_view.rs
+++ b/crates/pier_fleet/src/stewards/steward_view.rs
@@ -27,6 +27,8 @@
     /// Whether the record was written just now, so that its holder is alive even if no heartbeat of
     /// it has come yet.
     pub is_claimed: bool,
+    /// Whether the holder's process is known to have ended: its VM has started a new one.
+    pub has_ended: bool,
     /// Local nodes with more means than the others, which go first.
     pub preferred: collections::BTreeSet<ids::NodeName>,
 }
--- a/crates/pier_fleet/tests/stalls_limits_and_elections.rs
+++ b/crates/pier_fleet/tests/stalls_limits_and_elections.rs
@@ -230,6 +230,21 @@
     assert!(remote.should_claim(&alone, at(9_100)));
 }
 
+#[test]
+fn a_steward_whose_vm_has_started_again_is_replaced_sooner_than_a_silent_one() {
+    let mut silent = view(Some("a1-old"), &["a1-new", "a2"], &[]);
+    let mut first = stewards::StewardElection::new(node("a1-new"), true);
+    assert!(!first.should_claim(&silent, at(1_000)));
+    assert!(!first.should_claim(&silent, at(1_200)));
+    silent.has_ended = true;
+    let mut first = stewards::StewardElection::new(node("a1-new"), true);
+    let mut second = stewards::StewardElection::new(node("a2"), true);
+    assert!(!first.should_claim(&silent, at(1_000)));
+    assert!(!second.should_claim(&silent, at(1_000)));
+    assert!(first.should_claim(&silent, at(1_100)));
+    assert!(!second.should_claim(&silent, at(1_100)));
+}
+
 #[test]
 fn a_claim_is_not_repeated_immediately() {
     let mut first = stewards::StewardElection::new(node("a1"), true);
