Take a group's model from its members' reports

A planner that took over read the model of a group from the beginning of its name: the first model of which the name and a hyphen begin the group's name.

The members report the model that they run. Those that have joined decide; a member that still joins may report the model of its last group, so that the whole name, which is read exactly as it is written (model, domain of the members, number), comes before its report. A VM is on standby if its group ends with the VM's own name, not if the group's name contains the word.

--- a/crates/pier_fleet/src/formation/domain_counts.rs
+++ b/crates/pier_fleet/src/formation/domain_counts.rs
@@ -129,15 +129,4 @@
         }
         member_counts
     }
-
-    /// Returns the model of a VM's standby group.
-    pub(super) fn standby_model(&self, facts: &formation::MemberFacts) -> Option<ids::ModelName> {
-        let membership = facts.standing.membership.as_ref()?;
-        if !formation::group_naming::is_standby(&membership.group) {
-            return None;
-        }
-        let model =
-            formation::group_naming::model_of(&membership.group, &self.input.engine.models)?;
-        Some(model.name.clone())
-    }
 }
--- a/crates/pier_fleet/src/formation/domain_orders.rs
+++ b/crates/pier_fleet/src/formation/domain_orders.rs
@@ -52,7 +52,8 @@
         let Some(membership) = &facts.standing.membership else {
             return false;
         };
-        if membership.group == *next || formation::group_naming::is_standby(&membership.group) {
+        let group = &membership.group;
+        if group == next || formation::group_naming::is_standby(group, &facts.vm) {
             return false;
         }
         let kind = formation::OrderKind::Leave;
--- a/crates/pier_fleet/src/formation/domain_plan.rs
+++ b/crates/pier_fleet/src/formation/domain_plan.rs
@@ -79,7 +79,8 @@
             let Some(facts) = self.input.facts.get(&vm).cloned() else {
                 continue;
             };
-            let current = self.standby_model(&facts);
+            let current = formation::group_model::standby_model(&facts, models)
+                .map(|model| model.name.clone());
             if let Some(current) = &current {
                 let short = missing_members.get(current).copied().unwrap_or(0);
                 let wanted_elsewhere = missing_members.iter().any(|(model, count)| {
@@ -137,11 +138,22 @@
 
     /// Returns a group name that is not in use.
     pub(super) fn free_name(&self, model: &documents::ModelSpec) -> Option<ids::GroupName> {
-        let numbers = 0..u32::try_from(self.input.facts.len()).unwrap_or(u32::MAX);
+        // As many names may be reported as there are VMs, and as many be planned.
+        let vms = u32::try_from(self.input.facts.len()).unwrap_or(u32::MAX);
+        let numbers = 0..vms.saturating_mul(2);
         let names = numbers.filter_map(|number| {
             formation::group_naming::group_name(&model.name, self.domain, number)
         });
-        let mut free = names.filter(|name| !self.planner.groups.contains_key(name));
+        let is_used_elsewhere = |name: &ids::GroupName| {
+            let mut others = self.input.facts.values();
+            others.any(|facts| {
+                let membership = facts.standing.membership.as_ref();
+                facts.domain != *self.domain
+                    && membership.is_some_and(|membership| membership.group == *name)
+            })
+        };
+        let mut free = names
+            .filter(|name| !self.planner.groups.contains_key(name) && !is_used_elsewhere(name));
         free.next()
     }
 }
--- a/crates/pier_fleet/src/formation/formation_planner.rs
+++ b/crates/pier_fleet/src/formation/formation_planner.rs
@@ -161,7 +161,7 @@
             };
             self.last_generation = self.last_generation.max(membership.generation.get());
             let is_known = self.groups.contains_key(&membership.group);
-            if !is_known && !formation::group_naming::is_standby(&membership.group) {
+            if !is_known && !formation::group_naming::is_standby(&membership.group, &facts.vm) {
                 unknown.insert(membership.group.clone());
             }
         }
@@ -178,9 +178,6 @@
         input: &formation::FormationInput<'_>,
         now: times::BootTime,
     ) {
-        let Some(model) = formation::group_naming::model_of(name, &input.engine.models) else {
-            return;
-        };
         let memberships = input.facts.values().filter_map(|facts| {
             let membership = facts.standing.membership.as_ref()?;
             (membership.group == *name).then_some((facts, membership))
@@ -197,6 +194,12 @@
             .map(|(facts, membership)| (membership.rank, *facts, membership.phase))
             .collect();
         ranks.sort_by_key(|(rank, ..)| *rank);
+        let members: Vec<_> = ranks.iter().map(|(_rank, facts, _phase)| *facts).collect();
+        let models = &input.engine.models;
+        let Some(model) = formation::group_model::group_model(name, &members, models) else {
+            self.partial_since.remove(name);
+            return;
+        };
         let size = usize::try_from(model.size.get()).unwrap_or(usize::MAX);
         let is_open = ranks
             .iter()
--- a/crates/pier_fleet/src/formation/member_facts.rs
+++ b/crates/pier_fleet/src/formation/member_facts.rs
@@ -30,16 +30,17 @@
         !self.is_lost && self.draining_since.is_none()
     }
 
+    /// Returns the model that the VM runs as a member of a group that it has joined.
+    pub fn settled_model(&self) -> Option<&ids::ModelName> {
+        let membership = self.standing.membership.as_ref()?;
+        let running = self.standing.running.as_ref();
+        running.filter(|_running| membership.phase != targets::GroupPhase::Joining)
+    }
+
     /// Returns how soon the VM could run a model: 0 if it runs it already, 1 if the weights are
     /// staged on its host, 2 if it has to load them.
     pub fn load_distance(&self, model: &documents::ModelSpec) -> u8 {
-        let runs = self.standing.running.as_ref() == Some(&model.name);
-        let settled = self
-            .standing
-            .membership
-            .as_ref()
-            .is_some_and(|membership| membership.phase != targets::GroupPhase::Joining);
-        if runs && settled {
+        if self.settled_model() == Some(&model.name) {
             0
         } else if self.standing.staged.contains(&model.name) {
             1
--- a/crates/pier_fleet/src/formation/mod.rs
+++ b/crates/pier_fleet/src/formation/mod.rs
@@ -11,6 +11,7 @@
 mod domain_plan;
 mod formation_input;
 mod formation_planner;
+mod group_model;
 mod group_naming;
 mod group_order;
 mod group_repair;
--- a/crates/pier_fleet/src/formation/standby_choice.rs
+++ b/crates/pier_fleet/src/formation/standby_choice.rs
@@ -55,8 +55,9 @@
     let mut counts = collections::BTreeMap::new();
     for facts in free {
         let membership = facts.standing.membership.as_ref();
-        let model = membership
-            .and_then(|membership| formation::group_naming::model_of(&membership.group, models));
+        let model = membership.and_then(|membership| {
+            formation::group_model::group_model(&membership.group, &[facts], models)
+        });
         if let Some(model) = model {
             *counts.entry(model.name.clone()).or_insert(0) += 1;
         }
