Wait for answers that are still written as a node stops

A request counted as in progress until its response was handed to the HTTP library. A node that was told to stop therefore ended 3 s later, while it still wrote long answers to callers with slow links, and cut them.

A request now counts from its head until the system has taken the last byte of its answer, or the connection has ended. While the node stops, a connection also counts until the system has sent what was written. Both are bounded by the grace, as before. The count belongs to the servers for callers and for other nodes; the one of the node's state is gone.

--- a/crates/pier_edge/src/daemon/edge_daemon.rs
+++ b/crates/pier_edge/src/daemon/edge_daemon.rs
@@ -20,6 +20,9 @@
 /// Interval between two checks for requests in progress while draining.
 const DRAIN_POLL_INTERVAL: time::Duration = time::Duration::from_millis(25);
 
+/// Checks in a row without a request in progress after which draining ends.
+const IDLE_DRAIN_POLLS: u32 = 2;
+
 /// Interval at which expired idle connections and registrations are removed.
 const CLEANUP_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
@@ -58,6 +61,7 @@
     let audience = serving::ServerAudience::Nodes;
     let node_server = serving::CallerServer::bind(state.clone(), forwards, audience).await?;
     let closing = [server.closing(), node_server.closing()];
+    let answers = [server.answers(), node_server.answers()];
     for (name, server) in [("callers", server), ("forwards", node_server)] {
         let server = sync::Arc::new(server);
         super::spawn_loop(&state, name, move || sync::Arc::clone(&server).run());
@@ -76,7 +80,7 @@
     while signals.next().await == pier_signals::SignalAction::Reload {
         reload(path, state.settings());
     }
-    drain(&state, &closing).await;
+    drain(&state, &closing, &answers).await;
     Ok(())
 }
 
@@ -95,13 +99,17 @@
     }
 }
 
+/// Stops accepting requests, and waits within the grace until the answers to all others are with
+/// their callers.
 async fn drain<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
     closing: &[tokio::sync::watch::Sender<bool>],
+    answers: &[serving::OpenAnswers],
 ) {
+    let in_progress = || -> usize { answers.iter().map(serving::OpenAnswers::count).sum() };
     let started = times::clocks::boot_now();
     state.start_drain();
-    log::info!(event = "drain-started", in_progress = state.in_progress(); "");
+    log::info!(event = "drain-started", in_progress = in_progress(); "");
     let limit = state.settings().bounds.grace.saturating_sub(END_MARGIN);
     tokio::time::sleep(DRAIN_NOTICE.min(limit)).await;
     for closing in closing {
@@ -109,15 +117,20 @@
     }
     // A request that is just being read needs this time to count as in progress.
     tokio::time::sleep(DRAIN_POLL_INTERVAL * 4).await;
-    while state.in_progress() > 0 {
+    // An answer that was written counts again as its connection begins to close.
+    let mut idle_polls = 0;
+    while idle_polls < IDLE_DRAIN_POLLS {
         if times::clocks::boot_now().since(started) >= limit {
-            log::warn!(event = "drain-limit-reached", in_progress = state.in_progress(); "");
+            log::warn!(event = "drain-limit-reached", in_progress = in_progress(); "");
             break;
         }
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        idle_polls = if in_progress() == 0 {
+            idle_polls + 1
+        } else {
+            0
+        };
     }
-    // Gives the sockets time to send the last answers.
-    tokio::time::sleep(DRAIN_POLL_INTERVAL * 2).await;
     log::info!(event = "drain-ended", node:% = state.node(); "");
 }
 
--- a/crates/pier_edge/src/serving/caller_server.rs
+++ b/crates/pier_edge/src/serving/caller_server.rs
@@ -5,10 +5,7 @@
 use anyhow::Context as _;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{
-    net::{TcpListener, TcpStream},
-    sync::watch,
-};
+use tokio::{net::TcpListener, sync::watch};
 
 use super::{connection_pool, request_entry};
 use crate::{links, serving, state};
@@ -42,6 +39,7 @@
     listener: TcpListener,
     audience: ServerAudience,
     closing: watch::Sender<bool>,
+    answers: serving::OpenAnswers,
 }
 
 impl<P: links::FleetPlatform> CallerServer<P> {
@@ -61,6 +59,7 @@
             listener: listener.with_context(|| format!("binding {address}"))?,
             audience,
             closing: watch::Sender::new(false),
+            answers: serving::OpenAnswers::default(),
         })
     }
 
@@ -70,6 +69,11 @@
         self.closing.clone()
     }
 
+    /// Returns the count of the answers that are not written yet.
+    pub(crate) fn answers(&self) -> serving::OpenAnswers {
+        self.answers.clone()
+    }
+
     /// Accepts connections until `closing` is set, then closes the port once the server is dropped, so
     /// that no request is accepted that could not be finished before the process ends.
     pub(crate) async fn run(self: sync::Arc<Self>) {
@@ -82,8 +86,12 @@
             let Some(origin) = self.origin(from) else {
                 continue;
             };
+            connection_pool::set_socket_timeouts(&stream);
             let subscription = self.closing.subscribe();
-            let serving = serve_connection(self.state.clone(), stream, origin, subscription);
+            let writes = serving::AnswerWrites::new(self.answers());
+            let stream = serving::CallerStream::new(stream, writes.clone(), subscription.clone());
+            let serving =
+                serve_connection(self.state.clone(), stream, writes, origin, subscription);
             tokio::spawn(serving);
         }
     }
@@ -105,11 +113,11 @@
 
 async fn serve_connection<P: links::FleetPlatform>(
     state: state::EdgeState<P>,
-    stream: TcpStream,
+    stream: serving::CallerStream,
+    writes: serving::AnswerWrites,
     origin: serving::RequestOrigin,
     mut closing: watch::Receiver<bool>,
 ) {
-    connection_pool::set_socket_timeouts(&stream);
     let limits = state
         .document()
         .map(|document| document.limits())
@@ -122,12 +130,13 @@
         builder.max_headers(MAX_NODE_HEADERS);
         idle_time = NODE_IDLE_TIME;
     }
-    let reset = serving::ResetSwitch::default();
-    let stream = serving::CallerStream::new(stream, reset.clone());
+    let reset = stream.reset_switch();
     let service = service_fn(move |request: http::Request<Incoming>| {
-        let (state, reset) = (state.clone(), reset.clone());
+        let (state, reset, mark) = (state.clone(), reset.clone(), writes.begin());
         async move {
-            Ok::<_, convert::Infallible>(request_entry::serve(state, request, reset, origin).await)
+            let response = request_entry::serve(state, request, reset, origin).await;
+            let response = response.map(|body| serving::MarkedBody::new(body, mark));
+            Ok::<_, convert::Infallible>(response)
         }
     });
     let connection = builder
--- a/crates/pier_edge/src/serving/mod.rs
+++ b/crates/pier_edge/src/serving/mod.rs
@@ -12,7 +12,9 @@
 mod event_splitter;
 mod forward_note;
 mod loss_report;
+mod marked_body;
 mod node_refusal;
+mod open_answers;
 mod open_sends;
 mod refusal;
 mod request_entry;
@@ -34,10 +36,13 @@
 pub(crate) use connection_pool::{
     ConnectFault, ConnectionPool, PooledConnection, open_stream, set_socket_timeouts,
 };
-pub(crate) use edge_body::{EdgeBody, StreamPart};
+pub(crate) use edge_body::{EdgeBody, StreamCut, StreamPart};
 use event_splitter::EventSplitter;
 use forward_note::{FORWARD_HEADER, ForwardNote, without_connection_headers};
+use marked_body::MarkedBody;
 use node_refusal::{NodeRefusal, REFUSAL_HEADER, RefusalMeaning};
+use open_answers::AnswerWrites;
+pub(crate) use open_answers::OpenAnswers;
 use open_sends::{OpenSends, SendEvent};
 use refusal::Refusal;
 use request_entry::RequestOrigin;
--- a/crates/pier_edge/src/serving/request_entry.rs
+++ b/crates/pier_edge/src/serving/request_entry.rs
@@ -114,7 +114,7 @@
     arrived_at: times::BootTime,
 }
 
-/// Counts a request as in progress, and applies the note of the node that passed it on.
+/// Counts a request that another node passes on, and applies the note of the node that passed it on.
 ///
 /// # Errors
 ///
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -52,7 +52,6 @@
     metrics: telemetry::EdgeMetrics,
     start_up: state::StartUp,
     draining: atomic::AtomicBool,
-    in_progress: atomic::AtomicU32,
     has_served: atomic::AtomicBool,
     local_retiring: sync::Mutex<collections::BTreeSet<ids::VmName>>,
     registry_changed: Notify,
@@ -97,7 +96,6 @@
             metrics: telemetry::EdgeMetrics::default(),
             start_up: state::StartUp::default(),
             draining: atomic::AtomicBool::new(false),
-            in_progress: atomic::AtomicU32::new(0),
             has_served: atomic::AtomicBool::new(false),
             local_retiring: sync::Mutex::default(),
             registry_changed: Notify::new(),
@@ -504,15 +502,8 @@
         self.shared.has_served.load(atomic::Ordering::Relaxed)
     }
 
-    pub(crate) fn in_progress(&self) -> u32 {
-        self.shared.in_progress.load(atomic::Ordering::Relaxed)
-    }
-
-    /// Counts a request until the guard is dropped.
+    /// Returns the guard of a caller's own request.
     pub(crate) fn begin_request(&self) -> ProgressGuard<P> {
-        self.shared
-            .in_progress
-            .fetch_add(1, atomic::Ordering::Relaxed);
         ProgressGuard {
             state: self.clone(),
             from: None,
@@ -531,7 +522,7 @@
     }
 }
 
-/// Keeps a request counted as in progress.
+/// Keeps a request counted among those that its node passes on.
 #[derive(Debug)]
 pub(crate) struct ProgressGuard<P> {
     state: EdgeState<P>,
@@ -541,8 +532,6 @@
 
 impl<P> Drop for ProgressGuard<P> {
     fn drop(&mut self) {
-        let count = &self.state.shared.in_progress;
-        count.fetch_sub(1, atomic::Ordering::Relaxed);
         if let Some(from) = self.from {
             self.state.shared.forwards.end_received(from);
         }
--- a/crates/pier_edge/tests/support/test_node.rs
+++ b/crates/pier_edge/tests/support/test_node.rs
@@ -9,6 +9,7 @@
 use pier_edge::settings;
 use pier_fleet::{documents, targets};
 use pier_types::{epochs, ids, sizes};
+use tokio::task;
 
 use super::{FakePlatform, RawCaller, Script, ScriptedTarget};
 
@@ -28,6 +29,7 @@
     pub peers: net::SocketAddr,
     pub metrics: net::SocketAddr,
     pub platform: FakePlatform,
+    running: task::JoinHandle<()>,
 }
 
 /// Returns an unused address on a loopback IP address of its own, so that no other test or
@@ -95,9 +97,10 @@
             peers,
             metrics,
             platform,
+            running,
         };
         while tokio::net::TcpStream::connect(callers).await.is_err() {
-            assert!(!running.is_finished(), "the node did not start");
+            assert!(!node.has_ended(), "the node did not start");
             tokio::time::sleep(time::Duration::from_millis(5)).await;
         }
         node
@@ -132,6 +135,11 @@
         node
     }
 
+    /// Returns whether the node has ended.
+    pub fn has_ended(&self) -> bool {
+        self.running.is_finished()
+    }
+
     /// Returns the sum of a metric over its labels, of which the first may be given.
     pub async fn metric(&self, name: &str) -> u64 {
         let mut caller = RawCaller::connect(self.metrics).await;
