Limit the idle time that a target states before calculating with it

The pool multiplied the stated time by its share of use, which overflowed for a time near the largest one: the request's task panicked and its caller got no answer. The multiplication saturates now, and the result is limited as before.

whole_requests::any_stated_idle_time_is_accepted failed before ("overflow when multiplying duration by scalar") and passes now.

--- a/crates/pier_edge/src/serving/connection_pool.rs
+++ b/crates/pier_edge/src/serving/connection_pool.rs
@@ -157,8 +157,7 @@
         idle_time: Option<time::Duration>,
         now: times::BootTime,
     ) {
-        let stated = idle_time.map(|stated| stated * IDLE_PERCENT / 100);
-        let until = now.after(stated.unwrap_or(MAX_IDLE_TIME).min(MAX_IDLE_TIME));
+        let until = now.after(reuse_time(idle_time));
         let mut idle = state::lock(&self.idle);
         idle.push(IdleConnection {
             connection,
@@ -211,6 +210,12 @@
     }
 }
 
+/// Returns how long an idle connection is reused to a target that states this idle time.
+fn reuse_time(stated: Option<time::Duration>) -> time::Duration {
+    let stated = stated.map(|stated| stated.saturating_mul(IDLE_PERCENT) / 100);
+    stated.map_or(MAX_IDLE_TIME, |stated| stated.min(MAX_IDLE_TIME))
+}
+
 /// Opens a connection, from this IP address if there is one.
 ///
 /// # Errors
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -559,7 +559,10 @@
                 time::Duration::from_secs_f64(seconds)
             }),
             closes: false,
-            idle_time: None,
+            idle_time: head.headers.get("x-idle").map(|value| {
+                let seconds = value.to_str().unwrap().parse().unwrap();
+                time::Duration::from_secs(seconds)
+            }),
         }
     }
 
--- a/crates/pier_edge/tests/whole_requests.rs
+++ b/crates/pier_edge/tests/whole_requests.rs
@@ -199,3 +199,17 @@
         assert!(!target.requests().is_empty());
     }
 }
+
+/// Guards against a stated idle time that is too long to calculate with.
+#[tokio::test]
+async fn any_stated_idle_time_is_accepted() {
+    for stated in ["0", "5", "9223372036854775807", "18446744073709551615"] {
+        let headers = format!("x-idle: {stated}\r\n");
+        let (node, target) = node_with(Script::Whole("answer")).await;
+        target.set_headers(&headers);
+        for _ in 0..2 {
+            let answer = ask(&node, &request("POST", "/post/x", "")).await;
+            assert_eq!((answer.status(), answer.body.as_str()), (200, "answer"));
+        }
+    }
+}
