Plan each service's groups by a planner of its own

One planner planned all services of a data centre, in one call for each with the VMs of that service alone.

A service now has a planner of its own; a service that is removed takes its planner with it. Weight loads stay limited over all services together, as they come from one store, and generations go on over services. The table of targets counts a group's members within its data centre and service, where equal names and generations of two of them made both groups look oversized and kept both out of service.

--- a/crates/pier_edge/src/control/data_centre_steward.rs
+++ b/crates/pier_edge/src/control/data_centre_steward.rs
@@ -1,6 +1,6 @@
 //! The steward of one data centre: the elected node that plans its groups.
 
-use std::{collections, sync, time};
+use std::{collections, time};
 
 use pier_fleet::{documents, formation, stewards, targets};
 use pier_types::{epochs, ids, times};
@@ -22,7 +22,7 @@
     pub(super) client: control::MemberClient<P>,
     pub(super) data_centre: ids::DataCentreName,
     election: stewards::StewardElection,
-    planner: Option<formation::FormationPlanner>,
+    planners: Option<formation::ServicePlanners>,
     /// Time of the first step.
     started_at: Option<times::BootTime>,
     pub(super) liveness: control::MemberLiveness,
@@ -44,7 +44,7 @@
             state,
             client,
             data_centre,
-            planner: None,
+            planners: None,
             started_at: None,
             liveness: control::MemberLiveness::default(),
             held_until: collections::BTreeMap::new(),
@@ -59,7 +59,7 @@
         now: times::BootTime,
     ) -> collections::BTreeSet<ids::VmName> {
         if self.state.is_draining() || self.state.is_isolated(now) {
-            self.planner = None;
+            self.planners = None;
             return collections::BTreeSet::new();
         }
         let local_data_centre = &self.state.settings().data_centre;
@@ -85,7 +85,7 @@
             return collections::BTreeSet::new();
         }
         if !self.election.holds(&view) {
-            self.planner = None;
+            self.planners = None;
             return collections::BTreeSet::new();
         }
         let term = view
@@ -97,8 +97,8 @@
 
     /// Returns whether a group is being formed.
     pub(super) fn is_forming(&self, now: times::BootTime) -> bool {
-        let planner = self.planner.as_ref();
-        planner.is_some_and(|planner| planner.is_forming(now))
+        let planners = self.planners.as_ref();
+        planners.is_some_and(|planners| planners.is_forming(now))
     }
 
     /// Handles the end of an order to, or of a query of, one of this data centre's VMs.
@@ -165,9 +165,12 @@
                 self.mark_lost(&order.vm, order.born, "another VM has its address");
             }
             links::OrderOutcome::Outdated => {
-                if let Some(planner) = &mut self.planner {
-                    planner.raise_generation(order.generation);
-                    planner.renew_generation(&order.group);
+                let service = self.state.with_registry(|registry| {
+                    let record = registry.records().get(&order.vm)?;
+                    Some(record.entry.service.clone())
+                });
+                if let (Some(service), Some(planners)) = (service, &mut self.planners) {
+                    planners.renew_generation(&service, &order.group, order.generation);
                 }
                 self.query(&order.vm, now);
             }
@@ -202,48 +205,59 @@
                 .engine
                 .clone()
                 .filter(|engine| !engine.models.is_empty())?;
-            Some((service.name.clone(), engine))
+            let records = self.service_records(&service.name, now);
+            Some((service.name.clone(), (engine, records)))
         });
-        let engines: Vec<_> = engines.collect();
-        let mut planner = self
-            .planner
+        let services: collections::BTreeMap<_, _> = engines.collect();
+        let is_planned = |vm: &ids::VmName| {
+            let mut services = services.values();
+            services.any(|(_engine, records)| records.contains_key(vm))
+        };
+        self.liveness.retain(is_planned);
+        self.draining_since.retain(|vm, _since| is_planned(vm));
+        self.held_until.retain(|_vm, until| *until > now);
+        let mut planners = self
+            .planners
             .take()
-            .unwrap_or_else(|| formation::FormationPlanner::new(term, now));
-        for (service, engine) in &engines {
-            self.plan_service(&mut planner, service, engine, now);
+            .unwrap_or_else(|| formation::ServicePlanners::new(term, now));
+        planners.retain(|service| services.contains_key(service));
+        let engines = services.values().map(|(engine, _records)| engine.as_ref());
+        planners.set_load_rate(self.load_rate(engines, now));
+        for (service, (engine, records)) in &services {
+            self.query_stuck(records, now);
+            self.query_forming(records, now);
+            self.query_unlisted(records, now);
+            self.plan_service(&mut planners, service, engine, records, now);
         }
-        let retiring = planner.retiring();
-        self.planner = Some(planner);
+        for vm in self.liveness.due(now) {
+            let mut services = services.values();
+            let record = services.find_map(|(_engine, records)| records.get(&vm));
+            if let Some(record) = record {
+                self.client
+                    .query(vm, record.entry.standing.born, record.entry.address);
+            }
+        }
+        let retiring = planners.retiring();
+        self.planners = Some(planners);
         retiring
     }
 
     fn plan_service(
         &mut self,
-        planner: &mut formation::FormationPlanner,
+        planners: &mut formation::ServicePlanners,
         service: &ids::ServiceName,
-        engine: &sync::Arc<documents::EngineSpec>,
+        engine: &documents::EngineSpec,
+        records: &collections::BTreeMap<ids::VmName, targets::TargetRecord>,
         now: times::BootTime,
     ) {
-        let records = self.service_records(service, now);
-        self.liveness.retain(|vm| records.contains_key(vm));
-        self.query_stuck(&records, now);
-        self.query_forming(&records, now);
-        self.query_unlisted(&records, now);
-        for vm in self.liveness.due(now) {
-            if let Some(record) = records.get(&vm) {
-                self.client
-                    .query(vm, record.entry.standing.born, record.entry.address);
-            }
-        }
-        let facts = self.facts(&records, now);
+        let facts = self.facts(records, now);
         let in_flight = self.in_flight();
-        planner.set_load_rate(self.load_rate(engine, now));
         let input = formation::FormationInput {
             facts: &facts,
             engine,
             in_flight: &in_flight,
         };
-        for order in planner.plan(&input, now) {
+        for order in planners.plan(service, &input, now) {
             let Some(record) = records.get(&order.vm) else {
                 continue;
             };
@@ -279,9 +293,6 @@
         records: &collections::BTreeMap<ids::VmName, targets::TargetRecord>,
         now: times::BootTime,
     ) -> collections::BTreeMap<ids::VmName, formation::MemberFacts> {
-        self.draining_since
-            .retain(|vm, _since| records.contains_key(vm));
-        self.held_until.retain(|_vm, until| *until > now);
         let mut facts = collections::BTreeMap::new();
         for (vm, record) in records {
             let Some(domain) = &record.entry.standing.domain else {
@@ -318,10 +329,11 @@
     }
 
     /// Returns this data centre's rate and burst of weight loads; `None`, for no limit, before any
-    /// request was served.
-    fn load_rate(
+    /// request was served. The services load from one store, so that the lowest of their rates holds
+    /// for all of them together.
+    fn load_rate<'a>(
         &self,
-        engine: &documents::EngineSpec,
+        engines: impl Iterator<Item = &'a documents::EngineSpec>,
         now: times::BootTime,
     ) -> Option<(f64, f64)> {
         let has_served =
@@ -330,7 +342,8 @@
             return None;
         }
         let centres = self.state.settings().data_centres.len().max(1) as f64;
-        let per_second = engine.loads_per_second / centres;
+        let rates = engines.map(|engine| engine.loads_per_second);
+        let per_second = rates.reduce(f64::min)? / centres;
         Some((per_second, per_second.max(1.0)))
     }
 }
--- a/crates/pier_edge/src/state/table_builder.rs
+++ b/crates/pier_edge/src/state/table_builder.rs
@@ -89,6 +89,9 @@
         let spec = engine.model(model).filter(|_spec| is_open)?;
         let members = self.registry.records().values().filter(|other| {
             let other_membership = other.entry.standing.membership.as_ref();
+            // Groups of other data centres and services may have the same name and generation.
+            let is_near = other.entry.data_centre == record.entry.data_centre
+                && other.entry.service == record.entry.service;
             let same = other_membership.is_some_and(|other| {
                 other.group == membership.group
                     && other.generation == membership.generation
@@ -97,7 +100,7 @@
                         targets::GroupPhase::Ready | targets::GroupPhase::Open
                     )
             });
-            same && other.may_serve_group(self.now)
+            is_near && same && other.may_serve_group(self.now)
         });
         let size = usize::try_from(spec.size.get()).unwrap_or(usize::MAX);
         (members.count() == size).then(|| (model.clone(), membership.generation))
--- a/crates/pier_fleet/src/formation/mod.rs
+++ b/crates/pier_fleet/src/formation/mod.rs
@@ -18,6 +18,7 @@
 mod member_facts;
 mod member_state;
 mod planned_group;
+mod service_planners;
 mod standby_choice;
 
 use domain_plan::DomainPlan;
@@ -27,3 +28,4 @@
 pub use member_facts::MemberFacts;
 use member_state::MemberState;
 use planned_group::{PlannedGroup, PlannedMember};
+pub use service_planners::ServicePlanners;
