Admit streams by urgency

Cause: each stream was judged against its own objective alone, and all that waits at a group counted as ahead of it. Requests with long objectives filled the room, urgent ones with short objectives were refused for work that the engine starts after them.

Change: three classes of urgency by rank. Loads tell what waits by urgency (format 5, in the extension; earlier builds ignore it, their loads count as of middle urgency). A request expects what is ahead of it in the engine's order and those who will overtake it; a less urgent one is admitted only where the more urgent that wait or are to be expected still meet their objective. No class is passed over below four fifths of a more urgent class's share, up to a fifth of the work. While a node has seen one class only, the old rule holds. New metric `streams_by_urgency`, new field `is_reserved` of `request-over-capacity`.

--- a/crates/pier_edge/src/peers/formats/message_extension.rs
+++ b/crates/pier_edge/src/peers/formats/message_extension.rs
@@ -13,6 +13,8 @@
     /// Since [`super::PeerFormat::LIMITS`], in notices of leaving targets and broadcasts, rates of
     /// targets.
     pub limits: Vec<peers::LimitNotice>,
+    /// Since [`super::PeerFormat::URGENCY`], in heartbeats, reports and digests, the loads by urgency.
+    pub mixes: super::LoadMixes,
 }
 
 /// Fields of [`super::PeerFormat::SUMMARIES`].
@@ -83,7 +85,11 @@
         let (outages, rest) = postcard::take_from_bytes(rest)?;
         extension.outages = outages;
         if format.has_limits() {
-            (extension.limits, _) = postcard::take_from_bytes(rest)?;
+            let (limits, rest) = postcard::take_from_bytes(rest)?;
+            extension.limits = limits;
+            if format.has_urgency() {
+                (extension.mixes, _) = postcard::take_from_bytes(rest)?;
+            }
         }
         Ok(extension)
     }
--- a/crates/pier_edge/src/peers/formats/peer_envelope.rs
+++ b/crates/pier_edge/src/peers/formats/peer_envelope.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use super::{FirstBeat, MessageExtension, PeerFormat};
+use super::{FirstBeat, LoadMixes, MessageExtension, PeerFormat};
 use crate::peers;
 
 /// Position of the heartbeat among the kinds.
@@ -44,10 +44,11 @@
         Self::with_extension(message, MessageExtension::default())
     }
 
-    pub(crate) const fn with_extension(
+    pub(crate) fn with_extension(
         message: peers::PeerMessage,
-        extension: MessageExtension,
+        mut extension: MessageExtension,
     ) -> Self {
+        extension.mixes = LoadMixes::of(&message);
         Self {
             message,
             format: PeerFormat::CURRENT,
@@ -76,7 +77,7 @@
         if kind >= peers::PeerMessage::KINDS {
             return Err(MessageFault::UnknownKind(kind));
         }
-        let (message, rest) = match postcard::take_from_bytes::<peers::PeerMessage>(bytes) {
+        let (mut message, rest) = match postcard::take_from_bytes::<peers::PeerMessage>(bytes) {
             Ok(decoded) => decoded,
             Err(error) => return decode_first_beat(kind, bytes, error),
         };
@@ -88,6 +89,7 @@
                 (format, extension.map_err(MessageFault::Malformed)?)
             }
         };
+        extension.mixes.apply(&mut message);
         Ok(Self {
             message,
             format,
--- a/crates/pier_edge/src/peers/formats/peer_format.rs
+++ b/crates/pier_edge/src/peers/formats/peer_format.rs
@@ -26,8 +26,11 @@
     /// Rates of targets, with notices of leaving targets.
     pub(crate) const LIMITS: Self = Self(4);
 
+    /// Loads at targets by urgency, with heartbeats, reports and digests.
+    pub(crate) const URGENCY: Self = Self(5);
+
     /// The format that this build sends.
-    pub(crate) const CURRENT: Self = Self::LIMITS;
+    pub(crate) const CURRENT: Self = Self::URGENCY;
 
     pub(crate) const fn new(number: u8) -> Self {
         Self(number)
@@ -48,6 +51,11 @@
         self >= Self::LIMITS
     }
 
+    /// Returns whether loads in messages of this format have their urgency in the extension.
+    pub(crate) fn has_urgency(self) -> bool {
+        self >= Self::URGENCY
+    }
+
     /// Returns whether relay messages of this format carry outages of the store.
     pub(crate) fn has_outages(self) -> bool {
         self >= Self::OUTAGES
--- a/crates/pier_edge/src/peers/node_beat.rs
+++ b/crates/pier_edge/src/peers/node_beat.rs
@@ -67,6 +67,39 @@
             Self::Broadcast(_) => "broadcast",
         }
     }
+
+    /// Returns the loads at targets, in the order of their encoding.
+    pub(crate) fn loads(&self) -> impl Iterator<Item = &loads::TargetLoad> {
+        let (beat, report, digest) = match self {
+            Self::Beat(beat) => (Some(beat), None, None),
+            Self::Report(report) => (None, Some(report), None),
+            Self::Digest(digest) => (None, None, Some(digest)),
+            _ => (None, None, None),
+        };
+        let beat = beat.into_iter().flat_map(|beat| &beat.loads);
+        let report = report.into_iter().flat_map(|report| report.loads.values());
+        let digest = digest.into_iter();
+        let digest = digest.flat_map(|digest| digest.local.values().chain(digest.remote.values()));
+        beat.map(|(_vm, load)| load).chain(report).chain(digest)
+    }
+
+    /// Returns the loads of [`Self::loads`] for changing.
+    pub(crate) fn loads_mut(&mut self) -> impl Iterator<Item = &mut loads::TargetLoad> {
+        let (beat, report, digest) = match self {
+            Self::Beat(beat) => (Some(beat), None, None),
+            Self::Report(report) => (None, Some(report), None),
+            Self::Digest(digest) => (None, None, Some(digest)),
+            _ => (None, None, None),
+        };
+        let beat = beat.into_iter().flat_map(|beat| &mut beat.loads);
+        let report = report.into_iter();
+        let report = report.flat_map(|report| report.loads.values_mut());
+        let digest = digest.into_iter().flat_map(|digest| {
+            let local = digest.local.values_mut();
+            local.chain(digest.remote.values_mut())
+        });
+        beat.map(|(_vm, load)| load).chain(report).chain(digest)
+    }
 }
 
 /// A start of a VM that leaves.
--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -5,7 +5,7 @@
     time,
 };
 
-use pier_fleet::{dispatch, documents};
+use pier_fleet::{dispatch, documents, urgency};
 use pier_types::{ids, times};
 
 use crate::{links, serving, state};
@@ -69,6 +69,22 @@
         customer_rank.unwrap_or(self.route.rank)
     }
 
+    /// Returns the urgency with which a target gets the request, `after_event` if it is to resume the
+    /// stream after that event.
+    pub(super) fn class(&self, after_event: Option<&str>) -> urgency::UrgencyClass {
+        if self.head.model.is_none() {
+            return urgency::UrgencyClass::default();
+        }
+        urgency::UrgencyClass::of_rank(self.target_rank(after_event))
+    }
+
+    /// Returns the rank with which a target gets the request. Streams that are resumed come first.
+    fn target_rank(&self, after_event: Option<&str>) -> u8 {
+        let noted = self.forward.as_ref().map(|note| &note.after_event);
+        let is_resumed = after_event.is_some() || noted.is_some_and(Option::is_some);
+        if is_resumed { 0 } else { self.rank() }
+    }
+
     /// Records that a target could not be reached.
     pub(super) fn record_unreached(&self, slot: &state::TargetSlot, now: times::BootTime) {
         self.unreached.fetch_add(1, atomic::Ordering::Relaxed);
@@ -114,17 +130,56 @@
     pub(super) fn mean_delay(&self) -> time::Duration {
         let model = self.head.model.as_ref();
         model.map_or(time::Duration::ZERO, |model| {
-            self.state.first_events().mean_delay(model)
+            self.state.streams().first_events.mean_delay(model)
         })
     }
 
     /// Records how long a first event took; `expected` is the time estimated when the target was
     /// chosen.
-    pub(super) fn record_first_event(&self, expected: time::Duration, taken: time::Duration) {
+    pub(super) fn record_first_event(
+        &self,
+        expected: time::Duration,
+        sent_at: times::BootTime,
+        now: times::BootTime,
+    ) {
         if let Some(model) = &self.head.model {
             let predicted = expected.saturating_sub(self.mean_delay());
-            self.state.first_events().record(model, predicted, taken);
+            let streams = self.state.streams();
+            streams
+                .first_events
+                .record(model, predicted, now.since(sent_at));
+            let is_in_time = now.since(self.arrived_at) <= self.route.objective;
+            let outcome = if is_in_time { "in-time" } else { "late" };
+            self.record_outcome(outcome, is_in_time, now);
+        }
+    }
+
+    /// Records how the request ended for the share of its urgency.
+    fn record_outcome(&self, outcome: &'static str, is_in_time: bool, now: times::BootTime) {
+        if let Some(model) = &self.head.model {
+            let class = urgency::UrgencyClass::of_rank(self.rank());
+            let streams = self.state.streams();
+            streams.record_demand(model, |demand| {
+                demand.record_outcome(class, is_in_time, now);
+            });
+            self.state.metrics().count_urgency(class, outcome);
+        }
+    }
+
+    /// Records the request as demand of its urgency and returns the demand for its model.
+    fn note_demand(&self, is_first: bool, now: times::BootTime) -> urgency::DemandView {
+        let Some(model) = &self.head.model else {
+            return urgency::DemandView::default();
+        };
+        let class = urgency::UrgencyClass::of_rank(self.rank());
+        let streams = self.state.streams();
+        if is_first {
+            let (prompt, objective) = (self.head.prompt_tokens, self.route.objective);
+            streams.record_demand(model, |demand| {
+                demand.record_arrival(class, prompt, objective, now);
+            });
         }
+        streams.demand(model, now)
     }
 
     /// Chooses a target among those that were not tried.
@@ -158,6 +213,8 @@
         let displaced = lost
             .map(|slot| slot.gauge.running() + slot.gauge.waiting())
             .max();
+        let is_first = tried.is_empty() && !is_resumed;
+        let demand = self.note_demand(is_first, now);
         let facts: Vec<_> = untried.iter().map(|slot| slot.facts(engine, now)).collect();
         let request = dispatch::RequestFacts {
             prompt: self.head.prompt_tokens,
@@ -167,6 +224,7 @@
             is_resumed,
             view_age: self.state.view_age(),
             displaced: displaced.unwrap_or(0),
+            demand,
             draw: rand::random(),
         };
         let mean_delay = self.mean_delay();
@@ -179,6 +237,13 @@
         match outcome {
             dispatch::ChoiceOutcome::Send { position, expected } => {
                 untried[position].take_limit(now);
+                if is_first && let Some(model) = &self.head.model {
+                    let class = urgency::UrgencyClass::of_rank(request.rank);
+                    let streams = self.state.streams();
+                    streams.record_demand(model, |demand| {
+                        demand.record_send(class, request.prompt, now);
+                    });
+                }
                 TargetChoice::Send {
                     slot: sync::Arc::clone(untried[position]),
                     expected,
@@ -187,7 +252,12 @@
             dispatch::ChoiceOutcome::Full {
                 retry_after,
                 expected,
+                is_reserved,
             } => {
+                if is_first {
+                    let outcome = if is_reserved { "reserved" } else { "refused" };
+                    self.record_outcome(outcome, false, now);
+                }
                 let limit_wait = shortest_limit_wait(&untried, now);
                 let retry_after = limit_wait.unwrap_or(retry_after);
                 log::info!(
@@ -197,6 +267,7 @@
                     expected_ms = millis(expected),
                     objective_ms = millis(request.objective),
                     rank = request.rank,
+                    is_reserved,
                     limit_wait_ms:? = limit_wait.map(millis),
                     unreached = untried.iter().filter(|slot| slot.gauge.is_unreached(now)).count();
                     ""
@@ -294,14 +365,10 @@
         after_event: Option<&str>,
         now: times::BootTime,
     ) -> http::HeaderMap {
+        let rank = self.target_rank(after_event);
+        let rank = rank.saturating_mul(RANK_STEP).min(MAX_RANK);
         let note = self.forward.as_ref();
         let after_event = after_event.or_else(|| note?.after_event.as_deref());
-        let is_resumed = after_event.is_some();
-        let rank = if is_resumed {
-            0
-        } else {
-            self.rank().saturating_mul(RANK_STEP).min(MAX_RANK)
-        };
         let terms = links::SendTerms {
             vm: &slot.vm,
             time_left: self.time_left(now),
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -68,7 +68,9 @@
             let reason = "the target leaves or pauses".to_owned();
             return Err(serving::SendFault::NotSent(reason));
         }
-        let guard = slot.gauge.begin(job.head.prompt_tokens, now);
+        let guard = slot
+            .gauge
+            .begin(job.head.prompt_tokens, job.class(after_event), now);
         slot.count_send(now);
         let metrics = job.state.metrics();
         metrics.count_sent_bytes(slot.is_local, job.body.len());
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -47,7 +47,7 @@
     retries: state::RetryBudget,
     reach: sync::Mutex<reach::ReachTracker>,
     crashes: crashes::CrashLedger,
-    first_events: state::FirstEventDelays,
+    streams: state::StreamRecords,
     answer_budget: serving::AnswerBudget,
     metrics: telemetry::EdgeMetrics,
     start_up: state::StartUp,
@@ -79,7 +79,7 @@
             reach: sync::Mutex::default(),
             forwards: state::ForwardTable::default(),
             crashes: crashes::CrashLedger::default(),
-            first_events: state::FirstEventDelays::default(),
+            streams: state::StreamRecords::default(),
             peers: sync::Mutex::new(peers::PeerTable::new(
                 node.clone(),
                 settings.peers,
@@ -145,8 +145,8 @@
         &self.shared.crashes
     }
 
-    pub(crate) fn first_events(&self) -> &state::FirstEventDelays {
-        &self.shared.first_events
+    pub(crate) fn streams(&self) -> &state::StreamRecords {
+        &self.shared.streams
     }
 
     pub(crate) fn document(&self) -> Option<sync::Arc<documents::FleetDocument>> {
--- a/crates/pier_edge/src/state/target_gauge.rs
+++ b/crates/pier_edge/src/state/target_gauge.rs
@@ -5,9 +5,11 @@
     time,
 };
 
-use pier_fleet::loads;
+use pier_fleet::{loads, urgency};
 use pier_types::times;
 
+use crate::state;
+
 /// Divisor that gives the weight of the newest reading in a running mean.
 const MEAN_WEIGHT: u64 = 8;
 
@@ -29,6 +31,8 @@
     remote_running: atomic::AtomicU32,
     remote_waiting: atomic::AtomicU32,
     remote_prompt: atomic::AtomicU64,
+    mix: state::MixGauge,
+    remote_mix: state::MixGauge,
     /// Requests whose callers do not read; they make no progress, whatever the target does.
     held_up: atomic::AtomicU32,
     last_progress: atomic::AtomicU64,
@@ -53,6 +57,8 @@
             remote_running: atomic::AtomicU32::new(0),
             remote_waiting: atomic::AtomicU32::new(0),
             remote_prompt: atomic::AtomicU64::new(0),
+            mix: state::MixGauge::default(),
+            remote_mix: state::MixGauge::default(),
             held_up: atomic::AtomicU32::new(0),
             last_progress: atomic::AtomicU64::new(0),
             gap_micros: atomic::AtomicU64::new(0),
@@ -69,15 +75,22 @@
 
 impl TargetGauge {
     /// Counts a request that is about to be sent, until the guard is dropped.
-    pub(crate) fn begin(self: &sync::Arc<Self>, prompt: u64, now: times::BootTime) -> GaugeGuard {
+    pub(crate) fn begin(
+        self: &sync::Arc<Self>,
+        prompt: u64,
+        class: urgency::UrgencyClass,
+        now: times::BootTime,
+    ) -> GaugeGuard {
         if self.local_in_flight() == 0 {
             self.record_progress(now);
         }
         self.waiting.fetch_add(1, RELAXED);
         self.waiting_prompt.fetch_add(prompt, RELAXED);
+        self.mix.add(class, prompt);
         GaugeGuard {
             gauge: sync::Arc::clone(self),
             prompt,
+            class,
             phase: GuardPhase::Waiting,
         }
     }
@@ -96,6 +109,7 @@
             running: self.local_running(),
             waiting: self.local_waiting(),
             waiting_prompt: self.waiting_prompt.load(RELAXED),
+            mix: self.mix.get(),
         }
     }
 
@@ -129,11 +143,19 @@
         self.waiting_prompt.load(RELAXED) + self.remote_prompt.load(RELAXED)
     }
 
+    /// Returns the waiting requests by urgency.
+    pub(crate) fn waiting_mix(&self) -> urgency::WaitingMix {
+        let mut mix = self.mix.get();
+        mix += self.remote_mix.get();
+        mix
+    }
+
     /// Sets the load that the other nodes have at the target.
     pub(crate) fn set_remote_load(&self, load: loads::TargetLoad) {
         self.remote_running.store(load.running, RELAXED);
         self.remote_waiting.store(load.waiting, RELAXED);
         self.remote_prompt.store(load.waiting_prompt, RELAXED);
+        self.remote_mix.set(load.mix);
     }
 
     pub(crate) fn record_progress(&self, now: times::BootTime) {
@@ -237,6 +259,7 @@
 pub(crate) struct GaugeGuard {
     gauge: sync::Arc<TargetGauge>,
     prompt: u64,
+    class: urgency::UrgencyClass,
     phase: GuardPhase,
 }
 
@@ -265,6 +288,7 @@
             GuardPhase::Waiting => {
                 self.gauge.waiting.fetch_sub(1, RELAXED);
                 self.gauge.waiting_prompt.fetch_sub(self.prompt, RELAXED);
+                self.gauge.mix.remove(self.class, self.prompt);
             }
             GuardPhase::Running => {
                 self.gauge.running.fetch_sub(1, RELAXED);
--- a/crates/pier_edge/src/state/target_slot.rs
+++ b/crates/pier_edge/src/state/target_slot.rs
@@ -191,6 +191,7 @@
             running,
             waiting: self.gauge.waiting(),
             waiting_prompt,
+            mix: self.gauge.waiting_mix(),
             slots: self.slots,
             slowness,
             failure_rate: self.gauge.failure_rate(),
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -8,6 +8,8 @@
     registry::Registry,
 };
 
+use pier_fleet::urgency;
+
 use crate::state;
 
 type Labels = Vec<(&'static str, String)>;
@@ -24,6 +26,7 @@
     first_event: Histogram,
     streams: Family<Labels, Counter>,
     resumes: Family<Labels, Counter>,
+    urgency_outcomes: Family<Labels, Counter>,
     forwards_sent: Family<Labels, Counter>,
     forwards_received: Family<Labels, Counter>,
     stuck: Counter,
@@ -73,6 +76,7 @@
             first_event: Histogram::new(LATENCY_BUCKETS),
             streams: Family::default(),
             resumes: Family::default(),
+            urgency_outcomes: Family::default(),
             forwards_sent: Family::default(),
             forwards_received: Family::default(),
             stuck: Counter::default(),
@@ -124,16 +128,7 @@
             "Time to a stream's first event",
             metrics.first_event.clone(),
         );
-        registry.register(
-            "streams",
-            "Streams by how they ended",
-            metrics.streams.clone(),
-        );
-        registry.register(
-            "resumes",
-            "Streams that lost their target",
-            metrics.resumes.clone(),
-        );
+        metrics.register_streams(&mut registry);
         metrics.register_forwards(&mut registry);
         metrics.register_targets(&mut registry);
         registry.register(
@@ -255,6 +250,20 @@
         );
     }
 
+    fn register_streams(&self, registry: &mut Registry) {
+        registry.register("streams", "Streams by how they ended", self.streams.clone());
+        registry.register(
+            "resumes",
+            "Streams that lost their target",
+            self.resumes.clone(),
+        );
+        registry.register(
+            "streams_by_urgency",
+            "Requests for streams by urgency and what became of them",
+            self.urgency_outcomes.clone(),
+        );
+    }
+
     fn register_targets(&self, registry: &mut Registry) {
         registry.register(
             "stuck_targets",
@@ -323,6 +332,15 @@
         self.resumes.get_or_create(&labels).inc();
     }
 
+    /// Counts a request for a stream that was refused or began to be answered.
+    pub(crate) fn count_urgency(&self, class: urgency::UrgencyClass, outcome: &str) {
+        let labels = vec![
+            ("urgency", class.label().to_owned()),
+            ("outcome", outcome.to_owned()),
+        ];
+        self.urgency_outcomes.get_or_create(&labels).inc();
+    }
+
     /// Counts a request that was passed on to another node.
     pub(crate) fn count_forward_sent(&self, outcome: &str) {
         let labels = vec![("outcome", outcome.to_owned())];
--- a/crates/pier_edge/tests/mixed_builds.rs
+++ b/crates/pier_edge/tests/mixed_builds.rs
@@ -216,3 +216,43 @@
     assert!(started.elapsed() < time::Duration::from_secs(3));
     assert_eq!(node.metric("snapshots_refused_total").await, 40 - 16);
 }
+
+/// A heartbeat of this build's format: that of commit d02f8a5 with a load of three waiting requests,
+/// one of them urgent and two deferred.
+const URGENCY_BEAT: [&str; 2] = [
+    "0002613104646331610903000101010276310203ac020102763201027633007f000001ab230105706c61696e",
+    // Format, summaries, outages, limits, loads by urgency.
+    "05000000000103016402c801",
+];
+
+// Guards against loads by urgency that other builds, or this one, cannot read.
+#[tokio::test(flavor = "multi_thread")]
+async fn loads_by_urgency_are_read_and_left_out_by_earlier_builds() {
+    let [message, extension] = URGENCY_BEAT.map(bytes);
+    let whole = [message.clone(), extension].concat();
+    let EarlierMessage::Beat(beat) = postcard::from_bytes(&whole).unwrap() else {
+        panic!("not a heartbeat");
+    };
+    let (_vm, load) = &beat.loads[0];
+    assert_eq!((load.waiting, load.waiting_prompt), (3, 300));
+    assert_eq!(
+        postcard::to_stdvec(&EarlierMessage::Beat(beat)).unwrap(),
+        message
+    );
+    let node = TestNode::start_bare().await;
+    let socket = tokio::net::UdpSocket::bind(support::free_address())
+        .await
+        .unwrap();
+    // Without the loads by urgency, the message is one of an earlier format or damaged.
+    for length in [message.len(), whole.len()] {
+        socket.send_to(&whole[..length], node.peers).await.unwrap();
+    }
+    tokio::time::sleep(time::Duration::from_millis(200)).await;
+    assert_eq!(node.metric("bad_beats_total").await, 0);
+    for length in message.len() + 1..whole.len() {
+        socket.send_to(&whole[..length], node.peers).await.unwrap();
+    }
+    tokio::time::sleep(time::Duration::from_millis(200)).await;
+    let damaged = u64::try_from(whole.len() - message.len() - 1).unwrap();
+    assert_eq!(node.metric("bad_beats_total").await, damaged);
+}
--- a/crates/pier_fleet/src/dispatch/choice_outcome.rs
+++ b/crates/pier_fleet/src/dispatch/choice_outcome.rs
@@ -18,6 +18,8 @@
         retry_after: time::Duration,
         /// Expected time to the first part at the best candidate.
         expected: time::Duration,
+        /// Whether a candidate has room that is kept for more urgent requests.
+        is_reserved: bool,
     },
     /// There is no candidate.
     NoTarget,
--- a/crates/pier_fleet/src/dispatch/load_facts.rs
+++ b/crates/pier_fleet/src/dispatch/load_facts.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use crate::urgency;
+
 /// State of one candidate target. The counts include requests from all nodes, as far as this node
 /// has received their load.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -12,6 +14,8 @@
     pub waiting: u32,
     /// Prompt tokens of the waiting requests.
     pub waiting_prompt: u64,
+    /// The waiting requests by urgency.
+    pub mix: urgency::WaitingMix,
     /// Requests that the target processes concurrently.
     pub slots: u32,
     /// Factor by which the target is slower than its published times, 1 or more.
@@ -32,4 +36,26 @@
     pub const fn in_flight(&self) -> u32 {
         self.running.saturating_add(self.waiting)
     }
+
+    /// Returns the load that a request of this urgency finds ahead of it at a target that processes
+    /// `batch` requests at a time.
+    ///
+    /// Less urgent requests are ahead of it only where places are free for them: they start at once
+    /// and are not interrupted. Those that wait for a place are overtaken.
+    #[must_use]
+    pub fn ahead_of(self, class: urgency::UrgencyClass, batch: u32) -> Self {
+        let waiting = urgency::WaitingWork {
+            requests: self.waiting,
+            prompt: self.waiting_prompt,
+        };
+        let mut ahead = self.mix.up_to(class, waiting);
+        let places = batch.saturating_sub(self.running);
+        let started = places.saturating_sub(ahead.requests);
+        ahead += waiting.without(ahead).part(started);
+        Self {
+            waiting: ahead.requests,
+            waiting_prompt: ahead.prompt,
+            ..self
+        }
+    }
 }
--- a/crates/pier_fleet/src/dispatch/mod.rs
+++ b/crates/pier_fleet/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod request_spread;
 mod score_penalties;
 mod stream_choice;
+mod urgency_room;
 
 pub use choice_outcome::ChoiceOutcome;
 pub use load_facts::LoadFacts;
@@ -19,3 +20,4 @@
 pub use request_facts::RequestFacts;
 use score_penalties::{ScorePenalties, refuse};
 pub use stream_choice::choose_stream;
+use urgency_room::UrgencyRoom;
--- a/crates/pier_fleet/src/dispatch/pass_model.rs
+++ b/crates/pier_fleet/src/dispatch/pass_model.rs
@@ -62,6 +62,18 @@
         self.scaled(total_ms)
     }
 
+    /// Returns the part of [`Self::first_event`] that a request waits for a place in the batch.
+    pub fn slot_wait(&self, load: &dispatch::LoadFacts) -> time::Duration {
+        self.scaled(self.slot_wait_ms(load) * load.slowness)
+    }
+
+    /// Returns the requests a second that a group ends while it processes `running`.
+    pub fn end_rate(&self, running: f64) -> f64 {
+        let decode_ms = self.engine.decode_step_ms(running) * self.pace;
+        let answer_ms = (self.engine.mean_answer_tokens * decode_ms).max(1.0);
+        running * MILLIS_PER_SECOND / answer_ms
+    }
+
     /// Returns the delay that each request ahead, with `prompt_tokens` prompt tokens, adds to the
     /// time to first event.
     pub fn added_wait(&self, load: &dispatch::LoadFacts, prompt_tokens: f64) -> time::Duration {
--- a/crates/pier_fleet/src/dispatch/request_facts.rs
+++ b/crates/pier_fleet/src/dispatch/request_facts.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use crate::urgency;
+
 /// Properties of one request that is to be dispatched.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RequestFacts {
@@ -21,6 +23,8 @@
     pub view_age: time::Duration,
     /// Requests that lost the same target as this one and are being dispatched again now.
     pub displaced: u32,
+    /// Recent demand for the request's model, by urgency.
+    pub demand: urgency::DemandView,
     /// Uniformly distributed number that makes nodes with the same view choose differently.
     pub draw: u32,
 }
--- a/crates/pier_fleet/src/dispatch/score_penalties.rs
+++ b/crates/pier_fleet/src/dispatch/score_penalties.rs
@@ -50,5 +50,6 @@
     dispatch::ChoiceOutcome::Full {
         retry_after: wait.clamp(bounds.0, bounds.1),
         expected,
+        is_reserved: false,
     }
 }
--- a/crates/pier_fleet/src/dispatch/stream_choice.rs
+++ b/crates/pier_fleet/src/dispatch/stream_choice.rs
@@ -46,18 +46,33 @@
     candidates: &[dispatch::LoadFacts],
 ) -> dispatch::ChoiceOutcome {
     let model = dispatch::PassModel::new(engine, pace);
+    let room = dispatch::UrgencyRoom::new(engine, pace, learned, request, candidates);
     let learned = learned.min(request.objective / LEARNED_DIVISOR);
     let available = candidates.iter().enumerate();
     let available = available.filter(|(_position, load)| !load.is_unavailable);
     let expected = |position: usize| {
         let load = &candidates[position];
-        model.first_event(load, request.prompt) + learned
+        let first_event = if request.is_resumed {
+            model.first_event(load, request.prompt)
+        } else {
+            room.first_event(load)
+        };
+        first_event + learned
     };
     let scored = available.map(|(position, load)| {
         let score = PENALTIES.score(load, expected(position), request.draw, position);
         (score, position)
     });
-    let scored: Vec<_> = scored.collect();
+    let mut scored: Vec<_> = scored.collect();
+    if !request.is_resumed {
+        let best = scored.iter().min().copied();
+        scored.retain(|(_score, position)| room.admits(&candidates[*position]));
+        if let Some((_score, position)) = best
+            && scored.is_empty()
+        {
+            return refuse_reserved(expected(position));
+        }
+    }
     let concurrent = request_spread::estimate_concurrent(engine, pace, request, candidates);
     let prompt = request_spread::mean_prompt_tokens(engine, candidates);
     let cost = |position: usize| model.added_wait(&candidates[position], prompt);
@@ -84,6 +99,15 @@
     dispatch::refuse(wait, expected, RETRY_BOUNDS)
 }
 
+/// Returns the refusal of a request that finds room only where it is kept for more urgent ones.
+fn refuse_reserved(expected: time::Duration) -> dispatch::ChoiceOutcome {
+    dispatch::ChoiceOutcome::Full {
+        retry_after: expected.clamp(RETRY_BOUNDS.0, RETRY_BOUNDS.1),
+        expected,
+        is_reserved: true,
+    }
+}
+
 /// Returns the time within which a new request must be expected to start.
 fn allowance(request: &dispatch::RequestFacts) -> time::Duration {
     let last = OBJECTIVE_PERCENT.len() - 1;
--- a/crates/pier_fleet/src/lib.rs
+++ b/crates/pier_fleet/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod stalls;
 pub mod stewards;
 pub mod targets;
+pub mod urgency;
--- a/crates/pier_fleet/tests/hubs_aggregate_loads.rs
+++ b/crates/pier_fleet/tests/hubs_aggregate_loads.rs
@@ -25,6 +25,7 @@
         running,
         waiting: 1,
         waiting_prompt: 1_000,
+        ..loads::TargetLoad::default()
     };
     loads::LoadReport {
         node: node(sender),
--- a/crates/pier_fleet/tests/overload_is_refused_early.rs
+++ b/crates/pier_fleet/tests/overload_is_refused_early.rs
@@ -4,7 +4,7 @@
 
 use std::time;
 
-use pier_fleet::{dispatch, documents};
+use pier_fleet::{dispatch, documents, urgency};
 use support::engine;
 
 const OBJECTIVE: time::Duration = time::Duration::from_millis(250);
@@ -14,6 +14,7 @@
         running,
         waiting,
         waiting_prompt: u64::from(waiting) * 1_000,
+        mix: urgency::WaitingMix::default(),
         slots: 26,
         slowness: 1.0,
         failure_rate: 0.0,
@@ -32,6 +33,7 @@
         is_resumed: false,
         view_age: time::Duration::ZERO,
         displaced: 0,
+        demand: urgency::DemandView::default(),
         draw: 7,
     }
 }
@@ -139,6 +141,7 @@
     let dispatch::ChoiceOutcome::Full {
         retry_after,
         expected,
+        ..
     } = outcome
     else {
         panic!("{outcome:?}");
--- a/crates/pier_fleet/tests/support/mod.rs
+++ b/crates/pier_fleet/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Simulated fabric domains whose VMs carry out orders, for tests of the planner.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod simulated_group;
+
 use std::{collections, time};
 
 use pier_fleet::{documents, formation, targets};
