Price leaving the data centre for each request

Cause: a constant of 40 ms for streams and 4 ms for plain services stood for what sending a request to another data centre costs, whatever the load of either side and the age of what is known of it. The spread of requests that are sent on the same view counted those of all data centres, as if all came in here, so that part of them left even with room here.

Change: pier_fleet::locality prices a target elsewhere by the time that the caller gains beyond what it needs, the distance and bytes, the wait of the other side's callers, and the age of the loads; links that are cut, and loads that no longer come, close a data centre. The spread counts the own data centre's arrivals where it has groups. No message changes. Nothing changes where all targets are in one data centre.

overload_is_refused_early and node_settings gain the new fields and cases; no check of theirs is changed.

--- a/crates/pier_edge/src/peers/load_intake.rs
+++ b/crates/pier_edge/src/peers/load_intake.rs
@@ -22,6 +22,7 @@
         let load = others.get(&slot.vm).copied().unwrap_or_default();
         slot.gauge.set_remote_load(load);
     }
+    state.record_centre_loads(now);
 }
 
 /// Applies a digest from the hub of this data centre or of another one.
--- a/crates/pier_edge/src/peers/stall_watch.rs
+++ b/crates/pier_edge/src/peers/stall_watch.rs
@@ -40,7 +40,7 @@
             stuck.push(slot.vm.clone());
             continue;
         }
-        let load = slot.facts(Some((engine.as_ref(), pace)), now);
+        let load = slot.facts(Some((engine.as_ref(), pace)), state.view_age(), now);
         let passes = dispatch::PassModel::new(engine, pace);
         let pass_time = passes
             .pass_time(load.running, load.waiting_prompt)
--- a/crates/pier_edge/src/serving/loss_report.rs
+++ b/crates/pier_edge/src/serving/loss_report.rs
@@ -66,6 +66,9 @@
             return self.check_held();
         }
         let now = times::clocks::boot_now();
+        if let Some(link) = &slot.centre_link {
+            link.record_failure(&slot.vm, now);
+        }
         let cause = find_cause(&self.state, slot, CHECK_LIFETIME, now).await;
         let label = label(cause);
         self.state.metrics().count_loss(label);
--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -5,7 +5,7 @@
     time,
 };
 
-use pier_fleet::{dispatch, documents, urgency};
+use pier_fleet::{dispatch, documents, locality, urgency};
 use pier_types::{ids, times};
 
 use crate::{links, serving, state};
@@ -89,6 +89,9 @@
     pub(super) fn record_unreached(&self, slot: &state::TargetSlot, now: times::BootTime) {
         self.unreached.fetch_add(1, atomic::Ordering::Relaxed);
         self.state.record_unreached(&self.service, &slot.vm, now);
+        if let Some(link) = &slot.centre_link {
+            link.record_failure(&slot.vm, now);
+        }
     }
 
     /// Returns whether the request is passed on if another node takes it: this node reaches no
@@ -138,10 +141,14 @@
     /// chosen.
     pub(super) fn record_first_event(
         &self,
+        slot: &state::TargetSlot,
         expected: time::Duration,
         sent_at: times::BootTime,
         now: times::BootTime,
     ) {
+        if let Some(link) = &slot.centre_link {
+            link.record_delay(now.since(sent_at).saturating_sub(expected), now);
+        }
         if let Some(model) = &self.head.model {
             let predicted = expected.saturating_sub(self.mean_delay());
             let streams = self.state.streams();
@@ -215,17 +222,25 @@
             .max();
         let is_first = tried.is_empty() && !is_resumed;
         let demand = self.note_demand(is_first, now);
-        let facts: Vec<_> = untried.iter().map(|slot| slot.facts(engine, now)).collect();
+        let draw = rand::random();
+        let view_age = self.state.view_age();
+        let may_leave = locality::may_leave(self.state.settings().bounds.remote_percent, draw);
+        let facts = untried.iter().map(|slot| {
+            let mut facts = slot.facts(engine, view_age, now);
+            facts.centre.is_open &= may_leave;
+            facts
+        });
+        let facts: Vec<_> = facts.collect();
         let request = dispatch::RequestFacts {
             prompt: self.head.prompt_tokens,
             objective: self.route.objective,
             time_left: self.time_left(now),
             rank: self.rank(),
             is_resumed,
-            view_age: self.state.view_age(),
+            view_age,
             displaced: displaced.unwrap_or(0),
             demand,
-            draw: rand::random(),
+            draw,
         };
         let mean_delay = self.mean_delay();
         let outcome = match engine {
@@ -244,6 +259,7 @@
                         demand.record_send(class, request.prompt, now);
                     });
                 }
+                self.note_leaving(untried[position], &facts, position, expected);
                 TargetChoice::Send {
                     slot: sync::Arc::clone(untried[position]),
                     expected,
@@ -289,6 +305,35 @@
         }
     }
 
+    /// Counts and logs a request that leaves this data centre.
+    fn note_leaving(
+        &self,
+        slot: &state::TargetSlot,
+        facts: &[dispatch::LoadFacts],
+        position: usize,
+        expected: time::Duration,
+    ) {
+        let Some(link) = &slot.centre_link else {
+            return;
+        };
+        let cause = locality::RemoteCause::of(facts);
+        let metrics = self.state.metrics();
+        metrics.count_remote_send(cause.label(), self.body.len());
+        let load = &facts[position];
+        log::info!(
+            event = "request-left-data-centre",
+            attempt = self.head.attempt.as_str(),
+            target_vm:% = slot.vm,
+            data_centre:% = link.data_centre,
+            cause = cause.label(),
+            expected_ms = millis(expected),
+            in_flight = load.in_flight(),
+            load_age_ms = millis(load.centre.load_age),
+            distance_ms = millis(load.centre.distance);
+            ""
+        );
+    }
+
     /// Chooses a node to which the request is passed on when this node has just failed to reach most of
     /// the targets that are left, which other nodes may reach. Connections to some may still be open,
     /// so that the service does not count as cut off.
--- a/crates/pier_edge/src/serving/stream_relay/mod.rs
+++ b/crates/pier_edge/src/serving/stream_relay/mod.rs
@@ -236,7 +236,7 @@
             self.call.guard.mark_started();
             if let Some(expected) = self.expected.take() {
                 self.job
-                    .record_first_event(expected, self.call.sent_at, now);
+                    .record_first_event(&self.call.slot, expected, self.call.sent_at, now);
             }
             self.first_wait = now.since(self.job.arrived_at);
             let metrics = self.job.state.metrics();
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -97,6 +97,9 @@
         if !slot.is_node() {
             let answered_at = times::clocks::boot_now();
             job.state.record_reached(&job.service, answered_at);
+            if let Some(link) = &slot.centre_link {
+                link.record_answer(now);
+            }
         }
         let (head, body) = response.into_parts();
         let mut answer = job.state.platform().read_answer(&job.head.attempt, &head);
--- a/crates/pier_edge/src/settings/edge_bounds.rs
+++ b/crates/pier_edge/src/settings/edge_bounds.rs
@@ -9,6 +9,9 @@
     pub grace: time::Duration,
     /// Time within which no request may reach a target any more that has registered as leaving.
     pub leaving: time::Duration,
+    /// How many of a hundred requests may be sent to another data centre while a target of the own
+    /// one is available.
+    pub remote_percent: u32,
     /// Retries allowed per fresh request of a service.
     pub retry_ratio: f64,
     /// Additional retries allowed in one window, over all nodes.
--- a/crates/pier_edge/src/settings/edge_settings.rs
+++ b/crates/pier_edge/src/settings/edge_settings.rs
@@ -10,6 +10,10 @@
 /// Time for [`settings::EdgeBounds::leaving`] if the settings state none.
 const DEFAULT_LEAVING_TIME: time::Duration = time::Duration::from_secs(2);
 
+/// Greatest percentage, and the one for [`settings::EdgeBounds::remote_percent`] if the settings
+/// state none.
+const MAX_PERCENT: u32 = 100;
+
 /// Addresses, data centre and limits of a node.
 #[derive(Debug, Clone, PartialEq)]
 pub struct EdgeSettings {
@@ -95,6 +99,9 @@
                 leaving: reader
                     .positive("bounds", "leaving_ms")?
                     .map_or(DEFAULT_LEAVING_TIME, |millis| seconds(millis / 1_000.0)),
+                remote_percent: reader
+                    .percent("bounds", "remote_percent")?
+                    .unwrap_or(MAX_PERCENT),
                 retry_ratio: reader.value("bounds", "retry_ratio")?,
                 retry_burst: reader.value("bounds", "retry_burst")?,
                 retry_window: seconds(reader.value("bounds", "retry_window_seconds")?),
@@ -154,6 +161,22 @@
         }
     }
 
+    /// Returns a number from 0 to 100, or `None` if the key is missing or empty.
+    fn percent(
+        &self,
+        section: &'static str,
+        key: &'static str,
+    ) -> Result<Option<u32>, settings::SettingsError> {
+        match self.optional::<u32>(section, key)? {
+            Some(number) if number > MAX_PERCENT => Err(settings::SettingsError::Malformed {
+                section,
+                key,
+                value: number.to_string(),
+            }),
+            number => Ok(number),
+        }
+    }
+
     fn value<T: str::FromStr>(
         &self,
         section: &'static str,
--- a/crates/pier_edge/src/state/mod.rs
+++ b/crates/pier_edge/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! The state that the parts of a node share.
 
+mod centre_links;
 mod edge_state;
 mod era_clock;
 mod first_event_delays;
@@ -16,6 +17,7 @@
 mod target_gauge;
 mod target_slot;
 
+pub(crate) use centre_links::{CentreLink, CentreLinks};
 pub(crate) use edge_state::{EdgeState, ProgressGuard};
 pub(crate) use first_event_delays::FirstEventDelays;
 pub(crate) use forward_table::{ForwardTable, MAX_FORWARDS_PER_NODE};
--- a/crates/pier_edge/src/state/table_builder.rs
+++ b/crates/pier_edge/src/state/table_builder.rs
@@ -21,6 +21,7 @@
     /// First members whose groups are about to be formed again.
     pub retiring: &'a collections::BTreeSet<ids::VmName>,
     pub pauses: &'a state::PauseTable,
+    pub centre_links: &'a state::CentreLinks,
     pub limits: &'a state::LimitTable,
     pub nodes: u32,
     pub now: times::BootTime,
@@ -122,7 +123,7 @@
         let share = usize::try_from(service.connections).unwrap_or(usize::MAX) / nodes;
         let batch = service.engine.as_ref().map(|engine| engine.batch.get());
         let slot = slots.entry(key.clone()).or_insert_with(|| {
-            let slot = state::TargetSlot::new(
+            let mut slot = state::TargetSlot::new(
                 key,
                 entry.address,
                 membership.map(|(model, _generation)| model.clone()),
@@ -131,6 +132,9 @@
                 share.max(MIN_CONNECTIONS),
                 self.limits.limit(&entry.vm, entry.standing.born),
             );
+            if !slot.is_local {
+                slot.centre_link = Some(self.centre_links.link(&entry.data_centre));
+            }
             slot.set_pause(self.pauses.end(&entry.vm, entry.standing.born));
             sync::Arc::new(slot)
         });
--- a/crates/pier_edge/src/state/target_gauge.rs
+++ b/crates/pier_edge/src/state/target_gauge.rs
@@ -150,6 +150,16 @@
         mix
     }
 
+    /// Returns the load that the other nodes have at the target.
+    pub(crate) fn remote_load(&self) -> loads::TargetLoad {
+        loads::TargetLoad {
+            running: self.remote_running.load(RELAXED),
+            waiting: self.remote_waiting.load(RELAXED),
+            waiting_prompt: self.remote_prompt.load(RELAXED),
+            mix: self.remote_mix.get(),
+        }
+    }
+
     /// Sets the load that the other nodes have at the target.
     pub(crate) fn set_remote_load(&self, load: loads::TargetLoad) {
         self.remote_running.store(load.running, RELAXED);
--- a/crates/pier_edge/src/state/target_slot.rs
+++ b/crates/pier_edge/src/state/target_slot.rs
@@ -6,7 +6,7 @@
     time,
 };
 
-use pier_fleet::{budgets, dispatch, documents};
+use pier_fleet::{budgets, dispatch, documents, locality};
 use pier_types::{epochs, ids, times};
 use tokio::sync::watch;
 
@@ -35,6 +35,8 @@
     /// Number of requests that the target runs at the same time.
     pub slots: u32,
     pub is_local: bool,
+    /// The links to the data centre of a target elsewhere.
+    pub centre_link: Option<sync::Arc<state::CentreLink>>,
     pub gauge: sync::Arc<state::TargetGauge>,
     pub connections: serving::ConnectionPool,
     pub cold_limiter: sync::Mutex<budgets::ColdLimiter>,
@@ -75,6 +77,7 @@
             model,
             slots,
             is_local,
+            centre_link: None,
             gauge: sync::Arc::default(),
             connections: serving::ConnectionPool::new(address, connections),
             cold_limiter: sync::Mutex::new(budgets::ColdLimiter::new(rand::random())),
@@ -168,10 +171,11 @@
         self.stuck_count.subscribe()
     }
 
-    /// Returns the load as the choice of a target needs it.
+    /// Returns the load as the choice of a target needs it; `view_age` is the usual age of loads.
     pub(crate) fn facts(
         &self,
         engine: Option<(&documents::EngineSpec, f64)>,
+        view_age: time::Duration,
         now: times::BootTime,
     ) -> dispatch::LoadFacts {
         let running = self.gauge.running();
@@ -196,11 +200,22 @@
             slowness,
             failure_rate: self.gauge.failure_rate(),
             is_local: self.is_local,
+            centre: self.centre_facts(view_age, now),
             is_unavailable,
             answer_time: self.gauge.answer_time(),
         }
     }
 
+    fn centre_facts(
+        &self,
+        view_age: time::Duration,
+        now: times::BootTime,
+    ) -> locality::CentreFacts {
+        let link = self.centre_link.as_ref();
+        link.map(|link| link.facts(view_age, now))
+            .unwrap_or_default()
+    }
+
     /// Counts a send against this node's rate at a target that is cold.
     pub(crate) fn count_send(&self, now: times::BootTime) {
         let limit = *lock(&self.cold);
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -35,6 +35,8 @@
     held_parts: Gauge,
     leaving_targets: Counter,
     target_pauses: Counter,
+    remote_sends: Family<Labels, Counter>,
+    remote_send_bytes: Family<Labels, Counter>,
     cut_off_services: Counter,
     store_calls: Family<Labels, Counter>,
     store_failures: Family<Labels, Counter>,
@@ -85,6 +87,8 @@
             held_parts: Gauge::default(),
             leaving_targets: Counter::default(),
             target_pauses: Counter::default(),
+            remote_sends: Family::default(),
+            remote_send_bytes: Family::default(),
             cut_off_services: Counter::default(),
             store_calls: Family::default(),
             store_failures: Family::default(),
@@ -131,11 +135,6 @@
         metrics.register_streams(&mut registry);
         metrics.register_forwards(&mut registry);
         metrics.register_targets(&mut registry);
-        registry.register(
-            "held_requests",
-            "Requests held back because their targets crashed",
-            metrics.held_requests.clone(),
-        );
         registry.register(
             "store_calls",
             "Calls to the store",
@@ -275,6 +274,11 @@
             "Checks of targets that closed connections, by the cause found",
             self.losses.clone(),
         );
+        registry.register(
+            "held_requests",
+            "Requests held back because their targets crashed",
+            self.held_requests.clone(),
+        );
         registry.register(
             "held_prompt_parts",
             "Sets of prompt parts held back because targets crashed under them",
@@ -300,6 +304,16 @@
             "Answers by which targets asked for a pause",
             self.target_pauses.clone(),
         );
+        registry.register(
+            "remote_sends",
+            "Requests sent to targets of other data centres, by cause",
+            self.remote_sends.clone(),
+        );
+        registry.register(
+            "remote_send_bytes",
+            "Bytes of the bodies of these requests, by cause",
+            self.remote_send_bytes.clone(),
+        );
         registry.register(
             "cut_off_services",
             "Times at which this node found that it reaches no target of a service",
@@ -366,6 +380,14 @@
         self.target_pauses.inc();
     }
 
+    /// Counts a request that is sent to a target of another data centre.
+    pub(crate) fn count_remote_send(&self, cause: &str, bytes: usize) {
+        let labels = vec![("cause", cause.to_owned())];
+        self.remote_sends.get_or_create(&labels).inc();
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.remote_send_bytes.get_or_create(&labels).inc_by(bytes);
+    }
+
     /// Sets how many sets of prompt parts are held back.
     pub(crate) fn set_held_parts(&self, count: usize) {
         self.held_parts
--- a/crates/pier_edge/tests/node_settings.rs
+++ b/crates/pier_edge/tests/node_settings.rs
@@ -23,11 +23,13 @@
     for text in [
         text("", "", ""),
         text("first_start =", "cores =", "leaving_ms ="),
+        text("", "", "remote_percent ="),
     ] {
         let read = settings::EdgeSettings::parse(&text).unwrap();
         assert!(!read.is_first_start);
         assert_eq!(read.cores, sizes::CoreShare::default());
         assert_eq!(read.bounds.leaving, time::Duration::from_secs(2));
+        assert_eq!(read.bounds.remote_percent, 100);
     }
 }
 
@@ -38,6 +40,9 @@
     assert!(read.is_first_start);
     assert_eq!(read.cores, sizes::CoreShare::new(120));
     assert_eq!(read.bounds.leaving, time::Duration::from_secs(4));
+    let text = self::text("", "", "remote_percent = 0");
+    let read = settings::EdgeSettings::parse(&text).unwrap();
+    assert_eq!(read.bounds.remote_percent, 0);
 }
 
 // Guards against a malformed value that counts as a missing one.
@@ -50,6 +55,8 @@
         ("cores", text("", "cores = -1", "")),
         ("leaving_ms", text("", "", "leaving_ms = 0")),
         ("leaving_ms", text("", "", "leaving_ms = soon")),
+        ("remote_percent", text("", "", "remote_percent = 101")),
+        ("remote_percent", text("", "", "remote_percent = -1")),
     ] {
         let error = settings::EdgeSettings::parse(&text).unwrap_err();
         assert!(error.to_string().contains(key), "{error}");
--- a/crates/pier_fleet/src/dispatch/load_facts.rs
+++ b/crates/pier_fleet/src/dispatch/load_facts.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::urgency;
+use crate::{locality, urgency};
 
 /// State of one candidate target. The counts include requests from all nodes, as far as this node
 /// has received their load.
@@ -24,6 +24,8 @@
     pub failure_rate: f64,
     /// Whether the target is in this node's data centre.
     pub is_local: bool,
+    /// The links to a target in another data centre, and the age of its load.
+    pub centre: locality::CentreFacts,
     /// Whether this node may not send to the target now: its connections are full, it is stuck, or
     /// this node's share of its cold rate is used up.
     pub is_unavailable: bool,
--- a/crates/pier_fleet/src/dispatch/plain_choice.rs
+++ b/crates/pier_fleet/src/dispatch/plain_choice.rs
@@ -2,11 +2,10 @@
 
 use std::time;
 
-use crate::dispatch;
+use crate::{dispatch, locality};
 
 /// Penalties for plain targets.
 const PENALTIES: dispatch::ScorePenalties = dispatch::ScorePenalties {
-    remote: time::Duration::from_millis(4),
     failing: time::Duration::from_millis(500),
     jitter: time::Duration::from_millis(1),
 };
@@ -33,7 +32,7 @@
         (
             PENALTIES.score(
                 load,
-                expected + utilisation_penalty(load),
+                locality::price_plain(load).apply(expected + utilisation_penalty(load)),
                 request.draw,
                 position,
             ),
--- a/crates/pier_fleet/src/dispatch/request_spread.rs
+++ b/crates/pier_fleet/src/dispatch/request_spread.rs
@@ -17,15 +17,19 @@
 /// resulting load.
 ///
 /// In steady state requests arrive at the rate at which running ones finish, so the arrival rate
-/// follows from the number of running requests and the mean time of an answer.
+/// follows from the number of running requests and the mean time of an answer. Nodes start with
+/// the groups of their own data centre, so only those count where it has any.
 pub(super) fn estimate_concurrent(
     engine: &documents::EngineSpec,
     pace: f64,
     request: &dispatch::RequestFacts,
     candidates: &[dispatch::LoadFacts],
 ) -> u32 {
-    let running: u32 = candidates.iter().map(|load| load.running).sum();
-    let groups = candidates.len().max(1) as f64;
+    let has_local = candidates.iter().any(|load| load.is_local);
+    let own = candidates.iter().filter(|load| load.is_local || !has_local);
+    let running: Vec<_> = own.map(|load| load.running).collect();
+    let groups = running.len().max(1) as f64;
+    let running: u32 = running.iter().sum();
     let decode_ms = engine.decode_step_ms(f64::from(running) / groups) * pace;
     let answer_ms = (engine.mean_answer_tokens * decode_ms).max(1.0);
     let age_ms = request.view_age.as_secs_f64() * 1_000.0;
--- a/crates/pier_fleet/src/dispatch/score_penalties.rs
+++ b/crates/pier_fleet/src/dispatch/score_penalties.rs
@@ -7,8 +7,6 @@
 /// Penalties that are added to a candidate's expected time before candidates are compared.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ScorePenalties {
-    /// Penalty for a target in another data centre.
-    pub remote: time::Duration,
     /// Penalty for a target that fails every request; scaled by the failure rate.
     pub failing: time::Duration,
     /// Upper bound of the random jitter that keeps nodes with the same view from choosing the same
@@ -17,8 +15,8 @@
 }
 
 impl ScorePenalties {
-    /// Returns the candidate's expected time plus penalties and jitter; the lowest score is
-    /// chosen.
+    /// Returns the candidate's expected time, priced by its data centre, plus penalties and
+    /// jitter; the lowest score is chosen.
     pub fn score(
         &self,
         load: &dispatch::LoadFacts,
@@ -31,13 +29,8 @@
             .wrapping_mul(0x9E37_79B1);
         let hashed = (draw ^ hashed).wrapping_mul(0x85EB_CA6B) >> 8;
         let fraction = f64::from(hashed) / f64::from(u32::MAX >> 8);
-        let distance_penalty = if load.is_local {
-            time::Duration::ZERO
-        } else {
-            self.remote
-        };
         let failure_penalty = self.failing.mul_f64(load.failure_rate.clamp(0.0, 1.0));
-        expected + distance_penalty + failure_penalty + self.jitter.mul_f64(fraction)
+        expected + failure_penalty + self.jitter.mul_f64(fraction)
     }
 }
 
--- a/crates/pier_fleet/src/dispatch/stream_choice.rs
+++ b/crates/pier_fleet/src/dispatch/stream_choice.rs
@@ -2,11 +2,10 @@
 
 use std::time;
 
-use crate::{dispatch, dispatch::request_spread, documents};
+use crate::{dispatch, dispatch::request_spread, documents, locality};
 
-/// Penalties for groups. Traffic between data centres is expensive and adds latency.
+/// Penalties for groups.
 const PENALTIES: dispatch::ScorePenalties = dispatch::ScorePenalties {
-    remote: time::Duration::from_millis(40),
     failing: time::Duration::from_secs(1),
     jitter: time::Duration::from_millis(8),
 };
@@ -60,7 +59,9 @@
         first_event + learned
     };
     let scored = available.map(|(position, load)| {
-        let score = PENALTIES.score(load, expected(position), request.draw, position);
+        let price = locality::price_stream(engine, pace, request.prompt, allowance(request), load);
+        let priced = price.apply(expected(position));
+        let score = PENALTIES.score(load, priced, request.draw, position);
         (score, position)
     });
     let mut scored: Vec<_> = scored.collect();
--- a/crates/pier_fleet/src/lib.rs
+++ b/crates/pier_fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod documents;
 pub mod formation;
 pub mod loads;
+pub mod locality;
 pub mod reach;
 pub mod stalls;
 pub mod stewards;
--- a/crates/pier_fleet/tests/overload_is_refused_early.rs
+++ b/crates/pier_fleet/tests/overload_is_refused_early.rs
@@ -4,7 +4,7 @@
 
 use std::time;
 
-use pier_fleet::{dispatch, documents, urgency};
+use pier_fleet::{dispatch, documents, locality, urgency};
 use support::engine;
 
 const OBJECTIVE: time::Duration = time::Duration::from_millis(250);
@@ -19,6 +19,7 @@
         slowness: 1.0,
         failure_rate: 0.0,
         is_local: true,
+        centre: locality::CentreFacts::default(),
         is_unavailable: false,
         answer_time: time::Duration::from_millis(60),
     }
--- a/crates/pier_fleet/tests/support/simulated_group.rs
+++ b/crates/pier_fleet/tests/support/simulated_group.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use pier_fleet::{dispatch, documents, urgency};
+use pier_fleet::{dispatch, documents, locality, urgency};
 
 /// A request as a group gets it.
 #[derive(Debug, Clone, Copy)]
@@ -132,6 +132,7 @@
             slowness: 1.0,
             failure_rate: 0.0,
             is_local: true,
+            centre: locality::CentreFacts::default(),
             is_unavailable: false,
             answer_time: time::Duration::from_millis(60),
         }
