Skip the check of kept room for requests that keep none

Cause: the most urgent requests, and those that are owed room, went through the check of each candidate as well.

Change: the candidates are checked only where room is kept.

The cost after this change was not measured.

--- a/crates/pier_fleet/src/dispatch/stream_choice.rs
+++ b/crates/pier_fleet/src/dispatch/stream_choice.rs
@@ -65,7 +65,7 @@
         (score, position)
     });
     let mut scored: Vec<_> = scored.collect();
-    if !request.is_resumed {
+    if !request.is_resumed && room.is_kept() {
         let best = scored.iter().min().copied();
         scored.retain(|(_score, position)| room.admits(&candidates[*position]));
         if let Some((_score, position)) = best
--- a/crates/pier_fleet/src/dispatch/urgency_room.rs
+++ b/crates/pier_fleet/src/dispatch/urgency_room.rs
@@ -127,10 +127,15 @@
         first_event + slot_wait.mul_f64(overtaking / (1.0 - overtaking))
     }
 
+    /// Returns whether room is kept for more urgent requests at any group.
+    pub(super) const fn is_kept(&self) -> bool {
+        !self.is_owed && !self.expected.is_empty()
+    }
+
     /// Returns whether the more urgent requests that wait or are expected at a group still meet their
     /// objectives there once it gets this request.
     pub(super) fn admits(&self, load: &dispatch::LoadFacts) -> bool {
-        self.is_owed
+        !self.is_kept()
             || self.expected.iter().all(|other| {
                 let (divisor, multiple) = SHORT_ROOM;
                 let is_short = load.in_flight() >= self.batch / divisor * multiple;
