--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -173,6 +173,27 @@
         }
     }
 
+    /// Records whether a target was chosen for the request, as demand of its urgency.
+    fn record_choice(&self, outcome: &dispatch::ChoiceOutcome, now: times::BootTime) {
+        let Some(model) = &self.head.model else {
+            return;
+        };
+        match outcome {
+            dispatch::ChoiceOutcome::Send { .. } => {
+                let class = urgency::UrgencyClass::of_rank(self.rank());
+                let streams = self.state.streams();
+                streams.record_demand(model, |demand| {
+                    demand.record_send(class, self.head.prompt_tokens, now);
+                });
+            }
+            dispatch::ChoiceOutcome::Full { is_reserved, .. } => {
+                let outcome = if *is_reserved { "reserved" } else { "refused" };
+                self.record_outcome(outcome, false, now);
+            }
+            dispatch::ChoiceOutcome::NoTarget => {}
+        }
+    }
+
     /// Records the request as demand of its urgency and returns the demand for its model.
     fn note_demand(&self, is_first: bool, now: times::BootTime) -> urgency::DemandView {
         let Some(model) = &self.head.model else {
@@ -249,16 +270,12 @@
             }
             None => dispatch::choose_plain(&request, &facts),
         };
+        if is_first {
+            self.record_choice(&outcome, now);
+        }
         match outcome {
             dispatch::ChoiceOutcome::Send { position, expected } => {
                 untried[position].take_limit(now);
-                if is_first && let Some(model) = &self.head.model {
-                    let class = urgency::UrgencyClass::of_rank(request.rank);
-                    let streams = self.state.streams();
-                    streams.record_demand(model, |demand| {
-                        demand.record_send(class, request.prompt, now);
-                    });
-                }
                 self.note_leaving(untried[position], &facts, position, expected);
                 TargetChoice::Send {
                     slot: sync::Arc::clone(untried[position]),
@@ -270,10 +287,6 @@
                 expected,
                 is_reserved,
             } => {
-                if is_first {
-                    let outcome = if is_reserved { "reserved" } else { "refused" };
-                    self.record_outcome(outcome, false, now);
-                }
                 let limit_wait = shortest_limit_wait(&untried, now);
                 let retry_after = limit_wait.unwrap_or(retry_after);
                 log::info!(
