Choose by expected time when a request leaves in any case

Cause: the floor below which an earlier answer is no gain also applied to requests whose own data centre has no available target, as while it is evacuated. Groups elsewhere below the floor then compared as equal but for the price, whatever their load.

Change: without an available target in the own data centre the floor falls away, for streams and plain requests.

--- a/crates/pier_fleet/src/dispatch/plain_choice.rs
+++ b/crates/pier_fleet/src/dispatch/plain_choice.rs
@@ -27,12 +27,19 @@
 ) -> dispatch::ChoiceOutcome {
     let available = candidates.iter().enumerate();
     let available = available.filter(|(_position, load)| !load.is_unavailable);
+    let has_local = locality::has_local(candidates);
     let scored = available.map(|(position, load)| {
         let expected = expected_answer(load);
+        let price = locality::price_plain(load);
+        let price = if has_local {
+            price
+        } else {
+            price.without_floor()
+        };
         (
             PENALTIES.score(
                 load,
-                locality::price_plain(load).apply(expected + utilisation_penalty(load)),
+                price.apply(expected + utilisation_penalty(load)),
                 request.draw,
                 position,
             ),
--- a/crates/pier_fleet/src/dispatch/stream_choice.rs
+++ b/crates/pier_fleet/src/dispatch/stream_choice.rs
@@ -58,8 +58,14 @@
         };
         first_event + learned
     };
+    let has_local = locality::has_local(candidates);
     let scored = available.map(|(position, load)| {
         let price = locality::price_stream(engine, pace, request.prompt, allowance(request), load);
+        let price = if has_local {
+            price
+        } else {
+            price.without_floor()
+        };
         let priced = price.apply(expected(position));
         let score = PENALTIES.score(load, priced, request.draw, position);
         (score, position)
--- a/crates/pier_fleet/src/locality/mod.rs
+++ b/crates/pier_fleet/src/locality/mod.rs
@@ -15,6 +15,6 @@
 pub use link_watch::LinkWatch;
 pub use load_age::LoadAge;
 pub use plain_price::price_plain;
-pub use remote_cause::{RemoteCause, may_leave};
+pub use remote_cause::{RemoteCause, has_local, may_leave};
 pub use remote_price::RemotePrice;
 pub use stream_price::price_stream;
--- a/crates/pier_fleet/src/locality/remote_cause.rs
+++ b/crates/pier_fleet/src/locality/remote_cause.rs
@@ -42,6 +42,12 @@
     }
 }
 
+/// Returns whether a target of the own data centre is available.
+pub fn has_local(candidates: &[dispatch::LoadFacts]) -> bool {
+    let mut candidates = candidates.iter();
+    candidates.any(|load| load.is_local && !load.is_unavailable)
+}
+
 /// Returns whether a request may leave when `percent` of all may; `draw` is uniformly distributed.
 pub fn may_leave(percent: u32, draw: u32) -> bool {
     let hashed = draw.wrapping_mul(HASH_MULTIPLIER) >> 16;
--- a/crates/pier_fleet/src/locality/remote_price.rs
+++ b/crates/pier_fleet/src/locality/remote_price.rs
@@ -27,6 +27,15 @@
         penalty: CLOSED_PENALTY,
     };
 
+    /// Returns the price for a request that leaves in any case, so that any earlier answer is a gain.
+    #[must_use]
+    pub const fn without_floor(self) -> Self {
+        Self {
+            floor: time::Duration::ZERO,
+            ..self
+        }
+    }
+
     /// Returns the time with which a target is compared that is expected to answer after
     /// `expected`.
     #[must_use]
--- a/crates/pier_fleet/tests/work_leaves_when_it_pays.rs
+++ b/crates/pier_fleet/tests/work_leaves_when_it_pays.rs
@@ -277,6 +277,20 @@
     }
 }
 
+/// Load: a data centre without groups of its own, as while it is evacuated.
+#[test]
+fn requests_that_leave_in_any_case_go_to_the_least_loaded() {
+    let (idle, busy) = (elsewhere(group(0, 0), 0), elsewhere(group(20, 1), 0));
+    for draw in 0..100 {
+        let mut request = facts(draw);
+        request.view_age = time::Duration::ZERO;
+        let none = time::Duration::ZERO;
+        let outcome = dispatch::choose_stream(&engine(), 1.0, none, &request, &[busy, idle]);
+        let is_least = matches!(outcome, dispatch::ChoiceOutcome::Send { position: 1, .. });
+        assert!(is_least, "{outcome:?}");
+    }
+}
+
 /// Load: full groups here; first events from elsewhere come later than expected, as over lossy
 /// links.
 #[test]
