Hold the bodies of requests within a budget of the node's memory

Each body was read whole into a buffer of its own, and nothing bounded what all of them took together, nor how many connections sent them. Now a body is read in blocks that are reserved before they are filled. Over the budget the quiet bodies end first, then the oldest below a least rate, then the newest (among small bodies the longest); small bodies have a part of their own. A body of which nothing comes for the idle time ends. Callers' connections are limited, and the least promising body ends for a new one. What is ended was not sent (408, or 503 with Retry-After) and its connection closes.

--- a/crates/pier_edge/src/serving/caller_server.rs
+++ b/crates/pier_edge/src/serving/caller_server.rs
@@ -86,13 +86,24 @@
             let Some(origin) = self.origin(from) else {
                 continue;
             };
+            let mut guard = None;
+            if origin == serving::RequestOrigin::Caller {
+                guard = self.state.bodies().connect().await;
+                if guard.is_none() {
+                    self.state.metrics().bodies().count_refused_connection();
+                    continue;
+                }
+            }
             connection_pool::set_socket_timeouts(&stream);
             let subscription = self.closing.subscribe();
             let writes = serving::AnswerWrites::new(self.answers());
             let stream = serving::CallerStream::new(stream, writes.clone(), subscription.clone());
             let serving =
                 serve_connection(self.state.clone(), stream, writes, origin, subscription);
-            tokio::spawn(serving);
+            tokio::spawn(async move {
+                serving.await;
+                drop(guard);
+            });
         }
     }
 
--- a/crates/pier_edge/src/serving/mod.rs
+++ b/crates/pier_edge/src/serving/mod.rs
@@ -3,6 +3,7 @@
 mod accept;
 mod answer_budget;
 mod answer_limit;
+mod bodies;
 mod body_framing;
 mod buffered_run;
 mod caller_server;
@@ -29,6 +30,7 @@
 pub(crate) use answer_budget::AnswerBudget;
 use answer_budget::BudgetShare;
 use answer_limit::AnswerLimit;
+pub(crate) use bodies::BodyRoom;
 use body_framing::BodyFraming;
 pub(crate) use caller_server::{CallerServer, ServerAudience};
 use caller_stream::CallerStream;
--- a/crates/pier_edge/src/serving/refusal.rs
+++ b/crates/pier_edge/src/serving/refusal.rs
@@ -7,6 +7,9 @@
 /// When a caller may repeat a request that another node did not take over.
 const FORWARD_RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
 
+/// When a caller may repeat a request whose body was given up.
+const BODY_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
+
 /// Why this node answers a request itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum Refusal {
@@ -20,6 +23,8 @@
     BodyTooLarge,
     /// The body did not arrive in time.
     BodyTooSlow,
+    /// The body was given up, as the node has no memory for it; the request was not sent.
+    BodyCrowded,
     /// Every target is too busy to answer in time; the request was not sent.
     Overloaded { retry_after: time::Duration },
     /// No target serves the request now; it was not sent, or no connection could be opened.
@@ -54,6 +59,7 @@
             Self::BadKey => "bad-key",
             Self::BodyTooLarge => "body-too-large",
             Self::BodyTooSlow => "body-too-slow",
+            Self::BodyCrowded => "body-crowded",
             Self::Overloaded { .. } => "overloaded",
             Self::NoTarget { .. } => "no-target",
             Self::Paused { .. } => "paused",
@@ -76,6 +82,7 @@
             | Self::Paused { .. }
             | Self::NotRun { .. }
             | Self::HeldBack { .. }
+            | Self::BodyCrowded
             | Self::TooManyForwards
             | Self::UnreadableForward => http::StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => http::StatusCode::NOT_FOUND,
@@ -97,6 +104,7 @@
             | Self::NotRun { retry_after }
             | Self::HeldBack { retry_after }
             | Self::Lost { retry_after } => Some(*retry_after),
+            Self::BodyCrowded => Some(BODY_RETRY_AFTER),
             Self::TooManyForwards | Self::UnreadableForward => Some(FORWARD_RETRY_AFTER),
             Self::ByNode(refusal) => refusal.retry_after,
             _ => None,
@@ -119,7 +127,10 @@
                 headers.insert(http::header::RETRY_AFTER, value);
             }
         }
-        if matches!(self, Self::BodyTooLarge | Self::BodyTooSlow) {
+        if matches!(
+            self,
+            Self::BodyTooLarge | Self::BodyTooSlow | Self::BodyCrowded
+        ) {
             let close = http::HeaderValue::from_static("close");
             headers.insert(http::header::CONNECTION, close);
         }
--- a/crates/pier_edge/src/serving/request_entry.rs
+++ b/crates/pier_edge/src/serving/request_entry.rs
@@ -2,17 +2,13 @@
 
 use std::{net, sync, time};
 
-use http_body_util::BodyExt as _;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use pier_fleet::documents;
 use pier_types::{ids, times};
 
-use super::{buffered_run, request_job::millis, stream_run};
+use super::{bodies, buffered_run, request_job::millis, stream_run};
 use crate::{links, serving, state};
 
-/// Time-out for reading a request's body when the caller states none.
-const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(10);
-
 /// Who sent a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RequestOrigin {
@@ -157,7 +153,12 @@
     let route = document.route(&head.host, parts.uri.path());
     let route = sync::Arc::clone(route.ok_or(serving::Refusal::NoRoute)?);
     let grant = grant(&document, &route, &head)?;
-    let body = read_body(body, document.limits(), &head).await?;
+    let body = bodies::BodyReader::read(state, body, document.limits(), &head).await;
+    let body = body.map_err(|refusal| match refusal {
+        // A label that nodes of earlier builds understand.
+        serving::Refusal::BodyCrowded if forward.is_some() => serving::Refusal::TooManyForwards,
+        refusal => refusal,
+    })?;
     let fingerprint = fingerprint(grant.as_ref(), &parts.uri, &body);
     let held_for = state
         .crashes()
@@ -243,35 +244,6 @@
     ids::RequestFingerprint::of(customer, path, body)
 }
 
-async fn read_body(
-    mut body: Incoming,
-    limits: documents::CallerLimits,
-    head: &links::CallerHead,
-) -> Result<bytes::Bytes, serving::Refusal> {
-    let max_size = usize::try_from(limits.body_size.get()).unwrap_or(usize::MAX);
-    let stated = body.size_hint().exact();
-    if stated.is_some_and(|stated| stated > limits.body_size.get()) {
-        return Err(serving::Refusal::BodyTooLarge);
-    }
-    let reading = async {
-        let mut whole = bytes::BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            // The connection ended within the body, so that nobody will read the answer.
-            let frame = frame.map_err(|_ended| serving::Refusal::BodyTooSlow)?;
-            if let Some(data) = frame.data_ref() {
-                if whole.len() + data.len() > max_size {
-                    return Err(serving::Refusal::BodyTooLarge);
-                }
-                whole.extend_from_slice(data);
-            }
-        }
-        Ok(whole.freeze())
-    };
-    let limit = head.timeout.unwrap_or(BODY_TIMEOUT);
-    let read = tokio::time::timeout(limit, reading).await;
-    read.unwrap_or(Err(serving::Refusal::BodyTooSlow))
-}
-
 /// Returns the headers of an answer to the caller, or to the node that passed the request on; it
 /// gets the target's own, except for those that concern one connection.
 fn passed_headers<P: links::FleetPlatform>(
--- a/crates/pier_edge/src/settings/edge_settings.rs
+++ b/crates/pier_edge/src/settings/edge_settings.rs
@@ -1,6 +1,6 @@
 //! The settings of one node.
 
-use std::{collections, net, path, str, time};
+use std::{collections, net, num, path, str, time};
 
 use ini::Ini;
 use pier_types::{ids, sizes};
@@ -37,6 +37,8 @@
     pub store: net::SocketAddr,
     /// Memory that the process may use.
     pub memory: sizes::ByteSize,
+    /// Limits on the bodies of requests.
+    pub bodies: settings::BodyBounds,
     /// Whether the whole fleet starts for the first time, so that the nodes' records are yet to
     /// come.
     pub is_first_start: bool,
@@ -77,6 +79,7 @@
             names.filter_map(|name| name.parse().ok()).collect();
         data_centres.insert(data_centre.clone());
         let mebibytes: u64 = reader.value("limits", "memory_mib")?;
+        let memory = sizes::ByteSize::new(mebibytes << 20);
         Ok(Self {
             name: reader.value("node", "name")?,
             data_centre,
@@ -87,7 +90,8 @@
             forwards: reader.value("listen", "forwards")?,
             metrics: reader.value("listen", "metrics")?,
             store: reader.value("platform", "store")?,
-            memory: sizes::ByteSize::new(mebibytes << 20),
+            memory,
+            bodies: body_bounds(&reader, memory)?,
             is_first_start: reader.optional("node", "first_start")?.unwrap_or(false),
             cores: reader
                 .positive("limits", "cores")?
@@ -110,6 +114,26 @@
     }
 }
 
+fn body_bounds(
+    reader: &SectionReader<'_>,
+    memory: sizes::ByteSize,
+) -> Result<settings::BodyBounds, settings::SettingsError> {
+    let mut bounds = settings::BodyBounds::of_memory(memory);
+    if let Some(mebibytes) = reader.positive_count("limits", "body_budget_mib")? {
+        bounds.budget = sizes::ByteSize::new(u64::from(mebibytes) << 20);
+    }
+    if let Some(rate) = reader.positive_count("limits", "least_body_rate")? {
+        bounds.least_rate = sizes::ByteSize::new(u64::from(rate));
+    }
+    if let Some(number) = reader.positive("limits", "body_quiet_seconds")? {
+        bounds.quiet_time = Some(seconds(number));
+    }
+    if let Some(connections) = reader.positive_count("limits", "caller_connections")? {
+        bounds.connections = connections;
+    }
+    Ok(bounds)
+}
+
 fn seconds(number: f64) -> time::Duration {
     time::Duration::from_secs_f64(number.clamp(0.0, 86_400.0))
 }
@@ -177,6 +201,16 @@
         }
     }
 
+    /// Returns a whole number that is above 0, or `None` if the key is missing or empty.
+    fn positive_count(
+        &self,
+        section: &'static str,
+        key: &'static str,
+    ) -> Result<Option<u32>, settings::SettingsError> {
+        let count: Option<num::NonZeroU32> = self.optional(section, key)?;
+        Ok(count.map(num::NonZeroU32::get))
+    }
+
     fn value<T: str::FromStr>(
         &self,
         section: &'static str,
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -50,6 +50,7 @@
     crashes: crashes::CrashLedger,
     streams: state::StreamRecords,
     answer_budget: serving::AnswerBudget,
+    bodies: serving::BodyRoom,
     metrics: telemetry::EdgeMetrics,
     start_up: state::StartUp,
     draining: atomic::AtomicBool,
@@ -73,6 +74,7 @@
     pub(crate) fn new(settings: settings::EdgeSettings, node: ids::NodeName, platform: P) -> Self {
         let shared = SharedState {
             answer_budget: serving::AnswerBudget::new(settings.memory),
+            bodies: serving::BodyRoom::new(settings.bodies),
             retries: state::RetryBudget::new(settings.bounds),
             notices: peers::NoticeOutbox::default(),
             pauses: state::PauseTable::default(),
@@ -143,6 +145,10 @@
         &self.shared.answer_budget
     }
 
+    pub(crate) fn bodies(&self) -> &serving::BodyRoom {
+        &self.shared.bodies
+    }
+
     pub(crate) fn crashes(&self) -> &crashes::CrashLedger {
         &self.shared.crashes
     }
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -10,7 +10,7 @@
 
 use pier_fleet::urgency;
 
-use crate::state;
+use crate::{state, telemetry};
 
 type Labels = Vec<(&'static str, String)>;
 
@@ -32,6 +32,7 @@
     stuck: Counter,
     losses: Family<Labels, Counter>,
     held_requests: Gauge,
+    bodies: telemetry::BodyMetrics,
     held_parts: Gauge,
     leaving_targets: Counter,
     target_pauses: Counter,
@@ -84,6 +85,7 @@
             stuck: Counter::default(),
             losses: Family::default(),
             held_requests: Gauge::default(),
+            bodies: telemetry::BodyMetrics::default(),
             held_parts: Gauge::default(),
             leaving_targets: Counter::default(),
             target_pauses: Counter::default(),
@@ -155,6 +157,7 @@
             "Questions to members of groups",
             metrics.member_queries.clone(),
         );
+        metrics.bodies.register(&mut registry);
         metrics.register_messages(&mut registry);
         drop(registry);
         metrics
@@ -404,6 +407,10 @@
         self.losses.get_or_create(&labels).inc();
     }
 
+    pub(crate) const fn bodies(&self) -> &telemetry::BodyMetrics {
+        &self.bodies
+    }
+
     pub(crate) fn set_held_requests(&self, count: usize) {
         self.held_requests
             .set(i64::try_from(count).unwrap_or(i64::MAX));
--- a/crates/pier_edge/tests/node_settings.rs
+++ b/crates/pier_edge/tests/node_settings.rs
@@ -53,6 +53,14 @@
         ("cores", text("", "cores = 0", "")),
         ("cores", text("", "cores = nan", "")),
         ("cores", text("", "cores = -1", "")),
+        ("body_budget_mib", text("", "body_budget_mib = 0", "")),
+        ("least_body_rate", text("", "least_body_rate = -5", "")),
+        ("body_quiet_seconds", text("", "body_quiet_seconds = 0", "")),
+        ("caller_connections", text("", "caller_connections = 0", "")),
+        (
+            "caller_connections",
+            text("", "caller_connections = 1.5", ""),
+        ),
         ("leaving_ms", text("", "", "leaving_ms = 0")),
         ("leaving_ms", text("", "", "leaving_ms = soon")),
         ("remote_percent", text("", "", "remote_percent = 101")),
@@ -62,3 +70,21 @@
         assert!(error.to_string().contains(key), "{error}");
     }
 }
+
+#[test]
+fn limits_on_bodies_follow_from_the_memory_and_can_be_set() {
+    let read = settings::EdgeSettings::parse(&text("", "", "")).unwrap();
+    // Of 200 MiB the program keeps 40 and an eighth of the rest, and answers a quarter.
+    assert_eq!(read.bodies.budget, sizes::ByteSize::new(90 << 20));
+    assert_eq!(read.bodies.least_rate, sizes::ByteSize::new(16_384));
+    assert_eq!(read.bodies.quiet_time, None);
+    assert_eq!(read.bodies.connections, 1_600);
+    let limits = "body_budget_mib = 20\nleast_body_rate = 1000\nbody_quiet_seconds = 2.5\n\
+                  caller_connections = 64";
+    let read = settings::EdgeSettings::parse(&text("", limits, "")).unwrap();
+    assert_eq!(read.bodies.budget, sizes::ByteSize::new(20 << 20));
+    assert_eq!(read.bodies.least_rate, sizes::ByteSize::new(1_000));
+    let quiet = time::Duration::from_millis(2_500);
+    assert_eq!(read.bodies.quiet_time, Some(quiet));
+    assert_eq!(read.bodies.connections, 64);
+}
--- a/crates/pier_fleet/src/budgets/mod.rs
+++ b/crates/pier_fleet/src/budgets/mod.rs
@@ -1,11 +1,13 @@
 //! This node's share of limits that all nodes keep together.
 
+mod body_budget;
 mod cold_limiter;
 mod limit_shares;
 mod load_budget;
 mod target_limit;
 mod window_count;
 
+pub use body_budget::{BodyBudget, BodyEnd, BodyGrant, BodyId, SMALL_BODY_BYTES};
 pub use cold_limiter::ColdLimiter;
 pub use limit_shares::{RateCandidate, share_rate};
 pub use load_budget::LoadBudget;
