Try nodes that fell silent now and then

Nodes that were cut off from each other for 30 s while both reached the store forgot each other, and nothing listed the nodes' records again, so that they never met again; limits and retry budgets were then cut into too few parts, and each side took the other's stewardship in turn.

A node keeps the addresses at which nodes were known for half an hour, 64 silent ones at most, and sends them its heartbeat every 3 s. A node that answers is known again; it counts for nothing until then. No message and no call to the store is new.

crates/pier_edge/tests/forgotten_nodes.rs failed before (0 heartbeats in the 8 s after the node was forgotten) and passes now. Nodes that are added at once and never hear of each other are not mended.

--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -172,23 +172,26 @@
 
 async fn send<P: links::FleetPlatform>(state: state::EdgeState<P>, socket: sync::Arc<UdpSocket>) {
     let mut ticks = 0_u64;
+    let mut contacts = peers::SilentContacts::default();
     loop {
         let now = times::clocks::boot_now();
         ticks += 1;
         let data_centre = &state.settings().data_centre;
-        let (count, local, remote) = state.with_peers(|peers| {
+        let (known, local, remote) = state.with_peers(|peers| {
             peers.expire(now);
             (
-                peers.count(),
+                peers.addresses(),
                 peers.centre_addresses(data_centre),
                 peers.direct_remote_addresses(data_centre),
             )
         });
+        let (count, silent) = (known.len(), contacts.due(&known, now));
         state.update_forwards(now);
         let stride = beat_stride(local.len());
         let remote_stride = beat_stride(count).div_ceil(stride);
         let mut envelope = beat_envelope(&state, now);
         send_envelope(&state, &socket, &envelope, &local).await;
+        send_envelope(&state, &socket, &envelope, &silent).await;
         if ticks.is_multiple_of(u64::from(remote_stride)) && !remote.is_empty() {
             if count > peer_groups::FULL_RATE_PEERS
                 && let peers::PeerMessage::Beat(beat) = &mut envelope.message
