Never pass an answer on as whole whose end shows nothing

An answer without a length ends with its connection, as one does whose target's process ends. One attempt to connect decided which it was, and a target that was leaving was believed unasked. A process may close its port after its connections, and a leaving VM may be taken away within an answer, so that parts of answers reached callers as whole ones.

The end of a body is now whole, cut or unknown, judged in one place (attempts::BodyEnd) from framing, mark, content and a sign of life, and only a whole one is passed on as such. The sign is the answer of the target's process to a small request after the end of the body; that a connection is accepted no longer counts, nor that a target is leaving.

The test targets answer the small request beside their scripts and don't record it.

--- a/crates/pier_edge/src/links/fleet_platform.rs
+++ b/crates/pier_edge/src/links/fleet_platform.rs
@@ -79,6 +79,13 @@
     /// Reads an answer's head.
     fn read_answer(&self, attempt: &str, head: &http::response::Parts) -> links::AnswerHead;
 
+    /// Returns the head of the request that asks a VM's process for a sign of life, which runs
+    /// nothing.
+    fn life_request(&self, vm: &ids::VmName) -> http::Request<()>;
+
+    /// Returns whether an answer to [`Self::life_request`] comes from this VM's process.
+    fn is_life_sign(&self, vm: &ids::VmName, head: &http::response::Parts) -> bool;
+
     /// Returns the headers of the answer to the caller.
     fn caller_headers(&self, head: &http::response::Parts) -> http::HeaderMap;
 }
--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -3,6 +3,7 @@
 use std::{sync, time};
 
 use http_body_util::BodyExt as _;
+use pier_request::attempts;
 use pier_types::{ids, times};
 
 use super::request_job::millis;
@@ -298,13 +299,12 @@
     let (head, answer) = (call.head.clone(), call.answer.clone());
     let metrics = job.state.metrics();
     metrics.count_received_bytes(slot.is_local, body.len());
-    if !answer.is_not_run && !answer.is_genuine() && head.status.is_success() {
-        let reason = "the answer lacks the target's mark for this attempt".to_owned();
-        return Err(serving::SendFault::MayHaveRun(reason));
-    }
-    if !answer.is_not_run && call.has_lost_process(job).await {
-        let reason = serving::PROCESS_LOST.to_owned();
-        return Err(serving::SendFault::MayHaveRun(reason));
+    // A refusal's head says all of it.
+    if !answer.is_not_run {
+        let end = call.body_end(job, attempts::ContentEnd::Opaque).await;
+        if let Some(reason) = end.fault() {
+            return Err(serving::SendFault::MayHaveRun(reason.to_owned()));
+        }
     }
     slot.gauge.record_progress(times::clocks::boot_now());
     call.finish();
--- a/crates/pier_edge/src/serving/loss_report.rs
+++ b/crates/pier_edge/src/serving/loss_report.rs
@@ -29,9 +29,6 @@
 /// How long a target gets no requests after an answer that exceeded a limit.
 const TOO_LARGE_REST: time::Duration = time::Duration::from_millis(500);
 
-/// How long an answer whose only end is that of the connection waits for the check of its target.
-const END_CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(100);
-
 impl<P: links::FleetPlatform> serving::RequestJob<P> {
     /// Reports a target that was lost while it ran this request.
     ///
@@ -123,21 +120,6 @@
         self.check_held()
     }
 
-    /// Returns whether the target's process is known to have ended by the end of an answer whose
-    /// only end is that of the connection.
-    ///
-    /// A process that ends closes its connections like one that has answered completely. An answer
-    /// of a target that is leaving, or that does not reply to the check in time, counts as sound.
-    pub(super) async fn is_process_lost(&self, slot: &state::TargetSlot) -> bool {
-        if slot.is_node() {
-            return false;
-        }
-        let now = times::clocks::boot_now();
-        let check = find_cause(&self.state, slot, time::Duration::ZERO, now);
-        let cause = tokio::time::timeout(END_CHECK_TIMEOUT, check).await;
-        cause == Ok(Some(quarantine::LossCause::ProcessLost))
-    }
-
     /// Reports a target that is silent; whether it crashed shows when it registers again.
     ///
     /// # Errors
--- a/crates/pier_edge/src/serving/stream_relay/mod.rs
+++ b/crates/pier_edge/src/serving/stream_relay/mod.rs
@@ -6,6 +6,7 @@
 
 use http_body_util::BodyExt as _;
 use hyper::body::{Bytes, Frame};
+use pier_request::attempts;
 use pier_types::{ids, times};
 use tokio::sync::{mpsc, watch};
 
@@ -205,19 +206,22 @@
     /// Returns what the end of the target's body means.
     async fn body_end(&mut self) -> RelayStep {
         self.unfinished = self.splitter.len();
-        let has_events = is_event_stream(&self.call.head);
-        if has_events && self.splitter.is_inside_event() {
-            return RelayStep::Closed("the body ended inside an event".to_owned());
-        }
-        let is_unframed = self.call.framing == serving::BodyFraming::UntilClose;
-        let is_empty = self.events == 0 && self.last_event.is_none();
-        if has_events && is_unframed && is_empty {
-            return RelayStep::Closed("the connection ended before the first event".to_owned());
-        }
-        if self.call.has_lost_process(&self.job).await {
-            return RelayStep::Closed(serving::PROCESS_LOST.to_owned());
+        let end = self.call.body_end(&self.job, self.content_end()).await;
+        end.fault().map_or(RelayStep::Ended, |reason| {
+            RelayStep::Closed(reason.to_owned())
+        })
+    }
+
+    fn content_end(&self) -> attempts::ContentEnd {
+        if !is_event_stream(&self.call.head) {
+            attempts::ContentEnd::Opaque
+        } else if self.splitter.is_inside_event() {
+            attempts::ContentEnd::InsideEvent
+        } else if self.events == 0 && self.last_event.is_none() {
+            attempts::ContentEnd::BeforeFirstEvent
+        } else {
+            attempts::ContentEnd::BetweenEvents
         }
-        RelayStep::Ended
     }
 
     /// Forwards the events that are complete; returns whether the caller is still connected.
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -2,6 +2,7 @@
 
 use std::{sync, time};
 
+use pier_request::attempts;
 use pier_types::{ids, times};
 use tokio::sync::mpsc;
 
@@ -152,9 +153,9 @@
     let reading = buffered_run::read_whole(&mut call.body, share);
     let body = tokio::time::timeout(left, reading).await;
     let body = body.unwrap_or(Err(serving::SendFault::TimedOut))?;
-    if call.has_lost_process(job).await {
-        let reason = serving::PROCESS_LOST.to_owned();
-        return Err(serving::SendFault::MayHaveRun(reason));
+    let end = call.body_end(job, attempts::ContentEnd::Opaque).await;
+    if let Some(reason) = end.fault() {
+        return Err(serving::SendFault::MayHaveRun(reason.to_owned()));
     }
     let head = call.head.clone();
     call.finish();
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -4,6 +4,7 @@
 
 use http_body_util::Full;
 use hyper::body::Incoming;
+use pier_request::attempts;
 use pier_types::times;
 
 use crate::{links, serving, state};
@@ -12,9 +13,6 @@
 /// target is unlikely to have closed it in that time, which would leave unknown whether it ran.
 const ONE_TIME_MAX_AGE: time::Duration = time::Duration::from_secs(1);
 
-/// The reason why an answer without framing counts as incomplete.
-pub(super) const PROCESS_LOST: &str = "the target's process ended with the answer";
-
 /// A request that a target has begun to answer.
 #[derive(Debug)]
 pub(super) struct TargetCall {
@@ -23,7 +21,7 @@
     pub guard: state::GaugeGuard,
     pub head: http::response::Parts,
     pub answer: links::AnswerHead,
-    pub framing: serving::BodyFraming,
+    pub framing: attempts::BodyFraming,
     pub body: Incoming,
     pub sent_at: times::BootTime,
 }
@@ -135,7 +133,7 @@
             job.state
                 .record_pause(&slot.vm, slot.born, pause, answered_at);
         }
-        let framing = serving::BodyFraming::of(&head, &body);
+        let framing = serving::framing_of(&head, &body);
         job.state.metrics().count_framing(framing.label());
         Ok(Self {
             slot: sync::Arc::clone(slot),
@@ -149,13 +147,23 @@
         })
     }
 
-    /// Returns whether the end of the body may be that of a crashed process: nothing else marks it,
-    /// and the target's process is known to have ended.
-    pub(super) async fn has_lost_process<P: links::FleetPlatform>(
+    /// Judges the end of the body, which ended there in its content.
+    pub(super) async fn body_end<P: links::FleetPlatform>(
         &self,
         job: &serving::RequestJob<P>,
-    ) -> bool {
-        self.framing == serving::BodyFraming::UntilClose && job.is_process_lost(&self.slot).await
+        content: attempts::ContentEnd,
+    ) -> attempts::BodyEnd {
+        let needs_mark = self.head.status.is_success() && !self.answer.is_not_run;
+        let mut evidence = attempts::EndEvidence {
+            framing: self.framing,
+            is_genuine: !needs_mark || self.answer.is_genuine(),
+            content,
+            life: attempts::LifeSign::Silent,
+        };
+        if evidence.needs_life_sign() {
+            evidence.life = job.life_sign(&self.slot).await;
+        }
+        attempts::BodyEnd::judge(evidence)
     }
 
     /// Returns the connection to the pool once the answer was read completely.
--- a/crates/pier_edge/tests/broken_off_answers.rs
+++ b/crates/pier_edge/tests/broken_off_answers.rs
@@ -6,8 +6,8 @@
 use std::time;
 
 use support::{
-    CRASH_AFTER_MARKER, CrashingTarget, FakePlatform, GROUP_MODEL, KEY, RawAnswer, RawCaller,
-    Script, ScriptedTarget, TestNode, group_member, node_with, plain_entry,
+    CRASH_AFTER_MARKER, CrashStyle, CrashingTarget, FakePlatform, GROUP_MODEL, KEY, RawAnswer,
+    RawCaller, Script, ScriptedTarget, TestNode, group_member, node_with, plain_entry,
 };
 use tokio::{io::AsyncReadExt as _, net::TcpStream};
 
@@ -394,3 +394,59 @@
     assert!(read.starts_with(b"HTTP/1.0 200"));
     assert!(end.is_err(), "{:?}", String::from_utf8_lossy(&read));
 }
+
+/// How long the port of a process that ends is open longer than its connections.
+const LATE_PORT: time::Duration = time::Duration::from_millis(60);
+
+/// When a target that answers after 80 ms announces its leaving.
+const NOTICE_DELAY: time::Duration = time::Duration::from_millis(30);
+
+/// Starts a node with one target that answers without framing.
+async fn node_with_lone_target(style: CrashStyle) -> (TestNode, CrashingTarget) {
+    let platform = FakePlatform::default();
+    let script = Script::UntilClose {
+        headers: "",
+        body: "half of it".to_owned(),
+    };
+    let entry = plain_entry("vm-1", support::free_address());
+    let target = CrashingTarget::start_styled(entry, platform.clone(), script, style).await;
+    let mut nodes = TestNode::start_fleet(1, platform, Vec::new()).await;
+    (nodes.remove(0), target)
+}
+
+/// Guards against a part of an answer that passes as the whole one because the port of the process
+/// that ends is still open.
+#[tokio::test]
+async fn an_answer_without_framing_is_not_whole_while_only_the_port_is_open() {
+    let style = CrashStyle {
+        listener_delay: LATE_PORT,
+        ..CrashStyle::default()
+    };
+    let (node, target) = node_with_lone_target(style).await;
+    let answer = ask(&node, "/post/x", CRASH_AFTER_MARKER).await;
+    assert_eq!((answer.status(), target.crashes()), (502, 1));
+}
+
+/// Guards against a part of an answer that passes as the whole one because its target is leaving.
+#[tokio::test]
+async fn an_answer_without_framing_that_the_end_of_a_leaving_target_ends_is_502() {
+    let (node, target) = node_with_lone_target(CrashStyle::default()).await;
+    let notice = async {
+        tokio::time::sleep(NOTICE_DELAY).await;
+        target.announce_leaving();
+    };
+    let (answer, ()) = tokio::join!(ask(&node, "/post/x", CRASH_AFTER_MARKER), notice);
+    assert_eq!((answer.status(), target.crashes()), (502, 1));
+}
+
+/// Guards against cutting the sound answer of a leaving target.
+#[tokio::test]
+async fn a_sound_answer_without_framing_of_a_leaving_target_is_passed_on() {
+    let (node, target) = node_with_lone_target(CrashStyle::default()).await;
+    let notice = async {
+        tokio::time::sleep(NOTICE_DELAY).await;
+        target.announce_leaving();
+    };
+    let (answer, ()) = tokio::join!(ask(&node, "/post/x", "prompt"), notice);
+    assert_eq!((answer.status(), answer.body.as_str()), (200, "half of it"));
+}
--- a/crates/pier_edge/tests/support/crashing_target.rs
+++ b/crates/pier_edge/tests/support/crashing_target.rs
@@ -208,6 +208,12 @@
 
     async fn serve(self, mut stream: TcpStream) {
         while let Some(request) = scripted_target::read_request(&mut stream).await {
+            if scripted_target::is_life_request(&request) {
+                if scripted_target::give_life_sign(&mut stream).await.is_none() {
+                    return;
+                }
+                continue;
+            }
             let arrival = (time::Instant::now(), request.clone());
             self.requests.lock().unwrap().push(arrival);
             if request.contains(CRASH_MARKER) || request.contains(CRASH_PART) {
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -566,6 +566,15 @@
         }
     }
 
+    fn life_request(&self, vm: &ids::VmName) -> http::Request<()> {
+        let request = http::Request::get("/alive").header("x-vm", vm.as_str());
+        request.body(()).unwrap()
+    }
+
+    fn is_life_sign(&self, _vm: &ids::VmName, head: &http::response::Parts) -> bool {
+        head.headers.contains_key("x-alive")
+    }
+
     fn caller_headers(&self, head: &http::response::Parts) -> http::HeaderMap {
         let mut headers = head.headers.clone();
         headers.remove("content-length");
--- a/crates/pier_edge/tests/support/scripted_target.rs
+++ b/crates/pier_edge/tests/support/scripted_target.rs
@@ -162,6 +162,13 @@
 
     async fn serve(&self, mut stream: TcpStream, script: Script) {
         while let Some(request) = read_request(&mut stream).await {
+            if is_life_request(&request) {
+                Silence(Arc::clone(&self.silent_until)).wait().await;
+                if give_life_sign(&mut stream).await.is_none() {
+                    return;
+                }
+                continue;
+            }
             self.requests.lock().unwrap().push(request.clone());
             let headers = self.headers.lock().unwrap().clone();
             let silence = Silence(Arc::clone(&self.silent_until));
@@ -332,6 +339,16 @@
     stream.write_all(text.as_bytes()).await.ok()
 }
 
+/// Returns whether a request asks for a sign of life; such requests aren't recorded.
+pub(super) fn is_life_request(request: &str) -> bool {
+    request.starts_with("GET /alive ")
+}
+
+/// Gives a sign of life.
+pub(super) async fn give_life_sign(stream: &mut TcpStream) -> Option<()> {
+    write_answer(stream, "200 OK", "", "x-alive: 1\r\n", "").await
+}
+
 /// Waits until the link is cut, or restored.
 async fn wait_for_link(cut: &mut watch::Receiver<bool>, is_cut: bool) {
     drop(cut.wait_for(|now_cut| *now_cut == is_cut).await);
--- a/crates/pier_request/src/attempts/mod.rs
+++ b/crates/pier_request/src/attempts/mod.rs
@@ -5,12 +5,14 @@
 //! whether the request may have run.
 
 mod attempt_end;
+mod body_end;
 mod part_status;
 mod reorder_buffer;
 mod stream_end;
 mod worst_outcome;
 
 pub use attempt_end::AttemptEnd;
+pub use body_end::{BodyEnd, BodyFraming, ContentEnd, EndEvidence, LifeSign};
 pub use part_status::PartStatus;
 pub use reorder_buffer::ReorderBuffer;
 pub use stream_end::StreamEnd;
