Pass a class over only where shares of service differ clearly

Cause: at groups that are nearly full, a request was refused as soon as its node's record showed a more urgent class served less. A node sees a few requests of a class within the time of that record, so that chance decided.

Change: the shares have to differ by a tenth.

No test shows the chance itself.

--- a/crates/pier_fleet/src/dispatch/urgency_room.rs
+++ b/crates/pier_fleet/src/dispatch/urgency_room.rs
@@ -15,6 +15,10 @@
 /// Share of a more urgent class's service below which a class is owed room, in percent.
 const KEPT_PERCENT: u32 = 80;
 
+/// Difference of two classes' shares of service that a node's sample of few requests shows without
+/// any difference among all nodes, in thousandths.
+const SAMPLE_NOISE_PERMILLE: u32 = 100;
+
 /// Share of all work up to which a class is owed room, in thousandths. A burst of a less urgent class
 /// gets no more by it.
 const OWED_WORK_PERMILLE: u32 = 200;
@@ -54,7 +58,7 @@
     rate: f64,
     /// Requests that arrive within their objective and the age of the load.
     arrivals: u32,
-    /// Whether a smaller share of this class was served than of the request's own.
+    /// Whether a clearly smaller share of this class was served than of the request's own.
     is_worse_off: bool,
 }
 
@@ -85,7 +89,7 @@
                 prompt: demand.prompt,
                 rate,
                 arrivals: u32::try_from(arrivals).unwrap_or(u32::MAX),
-                is_worse_off: demand.served_permille < own_served,
+                is_worse_off: demand.served_permille + SAMPLE_NOISE_PERMILLE < own_served,
             })
         });
         let expected: Vec<_> = expected.collect();
