Keep records of demand only for models that the document has

Cause: demand by urgency is recorded by the name of the model that a caller sends. Callers may name any, so that the record would have grown with each new name.

Change: names that the service's engine does not know leave no record.

Measured: formatter and linter pass, and so do streams, whole_requests, resumed_answers, mixed_builds and forwarded_requests.

--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -128,6 +128,13 @@
         Some((engine, model.pace))
     }
 
+    /// Returns the request's model if the document has it. Callers may name any other, so that records
+    /// by model are kept for these only.
+    fn known_model(&self) -> Option<&ids::ModelName> {
+        let model = self.head.model.as_ref();
+        model.filter(|_model| self.engine().is_some())
+    }
+
     /// Returns the mean time by which first events of the request's model come later than the
     /// engine's published times predict.
     pub(super) fn mean_delay(&self) -> time::Duration {
@@ -149,7 +156,7 @@
         if let Some(link) = &slot.centre_link {
             link.record_delay(now.since(sent_at).saturating_sub(expected), now);
         }
-        if let Some(model) = &self.head.model {
+        if let Some(model) = self.known_model() {
             let predicted = expected.saturating_sub(self.mean_delay());
             let streams = self.state.streams();
             streams
@@ -163,7 +170,7 @@
 
     /// Records how the request ended for the share of its urgency.
     fn record_outcome(&self, outcome: &'static str, is_in_time: bool, now: times::BootTime) {
-        if let Some(model) = &self.head.model {
+        if let Some(model) = self.known_model() {
             let class = urgency::UrgencyClass::of_rank(self.rank());
             let streams = self.state.streams();
             streams.record_demand(model, |demand| {
@@ -175,7 +182,7 @@
 
     /// Records whether a target was chosen for the request, as demand of its urgency.
     fn record_choice(&self, outcome: &dispatch::ChoiceOutcome, now: times::BootTime) {
-        let Some(model) = &self.head.model else {
+        let Some(model) = self.known_model() else {
             return;
         };
         match outcome {
@@ -196,7 +203,7 @@
 
     /// Records the request as demand of its urgency and returns the demand for its model.
     fn note_demand(&self, is_first: bool, now: times::BootTime) -> urgency::DemandView {
-        let Some(model) = &self.head.model else {
+        let Some(model) = self.known_model() else {
             return urgency::DemandView::default();
         };
         let class = urgency::UrgencyClass::of_rank(self.rank());
