Call a store that is away with one loop a node

Cause: in an outage all four loops of each node called the store, again every 2.5 s beside the one that notices its return, and as it answered again each loop that noticed it made the others of its node repeat their lists.

Change: stewards::outage_step decides when a loop calls again. One loop of a node calls; a node that hears its steward, which notices the return within 0.4 s, calls every few seconds only. The other loops, and the node's own record, wait for that loop or for the steward. As a node stops following its steward, that loop calls first. Only the first loop that finds the store back ends calls that the outage silenced. The nodes' records need no list after an outage while the steward is followed.

--- a/crates/pier_edge/src/crashes/record_writer.rs
+++ b/crates/pier_edge/src/crashes/record_writer.rs
@@ -30,7 +30,7 @@
         loop {
             self.state.crashes().wait_for_unstored().await;
             while !self.store(times::clocks::boot_now()).await {
-                let delay = self.backoff.next_delay(false, rand::random());
+                let delay = self.backoff.next_delay(rand::random());
                 tokio::time::sleep(delay).await;
             }
             self.backoff.reset();
--- a/crates/pier_edge/src/records/node_record.rs
+++ b/crates/pier_edge/src/records/node_record.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use pier_fleet::stewards;
+
 use crate::{daemon, links, peers, records, state};
 
 /// Greatest delay before the record is written again after the store came back from a copy, so that
@@ -33,6 +35,7 @@
     let mut backoff = records::StoreBackoff::default();
     let mut era = state.watch_era();
     loop {
+        let mut returns = state.store_outages().watch_returns();
         state.metrics().count_store_call("nodes", "write");
         match state.platform().write(&name, None, text.clone()).await {
             links::StoreWrite::Written(version) => {
@@ -46,7 +49,15 @@
             }
             other => {
                 log::warn!(event = "node-record-not-written", outcome:? = other; "");
-                tokio::time::sleep(backoff.next_delay(false, rand::random())).await;
+                let delay = if state.store_outages().is_probe_failing() {
+                    stewards::MAX_OUTAGE_WAIT
+                } else {
+                    backoff.next_delay(rand::random())
+                };
+                tokio::select! {
+                    _returned = returns.changed() => {}
+                    () = tokio::time::sleep(delay) => {}
+                }
             }
         }
     }
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use anyhow::Context as _;
+use pier_fleet::stewards;
 use pier_types::{epochs, times};
 use tokio::sync::watch;
 
@@ -52,14 +53,9 @@
 /// Failures that last at least this long count as an outage of the store.
 const MIN_OUTAGE_TIME: time::Duration = time::Duration::from_secs(1);
 
-/// Failures in a row after which only one loop keeps calling the store, so that an outage costs few
-/// calls: the one for the registrations at a steward, on whose relay messages others depend, and the
-/// one for the document elsewhere. The other loops wait until it succeeds.
-const MAX_OWN_RETRIES: u32 = 2;
-
-/// Longest time that the other loops wait for that success, since the store may fail for one
-/// connection only.
-const MAX_RECOVERY_WAIT: time::Duration = time::Duration::from_millis(2_500);
+/// Time by which the probe of a node that can no longer follow its steward calls the store before the
+/// other loops: enough for one call, and little of the time that is kept for reading.
+const PROBE_LEAD: time::Duration = time::Duration::from_millis(250);
 
 /// Starts to follow a kind of records.
 pub(crate) fn spawn<P: links::FleetPlatform>(state: &state::EdgeState<P>, kind: links::RecordKind) {
@@ -74,6 +70,7 @@
             started_at: times::clocks::boot_now(),
             is_follower: false,
             behind_since: None,
+            listed_at: None,
         };
         record_loop.run()
     });
@@ -90,6 +87,8 @@
     is_follower: bool,
     /// Since when this node has known less than its steward or than other nodes.
     behind_since: Option<times::BootTime>,
+    /// Version of the last list.
+    listed_at: Option<epochs::ObjectVersion>,
 }
 
 impl<P: links::FleetPlatform> RecordLoop<P> {
@@ -98,21 +97,28 @@
         loop {
             let now = times::clocks::boot_now();
             let source = self.snapshot_source(now);
+            let was_follower = self.is_follower;
             self.log_change(source.is_some() || self.follows_relay(now), now);
             if let Some(source) = source {
+                self.end_failures();
                 at = self.follow_snapshots(source, at).await;
                 continue;
             }
-            if at.is_some() && self.follows_relay(now) {
-                at = self.follow(at).await;
+            let followed = self.followed_version(at);
+            if followed.is_some() && self.follows_relay(now) {
+                self.end_failures();
+                at = self.follow(followed).await;
                 continue;
             }
             if self.waits_for_steward(at.is_some(), now) {
                 tokio::time::sleep(STEWARD_POLL_INTERVAL).await;
                 continue;
             }
+            if was_follower && self.leaves_call_to_probe(now).await {
+                continue;
+            }
             let (state, kind, timeout) = (self.state.clone(), self.kind, self.watch_timeout());
-            let returns = state.watch_store_returns();
+            let returns = state.store_outages().watch_returns();
             at = tokio::select! {
                 read = self.read_store(at) => read,
                 () = record_source::wait_for_source(&state, kind, at.is_some(), timeout) => at,
@@ -121,6 +127,16 @@
         }
     }
 
+    /// Returns the version from which this loop may rely on relay messages; without one it reads the
+    /// list first.
+    ///
+    /// After a failed call, the nodes' records need no further list: heartbeats and relay messages
+    /// bring what they tell.
+    fn followed_version(&self, at: Option<epochs::ObjectVersion>) -> Option<epochs::ObjectVersion> {
+        let listed_at = self.listed_at;
+        at.or(listed_at.filter(|_at| self.kind == links::RecordKind::Nodes))
+    }
+
     /// Reads the list, or the changes after a version.
     async fn read_store(
         &mut self,
@@ -305,6 +321,7 @@
                 let now = times::clocks::boot_now();
                 self.record_success(now);
                 let at = list.at;
+                self.listed_at = Some(at);
                 self.state.observe_era(at, now);
                 self.applier.apply_list(self.kind, list, now);
                 if self.kind == links::RecordKind::Targets {
@@ -425,6 +442,9 @@
     fn record_success(&mut self, now: times::BootTime) {
         let store_age = self.state.store_age(now);
         self.state.record_store_answer(now);
+        if self.is_probe() {
+            self.state.store_outages().set_probe_failing(false);
+        }
         if !self.backoff.reset() {
             return;
         }
@@ -432,7 +452,7 @@
             return;
         };
         let away = now.since(since);
-        self.state.notify_store_return(away);
+        self.state.store_outages().record_return(since, now);
         log::info!(
             event = "store-back",
             kind = self.kind.label(),
@@ -445,10 +465,21 @@
         }
     }
 
+    /// Forgets earlier failures once this loop relies on the steward, which tells of an outage's end
+    /// itself.
+    fn end_failures(&mut self) {
+        if self.backoff.reset() {
+            self.failing_since = None;
+            if self.is_probe() {
+                self.state.store_outages().record_steward();
+            }
+        }
+    }
+
     /// Records a failed call that was to be answered from `due_at` on, and waits until the next one is
     /// due.
     async fn record_failure(&mut self, error: &links::StoreError, due_at: times::BootTime) {
-        let mut returns = self.state.watch_store_returns();
+        let returns = self.state.store_outages().watch_returns();
         let now = times::clocks::boot_now();
         self.state.metrics().count_store_failure(self.kind.label());
         if self.failing_since.is_none() {
@@ -462,28 +493,67 @@
                 ""
             );
         }
-        let is_steward = self.state.with_peers(|peers| peers.is_steward());
-        let backoff = self.backoff.next_delay(is_steward, rand::random());
-        let is_first_reader = self.state.is_first_reader(now);
-        let probes_store = if is_steward {
-            self.kind == links::RecordKind::Targets
-        } else {
-            self.kind == links::RecordKind::Document
+        let is_probe = self.is_probe();
+        if is_probe {
+            self.state.store_outages().set_probe_failing(true);
+        }
+        let facts = stewards::OutageFacts {
+            failures: self.backoff.record_failure(),
+            role: self.state.reader_role(now),
+            is_probe,
+            is_probe_failing: self.state.store_outages().is_probe_failing(),
         };
-        let may_retry = is_first_reader && self.backoff.failures() <= MAX_OWN_RETRIES;
-        if probes_store || may_retry {
-            let backoff = if is_first_reader {
-                backoff
-            } else {
-                backoff * 2
-            };
-            tokio::time::sleep(backoff).await;
-            return;
+        self.pause(stewards::outage_step(facts, rand::random()), returns)
+            .await;
+    }
+
+    /// Waits as a step says, at most until this loop can rely on the steward.
+    async fn pause(
+        &self,
+        step: stewards::OutageStep,
+        mut returns: watch::Receiver<time::Duration>,
+    ) {
+        let is_listed = self.followed_version(None).is_some();
+        let can_follow = record_source::wait_for_steward(&self.state, self.kind, is_listed);
+        match step {
+            stewards::OutageStep::Retry(delay) => tokio::select! {
+                () = can_follow => {}
+                () = tokio::time::sleep(delay) => {}
+            },
+            stewards::OutageStep::AwaitReturn(limit) => tokio::select! {
+                _returned = returns.changed() => {}
+                () = can_follow => {}
+                () = tokio::time::sleep(limit) => {}
+            },
         }
-        tokio::select! {
-            _returned = returns.changed() => {}
-            () = tokio::time::sleep(MAX_RECOVERY_WAIT) => {}
+    }
+
+    /// Lets the probe call the store first, as this node can no longer follow its steward; returns
+    /// whether the store was away for the probe, and this loop has waited instead of calling.
+    async fn leaves_call_to_probe(&self, now: times::BootTime) -> bool {
+        if self.is_probe() || self.state.is_first_reader(now) {
+            return false;
+        }
+        let returns = self.state.store_outages().watch_returns();
+        tokio::time::sleep(PROBE_LEAD).await;
+        let is_away = self.state.store_outages().is_probe_failing();
+        if is_away {
+            let step = stewards::OutageStep::AwaitReturn(stewards::MAX_OUTAGE_WAIT);
+            self.pause(step, returns).await;
         }
+        is_away
+    }
+
+    /// Returns whether this loop keeps calling the store in an outage: the one for the registrations
+    /// at a steward, on whose relay messages others depend, and the one for the document elsewhere.
+    fn is_probe(&self) -> bool {
+        let is_steward = self.state.with_peers(|peers| peers.is_steward());
+        self.kind
+            == if is_steward {
+                links::RecordKind::Targets
+            } else {
+                links::RecordKind::Document
+            }
     }
 }
 
--- a/crates/pier_edge/src/records/record_source.rs
+++ b/crates/pier_edge/src/records/record_source.rs
@@ -36,17 +36,36 @@
 ) {
     loop {
         tokio::time::sleep(FOLLOW_INTERVAL).await;
-        let now = times::clocks::boot_now();
-        let can_follow = is_listed && follows_relay(state, kind, now);
-        if can_follow
-            || snapshot_source(state, kind, now).is_some()
-            || watch_timeout(state, kind) < timeout
-        {
+        if can_rely(state, kind, is_listed) || watch_timeout(state, kind) < timeout {
             return;
         }
     }
 }
 
+/// Waits until a loop can rely on the steward again; `is_listed` is whether it needs no list first.
+pub(super) async fn wait_for_steward<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    kind: links::RecordKind,
+    is_listed: bool,
+) {
+    loop {
+        tokio::time::sleep(FOLLOW_INTERVAL).await;
+        if can_rely(state, kind, is_listed) {
+            return;
+        }
+    }
+}
+
+fn can_rely<P: links::FleetPlatform>(
+    state: &state::EdgeState<P>,
+    kind: links::RecordKind,
+    is_listed: bool,
+) -> bool {
+    let now = times::clocks::boot_now();
+    let can_follow = is_listed && follows_relay(state, kind, now);
+    can_follow || snapshot_source(state, kind, now).is_some()
+}
+
 /// Returns the steward from which the records of a kind can be read, if there is one.
 pub(super) fn snapshot_source<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -8,7 +8,7 @@
 
 use pier_fleet::{documents, reach, targets};
 use pier_types::{epochs, ids, times};
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 
 use crate::{crashes, links, peers, serving, settings, state, telemetry};
 
@@ -57,7 +57,7 @@
     has_served: atomic::AtomicBool,
     local_retiring: sync::Mutex<collections::BTreeSet<ids::VmName>>,
     registry_changed: Notify,
-    store_outage: watch::Sender<time::Duration>,
+    store_outages: state::StoreOutages,
     pub(super) relay_log: sync::Mutex<peers::RelayLog>,
     pub(super) follower: sync::Mutex<peers::RelayFollower>,
     loads: sync::Mutex<peers::LoadExchange>,
@@ -103,7 +103,7 @@
             has_served: atomic::AtomicBool::new(false),
             local_retiring: sync::Mutex::default(),
             registry_changed: Notify::new(),
-            store_outage: watch::Sender::default(),
+            store_outages: state::StoreOutages::default(),
             relay_log: sync::Mutex::default(),
             follower: sync::Mutex::default(),
             loads: sync::Mutex::default(),
@@ -413,15 +413,8 @@
         self.shared.registry_changed.notified().await;
     }
 
-    /// Tells the loops that wait for it that the store answers again; `outage` is how long it did not.
-    pub(crate) fn notify_store_return(&self, outage: time::Duration) {
-        self.shared.store_outage.send_replace(outage);
-    }
-
-    /// Returns a receiver that changes to the length of the outage when the store answers again from
-    /// now on.
-    pub(crate) fn watch_store_returns(&self) -> watch::Receiver<time::Duration> {
-        self.shared.store_outage.subscribe()
+    pub(crate) fn store_outages(&self) -> &state::StoreOutages {
+        &self.shared.store_outages
     }
 
     pub(crate) fn with_loads<T>(&self, change: impl FnOnce(&mut peers::LoadExchange) -> T) -> T {
--- a/crates/pier_edge/src/state/store_view.rs
+++ b/crates/pier_edge/src/state/store_view.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::atomic, time};
 
+use pier_fleet::stewards;
 use pier_types::{epochs, times};
 
 use crate::{links, peers, state};
@@ -86,6 +87,23 @@
         !is_steward && self.with_follower(|follower| follower.is_following(limits, now))
     }
 
+    /// Returns what others expect of this node while the store is away.
+    pub(crate) fn reader_role(&self, now: times::BootTime) -> stewards::ReaderRole {
+        if self.with_peers(|peers| peers.is_steward()) {
+            return stewards::ReaderRole::Steward;
+        }
+        if self.is_first_reader(now) {
+            return stewards::ReaderRole::FirstReader;
+        }
+        let (silence, _store_age) = self.with_follower(|follower| follower.ages(now));
+        let longest = peers::FollowLimits::SHORT.silence;
+        if silence.is_some_and(|silence| silence < longest) {
+            stewards::ReaderRole::Follower
+        } else {
+            stewards::ReaderRole::Lone
+        }
+    }
+
     /// Returns how long this node relies on its steward now.
     fn follow_limits(&self, now: times::BootTime) -> peers::FollowLimits {
         if self.is_first_reader(now) {
--- a/crates/pier_edge/tests/store_outages.rs
+++ b/crates/pier_edge/tests/store_outages.rs
@@ -22,6 +22,16 @@
 /// takes.
 const RESTORE_TIME: time::Duration = time::Duration::from_millis(2_200);
 
+/// Nodes of a fleet that follows a steward.
+const LARGE_FLEET: usize = 16;
+
+/// Calls of a large fleet in an outage of 8 s: those of its steward and of the two nodes that would
+/// replace it, each with four loops, and ten of each other node.
+const CALLS_IN_OUTAGE: usize = 100 + 10 * LARGE_FLEET;
+
+/// Calls of a large fleet within 3 s after it: three of each node, and the steward's watches.
+const CALLS_AFTER_OUTAGE: usize = 60 + 3 * LARGE_FLEET;
+
 /// Requests that would reach a target in use.
 const MANY_REQUESTS: usize = 24;
 
@@ -174,3 +184,48 @@
     let rate = (lists() - before) / 3;
     assert!(rate <= 4, "{rate} lists a second");
 }
+
+/// Guards against an outage in which all nodes of a large fleet go on calling the store, and against
+/// lists that each loop of a node makes the others repeat as it notices the store's return.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_costs_a_large_fleet_few_calls() {
+    let platform = FakePlatform::default();
+    let target = ScriptedTarget::start(Script::Whole("done")).await;
+    platform.put_target(plain_entry("t0", target.address));
+    platform.put_document(document_at(3));
+    let mut starting = Vec::new();
+    for number in 0..LARGE_FLEET {
+        let (platform, name) = (platform.clone(), format!("n{number:02}"));
+        starting.push(tokio::spawn(async move {
+            TestNode::start_first(platform, &name, "dc-a").await
+        }));
+    }
+    let mut nodes = Vec::new();
+    for node in starting {
+        nodes.push(node.await.unwrap());
+    }
+    tokio::time::sleep(STABLE_TIME + time::Duration::from_secs(1)).await;
+    let calls = || {
+        let kinds = [
+            links::RecordKind::Targets,
+            links::RecordKind::OutOfService,
+            links::RecordKind::Document,
+            links::RecordKind::Nodes,
+        ];
+        let calls = kinds.map(|kind| platform.calls(kind, "list") + platform.calls(kind, "watch"));
+        calls.iter().sum::<usize>()
+    };
+    let before = calls();
+    platform.set_away(true);
+    tokio::time::sleep(time::Duration::from_secs(8)).await;
+    let away = calls() - before;
+    platform.set_away(false);
+    tokio::time::sleep(STABLE_TIME).await;
+    let more = calls() - before - away;
+    println!("{away} calls in the outage, {more} after it");
+    for node in &nodes {
+        assert_eq!(status(node).await, 200);
+    }
+    assert!(away <= CALLS_IN_OUTAGE, "{away} calls in the outage");
+    assert!(more <= CALLS_AFTER_OUTAGE, "{more} calls after the outage");
+}
