Judge the ends of bodies in pier_node by the same decision

Cause: an answer without framing counted as whole when one attempt to connect to its target was accepted, and unasked when the target was out of use. A port may outlive its process or belong to the next one, so that parts of answers passed as whole ones.

The end is now judged by BodyEnd, as in pier_edge, with the target's report (GET /report, which runs nothing) as the sign of life: it has to name the incarnation that the last probe before the request found. Both paths read the framing in one place, BodyFraming::of; an encoding that does not end in chunks, whose end is that of the connection, counted as chunked before.

--- a/crates/pier_edge/src/serving/body_framing.rs
+++ b/crates/pier_edge/src/serving/body_framing.rs
@@ -5,11 +5,8 @@
 
 /// Returns the framing of an answer whose body has not been read yet.
 pub(super) fn framing_of(head: &http::response::Parts, body: &Incoming) -> attempts::BodyFraming {
-    if body.size_hint().exact().is_some() {
-        attempts::BodyFraming::Length
-    } else if head.headers.contains_key(http::header::TRANSFER_ENCODING) {
-        attempts::BodyFraming::Chunked
-    } else {
-        attempts::BodyFraming::UntilClose
-    }
+    let encodings = head.headers.get_all(http::header::TRANSFER_ENCODING);
+    let last = encodings.iter().next_back();
+    let last = last.and_then(|value| value.to_str().ok());
+    attempts::BodyFraming::of(body.size_hint().exact(), last)
 }
--- a/crates/pier_node/src/probes/mod.rs
+++ b/crates/pier_node/src/probes/mod.rs
@@ -7,4 +7,5 @@
 mod probe_driver;
 
 pub use probe_call::ProbeOutcome;
+pub(crate) use probe_call::fetch_report;
 pub(crate) use probe_driver::ProbeDriver;
--- a/crates/pier_node/src/probes/probe_call.rs
+++ b/crates/pier_node/src/probes/probe_call.rs
@@ -1,6 +1,6 @@
 //! One HTTP probe of a VM.
 
-use std::time;
+use std::{net, time};
 
 use pier_limits::probes as decisions;
 use pier_types::{ids, reports, times, times::clocks, vms};
@@ -32,10 +32,10 @@
 ) {
     let (handle, outcomes) = (handle.clone(), outcomes.clone());
     let vm = entry.name.clone();
-    let url = format!("http://{}/report", entry.address);
+    let address = entry.address;
     tokio::spawn(async move {
         let asked_at = clocks::boot_now();
-        let outcome = fetch(&handle, &url).await;
+        let outcome = fetch_report(handle.client(), address, PROBE_TIMEOUT).await;
         let result = messages::ProbeResult {
             latency: clocks::boot_now().since(asked_at),
             age: time::Duration::ZERO,
@@ -47,11 +47,18 @@
     });
 }
 
-async fn fetch(
-    handle: &handle::NodeHandle,
-    url: &str,
+/// Asks a VM for its report, which runs nothing there.
+///
+/// # Errors
+///
+/// Fails when no readable report arrives within the time-out.
+pub(crate) async fn fetch_report(
+    client: &reqwest::Client,
+    address: net::SocketAddr,
+    timeout: time::Duration,
 ) -> Result<reports::EngineReport, messages::ProbeFailure> {
-    let call = handle.client().get(url).timeout(PROBE_TIMEOUT).send();
+    let url = format!("http://{address}/report");
+    let call = client.get(url).timeout(timeout).send();
     let answer = call.await.map_err(|error| failure_of(&error))?;
     let is_too_large = answer
         .content_length()
--- a/crates/pier_node/src/requests/attempt_call.rs
+++ b/crates/pier_node/src/requests/attempt_call.rs
@@ -23,6 +23,8 @@
     pub(super) plan: sync::Arc<requests::RequestPlan>,
     /// The target.
     pub(super) target: sync::Arc<routes::RouteTarget>,
+    /// The target's process before the request was sent.
+    pub(super) process: Option<requests::TargetProcess>,
     /// The identifier of the attempt.
     pub(super) attempt: ids::AttemptId,
     /// Number of tokens that the caller has already received.
@@ -61,16 +63,12 @@
         self.check_status(answer)
     }
 
-    /// Returns whether the target is in the route table and has not stated that it leaves.
-    pub(super) fn is_target_in_use(&self) -> bool {
-        let leaving = self.handle.requests().leaving();
-        let key = (self.target.target.clone(), self.target.generation);
-        let table = self.handle.routes();
-        let mut listed = table.targets(&self.plan.pool).iter();
-        let is_listed = listed.any(|other| {
-            other.target == self.target.target && other.generation == self.target.generation
-        });
-        is_listed && !leaving.contains_key(&key)
+    /// Finds out whether the target's process has outlived its answer.
+    pub(super) async fn life_sign(&self) -> attempts::LifeSign {
+        match &self.process {
+            Some(process) => process.life_sign(&self.handle).await,
+            None => attempts::LifeSign::Silent,
+        }
     }
 
     /// Returns whether the target's group serves in the generation to which the request was sent.
--- a/crates/pier_node/src/requests/buffered_run.rs
+++ b/crates/pier_node/src/requests/buffered_run.rs
@@ -79,8 +79,8 @@
     let kind = kind.and_then(|value| value.to_str().ok());
     let content_type = kind.unwrap_or("application/octet-stream").to_owned();
     let remaining = call.plan.deadline.since(clocks::boot_now());
-    let body = requests::AnswerBody::new(answer, call.target.address);
-    let reading = body.read(|| call.is_target_in_use());
+    let body = requests::AnswerBody::new(answer);
+    let reading = body.read(call);
     let Ok(body) = tokio::time::timeout(remaining, reading).await else {
         call.cancel();
         let end = attempts::AttemptEnd::TimedOut;
--- a/crates/pier_node/src/requests/request_run.rs
+++ b/crates/pier_node/src/requests/request_run.rs
@@ -3,7 +3,7 @@
 use std::{future, sync, time};
 
 use pier_request::{admission, attempts, claims, quarantine, retries, routing};
-use pier_types::{codes, epochs, ids, routes, sizes, times, times::clocks};
+use pier_types::{codes, ids, sizes, times, times::clocks};
 
 use crate::{callers, handle, requests, telemetry};
 
@@ -89,6 +89,7 @@
             handle: self.handle.clone(),
             plan: sync::Arc::clone(&self.plan),
             target: sync::Arc::clone(permit.target()),
+            process: requests::TargetProcess::probed(&self.handle, permit.target()),
             attempt,
             resume_from,
         }
@@ -318,31 +319,18 @@
     fn send_crash(&self, permit: &routing::RoutePermit) {
         let target = permit.target();
         let own_in_flight = permit.in_flight().get();
+        let process = requests::TargetProcess::probed(&self.handle, target);
         let event = requests::CrashEvent::ConnectionClosed {
             target: target.target.clone(),
             generation: target.generation,
             fingerprint: self.plan.fingerprint,
             suspects: own_in_flight.max(target.load.running.get()),
             address: target.address,
-            incarnation: self.probed_incarnation(target),
+            incarnation: process.map(|process| process.incarnation()),
         };
         self.handle.requests().send_crash(event);
     }
 
-    /// Returns the incarnation of the VM that receives a target's requests, as of the last probe.
-    fn probed_incarnation(&self, target: &routes::RouteTarget) -> Option<epochs::VmIncarnation> {
-        let list = self.handle.vms();
-        let vm = match &target.target {
-            ids::TargetId::Vm(vm) => vm,
-            ids::TargetId::Group(_group) => {
-                let mut entries = list.values();
-                &entries.find(|entry| entry.address == target.address)?.name
-            }
-        };
-        let evidence = self.handle.evidence();
-        Some(evidence.get(vm)?.report.incarnation)
-    }
-
     fn is_quarantined(&self) -> bool {
         let set = self.handle.requests().quarantine();
         let set: &quarantine::QuarantineSet = &set;
--- a/crates/pier_request/src/attempts/body_end.rs
+++ b/crates/pier_request/src/attempts/body_end.rs
@@ -12,6 +12,19 @@
 }
 
 impl BodyFraming {
+    /// Returns the framing of an answer with a stated length, or with a last `Transfer-Encoding`.
+    ///
+    /// Chunks mark the end only as the last encoding; others end with the connection.
+    pub fn of(length: Option<u64>, encodings: Option<&str>) -> Self {
+        let last = encodings.and_then(|names| names.rsplit(',').next());
+        let is_chunked = last.is_some_and(|name| name.trim().eq_ignore_ascii_case("chunked"));
+        match length {
+            Some(_length) => Self::Length,
+            None if is_chunked => Self::Chunked,
+            None => Self::UntilClose,
+        }
+    }
+
     /// Returns the name in logs and metrics.
     pub const fn label(self) -> &'static str {
         match self {
--- a/crates/pier_request/tests/body_ends.rs
+++ b/crates/pier_request/tests/body_ends.rs
@@ -27,6 +27,23 @@
     }
 }
 
+/// Guards against encodings without chunks whose end counts as marked.
+#[test]
+fn only_chunks_as_the_last_encoding_mark_the_end() {
+    for (length, encodings, framing) in [
+        (Some(0), None, BodyFraming::Length),
+        (Some(5), None, BodyFraming::Length),
+        (None, Some("chunked"), BodyFraming::Chunked),
+        (None, Some("gzip, Chunked "), BodyFraming::Chunked),
+        (None, Some("chunked, gzip"), BodyFraming::UntilClose),
+        (None, Some("identity"), BodyFraming::UntilClose),
+        (None, Some(""), BodyFraming::UntilClose),
+        (None, None, BodyFraming::UntilClose),
+    ] {
+        assert_eq!(BodyFraming::of(length, encodings), framing, "{encodings:?}");
+    }
+}
+
 /// Guards against framed answers that wait for, or are cut by, the check of the process.
 #[test]
 fn a_framed_end_does_not_depend_on_the_process() {
