Wait in pier_node for answers that slow callers still take

Cause: a buffered answer counted as in progress until its handler had returned. The drain then stopped the server, which closes its connections 3 s later whatever the limit of the drain, so that an answer of 3 MB to a caller that read 600 kB/s was cut after 2.3 MB.

A buffered answer now counts until the server has taken its body, and the drain waits until the kernel's list of connections, which the node already reads for callers that leave, shows nothing unacknowledged on the callers' port. Connections without progress for 5 s are not waited for, and the limit of the drain holds as before.

--- a/crates/pier_node/src/callers/caller_routes.rs
+++ b/crates/pier_node/src/callers/caller_routes.rs
@@ -1,7 +1,5 @@
 //! The HTTP routes of the callers' port.
 
-use std::io;
-
 use pier_types::times;
 use rocket::http::{Header, Method, Status};
 use rocket::response::Responder as _;
@@ -105,7 +103,8 @@
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
         let guard = self.handle.begin_request();
         let reply = self.answer(request, data).await;
-        match response_of(reply, guard, request) {
+        let answer = self.handle.begin_answer();
+        match response_of(reply, guard, answer, request) {
             Ok(response) => Outcome::Success(self.close_if_draining(response)),
             Err(status) => Outcome::Error(status),
         }
@@ -149,10 +148,11 @@
 fn response_of<'r>(
     reply: callers::CallerReply,
     guard: handle::RequestGuard,
+    answer: handle::RequestGuard,
     request: &'r Request<'_>,
 ) -> Result<Response<'r>, Status> {
     let mut response = match reply.body {
-        callers::ReplyBody::Buffered(body) => buffered_response(body),
+        callers::ReplyBody::Buffered(body) => buffered_response(body, answer),
         callers::ReplyBody::Stream(parts) => stream_response(parts, guard, request)?,
     };
     response.set_status(Status::new(reply.status));
@@ -164,10 +164,10 @@
     Ok(response)
 }
 
-fn buffered_response<'r>(body: bytes::Bytes) -> Response<'r> {
+fn buffered_response<'r>(body: bytes::Bytes, answer: handle::RequestGuard) -> Response<'r> {
     let size = body.len();
     Response::build()
-        .sized_body(size, io::Cursor::new(body))
+        .sized_body(size, callers::CountedBody::new(body, answer))
         .finalize()
 }
 
--- a/crates/pier_node/src/callers/connection_table.rs
+++ b/crates/pier_node/src/callers/connection_table.rs
@@ -7,10 +7,11 @@
 /// The kernel's connection lists for IPv4 and IPv6.
 const LISTS: [&str; 2] = ["/proc/net/tcp", "/proc/net/tcp6"];
 
-/// The callers with an open connection to one port.
+/// The callers with an open connection to one port, and what the kernel has yet to send to them.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ConnectionTable {
     callers: collections::BTreeSet<net::SocketAddr>,
+    unsent: collections::BTreeMap<net::SocketAddr, u32>,
 }
 
 impl ConnectionTable {
@@ -45,7 +46,7 @@
         Ok(Self::load(address.port())?.contains(caller.local_addr()?))
     }
 
-    /// Adds the open connections to a port from one list.
+    /// Adds the connections to a port from one list.
     ///
     /// # Errors
     ///
@@ -53,14 +54,24 @@
     pub fn read(&mut self, list: impl io::BufRead, port: u16) -> anyhow::Result<()> {
         let entries = lists::TcpNetEntries::from_buf_read(list, procfs::current_system_info())?
             .0
-            .into_iter();
-        let open = entries.filter(|entry| {
-            entry.local_address.port() == port && entry.state == lists::TcpState::Established
-        });
-        self.callers.extend(open.map(|entry| entry.remote_address));
+            .into_iter()
+            .filter(|entry| entry.local_address.port() == port);
+        for entry in entries {
+            if entry.state == lists::TcpState::Established {
+                self.callers.insert(entry.remote_address);
+            }
+            if entry.tx_queue > 0 && entry.state != lists::TcpState::Listen {
+                self.unsent.insert(entry.remote_address, entry.tx_queue);
+            }
+        }
         Ok(())
     }
 
+    /// Returns how many bytes callers have not acknowledged, by connection; closing ones count too.
+    pub const fn unsent(&self) -> &collections::BTreeMap<net::SocketAddr, u32> {
+        &self.unsent
+    }
+
     /// Returns whether a caller's connection is open.
     ///
     /// An IPv4 caller may be listed under its IPv4-mapped IPv6 address.
--- a/crates/pier_node/src/daemon/node_daemon.rs
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context as _;
 use pier_limits::shifts;
-use pier_types::ids;
+use pier_types::{ids, times};
 
 use crate::{
     callers, configs, control, daemon, forwards, handle, operators, peers, requests, settings,
@@ -14,6 +14,12 @@
 /// Time between two checks for requests in progress during a drain.
 const DRAIN_POLL: time::Duration = time::Duration::from_millis(20);
 
+/// Time between two looks at what callers have yet to take of their answers.
+const UNSENT_POLL: time::Duration = time::Duration::from_millis(100);
+
+/// Looks in a row without anything left after which a drain ends.
+const IDLE_POLLS: u32 = 2;
+
 /// Number of system-chosen ports to try until one is free for both TCP and UDP.
 const PORT_ATTEMPTS: u32 = 10;
 
@@ -131,28 +137,53 @@
         self.peers
     }
 
-    /// Turns unready, waits until load balancers have noticed and requests in progress have ended,
-    /// then stops the servers.
+    /// Turns unready, waits until load balancers have noticed, requests in progress have ended and
+    /// callers have their answers, then stops the servers.
     pub async fn drain(self) {
         let settings = self.handle.settings().clone();
         self.handle.start_drain();
         log::info!(event = "drain-started", node:% = self.handle.name(); "");
         tokio::time::sleep(settings.drain_notice).await;
-        self.wait_for_requests(settings.drain_limit).await;
+        let waiting = self.wait_for_answers();
+        if tokio::time::timeout(settings.drain_limit, waiting)
+            .await
+            .is_err()
+        {
+            let requests = self.handle.requests_in_progress();
+            let answers = self.handle.unwritten_answers();
+            log::warn!(event = "drain-limit-reached", requests = requests, answers = answers; "");
+        }
         self.callers.stop().await;
         self.operators.stop().await;
         log::info!(event = "drain-ended", node:% = self.handle.name(); "");
     }
 
-    async fn wait_for_requests(&self, limit: time::Duration) {
-        let waiting = async {
+    /// Waits until no request is in progress and no caller is taking an answer.
+    async fn wait_for_answers(&self) {
+        let mut unsent = callers::UnsentAnswers::default();
+        let mut idle_polls = 0;
+        while idle_polls < IDLE_POLLS {
             while self.handle.requests_in_progress() > 0 {
+                idle_polls = 0;
                 tokio::time::sleep(DRAIN_POLL).await;
             }
-        };
-        if tokio::time::timeout(limit, waiting).await.is_err() {
-            let left = self.handle.requests_in_progress();
-            log::warn!(event = "drain-limit-reached", requests = left; "");
+            let port = self.callers_address().port();
+            let loading = move || callers::ConnectionTable::load(port);
+            let Ok(Ok(table)) = tokio::task::spawn_blocking(loading).await else {
+                // What is left cannot be known; the server gives connections a short time.
+                return;
+            };
+            let now = times::clocks::boot_now();
+            unsent.record(table.unsent(), self.handle.unwritten_answers(), now);
+            idle_polls = if unsent.is_any_taken(now) {
+                0
+            } else {
+                idle_polls + 1
+            };
+            tokio::time::sleep(UNSENT_POLL).await;
+        }
+        if unsent.count() > 0 {
+            log::warn!(event = "answers-not-taken", connections = unsent.count(); "");
         }
     }
 
--- a/crates/pier_node/src/handle/node_handle.rs
+++ b/crates/pier_node/src/handle/node_handle.rs
@@ -30,6 +30,7 @@
     traces: telemetry::TraceSink,
     draining: atomic::AtomicBool,
     in_progress: sync::Arc<atomic::AtomicUsize>,
+    unwritten: sync::Arc<atomic::AtomicUsize>,
     platform_contact_at: atomic::AtomicU64,
     isolated: atomic::AtomicBool,
     views: handle::NodeViews,
@@ -67,6 +68,7 @@
             traces,
             draining: atomic::AtomicBool::new(false),
             in_progress: sync::Arc::default(),
+            unwritten: sync::Arc::default(),
             platform_contact_at: atomic::AtomicU64::new(0),
             isolated: atomic::AtomicBool::new(false),
             views: handle::NodeViews::default(),
@@ -171,6 +173,16 @@
         self.shared.in_progress.load(atomic::Ordering::SeqCst)
     }
 
+    /// Counts an answer as not given to its connection until the guard is dropped.
+    pub(crate) fn begin_answer(&self) -> handle::RequestGuard {
+        handle::RequestGuard::new(sync::Arc::clone(&self.shared.unwritten))
+    }
+
+    /// Returns how many answers are not completely given to their connections.
+    pub(crate) fn unwritten_answers(&self) -> usize {
+        self.shared.unwritten.load(atomic::Ordering::SeqCst)
+    }
+
     /// Starts the drain: the node reports itself as not ready to the load balancer.
     pub fn start_drain(&self) {
         self.shared.draining.store(true, atomic::Ordering::SeqCst);
--- a/crates/pier_node/src/handle/request_guard.rs
+++ b/crates/pier_node/src/handle/request_guard.rs
@@ -1,15 +1,15 @@
-//! Counts a request as in progress.
+//! Counts a request or its answer.
 
 use std::sync::{self, atomic};
 
-/// Keeps one request counted until dropped.
+/// Keeps one request or answer counted until dropped.
 #[derive(Debug)]
 pub struct RequestGuard {
     count: sync::Arc<atomic::AtomicUsize>,
 }
 
 impl RequestGuard {
-    /// Counts one more request.
+    /// Counts one more.
     pub(crate) fn new(count: sync::Arc<atomic::AtomicUsize>) -> Self {
         count.fetch_add(1, atomic::Ordering::SeqCst);
         Self { count }
--- a/crates/pier_node/tests/caller_disconnects.rs
+++ b/crates/pier_node/tests/caller_disconnects.rs
@@ -146,3 +146,24 @@
     let broken = format!("{LIST_HEADING}   0: broken\n");
     assert!(table.read(broken.as_bytes(), 8_080).is_err());
 }
+
+/// Guards against missing what a connection that is being closed has yet to send.
+#[test]
+fn the_connection_table_shows_what_is_left_to_send() {
+    let caller = |port: u16| net::SocketAddr::from(([127, 0, 0, 2], port));
+    let rest = |unsent: &str| LIST_REST.replacen("00000000", unsent, 1);
+    let lines = [
+        ("0100007F:1F90 00000000:0000 0A", rest("00000005")),
+        ("0100007F:1F90 0200007F:C000 01", rest("00000000")),
+        ("0100007F:1F90 0200007F:C001 01", rest("00000100")),
+        ("0100007F:1F90 0200007F:C002 04", rest("00000001")),
+        ("0100007F:1F91 0200007F:C003 01", rest("00000007")),
+    ];
+    let lines = lines.iter().enumerate();
+    let lines = lines.map(|(number, (line, rest))| format!("{number:4}: {line} {rest}\n"));
+    let text = format!("{LIST_HEADING}{}", lines.collect::<String>());
+    let mut table = callers::ConnectionTable::default();
+    table.read(text.as_bytes(), 8_080).unwrap();
+    let expected = [(caller(0xC001), 256), (caller(0xC002), 1)].into();
+    assert_eq!(table.unsent(), &expected);
+}
--- a/crates/pier_node/tests/support/mod.rs
+++ b/crates/pier_node/tests/support/mod.rs
@@ -194,7 +194,8 @@
     assert!(waited.is_ok(), "waited in vain for {what}");
 }
 
-fn entry(name: &str, address: net::SocketAddr, pool: vms::VmPool) -> vms::VmEntry {
+/// Returns the entry of a VM in the list.
+pub fn entry(name: &str, address: net::SocketAddr, pool: vms::VmPool) -> vms::VmEntry {
     vms::VmEntry {
         name: name.parse().unwrap(),
         incarnation: epochs::VmIncarnation::new(1),
