Send loads to the hubs that the other data centres have

A hub sent its data centre's sums to the steward of the other one if it knew it to be alive, or else to the first live node by name. Heartbeats of other data centres come in summaries of twelve nodes, one burst a second that one node forwards to all of its own: a narrow link drops the last datagrams of the burst, and these were always the ones with the sender itself, the steward. Its sums then went to a node that is no hub for 5 to 10 s at a time, and the nodes of one data centre decided on half of the load.

- A hub sends to the hub that the last digest of the other data centre names; while none arrives, to the steward and the first live node.
- A node that gets a digest from another data centre and is not the hub passes it on to the hub.
- The summaries of a burst come in random order.

The line about a sent request tells what its expectation was made of.

--- a/crates/pier_edge/src/peers/beat_loop.rs
+++ b/crates/pier_edge/src/peers/beat_loop.rs
@@ -133,6 +133,7 @@
             state.with_loads(|loads| loads.hub.record_report(report, now));
         }
         peers::PeerMessage::Digest(digest) => {
+            peers::load_intake::pass_on(state, socket, &digest, from).await;
             peers::load_intake::apply_digest(state, digest, now);
         }
         peers::PeerMessage::Crashes(delta) => {
--- a/crates/pier_edge/src/peers/load_loop.rs
+++ b/crates/pier_edge/src/peers/load_loop.rs
@@ -1,6 +1,6 @@
 //! Exchanges loads and looks for targets that make no progress.
 
-use std::{collections, sync, time};
+use std::{collections, net, sync, time};
 
 use pier_fleet::loads;
 use pier_types::{ids, times};
@@ -173,6 +173,27 @@
         }
     }
 
+    /// Returns the addresses in another data centre to which this one's sums are sent.
+    fn contacts(&self, other: &ids::DataCentreName, now: times::BootTime) -> Vec<net::SocketAddr> {
+        let data_centre = &self.state.settings().data_centre;
+        let (steward, live_nodes) = self.state.with_peers(|peers| {
+            (
+                peers.steward(other).cloned(),
+                peers.live_nodes(other, data_centre, now),
+            )
+        });
+        let contacts = self.state.with_loads(|loads| {
+            let contacts = loads
+                .hub
+                .contacts(other, steward.as_ref(), &live_nodes, now);
+            contacts.into_iter().cloned().collect::<Vec<_>>()
+        });
+        self.state.with_peers(|peers| {
+            let addresses = contacts.iter().filter_map(|node| peers.address_of(node));
+            addresses.collect()
+        })
+    }
+
     /// Sends the merged sums to the nodes of this data centre, and this data centre's own sums to
     /// the hubs of the others.
     async fn digest(&mut self, now: times::BootTime) {
@@ -180,18 +201,11 @@
         let local_node = self.state.node();
         let centres = self.state.settings().data_centres.iter();
         let others: Vec<_> = centres.filter(|other| *other != data_centre).collect();
-        let (local, hubs) = self.state.with_peers(|peers| {
-            let hubs = others.iter().filter_map(|other| {
-                let live_nodes = peers.live_nodes(other, data_centre, now);
-                let steward = peers.steward(other);
-                let steward = steward.filter(|steward| live_nodes.contains(*steward));
-                peers.address_of(steward.or_else(|| live_nodes.first())?)
-            });
-            (
-                peers.local_addresses(data_centre, now),
-                hubs.collect::<Vec<_>>(),
-            )
-        });
+        let hubs = others.iter().flat_map(|other| self.contacts(other, now));
+        let hubs: Vec<_> = hubs.collect();
+        let local = self
+            .state
+            .with_peers(|peers| peers.local_addresses(data_centre, now));
         let number = self.state.with_loads(|loads| {
             loads.digest_number += 1;
             loads.digest_number
--- a/crates/pier_edge/src/peers/summary_loop.rs
+++ b/crates/pier_edge/src/peers/summary_loop.rs
@@ -3,7 +3,7 @@
 use std::{sync, time};
 
 use pier_types::times;
-use rand::seq::IndexedRandom as _;
+use rand::seq::{IndexedRandom as _, SliceRandom as _};
 use tokio::net::UdpSocket;
 
 use super::beat_loop;
@@ -43,7 +43,9 @@
             age: time::Duration::ZERO,
             beat: beat_loop::summary_beat(&state, now),
         });
-        let summaries = peers::CentreSummary::split(own, &heard, MAX_SUMMARY_NODES);
+        let mut summaries = peers::CentreSummary::split(own, &heard, MAX_SUMMARY_NODES);
+        // A narrow link of the receiver drops the last datagrams that it forwards.
+        summaries.shuffle(&mut rand::rng());
         let others = state.settings().data_centres.iter();
         for other in others.filter(|other| *other != own) {
             let receivers = state.with_peers(|peers| peers.summary_receivers(other, now));
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -170,15 +170,21 @@
     if slot.is_node() {
         return;
     }
+    let now = times::clocks::boot_now();
+    let load_age = job.state.with_loads(|loads| loads.follower.age(now));
     log::info!(
         event = "request-sent",
         attempt = job.head.attempt.as_str(),
         target_vm:% = slot.vm,
         generation:% = slot.generation,
         expected_ms = millis(expected),
-        store_age_ms = millis(job.state.knowledge_age(times::clocks::boot_now())),
+        store_age_ms = millis(job.state.knowledge_age(now)),
+        learned_ms = millis(job.mean_delay()),
+        prompt_tokens = job.head.prompt_tokens,
         running = slot.gauge.running(),
-        waiting = slot.gauge.waiting();
+        waiting = slot.gauge.waiting(),
+        waiting_tokens = slot.gauge.waiting_prompt(),
+        load_age_ms:? = load_age.map(millis);
         ""
     );
 }
--- a/crates/pier_fleet/src/loads/hub_choice.rs
+++ b/crates/pier_fleet/src/loads/hub_choice.rs
@@ -38,6 +38,13 @@
             .is_some_and(|(chosen, _since)| chosen == node)
     }
 
+    /// Returns the node to which `own` passes on a digest from another data centre: the chosen hub,
+    /// unless it is `own`. Hubs that do not know each other send their digests to other nodes.
+    pub fn passes_to(&self, own: &ids::NodeName) -> Option<&ids::NodeName> {
+        let chosen = self.chosen.as_ref().map(|(chosen, _since)| chosen);
+        chosen.filter(|chosen| *chosen != own)
+    }
+
     /// Chooses the hub: the steward while it is alive, otherwise the first live node by name.
     /// Nodes that recently fell silent as hub are skipped. `live_nodes` holds the nodes of the data
     /// centre that send heartbeats and are not leaving, `own` included.
--- a/crates/pier_fleet/src/loads/load_follower.rs
+++ b/crates/pier_fleet/src/loads/load_follower.rs
@@ -46,6 +46,11 @@
         (now.since(*at) < DIGEST_LIFETIME).then_some(digest)
     }
 
+    /// Returns the time since the latest digest arrived; `None` before the first.
+    pub fn age(&self, now: times::BootTime) -> Option<time::Duration> {
+        self.latest.as_ref().map(|(_digest, at)| now.since(*at))
+    }
+
     /// Returns the load by target of all nodes except the one with the tag `own_tag`; `None`
     /// without a current digest.
     pub fn other_loads(&self, own_tag: u32, now: times::BootTime) -> Option<TargetLoads> {
--- a/crates/pier_fleet/src/loads/load_hub.rs
+++ b/crates/pier_fleet/src/loads/load_hub.rs
@@ -42,6 +42,26 @@
         }
     }
 
+    /// Returns the nodes of another data centre to which this one's sums are sent.
+    ///
+    /// That is its hub, as its last digest names it. While none arrives, it is the steward and the first
+    /// live node by name, one of which is its hub unless the view of that data centre is incomplete.
+    /// `steward` may be a node that is not known to be alive.
+    pub fn contacts<'a>(
+        &'a self,
+        data_centre: &ids::DataCentreName,
+        steward: Option<&'a ids::NodeName>,
+        live_nodes: &'a collections::BTreeSet<ids::NodeName>,
+        now: times::BootTime,
+    ) -> collections::BTreeSet<&'a ids::NodeName> {
+        let heard = self.digests.get(data_centre);
+        let heard = heard.filter(|(_digest, at)| now.since(*at) < DIGEST_LIFETIME);
+        match heard {
+            Some((digest, _at)) => collections::BTreeSet::from([&digest.hub]),
+            None => steward.into_iter().chain(live_nodes.first()).collect(),
+        }
+    }
+
     /// Drops the reports and digests of nodes and hubs that fell silent.
     pub fn expire(&mut self, now: times::BootTime) {
         self.reports
--- a/crates/pier_fleet/tests/hubs_aggregate_loads.rs
+++ b/crates/pier_fleet/tests/hubs_aggregate_loads.rs
@@ -182,3 +182,98 @@
     let chosen = choice.choose(&node(3), None, &names(&[3]), NOW);
     assert_eq!(chosen, Some(node(3)));
 }
+
+/// Nodes of two data centres, of which each data centre's hub may send its digests to any node of the
+/// other one.
+struct TwoCentres {
+    hubs: [loads::LoadHub; 2],
+    choices: [loads::HubChoice; 2],
+}
+
+impl TwoCentres {
+    const NAMES: [&str; 2] = ["a", "b"];
+
+    /// Node 0 and node 8 are the hubs, 1 and 9 other nodes.
+    fn new() -> Self {
+        let mut hubs = [loads::LoadHub::default(), loads::LoadHub::default()];
+        hubs[0].record_report(report(1, 1, 7, 2), NOW);
+        hubs[1].record_report(report(9, 1, 7, 4), NOW);
+        let choose = |hub: u32, other: u32| {
+            let mut choice = loads::HubChoice::default();
+            let live_nodes = collections::BTreeSet::from([node(hub), node(other)]);
+            choice.choose(&node(other), Some(&node(hub)), &live_nodes, NOW);
+            choice
+        };
+        Self {
+            hubs,
+            choices: [choose(0, 1), choose(8, 9)],
+        }
+    }
+
+    /// Sends one data centre's digest as its hub sees the other one, and returns how many datagrams
+    /// that took between them.
+    fn send(
+        &mut self,
+        from: usize,
+        live_nodes: &[u32],
+        number: u64,
+        now: times::BootTime,
+    ) -> usize {
+        let to = 1 - from;
+        let (centre, other) = (data_centre(Self::NAMES[from]), data_centre(Self::NAMES[to]));
+        let live_nodes = live_nodes.iter().map(|number| node(*number)).collect();
+        let contacts = self.hubs[from].contacts(&other, None, &live_nodes, now);
+        let contacts: Vec<_> = contacts.into_iter().cloned().collect();
+        let hub = node([0, 8][from]);
+        let retiring = collections::BTreeSet::new();
+        let digest = self.hubs[from].local_digest(&hub, &centre, number, retiring);
+        for contact in &contacts {
+            let is_hub = self.choices[to].is_chosen(contact);
+            let passed_to = self.choices[to].passes_to(contact);
+            assert_eq!(passed_to.is_none(), is_hub);
+            let receiver = passed_to.unwrap_or(contact);
+            assert!(self.choices[to].is_chosen(receiver));
+            self.hubs[to].record_digest(digest.clone(), now);
+        }
+        contacts.len()
+    }
+
+    fn remote_running(&self, centre: usize) -> u32 {
+        let merged = digest(&self.hubs[centre], 99);
+        merged.remote.get(&vm(7)).map_or(0, |load| load.running)
+    }
+}
+
+// Guards against sums that a hub sends to a node which is no hub, for as long as the heartbeats of the
+// true one are lost.
+#[test]
+fn hubs_get_each_others_sums_while_their_own_heartbeats_are_lost() {
+    let mut centres = TwoCentres::new();
+    // Either hub knows only the other's second node.
+    centres.send(0, &[9], 1, NOW);
+    centres.send(1, &[1], 1, NOW);
+    assert_eq!(
+        (centres.remote_running(0), centres.remote_running(1)),
+        (4, 2)
+    );
+}
+
+#[test]
+fn hubs_that_heard_of_each_other_send_to_each_other_alone() {
+    let mut centres = TwoCentres::new();
+    centres.send(0, &[9], 1, NOW);
+    let none = collections::BTreeSet::new();
+    let contacts = centres.hubs[1].contacts(&data_centre("a"), None, &none, NOW);
+    assert_eq!(contacts, collections::BTreeSet::from([&node(0)]));
+}
+
+#[test]
+fn a_hub_that_falls_silent_is_sought_among_the_steward_and_the_first_node() {
+    let mut centres = TwoCentres::new();
+    centres.send(0, &[9], 1, NOW);
+    let later = NOW.after(time::Duration::from_secs(2));
+    let live_nodes = collections::BTreeSet::from([node(1), node(2)]);
+    let steward = node(3);
+    let contacts = centres.hubs[1].contacts(&data_centre("a"), Some(&steward), &live_nodes, later);
+    assert_eq!(contacts, collections::BTreeSet::from([&node(1), &steward]));
+}
