--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -25,6 +25,9 @@
     links: collections::BTreeMap<String, net::SocketAddr>,
 }
 
+/// The text of each record of the nodes, with its version.
+type NodeRecords = collections::BTreeMap<String, (u64, String)>;
+
 #[derive(Debug, Default)]
 struct Shared {
     state: Mutex<State>,
@@ -37,7 +40,7 @@
     version: u64,
     targets: collections::BTreeMap<String, (u64, targets::TargetEntry)>,
     document: Option<(u64, Arc<documents::FleetDocument>)>,
-    nodes: collections::BTreeMap<String, (u64, String)>,
+    nodes: NodeRecords,
     out_of_service: collections::BTreeMap<String, u64>,
     removed: Vec<(u64, links::RecordKind, String)>,
     mode: StoreMode,
@@ -48,6 +51,8 @@
     kept_from: u64,
     /// Version at which lists of nodes' records are answered, instead of the current one.
     stale_nodes_at: Option<u64>,
+    /// Records of nodes as they are answered, with their version, instead of the current ones.
+    old_nodes: Option<(u64, NodeRecords)>,
     hides_nodes: bool,
     refuses_nodes: bool,
     refuses_writes: bool,
@@ -283,6 +288,13 @@
         self.change(|state, _version| state.refuses_writes = true);
     }
 
+    /// Answers reads of nodes' records as of now, however they change, or as they are again.
+    pub fn set_nodes_stale(&self, is_stale: bool) {
+        self.change(|state, version| {
+            state.old_nodes = is_stale.then(|| (version, state.nodes.clone()));
+        });
+    }
+
     /// Leaves the records of nodes out of all answers, so that nodes find no peers.
     pub fn hide_nodes(&self) {
         self.change(|state, _version| state.hides_nodes = true);
@@ -300,6 +312,7 @@
             version: state.at(version),
             content,
         };
+        let old_nodes = state.old_nodes.as_ref();
         let records = match kind {
             links::RecordKind::Targets => state
                 .targets
@@ -329,8 +342,8 @@
                     record(name, *version, links::RecordContent::OutOfService(centre))
                 })
                 .collect(),
-            links::RecordKind::Nodes => state
-                .nodes
+            links::RecordKind::Nodes => old_nodes
+                .map_or(&state.nodes, |(_version, nodes)| nodes)
                 .iter()
                 .filter(|(name, _node)| !(state.hides_nodes && name.starts_with("node.")))
                 .map(|(name, (version, text))| {
@@ -338,7 +351,8 @@
                 })
                 .collect(),
         };
-        let stale_at = state.stale_nodes_at;
+        let old_at = old_nodes.map(|(version, _nodes)| *version);
+        let stale_at = old_at.or(state.stale_nodes_at);
         let stale_at = stale_at.filter(|_version| kind == links::RecordKind::Nodes);
         Ok(links::RecordList {
             records,
