--- a/crates/pier_edge/src/records/node_record.rs
+++ b/crates/pier_edge/src/records/node_record.rs
@@ -3,7 +3,6 @@
 use std::time;
 
 use pier_fleet::stewards;
-use pier_types::times;
 
 use crate::{daemon, links, peers, records, state};
 
@@ -41,8 +40,6 @@
         match state.platform().write(&name, None, text.clone()).await {
             links::StoreWrite::Written(version) => {
                 log::info!(event = "node-record-written", version:% = version; "");
-                let now = times::clocks::boot_now();
-                state.start_up().set_record_written(now);
                 backoff.reset();
                 if era.changed().await.is_err() {
                     return;
--- a/crates/pier_edge/src/records/record_applier.rs
+++ b/crates/pier_edge/src/records/record_applier.rs
@@ -310,9 +310,6 @@
         } else {
             let record = serde_json::from_str::<peers::NodeRecord>(text);
             let applied = record.map(|record| {
-                if record.node == *self.state.node() {
-                    self.state.start_up().set_own_record_read();
-                }
                 self.state
                     .with_peers(|peers| peers.apply_record(record, now));
             });
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -71,7 +71,6 @@
             is_follower: false,
             behind_since: None,
             listed_at: None,
-            further_lists: 0,
         };
         record_loop.run()
     });
@@ -90,8 +89,6 @@
     behind_since: Option<times::BootTime>,
     /// Version of the last list.
     listed_at: Option<epochs::ObjectVersion>,
-    /// How often the nodes' records were listed again while this node followed its steward.
-    further_lists: u32,
 }
 
 impl<P: links::FleetPlatform> RecordLoop<P> {
@@ -297,19 +294,6 @@
             tokio::time::sleep(CATCH_UP_DELAY).await;
             return read;
         }
-        let now = times::clocks::boot_now();
-        if record_source::lists_again(&self.state, self.kind, self.further_lists, now) {
-            self.further_lists += 1;
-            let read = self.list().await;
-            log::info!(
-                event = "nodes-listed-again",
-                lists = self.further_lists,
-                is_own_read = self.state.start_up().has_read_own_record(),
-                peers = self.state.with_peers(|peers| peers.count());
-                ""
-            );
-            return read;
-        }
         tokio::select! {
             () = self.state.wait_for_relay_gap() => {}
             () = tokio::time::sleep(record_source::FOLLOW_INTERVAL) => {}
--- a/crates/pier_edge/src/records/record_source.rs
+++ b/crates/pier_edge/src/records/record_source.rs
@@ -110,23 +110,6 @@
     stewards::newcomer_step(&facts) == stewards::NewcomerStep::Wait
 }
 
-/// Returns whether a node that follows its steward lists the records of a kind again, after so many
-/// such lists: the nodes' records, which its steward does not relay.
-pub(super) fn lists_again<P: links::FleetPlatform>(
-    state: &state::EdgeState<P>,
-    kind: links::RecordKind,
-    lists: u32,
-    now: times::BootTime,
-) -> bool {
-    let facts = stewards::RosterFacts {
-        written_for: state.start_up().record_written_for(now),
-        is_own_read: state.start_up().has_read_own_record(),
-        lists,
-        spread: f64::from(state.load_tag()) / f64::from(u32::MAX),
-    };
-    kind == links::RecordKind::Nodes && stewards::lists_nodes_again(&facts)
-}
-
 /// Returns whether this node is the steward of its data centre.
 pub(super) fn is_own_steward<P: links::FleetPlatform>(state: &state::EdgeState<P>) -> bool {
     let own = &state.settings().data_centre;
--- a/crates/pier_edge/src/state/start_up.rs
+++ b/crates/pier_edge/src/state/start_up.rs
@@ -17,9 +17,6 @@
     /// When the nodes' records were read first, in microseconds; 0 before.
     nodes_read_at: AtomicU64,
     nodes_read: Notify,
-    /// When this node's own record was written first, in microseconds; 0 before.
-    record_written_at: AtomicU64,
-    own_record_read: AtomicBool,
 }
 
 impl StartUp {
@@ -56,31 +53,6 @@
         (micros > 0).then(|| now.since(times::BootTime::from_micros(micros)))
     }
 
-    /// Records that this node's own record has been written.
-    pub(crate) fn set_record_written(&self, now: times::BootTime) {
-        let micros = now.as_micros().max(1);
-        // Only the first time counts.
-        let _former = self
-            .record_written_at
-            .compare_exchange(0, micros, RELAXED, RELAXED);
-    }
-
-    /// Returns how long ago this node's own record was written first; `None` before.
-    pub(crate) fn record_written_for(&self, now: times::BootTime) -> Option<time::Duration> {
-        let micros = self.record_written_at.load(RELAXED);
-        (micros > 0).then(|| now.since(times::BootTime::from_micros(micros)))
-    }
-
-    /// Records that this node's own record has been read.
-    pub(crate) fn set_own_record_read(&self) {
-        self.own_record_read.store(true, RELAXED);
-    }
-
-    /// Returns whether this node's own record has been read.
-    pub(crate) fn has_read_own_record(&self) -> bool {
-        self.own_record_read.load(RELAXED)
-    }
-
     /// Waits until the nodes' records are read for the first time; returns once for that.
     pub(crate) async fn wait_for_nodes(&self) {
         self.nodes_read.notified().await;
--- a/crates/pier_fleet/src/stewards/mod.rs
+++ b/crates/pier_fleet/src/stewards/mod.rs
@@ -5,9 +5,7 @@
 mod steward_election;
 mod steward_view;
 
-pub use newcomer_reading::{
-    NewcomerFacts, NewcomerStep, RosterFacts, lists_nodes_again, newcomer_step,
-};
+pub use newcomer_reading::{NewcomerFacts, NewcomerStep, newcomer_step};
 pub use outage_reading::{
     MAX_OUTAGE_WAIT, OutageFacts, OutageStep, ReaderRole, outage_step, retry_delay,
 };
--- a/crates/pier_fleet/src/stewards/newcomer_reading.rs
+++ b/crates/pier_fleet/src/stewards/newcomer_reading.rs
@@ -13,16 +13,6 @@
 /// How long a node waits at the first start of the fleet, in which all nodes write their records.
 const FIRST_START_WAIT: time::Duration = time::Duration::from_millis(600);
 
-/// Least time between the write of a node's own record, or its last list, and a further list of the
-/// nodes' records: answers may be seconds old.
-const ROSTER_WAIT: time::Duration = time::Duration::from_millis(1_500);
-
-/// Greatest time that is added to it, so that nodes which start at once list at different times.
-const ROSTER_SPREAD: time::Duration = time::Duration::from_millis(1_500);
-
-/// Most further lists: one, and another in case the answer was too old.
-const MAX_ROSTER_LISTS: u32 = 2;
-
 /// What a node that has started knows so far of its fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NewcomerFacts {
@@ -74,31 +64,3 @@
         NewcomerStep::Wait
     }
 }
-
-/// What a node that follows a steward knows of its own place among the nodes' records.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct RosterFacts {
-    /// Time since the node's own record was written; `None` before.
-    pub written_for: Option<time::Duration>,
-    /// Whether it has read that record.
-    pub is_own_read: bool,
-    /// How often it has listed the nodes' records again.
-    pub lists: u32,
-    /// A number from 0 to 1 that differs between nodes.
-    pub spread: f64,
-}
-
-/// Returns whether a node lists the nodes' records again.
-///
-/// A node that has read its own record has read all that were written before. Of two nodes the one
-/// whose record was written last has then read the other's, and sends it heartbeats.
-pub fn lists_nodes_again(facts: &RosterFacts) -> bool {
-    if facts.is_own_read || facts.lists >= MAX_ROSTER_LISTS {
-        return false;
-    }
-    let wait = ROSTER_WAIT + ROSTER_SPREAD.mul_f64(facts.spread.clamp(0.0, 1.0));
-    let due = wait * (2 * facts.lists + 1);
-    facts
-        .written_for
-        .is_some_and(|written_for| written_for >= due)
-}
