Let nodes that start at the same time know each other

A node reads the nodes' records once when it starts and stops as soon as it follows its steward, whose relay messages name no nodes. Traced by printing each read and write of the records of 14 nodes: in a failed run n10 wrote its record as version 45 and n11 as 46, the last read of both was of 44, and both followed from then on. Neither sends heartbeats to a node that it does not know, so they did not know each other until the end: `live_nodes` stayed at 12 of 13 at both, in other runs at up to seven nodes. Broadcasts of one miss the other (leaving targets), the samples of live nodes fall short (summaries), and as a node with 12 known peers takes the fleet for small, it reads the document and registrations itself (stewards).

Change: a node goes on watching the nodes' records until its own is among them, and follows only then. Of two nodes the one whose record is the later reads the other's. No message or record changes.

--- a/crates/pier_edge/src/peers/peer_table.rs
+++ b/crates/pier_edge/src/peers/peer_table.rs
@@ -32,6 +32,7 @@
     pub(super) local_cores: sizes::CoreShare,
     /// Keyed by address, which a node keeps when it restarts.
     pub(super) peers: collections::BTreeMap<net::SocketAddr, KnownPeer>,
+    has_read_own: bool,
     stewards: collections::BTreeMap<ids::DataCentreName, stewards::RecordedSteward>,
     /// Nodes whose VM has started another process since, with the time at which that was seen.
     ended: collections::BTreeMap<ids::NodeName, times::BootTime>,
@@ -74,6 +75,7 @@
             local_address,
             local_cores,
             peers: collections::BTreeMap::new(),
+            has_read_own: false,
             stewards: collections::BTreeMap::new(),
             ended: collections::BTreeMap::new(),
             claimed_at: collections::BTreeMap::new(),
@@ -83,6 +85,7 @@
     /// Adds a node from its record in the store, unless a heartbeat has come from its address.
     pub(crate) fn apply_record(&mut self, record: peers::NodeRecord, now: times::BootTime) {
         if record.node == self.local_node {
+            self.has_read_own = true;
             return;
         }
         if record.peers == self.local_address {
@@ -106,6 +109,12 @@
         self.insert(record.peers, peer, now);
     }
 
+    /// Returns whether the records read include this node's own, and so every one written before it.
+    /// Nodes whose records are written later find this node's.
+    pub(crate) const fn has_read_own(&self) -> bool {
+        self.has_read_own
+    }
+
     /// Records a heartbeat that came from its node; one of the same start that is not newer than
     /// the last is dropped. Returns whether it is the node's first.
     pub(crate) fn record_beat(
--- a/crates/pier_edge/src/records/record_source.rs
+++ b/crates/pier_edge/src/records/record_source.rs
@@ -78,13 +78,20 @@
     state.snapshot_source(now)
 }
 
-/// Returns whether the steward's relay messages can be relied on; they bring no document.
+/// Returns whether the steward's relay messages can be relied on. They bring no document, and no
+/// nodes: of two that start at the same time one has to read the other's record, as neither sends
+/// heartbeats to a node that it does not know.
 pub(super) fn follows_relay<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
     kind: links::RecordKind,
     now: times::BootTime,
 ) -> bool {
-    kind != links::RecordKind::Document && state.is_following(now)
+    let is_relayed = match kind {
+        links::RecordKind::Document => false,
+        links::RecordKind::Nodes => state.with_peers(|peers| peers.has_read_own()),
+        links::RecordKind::Targets | links::RecordKind::OutOfService => true,
+    };
+    is_relayed && state.is_following(now)
 }
 
 /// Returns whether this node waits for a steward to read a kind of records from. The nodes' records
--- a/crates/pier_edge/tests/returning_fleets.rs
+++ b/crates/pier_edge/tests/returning_fleets.rs
@@ -58,7 +58,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_node_serves_before_a_steward_is_elected() {
     let (platform, _target) = store_of_ended_fleet().await;
-    platform.refuse_writes();
+    platform.refuse_writes(true);
     let started = time::Instant::now();
     let node = TestNode::start_on(platform.clone(), "dc-a-n9").await;
     while status(&node).await != 200 {
--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -283,9 +283,9 @@
         self.change(|state, _version| state.refuses_nodes = refuses);
     }
 
-    /// Refuses all writes, so that no steward is elected.
-    pub fn refuse_writes(&self) {
-        self.change(|state, _version| state.refuses_writes = true);
+    /// Refuses all writes, so that no steward is elected, or takes them again.
+    pub fn refuse_writes(&self, refuses: bool) {
+        self.change(|state, _version| state.refuses_writes = refuses);
     }
 
     /// Answers reads of nodes' records as of now, however they change, or as they are again.
