Wait for a test node's own readiness instead of a fixed time

Cause: `TestNode::start` and `start_fleet` took a node for ready 500 ms after the document was put. How long it takes was printed: up to 88 ms in 800 starts, also with up to 40 copies of the test on one core, so that load alone is not shown to use up the 500 ms. A stall of the whole process is: the time passes while the node has no turn.

Change: document and targets are put before the node starts, and the test waits until `/readyz` says that it has read them, up to 15 s. Fleets also wait until each node knows the others, unless the platform hides the records of nodes. `settle` stays where the change of a record is waited for.

--- a/crates/pier_edge/tests/support/fake_platform.rs
+++ b/crates/pier_edge/tests/support/fake_platform.rs
@@ -295,6 +295,11 @@
         });
     }
 
+    /// Returns whether nodes find no peers.
+    pub fn hides_nodes(&self) -> bool {
+        self.shared.state.lock().unwrap().hides_nodes
+    }
+
     /// Leaves the records of nodes out of all answers, so that nodes find no peers.
     pub fn hide_nodes(&self) {
         self.change(|state, _version| state.hides_nodes = true);
--- a/crates/pier_edge/tests/support/test_node.rs
+++ b/crates/pier_edge/tests/support/test_node.rs
@@ -19,6 +19,12 @@
 /// The model of the groups.
 pub const GROUP_MODEL: &str = "m0";
 
+/// Longest time that a node takes to be ready, on a machine that is busy with other work.
+const READY_TIME: time::Duration = time::Duration::from_secs(15);
+
+/// Interval between two looks at whether a node is ready.
+const READY_POLL_INTERVAL: time::Duration = time::Duration::from_millis(10);
+
 /// A running node, which ends with the runtime of the test.
 pub struct TestNode {
     pub callers: net::SocketAddr,
@@ -106,7 +112,8 @@
         node
     }
 
-    /// Starts some nodes on one platform with a document and targets.
+    /// Starts some nodes on one platform with a document and targets, and waits until they serve and
+    /// know each other.
     pub async fn start_fleet(
         count: usize,
         platform: FakePlatform,
@@ -120,19 +127,37 @@
         for number in 1..=count {
             nodes.push(Self::start_on(platform.clone(), &format!("n{number}")).await);
         }
-        nodes[0].settle().await;
+        let others = if platform.hides_nodes() { 0 } else { count - 1 };
+        for node in &nodes {
+            node.wait_until_ready(others).await;
+        }
         nodes
     }
 
-    /// Starts a node with a document and targets.
+    /// Starts a node with a document and targets, and waits until it serves.
     pub async fn start(entries: Vec<targets::TargetEntry>) -> Self {
-        let node = Self::start_bare().await;
-        for entry in entries {
-            node.platform.put_target(entry);
+        let mut nodes = Self::start_fleet(1, FakePlatform::default(), entries).await;
+        nodes.remove(0)
+    }
+
+    /// Waits until the node says that it is ready, and knows this many other nodes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if that takes longer than [`READY_TIME`].
+    async fn wait_until_ready(&self, others: usize) {
+        let started = time::Instant::now();
+        while !self.is_ready().await || self.metric("live_nodes").await != others as u64 {
+            assert!(started.elapsed() < READY_TIME, "the node is not ready");
+            tokio::time::sleep(READY_POLL_INTERVAL).await;
         }
-        node.platform.put_document(document());
-        node.settle().await;
-        node
+    }
+
+    /// Returns whether the node says that it is ready: it has read the document and the targets.
+    async fn is_ready(&self) -> bool {
+        let mut caller = RawCaller::connect(self.readiness).await;
+        caller.send("GET /readyz HTTP/1.1\r\nhost: n\r\n\r\n").await;
+        caller.answer().await.status() == 200
     }
 
     /// Returns whether the node has ended.
