Spread requests by all that look for the same free places

Once more callers ask than groups can serve, all nodes see the same places that come free and send to them within the 0.1 s in which they do not see each other's requests. The spread over the candidates counted only what the groups end in that time, and did not count the places that its own requests take.

- The spread counts the requests that arrive for each that is sent: all of the request's own and more urgent classes, of the others those that are sent.
- A request that it puts on a group takes a place there; beyond the places each adds the wait for one.
- Up to 128 requests instead of 48, kept in a heap.
- While few requests wait, their mean prompt is that of the model's own demand instead of the published mean of all models.

The simulated fleet of the tests of urgency moves to the support code.

--- a/crates/pier_fleet/src/dispatch/pass_model.rs
+++ b/crates/pier_fleet/src/dispatch/pass_model.rs
@@ -74,11 +74,16 @@
         running * MILLIS_PER_SECOND / answer_ms
     }
 
-    /// Returns the delay that each request ahead, with `prompt_tokens` prompt tokens, adds to the
-    /// time to first event.
-    pub fn added_wait(&self, load: &dispatch::LoadFacts, prompt_tokens: f64) -> time::Duration {
+    /// Returns the delay that one more request ahead, with `prompt_tokens` prompt tokens, adds to the
+    /// time to first event once the group has got `added` requests that its load does not count.
+    pub fn added_wait(
+        &self,
+        load: &dispatch::LoadFacts,
+        added: u32,
+        prompt_tokens: f64,
+    ) -> time::Duration {
         let prefill_ms = prompt_tokens / self.engine.prefill_tokens_per_ms;
-        let slot_ms = if load.in_flight() >= self.engine.batch.get() {
+        let slot_ms = if load.in_flight().saturating_add(added) >= self.engine.batch.get() {
             let batch = f64::from(self.engine.batch.get().max(1));
             self.engine.mean_answer_tokens * self.engine.decode_step_ms(batch) / batch
         } else {
--- a/crates/pier_fleet/src/dispatch/request_spread.rs
+++ b/crates/pier_fleet/src/dispatch/request_spread.rs
@@ -1,11 +1,11 @@
 //! Spreads requests that are dispatched concurrently on the same stale view of the load.
 
-use std::time;
+use std::{cmp, collections, time};
 
-use crate::{dispatch, documents};
+use crate::{dispatch, documents, urgency};
 
 /// Upper bound of the estimate of concurrent requests, which bounds the work of a choice.
-const MAX_CONCURRENT: u32 = 48;
+const MAX_CONCURRENT: u32 = 128;
 
 /// Fewest waiting requests from which the mean prompt of a model is computed.
 const MIN_SAMPLE_REQUESTS: u32 = 4;
@@ -33,22 +33,27 @@
     let decode_ms = engine.decode_step_ms(f64::from(running) / groups) * pace;
     let answer_ms = (engine.mean_answer_tokens * decode_ms).max(1.0);
     let age_ms = request.view_age.as_secs_f64() * 1_000.0;
-    let unseen = f64::from(running) * age_ms / answer_ms;
+    let ended = f64::from(running) * age_ms / answer_ms;
+    let class = urgency::UrgencyClass::of_rank(request.rank);
+    let unseen = ended * request.demand.competing_per_send(class);
     let unseen = time::Duration::from_secs_f64(unseen.round()).as_secs();
     let unseen = u32::try_from(unseen).unwrap_or(MAX_CONCURRENT);
     unseen.max(request.displaced).clamp(1, MAX_CONCURRENT)
 }
 
 /// Returns the mean prompt tokens of the requests that wait at the candidates, which all run one
-/// model. Falls back to the published mean over all models while too few requests wait.
+/// model. While too few requests wait, it is the mean of those that arrived here for the model, or else
+/// the published mean over all models.
 pub(super) fn mean_prompt_tokens(
     engine: &documents::EngineSpec,
+    request: &dispatch::RequestFacts,
     candidates: &[dispatch::LoadFacts],
 ) -> f64 {
     let waiting: u32 = candidates.iter().map(|load| load.waiting).sum();
     let prompts: u64 = candidates.iter().map(|load| load.waiting_prompt).sum();
     if waiting < MIN_SAMPLE_REQUESTS {
-        return engine.mean_prompt_tokens;
+        let arrived = request.demand.mean_prompt();
+        return arrived.unwrap_or(engine.mean_prompt_tokens);
     }
     prompts as f64 / f64::from(waiting)
 }
@@ -70,7 +75,7 @@
 /// returns the time that one more request adds at a candidate.
 pub(super) fn draw_slot(
     scored: &[(time::Duration, usize)],
-    cost: impl Fn(usize) -> time::Duration,
+    cost: impl Fn(usize, u32) -> time::Duration,
     concurrent: u32,
     draw: u32,
 ) -> Option<SpreadSlot> {
@@ -78,16 +83,22 @@
     let selected = (hashed ^ (hashed >> 16)) % concurrent.max(1);
     let simulated = scored
         .iter()
-        .map(|(score, position)| (*score, *position, *score));
-    let mut simulated: Vec<_> = simulated.collect();
+        .map(|(score, position)| cmp::Reverse((*score, *position, *score, 0)));
+    let mut simulated: collections::BinaryHeap<_> = simulated.collect();
     let mut chosen = None;
     for _step in 0..=selected {
-        let best = simulated.iter_mut().min_by_key(|(score, ..)| *score)?;
+        let mut best = simulated.peek_mut()?;
+        let (score, position, first, assigned) = best.0;
         chosen = Some(SpreadSlot {
-            position: best.1,
-            added_delay: best.0.saturating_sub(best.2),
+            position,
+            added_delay: score.saturating_sub(first),
         });
-        best.0 += cost(best.1);
+        best.0 = (
+            score + cost(position, assigned),
+            position,
+            first,
+            assigned + 1,
+        );
     }
     chosen
 }
--- a/crates/pier_fleet/src/dispatch/stream_choice.rs
+++ b/crates/pier_fleet/src/dispatch/stream_choice.rs
@@ -81,8 +81,9 @@
         }
     }
     let concurrent = request_spread::estimate_concurrent(engine, pace, request, candidates);
-    let prompt = request_spread::mean_prompt_tokens(engine, candidates);
-    let cost = |position: usize| model.added_wait(&candidates[position], prompt);
+    let prompt = request_spread::mean_prompt_tokens(engine, request, candidates);
+    let cost =
+        |position: usize, assigned: u32| model.added_wait(&candidates[position], assigned, prompt);
     let slot = request_spread::draw_slot(&scored, cost, concurrent, request.draw);
     let Some(slot) = slot else {
         return if candidates.is_empty() {
--- a/crates/pier_fleet/src/locality/stream_price.rs
+++ b/crates/pier_fleet/src/locality/stream_price.rs
@@ -36,7 +36,7 @@
     let age_ms = load.centre.load_age.as_secs_f64() * 1_000.0;
     let unseen = in_flight * age_ms / answer_ms;
     let others = model
-        .added_wait(load, engine.mean_prompt_tokens)
+        .added_wait(load, 0, engine.mean_prompt_tokens)
         .mul_f64(unseen);
     let tokens = prompt as f64 + engine.mean_answer_tokens;
     let bytes = time::Duration::from_secs_f64(tokens / TOKENS_PER_MILLI / 1_000.0);
--- a/crates/pier_fleet/src/urgency/class_demand.rs
+++ b/crates/pier_fleet/src/urgency/class_demand.rs
@@ -7,6 +7,8 @@
 pub struct ClassDemand {
     /// Requests that arrived, in thousandths of those of all classes that were sent to a target.
     pub wanted_permille: u32,
+    /// Requests that were sent to a target, in thousandths of those of all classes.
+    pub sent_permille: u32,
     /// Requests that were answered within their objective, in thousandths of those that were
     /// answered or refused.
     pub served_permille: u32,
--- a/crates/pier_fleet/src/urgency/demand_record.rs
+++ b/crates/pier_fleet/src/urgency/demand_record.rs
@@ -113,6 +113,7 @@
         }
         urgency::ClassDemand {
             wanted_permille: whole(1_000.0 * self.wanted / sent.max(1.0)),
+            sent_permille: whole(1_000.0 * self.sent / sent.max(1.0)),
             // One more request that was served keeps a single refusal from counting as the rule.
             served_permille: whole(1_000.0 * (self.in_time + 1.0) / (self.settled + 1.0)),
             work_permille: whole(1_000.0 * self.work / work.max(1.0)),
--- a/crates/pier_fleet/tests/support/mod.rs
+++ b/crates/pier_fleet/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Simulated fabric domains whose VMs carry out orders, for tests of the planner.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod simulated_fleet;
 pub mod simulated_group;
 
 use std::{collections, time};
--- a/crates/pier_fleet/tests/support/simulated_group.rs
+++ b/crates/pier_fleet/tests/support/simulated_group.rs
@@ -7,6 +7,8 @@
 /// A request as a group gets it.
 #[derive(Debug, Clone, Copy)]
 pub struct GroupRequest {
+    /// Position of its kind.
+    pub kind: usize,
     pub rank: u8,
     pub prompt: u64,
     pub answer_tokens: u32,
