Ask a further node when the one asked reaches hardly any target

Cause: nodes_that_open_no_new_connections_serve_their_callers. In the first three seconds 19 to 116 of 720 are `refused-by-node`: the request was passed on to another cut-off node, which counts as reaching the service while its open connections answer, and which refused it as `overloaded`, with all three targets resting after a refused connection. `overloaded` is final, so that no other node was asked. After these seconds that was a smaller part; the rest were refusals by healthy nodes, which refused their own callers too (up to 60 of 720): the test offered 18 streams of 80 ms every 75 ms to 24 places, all nodes, targets and callers on one thread.

Change: a passed-on request for which a node has just failed to reach most targets, counting those tried for it, is answered `no-target`, so that the first node asks another one, at most three as before. A stream that a target refused first is answered `not-run`, so that the send counts. The same count of targets decides for a node's own callers whether it passes on what it would refuse as overloaded.

--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -357,19 +357,32 @@
     /// Chooses a node to which the request is passed on when this node has just failed to reach most of
     /// the targets that are left, which other nodes may reach. Connections to some may still be open,
     /// so that the service does not count as cut off.
+    ///
+    /// A request that another node passed on is given back to it as not sent, as there may be a
+    /// further node that takes it.
     fn choose_instead(
         &self,
         untried: &[&sync::Arc<state::TargetSlot>],
         tried: &[ids::VmName],
         now: times::BootTime,
     ) -> Option<TargetChoice> {
-        let unreached = untried.iter();
-        let unreached = unreached.filter(|slot| slot.gauge.is_unreached(now));
-        if self.forward.is_some() || unreached.count() * 2 <= untried.len() {
+        if !self.reaches_few(untried, now) {
             return None;
         }
         let choice = self.choose_node(tried, now)?;
-        matches!(choice, TargetChoice::Send { .. }).then_some(choice)
+        let is_sent = matches!(choice, TargetChoice::Send { .. });
+        (is_sent || self.forward.is_some()).then_some(choice)
+    }
+
+    /// Returns whether this node has just failed to reach most of the targets that were tried for this
+    /// request without being reached or are left for it.
+    fn reaches_few(&self, untried: &[&sync::Arc<state::TargetSlot>], now: times::BootTime) -> bool {
+        let missed = self.unreached.load(atomic::Ordering::Relaxed);
+        let missed = usize::try_from(missed).unwrap_or(usize::MAX);
+        let resting = untried.iter();
+        let resting = resting.filter(|slot| slot.gauge.is_unreached(now)).count();
+        let unreached = missed.saturating_add(resting);
+        unreached > untried.len() - resting
     }
 
     /// Chooses a node to which the request is passed on; `None` if no node reaches the service.
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -333,10 +333,15 @@
                 _ => serving::Refusal::Broken,
             };
         }
+        // The node that passed the request on counts the target that refused it.
+        let was_refused = self.count > 0 && job.forward.is_some();
         match refusal {
             serving::Refusal::Broken | serving::Refusal::TimedOut => serving::Refusal::NotRun {
                 retry_after: RETRY_AFTER,
             },
+            serving::Refusal::NoTarget { retry_after } if was_refused => {
+                serving::Refusal::NotRun { retry_after }
+            }
             other => other,
         }
     }
--- a/crates/pier_edge/tests/forwarded_requests.rs
+++ b/crates/pier_edge/tests/forwarded_requests.rs
@@ -18,6 +18,9 @@
 /// Streams that are more than the targets take.
 const MANY_REQUESTS: usize = 60;
 
+/// Streams that are more than one target takes, and fewer than three do.
+const HALF_REQUESTS: usize = 18;
+
 /// Time for a node to notice the others, and to be noticed.
 const ACQUAINTANCE: time::Duration = time::Duration::from_millis(1_200);
 
@@ -300,6 +303,40 @@
     assert_eq!(counts.0 + counts.1, before.1 + many);
 }
 
+/// Guards against refusals by a node that reaches one target only, which is full, although a further
+/// node reaches others.
+#[tokio::test]
+async fn a_node_that_reaches_few_targets_is_not_the_only_one_asked() {
+    let fleet = Fleet::start(&[], &[events(), events(), events()]).await;
+    let cut = fleet.start_cut("n1").await;
+    let (mut platform, links) = fleet.linked();
+    // Those of the first two groups.
+    for link in &links[..4] {
+        link.set_mode(LinkMode::Refuse).await;
+    }
+    platform = platform.with_link("g2-0", fleet.engines[2].address);
+    let half = TestNode::start_on(platform, "n2").await;
+    let _whole = TestNode::start_in(fleet.platform.clone(), "n3", "dc-b").await;
+    tokio::time::sleep(ACQUAINTANCE).await;
+    notice_cut(&cut, "/talk/x").await;
+    let before = fleet.requests().len();
+    let mut running = Vec::new();
+    for _ in 0..HALF_REQUESTS {
+        let callers = half.callers;
+        running.push(tokio::spawn(async move { ask(callers, "/talk/x").await }));
+    }
+    wait_until(|| fleet.requests().len() == before + HALF_REQUESTS).await;
+    let received = "buckthornpier_forwards_received_total";
+    let asked = metric(&half, received).await;
+    let answer = ask(cut.callers, "/talk/x").await;
+    assert_eq!(answer.status(), 200, "{}", answer.body);
+    assert_eq!(answer.body, all_events());
+    assert_eq!(metric(&half, received).await, asked + 1);
+    for answer in running {
+        assert_eq!(answer.await.unwrap().status(), 200);
+    }
+}
+
 /// Guards against requests that leave the data centre although a node in it takes them.
 #[tokio::test]
 async fn nodes_of_the_data_centre_come_first() {
