Show that slow readers of long answers can take a node's memory

A crowd of 200 callers asks for answers of 2 MiB and reads nothing, or 10 KiB a second. The node may use 112 MiB (114,688 KiB), counted with what the system holds for its connections in both directions.

Causes: the system takes megabytes of an answer for a caller that reads nothing, and as much from the target; a buffer that doubles holds an answer twice while it grows; 64 KiB of each answer are not counted at all.

The crowd of bodies shares the node under test and now counts both directions too; its seven tests are green as before.

--- a/crates/buckthornpier/tests/body_crowds.rs
+++ b/crates/buckthornpier/tests/body_crowds.rs
@@ -3,21 +3,16 @@
 //!
 //! The checks do not depend on the machine's speed. One test runs at a time.
 
+mod crowds;
 #[path = "../../../platform/tests/standins/mod.rs"]
 mod standins;
 mod support;
 
-use std::{fmt::Write as _, fs, net, path, process, sync, time};
+use std::{fmt::Write as _, time};
 
+use crowds::{CrowdedNode, MAX_DESCRIPTORS};
 use standins::BODY_SIZE;
-use tokio::{
-    io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::TcpStream,
-    task,
-};
-
-/// The memory that the node's settings allow it, in MiB.
-const MEMORY_MIB: u64 = 112;
+use tokio::{io::AsyncWriteExt as _, net::TcpStream};
 
 /// Callers of a crowd. Their bodies together are one and a half times the node's memory.
 const CROWD: usize = 42;
@@ -34,184 +29,11 @@
 /// What each caller of the large crowd sends of its body, in bytes.
 const LARGE_CROWD_BYTES: usize = 20 << 10;
 
-/// The connections of callers that the node's settings allow.
-const CONNECTIONS: usize = 256;
-
-/// Descriptors that the node may have open: those of its callers and of its own work.
-const MAX_DESCRIPTORS: usize = CONNECTIONS + 64;
-
-/// Time after which a caller that cannot send any more leaves it at that.
-const SEND_TIME: time::Duration = time::Duration::from_secs(10);
-
-/// Interval between two readings of the node's memory.
-const READING_INTERVAL: time::Duration = time::Duration::from_millis(5);
-
 /// Held by the test that runs.
 static ONE_AT_A_TIME: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
 
-/// The greatest use of memory and descriptors.
-#[derive(Debug, Clone, Copy, Default)]
-struct PeakUse {
-    /// Resident memory and bytes received but not read, in KiB.
-    memory: u64,
-    descriptors: usize,
-}
-
-/// The running program.
-#[derive(Debug)]
-struct CrowdedNode {
-    child: process::Child,
-    callers: net::SocketAddr,
-    peak: sync::Arc<sync::Mutex<PeakUse>>,
-    readings: task::JoinHandle<()>,
-}
-
-impl CrowdedNode {
-    /// Starts the program and waits until it serves requests.
-    async fn start(name: &str) -> Self {
-        let store = standins::start().await;
-        let addresses: Vec<_> = (0..5).map(|_| free_address()).collect();
-        let [callers, readiness, peers, forwards, metrics] = addresses[..] else {
-            unreachable!("five addresses");
-        };
-        let text = format!(
-            "[node]\nname = node-1\ndata_centre = zone-a\ndata_centres = zone-a\n\
-             first_start = true\n[listen]\ncallers = {callers}\nreadiness = {readiness}\n\
-             peers = {peers}\nforwards = {forwards}\nmetrics = {metrics}\n\
-             [platform]\nstore = {store}\n\
-             [limits]\nmemory_mib = {MEMORY_MIB}\ncores = 1\ncaller_connections = {CONNECTIONS}\n\
-             [bounds]\ngrace_seconds = 5\nleaving_ms = 2000\nretry_ratio = 0.2\n\
-             retry_burst = 100\nretry_window_seconds = 10\n[log]\nlevel = info\n"
-        );
-        let folder = path::Path::new(env!("CARGO_TARGET_TMPDIR"));
-        let file = folder.join(format!("crowd-{name}.ini"));
-        fs::write(&file, text).unwrap();
-        let log = fs::File::create(folder.join(format!("crowd-{name}.log"))).unwrap();
-        let child = process::Command::new(env!("CARGO_BIN_EXE_buckthornpier"))
-            .args(["edge", "--settings"])
-            .arg(file)
-            .stdin(process::Stdio::null())
-            .stdout(log)
-            .stderr(process::Stdio::null())
-            .spawn()
-            .unwrap();
-        let peak = sync::Arc::default();
-        let readings = tokio::spawn(read_use(child.id(), callers, sync::Arc::clone(&peak)));
-        let node = Self {
-            child,
-            callers,
-            peak,
-            readings,
-        };
-        support::wait_for("answer to an ordinary request", async || {
-            (ask(callers, 10).await == Some(200)).then_some(())
-        })
-        .await;
-        node
-    }
-
-    /// Checks that the process lives within its limits and answers an ordinary request.
-    async fn assert_serves(&mut self, when: &str) {
-        assert_eq!(ask(self.callers, 10).await, Some(200), "{when}");
-        assert_eq!(self.child.try_wait().unwrap(), None, "{when}");
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let resident = memory_field(&status, "VmHWM:");
-        let peak = *self.peak.lock().unwrap();
-        println!("{when}: {resident} KiB resident, {peak:?}");
-        assert!(resident <= MEMORY_MIB << 10, "{when}: {resident} KiB");
-        assert!(peak.memory <= MEMORY_MIB << 10, "{when}: {peak:?}");
-        assert!(peak.descriptors <= MAX_DESCRIPTORS, "{when}: {peak:?}");
-    }
-
-    /// Lets a crowd send, and checks the node before, while the crowd stays, and once it has left.
-    async fn bear(mut self, size: usize, send: impl AsyncFn(usize, &mut TcpStream) + Copy) {
-        assert_eq!(ask(self.callers, BODY_SIZE).await, Some(200), "in calm");
-        self.assert_serves("before the crowd").await;
-        let callers = self.callers;
-        let crowd = (0..size).map(|number| async move {
-            let mut stream = TcpStream::connect(callers).await.ok()?;
-            // A caller that is refused, or that nobody reads, stays as it is.
-            let _end = tokio::time::timeout(SEND_TIME, send(number, &mut stream)).await;
-            Some(stream)
-        });
-        let staying = futures_util::future::join_all(crowd).await;
-        self.assert_serves("beside the crowd").await;
-        drop(staying);
-        support::wait_for("answer to the largest body", async || {
-            (ask(callers, BODY_SIZE).await == Some(200)).then_some(())
-        })
-        .await;
-        self.assert_serves("after the crowd").await;
-    }
-}
-
-impl Drop for CrowdedNode {
-    fn drop(&mut self) {
-        self.readings.abort();
-        let _ended_already = self.child.kill();
-        let _ended_already = self.child.wait();
-    }
-}
-
-fn free_address() -> net::SocketAddr {
-    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
-}
-
-fn memory_field(status: &str, name: &str) -> u64 {
-    let mut lines = status.lines();
-    let value = lines.find_map(|line| line.strip_prefix(name)).unwrap();
-    value.trim().trim_end_matches(" kB").parse().unwrap()
-}
-
-/// Returns the bytes that were received on a port and have not been read.
-fn unread_bytes(port: u16) -> u64 {
-    let table = fs::read_to_string("/proc/net/tcp").unwrap();
-    let mut sum = 0;
-    for line in table.lines().skip(1) {
-        let fields: Vec<_> = line.split_whitespace().collect();
-        // An entry in state 0A is the listener, whose queue counts connections.
-        if fields[1].ends_with(&format!(":{port:04X}")) && fields[3] != "0A" {
-            let (_sent, received) = fields[4].split_once(':').unwrap();
-            sum += u64::from_str_radix(received, 16).unwrap();
-        }
-    }
-    sum
-}
-
-async fn read_use(id: u32, callers: net::SocketAddr, peak: sync::Arc<sync::Mutex<PeakUse>>) {
-    loop {
-        let read = task::spawn_blocking(move || {
-            let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-            let memory = status
-                .contains("VmRSS:")
-                .then(|| memory_field(&status, "VmRSS:"))?;
-            let descriptors = fs::read_dir(format!("/proc/{id}/fd")).ok()?.count();
-            Some((memory + unread_bytes(callers.port()) / 1_024, descriptors))
-        });
-        if let Some((memory, descriptors)) = read.await.unwrap() {
-            let mut peak = peak.lock().unwrap();
-            peak.memory = peak.memory.max(memory);
-            peak.descriptors = peak.descriptors.max(descriptors);
-        }
-        tokio::time::sleep(READING_INTERVAL).await;
-    }
-}
-
-/// Sends a request on a new connection; returns the status of its answer.
-async fn ask(callers: net::SocketAddr, body_size: usize) -> Option<u16> {
-    let mut stream = TcpStream::connect(callers).await.ok()?;
-    let lines = format!("content-length: {body_size}\r\nconnection: close\r\n");
-    let mut bytes = standins::request_head(&lines).into_bytes();
-    bytes.resize(bytes.len() + body_size, b'a');
-    stream.write_all(&bytes).await.ok()?;
-    let mut answer = Vec::new();
-    let reading = stream.read_to_end(&mut answer);
-    let _length = tokio::time::timeout(support::WAIT_TIMEOUT, reading)
-        .await
-        .ok()?;
-    let answer = String::from_utf8_lossy(&answer);
-    answer.split(' ').nth(1)?.parse().ok()
+async fn start(name: &str) -> CrowdedNode {
+    CrowdedNode::start(name, standins::start().await, MAX_DESCRIPTORS).await
 }
 
 /// Sends bytes in pieces; ends at the first that the node does not take.
@@ -269,7 +91,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_that_come_whole_and_stop_short() {
     let _turn = ONE_AT_A_TIME.lock().await;
-    let node = CrowdedNode::start("whole").await;
+    let node = start("whole").await;
     node.bear(CROWD, async |number, stream: &mut TcpStream| {
         let bytes = sized_request(number);
         send_pieces(stream, &bytes, bytes.len(), time::Duration::ZERO).await;
@@ -280,7 +102,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_that_come_in_pieces_and_stop_short() {
     let _turn = ONE_AT_A_TIME.lock().await;
-    let node = CrowdedNode::start("pieces").await;
+    let node = start("pieces").await;
     node.bear(CROWD, async |number, stream: &mut TcpStream| {
         let bytes = sized_request(number);
         send_pieces(stream, &bytes, 16 << 10, time::Duration::from_millis(2)).await;
@@ -291,7 +113,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_in_large_chunks_that_stop_short() {
     let _turn = ONE_AT_A_TIME.lock().await;
-    let node = CrowdedNode::start("large-chunks").await;
+    let node = start("large-chunks").await;
     node.bear(CROWD, async |number, stream: &mut TcpStream| {
         let bytes = chunked_request(number, 1 << 20);
         send_pieces(stream, &bytes, bytes.len(), time::Duration::ZERO).await;
@@ -302,7 +124,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_in_very_small_chunks_that_stop_short() {
     let _turn = ONE_AT_A_TIME.lock().await;
-    let node = CrowdedNode::start("small-chunks").await;
+    let node = start("small-chunks").await;
     node.bear(CROWD, async |number, stream: &mut TcpStream| {
         let bytes = chunked_request(number, 64);
         send_pieces(stream, &bytes, 64 << 10, time::Duration::ZERO).await;
@@ -313,7 +135,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_far_over_the_limit_that_are_announced() {
     let _turn = ONE_AT_A_TIME.lock().await;
-    let node = CrowdedNode::start("announced").await;
+    let node = start("announced").await;
     node.bear(CROWD, async |_number, stream: &mut TcpStream| {
         let lines = format!("content-length: {}\r\n", 16 * BODY_SIZE);
         let mut bytes = standins::request_head(&lines).into_bytes();
@@ -326,7 +148,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_far_over_the_limit_that_are_just_sent() {
     let _turn = ONE_AT_A_TIME.lock().await;
-    let node = CrowdedNode::start("just-sent").await;
+    let node = start("just-sent").await;
     node.bear(CROWD, async |_number, stream: &mut TcpStream| {
         let mut text = standins::request_head("transfer-encoding: chunked\r\n");
         text += &chunks(2 * BODY_SIZE, 256 << 10);
@@ -339,7 +161,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn more_bodies_than_connections_that_are_allowed() {
     let _turn = ONE_AT_A_TIME.lock().await;
-    let node = CrowdedNode::start("many").await;
+    let node = start("many").await;
     node.bear(LARGE_CROWD, async |_number, stream: &mut TcpStream| {
         let mut text = standins::request_head("transfer-encoding: chunked\r\n");
         text += &chunks(LARGE_CROWD_BYTES, 1 << 10);
