Bound what a node holds for slow readers, and tell a cut-off answer from a lost target

Cause, from the crowd of slow readers: the system takes megabytes of an answer for a caller that reads nothing and as much from its target; whole answers grew in one buffer, and 64 KiB of each were not counted; streams that wait for their callers were not counted at all. A target that cuts off an unread answer counted as failed, and the part of a body without framing passed as whole, since the target's process lives on.

- The system takes no more for a connection while 16 KiB are unsent and holds at most 64 KiB received; one read takes 16 KiB, as the library's buffers follow it.
- pier_request::attempts::UnreadPause tells an end after a pause of the node from a loss: no mark of a crash, no failure of the target.
A stream that may be resumed goes on, others are cut, and such an end without framing is never whole.
- answer-ended and answer-unread in the log, answer_bytes and ended_answers among the metrics.

--- a/crates/pier_edge/src/daemon/edge_daemon.rs
+++ b/crates/pier_edge/src/daemon/edge_daemon.rs
@@ -144,6 +144,7 @@
         state.limits().expire(now);
         state.crashes().expire(now);
         state.metrics().bodies().set_held(state.bodies().total());
+        state.metrics().answers().set_held(state.answers().total());
         state
             .metrics()
             .set_held_requests(state.crashes().held_count());
--- a/crates/pier_edge/src/serving/answer_limit.rs
+++ b/crates/pier_edge/src/serving/answers/answer_limit.rs
@@ -2,7 +2,7 @@
 
 /// A limit that an answer exceeded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum AnswerLimit {
+pub(in crate::serving) enum AnswerLimit {
     /// The bytes before the body.
     Head,
     /// The body of an answer that is buffered.
@@ -14,7 +14,7 @@
 }
 
 impl AnswerLimit {
-    pub(super) const fn label(self) -> &'static str {
+    pub(in crate::serving) const fn label(self) -> &'static str {
         match self {
             Self::Head => "head",
             Self::Body => "body",
@@ -24,7 +24,7 @@
     }
 
     /// Returns whether the target that exceeded it is at fault.
-    pub(super) const fn is_targets_own(self) -> bool {
+    pub(in crate::serving) const fn is_targets_own(self) -> bool {
         !matches!(self, Self::Budget)
     }
 }
--- a/crates/pier_edge/src/serving/buffered_run.rs
+++ b/crates/pier_edge/src/serving/buffered_run.rs
@@ -2,16 +2,12 @@
 
 use std::{sync, time};
 
-use http_body_util::BodyExt as _;
 use pier_request::attempts;
 use pier_types::{ids, times};
 
 use super::request_job::millis;
 use crate::{links, serving, state};
 
-/// Greatest size of an answer that is buffered.
-const MAX_ANSWER_BYTES: usize = 4 << 20;
-
 /// Multiple of a target's mean answer time after which a repeatable request is sent to another
 /// one too.
 const SLOW_ANSWER_FACTOR: u32 = 6;
@@ -32,14 +28,21 @@
 const LOST_RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
 
 /// The head and the complete body of an answer.
-pub(super) type BufferedAnswer = (http::response::Parts, bytes::Bytes);
+pub(super) type BufferedAnswer = (http::response::Parts, serving::WholeAnswer);
+
+/// A target's answer with what its head says.
+type ReadAnswer = (
+    http::response::Parts,
+    serving::WholeAnswer,
+    links::AnswerHead,
+);
 
 /// A send that has ended.
 #[derive(Debug)]
 struct EndedSend {
     slot: sync::Arc<state::TargetSlot>,
     taken: time::Duration,
-    result: Result<(http::response::Parts, bytes::Bytes, links::AnswerHead), serving::SendFault>,
+    result: Result<ReadAnswer, serving::SendFault>,
 }
 
 /// Sends a request to one target after another until there is an answer to forward.
@@ -201,7 +204,9 @@
             taken_ms = millis(taken);
             ""
         );
-        slot.gauge.record_answer(taken, true);
+        if !fault.is_own() {
+            slot.gauge.record_answer(taken, true);
+        }
         let reported = job.report_fault(slot, fault).await;
         if fault.may_have_run() {
             self.sends += 1;
@@ -288,53 +293,28 @@
     job: &serving::RequestJob<P>,
     slot: &sync::Arc<state::TargetSlot>,
     limit: time::Duration,
-) -> Result<(http::response::Parts, bytes::Bytes, links::AnswerHead), serving::SendFault> {
+) -> Result<ReadAnswer, serving::SendFault> {
     let started = times::clocks::boot_now();
     let mut call = serving::TargetCall::send(job, slot, None, limit).await?;
     call.guard.mark_started();
     let left = limit.saturating_sub(times::clocks::boot_now().since(started));
-    let share = job.state.answer_budget().share();
-    let body = tokio::time::timeout(left, read_whole(&mut call.body, share)).await;
-    let body = body.unwrap_or(Err(serving::SendFault::TimedOut))?;
+    let room = job.state.answers();
+    let reading = serving::WholeAnswer::read(&mut call.body, room, job.answer_owner());
+    let body = tokio::time::timeout(left, reading).await;
+    let (body, pause) = body.unwrap_or(Err(serving::SendFault::TimedOut))?;
     let (head, answer) = (call.head.clone(), call.answer.clone());
     let metrics = job.state.metrics();
     metrics.count_received_bytes(slot.is_local, body.len());
     // A refusal's head says all of it.
     if !answer.is_not_run {
-        let end = call.body_end(job, attempts::ContentEnd::Opaque).await;
+        let end = call
+            .body_end(job, attempts::ContentEnd::Opaque, pause)
+            .await;
         if let Some(reason) = end.fault() {
-            return Err(serving::SendFault::MayHaveRun(reason.to_owned()));
+            return Err(serving::SendFault::of_end(reason, pause));
         }
     }
     slot.gauge.record_progress(times::clocks::boot_now());
     call.finish();
     Ok((head, body, answer))
 }
-
-/// Reads a body to its end.
-///
-/// # Errors
-///
-/// Fails when the body is truncated, larger than [`MAX_ANSWER_BYTES`], or larger than what is left
-/// of the node's budget.
-pub(super) async fn read_whole(
-    body: &mut hyper::body::Incoming,
-    mut share: serving::BudgetShare,
-) -> Result<bytes::Bytes, serving::SendFault> {
-    let mut whole = bytes::BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| serving::SendFault::MayHaveRun(error.to_string()))?;
-        let Some(data) = frame.data_ref() else {
-            continue;
-        };
-        let length = whole.len() + data.len();
-        if length > MAX_ANSWER_BYTES {
-            return Err(serving::SendFault::TooLarge(serving::AnswerLimit::Body));
-        }
-        if !share.grow_to(length) {
-            return Err(serving::SendFault::TooLarge(serving::AnswerLimit::Budget));
-        }
-        whole.extend_from_slice(data);
-    }
-    Ok(share.attach(whole.freeze()))
-}
--- a/crates/pier_edge/src/serving/caller_server.rs
+++ b/crates/pier_edge/src/serving/caller_server.rs
@@ -95,6 +95,7 @@
                 }
             }
             connection_pool::set_socket_timeouts(&stream);
+            connection_pool::limit_unsent(&stream);
             let subscription = self.closing.subscribe();
             let writes = serving::AnswerWrites::new(self.answers());
             let stream = serving::CallerStream::new(stream, writes.clone(), subscription.clone());
@@ -142,6 +143,7 @@
         idle_time = NODE_IDLE_TIME;
     }
     let reset = stream.reset_switch();
+    let ending = reset.clone();
     let service = service_fn(move |request: http::Request<Incoming>| {
         let (state, reset, mark) = (state.clone(), reset.clone(), writes.begin());
         async move {
@@ -157,16 +159,19 @@
         .max_buf_size(head_size.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
-    let ended = tokio::select! {
-        ended = &mut connection => Some(ended),
-        () = wait_for_close(&mut closing) => None,
-    };
-    let ended = if let Some(ended) = ended {
-        ended
-    } else {
+    let served = async {
+        tokio::select! {
+            ended = &mut connection => return ended,
+            () = wait_for_close(&mut closing) => {}
+        }
         connection.as_mut().graceful_shutdown();
         connection.await
     };
+    let ended = tokio::select! {
+        ended = served => ended,
+        // Dropping the connection resets it.
+        () = ending.wait_for_end() => return,
+    };
     if let Err(error) = ended {
         log::debug!(event = "caller-connection-ended", cause:% = error; "");
     }
--- a/crates/pier_edge/src/serving/caller_stream.rs
+++ b/crates/pier_edge/src/serving/caller_stream.rs
@@ -10,7 +10,7 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
-    sync::watch,
+    sync::{Notify, watch},
 };
 
 use crate::serving;
@@ -28,16 +28,34 @@
 /// that it is incomplete.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct ResetSwitch {
-    is_set: sync::Arc<atomic::AtomicBool>,
+    state: sync::Arc<SwitchState>,
+}
+
+#[derive(Debug, Default)]
+struct SwitchState {
+    is_set: atomic::AtomicBool,
+    /// Notified when the connection is to end at once.
+    ended: Notify,
 }
 
 impl ResetSwitch {
     pub(crate) fn set(&self) {
-        self.is_set.store(true, atomic::Ordering::Relaxed);
+        self.state.is_set.store(true, atomic::Ordering::Relaxed);
+    }
+
+    /// Ends the connection although its caller reads nothing.
+    pub(super) fn end_now(&self) {
+        self.set();
+        self.state.ended.notify_one();
+    }
+
+    /// Waits until the connection is to end at once.
+    pub(super) async fn wait_for_end(&self) {
+        self.state.ended.notified().await;
     }
 
     fn is_set(&self) -> bool {
-        self.is_set.load(atomic::Ordering::Relaxed)
+        self.state.is_set.load(atomic::Ordering::Relaxed)
     }
 }
 
--- a/crates/pier_edge/src/serving/connection_pool.rs
+++ b/crates/pier_edge/src/serving/connection_pool.rs
@@ -31,6 +31,13 @@
 /// Longest time that a connection is kept idle, and the default when the target states none.
 const MAX_IDLE_TIME: time::Duration = time::Duration::from_secs(4);
 
+/// Bytes that the system may hold of an answer that the node does not read on, and its own records of
+/// them as much again. It is also the most that a target sends within one network delay.
+const MAX_UNREAD_BYTES: u32 = 64 << 10;
+
+/// Unsent bytes above which the system takes no more for a connection.
+const MAX_UNSENT_BYTES: u32 = 16 << 10;
+
 /// Share of the target's stated idle time for which a connection is reused, so that no request is
 /// sent just as the target closes the connection.
 const IDLE_PERCENT: u32 = 60;
@@ -186,6 +193,7 @@
             }
         };
         set_socket_timeouts(&stream);
+        limit_unsent(&stream);
         let preface = serving::PrefaceLimit::default();
         let stream = target_stream::limit_reads(stream, preface.clone());
         let handshake = http1::Builder::new()
@@ -225,18 +233,29 @@
     address: net::SocketAddr,
     source: Option<net::IpAddr>,
 ) -> io::Result<TcpStream> {
-    let Some(source) = source else {
-        return TcpStream::connect(address).await;
-    };
-    let socket = if source.is_ipv4() {
+    let socket = if address.is_ipv4() {
         TcpSocket::new_v4()?
     } else {
         TcpSocket::new_v6()?
     };
-    socket.bind(net::SocketAddr::new(source, 0))?;
+    if let Err(error) = socket.set_recv_buffer_size(MAX_UNREAD_BYTES) {
+        log::debug!(event = "socket-option-refused", cause:% = error; "");
+    }
+    if let Some(source) = source {
+        socket.bind(net::SocketAddr::new(source, 0))?;
+    }
     socket.connect(address).await
 }
 
+/// Limits what the system takes for a peer that reads slowly. What a fast one has not acknowledged yet
+/// does not count.
+pub(super) fn limit_unsent(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    if let Err(error) = socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+        log::debug!(event = "socket-option-refused", cause:% = error; "");
+    }
+}
+
 /// Sets socket options so that the kernel detects a silent peer; also disables Nagle's algorithm.
 pub(crate) fn set_socket_timeouts(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
--- a/crates/pier_edge/src/serving/edge_body.rs
+++ b/crates/pier_edge/src/serving/edge_body.rs
@@ -2,7 +2,6 @@
 
 use std::{error, fmt, pin, task};
 
-use http_body_util::Full;
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::mpsc;
 
@@ -11,7 +10,7 @@
 /// An answer's body: complete, or a stream that may be aborted.
 #[derive(Debug)]
 pub(crate) enum EdgeBody {
-    Whole(Full<bytes::Bytes>),
+    Whole(serving::WholeAnswer),
     Stream {
         parts: mpsc::Receiver<StreamPart>,
         /// Set when the stream is cut, for a caller that would not see it otherwise.
@@ -44,7 +43,7 @@
 
 impl EdgeBody {
     pub(crate) fn whole(bytes: bytes::Bytes) -> Self {
-        Self::Whole(Full::new(bytes))
+        Self::Whole(bytes.into())
     }
 
     pub(crate) const fn stream(parts: mpsc::Receiver<StreamPart>) -> Self {
@@ -69,9 +68,10 @@
     ) -> task::Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
         let this = self.get_mut();
         match this {
-            Self::Whole(body) => pin::Pin::new(body)
-                .poll_frame(cx)
-                .map_err(|never| match never {}),
+            Self::Whole(answer) => {
+                let block = answer.next_block();
+                task::Poll::Ready(block.map(|block| Ok(Frame::data(block))))
+            }
             Self::Stream { parts, reset } => match task::ready!(parts.poll_recv(cx)) {
                 Some(StreamPart::Data(data)) => task::Poll::Ready(Some(Ok(Frame::data(data)))),
                 Some(StreamPart::End) => {
@@ -91,7 +91,7 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            Self::Whole(body) => body.is_end_stream(),
+            Self::Whole(answer) => answer.len() == 0,
             Self::Stream { .. } => false,
             Self::Ended => true,
         }
@@ -99,7 +99,10 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Whole(body) => body.size_hint(),
+            Self::Whole(answer) => {
+                let length = u64::try_from(answer.len()).unwrap_or(u64::MAX);
+                SizeHint::with_exact(length)
+            }
             Self::Stream { .. } => SizeHint::default(),
             Self::Ended => SizeHint::with_exact(0),
         }
--- a/crates/pier_edge/src/serving/loss_report.rs
+++ b/crates/pier_edge/src/serving/loss_report.rs
@@ -42,6 +42,7 @@
     ) -> Result<(), serving::Refusal> {
         match fault {
             serving::SendFault::MayHaveRun(_) => self.report_closed(slot).await,
+            serving::SendFault::Unread(_) => self.report_unread(slot),
             serving::SendFault::TooLarge(limit) => self.report_too_large(slot, *limit),
             serving::SendFault::TimedOut => self.report_silent(slot),
             serving::SendFault::Refused(refusal) => Err(serving::Refusal::ByNode(refusal.clone())),
@@ -93,6 +94,25 @@
         self.check_held()
     }
 
+    /// Reports an answer that its target broke off while this node left it unread, which says nothing
+    /// against the target.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the request is held back and must not be sent again.
+    pub(super) fn report_unread(&self, slot: &state::TargetSlot) -> Result<(), serving::Refusal> {
+        self.mark_sent();
+        self.state.metrics().count_loss("unread");
+        log::info!(
+            event = "answer-unread",
+            attempt = self.head.attempt.as_str(),
+            target_vm:% = slot.vm,
+            born:% = slot.born;
+            ""
+        );
+        self.check_held()
+    }
+
     /// Reports an answer that exceeded a limit; a target at fault gets no requests for a while.
     ///
     /// # Errors
--- a/crates/pier_edge/src/serving/mod.rs
+++ b/crates/pier_edge/src/serving/mod.rs
@@ -1,8 +1,7 @@
 //! Accepts callers' requests and forwards them to targets.
 
 mod accept;
-mod answer_budget;
-mod answer_limit;
+mod answers;
 mod bodies;
 mod body_framing;
 mod buffered_run;
@@ -28,9 +27,8 @@
 mod target_stream;
 
 pub(crate) use accept::accept;
-pub(crate) use answer_budget::AnswerBudget;
-use answer_budget::BudgetShare;
-use answer_limit::AnswerLimit;
+use answers::{AnswerLimit, AnswerOwner, AnswerShare};
+pub(crate) use answers::{AnswerRoom, WholeAnswer};
 pub(crate) use bodies::BodyRoom;
 use body_framing::framing_of;
 pub(crate) use caller_server::{CallerServer, ServerAudience};
--- a/crates/pier_edge/src/serving/request_entry.rs
+++ b/crates/pier_edge/src/serving/request_entry.rs
@@ -38,7 +38,7 @@
                 forward,
                 arrived_at,
             };
-            answer(&state, request, body, progress).await
+            answer(&state, request, body, progress, &reset).await
         }
         Err(refusal) => Err(refusal),
     };
@@ -142,6 +142,7 @@
     request: ReadHead,
     body: Incoming,
     progress: state::ProgressGuard<P>,
+    reset: &serving::ResetSwitch,
 ) -> Result<http::Response<serving::EdgeBody>, serving::Refusal> {
     let ReadHead {
         parts,
@@ -197,6 +198,7 @@
         grant,
         fingerprint,
         arrived_at,
+        reset: reset.clone(),
         unreached: sync::atomic::AtomicU32::new(0),
         may_have_run: sync::atomic::AtomicBool::new(false),
     };
@@ -210,14 +212,14 @@
             }
             stream_run::StreamStart::Whole(head, body) => {
                 let headers = passed_headers(&platform, &head, is_forwarded);
-                let body = serving::EdgeBody::whole(body);
+                let body = serving::EdgeBody::Whole(body);
                 Ok(response_of(&head, headers, body, false))
             }
         };
     }
     let (head, body) = buffered_run::run(&job).await?;
     let headers = passed_headers(state.platform(), &head, is_forwarded);
-    let body = serving::EdgeBody::whole(body);
+    let body = serving::EdgeBody::Whole(body);
     Ok(response_of(&head, headers, body, false))
 }
 
--- a/crates/pier_edge/src/serving/request_job.rs
+++ b/crates/pier_edge/src/serving/request_job.rs
@@ -44,6 +44,8 @@
     /// Identifies the request across its caller's attempts.
     pub fingerprint: ids::RequestFingerprint,
     pub arrived_at: times::BootTime,
+    /// Ends the caller's connection visibly.
+    pub reset: serving::ResetSwitch,
     /// Targets that could not be reached for this request.
     pub unreached: atomic::AtomicU32,
     /// Whether a target may have received the request from this node.
@@ -63,6 +65,11 @@
 }
 
 impl<P: links::FleetPlatform> RequestJob<P> {
+    /// Returns for whom the node holds the request's answer.
+    pub(super) fn answer_owner(&self) -> serving::AnswerOwner {
+        serving::AnswerOwner::new(self.head.attempt.clone(), self.reset.clone())
+    }
+
     /// Returns the request's rank, 0 for the most urgent: the customer's own, or else the route's.
     pub(super) fn rank(&self) -> u8 {
         let customer_rank = self.grant.as_ref().and_then(|grant| grant.rank);
--- a/crates/pier_edge/src/serving/stream_relay/mod.rs
+++ b/crates/pier_edge/src/serving/stream_relay/mod.rs
@@ -30,8 +30,9 @@
     tried: Vec<ids::VmName>,
     sends: u32,
     splitter: serving::EventSplitter,
-    /// The memory of the splitter's buffer.
-    share: serving::BudgetShare,
+    /// The memory of the splitter's buffer and of what waits for the caller.
+    share: serving::AnswerShare,
+    pause: attempts::UnreadPause,
     last_event: Option<String>,
     events: u32,
     last_at: times::BootTime,
@@ -53,6 +54,10 @@
     Ended,
     /// The target broke the stream off, which showed in this way.
     Closed(String),
+    /// The target broke the stream off, as the caller did not read it.
+    Unread(String),
+    /// The stream was given up for lack of memory, and the caller's connection ends.
+    GivenUp,
     /// The stream exceeds a limit.
     TooLarge(serving::AnswerLimit),
     /// The target is silent, or its group no longer serves; it may be sound and go on.
@@ -76,7 +81,8 @@
             stuck: call.slot.watch_stuck(),
             last_event: job.head.last_event.clone(),
             last_at: call.sent_at,
-            share: job.state.answer_budget().share(),
+            share: job.state.answers().begin_stream(job.answer_owner()),
+            pause: attempts::UnreadPause::default(),
             job: sync::Arc::new(job),
             call,
             parts,
@@ -110,7 +116,11 @@
             };
             match step {
                 RelayStep::Data(data) => {
-                    if !self.forward(&data).await {
+                    let started_at = times::clocks::boot_now();
+                    let goes_on = self.forward(&data).await;
+                    let now = times::clocks::boot_now();
+                    self.pause.record_pause(now.since(started_at));
+                    if !goes_on {
                         break "caller-left";
                     }
                 }
@@ -122,11 +132,16 @@
                     break "complete";
                 }
                 RelayStep::CallerLeft => break "caller-left",
+                RelayStep::GivenUp => break "given-up",
                 RelayStep::TimeOver => break "time-over",
                 RelayStep::Closed(reason) => {
                     self.record_loss(&reason).await;
                     next = Some(self.continue_elsewhere(true).await);
                 }
+                RelayStep::Unread(reason) => {
+                    self.record_unread(&reason);
+                    next = Some(self.continue_elsewhere(true).await);
+                }
                 RelayStep::TooLarge(limit) => {
                     self.log_loss("the stream exceeds a limit");
                     self.call.connection.close();
@@ -143,6 +158,11 @@
                 RelayStep::Lost => break "cut",
             }
         };
+        let outcome = if outcome == "caller-left" && self.share.is_ended() {
+            "given-up"
+        } else {
+            outcome
+        };
         let now = times::clocks::boot_now();
         let metrics = self.job.state.metrics();
         metrics.count_stream(outcome);
@@ -168,9 +188,14 @@
     }
 
     async fn step(&mut self) -> RelayStep {
-        let left = self.job.time_left(times::clocks::boot_now());
+        let now = times::clocks::boot_now();
+        let left = self.job.time_left(now);
         tokio::select! {
-            frame = self.call.body.frame() => self.frame_step(frame).await,
+            frame = self.call.body.frame() => {
+                let waited = times::clocks::boot_now().since(now);
+                self.pause.record_wait(waited);
+                self.frame_step(frame).await
+            }
             () = self.parts.closed() => RelayStep::CallerLeft,
             Ok(()) = self.stuck.changed() => RelayStep::Silent,
             () = tokio::time::sleep(left) => RelayStep::TimeOver,
@@ -183,35 +208,66 @@
             None => self.body_end().await,
             Some(Ok(frame)) => {
                 let data = frame.into_data().unwrap_or_else(|_trailers| Bytes::new());
-                self.accept(data)
+                self.accept(data).await
             }
-            Some(Err(error)) => RelayStep::Closed(error.to_string()),
+            Some(Err(error)) => self.broken_off(error.to_string()),
         }
     }
 
     /// Returns bytes of the target's body as data if they keep the limits.
-    fn accept(&mut self, data: bytes::Bytes) -> RelayStep {
+    async fn accept(&mut self, data: bytes::Bytes) -> RelayStep {
         let buffered = self.splitter.len();
         if buffered > MAX_EVENT_BYTES {
             return RelayStep::TooLarge(serving::AnswerLimit::Event);
         }
-        if !self.share.grow_to(buffered + data.len()) {
-            return RelayStep::TooLarge(serving::AnswerLimit::Budget);
+        match self.share.try_reserve(data.len()) {
+            Some(Ok(())) => {}
+            Some(Err(_end)) => return RelayStep::GivenUp,
+            None => {
+                if let Some(step) = self.wait_for_memory(data.len()).await {
+                    return step;
+                }
+            }
         }
         let metrics = self.job.state.metrics();
         metrics.count_received_bytes(self.call.slot.is_local, data.len());
         RelayStep::Data(data)
     }
 
+    /// Waits until there is memory for bytes that were read; returns what happened instead.
+    async fn wait_for_memory(&mut self, bytes: usize) -> Option<RelayStep> {
+        let asked_at = times::clocks::boot_now();
+        let _held_up = self.call.slot.gauge.hold_up();
+        tokio::select! {
+            reserved = self.share.reserve(bytes) => {
+                let now = times::clocks::boot_now();
+                self.pause.record_pause(now.since(asked_at));
+                reserved.is_err().then_some(RelayStep::GivenUp)
+            }
+            () = self.parts.closed() => Some(RelayStep::CallerLeft),
+            () = tokio::time::sleep(self.job.time_left(asked_at)) => Some(RelayStep::TimeOver),
+        }
+    }
+
     /// Returns what the end of the target's body means.
     async fn body_end(&mut self) -> RelayStep {
         self.unfinished = self.splitter.len();
-        let end = self.call.body_end(&self.job, self.content_end()).await;
+        let content = self.content_end();
+        let end = self.call.body_end(&self.job, content, self.pause).await;
         end.fault().map_or(RelayStep::Ended, |reason| {
-            RelayStep::Closed(reason.to_owned())
+            self.broken_off(reason.to_owned())
         })
     }
 
+    /// Returns what it means that the target broke the stream off.
+    fn broken_off(&self, reason: String) -> RelayStep {
+        if self.pause.explains_end() {
+            RelayStep::Unread(reason)
+        } else {
+            RelayStep::Closed(reason)
+        }
+    }
+
     fn content_end(&self) -> attempts::ContentEnd {
         if !is_event_stream(&self.call.head) {
             attempts::ContentEnd::Opaque
@@ -259,7 +315,7 @@
 
     /// Sends bytes to the caller; returns whether it is still connected.
     async fn send(&self, bytes: bytes::Bytes) -> bool {
-        let part = serving::StreamPart::Data(bytes);
+        let part = serving::StreamPart::Data(self.share.hand_over(bytes));
         match self.parts.try_send(part) {
             Ok(()) => true,
             Err(mpsc::error::TrySendError::Closed(_part)) => false,
@@ -283,6 +339,15 @@
         self.is_held |= reported.is_err();
     }
 
+    /// Records that the target broke the stream off because it was not read.
+    fn record_unread(&mut self, reason: &str) {
+        self.log_loss(reason);
+        self.call.guard.release();
+        let reported = self.job.report_unread(&self.call.slot);
+        self.is_held |= reported.is_err();
+        self.pause = attempts::UnreadPause::default();
+    }
+
     fn log_loss(&self, reason: &str) {
         let now = times::clocks::boot_now();
         log::info!(
--- a/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
+++ b/crates/pier_edge/src/serving/stream_relay/stream_resume.rs
@@ -96,6 +96,14 @@
                             open.start_search();
                         }
                     }
+                    RelayStep::Unread(reason) => {
+                        self.record_unread(&reason);
+                        is_lost = true;
+                        lost_at = times::clocks::boot_now();
+                        if open.is_empty() {
+                            open.start_search();
+                        }
+                    }
                     step => return step,
                 },
                 RaceEvent::Other(serving::SendEvent::Search) => {}
@@ -211,7 +219,8 @@
         );
         self.job.state.metrics().count_resume("done");
         self.resumed += 1;
-        self.splitter.take_rest();
+        let rest = self.splitter.take_rest();
+        self.share.discard(rest.len());
         self.stuck = call.slot.watch_stuck();
         self.call = call;
         if self.events > 0 {
--- a/crates/pier_edge/src/serving/stream_run.rs
+++ b/crates/pier_edge/src/serving/stream_run.rs
@@ -31,7 +31,7 @@
     /// The stream has begun.
     Stream(http::response::Parts, mpsc::Receiver<serving::StreamPart>),
     /// The target answered with something other than a stream.
-    Whole(http::response::Parts, bytes::Bytes),
+    Whole(http::response::Parts, serving::WholeAnswer),
 }
 
 /// A send that has ended or begun to be answered.
@@ -46,7 +46,7 @@
 #[derive(Debug)]
 enum AnswerStart {
     Stream(Box<serving::TargetCall>),
-    Whole(http::response::Parts, bytes::Bytes),
+    Whole(http::response::Parts, serving::WholeAnswer),
     /// The target states that it has not run the request.
     NotRun(Box<serving::TargetCall>),
 }
@@ -149,13 +149,15 @@
     mut call: serving::TargetCall,
 ) -> Result<AnswerStart, serving::SendFault> {
     let left = job.time_left(times::clocks::boot_now());
-    let share = job.state.answer_budget().share();
-    let reading = buffered_run::read_whole(&mut call.body, share);
+    let room = job.state.answers();
+    let reading = serving::WholeAnswer::read(&mut call.body, room, job.answer_owner());
     let body = tokio::time::timeout(left, reading).await;
-    let body = body.unwrap_or(Err(serving::SendFault::TimedOut))?;
-    let end = call.body_end(job, attempts::ContentEnd::Opaque).await;
+    let (body, pause) = body.unwrap_or(Err(serving::SendFault::TimedOut))?;
+    let end = call
+        .body_end(job, attempts::ContentEnd::Opaque, pause)
+        .await;
     if let Some(reason) = end.fault() {
-        return Err(serving::SendFault::MayHaveRun(reason.to_owned()));
+        return Err(serving::SendFault::of_end(reason, pause));
     }
     let head = call.head.clone();
     call.finish();
--- a/crates/pier_edge/src/serving/target_call.rs
+++ b/crates/pier_edge/src/serving/target_call.rs
@@ -152,12 +152,14 @@
         &self,
         job: &serving::RequestJob<P>,
         content: attempts::ContentEnd,
+        pause: attempts::UnreadPause,
     ) -> attempts::BodyEnd {
         let needs_mark = self.head.status.is_success() && !self.answer.is_not_run;
         let mut evidence = attempts::EndEvidence {
             framing: self.framing,
             is_genuine: !needs_mark || self.answer.is_genuine(),
             content,
+            was_unread: pause.explains_end(),
             life: attempts::LifeSign::Silent,
         };
         if evidence.needs_life_sign() {
@@ -222,7 +224,11 @@
         Ok(_) => "answered",
         Err(serving::SendFault::Unreached(_)) => "unreached",
         Err(serving::SendFault::NotSent(_) | serving::SendFault::Refused(_)) => "refused",
-        Err(serving::SendFault::MayHaveRun(_) | serving::SendFault::TooLarge(_)) => "lost",
+        Err(
+            serving::SendFault::MayHaveRun(_)
+            | serving::SendFault::Unread(_)
+            | serving::SendFault::TooLarge(_),
+        ) => "lost",
         Err(serving::SendFault::TimedOut) => "timed-out",
     }
 }
--- a/crates/pier_edge/src/serving/target_stream.rs
+++ b/crates/pier_edge/src/serving/target_stream.rs
@@ -18,6 +18,10 @@
 /// it, and the beginning of the body that is read along with them.
 const MAX_PREFACE_BYTES: usize = 4 * MAX_HEAD_BYTES;
 
+/// Most bytes that are read at once. The HTTP library's buffers grow with them, and each request has
+/// its own.
+const MAX_READ_BYTES: usize = 16 << 10;
+
 /// The number of bytes that stands for no limit.
 const UNLIMITED: usize = usize::MAX;
 
@@ -93,8 +97,11 @@
         buf: &mut ReadBuf<'_>,
     ) -> task::Poll<std::io::Result<()>> {
         let this = self.get_mut();
-        let before = buf.filled().len();
-        task::ready!(pin::Pin::new(&mut this.reader).poll_read(cx, buf))?;
-        task::Poll::Ready(this.limit.count(buf.filled().len() - before))
+        let size = buf.remaining().min(MAX_READ_BYTES);
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(size));
+        task::ready!(pin::Pin::new(&mut this.reader).poll_read(cx, &mut part))?;
+        let length = part.filled().len();
+        buf.advance(length);
+        task::Poll::Ready(this.limit.count(length))
     }
 }
--- a/crates/pier_edge/src/settings/edge_settings.rs
+++ b/crates/pier_edge/src/settings/edge_settings.rs
@@ -39,6 +39,8 @@
     pub memory: sizes::ByteSize,
     /// Limits on the bodies of requests.
     pub bodies: settings::BodyBounds,
+    /// Limits on the answers that wait for their callers.
+    pub answers: settings::AnswerBounds,
     /// Whether the whole fleet starts for the first time, so that the nodes' records are yet to
     /// come.
     pub is_first_start: bool,
@@ -92,6 +94,7 @@
             store: reader.value("platform", "store")?,
             memory,
             bodies: body_bounds(&reader, memory)?,
+            answers: answer_bounds(&reader, memory)?,
             is_first_start: reader.optional("node", "first_start")?.unwrap_or(false),
             cores: reader
                 .positive("limits", "cores")?
@@ -134,6 +137,20 @@
     Ok(bounds)
 }
 
+fn answer_bounds(
+    reader: &SectionReader<'_>,
+    memory: sizes::ByteSize,
+) -> Result<settings::AnswerBounds, settings::SettingsError> {
+    let mut bounds = settings::AnswerBounds::of_memory(memory);
+    if let Some(mebibytes) = reader.positive_count("limits", "answer_budget_mib")? {
+        bounds.budget = sizes::ByteSize::new(u64::from(mebibytes) << 20);
+    }
+    if let Some(rate) = reader.positive_count("limits", "least_answer_rate")? {
+        bounds.least_rate = sizes::ByteSize::new(u64::from(rate));
+    }
+    Ok(bounds)
+}
+
 fn seconds(number: f64) -> time::Duration {
     time::Duration::from_secs_f64(number.clamp(0.0, 86_400.0))
 }
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -49,7 +49,7 @@
     reach: sync::Mutex<reach::ReachTracker>,
     crashes: crashes::CrashLedger,
     streams: state::StreamRecords,
-    answer_budget: serving::AnswerBudget,
+    answers: serving::AnswerRoom,
     bodies: serving::BodyRoom,
     metrics: telemetry::EdgeMetrics,
     start_up: state::StartUp,
@@ -72,8 +72,9 @@
 
 impl<P: links::FleetPlatform> EdgeState<P> {
     pub(crate) fn new(settings: settings::EdgeSettings, node: ids::NodeName, platform: P) -> Self {
+        let metrics = telemetry::EdgeMetrics::default();
         let shared = SharedState {
-            answer_budget: serving::AnswerBudget::new(settings.memory),
+            answers: serving::AnswerRoom::new(settings.answers, metrics.answers().clone()),
             bodies: serving::BodyRoom::new(settings.bodies),
             retries: state::RetryBudget::new(settings.bounds),
             notices: peers::NoticeOutbox::default(),
@@ -97,7 +98,7 @@
             out_of_service: arc_swap::ArcSwap::default(),
             registry: sync::Mutex::default(),
             slots: sync::Mutex::default(),
-            metrics: telemetry::EdgeMetrics::default(),
+            metrics,
             start_up: state::StartUp::default(),
             draining: atomic::AtomicBool::new(false),
             has_served: atomic::AtomicBool::new(false),
@@ -141,8 +142,8 @@
         &self.shared.retries
     }
 
-    pub(crate) fn answer_budget(&self) -> &serving::AnswerBudget {
-        &self.shared.answer_budget
+    pub(crate) fn answers(&self) -> &serving::AnswerRoom {
+        &self.shared.answers
     }
 
     pub(crate) fn bodies(&self) -> &serving::BodyRoom {
--- a/crates/pier_edge/src/telemetry/edge_metrics.rs
+++ b/crates/pier_edge/src/telemetry/edge_metrics.rs
@@ -33,6 +33,7 @@
     losses: Family<Labels, Counter>,
     held_requests: Gauge,
     bodies: telemetry::BodyMetrics,
+    held_answers: telemetry::AnswerMetrics,
     held_parts: Gauge,
     leaving_targets: Counter,
     target_pauses: Counter,
@@ -86,6 +87,7 @@
             losses: Family::default(),
             held_requests: Gauge::default(),
             bodies: telemetry::BodyMetrics::default(),
+            held_answers: telemetry::AnswerMetrics::default(),
             held_parts: Gauge::default(),
             leaving_targets: Counter::default(),
             target_pauses: Counter::default(),
@@ -158,6 +160,7 @@
             metrics.member_queries.clone(),
         );
         metrics.bodies.register(&mut registry);
+        metrics.held_answers.register(&mut registry);
         metrics.register_messages(&mut registry);
         drop(registry);
         metrics
@@ -407,6 +410,10 @@
         self.losses.get_or_create(&labels).inc();
     }
 
+    pub(crate) const fn answers(&self) -> &telemetry::AnswerMetrics {
+        &self.held_answers
+    }
+
     pub(crate) const fn bodies(&self) -> &telemetry::BodyMetrics {
         &self.bodies
     }
--- a/crates/pier_edge/tests/node_settings.rs
+++ b/crates/pier_edge/tests/node_settings.rs
@@ -61,6 +61,8 @@
             "caller_connections",
             text("", "caller_connections = 1.5", ""),
         ),
+        ("answer_budget_mib", text("", "answer_budget_mib = 0", "")),
+        ("least_answer_rate", text("", "least_answer_rate = x", "")),
         ("leaving_ms", text("", "", "leaving_ms = 0")),
         ("leaving_ms", text("", "", "leaving_ms = soon")),
         ("remote_percent", text("", "", "remote_percent = 101")),
@@ -88,3 +90,14 @@
     assert_eq!(read.bodies.quiet_time, Some(quiet));
     assert_eq!(read.bodies.connections, 64);
 }
+
+#[test]
+fn limits_on_answers_follow_from_the_memory_and_can_be_set() {
+    let read = settings::EdgeSettings::parse(&text("", "", "")).unwrap();
+    assert_eq!(read.answers.budget, sizes::ByteSize::new(50 << 20));
+    assert_eq!(read.answers.least_rate, sizes::ByteSize::new(16_384));
+    let limits = "answer_budget_mib = 30\nleast_answer_rate = 2000";
+    let read = settings::EdgeSettings::parse(&text("", limits, "")).unwrap();
+    assert_eq!(read.answers.budget, sizes::ByteSize::new(30 << 20));
+    assert_eq!(read.answers.least_rate, sizes::ByteSize::new(2_000));
+}
--- a/crates/pier_edge/tests/support/mod.rs
+++ b/crates/pier_edge/tests/support/mod.rs
@@ -24,7 +24,7 @@
 };
 pub use fake_platform::{FakePlatform, StoreCopy};
 pub use raw_caller::{RawAnswer, RawCaller};
-pub use scripted_target::{Script, ScriptedTarget, header};
+pub use scripted_target::{LongStream, Script, ScriptedTarget, header};
 pub use test_node::{
     GROUP_MODEL, KEY, TestNode, document, document_at, free_address, group_member, node_with,
     plain_entry, route,
--- a/crates/pier_edge/tests/support/scripted_target.rs
+++ b/crates/pier_edge/tests/support/scripted_target.rs
@@ -51,6 +51,8 @@
     /// The head of a stream and this many events, after which it is silent and then closes the
     /// connection.
     Breaks { events: u32, silent_ms: u64 },
+    /// Many events that a caller may leave unread.
+    Long(LongStream),
     /// Numbered events up to the last one, with a pause between them. Starts after the event that
     /// the request names.
     Events {
@@ -63,6 +65,43 @@
     },
 }
 
+/// Numbered events of one size up to the last one. The target closes the connection when it can send
+/// nothing for a while, and also after the last event unless chunks mark the end.
+#[derive(Clone, Copy, Debug)]
+pub struct LongStream {
+    pub headers: &'static str,
+    pub last: u32,
+    pub event_bytes: usize,
+    pub patience: time::Duration,
+}
+
+impl LongStream {
+    /// Writes the events after the one that the request names.
+    async fn write(self, stream: &mut TcpStream, head: &str, after: u32) -> Option<()> {
+        let text = format!("{head}{}\r\n", self.headers);
+        stream.write_all(text.as_bytes()).await.ok()?;
+        let size = self.event_bytes;
+        let is_chunked = self.headers.contains("chunked");
+        for id in after + 1..=self.last {
+            let mut part = format!("id: {id}\ndata: ");
+            part.extend(std::iter::repeat_n('a', size - 2 - part.len()));
+            part.push_str("\n\n");
+            if is_chunked {
+                part = format!("{size:x}\r\n{part}\r\n");
+            }
+            let writing = stream.write_all(part.as_bytes());
+            tokio::time::timeout(self.patience, writing)
+                .await
+                .ok()?
+                .ok()?;
+        }
+        if is_chunked {
+            return stream.write_all(b"0\r\n\r\n").await.ok();
+        }
+        None
+    }
+}
+
 /// A target on its own port.
 #[derive(Clone, Debug)]
 pub struct ScriptedTarget {
@@ -279,6 +318,7 @@
             tokio::time::sleep(time::Duration::from_millis(*silent_ms)).await;
             None
         }
+        Script::Long(stream_script) => stream_script.write(stream, &head, after).await,
         Script::Events {
             last,
             pause_ms,
--- a/crates/pier_edge/tests/support/test_node.rs
+++ b/crates/pier_edge/tests/support/test_node.rs
@@ -60,6 +60,19 @@
         Self::start_with(platform, name, "dc-a", 100, false).await
     }
 
+    /// Starts a node with a document and targets that holds this much of answers, in MiB.
+    pub async fn start_with_answers(mebibytes: u32, entries: Vec<targets::TargetEntry>) -> Self {
+        let limits = format!("memory_mib = 200\nanswer_budget_mib = {mebibytes}");
+        let platform = FakePlatform::default();
+        for entry in entries {
+            platform.put_target(entry);
+        }
+        platform.put_document(document());
+        let node = Self::start_limited(platform, "n1", "dc-a", 100, false, &limits).await;
+        node.settle().await;
+        node
+    }
+
     /// Starts a node of this name in a data centre.
     pub async fn start_in(platform: FakePlatform, name: &str, data_centre: &str) -> Self {
         Self::start_with(platform, name, data_centre, 100, false).await
@@ -81,6 +94,18 @@
         data_centre: &str,
         burst: u32,
         is_first: bool,
+    ) -> Self {
+        let limits = "memory_mib = 200";
+        Self::start_limited(platform, name, data_centre, burst, is_first, limits).await
+    }
+
+    async fn start_limited(
+        platform: FakePlatform,
+        name: &str,
+        data_centre: &str,
+        burst: u32,
+        is_first: bool,
+        limits: &str,
     ) -> Self {
         let (callers, readiness) = (free_address(), free_address());
         let (forwards, peers, metrics) = (free_address(), free_address(), free_address());
@@ -89,7 +114,7 @@
              first_start = {is_first}\n\
              [listen]\ncallers = {callers}\nreadiness = {readiness}\npeers = {peers}\n\
              forwards = {forwards}\nmetrics = {metrics}\n\
-             [platform]\nstore = 127.0.0.1:9\n[limits]\nmemory_mib = 200\n\
+             [platform]\nstore = 127.0.0.1:9\n[limits]\n{limits}\n\
              [bounds]\ngrace_seconds = 8\nretry_ratio = 0.2\nretry_burst = {burst}\n\
              retry_window_seconds = 10\n[log]\nlevel = info\n",
         );
--- a/crates/pier_node/src/requests/answer_body.rs
+++ b/crates/pier_node/src/requests/answer_body.rs
@@ -57,6 +57,8 @@
             // Targets of this interface mark no answers.
             is_genuine: true,
             content: attempts::ContentEnd::Opaque,
+            // The body is read without pauses.
+            was_unread: false,
             life: attempts::LifeSign::Silent,
         };
         if evidence.needs_life_sign() {
--- a/crates/pier_request/src/attempts/body_end.rs
+++ b/crates/pier_request/src/attempts/body_end.rs
@@ -68,6 +68,8 @@
     pub is_genuine: bool,
     /// Where in its content the body ended.
     pub content: ContentEnd,
+    /// Whether the target may have cut the body off because it stayed unread.
+    pub was_unread: bool,
     /// What is known of the process; only looked at where [`Self::needs_life_sign`].
     pub life: LifeSign,
 }
@@ -81,7 +83,8 @@
             self.content,
             ContentEnd::InsideEvent | ContentEnd::BeforeFirstEvent
         );
-        self.is_genuine && self.framing == BodyFraming::UntilClose && !is_cut
+        let is_doubtful = is_cut || self.was_unread;
+        self.is_genuine && self.framing == BodyFraming::UntilClose && !is_doubtful
     }
 }
 
@@ -113,6 +116,10 @@
         if !is_unframed {
             return Self::Whole;
         }
+        // A process that cuts off what nobody reads lives on.
+        if evidence.was_unread {
+            return Self::Unknown("the target may have cut the body off as it was not read");
+        }
         match evidence.life {
             LifeSign::Alive => Self::Whole,
             LifeSign::Gone => Self::Cut("the target's process ended with the answer"),
--- a/crates/pier_request/src/attempts/mod.rs
+++ b/crates/pier_request/src/attempts/mod.rs
@@ -9,6 +9,7 @@
 mod part_status;
 mod reorder_buffer;
 mod stream_end;
+mod unread_pause;
 mod worst_outcome;
 
 pub use attempt_end::AttemptEnd;
@@ -16,4 +17,5 @@
 pub use part_status::PartStatus;
 pub use reorder_buffer::ReorderBuffer;
 pub use stream_end::StreamEnd;
+pub use unread_pause::UnreadPause;
 pub use worst_outcome::WorstOutcome;
--- a/crates/pier_request/tests/body_ends.rs
+++ b/crates/pier_request/tests/body_ends.rs
@@ -7,6 +7,7 @@
         framing,
         is_genuine: true,
         content,
+        was_unread: false,
         life,
     }
 }
@@ -44,6 +45,20 @@
     }
 }
 
+/// Guards against a target that cuts an unread answer off and lives on, so that the part passes as whole.
+#[test]
+fn an_end_without_framing_after_a_long_pause_is_not_whole() {
+    for content in [ContentEnd::Opaque, ContentEnd::BetweenEvents] {
+        let mut unframed = evidence(BodyFraming::UntilClose, content, LifeSign::Alive);
+        unframed.was_unread = true;
+        assert!(!unframed.needs_life_sign());
+        assert!(matches!(BodyEnd::judge(unframed), BodyEnd::Unknown(_)));
+        let mut framed = evidence(BodyFraming::Chunked, content, LifeSign::Silent);
+        framed.was_unread = true;
+        assert_eq!(BodyEnd::judge(framed), BodyEnd::Whole);
+    }
+}
+
 /// Guards against framed answers that wait for, or are cut by, the check of the process.
 #[test]
 fn a_framed_end_does_not_depend_on_the_process() {
