Show that crowds of bodies fill a node of the product's own interface

Seven tests start buckthornpier node on loopback, with a platform and a service that answers the size of what it got, and send it crowds of bodies: with a length, whole or in pieces; in large and in very small chunks; far over the limit, announced or just sent; and more of them than connections that it is to have. Most stop short of the end and stay open. The crowd and the bounds are those of body_crowds, with this node's largest body of 8 MiB: together one and a half times 112 MiB, and 320 descriptors. What both files send and read lies in tests/support now; the tests of body_crowds are the same.

--- a/crates/buckthornpier/tests/support/mod.rs
+++ b/crates/buckthornpier/tests/support/mod.rs
@@ -6,6 +6,7 @@
     reason = "each test file uses only some of the items"
 )]
 
+mod body_crowd;
 mod caller_call;
 mod caller_outcome;
 mod child_process;
@@ -17,6 +18,7 @@
 mod test_cluster;
 mod test_document;
 
+pub use body_crowd::{CrowdBodies, CrowdPlan, CrowdedNode, free_address};
 pub use caller_call::CallerCall;
 pub use caller_outcome::{CallerFailure, CallerOutcome};
 pub use child_process::ChildProcess;
