Hold the bodies of requests within a budget on the product's own interface

A body was read whole into a buffer of its own and kept there while the rest of an oversized one was dropped; nothing bounded what all of them took together, nor the connections. Now pier_node reserves blocks before it fills them, with the same decisions as pier_edge (BodyBudget); the state of both is in the new crate pier_bodies, moved from pier_edge. Least promising bodies end with 1011 or the new 2008 (503, not run, Retry-After), and their connections close. Bodies that other nodes forward count too and are refused with 2001, which earlier builds know. Settings in [limits]: memory-mib, body-budget-mib, least-body-rate, bodies, descriptors.

Rocket has no hook for its listener. Its accept loop, part of the future that runs it, is polled only while descriptors are left, with one unit of the task's cooperative budget; the receive buffers are limited through a second descriptor of the listener. Neither needs unsafe code. rustix and socket2 become dependencies of pier_node (they were for its tests).

What one thread frees of another's memory stays for a while, so that a node of less than 256 MiB runs a thread for each 64.

--- a/crates/buckthornpier/tests/node_body_crowds.rs
+++ b/crates/buckthornpier/tests/node_body_crowds.rs
@@ -92,7 +92,9 @@
     let text = format!(
         "[node]\ndata-centre = mvd-a\nregion = mvd\ncallers = {callers}\n\
          operators = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
-         peer-key = 0123456789abcdef0123456789abcdef\n[platform]\nurl = {url}\n"
+         peer-key = 0123456789abcdef0123456789abcdef\n[platform]\nurl = {url}\n\
+         [limits]\nmemory-mib = {MEMORY_MIB}\ndescriptors = {}\n",
+        PLAN.max_descriptors
     );
     let folder = format!("node-crowd-{name}");
     let settings = support::file(&folder, "node.ini", &text);
--- a/crates/pier_edge/src/serving/bodies/body_room.rs
+++ b/crates/pier_bodies/src/body_room.rs
@@ -10,15 +10,14 @@
 use pier_types::{sizes, times};
 use tokio::sync::{Notify, oneshot};
 
-use super::{BodyShare, ConnectionGuard};
-use crate::{settings, state};
+use super::{BodyBounds, BodyShare, ConnectionGuard};
 
 /// How long a new connection over the limit waits for one that is being closed for it.
 const CLOSE_WAIT: time::Duration = time::Duration::from_millis(250);
 
 /// The memory that bodies take, and the connections that send them; cloning it is cheap.
 #[derive(Debug, Clone)]
-pub(crate) struct BodyRoom {
+pub struct BodyRoom {
     shared: sync::Arc<SharedRoom>,
 }
 
@@ -51,7 +50,7 @@
 
 impl BodyRoom {
     /// Creates the room of a node.
-    pub(crate) fn new(bounds: settings::BodyBounds) -> Self {
+    pub fn new(bounds: BodyBounds) -> Self {
         let budget = budgets::BodyBudget::new(bounds.budget, bounds.least_rate);
         let bodies = RoomBodies {
             budget,
@@ -69,13 +68,13 @@
     }
 
     /// Returns the bytes that all bodies hold.
-    pub(crate) fn total(&self) -> sizes::ByteSize {
-        state::lock(&self.shared.bodies).budget.total()
+    pub fn total(&self) -> sizes::ByteSize {
+        self.lock().budget.total()
     }
 
     /// Counts a connection of a caller. Over the limit the least promising body is ended, whose
     /// connection closes; `None` if there is no such body, or it does not close at once.
-    pub(in crate::serving) async fn connect(&self) -> Option<ConnectionGuard> {
+    pub async fn connect(&self) -> Option<ConnectionGuard> {
         let disconnected = self.shared.disconnected.notified();
         if let Some(guard) = self.try_connect() {
             return Some(guard);
@@ -88,12 +87,18 @@
     /// Ends the least promising body; `None` if there is none.
     fn give_up_one(&self) -> Option<()> {
         let now = times::clocks::boot_now();
-        let mut bodies = state::lock(&self.shared.bodies);
+        let mut bodies = self.lock();
         let (victim, end) = bodies.budget.give_up_one(now)?;
         bodies.end(victim, end);
         Some(())
     }
 
+    /// Locks the bodies; what a panicking holder left behind is used as it is.
+    fn lock(&self) -> sync::MutexGuard<'_, RoomBodies> {
+        let bodies = self.shared.bodies.lock();
+        bodies.unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     fn try_connect(&self) -> Option<ConnectionGuard> {
         let limit = self.shared.max_connections;
         let more = |open: usize| (open < limit).then_some(open + 1);
@@ -116,7 +121,7 @@
         now: times::BootTime,
     ) -> (BodyShare, oneshot::Receiver<budgets::BodyEnd>) {
         let (sender, receiver) = oneshot::channel();
-        let mut bodies = state::lock(&self.shared.bodies);
+        let mut bodies = self.lock();
         let id = bodies.budget.begin(stated, now);
         bodies.ends.insert(id, sender);
         drop(bodies);
@@ -124,9 +129,7 @@
     }
 
     pub(super) fn record_progress(&self, id: budgets::BodyId, now: times::BootTime) {
-        state::lock(&self.shared.bodies)
-            .budget
-            .record_progress(id, now);
+        self.lock().budget.record_progress(id, now);
     }
 
     /// Reserves memory for a part of a body, once the bodies that have to make room for it are
@@ -144,7 +147,7 @@
             let released = self.shared.released.notified();
             {
                 let now = times::clocks::boot_now();
-                let mut bodies = state::lock(&self.shared.bodies);
+                let mut bodies = self.lock();
                 match bodies.budget.reserve(id, bytes, now) {
                     budgets::BodyGrant::Granted => return Ok(()),
                     budgets::BodyGrant::Refused(end) => return Err(end),
@@ -160,13 +163,13 @@
     }
 
     pub(super) fn complete(&self, id: budgets::BodyId) {
-        let mut bodies = state::lock(&self.shared.bodies);
+        let mut bodies = self.lock();
         bodies.budget.complete(id);
         bodies.ends.remove(&id);
     }
 
     pub(super) fn release(&self, id: budgets::BodyId) {
-        let mut bodies = state::lock(&self.shared.bodies);
+        let mut bodies = self.lock();
         bodies.budget.release(id);
         bodies.ends.remove(&id);
         drop(bodies);
--- a/crates/pier_edge/src/serving/bodies/connection_guard.rs
+++ b/crates/pier_bodies/src/connection_guard.rs
@@ -4,7 +4,7 @@
 
 /// A connection of a caller, counted until dropped.
 #[derive(Debug)]
-pub(in crate::serving) struct ConnectionGuard {
+pub struct ConnectionGuard {
     room: BodyRoom,
 }
 
--- a/crates/pier_edge/src/serving/bodies/body_reader.rs
+++ b/crates/pier_edge/src/serving/body_reader.rs
@@ -6,31 +6,16 @@
 use hyper::body::{Body as _, Incoming};
 use pier_fleet::{budgets, documents};
 use pier_types::times;
-use tokio::sync::oneshot;
 
-use super::BodyShare;
 use crate::{links, serving, serving::request_job::millis, state};
 
 /// Time-out for reading a request's body when the caller states none.
 const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 
-/// Size of the first block of a body without a stated length, in bytes.
-const FIRST_BLOCK_BYTES: usize = 4 << 10;
-
-/// Size of the blocks of a body that is longer than one, in bytes. Equal blocks are used again for
-/// other bodies.
-const BLOCK_BYTES: usize = 64 << 10;
-
-/// Reads a body in blocks that are reserved before they are filled.
+/// Reads a body within the node's budget.
 #[derive(Debug)]
-pub(in crate::serving) struct BodyReader {
-    share: BodyShare,
-    ends: oneshot::Receiver<budgets::BodyEnd>,
-    stated: Option<u64>,
-    blocks: Vec<bytes::BytesMut>,
-    length: usize,
-    started_at: times::BootTime,
-    progress_at: times::BootTime,
+pub(super) struct BodyReader {
+    intake: pier_bodies::BodyIntake,
 }
 
 impl BodyReader {
@@ -40,7 +25,7 @@
     ///
     /// Refuses a body that is over the limit, that does not come in time, or that is given up for
     /// others.
-    pub(in crate::serving) async fn read<P: links::FleetPlatform>(
+    pub(super) async fn read<P: links::FleetPlatform>(
         state: &state::EdgeState<P>,
         body: Incoming,
         limits: documents::CallerLimits,
@@ -54,24 +39,17 @@
             return Ok(bytes::Bytes::new());
         }
         let now = times::clocks::boot_now();
-        let (share, ends) = state.bodies().begin(stated, now);
+        let max_size = usize::try_from(limits.body_size.get()).unwrap_or(usize::MAX);
         let mut reader = Self {
-            share,
-            ends,
-            stated,
-            blocks: Vec::new(),
-            length: 0,
-            started_at: now,
-            progress_at: now,
+            intake: pier_bodies::BodyIntake::begin(state.bodies(), stated, now),
         };
         let bounds = state.settings().bodies;
         let quiet_time = bounds.quiet_time.unwrap_or(limits.idle_time);
-        let max_size = usize::try_from(limits.body_size.get()).unwrap_or(usize::MAX);
         let limit = head.timeout.unwrap_or(BODY_TIMEOUT);
         let reading = reader.read_all(body, max_size, quiet_time);
         let read = tokio::time::timeout(limit, reading).await;
         match read.unwrap_or(Err(ReadEnd::TooSlow)) {
-            Ok(()) => Ok(reader.finish()),
+            Ok(()) => Ok(reader.intake.finish()),
             Err(ReadEnd::TooLarge) => Err(serving::Refusal::BodyTooLarge),
             Err(ReadEnd::TooSlow) => Err(serving::Refusal::BodyTooSlow),
             Err(ReadEnd::GivenUp(end)) => {
@@ -96,9 +74,7 @@
         loop {
             let frame = tokio::select! {
                 biased;
-                end = &mut self.ends => {
-                    return Err(ReadEnd::GivenUp(end.unwrap_or(budgets::BodyEnd::Crowded)));
-                }
+                end = self.intake.ended() => return Err(ReadEnd::GivenUp(end)),
                 frame = tokio::time::timeout(quiet_time, body.frame()) => frame,
             };
             let Some(frame) =
@@ -111,68 +87,13 @@
             let Some(data) = frame.data_ref() else {
                 continue;
             };
-            if self.length + data.len() > max_size {
+            if self.intake.length() + data.len() > max_size {
                 return Err(ReadEnd::TooLarge);
             }
-            self.progress_at = times::clocks::boot_now();
-            self.share.record_progress(self.progress_at);
-            self.append(data).await?;
-        }
-    }
-
-    async fn append(&mut self, mut data: &[u8]) -> Result<(), ReadEnd> {
-        while !data.is_empty() {
-            let room = self
-                .blocks
-                .last()
-                .map_or(0, |block| block.capacity() - block.len());
-            if room == 0 {
-                let size = self.next_block();
-                tokio::select! {
-                    biased;
-                    end = &mut self.ends => {
-                        return Err(ReadEnd::GivenUp(end.unwrap_or(budgets::BodyEnd::Crowded)));
-                    }
-                    reserved = self.share.reserve(size) => reserved.map_err(ReadEnd::GivenUp)?,
-                }
-                self.blocks.push(bytes::BytesMut::with_capacity(size));
-                continue;
-            }
-            let (part, rest) = data.split_at(data.len().min(room));
-            if let Some(block) = self.blocks.last_mut() {
-                block.extend_from_slice(part);
-            }
-            self.length += part.len();
-            data = rest;
-        }
-        Ok(())
-    }
-
-    /// Returns the size of the next block.
-    fn next_block(&self) -> usize {
-        let stated = self.stated.and_then(|stated| usize::try_from(stated).ok());
-        let left = stated.unwrap_or_default().saturating_sub(self.length);
-        if stated.is_none() {
-            // Doubles what is held, up to the size of a block.
-            return self.length.clamp(FIRST_BLOCK_BYTES, BLOCK_BYTES);
+            let now = times::clocks::boot_now();
+            let appended = self.intake.append(data, now).await;
+            appended.map_err(ReadEnd::GivenUp)?;
         }
-        left.clamp(1, BLOCK_BYTES)
-    }
-
-    fn finish(mut self) -> bytes::Bytes {
-        let whole = if self.blocks.len() > 1 {
-            let mut whole = Vec::with_capacity(self.length);
-            // Each block is released as soon as it is copied.
-            for block in self.blocks.drain(..) {
-                whole.extend_from_slice(&block);
-            }
-            bytes::Bytes::from(whole)
-        } else {
-            self.blocks
-                .pop()
-                .map_or_else(bytes::Bytes::new, bytes::BytesMut::freeze)
-        };
-        self.share.attach(whole)
     }
 
     fn log_end(&self, end: budgets::BodyEnd, head: &links::CallerHead) {
@@ -181,10 +102,10 @@
             event = "body-ended",
             attempt = head.attempt.as_str(),
             cause = end.label(),
-            received_bytes = self.length,
-            stated_bytes = self.stated,
-            age_ms = millis(now.since(self.started_at)),
-            quiet_ms = millis(now.since(self.progress_at));
+            received_bytes = self.intake.length(),
+            stated_bytes = self.intake.stated(),
+            age_ms = millis(now.since(self.intake.started_at())),
+            quiet_ms = millis(now.since(self.intake.progress_at()));
             ""
         );
     }
--- a/crates/pier_edge/src/serving/mod.rs
+++ b/crates/pier_edge/src/serving/mod.rs
@@ -2,8 +2,8 @@
 
 mod accept;
 mod answers;
-mod bodies;
 mod body_framing;
+mod body_reader;
 mod buffered_run;
 mod caller_server;
 mod caller_stream;
@@ -29,8 +29,8 @@
 pub(crate) use accept::accept;
 use answers::{AnswerLimit, AnswerOwner, AnswerShare};
 pub(crate) use answers::{AnswerRoom, WholeAnswer};
-pub(crate) use bodies::BodyRoom;
 use body_framing::framing_of;
+use body_reader::BodyReader;
 pub(crate) use caller_server::{CallerServer, ServerAudience};
 use caller_stream::CallerStream;
 pub(crate) use caller_stream::ResetSwitch;
--- a/crates/pier_edge/src/serving/request_entry.rs
+++ b/crates/pier_edge/src/serving/request_entry.rs
@@ -6,7 +6,7 @@
 use pier_fleet::documents;
 use pier_types::{ids, times};
 
-use super::{bodies, buffered_run, request_job::millis, stream_run};
+use super::{buffered_run, request_job::millis, stream_run};
 use crate::{links, serving, state};
 
 /// Who sent a request.
@@ -154,7 +154,7 @@
     let route = document.route(&head.host, parts.uri.path());
     let route = sync::Arc::clone(route.ok_or(serving::Refusal::NoRoute)?);
     let grant = grant(&document, &route, &head)?;
-    let body = bodies::BodyReader::read(state, body, document.limits(), &head).await;
+    let body = serving::BodyReader::read(state, body, document.limits(), &head).await;
     let body = body.map_err(|refusal| match refusal {
         // A label that nodes of earlier builds understand.
         serving::Refusal::BodyCrowded if forward.is_some() => serving::Refusal::TooManyForwards,
--- a/crates/pier_edge/src/settings/edge_settings.rs
+++ b/crates/pier_edge/src/settings/edge_settings.rs
@@ -38,7 +38,7 @@
     /// Memory that the process may use.
     pub memory: sizes::ByteSize,
     /// Limits on the bodies of requests.
-    pub bodies: settings::BodyBounds,
+    pub bodies: pier_bodies::BodyBounds,
     /// Limits on the answers that wait for their callers.
     pub answers: settings::AnswerBounds,
     /// Whether the whole fleet starts for the first time, so that the nodes' records are yet to
@@ -120,8 +120,8 @@
 fn body_bounds(
     reader: &SectionReader<'_>,
     memory: sizes::ByteSize,
-) -> Result<settings::BodyBounds, settings::SettingsError> {
-    let mut bounds = settings::BodyBounds::of_memory(memory);
+) -> Result<pier_bodies::BodyBounds, settings::SettingsError> {
+    let mut bounds = pier_bodies::BodyBounds::of_memory(memory);
     if let Some(mebibytes) = reader.positive_count("limits", "body_budget_mib")? {
         bounds.budget = sizes::ByteSize::new(u64::from(mebibytes) << 20);
     }
--- a/crates/pier_edge/src/state/edge_state.rs
+++ b/crates/pier_edge/src/state/edge_state.rs
@@ -50,7 +50,7 @@
     crashes: crashes::CrashLedger,
     streams: state::StreamRecords,
     answers: serving::AnswerRoom,
-    bodies: serving::BodyRoom,
+    bodies: pier_bodies::BodyRoom,
     metrics: telemetry::EdgeMetrics,
     start_up: state::StartUp,
     draining: atomic::AtomicBool,
@@ -75,7 +75,7 @@
         let metrics = telemetry::EdgeMetrics::default();
         let shared = SharedState {
             answers: serving::AnswerRoom::new(settings.answers, metrics.answers().clone()),
-            bodies: serving::BodyRoom::new(settings.bodies),
+            bodies: pier_bodies::BodyRoom::new(settings.bodies),
             retries: state::RetryBudget::new(settings.bounds),
             notices: peers::NoticeOutbox::default(),
             pauses: state::PauseTable::default(),
@@ -146,7 +146,7 @@
         &self.shared.answers
     }
 
-    pub(crate) fn bodies(&self) -> &serving::BodyRoom {
+    pub(crate) fn bodies(&self) -> &pier_bodies::BodyRoom {
         &self.shared.bodies
     }
 
--- a/crates/pier_node/src/callers/caller_request.rs
+++ b/crates/pier_node/src/callers/caller_request.rs
@@ -3,7 +3,6 @@
 use std::collections;
 
 use pier_types::times;
-use serde::{Deserialize, Serialize};
 
 /// Headers that the node or its targets use; all others are dropped.
 const KEPT_HEADERS: &[&str] = &[
@@ -17,7 +16,7 @@
 ];
 
 /// A caller's request, in the same form at the entry node and after it was forwarded.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallerRequest {
     /// The method, in upper case.
     pub method: String,
@@ -27,8 +26,8 @@
     pub query: String,
     /// The headers that are kept, with lower-case names.
     pub headers: collections::BTreeMap<String, String>,
-    /// The body.
-    pub body: Vec<u8>,
+    /// The body, with its share of the node's budget for bodies.
+    pub body: bytes::Bytes,
     /// When the head arrived at this node.
     pub arrived_at: times::BootTime,
     /// How many times it was forwarded; at most once.
--- a/crates/pier_node/src/callers/caller_routes.rs
+++ b/crates/pier_node/src/callers/caller_routes.rs
@@ -1,6 +1,6 @@
 //! The HTTP routes of the callers' port.
 
-use pier_types::times;
+use pier_types::{codes, times};
 use rocket::http::{Header, Method, Status};
 use rocket::response::Responder as _;
 use rocket::response::stream::ByteStream;
@@ -62,13 +62,14 @@
         plain(503, "not ready\n")
     }
 
-    /// Closes the connection after the answer while the node drains, so that no idle connection
-    /// brings a request while the server stops.
-    fn close_if_draining<'r>(&self, mut response: Response<'r>) -> Response<'r> {
-        if self.handle.is_draining() {
-            response.set_header(Header::new("connection", "close"));
-        }
-        response
+    /// Returns whether the connection is closed after an answer: while the node drains, so that no idle
+    /// connection brings a request while the server stops, and when the rest of a body is not read.
+    fn closes(&self, reply: &callers::CallerReply) -> bool {
+        let is_unread = matches!(
+            reply.code,
+            Some(codes::ResultCode::IncompleteBody | codes::ResultCode::BodyCrowded)
+        );
+        is_unread || self.handle.is_draining()
     }
 
     /// Refuses a request whose body was not read completely.
@@ -79,9 +80,7 @@
 
     async fn serve(&self, head: &Request<'_>, data: Data<'_>) -> callers::CallerReply {
         let arrived_at = times::clocks::boot_now();
-        let timeout = self.handle.settings().body_timeout;
-        let reader = callers::BodyReader { timeout };
-        let body = match reader.read(data).await {
+        let body = match callers::BodyReader::read(&self.handle, head, data).await {
             Ok(body) => body,
             Err(error) => return self.refuse(error),
         };
@@ -103,9 +102,15 @@
     async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
         let guard = self.handle.begin_request();
         let reply = self.answer(request, data).await;
+        let closes = self.closes(&reply);
         let answer = self.handle.begin_answer();
         match response_of(reply, guard, answer, request) {
-            Ok(response) => Outcome::Success(self.close_if_draining(response)),
+            Ok(mut response) => {
+                if closes {
+                    response.set_header(Header::new("connection", "close"));
+                }
+                Outcome::Success(response)
+            }
             Err(status) => Outcome::Error(status),
         }
     }
@@ -117,7 +122,7 @@
 
 fn request_of(
     head: &Request<'_>,
-    body: Vec<u8>,
+    body: bytes::Bytes,
     arrived_at: times::BootTime,
 ) -> callers::CallerRequest {
     let uri = head.uri();
--- a/crates/pier_node/src/daemon/node_daemon.rs
+++ b/crates/pier_node/src/daemon/node_daemon.rs
@@ -190,7 +190,9 @@
     async fn launch_callers(handle: &handle::NodeHandle) -> anyhow::Result<daemon::WebServer> {
         let settings = handle.settings();
         let routes = callers::CallerRoutes::new(handle.clone()).routes();
-        daemon::WebServer::launch(settings.callers, |rocket| rocket.mount("/", routes)).await
+        let gate = daemon::AcceptGate::new(handle.clone(), handle.max_descriptors());
+        let configure = |rocket: rocket::Rocket<rocket::Build>| rocket.mount("/", routes);
+        daemon::WebServer::launch(settings.callers, Some(gate), configure).await
     }
 
     fn launch_forwards(handle: &handle::NodeHandle, listener: tokio::net::TcpListener) {
@@ -208,7 +210,7 @@
     async fn launch_operators(handle: &handle::NodeHandle) -> anyhow::Result<daemon::WebServer> {
         let settings = handle.settings();
         let handle = handle.clone();
-        daemon::WebServer::launch(settings.operators, |rocket| {
+        daemon::WebServer::launch(settings.operators, None, |rocket| {
             let routes = operators::OperatorRoutes::routes();
             rocket.manage(handle).mount("/", routes)
         })
--- a/crates/pier_node/src/daemon/web_server.rs
+++ b/crates/pier_node/src/daemon/web_server.rs
@@ -7,6 +7,8 @@
 use rocket::tokio::task;
 use tokio::sync::oneshot;
 
+use crate::daemon;
+
 /// Time that open connections have to close when the server stops, in seconds. Short because the
 /// node has already waited for requests in progress.
 const GRACE_SECONDS: u32 = 2;
@@ -23,31 +25,43 @@
 }
 
 impl WebServer {
-    /// Starts a server. Its settings are fixed here; Rocket's files and environment variables are
-    /// not read.
+    /// Starts a server, which accepts connections as its gate allows. Its settings are fixed here;
+    /// Rocket's files and environment variables are not read.
     ///
     /// # Errors
     ///
     /// Fails when the address cannot be bound.
     pub(super) async fn launch(
         address: net::SocketAddr,
+        gate: Option<daemon::AcceptGate>,
         configure: impl FnOnce(rocket::Rocket<rocket::Build>) -> rocket::Rocket<rocket::Build>,
     ) -> anyhow::Result<Self> {
+        let is_limited = gate.is_some();
         let (sender, receiver) = oneshot::channel();
         let rocket = configure(rocket::custom(figment(address)));
         let rocket = rocket.attach(report_port(sender)).ignite().await;
         let rocket = rocket.map_err(|error| anyhow::anyhow!("server on {address}: {error}"))?;
         let shutdown = rocket.shutdown();
+        let closing = rocket.shutdown();
         let running = tokio::spawn(async move {
-            if let Err(error) = rocket.launch().await {
+            let serving = Box::pin(rocket.launch());
+            let ended = match gate {
+                Some(gate) => gate.run(serving, closing).await,
+                None => serving.await,
+            };
+            if let Err(error) = ended {
                 log::error!(event = "server-failed", address:% = address, cause:% = error; "");
             }
         });
         let port = receiver
             .await
             .with_context(|| format!("binding {address}"))?;
+        let address = net::SocketAddr::new(address.ip(), port);
+        if is_limited && let Err(error) = daemon::receive_buffers::limit(address) {
+            log::warn!(event = "receive-buffers-not-limited", cause = format!("{error:#}"); "");
+        }
         Ok(Self {
-            address: net::SocketAddr::new(address.ip(), port),
+            address,
             shutdown,
             running,
         })
--- a/crates/pier_node/src/forwards/forward_server.rs
+++ b/crates/pier_node/src/forwards/forward_server.rs
@@ -3,6 +3,7 @@
 use std::{net, time};
 
 use anyhow::Context as _;
+use pier_fleet::budgets;
 use pier_types::{codes, times};
 use pier_wire::{frames, seals};
 use tokio::net::{TcpListener, TcpStream};
@@ -18,6 +19,9 @@
 /// Maximum bytes of an answer in one frame.
 const CHUNK_BYTES: usize = 64 * 1024;
 
+/// Retry-after hint for a body that was given up, in milliseconds.
+const CROWDED_RETRY_MILLIS: u64 = 1_000;
+
 /// Maximum number of times that a request may have been forwarded.
 const MAX_HOPS: u8 = 1;
 
@@ -26,6 +30,8 @@
 enum IncomingMessage {
     /// A complete request.
     Request(callers::CallerRequest),
+    /// A request that is refused before its body has come whole.
+    Refused(frames::AnswerFrame),
     /// A peer's query for its copy of a document or of the VM list.
     Query(frames::PeerQuery),
 }
@@ -74,6 +80,7 @@
         let arrived = tokio::time::timeout(ARRIVAL_TIMEOUT, arriving).await;
         let request = match arrived.context("the request did not arrive in time")?? {
             IncomingMessage::Request(request) => request,
+            IncomingMessage::Refused(refusal) => return writer.write(&refusal).await,
             IncomingMessage::Query(query) => {
                 let reply = self.answer_query(query);
                 return send_reply(reply, &mut writer).await;
@@ -118,9 +125,56 @@
             frames::ForwardFrame::Ask(query) => return Ok(IncomingMessage::Query(query)),
             _ => anyhow::bail!("the request has no begin frame"),
         };
-        let body = receive_body(reader).await?;
-        let request = request_of(*begin, body, times::clocks::boot_now());
-        Ok(IncomingMessage::Request(request))
+        Ok(match self.receive_body(reader).await? {
+            Ok(body) => {
+                let request = request_of(*begin, body, times::clocks::boot_now());
+                IncomingMessage::Request(request)
+            }
+            Err(end) => {
+                self.handle.metrics().bodies().count_ended(end);
+                // A code that nodes of earlier builds understand.
+                let code = codes::ResultCode::Overloaded;
+                let refusal = failed(code, code.outcome(), Some(CROWDED_RETRY_MILLIS));
+                IncomingMessage::Refused(refusal)
+            }
+        })
+    }
+
+    /// Reads a body within the node's budget; the inner error states why it was given up.
+    async fn receive_body(
+        &self,
+        reader: &mut forwards::FrameReader,
+    ) -> anyhow::Result<Result<bytes::Bytes, budgets::BodyEnd>> {
+        let now = times::clocks::boot_now();
+        let mut intake = pier_bodies::BodyIntake::begin(self.handle.bodies(), None, now);
+        loop {
+            let frame = tokio::select! {
+                biased;
+                end = intake.ended() => return Ok(Err(end)),
+                frame = reader.expect() => frame?,
+            };
+            let chunk = match frame {
+                frames::ForwardFrame::Body(chunk) => chunk,
+                frames::ForwardFrame::End => return Ok(Ok(intake.finish())),
+                frames::ForwardFrame::Begin(_) => {
+                    anyhow::bail!("the request has a second begin frame")
+                }
+                frames::ForwardFrame::Cancel => {
+                    anyhow::bail!("the request was cancelled before its end")
+                }
+                frames::ForwardFrame::Ask(_) => {
+                    anyhow::bail!("a question arrived within a request")
+                }
+            };
+            anyhow::ensure!(
+                intake.length() + chunk.bytes.len() <= MAX_BODY_BYTES,
+                "the body is over {MAX_BODY_BYTES} bytes"
+            );
+            let now = times::clocks::boot_now();
+            if let Err(end) = intake.append(&chunk.bytes, now).await {
+                return Ok(Err(end));
+            }
+        }
     }
 
     async fn answer(
@@ -143,28 +197,9 @@
     }
 }
 
-async fn receive_body(reader: &mut forwards::FrameReader) -> anyhow::Result<Vec<u8>> {
-    let mut body = Vec::new();
-    loop {
-        match reader.expect().await? {
-            frames::ForwardFrame::Body(chunk) => body.extend_from_slice(&chunk.bytes),
-            frames::ForwardFrame::End => return Ok(body),
-            frames::ForwardFrame::Begin(_) => anyhow::bail!("the request has a second begin frame"),
-            frames::ForwardFrame::Cancel => {
-                anyhow::bail!("the request was cancelled before its end")
-            }
-            frames::ForwardFrame::Ask(_) => anyhow::bail!("a question arrived within a request"),
-        }
-        anyhow::ensure!(
-            body.len() <= MAX_BODY_BYTES,
-            "the body is over {MAX_BODY_BYTES} bytes"
-        );
-    }
-}
-
 fn request_of(
     begin: frames::ForwardBegin,
-    body: Vec<u8>,
+    body: bytes::Bytes,
     arrived_at: times::BootTime,
 ) -> callers::CallerRequest {
     let (path, query) = begin.path.split_once('?').unwrap_or((&begin.path, ""));
--- a/crates/pier_node/src/handle/node_handle.rs
+++ b/crates/pier_node/src/handle/node_handle.rs
@@ -21,6 +21,8 @@
 struct NodeShared {
     name: ids::NodeName,
     settings: settings::NodeSettings,
+    bodies: pier_bodies::BodyRoom,
+    max_descriptors: u64,
     instance: seals::NodeInstance,
     client: reqwest::Client,
     objects: objects::ObjectClient,
@@ -56,8 +58,12 @@
         client: reqwest::Client,
         traces: telemetry::TraceSink,
     ) -> anyhow::Result<Self> {
+        let machine = settings::MachineSize::load();
+        let bounds = settings.limits.body_bounds(machine);
         let shared = NodeShared {
             name,
+            bodies: pier_bodies::BodyRoom::new(bounds),
+            max_descriptors: settings.limits.max_descriptors(machine),
             instance: seals::NodeInstance::new(rand::random()),
             client,
             objects: objects::ObjectClient::new(&settings.platform_url)?,
@@ -108,6 +114,16 @@
         &self.shared.settings
     }
 
+    /// Returns the memory that the bodies of requests share.
+    pub fn bodies(&self) -> &pier_bodies::BodyRoom {
+        &self.shared.bodies
+    }
+
+    /// Returns the open descriptors from which on no connection of a caller is accepted.
+    pub fn max_descriptors(&self) -> u64 {
+        self.shared.max_descriptors
+    }
+
     /// Returns the HTTP client for targets.
     pub fn client(&self) -> &reqwest::Client {
         &self.shared.client
@@ -132,6 +148,7 @@
         let quarantined = self.requests().quarantined_count();
         self.metrics()
             .record_load(self.requests_in_progress(), quarantined);
+        self.metrics().bodies().set_held(self.bodies().total());
         self.metrics().encode()
     }
 
--- a/crates/pier_node/src/lib.rs
+++ b/crates/pier_node/src/lib.rs
@@ -26,6 +26,10 @@
 /// Maximum number of worker threads; each keeps about a megabyte of heap resident.
 const MAX_THREADS: usize = 4;
 
+/// Memory of the node for each worker thread, in bytes. What one thread allocates and another frees stays
+/// resident until the first allocates again, so that a small node is kept within its memory by few threads.
+const THREAD_MEMORY_BYTES: u64 = 64 << 20;
+
 /// Runs a node with the settings from a file until it was told to stop and has drained.
 ///
 /// # Errors
@@ -34,8 +38,10 @@
 pub fn run(path: &path::Path) -> anyhow::Result<()> {
     let settings = settings::NodeSettings::load(path)?;
     let cores = thread::available_parallelism().map_or(1, num::NonZero::get);
+    let memory = settings.limits.memory(settings::MachineSize::load());
+    let for_memory = usize::try_from(memory.get() / THREAD_MEMORY_BYTES).unwrap_or(MAX_THREADS);
     let runtime = rocket::tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(cores.min(MAX_THREADS))
+        .worker_threads(cores.min(MAX_THREADS).min(for_memory).max(1))
         .enable_all()
         .build()
         .context("starting the threads")?;
--- a/crates/pier_node/src/requests/request_plan.rs
+++ b/crates/pier_node/src/requests/request_plan.rs
@@ -103,7 +103,7 @@
             freshness: document.limits.freshness,
             headers: request.headers,
             method: request.method,
-            body: request.body.into(),
+            body: request.body,
         })
     }
 
--- a/crates/pier_node/src/settings/node_settings.rs
+++ b/crates/pier_node/src/settings/node_settings.rs
@@ -1,9 +1,9 @@
 //! The settings of one node.
 
-use std::{net, ops, path, time};
+use std::{net, num, ops, path, time};
 
 use anyhow::Context as _;
-use pier_types::ids;
+use pier_types::{ids, sizes};
 use pier_wire::seals;
 
 use crate::settings;
@@ -67,6 +67,8 @@
     pub drain_notice: time::Duration,
     /// Time that a caller has to send its complete body.
     pub body_timeout: time::Duration,
+    /// Limits on what callers can make the node hold.
+    pub limits: settings::NodeLimits,
     /// Base URL of the OTLP collector.
     pub collector_url: Option<String>,
     /// Minimum level of log lines.
@@ -112,6 +114,7 @@
         let drain_limit = reader.optional("node", "drain-limit-seconds", seconds);
         let drain_notice = reader.optional("node", "drain-notice-seconds", seconds);
         let body_timeout = Self::read_body_timeout(reader);
+        let limits = Self::read_limits(reader);
         let collector_url = Self::read_optional_url(reader, "telemetry", "collector");
         let levels = "one of off, error, warn, info, debug, trace";
         let log_level = reader.optional("telemetry", "log-level", levels);
@@ -127,6 +130,7 @@
             drain_limit: drain_limit.map_or(DEFAULT_DRAIN_LIMIT, time::Duration::from_secs),
             drain_notice: drain_notice.map_or(DEFAULT_DRAIN_NOTICE, time::Duration::from_secs),
             body_timeout,
+            limits,
             collector_url,
             log_level: log_level.unwrap_or(log::LevelFilter::Info),
         })
@@ -145,6 +149,21 @@
         time::Duration::from_secs(seconds)
     }
 
+    fn read_limits(reader: &mut settings::SettingsReader<'_>) -> settings::NodeLimits {
+        let count = "a whole number above 0";
+        let mut number = |key| reader.optional::<num::NonZeroU32>("limits", key, count);
+        let bytes = |number: num::NonZeroU32| sizes::ByteSize::new(number.get().into());
+        let mebibytes =
+            |number: num::NonZeroU32| sizes::ByteSize::new(u64::from(number.get()) << 20);
+        settings::NodeLimits {
+            memory: number("memory-mib").map(mebibytes),
+            body_budget: number("body-budget-mib").map(mebibytes),
+            least_body_rate: number("least-body-rate").map(bytes),
+            bodies: number("bodies").map(num::NonZeroU32::get),
+            descriptors: number("descriptors").map(|number| number.get().into()),
+        }
+    }
+
     fn read_peer_key(reader: &mut settings::SettingsReader<'_>) -> Option<seals::WireKey> {
         let allowed = format!("at least {MIN_PEER_KEY_LENGTH} characters, the same on every node");
         let key: String = reader.required("node", "peer-key", &allowed)?;
--- a/crates/pier_node/src/telemetry/mod.rs
+++ b/crates/pier_node/src/telemetry/mod.rs
@@ -1,6 +1,7 @@
 //! Metrics and traces.
 
 mod attempt_outcome;
+mod body_metrics;
 mod claim_outcome;
 mod counting_exporter;
 mod forward_outcome;
@@ -13,6 +14,7 @@
 mod trace_sink;
 
 pub use attempt_outcome::AttemptOutcome;
+pub use body_metrics::BodyMetrics;
 pub use claim_outcome::ClaimOutcome;
 use counting_exporter::CountingExporter;
 pub use forward_outcome::ForwardOutcome;
--- a/crates/pier_node/src/telemetry/node_metrics.rs
+++ b/crates/pier_node/src/telemetry/node_metrics.rs
@@ -25,6 +25,7 @@
     registry: registry::Registry,
     answers: family::Family<AnswerLabels, counter::Counter>,
     requests: telemetry::RequestMetrics,
+    bodies: telemetry::BodyMetrics,
     quarantined: gauge::Gauge,
     first_part: histogram::Histogram,
     in_progress: gauge::Gauge,
@@ -45,6 +46,7 @@
             registry: registry::Registry::with_prefix("buckthornpier"),
             answers: family::Family::default(),
             requests: telemetry::RequestMetrics::default(),
+            bodies: telemetry::BodyMetrics::default(),
             quarantined: gauge::Gauge::default(),
             first_part: histogram::Histogram::new(LATENCY_BOUNDS_SECONDS),
             in_progress: gauge::Gauge::default(),
@@ -67,6 +69,11 @@
         &self.requests
     }
 
+    /// Returns the metrics of requests' bodies.
+    pub const fn bodies(&self) -> &telemetry::BodyMetrics {
+        &self.bodies
+    }
+
     /// Records how many requests are in progress and how many are quarantined.
     pub fn record_load(&self, in_progress: usize, quarantined: usize) {
         let number = |count| i64::try_from(count).unwrap_or(i64::MAX);
@@ -118,6 +125,7 @@
         self.registry
             .register("quarantined_requests", help, quarantined);
         self.requests.register(&mut self.registry);
+        self.bodies.register(&mut self.registry);
         self.register_config();
     }
 
--- a/crates/pier_node/tests/metrics_page.rs
+++ b/crates/pier_node/tests/metrics_page.rs
@@ -47,6 +47,9 @@
     metrics.count_answer(None);
     let forged = pier_wire::seals::SealRefusal::Forged;
     metrics.requests().count_refused_datagram(forged);
+    metrics
+        .bodies()
+        .count_ended(pier_fleet::budgets::BodyEnd::Quiet);
     assert_eq!(shown_metrics(&metrics.encode().unwrap()), page_metrics());
 }
 
--- a/crates/pier_node/tests/requests/one_time.rs
+++ b/crates/pier_node/tests/requests/one_time.rs
@@ -153,7 +153,7 @@
     let bench = OneTimeBench::launch().await;
     let charge = test_node::charge("charge_08");
     let mut other = charge.clone();
-    other.body = b"{\"cabinet\":8}".to_vec();
+    other.body = bytes::Bytes::from_static(b"{\"cabinet\":8}");
     assert_eq!(bench.nodes[0].send(charge).await.status, 200);
     bench.nodes[0].wait_until_idle().await;
     let refused = bench.nodes[1].send(other).await;
--- a/crates/pier_node/tests/requests/test_node.rs
+++ b/crates/pier_node/tests/requests/test_node.rs
@@ -246,7 +246,7 @@
         path: path.to_owned(),
         query: String::new(),
         headers: [("authorization".to_owned(), format!("Bearer {key}"))].into(),
-        body: body.as_bytes().to_vec(),
+        body: bytes::Bytes::copy_from_slice(body.as_bytes()),
         arrived_at: clocks::boot_now(),
         hops: 0,
     }
--- a/crates/pier_types/src/codes/result_code.rs
+++ b/crates/pier_types/src/codes/result_code.rs
@@ -54,6 +54,8 @@
     RequestQuarantined,
     /// The attempt did not run, and the retry budget is exhausted.
     RetryBudgetSpent,
+    /// This node has no memory for the body now.
+    BodyCrowded,
     /// A one-time request needs the platform, which is unavailable.
     PlatformUnavailable,
     /// This node has no configuration yet.
@@ -107,6 +109,7 @@
         Self::NodeDraining,
         Self::RequestQuarantined,
         Self::RetryBudgetSpent,
+        Self::BodyCrowded,
         Self::PlatformUnavailable,
         Self::ConfigUnavailable,
         Self::ClaimUnknown,
@@ -145,6 +148,7 @@
             Self::NodeDraining => 2005,
             Self::RequestQuarantined => 2006,
             Self::RetryBudgetSpent => 2007,
+            Self::BodyCrowded => 2008,
             Self::PlatformUnavailable => 3001,
             Self::ConfigUnavailable => 3002,
             Self::ClaimUnknown => 3003,
@@ -183,6 +187,7 @@
             | Self::DeadlineTooClose
             | Self::NodeDraining
             | Self::RetryBudgetSpent
+            | Self::BodyCrowded
             | Self::PlatformUnavailable
             | Self::ConfigUnavailable
             | Self::ClaimUnknown
@@ -236,6 +241,7 @@
             Self::RetryBudgetSpent => {
                 "The attempt did not run, and the budget for retries is spent."
             }
+            Self::BodyCrowded => "This node has no memory for the request's body now.",
             Self::PlatformUnavailable => {
                 "A request that may run only once needs the platform, which is away."
             }
