Show that one body can parse into more memory than a node has

A completion of 8 MiB whose prompt is an array of numbers: the node parses it into values, before it checks the size that the model allows.

--- a/crates/buckthornpier/tests/node_body_crowds.rs
+++ b/crates/buckthornpier/tests/node_body_crowds.rs
@@ -157,3 +157,21 @@
     let (_platform, node) = start("many").await;
     node.bear(support::CrowdBodies::Many).await;
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_body_that_parses_into_many_values() {
+    let _turn = ONE_AT_A_TIME.lock().await;
+    let (_platform, node) = start("values").await;
+    let mut body = format!("{{\"model\":\"{}\",\"prompt\":[0", support::MODEL);
+    while body.len() + ",0]}".len() <= PLAN.body_size {
+        body += ",0";
+    }
+    body += "]}";
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: node\r\nauthorization: Bearer {}\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n{body}",
+        support::REPEAT_KEY,
+        body.len()
+    );
+    node.bear_one(request.as_bytes()).await;
+}
--- a/crates/buckthornpier/tests/support/body_crowd.rs
+++ b/crates/buckthornpier/tests/support/body_crowd.rs
@@ -195,6 +195,13 @@
         self.assert_serves("after the crowd").await;
     }
 
+    /// Sends a single request, and checks the node before and after its answer.
+    pub async fn bear_one(mut self, request: &[u8]) {
+        self.assert_serves("before the request").await;
+        assert!(self.exchange(request).await.is_some(), "no answer");
+        self.assert_serves("after the request").await;
+    }
+
     /// Checks that the process lives within its limits and answers an ordinary request.
     async fn assert_serves(&mut self, when: &str) {
         assert_eq!(self.ask(10).await, Some(200), "{when}");
@@ -219,13 +226,17 @@
         .await;
     }
 
-    /// Sends a request on a new connection; returns the status of its answer.
+    /// Sends a request with a body on a new connection; returns the status of its answer.
     async fn ask(&self, body_size: usize) -> Option<u16> {
-        let mut stream = TcpStream::connect(self.callers).await.ok()?;
         let lines = format!("content-length: {body_size}\r\nconnection: close\r\n");
         let mut bytes = (self.plan.request_head)(&lines).into_bytes();
         bytes.resize(bytes.len() + body_size, b'a');
-        stream.write_all(&bytes).await.ok()?;
+        self.exchange(&bytes).await
+    }
+
+    async fn exchange(&self, request: &[u8]) -> Option<u16> {
+        let mut stream = TcpStream::connect(self.callers).await.ok()?;
+        stream.write_all(request).await.ok()?;
         let mut answer = Vec::new();
         let reading = stream.read_to_end(&mut answer);
         let _length = tokio::time::timeout(support::WAIT_TIMEOUT, reading)
