Keep the prompt of a completion as text until it is hashed

The prompt and the messages were parsed into values, 32 bytes for each number or empty object of a body, for a hash of the first 256 bytes of text.

--- a/crates/pier_node/src/requests/request_route.rs
+++ b/crates/pier_node/src/requests/request_route.rs
@@ -3,7 +3,7 @@
 use pier_request::routing;
 use pier_types::{codes, ids, routes};
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::value::RawValue;
 
 use crate::{callers, requests};
 
@@ -18,14 +18,14 @@
 
 /// The fields of a model request that the node reads.
 #[derive(Debug, Deserialize)]
-struct ModelFields {
+struct ModelFields<'a> {
     model: ids::ModelName,
     #[serde(default)]
     stream: bool,
-    #[serde(default)]
-    prompt: Value,
-    #[serde(default)]
-    messages: Value,
+    #[serde(borrow, default)]
+    prompt: Option<&'a RawValue>,
+    #[serde(borrow, default)]
+    messages: Option<&'a RawValue>,
 }
 
 /// The destination of a request.
@@ -90,7 +90,7 @@
             let code = codes::ResultCode::MalformedBody;
             callers::ErrorBody::new(code, cause)
         };
-        let fields: ModelFields = serde_json::from_slice(&request.body)
+        let fields: ModelFields<'_> = serde_json::from_slice(&request.body)
             .map_err(|error| malformed(format!("the body is not as required: {error}")))?;
         let prompt = requests::PromptFields::new(fields.prompt, fields.messages);
         if request.path == CHAT_PATH && !prompt.has_messages() {
