Share one crowded node among the tests of crowds

Change: support holds the node under a crowd and what a crowd of bodies sends; crowds starts the platform's node for two test files. All three files now count what the system holds for all of the node's connections, in both directions. Crowds, bounds and checks are the same.

--- a/crates/buckthornpier/tests/node_body_crowds.rs
+++ b/crates/buckthornpier/tests/node_body_crowds.rs
@@ -113,49 +113,49 @@
 async fn bodies_that_come_whole_and_stop_short() {
     let _turn = ONE_AT_A_TIME.lock().await;
     let (_platform, node) = start("whole").await;
-    node.bear(support::CrowdBodies::Whole).await;
+    node.bear_bodies(support::CrowdBodies::Whole).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_that_come_in_pieces_and_stop_short() {
     let _turn = ONE_AT_A_TIME.lock().await;
     let (_platform, node) = start("pieces").await;
-    node.bear(support::CrowdBodies::Pieces).await;
+    node.bear_bodies(support::CrowdBodies::Pieces).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_in_large_chunks_that_stop_short() {
     let _turn = ONE_AT_A_TIME.lock().await;
     let (_platform, node) = start("large-chunks").await;
-    node.bear(support::CrowdBodies::LargeChunks).await;
+    node.bear_bodies(support::CrowdBodies::LargeChunks).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_in_very_small_chunks_that_stop_short() {
     let _turn = ONE_AT_A_TIME.lock().await;
     let (_platform, node) = start("small-chunks").await;
-    node.bear(support::CrowdBodies::SmallChunks).await;
+    node.bear_bodies(support::CrowdBodies::SmallChunks).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_far_over_the_limit_that_are_announced() {
     let _turn = ONE_AT_A_TIME.lock().await;
     let (_platform, node) = start("announced").await;
-    node.bear(support::CrowdBodies::Announced).await;
+    node.bear_bodies(support::CrowdBodies::Announced).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn bodies_far_over_the_limit_that_are_just_sent() {
     let _turn = ONE_AT_A_TIME.lock().await;
     let (_platform, node) = start("just-sent").await;
-    node.bear(support::CrowdBodies::JustSent).await;
+    node.bear_bodies(support::CrowdBodies::JustSent).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn more_bodies_than_connections_that_are_allowed() {
     let _turn = ONE_AT_A_TIME.lock().await;
     let (_platform, node) = start("many").await;
-    node.bear(support::CrowdBodies::Many).await;
+    node.bear_bodies(support::CrowdBodies::Many).await;
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/buckthornpier/tests/reader_crowds.rs
+++ b/crates/buckthornpier/tests/reader_crowds.rs
@@ -10,7 +10,6 @@
 
 use std::time;
 
-use crowds::{CrowdedNode, MAX_SERVING_DESCRIPTORS};
 use standins::LongAnswer;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -39,7 +38,7 @@
 async fn bear_readers(name: &str, answer: LongAnswer, habit: ReadHabit) {
     let _turn = ONE_AT_A_TIME.lock().await;
     let store = standins::start_with_long_answers().await;
-    let node = CrowdedNode::start(name, store, MAX_SERVING_DESCRIPTORS).await;
+    let node = crowds::start(name, store, crowds::MAX_SERVING_DESCRIPTORS).await;
     node.bear(CROWD, async |_number, stream: &mut TcpStream| {
         let head = standins::request_head_for(answer.path(), "content-length: 0\r\n");
         if stream.write_all(head.as_bytes()).await.is_err() {
--- a/crates/buckthornpier/tests/crowds/crowded_node.rs
+++ b/crates/buckthornpier/tests/support/crowded_node.rs
@@ -1,6 +1,7 @@
-//! The real program under a crowd of callers.
+//! The real program under a crowd of callers. Nothing limits its memory but its own settings, so the
+//! tests read what it uses.
 
-use std::{collections, fs, net, path, process, sync, time};
+use std::{collections, fs, net, process, sync, time};
 
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -8,20 +9,7 @@
     task,
 };
 
-use crate::{standins, standins::BODY_SIZE, support};
-
-/// The memory that the node's settings allow it, in MiB.
-const MEMORY_MIB: u64 = 112;
-
-/// The connections of callers that the node's settings allow.
-const CONNECTIONS: usize = 256;
-
-/// Descriptors that the node may have open while nothing is passed on: those of its callers and of its
-/// own work.
-pub const MAX_DESCRIPTORS: usize = CONNECTIONS + 64;
-
-/// Descriptors that the node may have open while each caller's request is at a target.
-pub const MAX_SERVING_DESCRIPTORS: usize = 2 * CONNECTIONS + 64;
+use crate::support;
 
 /// Time after which a caller of a crowd stays as it is.
 const ACTIVE_TIME: time::Duration = time::Duration::from_secs(10);
@@ -37,76 +25,41 @@
     descriptors: usize,
 }
 
-/// The running program.
+/// A running node under a crowd of callers; killed when dropped.
 #[derive(Debug)]
 pub struct CrowdedNode {
     child: process::Child,
     callers: net::SocketAddr,
+    plan: support::CrowdPlan,
     peak: sync::Arc<sync::Mutex<PeakUse>>,
     readings: task::JoinHandle<()>,
-    max_descriptors: usize,
 }
 
 impl CrowdedNode {
-    /// Starts the program beside a store, and waits until it serves requests.
-    pub async fn start(name: &str, store: net::SocketAddr, max_descriptors: usize) -> Self {
-        let addresses: Vec<_> = (0..5).map(|_| free_address()).collect();
-        let [callers, readiness, peers, forwards, metrics] = addresses[..] else {
-            unreachable!("five addresses");
-        };
-        let text = format!(
-            "[node]\nname = node-1\ndata_centre = zone-a\ndata_centres = zone-a\n\
-             first_start = true\n[listen]\ncallers = {callers}\nreadiness = {readiness}\n\
-             peers = {peers}\nforwards = {forwards}\nmetrics = {metrics}\n\
-             [platform]\nstore = {store}\n\
-             [limits]\nmemory_mib = {MEMORY_MIB}\ncores = 1\ncaller_connections = {CONNECTIONS}\n\
-             [bounds]\ngrace_seconds = 5\nleaving_ms = 2000\nretry_ratio = 0.2\n\
-             retry_burst = 100\nretry_window_seconds = 10\n[log]\nlevel = info\n"
-        );
-        let folder = path::Path::new(env!("CARGO_TARGET_TMPDIR"));
-        let file = folder.join(format!("crowd-{name}.ini"));
-        fs::write(&file, text).unwrap();
-        let log = fs::File::create(folder.join(format!("crowd-{name}.log"))).unwrap();
-        let child = process::Command::new(env!("CARGO_BIN_EXE_buckthornpier"))
-            .args(["edge", "--settings"])
-            .arg(file)
-            .stdin(process::Stdio::null())
-            .stdout(log)
-            .stderr(process::Stdio::null())
-            .spawn()
-            .unwrap();
+    /// Watches a process that was just started, and waits until it serves requests.
+    pub async fn watch(
+        child: process::Child,
+        callers: net::SocketAddr,
+        plan: support::CrowdPlan,
+    ) -> Self {
         let peak = sync::Arc::default();
         let readings = tokio::spawn(read_use(child.id(), sync::Arc::clone(&peak)));
         let node = Self {
             child,
             callers,
+            plan,
             peak,
             readings,
-            max_descriptors,
         };
-        support::wait_for("answer to an ordinary request", async || {
-            (ask(callers, 10).await == Some(200)).then_some(())
-        })
-        .await;
+        node.wait_for_answer("answer to an ordinary request", 10)
+            .await;
         node
     }
 
-    /// Checks that the process lives within its limits and answers an ordinary request.
-    async fn assert_serves(&mut self, when: &str) {
-        assert_eq!(ask(self.callers, 10).await, Some(200), "{when}");
-        assert_eq!(self.child.try_wait().unwrap(), None, "{when}");
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let resident = memory_field(&status, "VmHWM:");
-        let peak = *self.peak.lock().unwrap();
-        println!("{when}: {resident} KiB resident, {peak:?}");
-        assert!(resident <= MEMORY_MIB << 10, "{when}: {resident} KiB");
-        assert!(peak.memory <= MEMORY_MIB << 10, "{when}: {peak:?}");
-        assert!(peak.descriptors <= self.max_descriptors, "{when}: {peak:?}");
-    }
-
     /// Lets a crowd act, and checks the node before, while the crowd stays, and once it has left.
     pub async fn bear(mut self, size: usize, act: impl AsyncFn(usize, &mut TcpStream) + Copy) {
-        assert_eq!(ask(self.callers, BODY_SIZE).await, Some(200), "in calm");
+        let body_size = self.plan.body_size;
+        assert_eq!(self.ask(body_size).await, Some(200), "in calm");
         self.assert_serves("before the crowd").await;
         let callers = self.callers;
         let crowd = (0..size).map(|number| async move {
@@ -118,11 +71,69 @@
         let staying = futures_util::future::join_all(crowd).await;
         self.assert_serves("beside the crowd").await;
         drop(staying);
-        support::wait_for("answer to the largest body", async || {
-            (ask(callers, BODY_SIZE).await == Some(200)).then_some(())
+        self.wait_for_answer("answer to the largest body", body_size)
+            .await;
+        self.assert_serves("after the crowd").await;
+    }
+
+    /// Lets a crowd send bodies.
+    pub async fn bear_bodies(self, bodies: support::CrowdBodies) {
+        let plan = self.plan;
+        self.bear(plan.size(bodies), async |number, stream: &mut TcpStream| {
+            plan.send(bodies, number, stream).await;
         })
         .await;
-        self.assert_serves("after the crowd").await;
+    }
+
+    /// Sends a single request, and checks the node before and after its answer.
+    pub async fn bear_one(mut self, request: &[u8]) {
+        self.assert_serves("before the request").await;
+        assert!(self.exchange(request).await.is_some(), "no answer");
+        self.assert_serves("after the request").await;
+    }
+
+    /// Checks that the process lives within its limits and answers an ordinary request.
+    async fn assert_serves(&mut self, when: &str) {
+        assert_eq!(self.ask(10).await, Some(200), "{when}");
+        assert_eq!(self.child.try_wait().unwrap(), None, "{when}");
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let resident = memory_field(&status, "VmHWM:");
+        let peak = *self.peak.lock().unwrap();
+        println!("{when}: {resident} KiB resident, {peak:?}");
+        let memory = self.plan.memory_mib << 10;
+        assert!(resident <= memory, "{when}: {resident} KiB");
+        assert!(peak.memory <= memory, "{when}: {peak:?}");
+        assert!(
+            peak.descriptors <= self.plan.max_descriptors,
+            "{when}: {peak:?}"
+        );
+    }
+
+    async fn wait_for_answer(&self, awaited: &str, body_size: usize) {
+        support::wait_for(awaited, async || {
+            (self.ask(body_size).await == Some(200)).then_some(())
+        })
+        .await;
+    }
+
+    /// Sends a request with a body on a new connection; returns the status of its answer.
+    async fn ask(&self, body_size: usize) -> Option<u16> {
+        let lines = format!("content-length: {body_size}\r\nconnection: close\r\n");
+        let mut bytes = (self.plan.request_head)(&lines).into_bytes();
+        bytes.resize(bytes.len() + body_size, b'a');
+        self.exchange(&bytes).await
+    }
+
+    async fn exchange(&self, request: &[u8]) -> Option<u16> {
+        let mut stream = TcpStream::connect(self.callers).await.ok()?;
+        stream.write_all(request).await.ok()?;
+        let mut answer = Vec::new();
+        let reading = stream.read_to_end(&mut answer);
+        let _length = tokio::time::timeout(support::WAIT_TIMEOUT, reading)
+            .await
+            .ok()?;
+        let answer = String::from_utf8_lossy(&answer);
+        answer.split(' ').nth(1)?.parse().ok()
     }
 }
 
@@ -134,7 +145,8 @@
     }
 }
 
-fn free_address() -> net::SocketAddr {
+/// Returns a loopback address with a port that was free just now.
+pub fn free_address() -> net::SocketAddr {
     let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap()
 }
@@ -190,19 +202,3 @@
         tokio::time::sleep(READING_INTERVAL).await;
     }
 }
-
-/// Sends a request on a new connection; returns the status of its answer.
-pub async fn ask(callers: net::SocketAddr, body_size: usize) -> Option<u16> {
-    let mut stream = TcpStream::connect(callers).await.ok()?;
-    let lines = format!("content-length: {body_size}\r\nconnection: close\r\n");
-    let mut bytes = standins::request_head(&lines).into_bytes();
-    bytes.resize(bytes.len() + body_size, b'a');
-    stream.write_all(&bytes).await.ok()?;
-    let mut answer = Vec::new();
-    let reading = stream.read_to_end(&mut answer);
-    let _length = tokio::time::timeout(support::WAIT_TIMEOUT, reading)
-        .await
-        .ok()?;
-    let answer = String::from_utf8_lossy(&answer);
-    answer.split(' ').nth(1)?.parse().ok()
-}
--- a/crates/buckthornpier/tests/support/mod.rs
+++ b/crates/buckthornpier/tests/support/mod.rs
@@ -11,6 +11,7 @@
 mod caller_outcome;
 mod child_process;
 mod command_output;
+mod crowded_node;
 mod fake_process;
 mod logged_node;
 mod lossy_relay;
@@ -18,7 +19,7 @@
 mod test_cluster;
 mod test_document;
 
-pub use body_crowd::{CrowdBodies, CrowdPlan, CrowdedNode, free_address};
+pub use body_crowd::{CrowdBodies, CrowdPlan};
 pub use caller_call::CallerCall;
 pub use caller_outcome::{CallerFailure, CallerOutcome};
 pub use child_process::ChildProcess;
@@ -26,6 +27,7 @@
     CommandOutput, SAMPLE, command, effective_writes, expect, file, platform, platform_with_sample,
     run,
 };
+pub use crowded_node::{CrowdedNode, free_address};
 pub use fake_process::FakeProcess;
 pub use logged_node::{LoggedNode, node_settings};
 pub use lossy_relay::{LossPoint, LossyRelay};
