--- a/crates/pier_edge/src/records/mod.rs
+++ b/crates/pier_edge/src/records/mod.rs
@@ -3,6 +3,7 @@
 mod node_record;
 mod record_applier;
 mod record_loop;
+mod record_outage;
 mod record_source;
 mod store_backoff;
 
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -3,11 +3,9 @@
 use std::time;
 
 use anyhow::Context as _;
-use pier_fleet::stewards;
 use pier_types::{epochs, times};
-use tokio::sync::watch;
 
-use super::record_source;
+use super::{record_outage, record_source};
 use crate::{daemon, links, peers, records, state};
 
 /// Smallest interval between two such watches.
@@ -50,13 +48,6 @@
 /// written the marks again that a copy of the store lacks.
 const COPY_LIST_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
-/// Failures that last at least this long count as an outage of the store.
-const MIN_OUTAGE_TIME: time::Duration = time::Duration::from_secs(1);
-
-/// Time by which the probe of a node that can no longer follow its steward calls the store before the
-/// other loops: enough for one call, and little of the time that is kept for reading.
-const PROBE_LEAD: time::Duration = time::Duration::from_millis(250);
-
 /// Starts to follow a kind of records.
 pub(crate) fn spawn<P: links::FleetPlatform>(state: &state::EdgeState<P>, kind: links::RecordKind) {
     let parts = state.clone();
@@ -76,12 +67,12 @@
     });
 }
 
-struct RecordLoop<P> {
-    state: state::EdgeState<P>,
-    kind: links::RecordKind,
-    applier: records::RecordApplier<P>,
-    backoff: records::StoreBackoff,
-    failing_since: Option<times::BootTime>,
+pub(super) struct RecordLoop<P> {
+    pub(super) state: state::EdgeState<P>,
+    pub(super) kind: links::RecordKind,
+    pub(super) applier: records::RecordApplier<P>,
+    pub(super) backoff: records::StoreBackoff,
+    pub(super) failing_since: Option<times::BootTime>,
     started_at: times::BootTime,
     /// Whether the last step relied on the steward.
     is_follower: bool,
@@ -122,7 +113,7 @@
             at = tokio::select! {
                 read = self.read_store(at) => read,
                 () = record_source::wait_for_source(&state, kind, at.is_some(), timeout) => at,
-                () = wait_for_outage_end(returns) => None,
+                () = record_outage::wait_for_end(returns) => None,
             };
         }
     }
@@ -132,7 +123,10 @@
     ///
     /// After a failed call, the nodes' records need no further list: heartbeats and relay messages
     /// bring what they tell.
-    fn followed_version(&self, at: Option<epochs::ObjectVersion>) -> Option<epochs::ObjectVersion> {
+    pub(super) fn followed_version(
+        &self,
+        at: Option<epochs::ObjectVersion>,
+    ) -> Option<epochs::ObjectVersion> {
         let listed_at = self.listed_at;
         at.or(listed_at.filter(|_at| self.kind == links::RecordKind::Nodes))
     }
@@ -438,137 +432,9 @@
     fn is_relayed(&self) -> bool {
         record_source::is_relayed(&self.state, self.kind)
     }
-
-    fn record_success(&mut self, now: times::BootTime) {
-        let store_age = self.state.store_age(now);
-        self.state.record_store_answer(now);
-        if self.is_probe() {
-            self.state.store_outages().set_probe_failing(false);
-        }
-        if !self.backoff.reset() {
-            return;
-        }
-        let Some(since) = self.failing_since.take() else {
-            return;
-        };
-        let away = now.since(since);
-        self.state.store_outages().record_return(since, now);
-        log::info!(
-            event = "store-back",
-            kind = self.kind.label(),
-            away_ms = millis(away),
-            store_age_ms = millis(store_age);
-            ""
-        );
-        if away >= MIN_OUTAGE_TIME {
-            self.applier.record_store_return(self.kind, now);
-        }
-    }
-
-    /// Forgets earlier failures once this loop relies on the steward, which tells of an outage's end
-    /// itself.
-    fn end_failures(&mut self) {
-        if self.backoff.reset() {
-            self.failing_since = None;
-            if self.is_probe() {
-                self.state.store_outages().record_steward();
-            }
-        }
-    }
-
-    /// Records a failed call that was to be answered from `due_at` on, and waits until the next one is
-    /// due.
-    async fn record_failure(&mut self, error: &links::StoreError, due_at: times::BootTime) {
-        let returns = self.state.store_outages().watch_returns();
-        let now = times::clocks::boot_now();
-        self.state.metrics().count_store_failure(self.kind.label());
-        if self.failing_since.is_none() {
-            self.failing_since = Some(due_at.min(now));
-            log::warn!(
-                event = "store-away",
-                kind = self.kind.label(),
-                overdue_ms = millis(now.since(due_at)),
-                store_age_ms = millis(self.state.store_age(now)),
-                cause:% = error;
-                ""
-            );
-        }
-        let is_probe = self.is_probe();
-        if is_probe {
-            self.state.store_outages().set_probe_failing(true);
-        }
-        let facts = stewards::OutageFacts {
-            failures: self.backoff.record_failure(),
-            role: self.state.reader_role(now),
-            is_probe,
-            is_probe_failing: self.state.store_outages().is_probe_failing(),
-        };
-        self.pause(stewards::outage_step(facts, rand::random()), returns)
-            .await;
-    }
-
-    /// Waits as a step says, at most until this loop can rely on the steward.
-    async fn pause(
-        &self,
-        step: stewards::OutageStep,
-        mut returns: watch::Receiver<time::Duration>,
-    ) {
-        let is_listed = self.followed_version(None).is_some();
-        let can_follow = record_source::wait_for_steward(&self.state, self.kind, is_listed);
-        match step {
-            stewards::OutageStep::Retry(delay) => tokio::select! {
-                () = can_follow => {}
-                () = tokio::time::sleep(delay) => {}
-            },
-            stewards::OutageStep::AwaitReturn(limit) => tokio::select! {
-                _returned = returns.changed() => {}
-                () = can_follow => {}
-                () = tokio::time::sleep(limit) => {}
-            },
-        }
-    }
-
-    /// Lets the probe call the store first, as this node can no longer follow its steward; returns
-    /// whether the store was away for the probe, and this loop has waited instead of calling.
-    async fn leaves_call_to_probe(&self, now: times::BootTime) -> bool {
-        if self.is_probe() || self.state.is_first_reader(now) {
-            return false;
-        }
-        let returns = self.state.store_outages().watch_returns();
-        tokio::time::sleep(PROBE_LEAD).await;
-        let is_away = self.state.store_outages().is_probe_failing();
-        if is_away {
-            let step = stewards::OutageStep::AwaitReturn(stewards::MAX_OUTAGE_WAIT);
-            self.pause(step, returns).await;
-        }
-        is_away
-    }
-
-    /// Returns whether this loop keeps calling the store in an outage: the one for the registrations
-    /// at a steward, on whose relay messages others depend, and the one for the document elsewhere.
-    fn is_probe(&self) -> bool {
-        let is_steward = self.state.with_peers(|peers| peers.is_steward());
-        self.kind
-            == if is_steward {
-                links::RecordKind::Targets
-            } else {
-                links::RecordKind::Document
-            }
-    }
-}
-
-/// Waits until another loop finds that the store answers again after an outage, which may have
-/// silenced a call that began before.
-async fn wait_for_outage_end(mut returns: watch::Receiver<time::Duration>) {
-    while returns.changed().await.is_ok() {
-        if *returns.borrow_and_update() >= MIN_OUTAGE_TIME {
-            return;
-        }
-    }
-    std::future::pending::<()>().await;
 }
 
-fn millis(duration: time::Duration) -> u64 {
+pub(super) fn millis(duration: time::Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
