--- a/crates/pier_bodies/src/body_room.rs
+++ b/crates/pier_bodies/src/body_room.rs
@@ -35,7 +35,7 @@
 #[derive(Debug)]
 struct RoomBodies {
     budget: budgets::BodyBudget,
-    /// Tell the readers of bodies that these are to end.
+    /// Notify the readers of bodies that have to end.
     ends: collections::BTreeMap<budgets::BodyId, oneshot::Sender<budgets::BodyEnd>>,
 }
 
@@ -114,7 +114,7 @@
         self.shared.disconnected.notify_waiters();
     }
 
-    /// Adds a body; also returns what tells that it is to end.
+    /// Adds a body; also returns a receiver that completes once the body has to end.
     pub(super) fn begin(
         &self,
         stated: Option<u64>,
--- a/crates/pier_edge/src/records/record_loop.rs
+++ b/crates/pier_edge/src/records/record_loop.rs
@@ -122,7 +122,7 @@
     /// list first.
     ///
     /// After a failed call, the nodes' records need no further list: heartbeats and relay messages
-    /// bring what they tell.
+    /// carry the same information.
     pub(super) fn followed_version(
         &self,
         at: Option<epochs::ObjectVersion>,
--- a/crates/pier_edge/src/records/record_outage.rs
+++ b/crates/pier_edge/src/records/record_outage.rs
@@ -15,8 +15,8 @@
 /// Failures that last at least this long count as an outage of the store.
 const MIN_OUTAGE_TIME: time::Duration = time::Duration::from_secs(1);
 
-/// Time by which the probe of a node that can no longer follow its steward calls the store before the
-/// other loops: enough for one call, and little of the time that is kept for reading.
+/// Head start of the probe over the other loops when a node can no longer follow its steward: enough
+/// for one call, and little of the time that is kept for reading.
 const PROBE_LEAD: time::Duration = time::Duration::from_millis(250);
 
 impl<P: links::FleetPlatform> RecordLoop<P> {
@@ -46,8 +46,7 @@
         }
     }
 
-    /// Forgets earlier failures once this loop relies on the steward, which tells of an outage's end
-    /// itself.
+    /// Resets the failures once this loop relies on the steward, which reports the end of an outage.
     pub(super) fn end_failures(&mut self) {
         if self.backoff.reset() {
             self.failing_since = None;
--- a/crates/pier_edge/src/records/record_source.rs
+++ b/crates/pier_edge/src/records/record_source.rs
@@ -95,7 +95,7 @@
 }
 
 /// Returns whether this node waits for a steward to read a kind of records from. The nodes' records
-/// are read at once, as they tell how large the fleet is; `running_for` is the time since the node
+/// are read at once, as they show how large the fleet is; `running_for` is the time since the node
 /// started, `is_read` whether it has read the records.
 pub(super) fn waits_for_steward<P: links::FleetPlatform>(
     state: &state::EdgeState<P>,
--- a/crates/pier_edge/src/serving/answers/answer_room.rs
+++ b/crates/pier_edge/src/serving/answers/answer_room.rs
@@ -62,8 +62,8 @@
         AnswerShare::new(self.clone(), id)
     }
 
-    /// Adds an answer that is read to its end first; also returns what tells that it is to end
-    /// before.
+    /// Adds an answer that is read to its end first; also returns a receiver that completes if the
+    /// answer has to end before.
     pub(super) fn begin_whole(
         &self,
         mut owner: AnswerOwner,
--- a/crates/pier_edge/src/state/store_outages.rs
+++ b/crates/pier_edge/src/state/store_outages.rs
@@ -1,4 +1,4 @@
-//! What the loops of a node tell one another of outages of the store.
+//! Outages of the store, as shared by the loops of a node.
 
 use std::{
     sync::atomic::{self, AtomicBool, AtomicU64},
@@ -10,7 +10,7 @@
 
 const RELAXED: atomic::Ordering = atomic::Ordering::Relaxed;
 
-/// Whether the store is away, as this node's loops found, and how long it last was.
+/// Whether this node's loops find the store away, and how long its last outage was.
 #[derive(Debug, Default)]
 pub(crate) struct StoreOutages {
     returns: watch::Sender<time::Duration>,
--- a/crates/pier_fleet/src/stewards/outage_reading.rs
+++ b/crates/pier_fleet/src/stewards/outage_reading.rs
@@ -15,8 +15,8 @@
 /// Longest delay of a node that neither replaces a steward nor hears one.
 const LONE_MAX_DELAY: time::Duration = time::Duration::from_secs(2);
 
-/// Range of the delays of a node that hears a steward, which tells it when the store answers again.
-/// It calls only in case the store turns the steward and those who would replace it away.
+/// Range of the delays of a node that hears a steward, whose messages show when the store answers again.
+/// It calls only in case the store refuses the steward and those who would replace it.
 const FOLLOWER_DELAYS: (time::Duration, time::Duration) = (
     time::Duration::from_millis(500),
     time::Duration::from_secs(4),
