Notice in an outage that a node is a steward no longer

Replayed with its log: the store refused the node, which was its data centre's steward, from 16.5 to 23.5 s; the loop for the document waited for the one for the registrations, the probe of a steward. When another node became the steward, that loop followed it, nobody called the store, and nobody woke the one for the document, up to 10 s.

Change: a loop that waits calls once it has become the probe itself, and each loop that relies on the steward again wakes the others.

A test of three nodes with a refused steward passed with and without the change, and was not kept: the fault has no test of its own yet.

--- a/crates/pier_edge/src/records/record_outage.rs
+++ b/crates/pier_edge/src/records/record_outage.rs
@@ -50,9 +50,7 @@
     pub(super) fn end_failures(&mut self) {
         if self.backoff.reset() {
             self.failing_since = None;
-            if self.is_probe() {
-                self.state.store_outages().record_steward();
-            }
+            self.state.store_outages().record_steward();
         }
     }
 
@@ -107,11 +105,20 @@
             stewards::OutageStep::AwaitReturn(limit) => tokio::select! {
                 _returned = returns.changed() => {}
                 () = can_follow => {}
+                () = self.wait_until_probe() => {}
                 () = tokio::time::sleep(limit) => {}
             },
         }
     }
 
+    /// Waits until this loop is the one that keeps calling the store, as its node has become a steward
+    /// or is one no longer.
+    async fn wait_until_probe(&self) {
+        while !self.is_probe() {
+            tokio::time::sleep(record_source::FOLLOW_INTERVAL).await;
+        }
+    }
+
     /// Lets the probe call the store first, as this node can no longer follow its steward; returns
     /// whether the store was away for the probe, and this loop has waited instead of calling.
     pub(super) async fn leaves_call_to_probe(&self, now: times::BootTime) -> bool {
