--- a/review/lib-2/stands.py
+++ b/review/lib-2/stands.py
@@ -249,6 +249,7 @@
         self.seq = 0
         self.state = "ready"
         self.cold_ms = 0
+        self.keep_alive_s = 10
         self.born = int(time.time() * 1000)
         self.runs = []
         self.extra = []
@@ -277,7 +278,7 @@
     def head(self, attempt):
         seal = f"{self.name}.{attempt}.{self.requests}"
         return [("Buckthornpier-Attempt-Id", attempt), ("Buckthornpier-Server-Seal", seal),
-                ("Keep-Alive", "timeout=10")] + self.extra
+                ("Keep-Alive", f"timeout={self.keep_alive_s}")] + self.extra
 
     async def serve(self, reader, writer):
         self.open.add(writer)
